--- /dev/null
+++ b/internal/result/result.go
@@ -0,0 +1,109 @@
+// Package result defines the numbered codes that every part of springstack
+// answers with. Codes are stable: a number is never given a second meaning.
+// docs/RESULT-CODES.md is the table for operators; a test holds it equal to
+// this package.
+package result
+
+import "fmt"
+
+// Code is a stable result number. Codes are grouped by hundreds:
+// 0 success, 1xx files, 2xx acceptance, 3xx distribution, 4xx requests,
+// 5xx platform, 6xx settings and access.
+type Code int
+
+// Execution says whether the operation or request that a code answers ran.
+type Execution string
+
+// The three truthful things that can be said about execution.
+const (
+	// RanYes means that it ran and the answer is its whole answer.
+	RanYes Execution = "yes"
+	// RanNo means that it certainly did not run; sending it again is safe.
+	RanNo Execution = "no"
+	// RanUnknown means that it may have run.
+	RanUnknown Execution = "unknown"
+)
+
+// Entry describes one code for people.
+type Entry struct {
+	// Code is the stable number.
+	Code Code
+	// Name is a stable identifier in snake case.
+	Name string
+	// Ran says whether the thing answered for has run.
+	Ran Execution
+	// Exit is the exit status of the operators' client for this code.
+	Exit int
+	// HTTPStatus is the status used where the code travels over HTTP.
+	HTTPStatus int
+	// Meaning is one sentence for an operator.
+	Meaning string
+	// Mend says what the operator can do.
+	Mend string
+}
+
+// Error is an error that carries a code and the place that it concerns.
+// Detail never holds the value of a secret.
+type Error struct {
+	// Code is the numbered reason.
+	Code Code `json:"code"`
+	// File is the file that the error concerns, if any.
+	File string `json:"file,omitempty"`
+	// Line is the 1-based line in File; 0 when not known.
+	Line int `json:"line,omitempty"`
+	// Field is the path of the field in File, such as routes[2].match.path.
+	Field string `json:"field,omitempty"`
+	// Detail says what is wrong, in one sentence.
+	Detail string `json:"detail,omitempty"`
+	// Mend says how to put it right.
+	Mend string `json:"mend,omitempty"`
+}
+
+// Error returns one line with the code, place, detail and mend.
+func (e *Error) Error() string {
+	text := fmt.Sprintf("springstack-%d %s", e.Code, e.Code.Name())
+	if e.File != "" {
+		text += fmt.Sprintf(" %s:%d", e.File, e.Line)
+	}
+	if e.Field != "" {
+		text += " " + e.Field
+	}
+	if e.Detail != "" {
+		text += ": " + e.Detail
+	}
+	if e.Mend != "" {
+		text += " (" + e.Mend + ")"
+	}
+	return text
+}
+
+// New returns an error with a code and a detail.
+func New(code Code, format string, arguments ...any) *Error {
+	return &Error{Code: code, Detail: fmt.Sprintf(format, arguments...)}
+}
+
+// Lookup returns the entry of a code.
+func Lookup(code Code) (Entry, bool) {
+	for _, entry := range entries {
+		if entry.Code == code {
+			return entry, true
+		}
+	}
+	return Entry{}, false
+}
+
+// Name returns the stable identifier of a code, or "unlisted".
+func (c Code) Name() string {
+	entry, found := Lookup(c)
+	if !found {
+		return "unlisted"
+	}
+	return entry.Name
+}
+
+// Entries returns the whole table in ascending order of code.
+func Entries() []Entry {
+	table := make([]Entry, len(entries))
+	copy(table, entries)
+	return table
+}
