--- /dev/null
+++ b/internal/core/protocol/protocol.go
@@ -0,0 +1,315 @@
+// Package protocol defines the typed messages that daemons exchange over
+// net/rpc. It holds data only; the node core decides and the control package
+// carries.
+package protocol
+
+import (
+	"time"
+
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// Format is the revision of these messages and of the resource encoding. A
+// daemon refuses a peer or head whose format it does not know in whole, so a
+// newer field is never understood by half of the mesh.
+const Format = 1
+
+// NodeID is the stable identity of a daemon, from its settings.
+type NodeID string
+
+// Version counts accepted configurations; 0 means none.
+type Version uint64
+
+// Incarnation grows each time that a daemon starts (wall-clock nanoseconds,
+// raised above any incarnation that peers remember of it).
+type Incarnation uint64
+
+// MemberState is what the mesh believes of a member.
+type MemberState int
+
+// The states of a member, in the order in which they win at the same
+// incarnation and sequence.
+const (
+	MemberAlive MemberState = iota + 1
+	MemberSuspect
+	MemberDraining
+	MemberLeft
+	MemberDead
+)
+
+// EndpointState is the state of the back end beside a daemon.
+type EndpointState int
+
+// The states of an endpoint.
+const (
+	EndpointNone EndpointState = iota
+	EndpointWarming
+	EndpointReady
+	EndpointDraining
+	EndpointDown
+)
+
+// Member is the soft record of one daemon and of the back end beside it.
+// Records are merged by (Incarnation, Sequence, State); the daemon itself is
+// the only one that raises Sequence.
+type Member struct {
+	ID          NodeID
+	Incarnation Incarnation
+	Sequence    uint64
+	State       MemberState
+	// ControlAddress is where net/rpc is served, an IP and port.
+	ControlAddress string
+	// DataAddress is where calls from other daemons are taken.
+	DataAddress string
+	Region      string
+	Zone        string
+	// Reader is set while the daemon holds a reader lease.
+	Reader bool
+	// Service and Backend name the back end beside it; empty for none.
+	Service  resource.ServiceRef
+	Backend  string
+	Endpoint EndpointState
+	// Slots is how many calls the back end runs at once.
+	Slots int
+}
+
+// Scope says which resources a daemon holds: the routes of its partners that
+// lead to the listed services (all of them when Services is empty), closed
+// under references. A relay scope holds everything, encoded.
+type Scope struct {
+	Partners []resource.Partner
+	Services []resource.ServiceRef
+	Relay    bool
+}
+
+// Acknowledgement folds what the members below a daemon hold, for one zone.
+// Folds add up, so their size does not grow with the mesh.
+type Acknowledgement struct {
+	Region string
+	Zone   string
+	// Minimum is the lowest version in force on any counted member.
+	Minimum Version
+	// Count and MemberSum identify the counted members: MemberSum is the sum
+	// modulo 2^64 of the xxhash of each id and incarnation, so that a member
+	// counted twice cannot stand in for one that is missing.
+	Count     uint32
+	MemberSum uint64
+	// Behind names some members at Minimum, at most MaxNamed.
+	Behind []NodeID
+}
+
+// MaxNamed bounds the lists of names in acknowledgements and status.
+const MaxNamed = 8
+
+// FetchRequest is the one long-poll call of distribution, from a daemon to
+// its parent. It is a heartbeat, an acknowledgement and a question at once.
+type FetchRequest struct {
+	Format int
+	Self   Member
+	Scope  Scope
+	// Have is the version in force on the sender, HaveDigest its snapshot's.
+	Have       Version
+	HaveDigest resource.Digest
+	// Acknowledgements cover the sender and all below it.
+	Acknowledgements []Acknowledgement
+	// Members are soft records that changed since the last fetch.
+	Members []Member
+	// MemberCursor is the parent's cursor from the last reply; 0 asks for all.
+	MemberCursor uint64
+	// ParentIncarnation guards MemberCursor against a restarted parent.
+	ParentIncarnation Incarnation
+	// Wait is the longest time to hold the call when there is nothing to say.
+	Wait time.Duration
+}
+
+// FetchReply answers a FetchRequest.
+type FetchReply struct {
+	Format int
+	// Code is OK, AskAnother, Overloaded, NotReadyYet or UnknownFormat.
+	Code result.Code
+	// RetryAfter is the least wait before the next call.
+	RetryAfter time.Duration
+	// Released is the newest version that the sender may put in force.
+	Released Version
+	// Delta leads from Have to Released; nil when nothing changed for the
+	// sender's scope, which then stands at Released with the same digest.
+	Delta *Delta
+	// InForce is the newest version known to be in force on all counted members.
+	InForce Version
+	// Keepers is the keeper set of the sender's region.
+	Keepers KeeperSet
+	// LeaseRemaining is how long the sender may serve, from when it sent the
+	// request; it never exceeds what the parent itself was granted.
+	LeaseRemaining time.Duration
+	Members        []Member
+	MemberCursor   uint64
+	Incarnation    Incarnation
+	// Summary is the region roots' view, for status; nil when unchanged.
+	Summary *Summary
+}
+
+// Delta leads from one snapshot of a scope to another. It is applied in whole
+// or not at all: the result's digest must equal Digest.
+type Delta struct {
+	// From is 0 when the delta is a whole snapshot.
+	From Version
+	To   Version
+	// Digest is the digest of the snapshot that results.
+	Digest resource.Digest
+	// Payload is the encoded, compressed list of changes, encoded once and
+	// shared between receivers. Its layout belongs to the snapshot package.
+	Payload []byte
+}
+
+// KeeperSet is the set of daemons of a region that remember its version
+// floor. A version is stored by Write of them before any proxy there puts it
+// in force; Read answers are enough to learn the floor (Write + Read > size).
+type KeeperSet struct {
+	Region string
+	// Revision is the head version that set it.
+	Revision Version
+	Members  []KeeperMember
+	Write    int
+	Read     int
+}
+
+// KeeperMember is one keeper.
+type KeeperMember struct {
+	ID             NodeID
+	ControlAddress string
+}
+
+// StoreRequest asks a keeper to remember a version before it is released.
+type StoreRequest struct {
+	Format  int
+	From    NodeID
+	Term    uint64
+	Version Version
+	Keepers KeeperSet
+	// PreviousKeepers is set while the keeper set changes.
+	PreviousKeepers *KeeperSet
+}
+
+// StoreReply answers a StoreRequest. Stored is meaningful only if Code is OK:
+// a keeper that has not yet learned its own floor answers NotReadyYet.
+type StoreReply struct {
+	Code   result.Code
+	Stored Version
+}
+
+// FloorRequest asks for the version floor of a region after a start.
+type FloorRequest struct {
+	Format int
+	Region string
+	From   NodeID
+	// FreshHead asks a reader to read the platform's head anew.
+	FreshHead bool
+}
+
+// FloorReply answers a FloorRequest.
+type FloorReply struct {
+	// Code is OK, NotReadyYet, NotKeeper or NoReader.
+	Code result.Code
+	// Floor is the highest version stored, or the head read anew.
+	Floor Version
+	// FromHead is set when Floor is the platform's head, read after the request.
+	FromHead bool
+	// Keepers is the newest keeper set known, for the asker to follow.
+	Keepers KeeperSet
+	// Incarnation is the highest remembered incarnation of the asker.
+	Incarnation Incarnation
+	// Peers are some live members, so that the asker can find a parent.
+	Peers []Member
+}
+
+// Action is what an operator asks for.
+type Action string
+
+// The actions on files.
+const (
+	ActionSubmit   Action = "submit"
+	ActionReplace  Action = "replace"
+	ActionWithdraw Action = "withdraw"
+)
+
+// SubmitRequest carries one operator's change to a reader.
+type SubmitRequest struct {
+	Format int
+	// Operation identifies the change; sending it again is safe.
+	Operation string
+	// Partner is the authenticated partner of the operator.
+	Partner resource.Partner
+	Action  Action
+	File    string
+	// Expect is the file revision the operator saw; nil means any.
+	Expect *uint64
+	// Content is the file's text; empty for withdraw.
+	Content []byte
+}
+
+// SubmitReply tells what became of a change.
+type SubmitReply struct {
+	Code result.Code
+	// Errors explain a refusal.
+	Errors []result.Error
+	// Version is the accepted version, or that of the current winner.
+	Version  Version
+	Revision uint64
+	// WaitsFor lists missing references of a held file.
+	WaitsFor []string
+	// Promoted lists held files accepted by the same version.
+	Promoted []string
+}
+
+// StatusRequest asks for the state of files and versions.
+type StatusRequest struct {
+	Format  int
+	Partner resource.Partner
+}
+
+// FileStatus is one file as an operator sees it.
+type FileStatus struct {
+	Partner    resource.Partner
+	Name       string
+	Revision   uint64
+	Digest     resource.Digest
+	Held       bool
+	WaitsFor   []string
+	AcceptedAt time.Time
+	// Version is the version that accepted this revision.
+	Version Version
+	InForce bool
+}
+
+// ZoneStatus is how far a zone is.
+type ZoneStatus struct {
+	Region  string
+	Zone    string
+	Members uint32
+	// Holding is how many members are counted at the newest version or later.
+	Holding uint32
+	Minimum Version
+	Behind  []NodeID
+	Silent  []NodeID
+}
+
+// Summary is what the region roots know together.
+type Summary struct {
+	Version    Version
+	InForce    Version
+	AcceptedAt time.Time
+	InForceAt  time.Time
+	Zones      []ZoneStatus
+	// CutRegions are regions whose root has not been heard lately; they may
+	// hold older versions, so nothing is called in force there.
+	CutRegions []string
+}
+
+// StatusReply answers a StatusRequest.
+type StatusReply struct {
+	Code    result.Code
+	Summary Summary
+	Files   []FileStatus
+	Members []Member
+}
