--- /dev/null
+++ b/internal/core/ledger/apply.go
@@ -0,0 +1,202 @@
+package ledger
+
+import (
+	"maps"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// Contents are the parsed files that a head names, by digest. They are never
+// changed: a change builds another map.
+type Contents map[resource.Digest]*resource.File
+
+// Change is one operator's request, checked as far as it can be without a
+// head. It can be applied again to a newer head after a conflict.
+type Change struct {
+	// Request is what the operator sent.
+	Request *protocol.SubmitRequest
+	// File is the parsed content; nil for a withdrawal.
+	File *resource.File
+	// Digest and Text are the content object to write before the head; empty for
+	// a withdrawal.
+	Digest resource.Digest
+	Text   []byte
+	// Now is the reader's wall clock.
+	Now time.Time
+	// Term is the reader's fencing term, written into the head.
+	Term uint64
+}
+
+// Prepare parses and checks a request. The reply is not nil when the request
+// is refused, and then did not run.
+func Prepare(request *protocol.SubmitRequest, now time.Time, term uint64) (*Change, *protocol.SubmitReply) {
+	change := &Change{Request: request, Now: now, Term: term}
+	if request.Format != protocol.Format {
+		return nil, refuse(result.UnknownFormat, "request format %d; this build knows %d", request.Format, protocol.Format)
+	}
+	if _, err := OperationTime(request.Operation); err != nil {
+		return nil, refuse(result.UsageError, "the operation id is not <unix milliseconds>-<random hex>")
+	}
+	switch request.Action {
+	case protocol.ActionWithdraw:
+		return change, nil
+	case protocol.ActionSubmit, protocol.ActionReplace:
+		return change.parse()
+	default:
+		return nil, refuse(result.UsageError, "action %q is not known", request.Action)
+	}
+}
+
+func (c *Change) parse() (*Change, *protocol.SubmitReply) {
+	file, problems := resource.Parse(c.Request.File, c.Request.Content, resource.DefaultLimits())
+	if len(problems) > 0 {
+		errors := lo.Map(problems, func(problem *result.Error, _ int) result.Error { return *problem })
+		return nil, &protocol.SubmitReply{Code: problems[0].Code, Errors: errors}
+	}
+	if file.Partner != c.Request.Partner {
+		return nil, refuse(result.FileNotYours, "the file belongs to partner %s", file.Partner)
+	}
+	if file.Name != c.Request.File {
+		return nil, refuse(result.FileBadValue, "the file calls itself %s, not %s", file.Name, c.Request.File)
+	}
+	c.File = file
+	c.Text = resource.EncodeFile(file)
+	c.Digest = resource.DigestOf(c.Text)
+	return c, nil
+}
+
+// Key returns the file that the change is about.
+func (c *Change) Key() resource.FileKey {
+	return resource.FileKey{Partner: c.Request.Partner, Name: c.Request.File}
+}
+
+// Apply decides one change. When it is refused, or was applied before, the
+// same head and contents come back and nothing is to be written. Otherwise the
+// new head is to be written by update-if-version, after the change's content;
+// the reply is true only once that update has succeeded.
+func Apply(head *Head, contents Contents, change *Change) (*Head, Contents, *protocol.SubmitReply) {
+	if known := FindOperation(head, change.Request); known != nil {
+		return head, contents, known
+	}
+	if refused := checkOperation(head, change.Request.Operation, change.Now); refused != nil {
+		return head, contents, refused
+	}
+	if refused := checkRevision(head, change); refused != nil {
+		return head, contents, refused
+	}
+	draft := newDraft(head, contents, change)
+	if refused := draft.change(); refused != nil {
+		return head, contents, refused
+	}
+	reply := draft.settle()
+	if reply.Code != result.OK && reply.Code != result.Held {
+		return head, contents, reply
+	}
+	draft.record(reply)
+	if size := len(Encode(draft.head)); size > HeadBudget {
+		return head, contents, refuse(result.HeadTooLarge, "the head would have %d bytes; its budget is %d", size, HeadBudget)
+	}
+	return draft.head, draft.contents, reply
+}
+
+// checkRevision compares what the operator expects with what is there. A
+// submission makes a file; a replacement and a withdrawal need one.
+func checkRevision(head *Head, change *Change) *protocol.SubmitReply {
+	entry, found := head.File(change.Key())
+	expect := change.Request.Expect
+	if !found && expect != nil && *expect != 0 {
+		return lostTo(head, entry, "the file is not there; revision %d was expected", *expect)
+	}
+	if !found && change.Request.Action != protocol.ActionSubmit {
+		return refuse(result.NoSuchFile, "there is no file %s", change.Key())
+	}
+	if found && expect != nil && *expect != entry.Revision() {
+		return lostTo(head, entry, "the file has revision %d; revision %d was expected", entry.Revision(), *expect)
+	}
+	if found && expect == nil && change.Request.Action == protocol.ActionSubmit {
+		return lostTo(head, entry, "the file is there already, with revision %d", entry.Revision())
+	}
+	return nil
+}
+
+// lostTo refuses a change that lost a race and shows the winner.
+func lostTo(head *Head, entry FileEntry, format string, arguments ...any) *protocol.SubmitReply {
+	reply := refuse(result.RevisionMismatch, format, arguments...)
+	reply.Revision = entry.Revision()
+	reply.Version = head.Version
+	if entry.Accepted != nil {
+		reply.Version = entry.Accepted.Version
+	}
+	return reply
+}
+
+// refuse returns an answer with one error.
+func refuse(code result.Code, format string, arguments ...any) *protocol.SubmitReply {
+	problem := result.New(code, format, arguments...)
+	entry, _ := result.Lookup(code)
+	problem.Mend = entry.Mend
+	return &protocol.SubmitReply{Code: code, Errors: []result.Error{*problem}}
+}
+
+// SetKeepers returns the head with the given keeper sets in place of those of
+// the same regions. It is a version of its own when anything changes; each
+// changed set carries that version as its revision.
+func SetKeepers(head *Head, sets []protocol.KeeperSet, now time.Time, term uint64) *Head {
+	next := head.clone()
+	next.Term = max(next.Term, term)
+	changed := false
+	for _, set := range sets {
+		if next.setKeepers(set) {
+			changed = true
+		}
+	}
+	if !changed {
+		return head
+	}
+	next.advance(now)
+	return next
+}
+
+// Catalogue returns all accepted resources, sorted by key.
+func Catalogue(head *Head, contents Contents) []resource.Encoded {
+	var catalogue []resource.Encoded
+	for _, entry := range head.Files {
+		if entry.Accepted != nil {
+			catalogue = append(catalogue, resource.Encode(contents[entry.Accepted.Digest])...)
+		}
+	}
+	resource.SortEncoded(catalogue)
+	return catalogue
+}
+
+// Prune returns the contents without those that the head does not name.
+func Prune(head *Head, contents Contents) Contents {
+	pruned := make(Contents, len(head.Files))
+	for _, digest := range head.Digests() {
+		if file, found := contents[digest]; found {
+			pruned[digest] = file
+		}
+	}
+	return pruned
+}
+
+// Lacking returns the digests that the head names and contents lack.
+func Lacking(head *Head, contents Contents) []resource.Digest {
+	return lo.Filter(head.Digests(), func(digest resource.Digest, _ int) bool {
+		return contents[digest] == nil
+	})
+}
+
+func with(contents Contents, digest resource.Digest, file *resource.File) Contents {
+	next := maps.Clone(contents)
+	if next == nil {
+		next = Contents{}
+	}
+	next[digest] = file
+	return next
+}
--- /dev/null
+++ b/internal/core/ledger/codec.go
@@ -0,0 +1,110 @@
+package ledger
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/juju/errors"
+
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// Bounds of the head in bytes. The platform takes objects up to 1 MiB.
+const (
+	// HeadBudget is what a change may let the head grow to.
+	HeadBudget = 768 << 10
+	// MaxHead is the largest head that Decode reads.
+	MaxHead = 1 << 20
+)
+
+// Encode returns the canonical encoding of a head.
+func Encode(head *Head) []byte {
+	encoded, err := json.Marshal(head)
+	if err != nil {
+		panic(errors.Annotate(err, "encoding a head"))
+	}
+	return encoded
+}
+
+// Decode reads a head. A format or field that this build does not know is
+// UnknownFormat; a head that contradicts itself is DigestMismatch.
+func Decode(data []byte) (*Head, error) {
+	if len(data) > MaxHead {
+		return nil, result.New(result.HeadTooLarge, "the head has %d bytes; at most %d are read", len(data), MaxHead)
+	}
+	var header struct {
+		Format int `json:"format"`
+	}
+	if err := json.Unmarshal(data, &header); err != nil {
+		return nil, result.New(result.UnknownFormat, "the head is not JSON")
+	}
+	if header.Format != Format {
+		return nil, result.New(result.UnknownFormat, "head format %d; this build knows %d", header.Format, Format)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	head := &Head{}
+	if err := decoder.Decode(head); err != nil {
+		return nil, result.New(result.UnknownFormat, "the head has a part that this build does not know")
+	}
+	if err := head.check(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return head, nil
+}
+
+// check holds the head to its own order and bounds.
+func (h *Head) check() error {
+	for i, entry := range h.Files {
+		if i > 0 && h.Files[i-1].Key().Compare(entry.Key()) >= 0 {
+			return inconsistent("files are not sorted")
+		}
+		if err := h.checkEntry(entry); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	for _, operation := range h.Operations {
+		if _, err := OperationTime(operation.ID); err != nil {
+			return inconsistent("an operation id is malformed")
+		}
+	}
+	for i, set := range h.Keepers {
+		if i > 0 && h.Keepers[i-1].Region >= set.Region {
+			return inconsistent("keeper sets are not sorted")
+		}
+		if set.Revision > h.Version {
+			return inconsistent("a keeper set is newer than the head")
+		}
+	}
+	return nil
+}
+
+func (h *Head) checkEntry(entry FileEntry) error {
+	if entry.Accepted == nil && entry.Held == nil {
+		return inconsistent("a file is neither accepted nor held")
+	}
+	if entry.Revision() > h.LastRevision {
+		return inconsistent("a file's revision was never given out")
+	}
+	digests := []resource.Digest{}
+	if entry.Accepted != nil {
+		digests = append(digests, entry.Accepted.Digest)
+		if entry.Accepted.Version > h.Version {
+			return inconsistent("a file's version is newer than the head")
+		}
+	}
+	if entry.Held != nil {
+		digests = append(digests, entry.Held.Digest)
+	}
+	for _, digest := range digests {
+		if !digest.Valid() {
+			return inconsistent("a digest is malformed")
+		}
+	}
+	return nil
+}
+
+func inconsistent(detail string) error {
+	return result.New(result.DigestMismatch, "the head is inconsistent: %s", detail)
+}
--- /dev/null
+++ b/internal/core/ledger/draft.go
@@ -0,0 +1,287 @@
+package ledger
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// draft is a head under construction.
+type draft struct {
+	before   *Head
+	head     *Head
+	contents Contents
+	request  *Change
+	// version is the version that the head gets if anything accepted changes.
+	version  protocol.Version
+	changed  bool
+	promoted []resource.FileKey
+}
+
+func newDraft(head *Head, contents Contents, change *Change) *draft {
+	next := head.clone()
+	next.Term = max(next.Term, change.Term)
+	return &draft{before: head, head: next, contents: contents, request: change, version: head.Version + 1}
+}
+
+// change puts the request into the head: a withdrawn file goes away, any other
+// content becomes the file's held revision for settle to promote.
+func (d *draft) change() *protocol.SubmitReply {
+	key := d.request.Key()
+	if d.request.File == nil {
+		entry, _ := d.head.File(key)
+		d.changed = entry.Accepted != nil
+		d.head.remove(key)
+		return nil
+	}
+	if taken := resource.NameTaken(d.request.File, d.claims(key)); len(taken) > 0 {
+		return &protocol.SubmitReply{Code: result.NameTaken, Errors: taken}
+	}
+	d.head.LastRevision++
+	entry, found := d.head.File(key)
+	if !found {
+		entry = FileEntry{Partner: key.Partner, Name: key.Name}
+	}
+	entry.Held = &HeldRevision{Revision: d.head.LastRevision, Digest: d.request.Digest, At: d.request.Now}
+	d.head.put(entry)
+	d.contents = with(d.contents, d.request.Digest, d.request.File)
+	return nil
+}
+
+// claims returns the contents of the partner's other files, accepted and held:
+// a name is taken by either, so that a promotion never meets a taken name.
+func (d *draft) claims(key resource.FileKey) []*resource.File {
+	var claims []*resource.File
+	for _, entry := range d.head.Files {
+		if entry.Partner != key.Partner || entry.Name == key.Name {
+			continue
+		}
+		if entry.Accepted != nil {
+			claims = append(claims, d.contents[entry.Accepted.Digest])
+		}
+		if entry.Held != nil {
+			claims = append(claims, d.contents[entry.Held.Digest])
+		}
+	}
+	return claims
+}
+
+// settle promotes every held file that can be promoted, all in this version,
+// and answers for the request.
+func (d *draft) settle() *protocol.SubmitReply {
+	for d.promote() {
+	}
+	broken := resource.Missing(d.accepted(nil))
+	if len(broken) > 0 {
+		return d.stillNeeded(broken)
+	}
+	if refused := d.blockers(); refused != nil {
+		return refused
+	}
+	if d.changed {
+		d.head.advance(d.request.Now)
+	}
+	d.noteWaits()
+	return d.answer()
+}
+
+// promote tries all held files together, takes out those that can't stand and
+// accepts the rest. It reports whether it accepted any. Trying them together
+// lets files that need each other be accepted in one version.
+func (d *draft) promote() bool {
+	trial := d.heldKeys()
+	for len(trial) > 0 {
+		failing := d.failing(trial)
+		if len(failing) == 0 {
+			break
+		}
+		trial = lo.Without(trial, failing...)
+	}
+	for _, key := range trial {
+		d.accept(key)
+	}
+	return len(trial) > 0
+}
+
+// failing returns the files of a trial that must leave it: those with missing
+// references, and those that take away what another file needs. When a broken
+// reference can be blamed on nobody in the trial, the trial may still go on: it
+// was broken before, and settle refuses the change.
+func (d *draft) failing(trial []resource.FileKey) []resource.FileKey {
+	var failing []resource.FileKey
+	for _, missing := range resource.Missing(d.accepted(trial)) {
+		if slices.Contains(trial, missing.File) {
+			failing = append(failing, missing.File)
+			continue
+		}
+		if owner, found := d.takenAwayBy(missing.To, trial); found {
+			failing = append(failing, owner)
+		}
+	}
+	return lo.Uniq(failing)
+}
+
+// takenAwayBy returns the file of a trial whose accepted revision declares key.
+func (d *draft) takenAwayBy(key resource.Key, trial []resource.FileKey) (resource.FileKey, bool) {
+	return lo.Find(trial, func(file resource.FileKey) bool {
+		entry, _ := d.head.File(file)
+		return entry.Accepted != nil && slices.Contains(d.contents[entry.Accepted.Digest].Keys(), key)
+	})
+}
+
+// accepted returns the contents in force, with the held revisions of trial in
+// place of the accepted ones.
+func (d *draft) accepted(trial []resource.FileKey) []*resource.File {
+	files := make([]*resource.File, 0, len(d.head.Files))
+	for _, entry := range d.head.Files {
+		switch {
+		case entry.Held != nil && slices.Contains(trial, entry.Key()):
+			files = append(files, d.contents[entry.Held.Digest])
+		case entry.Accepted != nil:
+			files = append(files, d.contents[entry.Accepted.Digest])
+		}
+	}
+	return files
+}
+
+func (d *draft) heldKeys() []resource.FileKey {
+	return lo.FilterMap(d.head.Files, func(entry FileEntry, _ int) (resource.FileKey, bool) {
+		return entry.Key(), entry.Held != nil
+	})
+}
+
+// accept makes a held revision the accepted one. Content equal to what is in
+// force keeps its version, for nothing changes on any proxy.
+func (d *draft) accept(key resource.FileKey) {
+	entry, _ := d.head.File(key)
+	accepted := &Accepted{
+		Revision: entry.Held.Revision,
+		Digest:   entry.Held.Digest,
+		Version:  d.version,
+		At:       d.request.Now,
+	}
+	if entry.Accepted != nil && entry.Accepted.Digest == entry.Held.Digest {
+		accepted.Version = entry.Accepted.Version
+		accepted.At = entry.Accepted.At
+	} else {
+		d.changed = true
+	}
+	entry.Accepted = accepted
+	entry.Held = nil
+	d.head.put(entry)
+	if key != d.request.Key() {
+		d.promoted = append(d.promoted, key)
+	}
+}
+
+// blockers refuses a replacement that would take away what accepted files
+// need, even if it would be held for other reasons: it could wait for ever.
+func (d *draft) blockers() *protocol.SubmitReply {
+	key := d.request.Key()
+	entry, found := d.head.File(key)
+	if !found || entry.Held == nil || entry.Accepted == nil {
+		return nil
+	}
+	others := lo.Filter(resource.Missing(d.accepted([]resource.FileKey{key})), func(missing resource.MissingReference, _ int) bool {
+		return missing.File != key
+	})
+	if len(others) == 0 {
+		return nil
+	}
+	return d.stillNeeded(others)
+}
+
+// stillNeeded refuses the change and names what needs what would go away.
+func (d *draft) stillNeeded(broken []resource.MissingReference) *protocol.SubmitReply {
+	errors := lo.Map(broken[:min(len(broken), MaxWaitsFor)], func(missing resource.MissingReference, _ int) result.Error {
+		problem := result.New(result.StillNeeded, "%s of file %s needs %s", missing.From, missing.File, missing.To)
+		problem.File = d.request.Request.File
+		problem.Mend = fmt.Sprintf("Change %s first.", missing.From)
+		return *problem
+	})
+	return &protocol.SubmitReply{Code: result.StillNeeded, Errors: errors, Version: d.before.Version}
+}
+
+// noteWaits writes what each held file waits for.
+func (d *draft) noteWaits() {
+	for _, key := range d.heldKeys() {
+		entry, _ := d.head.File(key)
+		lines := lo.Map(resource.Missing(d.accepted([]resource.FileKey{key})), func(missing resource.MissingReference, _ int) string {
+			return missing.String()
+		})
+		held := *entry.Held
+		held.WaitsFor = lines[:min(len(lines), MaxWaitsFor)]
+		entry.Held = &held
+		d.head.put(entry)
+	}
+}
+
+func (d *draft) answer() *protocol.SubmitReply {
+	reply := &protocol.SubmitReply{Code: result.OK, Version: d.head.Version}
+	entry, found := d.head.File(d.request.Key())
+	if found {
+		reply.Revision = entry.Revision()
+	}
+	if found && entry.Held != nil {
+		reply.Code = result.Held
+		reply.WaitsFor = slices.Clone(entry.Held.WaitsFor)
+	}
+	names := lo.Map(d.promoted, func(key resource.FileKey, _ int) string { return key.String() })
+	slices.Sort(names)
+	reply.Promoted = names[:min(len(names), MaxWaitsFor)]
+	return reply
+}
+
+// record remembers the operation and drops contents that nothing names.
+func (d *draft) record(reply *protocol.SubmitReply) {
+	operation := Operation{
+		ID:          d.request.Request.Operation,
+		At:          d.request.Now.UnixMilli(),
+		Fingerprint: fingerprint(d.request.Request),
+		Code:        reply.Code,
+		Version:     reply.Version,
+		Revision:    reply.Revision,
+		WaitsFor:    reply.WaitsFor,
+		Promoted:    reply.Promoted,
+	}
+	d.head.remember(operation, d.request.Now)
+	d.contents = Prune(d.head, d.contents)
+}
+
+// advance makes the head one version newer. The time of acceptance never runs
+// backwards, whichever reader's clock it comes from.
+func (h *Head) advance(now time.Time) {
+	h.Version++
+	if now.After(h.AcceptedAt) {
+		h.AcceptedAt = now
+	}
+}
+
+// setKeepers puts one region's set in place and reports whether it changed.
+func (h *Head) setKeepers(set protocol.KeeperSet) bool {
+	position, found := slices.BinarySearchFunc(h.Keepers, set, func(a, b protocol.KeeperSet) int {
+		return strings.Compare(a.Region, b.Region)
+	})
+	if found && sameKeepers(h.Keepers[position], set) {
+		return false
+	}
+	set.Revision = h.Version + 1
+	set.Members = slices.Clone(set.Members)
+	if found {
+		h.Keepers[position] = set
+		return true
+	}
+	h.Keepers = slices.Insert(h.Keepers, position, set)
+	return true
+}
+
+func sameKeepers(a, b protocol.KeeperSet) bool {
+	return a.Write == b.Write && a.Read == b.Read && slices.Equal(a.Members, b.Members)
+}
--- a/internal/core/resource/types.go
+++ b/internal/core/resource/types.go
@@ -4,6 +4,7 @@
 package resource
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 )
@@ -38,17 +39,18 @@
 	return fmt.Sprintf("%s/%s/%s", k.Partner, k.Kind, k.Name)
 }
 
-// Less orders keys by partner, kind and name.
-func (k Key) Less(other Key) bool {
-	if k.Partner != other.Partner {
-		return k.Partner < other.Partner
-	}
-	if k.Kind != other.Kind {
-		return k.Kind < other.Kind
-	}
-	return k.Name < other.Name
+// Compare orders keys by partner, kind and name: negative, zero or positive.
+func (k Key) Compare(other Key) int {
+	return cmp.Or(
+		cmp.Compare(k.Partner, other.Partner),
+		cmp.Compare(k.Kind, other.Kind),
+		cmp.Compare(k.Name, other.Name),
+	)
 }
 
+// Less orders keys by partner, kind and name.
+func (k Key) Less(other Key) bool { return k.Compare(other) < 0 }
+
 // FileKey names one submitted file.
 type FileKey struct {
 	Partner Partner
@@ -60,6 +62,11 @@
 	return string(k.Partner) + "/" + k.Name
 }
 
+// Compare orders file keys by partner and name: negative, zero or positive.
+func (k FileKey) Compare(other FileKey) int {
+	return cmp.Or(cmp.Compare(k.Partner, other.Partner), cmp.Compare(k.Name, other.Name))
+}
+
 // Preference is a partner's trade between convergence time and control bytes.
 type Preference string
 
@@ -89,21 +96,21 @@
 
 // Distribution is the partner's distribution trade for this file.
 type Distribution struct {
-	Prefer Preference
+	Prefer Preference `json:"prefer"`
 	// BatchWindow is how long a change may wait for others; at most 5 s.
-	BatchWindow time.Duration
+	BatchWindow time.Duration `json:"batch_window,omitempty"`
 }
 
 // Service is something that calls can be routed to.
 type Service struct {
-	Partner Partner
-	Name    string
-	// ExportTo lists the other partners that may use the service.
-	ExportTo []Partner
+	Partner Partner `json:"-"`
+	Name    string  `json:"name"`
+	// ExportTo lists the other partners that may use the service, sorted.
+	ExportTo []Partner `json:"export_to,omitempty"`
 	// HealthPath is probed on the back end; empty means no probe.
-	HealthPath string
+	HealthPath string `json:"health_path,omitempty"`
 	// LoadPath is where the back end reports its load; empty means none.
-	LoadPath string
+	LoadPath string `json:"load_path,omitempty"`
 }
 
 // Key returns the resource's key.
@@ -111,8 +118,8 @@
 
 // ServiceRef points at a service of any partner.
 type ServiceRef struct {
-	Partner Partner
-	Name    string
+	Partner Partner `json:"partner"`
+	Name    string  `json:"name"`
 }
 
 // Key returns the key of the service pointed at.
@@ -124,16 +131,16 @@
 // Backend is one upstream of a service. Its daemon, the one on the same
 // machine, is the only way in.
 type Backend struct {
-	Partner Partner
-	Name    string
+	Partner Partner `json:"-"`
+	Name    string  `json:"name"`
 	// Service is the service that it serves, of the same partner.
-	Service string
+	Service string `json:"service"`
 	// Address is the data address of the daemon beside it, an IP and port.
-	Address string
-	Region  string
-	Zone    string
+	Address string `json:"address"`
+	Region  string `json:"region"`
+	Zone    string `json:"zone"`
 	// Slots is how many calls it runs at once.
-	Slots int
+	Slots int `json:"slots"`
 }
 
 // Key returns the resource's key.
@@ -144,9 +151,9 @@
 
 // Secret is a value that routes of the same partner rely on.
 type Secret struct {
-	Partner Partner
-	Name    string
-	Value   SecretValue
+	Partner Partner     `json:"-"`
+	Name    string      `json:"name"`
+	Value   SecretValue `json:"value"`
 }
 
 // Key returns the resource's key.
@@ -162,6 +169,10 @@
 // GoString hides the value.
 func (SecretValue) GoString() string { return "[secret]" }
 
+// MarshalText hides the value from encoders; the canonical encoding of a
+// secret goes through a type of its own.
+func (SecretValue) MarshalText() ([]byte, error) { return []byte("[secret]"), nil }
+
 // Reveal returns the text.
 func (v SecretValue) Reveal() string { return string(v) }
 
@@ -177,24 +188,24 @@
 
 // Route directs matching calls of its partner's callers to services.
 type Route struct {
-	Partner Partner
-	Name    string
-	Match   Match
+	Partner Partner `json:"-"`
+	Name    string  `json:"name"`
+	Match   Match   `json:"match"`
 	// Split lists destinations; weights are relative and at least 1.
-	Split []Destination
+	Split []Destination `json:"split"`
 	// Secret is put on the request to the back end; nil means none.
-	Secret *SecretUse
+	Secret *SecretUse `json:"secret,omitempty"`
 	// Timeout bounds the whole call; 0 means the default of 15 s.
-	Timeout time.Duration
+	Timeout time.Duration `json:"timeout,omitempty"`
 	// Repeatable says that running a call twice does no harm. When the file
 	// leaves it out, GET and HEAD are repeatable and all others are not.
-	Repeatable *bool
+	Repeatable *bool `json:"repeatable,omitempty"`
 	// RetryAttempts is the most attempts of one call, the first included.
-	RetryAttempts int
-	Priority      Priority
+	RetryAttempts int      `json:"retry_attempts,omitempty"`
+	Priority      Priority `json:"priority"`
 	// RequestKeyHeader names a header whose value identifies the operation, so
 	// that a gate refuses a second start within its window. Empty means none.
-	RequestKeyHeader string
+	RequestKeyHeader string `json:"request_key_header,omitempty"`
 }
 
 // Key returns the resource's key.
@@ -205,33 +216,39 @@
 // methods and headers given, then name.
 type Match struct {
 	// Host is compared without case and port; empty matches every host.
-	Host string
+	Host string `json:"host,omitempty"`
 	// Path is matched exactly when set.
-	Path string
+	Path string `json:"path,omitempty"`
 	// PathPrefix matches whole segments when Path is empty.
-	PathPrefix string
-	// Methods lists methods; empty matches all.
-	Methods []string
+	PathPrefix string `json:"path_prefix,omitempty"`
+	// Methods lists methods, sorted; empty matches all.
+	Methods []string `json:"methods,omitempty"`
 	// Headers must all be present with the given value.
-	Headers []HeaderMatch
+	Headers []HeaderMatch `json:"headers,omitempty"`
 }
 
 // HeaderMatch requires a header to have a value.
 type HeaderMatch struct {
-	Name  string
-	Value string
+	Name  string `json:"name"`
+	Value string `json:"value"`
 }
 
 // Destination is one weighted target of a route.
 type Destination struct {
-	Service ServiceRef
-	Weight  int
+	Service ServiceRef `json:"service"`
+	Weight  int        `json:"weight"`
 }
 
 // SecretUse says which secret is sent in which header.
 type SecretUse struct {
-	Name   string
-	Header string
+	Name   string `json:"name"`
+	Header string `json:"header"`
+}
+
+// Resource is any of Service, Backend, Secret and Route.
+type Resource interface {
+	// Key names the resource in the whole mesh.
+	Key() Key
 }
 
 // Encoded is one resource in its canonical encoding, as it is stored in
