Keeper sets carry the set that they replace

A set change needs both sets until it has settled, and a root that starts in between learns that from the head. Replies name the daemon that answers, because addresses are reused, and a store reply its incarnation, because a keeper that restarts has forgotten what it stored. PreviousKeepers of a store request is now part of its Keepers.

--- a/internal/core/ledger/draft.go
+++ b/internal/core/ledger/draft.go
@@ -283,5 +283,11 @@
 }
 
 func sameKeepers(a, b protocol.KeeperSet) bool {
+	if (a.Previous == nil) != (b.Previous == nil) {
+		return false
+	}
+	if a.Previous != nil && !sameKeepers(*a.Previous, *b.Previous) {
+		return false
+	}
 	return a.Write == b.Write && a.Read == b.Read && slices.Equal(a.Members, b.Members)
 }
--- a/internal/core/protocol/protocol.go
+++ b/internal/core/protocol/protocol.go
@@ -172,6 +172,10 @@
 	Members  []KeeperMember
 	Write    int
 	Read     int
+	// Previous is the set that this one replaces, until the change has settled.
+	// While it is set, quorums of both sets are needed to write and to read.
+	// Its own Previous is nil.
+	Previous *KeeperSet
 }
 
 // KeeperMember is one keeper.
@@ -187,8 +191,6 @@
 	Term    uint64
 	Version Version
 	Keepers KeeperSet
-	// PreviousKeepers is set while the keeper set changes.
-	PreviousKeepers *KeeperSet
 }
 
 // StoreReply answers a StoreRequest. Stored is meaningful only if Code is OK:
@@ -196,6 +198,10 @@
 type StoreReply struct {
 	Code   result.Code
 	Stored Version
+	// From and Incarnation are the keeper's; what it stored is forgotten when
+	// its incarnation changes.
+	From        NodeID
+	Incarnation Incarnation
 }
 
 // FloorRequest asks for the version floor of a region after a start.
@@ -211,6 +217,8 @@
 type FloorReply struct {
 	// Code is OK, NotReadyYet, NotKeeper or NoReader.
 	Code result.Code
+	// From is the answering daemon; addresses may be reused.
+	From NodeID
 	// Floor is the highest version stored, or the head read anew.
 	Floor Version
 	// FromHead is set when Floor is the platform's head, read after the request.
