File format and ledger: strict parsing, references, acceptance

Cause: operators' files must be read strictly and accepted as a whole. Change: YAML walked on the library's syntax tree so that every mistake is listed with its line; one canonical form for paths and hosts; held files promoted to a fixed point in one version; operation ids whose dropping raises a floor, so a dropped id is answered outcome unknown and never taken as new.

--- a/internal/core/ledger/draft.go
+++ b/internal/core/ledger/draft.go
@@ -110,22 +110,32 @@
 	return len(trial) > 0
 }
 
-// failing returns the files of a trial that must leave it: those with missing
-// references, and those that take away what another file needs. When a broken
-// reference can be blamed on nobody in the trial, the trial may still go on: it
-// was broken before, and settle refuses the change.
+// failing returns the files of a trial that must leave it next. First go those
+// that take away what an accepted file needs; then those that need what nobody
+// declares; last those that need what another of the trial takes away. Leaving
+// in this order keeps a file in the trial as long as it can stand. When nobody
+// in the trial is to blame, a reference was broken by the change itself, and
+// settle refuses it.
 func (d *draft) failing(trial []resource.FileKey) []resource.FileKey {
-	var failing []resource.FileKey
+	var takers, lacking, deprived []resource.FileKey
 	for _, missing := range resource.Missing(d.accepted(trial)) {
-		if slices.Contains(trial, missing.File) {
-			failing = append(failing, missing.File)
-			continue
+		taker, taken := d.takenAwayBy(missing.To, trial)
+		waiting := slices.Contains(trial, missing.File)
+		switch {
+		case taken && !waiting:
+			takers = append(takers, taker)
+		case waiting && !taken:
+			lacking = append(lacking, missing.File)
+		case waiting:
+			deprived = append(deprived, missing.File)
 		}
-		if owner, found := d.takenAwayBy(missing.To, trial); found {
-			failing = append(failing, owner)
+	}
+	for _, class := range [][]resource.FileKey{takers, lacking, deprived} {
+		if len(class) > 0 {
+			return lo.Uniq(class)
 		}
 	}
-	return lo.Uniq(failing)
+	return nil
 }
 
 // takenAwayBy returns the file of a trial whose accepted revision declares key.
--- /dev/null
+++ b/internal/core/ledger/ledger_test.go
@@ -0,0 +1,261 @@
+package ledger_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/ledger"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/result"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// chain drives a ledger as a reader would, each change a second after the last.
+type chain struct {
+	t        testing.TB
+	now      time.Time
+	head     *ledger.Head
+	contents ledger.Contents
+	made     int
+}
+
+func newChain(t testing.TB) *chain {
+	return &chain{t: t, now: start, head: ledger.NewHead(), contents: ledger.Contents{}}
+}
+
+func (c *chain) request(action protocol.Action, key string, body string) *protocol.SubmitRequest {
+	c.made++
+	partner, name, _ := strings.Cut(key, "/")
+	request := &protocol.SubmitRequest{
+		Format:    protocol.Format,
+		Operation: ledger.NewOperation(c.now, fmt.Appendf(nil, "%08d", c.made)),
+		Partner:   resource.Partner(partner),
+		Action:    action,
+		File:      name,
+	}
+	if action != protocol.ActionWithdraw {
+		request.Content = fmt.Appendf(nil, "partner: %s\nname: %s\n%s", partner, name, body)
+	}
+	return request
+}
+
+func (c *chain) send(request *protocol.SubmitRequest) *protocol.SubmitReply {
+	c.now = c.now.Add(time.Second)
+	change, refused := ledger.Prepare(request, c.now, 1)
+	if refused != nil {
+		return refused
+	}
+	var reply *protocol.SubmitReply
+	c.head, c.contents, reply = ledger.Apply(c.head, c.contents, change)
+	return reply
+}
+
+func (c *chain) do(action protocol.Action, key string, body string) *protocol.SubmitReply {
+	return c.send(c.request(action, key, body))
+}
+
+func (c *chain) submit(key, body string) *protocol.SubmitReply {
+	return c.do(protocol.ActionSubmit, key, body)
+}
+
+func (c *chain) replace(key, body string) *protocol.SubmitReply {
+	return c.do(protocol.ActionReplace, key, body)
+}
+
+func (c *chain) withdraw(key string) *protocol.SubmitReply {
+	return c.do(protocol.ActionWithdraw, key, "")
+}
+
+func (c *chain) keys() string {
+	var keys []string
+	for _, encoded := range ledger.Catalogue(c.head, c.contents) {
+		keys = append(keys, encoded.Key.String())
+	}
+	return strings.Join(keys, " ")
+}
+
+func service(name string, exports ...string) string {
+	return fmt.Sprintf("services: [{name: %s, export_to: [%s]}]\n", name, strings.Join(exports, ", "))
+}
+
+func route(name, service string) string {
+	return fmt.Sprintf("routes: [{name: %s, match: {path: /%s}, split: [{service: %s}]}]\n", name, name, service)
+}
+
+func TestHeldFileIsPromotedInTheSameVersion(t *testing.T) {
+	is := is.New(t)
+	c := newChain(t)
+	held := c.submit("a/routes", route("r", "b/s"))
+	is.Equal(held.Code, result.Held)
+	is.Equal(held.WaitsFor, []string{"a/route/r needs b/service/s"})
+	is.Equal(c.head.Version, protocol.Version(0))
+	is.Equal(c.submit("b/services", service("s")).Code, result.OK)
+	is.Equal(c.head.Files[0].Held.WaitsFor, []string{"a/route/r needs b/service/s, which is not exported to a"})
+	reply := c.replace("b/services", service("s", "a"))
+	is.Equal(reply.Promoted, []string{"a/routes"})
+	is.Equal(reply.Version, protocol.Version(2))
+	is.Equal(c.head.Files[0].Accepted.Version, protocol.Version(2))
+	is.Equal(c.keys(), "a/route/r b/service/s")
+}
+
+func TestFilesThatNeedEachOtherArePromotedTogether(t *testing.T) {
+	is := is.New(t)
+	c := newChain(t)
+	is.Equal(c.submit("a/f", service("s", "b")+route("r", "b/s")).Code, result.Held)
+	reply := c.submit("b/f", service("s", "a")+route("r", "a/s"))
+	is.Equal(reply.Code, result.OK)
+	is.Equal(reply.Promoted, []string{"a/f"})
+	is.Equal(c.head.Version, protocol.Version(1))
+}
+
+func TestWhatIsNeededCannotGoAway(t *testing.T) {
+	is := is.New(t)
+	c := newChain(t)
+	c.submit("b/s", service("s", "a"))
+	c.submit("a/r", route("r", "b/s"))
+	before := c.head
+	for _, reply := range []*protocol.SubmitReply{
+		c.withdraw("b/s"),
+		c.replace("b/s", service("s")),
+		c.replace("b/s", service("other", "a")),
+		c.replace("b/s", route("held", "nowhere")),
+	} {
+		is.Equal(reply.Code, result.StillNeeded)
+		is.True(strings.Contains(reply.Errors[0].Detail, "a/route/r"))
+		is.Equal(c.head, before)
+	}
+	is.Equal(c.withdraw("a/r").Code, result.OK)
+	is.Equal(c.withdraw("b/s").Code, result.OK)
+	is.Equal(c.keys(), "")
+}
+
+func TestHeldReplacementLeavesTheAcceptedRevisionInForce(t *testing.T) {
+	is := is.New(t)
+	c := newChain(t)
+	c.submit("a/f", service("s")+route("r", "s"))
+	reply := c.replace("a/f", service("s")+route("r", "later"))
+	is.Equal(reply.Code, result.Held)
+	is.Equal(c.head.Version, protocol.Version(1))
+	is.Equal(c.keys(), "a/route/r a/service/s")
+	is.Equal(c.submit("a/later", service("later")).Promoted, []string{"a/f"})
+}
+
+func TestRacingOperators(t *testing.T) {
+	is := is.New(t)
+	c := newChain(t)
+	first := c.submit("a/f", service("s"))
+	is.Equal(c.submit("a/f", service("s2")).Code, result.RevisionMismatch)
+	expect := func(revision uint64, body string) *protocol.SubmitReply {
+		request := c.request(protocol.ActionReplace, "a/f", body)
+		request.Expect = &revision
+		return c.send(request)
+	}
+	second := expect(first.Revision, service("s2"))
+	is.Equal(second.Code, result.OK)
+	lost := expect(first.Revision, service("s3"))
+	is.Equal(lost.Code, result.RevisionMismatch)
+	is.Equal(lost.Revision, second.Revision)
+	is.Equal(lost.Version, second.Version)
+	c.withdraw("a/f")
+	is.Equal(expect(second.Revision, service("s4")).Code, result.RevisionMismatch)
+	is.True(c.submit("a/f", service("s")).Revision > second.Revision)
+}
+
+func TestOwnershipAndNames(t *testing.T) {
+	is := is.New(t)
+	c := newChain(t)
+	c.submit("a/f", service("s"))
+	is.Equal(c.submit("a/g", service("s")).Code, result.NameTaken)
+	is.Equal(c.submit("b/f", service("s")).Code, result.OK)
+	request := c.request(protocol.ActionSubmit, "a/h", service("t"))
+	request.Partner = "b"
+	is.Equal(c.send(request).Code, result.FileNotYours)
+	is.Equal(c.withdraw("b/none").Code, result.NoSuchFile)
+	is.Equal(c.submit("a/h", "colour: red\n").Code, result.FileUnknownField)
+}
+
+func TestResendsGetTheFirstAnswer(t *testing.T) {
+	is := is.New(t)
+	c := newChain(t)
+	request := c.request(protocol.ActionSubmit, "a/f", service("s"))
+	first := c.send(request)
+	c.replace("a/f", service("s2"))
+	head := c.head
+	is.Equal(c.send(request), first)
+	is.Equal(c.head, head)
+	other := c.request(protocol.ActionSubmit, "a/g", service("t"))
+	other.Operation = request.Operation
+	is.Equal(c.send(other).Code, result.OperationReused)
+	other.Operation = "nonsense"
+	is.Equal(c.send(other).Code, result.UsageError)
+}
+
+// TestDroppedOperationIsNeverTakenAsNew drops the first operation by count and
+// age, with a reader's clock that jumps back afterwards.
+func TestDroppedOperationIsNeverTakenAsNew(t *testing.T) {
+	is := is.New(t)
+	c := newChain(t)
+	first := c.request(protocol.ActionSubmit, "a/f", service("s"))
+	is.Equal(c.send(first).Code, result.OK)
+	is.Equal(c.withdraw("a/f").Code, result.OK)
+	c.now = c.now.Add(2 * ledger.OperationAge)
+	for i := range ledger.OperationCount + 2 {
+		c.submit(fmt.Sprintf("a/f%d", i), service(fmt.Sprintf("s%d", i)))
+	}
+	is.Equal(len(c.head.Operations), ledger.OperationCount+2) // the first two were beyond both bounds
+	c.now = start
+	is.Equal(c.send(first).Code, result.OutcomeUnknown)
+	_, found := c.head.File(resource.FileKey{Partner: "a", Name: "f"})
+	is.True(!found)
+}
+
+func TestSameContentIsNoNewVersion(t *testing.T) {
+	is := is.New(t)
+	c := newChain(t)
+	first := c.submit("a/f", service("s"))
+	again := c.replace("a/f", "# the same\n"+service("s"))
+	is.Equal(again.Code, result.OK)
+	is.Equal(again.Version, first.Version)
+	is.True(again.Revision > first.Revision)
+}
+
+func TestKeepersAreAVersion(t *testing.T) {
+	is := is.New(t)
+	c := newChain(t)
+	c.submit("a/f", service("s"))
+	set := protocol.KeeperSet{Region: "accra", Members: []protocol.KeeperMember{{ID: "n1"}}, Write: 1, Read: 1}
+	next := ledger.SetKeepers(c.head, []protocol.KeeperSet{set}, c.now, 7)
+	is.Equal(next.Version, c.head.Version+1)
+	is.Equal(next.Keepers[0].Revision, next.Version)
+	is.Equal(next.Term, uint64(7))
+	is.Equal(ledger.SetKeepers(next, []protocol.KeeperSet{set}, c.now, 8), next)
+	is.Equal(len(c.head.Keepers), 0)
+}
+
+func TestHeadRoundTripAndRefusals(t *testing.T) {
+	is := is.New(t)
+	c := newChain(t)
+	c.submit("a/f", service("s"))
+	c.submit("a/r", route("r", "later"))
+	encoded := ledger.Encode(c.head)
+	decoded, err := ledger.Decode(encoded)
+	is.NoErr(err)
+	is.Equal(ledger.Encode(decoded), encoded)
+	for _, spoiled := range []string{
+		"", "null", "{}", `{"format":2}`,
+		strings.Replace(string(encoded), `"term"`, `"newer":1,"term"`, 1),
+		strings.Replace(string(encoded), `"last_revision":2`, `"last_revision":1`, 1),
+		strings.Replace(string(encoded), `"version":1,"term"`, `"version":0,"term"`, 1),
+		string(encoded) + strings.Repeat(" ", ledger.MaxHead),
+		string(encoded) + "{}",
+	} {
+		_, err := ledger.Decode([]byte(spoiled))
+		is.True(err != nil)
+	}
+}
--- /dev/null
+++ b/internal/core/resource/canonical.go
@@ -0,0 +1,223 @@
+package resource
+
+import (
+	"net/netip"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/juju/errors"
+)
+
+// Reasons for which a path or host is refused as ambiguous.
+const (
+	errPathStart   = errors.ConstError("a path begins with /")
+	errPathEscape  = errors.ConstError("a percent sign is not followed by two hexadecimal digits")
+	errPathHidden  = errors.ConstError("an escaped slash, backslash, percent sign or control character is ambiguous")
+	errPathRaw     = errors.ConstError("a backslash, question mark, hash or control character is not allowed in a path")
+	errPathDot     = errors.ConstError("a dot segment is ambiguous")
+	errPathEmpty   = errors.ConstError("an empty segment (//) is ambiguous")
+	errPathUTF8    = errors.ConstError("the path is not UTF-8")
+	errHostEmpty   = errors.ConstError("the host is empty")
+	errHostForm    = errors.ConstError("the host is not a DNS name or IP number")
+	errHostTooLong = errors.ConstError("the host is longer than 253 bytes")
+)
+
+const (
+	upperHex = "0123456789ABCDEF"
+	// pathPunctuation are the characters besides letters and digits that a
+	// segment may hold unescaped (RFC 3986, pchar).
+	pathPunctuation = "-._~!$&'()*+,;=:@"
+	maxHostLength   = 253
+	maxLabelLength  = 63
+)
+
+// CanonicalPath returns the one form of an escaped request path that routes
+// are matched on. Escapes of characters that need none are decoded; all other
+// escapes are written in upper case, and raw bytes that need one are escaped.
+// Whatever two readers could understand differently is refused: escaped
+// slashes, backslashes, percent signs and control characters, dot segments
+// (also with parameters, as in /..;x/), empty segments, broken escapes and
+// bytes that are not UTF-8. A trailing slash is kept and counts. It allocates
+// nothing when the path is canonical already.
+func CanonicalPath(path string) (string, error) {
+	if path == "" || path[0] != '/' {
+		return "", errPathStart
+	}
+	canonical := path
+	if !plainPath(path) {
+		rewritten, err := rewriteEscapes(path)
+		if err != nil {
+			return "", err
+		}
+		canonical = rewritten
+	}
+	if err := checkSegments(canonical); err != nil {
+		return "", err
+	}
+	return canonical, nil
+}
+
+// plainPath reports whether no byte needs decoding, encoding or refusal.
+func plainPath(path string) bool {
+	for i := 0; i < len(path); i++ {
+		if path[i] != '/' && !plainByte(path[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+// plainBytes marks the bytes that a segment may hold unescaped.
+var plainBytes = func() (table [256]bool) {
+	const letters = "abcdefghijklmnopqrstuvwxyz"
+	for _, b := range []byte(letters + strings.ToUpper(letters) + "0123456789" + pathPunctuation) {
+		table[b] = true
+	}
+	return table
+}()
+
+func plainByte(b byte) bool { return plainBytes[b] }
+
+func rewriteEscapes(path string) (string, error) {
+	decoded := make([]byte, 0, len(path))
+	var canonical strings.Builder
+	for i := 0; i < len(path); i++ {
+		current := path[i]
+		escaped := current == '%'
+		if escaped {
+			if i+2 >= len(path) || !isHex(path[i+1]) || !isHex(path[i+2]) {
+				return "", errPathEscape
+			}
+			current = unhex(path[i+1])<<4 | unhex(path[i+2])
+			i += 2
+		}
+		if err := checkByte(current, escaped); err != nil {
+			return "", err
+		}
+		decoded = append(decoded, current)
+		writeByte(&canonical, current)
+	}
+	if !utf8.Valid(decoded) {
+		return "", errPathUTF8
+	}
+	return canonical.String(), nil
+}
+
+func checkByte(b byte, escaped bool) error {
+	control := b < ' ' || b == 0x7f
+	if escaped && (control || b == '/' || b == '\\' || b == '%') {
+		return errPathHidden
+	}
+	if !escaped && (control || b == '\\' || b == '?' || b == '#') {
+		return errPathRaw
+	}
+	return nil
+}
+
+func writeByte(canonical *strings.Builder, b byte) {
+	if b == '/' || plainByte(b) {
+		canonical.WriteByte(b)
+		return
+	}
+	canonical.WriteByte('%')
+	canonical.WriteByte(upperHex[b>>4])
+	canonical.WriteByte(upperHex[b&15])
+}
+
+func checkSegments(path string) error {
+	rest := path[1:]
+	for rest != "" {
+		segment, after, found := strings.Cut(rest, "/")
+		if segment == "" {
+			return errPathEmpty
+		}
+		name, _, _ := strings.Cut(segment, ";")
+		if name == "." || name == ".." {
+			return errPathDot
+		}
+		if !found {
+			return nil
+		}
+		rest = after
+	}
+	return nil
+}
+
+func isHex(b byte) bool {
+	return b >= '0' && b <= '9' || b >= 'a' && b <= 'f' || b >= 'A' && b <= 'F'
+}
+
+func unhex(b byte) byte {
+	switch {
+	case b >= 'a':
+		return b - 'a' + 10
+	case b >= 'A':
+		return b - 'A' + 10
+	default:
+		return b - '0'
+	}
+}
+
+// CanonicalHost returns the one form of a Host header that routes are matched
+// on: lower case, without port and without the root's trailing dot. IP numbers
+// are written in their shortest form, IPv6 in brackets. Names outside ASCII
+// must come as A-labels (xn--).
+func CanonicalHost(host string) (string, error) {
+	name := withoutPort(host)
+	if name == "" {
+		return "", errHostEmpty
+	}
+	if strings.HasPrefix(name, "[") {
+		return canonicalIPv6(name)
+	}
+	name = strings.ToLower(strings.TrimSuffix(name, "."))
+	if len(name) > maxHostLength {
+		return "", errHostTooLong
+	}
+	for label := range strings.SplitSeq(name, ".") {
+		if !validLabel(label) {
+			return "", errHostForm
+		}
+	}
+	return name, nil
+}
+
+func canonicalIPv6(name string) (string, error) {
+	address, err := netip.ParseAddr(strings.TrimSuffix(strings.TrimPrefix(name, "["), "]"))
+	if err != nil || !strings.HasSuffix(name, "]") || !address.Is6() || address.Zone() != "" {
+		return "", errHostForm
+	}
+	return "[" + address.String() + "]", nil
+}
+
+// withoutPort cuts off a port of decimal digits, which may be empty.
+func withoutPort(host string) string {
+	colon := strings.LastIndexByte(host, ':')
+	if colon < 0 || strings.HasSuffix(host, "]") {
+		return host
+	}
+	for _, digit := range host[colon+1:] {
+		if digit < '0' || digit > '9' {
+			return host
+		}
+	}
+	return host[:colon]
+}
+
+func validLabel(label string) bool {
+	if label == "" || len(label) > maxLabelLength {
+		return false
+	}
+	for i := 0; i < len(label); i++ {
+		b := label[i]
+		letter := b >= 'a' && b <= 'z' || b >= '0' && b <= '9'
+		inner := b == '-' || b == '_'
+		if !letter && !inner {
+			return false
+		}
+		if b == '-' && (i == 0 || i == len(label)-1) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/core/resource/encode.go
+++ b/internal/core/resource/encode.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"slices"
+	"strings"
 
 	"github.com/juju/errors"
 	"github.com/samber/lo"
@@ -86,7 +87,7 @@
 	if len(d) != hex.EncodedLen(sha256.Size) {
 		return false
 	}
-	return !bytes.ContainsFunc([]byte(d), func(r rune) bool {
+	return !strings.ContainsFunc(string(d), func(r rune) bool {
 		return (r < '0' || r > '9') && (r < 'a' || r > 'f')
 	})
 }
--- a/internal/core/resource/parse.go
+++ b/internal/core/resource/parse.go
@@ -1,19 +1,59 @@
 package resource
 
-import "github.com/springstack/springstack/internal/result"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/springstack/springstack/internal/result"
+)
 
 // Limits bound what Parse reads.
 type Limits struct {
 	// Bytes bounds the text.
 	Bytes int
-	// Depth bounds nesting.
+	// Depth bounds the nesting of lists and mappings.
 	Depth int
 }
 
 // DefaultLimits returns 256 KiB and a depth of 16.
 func DefaultLimits() Limits { return Limits{Bytes: 256 << 10, Depth: 16} }
 
-// Parse reads one file.
+// Parse reads one file in the format of docs/FILES.md. It returns either the
+// file, with its lists sorted by name, or every mistake found, in the order of
+// lines, each with file, line, field, detail and mend. Syntax errors hide
+// those that would follow. No error holds the value of a secret.
 func Parse(fileName string, text []byte, limits Limits) (*File, []*result.Error) {
-	panic("soon")
+	root, problem := readYAML(text, limits)
+	if problem != nil {
+		problem.File = fileName
+		return nil, []*result.Error{problem}
+	}
+	collected := &collector{file: fileName}
+	file := readFile(value{collector: collected, node: root, line: lineOf(root)})
+	if len(collected.problems) > 0 {
+		return nil, collected.sorted()
+	}
+	return file, nil
+}
+
+// collector gathers the mistakes of one file.
+type collector struct {
+	file     string
+	problems []*result.Error
+}
+
+// maxProblems bounds the list of mistakes.
+const maxProblems = 100
+
+func (c *collector) add(problem result.Error) {
+	if len(c.problems) >= maxProblems {
+		return
+	}
+	problem.File = c.file
+	c.problems = append(c.problems, &problem)
+}
+
+func (c *collector) sorted() []*result.Error {
+	slices.SortStableFunc(c.problems, func(a, b *result.Error) int { return cmp.Compare(a.Line, b.Line) })
+	return c.problems
 }
--- /dev/null
+++ b/internal/core/resource/value.go
@@ -0,0 +1,237 @@
+package resource
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/goccy/go-yaml/ast"
+
+	"github.com/springstack/springstack/internal/result"
+)
+
+// value is one YAML node together with its place. The zero value of node
+// stands for a field that is absent.
+type value struct {
+	*collector
+	node ast.Node
+	line int
+	path string
+}
+
+func (v value) present() bool { return v.node != nil }
+
+func (v value) fail(code result.Code, mend string, format string, arguments ...any) {
+	v.add(result.Error{Code: code, Line: v.line, Field: v.path, Detail: fmt.Sprintf(format, arguments...), Mend: mend})
+}
+
+func (v value) wrongType(wanted string) {
+	v.fail(result.FileWrongType, "Give "+wanted+".", "%s is wanted here, not %s", wanted, typeName(v.node))
+}
+
+func typeName(node ast.Node) string {
+	switch node.(type) {
+	case *ast.MappingNode, *ast.MappingValueNode:
+		return "a mapping"
+	case *ast.SequenceNode:
+		return "a list"
+	case *ast.StringNode, *ast.LiteralNode:
+		return "text"
+	case *ast.IntegerNode, *ast.FloatNode, *ast.InfinityNode, *ast.NanNode:
+		return "a number"
+	case *ast.BoolNode:
+		return "true or false"
+	case *ast.NullNode:
+		return "nothing"
+	default:
+		return "something else"
+	}
+}
+
+// object is a mapping with its fields taken out by name.
+type object struct {
+	value
+	fields map[string]value
+}
+
+// object reads a mapping whose keys are all among known. Unknown and repeated
+// keys are mistakes.
+func (v value) object(known ...string) object {
+	read := object{value: v, fields: map[string]value{}}
+	if !v.present() {
+		return read
+	}
+	pairs, isMapping := pairsOf(v.node)
+	if !isMapping {
+		v.wrongType("a mapping")
+		read.node = nil
+		return read
+	}
+	allowed := map[string]bool{}
+	for _, name := range known {
+		allowed[name] = true
+	}
+	for _, pair := range pairs {
+		read.take(pair, allowed)
+	}
+	return read
+}
+
+func pairsOf(node ast.Node) ([]*ast.MappingValueNode, bool) {
+	switch mapping := node.(type) {
+	case *ast.MappingNode:
+		return mapping.Values, true
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{mapping}, true
+	default:
+		return nil, false
+	}
+}
+
+func (o object) take(pair *ast.MappingValueNode, allowed map[string]bool) {
+	key, isText := pair.Key.(*ast.StringNode)
+	field := value{collector: o.collector, node: pair.Value, line: lineOf(pair.Key)}
+	if !isText {
+		field.path = o.path
+		field.fail(result.FileWrongType, "Write a field name.", "a key is not text")
+		return
+	}
+	field.path = join(o.path, key.Value)
+	if !allowed[key.Value] {
+		field.path = join(o.path, shorten(key.Value))
+		field.fail(result.FileUnknownField, "Remove or rename it; docs/FILES.md lists the fields.", "the field is not known")
+		return
+	}
+	if _, repeated := o.fields[key.Value]; repeated {
+		field.fail(result.FileDuplicateName, "Keep one of the two.", "the field stands twice")
+		return
+	}
+	o.fields[key.Value] = field
+}
+
+// optional returns a field, absent if it is not there.
+func (o object) optional(name string) value {
+	field, found := o.fields[name]
+	if !found {
+		return value{collector: o.collector, line: o.line, path: join(o.path, name)}
+	}
+	return field
+}
+
+// required returns a field; its absence is a mistake.
+func (o object) required(name string) value {
+	field := o.optional(name)
+	if !field.present() && o.present() {
+		field.fail(result.FileMissingField, "Add the field.", "the field is missing")
+	}
+	return field
+}
+
+// items reads a list of at most limit entries.
+func (v value) items(limit int) []value {
+	if !v.present() {
+		return nil
+	}
+	list, isList := v.node.(*ast.SequenceNode)
+	if !isList {
+		v.wrongType("a list")
+		return nil
+	}
+	if len(list.Values) > limit {
+		v.fail(result.FileBadValue, "Shorten the list or split the file.", "the list has %d entries; at most %d are allowed", len(list.Values), limit)
+		return nil
+	}
+	entries := make([]value, 0, len(list.Values))
+	for i, node := range list.Values {
+		entries = append(entries, value{collector: v.collector, node: node, line: lineOf(node), path: fmt.Sprintf("%s[%d]", v.path, i)})
+	}
+	return entries
+}
+
+// text reads a string. Numbers and booleans must be quoted.
+func (v value) text() (string, bool) {
+	switch node := v.node.(type) {
+	case nil:
+		return "", false
+	case *ast.StringNode:
+		return node.Value, true
+	case *ast.LiteralNode:
+		return node.Value.Value, true
+	default:
+		v.wrongType("text")
+		return "", false
+	}
+}
+
+// integer reads a whole number from low to high.
+func (v value) integer(low, high int) int {
+	if !v.present() {
+		return 0
+	}
+	node, isInteger := v.node.(*ast.IntegerNode)
+	if !isInteger {
+		v.wrongType("a whole number")
+		return 0
+	}
+	number := int64(math.MaxInt64)
+	switch read := node.Value.(type) {
+	case int64:
+		number = read
+	case uint64:
+		number = int64(min(read, math.MaxInt64))
+	}
+	if number < int64(low) || number > int64(high) {
+		v.fail(result.FileBadValue, fmt.Sprintf("Give a number from %d to %d.", low, high), "the number is out of range")
+		return 0
+	}
+	return int(number)
+}
+
+// boolean reads true or false; nil when absent.
+func (v value) boolean() *bool {
+	if !v.present() {
+		return nil
+	}
+	node, isBool := v.node.(*ast.BoolNode)
+	if !isBool {
+		v.wrongType("true or false")
+		return nil
+	}
+	read := node.Value
+	return &read
+}
+
+// duration reads a duration such as 500ms or 2s, from low to high.
+func (v value) duration(low, high time.Duration) time.Duration {
+	text, isText := v.text()
+	if !isText {
+		return 0
+	}
+	read, err := time.ParseDuration(text)
+	if err != nil {
+		v.fail(result.FileBadValue, "Write a number and a unit, such as 500ms or 2s.", "%q is not a duration", shorten(text))
+		return 0
+	}
+	if read < low || read > high {
+		v.fail(result.FileBadValue, fmt.Sprintf("Give a duration from %s to %s.", low, high), "the duration is out of range")
+		return 0
+	}
+	return read
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// maxQuoted bounds what an error quotes of a file.
+const maxQuoted = 64
+
+func shorten(text string) string {
+	if len(text) <= maxQuoted {
+		return text
+	}
+	return text[:maxQuoted] + "..."
+}
