--- a/internal/core/protocol/protocol.go
+++ b/internal/core/protocol/protocol.go
@@ -266,6 +266,8 @@
 type StatusRequest struct {
 	Format  int
 	Partner resource.Partner
+	// Resources asks for the digests of the resources in the partner's files.
+	Resources bool
 }
 
 // FileStatus is one file as an operator sees it.
@@ -280,6 +282,18 @@
 	// Version is the version that accepted this revision.
 	Version Version
 	InForce bool
+	// Exports are the services of another partner's file that the asker may use.
+	Exports []string
+	// Resources are given for the asker's own files when it asked for them.
+	Resources []ResourceDigest
+}
+
+// ResourceDigest names one resource of a file. The digest of a secret is for
+// comparing inside a daemon only and is never shown to people.
+type ResourceDigest struct {
+	Kind   resource.Kind
+	Name   string
+	Digest resource.Digest
 }
 
 // ZoneStatus is how far a zone is.
