--- /dev/null
+++ b/internal/operator/difference.go
@@ -0,0 +1,54 @@
+package operator
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/samber/lo"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/operator/message"
+)
+
+// differences compares a file with its accepted revision, by resource.
+func differences(file *resource.File, files []protocol.FileStatus) message.Differences {
+	accepted, _ := lo.Find(files, func(status protocol.FileStatus) bool {
+		return status.Partner == file.Partner && status.Name == file.Name && !status.Held
+	})
+	held := map[resource.Key]resource.Digest{}
+	for _, one := range accepted.Resources {
+		held[resource.Key{Partner: file.Partner, Kind: one.Kind, Name: one.Name}] = one.Digest
+	}
+	compared := message.Differences{Partner: string(file.Partner), Name: file.Name, Revision: accepted.Revision}
+	for _, local := range resource.Encode(file) {
+		compared.Differences = append(compared.Differences, difference(local.Key, held[local.Key], local.Digest))
+		delete(held, local.Key)
+	}
+	for key, digest := range held {
+		compared.Differences = append(compared.Differences, difference(key, digest, ""))
+	}
+	slices.SortFunc(compared.Differences, func(a, b message.Difference) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+	return compared
+}
+
+// difference compares two digests; an empty one stands for absence. A secret's
+// digests are left out, for short secrets could be guessed from them.
+func difference(key resource.Key, held, local resource.Digest) message.Difference {
+	compared := message.Difference{Kind: string(key.Kind), Name: key.Name, Change: message.DifferenceChanged}
+	switch {
+	case held == "":
+		compared.Change = message.DifferenceAdded
+	case local == "":
+		compared.Change = message.DifferenceRemoved
+	case held == local:
+		compared.Change = message.DifferenceSame
+	}
+	if key.Kind != resource.KindSecret {
+		compared.Held = string(held)
+		compared.Local = string(local)
+	}
+	return compared
+}
