--- /dev/null
+++ b/internal/core/routing/table.go
@@ -0,0 +1,223 @@
+// Package routing compiles the routes of a snapshot into a table that is
+// never changed afterwards, and finds the route and destination of a call.
+// It reads no clock and draws no random numbers; both are passed in.
+package routing
+
+import (
+	"cmp"
+	"net/textproto"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/core/snapshot"
+)
+
+// DefaultTimeout bounds a call whose route states no timeout.
+const DefaultTimeout = 15 * time.Second
+
+// DefaultAttempts is the most attempts of a call whose route states none.
+const DefaultAttempts = 3
+
+// Query is what a call is matched by.
+type Query struct {
+	Method string
+	// Host is the authority of the request; case and port are ignored.
+	Host string
+	// Path is the canonical path, as CanonicalPath returns it.
+	Path string
+	// Header gives the first value of a header; nil means no headers.
+	Header func(name string) string
+}
+
+// Target is one weighted destination of a compiled route.
+type Target struct {
+	Service resource.ServiceRef
+	// upTo is the running total of the weights including this target.
+	upTo uint64
+}
+
+// Route is a route prepared for matching. It is immutable.
+type Route struct {
+	Resource resource.Route
+	// Targets are the destinations in the file's order.
+	Targets []Target
+	// Timeout bounds the whole call; never 0.
+	Timeout time.Duration
+	// Attempts is the most attempts of one call; at least 1.
+	Attempts int
+	// SecretHeader and SecretText are set on the request; empty for none.
+	SecretHeader string
+	SecretText   resource.SecretValue
+
+	host        string
+	totalWeight uint64
+}
+
+// Repeatable tells whether running a call with the method twice does no harm:
+// as the route states, or else for GET and HEAD only.
+func (r *Route) Repeatable(method string) bool {
+	if r.Resource.Repeatable != nil {
+		return *r.Resource.Repeatable
+	}
+	return method == "GET" || method == "HEAD"
+}
+
+// Pick chooses a destination by weight from a uniform random number.
+func (r *Route) Pick(random uint64) resource.ServiceRef {
+	if len(r.Targets) == 1 {
+		return r.Targets[0].Service
+	}
+	point := random % r.totalWeight
+	for _, target := range r.Targets {
+		if point < target.upTo {
+			return target.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// Table finds routes. It is immutable and needs no lock.
+type Table struct {
+	// exact holds the routes with a path by that path, most specific first.
+	exact map[string][]*Route
+	// prefixes holds the routes with a prefix by that prefix, most specific
+	// first.
+	prefixes map[string][]*Route
+	// longest is the length of the longest prefix.
+	longest int
+	size    int
+}
+
+// Compile builds the table of a snapshot. Routes without destination are left
+// out; snapshot.Build has refused them already.
+func Compile(held *snapshot.Snapshot) *Table {
+	table := &Table{exact: map[string][]*Route{}, prefixes: map[string][]*Route{}}
+	for _, route := range held.Routes {
+		if compiled := compileRoute(route, held); compiled != nil {
+			table.add(compiled)
+		}
+	}
+	for _, routes := range table.exact {
+		slices.SortFunc(routes, moreSpecific)
+	}
+	for _, routes := range table.prefixes {
+		slices.SortFunc(routes, moreSpecific)
+	}
+	return table
+}
+
+func compileRoute(route resource.Route, held *snapshot.Snapshot) *Route {
+	compiled := &Route{
+		Resource: route,
+		Timeout:  cmp.Or(route.Timeout, DefaultTimeout),
+		Attempts: cmp.Or(route.RetryAttempts, DefaultAttempts),
+		host:     canonicalHost(route.Match.Host),
+	}
+	for _, destination := range route.Split {
+		compiled.totalWeight += uint64(max(destination.Weight, 1))
+		target := Target{Service: destination.Service, upTo: compiled.totalWeight}
+		compiled.Targets = append(compiled.Targets, target)
+	}
+	if len(compiled.Targets) == 0 {
+		return nil
+	}
+	if route.Secret != nil {
+		key := resource.Key{Partner: route.Partner, Kind: resource.KindSecret, Name: route.Secret.Name}
+		compiled.SecretHeader = textproto.CanonicalMIMEHeaderKey(route.Secret.Header)
+		compiled.SecretText = held.Secrets[key].Value
+	}
+	return compiled
+}
+
+func (t *Table) add(route *Route) {
+	t.size++
+	match := route.Resource.Match
+	if match.Path != "" {
+		t.exact[match.Path] = append(t.exact[match.Path], route)
+		return
+	}
+	prefix := strings.TrimSuffix(match.PathPrefix, "/")
+	t.prefixes[prefix] = append(t.prefixes[prefix], route)
+	t.longest = max(t.longest, len(prefix))
+}
+
+// Size returns the number of routes.
+func (t *Table) Size() int { return t.size }
+
+// Find returns the most specific route that matches, or nil.
+func (t *Table) Find(query Query) *Route {
+	host := canonicalHost(query.Host)
+	if route := first(t.exact[query.Path], host, query); route != nil {
+		return route
+	}
+	prefix := query.Path
+	for {
+		prefix = strings.TrimSuffix(prefix, "/")
+		if len(prefix) <= t.longest {
+			if route := first(t.prefixes[prefix], host, query); route != nil {
+				return route
+			}
+		}
+		cut := strings.LastIndexByte(prefix, '/')
+		if cut < 0 {
+			return nil
+		}
+		prefix = prefix[:cut]
+	}
+}
+
+func first(routes []*Route, host string, query Query) *Route {
+	for _, route := range routes {
+		if route.matches(host, query) {
+			return route
+		}
+	}
+	return nil
+}
+
+func (r *Route) matches(host string, query Query) bool {
+	if r.host != "" && r.host != host {
+		return false
+	}
+	methods := r.Resource.Match.Methods
+	if len(methods) > 0 && !slices.Contains(methods, query.Method) {
+		return false
+	}
+	for _, wanted := range r.Resource.Match.Headers {
+		if query.Header == nil || query.Header(wanted.Name) != wanted.Value {
+			return false
+		}
+	}
+	return true
+}
+
+// moreSpecific orders routes of the same path: those with a host first, then
+// those with more methods and headers given, then by key.
+func moreSpecific(a, b *Route) int {
+	if (a.host == "") != (b.host == "") {
+		if a.host != "" {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(
+		cmp.Compare(conditions(b), conditions(a)),
+		strings.Compare(a.Resource.Name, b.Resource.Name),
+		strings.Compare(string(a.Resource.Partner), string(b.Resource.Partner)),
+	)
+}
+
+func conditions(route *Route) int {
+	match := route.Resource.Match
+	return len(match.Methods) + len(match.Headers)
+}
+
+// canonicalHost drops the port and folds case.
+func canonicalHost(host string) string {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/internal/proxy/config.go
@@ -0,0 +1,153 @@
+// Package proxy is the data path: the callers' side, which routes calls to
+// daemons beside back ends, and the gate, which admits calls to the back end
+// beside this daemon. It does the input and output; the decisions are those of
+// core/routing, core/endpoint, core/admission and core/retry.
+package proxy
+
+import (
+	"time"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+)
+
+// Config is what a proxy is told at its start.
+type Config struct {
+	// Clock is monotonic time since an arbitrary origin, the node's clock.
+	Clock       func() time.Duration
+	NodeID      protocol.NodeID
+	Incarnation protocol.Incarnation
+	Region      string
+	Zone        string
+	// Service and Backend name the back end beside the daemon; empty for none.
+	Service resource.ServiceRef
+	Backend string
+	// BackendAddress is where the back end itself listens, an IP and port.
+	BackendAddress string
+	// Slots is how many calls the back end runs at once.
+	Slots  int
+	Limits Limits
+	// RandomSeed makes the choices of endpoints repeatable; 0 draws a seed.
+	RandomSeed uint64
+	// OnBackendState is told when the state of the back end changes. It must
+	// not block. Nil means that nobody listens.
+	OnBackendState func(protocol.EndpointState)
+	// Log takes one event; it must not block. Nil means no log.
+	Log func(Event)
+}
+
+// Event is one thing worth a log line. It never holds a secret.
+type Event struct {
+	// Name is a stable event name listed in docs/OPERATING.md.
+	Name   string
+	Fields []EventField
+}
+
+// EventField is one key and value of an event.
+type EventField struct {
+	Key   string
+	Value string
+}
+
+// Limits bounds what the proxy takes and how long it waits. A zero field
+// means its default.
+type Limits struct {
+	// HeaderBytes bounds the request line and headers of a call, in bytes.
+	HeaderBytes int
+	// BodyBytes bounds the body of a request, in bytes.
+	BodyBytes int64
+	// Connections bounds the connections of one listener.
+	Connections int
+	// HeaderTimeout bounds the arrival of a request's headers.
+	HeaderTimeout time.Duration
+	// IdleTimeout closes a kept connection without calls.
+	IdleTimeout time.Duration
+	// StallTimeout bounds each read and write of a body.
+	StallTimeout time.Duration
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+	// UpstreamConnections bounds the connections to one endpoint.
+	UpstreamConnections int
+	// UpstreamIdle closes an unused connection to an endpoint; it must be
+	// shorter than IdleTimeout, so that the side that sends closes first.
+	UpstreamIdle time.Duration
+	// Prewarm is how many connections are opened to a new endpoint ahead of
+	// its first call.
+	Prewarm int
+	// ReplayBytes is how much of a request's body is kept for sending again.
+	ReplayBytes int
+	// QueueLength bounds the calls waiting at the gate.
+	QueueLength int
+	// QueueWait bounds the expected wait at the gate.
+	QueueWait time.Duration
+	// KeyWindow is how long the gate remembers request ids and keys.
+	KeyWindow time.Duration
+	// KeyCount bounds the request ids and keys remembered.
+	KeyCount int
+	// DrainLinger is how long a draining daemon goes on taking connections
+	// after its last call, so that callers learn to go elsewhere.
+	DrainLinger time.Duration
+	// DrainBound is when the calls still running are cut with DrainBound.
+	DrainBound time.Duration
+	// ProbePeriod is the time between probes of the back end's health and load.
+	ProbePeriod time.Duration
+	// ProbeTimeout bounds one probe.
+	ProbeTimeout time.Duration
+}
+
+// DefaultLimits returns the limits for production.
+func DefaultLimits() Limits {
+	return Limits{
+		HeaderBytes:         64 << 10,
+		BodyBytes:           256 << 20,
+		Connections:         4096,
+		HeaderTimeout:       10 * time.Second,
+		IdleTimeout:         2 * time.Minute,
+		StallTimeout:        15 * time.Second,
+		DialTimeout:         time.Second,
+		UpstreamConnections: 130,
+		UpstreamIdle:        30 * time.Second,
+		Prewarm:             2,
+		ReplayBytes:         64 << 10,
+		QueueLength:         256,
+		QueueWait:           2 * time.Second,
+		KeyWindow:           2 * time.Minute,
+		KeyCount:            1 << 16,
+		DrainLinger:         500 * time.Millisecond,
+		DrainBound:          30 * time.Second,
+		ProbePeriod:         time.Second,
+		ProbeTimeout:        500 * time.Millisecond,
+	}
+}
+
+func orDefault[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
+
+// withDefaults fills the zero fields.
+func (l Limits) withDefaults() Limits {
+	fallback := DefaultLimits()
+	orDefault(&l.HeaderBytes, fallback.HeaderBytes)
+	orDefault(&l.BodyBytes, fallback.BodyBytes)
+	orDefault(&l.Connections, fallback.Connections)
+	orDefault(&l.HeaderTimeout, fallback.HeaderTimeout)
+	orDefault(&l.IdleTimeout, fallback.IdleTimeout)
+	orDefault(&l.StallTimeout, fallback.StallTimeout)
+	orDefault(&l.DialTimeout, fallback.DialTimeout)
+	orDefault(&l.UpstreamConnections, fallback.UpstreamConnections)
+	orDefault(&l.UpstreamIdle, fallback.UpstreamIdle)
+	orDefault(&l.Prewarm, fallback.Prewarm)
+	orDefault(&l.ReplayBytes, fallback.ReplayBytes)
+	orDefault(&l.QueueLength, fallback.QueueLength)
+	orDefault(&l.QueueWait, fallback.QueueWait)
+	orDefault(&l.KeyWindow, fallback.KeyWindow)
+	orDefault(&l.KeyCount, fallback.KeyCount)
+	orDefault(&l.DrainLinger, fallback.DrainLinger)
+	orDefault(&l.DrainBound, fallback.DrainBound)
+	orDefault(&l.ProbePeriod, fallback.ProbePeriod)
+	orDefault(&l.ProbeTimeout, fallback.ProbeTimeout)
+	return l
+}
--- /dev/null
+++ b/internal/proxy/refuse.go
@@ -0,0 +1,73 @@
+package proxy
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/springstack/springstack/internal/result"
+)
+
+// Refusal is why a call gets no answer of a back end.
+type Refusal struct {
+	Code result.Code
+	// Ran is the truth about execution; empty means what the code's table says.
+	Ran result.Execution
+	// Detail is one sentence for people; it never holds a secret.
+	Detail string
+	// RetryAfter is when sending again may help; 0 leaves the header out.
+	RetryAfter time.Duration
+}
+
+// refusalBody is the JSON body of a refusal.
+type refusalBody struct {
+	Code   result.Code      `json:"code"`
+	Name   string           `json:"name"`
+	Ran    result.Execution `json:"ran"`
+	Detail string           `json:"detail"`
+}
+
+// execution returns what the refusal says about execution.
+func (r Refusal) execution() result.Execution {
+	if r.Ran != "" {
+		return r.Ran
+	}
+	entry, found := result.Lookup(r.Code)
+	if !found {
+		return result.RanUnknown
+	}
+	return entry.Ran
+}
+
+// write answers a call with the refusal, at once.
+func (r Refusal) write(writer http.ResponseWriter) {
+	entry, _ := result.Lookup(r.Code)
+	header := writer.Header()
+	clear(header)
+	header.Set("Content-Type", "application/json")
+	header.Set("Cache-Control", "no-store")
+	header.Set(headerCode, strconv.Itoa(int(r.Code)))
+	header.Set(headerRan, string(r.execution()))
+	if r.RetryAfter > 0 {
+		header.Set("Retry-After", retryAfterSeconds(r.RetryAfter))
+	}
+	body := refusalBody{Code: r.Code, Name: entry.Name, Ran: r.execution(), Detail: r.Detail}
+	if body.Detail == "" {
+		body.Detail = entry.Meaning
+	}
+	text, err := json.Marshal(body)
+	if err != nil {
+		text = []byte("{}")
+	}
+	header.Set("Content-Length", strconv.Itoa(len(text)))
+	writer.WriteHeader(entry.HTTPStatus)
+	// A failed write means that the caller is gone; there is no one to tell.
+	_, _ = writer.Write(text)
+}
+
+// retryAfterSeconds rounds up to whole seconds, as the header wants.
+func retryAfterSeconds(wait time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(wait.Seconds())))
+}
