Admission: slots by compare-and-set, fair queue within deadlines, started ids

A free slot with nobody waiting is taken without a lock; queued calls share slot time by partner and go by priority, and are refused at once when they could not end in time.

--- /dev/null
+++ b/internal/core/admission/gate.go
@@ -0,0 +1,391 @@
+package admission
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// PartnerWeight is the relative share of a partner.
+type PartnerWeight struct {
+	Partner resource.Partner
+	Weight  float64
+}
+
+// Config bounds a gate.
+type Config struct {
+	// Slots is how many calls run at once.
+	Slots int
+	// QueueLength bounds the calls that wait.
+	QueueLength int
+	// QueueWait bounds the expected wait of a call that is queued.
+	QueueWait time.Duration
+	// KeyWindow and KeyCount bound the memory of started requests and keys.
+	KeyWindow time.Duration
+	KeyCount  int
+	// Weights are the partners' shares; 1 for those not listed.
+	Weights []PartnerWeight
+}
+
+// The word of a gate packs what must change together: the draining bit, the
+// calls queued and the calls running.
+const (
+	runningBits = 24
+	runningMask = 1<<runningBits - 1
+	queuedUnit  = 1 << runningBits
+	queuedMask  = runningMask << runningBits
+	drainingBit = 1 << 63
+)
+
+// meanWeight is the weight of a new value in the moving mean of service time.
+const meanWeight = 1.0 / 16
+
+// fullRetryAfter is the wait told to a call that meets a full memory of keys.
+const fullRetryAfter = 5 * time.Second
+
+// Gate admits calls to one back end.
+type Gate struct {
+	config Config
+	// word holds draining, queued and running. Running never exceeds the slots
+	// by a start: a start adds one by compare-and-swap only below the slots, or
+	// inherits the slot of a call that ends. Queued changes under mutex only.
+	word atomic.Uint64
+	// slots may be changed while calls run.
+	slots atomic.Int64
+	// mean is the moving mean of service time, float64 bits of seconds.
+	mean atomic.Uint64
+	seen *Seen
+
+	mutex sync.Mutex
+	queue queue
+}
+
+// New returns a gate that takes calls.
+func New(now time.Duration, config Config) *Gate {
+	gate := &Gate{
+		config: config,
+		seen:   NewSeen(now, config.KeyWindow, config.KeyCount),
+		queue:  queue{weights: config.Weights},
+	}
+	gate.slots.Store(int64(max(config.Slots, 1)))
+	return gate
+}
+
+// Load is what runs and waits at a gate.
+type Load struct {
+	Running int
+	Queued  int
+	Slots   int
+}
+
+// Load returns the present load.
+func (g *Gate) Load() Load {
+	word := g.word.Load()
+	return Load{
+		Running: int(word & runningMask),
+		Queued:  int(word & queuedMask >> runningBits),
+		Slots:   int(g.slots.Load()),
+	}
+}
+
+// Draining tells whether the gate refuses new calls.
+func (g *Gate) Draining() bool { return g.word.Load()&drainingBit != 0 }
+
+// Admit starts, queues or refuses a call. A started call must be ended by
+// Done; a queued one is settled later, or withdrawn by Cancel.
+func (g *Gate) Admit(now time.Duration, ticket *Ticket) Verdict {
+	if g.Draining() {
+		return refused(result.Draining, 0)
+	}
+	if ticket.Deadline <= now {
+		return refused(result.DeadlineBeforeStart, 0)
+	}
+	if !g.acquire() {
+		return g.enqueue(now, ticket)
+	}
+	verdict := g.remember(now, ticket)
+	if verdict.State == StateRefused {
+		g.release(now, ticket, 0)
+		return verdict
+	}
+	ticket.state = StateStarted
+	return verdict
+}
+
+// acquire takes a free slot when nobody waits for it.
+func (g *Gate) acquire() bool {
+	for {
+		word := g.word.Load()
+		running := int64(word & runningMask)
+		if word&(drainingBit|queuedMask) != 0 || running >= g.slots.Load() {
+			return false
+		}
+		if g.word.CompareAndSwap(word, word+1) {
+			return true
+		}
+	}
+}
+
+// remember records the request id and key of a call about to start. When it
+// refuses, the call must not start.
+func (g *Gate) remember(now time.Duration, ticket *Ticket) Verdict {
+	for _, fingerprint := range [...]Fingerprint{ticket.Request, ticket.Key} {
+		if fingerprint == 0 {
+			continue
+		}
+		switch g.seen.Add(now, fingerprint) {
+		case Present:
+			return refused(result.AlreadyStarted, 0)
+		case Full:
+			return refused(result.QueueFull, fullRetryAfter)
+		}
+	}
+	ticket.startedAt = now
+	return Verdict{State: StateStarted}
+}
+
+// enqueue queues a call for which no slot was free, or refuses it.
+func (g *Gate) enqueue(now time.Duration, ticket *Ticket) Verdict {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	into := g.queue.lane(ticket.Partner)
+	if verdict := g.mayWait(now, ticket, into); verdict.State == StateRefused {
+		return verdict
+	}
+	for {
+		word := g.word.Load()
+		free := word&queuedMask == 0 && int64(word&runningMask) < g.slots.Load()
+		switch {
+		case word&drainingBit != 0:
+			return refused(result.Draining, 0)
+		case free && g.word.CompareAndSwap(word, word+1):
+			// The slot was freed since Admit looked; with nobody waiting that
+			// needed no lock.
+			return g.startLocked(now, ticket)
+		case !free && g.word.CompareAndSwap(word, word+queuedUnit):
+			// From here on every end of a call sees that somebody waits.
+			ticket.state = StateQueued
+			g.queue.push(ticket, into)
+			g.shedBehind(now, ticket)
+			return Verdict{State: StateQueued}
+		}
+	}
+}
+
+// startLocked starts a call that holds a slot, or gives the slot on.
+func (g *Gate) startLocked(now time.Duration, ticket *Ticket) Verdict {
+	verdict := g.remember(now, ticket)
+	ticket.state = verdict.State
+	if verdict.State == StateRefused {
+		g.handOver(now)
+	}
+	return verdict
+}
+
+// mayWait refuses a call that would wait too long, or makes room for it.
+func (g *Gate) mayWait(now time.Duration, ticket *Ticket, into *lane) Verdict {
+	wait := g.expectedWait(into, into.ahead(ticket.class()))
+	if now+wait+g.meanService()/2 > ticket.Deadline {
+		return refused(result.DeadlineBeforeStart, wait)
+	}
+	if wait > g.config.QueueWait {
+		return refused(result.QueueFull, wait)
+	}
+	if g.queue.length < g.config.QueueLength {
+		return Verdict{State: StateQueued}
+	}
+	if lower := into.last(ticket.class()); lower != nil {
+		g.evict(lower, refused(result.Shed, wait))
+		return Verdict{State: StateQueued}
+	}
+	if over := g.queue.overShare(into, g.config.QueueLength); over != nil {
+		g.evict(over.last(classCount), refused(result.ShareExceeded, wait))
+		return Verdict{State: StateQueued}
+	}
+	return refused(result.QueueFull, wait)
+}
+
+// shedBehind refuses the waiting calls of lower priority that the new one has
+// pushed past their deadlines or the longest wait. They get their answer now
+// instead of at their deadlines.
+func (g *Gate) shedBehind(now time.Duration, ticket *Ticket) {
+	for class := 0; class < ticket.class(); class++ {
+		for {
+			tail := ticket.lane.classes[class].tail
+			if tail == nil {
+				break
+			}
+			ahead := ticket.lane.ahead(class) - 1
+			wait := g.expectedWait(ticket.lane, ahead)
+			if wait <= g.config.QueueWait && now+wait <= tail.Deadline {
+				break
+			}
+			g.evict(tail, refused(result.Shed, wait))
+		}
+	}
+}
+
+// evict refuses a waiting call.
+func (g *Gate) evict(ticket *Ticket, verdict Verdict) {
+	g.queue.remove(ticket)
+	g.unqueue()
+	ticket.settle(verdict)
+}
+
+// unqueue takes one from the queued count; the lock is held.
+func (g *Gate) unqueue() {
+	g.word.Add(^uint64(queuedUnit - 1))
+}
+
+// expectedWait estimates when a slot is free for a call that has others of its
+// lane ahead of it. It is 0 until a service time is known.
+func (g *Gate) expectedWait(of *lane, ahead int) time.Duration {
+	rate := float64(g.slots.Load()) * g.queue.share(of)
+	return time.Duration(float64(g.meanService()) * float64(ahead+1) / rate)
+}
+
+// Done ends a started call and gives its slot to the call that goes next. Ran
+// is false only when the call certainly did not reach the back end; its ids
+// are then forgotten, so that it may be sent again. It must be called once for
+// each started call; further calls do nothing.
+func (g *Gate) Done(now time.Duration, ticket *Ticket, ran bool) {
+	if ticket.ended {
+		return
+	}
+	ticket.ended = true
+	if ran {
+		g.observe(now - ticket.startedAt)
+	} else {
+		g.forget(ticket)
+	}
+	g.release(now, ticket, now-ticket.startedAt)
+}
+
+func (g *Gate) forget(ticket *Ticket) {
+	for _, fingerprint := range [...]Fingerprint{ticket.Request, ticket.Key} {
+		if fingerprint != 0 {
+			g.seen.Remove(fingerprint)
+		}
+	}
+}
+
+// release gives back a slot that was held for some time: without the lock when
+// nobody waits.
+func (g *Gate) release(now time.Duration, ticket *Ticket, held time.Duration) {
+	for {
+		word := g.word.Load()
+		if word&queuedMask != 0 {
+			break
+		}
+		if g.word.CompareAndSwap(word, word-1) {
+			return
+		}
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.queue.settleCharge(ticket, held.Seconds())
+	g.handOver(now)
+}
+
+// handOver gives a held slot to the next call that can still start, or frees
+// it; the lock is held.
+func (g *Gate) handOver(now time.Duration) {
+	for {
+		// With fewer slots than before, the slot ends with the call.
+		excess := int64(g.word.Load()&runningMask) > g.slots.Load()
+		var ticket *Ticket
+		if !excess {
+			ticket = g.queue.pop()
+		}
+		if ticket == nil {
+			g.word.Add(^uint64(0))
+			return
+		}
+		g.unqueue()
+		if g.startWaiting(now, ticket) {
+			return
+		}
+	}
+}
+
+// startWaiting settles a call taken from the queue and tells whether it runs.
+func (g *Gate) startWaiting(now time.Duration, ticket *Ticket) bool {
+	if now+g.meanService()/2 > ticket.Deadline {
+		ticket.settle(refused(result.DeadlineBeforeStart, 0))
+		return false
+	}
+	verdict := g.remember(now, ticket)
+	if verdict.State == StateStarted {
+		g.queue.charge(ticket, g.meanService().Seconds())
+	}
+	ticket.settle(verdict)
+	return verdict.State == StateStarted
+}
+
+// Cancel withdraws a waiting call. It answers false when the call is not
+// waiting any more: it was settled, and if started it must be ended by Done.
+func (g *Gate) Cancel(ticket *Ticket) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if ticket.state != StateQueued {
+		return false
+	}
+	g.queue.remove(ticket)
+	g.unqueue()
+	ticket.state = StateRefused
+	return true
+}
+
+// Drain refuses all waiting calls at once and every later one until Resume;
+// those that run end by themselves.
+func (g *Gate) Drain() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.word.Or(drainingBit)
+	for ticket := g.queue.pop(); ticket != nil; ticket = g.queue.pop() {
+		g.unqueue()
+		ticket.settle(refused(result.Draining, 0))
+	}
+}
+
+// Resume takes calls again after Drain.
+func (g *Gate) Resume() {
+	g.word.And(^uint64(drainingBit))
+}
+
+// SetSlots changes how many calls run at once. Fewer slots end no call; more
+// of them start waiting calls at once.
+func (g *Gate) SetSlots(now time.Duration, slots int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.slots.Store(int64(max(slots, 1)))
+	for g.queue.length > 0 && int64(g.word.Load()&runningMask) < g.slots.Load() {
+		g.word.Add(1)
+		g.handOver(now)
+	}
+}
+
+// observe folds a service time into the moving mean. An update lost to a
+// concurrent one does no harm.
+func (g *Gate) observe(took time.Duration) {
+	old := g.mean.Load()
+	mean := math.Float64frombits(old)
+	next := took.Seconds()
+	if old != 0 {
+		next = mean + (next-mean)*meanWeight
+	}
+	g.mean.CompareAndSwap(old, math.Float64bits(next))
+}
+
+// meanService is the moving mean of service time; 0 until one is known.
+func (g *Gate) meanService() time.Duration {
+	return time.Duration(math.Float64frombits(g.mean.Load()) * float64(time.Second))
+}
+
+func refused(code result.Code, retryAfter time.Duration) Verdict {
+	return Verdict{State: StateRefused, Code: code, RetryAfter: retryAfter}
+}
--- /dev/null
+++ b/internal/core/admission/gate_test.go
@@ -0,0 +1,316 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/result"
+	"pgregory.net/rapid"
+)
+
+// record is a waiter that keeps its verdicts.
+type record struct {
+	verdicts []Verdict
+}
+
+func (r *record) Settle(verdict Verdict) { r.verdicts = append(r.verdicts, verdict) }
+
+func (r *record) last() Verdict {
+	if len(r.verdicts) == 0 {
+		return Verdict{}
+	}
+	return r.verdicts[len(r.verdicts)-1]
+}
+
+func testConfig(slots int) Config {
+	return Config{Slots: slots, QueueLength: 8, QueueWait: time.Second, KeyWindow: time.Minute, KeyCount: 1 << 10}
+}
+
+// offered is a call at the gate with its waiter.
+type offered struct {
+	ticket *Ticket
+	waiter *record
+	state  State
+	code   result.Code
+}
+
+func offer(gate *Gate, now time.Duration, call Call) *offered {
+	if call.Deadline == 0 {
+		call.Deadline = now + time.Hour
+	}
+	waiter := &record{}
+	ticket := NewTicket(call, waiter)
+	verdict := gate.Admit(now, ticket)
+	return &offered{ticket: ticket, waiter: waiter, state: verdict.State, code: verdict.Code}
+}
+
+// teach gives a gate a mean service time.
+func teach(gate *Gate, now, service time.Duration) {
+	first := offer(gate, now, Call{})
+	gate.Done(now+service, first.ticket, true)
+}
+
+func TestSlotsAreHandedOverInOrder(t *testing.T) {
+	check := is.New(t)
+	gate := New(0, testConfig(1))
+	first := offer(gate, 0, Call{})
+	second := offer(gate, 0, Call{})
+	third := offer(gate, 0, Call{Priority: resource.PriorityHigh})
+	check.Equal(first.state, StateStarted)
+	check.Equal(second.state, StateQueued)
+	gate.Done(time.Millisecond, first.ticket, true)
+	check.Equal(third.waiter.last().State, StateStarted) // higher priority first
+	check.Equal(len(second.waiter.verdicts), 0)
+	gate.Done(time.Millisecond, first.ticket, true) // a second Done frees nothing
+	check.Equal(gate.Load(), Load{Running: 1, Queued: 1, Slots: 1})
+	check.True(gate.Cancel(second.ticket))
+	check.True(!gate.Cancel(second.ticket))
+	gate.Done(2*time.Millisecond, third.ticket, true)
+	check.Equal(gate.Load(), Load{Slots: 1})
+}
+
+func TestDeadlineIsRefusedBeforeTheStart(t *testing.T) {
+	check := is.New(t)
+	gate := New(0, testConfig(1))
+	teach(gate, 0, 100*time.Millisecond)
+	now := time.Second
+	running := offer(gate, now, Call{})
+	late := offer(gate, now, Call{Deadline: now + 120*time.Millisecond})
+	check.Equal(late.code, result.DeadlineBeforeStart) // at once, not at the deadline
+	queued := offer(gate, now, Call{Deadline: now + 200*time.Millisecond})
+	check.Equal(queued.state, StateQueued)
+	gate.Done(now+190*time.Millisecond, running.ticket, true)
+	check.Equal(queued.waiter.last().Code, result.DeadlineBeforeStart)
+	check.Equal(gate.Load().Running, 0)
+}
+
+func TestDuplicatesAreRefusedWithinTheWindow(t *testing.T) {
+	check := is.New(t)
+	gate := New(0, testConfig(2))
+	first := offer(gate, 0, Call{Request: 7, Key: 9})
+	check.Equal(offer(gate, 0, Call{Request: 7}).code, result.AlreadyStarted)
+	check.Equal(offer(gate, 0, Call{Request: 8, Key: 9}).code, result.AlreadyStarted)
+	gate.Done(time.Second, first.ticket, true)
+	check.Equal(offer(gate, time.Minute, Call{Request: 7}).code, result.AlreadyStarted)
+	check.Equal(gate.Load().Running, 0) // refusals leak no slot
+	unsent := offer(gate, time.Minute, Call{Key: 5})
+	gate.Done(time.Minute, unsent.ticket, false)
+	check.Equal(offer(gate, time.Minute, Call{Key: 5}).state, StateStarted)
+}
+
+func TestDuplicateInTheQueueStartsOnce(t *testing.T) {
+	check := is.New(t)
+	gate := New(0, testConfig(1))
+	running := offer(gate, 0, Call{})
+	first := offer(gate, 0, Call{Key: 3})
+	second := offer(gate, 0, Call{Key: 3})
+	gate.Done(1, running.ticket, true)
+	gate.Done(2, first.ticket, true)
+	check.Equal(first.waiter.last().State, StateStarted)
+	check.Equal(second.waiter.last().Code, result.AlreadyStarted)
+	check.Equal(gate.Load().Running, 0)
+}
+
+func TestDrainRefusesAtOnceAndEndsNothing(t *testing.T) {
+	check := is.New(t)
+	gate := New(0, testConfig(1))
+	running := offer(gate, 0, Call{})
+	queued := offer(gate, 0, Call{})
+	gate.Drain()
+	check.Equal(queued.waiter.last().Code, result.Draining)
+	check.Equal(offer(gate, 0, Call{}).code, result.Draining)
+	check.Equal(gate.Load(), Load{Running: 1, Slots: 1})
+	gate.Done(1, running.ticket, true)
+	gate.Resume()
+	check.Equal(offer(gate, 1, Call{}).state, StateStarted)
+}
+
+func TestFullQueueMakesRoomForShareAndPriority(t *testing.T) {
+	check := is.New(t)
+	gate := New(0, testConfig(1))
+	offer(gate, 0, Call{})
+	var greedy []*offered
+	for range 8 {
+		greedy = append(greedy, offer(gate, 0, Call{Partner: "greedy"}))
+	}
+	check.Equal(offer(gate, 0, Call{Partner: "greedy"}).code, result.QueueFull)
+	high := offer(gate, 0, Call{Partner: "greedy", Priority: resource.PriorityHigh})
+	check.Equal(high.state, StateQueued)
+	check.Equal(greedy[7].waiter.last().Code, result.Shed)
+	modest := offer(gate, 0, Call{Partner: "modest"})
+	check.Equal(modest.state, StateQueued)
+	check.Equal(greedy[6].waiter.last().Code, result.ShareExceeded)
+}
+
+func TestSharesAreOfSlotTime(t *testing.T) {
+	check := is.New(t)
+	config := testConfig(1)
+	config.QueueLength = 1 << 10
+	config.QueueWait = time.Hour
+	gate := New(0, config)
+	holder := offer(gate, 0, Call{Partner: "long"})
+	var waiting []*offered
+	for range 100 {
+		waiting = append(waiting, offer(gate, 0, Call{Partner: "long"}), offer(gate, 0, Call{Partner: "short"}))
+	}
+	service := map[resource.Partner]time.Duration{"long": 40 * time.Millisecond, "short": 10 * time.Millisecond}
+	used := map[resource.Partner]time.Duration{}
+	now := time.Duration(0)
+	current := holder.ticket
+	for range 80 {
+		now += service[current.Partner]
+		used[current.Partner] += service[current.Partner]
+		gate.Done(now, current, true)
+		for _, candidate := range waiting {
+			if candidate.waiter.last().State == StateStarted && !candidate.ticket.ended {
+				current = candidate.ticket
+			}
+		}
+	}
+	share := float64(used["short"]) / float64(used["long"]+used["short"])
+	check.True(share > 0.4 && share < 0.6) // half of the time, not of the calls
+}
+
+// TestGateModel draws steps and compares the gate with a plain account of who
+// holds a slot: never more than the slots, none leaked, none given twice.
+func TestGateModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 3).Draw(t, "slots")
+		gate := New(0, testConfig(slots))
+		now := time.Duration(0)
+		var calls []*offered
+		running := func() (held []*offered) {
+			for _, call := range calls {
+				started := call.state == StateStarted || call.waiter.last().State == StateStarted
+				if started && !call.ticket.ended {
+					held = append(held, call)
+				}
+			}
+			return held
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				calls = append(calls, offer(gate, now, Call{
+					Partner:  rapid.SampledFrom([]resource.Partner{"a", "b"}).Draw(t, "partner"),
+					Priority: resource.Priority(rapid.IntRange(0, 2).Draw(t, "priority")),
+					Deadline: now + time.Duration(rapid.IntRange(0, 200).Draw(t, "deadline"))*time.Millisecond,
+					Key:      Fingerprint(rapid.IntRange(0, 40).Draw(t, "key")),
+				}))
+			case 2:
+				if held := running(); len(held) > 0 {
+					gate.Done(now, held[rapid.IntRange(0, len(held)-1).Draw(t, "which")].ticket, rapid.Bool().Draw(t, "ran"))
+				}
+			case 3:
+				if len(calls) > 0 {
+					gate.Cancel(calls[rapid.IntRange(0, len(calls)-1).Draw(t, "cancelled")].ticket)
+				}
+			case 4:
+				gate.SetSlots(now, slots)
+			}
+			if held := len(running()); held > slots || held != gate.Load().Running {
+				t.Fatalf("%d calls hold %d slots of %d", held, gate.Load().Running, slots)
+			}
+			if load := gate.Load(); load.Queued > 0 && load.Running < load.Slots {
+				t.Fatalf("calls wait while slots are free: %+v", load)
+			}
+			for _, call := range calls {
+				if len(call.waiter.verdicts) > 1 {
+					t.Fatalf("a call was settled twice: %+v", call.waiter.verdicts)
+				}
+			}
+		}
+	})
+}
+
+type channelWaiter chan Verdict
+
+func (c channelWaiter) Settle(verdict Verdict) { c <- verdict }
+
+// TestGateUnderThreads has many goroutines contend; the account of running
+// calls is kept by atomics beside the gate.
+func TestGateUnderThreads(t *testing.T) {
+	const slots = 3
+	config := testConfig(slots)
+	config.QueueLength = 64
+	gate := New(0, config)
+	var running, most, started atomic.Int64
+	var group sync.WaitGroup
+	for worker := range 16 {
+		group.Go(func() {
+			random := rand.New(rand.NewPCG(1, uint64(worker)))
+			for range 2000 {
+				waiter := make(channelWaiter, 1)
+				ticket := NewTicket(Call{Deadline: time.Hour, Key: Fingerprint(random.Uint64())}, waiter)
+				verdict := gate.Admit(0, ticket)
+				if verdict.State == StateQueued && random.IntN(8) == 0 && gate.Cancel(ticket) {
+					continue
+				}
+				if verdict.State == StateQueued {
+					verdict = <-waiter
+				}
+				if verdict.State != StateStarted {
+					continue
+				}
+				started.Add(1)
+				most.Store(max(most.Load(), running.Add(1)))
+				running.Add(-1)
+				gate.Done(0, ticket, true)
+			}
+		})
+	}
+	group.Wait()
+	check := is.New(t)
+	check.Equal(gate.Load(), Load{Slots: slots})
+	check.True(most.Load() <= slots)
+	check.True(started.Load() > 0)
+}
+
+// TestSeenAddsOnceAcrossRotations races equal fingerprints over generations.
+func TestSeenAddsOnceAcrossRotations(t *testing.T) {
+	check := is.New(t)
+	seen := NewSeen(0, 1, 1<<16)
+	for round := range 2000 {
+		var added atomic.Int64
+		var group sync.WaitGroup
+		for range 4 {
+			group.Go(func() {
+				if seen.Add(time.Duration(round), Fingerprint(round)) == Added {
+					added.Add(1)
+				}
+			})
+		}
+		group.Wait()
+		check.True(added.Load() <= 1)
+	}
+}
+
+func TestSeenForgetsNothingEarly(t *testing.T) {
+	check := is.New(t)
+	seen := NewSeen(0, time.Minute, 2)
+	check.Equal(seen.Add(0, 1), Added)
+	check.Equal(seen.Add(0, 2), Added)
+	check.Equal(seen.Add(0, 3), Full) // no room is made by forgetting
+	check.Equal(seen.Add(time.Minute, 3), Added)
+	check.Equal(seen.Add(time.Minute, 1), Present)
+	check.Equal(seen.Add(2*time.Minute, 1), Added) // past the window
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	gate := New(0, Config{Slots: 1 << 20, QueueLength: 8, QueueWait: time.Second, KeyWindow: time.Minute, KeyCount: 1 << 20})
+	b.ReportAllocs()
+	b.RunParallel(func(loop *testing.PB) {
+		for loop.Next() {
+			ticket := Ticket{Call: Call{Deadline: time.Hour}}
+			if gate.Admit(0, &ticket).State == StateStarted {
+				gate.Done(time.Millisecond, &ticket, true)
+			}
+		}
+	})
+}
