--- a/internal/core/admission/gate_test.go
+++ b/internal/core/admission/gate_test.go
@@ -240,7 +240,8 @@
 	config := testConfig(slots)
 	config.QueueLength = 64
 	gate := New(0, config)
-	var running, most, started atomic.Int64
+	var running, started atomic.Int64
+	var exceeded atomic.Bool
 	var group sync.WaitGroup
 	for worker := range 16 {
 		group.Go(func() {
@@ -259,7 +260,9 @@
 					continue
 				}
 				started.Add(1)
-				most.Store(max(most.Load(), running.Add(1)))
+				if running.Add(1) > slots {
+					exceeded.Store(true)
+				}
 				running.Add(-1)
 				gate.Done(0, ticket, true)
 			}
@@ -268,7 +271,7 @@
 	group.Wait()
 	check := is.New(t)
 	check.Equal(gate.Load(), Load{Slots: slots})
-	check.True(most.Load() <= slots)
+	check.True(!exceeded.Load())
 	check.True(started.Load() > 0)
 }
 
--- /dev/null
+++ b/internal/core/retry/budget.go
@@ -0,0 +1,66 @@
+package retry
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// The budget is counted in thousandths of a retry.
+const (
+	unit = 1000
+	// depositPerCall lets retries be a tenth of the calls.
+	depositPerCall = unit / 10
+	// budgetCap is the most that is saved up.
+	budgetCap = 20 * unit
+	// trickle keeps a service with few calls able to retry.
+	trickle       = unit
+	tricklePeriod = time.Second
+)
+
+// Budget bounds the retries towards one service to a share of its calls. It is
+// shared by all calls and takes no lock.
+type Budget struct {
+	tokens    atomic.Int64
+	trickleAt atomic.Int64
+}
+
+// NewBudget returns a full budget.
+func NewBudget(now time.Duration) *Budget {
+	budget := &Budget{}
+	budget.tokens.Store(budgetCap)
+	budget.trickleAt.Store(int64(now + tricklePeriod))
+	return budget
+}
+
+// Deposit records a call; it is called once a call, at its first attempt.
+func (b *Budget) Deposit() { b.add(depositPerCall) }
+
+func (b *Budget) add(amount int64) {
+	// A full budget is only read, so that it stays in every core's cache.
+	for {
+		held := b.tokens.Load()
+		if held >= budgetCap {
+			return
+		}
+		if b.tokens.CompareAndSwap(held, min(held+amount, budgetCap)) {
+			return
+		}
+	}
+}
+
+// Withdraw takes one retry and answers false when there is none.
+func (b *Budget) Withdraw(now time.Duration) bool {
+	due := b.trickleAt.Load()
+	if int64(now) >= due && b.trickleAt.CompareAndSwap(due, int64(now+tricklePeriod)) {
+		b.add(trickle)
+	}
+	for {
+		held := b.tokens.Load()
+		if held < unit {
+			return false
+		}
+		if b.tokens.CompareAndSwap(held, held-unit) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/retry/call.go
@@ -0,0 +1,243 @@
+// Package retry decides, on the callers' side, what follows an attempt of a
+// call: another attempt, the answer, or a final refusal that tells the truth
+// about execution. It does no input or output and reads no clock.
+package retry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/springstack/springstack/internal/result"
+)
+
+// Kind tells how an attempt ended.
+type Kind int
+
+// The ends of an attempt.
+const (
+	// Answered: the head of the back end's answer has arrived.
+	Answered Kind = iota + 1
+	// Refused: the gate answered with a code; Outcome.Ran is its word.
+	Refused
+	// NotSent: not a byte of the request was written, so it did not run.
+	NotSent
+	// Broken: the connection broke after a byte may have been written and
+	// before an answer.
+	Broken
+	// Expired: the deadline passed after a byte may have been written.
+	Expired
+	// CallerGone: the caller hung up.
+	CallerGone
+	// NoEndpoint: there was no endpoint to send to; nothing was written.
+	NoEndpoint
+)
+
+// Outcome is what became of one attempt.
+type Outcome struct {
+	Kind Kind
+	// Code, Ran and RetryAfter are the gate's, for Refused.
+	Code       result.Code
+	Ran        result.Execution
+	RetryAfter time.Duration
+	// Status is the HTTP status, for Answered.
+	Status int
+	// Replayable tells whether the request's body can be sent from its start.
+	Replayable bool
+	// Others tells whether an endpoint that was not tried yet can take it.
+	Others bool
+}
+
+// Policy is what is allowed for one call.
+type Policy struct {
+	// Repeatable says that running the call twice does no harm.
+	Repeatable bool
+	// Attempts is the most attempts, the first included.
+	Attempts int
+	// NoRetry is the mark of a caller above that retries already.
+	NoRetry bool
+	// Deadline is on the caller's clock.
+	Deadline time.Duration
+}
+
+// relocationLimit bounds the attempts beyond Policy.Attempts of a call that
+// is only sent on because an endpoint is leaving or can't be reached.
+const relocationLimit = 4
+
+// sameEndpointWait is the pause before the only endpoint is tried again.
+const sameEndpointWait = 20 * time.Millisecond
+
+// defaultRetryAfter is told with refusals that pass with time.
+const defaultRetryAfter = time.Second
+
+// Action tells what to do next.
+type Action int
+
+// The actions.
+const (
+	// Send makes another attempt, after Step.Wait.
+	Send Action = iota + 1
+	// Deliver passes the answer on to the caller.
+	Deliver
+	// Refuse gives the caller the final refusal.
+	Refuse
+)
+
+// Step is a decision.
+type Step struct {
+	Action Action
+	// Wait is the pause before the attempt.
+	Wait time.Duration
+	// Mark sets the mark against retries on the attempt.
+	Mark bool
+	// Code, Ran and RetryAfter are the final refusal.
+	Code       result.Code
+	Ran        result.Execution
+	RetryAfter time.Duration
+}
+
+// Call is the state of one call on the callers' side. One goroutine uses it.
+type Call struct {
+	policy Policy
+	budget *Budget
+	// attempts counts those made; relocations those not counted as retries.
+	attempts    int
+	relocations int
+	// mayHaveRun is set by the first attempt that is not certain not to have
+	// run, and never cleared: a later "did not run" speaks of its own attempt
+	// only.
+	mayHaveRun bool
+}
+
+// NewCall starts the account of a call and deposits into the budget.
+func NewCall(policy Policy, budget *Budget) *Call {
+	budget.Deposit()
+	return &Call{policy: policy, budget: budget}
+}
+
+// First returns the mark for the first attempt.
+func (c *Call) First() Step {
+	return Step{Action: Send, Mark: c.policy.NoRetry}
+}
+
+// Next decides what follows an attempt.
+func (c *Call) Next(now time.Duration, outcome Outcome) Step {
+	c.attempts++
+	if !didNotRun(outcome) {
+		c.mayHaveRun = true
+	}
+	switch {
+	case outcome.Kind == Answered && !c.retryableStatus(outcome):
+		return Step{Action: Deliver}
+	case outcome.Kind == CallerGone:
+		return c.refuse(result.CallerGone, 0)
+	case now >= c.policy.Deadline || outcome.Kind == Expired:
+		return c.refuse(c.deadlineCode(), 0)
+	case !c.mayRepeat(outcome):
+		return c.giveUp(outcome)
+	case c.relocates(outcome):
+		c.relocations++
+		return c.send(now, outcome)
+	case c.policy.NoRetry || c.attempts-c.relocations >= c.policy.Attempts:
+		return c.giveUp(outcome)
+	case !c.budget.Withdraw(now):
+		return c.budgetSpent(outcome)
+	}
+	return c.send(now, outcome)
+}
+
+// didNotRun tells whether the attempt certainly did not run.
+func didNotRun(outcome Outcome) bool {
+	switch outcome.Kind {
+	case NotSent, NoEndpoint:
+		return true
+	case Refused:
+		return outcome.Ran == result.RanNo
+	}
+	return false
+}
+
+// mayRepeat is the rule of at most once (I6): a call that may not be repeated
+// is sent again only if no attempt of it can have run.
+func (c *Call) mayRepeat(outcome Outcome) bool {
+	if outcome.Kind == NoEndpoint || !outcome.Replayable {
+		return false
+	}
+	return c.policy.Repeatable || !c.mayHaveRun
+}
+
+// retryableStatus takes a back end's own 503 as a request to go elsewhere, if
+// the call may run twice and there is an elsewhere.
+func (c *Call) retryableStatus(outcome Outcome) bool {
+	return outcome.Status == http.StatusServiceUnavailable && c.policy.Repeatable &&
+		outcome.Replayable && outcome.Others && !c.policy.NoRetry &&
+		c.attempts-c.relocations < c.policy.Attempts
+}
+
+// relocates tells whether the attempt met an endpoint that is not there for
+// the call. Going elsewhere then adds no load, so it needs no budget and
+// heeds no mark; there must be an elsewhere.
+func (c *Call) relocates(outcome Outcome) bool {
+	if !didNotRun(outcome) || !outcome.Others || c.relocations >= relocationLimit {
+		return false
+	}
+	if outcome.Kind == NotSent {
+		return true
+	}
+	switch outcome.Code {
+	case result.Draining, result.WrongBackend, result.ConnectFailed, result.NotServing:
+		return true
+	}
+	return false
+}
+
+func (c *Call) send(now time.Duration, outcome Outcome) Step {
+	step := Step{Action: Send, Mark: true}
+	if !outcome.Others {
+		step.Wait = min(sameEndpointWait, c.policy.Deadline-now)
+	}
+	return step
+}
+
+// giveUp is the final refusal after an attempt; an answer is delivered.
+func (c *Call) giveUp(outcome Outcome) Step {
+	switch outcome.Kind {
+	case Answered:
+		return Step{Action: Deliver}
+	case NotSent:
+		return c.refuse(result.ConnectFailed, defaultRetryAfter)
+	case NoEndpoint:
+		return c.refuse(result.NoEndpoint, defaultRetryAfter)
+	case Refused:
+		return c.refuse(outcome.Code, outcome.RetryAfter)
+	}
+	return c.refuse(result.BrokenInFlight, 0)
+}
+
+// budgetSpent tells of the budget where the attempt has no code of its own.
+func (c *Call) budgetSpent(outcome Outcome) Step {
+	if outcome.Kind == Broken {
+		return c.refuse(result.RetryBudgetSpent, defaultRetryAfter)
+	}
+	return c.giveUp(outcome)
+}
+
+func (c *Call) deadlineCode() result.Code {
+	if c.mayHaveRun {
+		return result.DeadlineInFlight
+	}
+	return result.DeadlineBeforeStart
+}
+
+// refuse says "did not run" only if that is true of every attempt. A code that
+// means "did not run" is then not used either, for some read only the code.
+func (c *Call) refuse(code result.Code, retryAfter time.Duration) Step {
+	step := Step{Action: Refuse, Code: code, Ran: result.RanNo, RetryAfter: retryAfter}
+	if !c.mayHaveRun {
+		return step
+	}
+	step.Ran = result.RanUnknown
+	if entry, found := result.Lookup(code); !found || entry.Ran == result.RanNo {
+		step.Code = result.BrokenInFlight
+	}
+	return step
+}
--- /dev/null
+++ b/internal/core/retry/call_test.go
@@ -0,0 +1,128 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/springstack/springstack/internal/result"
+	"pgregory.net/rapid"
+)
+
+func newCall(policy Policy) *Call {
+	if policy.Attempts == 0 {
+		policy.Attempts = 3
+	}
+	if policy.Deadline == 0 {
+		policy.Deadline = time.Minute
+	}
+	return NewCall(policy, NewBudget(0))
+}
+
+func TestNonRepeatableIsSentAgainOnlyIfItDidNotRun(t *testing.T) {
+	draining := Outcome{Kind: Refused, Code: result.Draining, Ran: result.RanNo, Replayable: true, Others: true}
+	cases := []struct {
+		name    string
+		outcome Outcome
+		want    Step
+	}{
+		{"draining", draining, Step{Action: Send, Mark: true}},
+		{"not sent", Outcome{Kind: NotSent, Replayable: true, Others: true}, Step{Action: Send, Mark: true}},
+		{"not sent, one endpoint", Outcome{Kind: NotSent, Replayable: true}, Step{Action: Send, Mark: true, Wait: sameEndpointWait}},
+		{"not sent, body gone", Outcome{Kind: NotSent, Others: true},
+			Step{Action: Refuse, Code: result.ConnectFailed, Ran: result.RanNo, RetryAfter: defaultRetryAfter}},
+		{"broken", Outcome{Kind: Broken, Replayable: true, Others: true}, Step{Action: Refuse, Code: result.BrokenInFlight, Ran: result.RanUnknown}},
+		{"started before", Outcome{Kind: Refused, Code: result.AlreadyStarted, Ran: result.RanUnknown, Replayable: true, Others: true},
+			Step{Action: Refuse, Code: result.AlreadyStarted, Ran: result.RanUnknown}},
+		{"caller gone", Outcome{Kind: CallerGone}, Step{Action: Refuse, Code: result.CallerGone, Ran: result.RanUnknown}},
+		{"expired", Outcome{Kind: Expired}, Step{Action: Refuse, Code: result.DeadlineInFlight, Ran: result.RanUnknown}},
+		{"no endpoint", Outcome{Kind: NoEndpoint}, Step{Action: Refuse, Code: result.NoEndpoint, Ran: result.RanNo, RetryAfter: defaultRetryAfter}},
+		{"answered 503", Outcome{Kind: Answered, Status: 503, Replayable: true, Others: true}, Step{Action: Deliver}},
+	}
+	for _, given := range cases {
+		t.Run(given.name, func(t *testing.T) {
+			is.New(t).Equal(newCall(Policy{}).Next(0, given.outcome), given.want)
+		})
+	}
+}
+
+func TestDeadlineTellsWhetherItRan(t *testing.T) {
+	check := is.New(t)
+	refusal := Outcome{Kind: Refused, Code: result.QueueFull, Ran: result.RanNo, Replayable: true, Others: true}
+	check.Equal(newCall(Policy{Deadline: 1}).Next(2, refusal).Code, result.DeadlineBeforeStart)
+	check.Equal(newCall(Policy{Deadline: 1}).Next(2, Outcome{Kind: Broken}).Code, result.DeadlineInFlight)
+}
+
+func TestMarkStopsRetriesButNotRelocation(t *testing.T) {
+	check := is.New(t)
+	call := newCall(Policy{Repeatable: true, NoRetry: true})
+	check.True(call.First().Mark)
+	draining := Outcome{Kind: Refused, Code: result.Draining, Ran: result.RanNo, Replayable: true, Others: true}
+	check.Equal(call.Next(0, draining).Action, Send)
+	check.Equal(call.Next(0, Outcome{Kind: Broken, Replayable: true, Others: true}).Action, Refuse)
+}
+
+func TestBudgetBoundsRetries(t *testing.T) {
+	check := is.New(t)
+	budget := NewBudget(0)
+	retries := 0
+	for range 1000 {
+		call := NewCall(Policy{Repeatable: true, Attempts: 3, Deadline: time.Minute}, budget)
+		for call.Next(0, Outcome{Kind: Broken, Replayable: true, Others: true}).Action == Send {
+			retries++
+		}
+	}
+	check.True(retries >= 100)
+	check.True(retries <= 121) // a tenth of the calls and what was saved up
+	check.True(budget.Withdraw(time.Second))
+	check.True(!budget.Withdraw(time.Second))
+}
+
+// TestAtMostOnce draws outcomes of attempts and holds the machine to I5 and
+// I6: a call that may not be repeated is never sent after an attempt that may
+// have run, and "did not run" is said only when it is true of all attempts.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		policy := Policy{Repeatable: rapid.Bool().Draw(t, "repeatable"), NoRetry: rapid.Bool().Draw(t, "mark")}
+		call := newCall(policy)
+		mayHaveRun := false
+		for attempt := 1; ; attempt++ {
+			outcome := Outcome{
+				Kind:       Kind(rapid.IntRange(int(Answered), int(NoEndpoint)).Draw(t, "kind")),
+				Code:       rapid.SampledFrom([]result.Code{result.Draining, result.QueueFull, result.AlreadyStarted}).Draw(t, "code"),
+				Status:     rapid.SampledFrom([]int{200, 503}).Draw(t, "status"),
+				Replayable: rapid.Bool().Draw(t, "replayable"),
+				Others:     rapid.Bool().Draw(t, "others"),
+			}
+			outcome.Ran = rapid.SampledFrom([]result.Execution{result.RanNo, result.RanUnknown}).Draw(t, "ran")
+			certain := outcome.Kind == NotSent || outcome.Kind == NoEndpoint ||
+				(outcome.Kind == Refused && outcome.Ran == result.RanNo)
+			mayHaveRun = mayHaveRun || !certain
+			step := call.Next(0, outcome)
+			if step.Action == Send && mayHaveRun && !policy.Repeatable {
+				t.Fatal("a call that may have run was sent again")
+			}
+			if step.Action == Send && !outcome.Replayable {
+				t.Fatal("a call was sent without its body")
+			}
+			if step.Action == Refuse && (step.Ran == result.RanNo) == mayHaveRun {
+				t.Fatalf("said ran=%s, may have run: %v", step.Ran, mayHaveRun)
+			}
+			if attempt > 3+relocationLimit {
+				t.Fatal("too many attempts")
+			}
+			if step.Action != Send {
+				return
+			}
+		}
+	})
+}
+
+func BenchmarkBudget(b *testing.B) {
+	budget := NewBudget(0)
+	b.RunParallel(func(loop *testing.PB) {
+		for loop.Next() {
+			budget.Deposit()
+		}
+	})
+}
