--- a/internal/lab/backend/model.go
+++ b/internal/lab/backend/model.go
@@ -56,7 +56,8 @@
 type Config struct {
 	// Slots is how many calls run without slowing each other; 0 means 6.
 	Slots int
-	// MeanService is the mean service time when warm; 0 means 5 ms.
+	// MeanService is the mean service time when warm; 0 means 5 ms and
+	// NoService means that calls take no time of their own.
 	MeanService  time.Duration
 	Distribution Distribution
 	// ColdFor is how long after a start calls are slow; 0 means never.
@@ -76,6 +77,9 @@
 	Seed uint64
 }
 
+// NoService makes calls take no time of their own.
+const NoService = time.Duration(-1)
+
 // Defaults of Config.
 const (
 	defaultMeanService = 5 * time.Millisecond
--- /dev/null
+++ b/internal/lab/backend/wire.go
@@ -0,0 +1,68 @@
+package backend
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Headers that the lab's callers and back ends understand.
+const (
+	// HeaderRequest carries the RequestID of the caller's operation.
+	HeaderRequest = "Lab-Request"
+	// HeaderAnswerBytes asks for an answer body of that many filler bytes.
+	HeaderAnswerBytes = "Lab-Answer-Bytes"
+	// HeaderDepth asks the back end to make a further call, that many deep,
+	// before it answers.
+	HeaderDepth = "Lab-Depth"
+	// HeaderFail asks the back end at depth 0 to answer with this status.
+	HeaderFail = "Lab-Fail"
+	// HeaderBackend names the back end that answered.
+	HeaderBackend = "Lab-Backend"
+	// HeaderDidNotRun is set on a back end's own 503 that certainly did not run.
+	HeaderDidNotRun = "Lab-Did-Not-Run"
+	// HeaderDraining is set on the health answer of a back end that is leaving.
+	HeaderDraining = "Lab-Draining"
+)
+
+// Paths of the reports of a back end.
+const (
+	PathHealth = "/-/health"
+	PathLoad   = "/-/load"
+)
+
+// AnswerHead is the first line of each answer. It echoes what the back end
+// understood, so that a caller can tell its own answer from another's.
+func AnswerHead(request RequestID, bodyDigest uint64, answerBytes int) string {
+	return fmt.Sprintf("request=%s body=%016x filler=%d\n", request, bodyDigest, answerBytes)
+}
+
+// fillerBlock is how many filler bytes are made at a time.
+const fillerBlock = 32 << 10
+
+// WriteFiller writes count bytes that depend on the seed text. The same text
+// gives the same bytes.
+func WriteFiller(writer io.Writer, seed string, count int) error {
+	block := FillerBlock(seed)
+	for count > 0 {
+		size := min(count, len(block))
+		if _, err := writer.Write(block[:size]); err != nil {
+			return err
+		}
+		count -= size
+	}
+	return nil
+}
+
+// FillerBlock is the block that WriteFiller repeats.
+func FillerBlock(seed string) []byte {
+	block := make([]byte, fillerBlock)
+	state := xxhash.Sum64String(seed)
+	word := []byte(strconv.FormatUint(state, 16))
+	for index := range block {
+		block[index] = word[index%len(word)]
+	}
+	return block
+}
