--- /dev/null
+++ b/internal/lab/link/link.go
@@ -0,0 +1,211 @@
+// Package link puts emulated network links between clients, zones and back
+// ends: TCP relays that add latency, can be cut in one or both directions, and
+// reset connections after a number of bytes.
+package link
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Config describes one link.
+type Config struct {
+	// Target is the IP and port that the link leads to.
+	Target string
+	// Latency is the one-way latency.
+	Latency time.Duration
+	// OpenCost is what a new connection costs besides the latency.
+	OpenCost time.Duration
+}
+
+// Direction is one of the two ways of a link.
+type Direction int
+
+// The directions of a link.
+const (
+	// Forward leads to the target.
+	Forward Direction = iota
+	// Backward leads from the target.
+	Backward
+)
+
+const directions = 2
+
+// Link is a running relay. Its methods may be called from several goroutines.
+type Link struct {
+	config   Config
+	listener net.Listener
+	closed   chan struct{}
+	workers  sync.WaitGroup
+
+	mutex       sync.Mutex
+	healed      [directions]chan struct{}
+	resetAfter  [directions]int64
+	connections map[*connection]struct{}
+}
+
+// noReset means that no reset is planned.
+const noReset = int64(-1)
+
+// Open starts a link on a free loopback port.
+func Open(config Config) (*Link, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Annotatef(err, "link to %s", config.Target)
+	}
+	link := &Link{
+		config:      config,
+		listener:    listener,
+		closed:      make(chan struct{}),
+		resetAfter:  [directions]int64{noReset, noReset},
+		connections: make(map[*connection]struct{}),
+	}
+	link.workers.Add(1)
+	go link.accept()
+	return link, nil
+}
+
+// Address is where to connect to reach the target over the link.
+func (l *Link) Address() string { return l.listener.Addr().String() }
+
+// Cut holds back all bytes of a direction, as a network that drops packets
+// does; connections stay open.
+func (l *Link) Cut(direction Direction) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.healed[direction] == nil {
+		l.healed[direction] = make(chan struct{})
+	}
+}
+
+// Heal lets the bytes of a direction pass again.
+func (l *Link) Heal(direction Direction) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.healed[direction] != nil {
+		close(l.healed[direction])
+		l.healed[direction] = nil
+	}
+}
+
+// ResetAfter plans one reset: the connection that first carries a byte beyond
+// count in the direction is reset, after exactly count of its bytes since now
+// have passed.
+func (l *Link) ResetAfter(direction Direction, count int64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.resetAfter[direction] = count
+}
+
+// Reset breaks all connections at once.
+func (l *Link) Reset() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for connection := range l.connections {
+		connection.reset()
+	}
+}
+
+// Close ends the link, its connections and its goroutines.
+func (l *Link) Close() {
+	close(l.closed)
+	// Closing a listener fails only when it is closed already.
+	_ = l.listener.Close()
+	l.Reset()
+	l.workers.Wait()
+}
+
+// accept takes connections until the link is closed.
+func (l *Link) accept() {
+	defer l.workers.Done()
+	for {
+		near, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		l.workers.Add(1)
+		go l.open(near.(*net.TCPConn))
+	}
+}
+
+// open connects to the target and starts both directions.
+func (l *Link) open(near *net.TCPConn) {
+	defer l.workers.Done()
+	accepted := time.Now()
+	far, err := net.Dial("tcp", l.config.Target)
+	if err != nil {
+		resetConn(near)
+		return
+	}
+	opened := &connection{link: l, near: near, far: far.(*net.TCPConn)}
+	if !l.register(opened) {
+		opened.reset()
+		return
+	}
+	handshake := accepted.Add(2*l.config.Latency + l.config.OpenCost)
+	var both sync.WaitGroup
+	both.Add(directions)
+	go func() { defer both.Done(); opened.relay(Forward, opened.near, opened.far, handshake) }()
+	go func() { defer both.Done(); opened.relay(Backward, opened.far, opened.near, handshake) }()
+	both.Wait()
+	l.forget(opened)
+}
+
+// register keeps a connection for Reset; false when the link is closed.
+func (l *Link) register(opened *connection) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	select {
+	case <-l.closed:
+		return false
+	default:
+	}
+	l.connections[opened] = struct{}{}
+	return true
+}
+
+// forget drops a connection that has ended.
+func (l *Link) forget(ended *connection) {
+	l.mutex.Lock()
+	delete(l.connections, ended)
+	l.mutex.Unlock()
+	_ = ended.near.Close()
+	_ = ended.far.Close()
+}
+
+// waitHealed waits while the direction is cut; false when the link closed.
+func (l *Link) waitHealed(direction Direction) bool {
+	for {
+		l.mutex.Lock()
+		healed := l.healed[direction]
+		l.mutex.Unlock()
+		if healed == nil {
+			return true
+		}
+		select {
+		case <-healed:
+		case <-l.closed:
+			return false
+		}
+	}
+}
+
+// allowance takes a chunk's size off a planned reset. It returns how many of
+// the bytes may pass and whether the connection is to be reset after them.
+func (l *Link) allowance(direction Direction, size int) (pass int, reset bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	left := l.resetAfter[direction]
+	if left == noReset {
+		return size, false
+	}
+	if int64(size) <= left {
+		l.resetAfter[direction] -= int64(size)
+		return size, false
+	}
+	l.resetAfter[direction] = noReset
+	return int(left), true
+}
--- /dev/null
+++ b/internal/lab/link/link_test.go
@@ -0,0 +1,104 @@
+package link
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+)
+
+// echoServer sends back what it reads until the listener is closed.
+func echoServer(t *testing.T) net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, _ = io.Copy(conn, conn)
+			}()
+		}
+	}()
+	return listener
+}
+
+// dial opens a link with the config and a connection over it.
+func dial(t *testing.T, config Config) (*Link, net.Conn) {
+	opened, err := Open(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := net.Dial("tcp", opened.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return opened, conn
+}
+
+func TestLatencyOpenCostAndHalfClose(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	server := echoServer(t)
+	defer server.Close()
+	for _, latency := range []time.Duration{0, 5 * time.Millisecond} {
+		opened, conn := dial(t, Config{Target: server.Addr().String(), Latency: latency, OpenCost: 3 * time.Millisecond})
+		start := time.Now()
+		_, err := conn.Write([]byte("beans"))
+		is.NoErr(err)
+		is.NoErr(conn.(*net.TCPConn).CloseWrite())
+		answer, err := io.ReadAll(conn)
+		is.NoErr(err)
+		is.Equal(string(answer), "beans")
+		is.True(time.Since(start) >= 2*latency)
+		is.NoErr(conn.Close())
+		opened.Close()
+	}
+}
+
+func TestResetAfterCountsBytes(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	server := echoServer(t)
+	defer server.Close()
+	for _, latency := range []time.Duration{0, time.Millisecond} {
+		opened, conn := dial(t, Config{Target: server.Addr().String(), Latency: latency})
+		opened.ResetAfter(Backward, 3)
+		_, err := conn.Write([]byte("beans"))
+		is.NoErr(err)
+		answer, err := io.ReadAll(conn)
+		is.True(err != nil)
+		is.True(len(answer) <= 3)
+		is.NoErr(conn.Close())
+		opened.Close()
+	}
+}
+
+func TestCutHoldsBytesUntilHealed(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	server := echoServer(t)
+	defer server.Close()
+	opened, conn := dial(t, Config{Target: server.Addr().String(), Latency: time.Millisecond})
+	opened.Cut(Backward)
+	_, err := conn.Write([]byte("beans"))
+	is.NoErr(err)
+	buffer := make([]byte, 5)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(20 * time.Millisecond)))
+	_, err = conn.Read(buffer)
+	is.True(err != nil)
+	opened.Heal(Backward)
+	is.NoErr(conn.SetReadDeadline(time.Time{}))
+	_, err = io.ReadFull(conn, buffer)
+	is.NoErr(err)
+	is.NoErr(conn.Close())
+	opened.Close()
+}
