--- a/internal/lab/backend/server.go
+++ b/internal/lab/backend/server.go
@@ -194,7 +194,7 @@
 	case OutcomeDown:
 		panic(http.ErrAbortHandler)
 	case OutcomeShed:
-		writer.Header().Set(HeaderDidNotRun, "true")
+		writer.Header().Set(HeaderRan, RanNo)
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/lab/backend/server_test.go
+++ b/internal/lab/backend/server_test.go
@@ -40,7 +40,7 @@
 	answer, err := post(server, "r1", "beans")
 	is.NoErr(err)
 	head := AnswerHead("r1", xxhash.Sum64String("beans"), 9)
-	is.Equal(answer, head+string(FillerBlock("r1")[:9]))
+	is.Equal(answer, head+string(FillerBlock("r1", 9)))
 	is.NoErr(server.Stop(context.Background()))
 	runs := server.Runs()
 	is.Equal(len(runs), 1)
--- a/internal/lab/backend/wire.go
+++ b/internal/lab/backend/wire.go
@@ -21,10 +21,15 @@
 	HeaderFail = "Lab-Fail"
 	// HeaderBackend names the back end that answered.
 	HeaderBackend = "Lab-Backend"
-	// HeaderDidNotRun is set on a back end's own 503 that certainly did not run.
-	HeaderDidNotRun = "Lab-Did-Not-Run"
+	// HeaderRan with the value RanNo is set on a back end's own 503 that
+	// certainly did not run.
+	HeaderRan = "Springstack-Ran"
+	RanNo     = "no"
 	// HeaderDraining is set on the health answer of a back end that is leaving.
-	HeaderDraining = "Lab-Draining"
+	HeaderDraining = "Springstack-Draining"
+	// HeaderNoRetry is copied by an application onto the calls it makes further
+	// down, as tracing headers are.
+	HeaderNoRetry = "Springstack-No-Retry"
 )
 
 // Paths of the reports of a back end.
@@ -43,9 +48,9 @@
 const fillerBlock = 32 << 10
 
 // WriteFiller writes count bytes that depend on the seed text. The same text
-// gives the same bytes.
+// and count give the same bytes.
 func WriteFiller(writer io.Writer, seed string, count int) error {
-	block := FillerBlock(seed)
+	block := FillerBlock(seed, count)
 	for count > 0 {
 		size := min(count, len(block))
 		if _, err := writer.Write(block[:size]); err != nil {
@@ -56,13 +61,12 @@
 	return nil
 }
 
-// FillerBlock is the block that WriteFiller repeats.
-func FillerBlock(seed string) []byte {
-	block := make([]byte, fillerBlock)
-	state := xxhash.Sum64String(seed)
-	word := []byte(strconv.FormatUint(state, 16))
-	for index := range block {
-		block[index] = word[index%len(word)]
+// FillerBlock is the block that WriteFiller repeats to write count bytes.
+func FillerBlock(seed string, count int) []byte {
+	block := make([]byte, min(count, fillerBlock))
+	word := strconv.FormatUint(xxhash.Sum64String(seed), 16)
+	for filled := 0; filled < len(block); {
+		filled += copy(block[filled:], word)
 	}
 	return block
 }
--- a/internal/lab/load/client.go
+++ b/internal/lab/load/client.go
@@ -54,6 +54,11 @@
 	next  int
 }
 
+// newFiller streams the bytes that backend.WriteFiller writes.
+func newFiller(id backend.RequestID, count int) *filler {
+	return &filler{block: backend.FillerBlock(string(id), count), left: count}
+}
+
 // Read fills the buffer with the next bytes of the body.
 func (f *filler) Read(buffer []byte) (int, error) {
 	if f.left == 0 {
@@ -91,7 +96,7 @@
 func newRequest(ctx context.Context, address string, kind Kind, id backend.RequestID) (*http.Request, error) {
 	var body io.Reader
 	if kind.BodyBytes > 0 {
-		body = &filler{block: backend.FillerBlock(string(id)), left: kind.BodyBytes}
+		body = newFiller(id, kind.BodyBytes)
 	}
 	request, err := http.NewRequestWithContext(ctx, kind.Method, "http://"+address+kind.Path, body)
 	if err != nil {
@@ -163,7 +168,7 @@
 		return false, false, err
 	}
 	own = bytes.Equal(got, head) && answer.Header.Get(backend.HeaderRequest) == string(id)
-	expected := &filler{block: backend.FillerBlock(string(id)), left: kind.AnswerBytes}
+	expected := newFiller(id, kind.AnswerBytes)
 	same, err := sameStream(answer.Body, expected)
 	return err == nil, own && same, err
 }
@@ -173,7 +178,7 @@
 	digest := xxhash.New()
 	if kind.BodyBytes > 0 {
 		// Neither side of this copy can fail.
-		_, _ = io.Copy(digest, &filler{block: backend.FillerBlock(string(id)), left: kind.BodyBytes})
+		_, _ = io.Copy(digest, newFiller(id, kind.BodyBytes))
 	}
 	return digest.Sum64()
 }
