--- a/internal/sim/network/network.go
+++ b/internal/sim/network/network.go
@@ -80,6 +80,19 @@
 // twice. It reports whether at least one copy is on its way; only the
 // simulator's own book-keeping may look at that.
 func (n *Network) Send(from, to Place, deliver func()) bool {
+	if !n.SendOnce(from, to, deliver) {
+		return false
+	}
+	if n.timeline.Chance(n.faults.Duplicate) {
+		n.counts.Duplicated++
+		n.timeline.After(n.delay(from, to), deliver)
+	}
+	return true
+}
+
+// SendOnce carries one message of a protocol that never delivers twice, such
+// as HTTP over TCP.
+func (n *Network) SendOnce(from, to Place, deliver func()) bool {
 	n.counts.Sent++
 	if n.Blocked(from, to) {
 		n.counts.Blocked++
@@ -90,10 +103,6 @@
 		return false
 	}
 	n.timeline.After(n.delay(from, to), deliver)
-	if n.timeline.Chance(n.faults.Duplicate) {
-		n.counts.Duplicated++
-		n.timeline.After(n.delay(from, to), deliver)
-	}
 	return true
 }
 
--- a/internal/sim/world/world.go
+++ b/internal/sim/world/world.go
@@ -66,6 +66,8 @@
 	Ticks    int
 	// Faults counts the faults that were brought about, by kind.
 	Faults map[string]int
+	// Answers counts what operators were told, by code name.
+	Answers map[string]int
 	// Logs counts the nodes' log events by name.
 	Logs map[string]int
 }
@@ -79,7 +81,7 @@
 		network:   network.New(line),
 		oracle:    oracle.New(),
 		byAddress: map[string]*slot{},
-		counts:    Counts{Faults: map[string]int{}, Logs: map[string]int{}},
+		counts:    Counts{Faults: map[string]int{}, Logs: map[string]int{}, Answers: map[string]int{}},
 	}
 	w.platform = newPlatformActor(w)
 	w.operators = newOperators(w)
