--- /dev/null
+++ b/internal/lab/fuzz/campaign.go
@@ -0,0 +1,139 @@
+// Package fuzz runs campaigns of simulated meshes: many seeds in parallel, a
+// report, and a shrunk list of steps for each seed that failed.
+package fuzz
+
+import (
+	"context"
+	"runtime"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/springstack/springstack/internal/sim/world"
+)
+
+// Settings says how large a campaign is.
+type Settings struct {
+	// Seed is the first seed; run i uses Seed + i.
+	Seed uint64
+	Runs int
+	// Actions is how many actions each run draws.
+	Actions int
+	// Parallel bounds the processor cores used; 0 means half of them.
+	Parallel int
+	Shape    world.Shape
+	// KeepFailures bounds how many failures are shrunk and reported.
+	KeepFailures int
+}
+
+// Report is the result of a campaign. Its JSON form is the last line of the
+// fuzz command.
+type Report struct {
+	Runs int `json:"runs"`
+	// Steps counts messages, replies and actions; ticks are not counted.
+	Steps        int            `json:"steps"`
+	Ticks        int            `json:"ticks"`
+	FaultsByKind map[string]int `json:"faults_by_kind"`
+	Violations   int            `json:"violations"`
+	// StepsPerSecond is over all cores used.
+	StepsPerSecond float64        `json:"steps_per_second"`
+	Seconds        float64        `json:"seconds"`
+	Accepted       uint64         `json:"accepted_versions"`
+	SettledMaxMs   int64          `json:"settled_max_ms"`
+	Answers        map[string]int `json:"operator_answers"`
+	Failures       []Failure      `json:"failures"`
+}
+
+// Failure is one failing seed.
+type Failure struct {
+	Seed       uint64   `json:"seed"`
+	Violations []string `json:"violations"`
+	// Steps are the shrunk actions that still fail.
+	Steps []string `json:"steps"`
+	// FailedAfter is how many steps the unshrunk run took to fail.
+	FailedAfter int `json:"failed_after"`
+}
+
+// collector gathers outcomes from parallel runs.
+type collector struct {
+	mutex    sync.Mutex
+	report   Report
+	failures []world.Script
+	keep     int
+}
+
+// Campaign runs all seeds and calls progress after each run.
+func Campaign(ctx context.Context, settings Settings, progress func(done int)) Report {
+	if settings.Parallel <= 0 {
+		settings.Parallel = max(1, runtime.NumCPU()/2)
+	}
+	gathered := &collector{keep: settings.KeepFailures, report: Report{
+		FaultsByKind: map[string]int{},
+		Answers:      map[string]int{},
+		Failures:     []Failure{},
+	}}
+	started := time.Now()
+	runAll(ctx, settings, gathered, progress)
+	report := gathered.report
+	report.Seconds = time.Since(started).Seconds()
+	report.StepsPerSecond = float64(report.Steps) / report.Seconds
+	for _, script := range gathered.failures {
+		report.Failures = append(report.Failures, describe(script, settings.Shape))
+	}
+	return report
+}
+
+func runAll(ctx context.Context, settings Settings, gathered *collector, progress func(done int)) {
+	var group errgroup.Group
+	group.SetLimit(settings.Parallel)
+	for run := range settings.Runs {
+		group.Go(func() error {
+			if ctx.Err() != nil {
+				return nil
+			}
+			script := world.Generate(settings.Seed+uint64(run), settings.Actions)
+			done := gathered.add(script, world.Run(script, settings.Shape))
+			progress(done)
+			return nil
+		})
+	}
+	_ = group.Wait() // no run returns an error
+}
+
+// add takes one outcome and returns how many there are.
+func (c *collector) add(script world.Script, outcome world.Outcome) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.report.Runs++
+	c.report.Steps += outcome.Steps()
+	c.report.Ticks += outcome.Counts.Ticks
+	c.report.Violations += len(outcome.Violations)
+	c.report.Accepted += outcome.Accepted
+	c.report.SettledMaxMs = max(c.report.SettledMaxMs, outcome.Settled.Milliseconds())
+	for kind, count := range outcome.Counts.Faults {
+		c.report.FaultsByKind[kind] += count
+	}
+	for name, count := range outcome.Counts.Answers {
+		c.report.Answers[name] += count
+	}
+	if len(outcome.Violations) > 0 && len(c.failures) < c.keep {
+		c.failures = append(c.failures, script)
+	}
+	return c.report.Runs
+}
+
+// describe shrinks a failing script and tells what it does.
+func describe(script world.Script, shape world.Shape) Failure {
+	whole := world.Run(script, shape)
+	shrunk := Shrink(script, shape)
+	outcome := world.Run(shrunk, shape)
+	failure := Failure{Seed: script.Seed, FailedAfter: whole.Steps()}
+	for _, violation := range outcome.Violations {
+		failure.Violations = append(failure.Violations, violation.String())
+	}
+	for _, action := range shrunk.Actions {
+		failure.Steps = append(failure.Steps, action.String())
+	}
+	return failure
+}
