--- /dev/null
+++ b/internal/sim/oracle/oracle_test.go
@@ -0,0 +1,128 @@
+package oracle_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/result"
+	"github.com/springstack/springstack/internal/sim/oracle"
+)
+
+const file = oracle.FileName("adomako/web")
+
+// submitted returns an oracle that saw one change of two resources.
+func submitted(operation, marker string) *oracle.Oracle {
+	judge := oracle.New()
+	submit(judge, operation, marker)
+	return judge
+}
+
+func submit(judge *oracle.Oracle, operation, marker string) {
+	judge.Submitted(oracle.Change{
+		Operation: operation, File: file, Marker: marker,
+		Resources: []string{"adomako/service/web", "adomako/route/web"},
+	})
+}
+
+// holding returns the whole of a change at a version.
+func holding(version uint64, marker string) oracle.Holding {
+	return oracle.Holding{
+		Version: version, Digest: marker, Scope: "whole", Whole: true,
+		Resources: []oracle.Resource{
+			{Key: "adomako/service/web", File: file, Marker: marker},
+			{Key: "adomako/route/web", File: file, Marker: marker, Needs: []string{"adomako/service/web"}},
+		},
+	}
+}
+
+func expect(t *testing.T, judge *oracle.Oracle, broken ...oracle.Invariant) {
+	t.Helper()
+	is := is.New(t)
+	var found []oracle.Invariant
+	for _, violation := range judge.Violations() {
+		found = append(found, violation.Invariant)
+	}
+	is.Equal(found, broken)
+}
+
+func TestCorrectHistoryHasNoViolation(t *testing.T) {
+	judge := submitted("1", "m1")
+	judge.Answered(0, "1", oracle.Answer{Code: result.OK, Version: 1})
+	judge.PutInForce(0, "a", holding(1, "m1"))
+	judge.Serving(0, "a", true)
+	judge.ToldInForce(0, "a", 1)
+	judge.Settled(0, []oracle.ProxyName{"a"}, map[oracle.ProxyName]oracle.Holding{"a": holding(1, "m1")})
+	expect(t, judge)
+}
+
+func TestOlderVersionAfterRestart(t *testing.T) {
+	judge := submitted("1", "m1")
+	judge.PutInForce(0, "a", holding(2, "m1"))
+	judge.Stopped("a")
+	judge.PutInForce(time.Second, "a", holding(1, "m1"))
+	expect(t, judge, oracle.NoOlderVersion)
+}
+
+func TestDanglingAndPartialHoldings(t *testing.T) {
+	judge := submitted("1", "m1")
+	part := holding(1, "m1")
+	part.Resources = part.Resources[1:]
+	judge.PutInForce(0, "a", part)
+	expect(t, judge, oracle.NoDangling, oracle.WholeOrNothing)
+}
+
+func TestRefusalIsJudgedByWhatComesLater(t *testing.T) {
+	judge := submitted("1", "m1")
+	judge.Answered(0, "1", oracle.Answer{Code: result.NotAccepted})
+	judge.PutInForce(time.Second, "a", holding(1, "m1"))
+	expect(t, judge, oracle.RefusalIsTrue)
+}
+
+func TestUnknownOutcomeMayLand(t *testing.T) {
+	judge := submitted("1", "m1")
+	judge.Answered(0, "1", oracle.Answer{Code: result.OutcomeUnknown})
+	submit(judge, "1", "m1")
+	judge.Answered(0, "1", oracle.Answer{Code: result.NotAccepted})
+	judge.PutInForce(time.Second, "a", holding(1, "m1"))
+	expect(t, judge)
+}
+
+func TestClaimIsJudgedNowAndLater(t *testing.T) {
+	judge := submitted("1", "m1")
+	judge.PutInForce(0, "a", holding(1, "m1"))
+	judge.Serving(0, "a", true)
+	judge.ToldInForce(0, "b", 2)
+	judge.PutInForce(0, "c", holding(1, "m1"))
+	judge.Serving(0, "c", true)
+	expect(t, judge, oracle.InForceHolds, oracle.InForceHolds)
+}
+
+func TestRevertIsFound(t *testing.T) {
+	judge := submitted("1", "m1")
+	submit(judge, "2", "m2")
+	judge.Answered(0, "1", oracle.Answer{Code: result.OK, Version: 1})
+	judge.Answered(0, "2", oracle.Answer{Code: result.OK, Version: 2})
+	judge.PutInForce(0, "a", holding(3, "m1"))
+	expect(t, judge, oracle.InForceHolds)
+}
+
+func TestCalls(t *testing.T) {
+	judge := oracle.New()
+	judge.CallSent("c1", false, "answer 1")
+	judge.BackendStarted(0, "b", "c1")
+	judge.BackendStarted(0, "b", "c1")
+	judge.CallEnded(0, "c1", oracle.Outcome{Code: result.OK, Ran: result.RanYes, Body: "answer 2", Whole: true})
+	judge.CallSent("c2", false, "answer 2")
+	judge.CallEnded(0, "c2", oracle.Outcome{Code: result.QueueFull, Ran: result.RanNo})
+	judge.BackendStarted(0, "b", "c2")
+	judge.BackendLeaving(0, "b")
+	judge.CallSent("c3", true, "answer 3")
+	judge.BackendStarted(oracle.NewWorkBound+1, "b", "c3")
+	judge.BackendEnded("b", "c1")
+	judge.BackendEnded("b", "c2")
+	judge.BackendStopped(time.Minute, "b")
+	expect(t, judge, oracle.AtMostOnce, oracle.OwnWholeAnswer, oracle.RefusalIsTrue,
+		oracle.LeavingTakesNone, oracle.PlannedStopIsSoft)
+}
