--- /dev/null
+++ b/internal/core/faultpoint/points.go
@@ -0,0 +1,7 @@
+package faultpoint
+
+// The points, by the invariant that each one breaks first.
+const (
+	// None is no fault.
+	None Point = iota
+)
