--- a/internal/sim/world/files.go
+++ b/internal/sim/world/files.go
@@ -45,6 +45,8 @@
 	useSecret string
 	// exported offers the service to the other partner.
 	exported bool
+	// batched asks for fewer control bytes in place of faster convergence.
+	batched bool
 	flaw     flaw
 }
 
@@ -55,6 +57,7 @@
 	spec.service = name == "base" || name == "web" || random.IntN(4) > 0
 	spec.backend = spec.service && random.IntN(2) == 0
 	spec.secret = name == "keys" || random.IntN(3) == 0
+	spec.batched = partner == partners[1] && random.IntN(2) == 0
 	spec.exported = name == "base" && random.IntN(8) > 0
 	if name != "base" && name != "keys" {
 		w.drawRoute(&spec)
@@ -122,7 +125,10 @@
 // text writes the file as an operator would.
 func (f fileSpec) text() []byte {
 	var out strings.Builder
-	fmt.Fprintf(&out, "partner: %s\n", f.partner)
+	fmt.Fprintf(&out, "partner: %s\nname: %s\n", f.partner, f.name)
+	if f.batched {
+		out.WriteString("distribution:\n  prefer: bytes\n  batch_window: 300ms\n")
+	}
 	if f.flaw == flawUnknownField {
 		out.WriteString("colour: blue\n")
 	}
