--- a/internal/sim/world/files.go
+++ b/internal/sim/world/files.go
@@ -47,7 +47,7 @@
 	exported bool
 	// batched asks for fewer control bytes in place of faster convergence.
 	batched bool
-	flaw     flaw
+	flaw    flaw
 }
 
 // drawSpec draws what a file says.
