Extend the control messages for the tree of distribution

Additions only: who a member's parent is, who acts as root, an order of fetches, what a keeper knows of other roots, and cursors between roots.

--- /dev/null
+++ b/internal/core/membership/rank.go
@@ -0,0 +1,66 @@
+// Package membership keeps one soft record a daemon: merging by incarnation,
+// sequence and state, a change log that peers follow by cursor, and ranks by
+// rendezvous hashing. It does no input or output.
+package membership
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+)
+
+// Hash returns the hash that identifies one life of a daemon in the sums of
+// protocol.Acknowledgement.
+func Hash(id protocol.NodeID, incarnation protocol.Incarnation) uint64 {
+	text := binary.BigEndian.AppendUint64([]byte(id), uint64(incarnation))
+	return xxhash.Sum64(text)
+}
+
+// Score is the rendezvous weight of a member for a purpose, such as the relays
+// of a zone. Every daemon computes the same score without any exchange.
+func Score(purpose string, id protocol.NodeID) uint64 {
+	return xxhash.Sum64String(purpose + "\x00" + string(id))
+}
+
+// Rank returns the members in descending order of score for the purpose.
+func Rank(purpose string, members []protocol.Member) []protocol.Member {
+	type scored struct {
+		member protocol.Member
+		score  uint64
+	}
+	list := make([]scored, len(members))
+	for i, member := range members {
+		list[i] = scored{member: member, score: Score(purpose, member.ID)}
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		if order := cmp.Compare(b.score, a.score); order != 0 {
+			return order
+		}
+		return cmp.Compare(a.member.ID, b.member.ID)
+	})
+	ranked := make([]protocol.Member, len(list))
+	for i, one := range list {
+		ranked[i] = one.member
+	}
+	return ranked
+}
+
+// Live reports whether a member may still serve, so that it is counted.
+func Live(member protocol.Member) bool {
+	return member.State != protocol.MemberLeft && member.State != protocol.MemberDead
+}
+
+// Newer reports whether record a wins over record b of the same daemon.
+func Newer(a, b protocol.Member) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	if a.Sequence != b.Sequence {
+		return a.Sequence > b.Sequence
+	}
+	return a.State > b.State
+}
--- a/internal/core/node/step.go
+++ b/internal/core/node/step.go
@@ -22,7 +22,10 @@
 type Message interface{ message() }
 
 // Tick lets time pass; the shell sends one every TickInterval.
-type Tick struct{}
+type Tick struct {
+	// WallClock is the shell's wall clock, shown in status; zero if not known.
+	WallClock time.Time
+}
 
 // TickInterval is how often a shell ticks its node.
 const TickInterval = 50 * time.Millisecond
--- a/internal/core/protocol/protocol.go
+++ b/internal/core/protocol/protocol.go
@@ -66,6 +66,11 @@
 	Zone        string
 	// Reader is set while the daemon holds a reader lease.
 	Reader bool
+	// Root is set while the daemon has no parent and acts as its region's root.
+	Root bool
+	// Parent is the daemon that it fetches from; empty for a root. Only the
+	// parent may call it suspect or dead.
+	Parent NodeID
 	// Service and Backend name the back end beside it; empty for none.
 	Service  resource.ServiceRef
 	Backend  string
@@ -106,7 +111,17 @@
 // its parent. It is a heartbeat, an acknowledgement and a question at once.
 type FetchRequest struct {
 	Format int
-	Self   Member
+	// From and Incarnation identify the sender.
+	From        NodeID
+	Incarnation Incarnation
+	// Counter grows with each fetch of the sender, so that a parent can tell a
+	// late duplicate from the newest.
+	Counter uint64
+	// Self is the sender's record; zero when unchanged since the last fetch
+	// that this parent answered.
+	Self Member
+	// KeeperRevision is the newest keeper set that the sender knows.
+	KeeperRevision Version
 	Scope  Scope
 	// Have is the version in force on the sender, HaveDigest its snapshot's.
 	Have       Version
@@ -182,11 +197,13 @@
 
 // StoreRequest asks a keeper to remember a version before it is released.
 type StoreRequest struct {
-	Format  int
-	From    NodeID
-	Term    uint64
-	Version Version
-	Keepers KeeperSet
+	Format int
+	From   NodeID
+	// Incarnation is that of the sender.
+	Incarnation Incarnation
+	Term        uint64
+	Version     Version
+	Keepers     KeeperSet
 	// PreviousKeepers is set while the keeper set changes.
 	PreviousKeepers *KeeperSet
 }
@@ -196,6 +213,9 @@
 type StoreReply struct {
 	Code   result.Code
 	Stored Version
+	// OtherRoot is set when a root other than the sender asked this keeper
+	// lately, or may have asked it before the keeper's own start.
+	OtherRoot bool
 }
 
 // FloorRequest asks for the version floor of a region after a start.
@@ -205,6 +225,8 @@
 	From   NodeID
 	// FreshHead asks a reader to read the platform's head anew.
 	FreshHead bool
+	// Self is the record of the asker, which may not have joined yet.
+	Self Member
 }
 
 // FloorReply answers a FloorRequest.
@@ -246,6 +268,8 @@
 	Expect *uint64
 	// Content is the file's text; empty for withdraw.
 	Content []byte
+	// SentAt is the wall clock of the daemon that took the request.
+	SentAt time.Time
 }
 
 // SubmitReply tells what became of a change.
@@ -266,6 +290,14 @@
 type StatusRequest struct {
 	Format  int
 	Partner resource.Partner
+	// From is set by a region's root that asks another region's root; Self is
+	// its record.
+	From NodeID
+	Self Member
+	// MemberCursor and PeerIncarnation ask only for records that changed since
+	// the last answer; used with From.
+	MemberCursor    uint64
+	PeerIncarnation Incarnation
 }
 
 // FileStatus is one file as an operator sees it.
@@ -312,4 +344,7 @@
 	Summary Summary
 	Files   []FileStatus
 	Members []Member
+	// MemberCursor and Incarnation are for the next request of the same root.
+	MemberCursor uint64
+	Incarnation  Incarnation
 }
--- /dev/null
+++ b/internal/core/snapshot/codec.go
@@ -0,0 +1,133 @@
+package snapshot
+
+import (
+	"encoding/binary"
+
+	"github.com/juju/errors"
+	"github.com/klauspost/compress/zstd"
+
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// MaxDeltaBytes bounds a delta after decompression. A larger one is refused
+// before it is unpacked.
+const MaxDeltaBytes = 32 << 20
+
+// encoderWindow keeps the memory of the shared compressor small.
+const encoderWindow = 512 << 10
+
+// change is one entry of a delta: a resource put, or a key removed.
+type change struct {
+	key     resource.Key
+	removed bool
+	payload []byte
+}
+
+// compressor and decompressor hold no state between calls and run on the
+// caller's goroutine.
+var (
+	compressor   = newCompressor()
+	decompressor = newDecompressor()
+)
+
+func newCompressor() *zstd.Encoder {
+	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(encoderWindow), zstd.WithEncoderCRC(false))
+	if err != nil {
+		panic(errors.Annotate(err, "zstd encoder options"))
+	}
+	return encoder
+}
+
+func newDecompressor() *zstd.Decoder {
+	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(MaxDeltaBytes))
+	if err != nil {
+		panic(errors.Annotate(err, "zstd decoder options"))
+	}
+	return decoder
+}
+
+// Operation bytes of an encoded change.
+const (
+	operationPut    = 1
+	operationRemove = 2
+)
+
+// encodeChanges writes the changes as length-prefixed fields and compresses
+// them. Digests are left out: the receiver computes them from the payloads.
+func encodeChanges(changes []change) []byte {
+	var plain []byte
+	for _, one := range changes {
+		if one.removed {
+			plain = append(plain, operationRemove)
+		} else {
+			plain = append(plain, operationPut)
+		}
+		plain = appendField(plain, []byte(one.key.Partner))
+		plain = appendField(plain, []byte(one.key.Kind))
+		plain = appendField(plain, []byte(one.key.Name))
+		if !one.removed {
+			plain = appendField(plain, one.payload)
+		}
+	}
+	return compressor.EncodeAll(plain, nil)
+}
+
+func appendField(plain, field []byte) []byte {
+	plain = binary.AppendUvarint(plain, uint64(len(field)))
+	return append(plain, field...)
+}
+
+// decodeChanges reads what encodeChanges wrote. It refuses everything else
+// with DigestMismatch, and never allocates more than MaxDeltaBytes and a small
+// multiple of the input.
+func decodeChanges(payload []byte) ([]change, error) {
+	plain, err := decompressor.DecodeAll(payload, nil)
+	if err != nil {
+		return nil, result.New(result.DigestMismatch, "delta does not decompress: %v", err)
+	}
+	fields := fieldReader{rest: plain}
+	var changes []change
+	for len(fields.rest) > 0 && !fields.broken {
+		changes = append(changes, fields.change())
+	}
+	if fields.broken {
+		return nil, result.New(result.DigestMismatch, "delta is malformed after %d changes", len(changes))
+	}
+	return changes, nil
+}
+
+// fieldReader takes fields off the front of a plain delta.
+type fieldReader struct {
+	rest   []byte
+	broken bool
+}
+
+func (f *fieldReader) change() change {
+	operation := f.rest[0]
+	f.rest = f.rest[1:]
+	one := change{removed: operation == operationRemove}
+	if operation != operationPut && operation != operationRemove {
+		f.broken = true
+		return one
+	}
+	one.key.Partner = resource.Partner(f.field())
+	one.key.Kind = resource.Kind(f.field())
+	one.key.Name = string(f.field())
+	if !one.removed {
+		one.payload = f.field()
+	}
+	return one
+}
+
+func (f *fieldReader) field() []byte {
+	length, size := binary.Uvarint(f.rest)
+	if size <= 0 || length > uint64(len(f.rest)-size) {
+		f.broken = true
+		return nil
+	}
+	end := size + int(length)
+	field := f.rest[size:end:end]
+	f.rest = f.rest[end:]
+	return field
+}
--- /dev/null
+++ b/internal/core/snapshot/delta.go
@@ -0,0 +1,69 @@
+package snapshot
+
+import (
+	"github.com/samber/lo"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// makeDelta returns the delta between two sets that are sorted by key. An
+// empty from with version 0 makes a whole snapshot.
+func makeDelta(from, to protocol.Version, before, after []resource.Encoded) *protocol.Delta {
+	return &protocol.Delta{
+		From:    from,
+		To:      to,
+		Digest:  DigestOf(after),
+		Payload: encodeChanges(difference(before, after)),
+	}
+}
+
+// difference merges two sorted sets into the changes between them.
+func difference(before, after []resource.Encoded) []change {
+	var changes []change
+	for len(before) > 0 || len(after) > 0 {
+		switch {
+		case len(after) == 0 || (len(before) > 0 && before[0].Key.Less(after[0].Key)):
+			changes = append(changes, change{key: before[0].Key, removed: true})
+			before = before[1:]
+		case len(before) == 0 || after[0].Key.Less(before[0].Key):
+			changes = append(changes, change{key: after[0].Key, payload: after[0].Payload})
+			after = after[1:]
+		default:
+			if before[0].Digest != after[0].Digest {
+				changes = append(changes, change{key: after[0].Key, payload: after[0].Payload})
+			}
+			before, after = before[1:], after[1:]
+		}
+	}
+	return changes
+}
+
+// Apply returns the resources that result from a delta, sorted by key. It
+// applies the whole delta or nothing: unless the result has the digest that
+// the delta announces, it fails with DigestMismatch and the caller asks for a
+// whole snapshot.
+func Apply(current []resource.Encoded, delta *protocol.Delta) ([]resource.Encoded, error) {
+	changes, err := decodeChanges(delta.Payload)
+	if err != nil {
+		return nil, err
+	}
+	if delta.From == 0 {
+		current = nil
+	}
+	held := lo.KeyBy(current, func(one resource.Encoded) resource.Key { return one.Key })
+	for _, one := range changes {
+		if one.removed {
+			delete(held, one.key)
+			continue
+		}
+		held[one.key] = resource.Encoded{Key: one.key, Digest: resource.DigestOf(one.payload), Payload: one.payload}
+	}
+	applied := lo.Values(held)
+	resource.SortEncoded(applied)
+	if DigestOf(applied) != delta.Digest {
+		return nil, result.New(result.DigestMismatch, "delta from version %d to %d does not lead to its digest", delta.From, delta.To)
+	}
+	return applied, nil
+}
--- /dev/null
+++ b/internal/core/snapshot/scope.go
@@ -0,0 +1,80 @@
+package snapshot
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/samber/lo"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+)
+
+// scopeKey identifies a scope, whatever the order of its lists.
+func scopeKey(scope protocol.Scope) string {
+	if scope.Relay {
+		return "relay"
+	}
+	partners := lo.Map(scope.Partners, func(partner resource.Partner, _ int) string { return string(partner) })
+	services := lo.Map(scope.Services, func(service resource.ServiceRef, _ int) string { return service.String() })
+	slices.Sort(partners)
+	slices.Sort(services)
+	return fmt.Sprintf("%s|%s", strings.Join(partners, ","), strings.Join(services, ","))
+}
+
+// Select returns the resources that a scope holds, sorted by key and closed
+// under references: the routes of its partners (of all when it lists none)
+// that lead to a listed service (to any when it lists none); the services and
+// secrets that these routes use; the listed services; and the back ends of all
+// these services. A secret is only selected through a route that uses it.
+func (s *Snapshot) Select(scope protocol.Scope) []resource.Encoded {
+	if scope.Relay {
+		return s.Encoded
+	}
+	wanted := s.wanted(scope)
+	return lo.Filter(s.Encoded, func(one resource.Encoded, _ int) bool { return wanted[one.Key] })
+}
+
+func (s *Snapshot) wanted(scope protocol.Scope) map[resource.Key]bool {
+	wanted := map[resource.Key]bool{}
+	services := lo.Keyify(scope.Services)
+	for _, route := range s.Routes {
+		if !inScope(route, scope.Partners, services) {
+			continue
+		}
+		wanted[route.Key()] = true
+		if route.Secret != nil {
+			wanted[secretKey(route)] = true
+		}
+		for _, destination := range route.Split {
+			s.wantService(wanted, destination.Service)
+		}
+	}
+	for _, service := range scope.Services {
+		s.wantService(wanted, service)
+	}
+	return wanted
+}
+
+func (s *Snapshot) wantService(wanted map[resource.Key]bool, service resource.ServiceRef) {
+	if wanted[service.Key()] {
+		return
+	}
+	wanted[service.Key()] = true
+	for _, backend := range s.Backends[service] {
+		wanted[backend.Key()] = true
+	}
+}
+
+func inScope(route resource.Route, partners []resource.Partner, services map[resource.ServiceRef]struct{}) bool {
+	if len(partners) > 0 && !slices.Contains(partners, route.Partner) {
+		return false
+	}
+	if len(services) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(route.Split, func(destination resource.Destination) bool {
+		return lo.HasKey(services, destination.Service)
+	})
+}
