--- /dev/null
+++ b/internal/core/distribution/fold.go
@@ -0,0 +1,106 @@
+// Package distribution holds the decisions of the distribution tree: who is
+// whose parent, how acknowledgements are folded, when a root may grant serving
+// leases and call a version in force, and what a parent admits. It does no
+// input or output.
+package distribution
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/samber/lo"
+
+	"github.com/springstack/springstack/internal/core/membership"
+	"github.com/springstack/springstack/internal/core/protocol"
+)
+
+// zone names one zone of one region.
+type zone struct {
+	region string
+	name   string
+}
+
+// Fold adds up acknowledgements by zone. Its size does not grow with the
+// number of members.
+type Fold struct {
+	zones map[zone]*protocol.Acknowledgement
+}
+
+// NewFold returns an empty fold.
+func NewFold() *Fold {
+	return &Fold{zones: map[zone]*protocol.Acknowledgement{}}
+}
+
+// Single returns the acknowledgement of one member that holds a version.
+func Single(member protocol.Member, held protocol.Version) protocol.Acknowledgement {
+	return protocol.Acknowledgement{
+		Region:    member.Region,
+		Zone:      member.Zone,
+		Minimum:   held,
+		Count:     1,
+		MemberSum: membership.Hash(member.ID, member.Incarnation),
+		Behind:    []protocol.NodeID{member.ID},
+	}
+}
+
+// Add takes one acknowledgement into the fold.
+func (f *Fold) Add(one protocol.Acknowledgement) {
+	if one.Count == 0 {
+		return
+	}
+	key := zone{region: one.Region, name: one.Zone}
+	sum, found := f.zones[key]
+	if !found {
+		first := one
+		first.Behind = slices.Clone(one.Behind)
+		f.zones[key] = &first
+		return
+	}
+	switch {
+	case one.Minimum < sum.Minimum:
+		sum.Behind = slices.Clone(one.Behind)
+	case one.Minimum == sum.Minimum:
+		sum.Behind = append(sum.Behind, one.Behind...)
+	}
+	sum.Behind = bounded(sum.Behind)
+	sum.Minimum = min(sum.Minimum, one.Minimum)
+	sum.Count += one.Count
+	sum.MemberSum += one.MemberSum
+}
+
+// List returns the fold in ascending order of region and zone.
+func (f *Fold) List() []protocol.Acknowledgement {
+	list := make([]protocol.Acknowledgement, 0, len(f.zones))
+	for _, one := range f.zones {
+		list = append(list, *one)
+	}
+	slices.SortFunc(list, func(a, b protocol.Acknowledgement) int {
+		return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Zone, b.Zone))
+	})
+	return list
+}
+
+// Minimum returns the lowest version of all zones; false when nothing is
+// counted.
+func Minimum(list []protocol.Acknowledgement) (protocol.Version, bool) {
+	if len(list) == 0 {
+		return 0, false
+	}
+	lowest := lo.MinBy(list, func(a, b protocol.Acknowledgement) bool { return a.Minimum < b.Minimum })
+	return lowest.Minimum, true
+}
+
+// Equal reports whether two lists say the same.
+func Equal(a, b []protocol.Acknowledgement) bool {
+	return slices.EqualFunc(a, b, func(x, y protocol.Acknowledgement) bool {
+		return x.Region == y.Region && x.Zone == y.Zone && x.Minimum == y.Minimum &&
+			x.Count == y.Count && x.MemberSum == y.MemberSum && slices.Equal(x.Behind, y.Behind)
+	})
+}
+
+func bounded(names []protocol.NodeID) []protocol.NodeID {
+	if len(names) > protocol.MaxNamed {
+		return names[:protocol.MaxNamed]
+	}
+	return names
+}
--- a/internal/core/protocol/protocol.go
+++ b/internal/core/protocol/protocol.go
@@ -122,7 +122,7 @@
 	Self Member
 	// KeeperRevision is the newest keeper set that the sender knows.
 	KeeperRevision Version
-	Scope  Scope
+	Scope          Scope
 	// Have is the version in force on the sender, HaveDigest its snapshot's.
 	Have       Version
 	HaveDigest resource.Digest
