Add control: net/rpc with bounds, deadlines, cancellation and metering

net/rpc bounds neither a message nor a call. Frames are length-checked before memory is taken, gob type definitions are counted, calls of a connection and in total are limited, and each daemon counts its control bytes by kind and peer.

--- /dev/null
+++ b/internal/control/client.go
@@ -0,0 +1,263 @@
+package control
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/springstack/springstack/internal/result"
+)
+
+// idleCheck is how often unused connections are looked for.
+const idleCheck = 15 * time.Second
+
+// Client calls other daemons. It keeps one connection a peer.
+type Client struct {
+	secure *tls.Config
+	limits Limits
+	meter  *Meter
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+
+	mutex sync.Mutex
+	peers map[string]*link
+}
+
+// link is the connection to one peer, or the attempt to make it.
+type link struct {
+	ready chan struct{}
+	rpc   *rpc.Client
+	wire  *wire
+	err   error
+	// calls and lastUsed are guarded by the client's mutex.
+	calls    int
+	lastUsed time.Time
+}
+
+// NewClient returns a client. secure is for mutual TLS; nil calls in the
+// clear.
+func NewClient(secure *tls.Config, limits Limits, meter *Meter) *Client {
+	ctx, cancel := context.WithCancel(context.Background())
+	client := &Client{
+		secure: secure,
+		limits: limits,
+		meter:  meter,
+		ctx:    ctx,
+		cancel: cancel,
+		peers:  make(map[string]*link),
+	}
+	client.running.Add(1)
+	go client.closeIdle()
+	return client
+}
+
+// Call sends a request and waits for its reply. body is a pointer to a
+// protocol request; the answer is a pointer to the matching reply. After an
+// error the call may have had its effect, unless Sent(err) is false.
+func (c *Client) Call(ctx context.Context, address string, body any) (any, error) {
+	method, reply := methodFor(body)
+	if method == "" {
+		return nil, notSent{result.New(result.Internal, "%T is not a request", body)}
+	}
+	peer, err := c.acquire(ctx, address)
+	if err != nil {
+		return nil, notSent{err}
+	}
+	defer c.release(peer)
+	began := time.Now()
+	call := peer.rpc.Go(method, body, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		if call.Error != nil {
+			c.dropBroken(address, peer, call.Error)
+			return nil, call.Error
+		}
+		return reply, nil
+	case <-ctx.Done():
+		c.dropSilent(address, peer, began)
+		return nil, ctx.Err()
+	}
+}
+
+// notSent marks errors of calls that certainly did not leave.
+type notSent struct{ error }
+
+func (e notSent) Unwrap() error { return e.error }
+
+// Sent reports whether a failed call may have reached the peer.
+func Sent(err error) bool {
+	var unsent notSent
+	return !errors.As(err, &unsent)
+}
+
+// Close ends all connections and waits for the client's goroutines. Calls
+// that run fail.
+func (c *Client) Close() {
+	c.cancel()
+	c.mutex.Lock()
+	links := c.peers
+	c.peers = make(map[string]*link)
+	c.mutex.Unlock()
+	for _, peer := range links {
+		<-peer.ready
+		peer.close()
+	}
+	c.running.Wait()
+}
+
+func (l *link) close() {
+	if l.rpc != nil {
+		l.rpc.Close()
+	}
+}
+
+// acquire returns the connection to a peer, made when there is none.
+func (c *Client) acquire(ctx context.Context, address string) (*link, error) {
+	c.mutex.Lock()
+	if c.ctx.Err() != nil {
+		c.mutex.Unlock()
+		return nil, errors.New("control client is closed")
+	}
+	peer, found := c.peers[address]
+	if !found {
+		peer = &link{ready: make(chan struct{})}
+		c.peers[address] = peer
+		c.running.Add(1)
+		go c.connect(address, peer)
+	}
+	peer.calls++
+	peer.lastUsed = time.Now()
+	c.mutex.Unlock()
+	select {
+	case <-peer.ready:
+	case <-ctx.Done():
+		c.release(peer)
+		return nil, ctx.Err()
+	}
+	if peer.err != nil {
+		c.release(peer)
+		return nil, peer.err
+	}
+	return peer, nil
+}
+
+func (c *Client) release(peer *link) {
+	c.mutex.Lock()
+	peer.calls--
+	peer.lastUsed = time.Now()
+	c.mutex.Unlock()
+}
+
+// connect dials a peer on behalf of all calls that wait for it.
+func (c *Client) connect(address string, peer *link) {
+	defer c.running.Done()
+	defer close(peer.ready)
+	ctx, cancel := context.WithTimeout(c.ctx, c.limits.DialTimeout)
+	defer cancel()
+	connection, err := c.dial(ctx, address)
+	if err != nil {
+		peer.err = err
+		c.forget(address, peer)
+		return
+	}
+	peer.wire = newWire(connection, c.limits, c.limits.ReplyBytes, c.meter, address)
+	codec := &clientCodec{wire: peer.wire, kinds: make(map[uint64]Kind)}
+	peer.rpc = rpc.NewClientWithCodec(codec)
+}
+
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil || c.secure == nil {
+		return raw, err
+	}
+	connection := tls.Client(raw, c.secureFor(address))
+	if err := connection.HandshakeContext(ctx); err != nil {
+		raw.Close()
+		return nil, err
+	}
+	return connection, nil
+}
+
+// secureFor names the peer's IP for verification where the settings name none.
+func (c *Client) secureFor(address string) *tls.Config {
+	if c.secure.ServerName != "" {
+		return c.secure
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return c.secure
+	}
+	config := c.secure.Clone()
+	config.ServerName = host
+	return config
+}
+
+// dropBroken closes a connection after an error other than the peer's own
+// answer, so that the next call makes a new one.
+func (c *Client) dropBroken(address string, peer *link, err error) {
+	var answered rpc.ServerError
+	if errors.As(err, &answered) {
+		return
+	}
+	c.forget(address, peer)
+	peer.close()
+}
+
+// dropSilent closes a connection on which nothing was heard since a call that
+// ran out of time began: the peer hangs or is cut off, and calls left pending
+// there would pile up.
+func (c *Client) dropSilent(address string, peer *link, began time.Time) {
+	if peer.wire.lastHeard.Load() > began.UnixNano() {
+		return
+	}
+	c.forget(address, peer)
+	peer.close()
+}
+
+func (c *Client) forget(address string, peer *link) {
+	c.mutex.Lock()
+	if c.peers[address] == peer {
+		delete(c.peers, address)
+	}
+	c.mutex.Unlock()
+}
+
+// closeIdle closes connections that no call has used for the idle timeout.
+func (c *Client) closeIdle() {
+	defer c.running.Done()
+	ticker := time.NewTicker(idleCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, peer := range c.takeIdle() {
+			peer.close()
+		}
+	}
+}
+
+// takeIdle removes and returns the idle connections. The bound is below the
+// server's, so that the client closes first and no call is lost to it.
+func (c *Client) takeIdle() []*link {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var idle []*link
+	for address, peer := range c.peers {
+		if peer.calls > 0 || time.Since(peer.lastUsed) < c.limits.IdleTimeout/2 {
+			continue
+		}
+		delete(c.peers, address)
+		idle = append(idle, peer)
+	}
+	return idle
+}
--- /dev/null
+++ b/internal/control/doc.go
@@ -0,0 +1,61 @@
+// Package control carries the messages of internal/core/protocol between
+// daemons over net/rpc. net/rpc by itself has no bound on a message, no
+// deadline, no cancellation and no limit on concurrent calls; this package
+// adds them:
+//
+//   - a message travels in one length-prefixed frame, whose length is checked
+//     before anything is allocated for it, and whose gob type definitions are
+//     counted before it is decoded;
+//   - each write has a deadline, and a frame that has begun must end in time;
+//   - a call ends when its context does, and a connection on which nothing was
+//     heard during a call that timed out is closed;
+//   - the calls of one connection, the connections and all calls together are
+//     bounded;
+//   - bytes are counted on the wire, by kind of message and by peer.
+//
+// One connection a peer is kept, because gob sends its types once a
+// connection.
+package control
+
+import "time"
+
+// Limits bounds what a peer may cost. DefaultLimits suits production.
+type Limits struct {
+	// RequestBytes bounds one inbound request frame, decompressed. Decoding may
+	// allocate up to about 300 times as much for a hostile frame (a gob slice
+	// element of one byte becomes one Member), so large frames are decoded one
+	// at a time.
+	RequestBytes int
+	// ReplyBytes bounds one reply frame, decompressed.
+	ReplyBytes int
+	// Connections bounds the accepted connections.
+	Connections int
+	// CallsPerConnection bounds the calls of one connection that run at once;
+	// more are read only when one has been answered.
+	CallsPerConnection int
+	// Calls bounds all accepted calls that run at once; more are refused.
+	Calls int
+	// WriteTimeout bounds the writing of one frame.
+	WriteTimeout time.Duration
+	// FrameTimeout bounds the arrival of one frame after its first byte.
+	FrameTimeout time.Duration
+	// IdleTimeout closes a connection on which nothing was heard.
+	IdleTimeout time.Duration
+	// DialTimeout bounds connecting, the TLS handshake included.
+	DialTimeout time.Duration
+}
+
+// DefaultLimits returns the production bounds.
+func DefaultLimits() Limits {
+	return Limits{
+		RequestBytes:       768 << 10,
+		ReplyBytes:         8 << 20,
+		Connections:        2048,
+		CallsPerConnection: 16,
+		Calls:              4096,
+		WriteTimeout:       5 * time.Second,
+		FrameTimeout:       10 * time.Second,
+		IdleTimeout:        90 * time.Second,
+		DialTimeout:        2 * time.Second,
+	}
+}
--- /dev/null
+++ b/internal/control/wire.go
@@ -0,0 +1,147 @@
+package control
+
+import (
+	"bytes"
+	"encoding/gob"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+)
+
+// largeFrame is the payload size above which frames are decoded one at a time
+// in the whole process, so that hostile frames cannot add up.
+const largeFrame = 32 << 10
+
+// largeDecodes is held while a large inbound request is decoded.
+var largeDecodes sync.Mutex
+
+// wire is one connection: frames with gob messages in both directions. One
+// goroutine reads; writers are serialised by the codecs' mutex.
+type wire struct {
+	connection net.Conn
+	limits     Limits
+	meter      *Meter
+	peer       *counters
+
+	readLimit   int
+	input       bytes.Buffer
+	decoder     *gob.Decoder
+	definitions definitionBudget
+	lastHeard   atomic.Int64
+
+	output  bytes.Buffer
+	encoder *gob.Encoder
+	frame   []byte
+}
+
+func newWire(connection net.Conn, limits Limits, readLimit int, meter *Meter, peer string) *wire {
+	w := &wire{
+		connection: connection,
+		limits:     limits,
+		meter:      meter,
+		peer:       meter.peer(peer),
+		readLimit:  readLimit,
+	}
+	w.decoder = gob.NewDecoder(&w.input)
+	w.encoder = gob.NewEncoder(&w.output)
+	return w
+}
+
+// receive reads the next frame into the decoder's input and returns its size
+// on the wire. idle bounds the wait for its first byte; 0 waits for ever.
+func (w *wire) receive(idle time.Duration) (int, error) {
+	if w.input.Len() > 0 {
+		return 0, errors.New("frame holds more than its message")
+	}
+	deadline := time.Time{}
+	if idle > 0 {
+		deadline = time.Now().Add(idle)
+	}
+	if err := w.connection.SetReadDeadline(deadline); err != nil {
+		return 0, err
+	}
+	payload, size, err := readFrame(w.connection, w.readLimit, func() {
+		w.lastHeard.Store(time.Now().UnixNano())
+		// A failure shows on the read that follows.
+		_ = w.connection.SetReadDeadline(time.Now().Add(w.limits.FrameTimeout))
+	})
+	if err != nil {
+		return 0, err
+	}
+	if err := w.definitions.check(payload); err != nil {
+		return 0, err
+	}
+	w.input = *bytes.NewBuffer(payload)
+	return size, nil
+}
+
+// decode reads one value of the current frame; nil skips it.
+func (w *wire) decode(value any) error {
+	if w.input.Len() > largeFrame {
+		largeDecodes.Lock()
+		defer largeDecodes.Unlock()
+	}
+	err := w.decoder.Decode(value)
+	if w.input.Len() == 0 {
+		w.input = bytes.Buffer{} // give the frame's memory back
+	}
+	return err
+}
+
+// send writes header and body as one frame. A failure leaves the stream
+// unusable, so the connection is closed.
+func (w *wire) send(kind Kind, header, body any) error {
+	w.output.Reset()
+	err := w.encoder.Encode(header)
+	if err == nil {
+		err = w.encoder.Encode(body)
+	}
+	if err != nil {
+		w.connection.Close()
+		return errors.Annotate(err, "encoding a control message")
+	}
+	w.frame = encodeFrame(w.frame[:0], w.output.Bytes(), mostlyCompressed(body, w.output.Len()))
+	w.meter.sent(w.peer, kind, len(w.frame))
+	err = w.write(w.frame)
+	w.shrink()
+	return err
+}
+
+func (w *wire) write(frame []byte) error {
+	if err := w.connection.SetWriteDeadline(time.Now().Add(w.limits.WriteTimeout)); err != nil {
+		return err
+	}
+	if _, err := w.connection.Write(frame); err != nil {
+		w.connection.Close()
+		return err
+	}
+	return nil
+}
+
+// keptBuffer is how much of a write buffer is kept between frames.
+const keptBuffer = 16 << 10
+
+// shrink gives back the memory of a large frame.
+func (w *wire) shrink() {
+	if cap(w.frame) > keptBuffer {
+		w.frame = nil
+	}
+	if w.output.Cap() > keptBuffer {
+		w.output = bytes.Buffer{}
+	}
+}
+
+// mostlyCompressed reports that most of a message is a delta's payload, which
+// the snapshot package has compressed already.
+func mostlyCompressed(body any, size int) bool {
+	reply, ok := body.(*protocol.FetchReply)
+	if !ok || reply.Delta == nil {
+		return false
+	}
+	return 2*len(reply.Delta.Payload) > size
+}
