--- a/internal/lab/standin/faults.go
+++ b/internal/lab/standin/faults.go
@@ -61,6 +61,9 @@
 	// after it. The caller sees PlatformUnknown in both cases.
 	LoseRequest bool
 	LoseAnswer  bool
+	// Silent leaves the caller without any answer until it gives up; the call
+	// has no effect.
+	Silent bool
 	// Before and After are the delays before and after the effect.
 	Before time.Duration
 	After  time.Duration
@@ -76,7 +79,8 @@
 		Lag:    Lag{List: f.ListLag, Machines: f.MachineLag},
 	}
 	decision.Refuse = f.Outage == OutageRefusing
-	decision.LoseRequest = f.Outage == OutageSilent || happens(random, f.LostRequest) || f.lapses(random, call)
+	decision.Silent = f.Outage == OutageSilent
+	decision.LoseRequest = decision.Silent || happens(random, f.LostRequest) || f.lapses(random, call)
 	decision.LoseAnswer = happens(random, f.LostAnswer)
 	return decision
 }
--- a/internal/lab/standin/service.go
+++ b/internal/lab/standin/service.go
@@ -130,6 +130,9 @@
 	if decision.Refuse {
 		return outcome{reply: object.Reply{Code: result.PlatformUnavailable}}
 	}
+	if decision.Silent {
+		<-ctx.Done()
+	}
 	if decision.LoseRequest {
 		return outcome{lost: true}
 	}
--- a/internal/lab/standin/store_test.go
+++ b/internal/lab/standin/store_test.go
@@ -10,10 +10,10 @@
 	"github.com/springstack/springstack/internal/result"
 )
 
-const client = "daemon-1"
+const testClient = "daemon-1"
 
 func write(s *Store, now time.Duration, name, data string) object.Version {
-	return s.Apply(now, client, object.Call{Kind: object.CallCreate, Name: name, Data: []byte(data)}, Lag{}).Object.Version
+	return s.Apply(now, testClient, object.Call{Kind: object.CallCreate, Name: name, Data: []byte(data)}, Lag{}).Object.Version
 }
 
 func TestUpdatesAreByVersion(t *testing.T) {
@@ -21,14 +21,14 @@
 	store := NewStore(DefaultLimits())
 	first := write(store, 0, "head", "1")
 	update := object.Call{Kind: object.CallUpdate, Name: "head", Data: []byte("2"), Expect: first}
-	reply := store.Apply(0, client, update, Lag{})
+	reply := store.Apply(0, testClient, update, Lag{})
 	is.Equal(reply.Code, result.OK)
 	is.Equal(reply.Object.Version, first+1)
-	is.Equal(store.Apply(0, client, update, Lag{}).Code, result.PlatformConflict) // the same update can't win twice
-	is.Equal(write(store, 0, "head", "3"), first+1)                               // exists; the version found is told
-	is.Equal(store.Apply(0, client, object.Call{Kind: object.CallDelete, Name: "head", Expect: first}, Lag{}).Code, result.PlatformConflict)
-	is.Equal(store.Apply(0, client, object.Call{Kind: object.CallDelete, Name: "head", Expect: first + 1}, Lag{}).Code, result.OK)
-	is.Equal(store.Apply(0, client, object.Call{Kind: object.CallGet, Name: "head"}, Lag{}).Code, result.PlatformNotFound)
+	is.Equal(store.Apply(0, testClient, update, Lag{}).Code, result.PlatformConflict) // the same update can't win twice
+	is.Equal(write(store, 0, "head", "3"), first+1)                                   // exists; the version found is told
+	is.Equal(store.Apply(0, testClient, object.Call{Kind: object.CallDelete, Name: "head", Expect: first}, Lag{}).Code, result.PlatformConflict)
+	is.Equal(store.Apply(0, testClient, object.Call{Kind: object.CallDelete, Name: "head", Expect: first + 1}, Lag{}).Code, result.OK)
+	is.Equal(store.Apply(0, testClient, object.Call{Kind: object.CallGet, Name: "head"}, Lag{}).Code, result.PlatformNotFound)
 }
 
 func TestObjectSizeLimit(t *testing.T) {
@@ -36,24 +36,24 @@
 	limits := DefaultLimits()
 	store := NewStore(limits)
 	call := object.Call{Kind: object.CallCreate, Name: "head", Data: make([]byte, limits.ObjectBytes)}
-	is.Equal(store.Apply(0, client, call, Lag{}).Code, result.OK)
+	is.Equal(store.Apply(0, testClient, call, Lag{}).Code, result.OK)
 	call.Name, call.Data = "more", make([]byte, limits.ObjectBytes+1)
-	is.Equal(store.Apply(0, client, call, Lag{}).Code, result.PlatformTooLarge)
+	is.Equal(store.Apply(0, testClient, call, Lag{}).Code, result.PlatformTooLarge)
 }
 
 func TestListsLagButGetsDoNot(t *testing.T) {
 	is := is.New(t)
 	store := NewStore(DefaultLimits())
 	first := write(store, time.Second, "content/a", "1")
-	store.Apply(3*time.Second, client, object.Call{Kind: object.CallUpdate, Name: "content/a", Data: []byte("2"), Expect: first}, Lag{})
+	store.Apply(3*time.Second, testClient, object.Call{Kind: object.CallUpdate, Name: "content/a", Data: []byte("2"), Expect: first}, Lag{})
 	write(store, 4*time.Second, "content/b", "3")
 	list := object.Call{Kind: object.CallList, Name: "content/"}
-	old := store.Apply(4*time.Second, client, list, Lag{List: 2 * time.Second})
+	old := store.Apply(4*time.Second, testClient, list, Lag{List: 2 * time.Second})
 	is.Equal(len(old.Objects), 1)
 	is.Equal(string(old.Objects[0].Data), "1")
 	is.Equal(old.ListVersion, first)
-	is.Equal(len(store.Apply(4*time.Second, client, list, Lag{}).Objects), 2)
-	is.Equal(string(store.Apply(4*time.Second, client, object.Call{Kind: object.CallGet, Name: "content/a"}, Lag{List: time.Minute}).Object.Data), "2")
+	is.Equal(len(store.Apply(4*time.Second, testClient, list, Lag{}).Objects), 2)
+	is.Equal(string(store.Apply(4*time.Second, testClient, object.Call{Kind: object.CallGet, Name: "content/a"}, Lag{List: time.Minute}).Object.Data), "2")
 	// A watch from the old list's version sees all that the list missed.
 	events, through, code := store.Events("content/", old.ListVersion)
 	is.Equal(code, result.OK)
@@ -67,8 +67,8 @@
 	store.SetMachines(0, []object.Machine{{ID: "a"}})
 	store.SetMachines(5*time.Second, []object.Machine{{ID: "a", Leaving: true}})
 	call := object.Call{Kind: object.CallMachines}
-	is.Equal(store.Apply(6*time.Second, client, call, Lag{Machines: 2 * time.Second}).Machines[0].Leaving, false)
-	is.Equal(store.Apply(6*time.Second, client, call, Lag{}).Machines[0].Leaving, true)
+	is.Equal(store.Apply(6*time.Second, testClient, call, Lag{Machines: 2 * time.Second}).Machines[0].Leaving, false)
+	is.Equal(store.Apply(6*time.Second, testClient, call, Lag{}).Machines[0].Leaving, true)
 }
 
 func TestCompactionEndsOldWatches(t *testing.T) {
