--- /dev/null
+++ b/internal/core/reader/backoff.go
@@ -0,0 +1,44 @@
+package reader
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Bounds of the full-jitter backoff after a failed platform call.
+const (
+	backoffBase = 200 * time.Millisecond
+	backoffCap  = 10 * time.Second
+)
+
+// backoff spaces retries: each wait is drawn between zero and a limit that
+// doubles with each failure in a row, so that readers that failed together do
+// not return together.
+type backoff struct {
+	failures int
+	until    time.Duration
+}
+
+// fail notes a failure at now and draws the next wait.
+func (b *backoff) fail(now time.Duration, random *rand.Rand) {
+	limit := backoffCap
+	if b.failures < 6 {
+		limit = min(backoffCap, backoffBase<<b.failures)
+	}
+	b.failures++
+	b.until = now + jitter(random, limit)
+}
+
+// succeed forgets the failures.
+func (b *backoff) succeed() { *b = backoff{} }
+
+// due reports whether the wait is over.
+func (b *backoff) due(now time.Duration) bool { return now >= b.until }
+
+// jitter draws a duration between 1 ns and limit.
+func jitter(random *rand.Rand, limit time.Duration) time.Duration {
+	if limit <= 0 {
+		return 1
+	}
+	return 1 + time.Duration(random.Int64N(int64(limit)))
+}
--- /dev/null
+++ b/internal/core/reader/changes.go
@@ -0,0 +1,192 @@
+package reader
+
+import (
+	"bytes"
+	"slices"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/ledger"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// Bounds of the queue of changes.
+const (
+	// maxQueued is how many changes wait at once; more are Overloaded.
+	maxQueued = 256
+	// maxBatch is how many changes one head update carries.
+	maxBatch = 32
+)
+
+// submission is one change on its way into the head.
+type submission struct {
+	request  *protocol.SubmitRequest
+	change   *ledger.Change
+	tickets  []Ticket
+	deadline time.Duration
+	// givenUp is set when the operators were told OutcomeUnknown: the change is
+	// not tried anew, but a resend may join while its update may still land.
+	givenUp bool
+}
+
+// changeState is the queue, and the one attempt under way.
+type changeState struct {
+	queue   []*submission
+	attempt *attempt
+	// attempts numbers the attempts, so that late answers are told apart.
+	attempts uint64
+	retry    backoff
+	// alone is set after a batch was too large for the platform.
+	alone bool
+	// keepers are the keeper sets that the owner wants in the head.
+	keepers []protocol.KeeperSet
+}
+
+// enqueue takes a change in. A resend joins the change that is under way.
+func (r *Reader) enqueue(wallClock time.Time, ticket Ticket, request *protocol.SubmitRequest) {
+	if !r.lease.held {
+		r.answer(ticket, refusal(result.NoReader, "this daemon does not hold a reader lease"))
+		return
+	}
+	if joined := r.changes.find(request.Operation); joined != nil {
+		r.join(joined, ticket, request)
+		return
+	}
+	if len(r.changes.queue) >= maxQueued {
+		r.answer(ticket, refusal(result.Overloaded, "too many changes are waiting"))
+		return
+	}
+	change, refused := ledger.Prepare(request, wallClock, r.lease.record.Term)
+	if refused != nil {
+		r.answer(ticket, refused)
+		return
+	}
+	r.changes.queue = append(r.changes.queue, &submission{
+		request:  request,
+		change:   change,
+		tickets:  []Ticket{ticket},
+		deadline: r.now + r.config.SubmitTimeout,
+	})
+}
+
+// find returns the submission with an operation id, queued or under way.
+func (c *changeState) find(operation string) *submission {
+	candidates := c.queue
+	if c.attempt != nil {
+		candidates = append(slices.Clone(c.attempt.items), candidates...)
+	}
+	for _, candidate := range candidates {
+		if candidate.request.Operation == operation {
+			return candidate
+		}
+	}
+	return nil
+}
+
+// join adds a resend to its first sending. The same id with another change is
+// refused: at most one of the two can be what the id stands for.
+func (r *Reader) join(first *submission, ticket Ticket, request *protocol.SubmitRequest) {
+	if !sameRequest(first.request, request) {
+		r.answer(ticket, refusal(result.OperationReused, "the operation id is in use for another change"))
+		return
+	}
+	first.tickets = append(first.tickets, ticket)
+	first.deadline = r.now + r.config.SubmitTimeout
+	first.givenUp = false
+}
+
+func sameRequest(a, b *protocol.SubmitRequest) bool {
+	sameExpect := (a.Expect == nil) == (b.Expect == nil) && (a.Expect == nil || *a.Expect == *b.Expect)
+	return sameExpect && a.Partner == b.Partner && a.Action == b.Action && a.File == b.File &&
+		bytes.Equal(a.Content, b.Content)
+}
+
+func (r *Reader) answer(ticket Ticket, reply *protocol.SubmitReply) {
+	r.emit(SubmitDone{Ticket: ticket, Reply: reply})
+}
+
+func (r *Reader) answerAll(item *submission, reply *protocol.SubmitReply) {
+	for _, ticket := range item.tickets {
+		r.answer(ticket, reply)
+	}
+	item.tickets = nil
+}
+
+// refusal returns an answer with one error, whose code says whether it ran.
+func refusal(code result.Code, detail string) *protocol.SubmitReply {
+	problem := result.New(code, "%s", detail)
+	entry, _ := result.Lookup(code)
+	problem.Mend = entry.Mend
+	return &protocol.SubmitReply{Code: code, Errors: []result.Error{*problem}}
+}
+
+func notAccepted() *protocol.SubmitReply {
+	return refusal(result.NotAccepted, "the platform could not be reached in time; no update was sent")
+}
+
+func outcomeUnknown() *protocol.SubmitReply {
+	return refusal(result.OutcomeUnknown, "an update with the change was sent and its answer was lost")
+}
+
+// advanceChanges gives up what took too long and drives the attempt, starting
+// the next one when there is none.
+func (r *Reader) advanceChanges() {
+	r.expireChanges()
+	for r.advanceAttempt() {
+	}
+}
+
+// expireChanges answers what has waited too long. A change that is only
+// queued has no update that could land: an earlier attempt that carried it has
+// ended, and ended means that its update can't land any more.
+func (r *Reader) expireChanges() {
+	r.changes.queue = slices.DeleteFunc(r.changes.queue, func(item *submission) bool {
+		if r.now < item.deadline {
+			return false
+		}
+		r.answerAll(item, notAccepted())
+		return true
+	})
+	current := r.changes.attempt
+	if current == nil {
+		return
+	}
+	expired := slices.ContainsFunc(current.items, func(item *submission) bool { return r.now >= item.deadline })
+	if !expired {
+		return
+	}
+	if !current.mayLand() {
+		r.requeue(current)
+		r.expireChanges()
+		return
+	}
+	for _, item := range current.items {
+		if r.now >= item.deadline && !item.givenUp {
+			item.givenUp = true
+			r.answerAll(item, outcomeUnknown())
+		}
+	}
+}
+
+// requeue ends an attempt whose update certainly has not landed and never
+// will; its changes go back to the front of the queue, in order.
+func (r *Reader) requeue(ended *attempt) {
+	r.changes.attempt = nil
+	again := slices.DeleteFunc(slices.Clone(ended.items), func(item *submission) bool { return item.givenUp })
+	r.changes.queue = append(again, r.changes.queue...)
+}
+
+// abandonChanges answers everything when the lease is lost.
+func (r *Reader) abandonChanges() {
+	if current := r.changes.attempt; current != nil && current.mayLand() {
+		for _, item := range current.items {
+			r.answerAll(item, outcomeUnknown())
+		}
+	} else if current != nil {
+		r.requeue(current)
+	}
+	for _, item := range r.changes.queue {
+		r.answerAll(item, notAccepted())
+	}
+	r.changes = changeState{attempts: r.changes.attempts}
+}
--- /dev/null
+++ b/internal/core/reader/contents.go
@@ -0,0 +1,172 @@
+package reader
+
+import (
+	"fmt"
+	"reflect"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/ledger"
+	"github.com/springstack/springstack/internal/core/object"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// parallelContents bounds how many contents are read or written at once.
+const parallelContents = 8
+
+// contentState is the cache of the contents that the head names.
+type contentState struct {
+	files   ledger.Contents
+	loading map[resource.Digest]bool
+	attempt backoff
+	// announced is the object version of the head last announced under this
+	// lease, and announcedHead that head; nil before the first.
+	announced     object.Version
+	announcedHead *ledger.Head
+}
+
+// reset forgets loads under way and what was announced; what is loaded stays,
+// for it is immutable.
+func (c *contentState) reset() {
+	c.announced = 0
+	c.announcedHead = nil
+	c.loading = map[resource.Digest]bool{}
+	c.attempt.succeed()
+}
+
+// advanceContents loads what the head names and lacks here, and announces the
+// version once all of it is there: a part of a version is never handed out.
+func (r *Reader) advanceContents() {
+	announced := r.contents.announcedHead != nil && r.contents.announced == r.head.version
+	if !r.head.known || announced {
+		return
+	}
+	lacking := ledger.Lacking(r.head.head, r.contents.files)
+	if len(lacking) == 0 {
+		r.announce()
+		return
+	}
+	if !r.contents.attempt.due(r.now) {
+		return
+	}
+	for _, digest := range lacking {
+		if len(r.contents.loading) >= parallelContents {
+			return
+		}
+		if r.contents.loading[digest] {
+			continue
+		}
+		r.contents.loading[digest] = true
+		r.call(pendingCall{purpose: purposeContentRead, digest: digest},
+			object.Call{Kind: object.CallGet, Name: ledger.ContentObject(digest)})
+	}
+}
+
+func (r *Reader) contentWasRead(call pendingCall, reply object.Reply) {
+	delete(r.contents.loading, call.digest)
+	if reply.Code != result.OK {
+		r.contents.attempt.fail(r.now, r.random)
+		return
+	}
+	file, err := decodeContent(call.digest, reply.Object.Data)
+	if err != nil {
+		r.contents.attempt.fail(r.now, r.random)
+		r.event("content_unreadable", EventField{"digest", string(call.digest)}, EventField{"error", err.Error()})
+		return
+	}
+	r.contents.attempt.succeed()
+	r.keepContents(ledger.Contents{call.digest: file})
+}
+
+// decodeContent checks a content against the digest that names it.
+func decodeContent(digest resource.Digest, data []byte) (*resource.File, error) {
+	if resource.DigestOf(data) != digest {
+		return nil, result.New(result.DigestMismatch, "the content does not have the digest that names it")
+	}
+	return resource.DecodeFile(data)
+}
+
+// keepContents adds to the cache by building another map, as the ledger's
+// callers may hold the old one.
+func (r *Reader) keepContents(added ledger.Contents) {
+	files := make(ledger.Contents, len(r.contents.files)+len(added))
+	for digest, file := range r.contents.files {
+		files[digest] = file
+	}
+	for digest, file := range added {
+		files[digest] = file
+	}
+	r.contents.files = files
+}
+
+// announce hands out the head's version, once for each change that matters to
+// the rest of the daemon, and drops contents that no head names any more.
+func (r *Reader) announce() {
+	r.contents.files = ledger.Prune(r.head.head, r.contents.files)
+	previous := r.contents.announcedHead
+	r.contents.announced = r.head.version
+	r.contents.announcedHead = r.head.head
+	if previous != nil && previous.Version == r.head.head.Version && reflect.DeepEqual(previous.Files, r.head.head.Files) {
+		return
+	}
+	head := r.head.head
+	r.emit(CatalogueReady{
+		Version:     head.Version,
+		Resources:   ledger.Catalogue(head, r.contents.files),
+		Files:       fileStatuses(head),
+		Keepers:     head.Keepers,
+		BatchWindow: batchWindow(previous, head, r.contents.files),
+		AcceptedAt:  head.AcceptedAt,
+	})
+	r.event("catalogue_ready", EventField{"version", fmt.Sprint(head.Version)})
+}
+
+// fileStatuses lists the files of a head; a file with an accepted and a held
+// revision is listed twice.
+func fileStatuses(head *ledger.Head) []protocol.FileStatus {
+	var statuses []protocol.FileStatus
+	for _, entry := range head.Files {
+		if entry.Accepted != nil {
+			statuses = append(statuses, protocol.FileStatus{
+				Partner:    entry.Partner,
+				Name:       entry.Name,
+				Revision:   entry.Accepted.Revision,
+				Digest:     entry.Accepted.Digest,
+				AcceptedAt: entry.Accepted.At,
+				Version:    entry.Accepted.Version,
+			})
+		}
+		if entry.Held != nil {
+			statuses = append(statuses, protocol.FileStatus{
+				Partner:  entry.Partner,
+				Name:     entry.Name,
+				Revision: entry.Held.Revision,
+				Digest:   entry.Held.Digest,
+				Held:     true,
+				WaitsFor: entry.Held.WaitsFor,
+			})
+		}
+	}
+	return statuses
+}
+
+// batchWindow returns how long the step from one head to the next may wait for
+// more changes: as long as the most impatient of the files that it accepts
+// allows, and not at all for a withdrawal or a change of keepers.
+func batchWindow(previous, head *ledger.Head, files ledger.Contents) time.Duration {
+	if previous == nil {
+		return 0
+	}
+	window := time.Duration(-1)
+	for _, entry := range head.Files {
+		if entry.Accepted == nil || entry.Accepted.Version <= previous.Version {
+			continue
+		}
+		wait := files[entry.Accepted.Digest].Distribution.BatchWindow
+		if window < 0 || wait < window {
+			window = wait
+		}
+	}
+	return max(window, 0)
+}
--- /dev/null
+++ b/internal/core/reader/lease.go
@@ -0,0 +1,376 @@
+package reader
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/object"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// LeasePrefix starts the names of lease objects.
+const LeasePrefix = "lease/"
+
+// leaseFormat is the revision of the encoding of leases.
+const leaseFormat = 1
+
+// clockMargin is by how much clocks of different machines may run apart, as a
+// divisor: a holder stops a tenth early and others wait a tenth longer.
+const clockMargin = 10
+
+// renewalsPerLease is how often a lease is renewed within its duration.
+const renewalsPerLease = 3
+
+// leaseRecord is the value of a lease object.
+type leaseRecord struct {
+	Format int `json:"format"`
+	// Holder is empty when the lease was given back.
+	Holder protocol.NodeID `json:"holder"`
+	Term   uint64          `json:"term"`
+	// Renewals grows with each write that a holder sends under one term, so a
+	// read tells which of several writes has landed.
+	Renewals uint64        `json:"renewals"`
+	Duration time.Duration `json:"duration_ns"`
+}
+
+// leaseObservation is a lease as it was first seen at its newest version.
+type leaseObservation struct {
+	version object.Version
+	record  leaseRecord
+	// at is when this version was first seen, on this daemon's own clock.
+	at time.Duration
+}
+
+// leaseState is all that the reader knows of leases.
+type leaseState struct {
+	candidate bool
+	observed  map[string]leaseObservation
+	// busy is set while a call of the acquisition is under way.
+	busy    bool
+	attempt backoff
+
+	held    bool
+	slot    string
+	version object.Version
+	record  leaseRecord
+	// expires is when the holder stops, counted from the sending of the write
+	// that is known to have landed.
+	expires time.Duration
+	// renewing is set while a renewal, or the read that resolves it, runs.
+	renewing bool
+	renewAt  time.Duration
+	// mustRead is set when a renewal's fate is not known.
+	mustRead bool
+	// sent lists the renewals under way by count, newest last.
+	sent []sentRenewal
+}
+
+// sentRenewal is when a renewal left.
+type sentRenewal struct {
+	renewals uint64
+	at       time.Duration
+}
+
+func (r *Reader) setCandidacy(candidacy Candidacy) {
+	if candidacy.Candidate && !r.lease.candidate {
+		r.lease.attempt = backoff{until: r.now + candidacy.Delay}
+	}
+	r.lease.candidate = candidacy.Candidate
+}
+
+// checkLease notices that the lease has run out while nothing was called.
+func (r *Reader) checkLease() {
+	if r.lease.held && r.now >= r.lease.expires {
+		r.loseLease("expired")
+	}
+}
+
+// advanceLease renews a held lease, or tries to get one.
+func (r *Reader) advanceLease() {
+	if r.lease.held {
+		r.advanceRenewal()
+		return
+	}
+	if !r.lease.candidate || r.lease.busy || !r.lease.attempt.due(r.now) {
+		return
+	}
+	r.lease.busy = true
+	r.call(pendingCall{purpose: purposeLeaseList}, object.Call{Kind: object.CallList, Name: r.leasePrefix()})
+}
+
+func (r *Reader) leasePrefix() string { return LeasePrefix + r.config.Region + "/" }
+
+func (r *Reader) slots() []string {
+	slots := make([]string, r.config.LeaseSlots)
+	for i := range slots {
+		slots[i] = r.leasePrefix() + strconv.Itoa(i)
+	}
+	return slots
+}
+
+// leaseListed looks for a lease that is free. The list may lag: the write that
+// follows carries the version seen, so a stale view only makes it fail.
+func (r *Reader) leaseListed(reply object.Reply) {
+	r.lease.busy = false
+	if reply.Code != result.OK {
+		r.lease.attempt.fail(r.now, r.random)
+		return
+	}
+	for _, found := range reply.Objects {
+		r.observe(found)
+	}
+	r.lease.attempt.succeed()
+	slots := r.slots()
+	first := r.random.IntN(len(slots))
+	for i := range slots {
+		slot := slots[(first+i)%len(slots)]
+		if r.isFree(slot) {
+			r.takeLease(slot)
+			return
+		}
+	}
+	r.lease.attempt.until = r.nextLook()
+}
+
+// observe notes a lease object; only a new version restarts its time.
+func (r *Reader) observe(found object.Object) {
+	known, seen := r.lease.observed[found.Name]
+	if seen && found.Version <= known.version {
+		return
+	}
+	observation := leaseObservation{version: found.Version, at: r.now}
+	if err := json.Unmarshal(found.Data, &observation.record); err != nil || observation.record.Duration <= 0 {
+		observation.record = leaseRecord{Holder: "unreadable", Duration: r.config.LeaseDuration}
+	}
+	r.lease.observed[found.Name] = observation
+}
+
+// isFree reports whether a lease may be taken: it was never taken, was given
+// back, was held by this daemon before it restarted, or has not changed for
+// longer than its duration by this daemon's own clock.
+func (r *Reader) isFree(slot string) bool {
+	seen, found := r.lease.observed[slot]
+	if !found || seen.record.Holder == "" || seen.record.Holder == r.config.ID {
+		return true
+	}
+	return r.now >= seen.freeAt()
+}
+
+// freeAt is when others may take the lease unless it changes before.
+func (o leaseObservation) freeAt() time.Duration {
+	return o.at + o.record.Duration + o.record.Duration/clockMargin
+}
+
+// nextLook returns when a lease could be free: none is now.
+func (r *Reader) nextLook() time.Duration {
+	next := r.now + r.config.LeaseDuration
+	for _, slot := range r.slots() {
+		next = min(next, r.lease.observed[slot].freeAt())
+	}
+	return max(next, r.now) + jitter(r.random, r.config.LeaseDuration/4)
+}
+
+func (r *Reader) takeLease(slot string) {
+	seen, found := r.lease.observed[slot]
+	record := leaseRecord{
+		Format:   leaseFormat,
+		Holder:   r.config.ID,
+		Term:     r.highestTerm() + 1,
+		Duration: r.config.LeaseDuration,
+	}
+	write := object.Call{Kind: object.CallCreate, Name: slot, Data: record.encode()}
+	if found {
+		write.Kind = object.CallUpdate
+		write.Expect = seen.version
+	}
+	r.lease.busy = true
+	r.call(pendingCall{purpose: purposeLeaseTake, record: record, slot: slot}, write)
+}
+
+// highestTerm makes terms grow over all slots of the region that were seen.
+func (r *Reader) highestTerm() uint64 {
+	highest := uint64(0)
+	for _, seen := range r.lease.observed {
+		highest = max(highest, seen.record.Term)
+	}
+	return highest
+}
+
+func (r *Reader) leaseTaken(call pendingCall, reply object.Reply) {
+	switch reply.Code {
+	case result.OK:
+		r.lease.busy = false
+		r.gainLease(call, reply.Object.Version)
+	case result.PlatformUnknown:
+		r.call(pendingCall{purpose: purposeLeaseRead, record: call.record, slot: call.slot, takeSent: call.sent},
+			object.Call{Kind: object.CallGet, Name: call.slot})
+	default:
+		r.lease.busy = false
+		r.lease.attempt.fail(r.now, r.random)
+	}
+}
+
+// gainLease starts to hold a lease that the call is known to have written.
+func (r *Reader) gainLease(call pendingCall, version object.Version) {
+	expires := r.holdUntil(call.sent)
+	r.observe(object.Object{Name: call.slot, Version: version, Data: call.record.encode()})
+	if r.now >= expires {
+		r.lease.attempt.fail(r.now, r.random)
+		return
+	}
+	r.lease.held = true
+	r.lease.attempt.succeed()
+	r.lease.slot = call.slot
+	r.lease.version = version
+	r.lease.record = call.record
+	r.lease.expires = expires
+	r.lease.renewing = false
+	r.lease.mustRead = false
+	r.lease.sent = nil
+	r.lease.renewAt = call.sent + r.config.LeaseDuration/renewalsPerLease
+	r.emit(Gained{Term: call.record.Term})
+	r.event("reader_lease_gained", EventField{"slot", call.slot}, EventField{"term", fmt.Sprint(call.record.Term)})
+}
+
+// holdUntil returns when a lease written by a call sent at sent must no longer
+// be used. It is earlier than anybody else may take it, since others count a
+// tenth more than the duration from when they saw the write, after sent.
+func (r *Reader) holdUntil(sent time.Duration) time.Duration {
+	return sent + r.config.LeaseDuration - r.config.LeaseDuration/clockMargin
+}
+
+// advanceRenewal sends what keeps a held lease alive.
+func (r *Reader) advanceRenewal() {
+	if r.lease.renewing || r.now < r.lease.renewAt {
+		return
+	}
+	r.lease.renewing = true
+	if r.lease.mustRead {
+		r.call(pendingCall{purpose: purposeLeaseRead, slot: r.lease.slot}, object.Call{Kind: object.CallGet, Name: r.lease.slot})
+		return
+	}
+	record := r.lease.record
+	record.Renewals = r.nextRenewal()
+	r.lease.sent = append(r.lease.sent, sentRenewal{renewals: record.Renewals, at: r.now})
+	r.call(pendingCall{purpose: purposeLeaseRenew, record: record, slot: r.lease.slot},
+		object.Call{Kind: object.CallUpdate, Name: r.lease.slot, Expect: r.lease.version, Data: record.encode()})
+}
+
+// nextRenewal returns a count that no write under this term has carried.
+func (r *Reader) nextRenewal() uint64 {
+	highest := r.lease.record.Renewals
+	for _, sent := range r.lease.sent {
+		highest = max(highest, sent.renewals)
+	}
+	return highest + 1
+}
+
+func (r *Reader) leaseRenewed(call pendingCall, reply object.Reply) {
+	r.lease.renewing = false
+	switch reply.Code {
+	case result.OK:
+		r.renewalLanded(call.record, reply.Object.Version)
+	case result.PlatformUnavailable, result.PlatformReadersFull:
+		r.lease.renewAt = r.now + r.renewalRetry()
+	default:
+		r.lease.mustRead = true
+		r.lease.renewAt = r.now
+	}
+}
+
+// renewalRetry is short, for the lease must be saved within its duration.
+func (r *Reader) renewalRetry() time.Duration {
+	return jitter(r.random, r.config.LeaseDuration/clockMargin)
+}
+
+// renewalLanded extends the lease from when the write that landed was sent.
+func (r *Reader) renewalLanded(record leaseRecord, version object.Version) {
+	r.lease.version = version
+	r.lease.record = record
+	index := slices.IndexFunc(r.lease.sent, func(sent sentRenewal) bool { return sent.renewals == record.Renewals })
+	if index < 0 {
+		return
+	}
+	sent := r.lease.sent[index].at
+	r.lease.sent = r.lease.sent[index+1:]
+	r.lease.expires = max(r.lease.expires, r.holdUntil(sent))
+	r.lease.renewAt = max(r.now, sent+r.config.LeaseDuration/renewalsPerLease)
+}
+
+// leaseRead resolves a write whose answer was lost, or that met a conflict.
+func (r *Reader) leaseRead(call pendingCall, reply object.Reply) {
+	if !r.lease.held {
+		r.takeResolved(call, reply)
+		return
+	}
+	r.lease.renewing = false
+	if reply.Code != result.OK && reply.Code != result.PlatformNotFound {
+		r.lease.renewAt = r.now + r.renewalRetry()
+		return
+	}
+	var record leaseRecord
+	if reply.Code != result.OK || json.Unmarshal(reply.Object.Data, &record) != nil || !r.isMine(record) {
+		r.loseLease("taken")
+		return
+	}
+	r.lease.mustRead = false
+	r.lease.renewAt = r.now
+	if reply.Object.Version > r.lease.version {
+		r.renewalLanded(record, reply.Object.Version)
+	}
+}
+
+func (r *Reader) isMine(record leaseRecord) bool {
+	return record.Holder == r.config.ID && record.Term == r.lease.record.Term
+}
+
+// takeResolved ends an acquisition whose answer was lost. A write that lands
+// later only makes the lease look held by this daemon, which may take it again.
+func (r *Reader) takeResolved(call pendingCall, reply object.Reply) {
+	r.lease.busy = false
+	var record leaseRecord
+	if reply.Code != result.OK || json.Unmarshal(reply.Object.Data, &record) != nil || record != call.record {
+		r.lease.attempt.fail(r.now, r.random)
+		return
+	}
+	call.sent = call.takeSent
+	r.gainLease(call, reply.Object.Version)
+}
+
+// resign gives the lease back.
+func (r *Reader) resign() {
+	r.lease.candidate = false
+	if !r.lease.held {
+		return
+	}
+	slot, version := r.lease.slot, r.lease.version
+	record := leaseRecord{Format: leaseFormat, Term: r.lease.record.Term, Duration: r.config.LeaseDuration}
+	r.loseLease("resigned")
+	r.call(pendingCall{purpose: purposeLeaseResign}, object.Call{Kind: object.CallUpdate, Name: slot, Expect: version, Data: record.encode()})
+}
+
+// loseLease stops everything that a reader does. Answers to calls under way
+// are ignored from now on.
+func (r *Reader) loseLease(reason string) {
+	r.lease.held = false
+	r.lease.busy = false
+	r.lease.attempt.fail(r.now, r.random)
+	r.calls = map[Token]pendingCall{}
+	r.abandonHead()
+	r.contents.reset()
+	r.abandonChanges()
+	r.emit(Lost{})
+	r.event("reader_lease_lost", EventField{"slot", r.lease.slot}, EventField{"reason", reason})
+}
+
+func (l leaseRecord) encode() []byte {
+	encoded, err := json.Marshal(l)
+	if err != nil {
+		panic(err)
+	}
+	return encoded
+}
