--- a/internal/core/membership/roster.go
+++ b/internal/core/membership/roster.go
@@ -14,6 +14,18 @@
 // a late record of it is not taken for a new member.
 const ForgetAfter = time.Hour
 
+// Source says from where a record was heard.
+type Source int
+
+// The sources of a record.
+const (
+	// Below is this daemon itself or a child, so that the parent may not know
+	// the record yet.
+	Below Source = iota + 1
+	// Above is the parent, or another region.
+	Above
+)
+
 // Cursor is a position in a roster's change log. 0 is before everything.
 type Cursor = uint64
 
@@ -33,7 +45,7 @@
 	member  protocol.Member
 	changed Cursor
 	at      time.Duration
-	source  protocol.NodeID
+	source  Source
 }
 
 type change struct {
@@ -48,7 +60,7 @@
 
 // Merge takes a record heard from source at now and reports whether it
 // replaced what was known.
-func (r *Roster) Merge(now time.Duration, member protocol.Member, source protocol.NodeID) bool {
+func (r *Roster) Merge(now time.Duration, member protocol.Member, source Source) bool {
 	known, found := r.entries[member.ID]
 	if found && !Newer(member, known.member) {
 		return false
@@ -60,12 +72,38 @@
 	known.member = member
 	known.at = now
 	known.source = source
+	r.sorted = nil
+	r.logChange(known)
+	return true
+}
+
+// MergeQuietly is Merge for a judgement that is not news from the member, such
+// as suspicion: ChangedAt stays what it was.
+func (r *Roster) MergeQuietly(now time.Duration, member protocol.Member, source Source) bool {
+	heard := r.ChangedAt(member.ID)
+	if !r.Merge(now, member, source) {
+		return false
+	}
+	r.entries[member.ID].at = heard
+	return true
+}
+
+// ReportAgain makes a record count as changed below, so that a new parent
+// hears it.
+func (r *Roster) ReportAgain(id protocol.NodeID) {
+	known, found := r.entries[id]
+	if !found {
+		return
+	}
+	known.source = Below
+	r.logChange(known)
+}
+
+func (r *Roster) logChange(known *entry) {
 	known.changed = r.next
-	r.log = append(r.log, change{cursor: r.next, id: member.ID})
+	r.log = append(r.log, change{cursor: r.next, id: known.member.ID})
 	r.next++
-	r.sorted = nil
 	r.compact()
-	return true
 }
 
 // compact drops stale log items, so that the log stays in proportion to the
@@ -118,9 +156,18 @@
 func (r *Roster) Cursor() Cursor { return r.next - 1 }
 
 // Since returns the records that changed after the cursor, each once and in
-// the order of their changes, except those heard from the excluded source.
-// After a cursor that this roster never gave out, it returns everything.
-func (r *Roster) Since(cursor Cursor, exclude protocol.NodeID) ([]protocol.Member, Cursor) {
+// the order of their changes. After a cursor that this roster never gave out,
+// it returns everything.
+func (r *Roster) Since(cursor Cursor) []protocol.Member {
+	return r.since(cursor, func(*entry) bool { return true })
+}
+
+// SinceBelow is Since for records heard from below only.
+func (r *Roster) SinceBelow(cursor Cursor) []protocol.Member {
+	return r.since(cursor, func(known *entry) bool { return known.source == Below })
+}
+
+func (r *Roster) since(cursor Cursor, fits func(*entry) bool) []protocol.Member {
 	if cursor >= r.next {
 		cursor = 0
 	}
@@ -129,16 +176,11 @@
 	})
 	var members []protocol.Member
 	for _, item := range r.log[from:] {
-		if !r.current(item) {
-			continue
-		}
-		known := r.entries[item.id]
-		if exclude != "" && known.source == exclude {
-			continue
+		if r.current(item) && fits(r.entries[item.id]) {
+			members = append(members, r.entries[item.id].member)
 		}
-		members = append(members, known.member)
 	}
-	return members, r.Cursor()
+	return members
 }
 
 // Forget drops members that have been dead or left for ForgetAfter.
--- /dev/null
+++ b/internal/core/node/operators.go
@@ -0,0 +1,166 @@
+package node
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/springstack/springstack/internal/core/membership"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// operators holds the operators' changes that are on their way to a reader.
+type operators struct {
+	changes []*change
+}
+
+// change is one operator's change. Sending it again under its operation id is
+// safe; so a lost answer is followed by another attempt, not by a guess.
+type change struct {
+	token    Token
+	request  *protocol.SubmitRequest
+	deadline time.Duration
+	// unknown is set once an attempt may have had its effect.
+	unknown bool
+	// last is the last definite refusal.
+	last *protocol.SubmitReply
+	busy bool
+	// retryAt is when the next attempt is made.
+	retryAt time.Duration
+	tried   int
+}
+
+// The bounds of a change on its way.
+const (
+	changeTimeout  = 15 * time.Second
+	attemptTimeout = 12 * time.Second
+	changeRetry    = 300 * time.Millisecond
+)
+
+func newOperators() operators { return operators{} }
+
+func (n *Node) handleOperatorRequest(request OperatorRequest) {
+	n.heardWallClock(request.WallClock)
+	switch body := request.Body.(type) {
+	case *protocol.SubmitRequest:
+		n.operatorSubmit(request.Token, body, request.WallClock)
+	case *protocol.StatusRequest:
+		n.operatorStatus(request.Token, body)
+	}
+}
+
+func (n *Node) operatorSubmit(token Token, request *protocol.SubmitRequest, wallClock time.Time) {
+	request.Format = protocol.Format
+	request.SentAt = wallClock
+	one := &change{token: token, request: request, deadline: n.now + changeTimeout}
+	n.operators.changes = append(n.operators.changes, one)
+	n.attemptChange(one)
+}
+
+// tickOperators retries and ends changes.
+func (n *Node) tickOperators() {
+	for _, one := range n.operators.changes {
+		switch {
+		case one.busy:
+		case n.now >= one.deadline:
+			n.giveUp(one)
+		case n.now >= one.retryAt:
+			n.attemptChange(one)
+		}
+	}
+	n.operators.changes = lo.Reject(n.operators.changes, func(one *change, _ int) bool { return one.request == nil })
+}
+
+// attemptChange sends a change to the own reader or to the next reader known.
+func (n *Node) attemptChange(one *change) {
+	if n.readerSide.reader.IsReader() {
+		one.busy = true
+		n.submit(one.request.SentAt, one.request, func(reply *protocol.SubmitReply) { n.changeAnswered(one, reply) })
+		return
+	}
+	readers := lo.Filter(n.roster.All(), func(member protocol.Member, _ int) bool {
+		return member.Reader && membership.Live(member) && member.ID != n.self.ID
+	})
+	if len(readers) == 0 {
+		one.retryAt = n.now + changeRetry
+		return
+	}
+	readers = n.nearestFirst(readers)
+	target := readers[one.tried%len(readers)]
+	one.tried++
+	one.busy = true
+	n.call(target.ControlAddress, one.request, attemptTimeout, func(body any) {
+		reply, _ := body.(*protocol.SubmitReply)
+		n.changeAnswered(one, reply)
+	})
+}
+
+// nearestFirst puts readers of the own region first.
+func (n *Node) nearestFirst(readers []protocol.Member) []protocol.Member {
+	near, far := lo.FilterReject(readers, func(member protocol.Member, _ int) bool { return member.Region == n.config.Region })
+	return append(near, far...)
+}
+
+// changeAnswered takes the answer of one attempt; nil when none came.
+//
+// What must hold: "did not run" is only said when no attempt can have had its
+// effect. After a lost answer a refusal proves nothing about the lost attempt,
+// except where the file itself is at fault; the change is then sent again
+// under the same operation id until a reader finds out.
+func (n *Node) changeAnswered(one *change, reply *protocol.SubmitReply) {
+	one.busy = false
+	one.retryAt = n.now + changeRetry
+	switch {
+	case one.request == nil:
+	case reply == nil:
+		one.unknown = true
+	case reply.Code == result.OutcomeUnknown:
+		one.unknown = true
+	case reply.Code == result.NoReader || reply.Code == result.NotAccepted || reply.Code == result.UnknownFormat:
+		one.last = reply
+	case one.unknown && !definite(reply.Code):
+		one.last = reply
+		n.giveUp(one)
+	default:
+		n.finishChange(one, reply)
+	}
+}
+
+// definite reports whether an answer stands even when an earlier attempt may
+// have had its effect: the change is accepted or held, or its file could never
+// be.
+func definite(code result.Code) bool {
+	return code == result.OK || code == result.Held || (code >= result.FileSyntax && code < result.RevisionMismatch)
+}
+
+// giveUp answers an operator whose change could not be settled in time.
+func (n *Node) giveUp(one *change) {
+	reply := &protocol.SubmitReply{Code: result.NoReader}
+	switch {
+	case one.unknown:
+		reply.Code = result.OutcomeUnknown
+	case one.last != nil:
+		reply = one.last
+	}
+	n.finishChange(one, reply)
+}
+
+func (n *Node) finishChange(one *change, reply *protocol.SubmitReply) {
+	n.emit(OperatorAnswer{Token: one.token, Body: reply})
+	one.request = nil
+}
+
+// handlePeerSubmit drives a change that another daemon forwards.
+func (n *Node) handlePeerSubmit(token Token, request *protocol.SubmitRequest) {
+	if !knownFormat(request.Format) {
+		n.answer(token, &protocol.SubmitReply{Code: result.UnknownFormat})
+		return
+	}
+	if !n.readerSide.reader.IsReader() {
+		n.answer(token, &protocol.SubmitReply{Code: result.NoReader})
+		return
+	}
+	n.heardWallClock(request.SentAt)
+	n.submit(request.SentAt, request, func(reply *protocol.SubmitReply) { n.answer(token, reply) })
+}
--- /dev/null
+++ b/internal/core/node/readerside.go
@@ -0,0 +1,232 @@
+package node
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/springstack/springstack/internal/core/distribution"
+	"github.com/springstack/springstack/internal/core/membership"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/reader"
+)
+
+// readerSide joins the reader to the node: tokens, tickets and the newest
+// catalogue.
+type readerSide struct {
+	reader *reader.Reader
+	// calls and watches map the shell's tokens to the reader's.
+	calls   map[Token]reader.Token
+	watches map[Token]reader.Token
+	// nextTicket and the maps below pair questions with their answers.
+	nextTicket reader.Ticket
+	heads      map[reader.Ticket]func(reader.HeadRead)
+	submits    map[reader.Ticket]func(*protocol.SubmitReply)
+	// catalogue is the newest; nil before the first.
+	catalogue *reader.CatalogueReady
+	// candidacy is decided anew at candidacyAt.
+	candidacy   reader.Candidacy
+	candidacyAt time.Duration
+}
+
+// The bounds of candidates for a reader lease.
+const (
+	// leaseSlots is how many readers a region has.
+	leaseSlots = 2
+	// maxCandidates is how many members of a region may turn to the platform:
+	// one for each slot and a spare.
+	maxCandidates = leaseSlots + 1
+	// candidateDelay separates the attempts of the ranks.
+	candidateDelay = 500 * time.Millisecond
+	// candidacyInterval is how often the candidates are ranked anew.
+	candidacyInterval = time.Second
+)
+
+func newReaderSide(config Config, seed uint64) readerSide {
+	return readerSide{
+		reader: reader.New(reader.Config{
+			ID:            config.ID,
+			Region:        config.Region,
+			LeaseSlots:    leaseSlots,
+			LeaseDuration: config.Timing.ReaderLease,
+			RandomSeed:    seed,
+		}),
+		calls:   map[Token]reader.Token{},
+		watches: map[Token]reader.Token{},
+		heads:   map[reader.Ticket]func(reader.HeadRead){},
+		submits: map[reader.Ticket]func(*protocol.SubmitReply){},
+	}
+}
+
+// tickReader lets the reader compete for a lease while this daemon is a
+// candidate.
+func (n *Node) tickReader() {
+	side := &n.readerSide
+	if n.now >= side.candidacyAt {
+		side.candidacyAt = n.now + candidacyInterval
+		side.candidacy = n.candidacy()
+	}
+	if !side.candidacy.Candidate && !side.reader.IsReader() && len(side.calls) == 0 {
+		return
+	}
+	n.applyReader(side.reader.Tick(n.now, side.candidacy))
+}
+
+// candidacy ranks the live members of the region, and those that start, by
+// rendezvous hash; the first few are candidates. While all slots are taken by
+// others there is nothing to compete for. A daemon that nobody answers is a
+// candidate after a jittered wait.
+func (n *Node) candidacy() reader.Candidacy {
+	if n.leaving || n.now < n.start.aloneAt && !n.start.answered {
+		return reader.Candidacy{}
+	}
+	members := lo.Filter(n.roster.All(), func(member protocol.Member, _ int) bool {
+		return member.Region == n.config.Region && membership.Live(member)
+	})
+	for _, visitor := range n.visitors.list {
+		if visitor.member.Region == n.config.Region {
+			members = append(members, visitor.member)
+		}
+	}
+	members = lo.UniqBy(members, func(member protocol.Member) protocol.NodeID { return member.ID })
+	readers := lo.CountBy(members, func(member protocol.Member) bool {
+		return member.Reader && member.ID != n.self.ID && member.State == protocol.MemberAlive
+	})
+	if readers >= leaseSlots {
+		return reader.Candidacy{}
+	}
+	for rank, member := range membership.Rank("reader/"+n.config.Region, members) {
+		if rank == maxCandidates {
+			break
+		}
+		if member.ID == n.self.ID {
+			jitter := distribution.Jitter(n.random, candidateDelay)
+			return reader.Candidacy{Candidate: true, Delay: time.Duration(rank)*candidateDelay + jitter}
+		}
+	}
+	return reader.Candidacy{}
+}
+
+// applyReader carries out what the reader asks for.
+func (n *Node) applyReader(outputs []reader.Output) {
+	for _, output := range outputs {
+		n.applyReaderOutput(output)
+	}
+}
+
+func (n *Node) applyReaderOutput(output reader.Output) {
+	side := &n.readerSide
+	switch one := output.(type) {
+	case reader.PlatformCall:
+		token := n.newToken()
+		side.calls[token] = one.Token
+		n.emit(CallPlatform{Token: token, Call: one.Call, Timeout: one.Timeout})
+	case reader.StartWatch:
+		token := n.newToken()
+		side.watches[token] = one.Token
+		n.emit(StartWatch{Token: token, Prefix: one.Prefix, From: one.From})
+	case reader.StopWatch:
+		n.stopWatch(one.Token)
+	case reader.SubmitDone:
+		n.submitDone(one)
+	case reader.HeadRead:
+		n.headRead(one)
+	case reader.CatalogueReady:
+		n.catalogueReady(one)
+	case reader.Gained:
+		n.changeSelf(func(self *protocol.Member) { self.Reader = true })
+		n.log("reader_gained")
+	case reader.Lost:
+		n.changeSelf(func(self *protocol.Member) { self.Reader = false })
+		n.log("reader_lost")
+	case reader.Event:
+		fields := lo.Map(one.Fields, func(field reader.EventField, _ int) LogField {
+			return LogField{Key: field.Key, Value: field.Value}
+		})
+		n.log(one.Name, fields...)
+	}
+}
+
+func (n *Node) stopWatch(watch reader.Token) {
+	for token, known := range n.readerSide.watches {
+		if known == watch {
+			delete(n.readerSide.watches, token)
+			n.emit(StopWatch{Token: token})
+			return
+		}
+	}
+}
+
+// catalogueReady takes a whole version from the platform. What a root takes it
+// releases; others keep it for the day they become root.
+func (n *Node) catalogueReady(catalogue reader.CatalogueReady) {
+	known := n.readerSide.catalogue
+	if known != nil && catalogue.Version < known.Version {
+		return
+	}
+	n.readerSide.catalogue = &catalogue
+	if n.root.active {
+		n.propose(&catalogue)
+	}
+}
+
+func (n *Node) handlePlatformReply(reply PlatformReply) {
+	token, found := n.readerSide.calls[reply.Token]
+	if !found {
+		return
+	}
+	delete(n.readerSide.calls, reply.Token)
+	n.applyReader(n.readerSide.reader.HandlePlatformReply(n.now, token, reply.Reply))
+}
+
+func (n *Node) handlePlatformEvent(event PlatformEvent) {
+	if token, found := n.readerSide.watches[event.Watch]; found {
+		n.applyReader(n.readerSide.reader.HandleEvent(n.now, token, event.Event))
+	}
+}
+
+func (n *Node) handleWatchEnded(ended WatchEnded) {
+	token, found := n.readerSide.watches[ended.Watch]
+	if !found {
+		return
+	}
+	delete(n.readerSide.watches, ended.Watch)
+	n.applyReader(n.readerSide.reader.HandleWatchEnded(n.now, token, ended.Code))
+}
+
+func (n *Node) newTicket() reader.Ticket {
+	n.readerSide.nextTicket++
+	return n.readerSide.nextTicket
+}
+
+// freshHead reads the platform's head through the own reader.
+func (n *Node) freshHead(done func(reader.HeadRead)) {
+	ticket := n.newTicket()
+	n.readerSide.heads[ticket] = done
+	n.applyReader(n.readerSide.reader.FreshHead(n.now, ticket))
+}
+
+func (n *Node) headRead(head reader.HeadRead) {
+	done, found := n.readerSide.heads[head.Ticket]
+	if !found {
+		return
+	}
+	delete(n.readerSide.heads, head.Ticket)
+	done(head)
+}
+
+// submit drives a change through the own reader.
+func (n *Node) submit(wallClock time.Time, request *protocol.SubmitRequest, done func(*protocol.SubmitReply)) {
+	ticket := n.newTicket()
+	n.readerSide.submits[ticket] = done
+	n.applyReader(n.readerSide.reader.Submit(n.now, wallClock, ticket, request))
+}
+
+func (n *Node) submitDone(answer reader.SubmitDone) {
+	done, found := n.readerSide.submits[answer.Ticket]
+	if !found {
+		return
+	}
+	delete(n.readerSide.submits, answer.Ticket)
+	done(answer.Reply)
+}
--- /dev/null
+++ b/internal/core/node/regions.go
@@ -0,0 +1,213 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/springstack/springstack/internal/core/membership"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// regions is what a root knows of the other regions, from their roots.
+type regions struct {
+	peers map[string]*regionPeer
+	// inForceAt is the wall clock at which the newest version came in force.
+	inForceAt time.Time
+}
+
+// regionPeer is another region as its root last told. What it said is in force
+// there stays so whatever happens after, for in force never reverts (I9).
+type regionPeer struct {
+	region  string
+	zones   []protocol.ZoneStatus
+	inForce protocol.Version
+	heardAt time.Duration
+	heard   bool
+	// cursor and incarnation follow the other root's change log.
+	cursor      uint64
+	incarnation protocol.Incarnation
+	from        protocol.NodeID
+	askedAt     time.Duration
+	asking      bool
+	attempts    int
+}
+
+// The periods between roots of different regions.
+const (
+	// regionInterval is how often another region's root is asked at rest, and
+	// regionFast how often while it has not yet what is released here.
+	regionInterval = 2 * time.Second
+	regionFast     = 200 * time.Millisecond
+	regionTimeout  = 1500 * time.Millisecond
+	// cutAfter is how long another region may be silent before it is shown as
+	// cut off.
+	cutAfter = 6 * time.Second
+)
+
+func newRegions() regions {
+	return regions{peers: map[string]*regionPeer{}}
+}
+
+// sweepRegions finds the other regions that have members.
+func (n *Node) sweepRegions() {
+	if !n.root.active {
+		return
+	}
+	for _, member := range n.roster.All() {
+		n.needRegion(member.Region, membership.Live(member))
+	}
+	if n.readerSide.catalogue == nil {
+		return
+	}
+	for _, set := range n.readerSide.catalogue.Keepers {
+		n.needRegion(set.Region, len(set.Members) > 0)
+	}
+}
+
+func (n *Node) needRegion(region string, live bool) {
+	if !live || region == n.config.Region || n.regions.peers[region] != nil {
+		return
+	}
+	n.regions.peers[region] = &regionPeer{region: region}
+}
+
+// regionNames returns the other regions in ascending order.
+func (n *Node) regionNames() []string {
+	names := lo.Keys(n.regions.peers)
+	slices.Sort(names)
+	return names
+}
+
+// tickRegions asks the other regions' roots what is in force there.
+func (n *Node) tickRegions() {
+	for _, name := range n.regionNames() {
+		peer := n.regions.peers[name]
+		interval := regionInterval
+		if peer.heard && peer.inForce < n.root.regional {
+			interval = regionFast
+		}
+		if !peer.asking && n.now-peer.askedAt >= interval {
+			n.askRegion(peer)
+		}
+	}
+}
+
+func (n *Node) askRegion(peer *regionPeer) {
+	address := n.regionAddress(peer)
+	if address == "" {
+		return
+	}
+	peer.asking = true
+	peer.askedAt = n.now
+	request := &protocol.StatusRequest{
+		Format:          protocol.Format,
+		From:            n.self.ID,
+		Self:            n.self,
+		MemberCursor:    peer.cursor,
+		PeerIncarnation: peer.incarnation,
+	}
+	n.call(address, request, regionTimeout, func(body any) {
+		peer.asking = false
+		reply, _ := body.(*protocol.StatusReply)
+		n.heardRegion(peer, reply)
+	})
+}
+
+// regionAddress returns whom to ask in another region: its root or readers as
+// far as known, else its members and keepers in turn.
+func (n *Node) regionAddress(peer *regionPeer) string {
+	inRegion := lo.Filter(n.roster.All(), func(member protocol.Member, _ int) bool {
+		return member.Region == peer.region && membership.Live(member)
+	})
+	best := lo.Filter(inRegion, func(member protocol.Member, _ int) bool { return member.Root })
+	rest := lo.Filter(inRegion, func(member protocol.Member, _ int) bool { return member.Reader && !member.Root })
+	addresses := lo.Map(append(best, rest...), func(member protocol.Member, _ int) string { return member.ControlAddress })
+	if peer.attempts >= len(addresses) {
+		addresses = append(addresses, lo.Map(inRegion, func(member protocol.Member, _ int) string { return member.ControlAddress })...)
+		if n.readerSide.catalogue != nil {
+			set, _ := keeperSetOf(n.readerSide.catalogue.Keepers, peer.region)
+			addresses = append(addresses, lo.Map(set.Members, func(keeper protocol.KeeperMember, _ int) string { return keeper.ControlAddress })...)
+		}
+	}
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[peer.attempts%len(addresses)]
+}
+
+// heardRegion takes the answer of another region's root.
+func (n *Node) heardRegion(peer *regionPeer, reply *protocol.StatusReply) {
+	if reply == nil {
+		peer.attempts++
+		return
+	}
+	for _, member := range reply.Members {
+		if member.Region != n.config.Region {
+			n.heardMember(member, membership.Above)
+		}
+	}
+	if reply.Code != result.OK {
+		peer.attempts++
+		return
+	}
+	peer.attempts = 0
+	peer.heard = true
+	peer.heardAt = n.now
+	peer.cursor = reply.MemberCursor
+	peer.incarnation = reply.Incarnation
+	peer.inForce = max(peer.inForce, reply.Summary.InForce)
+	peer.zones = reply.Summary.Zones
+	if n.root.active {
+		n.raiseInForce(n.globalInForce())
+	}
+}
+
+// globalInForce returns what is in force in every region that has members. A
+// region that was never heard holds everything back.
+func (n *Node) globalInForce() protocol.Version {
+	lowest := n.root.regional
+	for _, peer := range n.regions.peers {
+		lowest = min(lowest, peer.inForce)
+	}
+	return lowest
+}
+
+// answerRegion answers another region's root with what is in force in this
+// region and with the records of its members that changed.
+func (n *Node) answerRegion(token Token, request *protocol.StatusRequest) {
+	if request.Self.Region != n.config.Region {
+		n.heardMember(request.Self, membership.Above)
+	}
+	reply := &protocol.StatusReply{Code: result.AskAnother, Incarnation: n.self.Incarnation}
+	if !n.root.active {
+		reply.Members = n.hints(request.From, "")
+		n.answer(token, reply)
+		return
+	}
+	cursor := membership.Cursor(0)
+	if request.PeerIncarnation == n.self.Incarnation {
+		cursor = request.MemberCursor
+	}
+	reply.Code = result.OK
+	reply.MemberCursor = n.roster.Cursor()
+	reply.Members = lo.Filter(n.roster.Since(cursor), func(member protocol.Member, _ int) bool {
+		return member.Region == n.config.Region
+	})
+	reply.Summary = protocol.Summary{
+		Version: n.holding.store.Version(),
+		InForce: n.root.regional,
+		Zones:   n.zoneStatuses(),
+	}
+	n.answer(token, reply)
+}
+
+// cutRegions returns the regions whose root has not been heard lately.
+func (n *Node) cutRegions() []string {
+	return lo.Filter(n.regionNames(), func(name string, _ int) bool {
+		peer := n.regions.peers[name]
+		return !peer.heard || n.now-peer.heardAt > cutAfter
+	})
+}
--- /dev/null
+++ b/internal/core/node/root.go
@@ -0,0 +1,320 @@
+package node
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/springstack/springstack/internal/core/distribution"
+	"github.com/springstack/springstack/internal/core/floor"
+	"github.com/springstack/springstack/internal/core/membership"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/reader"
+)
+
+// root is what a daemon does as the root of its region: it stores versions at
+// the keepers, releases them, grants leases and says what is in force.
+type root struct {
+	active bool
+	since  time.Duration
+	lease  *distribution.RootLease
+	claims *distribution.Claims
+	// releaser stores versions at the keepers.
+	releaser *floor.Releaser
+	// target is the catalogue being stored; nil when there is none.
+	target   *reader.CatalogueReady
+	targetAt time.Duration
+	// batch gathers catalogues that may wait for others.
+	batch *reader.CatalogueReady
+	// batchUntil is when the batch goes out.
+	batchUntil time.Duration
+	roundAt    time.Duration
+	keepersAt  time.Duration
+	greetAt    time.Duration
+	// regional is what is in force in this region.
+	regional protocol.Version
+}
+
+// The periods of a root.
+const (
+	// roundInterval is how often the keepers are asked to renew the root's
+	// right to grant leases.
+	roundInterval = time.Second
+	// keeperTimeout is how long a keeper may take to answer.
+	keeperTimeout = time.Second
+	// keeperChangeInterval is the least time between changes of the keeper set.
+	keeperChangeInterval = 5 * time.Second
+)
+
+func newRoot(config Config) root {
+	return root{
+		releaser: floor.NewReleaser(config.ID, config.Region),
+		lease:    distribution.NewRootLease(config.Timing.ServingLease),
+		claims:   distribution.NewClaims(config.Timing.ServingLease),
+	}
+}
+
+// canBeRoot reports whether this daemon has something to release.
+func (n *Node) canBeRoot() bool {
+	floorVersion, known := n.floor()
+	if !known || n.leaving {
+		return false
+	}
+	if version := n.holding.store.Version(); version > 0 && version >= floorVersion {
+		return true
+	}
+	return n.readerSide.catalogue != nil
+}
+
+// becomeRoot takes the role of root. Two roots of one region do no harm: see
+// distribution.RootLease and distribution.Claims.
+func (n *Node) becomeRoot() {
+	n.root.active = true
+	n.root.since = n.now
+	n.root.lease = distribution.NewRootLease(n.config.Timing.ServingLease)
+	n.root.claims = distribution.NewClaims(n.config.Timing.ServingLease)
+	n.root.releaser = floor.NewReleaser(n.config.ID, n.config.Region)
+	n.root.target = nil
+	n.root.batch = nil
+	n.root.roundAt = n.now
+	n.root.claims.Released(n.now, n.holding.store.Version(), false)
+	n.upstream.joined = false
+	n.upstream.token = 0
+	n.upstream.target = protocol.Member{}
+	n.changeSelf(func(self *protocol.Member) {
+		self.Root = true
+		self.Parent = ""
+	})
+	n.downstream.acksChanged = true
+	n.log("root_started", versionField("version", n.holding.store.Version()))
+	if n.readerSide.catalogue != nil {
+		n.propose(n.readerSide.catalogue)
+	}
+}
+
+// stepDown leaves the role to a better root that has answered.
+func (n *Node) stepDown(better protocol.Member) {
+	n.root.active = false
+	n.root.target = nil
+	n.root.batch = nil
+	n.log("root_stopped", LogField{Key: "root", Value: string(better.ID)})
+	n.upstream.target = protocol.Member{}
+	delete(n.upstream.avoid, better.ID)
+	n.upstream.nextAt = n.now
+	n.fetchFrom(better)
+}
+
+func (n *Node) tickRoot() {
+	if !n.root.active {
+		return
+	}
+	if n.root.batch != nil && n.now >= n.root.batchUntil {
+		n.startRelease(n.root.batch)
+	}
+	n.carryOutFloor(n.root.releaser.Tick(n.now))
+	n.release()
+	n.keeperRound()
+	n.chooseKeepers()
+	n.renewRootLease()
+	n.decideInForce()
+	n.tickRegions()
+	n.greetOthers()
+}
+
+// propose takes a new catalogue. When the files that changed prefer bytes, it
+// waits for others for the batching window.
+func (n *Node) propose(catalogue *reader.CatalogueReady) {
+	if catalogue.Version <= n.holding.store.Version() {
+		return
+	}
+	if catalogue.BatchWindow <= 0 || n.holding.store.Version() == 0 {
+		n.startRelease(catalogue)
+		return
+	}
+	if n.root.batch == nil {
+		n.root.batchUntil = n.now + catalogue.BatchWindow
+	}
+	n.root.batch = catalogue
+	n.root.batchUntil = min(n.root.batchUntil, n.now+catalogue.BatchWindow)
+}
+
+// startRelease begins to store a version at the keepers.
+func (n *Node) startRelease(catalogue *reader.CatalogueReady) {
+	n.root.batch = nil
+	set, found := keeperSetOf(catalogue.Keepers, n.config.Region)
+	if !found {
+		return
+	}
+	if set.Revision > n.holding.keepers.Revision {
+		n.adoptKeepers(set)
+	}
+	n.root.target = catalogue
+	n.root.targetAt = n.now
+	n.carryOutFloor(n.root.releaser.SetTarget(n.now, n.readerSide.reader.Term(), catalogue.Version, set))
+	n.release()
+}
+
+// release puts the target in the store once enough keepers remember it. Only
+// then may any proxy of the region put it in force, this one included (I1).
+func (n *Node) release() {
+	target := n.root.target
+	if target == nil || n.root.releaser.Released() < target.Version {
+		return
+	}
+	n.root.target = nil
+	if err := n.holding.store.Add(target.Version, target.Resources); err != nil {
+		n.log("catalogue_refused", versionField("version", target.Version), LogField{Key: "error", Value: err.Error()})
+		return
+	}
+	alone := n.root.lease.Alone(n.root.targetAt, n.keeperSets()...)
+	n.root.claims.Released(n.now, target.Version, alone)
+	n.renewRootLease()
+	n.log("version_released", versionField("version", target.Version))
+	n.adoptFromStore()
+}
+
+// keeperSets returns every keeper set that must agree: the newest, the one
+// that it replaces until that has settled, and one that another root may still
+// go by.
+func (n *Node) keeperSets() []protocol.KeeperSet {
+	set := n.holding.keepers
+	if len(set.Members) == 0 {
+		return nil
+	}
+	sets := []protocol.KeeperSet{set}
+	if set.Previous != nil {
+		sets = append(sets, *set.Previous)
+	}
+	return sets
+}
+
+// keeperRound asks the keepers whether anything newer was stored.
+func (n *Node) keeperRound() {
+	if n.now < n.root.roundAt {
+		return
+	}
+	n.root.roundAt = n.now + roundInterval
+	asked := map[protocol.NodeID]bool{}
+	for _, set := range n.keeperSets() {
+		for _, keeper := range set.Members {
+			if asked[keeper.ID] {
+				continue
+			}
+			asked[keeper.ID] = true
+			n.askKeeper(keeper)
+		}
+	}
+}
+
+func (n *Node) askKeeper(keeper protocol.KeeperMember) {
+	request := &protocol.StoreRequest{
+		Format:      protocol.Format,
+		From:        n.self.ID,
+		Incarnation: n.self.Incarnation,
+		Term:        n.readerSide.reader.Term(),
+		Version:     n.holding.store.Version(),
+		Keepers:     n.holding.keepers,
+	}
+	n.store(keeper.ControlAddress, request, keeperTimeout, func(*protocol.StoreReply) {})
+}
+
+// store sends a store request to a keeper, which may be this daemon, and takes
+// what the reply says for the root's lease.
+func (n *Node) store(address string, request *protocol.StoreRequest, timeout time.Duration, done func(*protocol.StoreReply)) {
+	sentAt := n.now
+	finish := func(reply *protocol.StoreReply) {
+		if reply != nil {
+			n.root.lease.Answer(reply.From, sentAt, reply)
+		}
+		done(reply)
+	}
+	if address == n.config.ControlAddress {
+		finish(n.handleStore(request))
+		return
+	}
+	n.call(address, request, timeout, func(body any) {
+		reply, _ := body.(*protocol.StoreReply)
+		finish(reply)
+	})
+}
+
+// renewRootLease extends what this root may grant, and serves itself by it.
+func (n *Node) renewRootLease() {
+	version := n.holding.store.Version()
+	if version == 0 {
+		return
+	}
+	until := n.root.lease.Until(version, n.keeperSets()...)
+	if until <= n.holding.grantUntil {
+		return
+	}
+	n.holding.grantUntil = until
+	n.extendServing(lease{until: until, version: version})
+}
+
+// chooseKeepers changes the keeper set when a keeper is gone for good or when
+// the region has grown. Only a reader can write it into the head.
+func (n *Node) chooseKeepers() {
+	catalogue := n.readerSide.catalogue
+	if catalogue == nil || !n.readerSide.reader.IsReader() || n.now < n.root.keepersAt {
+		return
+	}
+	if n.holding.store.Version() < catalogue.Version && len(n.holding.keepers.Members) > 0 {
+		return
+	}
+	n.root.keepersAt = n.now + keeperChangeInterval
+	current, _ := keeperSetOf(catalogue.Keepers, n.config.Region)
+	members := lo.Filter(n.roster.All(), func(member protocol.Member, _ int) bool {
+		return member.Region == n.config.Region && membership.Live(member)
+	})
+	chosen, changed := floor.ChooseKeepers(n.config.Region, current, members)
+	if changed {
+		n.applyReader(n.readerSide.reader.SetKeepers(n.now, []protocol.KeeperSet{chosen}))
+	}
+}
+
+// adoptKeepers takes a newer keeper set of this region.
+func (n *Node) adoptKeepers(set protocol.KeeperSet) {
+	n.holding.keepers = set
+	n.start.adoptKeepers(set)
+}
+
+// decideInForce says what is in force in this region and everywhere.
+func (n *Node) decideInForce() {
+	holding := n.refreshed().expected.Holding(n.acknowledgements())
+	claimed := min(holding, n.root.claims.Highest(n.now))
+	if claimed > n.root.regional {
+		n.root.regional = claimed
+	}
+	n.raiseInForce(n.globalInForce())
+}
+
+// raiseInForce takes a newer version in force. It never moves back (I9).
+func (n *Node) raiseInForce(version protocol.Version) {
+	if version <= n.holding.inForce {
+		return
+	}
+	n.holding.inForce = version
+	n.regions.inForceAt = n.wallNow()
+	n.log("version_in_force", versionField("version", version))
+}
+
+// greetOthers lets better roots and new daemons find this root, and this root
+// find a better one.
+func (n *Node) greetOthers() {
+	if n.now < n.root.greetAt {
+		return
+	}
+	n.root.greetAt = n.now + rootPreferInterval/2 + distribution.Jitter(n.random, rootPreferInterval)
+	for _, candidate := range n.tree().Roots() {
+		if candidate.ID == n.self.ID {
+			break
+		}
+		n.greetMember(candidate)
+	}
+	n.greet()
+}
+
+func keeperSetOf(sets []protocol.KeeperSet, region string) (protocol.KeeperSet, bool) {
+	return lo.Find(sets, func(set protocol.KeeperSet) bool { return set.Region == region })
+}
--- /dev/null
+++ b/internal/core/node/start.go
@@ -0,0 +1,319 @@
+package node
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/springstack/springstack/internal/core/distribution"
+	"github.com/springstack/springstack/internal/core/floor"
+	"github.com/springstack/springstack/internal/core/membership"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/reader"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// start is what a daemon does until it knows its version floor, and what it
+// remembers as a keeper for others that start.
+type start struct {
+	learner *floor.Learner
+	keeper  *floor.Keeper
+	known   bool
+	floor   protocol.Version
+	// readyAt is when the floor became known.
+	readyAt time.Duration
+	// answered is set once any other daemon has answered.
+	answered bool
+	// aloneAt is when a daemon that nobody answers may turn to the platform.
+	aloneAt time.Duration
+	// roots remembers which roots asked this daemon as a keeper, and when.
+	roots map[rootLife]time.Duration
+	// headWanted is set while a fresh head of the own reader is awaited.
+	headWanted bool
+}
+
+// rootLife is one life of a daemon that acted as root.
+type rootLife struct {
+	id          protocol.NodeID
+	incarnation protocol.Incarnation
+}
+
+// The periods of the start.
+const (
+	// aloneBase and aloneJitter bound the time after which a daemon that nobody
+	// answers may turn to the platform: the bounded fallback of a first start.
+	aloneBase   = 500 * time.Millisecond
+	aloneJitter = 1500 * time.Millisecond
+	// greetTimeout is how long a greeting may take.
+	greetTimeout = time.Second
+	// maxPeers bounds the members told to a daemon that starts.
+	maxPeers = 16
+)
+
+func newStart(config Config, seed uint64) start {
+	return start{
+		learner: floor.NewLearner(floor.LearnerConfig{
+			ID:         config.ID,
+			Region:     config.Region,
+			Seeds:      config.Seeds,
+			RandomSeed: seed,
+		}),
+		keeper: floor.NewKeeper(config.ID, config.Region),
+		roots:  map[rootLife]time.Duration{},
+	}
+}
+
+// begin runs in the first step.
+func (n *Node) begin() {
+	n.started = true
+	n.startedAt = n.now
+	n.roster.Merge(n.now, n.self, membership.Below)
+	n.start.aloneAt = n.now
+	if len(n.config.Seeds) > 0 {
+		n.start.aloneAt += aloneBase + distribution.Jitter(n.random, aloneJitter)
+	}
+	n.log("node_started", LogField{Key: "id", Value: string(n.self.ID)})
+}
+
+// floor returns the version below which this daemon serves nothing; false
+// while it is not known.
+func (n *Node) floor() (protocol.Version, bool) { return n.start.floor, n.start.known }
+
+// tickStart learns the floor.
+func (n *Node) tickStart() {
+	if n.start.known {
+		return
+	}
+	n.carryOutFloor(n.start.learner.Tick(n.now))
+	n.floorLearnt()
+}
+
+// floorLearnt takes the floor once the learner knows it.
+func (n *Node) floorLearnt() {
+	learnt, known := n.start.learner.Floor()
+	if n.start.known || !known {
+		return
+	}
+	n.start.known = true
+	n.start.floor = learnt
+	n.start.readyAt = n.now
+	n.raiseIncarnation(n.start.learner.Incarnation())
+	set := n.start.learner.Keepers()
+	n.start.keeper.Validate(learnt, set)
+	if set.Revision > n.holding.keepers.Revision {
+		n.holding.keepers = set
+	}
+	for _, peer := range n.start.learner.Peers() {
+		n.heardMember(peer, membership.Above)
+	}
+	n.log("floor_learnt", versionField("floor", learnt))
+}
+
+// adoptKeepers tells the keeper of a newer set.
+func (s *start) adoptKeepers(set protocol.KeeperSet) {
+	if s.known {
+		s.keeper.Validate(s.floor, set)
+	}
+}
+
+// carryOutFloor carries out what the learner or the releaser asks for.
+func (n *Node) carryOutFloor(outputs []floor.Output) {
+	for _, output := range outputs {
+		switch one := output.(type) {
+		case floor.AskFloor:
+			n.askFloor(one)
+		case floor.ReadHead:
+			n.readOwnHead()
+		case floor.StoreVersion:
+			n.storeVersion(one)
+		}
+	}
+}
+
+func (n *Node) askFloor(ask floor.AskFloor) {
+	ask.Request.Self = n.self
+	n.call(ask.Address, ask.Request, ask.Timeout, func(body any) {
+		reply, _ := body.(*protocol.FloorReply)
+		n.start.answered = n.start.answered || reply != nil
+		n.heardPeers(reply)
+		n.carryOutFloor(n.start.learner.HandleReply(n.now, ask.Token, reply))
+		n.floorLearnt()
+	})
+}
+
+func (n *Node) heardPeers(reply *protocol.FloorReply) {
+	if reply == nil {
+		return
+	}
+	for _, peer := range reply.Peers {
+		n.visitors.heard(n.now, peer)
+	}
+}
+
+// readOwnHead asks this daemon's own reader for a fresh head.
+func (n *Node) readOwnHead() {
+	if n.start.headWanted || !n.readerSide.reader.IsReader() {
+		return
+	}
+	n.start.headWanted = true
+	n.freshHead(func(head reader.HeadRead) {
+		n.start.headWanted = false
+		if !head.OK {
+			return
+		}
+		n.carryOutFloor(n.start.learner.HandleHead(n.now, head.Version, head.Keepers))
+		n.floorLearnt()
+	})
+}
+
+func (n *Node) storeVersion(store floor.StoreVersion) {
+	store.Request.Incarnation = n.self.Incarnation
+	n.store(store.Address, store.Request, store.Timeout, func(reply *protocol.StoreReply) {
+		n.carryOutFloor(n.root.releaser.HandleReply(n.now, store.Token, reply))
+		if n.root.active {
+			n.release()
+		}
+	})
+}
+
+// handleStore answers a root as keeper, and says whether another root may have
+// been at work: one that asked within the longest lease, or before this daemon
+// started and remembered anything.
+func (n *Node) handleStore(request *protocol.StoreRequest) *protocol.StoreReply {
+	if !knownFormat(request.Format) {
+		return &protocol.StoreReply{Code: result.UnknownFormat, From: n.self.ID, Incarnation: n.self.Incarnation}
+	}
+	reply := n.start.keeper.Store(request)
+	reply.From = n.self.ID
+	reply.Incarnation = n.self.Incarnation
+	window := marginOf(n.config.Timing.ServingLease)
+	asker := rootLife{id: request.From, incarnation: request.Incarnation}
+	reply.OtherRoot = n.now-n.startedAt < window
+	for other, at := range n.start.roots {
+		if n.now-at >= window {
+			delete(n.start.roots, other)
+			continue
+		}
+		reply.OtherRoot = reply.OtherRoot || other != asker
+	}
+	n.start.roots[asker] = n.now
+	return reply
+}
+
+// handleFloor answers a daemon that starts, or a root that looks for others.
+func (n *Node) handleFloor(token Token, request *protocol.FloorRequest) {
+	if !knownFormat(request.Format) {
+		n.answer(token, &protocol.FloorReply{Code: result.UnknownFormat, From: n.self.ID})
+		return
+	}
+	n.visitors.heard(n.now, request.Self)
+	n.heardRoot(request.Self)
+	if !request.FreshHead || request.Region != n.config.Region && !n.readerSide.reader.IsReader() {
+		n.answerFloor(token, request, n.start.keeper.Answer(request))
+		return
+	}
+	if !n.readerSide.reader.IsReader() {
+		n.answerFloor(token, request, n.start.keeper.Answer(request))
+		return
+	}
+	n.freshHead(func(head reader.HeadRead) {
+		reply := &protocol.FloorReply{Code: result.NoReader}
+		if head.OK {
+			set, _ := keeperSetOf(head.Keepers, request.Region)
+			reply = &protocol.FloorReply{Code: result.OK, Floor: head.Version, FromHead: true, Keepers: set}
+		}
+		n.answerFloor(token, request, reply)
+	})
+}
+
+func (n *Node) answerFloor(token Token, request *protocol.FloorRequest, reply *protocol.FloorReply) {
+	reply.From = n.self.ID
+	reply.Peers = n.peersFor(request)
+	if known, found := n.roster.Get(request.From); found {
+		reply.Incarnation = known.Incarnation
+	}
+	n.answer(token, reply)
+}
+
+// peersFor chooses some live members that help an asker to join: this daemon,
+// its root, readers, candidates for root, relays of the asker's zone, and
+// others that start.
+func (n *Node) peersFor(request *protocol.FloorRequest) []protocol.Member {
+	readers := lo.Filter(n.roster.All(), func(member protocol.Member, _ int) bool {
+		return membership.Live(member) && (member.Reader || member.Root)
+	})
+	list := append([]protocol.Member{n.self}, readers...)
+	list = append(list, n.hints(request.From, request.Self.Zone)...)
+	for _, one := range n.visitors.list {
+		list = append(list, one.member)
+	}
+	list = lo.Reject(list, func(member protocol.Member, _ int) bool { return member.ID == request.From })
+	list = lo.UniqBy(list, func(member protocol.Member) protocol.NodeID { return member.ID })
+	return list[:min(len(list), maxPeers)]
+}
+
+// greet asks a random seed or known root for others, and shows itself to it.
+func (n *Node) greet() {
+	addresses := lo.Reject(n.config.Seeds, func(address string, _ int) bool { return address == n.config.ControlAddress })
+	if len(addresses) == 0 {
+		return
+	}
+	n.greetAddress(addresses[n.random.IntN(len(addresses))])
+}
+
+func (n *Node) greetMember(member protocol.Member) { n.greetAddress(member.ControlAddress) }
+
+func (n *Node) greetAddress(address string) {
+	request := &protocol.FloorRequest{Format: protocol.Format, Region: n.config.Region, From: n.self.ID, Self: n.self}
+	n.call(address, request, greetTimeout, func(body any) {
+		reply, ok := body.(*protocol.FloorReply)
+		if !ok || reply == nil {
+			return
+		}
+		n.start.answered = true
+		n.heardPeers(reply)
+		for _, peer := range reply.Peers {
+			n.heardGreeted(reply.From, peer)
+		}
+	})
+}
+
+// heardGreeted takes a member named in the answer to a greeting. A better root
+// that answers for itself takes over.
+func (n *Node) heardGreeted(from protocol.NodeID, peer protocol.Member) {
+	if !n.root.active {
+		if _, known := n.floor(); known {
+			n.heardMember(peer, membership.Above)
+		}
+		return
+	}
+	if peer.Region != n.config.Region || !peer.Root || peer.ID != from {
+		return
+	}
+	n.heardMember(peer, membership.Below)
+	if n.isBetterRoot(peer) {
+		n.stepDown(peer)
+	}
+}
+
+// heardRoot takes the record of another root that shows itself, so that this
+// daemon's tree leads to it.
+func (n *Node) heardRoot(member protocol.Member) {
+	if member.Root && member.ID != n.self.ID && member.Region == n.config.Region {
+		n.heardMember(member, membership.Below)
+	}
+}
+
+// isBetterRoot reports whether a root comes before this daemon in the order of
+// candidates.
+func (n *Node) isBetterRoot(other protocol.Member) bool {
+	for _, candidate := range n.tree().Roots() {
+		switch candidate.ID {
+		case n.self.ID:
+			return false
+		case other.ID:
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/core/node/status.go
@@ -0,0 +1,168 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/springstack/springstack/internal/core/membership"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// zoneStatuses returns how far the zones of this region are, as the root sees
+// it, in ascending order of zone.
+func (n *Node) zoneStatuses() []protocol.ZoneStatus {
+	zones := map[string]*protocol.ZoneStatus{}
+	for _, member := range n.roster.All() {
+		if member.Region != n.config.Region || !membership.Live(member) {
+			continue
+		}
+		one, found := zones[member.Zone]
+		if !found {
+			one = &protocol.ZoneStatus{Region: member.Region, Zone: member.Zone}
+			zones[member.Zone] = one
+		}
+		one.Members++
+		if member.State == protocol.MemberSuspect && len(one.Silent) < protocol.MaxNamed {
+			one.Silent = append(one.Silent, member.ID)
+		}
+	}
+	newest := n.newestVersion()
+	for _, ack := range n.acknowledgements() {
+		one, found := zones[ack.Zone]
+		if !found {
+			continue
+		}
+		one.Minimum = ack.Minimum
+		if ack.Minimum < newest {
+			one.Behind = ack.Behind
+		}
+	}
+	n.countHolding(zones, newest)
+	names := lo.Keys(zones)
+	slices.Sort(names)
+	return lo.Map(names, func(name string, _ int) protocol.ZoneStatus { return *zones[name] })
+}
+
+// countHolding adds up the members at the newest version. A fold that is not
+// at the newest version counts none of its members: it only knows a minimum.
+func (n *Node) countHolding(zones map[string]*protocol.ZoneStatus, newest protocol.Version) {
+	count := func(ack protocol.Acknowledgement) {
+		one, found := zones[ack.Zone]
+		if found && ack.Minimum >= newest {
+			one.Holding = min(one.Members, one.Holding+ack.Count)
+		}
+	}
+	for _, id := range n.downstream.order {
+		for _, ack := range n.downstream.children[id].acks {
+			count(ack)
+		}
+	}
+	count(protocol.Acknowledgement{Zone: n.config.Zone, Minimum: n.held(), Count: 1})
+}
+
+// newestVersion returns the newest accepted version that this daemon knows.
+func (n *Node) newestVersion() protocol.Version {
+	newest := max(n.holding.store.Version(), n.held())
+	if n.readerSide.catalogue != nil {
+		newest = max(newest, n.readerSide.catalogue.Version)
+	}
+	return newest
+}
+
+// status answers from what this daemon knows itself.
+func (n *Node) status(partner resource.Partner) *protocol.StatusReply {
+	reply := &protocol.StatusReply{
+		Code: result.OK,
+		Summary: protocol.Summary{
+			Version:   n.newestVersion(),
+			InForce:   n.holding.inForce,
+			InForceAt: n.regions.inForceAt,
+		},
+		Members: n.roster.All(),
+	}
+	if n.root.active {
+		reply.Summary.Zones = n.zoneStatuses()
+		for _, name := range n.regionNames() {
+			reply.Summary.Zones = append(reply.Summary.Zones, n.regions.peers[name].zones...)
+		}
+		reply.Summary.CutRegions = n.cutRegions()
+	}
+	if n.readerSide.catalogue != nil {
+		reply.Summary.AcceptedAt = n.readerSide.catalogue.AcceptedAt
+		reply.Files = n.fileStatuses(partner)
+	}
+	return reply
+}
+
+func (n *Node) fileStatuses(partner resource.Partner) []protocol.FileStatus {
+	files := lo.Filter(n.readerSide.catalogue.Files, func(file protocol.FileStatus, _ int) bool {
+		return partner == "" || file.Partner == partner
+	})
+	return lo.Map(files, func(file protocol.FileStatus, _ int) protocol.FileStatus {
+		file.InForce = !file.Held && file.Version > 0 && file.Version <= n.holding.inForce
+		return file
+	})
+}
+
+// handlePeerStatus answers another daemon's question.
+func (n *Node) handlePeerStatus(token Token, request *protocol.StatusRequest) {
+	switch {
+	case !knownFormat(request.Format):
+		n.answer(token, &protocol.StatusReply{Code: result.UnknownFormat})
+	case request.From != "":
+		n.answerRegion(token, request)
+	case !n.root.active:
+		n.answer(token, &protocol.StatusReply{Code: result.AskAnother, Members: n.hints("", "")})
+	default:
+		n.answer(token, n.status(request.Partner))
+	}
+}
+
+// statusTimeout bounds the question to the root.
+const statusTimeout = 2 * time.Second
+
+// operatorStatus answers an operator: as the root, or by asking the root. When
+// no root answers, it tells what this daemon knows itself, with NoReader.
+func (n *Node) operatorStatus(token Token, request *protocol.StatusRequest) {
+	if n.root.active {
+		n.emit(OperatorAnswer{Token: token, Body: n.status(request.Partner)})
+		return
+	}
+	n.askStatus(token, request, n.statusTargets())
+}
+
+func (n *Node) askStatus(token Token, request *protocol.StatusRequest, targets []protocol.Member) {
+	if len(targets) == 0 {
+		own := n.status(request.Partner)
+		own.Code = result.NoReader
+		n.emit(OperatorAnswer{Token: token, Body: own})
+		return
+	}
+	n.call(targets[0].ControlAddress, request, statusTimeout, func(body any) {
+		reply, _ := body.(*protocol.StatusReply)
+		if reply == nil || reply.Code != result.OK {
+			n.askStatus(token, request, targets[1:])
+			return
+		}
+		n.raiseInForce(reply.Summary.InForce)
+		n.emit(OperatorAnswer{Token: token, Body: reply})
+	})
+}
+
+// statusTargets returns the likely roots of this region, best first.
+func (n *Node) statusTargets() []protocol.Member {
+	const most = 3
+	var targets []protocol.Member
+	if n.upstream.joined && n.upstream.target.Root {
+		targets = append(targets, n.upstream.target)
+	}
+	targets = append(targets, n.tree().Roots()...)
+	targets = lo.UniqBy(targets, func(member protocol.Member) protocol.NodeID { return member.ID })
+	targets = lo.Reject(targets, func(member protocol.Member, _ int) bool { return member.ID == n.self.ID })
+	slices.SortStableFunc(targets, func(a, b protocol.Member) int { return lo.Ternary(a.Root == b.Root, 0, lo.Ternary(a.Root, -1, 1)) })
+	return targets[:min(len(targets), most)]
+}
--- a/internal/core/node/step.go
+++ b/internal/core/node/step.go
@@ -90,6 +90,11 @@
 // Leave starts the drain: the node tells the mesh that it is leaving.
 type Leave struct{}
 
+// Stopped follows Leave when the data path has stopped for good. The node then
+// reports that it has left and is not counted any more; the shell steps it for
+// a moment longer (half a second) so that the report goes out.
+type Stopped struct{}
+
 func (Tick) message()            {}
 func (PeerRequest) message()     {}
 func (PeerReply) message()       {}
@@ -100,6 +105,7 @@
 func (SnapshotInForce) message() {}
 func (BackendReport) message()   {}
 func (Leave) message()           {}
+func (Stopped) message()         {}
 
 // Effect is an output of Step.
 type Effect interface{ effect() }
--- a/internal/core/snapshot/store.go
+++ b/internal/core/snapshot/store.go
@@ -82,13 +82,27 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	s.push(built)
+	return nil
+}
+
+func (s *Store) push(built *Snapshot) {
 	s.history = append(s.history, built)
 	s.deltas = map[deltaKey]*protocol.Delta{}
 	if len(s.history) > HistoryLength {
 		s.history = s.history[1:]
 	}
 	s.dropSelections()
-	return nil
+}
+
+// Advance puts the newest content on top again at a newer version. It serves
+// a version that changed nothing.
+func (s *Store) Advance(version protocol.Version) {
+	newest := s.Newest()
+	if newest == nil || version <= newest.Version {
+		return
+	}
+	s.push(newest.AtVersion(version))
 }
 
 // dropSelections forgets the selections of versions that left the history.
