--- /dev/null
+++ b/internal/core/distribution/distribution_test.go
@@ -0,0 +1,158 @@
+package distribution_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/distribution"
+	"github.com/springstack/springstack/internal/core/protocol"
+)
+
+const lease = 10 * time.Second
+
+func member(zone, id string, incarnation protocol.Incarnation) protocol.Member {
+	return protocol.Member{ID: protocol.NodeID(id), Incarnation: incarnation, State: protocol.MemberAlive, Region: "windhoek", Zone: zone}
+}
+
+func fold(acks ...protocol.Acknowledgement) []protocol.Acknowledgement {
+	sum := distribution.NewFold()
+	for _, ack := range acks {
+		sum.Add(ack)
+	}
+	return sum.List()
+}
+
+// TestHoldingNeedsExactlyTheExpected counts members twice, leaves some out,
+// adds unknown ones and an earlier life: nothing is held then.
+func TestHoldingNeedsExactlyTheExpected(t *testing.T) {
+	is := is.New(t)
+	a, b, c := member("x", "a", 1), member("x", "b", 1), member("y", "c", 1)
+	expected := distribution.Expect("windhoek", []protocol.Member{a, b, c})
+	single := distribution.Single
+	is.Equal(expected.Holding(fold(single(a, 7), single(b, 8), single(c, 9))), protocol.Version(7))
+	is.Equal(expected.Holding(fold(fold(single(a, 7), single(c, 9))[0], single(b, 8), single(c, 9))), protocol.Version(7)) // folds of folds
+	wrong := [][]protocol.Acknowledgement{
+		fold(single(a, 7), single(c, 9)),
+		fold(single(a, 7), single(a, 7), single(c, 9)),
+		fold(single(a, 7), single(b, 8), single(c, 9), single(member("x", "d", 1), 9)),
+		fold(single(a, 7), single(member("x", "b", 2), 8), single(c, 9)),
+		fold(single(a, 7), single(b, 8)),
+		nil,
+	}
+	for _, acks := range wrong {
+		is.Equal(expected.Holding(acks), protocol.Version(0))
+	}
+	dead := b
+	dead.State = protocol.MemberDead
+	without := distribution.Expect("windhoek", []protocol.Member{a, dead, c})
+	is.Equal(without.Holding(fold(single(a, 7), single(c, 9))), protocol.Version(7)) // the dead are not counted
+}
+
+func TestFoldNamesThoseBehind(t *testing.T) {
+	is := is.New(t)
+	var acks []protocol.Acknowledgement
+	for i := range 40 {
+		acks = append(acks, distribution.Single(member("x", fmt.Sprint("m", i), 1), protocol.Version(3+i/20)))
+	}
+	list := fold(acks...)
+	is.Equal(len(list), 1)
+	is.Equal(list[0].Count, uint32(40))
+	is.Equal(list[0].Minimum, protocol.Version(3))
+	is.Equal(len(list[0].Behind), protocol.MaxNamed)
+}
+
+// TestClaimsWaitForAnotherRoot claims at once only when the keepers knew of no
+// other root.
+func TestClaimsWaitForAnotherRoot(t *testing.T) {
+	is := is.New(t)
+	claims := distribution.NewClaims(lease)
+	claims.Released(0, 4, true)
+	claims.Released(time.Second, 5, false)
+	is.Equal(claims.Highest(2*time.Second), protocol.Version(4))
+	is.Equal(claims.Highest(time.Second+lease), protocol.Version(4)) // the margin for clocks is still open
+	is.Equal(claims.Highest(time.Second+distribution.Margin(lease)), protocol.Version(5))
+}
+
+func keepers(write int, ids ...protocol.NodeID) protocol.KeeperSet {
+	set := protocol.KeeperSet{Write: write}
+	for _, id := range ids {
+		set.Members = append(set.Members, protocol.KeeperMember{ID: id})
+	}
+	return set
+}
+
+// TestRootLeaseEndsWhenANewerVersionIsStored is the case of a root that is cut
+// off while another stores a newer version at a write quorum.
+func TestRootLeaseEndsWhenANewerVersionIsStored(t *testing.T) {
+	is := is.New(t)
+	set := keepers(3, "a", "b", "c", "d")
+	root := distribution.NewRootLease(lease)
+	answer := func(id protocol.NodeID, at time.Duration, stored protocol.Version, other bool) {
+		root.Answer(id, at, &protocol.StoreReply{Stored: stored, OtherRoot: other})
+	}
+	answer("a", 1*time.Second, 4, false)
+	answer("b", 2*time.Second, 4, false)
+	is.Equal(root.Until(4, set), time.Duration(0)) // no write quorum yet
+	answer("c", 3*time.Second, 4, false)
+	is.Equal(root.Until(4, set), time.Second+lease) // the oldest answer of the quorum counts
+	answer("d", 4*time.Second, 4, true)
+	is.Equal(root.Until(4, set), 2*time.Second+lease)
+	is.True(root.Alone(time.Second, set))
+	is.True(!root.Alone(2*time.Second, set)) // d has heard another root
+
+	answer("b", 5*time.Second, 5, false)
+	answer("c", 5*time.Second, 5, false)
+	answer("d", 5*time.Second, 5, false)
+	is.Equal(root.Until(4, set), time.Duration(0)) // a newer version is stored at a quorum
+	answer("b", 2*time.Second, 4, false)
+	is.Equal(root.Until(4, set), time.Duration(0))                       // a late answer counts for nothing
+	is.Equal(root.Until(5, set, keepers(2, "x", "y")), time.Duration(0)) // both sets must agree
+}
+
+func TestTreeRolesAndParents(t *testing.T) {
+	is := is.New(t)
+	var members []protocol.Member
+	for i := range 60 {
+		members = append(members, member(fmt.Sprint("zone-", i%2), fmt.Sprint("m", i), 1))
+	}
+	members[11].Reader = true
+	members[12].State = protocol.MemberDead
+	tree := distribution.NewTree(members[5], members, 24)
+	is.Equal(len(tree.Relays("zone-0")), 2)
+	is.Equal(len(tree.Relays("zone-1")), 2)
+	is.Equal(tree.Roots()[0].ID, members[11].ID) // a reader before all others
+	parents := tree.Parents()
+	is.Equal(parents[0].Zone, "zone-1") // the own zone's relays first
+	is.Equal(parents[1].Zone, "zone-1")
+	for _, parent := range parents {
+		is.True(parent.ID != members[5].ID && parent.ID != members[12].ID)
+	}
+}
+
+func TestBackoffAndAdmissionStayInBounds(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	backoff := distribution.Backoff{Base: time.Second, Max: 8 * time.Second}
+	longest := time.Duration(0)
+	for failures := range 200 {
+		wait := backoff.Wait(random, failures)
+		is.True(wait > 0 && wait <= backoff.Max)
+		longest = max(longest, wait)
+	}
+	is.True(longest > backoff.Max/2)
+
+	admission := distribution.NewAdmission(100, 200)
+	_, admitted := admission.Admit(0, 150)
+	is.True(admitted)
+	wait, admitted := admission.Admit(0, 150)
+	is.True(!admitted)
+	is.Equal(wait, time.Second)
+	_, admitted = admission.Admit(wait, 150)
+	is.True(admitted)
+	_, admitted = admission.Admit(10*time.Second, 1000)
+	is.True(admitted) // larger than the bucket, but the bucket is full
+}
--- /dev/null
+++ b/internal/core/node/cluster_test.go
@@ -0,0 +1,284 @@
+package node_test
+
+import (
+	"container/heap"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/node"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/snapshot"
+)
+
+// delay is the one-way time of every message.
+const delay = time.Millisecond
+
+// cluster runs nodes, a platform and a network on virtual time.
+type cluster struct {
+	is      *is.I
+	now     time.Duration
+	queue   eventQueue
+	order   int
+	daemons map[string]*daemon
+	// cut drops messages between two addresses when it returns true.
+	cut      func(from, to string) bool
+	platform *platform
+	messages int
+	// logs prints log events when set.
+	logs func(line string)
+}
+
+// daemon is one node with the least of a shell.
+type daemon struct {
+	id           protocol.NodeID
+	config       node.Config
+	node         *node.Node
+	snapshot     *snapshot.Snapshot
+	servingUntil time.Duration
+	members      []protocol.Member
+	operator     map[node.Token]any
+	answers      map[node.Token]func(any)
+	highest      protocol.Version
+	// life grows with each start; messages to an earlier life are dropped.
+	life    int
+	running bool
+}
+
+type event struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].order < q[j].order
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+func newCluster(t *testing.T) *cluster {
+	c := &cluster{
+		is:      is.New(t),
+		daemons: map[string]*daemon{},
+		cut:     func(string, string) bool { return false },
+	}
+	c.platform = newPlatform(c)
+	return c
+}
+
+func (c *cluster) after(wait time.Duration, run func()) {
+	c.order++
+	heap.Push(&c.queue, event{at: c.now + wait, order: c.order, run: run})
+}
+
+// run lets virtual time pass.
+func (c *cluster) run(period time.Duration) {
+	end := c.now + period
+	for len(c.queue) > 0 && c.queue[0].at <= end {
+		next := heap.Pop(&c.queue).(event)
+		c.now = next.at
+		next.run()
+	}
+	c.now = end
+}
+
+// until runs until the condition holds, and fails when it does not in time.
+func (c *cluster) until(what string, limit time.Duration, condition func() bool) time.Duration {
+	started := c.now
+	for !condition() {
+		if c.now-started > limit {
+			c.is.Helper()
+			c.is.Equal(what, "in time") // the condition was not reached in time
+			c.is.Fail()
+		}
+		c.run(20 * time.Millisecond)
+	}
+	return c.now - started
+}
+
+// start starts a daemon, or starts it again with nothing remembered.
+func (c *cluster) start(region, zone, id string, seeds ...string) *daemon {
+	address := "addr-" + id
+	d, known := c.daemons[address]
+	if !known {
+		d = &daemon{id: protocol.NodeID(id)}
+		c.daemons[address] = d
+	}
+	d.life++
+	d.running = true
+	d.config = node.Config{
+		ID:             d.id,
+		Incarnation:    protocol.Incarnation(c.now + 1),
+		ControlAddress: address,
+		Region:         region,
+		Zone:           zone,
+		Seeds:          seeds,
+		RandomSeed:     uint64(len(c.daemons)*100 + d.life),
+		Timing:         node.DefaultTiming(),
+	}
+	d.node = node.New(d.config)
+	d.snapshot = nil
+	d.servingUntil = 0
+	d.operator = map[node.Token]any{}
+	d.answers = map[node.Token]func(any){}
+	c.tick(d, d.life)
+	return d
+}
+
+func (c *cluster) stop(d *daemon) {
+	d.life++
+	d.running = false
+}
+
+func (c *cluster) tick(d *daemon, life int) {
+	if d.life != life {
+		return
+	}
+	c.step(d, node.Tick{WallClock: time.Unix(1_700_000_000, 0).Add(c.now)})
+	c.after(node.TickInterval, func() { c.tick(d, life) })
+}
+
+func (c *cluster) step(d *daemon, message node.Message) {
+	for _, effect := range d.node.Step(c.now, message) {
+		c.carryOut(d, effect)
+	}
+}
+
+func (c *cluster) carryOut(d *daemon, effect node.Effect) {
+	life := d.life
+	switch one := effect.(type) {
+	case node.CallPeer:
+		c.callPeer(d, life, one)
+	case node.CallPlatform:
+		c.platform.call(d, life, one)
+	case node.StartWatch:
+		c.platform.watch(d, life, one)
+	case node.StopWatch:
+		c.platform.stop(d, one.Token)
+	case node.SwapSnapshot:
+		c.is.True(one.Snapshot.Version > d.highest || d.snapshot == nil && one.Snapshot.Version >= d.highest) // I1
+		d.snapshot = one.Snapshot
+		d.highest = one.Snapshot.Version
+		c.after(0, func() {
+			if d.life == life {
+				c.step(d, node.SnapshotInForce{Version: one.Snapshot.Version})
+			}
+		})
+	case node.ExtendServing:
+		d.servingUntil = one.Until
+	case node.PublishMembers:
+		d.members = one.Members
+	case node.PeerAnswer:
+		if answer, known := d.answers[one.Token]; known {
+			delete(d.answers, one.Token)
+			answer(one.Body)
+		}
+	case node.OperatorAnswer:
+		d.operator[one.Token] = one.Body
+	case node.LogEvent:
+		c.printLog(d, one)
+	}
+}
+
+func (c *cluster) printLog(d *daemon, one node.LogEvent) {
+	if c.logs == nil {
+		return
+	}
+	var fields []string
+	for _, field := range one.Fields {
+		fields = append(fields, field.Key+"="+field.Value)
+	}
+	c.logs(fmt.Sprintf("%8.3f %s event=%s %s", c.now.Seconds(), d.id, one.Name, strings.Join(fields, " ")))
+}
+
+// callPeer carries a call; each half may be cut.
+func (c *cluster) callPeer(from *daemon, life int, call node.CallPeer) {
+	done := false
+	reply := func(body any, failed bool) {
+		if done || from.life != life {
+			return
+		}
+		done = true
+		c.step(from, node.PeerReply{Token: call.Token, Body: body, Failed: failed})
+	}
+	c.after(call.Timeout, func() { reply(nil, true) })
+	c.messages++
+	to, known := c.daemons[call.Address]
+	if c.cut(from.config.ControlAddress, call.Address) {
+		return
+	}
+	c.after(delay, func() {
+		if !known || !to.running {
+			c.after(delay, func() { reply(nil, true) })
+			return
+		}
+		c.deliver(from, to, call.Body, func(body any) { reply(body, false) })
+	})
+}
+
+func (c *cluster) deliver(from, to *daemon, body any, reply func(any)) {
+	c.order++
+	token := node.Token(c.order) | 1<<40
+	to.answers[token] = func(answer any) {
+		if !c.cut(to.config.ControlAddress, from.config.ControlAddress) {
+			c.after(delay, func() { reply(answer) })
+		}
+	}
+	c.step(to, node.PeerRequest{Token: token, Body: body})
+}
+
+// serving reports whether a daemon may serve now.
+func (c *cluster) serving(d *daemon) bool {
+	return d.running && d.snapshot != nil && c.now < d.servingUntil
+}
+
+// allServe reports whether all running daemons serve the version or a later.
+func (c *cluster) allServe(version protocol.Version) bool {
+	for _, d := range c.daemons {
+		if d.running && (!c.serving(d) || d.snapshot.Version < version) {
+			return false
+		}
+	}
+	return true
+}
+
+// submit sends a change through a daemon and returns where its answer appears.
+func (c *cluster) submit(d *daemon, operation, content string) func() *protocol.SubmitReply {
+	c.order++
+	token := node.Token(c.order) | 1<<41
+	c.step(d, node.OperatorRequest{Token: token, WallClock: time.Unix(1_700_000_000, 0).Add(c.now), Body: &protocol.SubmitRequest{
+		Operation: operation,
+		Partner:   "kameeldoring",
+		Action:    protocol.ActionSubmit,
+		File:      "shop",
+		Content:   []byte(content),
+	}})
+	return func() *protocol.SubmitReply {
+		reply, _ := d.operator[token].(*protocol.SubmitReply)
+		return reply
+	}
+}
+
+// status asks a daemon for its status.
+func (c *cluster) status(d *daemon) *protocol.StatusReply {
+	c.order++
+	token := node.Token(c.order) | 1<<41
+	c.step(d, node.OperatorRequest{Token: token, Body: &protocol.StatusRequest{Format: protocol.Format, Partner: "kameeldoring"}})
+	c.until("status", 10*time.Second, func() bool { return d.operator[token] != nil })
+	return d.operator[token].(*protocol.StatusReply)
+}
