--- a/internal/core/distribution/inforce.go
+++ b/internal/core/distribution/inforce.go
@@ -17,7 +17,6 @@
 type census struct {
 	count uint32
 	sum   uint64
-	names []protocol.NodeID
 }
 
 // Expect counts the live members of a region.
--- a/internal/core/node/cluster_test.go
+++ b/internal/core/node/cluster_test.go
@@ -86,6 +86,8 @@
 	heap.Push(&c.queue, event{at: c.now + wait, order: c.order, run: run})
 }
 
+func (c *cluster) wallClock() time.Time { return time.Unix(1_700_000_000, 0).Add(c.now) }
+
 // run lets virtual time pass.
 func (c *cluster) run(period time.Duration) {
 	end := c.now + period
@@ -149,7 +151,7 @@
 	if d.life != life {
 		return
 	}
-	c.step(d, node.Tick{WallClock: time.Unix(1_700_000_000, 0).Add(c.now)})
+	c.step(d, node.Tick{WallClock: c.wallClock()})
 	c.after(node.TickInterval, func() { c.tick(d, life) })
 }
 
@@ -258,11 +260,11 @@
 }
 
 // submit sends a change through a daemon and returns where its answer appears.
-func (c *cluster) submit(d *daemon, operation, content string) func() *protocol.SubmitReply {
+func (c *cluster) submit(d *daemon, content string) func() *protocol.SubmitReply {
 	c.order++
 	token := node.Token(c.order) | 1<<41
-	c.step(d, node.OperatorRequest{Token: token, WallClock: time.Unix(1_700_000_000, 0).Add(c.now), Body: &protocol.SubmitRequest{
-		Operation: operation,
+	c.step(d, node.OperatorRequest{Token: token, WallClock: c.wallClock(), Body: &protocol.SubmitRequest{
+		Operation: fmt.Sprintf("%d-%016x", c.wallClock().UnixMilli(), c.order),
 		Partner:   "kameeldoring",
 		Action:    protocol.ActionSubmit,
 		File:      "shop",
--- a/internal/core/node/node_test.go
+++ b/internal/core/node/node_test.go
@@ -35,9 +35,9 @@
 }
 
 // accept submits the file through a daemon and returns the accepted version.
-func (c *cluster) accept(d *daemon, operation string, slots int) protocol.Version {
+func (c *cluster) accept(d *daemon, slots int) protocol.Version {
 	c.is.Helper()
-	reply := c.submit(d, operation, shopFile(slots))
+	reply := c.submit(d, shopFile(slots))
 	c.until("answer", 20*time.Second, func() bool { return reply() != nil })
 	c.is.Equal(reply().Code, result.OK)
 	return reply().Version
@@ -62,7 +62,7 @@
 	c := newCluster(t)
 	d := c.start("windhoek", "klein-hall", "d00")
 	c.until("serving", 30*time.Second, func() bool { return c.serving(d) })
-	version := c.accept(d, "op-1", 6)
+	version := c.accept(d, 6)
 	c.inForce(d, version, 20*time.Second)
 	c.is.Equal(len(d.snapshot.Routes), 1)
 }
@@ -72,7 +72,7 @@
 	daemons := twelve(c)
 	c.until("all serve", 40*time.Second, func() bool { return c.allServe(1) })
 	c.run(20 * time.Second)
-	version := c.accept(daemons[7], "op-1", 6)
+	version := c.accept(daemons[7], 6)
 	took := c.inForce(daemons[9], version, 5*time.Second)
 	t.Logf("in force after %v", took)
 	c.run(30 * time.Second)
--- a/internal/core/node/regions.go
+++ b/internal/core/node/regions.go
@@ -29,7 +29,6 @@
 	// cursor and incarnation follow the other root's change log.
 	cursor      uint64
 	incarnation protocol.Incarnation
-	from        protocol.NodeID
 	askedAt     time.Duration
 	asking      bool
 	attempts    int
--- a/internal/core/node/root.go
+++ b/internal/core/node/root.go
@@ -150,6 +150,7 @@
 	}
 	n.root.target = catalogue
 	n.root.targetAt = n.now
+	n.root.releaser.UpdateMembers(n.roster.All())
 	n.carryOutFloor(n.root.releaser.SetTarget(n.now, n.readerSide.reader.Term(), catalogue.Version, set))
 	n.release()
 }
@@ -173,19 +174,13 @@
 	n.adoptFromStore()
 }
 
-// keeperSets returns every keeper set that must agree: the newest, the one
-// that it replaces until that has settled, and one that another root may still
-// go by.
+// keeperSets returns every keeper set that must agree: the newest, and the one
+// that it replaces until that has settled.
 func (n *Node) keeperSets() []protocol.KeeperSet {
-	set := n.holding.keepers
-	if len(set.Members) == 0 {
+	if len(n.holding.keepers.Members) == 0 {
 		return nil
 	}
-	sets := []protocol.KeeperSet{set}
-	if set.Previous != nil {
-		sets = append(sets, *set.Previous)
-	}
-	return sets
+	return floor.Sets(n.holding.keepers)
 }
 
 // keeperRound asks the keepers whether anything newer was stored.
@@ -215,7 +210,11 @@
 		Version:     n.holding.store.Version(),
 		Keepers:     n.holding.keepers,
 	}
-	n.store(keeper.ControlAddress, request, keeperTimeout, func(*protocol.StoreReply) {})
+	address := keeper.ControlAddress
+	if member, found := n.roster.Get(keeper.ID); found {
+		address = member.ControlAddress
+	}
+	n.store(address, request, keeperTimeout, func(*protocol.StoreReply) {})
 }
 
 // store sends a store request to a keeper, which may be this daemon, and takes
@@ -267,7 +266,7 @@
 	members := lo.Filter(n.roster.All(), func(member protocol.Member, _ int) bool {
 		return member.Region == n.config.Region && membership.Live(member)
 	})
-	chosen, changed := floor.ChooseKeepers(n.config.Region, current, members)
+	chosen, changed := floor.ChooseKeepers(n.config.Region, current, members, n.holding.store.Version())
 	if changed {
 		n.applyReader(n.readerSide.reader.SetKeepers(n.now, []protocol.KeeperSet{chosen}))
 	}
--- a/internal/core/snapshot/snapshot_test.go
+++ b/internal/core/snapshot/snapshot_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -164,7 +163,7 @@
 		}
 		f.Add(store.Delta(protocol.Scope{}, 0, "").Payload)
 	}
-	f.Add([]byte(fmt.Sprint("not a delta")))
+	f.Add([]byte("not a delta"))
 	f.Fuzz(func(t *testing.T, payload []byte) {
 		delta := &protocol.Delta{To: 3, Payload: payload}
 		applied, err := snapshot.Apply(nil, delta)
