--- /dev/null
+++ b/internal/core/endpoint/choose.go
@@ -0,0 +1,128 @@
+package endpoint
+
+import "time"
+
+const (
+	// spillLoad is the load of the better choice in the own zone above which
+	// the next zone is looked at: before the slots are full.
+	spillLoad = 0.75
+	// zonePenalty is how much less loaded a farther endpoint must be.
+	zonePenalty = 0.25
+	// regionPenalty is the same for another region.
+	regionPenalty = 1.0
+	// ejectionFloor is the share of a set that is always left in use: when
+	// more than that is ejected, ejections are not heeded.
+	ejectionFloor = 0.5
+)
+
+var penalties = [tierCount]float64{0, zonePenalty, regionPenalty}
+
+// Choose picks the endpoint of a call: the less loaded of two drawn at random
+// in the own zone, or of two farther ones when those are close to full. Random
+// is a uniform random number. It answers nil when no endpoint may take the
+// call; those tried already are chosen again only if there is no other.
+func (s *Set) Choose(now time.Duration, random uint64, tried Tried) *Endpoint {
+	chosen := s.choose(now, random, tried, true)
+	if chosen == nil {
+		// Everything left is ejected. Trying it beats refusing the call.
+		chosen = s.choose(now, random, tried, false)
+	}
+	if chosen == nil && len(tried) > 0 {
+		chosen = s.choose(now, random, nil, false)
+	}
+	return chosen
+}
+
+func (s *Set) choose(now time.Duration, random uint64, tried Tried, heedEjection bool) *Endpoint {
+	var best *Endpoint
+	bestLoad := 0.0
+	heed := heedEjection && s.floorHolds(now)
+	for distance, tier := range s.tiers {
+		candidate := betterOfTwo(tier, now, random, tried, heed)
+		if candidate == nil {
+			continue
+		}
+		load := candidate.load(now) + penalties[distance]
+		if best == nil || load < bestLoad {
+			best = candidate
+			bestLoad = load
+		}
+		if bestLoad <= spillLoad+penalties[distance] {
+			break
+		}
+	}
+	return best
+}
+
+// floorHolds tells whether enough of the set is in use without those ejected.
+func (s *Set) floorHolds(now time.Duration) bool {
+	ejected := 0
+	for _, tier := range s.tiers {
+		for _, candidate := range tier {
+			if candidate.ejected(now) {
+				ejected++
+			}
+		}
+	}
+	return float64(ejected) <= float64(s.usable)*ejectionFloor
+}
+
+// betterOfTwo draws two endpoints of a tier and returns the less loaded.
+func betterOfTwo(tier []*Endpoint, now time.Duration, random uint64, tried Tried, heed bool) *Endpoint {
+	if len(tier) == 0 {
+		return nil
+	}
+	high := int(random >> 32)
+	low := int(random & 0xffffffff)
+	first := usableFrom(tier, high, now, tried, heed, nil)
+	if first == nil {
+		return nil
+	}
+	second := usableFrom(tier, low, now, tried, heed, first)
+	if second == nil || first.load(now) <= second.load(now) {
+		return first
+	}
+	return second
+}
+
+// usableFrom returns the first endpoint that may be used, from a random place
+// on, other than one that was drawn already.
+func usableFrom(tier []*Endpoint, start int, now time.Duration, tried Tried, heed bool, drawn *Endpoint) *Endpoint {
+	for step := range tier {
+		candidate := tier[(start+step)%len(tier)]
+		if candidate == drawn || tried.has(candidate) || candidate.leaving(now) {
+			continue
+		}
+		if heed && candidate.ejected(now) {
+			continue
+		}
+		return candidate
+	}
+	return nil
+}
+
+// ChooseKeyed picks by the hash of a request key, so that two sendings of one
+// operation meet at the same gate, which refuses the second. It heeds load no
+// more than ejection does. With membership changing it is a help only.
+func (s *Set) ChooseKeyed(now time.Duration, key uint64, tried Tried) *Endpoint {
+	var best *Endpoint
+	var bestHash uint64
+	for distance, tier := range s.tiers {
+		if best != nil && distance == tierCount-1 {
+			break
+		}
+		for _, candidate := range tier {
+			if tried.has(candidate) || candidate.leaving(now) {
+				continue
+			}
+			if hash := keyedHash(key, candidate.Backend); best == nil || hash > bestHash {
+				best = candidate
+				bestHash = hash
+			}
+		}
+	}
+	if best == nil {
+		return s.Choose(now, key, tried)
+	}
+	return best
+}
--- /dev/null
+++ b/internal/core/endpoint/endpoint_test.go
@@ -0,0 +1,226 @@
+package endpoint
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+)
+
+var home = Locality{Region: "windhoek", Zone: "eros-hall"}
+
+// fixture makes back ends b0, b1, ... with their members, one for each zone
+// named.
+func fixture(zones ...string) ([]resource.Backend, []protocol.Member) {
+	var backends []resource.Backend
+	var members []protocol.Member
+	for index, zone := range zones {
+		name := fmt.Sprintf("b%d", index)
+		backends = append(backends, resource.Backend{
+			Partner: "k", Name: name, Service: "plans", Address: "127.0.0.1:1",
+			Region: home.Region, Zone: zone, Slots: 6,
+		})
+		members = append(members, protocol.Member{
+			ID: protocol.NodeID(name), Incarnation: 1, Sequence: 1, State: protocol.MemberAlive,
+			DataAddress: "127.0.0.1:2", Region: home.Region, Zone: zone, Slots: 6,
+			Service:  resource.ServiceRef{Partner: "k", Name: "plans"},
+			Backend:  name,
+			Endpoint: protocol.EndpointReady,
+		})
+	}
+	return backends, members
+}
+
+func sameZone(count int) (zones []string) {
+	for range count {
+		zones = append(zones, home.Zone)
+	}
+	return zones
+}
+
+// spread chooses many times, ending each call before the next, and counts.
+func spread(set *Set, now time.Duration, calls int) map[string]int {
+	random := rand.New(rand.NewPCG(1, 2))
+	counts := map[string]int{}
+	for range calls {
+		chosen := set.Choose(now, random.Uint64(), nil)
+		counts[chosen.Backend]++
+	}
+	return counts
+}
+
+func TestStateIsTheDaemonsOwnWord(t *testing.T) {
+	check := is.New(t)
+	backends, members := fixture(sameZone(5)...)
+	members[0].Endpoint = protocol.EndpointDraining
+	members[1].State = protocol.MemberDead
+	members[2].State = protocol.MemberLeft
+	members[3].Endpoint = protocol.EndpointDown
+	set := Build(nil, home, backends, members, 0)
+	check.Equal(spread(set, 0, 50), map[string]int{"b4": 50})
+	returned := members[1]
+	returned.Incarnation = 2
+	returned.State = protocol.MemberAlive
+	set = Build(set, home, backends, append(members, returned), 0)
+	check.Equal(set.Usable(), 2)                                // the newer incarnation counts
+	check.Equal(Build(nil, home, backends, nil, 0).Usable(), 5) // none heard of yet
+}
+
+func TestOwnCallsCountWhereNoLoadIsReported(t *testing.T) {
+	check := is.New(t)
+	backends, members := fixture(sameZone(3)...)
+	set := Build(nil, home, backends, members, 0)
+	random := rand.New(rand.NewPCG(3, 4))
+	for range 300 {
+		chosen := set.Choose(0, random.Uint64(), nil)
+		chosen.Begin()
+		if chosen.Backend == "b0" {
+			chosen.Learn(0, Report{Own: -1}) // reports nothing, or zero for ever
+		} else {
+			chosen.Learn(0, Report{Running: chosen.Outstanding(), Own: -1})
+		}
+	}
+	for _, one := range set.All {
+		check.True(one.Outstanding() > 80 && one.Outstanding() < 120)
+	}
+}
+
+func TestReportedLoadOfOthersFades(t *testing.T) {
+	check := is.New(t)
+	backends, members := fixture(sameZone(2)...)
+	set := Build(nil, home, backends, members, 0)
+	set.All[0].Learn(0, Report{Running: 6, Queued: 3, Own: -1})
+	check.Equal(spread(set, 0, 100)["b0"], 0)
+	check.True(spread(set, reportLife, 100)["b0"] > 20)
+	set.All[1].Learn(reportLife, Report{Own: 1e9}) // a lie adds at most the slots
+	check.True(set.All[1].load(reportLife) < 1.2)
+}
+
+func TestZoneSpillsOverBeforeItOverloads(t *testing.T) {
+	check := is.New(t)
+	backends, members := fixture(home.Zone, "olympia-hall", "ludwigs-hall")
+	set := Build(nil, home, backends, members, 0)
+	check.Equal(spread(set, 0, 50), map[string]int{"b0": 50})
+	random := rand.New(rand.NewPCG(5, 6))
+	for range 18 {
+		set.Choose(0, random.Uint64(), nil).Begin()
+	}
+	for _, one := range set.All {
+		check.True(one.Outstanding() >= 4 && one.Outstanding() <= 8)
+	}
+}
+
+func TestEjectionHasAFloorAndEnds(t *testing.T) {
+	check := is.New(t)
+	backends, members := fixture(sameZone(4)...)
+	set := Build(nil, home, backends, members, 0)
+	fail := func(index int, outcome Outcome) {
+		set.All[index].Begin()
+		set.All[index].End(0, outcome)
+	}
+	fail(0, Unreachable)
+	check.Equal(spread(set, 0, 100)["b0"], 0)
+	check.True(spread(set, ejectionUnit, 100)["b0"] > 10) // tried again
+	fail(1, Unreachable)
+	check.Equal(len(spread(set, 0, 100)), 2)
+	fail(2, Unreachable)
+	check.Equal(len(spread(set, 0, 200)), 4) // below the floor nothing is ejected
+}
+
+func TestRefusalToTakeWorkStandsUntilNewerWord(t *testing.T) {
+	check := is.New(t)
+	backends, members := fixture(sameZone(2)...)
+	set := Build(nil, home, backends, members, 0)
+	set.All[0].Begin()
+	set.All[0].End(0, Leaving)
+	check.Equal(spread(set, 0, 50)["b0"], 0)
+	set = Build(set, home, backends, members, 0)
+	check.Equal(spread(set, 0, 50)["b0"], 0) // the same record again changes nothing
+	members[0].Sequence++
+	set = Build(set, home, backends, members, 0)
+	check.True(spread(set, 0, 50)["b0"] > 10)
+}
+
+func TestColdEndpointGetsItsShareSlowly(t *testing.T) {
+	check := is.New(t)
+	backends, members := fixture(sameZone(2)...)
+	set := Build(nil, home, backends, members, 0)
+	members[0].Incarnation++
+	set = Build(set, home, backends, members, 0)
+	random := rand.New(rand.NewPCG(7, 8))
+	for range 12 {
+		set.Choose(0, random.Uint64(), nil).Begin()
+	}
+	check.True(set.All[0].Outstanding() <= 2)
+	check.True(set.All[0].share(warmUp) == 1)
+}
+
+func TestTriedEndpointsComeLast(t *testing.T) {
+	check := is.New(t)
+	backends, members := fixture(sameZone(2)...)
+	set := Build(nil, home, backends, members, 0)
+	check.Equal(set.Choose(0, 0, Tried{set.All[0]}).Backend, "b1")
+	rebuilt := Build(set, home, backends, members, 0)
+	check.Equal(rebuilt.Choose(0, 0, Tried{set.All[0]}).Backend, "b1")
+	check.True(!set.Others(0, set.All))
+	check.True(set.Choose(0, 0, set.All) != nil) // rather again than not at all
+	check.True(Build(nil, home, nil, nil, 0).Choose(0, 0, nil) == nil)
+}
+
+func TestKeysKeepTheirEndpoint(t *testing.T) {
+	check := is.New(t)
+	backends, members := fixture(sameZone(7)...)
+	set := Build(nil, home, backends, members, 0)
+	moved := 0
+	seen := map[string]bool{}
+	members[3].Endpoint = protocol.EndpointDraining
+	without := Build(set, home, backends, members, 0)
+	for key := range uint64(700) {
+		before := set.ChooseKeyed(0, key*0x9e3779b97f4a7c15, nil).Backend
+		after := without.ChooseKeyed(0, key*0x9e3779b97f4a7c15, nil).Backend
+		seen[before] = true
+		if before != after {
+			moved++
+			check.Equal(before, "b3")
+		}
+	}
+	check.Equal(len(seen), 7)
+	check.True(moved > 50 && moved < 150)
+}
+
+func benchmarkChoose(b *testing.B, count int) {
+	backends, members := fixture(sameZone(count)...)
+	set := Build(nil, home, backends, members, 0)
+	b.ReportAllocs()
+	b.RunParallel(func(loop *testing.PB) {
+		random := rand.New(rand.NewPCG(9, rand.Uint64()))
+		for loop.Next() {
+			chosen := set.Choose(time.Second, random.Uint64(), nil)
+			chosen.Begin()
+			chosen.End(time.Second, Fine)
+		}
+	})
+}
+
+// BenchmarkChoose measures choice, begin and end, which write one counter of
+// the endpoint that was chosen.
+func BenchmarkChoose(b *testing.B) { benchmarkChoose(b, 7) }
+
+func BenchmarkChooseOf100(b *testing.B) { benchmarkChoose(b, 100) }
+
+// BenchmarkChooseOnly measures the choice alone, which writes nothing.
+func BenchmarkChooseOnly(b *testing.B) {
+	backends, members := fixture(sameZone(7)...)
+	set := Build(nil, home, backends, members, 0)
+	b.ReportAllocs()
+	b.RunParallel(func(loop *testing.PB) {
+		random := rand.New(rand.NewPCG(9, rand.Uint64()))
+		for loop.Next() {
+			set.Choose(time.Second, random.Uint64(), nil)
+		}
+	})
+}
