--- /dev/null
+++ b/internal/core/reader/world_test.go
@@ -0,0 +1,279 @@
+package reader
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/ledger"
+	"github.com/springstack/springstack/internal/core/object"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/lab/standin"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// world runs readers against the stand-in's store on virtual time.
+type world struct {
+	now     time.Duration
+	random  *rand.Rand
+	store   *standin.Store
+	faults  standin.Faults
+	late    float64
+	queue   schedule
+	order   int
+	clients []*client
+}
+
+// client is one reader with its share of the shell.
+type client struct {
+	world     *world
+	name      string
+	reader    *Reader
+	candidate bool
+	paused    bool
+	held      []func()
+	watches   map[Token]object.Version
+	ready     []CatalogueReady
+	done      map[Ticket]*protocol.SubmitReply
+	heads     map[Ticket]HeadRead
+	// rate is how fast the client's clock runs; 1 is true time.
+	rate  float64
+	names map[string]int
+	calls int
+}
+
+type scheduled struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type schedule []scheduled
+
+func (s schedule) Len() int { return len(s) }
+func (s schedule) Less(i, j int) bool {
+	return s[i].at < s[j].at || s[i].at == s[j].at && s[i].order < s[j].order
+}
+func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+func (s *schedule) Push(x any)   { *s = append(*s, x.(scheduled)) }
+func (s *schedule) Pop() any {
+	old := *s
+	last := old[len(old)-1]
+	*s = old[:len(old)-1]
+	return last
+}
+
+func newWorld(seed uint64) *world {
+	limits := standin.DefaultLimits()
+	limits.LogEvents = 20
+	return &world{random: rand.New(rand.NewPCG(seed, 1)), store: standin.NewStore(limits)}
+}
+
+func (w *world) after(delay time.Duration, run func()) {
+	w.order++
+	heap.Push(&w.queue, scheduled{at: w.now + delay, order: w.order, run: run})
+}
+
+// run lets time pass.
+func (w *world) run(duration time.Duration) {
+	end := w.now + duration
+	for len(w.queue) > 0 && w.queue[0].at <= end {
+		next := heap.Pop(&w.queue).(scheduled)
+		w.now = next.at
+		next.run()
+	}
+	w.now = end
+}
+
+func (w *world) add(region string) *client {
+	name := fmt.Sprintf("%s-%d", region, len(w.clients))
+	c := &client{world: w, name: name, candidate: true, rate: 1}
+	w.clients = append(w.clients, c)
+	c.restart(region)
+	c.tick()
+	return c
+}
+
+// restart begins anew with nothing remembered.
+func (c *client) restart(region string) {
+	c.reader = New(Config{ID: protocol.NodeID(c.name), Region: region, RandomSeed: c.world.random.Uint64()})
+	c.watches = map[Token]object.Version{}
+	c.done = map[Ticket]*protocol.SubmitReply{}
+	c.heads = map[Ticket]HeadRead{}
+	c.names = map[string]int{}
+	c.ready = nil
+}
+
+// clock is the client's own clock.
+func (c *client) clock() time.Duration {
+	return time.Duration(float64(c.world.now)*c.rate) + time.Hour
+}
+
+func (c *client) tick() {
+	c.input(func(now time.Duration) []Output { return c.reader.Tick(now, Candidacy{Candidate: c.candidate}) })
+	c.world.after(50*time.Millisecond, c.tick)
+}
+
+// input steps the reader, or keeps the input while the client is paused.
+func (c *client) input(step func(now time.Duration) []Output) {
+	if c.paused {
+		c.held = append(c.held, func() { c.input(step) })
+		return
+	}
+	for _, output := range step(c.clock()) {
+		c.carryOut(output)
+	}
+}
+
+func (c *client) wake() {
+	c.paused = false
+	held := c.held
+	c.held = nil
+	for _, run := range held {
+		run()
+	}
+}
+
+func (c *client) carryOut(output Output) {
+	switch output := output.(type) {
+	case PlatformCall:
+		c.platform(output)
+	case StartWatch:
+		c.watches[output.Token] = output.From
+		if !c.world.store.OpenWatch(c.world.now, c.name) {
+			c.endWatch(output.Token, result.PlatformReadersFull)
+			return
+		}
+		c.world.after(time.Millisecond, c.world.deliver)
+	case StopWatch:
+		delete(c.watches, output.Token)
+		c.world.store.CloseWatch(c.world.now, c.name)
+	case SubmitDone:
+		if c.done[output.Ticket] != nil {
+			panic("a ticket was answered twice")
+		}
+		c.done[output.Ticket] = output.Reply
+	case HeadRead:
+		c.heads[output.Ticket] = output
+	case CatalogueReady:
+		c.ready = append(c.ready, output)
+	case Event:
+		c.names[output.Name]++
+	}
+}
+
+// platform carries out one call with the faults of the day. The reader is
+// answered once: in time, or with PlatformUnknown at the call's timeout.
+func (c *client) platform(call PlatformCall) {
+	w := c.world
+	c.calls++
+	reader := c.reader
+	answered := false
+	answer := func(reply object.Reply) {
+		if answered || c.reader != reader {
+			return
+		}
+		answered = true
+		c.input(func(now time.Duration) []Output { return reader.HandlePlatformReply(now, call.Token, reply) })
+	}
+	decision := w.faults.Decide(w.random, call.Call)
+	before, after := decision.Before+time.Millisecond, decision.After+time.Millisecond
+	if w.random.Float64() < w.late {
+		before += time.Duration(w.random.Int64N(int64(20 * time.Second)))
+	}
+	w.after(call.Timeout, func() { answer(object.Reply{Code: result.PlatformUnknown}) })
+	if decision.Refuse {
+		w.after(after, func() { answer(object.Reply{Code: result.PlatformUnavailable}) })
+		return
+	}
+	if decision.LoseRequest {
+		return
+	}
+	w.after(before, func() {
+		reply := w.store.Apply(w.now, c.name, call.Call, decision.Lag)
+		w.deliver()
+		if !decision.LoseAnswer {
+			w.after(after, func() { answer(reply) })
+		}
+	})
+}
+
+// deliver sends what is new to every watch, each event on its own way.
+func (w *world) deliver() {
+	for _, c := range w.clients {
+		for token, from := range c.watches {
+			c.deliver(token, from)
+		}
+	}
+}
+
+func (c *client) deliver(token Token, from object.Version) {
+	w := c.world
+	fresh, through, code := w.store.Events(ledger.HeadObject, from)
+	if code != result.OK {
+		c.endWatch(token, code)
+		return
+	}
+	if len(fresh) > 0 && w.faults.Breaks(w.random) {
+		c.endWatch(token, result.PlatformUnavailable)
+		return
+	}
+	c.watches[token] = through
+	reader := c.reader
+	for _, event := range w.faults.Deliver(w.random, fresh, w.store.Recent(ledger.HeadObject, from, standin.ReplayDepth)) {
+		delay := time.Duration(w.random.Int64N(int64(10 * time.Millisecond)))
+		w.after(delay, func() {
+			c.input(func(now time.Duration) []Output { return reader.HandleEvent(now, token, event) })
+		})
+	}
+}
+
+func (c *client) endWatch(token Token, code result.Code) {
+	delete(c.watches, token)
+	c.world.store.CloseWatch(c.world.now, c.name)
+	reader := c.reader
+	c.world.after(time.Millisecond, func() {
+		c.input(func(now time.Duration) []Output { return reader.HandleWatchEnded(now, token, code) })
+	})
+}
+
+// submit sends a change and returns its ticket.
+func (c *client) submit(ticket Ticket, request *protocol.SubmitRequest) {
+	wall := time.UnixMilli(epoch).Add(c.world.now)
+	c.input(func(now time.Duration) []Output { return c.reader.Submit(now, wall, ticket, request) })
+}
+
+// epoch is the wall clock at the origin of virtual time.
+const epoch = 1_750_000_000_000
+
+// change returns a submission of a file with one service.
+func (w *world) change(operation, file string, action protocol.Action) *protocol.SubmitRequest {
+	id := fmt.Sprintf("%d-%016x", epoch+w.now.Milliseconds()+1, []byte(operation)[:8])
+	content := ""
+	if action != protocol.ActionWithdraw {
+		content = fmt.Sprintf("partner: kameeldoring\nname: %s\nservices:\n  - name: %s-%d\n", file, file, w.random.IntN(1000))
+	}
+	return &protocol.SubmitRequest{
+		Format:    protocol.Format,
+		Operation: id,
+		Partner:   resource.Partner("kameeldoring"),
+		Action:    action,
+		File:      file,
+		Content:   []byte(content),
+	}
+}
+
+// head returns the head on the platform.
+func (w *world) head() *ledger.Head {
+	reply := w.store.Apply(w.now, "oracle", object.Call{Kind: object.CallGet, Name: ledger.HeadObject}, standin.Lag{})
+	if reply.Code != result.OK {
+		return ledger.NewHead()
+	}
+	head, err := ledger.Decode(reply.Object.Data)
+	if err != nil {
+		panic(err)
+	}
+	return head
+}
