--- a/internal/core/floor/sets.go
+++ b/internal/core/floor/sets.go
@@ -1,6 +1,13 @@
 package floor
 
-import "github.com/springstack/springstack/internal/core/protocol"
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+)
 
 // MaxKeepers is the largest keeper set.
 const MaxKeepers = 8
@@ -10,7 +17,7 @@
 
 // Quorums returns how many keepers of a set of the size must store a version
 // before its release, and how many answers are enough to learn the floor.
-// Their sum always exceeds the size.
+// Their sum always exceeds the size. It returns zeros for a size out of range.
 func Quorums(size int) (write, read int) {
 	if size < 1 || size > MaxKeepers {
 		return 0, 0
@@ -19,8 +26,191 @@
 	return write, size - write + 1
 }
 
-// ChooseKeepers returns the keeper set that a region should have, and whether
-// it differs from the current one.
-func ChooseKeepers(region string, current protocol.KeeperSet, live []protocol.Member) (protocol.KeeperSet, bool) {
-	return current, false
+// Sets returns the sets whose quorums count while the given one is the newest:
+// the set itself and, until the change has settled, the one that it replaces.
+func Sets(set protocol.KeeperSet) []protocol.KeeperSet {
+	sets := []protocol.KeeperSet{set}
+	if set.Previous != nil {
+		sets = append(sets, *set.Previous)
+	}
+	return sets
+}
+
+// HasWrite reports whether the members for which counted is true are a write
+// quorum of each of the sets that count.
+func HasWrite(set protocol.KeeperSet, counted func(protocol.NodeID) bool) bool {
+	return lo.EveryBy(Sets(set), func(one protocol.KeeperSet) bool {
+		return one.Write > 0 && countMembers(one, counted) >= one.Write
+	})
+}
+
+// HasRead reports whether the members for which counted is true are a read
+// quorum of each of the sets that count.
+func HasRead(set protocol.KeeperSet, counted func(protocol.NodeID) bool) bool {
+	return lo.EveryBy(Sets(set), func(one protocol.KeeperSet) bool {
+		return one.Read > 0 && countMembers(one, counted) >= one.Read
+	})
+}
+
+func countMembers(set protocol.KeeperSet, counted func(protocol.NodeID) bool) int {
+	return lo.CountBy(set.Members, func(member protocol.KeeperMember) bool { return counted(member.ID) })
+}
+
+// allMembers returns the members of all sets that count, each once.
+func allMembers(set protocol.KeeperSet) []protocol.KeeperMember {
+	members := lo.FlatMap(Sets(set), func(one protocol.KeeperSet, _ int) []protocol.KeeperMember { return one.Members })
+	return lo.UniqBy(members, func(member protocol.KeeperMember) protocol.NodeID { return member.ID })
+}
+
+func isMember(set protocol.KeeperSet, id protocol.NodeID) bool {
+	return lo.ContainsBy(allMembers(set), func(member protocol.KeeperMember) bool { return member.ID == id })
+}
+
+// ChooseKeepers returns what should replace the keeper set of a region in the
+// head, and whether anything should. current is the set in the head, the zero
+// set if there is none; live are the region's members that may be keepers;
+// released is the newest version that was released with current in the head.
+//
+// A change takes two steps. First the new set, with the old one as Previous;
+// then, once a version has been released with both in the head, the new set
+// alone. While a change has not settled, only the new set may be changed: the
+// old one stays until quorums of it know better.
+//
+// The result carries the revision of current, so that it is written only if
+// current is still in the head.
+func ChooseKeepers(region string, current protocol.KeeperSet, live []protocol.Member, released protocol.Version) (protocol.KeeperSet, bool) {
+	settled := current.Revision > 0 && released >= current.Revision
+	if current.Previous != nil && settled {
+		current.Previous = nil
+		return current, true
+	}
+	members := chooseMembers(current.Members, live)
+	if len(members) == 0 || sameMembers(members, current.Members) {
+		return current, false
+	}
+	next := protocol.KeeperSet{Region: region, Revision: current.Revision, Members: members, Previous: current.Previous}
+	next.Write, next.Read = Quorums(len(members))
+	if next.Previous == nil && len(current.Members) > 0 {
+		replaced := current
+		next.Previous = &replaced
+	}
+	return next, true
+}
+
+func sameMembers(a, b []protocol.KeeperMember) bool {
+	return slices.Equal(a, b)
+}
+
+// keeperCount returns how many keepers a region with so many live members
+// should have. Two members get one keeper: with two, either's loss would stop
+// releases.
+func keeperCount(live int) int {
+	if live == 2 {
+		return 1
+	}
+	return min(live, MaxKeepers)
+}
+
+// chooseMembers keeps the keepers that are live, adds the missing ones where
+// their zone has fewest, and moves keepers from crowded zones to empty ones.
+func chooseMembers(current []protocol.KeeperMember, live []protocol.Member) []protocol.KeeperMember {
+	candidates := slices.Clone(live)
+	slices.SortFunc(candidates, func(a, b protocol.Member) int {
+		if rankOf(a.ID) != rankOf(b.ID) {
+			return lo.Ternary(rankOf(a.ID) < rankOf(b.ID), -1, 1)
+		}
+		return lo.Ternary(a.ID < b.ID, -1, 1)
+	})
+	isKeeper := func(id protocol.NodeID) bool {
+		return lo.ContainsBy(current, func(keeper protocol.KeeperMember) bool { return keeper.ID == id })
+	}
+	choice := &zoneChoice{zones: map[string]int{}}
+	for _, member := range candidates {
+		if isKeeper(member.ID) {
+			choice.add(member)
+			continue
+		}
+		if member.State == protocol.MemberAlive {
+			choice.spare = append(choice.spare, member)
+		}
+	}
+	choice.fill(keeperCount(len(choice.chosen) + len(choice.spare)))
+	choice.balance()
+	return choice.keepers()
+}
+
+// rankOf orders members in the same way everywhere, without regard to names.
+func rankOf(id protocol.NodeID) uint64 { return xxhash.Sum64String(string(id)) }
+
+// zoneChoice is a choice of keepers under way.
+type zoneChoice struct {
+	chosen []protocol.Member
+	spare  []protocol.Member
+	zones  map[string]int
+}
+
+func (c *zoneChoice) add(member protocol.Member) {
+	c.chosen = append(c.chosen, member)
+	c.zones[member.Zone]++
+}
+
+// fill adds spares, each from the zone with fewest keepers, and drops the
+// newest ones beyond the size.
+func (c *zoneChoice) fill(size int) {
+	for len(c.chosen) > size {
+		c.drop(len(c.chosen) - 1)
+	}
+	for len(c.chosen) < size && len(c.spare) > 0 {
+		c.take(c.emptiest())
+	}
+}
+
+// balance moves keepers while a zone has two more than one with a spare.
+func (c *zoneChoice) balance() {
+	for len(c.spare) > 0 {
+		next := c.emptiest()
+		zone := c.spare[next].Zone
+		crowded := -1
+		for i, member := range c.chosen {
+			if c.zones[member.Zone] >= c.zones[zone]+2 && (crowded < 0 || c.zones[member.Zone] > c.zones[c.chosen[crowded].Zone]) {
+				crowded = i
+			}
+		}
+		if crowded < 0 {
+			return
+		}
+		c.drop(crowded)
+		c.take(next)
+	}
+}
+
+// emptiest returns the spare whose zone has fewest keepers; the first in rank
+// when several have.
+func (c *zoneChoice) emptiest() int {
+	best := 0
+	for i, member := range c.spare {
+		if c.zones[member.Zone] < c.zones[c.spare[best].Zone] {
+			best = i
+		}
+	}
+	return best
+}
+
+func (c *zoneChoice) take(spare int) {
+	c.add(c.spare[spare])
+	c.spare = slices.Delete(c.spare, spare, spare+1)
+}
+
+func (c *zoneChoice) drop(index int) {
+	c.zones[c.chosen[index].Zone]--
+	c.chosen = slices.Delete(c.chosen, index, index+1)
+}
+
+// keepers returns the chosen members sorted by id.
+func (c *zoneChoice) keepers() []protocol.KeeperMember {
+	keepers := lo.Map(c.chosen, func(member protocol.Member, _ int) protocol.KeeperMember {
+		return protocol.KeeperMember{ID: member.ID, ControlAddress: member.ControlAddress}
+	})
+	slices.SortFunc(keepers, func(a, b protocol.KeeperMember) int { return lo.Ternary(a.ID < b.ID, -1, 1) })
+	return keepers
 }
