Carry an expected revision of zero over the wire

Cause: gob leaves out a pointer to zero, so a submission that expects no file would overwrite the winner once it was forwarded to a reader.

--- a/internal/core/ledger/apply.go
+++ b/internal/core/ledger/apply.go
@@ -109,16 +109,16 @@
 func checkRevision(head *Head, change *Change) *protocol.SubmitReply {
 	entry, found := head.File(change.Key())
 	expect := change.Request.Expect
-	if !found && expect != nil && *expect != 0 {
-		return lostTo(head, entry, "the file is not there; revision %d was expected", *expect)
+	if !found && expect.Given && expect.Revision != 0 {
+		return lostTo(head, entry, "the file is not there; revision %d was expected", expect.Revision)
 	}
 	if !found && change.Request.Action != protocol.ActionSubmit {
 		return refuse(result.NoSuchFile, "there is no file %s", change.Key())
 	}
-	if found && expect != nil && *expect != entry.Revision() {
-		return lostTo(head, entry, "the file has revision %d; revision %d was expected", entry.Revision(), *expect)
+	if found && expect.Given && expect.Revision != entry.Revision() {
+		return lostTo(head, entry, "the file has revision %d; revision %d was expected", entry.Revision(), expect.Revision)
 	}
-	if found && expect == nil && change.Request.Action == protocol.ActionSubmit {
+	if found && !expect.Given && change.Request.Action == protocol.ActionSubmit {
 		return lostTo(head, entry, "the file is there already, with revision %d", entry.Revision())
 	}
 	return nil
--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -153,7 +153,7 @@
 	is.Equal(c.submit("a/f", service("s2")).Code, result.RevisionMismatch)
 	expect := func(revision uint64, body string) *protocol.SubmitReply {
 		request := c.request(protocol.ActionReplace, "a/f", body)
-		request.Expect = &revision
+		request.Expect = protocol.ExpectationOf(&revision)
 		return c.send(request)
 	}
 	second := expect(first.Revision, service("s2"))
--- a/internal/core/ledger/operation.go
+++ b/internal/core/ledger/operation.go
@@ -74,8 +74,8 @@
 func fingerprint(request *protocol.SubmitRequest) string {
 	hash := sha256.New()
 	expect := "any"
-	if request.Expect != nil {
-		expect = strconv.FormatUint(*request.Expect, 10)
+	if request.Expect.Given {
+		expect = strconv.FormatUint(request.Expect.Revision, 10)
 	}
 	fields := []string{string(request.Partner), string(request.Action), request.File, expect, string(request.Content)}
 	for _, field := range fields {
--- a/internal/core/protocol/protocol.go
+++ b/internal/core/protocol/protocol.go
@@ -263,6 +263,21 @@
 	ActionWithdraw Action = "withdraw"
 )
 
+// Expectation is a revision that must still be the file's; the zero value is
+// any revision. It is no pointer, since gob drops a pointer to zero.
+type Expectation struct {
+	Given    bool
+	Revision uint64
+}
+
+// ExpectationOf turns an optional revision into an Expectation.
+func ExpectationOf(revision *uint64) Expectation {
+	if revision == nil {
+		return Expectation{}
+	}
+	return Expectation{Given: true, Revision: *revision}
+}
+
 // SubmitRequest carries one operator's change to a reader.
 type SubmitRequest struct {
 	Format int
@@ -272,8 +287,8 @@
 	Partner resource.Partner
 	Action  Action
 	File    string
-	// Expect is the file revision the operator saw; nil means any.
-	Expect *uint64
+	// Expect is the file revision the operator saw.
+	Expect Expectation
 	// Content is the file's text; empty for withdraw.
 	Content []byte
 	// SentAt is the wall clock of the daemon that took the request.
--- a/internal/core/reader/changes.go
+++ b/internal/core/reader/changes.go
@@ -96,8 +96,7 @@
 }
 
 func sameRequest(a, b *protocol.SubmitRequest) bool {
-	sameExpect := (a.Expect == nil) == (b.Expect == nil) && (a.Expect == nil || *a.Expect == *b.Expect)
-	return sameExpect && a.Partner == b.Partner && a.Action == b.Action && a.File == b.File &&
+	return a.Expect == b.Expect && a.Partner == b.Partner && a.Action == b.Action && a.File == b.File &&
 		bytes.Equal(a.Content, b.Content)
 }
 
--- a/internal/operator/changes.go
+++ b/internal/operator/changes.go
@@ -66,7 +66,7 @@
 		Operation: change.Operation,
 		Action:    protocol.Action(change.Action),
 		File:      input.Name,
-		Expect:    change.Expect,
+		Expect:    protocol.ExpectationOf(change.Expect),
 		Content:   []byte(change.Content),
 	})
 }
@@ -80,7 +80,7 @@
 		Operation: input.Operation,
 		Action:    protocol.ActionWithdraw,
 		File:      input.Name,
-		Expect:    expect,
+		Expect:    protocol.ExpectationOf(expect),
 	})
 }
 
--- a/internal/sim/world/operators.go
+++ b/internal/sim/world/operators.go
@@ -78,7 +78,7 @@
 		File:      name,
 	}
 	if revision, known := o.revisions[file]; known && expect {
-		request.Expect = &revision
+		request.Expect = protocol.ExpectationOf(&revision)
 	}
 	return request
 }
