--- a/internal/core/node/cluster_test.go
+++ b/internal/core/node/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -28,6 +29,8 @@
 	cut      func(from, to string) bool
 	platform *platform
 	messages int
+	// submitted is set once the file exists.
+	submitted bool
 	// logs prints log events when set.
 	logs func(line string)
 }
@@ -194,6 +197,21 @@
 		d.operator[one.Token] = one.Body
 	case node.LogEvent:
 		c.printLog(d, one)
+		if one.Name == "version_in_force" {
+			c.checkInForce(one.Fields[0].Value)
+		}
+	}
+}
+
+// checkInForce holds what a node calls in force against what all daemons may
+// serve at that moment (I9).
+func (c *cluster) checkInForce(claimed string) {
+	version, err := strconv.ParseUint(claimed, 10, 64)
+	c.is.NoErr(err)
+	for _, d := range c.daemons {
+		if c.serving(d) && d.snapshot.Version < protocol.Version(version) {
+			c.is.Equal(fmt.Sprintf("%s serves %d", d.id, d.snapshot.Version), "in force is "+claimed)
+		}
 	}
 }
 
@@ -263,10 +281,15 @@
 func (c *cluster) submit(d *daemon, content string) func() *protocol.SubmitReply {
 	c.order++
 	token := node.Token(c.order) | 1<<41
+	action := protocol.ActionSubmit
+	if c.submitted {
+		action = protocol.ActionReplace
+	}
+	c.submitted = true
 	c.step(d, node.OperatorRequest{Token: token, WallClock: c.wallClock(), Body: &protocol.SubmitRequest{
 		Operation: fmt.Sprintf("%d-%016x", c.wallClock().UnixMilli(), c.order),
 		Partner:   "kameeldoring",
-		Action:    protocol.ActionSubmit,
+		Action:    action,
 		File:      "shop",
 		Content:   []byte(content),
 	}})
--- /dev/null
+++ b/internal/core/node/failure_test.go
@@ -0,0 +1,207 @@
+package node_test
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/node"
+	"github.com/springstack/springstack/internal/core/protocol"
+)
+
+// settled returns twelve daemons that serve an accepted file everywhere, with
+// keepers that have been up for longer than any lease.
+func settled(t *testing.T) (*cluster, []*daemon, protocol.Version) {
+	c := newCluster(t)
+	if os.Getenv("NODE_LOGS") != "" {
+		c.logs = func(line string) { t.Log(line) }
+	}
+	daemons := twelve(c)
+	c.until("all serve", 40*time.Second, func() bool { return c.allServe(1) })
+	c.run(30 * time.Second)
+	version := c.accept(daemons[7], 6)
+	c.inForce(daemons[9], version, 5*time.Second)
+	return c, daemons, version
+}
+
+// root returns the running daemon that calls itself root.
+func (c *cluster) root() *daemon {
+	for _, d := range c.daemons {
+		if !d.running {
+			continue
+		}
+		for _, member := range d.members {
+			if member.ID == d.id && member.Root {
+				return d
+			}
+		}
+	}
+	return nil
+}
+
+// other returns a running daemon that is none of the given.
+func (c *cluster) other(not ...*daemon) *daemon {
+	for i := range len(c.daemons) {
+		d := c.daemons[fmt.Sprintf("addr-d%02d", i)]
+		known := !d.running
+		for _, one := range not {
+			known = known || one == d
+		}
+		if !known {
+			return d
+		}
+	}
+	return nil
+}
+
+func TestRootDies(t *testing.T) {
+	c, _, _ := settled(t)
+	root := c.root()
+	c.stop(root)
+	through := c.other(root)
+	version := c.accept(through, 7)
+	held := c.until("all hold", 15*time.Second, func() bool { return c.allServe(version) })
+	took := c.inForce(through, version, 60*time.Second)
+	t.Logf("served everywhere after %v, in force after another %v", held, took)
+}
+
+func TestDaemonIsCutOffAndReturns(t *testing.T) {
+	c, daemons, _ := settled(t)
+	lost := c.other(c.root())
+	c.cut = func(from, to string) bool {
+		return from == lost.config.ControlAddress || to == lost.config.ControlAddress
+	}
+	through := c.other(lost)
+	version := c.accept(through, 7)
+	c.run(time.Second)
+	if c.status(through).Summary.InForce >= version {
+		c.is.Fail() // a daemon that may still serve the older version holds it back
+	}
+	c.run(15 * time.Second)
+	c.is.True(!c.serving(lost)) // it stopped by itself
+	c.inForce(through, version, 60*time.Second)
+	c.cut = func(string, string) bool { return false }
+	c.until("all serve", 20*time.Second, func() bool { return c.allServe(version) })
+	version = c.accept(daemons[3], 8)
+	c.inForce(through, version, 10*time.Second)
+}
+
+func TestZoneIsLost(t *testing.T) {
+	c, daemons, _ := settled(t)
+	for _, d := range daemons {
+		if d.config.Zone == "eros-hall" {
+			c.stop(d)
+		}
+	}
+	through := c.other()
+	version := c.accept(through, 7)
+	held := c.until("all hold", 15*time.Second, func() bool { return c.allServe(version) })
+	took := c.inForce(through, version, 90*time.Second)
+	t.Logf("served everywhere after %v, in force after another %v", held, took)
+}
+
+func TestPlatformIsDown(t *testing.T) {
+	c, daemons, version := settled(t)
+	c.platform.down = true
+	c.run(60 * time.Second)
+	c.is.True(c.allServe(version))
+	c.stop(daemons[4])
+	c.start("windhoek", "klein-hall", "d04", "addr-d00", "addr-d01", "addr-d02")
+	c.until("a new daemon serves", 20*time.Second, func() bool { return c.allServe(version) })
+	root := c.root()
+	c.stop(root)
+	c.until("another root serves", 30*time.Second, func() bool { return c.allServe(version) })
+	c.platform.down = false
+	version = c.accept(c.other(root), 7)
+	c.until("all hold", 15*time.Second, func() bool { return c.allServe(version) })
+	c.inForce(c.other(root), version, 60*time.Second)
+}
+
+// TestHerdRestarts restarts all daemons at once with the platform up, then
+// with the platform down: without a floor nothing is served.
+func TestHerdRestarts(t *testing.T) {
+	c, daemons, version := settled(t)
+	restart := func() {
+		for _, d := range daemons {
+			c.stop(d)
+		}
+		c.run(time.Second)
+		for _, d := range daemons {
+			c.start("windhoek", d.config.Zone, string(d.id), "addr-d00", "addr-d01", "addr-d02")
+		}
+	}
+	restart()
+	took := c.until("all serve", 60*time.Second, func() bool { return c.allServe(version) })
+	t.Logf("all serve %v after the herd restarted", took)
+	c.platform.down = true
+	restart()
+	c.run(30 * time.Second)
+	for _, d := range daemons {
+		c.is.True(!c.serving(d))
+	}
+	c.platform.down = false
+	c.until("all serve", 60*time.Second, func() bool { return c.allServe(version) })
+}
+
+// TestRegionsAreCut follows a change over two regions, of which one is then
+// cut off.
+func TestRegionsAreCut(t *testing.T) {
+	c := newCluster(t)
+	if os.Getenv("NODE_LOGS") != "" {
+		c.logs = func(line string) { t.Log(line) }
+	}
+	regions := map[string][]string{"windhoek": {"klein-hall", "eros-hall"}, "accra": {"tema-hall", "osu-hall"}}
+	for i := range 8 {
+		region := []string{"windhoek", "accra"}[i%2]
+		c.start(region, regions[region][i/2%2], fmt.Sprintf("d%02d", i), "addr-d00", "addr-d01")
+	}
+	c.until("all serve", 40*time.Second, func() bool { return c.allServe(1) })
+	c.run(30 * time.Second)
+	through := c.other()
+	version := c.accept(through, 6)
+	took := c.inForce(through, version, 10*time.Second)
+	t.Logf("in force in both regions after %v", took)
+	c.until("all members known", 10*time.Second, func() bool { return len(through.members) == 8 })
+
+	c.cut = func(from, to string) bool { return c.daemons[from].config.Region != c.daemons[to].config.Region }
+	version = c.accept(through, 7)
+	c.until("each region holds it", 10*time.Second, func() bool { return c.allServe(version) })
+	c.run(40 * time.Second)
+	summary := c.status(through).Summary
+	c.is.True(summary.InForce < version) // not known of the other region
+	c.is.Equal(summary.CutRegions, []string{"accra"})
+	c.cut = func(string, string) bool { return false }
+	took = c.inForce(through, version, 10*time.Second)
+	t.Logf("in force %v after the regions were joined", took)
+}
+
+func TestCleanLeaveIsNotCounted(t *testing.T) {
+	c, _, _ := settled(t)
+	gone := c.other(c.root())
+	c.step(gone, node.Leave{})
+	c.run(time.Second)
+	c.step(gone, node.Stopped{})
+	c.run(500 * time.Millisecond)
+	c.stop(gone)
+	through := c.other(gone)
+	version := c.accept(through, 7)
+	took := c.inForce(through, version, 5*time.Second)
+	t.Logf("in force after %v without the one that left", took)
+}
+
+// TestStepsAreDeterministic runs the same cluster twice.
+func TestStepsAreDeterministic(t *testing.T) {
+	is := is.New(t)
+	var logs [2][]string
+	for i := range logs {
+		c := newCluster(t)
+		c.logs = func(line string) { logs[i] = append(logs[i], line) }
+		twelve(c)
+		c.run(20 * time.Second)
+	}
+	is.True(len(logs[0]) > 20)
+	is.Equal(logs[0], logs[1])
+}
