--- a/internal/daemon/shell.go
+++ b/internal/daemon/shell.go
@@ -63,6 +63,11 @@
 	// watches are the running watches; only the stepping goroutine uses them.
 	watches map[node.Token]context.CancelFunc
 
+	// backend is the newest state of the back end beside the daemon;
+	// backendChanged has an entry while the node has not been told.
+	backend        atomic.Int64
+	backendChanged chan struct{}
+
 	state shellState
 }
 
@@ -89,8 +94,10 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		inbox:    make(chan node.Message, inboxLength),
-		waiters:  waiters{pending: make(map[node.Token]chan any)},
-		watches:  make(map[node.Token]context.CancelFunc),
+
+		backendChanged: make(chan struct{}, 1),
+		waiters:        waiters{pending: make(map[node.Token]chan any)},
+		watches:        make(map[node.Token]context.CancelFunc),
 	}
 }
 
@@ -119,6 +126,8 @@
 			s.step(node.Tick{})
 		case message := <-s.inbox:
 			s.step(message)
+		case <-s.backendChanged:
+			s.step(node.BackendReport{State: protocol.EndpointState(s.backend.Load())})
 		}
 	}
 }
@@ -132,7 +141,7 @@
 		pending = pending[1:]
 		began := time.Now()
 		effects := s.node.Step(s.clock(), next)
-		s.state.stepped(time.Since(began))
+		s.state.stepped(s.clock(), time.Since(began))
 		for _, effect := range effects {
 			if follows := s.carryOut(effect); follows != nil {
 				pending = append(pending, follows)
@@ -208,11 +217,19 @@
 // Leave tells the mesh that the daemon is leaving.
 func (s *Shell) Leave(ctx context.Context) bool { return s.send(ctx, node.Leave{}) }
 
-// ReportBackend tells the node the state of the back end beside it.
-func (s *Shell) ReportBackend(state protocol.EndpointState) bool {
-	return s.send(s.ctx, node.BackendReport{State: state})
+// ReportBackend tells the node the state of the back end beside it. It does
+// not block; of several reports in a row the node may see only the newest.
+func (s *Shell) ReportBackend(state protocol.EndpointState) {
+	s.backend.Store(int64(state))
+	select {
+	case s.backendChanged <- struct{}{}:
+	default:
+	}
 }
 
+// SinceStep returns how long ago the node was last stepped.
+func (s *Shell) SinceStep() time.Duration { return s.clock() - s.state.lastStepAt() }
+
 // State returns what the shell has seen of its node.
 func (s *Shell) State() State { return s.state.load(s.clock()) }
 
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -38,17 +38,21 @@
 	current       atomic.Pointer[snapshot.Snapshot]
 	servingUntil  atomic.Int64
 	members       atomic.Int64
+	lastStep      atomic.Int64
 	steps         atomic.Uint64
 	stepTime      atomic.Int64
 	platformCalls atomic.Uint64
 	peerFailures  atomic.Uint64
 }
 
-func (s *shellState) stepped(took time.Duration) {
+func (s *shellState) stepped(now, took time.Duration) {
+	s.lastStep.Store(int64(now))
 	s.steps.Add(1)
 	s.stepTime.Add(int64(took))
 }
 
+func (s *shellState) lastStepAt() time.Duration { return time.Duration(s.lastStep.Load()) }
+
 func (s *shellState) swapped(next *snapshot.Snapshot) { s.current.Store(next) }
 
 func (s *shellState) extend(until time.Duration) { s.servingUntil.Store(int64(until)) }
