--- a/internal/operator/changes.go
+++ b/internal/operator/changes.go
@@ -45,6 +45,8 @@
 func (a *API) registerChanges(served huma.API) {
 	submit := operation("submit-file", http.MethodPut, "/v1/files/{partner}/{name}", "Submit or replace a whole file")
 	schema := served.OpenAPI().Components.Schemas.Schema(changeType, true, "")
+	// The body is checked by readChange: huma knows no validation of YAML.
+	submit.SkipValidateBody = true
 	submit.RequestBody = &huma.RequestBody{
 		Required: true,
 		Content: map[string]*huma.MediaType{
--- /dev/null
+++ b/internal/operator/printer/progress.go
@@ -0,0 +1,44 @@
+package printer
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/springstack/springstack/internal/operator/client"
+)
+
+// Watch returns a function that shows the progress of a wait, one line each
+// time that it changes. It is silent for scripts.
+func (p *Printer) Watch() func(client.Progress) {
+	shown := ""
+	return func(progress client.Progress) {
+		line := describe(progress)
+		if p.Format == JSON || line == shown {
+			return
+		}
+		shown = line
+		_, _ = fmt.Fprintln(p.Progress, line)
+	}
+}
+
+func describe(progress client.Progress) string {
+	if progress.Trouble != nil {
+		return "no status: " + progress.Trouble.Name
+	}
+	if len(progress.WaitsFor) > 0 {
+		return "held: " + strings.Join(progress.WaitsFor, "; ")
+	}
+	members, holding := uint32(0), uint32(0)
+	var behind []string
+	for _, zone := range progress.Status.Zones {
+		members += zone.Members
+		holding += zone.Holding
+		behind = append(behind, zone.Behind...)
+	}
+	line := fmt.Sprintf("version %d: in force %d; %d of %d daemons hold version %d",
+		progress.Version, progress.Status.InForce, holding, members, progress.Status.Version)
+	if len(behind) > 0 && !progress.Done {
+		line += "; behind: " + strings.Join(behind, " ")
+	}
+	return line
+}
