--- a/internal/core/protocol/protocol.go
+++ b/internal/core/protocol/protocol.go
@@ -66,6 +66,11 @@
 	Zone        string
 	// Reader is set while the daemon holds a reader lease.
 	Reader bool
+	// Root is set while the daemon has no parent and acts as its region's root.
+	Root bool
+	// Parent is the daemon that it fetches from; empty for a root. Only the
+	// parent may call it suspect or dead.
+	Parent NodeID
 	// Service and Backend name the back end beside it; empty for none.
 	Service  resource.ServiceRef
 	Backend  string
@@ -106,8 +111,18 @@
 // its parent. It is a heartbeat, an acknowledgement and a question at once.
 type FetchRequest struct {
 	Format int
-	Self   Member
-	Scope  Scope
+	// From and Incarnation identify the sender.
+	From        NodeID
+	Incarnation Incarnation
+	// Counter grows with each fetch of the sender, so that a parent can tell a
+	// late duplicate from the newest.
+	Counter uint64
+	// Self is the sender's record; zero when unchanged since the last fetch
+	// that this parent answered.
+	Self Member
+	// KeeperRevision is the newest keeper set that the sender knows.
+	KeeperRevision Version
+	Scope          Scope
 	// Have is the version in force on the sender, HaveDigest its snapshot's.
 	Have       Version
 	HaveDigest resource.Digest
@@ -172,6 +187,10 @@
 	Members  []KeeperMember
 	Write    int
 	Read     int
+	// Previous is the set that this one replaces, until the change has settled.
+	// While it is set, quorums of both sets are needed to write and to read.
+	// Its own Previous is nil.
+	Previous *KeeperSet
 }
 
 // KeeperMember is one keeper.
@@ -182,13 +201,13 @@
 
 // StoreRequest asks a keeper to remember a version before it is released.
 type StoreRequest struct {
-	Format  int
-	From    NodeID
-	Term    uint64
-	Version Version
-	Keepers KeeperSet
-	// PreviousKeepers is set while the keeper set changes.
-	PreviousKeepers *KeeperSet
+	Format int
+	From   NodeID
+	// Incarnation is that of the sender.
+	Incarnation Incarnation
+	Term        uint64
+	Version     Version
+	Keepers     KeeperSet
 }
 
 // StoreReply answers a StoreRequest. Stored is meaningful only if Code is OK:
@@ -196,6 +215,13 @@
 type StoreReply struct {
 	Code   result.Code
 	Stored Version
+	// OtherRoot is set when a root other than the sender asked this keeper
+	// lately, or may have asked it before the keeper's own start.
+	OtherRoot bool
+	// From and Incarnation are the keeper's; what it stored is forgotten when
+	// its incarnation changes.
+	From        NodeID
+	Incarnation Incarnation
 }
 
 // FloorRequest asks for the version floor of a region after a start.
@@ -205,12 +231,16 @@
 	From   NodeID
 	// FreshHead asks a reader to read the platform's head anew.
 	FreshHead bool
+	// Self is the record of the asker, which may not have joined yet.
+	Self Member
 }
 
 // FloorReply answers a FloorRequest.
 type FloorReply struct {
 	// Code is OK, NotReadyYet, NotKeeper or NoReader.
 	Code result.Code
+	// From is the answering daemon; addresses may be reused.
+	From NodeID
 	// Floor is the highest version stored, or the head read anew.
 	Floor Version
 	// FromHead is set when Floor is the platform's head, read after the request.
@@ -233,6 +263,21 @@
 	ActionWithdraw Action = "withdraw"
 )
 
+// Expectation is a revision that must still be the file's; the zero value is
+// any revision. It is no pointer, since gob drops a pointer to zero.
+type Expectation struct {
+	Given    bool
+	Revision uint64
+}
+
+// ExpectationOf turns an optional revision into an Expectation.
+func ExpectationOf(revision *uint64) Expectation {
+	if revision == nil {
+		return Expectation{}
+	}
+	return Expectation{Given: true, Revision: *revision}
+}
+
 // SubmitRequest carries one operator's change to a reader.
 type SubmitRequest struct {
 	Format int
@@ -242,10 +287,12 @@
 	Partner resource.Partner
 	Action  Action
 	File    string
-	// Expect is the file revision the operator saw; nil means any.
-	Expect *uint64
+	// Expect is the file revision the operator saw.
+	Expect Expectation
 	// Content is the file's text; empty for withdraw.
 	Content []byte
+	// SentAt is the wall clock of the daemon that took the request.
+	SentAt time.Time
 }
 
 // SubmitReply tells what became of a change.
@@ -268,6 +315,14 @@
 	Partner resource.Partner
 	// Resources asks for the digests of the resources in the partner's files.
 	Resources bool
+	// From is set by a region's root that asks another region's root; Self is
+	// its record.
+	From NodeID
+	Self Member
+	// MemberCursor and PeerIncarnation ask only for records that changed since
+	// the last answer; used with From.
+	MemberCursor    uint64
+	PeerIncarnation Incarnation
 }
 
 // FileStatus is one file as an operator sees it.
@@ -326,4 +381,7 @@
 	Summary Summary
 	Files   []FileStatus
 	Members []Member
+	// MemberCursor and Incarnation are for the next request of the same root.
+	MemberCursor uint64
+	Incarnation  Incarnation
 }
