--- a/cmd/springstack/app_test.go
+++ b/cmd/springstack/app_test.go
@@ -58,10 +58,8 @@
 type bench struct {
 	t       *testing.T
 	backend *ledgerBackend
-	// wrap stands between the client and the API.
-	wrap   func(http.Handler) http.Handler
-	server *httptest.Server
-	tokens map[string]string
+	server  *httptest.Server
+	tokens  map[string]string
 }
 
 func newBench(t *testing.T, wrap func(http.Handler) http.Handler) *bench {
--- a/internal/operator/api_test.go
+++ b/internal/operator/api_test.go
@@ -107,7 +107,7 @@
 	is.Equal(answer.WaitsFor, []string{"x"})
 	first := backend.asked
 	is.Equal(first.Partner, resource.Partner("a"))
-	is.Equal(*first.Expect, uint64(3))
+	is.Equal(first.Expect, protocol.Expectation{Given: true, Revision: 3})
 	envelope := `{"operation":"` + operationID + `","action":"replace","expect":3,"content":"text"}`
 	status, _ = call(handler, "PUT", "/v1/files/a/f", "token-a", "application/json", envelope)
 	is.Equal(status, http.StatusAccepted)
@@ -115,7 +115,7 @@
 	status, _ = call(handler, "DELETE", "/v1/files/a/f?operation="+operationID, "token-a", "", "")
 	is.Equal(status, http.StatusAccepted)
 	is.Equal(backend.asked.Action, protocol.ActionWithdraw)
-	is.Equal(backend.asked.Expect, nil)
+	is.Equal(backend.asked.Expect, protocol.Expectation{})
 }
 
 // TestOthersFilesShowOnlyExports holds even if the daemon answers too much.
