--- a/cmd/springstack/app_test.go
+++ b/cmd/springstack/app_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/samber/lo"
 
 	"github.com/springstack/springstack/internal/core/ledger"
 	"github.com/springstack/springstack/internal/core/protocol"
@@ -42,18 +43,26 @@
 	return reply
 }
 
-func (b *ledgerBackend) Status(_ context.Context, request *protocol.StatusRequest) *protocol.StatusReply {
+func (b *ledgerBackend) Status(context.Context, *protocol.StatusRequest) *protocol.StatusReply {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	return &protocol.StatusReply{
 		Summary: protocol.Summary{Version: b.head.Version, InForce: b.head.Version, Zones: []protocol.ZoneStatus{
 			{Region: "windhoek", Zone: "klein-hall", Members: 1, Holding: 1, Minimum: b.head.Version},
 		}},
-		Files:   ledger.FileStatuses(b.head, b.contents, request, b.head.Version),
+		Files:   b.fileStatuses(),
 		Members: []protocol.Member{{ID: "n1", State: protocol.MemberAlive, Region: "windhoek", Zone: "klein-hall"}},
 	}
 }
 
+// fileStatuses calls everything accepted in force.
+func (b *ledgerBackend) fileStatuses() []protocol.FileStatus {
+	return lo.Map(ledger.FileStatuses(b.head, b.contents), func(file protocol.FileStatus, _ int) protocol.FileStatus {
+		file.InForce = !file.Held
+		return file
+	})
+}
+
 // bench runs command lines against one server.
 type bench struct {
 	t       *testing.T
@@ -134,7 +143,10 @@
 	changed := filepath.Join(t.TempDir(), "changed.yaml")
 	edited := strings.NewReplacer("example-only-payment-token", "another-payment-token", "slots: 6", "slots: 5").Replace(string(text))
 	is.NoErr(os.WriteFile(changed, []byte(edited), 0o600))
-	status, out := b.run("kameeldoring", "--output", "json", "diff", changed)
+	status, out := b.run("kameeldoring", "diff", path)
+	is.Equal(status, 0)
+	is.True(strings.Contains(out, "identical"))
+	status, out = b.run("kameeldoring", "--output", "json", "diff", changed)
 	is.Equal(status, 0)
 	var compared message.Differences
 	is.NoErr(json.Unmarshal([]byte(out), &compared))
--- a/internal/core/protocol/protocol.go
+++ b/internal/core/protocol/protocol.go
@@ -313,8 +313,6 @@
 type StatusRequest struct {
 	Format  int
 	Partner resource.Partner
-	// Resources asks for the digests of the resources in the partner's files.
-	Resources bool
 	// From is set by a region's root that asks another region's root; Self is
 	// its record.
 	From NodeID
@@ -337,14 +335,20 @@
 	// Version is the version that accepted this revision.
 	Version Version
 	InForce bool
-	// Exports are the services of another partner's file that the asker may use.
-	Exports []string
-	// Resources are given for the asker's own files when it asked for them.
+	// Exports are the services of the file that other partners may use.
+	Exports []ExportedService
+	// Resources are the resources of the file with their digests. They stay
+	// between daemons: an operator is never shown the digest of a secret.
 	Resources []ResourceDigest
 }
 
-// ResourceDigest names one resource of a file. The digest of a secret is for
-// comparing inside a daemon only and is never shown to people.
+// ExportedService is a service and the other partners that may use it.
+type ExportedService struct {
+	Name     string
+	Partners []resource.Partner
+}
+
+// ResourceDigest names one resource of a file.
 type ResourceDigest struct {
 	Kind   resource.Kind
 	Name   string
--- a/internal/operator/api_test.go
+++ b/internal/operator/api_test.go
@@ -118,13 +118,15 @@
 	is.Equal(backend.asked.Expect, protocol.Expectation{})
 }
 
-// TestOthersFilesShowOnlyExports holds even if the daemon answers too much.
 func TestOthersFilesShowOnlyExports(t *testing.T) {
 	is := is.New(t)
 	backend := &scripted{status: &protocol.StatusReply{Files: []protocol.FileStatus{
 		{Partner: "a", Name: "own", Digest: "d1"},
 		{Partner: "b", Name: "private", Digest: "d2"},
-		{Partner: "b", Name: "shared", Digest: "d3", Exports: []string{"s"}, WaitsFor: []string{"hidden"}, Version: 7},
+		{Partner: "b", Name: "held", Held: true, Exports: []protocol.ExportedService{{Name: "s", Partners: []resource.Partner{"a"}}}},
+		{Partner: "b", Name: "shared", Digest: "d3", Exports: []protocol.ExportedService{
+			{Name: "s", Partners: []resource.Partner{"a"}}, {Name: "t", Partners: []resource.Partner{"c"}},
+		}, WaitsFor: []string{"hidden"}, Version: 7},
 	}}}
 	request := httptest.NewRequest(http.MethodGet, "/v1/files", nil)
 	request.Header.Set("Authorization", "bearer token-a")
@@ -135,6 +137,7 @@
 	is.Equal(len(files.Files), 2)
 	is.Equal(files.Files[0].Digest, "d1")
 	is.Equal(files.Files[1], message.File{Partner: "b", Name: "shared", State: message.FileAccepted, Version: 7, Exports: []string{"s"}})
+	is.True(!strings.Contains(recorder.Body.String(), "hidden"))
 }
 
 func TestOpenAPIListsEveryOperation(t *testing.T) {
--- a/internal/operator/message/convert.go
+++ b/internal/operator/message/convert.go
@@ -63,7 +63,7 @@
 		Version:    uint64(file.Version),
 		AcceptedAt: instant(file.AcceptedAt),
 		WaitsFor:   file.WaitsFor,
-		Exports:    file.Exports,
+		Exports:    lo.Map(file.Exports, func(export protocol.ExportedService, _ int) string { return export.Name }),
 	}
 }
 
--- a/internal/operator/message/message.go
+++ b/internal/operator/message/message.go
@@ -66,6 +66,10 @@
 	answer.WaitsFor = reply.WaitsFor
 	answer.Promoted = reply.Promoted
 	answer.Errors = Problems(reply.Errors)
+	entry, _ := result.Lookup(reply.Code)
+	if len(answer.Errors) == 0 && entry.Exit != 0 {
+		answer.Errors = []Problem{{Code: reply.Code, Name: entry.Name, Detail: entry.Meaning, Mend: entry.Mend}}
+	}
 	return answer
 }
 
@@ -136,7 +140,8 @@
 	Version    uint64     `json:"version,omitempty" doc:"Version that accepted this revision"`
 	AcceptedAt *time.Time `json:"accepted_at,omitempty"`
 	WaitsFor   []string   `json:"waits_for,omitempty"`
-	// Exports are the services of another partner's file that the caller may use.
+	// Exports are the services that other partners may use; in another partner's
+	// file, those that the caller may use.
 	Exports []string `json:"exports,omitempty"`
 }
 
@@ -200,6 +205,9 @@
 	Partner string `json:"partner"`
 	Name    string `json:"name"`
 	// Revision is the accepted revision; 0 when there is none.
-	Revision    uint64       `json:"revision"`
+	Revision uint64 `json:"revision"`
+	// Identical is set when the whole file, its distribution included, is what
+	// is accepted.
+	Identical   bool         `json:"identical"`
 	Differences []Difference `json:"differences"`
 }
--- a/internal/operator/printer/printer.go
+++ b/internal/operator/printer/printer.go
@@ -129,7 +129,8 @@
 	if p.json(differences) {
 		return
 	}
-	p.line("%s/%s against accepted revision %s", differences.Partner, differences.Name, number(differences.Revision))
+	p.line("%s/%s against accepted revision %s: %s", differences.Partner, differences.Name, number(differences.Revision),
+		lo.Ternary(differences.Identical, "identical", "different"))
 	rows := [][]string{{"CHANGE", "KIND", "NAME", "ACCEPTED", "LOCAL"}}
 	for _, difference := range differences.Differences {
 		rows = append(rows, []string{string(difference.Change), difference.Kind, difference.Name,
--- a/internal/operator/questions.go
+++ b/internal/operator/questions.go
@@ -4,8 +4,10 @@
 	"context"
 	"net/http"
 	"reflect"
+	"slices"
 
 	"github.com/danielgtaylor/huma/v2"
+	"github.com/samber/lo"
 
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
@@ -36,7 +38,7 @@
 }
 
 func (a *API) status(ctx context.Context, _ *struct{}) (*statusOutput, error) {
-	reply, err := a.ask(ctx, false)
+	reply, err := a.ask(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -44,7 +46,7 @@
 }
 
 func (a *API) files(ctx context.Context, _ *struct{}) (*filesOutput, error) {
-	reply, err := a.ask(ctx, false)
+	reply, err := a.ask(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -52,7 +54,7 @@
 }
 
 func (a *API) members(ctx context.Context, _ *struct{}) (*membersOutput, error) {
-	reply, err := a.ask(ctx, false)
+	reply, err := a.ask(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -60,10 +62,10 @@
 }
 
 // ask puts the question of the caller.
-func (a *API) ask(ctx context.Context, resources bool) (*protocol.StatusReply, error) {
+func (a *API) ask(ctx context.Context) (*protocol.StatusReply, error) {
 	bounded, cancel := context.WithTimeout(ctx, StatusTimeout)
 	defer cancel()
-	request := &protocol.StatusRequest{Format: protocol.Format, Partner: callerOf(ctx), Resources: resources}
+	request := &protocol.StatusRequest{Format: protocol.Format, Partner: callerOf(ctx)}
 	reply := a.backend.Status(bounded, request)
 	if reply == nil {
 		return nil, newFailure(message.Refusal(result.NoReader, "no answer came in time"))
@@ -74,8 +76,9 @@
 	return visible(reply, request.Partner), nil
 }
 
-// visible takes out once more what the partner may not see, whatever the
-// daemon that answered was built to send.
+// visible takes out what the partner may not see: of another partner's file it
+// is shown the name, the accepted version and the services exported to it, and
+// nothing if there are none. A digest of the file would let secrets be guessed.
 func visible(reply *protocol.StatusReply, partner resource.Partner) *protocol.StatusReply {
 	shown := *reply
 	shown.Files = make([]protocol.FileStatus, 0, len(reply.Files))
@@ -84,11 +87,14 @@
 			shown.Files = append(shown.Files, file)
 			continue
 		}
-		if len(file.Exports) == 0 {
+		usable := lo.Filter(file.Exports, func(export protocol.ExportedService, _ int) bool {
+			return slices.Contains(export.Partners, partner)
+		})
+		if len(usable) == 0 || file.Held {
 			continue
 		}
 		shown.Files = append(shown.Files, protocol.FileStatus{
-			Partner: file.Partner, Name: file.Name, Version: file.Version, InForce: file.InForce, Exports: file.Exports,
+			Partner: file.Partner, Name: file.Name, Version: file.Version, InForce: file.InForce, Exports: usable,
 		})
 	}
 	return &shown
@@ -123,9 +129,13 @@
 	if err != nil {
 		return nil, err
 	}
-	reply, err := a.ask(ctx, true)
+	reply, err := a.ask(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return &differencesOutput{Body: differences(file, reply.Files)}, nil
+	compared, refused := differences(file, reply.Files)
+	if refused != nil {
+		return nil, refused
+	}
+	return &differencesOutput{Body: compared}, nil
 }
