--- a/internal/lab/load/client.go
+++ b/internal/lab/load/client.go
@@ -110,6 +110,9 @@
 	setNumber(request.Header, backend.HeaderAnswerBytes, kind.AnswerBytes)
 	setNumber(request.Header, backend.HeaderDepth, kind.Depth)
 	setNumber(request.Header, backend.HeaderFail, kind.FailStatus)
+	if kind.Prepare != nil {
+		kind.Prepare(request)
+	}
 	return request, nil
 }
 
--- a/internal/lab/load/judge.go
+++ b/internal/lab/load/judge.go
@@ -20,6 +20,8 @@
 	// Cut counts calls broken in flight, or with an outcome that is unknown. It
 	// is a violation only where no failure was injected.
 	Cut int `json:"cut"`
+	// Leaked counts gates whose slots or queue did not return to zero.
+	Leaked int `json:"leaked"`
 	// Examples describe some of the above.
 	Examples []string `json:"examples,omitempty"`
 }
@@ -29,7 +31,7 @@
 
 // Violations counts what must never happen, whatever fails.
 func (v Verdict) Violations() int {
-	return v.RanTwice + v.FalseDidNotRun + v.WrongAnswer + v.NotCompleted
+	return v.RanTwice + v.FalseDidNotRun + v.WrongAnswer + v.NotCompleted + v.Leaked
 }
 
 // Add sums two verdicts.
@@ -39,8 +41,9 @@
 	v.WrongAnswer += other.WrongAnswer
 	v.NotCompleted += other.NotCompleted
 	v.Cut += other.Cut
+	v.Leaked += other.Leaked
 	for _, example := range other.Examples {
-		v.note(example)
+		v.Note(example)
 	}
 	return v
 }
@@ -102,12 +105,12 @@
 
 // explain keeps an example.
 func (v *Verdict) explain(what string, outcome Result, runs []backend.Run) {
-	v.note(fmt.Sprintf("%s request=%s status=%d code=%d ran=%s fault=%s at=%s runs=%d %s",
+	v.Note(fmt.Sprintf("%s request=%s status=%d code=%d ran=%s fault=%s at=%s runs=%d %s",
 		what, outcome.Request, outcome.Status, outcome.Code, outcome.Ran, outcome.Fault, outcome.Done, len(runs), outcome.Detail))
 }
 
-// note keeps an example while there is room.
-func (v *Verdict) note(example string) {
+// Note keeps an example while there is room.
+func (v *Verdict) Note(example string) {
 	if len(v.Examples) < maxExamples {
 		v.Examples = append(v.Examples, example)
 	}
--- a/internal/lab/load/plan.go
+++ b/internal/lab/load/plan.go
@@ -4,6 +4,7 @@
 package load
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/springstack/springstack/internal/lab/backend"
@@ -32,6 +33,8 @@
 	FailStatus int
 	// Timeout is when the caller gives up; 0 means DefaultTimeout.
 	Timeout time.Duration
+	// Prepare changes the request before it is sent; nil changes nothing.
+	Prepare func(request *http.Request)
 }
 
 // DefaultTimeout is when a caller gives up.
@@ -64,8 +67,8 @@
 	// Prefix begins all request ids of the run; it must be unique in a process.
 	Prefix string
 	Seed   uint64
-	// Dispatch chooses the target of a call; nil takes targets in turn.
-	Dispatch func(sequence int) int
+	// Dispatch chooses the target of a call of a kind; nil takes targets in turn.
+	Dispatch func(sequence, kind int) int
 	// Origin is where the times of results count from, the back ends' origin.
 	Origin time.Time
 	// Client sends the calls; nil makes one for the run.
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -129,7 +129,7 @@
 func (r *runner) call(ctx context.Context, sequence, kind int, intended time.Time) {
 	target := sequence % len(r.plan.Targets)
 	if r.plan.Dispatch != nil {
-		target = r.plan.Dispatch(sequence)
+		target = r.plan.Dispatch(sequence, kind)
 	}
 	id := backend.RequestID(fmt.Sprintf("%s-%d", r.plan.Prefix, sequence))
 	outcome := r.client.Call(ctx, r.plan.Targets[target].Address, r.plan.Kinds[kind], id)
