--- a/internal/lab/load/plan.go
+++ b/internal/lab/load/plan.go
@@ -61,6 +61,8 @@
 	Duration time.Duration
 	// Calls is the most calls to start; 0 means no bound in number.
 	Calls int
+	// Stop ends the starting of calls when it is closed; nil never does.
+	Stop <-chan struct{}
 	// InFlight bounds the open calls of an open loop; 0 means 4096. Calls beyond
 	// it are counted as NotSent and never silently dropped.
 	InFlight int
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -122,6 +122,11 @@
 	if r.plan.Calls > 0 && int(r.sequence.Load()) >= r.plan.Calls {
 		return false
 	}
+	select {
+	case <-r.plan.Stop:
+		return false
+	default:
+	}
 	return r.plan.Duration == 0 || now.Sub(r.begun) < r.plan.Duration
 }
 
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -31,7 +31,9 @@
 	ExtraRoutes []resource.Route
 	// WithoutLinks leaves out all emulated latency.
 	WithoutLinks bool
-	Limits       proxy.Limits
+	// WithoutNews never publishes changed member records.
+	WithoutNews bool
+	Limits      proxy.Limits
 	// Configure changes a proxy's settings before its start; nil changes none.
 	Configure func(config *proxy.Config)
 	Seed      uint64
@@ -162,6 +164,9 @@
 		case <-r.closing:
 			return
 		}
+		if r.options.WithoutNews {
+			continue
+		}
 		for _, machine := range r.Machines {
 			machine.current().PublishMembers(r.membersFor(machine.Upstream.Zone))
 		}
@@ -212,7 +217,29 @@
 	return load.Runs(records...)
 }
 
-// idlePoll is how often WaitIdle looks.
+// WaitReady waits until the daemon beside a back end calls it ready; false
+// when that does not come within the bound.
+func (r *Rig) WaitReady(ctx context.Context, machine *Machine, bound time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
+	ticker := time.NewTicker(idlePoll)
+	defer ticker.Stop()
+	for {
+		r.mutex.Lock()
+		state := r.members[machine.number].Endpoint
+		r.mutex.Unlock()
+		if state == protocol.EndpointReady || state == protocol.EndpointWarming {
+			return true
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// idlePoll is how often WaitIdle and WaitReady look.
 const idlePoll = 20 * time.Millisecond
 
 // WaitIdle waits until no gate holds a slot or a queued call. It names those
