--- a/internal/lab/load/plan.go
+++ b/internal/lab/load/plan.go
@@ -4,6 +4,7 @@
 package load
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/springstack/springstack/internal/lab/backend"
@@ -32,6 +33,8 @@
 	FailStatus int
 	// Timeout is when the caller gives up; 0 means DefaultTimeout.
 	Timeout time.Duration
+	// Prepare changes the request before it is sent; nil changes nothing.
+	Prepare func(request *http.Request)
 }
 
 // DefaultTimeout is when a caller gives up.
@@ -58,14 +61,16 @@
 	Duration time.Duration
 	// Calls is the most calls to start; 0 means no bound in number.
 	Calls int
+	// Stop ends the starting of calls when it is closed; nil never does.
+	Stop <-chan struct{}
 	// InFlight bounds the open calls of an open loop; 0 means 4096. Calls beyond
 	// it are counted as NotSent and never silently dropped.
 	InFlight int
 	// Prefix begins all request ids of the run; it must be unique in a process.
 	Prefix string
 	Seed   uint64
-	// Dispatch chooses the target of a call; nil takes targets in turn.
-	Dispatch func(sequence int) int
+	// Dispatch chooses the target of a call of a kind; nil takes targets in turn.
+	Dispatch func(sequence, kind int) int
 	// Origin is where the times of results count from, the back ends' origin.
 	Origin time.Time
 	// Client sends the calls; nil makes one for the run.
