--- a/internal/sim/oracle/changes.go
+++ b/internal/sim/oracle/changes.go
@@ -1,6 +1,7 @@
 package oracle
 
 import (
+	"slices"
 	"time"
 
 	"github.com/springstack/springstack/internal/result"
@@ -18,12 +19,22 @@
 	Withdraw  bool
 	// Marker is unique to the operation; empty for a withdrawal.
 	Marker string
-	// Resources are the keys that the file declares.
-	Resources []string
+	// Declares lists the resources of the file.
+	Declares []Declared
 	// NeverValid is set when no state can accept the file.
 	NeverValid bool
 }
 
+// Declared is one resource that a file declares.
+type Declared struct {
+	Key string
+	// Owner is set for a route: proxies whose scope includes this partner must
+	// hold it.
+	Owner string
+	// Of is set for a back end: proxies that hold this service must hold it.
+	Of string
+}
+
 // Answer is what an operator was told of one sending of a change.
 type Answer struct {
 	Code result.Code
@@ -139,15 +150,20 @@
 	return history
 }
 
-// withdrawalPossible reports whether a withdrawal of the file may have taken
-// effect.
-func (h *fileHistory) withdrawalPossible() bool {
-	for _, known := range h.changes {
-		if known.Withdraw && !known.impossible() {
-			return true
-		}
+// expectedIn reports whether a holding must have a declared resource.
+func (d Declared) expectedIn(holding Holding, present map[string]bool) bool {
+	if d.Owner != "" {
+		return slices.Contains(holding.Partners, d.Owner)
 	}
-	return false
+	return d.Of != "" && present[d.Of]
+}
+
+// visibleIn reports whether a holding must show something of a change
+// whatever else it holds.
+func (c *change) visibleIn(holding Holding) bool {
+	return slices.ContainsFunc(c.Declares, func(declared Declared) bool {
+		return declared.Owner != "" && slices.Contains(holding.Partners, declared.Owner)
+	})
 }
 
 // lastAccepted returns the change told accepted at the highest version no
--- a/internal/sim/oracle/liveness.go
+++ b/internal/sim/oracle/liveness.go
@@ -25,16 +25,14 @@
 // checkFinal checks that each file told accepted is held in its last accepted
 // form, unless a change whose outcome is not known may have replaced it.
 func (o *Oracle) checkFinal(at time.Duration, name ProxyName, holding Holding) {
-	if !holding.Whole {
-		return
-	}
 	markers := map[FileName]string{}
 	for _, held := range holding.Resources {
 		markers[held.File] = held.Marker
 	}
-	for file, history := range o.files {
+	for _, file := range o.sortedHistories() {
+		history := o.files[file]
 		last := history.lastAccepted(holding.Version)
-		if last == nil || last.Withdraw || history.openAfter(last) {
+		if last == nil || !last.visibleIn(holding) || history.openAfter(last, holding.Version) {
 			continue
 		}
 		if markers[file] != last.Marker {
@@ -45,13 +43,14 @@
 }
 
 // openAfter reports whether a change other than last, of which it is not
-// known that it was accepted earlier, may have taken effect.
-func (h *fileHistory) openAfter(last *change) bool {
+// known that it was accepted earlier or beyond the version, may have taken
+// effect since.
+func (h *fileHistory) openAfter(last *change, version uint64) bool {
 	for _, known := range h.changes {
 		if known == last || known.impossible() {
 			continue
 		}
-		if known.accepted == 0 || known.accepted > last.accepted {
+		if known.accepted == 0 || known.accepted > last.accepted && known.accepted <= version {
 			return true
 		}
 	}
--- a/internal/sim/oracle/oracle_test.go
+++ b/internal/sim/oracle/oracle_test.go
@@ -22,16 +22,21 @@
 func submit(judge *oracle.Oracle, operation, marker string) {
 	judge.Submitted(oracle.Change{
 		Operation: operation, File: file, Marker: marker,
-		Resources: []string{"adomako/service/web", "adomako/route/web"},
+		Declares: []oracle.Declared{
+			{Key: "adomako/service/web"},
+			{Key: "adomako/backend/web", Of: "adomako/service/web"},
+			{Key: "adomako/route/web", Owner: "adomako"},
+		},
 	})
 }
 
 // holding returns the whole of a change at a version.
 func holding(version uint64, marker string) oracle.Holding {
 	return oracle.Holding{
-		Version: version, Digest: marker, Scope: "whole", Whole: true,
+		Version: version, Digest: marker, Scope: "whole", Partners: []string{"adomako"},
 		Resources: []oracle.Resource{
 			{Key: "adomako/service/web", File: file, Marker: marker},
+			{Key: "adomako/backend/web", File: file, Marker: marker},
 			{Key: "adomako/route/web", File: file, Marker: marker, Needs: []string{"adomako/service/web"}},
 		},
 	}
@@ -70,7 +75,13 @@
 	part := holding(1, "m1")
 	part.Resources = part.Resources[1:]
 	judge.PutInForce(0, "a", part)
-	expect(t, judge, oracle.NoDangling, oracle.WholeOrNothing)
+	part = holding(2, "m1")
+	part.Resources = part.Resources[:2]
+	judge.PutInForce(0, "a", part)
+	part = holding(3, "m1")
+	part.Resources = append(part.Resources[:1:1], part.Resources[2])
+	judge.PutInForce(0, "a", part)
+	expect(t, judge, oracle.NoDangling, oracle.WholeOrNothing, oracle.WholeOrNothing)
 }
 
 func TestRefusalIsJudgedByWhatComesLater(t *testing.T) {
--- a/internal/sim/oracle/proxies.go
+++ b/internal/sim/oracle/proxies.go
@@ -14,8 +14,8 @@
 	Digest  string
 	// Scope tells proxies with different shares of the configuration apart.
 	Scope string
-	// Whole is set when the proxy's scope is the whole configuration.
-	Whole     bool
+	// Partners are those whose routes the proxy's scope includes.
+	Partners  []string
 	Resources []Resource
 }
 
@@ -53,9 +53,13 @@
 	}
 	known.held = max(known.held, holding.Version)
 	known.current = holding.Version
-	o.checkReferences(at, name, holding)
+	present := make(map[string]bool, len(holding.Resources))
+	for _, held := range holding.Resources {
+		present[held.Key] = true
+	}
+	o.checkReferences(at, name, holding, present)
 	o.checkDigest(at, name, holding)
-	o.checkFiles(at, name, holding)
+	o.checkFiles(at, name, holding, present)
 	o.checkServing(at, known)
 }
 
@@ -102,11 +106,7 @@
 	}
 }
 
-func (o *Oracle) checkReferences(at time.Duration, name ProxyName, holding Holding) {
-	present := make(map[string]bool, len(holding.Resources))
-	for _, held := range holding.Resources {
-		present[held.Key] = true
-	}
+func (o *Oracle) checkReferences(at time.Duration, name ProxyName, holding Holding, present map[string]bool) {
 	for _, held := range holding.Resources {
 		for _, needed := range held.Needs {
 			if !present[needed] {
@@ -128,9 +128,8 @@
 }
 
 // checkFiles groups what is held by file and checks each file.
-func (o *Oracle) checkFiles(at time.Duration, name ProxyName, holding Holding) {
+func (o *Oracle) checkFiles(at time.Duration, name ProxyName, holding Holding, present map[string]bool) {
 	markers := map[FileName]string{}
-	counts := map[FileName]int{}
 	for _, held := range holding.Resources {
 		marker, found := markers[held.File]
 		if found && marker != held.Marker {
@@ -138,18 +137,15 @@
 				name, holding.Version, marker, held.Marker, held.File)
 		}
 		markers[held.File] = held.Marker
-		counts[held.File]++
 	}
 	for _, file := range sortedFiles(markers) {
-		o.checkFile(at, name, holding, file, markers[file], counts[file])
-	}
-	if holding.Whole {
-		o.checkAbsent(at, name, holding, markers)
+		o.checkFile(at, name, holding, file, markers[file], present)
 	}
+	o.checkAbsent(at, name, holding, markers)
 }
 
 func (o *Oracle) checkFile(at time.Duration, name ProxyName, holding Holding,
-	file FileName, marker string, count int) {
+	file FileName, marker string, present map[string]bool) {
 	history := o.history(file)
 	known := history.byMarker[marker]
 	if known == nil {
@@ -162,9 +158,14 @@
 		o.violate(at, RefusalIsTrue, "%s at %d holds operation %s, which was refused as not run",
 			name, holding.Version, known.Operation)
 	}
-	if known.NeverValid || holding.Whole && count != len(known.Resources) {
-		o.violate(at, WholeOrNothing, "%s at %d holds %d of %d resources of %s of file %s",
-			name, holding.Version, count, len(known.Resources), marker, file)
+	if known.NeverValid {
+		o.violate(at, WholeOrNothing, "%s at %d holds %s of bad file %s", name, holding.Version, marker, file)
+	}
+	for _, declared := range known.Declares {
+		if declared.expectedIn(holding, present) && !present[declared.Key] {
+			o.violate(at, WholeOrNothing, "%s at %d holds %s of file %s without its %s",
+				name, holding.Version, marker, file, declared.Key)
+		}
 	}
 	o.checkOrder(at, name, holding.Version, history, known)
 }
@@ -190,15 +191,17 @@
 	}
 }
 
-// checkAbsent looks for accepted files that a whole holding lacks.
+// checkAbsent looks for accepted files of which a holding should show
+// something and does not.
 func (o *Oracle) checkAbsent(at time.Duration, name ProxyName, holding Holding,
 	markers map[FileName]string) {
-	for file, history := range o.files {
-		if _, present := markers[file]; present {
+	for _, file := range o.sortedHistories() {
+		if _, shown := markers[file]; shown {
 			continue
 		}
+		history := o.files[file]
 		last := history.lastAccepted(holding.Version)
-		if last == nil || last.Withdraw || history.withdrawalPossible() {
+		if last == nil || !last.visibleIn(holding) || history.openAfter(last, holding.Version) {
 			continue
 		}
 		o.violate(at, InForceHolds, "%s at %d lacks file %s, accepted at %d",
@@ -206,6 +209,15 @@
 	}
 }
 
+func (o *Oracle) sortedHistories() []FileName {
+	files := make([]FileName, 0, len(o.files))
+	for file := range o.files {
+		files = append(files, file)
+	}
+	sort.Slice(files, func(i, j int) bool { return files[i] < files[j] })
+	return files
+}
+
 func (o *Oracle) proxy(name ProxyName) *proxy {
 	known, found := o.proxies[name]
 	if !found {
--- a/internal/sim/world/files.go
+++ b/internal/sim/world/files.go
@@ -103,19 +103,26 @@
 	return fmt.Sprintf("10.%d.%d.%d:9000", 100+marker>>16&0x7f, marker>>8&0xff, marker&0xff)
 }
 
-// keys returns the keys of the resources that the file declares.
-func (f fileSpec) keys() []string {
-	var keys []string
-	add := func(declared bool, kind resource.Kind) {
-		if declared {
-			keys = append(keys, resource.Key{Partner: f.partner, Kind: kind, Name: f.name}.String())
-		}
+// declares lists the resources of the file for the oracle.
+func (f fileSpec) declares() []oracle.Declared {
+	var declared []oracle.Declared
+	key := func(kind resource.Kind) string {
+		return resource.Key{Partner: f.partner, Kind: kind, Name: f.name}.String()
+	}
+	if f.service {
+		declared = append(declared, oracle.Declared{Key: key(resource.KindService)})
+	}
+	if f.backend {
+		backend := oracle.Declared{Key: key(resource.KindBackend), Of: key(resource.KindService)}
+		declared = append(declared, backend)
+	}
+	if f.secret {
+		declared = append(declared, oracle.Declared{Key: key(resource.KindSecret)})
+	}
+	if len(f.routeTo) > 0 {
+		declared = append(declared, oracle.Declared{Key: key(resource.KindRoute), Owner: string(f.partner)})
 	}
-	add(f.service, resource.KindService)
-	add(f.backend, resource.KindBackend)
-	add(f.secret, resource.KindSecret)
-	add(len(f.routeTo) > 0, resource.KindRoute)
-	return keys
+	return declared
 }
 
 func (f fileSpec) file() oracle.FileName {
--- a/internal/sim/world/files_test.go
+++ b/internal/sim/world/files_test.go
@@ -24,7 +24,7 @@
 			continue
 		}
 		declared := len(file.Services) + len(file.Backends) + len(file.Secrets) + len(file.Routes)
-		is.Equal(declared, len(spec.keys()))
+		is.Equal(declared, len(spec.declares()))
 		is.Equal(file.Partner, spec.partner)
 	}
 	is.True(flawed > 0)
--- a/internal/sim/world/holding.go
+++ b/internal/sim/world/holding.go
@@ -15,7 +15,9 @@
 		Version: uint64(held.Version),
 		Digest:  string(held.Digest),
 		Scope:   s.scopeName(),
-		Whole:   s.whole(),
+	}
+	for _, partner := range s.scope().Partners {
+		holding.Partners = append(holding.Partners, string(partner))
 	}
 	for _, service := range held.Services {
 		marker := strings.TrimPrefix(service.HealthPath, "/")
--- a/internal/sim/world/operators.go
+++ b/internal/sim/world/operators.go
@@ -55,7 +55,7 @@
 		Operation:  sent.request.Operation,
 		File:       file,
 		Marker:     markerText(spec.marker),
-		Resources:  spec.keys(),
+		Declares:   spec.declares(),
 		NeverValid: spec.flaw != flawNone,
 	})
 }
--- a/internal/sim/world/slot.go
+++ b/internal/sim/world/slot.go
@@ -94,8 +94,6 @@
 	}
 }
 
-func (s *slot) whole() bool { return s.place.Node%2 == 0 }
-
 func (s *slot) scopeName() string {
 	return [...]string{"whole", string(partners[0]), "whole", string(partners[1])}[s.place.Node%4]
 }
@@ -142,7 +140,7 @@
 			return
 		}
 		w.counts.Ticks++
-		w.carryOut(p, p.node.Step(p.now(w), node.Tick{}))
+		w.carryOut(p, p.node.Step(p.now(w), node.Tick{WallClock: p.slot.clock.wall(w.Now())}))
 		next := w.shape.TickEvery
 		w.tickLater(p, p.slot.clock.virtual(next)+w.timeline.Between(0, next/8))
 	})
