--- a/cmd/springstack-lab/fuzz.go
+++ b/cmd/springstack-lab/fuzz.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/springstack/springstack/internal/lab/fuzz"
+	"github.com/springstack/springstack/internal/sim/script"
 	"github.com/springstack/springstack/internal/sim/world"
 )
 
@@ -40,7 +41,7 @@
 		Runs:         command.Int("runs"),
 		Actions:      command.Int("actions"),
 		Parallel:     command.Int("parallel"),
-		Shape:        world.DefaultShape(),
+		Simulations:  simulations(),
 		KeepFailures: command.Int("failures"),
 	}
 	last := time.Now()
@@ -60,10 +61,15 @@
 	return nil
 }
 
+// simulations returns what each seed of a campaign is run with.
+func simulations() []script.Simulation {
+	return []script.Simulation{world.Simulation(world.DefaultShape())}
+}
+
 // printFailures prints each failing seed with its shrunk steps.
 func printFailures(out io.Writer, failures []fuzz.Failure) {
 	for _, failure := range failures {
-		_, _ = fmt.Fprintf(out, "event=fuzz_failure seed=%d steps=%d\n", failure.Seed, failure.FailedAfter)
+		_, _ = fmt.Fprintf(out, "event=fuzz_failure simulation=%s seed=%d steps=%d\n", failure.Simulation, failure.Seed, failure.FailedAfter)
 		for _, violation := range failure.Violations {
 			_, _ = fmt.Fprintf(out, "  violation: %s\n", violation)
 		}
--- a/internal/lab/fuzz/campaign.go
+++ b/internal/lab/fuzz/campaign.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/springstack/springstack/internal/sim/world"
+	"github.com/springstack/springstack/internal/sim/script"
 )
 
 // Settings says how large a campaign is.
@@ -22,7 +22,8 @@
 	Actions int
 	// Parallel bounds the processor cores used; 0 means half of them.
 	Parallel int
-	Shape    world.Shape
+	// Simulations are run one after the other with each seed.
+	Simulations []script.Simulation
 	// KeepFailures bounds how many failures are shrunk and reported.
 	KeepFailures int
 }
@@ -41,12 +42,13 @@
 	Seconds        float64        `json:"seconds"`
 	Accepted       uint64         `json:"accepted_versions"`
 	SettledMaxMs   int64          `json:"settled_max_ms"`
-	Answers        map[string]int `json:"operator_answers"`
+	Answers        map[string]int `json:"answers"`
 	Failures       []Failure      `json:"failures"`
 }
 
 // Failure is one failing seed.
 type Failure struct {
+	Simulation string   `json:"simulation"`
 	Seed       uint64   `json:"seed"`
 	Violations []string `json:"violations"`
 	// Steps are the shrunk actions that still fail.
@@ -55,11 +57,17 @@
 	FailedAfter int `json:"failed_after"`
 }
 
+// failed is a script that broke an invariant, and its simulation.
+type failed struct {
+	simulation script.Simulation
+	script     script.Script
+}
+
 // collector gathers outcomes from parallel runs.
 type collector struct {
 	mutex    sync.Mutex
 	report   Report
-	failures []world.Script
+	failures []failed
 	keep     int
 }
 
@@ -78,8 +86,8 @@
 	report := gathered.report
 	report.Seconds = time.Since(started).Seconds()
 	report.StepsPerSecond = float64(report.Steps) / report.Seconds
-	for _, script := range gathered.failures {
-		report.Failures = append(report.Failures, describe(script, settings.Shape))
+	for _, failure := range gathered.failures {
+		report.Failures = append(report.Failures, describe(failure))
 	}
 	return report
 }
@@ -92,43 +100,51 @@
 			if ctx.Err() != nil {
 				return nil
 			}
-			script := world.Generate(settings.Seed+uint64(run), settings.Actions)
-			done := gathered.add(script, world.Run(script, settings.Shape))
-			progress(done)
+			for _, simulation := range settings.Simulations {
+				drawn := simulation.Table.Generate(settings.Seed+uint64(run), settings.Actions)
+				gathered.add(failed{simulation: simulation, script: drawn}, simulation.Run(drawn))
+			}
+			progress(gathered.endRun())
 			return nil
 		})
 	}
 	_ = group.Wait() // no run returns an error
 }
 
-// add takes one outcome and returns how many there are.
-func (c *collector) add(script world.Script, outcome world.Outcome) int {
+// endRun counts a run and returns how many there are.
+func (c *collector) endRun() int {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.report.Runs++
-	c.report.Steps += outcome.Steps()
-	c.report.Ticks += outcome.Counts.Ticks
+	return c.report.Runs
+}
+
+// add takes one outcome.
+func (c *collector) add(run failed, outcome script.Outcome) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.report.Steps += outcome.Steps
+	c.report.Ticks += outcome.Ticks
 	c.report.Violations += len(outcome.Violations)
 	c.report.Accepted += outcome.Accepted
 	c.report.SettledMaxMs = max(c.report.SettledMaxMs, outcome.Settled.Milliseconds())
-	for kind, count := range outcome.Counts.Faults {
+	for kind, count := range outcome.Faults {
 		c.report.FaultsByKind[kind] += count
 	}
-	for name, count := range outcome.Counts.Answers {
+	for name, count := range outcome.Answers {
 		c.report.Answers[name] += count
 	}
 	if len(outcome.Violations) > 0 && len(c.failures) < c.keep {
-		c.failures = append(c.failures, script)
+		c.failures = append(c.failures, run)
 	}
-	return c.report.Runs
 }
 
 // describe shrinks a failing script and tells what it does.
-func describe(script world.Script, shape world.Shape) Failure {
-	whole := world.Run(script, shape)
-	shrunk := Shrink(script, shape)
-	outcome := world.Run(shrunk, shape)
-	failure := Failure{Seed: script.Seed, FailedAfter: whole.Steps()}
+func describe(run failed) Failure {
+	whole := run.simulation.Run(run.script)
+	shrunk := Shrink(run.simulation, run.script)
+	outcome := run.simulation.Run(shrunk)
+	failure := Failure{Simulation: run.simulation.Name, Seed: run.script.Seed, FailedAfter: whole.Steps}
 	for _, violation := range outcome.Violations {
 		failure.Violations = append(failure.Violations, violation.String())
 	}
--- a/internal/lab/fuzz/shrink.go
+++ b/internal/lab/fuzz/shrink.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"github.com/springstack/springstack/internal/sim/oracle"
-	"github.com/springstack/springstack/internal/sim/world"
+	"github.com/springstack/springstack/internal/sim/script"
 )
 
 // shrinkRuns bounds how many runs shrinking one failure may take.
@@ -12,15 +12,15 @@
 
 // Shrink looks for a shorter script that breaks the same invariant: first the
 // shortest prefix, then without blocks of actions, halving the blocks.
-func Shrink(script world.Script, shape world.Shape) world.Script {
-	whole := world.Run(script, shape)
+func Shrink(simulation script.Simulation, failing script.Script) script.Script {
+	whole := simulation.Run(failing)
 	if len(whole.Violations) == 0 {
-		return script
+		return failing
 	}
-	search := &shrinker{shape: shape, broken: whole.Violations[0].Invariant, runs: shrinkRuns}
-	best := world.Script{Seed: script.Seed, Actions: script.Actions[:whole.Performed]}
+	search := &shrinker{simulation: simulation, broken: whole.Violations[0].Invariant, runs: shrinkRuns}
+	best := script.Script{Seed: failing.Seed, Actions: failing.Actions[:whole.Performed]}
 	if !search.fails(best) {
-		best = script
+		best = failing
 	}
 	for size := max(1, len(best.Actions)/2); ; size /= 2 {
 		best = search.without(best, size)
@@ -32,33 +32,33 @@
 
 // shrinker looks for scripts that break one invariant within a budget of runs.
 type shrinker struct {
-	shape  world.Shape
-	broken oracle.Invariant
-	runs   int
+	simulation script.Simulation
+	broken     oracle.Invariant
+	runs       int
 }
 
 // without tries to leave out each block of the given size.
-func (s *shrinker) without(script world.Script, size int) world.Script {
-	for start := 0; start < len(script.Actions); {
-		end := min(start+size, len(script.Actions))
-		shorter := world.Script{Seed: script.Seed}
-		shorter.Actions = slices.Delete(slices.Clone(script.Actions), start, end)
+func (s *shrinker) without(failing script.Script, size int) script.Script {
+	for start := 0; start < len(failing.Actions); {
+		end := min(start+size, len(failing.Actions))
+		shorter := script.Script{Seed: failing.Seed}
+		shorter.Actions = slices.Delete(slices.Clone(failing.Actions), start, end)
 		if s.fails(shorter) {
-			script = shorter
+			failing = shorter
 			continue
 		}
 		start = end
 	}
-	return script
+	return failing
 }
 
 // fails reports whether a script breaks the invariant; it says no when the
 // budget is spent.
-func (s *shrinker) fails(script world.Script) bool {
+func (s *shrinker) fails(tried script.Script) bool {
 	if s.runs <= 0 {
 		return false
 	}
 	s.runs--
-	outcome := world.Run(script, s.shape)
+	outcome := s.simulation.Run(tried)
 	return len(outcome.Violations) > 0 && outcome.Violations[0].Invariant == s.broken
 }
--- a/internal/sim/world/effects.go
+++ b/internal/sim/world/effects.go
@@ -31,7 +31,7 @@
 		case node.PublishMembers:
 			p.members = asked.Members
 		case node.LogEvent:
-			w.counts.Logs[asked.Name]++
+			w.outcome.Logs[asked.Name]++
 		}
 	}
 }
--- a/internal/sim/world/operators.go
+++ b/internal/sim/world/operators.go
@@ -162,4 +162,4 @@
 	})
 }
 
-func (w *World) countAnswer(code result.Code) { w.counts.Answers[code.Name()]++ }
+func (w *World) countAnswer(code result.Code) { w.outcome.Answers[code.Name()]++ }
--- a/internal/sim/world/perform.go
+++ b/internal/sim/world/perform.go
@@ -6,6 +6,7 @@
 	"github.com/springstack/springstack/internal/core/node"
 	"github.com/springstack/springstack/internal/lab/standin"
 	"github.com/springstack/springstack/internal/sim/network"
+	"github.com/springstack/springstack/internal/sim/script"
 )
 
 // anyPlace matches all places in a cut.
@@ -25,9 +26,9 @@
 )
 
 // Perform carries out one action and lets its time pass.
-func (w *World) Perform(action Action) {
-	if isFault(action.Kind) {
-		w.counts.Faults[string(action.Kind)]++
+func (w *World) Perform(action script.Action) {
+	if Table.IsFault(action.Kind) {
+		w.outcome.Faults[string(action.Kind)]++
 	}
 	if perform, found := performers[action.Kind]; found {
 		perform(w, action)
@@ -36,66 +37,59 @@
 }
 
 // performers maps each kind to what it does; Wait does nothing.
-var performers = map[Kind]func(w *World, a Action){
-	Submit: func(w *World, a Action) {
+var performers = map[script.Kind]func(w *World, a script.Action){
+	Submit: func(w *World, a script.Action) {
 		w.operators.submit(partners[a.A%2], fileNames[a.B%len(fileNames)], a.A&2 == 0)
 	},
-	Withdraw: func(w *World, a Action) {
+	Withdraw: func(w *World, a script.Action) {
 		w.operators.withdraw(partners[a.A%2], fileNames[a.B%len(fileNames)], a.A&2 == 0)
 	},
-	Status:        func(w *World, _ Action) { w.operators.status() },
-	KillDaemon:    func(w *World, a Action) { w.kill(w.pick(a.A)) },
+	Status:        func(w *World, _ script.Action) { w.operators.status() },
+	KillDaemon:    func(w *World, a script.Action) { w.kill(w.pick(a.A)) },
 	KillZone:      killZone,
 	KillHerd:      killHerd,
-	ReturnAll:     func(w *World, _ Action) { w.returnAll() },
-	RestartDaemon: func(w *World, a Action) { w.restart(w.pick(a.A)) },
+	ReturnAll:     func(w *World, _ script.Action) { w.returnAll() },
+	RestartDaemon: func(w *World, a script.Action) { w.restart(w.pick(a.A)) },
 	MoveDaemon:    moveDaemon,
-	PauseDaemon:   func(w *World, a Action) { w.pause(w.pick(a.A)) },
+	PauseDaemon:   func(w *World, a script.Action) { w.pause(w.pick(a.A)) },
 	PauseReaders:  pauseReaders,
-	WakeAll:       func(w *World, _ Action) { w.wakeAll() },
-	CutRegions: func(w *World, a Action) {
+	WakeAll:       func(w *World, _ script.Action) { w.wakeAll() },
+	CutRegions: func(w *World, a script.Action) {
 		w.cutBothWays(w.regionPlace(a.A), w.regionPlace(a.A+1))
 	},
-	CutOneWay: func(w *World, a Action) {
+	CutOneWay: func(w *World, a script.Action) {
 		w.network.Cut(w.pick(a.A).place, w.pick(a.B).place)
 		w.network.Cut(w.zonePlace(a.A), w.zonePlace(a.B))
 	},
-	CutZone:     func(w *World, a Action) { w.cutBothWays(w.zonePlace(a.A), anyPlace) },
+	CutZone:     func(w *World, a script.Action) { w.cutBothWays(w.zonePlace(a.A), anyPlace) },
 	CutDaemon:   cutDaemon,
-	CutPlatform: func(w *World, a Action) { w.cutBothWays(w.regionPlace(a.A), platformPlace) },
-	Heal: func(w *World, _ Action) {
+	CutPlatform: func(w *World, a script.Action) { w.cutBothWays(w.regionPlace(a.A), platformPlace) },
+	Heal: func(w *World, _ script.Action) {
 		w.network.Heal()
 		w.network.SetFaults(network.Faults{})
 	},
 	NetworkFaults:    networkFaults,
-	PlatformOutage:   func(w *World, _ Action) { w.changePlatform(standin.Faults{Outage: standin.OutageRefusing}) },
-	PlatformSilence:  func(w *World, _ Action) { w.changePlatform(standin.Faults{Outage: standin.OutageSilent}) },
+	PlatformOutage:   func(w *World, _ script.Action) { w.changePlatform(standin.Faults{Outage: standin.OutageRefusing}) },
+	PlatformSilence:  func(w *World, _ script.Action) { w.changePlatform(standin.Faults{Outage: standin.OutageSilent}) },
 	PlatformSlow:     platformSlow,
 	PlatformLoses:    platformLoses,
 	PlatformLags:     platformLags,
 	PlatformCrosses:  platformCrosses,
-	PlatformCompacts: func(w *World, _ Action) { w.platform.compact() },
-	LeasesLapse: func(w *World, a Action) {
-		w.changePlatform(standin.Faults{LeaseLapse: fraction(a.A)})
+	PlatformCompacts: func(w *World, _ script.Action) { w.platform.compact() },
+	LeasesLapse: func(w *World, a script.Action) {
+		w.changePlatform(standin.Faults{LeaseLapse: script.Fraction(a.A)})
 	},
-	PlatformHeals: func(w *World, _ Action) { w.platform.setFaults(standin.Faults{}) },
-	ClockRate: func(w *World, a Action) {
-		w.pick(a.A).clock.setRate(w.Now(), 1+rateSpread*(2*fraction(a.B)-1))
+	PlatformHeals: func(w *World, _ script.Action) { w.platform.setFaults(standin.Faults{}) },
+	ClockRate: func(w *World, a script.Action) {
+		w.pick(a.A).clock.setRate(w.Now(), 1+rateSpread*(2*script.Fraction(a.B)-1))
 	},
-	WallJump: func(w *World, a Action) {
-		w.pick(a.A).clock.wallSkew = time.Duration((2*fraction(a.B) - 1) * float64(wallJumpLimit))
+	WallJump: func(w *World, a script.Action) {
+		w.pick(a.A).clock.wallSkew = time.Duration((2*script.Fraction(a.B) - 1) * float64(wallJumpLimit))
 	},
-	MachinesWrong: func(w *World, a Action) { w.platform.update(w.pick(a.A), true) },
+	MachinesWrong: func(w *World, a script.Action) { w.platform.update(w.pick(a.A), true) },
 	LeaveDaemon:   leaveDaemon,
 }
 
-// fraction maps an operand to [0, 1).
-func fraction(operand int) float64 { return float64(operand%operandLimit) / operandLimit }
-
-func scaled(operand int, limit time.Duration) time.Duration {
-	return time.Duration(fraction(operand) * float64(limit))
-}
-
 func (w *World) pick(operand int) *slot { return w.slots[operand%len(w.slots)] }
 
 func (w *World) zonePlace(operand int) network.Place {
@@ -114,7 +108,7 @@
 	w.network.Cut(other, one)
 }
 
-func killZone(w *World, a Action) {
+func killZone(w *World, a script.Action) {
 	zone := w.zonePlace(a.A)
 	for _, s := range w.slots {
 		if s.place.Zone == zone.Zone {
@@ -124,8 +118,8 @@
 }
 
 // killHerd kills each daemon with a drawn chance; all of them in one of four.
-func killHerd(w *World, a Action) {
-	chance := fraction(a.A)
+func killHerd(w *World, a script.Action) {
+	chance := script.Fraction(a.A)
 	if a.B%4 == 0 {
 		chance = 1
 	}
@@ -150,7 +144,7 @@
 }
 
 // moveDaemon brings a daemon back at another address.
-func moveDaemon(w *World, a Action) {
+func moveDaemon(w *World, a script.Action) {
 	s := w.pick(a.A)
 	w.kill(s)
 	w.moveTo(s, s.move+1)
@@ -161,7 +155,7 @@
 
 // pauseReaders pauses all daemons that watch the platform, so that their
 // leases lapse while they are paused.
-func pauseReaders(w *World, a Action) {
+func pauseReaders(w *World, a script.Action) {
 	for index, open := range append([]*watch(nil), w.platform.watches...) {
 		if a.A>>index&1 == 0 {
 			w.pause(open.process.slot)
@@ -176,7 +170,7 @@
 }
 
 // cutDaemon cuts a daemon off: both ways, or only in or out.
-func cutDaemon(w *World, a Action) {
+func cutDaemon(w *World, a script.Action) {
 	place := w.pick(a.A).place
 	if a.B%3 != 1 {
 		w.network.Cut(place, anyPlace)
@@ -186,49 +180,49 @@
 	}
 }
 
-func networkFaults(w *World, a Action) {
+func networkFaults(w *World, a script.Action) {
 	w.network.SetFaults(network.Faults{
-		Loss:       lossLimit * fraction(a.A),
-		Duplicate:  duplicateLimit * fraction(a.B),
-		ExtraDelay: scaled(a.A^a.B, delayLimit),
+		Loss:       lossLimit * script.Fraction(a.A),
+		Duplicate:  duplicateLimit * script.Fraction(a.B),
+		ExtraDelay: script.Scaled(a.A^a.B, delayLimit),
 	})
 }
 
 // changePlatform replaces the platform's faults.
 func (w *World) changePlatform(faults standin.Faults) { w.platform.setFaults(faults) }
 
-func platformSlow(w *World, a Action) {
+func platformSlow(w *World, a script.Action) {
 	faults := w.platform.faults
-	faults.Slowness = scaled(a.A, slownessLimit)
-	faults.Jitter = scaled(a.B, slownessLimit)
+	faults.Slowness = script.Scaled(a.A, slownessLimit)
+	faults.Jitter = script.Scaled(a.B, slownessLimit)
 	w.changePlatform(faults)
 }
 
-func platformLoses(w *World, a Action) {
+func platformLoses(w *World, a script.Action) {
 	faults := w.platform.faults
-	faults.LostAnswer = fraction(a.A)
-	faults.LostRequest = fraction(a.B) / 2
+	faults.LostAnswer = script.Fraction(a.A)
+	faults.LostRequest = script.Fraction(a.B) / 2
 	w.changePlatform(faults)
 }
 
-func platformLags(w *World, a Action) {
+func platformLags(w *World, a script.Action) {
 	faults := w.platform.faults
-	faults.ListLag = scaled(a.A, lagLimit)
-	faults.MachineLag = scaled(a.B, lagLimit)
+	faults.ListLag = script.Scaled(a.A, lagLimit)
+	faults.MachineLag = script.Scaled(a.B, lagLimit)
 	w.changePlatform(faults)
 }
 
-func platformCrosses(w *World, a Action) {
+func platformCrosses(w *World, a script.Action) {
 	faults := w.platform.faults
-	faults.CrossedEvent = fraction(a.A)
-	faults.DuplicateEvent = fraction(a.B)
-	faults.ReplayedEvent = fraction(a.A ^ a.B)
-	faults.BrokenWatch = fraction(a.B) / 4
+	faults.CrossedEvent = script.Fraction(a.A)
+	faults.DuplicateEvent = script.Fraction(a.B)
+	faults.ReplayedEvent = script.Fraction(a.A ^ a.B)
+	faults.BrokenWatch = script.Fraction(a.B) / 4
 	w.changePlatform(faults)
 }
 
 // leaveDaemon drains a daemon; its process ends a few seconds later.
-func leaveDaemon(w *World, a Action) {
+func leaveDaemon(w *World, a script.Action) {
 	s := w.pick(a.A)
 	p := s.process
 	if p == nil {
--- a/internal/sim/world/script.go
+++ b/internal/sim/world/run.go
@@ -1,12 +1,12 @@
 package world
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/springstack/springstack/internal/lab/standin"
 	"github.com/springstack/springstack/internal/sim/network"
 	"github.com/springstack/springstack/internal/sim/oracle"
+	"github.com/springstack/springstack/internal/sim/script"
 )
 
 // Bounds of liveness in virtual time, from the instant at which all faults
@@ -18,62 +18,34 @@
 	settlePoll = 500 * time.Millisecond
 )
 
-// Script is one run: a seed for what the simulator draws itself, and the
-// actions.
-type Script struct {
-	Seed    uint64
-	Actions []Action
-}
-
-// Outcome is what a run found.
-type Outcome struct {
-	Violations []oracle.Violation
-	Counts     Counts
-	Network    network.Counts
-	// Accepted is the highest version that an operator was told of.
-	Accepted uint64
-	// Performed is how many actions were carried out before a violation.
-	Performed int
-	// Settled is how long the mesh took to settle after the faults.
-	Settled time.Duration
-}
-
-// Steps is how many messages and actions the run stepped the cores with,
-// ticks left out.
-func (o Outcome) Steps() int { return o.Counts.Messages + o.Performed }
+// warmUp is how long the mesh gets to start before the first action.
+const warmUp = 5 * time.Second
 
-// Generate draws a script of the given number of actions.
-func Generate(seed uint64, actions int) Script {
-	const stream = 0xac710
-	random := rand.New(rand.NewPCG(seed, stream))
-	script := Script{Seed: seed}
-	for range actions {
-		script.Actions = append(script.Actions, DrawAction(random.IntN))
+// Simulation returns the simulation of a whole mesh of the given shape.
+func Simulation(shape Shape) script.Simulation {
+	return script.Simulation{
+		Name:  "mesh",
+		Table: Table,
+		Run:   func(run script.Script) script.Outcome { return Run(run, shape) },
 	}
-	return script
 }
 
-// warmUp is how long the mesh gets to start before the first action.
-const warmUp = 5 * time.Second
-
 // Run carries out a script and judges liveness at its end.
-func Run(script Script, shape Shape) Outcome {
-	w := New(script.Seed, shape)
+func Run(run script.Script, shape Shape) script.Outcome {
+	w := New(run.Seed, shape)
 	w.Run(warmUp)
-	outcome := Outcome{}
-	for _, action := range script.Actions {
+	for _, action := range run.Actions {
 		if w.failed() {
 			break
 		}
 		w.Perform(action)
-		outcome.Performed++
+		w.outcome.Performed++
 	}
-	outcome.Settled = w.Settle()
-	outcome.Violations = w.oracle.Violations()
-	outcome.Counts = w.counts
-	outcome.Network = w.network.Counts()
-	outcome.Accepted = w.oracle.Accepted()
-	return outcome
+	w.outcome.Settled = w.Settle()
+	w.outcome.Violations = w.oracle.Violations()
+	w.outcome.Accepted = w.oracle.Accepted()
+	w.outcome.Steps += w.outcome.Performed
+	return w.outcome
 }
 
 func (w *World) failed() bool { return len(w.oracle.Violations()) > 0 }
--- a/internal/sim/world/slot.go
+++ b/internal/sim/world/slot.go
@@ -139,7 +139,7 @@
 		if !p.running() {
 			return
 		}
-		w.counts.Ticks++
+		w.outcome.Ticks++
 		w.carryOut(p, p.node.Step(p.now(w), node.Tick{WallClock: p.slot.clock.wall(w.Now())}))
 		next := w.shape.TickEvery
 		w.tickLater(p, p.slot.clock.virtual(next)+w.timeline.Between(0, next/8))
@@ -157,7 +157,7 @@
 		p.backlog = append(p.backlog, message)
 		return
 	}
-	w.counts.Messages++
+	w.outcome.Steps++
 	w.carryOut(p, p.node.Step(p.now(w), message))
 }
 
--- a/internal/sim/world/world.go
+++ b/internal/sim/world/world.go
@@ -12,6 +12,7 @@
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/sim/network"
 	"github.com/springstack/springstack/internal/sim/oracle"
+	"github.com/springstack/springstack/internal/sim/script"
 	"github.com/springstack/springstack/internal/sim/timeline"
 )
 
@@ -55,21 +56,7 @@
 	slots     []*slot
 	byAddress map[string]*slot
 	operators *operators
-	counts    Counts
-}
-
-// Counts tells what a run did.
-type Counts struct {
-	// Messages is how many messages, replies and changes the cores were
-	// stepped with; Ticks counts the steps that only let time pass.
-	Messages int
-	Ticks    int
-	// Faults counts the faults that were brought about, by kind.
-	Faults map[string]int
-	// Answers counts what operators were told, by code name.
-	Answers map[string]int
-	// Logs counts the nodes' log events by name.
-	Logs map[string]int
+	outcome   script.Outcome
 }
 
 // New returns a world at virtual time 0 with all daemons started.
@@ -81,7 +68,7 @@
 		network:   network.New(line),
 		oracle:    oracle.New(),
 		byAddress: map[string]*slot{},
-		counts:    Counts{Faults: map[string]int{}, Logs: map[string]int{}, Answers: map[string]int{}},
+		outcome:   script.NewOutcome(),
 	}
 	w.platform = newPlatformActor(w)
 	w.operators = newOperators(w)
@@ -149,6 +136,3 @@
 
 // Oracle returns the run's oracle.
 func (w *World) Oracle() *oracle.Oracle { return w.oracle }
-
-// Counts returns what the run did so far.
-func (w *World) Counts() Counts { return w.counts }
