--- a/internal/core/node/root.go
+++ b/internal/core/node/root.go
@@ -267,7 +267,7 @@
 	members := lo.Filter(n.roster.All(), func(member protocol.Member, _ int) bool {
 		return member.Region == n.config.Region && membership.Live(member)
 	})
-	chosen, changed := floor.ChooseKeepers(n.config.Region, current, members)
+	chosen, changed := floor.ChooseKeepers(n.config.Region, current, members, n.holding.store.Version())
 	if changed {
 		n.applyReader(n.readerSide.reader.SetKeepers(n.now, []protocol.KeeperSet{chosen}))
 	}
