--- /dev/null
+++ b/internal/logging/events.go
@@ -0,0 +1,106 @@
+package logging
+
+import (
+	"slices"
+
+	"github.com/apex/log"
+)
+
+// Event describes one stable event name.
+type Event struct {
+	// Name is the value of event= in a line.
+	Name string
+	// Level is the level of its lines.
+	Level log.Level
+	// Meaning is one sentence for an operator.
+	Meaning string
+	// Action says what to do, if anything.
+	Action string
+}
+
+// nothing is the action of events that need none.
+const nothing = "Nothing."
+
+// events is the table of all events, in ascending order of name. docs/OPERATING.md
+// holds the same table; a test holds them equal, and equal to the names that the
+// code writes.
+var events = []Event{
+	{"catalogue_ready", log.DebugLevel,
+		"A reader holds all contents of a version.", nothing},
+	{"catalogue_refused", log.ErrorLevel,
+		"A root could not build a version that the head names; the older one stays in force.",
+		"Compare the builds of the daemons; see Readers."},
+	{"change_settled", log.InfoLevel,
+		"A reader knows what became of an operator's change.", nothing},
+	{"content_unreadable", log.ErrorLevel,
+		"A content object is missing or does not have its digest.",
+		"Look at the platform's store; submit the file again."},
+	{"delta_refused", log.WarnLevel,
+		"A delta could not be applied; the daemon asks for a whole snapshot.",
+		"If it goes on: compare the builds of the daemon and its parent."},
+	{"floor_learnt", log.InfoLevel,
+		"The daemon knows the version below which it must not serve.", nothing},
+	{"head_deleted", log.ErrorLevel,
+		"The head object was deleted on the platform; what is in force stays.",
+		"Find out who deleted it and restore it."},
+	{"head_moved_back", log.ErrorLevel,
+		"The platform showed an older head than before; it is not followed.",
+		"Find out whether the platform's store was restored from a copy."},
+	{"head_unreadable", log.ErrorLevel,
+		"The head object can't be read by this build; it is not followed.",
+		"Upgrade the older daemons, or find out who wrote it."},
+	{"member_dead", log.WarnLevel,
+		"A member was silent for so long that it is no longer counted.",
+		"Look at that machine."},
+	{"member_suspect", log.InfoLevel,
+		"A member has not been heard for a while.", nothing},
+	{"node_started", log.InfoLevel,
+		"The node core begins to learn its floor.", nothing},
+	{"parent_joined", log.InfoLevel,
+		"The daemon fetches from this parent.", nothing},
+	{"parent_lost", log.WarnLevel,
+		"The parent no longer answers; another one is tried.",
+		"If it goes on for many daemons: look at the parent and the network."},
+	{"parent_preferred", log.DebugLevel,
+		"The daemon moves to a parent of higher rank.", nothing},
+	{"reader_gained", log.InfoLevel,
+		"The daemon has become a reader of the platform.", nothing},
+	{"reader_lease_gained", log.InfoLevel,
+		"The daemon took a reader lease.", nothing},
+	{"reader_lease_lost", log.WarnLevel,
+		"The daemon no longer holds its reader lease.",
+		"If no daemon gains one: look at the platform."},
+	{"reader_lost", log.WarnLevel,
+		"The daemon is no longer a reader.",
+		"If no daemon gains the lease: look at the platform."},
+	{"root_started", log.InfoLevel,
+		"The daemon is the root of its region.", nothing},
+	{"root_stopped", log.InfoLevel,
+		"Another daemon is the root of the region.", nothing},
+	{"snapshot_in_force", log.InfoLevel,
+		"The daemon's proxy has swapped to a version.", nothing},
+	{"snapshot_refused", log.ErrorLevel,
+		"A snapshot failed its checks; the older one stays in force.",
+		"Compare the builds of the daemons."},
+	{"version_in_force", log.InfoLevel,
+		"A version is in force on every member that counts.", nothing},
+	{"version_released", log.InfoLevel,
+		"A version is stored at enough keepers; proxies may swap to it.", nothing},
+	{"watch_ended", log.WarnLevel,
+		"The watch of the head broke; the reader lists and watches again.",
+		"If it goes on: look at the platform by the code."},
+}
+
+// Events returns the table of all events in ascending order of name.
+func Events() []Event { return slices.Clone(events) }
+
+// LevelOf returns the level of an event; names that are not listed are
+// informational.
+func LevelOf(name string) log.Level {
+	for _, event := range events {
+		if event.Name == name {
+			return event.Level
+		}
+	}
+	return log.InfoLevel
+}
