--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -29,6 +29,8 @@
 	Limits Limits
 	// RandomSeed makes the choices of endpoints repeatable; 0 draws a seed.
 	RandomSeed uint64
+	// Baseline switches protections off, for comparisons only.
+	Baseline Baseline
 	// OnBackendState is told when the state of the back end changes. It must
 	// not block. Nil means that nobody listens.
 	OnBackendState func(protocol.EndpointState)
@@ -36,6 +38,19 @@
 	Log func(Event)
 }
 
+// Baseline leaves out one protection each, so that an experiment can show what
+// it is for. The zero value is for production; no settings file reaches it.
+type Baseline struct {
+	// RoundRobin takes the endpoints in turn, whatever their load and zone.
+	RoundRobin bool
+	// UnboundedQueue lets any number of calls wait at the gate until their
+	// deadline, in order of arrival, whatever their priority and partner.
+	UnboundedQueue bool
+	// UnbudgetedRetries retries whenever a call has attempts left, without
+	// budget and without the mark against retries further down.
+	UnbudgetedRetries bool
+}
+
 // Event is one thing worth a log line. It never holds a secret.
 type Event struct {
 	// Name is a stable event name listed in docs/OPERATING.md.
