A root's lease needs a read quorum of keepers, not a write quorum

Cause: with 8 keepers a root had to hear 6 of them every second to keep its region serving, though 3 that store nothing newer already prove it. Change: RootLease.Until takes the newest read quorum; the quorum that knows of no other root stays a write quorum. Before: serving stops when 3 of 8 keepers are lost; after: when 6 are.

--- a/internal/core/distribution/rootlease.go
+++ b/internal/core/distribution/rootlease.go
@@ -13,11 +13,12 @@
 // of StoreRequest to the keepers.
 //
 // What must hold: a root grants leases at its released version only while no
-// newer version can have been stored a lease ago. A round counts when a write
-// quorum answers that it stores nothing newer. Two write quorums share a
-// keeper, so once a newer version is stored at a quorum no further round of an
-// older root counts, and its last grant ends one lease after the sending of
-// its last round that did.
+// newer version can have been stored a lease ago. A round counts when a read
+// quorum answers that it stores nothing newer. A read and a write quorum share
+// a keeper, so once a newer version is stored at a write quorum no further
+// round of an older root counts, and its last grant ends one lease after the
+// sending of its last round that did. A keeper that restarts answers only
+// after it has learnt its floor from a read quorum itself.
 type RootLease struct {
 	lease time.Duration
 	// answers holds the newest answer of each keeper.
@@ -50,14 +51,14 @@
 }
 
 // Until returns the time until which leases may be granted at the version: the
-// sending time of the oldest answer of the best write quorum, plus the lease;
+// sending time of the oldest answer of the newest read quorum, plus the lease;
 // 0 when there is no such quorum. All sets given must agree.
 func (l *RootLease) Until(version protocol.Version, sets ...protocol.KeeperSet) time.Duration {
 	if len(sets) == 0 {
 		return 0
 	}
 	return lo.Min(lo.Map(sets, func(set protocol.KeeperSet, _ int) time.Duration {
-		oldest, found := l.quorum(set, func(answer keeperAnswer) bool { return answer.stored <= version })
+		oldest, found := l.quorum(set, set.Read, func(answer keeperAnswer) bool { return answer.stored <= version })
 		if !found {
 			return 0
 		}
@@ -66,10 +67,11 @@
 }
 
 // Alone reports whether a write quorum of every set has answered, to questions
-// sent at or after since, that it knows of no other root.
+// sent at or after since, that it knows of no other root: any other root's last
+// read quorum shares a keeper with it.
 func (l *RootLease) Alone(since time.Duration, sets ...protocol.KeeperSet) bool {
 	return len(sets) > 0 && lo.EveryBy(sets, func(set protocol.KeeperSet) bool {
-		oldest, found := l.quorum(set, func(answer keeperAnswer) bool { return answer.alone })
+		oldest, found := l.quorum(set, set.Write, func(answer keeperAnswer) bool { return answer.alone })
 		return found && oldest >= since
 	})
 }
@@ -81,18 +83,18 @@
 	}))
 }
 
-// quorum returns the sending time of the oldest answer in the newest write
-// quorum among the answers that fit.
-func (l *RootLease) quorum(set protocol.KeeperSet, fits func(keeperAnswer) bool) (time.Duration, bool) {
+// quorum returns the sending time of the oldest answer among the newest size
+// answers that fit.
+func (l *RootLease) quorum(set protocol.KeeperSet, size int, fits func(keeperAnswer) bool) (time.Duration, bool) {
 	var times []time.Duration
 	for _, keeper := range set.Members {
 		if answer, found := l.answers[keeper.ID]; found && fits(answer) {
 			times = append(times, answer.sentAt)
 		}
 	}
-	if set.Write == 0 || len(times) < set.Write {
+	if size == 0 || len(times) < size {
 		return 0, false
 	}
 	sortDescending(times)
-	return times[set.Write-1], true
+	return times[size-1], true
 }
--- /dev/null
+++ b/internal/core/distribution/rootlease_test.go
@@ -0,0 +1,54 @@
+package distribution_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/springstack/springstack/internal/core/distribution"
+	"github.com/springstack/springstack/internal/core/protocol"
+)
+
+// TestNoGrantBelowAStoredVersion lets a stale root read any keepers at any
+// time while a version is stored at a write quorum: a grant for a lower version
+// never reaches past the fence.
+func TestNoGrantBelowAStoredVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(1, 8).Draw(t, "size")
+		write := rapid.IntRange(size/2+1, size).Draw(t, "write")
+		ids := make([]protocol.NodeID, size)
+		for index := range ids {
+			ids[index] = protocol.NodeID(fmt.Sprint("keeper-", index))
+		}
+		set := keepers(write, ids...)
+		stored := make([]protocol.Version, size)
+		root := distribution.NewRootLease(lease)
+		var quorumAt time.Duration
+		quorum := false
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(1, 3000).Draw(t, "pass")) * time.Millisecond
+			keeper := rapid.IntRange(0, size-1).Draw(t, "keeper")
+			if rapid.Bool().Draw(t, "store") {
+				stored[keeper] = 2
+			} else {
+				root.Answer(ids[keeper], now, &protocol.StoreReply{Stored: max(1, stored[keeper])})
+			}
+			holding := 0
+			for _, version := range stored {
+				if version == 2 {
+					holding++
+				}
+			}
+			if !quorum && holding >= write {
+				quorum, quorumAt = true, now
+			}
+			until := root.Until(1, set)
+			if quorum && until > quorumAt+lease {
+				t.Fatalf("grant for version 1 until %v, version 2 stored at %v", until, quorumAt)
+			}
+		}
+	})
+}
