--- a/internal/core/admission/gate_test.go
+++ b/internal/core/admission/gate_test.go
@@ -11,6 +11,8 @@
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/result"
 	"pgregory.net/rapid"
+
+	_ "github.com/springstack/springstack/internal/fixedseed"
 )
 
 // record is a waiter that keeps its verdicts.
--- a/internal/core/distribution/rootlease_test.go
+++ b/internal/core/distribution/rootlease_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/springstack/springstack/internal/core/distribution"
 	"github.com/springstack/springstack/internal/core/protocol"
+	_ "github.com/springstack/springstack/internal/fixedseed"
 )
 
 // TestNoGrantBelowAStoredVersion lets a stale root read any keepers at any
--- a/internal/core/retry/call_test.go
+++ b/internal/core/retry/call_test.go
@@ -7,6 +7,8 @@
 	"github.com/matryer/is"
 	"github.com/springstack/springstack/internal/result"
 	"pgregory.net/rapid"
+
+	_ "github.com/springstack/springstack/internal/fixedseed"
 )
 
 func newCall(policy Policy) *Call {
