Ledger: check only what a change can break; a year of changes as a benchmark

Change: only references of what came in and to what went out are checked; the size is bounded from above first.

--- a/internal/core/ledger/apply.go
+++ b/internal/core/ledger/apply.go
@@ -98,7 +98,7 @@
 		return head, contents, reply
 	}
 	draft.record(reply)
-	if size := len(Encode(draft.head)); size > HeadBudget {
+	if size := sizeWithin(draft.head, HeadBudget); size > HeadBudget {
 		return head, contents, refuse(result.HeadTooLarge, "the head would have %d bytes; its budget is %d", size, HeadBudget)
 	}
 	return draft.head, draft.contents, reply
--- a/internal/core/ledger/codec.go
+++ b/internal/core/ledger/codec.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/result"
 )
@@ -27,6 +28,59 @@
 	return encoded
 }
 
+// Upper bounds of the encoded size, in bytes.
+const (
+	// fixedSize covers the head's own fields.
+	fixedSize = 512
+	// entrySize covers a file's or operation's fields besides its texts.
+	entrySize = 640
+	// textSize covers the quotes and comma of one text.
+	textSize = 3
+	// escapedSize is how many bytes JSON makes of one byte at most.
+	escapedSize = 6
+)
+
+// sizeWithin returns the encoded size of a head, or an upper bound of it when
+// that is within the budget already, which is far cheaper.
+func sizeWithin(head *Head, budget int) int {
+	bound := fixedSize
+	for _, entry := range head.Files {
+		bound += entrySize + len(entry.Partner) + len(entry.Name)
+		if entry.Held != nil {
+			bound += textsSize(entry.Held.WaitsFor)
+		}
+	}
+	for _, operation := range head.Operations {
+		bound += entrySize + len(operation.ID) + textsSize(operation.WaitsFor) + textsSize(operation.Promoted)
+	}
+	for _, set := range head.Keepers {
+		bound += keepersSize(&set)
+	}
+	if bound <= budget {
+		return bound
+	}
+	return len(Encode(head))
+}
+
+func textsSize(texts []string) int {
+	size := 0
+	for _, text := range texts {
+		size += textSize + escapedSize*len(text)
+	}
+	return size
+}
+
+func keepersSize(set *protocol.KeeperSet) int {
+	if set == nil {
+		return 0
+	}
+	size := entrySize + escapedSize*len(set.Region)
+	for _, member := range set.Members {
+		size += entrySize + escapedSize*(len(member.ID)+len(member.ControlAddress))
+	}
+	return size + keepersSize(set.Previous)
+}
+
 // Decode reads a head. A format or field that this build does not know is
 // UnknownFormat; a head that contradicts itself is DigestMismatch.
 func Decode(data []byte) (*Head, error) {
--- a/internal/core/ledger/draft.go
+++ b/internal/core/ledger/draft.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -20,15 +21,17 @@
 	contents Contents
 	request  *Change
 	// version is the version that the head gets if anything accepted changes.
-	version  protocol.Version
-	changed  bool
-	promoted []resource.FileKey
+	version protocol.Version
+	changed bool
+	// touched are the files whose accepted revision may differ from before: the
+	// request's own and those promoted.
+	touched []resource.FileKey
 }
 
 func newDraft(head *Head, contents Contents, change *Change) *draft {
 	next := head.clone()
 	next.Term = max(next.Term, change.Term)
-	return &draft{before: head, head: next, contents: contents, request: change, version: head.Version + 1}
+	return &draft{before: head, head: next, contents: contents, request: change, version: head.Version + 1, touched: []resource.FileKey{change.Key()}}
 }
 
 // change puts the request into the head: a withdrawn file goes away, any other
@@ -78,7 +81,7 @@
 func (d *draft) settle() *protocol.SubmitReply {
 	for d.promote() {
 	}
-	broken := resource.Missing(d.accepted(nil))
+	broken := d.missing(nil)
 	if len(broken) > 0 {
 		return d.stillNeeded(broken)
 	}
@@ -118,7 +121,7 @@
 // settle refuses it.
 func (d *draft) failing(trial []resource.FileKey) []resource.FileKey {
 	var takers, lacking, deprived []resource.FileKey
-	for _, missing := range resource.Missing(d.accepted(trial)) {
+	for _, missing := range d.missing(trial) {
 		taker, taken := d.takenAwayBy(missing.To, trial)
 		waiting := slices.Contains(trial, missing.File)
 		switch {
@@ -146,19 +149,54 @@
 	})
 }
 
-// accepted returns the contents in force, with the held revisions of trial in
-// place of the accepted ones.
-func (d *draft) accepted(trial []resource.FileKey) []*resource.File {
+// missing returns what the files in force would lack with the held revisions
+// of trial in place of their accepted ones. What was in force before the change
+// lacked nothing, so only what differs from it is looked at.
+func (d *draft) missing(trial []resource.FileKey) []resource.MissingReference {
 	files := make([]*resource.File, 0, len(d.head.Files))
 	for _, entry := range d.head.Files {
-		switch {
-		case entry.Held != nil && slices.Contains(trial, entry.Key()):
-			files = append(files, d.contents[entry.Held.Digest])
-		case entry.Accepted != nil:
-			files = append(files, d.contents[entry.Accepted.Digest])
+		digest := inForce(entry)
+		if entry.Held != nil && slices.Contains(trial, entry.Key()) {
+			digest = entry.Held.Digest
+		}
+		if digest != "" {
+			files = append(files, d.contents[digest])
+		}
+	}
+	added, removed := d.difference(trial)
+	return resource.MissingAfter(files, added, removed)
+}
+
+// difference returns the contents that came in and went out since before the
+// change, with the held revisions of trial in place of their accepted ones.
+func (d *draft) difference(trial []resource.FileKey) (added, removed []*resource.File) {
+	for _, key := range lo.Union(d.touched, trial) {
+		now, _ := d.head.File(key)
+		digest := inForce(now)
+		if now.Held != nil && slices.Contains(trial, key) {
+			digest = now.Held.Digest
+		}
+		earlier, _ := d.before.File(key)
+		before := inForce(earlier)
+		if before == digest {
+			continue
+		}
+		if digest != "" {
+			added = append(added, d.contents[digest])
+		}
+		if before != "" {
+			removed = append(removed, d.contents[before])
 		}
 	}
-	return files
+	return added, removed
+}
+
+// inForce returns the digest of an entry's accepted revision, or "".
+func inForce(entry FileEntry) resource.Digest {
+	if entry.Accepted == nil {
+		return ""
+	}
+	return entry.Accepted.Digest
 }
 
 func (d *draft) heldKeys() []resource.FileKey {
@@ -186,9 +224,7 @@
 	entry.Accepted = accepted
 	entry.Held = nil
 	d.head.put(entry)
-	if key != d.request.Key() {
-		d.promoted = append(d.promoted, key)
-	}
+	d.touched = lo.Union(d.touched, []resource.FileKey{key})
 }
 
 // blockers refuses a replacement that would take away what accepted files
@@ -199,7 +235,7 @@
 	if !found || entry.Held == nil || entry.Accepted == nil {
 		return nil
 	}
-	others := lo.Filter(resource.Missing(d.accepted([]resource.FileKey{key})), func(missing resource.MissingReference, _ int) bool {
+	others := lo.Filter(d.missing([]resource.FileKey{key}), func(missing resource.MissingReference, _ int) bool {
 		return missing.File != key
 	})
 	if len(others) == 0 {
@@ -223,7 +259,7 @@
 func (d *draft) noteWaits() {
 	for _, key := range d.heldKeys() {
 		entry, _ := d.head.File(key)
-		lines := lo.Map(resource.Missing(d.accepted([]resource.FileKey{key})), func(missing resource.MissingReference, _ int) string {
+		lines := lo.Map(d.missing([]resource.FileKey{key}), func(missing resource.MissingReference, _ int) string {
 			return missing.String()
 		})
 		held := *entry.Held
@@ -243,7 +279,7 @@
 		reply.Code = result.Held
 		reply.WaitsFor = slices.Clone(entry.Held.WaitsFor)
 	}
-	names := lo.Map(d.promoted, func(key resource.FileKey, _ int) string { return key.String() })
+	names := lo.Map(d.touched[1:], func(key resource.FileKey, _ int) string { return key.String() })
 	slices.Sort(names)
 	reply.Promoted = names[:min(len(names), MaxWaitsFor)]
 	return reply
@@ -262,7 +298,23 @@
 		Promoted:    reply.Promoted,
 	}
 	d.head.remember(operation, d.request.Now)
-	d.contents = Prune(d.head, d.contents)
+	d.contents = d.pruned()
+}
+
+// pruned returns the contents without those that only the head before named. A
+// content names its file, so no other file's entry can name the same digest.
+func (d *draft) pruned() Contents {
+	pruned := maps.Clone(d.contents)
+	for _, key := range d.touched {
+		earlier, _ := d.before.File(key)
+		now, _ := d.head.File(key)
+		for _, digest := range earlier.digests() {
+			if !slices.Contains(now.digests(), digest) {
+				delete(pruned, digest)
+			}
+		}
+	}
+	return pruned
 }
 
 // advance makes the head one version newer. The time of acceptance never runs
--- a/internal/core/ledger/head.go
+++ b/internal/core/ledger/head.go
@@ -98,6 +98,18 @@
 	return revision
 }
 
+// digests returns the contents that the entry names: none, one or two.
+func (e FileEntry) digests() []resource.Digest {
+	var digests []resource.Digest
+	if e.Accepted != nil {
+		digests = append(digests, e.Accepted.Digest)
+	}
+	if e.Held != nil {
+		digests = append(digests, e.Held.Digest)
+	}
+	return digests
+}
+
 // NewHead returns the head of an empty mesh.
 func NewHead() *Head { return &Head{Format: Format} }
 
@@ -125,12 +137,7 @@
 func (h *Head) Digests() []resource.Digest {
 	digests := make([]resource.Digest, 0, len(h.Files))
 	for _, entry := range h.Files {
-		if entry.Accepted != nil {
-			digests = append(digests, entry.Accepted.Digest)
-		}
-		if entry.Held != nil {
-			digests = append(digests, entry.Held.Digest)
-		}
+		digests = append(digests, entry.digests()...)
 	}
 	slices.Sort(digests)
 	return slices.Compact(digests)
--- /dev/null
+++ b/internal/core/ledger/year_test.go
@@ -0,0 +1,133 @@
+package ledger_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/ledger"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// The size of the workload: 190 services of two partners, one file each, and
+// a year of 2,300 changes a day.
+const (
+	yearServices  = 190
+	changesPerDay = 2_300
+	yearOfChanges = 365 * changesPerDay
+	shortOfYear   = 2_000
+	// measureEach is how many changes pass between two looks at the head.
+	measureEach = 10
+)
+
+// year draws operators' changes from a fixed seed and keeps the largest head.
+type year struct {
+	chain
+	random  *rand.Rand
+	sent    int
+	largest int
+	codes   map[result.Code]int
+}
+
+// body returns one service's file: the service, its back ends, a secret and a
+// route, now and then one that leads to a service that may not be there.
+func (y *year) body(service int) string {
+	target := service
+	if y.random.IntN(20) == 0 {
+		target = y.random.IntN(yearServices + 1)
+	}
+	var text strings.Builder
+	fmt.Fprintf(&text, "services: [{name: s%d, export_to: [%s]}]\nbackends:\n", service, otherOf(service))
+	for backend := range 6 {
+		fmt.Fprintf(&text, "  - {name: s%d-%d, service: s%d, address: '10.0.%d.%d:8080', region: windhoek, zone: klein-hall, slots: %d}\n",
+			service, backend, service, service, backend+1, 1+y.random.IntN(1000))
+	}
+	fmt.Fprintf(&text, "secrets: [{name: s%d, value: v%d}]\n", service, y.random.IntN(1_000_000))
+	fmt.Fprintf(&text, "routes: [{name: s%d, match: {path_prefix: /s%d}, split: [{service: %s/s%d}]}]\n", service, service, ownerOf(target), target)
+	return text.String()
+}
+
+func ownerOf(service int) string { return [...]string{"adomako", "kameeldoring"}[service%2] }
+
+func otherOf(service int) string { return ownerOf(service + 1) }
+
+// step sends one change: mostly replacements, a few withdrawals and first
+// submissions, a few resends of the last operation.
+func (y *year) step() {
+	service := y.random.IntN(yearServices)
+	key := fmt.Sprintf("%s/f%d", ownerOf(service), service)
+	_, found := y.head.File(resource.FileKey{Partner: resource.Partner(ownerOf(service)), Name: fmt.Sprintf("f%d", service)})
+	var request *protocol.SubmitRequest
+	switch {
+	case !found:
+		request = y.request(protocol.ActionSubmit, key, y.body(service))
+	case y.random.IntN(50) == 0:
+		request = y.request(protocol.ActionWithdraw, key, "")
+	default:
+		request = y.request(protocol.ActionReplace, key, y.body(service))
+	}
+	reply := y.send(request)
+	y.codes[reply.Code]++
+	if y.random.IntN(50) == 0 {
+		again := y.send(request)
+		if reply.Code == result.OK && (again.Version != reply.Version || again.Revision != reply.Revision) {
+			y.t.Fatalf("a resend was answered %+v after %+v", again, reply)
+		}
+	}
+	y.now = y.now.Add(24*time.Hour/changesPerDay - time.Second)
+	y.sent++
+	if y.sent%measureEach == 0 {
+		y.measure()
+	}
+}
+
+// measure encodes the head and holds it to the budget and to its own checks.
+func (y *year) measure() {
+	encoded := ledger.Encode(y.head)
+	y.largest = max(y.largest, len(encoded))
+	if len(encoded) > ledger.HeadBudget {
+		y.t.Fatalf("the head has %d bytes after %d changes", len(encoded), y.sent)
+	}
+	if y.sent%1000 != 0 {
+		return
+	}
+	if _, err := ledger.Decode(encoded); err != nil {
+		y.t.Fatal(err)
+	}
+	if len(ledger.Lacking(y.head, y.contents)) > 0 || len(y.contents) > 2*yearServices {
+		y.t.Fatalf("%d contents for %d files", len(y.contents), len(y.head.Files))
+	}
+}
+
+func runYear(t testing.TB, changes int) *year {
+	y := &year{chain: *newChain(t), random: rand.New(rand.NewPCG(1, 2)), codes: map[result.Code]int{}}
+	for y.sent < changes {
+		y.step()
+	}
+	return y
+}
+
+func TestHeadStaysBounded(t *testing.T) {
+	y := runYear(t, shortOfYear)
+	if y.codes[result.OK] < shortOfYear/2 || y.codes[result.Held] == 0 || y.codes[result.StillNeeded] == 0 {
+		t.Fatalf("the workload is not what it should be: %v", y.codes)
+	}
+	t.Logf("%d changes, largest head %d bytes, answers %v", y.sent, y.largest, y.codes)
+}
+
+// BenchmarkYearOfChanges runs the whole year:
+//
+//	go test ./internal/core/ledger -run - -bench Year -benchtime 1x -timeout 1h
+func BenchmarkYearOfChanges(b *testing.B) {
+	for b.Loop() {
+		y := runYear(b, yearOfChanges)
+		b.ReportMetric(float64(y.largest), "largest_head_bytes")
+		b.ReportMetric(float64(y.head.Version), "versions")
+		b.ReportMetric(float64(len(y.head.Operations)), "operations_at_end")
+		b.Logf("answers by code: %v", y.codes)
+	}
+}
--- a/internal/core/resource/references.go
+++ b/internal/core/resource/references.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"iter"
 	"slices"
 
+	"github.com/samber/lo"
+
 	"github.com/springstack/springstack/internal/result"
 )
 
@@ -26,69 +29,143 @@
 	return fmt.Sprintf("%s needs %s", m.From, m.To)
 }
 
-// index finds the targets of references over a set of files.
-type index struct {
-	services map[ServiceRef]Service
-	secrets  map[Key]bool
-}
-
-func newIndex(files []*File) index {
-	built := index{services: map[ServiceRef]Service{}, secrets: map[Key]bool{}}
-	for _, file := range files {
-		for _, service := range file.Services {
-			built.services[ServiceRef{Partner: service.Partner, Name: service.Name}] = service
-		}
-		for _, secret := range file.Secrets {
-			built.secrets[secret.Key()] = true
-		}
-	}
-	return built
-}
-
 // Missing returns every reference in files that the files together do not
 // satisfy, in the order of the files: a route's services must exist and be
 // exported to its partner, its secret must be the partner's own, and a back
 // end's service must be the partner's own.
 func Missing(files []*File) []MissingReference {
-	targets := newIndex(files)
+	return MissingAfter(files, files, nil)
+}
+
+// MissingAfter returns the references in files that are not satisfied after
+// added came in and removed went out of a set in which all were: those of the
+// added files, which are among files, and those of all others to what the
+// removed files declared. Its cost grows with the change, apart from one look
+// at each resource.
+func MissingAfter(files, added, removed []*File) []MissingReference {
+	present := newIndex(files, targetsOf(added, removed))
+	lost := present.lostWith(removed)
+	fresh := lo.Keyify(added)
 	var missing []MissingReference
 	for _, file := range files {
-		missing = append(missing, targets.missingOf(file)...)
+		_, isNew := fresh[file]
+		if !isNew && len(lost) == 0 {
+			continue
+		}
+		for reference := range file.references() {
+			if !isNew && !lost[reference.To] {
+				continue
+			}
+			if problem, broken := present.check(reference); broken {
+				missing = append(missing, problem)
+			}
+		}
 	}
 	return missing
 }
 
-func (x index) missingOf(file *File) []MissingReference {
-	var missing []MissingReference
-	for _, backend := range file.Backends {
-		if _, found := x.services[backend.ServiceRef()]; !found {
-			missing = append(missing, MissingReference{File: file.Key(), From: backend.Key(), To: backend.ServiceRef().Key()})
+// references yields what the file needs, as references not yet checked.
+func (f *File) references() iter.Seq[MissingReference] {
+	return func(yield func(MissingReference) bool) {
+		for i := range f.Backends {
+			backend := &f.Backends[i]
+			if !yield(MissingReference{File: f.Key(), From: backend.Key(), To: backend.ServiceRef().Key()}) {
+				return
+			}
+		}
+		for i := range f.Routes {
+			for _, target := range f.Routes[i].targets() {
+				if !yield(MissingReference{File: f.Key(), From: f.Routes[i].Key(), To: target}) {
+					return
+				}
+			}
 		}
 	}
-	for _, route := range file.Routes {
-		missing = append(missing, x.missingOfRoute(file.Key(), route)...)
+}
+
+// targets returns the keys of the services and the secret that a route needs.
+func (r *Route) targets() []Key {
+	targets := make([]Key, 0, len(r.Split)+1)
+	for _, destination := range r.Split {
+		targets = append(targets, destination.Service.Key())
 	}
-	return missing
+	if r.Secret != nil {
+		targets = append(targets, Key{Partner: r.Partner, Kind: KindSecret, Name: r.Secret.Name})
+	}
+	return targets
 }
 
-func (x index) missingOfRoute(file FileKey, route Route) []MissingReference {
-	var missing []MissingReference
-	for _, destination := range route.Split {
-		service, found := x.services[destination.Service]
-		if !found || !service.UsableBy(route.Partner) {
-			missing = append(missing, MissingReference{
-				File: file, From: route.Key(), To: destination.Service.Key(), NotExported: found,
-			})
+// index finds the targets of references over a set of files. It holds only
+// those that were asked for.
+type index struct {
+	services map[Key]*Service
+	secrets  map[Key]bool
+}
+
+// targetsOf returns the keys that added files need and removed files declared.
+func targetsOf(added, removed []*File) map[Key]bool {
+	targets := map[Key]bool{}
+	for _, file := range added {
+		for reference := range file.references() {
+			targets[reference.To] = true
+		}
+	}
+	for _, file := range removed {
+		for key := range file.keys() {
+			targets[key] = true
 		}
 	}
-	if route.Secret == nil {
-		return missing
+	return targets
+}
+
+func newIndex(files []*File, targets map[Key]bool) index {
+	built := index{services: map[Key]*Service{}, secrets: map[Key]bool{}}
+	for _, file := range files {
+		for i := range file.Services {
+			if key := file.Services[i].Key(); targets[key] {
+				built.services[key] = &file.Services[i]
+			}
+		}
+		for i := range file.Secrets {
+			if key := file.Secrets[i].Key(); targets[key] {
+				built.secrets[key] = true
+			}
+		}
 	}
-	secret := Key{Partner: route.Partner, Kind: KindSecret, Name: route.Secret.Name}
-	if !x.secrets[secret] {
-		missing = append(missing, MissingReference{File: file, From: route.Key(), To: secret})
+	return built
+}
+
+// lostWith returns the services and secrets of removed files that are gone or,
+// for services, exported to others than before.
+func (x index) lostWith(removed []*File) map[Key]bool {
+	lost := map[Key]bool{}
+	for _, file := range removed {
+		for _, service := range file.Services {
+			now, found := x.services[service.Key()]
+			if !found || !slices.Equal(now.ExportTo, service.ExportTo) {
+				lost[service.Key()] = true
+			}
+		}
+		for _, secret := range file.Secrets {
+			if !x.secrets[secret.Key()] {
+				lost[secret.Key()] = true
+			}
+		}
 	}
-	return missing
+	return lost
+}
+
+// check returns the reference, with the reason, if its target does not do.
+func (x index) check(reference MissingReference) (MissingReference, bool) {
+	if reference.To.Kind == KindSecret {
+		return reference, !x.secrets[reference.To]
+	}
+	service, found := x.services[reference.To]
+	if !found {
+		return reference, true
+	}
+	reference.NotExported = !service.UsableBy(reference.From.Partner)
+	return reference, reference.NotExported
 }
 
 // UsableBy reports whether routes of the partner may lead to the service.
@@ -99,43 +176,45 @@
 // NameTaken returns an error for each name of candidate that one of the other
 // files of its partner declares as well.
 func NameTaken(candidate *File, others []*File) []result.Error {
-	owners := map[Key]string{}
+	own := map[Key]bool{}
+	for key := range candidate.keys() {
+		own[key] = true
+	}
+	var taken []result.Error
 	for _, other := range others {
 		if other.Partner != candidate.Partner || other.Name == candidate.Name {
 			continue
 		}
-		for _, key := range other.Keys() {
-			owners[key] = other.Name
-		}
-	}
-	var taken []result.Error
-	for _, key := range candidate.Keys() {
-		owner, found := owners[key]
-		if !found {
-			continue
+		for key := range other.keys() {
+			if !own[key] {
+				continue
+			}
+			problem := result.New(result.NameTaken, "%s is declared by file %s", key, other.Name)
+			problem.File = candidate.Name
+			problem.Mend = "Rename it or withdraw the other file."
+			taken = append(taken, *problem)
 		}
-		problem := result.New(result.NameTaken, "%s is declared by file %s", key, owner)
-		problem.File = candidate.Name
-		problem.Mend = "Rename it or withdraw the other file."
-		taken = append(taken, *problem)
 	}
 	return taken
 }
 
 // Keys returns the keys of all resources of the file.
-func (f *File) Keys() []Key {
-	keys := make([]Key, 0, len(f.Services)+len(f.Backends)+len(f.Secrets)+len(f.Routes))
-	for _, service := range f.Services {
-		keys = append(keys, service.Key())
-	}
-	for _, backend := range f.Backends {
-		keys = append(keys, backend.Key())
-	}
-	for _, secret := range f.Secrets {
-		keys = append(keys, secret.Key())
+func (f *File) Keys() []Key { return slices.Collect(f.keys()) }
+
+func (f *File) keys() iter.Seq[Key] {
+	return func(yield func(Key) bool) {
+		done := !yieldKeys(f.Services, yield) || !yieldKeys(f.Backends, yield) || !yieldKeys(f.Secrets, yield)
+		if !done {
+			yieldKeys(f.Routes, yield)
+		}
 	}
-	for _, route := range f.Routes {
-		keys = append(keys, route.Key())
+}
+
+func yieldKeys[T Resource](list []T, yield func(Key) bool) bool {
+	for i := range list {
+		if !yield(list[i].Key()) {
+			return false
+		}
 	}
-	return keys
+	return true
 }
