--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -31,14 +31,16 @@
 	Weights []PartnerWeight
 }
 
-// The word of a gate packs what must change together: the draining bit, the
-// calls queued and the calls running.
+// The word of a gate packs what must change together: the draining and closed
+// bits, the calls queued and the calls running.
 const (
 	runningBits = 24
 	runningMask = 1<<runningBits - 1
 	queuedUnit  = 1 << runningBits
 	queuedMask  = runningMask << runningBits
 	drainingBit = 1 << 63
+	closedBit   = 1 << 62
+	refusingAny = drainingBit | closedBit
 )
 
 // meanWeight is the weight of a new value in the moving mean of service time.
@@ -50,7 +52,7 @@
 // Gate admits calls to one back end.
 type Gate struct {
 	config Config
-	// word holds draining, queued and running. Running never exceeds the slots
+	// word holds the bits above, queued and running. Running never exceeds the slots
 	// by a start: a start adds one by compare-and-swap only below the slots, or
 	// inherits the slot of a call that ends. Queued changes under mutex only.
 	word atomic.Uint64
@@ -93,7 +95,7 @@
 }
 
 // Draining tells whether the gate refuses new calls.
-func (g *Gate) Draining() bool { return g.word.Load()&drainingBit != 0 }
+func (g *Gate) Draining() bool { return g.word.Load()&refusingAny != 0 }
 
 // Admit starts, queues or refuses a call. A started call must be ended by
 // Done; a queued one is settled later, or withdrawn by Cancel.
@@ -121,7 +123,7 @@
 	for {
 		word := g.word.Load()
 		running := int64(word & runningMask)
-		if word&(drainingBit|queuedMask) != 0 || running >= g.slots.Load() {
+		if word&(refusingAny|queuedMask) != 0 || running >= g.slots.Load() {
 			return false
 		}
 		if g.word.CompareAndSwap(word, word+1) {
@@ -160,7 +162,7 @@
 		word := g.word.Load()
 		free := word&queuedMask == 0 && int64(word&runningMask) < g.slots.Load()
 		switch {
-		case word&drainingBit != 0:
+		case word&refusingAny != 0:
 			return refused(result.Draining, 0)
 		case free && g.word.CompareAndSwap(word, word+1):
 			// The slot was freed since Admit looked; with nobody waiting that
@@ -342,17 +344,22 @@
 
 // Drain refuses all waiting calls at once and every later one until Resume;
 // those that run end by themselves.
-func (g *Gate) Drain() {
+func (g *Gate) Drain() { g.refuseAll(drainingBit) }
+
+// Close refuses calls as Drain does, but Resume does not undo it.
+func (g *Gate) Close() { g.refuseAll(closedBit) }
+
+func (g *Gate) refuseAll(bit uint64) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.word.Or(drainingBit)
+	g.word.Or(bit)
 	for ticket := g.queue.pop(); ticket != nil; ticket = g.queue.pop() {
 		g.unqueue()
 		ticket.settle(refused(result.Draining, 0))
 	}
 }
 
-// Resume takes calls again after Drain.
+// Resume takes calls again after Drain, but not after Close.
 func (g *Gate) Resume() {
 	g.word.And(^uint64(drainingBit))
 }
--- a/internal/core/retry/call.go
+++ b/internal/core/retry/call.go
@@ -132,7 +132,7 @@
 		return c.refuse(result.CallerGone, 0)
 	case now >= c.policy.Deadline || outcome.Kind == Expired:
 		return c.refuse(c.deadlineCode(), 0)
-	case !c.mayRepeat(outcome):
+	case !c.mayRepeat(outcome) || (leaves(outcome) && !outcome.Others):
 		return c.giveUp(outcome)
 	case c.relocates(outcome):
 		c.relocations++
@@ -180,14 +180,13 @@
 	if !didNotRun(outcome) || !outcome.Others || c.relocations >= relocationLimit {
 		return false
 	}
-	if outcome.Kind == NotSent {
-		return true
-	}
-	switch outcome.Code {
-	case result.Draining, result.WrongBackend, result.ConnectFailed, result.NotServing:
-		return true
-	}
-	return false
+	return outcome.Kind == NotSent || outcome.Code == result.ConnectFailed || leaves(outcome)
+}
+
+// leaves tells whether the endpoint takes no calls any more, so that asking it
+// again is of no use.
+func leaves(outcome Outcome) bool {
+	return outcome.Kind == Refused && (outcome.Code == result.Draining || outcome.Code == result.WrongBackend)
 }
 
 func (c *Call) send(now time.Duration, outcome Outcome) Step {
--- a/internal/core/retry/call_test.go
+++ b/internal/core/retry/call_test.go
@@ -27,6 +27,8 @@
 		want    Step
 	}{
 		{"draining", draining, Step{Action: Send, Mark: true}},
+		{"draining, one endpoint", Outcome{Kind: Refused, Code: result.Draining, Ran: result.RanNo, Replayable: true},
+			Step{Action: Refuse, Code: result.Draining, Ran: result.RanNo}},
 		{"not sent", Outcome{Kind: NotSent, Replayable: true, Others: true}, Step{Action: Send, Mark: true}},
 		{"not sent, one endpoint", Outcome{Kind: NotSent, Replayable: true}, Step{Action: Send, Mark: true, Wait: sameEndpointWait}},
 		{"not sent, body gone", Outcome{Kind: NotSent, Others: true},
--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -23,9 +23,9 @@
 // Query is what a call is matched by.
 type Query struct {
 	Method string
-	// Host is the authority of the request; case and port are ignored.
+	// Host is the canonical host, as resource.CanonicalHost returns it.
 	Host string
-	// Path is the canonical path, as CanonicalPath returns it.
+	// Path is the canonical path, as resource.CanonicalPath returns it.
 	Path string
 	// Header gives the first value of a header; nil means no headers.
 	Header func(name string) string
@@ -148,15 +148,14 @@
 
 // Find returns the most specific route that matches, or nil.
 func (t *Table) Find(query Query) *Route {
-	host := canonicalHost(query.Host)
-	if route := first(t.exact[query.Path], host, query); route != nil {
+	if route := first(t.exact[query.Path], query); route != nil {
 		return route
 	}
 	prefix := query.Path
 	for {
 		prefix = strings.TrimSuffix(prefix, "/")
 		if len(prefix) <= t.longest {
-			if route := first(t.prefixes[prefix], host, query); route != nil {
+			if route := first(t.prefixes[prefix], query); route != nil {
 				return route
 			}
 		}
@@ -168,17 +167,17 @@
 	}
 }
 
-func first(routes []*Route, host string, query Query) *Route {
+func first(routes []*Route, query Query) *Route {
 	for _, route := range routes {
-		if route.matches(host, query) {
+		if route.matches(query) {
 			return route
 		}
 	}
 	return nil
 }
 
-func (r *Route) matches(host string, query Query) bool {
-	if r.host != "" && r.host != host {
+func (r *Route) matches(query Query) bool {
+	if r.host != "" && r.host != query.Host {
 		return false
 	}
 	methods := r.Resource.Match.Methods
@@ -214,10 +213,15 @@
 	return len(match.Methods) + len(match.Headers)
 }
 
-// canonicalHost drops the port and folds case.
+// canonicalHost is the form that hosts of calls are compared in. A host that
+// has none is kept, and matches no call.
 func canonicalHost(host string) string {
-	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
-		host = host[:colon]
+	if host == "" {
+		return ""
 	}
-	return strings.ToLower(host)
+	canonical, err := resource.CanonicalHost(host)
+	if err != nil {
+		return host
+	}
+	return canonical
 }
--- /dev/null
+++ b/internal/proxy/attempt.go
@@ -0,0 +1,175 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/endpoint"
+	"github.com/springstack/springstack/internal/core/retry"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// refusalBytes bounds what is read of a refusal so that its connection can be
+// used again.
+const refusalBytes = 4 << 10
+
+// attempt is one sending of a call to one endpoint.
+type attempt struct {
+	chosen   *endpoint.Endpoint
+	exchange *exchange
+	outcome  retry.Outcome
+	evidence endpoint.Outcome
+	ended    bool
+}
+
+// end closes the exchange and gives the endpoint its evidence, once.
+func (a *attempt) end(p *Proxy) {
+	if a.ended || a.chosen == nil {
+		return
+	}
+	a.ended = true
+	a.exchange.close()
+	a.chosen.End(p.config.Clock(), a.evidence)
+}
+
+// attempt sends the call to the endpoint chosen now.
+func (c *callerCall) attempt(mark bool) *attempt {
+	p := c.proxy
+	now := p.config.Clock()
+	if !p.mayServe() {
+		// The lease has run out since the call came. What was sent before stands;
+		// nothing more is sent.
+		return c.without(retry.Outcome{Kind: retry.Refused, Code: result.NotServing, Ran: result.RanNo, RetryAfter: notServingWait})
+	}
+	if now >= c.deadline || c.context.Err() != nil {
+		return c.without(retry.Outcome{Kind: retry.NotSent})
+	}
+	current := p.view.Load()
+	shared := current.services[c.service]
+	if shared == nil {
+		return c.without(retry.Outcome{Kind: retry.NoEndpoint})
+	}
+	chosen := c.choose(shared.set, now)
+	if chosen == nil {
+		return c.without(retry.Outcome{Kind: retry.NoEndpoint})
+	}
+	path := current.upstreams[chosen.Address]
+	if path == nil {
+		return c.without(retry.Outcome{Kind: retry.NoEndpoint})
+	}
+	p.tally.attempts.Add(1)
+	chosen.Begin()
+	made := &attempt{chosen: chosen}
+	relay := &informer{writer: c.writer}
+	made.exchange = path.send(c.context, c.outgoing(chosen, mark, c.deadline-now), relay)
+	c.tried = append(c.tried, chosen)
+	c.judge(made, shared.set)
+	return made
+}
+
+// without is an attempt that went to no endpoint.
+func (c *callerCall) without(outcome retry.Outcome) *attempt {
+	return &attempt{outcome: outcome}
+}
+
+func (c *callerCall) choose(set *endpoint.Set, now time.Duration) *endpoint.Endpoint {
+	if c.key != "" {
+		return set.ChooseKeyed(now, c.keyHash, c.tried)
+	}
+	return set.Choose(now, c.proxy.random(), c.tried)
+}
+
+// judge tells what became of an attempt, for the call and for the endpoint.
+func (c *callerCall) judge(made *attempt, set *endpoint.Set) {
+	now := c.proxy.config.Clock()
+	made.outcome.Replayable = c.body.replayable()
+	made.outcome.Others = set.Others(now, c.tried)
+	answer := made.exchange.answer
+	switch {
+	case answer == nil:
+		c.judgeFailure(made)
+		return
+	case answer.Header.Get(headerCode) != "":
+		c.judgeRefusal(made, answer)
+	default:
+		made.outcome.Kind = retry.Answered
+		made.outcome.Status = answer.StatusCode
+		made.evidence = endpoint.Fine
+		if answer.StatusCode >= http.StatusInternalServerError {
+			made.evidence = endpoint.ServerError
+		}
+	}
+	if report, found := parseLoad(answer.Header.Get(headerLoad)); found {
+		made.chosen.Learn(now, report)
+	}
+}
+
+// judgeFailure weighs an attempt without an answer. Only the guard's proof
+// makes it one that did not run.
+func (c *callerCall) judgeFailure(made *attempt) {
+	c.detail = describeFailure(made.exchange.err)
+	made.evidence = endpoint.Broken
+	switch {
+	case made.exchange.unsent:
+		made.outcome.Kind = retry.NotSent
+		made.evidence = endpoint.Unreachable
+	case c.body.problem() != nil:
+		// The caller's own sending failed, so nothing can be sent again.
+		made.outcome.Kind = retry.Broken
+		made.outcome.Replayable = false
+		made.evidence = endpoint.Withdrawn
+		c.detail = "The request's body: " + c.body.problem().Error() + "."
+	case c.context.Err() == context.DeadlineExceeded:
+		made.outcome.Kind = retry.Expired
+	default:
+		made.outcome.Kind = retry.Broken
+	}
+	if c.context.Err() != nil && made.exchange.unsent {
+		made.evidence = endpoint.Withdrawn
+	}
+	if c.request.Context().Err() != nil {
+		made.evidence = endpoint.Withdrawn
+		if context.Cause(c.context) != errDrainBound {
+			made.outcome.Kind = retry.CallerGone
+		}
+	}
+}
+
+// describeFailure names a failure without the library's request line, which
+// could hold what callers want kept.
+func describeFailure(err error) string {
+	if err == nil {
+		return ""
+	}
+	return "The attempt failed: " + err.Error() + "."
+}
+
+// judgeRefusal reads the gate's word. One that can't be read counts as unknown.
+func (c *callerCall) judgeRefusal(made *attempt, answer *http.Response) {
+	made.outcome.Kind = retry.Refused
+	made.outcome.Ran = result.RanUnknown
+	made.evidence = endpoint.Fine
+	code, err := strconv.Atoi(answer.Header.Get(headerCode))
+	made.outcome.Code = result.Code(code)
+	if err != nil {
+		made.outcome.Code = result.Internal
+	}
+	if answer.Header.Get(headerRan) == string(result.RanNo) {
+		made.outcome.Ran = result.RanNo
+	}
+	if seconds, err := strconv.Atoi(answer.Header.Get("Retry-After")); err == nil && seconds > 0 {
+		made.outcome.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	switch made.outcome.Code {
+	case result.Draining, result.WrongBackend:
+		made.evidence = endpoint.Leaving
+	case result.ConnectFailed, result.BrokenInFlight:
+		made.evidence = endpoint.Broken
+	}
+	c.detail = ""
+	// Reading the rest lets the connection be used again; it is short.
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, refusalBytes))
+}
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -1,83 +1,278 @@
 package proxy
 
 import (
-	"io"
+	"context"
 	"net/http"
+	"net/url"
+	"strconv"
+	"time"
 
-	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/cespare/xxhash/v2"
+	"github.com/springstack/springstack/internal/core/endpoint"
 	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/core/retry"
 	"github.com/springstack/springstack/internal/core/routing"
 	"github.com/springstack/springstack/internal/result"
 )
 
+// notServingWait is told with NotServing.
+const notServingWait = time.Second
+
+// A gate is told a little less than what is left of a call's time, so that its
+// refusal, which may say "did not run", comes before the callers' side gives
+// up and can say only "unknown".
+const (
+	hopMarginShare = 20
+	hopMarginLimit = 10 * time.Millisecond
+)
+
 // CallerHandler takes callers' requests.
 func (p *Proxy) CallerHandler() http.Handler {
-	return http.HandlerFunc(p.serveCaller)
+	return &side{proxy: p, serve: p.serveCaller}
 }
 
 func (p *Proxy) serveCaller(writer http.ResponseWriter, request *http.Request) {
-	current := p.view.Load()
-	if current.snapshot == nil || int64(p.config.Clock()) >= p.servingUntil.Load() {
-		Refusal{Code: result.NotServing}.write(writer)
-		return
+	p.tally.callerCalls.Add(1)
+	p.callersRunning.Add(1)
+	defer p.leave(&p.callersRunning)
+	if p.drain.started.Load() {
+		writer.Header().Set("Connection", "close")
 	}
-	path, canonical := routing.CanonicalPath(request.URL.EscapedPath())
-	if !canonical {
-		Refusal{Code: result.RequestMalformed}.write(writer)
+	control := http.NewResponseController(writer)
+	body := newUpload(request, control, p.limits)
+	defer body.finish()
+	call, refusal, accepted := p.acceptCall(request)
+	if !accepted {
+		p.refuse(writer, body, refusal)
 		return
 	}
-	query := routing.Query{Method: request.Method, Host: request.Host, Path: path, Header: request.Header.Get}
+	ctx, cancel := context.WithTimeout(request.Context(), call.timeout)
+	defer cancel()
+	call.context = ctx
+	call.writer = writer
+	call.control = control
+	call.body = body
+	call.run()
+}
+
+// callerCall is one call on the callers' side.
+type callerCall struct {
+	proxy   *Proxy
+	route   *routing.Route
+	service resource.ServiceRef
+	place   place
+	request *http.Request
+	writer  http.ResponseWriter
+	control *http.ResponseController
+	body    *upload
+	context context.Context
+	// timeout is what the call may take in all, deadline when that is over, on
+	// the proxy's clock.
+	timeout  time.Duration
+	deadline time.Duration
+	policy   retry.Policy
+	retries  *retry.Call
+	// key is the value of the route's request key header, keyHash its hash; the
+	// hash is the same on all daemons.
+	key     string
+	keyHash uint64
+	tried   endpoint.Tried
+	// detail explains the last attempt for people.
+	detail string
+}
+
+// acceptCall checks a request and finds its route, or refuses it. Nothing has
+// run then.
+func (p *Proxy) acceptCall(request *http.Request) (*callerCall, Refusal, bool) {
+	current := p.view.Load()
+	switch {
+	case p.drain.refusing.Load():
+		return nil, Refusal{Code: result.Draining, RetryAfter: notServingWait}, false
+	case current.snapshot == nil || !p.mayServe():
+		return nil, Refusal{Code: result.NotServing, RetryAfter: notServingWait}, false
+	}
+	if refusal, fine := checkForm(request, p.limits); !fine {
+		return nil, refusal, false
+	}
+	located, refusal, fine := locate(request)
+	if !fine {
+		return nil, refusal, false
+	}
+	query := routing.Query{Method: request.Method, Host: located.host, Path: located.path, Header: request.Header.Get}
 	route := current.table.Find(query)
 	if route == nil {
-		Refusal{Code: result.NoRoute}.write(writer)
-		return
+		return nil, Refusal{Code: result.NoRoute}, false
 	}
-	address, found := current.address(route.Pick(0))
-	if !found {
-		Refusal{Code: result.NoEndpoint}.write(writer)
-		return
+	call := &callerCall{proxy: p, route: route, place: located, request: request, service: route.Pick(p.random())}
+	shared := current.services[call.service]
+	if shared == nil {
+		return nil, Refusal{Code: result.NoEndpoint, RetryAfter: notServingWait}, false
 	}
-	p.forward(writer, request, address, route)
+	call.prepare(shared)
+	return call, Refusal{}, true
 }
 
-func (v *view) address(service resource.ServiceRef) (string, bool) {
-	for _, backend := range v.snapshot.Backends[service] {
-		for _, member := range v.members {
-			if member.Backend == backend.Name && member.Service == service && member.Endpoint == protocol.EndpointReady {
-				return member.DataAddress, true
-			}
-		}
+// prepare settles deadline, retries and key. A caller's own headers can only
+// make them stricter: an application copies them from the call it serves onto
+// the calls it makes, so that deadlines shrink and retries don't multiply.
+func (c *callerCall) prepare(shared *service) {
+	header := c.request.Header
+	c.timeout = c.route.Timeout
+	if stated, found := statedTimeout(header); found {
+		c.timeout = min(c.timeout, stated)
 	}
-	for _, backend := range v.snapshot.Backends[service] {
-		return backend.Address, true
+	c.deadline = c.proxy.config.Clock() + c.timeout
+	c.policy = retry.Policy{
+		Repeatable: c.route.Repeatable(c.request.Method),
+		Attempts:   c.route.Attempts,
+		NoRetry:    header.Get(headerNoRetry) != "",
+		Deadline:   c.deadline,
+	}
+	c.retries = retry.NewCall(c.policy, shared.budget)
+	if name := c.route.Resource.RequestKeyHeader; name != "" {
+		c.key = header.Get(name)
+		c.keyHash = xxhash.Sum64String(c.key)
 	}
-	return "", false
 }
 
-func (p *Proxy) forward(writer http.ResponseWriter, request *http.Request, address string, route *routing.Route) {
-	outgoing := request.Clone(request.Context())
-	outgoing.RequestURI = ""
-	outgoing.URL.Scheme = "http"
-	outgoing.URL.Host = address
-	stripHopByHop(outgoing.Header)
-	stripOwn(outgoing.Header)
-	if route != nil {
-		outgoing.Header.Set(headerHop, hopGate)
-		if route.SecretHeader != "" {
-			outgoing.Header.Set(route.SecretHeader, route.SecretText.Reveal())
+// run makes attempts until there is an answer or a final refusal.
+func (c *callerCall) run() {
+	step := c.retries.First()
+	for {
+		c.pause(step.Wait)
+		tried := c.attempt(step.Mark)
+		step = c.retries.Next(c.proxy.config.Clock(), tried.outcome)
+		switch step.Action {
+		case retry.Send:
+			c.proxy.tally.retries.Add(1)
+			tried.end(c.proxy)
+		case retry.Deliver:
+			c.deliver(tried)
+			return
+		default:
+			tried.end(c.proxy)
+			c.refuse(step)
+			return
 		}
 	}
-	answer, err := p.transport.RoundTrip(outgoing)
-	if err != nil {
-		Refusal{Code: result.BrokenInFlight}.write(writer)
+}
+
+// pause waits before an attempt, or until the call has ended.
+func (c *callerCall) pause(wait time.Duration) {
+	if wait <= 0 {
 		return
 	}
-	defer answer.Body.Close()
-	for name, values := range answer.Header {
-		writer.Header()[name] = values
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.context.Done():
+	}
+}
+
+// refuse gives the final refusal. A caller that has hung up gets none.
+func (c *callerCall) refuse(step retry.Step) {
+	refusal := Refusal{Code: step.Code, Ran: step.Ran, RetryAfter: step.RetryAfter, Detail: c.detail}
+	if context.Cause(c.context) == errDrainBound {
+		refusal.Code = result.DrainBound
+	}
+	if stalled(c.body.problem()) && step.Ran == result.RanUnknown {
+		refusal.Code = result.SlowPeer
+	}
+	if refusal.execution() == result.RanUnknown {
+		c.proxy.event("call_unknown", codeField(refusal.Code),
+			EventField{Key: "route", Value: c.route.Resource.Key().String()},
+			EventField{Key: "service", Value: c.service.String()})
 	}
-	writer.WriteHeader(answer.StatusCode)
-	if _, err := io.Copy(writer, answer.Body); err != nil {
+	c.proxy.refuse(c.writer, c.body, refusal)
+}
+
+// deliver passes the answer on whole, or breaks the caller's connection.
+func (c *callerCall) deliver(tried *attempt) {
+	passing := delivery{
+		writer: c.writer, control: c.control, stall: c.proxy.limits.StallTimeout,
+		answer: tried.exchange.answer, upload: c.body, extra: c.answerHeaders,
+	}
+	passing.head()
+	err := passing.body()
+	if err != nil {
+		tried.evidence = endpoint.Broken
+		if c.request.Context().Err() != nil {
+			tried.evidence = endpoint.Withdrawn
+		}
+	}
+	tried.end(c.proxy)
+	if err != nil {
+		c.proxy.tally.aborted.Add(1)
 		panic(http.ErrAbortHandler)
 	}
 }
+
+// answerHeaders asks callers to go elsewhere while the daemon is leaving.
+func (c *callerCall) answerHeaders(header http.Header) {
+	if c.proxy.drain.started.Load() {
+		header.Set("Connection", "close")
+	}
+}
+
+// outgoing makes the request to the gate of an endpoint. Springstack's headers
+// of the caller are gone from it, and so are the headers of its connection.
+func (c *callerCall) outgoing(chosen *endpoint.Endpoint, mark bool, left time.Duration) *http.Request {
+	header := c.request.Header.Clone()
+	stripHopByHop(header)
+	stripOwn(header)
+	header.Del("Expect") // this server has answered it
+	if _, found := header["User-Agent"]; !found {
+		header["User-Agent"] = []string{""} // the library would add its own
+	}
+	if c.route.SecretHeader != "" {
+		header[c.route.SecretHeader] = []string{c.route.SecretText.Reveal()}
+	}
+	c.hopHeaders(header, chosen, mark, left)
+	outgoing := &http.Request{
+		Method: c.request.Method, Host: c.request.Host, Header: header,
+		URL:   target(chosen.Address, c.place.path, c.request.URL.RawQuery),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if c.body != nil {
+		outgoing.Body = c.body.open()
+		outgoing.ContentLength = c.request.ContentLength
+		outgoing.Trailer = c.request.Trailer
+		if outgoing.ContentLength < 0 || outgoing.ContentLength > int64(c.proxy.limits.ReplayBytes) {
+			// A body that can't be sent again waits until the call has a slot.
+			header.Set("Expect", "100-continue")
+		}
+	}
+	return outgoing
+}
+
+func (c *callerCall) hopHeaders(header http.Header, chosen *endpoint.Endpoint, mark bool, left time.Duration) {
+	header[headerHop] = []string{hopGate}
+	header[headerService] = []string{c.service.String()}
+	header[headerBackend] = []string{chosen.Backend}
+	header[headerRequest] = []string{c.proxy.nextRequest()}
+	left -= min(left/hopMarginShare, hopMarginLimit)
+	header[headerTimeout] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
+	header[headerPriority] = []string{strconv.Itoa(int(c.route.Resource.Priority))}
+	header[headerPartner] = []string{string(c.route.Resource.Partner)}
+	if chosen.Incarnation != 0 {
+		header[headerIncarnation] = []string{strconv.FormatUint(uint64(chosen.Incarnation), 10)}
+	}
+	if c.key != "" {
+		header[headerRequestKey] = []string{c.key}
+	}
+	if mark {
+		header[headerNoRetry] = []string{"1"}
+	}
+}
+
+// target is the URL of a call at an address. The path is sent in the form that
+// the route was matched by.
+func target(address, canonical, query string) *url.URL {
+	made := &url.URL{Scheme: "http", Host: address, Path: canonical, RawQuery: query}
+	if plain, err := url.PathUnescape(canonical); err == nil {
+		made.Path = plain
+		made.RawPath = canonical
+	}
+	return made
+}
--- /dev/null
+++ b/internal/proxy/check.go
@@ -0,0 +1,59 @@
+package proxy
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// checkForm refuses requests that this proxy can't carry whole and unchanged.
+// Ambiguous framing can't come through: the library has parsed the one form,
+// and a new one is written for the next hop. What it can't parse it refuses.
+func checkForm(request *http.Request, limits Limits) (Refusal, bool) {
+	switch {
+	case request.Method == http.MethodConnect, request.Header.Get("Upgrade") != "":
+		return Refusal{Code: result.UpgradeRefused}, false
+	case !request.ProtoAtLeast(1, 1):
+		detail := "HTTP/1.0 can't tell an answer that was cut short; use HTTP/1.1."
+		return Refusal{Code: result.RequestMalformed, Detail: detail}, false
+	case request.ContentLength > limits.BodyBytes:
+		detail := "The body is larger than " + strconv.FormatInt(limits.BodyBytes, 10) + " bytes."
+		return Refusal{Code: result.RequestTooLarge, Detail: detail}, false
+	}
+	return Refusal{}, true
+}
+
+// place is the canonical host and path of a request.
+type place struct {
+	host string
+	path string
+}
+
+// locate finds the canonical host and path, or refuses the request.
+func locate(request *http.Request) (place, Refusal, bool) {
+	host, err := resource.CanonicalHost(request.Host)
+	if err != nil {
+		return place{}, Refusal{Code: result.RequestMalformed, Detail: "host: " + err.Error()}, false
+	}
+	path, err := resource.CanonicalPath(request.URL.EscapedPath())
+	if err != nil {
+		return place{}, Refusal{Code: result.RequestMalformed, Detail: "path: " + err.Error()}, false
+	}
+	return place{host: host, path: path}, Refusal{}, true
+}
+
+// statedTimeout reads headerTimeout; false means that none is stated.
+func statedTimeout(header http.Header) (time.Duration, bool) {
+	text := header.Get(headerTimeout)
+	if text == "" {
+		return 0, false
+	}
+	milliseconds, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || milliseconds < 0 {
+		return 0, false
+	}
+	return time.Duration(milliseconds) * time.Millisecond, true
+}
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -1,6 +1,10 @@
 package proxy
 
-import "github.com/springstack/springstack/internal/result"
+import (
+	"sync/atomic"
+
+	"github.com/springstack/springstack/internal/result"
+)
 
 // Counters is a copy of what the proxy has counted since its start.
 type Counters struct {
@@ -10,14 +14,55 @@
 	// Attempts are the sendings to gates, Retries those after the first.
 	Attempts uint64
 	Retries  uint64
-	// GateRunning and GateQueued are the calls at the gate now.
-	GateRunning int
-	GateQueued  int
+	// Aborted are the answers cut short.
+	Aborted uint64
+	// CallerRunning, GateRunning and GateQueued are the calls now.
+	CallerRunning int
+	GateRunning   int
+	GateQueued    int
 	// Refusals counts refusals by code, on both sides.
 	Refusals map[result.Code]uint64
 }
 
+// codeLimit bounds the codes that are counted one by one.
+const codeLimit = int(result.Internal) + 1
+
+// tally is the counting behind Counters.
+type tally struct {
+	callerCalls atomic.Uint64
+	gateCalls   atomic.Uint64
+	attempts    atomic.Uint64
+	retries     atomic.Uint64
+	aborted     atomic.Uint64
+	refusals    [codeLimit]atomic.Uint64
+}
+
+func (t *tally) refused(code result.Code) {
+	if code >= 0 && int(code) < codeLimit {
+		t.refusals[code].Add(1)
+	}
+}
+
 // Counters returns the present counts.
 func (p *Proxy) Counters() Counters {
-	return Counters{GateRunning: int(p.running.Load()), Refusals: map[result.Code]uint64{}}
+	counters := Counters{
+		CallerCalls:   p.tally.callerCalls.Load(),
+		GateCalls:     p.tally.gateCalls.Load(),
+		Attempts:      p.tally.attempts.Load(),
+		Retries:       p.tally.retries.Load(),
+		Aborted:       p.tally.aborted.Load(),
+		CallerRunning: int(p.callersRunning.Load()),
+		Refusals:      map[result.Code]uint64{},
+	}
+	if p.gate != nil {
+		load := p.gate.Load()
+		counters.GateRunning = load.Running
+		counters.GateQueued = load.Queued
+	}
+	for code := range p.tally.refusals {
+		if count := p.tally.refusals[code].Load(); count > 0 {
+			counters.Refusals[result.Code(code)] = count
+		}
+	}
+	return counters
 }
--- /dev/null
+++ b/internal/proxy/drain.go
@@ -0,0 +1,124 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	errClosed     = errors.ConstError("the proxy is closed")
+	errDrainBound = errors.ConstError("the hard bound of the drain has passed")
+)
+
+// drain is the state of leaving.
+type drain struct {
+	started atomic.Bool
+	// refusing is set once callers have had the linger to go elsewhere.
+	refusing atomic.Bool
+	// idle is signalled when the last call ends.
+	idle chan struct{}
+	done chan struct{}
+}
+
+func newDrain() drain {
+	return drain{idle: make(chan struct{}, 1), done: make(chan struct{})}
+}
+
+// StartDrain refuses new work at the gate at once and lets what runs end. The
+// callers' side serves on for the linger, asking callers to close their
+// connections, and then refuses with Draining.
+func (p *Proxy) StartDrain() {
+	if !p.drain.started.CompareAndSwap(false, true) {
+		return
+	}
+	if p.gate != nil {
+		p.gate.Close()
+	}
+	go p.awaitDrained()
+}
+
+// Drained is closed when a drain has ended: the linger has passed and no call
+// runs any more, or the calls that ran past the hard bound have been cut.
+func (p *Proxy) Drained() <-chan struct{} { return p.drain.done }
+
+func (p *Proxy) awaitDrained() {
+	linger := time.NewTimer(p.limits.DrainLinger)
+	defer linger.Stop()
+	bound := time.NewTimer(p.limits.DrainBound)
+	defer bound.Stop()
+	defer close(p.drain.done)
+	select {
+	case <-linger.C:
+	case <-bound.C:
+	case <-p.closed:
+		return
+	}
+	p.drain.refusing.Store(true)
+	for p.running() > 0 {
+		select {
+		case <-p.drain.idle:
+		case <-bound.C:
+			p.event("drain_bound")
+			p.connections.cut(errDrainBound)
+			return
+		case <-p.closed:
+			return
+		}
+	}
+}
+
+func (p *Proxy) running() int64 {
+	return p.callersRunning.Load() + p.gateRunning.Load()
+}
+
+// leave counts the end of a call.
+func (p *Proxy) leave(counter *atomic.Int64) {
+	counter.Add(-1)
+	if p.drain.started.Load() && p.running() == 0 {
+		select {
+		case p.drain.idle <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// connections are the open connections of both listeners. They are entered and
+// left once a connection, not once a call.
+type connections struct {
+	cancels sync.Map // of net.Conn to context.CancelCauseFunc
+}
+
+// open returns the context of a connection, which cut cancels.
+func (c *connections) open(ctx context.Context, conn net.Conn) context.Context {
+	bounded, cancel := context.WithCancelCause(ctx)
+	c.cancels.Store(conn, cancel)
+	return context.WithValue(bounded, connKey{}, conn)
+}
+
+// change follows the state of a connection.
+func (c *connections) change(conn net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateIdle:
+		if counted, known := conn.(*countedConn); known {
+			counted.handling.Store(false)
+		}
+	case http.StateClosed, http.StateHijacked:
+		if cancel, found := c.cancels.LoadAndDelete(conn); found {
+			cancel.(context.CancelCauseFunc)(nil)
+		}
+	}
+}
+
+// cut cancels the calls on all connections.
+func (c *connections) cut(cause error) {
+	c.cancels.Range(func(_, cancel any) bool {
+		cancel.(context.CancelCauseFunc)(cause)
+		return true
+	})
+}
--- /dev/null
+++ b/internal/proxy/exchange.go
@@ -0,0 +1,81 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+
+	"github.com/juju/errors"
+)
+
+// errNoLength refuses an answer whose end can't be told from its being cut.
+const errNoLength = errors.ConstError("the answer states no length, so that its end can't be told from a break")
+
+// errUpgraded refuses an answer that leaves HTTP.
+const errUpgraded = errors.ConstError("the answer switches protocols")
+
+// exchange is one request sent to one address and what came of it.
+type exchange struct {
+	// answer is the head of the answer, with its body to read; nil on failure.
+	answer *http.Response
+	// err is why there is no answer.
+	err error
+	// unsent is set when it is certain that not a byte was written.
+	unsent bool
+	cancel context.CancelFunc
+}
+
+// send makes one exchange. The outgoing request is written on one connection
+// at most. The caller must call close.
+func (u *upstream) send(ctx context.Context, outgoing *http.Request, relay *informer) *exchange {
+	attempt, cancel := context.WithCancel(ctx)
+	guard := &attemptGuard{cancel: cancel}
+	trace := &httptrace.ClientTrace{GotConn: guard.gotConn}
+	if relay != nil {
+		trace.Got1xxResponse = func(code int, header textproto.MIMEHeader) error {
+			return relay.inform(code, http.Header(header))
+		}
+	}
+	outgoing.GetBody = nil
+	answer, err := u.transport.RoundTrip(outgoing.WithContext(httptrace.WithClientTrace(attempt, trace)))
+	if relay != nil {
+		relay.end()
+	}
+	if err == nil {
+		err = checkAnswer(answer)
+	}
+	made := &exchange{answer: answer, err: err, cancel: cancel}
+	if err != nil {
+		made.unsent = guard.seal()
+		made.dropAnswer()
+	}
+	return made
+}
+
+// checkAnswer refuses answers that can't be passed on whole.
+func checkAnswer(answer *http.Response) error {
+	if answer.StatusCode == http.StatusSwitchingProtocols {
+		return errUpgraded
+	}
+	untilClose := answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
+	if untilClose && answer.Request.Method != http.MethodHead {
+		return errNoLength
+	}
+	return nil
+}
+
+func (e *exchange) dropAnswer() {
+	if e.answer != nil {
+		_ = e.answer.Body.Close()
+		e.answer = nil
+	}
+}
+
+// close ends the exchange. An answer not read to its end costs the connection.
+func (e *exchange) close() {
+	if e.answer != nil {
+		_ = e.answer.Body.Close()
+	}
+	e.cancel()
+}
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -1,29 +1,290 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
+	"strconv"
+	"time"
 
+	"github.com/springstack/springstack/internal/core/admission"
+	"github.com/springstack/springstack/internal/core/endpoint"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/core/routing"
 	"github.com/springstack/springstack/internal/result"
 )
 
+// gateTries is how often the gate sends a call on while it is certain that
+// not a byte of it was written.
+const gateTries = 2
+
+// headerBackendDraining and headerBackendRan are a back end's own signals: the
+// first on its health answers, the second, with the value no, on a 503 by
+// which it sheds a call that it has not begun.
+const (
+	headerBackendDraining = "Springstack-Draining"
+	headerBackendRan      = headerRan
+)
+
 // GateHandler takes calls from other daemons to the back end beside this one.
 func (p *Proxy) GateHandler() http.Handler {
-	return http.HandlerFunc(p.serveGate)
+	return &side{proxy: p, serve: p.serveGate}
 }
 
 func (p *Proxy) serveGate(writer http.ResponseWriter, request *http.Request) {
-	if request.Header.Get(headerHop) != hopGate || p.config.Backend == "" {
-		Refusal{Code: result.WrongBackend}.write(writer)
+	p.tally.gateCalls.Add(1)
+	p.gateRunning.Add(1)
+	defer p.leave(&p.gateRunning)
+	if p.drain.started.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	control := http.NewResponseController(writer)
+	body := newUpload(request, control, p.limits)
+	defer body.finish()
+	call, refusal, accepted := p.acceptGateCall(request)
+	if !accepted {
+		p.refuse(writer, body, refusal)
 		return
 	}
-	p.running.Add(1)
-	defer func() {
-		p.running.Add(-1)
-		p.checkDrained()
-	}()
-	if p.draining.Load() {
-		Refusal{Code: result.Draining}.write(writer)
+	ctx, cancel := context.WithTimeout(request.Context(), call.timeout)
+	defer cancel()
+	call.context = ctx
+	call.writer = writer
+	call.control = control
+	call.body = body
+	call.run()
+}
+
+// gateCall is one call at the gate.
+type gateCall struct {
+	proxy   *Proxy
+	request *http.Request
+	writer  http.ResponseWriter
+	control *http.ResponseController
+	body    *upload
+	context context.Context
+	// timeout is what is left of the call's time; deadline is on the clock.
+	timeout  time.Duration
+	deadline time.Duration
+	ticket   *admission.Ticket
+	verdicts verdictChannel
+}
+
+// verdictChannel is a waiter of the gate; it holds the one verdict.
+type verdictChannel chan admission.Verdict
+
+// Settle keeps the verdict; it never blocks, for there is only one.
+func (v verdictChannel) Settle(verdict admission.Verdict) { v <- verdict }
+
+// acceptGateCall checks that the call is for this back end as its sender knows
+// it.
+func (p *Proxy) acceptGateCall(request *http.Request) (*gateCall, Refusal, bool) {
+	header := request.Header
+	mine := p.gate != nil && header.Get(headerHop) == hopGate &&
+		header.Get(headerBackend) == p.config.Backend &&
+		header.Get(headerService) == p.config.Service.String()
+	if incarnation := header.Get(headerIncarnation); incarnation != "" {
+		mine = mine && incarnation == strconv.FormatUint(uint64(p.config.Incarnation), 10)
+	}
+	if !mine {
+		return nil, Refusal{Code: result.WrongBackend}, false
+	}
+	if refusal, fine := checkForm(request, p.limits); !fine {
+		return nil, refusal, false
+	}
+	call := &gateCall{proxy: p, request: request, timeout: routing.DefaultTimeout}
+	if stated, found := statedTimeout(header); found {
+		call.timeout = stated
+	}
+	call.deadline = p.config.Clock() + call.timeout
+	call.ticket = call.newTicket()
+	return call, Refusal{}, true
+}
+
+func (c *gateCall) newTicket() *admission.Ticket {
+	header := c.request.Header
+	priority, err := strconv.Atoi(header.Get(headerPriority))
+	if err != nil {
+		priority = int(resource.PriorityNormal)
+	}
+	partner := header.Get(headerPartner)
+	c.verdicts = make(verdictChannel, 1)
+	return admission.NewTicket(admission.Call{
+		Partner:  resource.Partner(partner),
+		Priority: resource.Priority(priority),
+		Deadline: c.deadline,
+		Request:  c.proxy.fingerprint("request", header.Get(headerRequest)),
+		Key:      c.proxy.fingerprint("key", partner, header.Get(headerRequestKey)),
+	}, c.verdicts)
+}
+
+// run admits the call, sends it to the back end and passes the answer on.
+func (c *gateCall) run() {
+	verdict := c.admit()
+	if verdict.State != admission.StateStarted {
+		c.refuse(Refusal{Code: verdict.Code, RetryAfter: verdict.RetryAfter})
 		return
 	}
-	p.forward(writer, request, p.config.BackendAddress, nil)
+	// The slot is given back exactly once, whatever happens below: Done does
+	// nothing the second time.
+	ran := true
+	defer func() { c.proxy.gate.Done(c.proxy.config.Clock(), c.ticket, ran) }()
+	sent := c.send()
+	defer sent.close()
+	refusal, refused := c.judge(sent)
+	if !refused {
+		c.proxy.health.answered()
+		c.deliver(sent)
+		return
+	}
+	ran = refusal.execution() != result.RanNo
+	c.proxy.gate.Done(c.proxy.config.Clock(), c.ticket, ran)
+	c.refuse(refusal)
+}
+
+// admit waits for a slot as long as the call has time and its sender is there.
+func (c *gateCall) admit() admission.Verdict {
+	gate := c.proxy.gate
+	verdict := gate.Admit(c.proxy.config.Clock(), c.ticket)
+	if verdict.State != admission.StateQueued {
+		return verdict
+	}
+	select {
+	case verdict = <-c.verdicts:
+		return verdict
+	case <-c.context.Done():
+	}
+	if !gate.Cancel(c.ticket) {
+		// It was settled at the same moment; if it was started it holds a slot,
+		// and sending it finds the context done before a byte is written.
+		return <-c.verdicts
+	}
+	return admission.Verdict{State: admission.StateRefused, Code: c.endCode()}
+}
+
+// endCode is the code of a call that ended while it waited.
+func (c *gateCall) endCode() result.Code {
+	switch {
+	case context.Cause(c.context) == errDrainBound:
+		return result.Draining
+	case c.request.Context().Err() != nil:
+		return result.CallerGone
+	}
+	return result.DeadlineBeforeStart
+}
+
+// send sends the call to the back end. It is sent again only while it is
+// certain that nothing was written.
+func (c *gateCall) send() *exchange {
+	relay := &informer{writer: c.writer}
+	for try := 1; ; try++ {
+		sent := c.proxy.backend.send(c.context, c.outgoing(), relay)
+		again := sent.err != nil && sent.unsent && c.body.replayable() && c.context.Err() == nil
+		if !again || try == gateTries {
+			return sent
+		}
+		sent.close()
+	}
+}
+
+// judge tells whether there is an answer to pass on, and else the refusal.
+func (c *gateCall) judge(sent *exchange) (Refusal, bool) {
+	if sent.err == nil {
+		return c.judgeAnswer(sent.answer)
+	}
+	detail := describeFailure(sent.err)
+	switch {
+	case sent.unsent && c.context.Err() == nil:
+		c.proxy.health.unreachable()
+		return Refusal{Code: result.ConnectFailed, Detail: detail, RetryAfter: time.Second}, true
+	case sent.unsent:
+		return Refusal{Code: result.DeadlineBeforeStart, Detail: detail}, true
+	case context.Cause(c.context) == errDrainBound:
+		return Refusal{Code: result.DrainBound}, true
+	case stalled(c.body.problem()):
+		return Refusal{Code: result.SlowPeer}, true
+	case c.context.Err() == context.DeadlineExceeded:
+		return Refusal{Code: result.DeadlineInFlight}, true
+	case c.context.Err() != nil:
+		return Refusal{Code: result.CallerGone}, true
+	}
+	return Refusal{Code: result.BrokenInFlight, Detail: detail}, true
+}
+
+// judgeAnswer takes a back end's own word that it has shed a call.
+func (c *gateCall) judgeAnswer(answer *http.Response) (Refusal, bool) {
+	shed := answer.StatusCode == http.StatusServiceUnavailable &&
+		answer.Header.Get(headerBackendRan) == string(result.RanNo)
+	if !shed {
+		return Refusal{}, false
+	}
+	refusal := Refusal{Code: result.Shed, Detail: "The back end has shed the call.", RetryAfter: time.Second}
+	if seconds, err := strconv.Atoi(answer.Header.Get("Retry-After")); err == nil && seconds > 0 {
+		refusal.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return refusal, true
+}
+
+// refuse answers with a refusal and the load, from which senders learn.
+func (c *gateCall) refuse(refusal Refusal) {
+	refusal.Load = c.proxy.loadText()
+	c.proxy.refuse(c.writer, c.body, refusal)
+}
+
+// deliver passes the answer on whole, or breaks the sender's connection.
+func (c *gateCall) deliver(sent *exchange) {
+	passing := delivery{
+		writer: c.writer, control: c.control, stall: c.proxy.limits.StallTimeout,
+		answer: sent.answer, upload: c.body, extra: c.answerHeaders,
+	}
+	passing.head()
+	if err := passing.body(); err != nil {
+		c.proxy.tally.aborted.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (c *gateCall) answerHeaders(header http.Header) {
+	header[headerLoad] = []string{c.proxy.loadText()}
+	if c.proxy.drain.started.Load() {
+		header.Set("Connection", "close")
+	}
+}
+
+// loadText is the load header's value now.
+func (p *Proxy) loadText() string {
+	load := p.gate.Load()
+	report := endpoint.Report{Running: load.Running, Queued: load.Queued, Own: -1}
+	report.Own, report.OwnAge = p.health.ownLoad()
+	return formatLoad(report)
+}
+
+// outgoing makes the request to the back end. Of springstack's headers it gets
+// those that an application may copy onto the calls it makes itself.
+func (c *gateCall) outgoing() *http.Request {
+	header := c.request.Header.Clone()
+	noRetry := header.Get(headerNoRetry)
+	request := header.Get(headerRequest)
+	stripHopByHop(header)
+	stripOwn(header)
+	header.Del("Expect")
+	if _, found := header["User-Agent"]; !found {
+		header["User-Agent"] = []string{""}
+	}
+	left := max(c.deadline-c.proxy.config.Clock(), 0)
+	header[headerTimeout] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
+	header[headerRequest] = []string{request}
+	if noRetry != "" {
+		header[headerNoRetry] = []string{noRetry}
+	}
+	outgoing := &http.Request{
+		Method: c.request.Method, Host: c.request.Host, Header: header,
+		URL:   target(c.proxy.config.BackendAddress, c.request.URL.EscapedPath(), c.request.URL.RawQuery),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if c.body != nil {
+		outgoing.Body = c.body.open()
+		outgoing.ContentLength = c.request.ContentLength
+		outgoing.Trailer = c.request.Trailer
+	}
+	return outgoing
 }
--- /dev/null
+++ b/internal/proxy/health.go
@@ -0,0 +1,260 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+)
+
+const (
+	// downAfter is how many probes in a row must fail before a back end counts
+	// as down.
+	downAfter = 3
+	// probeBytes bounds what is read of a probe's answer.
+	probeBytes = 4 << 10
+	// firstProbeWait is the time between probes until the first success.
+	firstProbeWait = 50 * time.Millisecond
+)
+
+// health follows the back end beside the daemon by probes. What calls meet
+// goes before what probes say, for health and load endpoints lag and mislead;
+// the back end's own signal that it is leaving is taken at its word.
+type health struct {
+	proxy  *Proxy
+	client *http.Client
+	// answeredAt is when a call was last answered, on the clock.
+	answeredAt atomic.Int64
+	// wake asks for a probe now.
+	wake chan struct{}
+	load atomic.Pointer[ownLoad]
+
+	// state and failures belong to run.
+	state    protocol.EndpointState
+	failures int
+}
+
+// ownLoad is a back end's own report.
+type ownLoad struct {
+	running float64
+	at      time.Duration
+}
+
+// loadAnswer is the form of a back end's load endpoint.
+type loadAnswer struct {
+	Running *float64 `json:"running"`
+}
+
+func newHealth(p *Proxy) *health {
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}
+	return &health{
+		proxy:  p,
+		client: &http.Client{Transport: transport, Timeout: p.limits.ProbeTimeout},
+		wake:   make(chan struct{}, 1),
+		state:  protocol.EndpointNone,
+	}
+}
+
+// answered records that a call was answered. It writes a few times a second at
+// most, so that calls do not contend for it.
+func (h *health) answered() {
+	now := int64(h.proxy.config.Clock())
+	if now-h.answeredAt.Load() > int64(h.proxy.limits.ProbePeriod)/4 {
+		h.answeredAt.Store(now)
+	}
+}
+
+// unreachable asks for a probe now, for a call met no connection.
+func (h *health) unreachable() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// ownLoad is the back end's last report and its age; the report is negative
+// when there is none.
+func (h *health) ownLoad() (float64, time.Duration) {
+	held := h.load.Load()
+	if held == nil {
+		return -1, 0
+	}
+	return held.running, h.proxy.config.Clock() - held.at
+}
+
+// run probes until the proxy is closed.
+func (h *health) run() {
+	defer h.client.CloseIdleConnections()
+	for {
+		h.probe()
+		period := h.proxy.limits.ProbePeriod
+		if h.state == protocol.EndpointNone || h.state == protocol.EndpointDown {
+			period = min(period, firstProbeWait)
+		}
+		timer := time.NewTimer(period)
+		select {
+		case <-timer.C:
+		case <-h.wake:
+		case <-h.proxy.closed:
+			timer.Stop()
+			return
+		}
+		timer.Stop()
+	}
+}
+
+// probe asks the back end once and settles its state.
+func (h *health) probe() {
+	spec, known := h.spec()
+	if !known {
+		return
+	}
+	h.settle(h.ask(spec))
+	if spec.LoadPath != "" {
+		h.askLoad(spec.LoadPath)
+	}
+}
+
+// spec is the service as the snapshot in force has it.
+func (h *health) spec() (resource.Service, bool) {
+	held := h.proxy.view.Load().snapshot
+	if held == nil {
+		return resource.Service{}, false
+	}
+	spec, found := held.Services[h.proxy.config.Service]
+	return spec, found
+}
+
+// ask probes health, or only whether the back end takes connections when the
+// service declares no health path.
+func (h *health) ask(spec resource.Service) protocol.EndpointState {
+	started := h.proxy.config.Clock()
+	state := protocol.EndpointDown
+	if spec.HealthPath == "" {
+		conn, err := h.proxy.backend.dialer.Dial("tcp", h.proxy.config.BackendAddress)
+		if err == nil {
+			_ = conn.Close()
+			state = protocol.EndpointReady
+		}
+	} else {
+		state = h.askHealth(spec.HealthPath)
+	}
+	callsAnswered := time.Duration(h.answeredAt.Load()) >= started-h.proxy.limits.ProbePeriod
+	if state == protocol.EndpointDown && callsAnswered && h.answeredAt.Load() > 0 {
+		return protocol.EndpointReady
+	}
+	return state
+}
+
+func (h *health) askHealth(path string) protocol.EndpointState {
+	answer, err := h.get(path)
+	if err != nil {
+		return protocol.EndpointDown
+	}
+	defer answer.Body.Close()
+	body, _ := io.ReadAll(io.LimitReader(answer.Body, probeBytes))
+	draining := answer.Header.Get(headerBackendDraining) != "" || string(body) == "draining"
+	switch {
+	case draining:
+		return protocol.EndpointDraining
+	case answer.StatusCode >= http.StatusOK && answer.StatusCode < http.StatusMultipleChoices:
+		if string(body) == "warming" {
+			return protocol.EndpointWarming
+		}
+		return protocol.EndpointReady
+	}
+	return protocol.EndpointDown
+}
+
+func (h *health) askLoad(path string) {
+	answer, err := h.get(path)
+	if err != nil {
+		return
+	}
+	defer answer.Body.Close()
+	var report loadAnswer
+	err = json.NewDecoder(io.LimitReader(answer.Body, probeBytes)).Decode(&report)
+	if err != nil || report.Running == nil || *report.Running < 0 {
+		return
+	}
+	h.load.Store(&ownLoad{running: *report.Running, at: h.proxy.config.Clock()})
+}
+
+func (h *health) get(path string) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), h.proxy.limits.ProbeTimeout)
+	url := "http://" + h.proxy.config.BackendAddress + path
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	answer, err := h.client.Do(request)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	answer.Body = &cancellingBody{ReadCloser: answer.Body, cancel: cancel}
+	return answer, nil
+}
+
+// cancellingBody ends the probe's context with the body.
+type cancellingBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close closes the body.
+func (b *cancellingBody) Close() error {
+	b.cancel()
+	return b.ReadCloser.Close()
+}
+
+// settle takes a probe's finding. Down needs several in a row, so that one
+// lost probe moves no work; the rest is taken at once.
+func (h *health) settle(found protocol.EndpointState) {
+	if found == protocol.EndpointDown {
+		h.failures++
+		if h.failures < downAfter && h.state != protocol.EndpointNone {
+			return
+		}
+	} else {
+		h.failures = 0
+	}
+	if found == h.state {
+		return
+	}
+	h.change(found)
+}
+
+// change puts a new state in force at the gate and tells the daemon.
+func (h *health) change(next protocol.EndpointState) {
+	previous := h.state
+	h.state = next
+	switch {
+	case next == protocol.EndpointDraining:
+		h.proxy.gate.Drain()
+	case previous == protocol.EndpointDraining:
+		h.proxy.gate.Resume()
+	}
+	if next == protocol.EndpointReady {
+		h.proxy.backend.openAhead(h.proxy.limits.Prewarm)
+	}
+	h.proxy.event("backend_state", EventField{Key: "backend", Value: h.proxy.config.Backend},
+		EventField{Key: "state", Value: stateNames[next]})
+	if h.proxy.config.OnBackendState != nil {
+		h.proxy.config.OnBackendState(next)
+	}
+}
+
+var stateNames = map[protocol.EndpointState]string{
+	protocol.EndpointNone:     "none",
+	protocol.EndpointWarming:  "warming",
+	protocol.EndpointReady:    "ready",
+	protocol.EndpointDraining: "draining",
+	protocol.EndpointDown:     "down",
+}
--- /dev/null
+++ b/internal/proxy/load.go
@@ -0,0 +1,62 @@
+package proxy
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/endpoint"
+)
+
+// formatLoad writes a load report for headerLoad: the calls running and queued
+// at the gate and, after a semicolon, the back end's own report and its age in
+// milliseconds, if it gives one. For example "3 0;2.5 140".
+func formatLoad(report endpoint.Report) string {
+	var buffer [64]byte
+	text := strconv.AppendInt(buffer[:0], int64(report.Running), 10)
+	text = append(text, ' ')
+	text = strconv.AppendInt(text, int64(report.Queued), 10)
+	if report.Own >= 0 {
+		text = append(text, ';')
+		text = strconv.AppendFloat(text, report.Own, 'g', 4, 64)
+		text = append(text, ' ')
+		text = strconv.AppendInt(text, report.OwnAge.Milliseconds(), 10)
+	}
+	return string(text)
+}
+
+// parseLoad reads a load report; false means that there is none to learn from.
+func parseLoad(text string) (endpoint.Report, bool) {
+	gate, own, hasOwn := strings.Cut(text, ";")
+	running, queued, found := strings.Cut(gate, " ")
+	report := endpoint.Report{Own: -1}
+	if !found {
+		return report, false
+	}
+	var err error
+	if report.Running, err = strconv.Atoi(running); err != nil || report.Running < 0 {
+		return report, false
+	}
+	if report.Queued, err = strconv.Atoi(queued); err != nil || report.Queued < 0 {
+		return report, false
+	}
+	if hasOwn {
+		parseOwnLoad(&report, own)
+	}
+	return report, true
+}
+
+// parseOwnLoad reads the back end's part; a malformed one counts as none.
+func parseOwnLoad(report *endpoint.Report, text string) {
+	load, age, found := strings.Cut(text, " ")
+	own, err := strconv.ParseFloat(load, 64)
+	if !found || err != nil || !(own >= 0) {
+		return
+	}
+	milliseconds, err := strconv.ParseInt(age, 10, 32)
+	if err != nil {
+		return
+	}
+	report.Own = own
+	report.OwnAge = time.Duration(milliseconds) * time.Millisecond
+}
--- /dev/null
+++ b/internal/proxy/mesh_test.go
@@ -0,0 +1,262 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/core/snapshot"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// processStart is the origin of the tests' clock.
+var processStart = time.Now()
+
+func testClock() time.Duration { return time.Since(processStart) }
+
+var testService = resource.ServiceRef{Partner: "k", Name: "plans"}
+
+// backendSpec is one back end of a mesh: an HTTP handler, or a script that has
+// the bare connection.
+type backendSpec struct {
+	handler http.HandlerFunc
+	script  func(conn net.Conn, reader *bufio.Reader)
+}
+
+// mesh is a callers' side with a gate and a back end for each spec, all over
+// loopback TCP.
+type mesh struct {
+	caller  *Proxy
+	gates   []*Proxy
+	members []protocol.Member
+	held    *snapshot.Snapshot
+	address string
+	client  *http.Client
+}
+
+// meshOptions changes the defaults of a mesh.
+type meshOptions struct {
+	slots  int
+	limits Limits
+	route  func(*resource.Route)
+	spec   resource.Service
+	state  func(protocol.EndpointState)
+}
+
+func startMesh(t *testing.T, options meshOptions, specs ...backendSpec) *mesh {
+	t.Helper()
+	if options.slots == 0 {
+		options.slots = 6
+	}
+	made := &mesh{}
+	var backends []resource.Backend
+	for index, spec := range specs {
+		name := string(rune('a' + index))
+		config := Config{
+			Clock: testClock, NodeID: protocol.NodeID("gate-" + name), Incarnation: 7,
+			Region: "r", Zone: "z", Service: testService, Backend: name,
+			BackendAddress: startBackend(t, spec), Slots: options.slots, Limits: options.limits,
+			OnBackendState: options.state,
+		}
+		gate := New(config)
+		t.Cleanup(gate.Close)
+		address := serve(t, gate.GateHandler(), options.limits)
+		made.gates = append(made.gates, gate)
+		backends = append(backends, resource.Backend{
+			Partner: "k", Name: name, Service: "plans", Address: address, Region: "r", Zone: "z", Slots: options.slots,
+		})
+		made.members = append(made.members, protocol.Member{
+			ID: config.NodeID, Incarnation: 7, Sequence: 1, State: protocol.MemberAlive, DataAddress: address,
+			Region: "r", Zone: "z", Service: testService, Backend: name, Endpoint: protocol.EndpointReady, Slots: options.slots,
+		})
+	}
+	made.held = testSnapshot(options, backends)
+	made.caller = New(Config{Clock: testClock, NodeID: "caller", Incarnation: 3, Region: "r", Zone: "z", Limits: options.limits})
+	t.Cleanup(made.caller.Close)
+	made.address = serve(t, made.caller.CallerHandler(), options.limits)
+	made.client = &http.Client{Transport: &http.Transport{DisableCompression: true}}
+	t.Cleanup(made.client.CloseIdleConnections)
+	made.caller.Swap(made.held)
+	made.caller.PublishMembers(made.members)
+	made.caller.ExtendServing(testClock() + time.Hour)
+	for _, gate := range made.gates {
+		gate.Swap(made.held)
+	}
+	return made
+}
+
+func testSnapshot(options meshOptions, backends []resource.Backend) *snapshot.Snapshot {
+	route := resource.Route{
+		Partner: "k", Name: "all", Match: resource.Match{PathPrefix: "/"},
+		Split:  []resource.Destination{{Service: testService, Weight: 1}},
+		Secret: &resource.SecretUse{Name: "key", Header: "X-Secret"},
+	}
+	if options.route != nil {
+		options.route(&route)
+	}
+	spec := options.spec
+	spec.Partner, spec.Name = testService.Partner, testService.Name
+	return &snapshot.Snapshot{
+		Version:  1,
+		Services: map[resource.ServiceRef]resource.Service{testService: spec},
+		Backends: map[resource.ServiceRef][]resource.Backend{testService: backends},
+		Routes:   []resource.Route{route},
+		Secrets: map[resource.Key]resource.Secret{
+			{Partner: "k", Kind: resource.KindSecret, Name: "key"}: {Value: "hidden"},
+		},
+	}
+}
+
+// serve serves a handler until the test ends and returns the address.
+func serve(t *testing.T, handler http.Handler, limits Limits) string {
+	t.Helper()
+	listener := listen(t)
+	server := NewServer(handler, limits)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+func startBackend(t *testing.T, spec backendSpec) string {
+	t.Helper()
+	listener := listen(t)
+	if spec.handler != nil {
+		server := &http.Server{Handler: spec.handler, ErrorLog: quietLog}
+		go func() { _ = server.Serve(listener) }()
+		t.Cleanup(func() { _ = server.Close() })
+		return listener.Addr().String()
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				spec.script(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// readRequest reads one request with its body from a bare connection; false
+// means that the other side closed it without one, as with probes.
+func readRequest(reader *bufio.Reader) (*http.Request, bool) {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return nil, false
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	return request, true
+}
+
+// reset closes a connection so that the other side meets a reset.
+func reset(conn net.Conn) {
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+}
+
+// answered is an answer as a caller sees it.
+type answered struct {
+	status int
+	header http.Header
+	body   string
+	// cut is set when the body did not come whole.
+	cut bool
+}
+
+func (a answered) code() string { return a.header.Get(headerCode) }
+func (a answered) ran() string  { return a.header.Get(headerRan) }
+
+func (m *mesh) call(t *testing.T, method, path, body string, headers ...string) answered {
+	t.Helper()
+	var reader io.Reader
+	if body != "" {
+		reader = strings.NewReader(body)
+	}
+	request, err := http.NewRequestWithContext(context.Background(), method, "http://"+m.address+path, reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for index := 0; index < len(headers); index += 2 {
+		request.Header.Set(headers[index], headers[index+1])
+	}
+	return m.send(t, request)
+}
+
+func (m *mesh) send(t *testing.T, request *http.Request) answered {
+	t.Helper()
+	answer, err := m.client.Do(request)
+	if err != nil {
+		t.Log(err)
+		return answered{cut: true, header: http.Header{}}
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	return answered{status: answer.StatusCode, header: answer.Header, body: string(text), cut: err != nil}
+}
+
+// raw sends bytes to the callers' side and returns all that comes back.
+func (m *mesh) raw(t *testing.T, text string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", m.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Fatal(err)
+	}
+	answer, _ := io.ReadAll(conn)
+	return string(answer)
+}
+
+// counting is a back end that counts its runs and answers at once.
+func counting(runs *atomic.Int64) backendSpec {
+	return backendSpec{handler: func(writer http.ResponseWriter, request *http.Request) {
+		runs.Add(1)
+		_, _ = io.Copy(writer, request.Body)
+	}}
+}
+
+// dead is an address where nobody listens.
+func dead(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// expectRefusal checks the form of a refusal.
+func expectRefusal(check *is.I, got answered, code result.Code, ran result.Execution) {
+	check.Helper()
+	entry, _ := result.Lookup(code)
+	check.Equal(got.code(), strings.TrimSpace(itoa(int(code))))
+	check.Equal(got.ran(), string(ran))
+	check.Equal(got.status, entry.HTTPStatus)
+	check.True(strings.Contains(got.body, `"name":"`+entry.Name+`"`))
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -1,14 +1,18 @@
 package proxy
 
 import (
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/springstack/springstack/internal/core/admission"
 	"github.com/springstack/springstack/internal/core/protocol"
-	"github.com/springstack/springstack/internal/core/routing"
 	"github.com/springstack/springstack/internal/core/snapshot"
+	"github.com/springstack/springstack/internal/result"
 )
 
 // Proxy is the data path of one daemon. All its methods may be called from
@@ -17,47 +21,72 @@
 	config Config
 	limits Limits
 
-	// view is replaced whole; calls load it once.
+	// view is replaced whole; calls load it once for each attempt.
 	view atomic.Pointer[view]
 	// changing serializes Swap and PublishMembers; calls never take it.
 	changing sync.Mutex
 	// servingUntil is a time on the clock, in nanoseconds.
 	servingUntil atomic.Int64
 
-	draining  atomic.Bool
-	drained   chan struct{}
-	drainOnce sync.Once
-	running   atomic.Int64
-	transport *http.Transport
-}
+	// gate and backend are nil when there is no back end beside the daemon.
+	gate    *admission.Gate
+	backend *upstream
+	health  *health
+
+	tally          tally
+	callersRunning atomic.Int64
+	gateRunning    atomic.Int64
+	drain          drain
+	connections    connections
+	closed         chan struct{}
+	closeOnce      sync.Once
 
-// view is everything that a call reads, immutable.
-type view struct {
-	snapshot *snapshot.Snapshot
-	table    *routing.Table
-	members  []protocol.Member
+	requestPrefix string
+	requestCount  atomic.Uint64
+	randomState   atomic.Uint64
+	hashSeed      uint64
 }
 
 // New returns a proxy that refuses calls until it has a snapshot and may
 // serve.
 func New(config Config) *Proxy {
 	proxy := &Proxy{
-		config:    config,
-		limits:    config.Limits.withDefaults(),
-		drained:   make(chan struct{}),
-		transport: &http.Transport{DisableCompression: true},
+		config:   config,
+		limits:   config.Limits.withDefaults(),
+		drain:    newDrain(),
+		closed:   make(chan struct{}),
+		hashSeed: rand.Uint64(),
 	}
+	incarnation := strconv.FormatUint(uint64(config.Incarnation), 36)
+	proxy.requestPrefix = string(config.NodeID) + "-" + incarnation + "-"
+	proxy.randomState.Store(config.RandomSeed)
 	proxy.view.Store(&view{})
+	if config.Backend != "" {
+		proxy.openGate()
+	}
 	return proxy
 }
 
+func (p *Proxy) openGate() {
+	p.gate = admission.New(p.config.Clock(), admission.Config{
+		Slots:       p.config.Slots,
+		QueueLength: p.limits.QueueLength,
+		QueueWait:   p.limits.QueueWait,
+		KeyWindow:   p.limits.KeyWindow,
+		KeyCount:    p.limits.KeyCount,
+	})
+	p.backend = newUpstream(p.config.BackendAddress, p.limits)
+	p.health = newHealth(p)
+	go p.health.run()
+}
+
 // Swap puts a snapshot in force by one pointer swap, after everything that
 // calls need of it was built.
 func (p *Proxy) Swap(held *snapshot.Snapshot) {
 	p.changing.Lock()
 	defer p.changing.Unlock()
 	old := p.view.Load()
-	p.view.Store(&view{snapshot: held, table: routing.Compile(held), members: old.members})
+	p.publish(p.buildView(old, held, old.members))
 }
 
 // PublishMembers gives the newest member records, whole.
@@ -65,7 +94,7 @@
 	p.changing.Lock()
 	defer p.changing.Unlock()
 	old := p.view.Load()
-	p.view.Store(&view{snapshot: old.snapshot, table: old.table, members: members})
+	p.publish(p.buildView(old, old.snapshot, members))
 }
 
 // ExtendServing lets the callers' side serve until a time on the clock. It
@@ -79,24 +108,81 @@
 	}
 }
 
-// StartDrain refuses new work at the gate at once; see Drained.
-func (p *Proxy) StartDrain() {
-	if p.draining.CompareAndSwap(false, true) {
-		p.checkDrained()
+// mayServe compares the serving lease with the clock. It is asked on each call
+// and each attempt, so that a daemon that was paused does not serve when it
+// wakes (I1).
+func (p *Proxy) mayServe() bool {
+	return int64(p.config.Clock()) < p.servingUntil.Load()
+}
+
+// Close gives up the connections to other daemons and the back end and stops
+// the probes. Calls that run are cut.
+func (p *Proxy) Close() {
+	p.closeOnce.Do(func() {
+		close(p.closed)
+		p.connections.cut(errClosed)
+		p.changing.Lock()
+		defer p.changing.Unlock()
+		for _, one := range p.view.Load().upstreams {
+			one.close()
+		}
+		if p.backend != nil {
+			p.backend.close()
+		}
+	})
+}
+
+// random returns a uniform number: repeatable from a seed, or else from the
+// runtime's generators, which threads do not share.
+func (p *Proxy) random() uint64 {
+	if p.config.RandomSeed == 0 {
+		return rand.Uint64()
+	}
+	const increment = 0x9e3779b97f4a7c15
+	mixed := p.randomState.Add(increment)
+	mixed = (mixed ^ mixed>>30) * 0xbf58476d1ce4e5b9
+	mixed = (mixed ^ mixed>>27) * 0x94d049bb133111eb
+	return mixed ^ mixed>>31
+}
+
+// nextRequest returns the unique id of an attempt.
+func (p *Proxy) nextRequest() string {
+	return p.requestPrefix + strconv.FormatUint(p.requestCount.Add(1), 36)
+}
+
+// fingerprint hashes the parts of an id with a seed of this process; 0 means
+// that the last part, the id itself, is empty.
+func (p *Proxy) fingerprint(parts ...string) admission.Fingerprint {
+	if parts[len(parts)-1] == "" {
+		return 0
+	}
+	digest := xxhash.NewWithSeed(p.hashSeed)
+	for _, part := range parts {
+		// Writing to a hash can't fail.
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
 	}
+	return admission.Fingerprint(max(digest.Sum64(), 1))
 }
 
-// Drained is closed when a drain has ended: no call runs any more, or the hard
-// bound has passed.
-func (p *Proxy) Drained() <-chan struct{} { return p.drained }
+// refuse counts a refusal and answers with it.
+func (p *Proxy) refuse(writer http.ResponseWriter, body *upload, refusal Refusal) {
+	p.tally.refused(refusal.Code)
+	body.takeArrived()
+	body.beforeAnswer(writer.Header())
+	// Without a deadline a caller that does not read could hold the call.
+	_ = http.NewResponseController(writer).SetWriteDeadline(time.Now().Add(p.limits.StallTimeout))
+	refusal.write(writer)
+}
 
-func (p *Proxy) checkDrained() {
-	if p.draining.Load() && p.running.Load() == 0 {
-		p.drainOnce.Do(func() { close(p.drained) })
+// event logs one event.
+func (p *Proxy) event(name string, fields ...EventField) {
+	if p.config.Log != nil {
+		p.config.Log(Event{Name: name, Fields: fields})
 	}
 }
 
-// Close gives up the connections to other daemons and the back end.
-func (p *Proxy) Close() {
-	p.transport.CloseIdleConnections()
+// codeField is a code as a log field.
+func codeField(code result.Code) EventField {
+	return EventField{Key: "code", Value: strconv.Itoa(int(code))}
 }
--- a/internal/proxy/refuse.go
+++ b/internal/proxy/refuse.go
@@ -19,6 +19,8 @@
 	Detail string
 	// RetryAfter is when sending again may help; 0 leaves the header out.
 	RetryAfter time.Duration
+	// Load is the value of headerLoad, on refusals of a gate.
+	Load string
 }
 
 // refusalBody is the JSON body of a refusal.
@@ -45,11 +47,18 @@
 func (r Refusal) write(writer http.ResponseWriter) {
 	entry, _ := result.Lookup(r.Code)
 	header := writer.Header()
+	ending := header.Get("Connection")
 	clear(header)
+	if ending != "" {
+		header.Set("Connection", ending)
+	}
 	header.Set("Content-Type", "application/json")
 	header.Set("Cache-Control", "no-store")
 	header.Set(headerCode, strconv.Itoa(int(r.Code)))
 	header.Set(headerRan, string(r.execution()))
+	if r.Load != "" {
+		header.Set(headerLoad, r.Load)
+	}
 	if r.RetryAfter > 0 {
 		header.Set("Retry-After", retryAfterSeconds(r.RetryAfter))
 	}
--- /dev/null
+++ b/internal/proxy/upstream.go
@@ -0,0 +1,127 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// continueWait is how long a large body waits for the gate's leave; the
+	// call's deadline ends it earlier.
+	continueWait = time.Hour
+	// spareLife is how long a connection opened ahead may wait for its first
+	// call; the other side closes connections without a request.
+	spareLife = 5 * time.Second
+	// spareLimit bounds the connections opened ahead to one address.
+	spareLimit = 8
+)
+
+// upstream is the connections to one address: of a gate, or of the back end.
+type upstream struct {
+	address   string
+	transport *http.Transport
+	dialer    net.Dialer
+	spares    chan spare
+	opening   atomic.Int64
+	closed    atomic.Bool
+}
+
+// spare is a connection opened ahead of its first call.
+type spare struct {
+	conn     net.Conn
+	openedAt time.Time
+}
+
+func newUpstream(address string, limits Limits) *upstream {
+	made := &upstream{
+		address: address,
+		dialer:  net.Dialer{Timeout: limits.DialTimeout},
+		spares:  make(chan spare, spareLimit),
+	}
+	made.transport = &http.Transport{
+		DialContext:            made.dial,
+		DisableCompression:     true,
+		MaxConnsPerHost:        limits.UpstreamConnections,
+		MaxIdleConnsPerHost:    limits.UpstreamConnections,
+		IdleConnTimeout:        limits.UpstreamIdle,
+		ExpectContinueTimeout:  continueWait,
+		MaxResponseHeaderBytes: int64(limits.HeaderBytes),
+	}
+	return made
+}
+
+// dial hands out a connection opened ahead, or opens one; either way it sees
+// to it that another one is ready.
+func (u *upstream) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	for {
+		select {
+		case ready := <-u.spares:
+			if time.Since(ready.openedAt) < spareLife {
+				u.openAhead(1)
+				return &guardedConn{Conn: ready.conn}, nil
+			}
+			_ = ready.conn.Close()
+			continue
+		default:
+		}
+		conn, err := u.dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		u.openAhead(1)
+		return &guardedConn{Conn: conn}, nil
+	}
+}
+
+// openAhead opens connections in the background for calls to come.
+func (u *upstream) openAhead(count int) {
+	for range count {
+		if u.closed.Load() || int(u.opening.Load())+len(u.spares) >= spareLimit {
+			return
+		}
+		u.opening.Add(1)
+		go u.openSpare()
+	}
+}
+
+func (u *upstream) openSpare() {
+	defer u.opening.Add(-1)
+	conn, err := u.dialer.Dial("tcp", u.address)
+	if err != nil {
+		return // the call that needs one meets the error itself
+	}
+	select {
+	case u.spares <- spare{conn: conn, openedAt: time.Now()}:
+	default:
+		_ = conn.Close()
+	}
+	if u.closed.Load() {
+		u.dropSpares()
+	}
+}
+
+func (u *upstream) dropSpares() {
+	for {
+		select {
+		case ready := <-u.spares:
+			_ = ready.conn.Close()
+		default:
+			return
+		}
+	}
+}
+
+// closeIdle gives up the connections that carry no call.
+func (u *upstream) closeIdle() {
+	u.dropSpares()
+	u.transport.CloseIdleConnections()
+}
+
+// close gives up all connections once their calls have ended.
+func (u *upstream) close() {
+	u.closed.Store(true)
+	u.closeIdle()
+}
--- /dev/null
+++ b/internal/proxy/view.go
@@ -0,0 +1,103 @@
+package proxy
+
+import (
+	"github.com/springstack/springstack/internal/core/endpoint"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/core/retry"
+	"github.com/springstack/springstack/internal/core/routing"
+	"github.com/springstack/springstack/internal/core/snapshot"
+)
+
+// view is everything that a call reads, immutable and replaced whole.
+type view struct {
+	// snapshot is nil until the first one was put in force.
+	snapshot *snapshot.Snapshot
+	table    *routing.Table
+	members  []protocol.Member
+	services map[resource.ServiceRef]*service
+	// upstreams are the connections by address of a gate.
+	upstreams map[string]*upstream
+}
+
+// service is what calls to one service share.
+type service struct {
+	set    *endpoint.Set
+	budget *retry.Budget
+}
+
+// buildView makes the view of a snapshot and member records. Counts, budgets
+// and connections carry over from the previous view.
+func (p *Proxy) buildView(previous *view, held *snapshot.Snapshot, members []protocol.Member) *view {
+	next := &view{
+		snapshot:  held,
+		table:     previous.table,
+		members:   members,
+		services:  map[resource.ServiceRef]*service{},
+		upstreams: map[string]*upstream{},
+	}
+	if held == nil {
+		return next
+	}
+	if held != previous.snapshot {
+		next.table = routing.Compile(held)
+	}
+	now := p.config.Clock()
+	self := endpoint.Locality{Region: p.config.Region, Zone: p.config.Zone}
+	for reference, backends := range held.Backends {
+		made := &service{}
+		var oldSet *endpoint.Set
+		if old := previous.services[reference]; old != nil {
+			oldSet = old.set
+			made.budget = old.budget
+		} else {
+			made.budget = retry.NewBudget(now)
+		}
+		made.set = endpoint.Build(oldSet, self, backends, members, now)
+		next.services[reference] = made
+		p.connect(previous, next, made.set)
+	}
+	return next
+}
+
+// connect gives every endpoint of a set its connections.
+func (p *Proxy) connect(previous, next *view, set *endpoint.Set) {
+	for _, one := range set.All {
+		if one.Address == "" || next.upstreams[one.Address] != nil {
+			continue
+		}
+		kept := previous.upstreams[one.Address]
+		if kept == nil {
+			kept = newUpstream(one.Address, p.limits)
+			if one.Zone == p.config.Zone && one.Region == p.config.Region {
+				kept.openAhead(1)
+			}
+		}
+		next.upstreams[one.Address] = kept
+	}
+}
+
+// publish puts a view in force and then gives up what it no longer needs.
+func (p *Proxy) publish(next *view) {
+	previous := p.view.Swap(next)
+	for address, old := range previous.upstreams {
+		if next.upstreams[address] == nil {
+			old.close()
+		}
+	}
+	for _, one := range next.services {
+		p.closeLeaving(next, one.set)
+	}
+}
+
+// closeLeaving gives up idle connections to daemons that are leaving, so that
+// no call is sent on one while the other side closes it.
+func (p *Proxy) closeLeaving(next *view, set *endpoint.Set) {
+	for _, one := range set.All {
+		if one.State == protocol.EndpointDraining || one.State == protocol.EndpointDown {
+			if leaving := next.upstreams[one.Address]; leaving != nil {
+				leaving.closeIdle()
+			}
+		}
+	}
+}
