--- a/internal/core/node/step.go
+++ b/internal/core/node/step.go
@@ -22,7 +22,10 @@
 type Message interface{ message() }
 
 // Tick lets time pass; the shell sends one every TickInterval.
-type Tick struct{}
+type Tick struct {
+	// WallClock is the shell's wall clock, shown in status; zero if not known.
+	WallClock time.Time
+}
 
 // TickInterval is how often a shell ticks its node.
 const TickInterval = 50 * time.Millisecond
@@ -87,6 +90,11 @@
 // Leave starts the drain: the node tells the mesh that it is leaving.
 type Leave struct{}
 
+// Stopped follows Leave when the data path has stopped for good. The node then
+// reports that it has left and is not counted any more; the shell steps it for
+// a moment longer (half a second) so that the report goes out.
+type Stopped struct{}
+
 func (Tick) message()            {}
 func (PeerRequest) message()     {}
 func (PeerReply) message()       {}
@@ -97,6 +105,7 @@
 func (SnapshotInForce) message() {}
 func (BackendReport) message()   {}
 func (Leave) message()           {}
+func (Stopped) message()         {}
 
 // Effect is an output of Step.
 type Effect interface{ effect() }
