--- a/internal/lab/scenario/deployment.go
+++ b/internal/lab/scenario/deployment.go
@@ -27,6 +27,8 @@
 	Applications []Application
 	// Calls is the mix of the deployment's callers.
 	Calls []Call
+	// RouteTimeout bounds each call in the mesh; 0 means 10 s.
+	RouteTimeout time.Duration
 }
 
 // Application is one service with its upstreams.
@@ -194,25 +196,30 @@
 		})
 	}
 	for _, call := range d.Calls {
-		file.Routes = append(file.Routes, d.route(call))
+		file.Routes = append(file.Routes, d.Route(d.Partner, call))
 	}
 	return file
 }
 
-// routeTimeout bounds the calls of the deployments.
-const routeTimeout = 10 * time.Second
+// defaultRouteTimeout bounds the calls of the deployments.
+const defaultRouteTimeout = 10 * time.Second
 
 // retryAttempts is the most attempts of one call.
 const retryAttempts = 3
 
-// route is the route that a call takes.
-func (d Deployment) route(call Call) resource.Route {
+// Route is the route that a call of a partner's callers takes to the
+// deployment's service.
+func (d Deployment) Route(partner resource.Partner, call Call) resource.Route {
+	timeout := d.RouteTimeout
+	if timeout == 0 {
+		timeout = defaultRouteTimeout
+	}
 	return resource.Route{
-		Partner:       d.Partner,
+		Partner:       partner,
 		Name:          call.Service + "-" + call.Path[1:],
 		Match:         resource.Match{Host: call.Host, PathPrefix: call.Path},
 		Split:         []resource.Destination{{Service: resource.ServiceRef{Partner: d.Partner, Name: call.Service}, Weight: 1}},
-		Timeout:       routeTimeout,
+		Timeout:       timeout,
 		RetryAttempts: retryAttempts,
 		Priority:      call.Priority,
 	}
