--- a/internal/access/access_test.go
+++ b/internal/access/access_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/result"
 	"github.com/springstack/springstack/internal/settings"
 )
@@ -151,13 +152,12 @@
 	atServer, atClient, serverErr, clientErr := handshake(t, a.ControlServer(), b.ControlClient())
 	is.NoErr(serverErr)
 	is.NoErr(clientErr)
-	id, known := PeerID(atServer)
+	id, known := PeerID(atServer.PeerCertificates)
 	is.True(known)
-	is.Equal(id, "node-b")
-	is.Equal(CheckPeer(atServer, "node-b"), nil)
-	is.Equal(CheckPeer(atServer, "node-a").Code, result.Forbidden)
-	is.Equal(CheckPeer(atClient, "node-a"), nil)
-	is.Equal(CheckPeer(tls.ConnectionState{}, "node-a").Code, result.Unauthenticated)
+	is.Equal(id, protocol.NodeID("node-b"))
+	id, known = PeerID(atClient.PeerCertificates)
+	is.True(known)
+	is.Equal(id, protocol.NodeID("node-a"))
 
 	_, _, serverErr, _ = handshake(t, a.ControlServer(), stranger.ControlClient())
 	is.True(serverErr != nil) // the client refuses the server
@@ -172,6 +172,31 @@
 	is.True(serverErr != nil) // the server refuses the client
 }
 
+func TestRequestsComeFromWhomTheyName(t *testing.T) {
+	is := is.New(t)
+	files := newAuthority(t).issue(t.TempDir(), "node-a")
+	leaf := newIdentity(t, files, "node-a").current().certificate.Leaf
+	certificates := []*x509.Certificate{leaf}
+	tests := []struct {
+		body any
+		code result.Code
+	}{
+		{&protocol.FetchRequest{Self: protocol.Member{ID: "node-a"}}, result.OK},
+		{&protocol.FetchRequest{Self: protocol.Member{ID: "node-b"}}, result.Forbidden},
+		{&protocol.StoreRequest{From: "node-a"}, result.OK},
+		{&protocol.StoreRequest{From: "node-b"}, result.Forbidden},
+		{&protocol.FloorRequest{From: "node-a"}, result.OK},
+		{&protocol.FloorRequest{From: ""}, result.Forbidden},
+		{&protocol.StatusRequest{}, result.OK},
+	}
+	for _, test := range tests {
+		refusal := CheckRequest(certificates, test.body)
+		is.Equal(refusal == nil, test.code == result.OK)
+		is.True(refusal == nil || refusal.Code == test.code)
+		is.Equal(CheckRequest(nil, test.body).Code, result.Unauthenticated)
+	}
+}
+
 func TestOperatorsNeedNoCertificate(t *testing.T) {
 	is := is.New(t)
 	common := newAuthority(t)
--- a/internal/access/identity.go
+++ b/internal/access/identity.go
@@ -13,6 +13,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/settings"
 )
 
@@ -125,7 +126,7 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "certificate and key")
 	}
-	if !names(certificate.Leaf, nodeID) {
+	if !names(certificate.Leaf, protocol.NodeID(nodeID)) {
 		return nil, errors.NotValidf("certificate that does not name node %q", nodeID)
 	}
 	text, err := os.ReadFile(files.Authority)
