Check every node that a control request names

Cause: requests now carry From beside the sender's record. Change: each of them has to be the node in the peer's certificate. Checked: go test ./internal/access passes.

--- a/internal/access/access_test.go
+++ b/internal/access/access_test.go
@@ -181,13 +181,16 @@
 		body any
 		code result.Code
 	}{
-		{&protocol.FetchRequest{Self: protocol.Member{ID: "node-a"}}, result.OK},
-		{&protocol.FetchRequest{Self: protocol.Member{ID: "node-b"}}, result.Forbidden},
+		{&protocol.FetchRequest{From: "node-a"}, result.OK},
+		{&protocol.FetchRequest{From: "node-a", Self: protocol.Member{ID: "node-b"}}, result.Forbidden},
+		{&protocol.FetchRequest{From: "node-b", Self: protocol.Member{ID: "node-a"}}, result.Forbidden},
 		{&protocol.StoreRequest{From: "node-a"}, result.OK},
 		{&protocol.StoreRequest{From: "node-b"}, result.Forbidden},
 		{&protocol.FloorRequest{From: "node-a"}, result.OK},
 		{&protocol.FloorRequest{From: ""}, result.Forbidden},
 		{&protocol.StatusRequest{}, result.OK},
+		{&protocol.StatusRequest{From: "node-b"}, result.Forbidden},
+		{&protocol.SubmitRequest{}, result.OK},
 	}
 	for _, test := range tests {
 		refusal := CheckRequest(certificates, test.body)
--- a/internal/access/peer.go
+++ b/internal/access/peer.go
@@ -26,32 +26,44 @@
 }
 
 // CheckRequest refuses a control request from a peer whose verified
-// certificates name another node than the sender that the request names.
-// Requests that name no sender need only a certificate.
+// certificates name another node than the request does. A request that names no
+// node, such as a submission, needs only a certificate.
 func CheckRequest(certificates []*x509.Certificate, body any) *result.Error {
 	id, known := PeerID(certificates)
 	if !known {
 		return result.New(result.Unauthenticated, "the peer shows no certificate that names its node")
 	}
-	claimed, claims := sender(body)
-	if claims && claimed != id {
-		return result.New(result.Forbidden, "the peer that calls itself %q has the certificate of %q", claimed, id)
+	for _, claimed := range senders(body) {
+		if claimed != id {
+			return result.New(result.Forbidden, "the peer that calls itself %q has the certificate of %q", claimed, id)
+		}
 	}
 	return nil
 }
 
-// sender returns the node that a request says it comes from.
-func sender(body any) (protocol.NodeID, bool) {
+// senders returns the nodes that a request says it comes from. Records of the
+// sender that are left out name nobody.
+func senders(body any) []protocol.NodeID {
 	switch request := body.(type) {
 	case *protocol.FetchRequest:
-		return request.Self.ID, true
+		return append(optional(request.Self.ID), request.From)
 	case *protocol.StoreRequest:
-		return request.From, true
+		return []protocol.NodeID{request.From}
 	case *protocol.FloorRequest:
-		return request.From, true
+		return append(optional(request.Self.ID), request.From)
+	case *protocol.StatusRequest:
+		return append(optional(request.Self.ID), optional(request.From)...)
 	default:
-		return "", false
+		return nil
+	}
+}
+
+// optional leaves out an id that is not set.
+func optional(id protocol.NodeID) []protocol.NodeID {
+	if id == "" {
+		return nil
 	}
+	return []protocol.NodeID{id}
 }
 
 // nodeOf returns the node id in a certificate.
