--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -33,7 +33,7 @@
 		mistakes = append(mistakes, locator.mistake(field, "the field is not known", "remove it or correct its name"))
 	}
 	for _, failed := range decodeErrors(err) {
-		mistakes = append(mistakes, locator.mistake(failed.Name(), typeDetail(failed), "give a value of that type"))
+		mistakes = append(mistakes, typeMistake(failed, locator))
 	}
 	return settings, mistakes
 }
@@ -77,17 +77,24 @@
 	return types
 }
 
-// typeDetail says what was expected, without showing the value.
-func typeDetail(failed *mapstructure.DecodeError) string {
+// typeMistake says what type was expected, without showing the value.
+func typeMistake(failed *mapstructure.DecodeError, locator locator) *result.Error {
 	var unconvertible *mapstructure.UnconvertibleTypeError
-	if errors.As(failed, &unconvertible) {
-		return fmt.Sprintf("a value of type %s is expected", typeName(unconvertible.Expected.Type()))
-	}
 	var mismatch *typeMismatch
-	if errors.As(failed, &mismatch) {
-		return mismatch.Error()
+	var expected reflect.Type
+	switch {
+	case errors.As(failed, &unconvertible):
+		expected = unconvertible.Expected.Type()
+	case errors.As(failed, &mismatch):
+		expected = mismatch.expected
+	default:
+		return locator.mistake(failed.Name(), "the value has the wrong type", "see SETTINGS.md")
+	}
+	mend := "give a value of that type"
+	if expected.Kind() == reflect.String {
+		mend = "put the value in quotes" // it looks like a number
 	}
-	return "the value has the wrong type"
+	return locator.mistake(failed.Name(), "a value of type "+typeName(expected)+" is expected", mend)
 }
 
 // typeName is what operators call a type.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,9 +22,11 @@
 // Node is who the daemon is and where its machine stands.
 type Node struct {
 	// ID is the stable identity of the machine, as in the machine list.
-	ID     string `koanf:"id" validate:"required,name"`
+	ID string `koanf:"id" validate:"required,name"`
+	// Region is the group of zones that distributes by itself when cut off.
 	Region string `koanf:"region" validate:"required,name"`
-	Zone   string `koanf:"zone" validate:"required,name"`
+	// Zone is the part of the region that fails as one.
+	Zone string `koanf:"zone" validate:"required,name"`
 }
 
 // Listen holds the addresses that the daemon listens on, as IP:port. A port
@@ -55,9 +57,12 @@
 
 // Backend names the back end beside the daemon; all empty for none.
 type Backend struct {
+	// Partner owns the back end and its service.
 	Partner string `koanf:"partner" validate:"required_with=Address,omitempty,name"`
+	// Service is what the back end serves.
 	Service string `koanf:"service" validate:"required_with=Address,omitempty,name"`
-	Name    string `koanf:"name" validate:"required_with=Address,omitempty,name"`
+	// Name is the back end's name in its partner's file.
+	Name string `koanf:"name" validate:"required_with=Address,omitempty,name"`
 	// Address is where the back end listens.
 	Address string `koanf:"address" validate:"required_with=Name,omitempty,address"`
 	// Slots is how many calls the back end runs at once.
@@ -75,11 +80,13 @@
 
 // Operators says who may use the operators' API.
 type Operators struct {
+	// Tokens lists the tokens taken.
 	Tokens []Token `koanf:"tokens" validate:"dive"`
 }
 
 // Token lets the bearer of a token act for a partner. Only its digest is kept.
 type Token struct {
+	// Partner is for whom the bearer acts.
 	Partner string `koanf:"partner" validate:"required,name"`
 	// SHA256 is the digest of the token, 64 lower-case hexadecimal digits.
 	SHA256 string `koanf:"sha256" validate:"required,digest"`
@@ -88,10 +95,11 @@
 // TLS names the PEM files that guard the control and operators' ports. They
 // are read again when they change.
 type TLS struct {
-	// Certificate and Key are this daemon's own; its common name or a URI name
-	// holds the node id.
+	// Certificate is this daemon's own. It names the node id as its common name
+	// or as the URI springstack://node/ID.
 	Certificate string `koanf:"certificate" validate:"required_with=Key Authority"`
-	Key         string `koanf:"key" validate:"required_with=Certificate"`
+	// Key is the certificate's private key.
+	Key string `koanf:"key" validate:"required_with=Certificate"`
 	// Authority holds the certificates that peers' certificates are checked by.
 	Authority string `koanf:"authority" validate:"required_with=Certificate"`
 	// AllowInsecure lets the daemon listen beyond loopback without TLS.
@@ -124,16 +132,23 @@
 
 // Log says what is logged.
 type Log struct {
+	// Level is the least level of the lines written.
 	Level string `koanf:"level" validate:"oneof=debug info warn error"`
 }
 
-// Timing overrides the periods of the node core; 0 keeps the default. It is
-// meant for tests: all daemons of a mesh need the same values.
+// Timing overrides the periods of the node core; a period that is left out
+// keeps its default. It is meant for tests: all daemons of a mesh need the same
+// values.
 type Timing struct {
-	FetchWait    time.Duration `koanf:"fetch_wait" validate:"omitempty,min=10ms,max=1m"`
+	// FetchWait is how long a parent may hold a fetch open.
+	FetchWait time.Duration `koanf:"fetch_wait" validate:"omitempty,min=10ms,max=1m"`
+	// ServingLease is how long a daemon serves without word from the mesh.
 	ServingLease time.Duration `koanf:"serving_lease" validate:"omitempty,min=100ms,max=10m"`
-	DeadAfter    time.Duration `koanf:"dead_after" validate:"omitempty,min=300ms,max=1h"`
-	ReaderLease  time.Duration `koanf:"reader_lease" validate:"omitempty,min=100ms,max=10m"`
+	// DeadAfter is when a silent member is no longer counted; at least three
+	// serving leases.
+	DeadAfter time.Duration `koanf:"dead_after" validate:"omitempty,min=300ms,max=1h"`
+	// ReaderLease is how long a reader lease lasts on the platform.
+	ReaderLease time.Duration `koanf:"reader_lease" validate:"omitempty,min=100ms,max=10m"`
 }
 
 // Default returns the settings before the file and the overrides are applied.
