--- a/cmd/springstack-lab/main.go
+++ b/cmd/springstack-lab/main.go
@@ -12,9 +12,13 @@
 
 func main() {
 	command := &cli.Command{
-		Name:     "springstack-lab",
-		Usage:    "emulate, load and measure springstack",
-		Commands: []*cli.Command{experimentCommand(), fuzzCommand()},
+		Name:  "springstack-lab",
+		Usage: "emulate, load and measure springstack",
+		Commands: []*cli.Command{
+			demoCommand(),
+			experimentCommand(),
+			fuzzCommand(),
+		},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
