--- /dev/null
+++ b/cmd/springstackd/run.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/springstack/springstack/internal/daemon"
+	"github.com/springstack/springstack/internal/logging"
+)
+
+// pprofFlag serves /debug/pprof on the admin address.
+const pprofFlag = "pprof"
+
+// runCommand returns the command that runs the daemon.
+func runCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "run",
+		Usage:  "run the daemon until SIGTERM or SIGINT, then drain",
+		Flags:  settingsFlags(&cli.BoolFlag{Name: pprofFlag, Usage: "serve /debug/pprof on the admin address"}),
+		Action: runDaemon,
+	}
+}
+
+// runDaemon runs until a signal asks to stop. A second signal ends the drain.
+func runDaemon(ctx context.Context, command *cli.Command) error {
+	loaded, err := loadSettings(command)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	level, err := logging.ParseLevel(loaded.Log.Level)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	started := daemon.New(loaded, daemon.Overrides{
+		Logger: logging.New(level),
+		Pprof:  command.Bool(pprofFlag),
+	})
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	if err := started.Start(); err != nil {
+		return errors.Trace(err)
+	}
+	select {
+	case <-signals:
+	case <-ctx.Done():
+	}
+	stopping, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	go func() {
+		select {
+		case <-signals:
+			cancel()
+		case <-stopping.Done():
+		}
+	}()
+	return errors.Trace(started.Stop(stopping))
+}
