--- a/internal/sim/world/operators.go
+++ b/internal/sim/world/operators.go
@@ -55,7 +55,7 @@
 		Operation:  sent.request.Operation,
 		File:       file,
 		Marker:     markerText(spec.marker),
-		Resources:  spec.keys(),
+		Declares:   spec.declares(),
 		NeverValid: spec.flaw != flawNone,
 	})
 }
@@ -162,4 +162,4 @@
 	})
 }
 
-func (w *World) countAnswer(code result.Code) { w.counts.Answers[code.Name()]++ }
+func (w *World) countAnswer(code result.Code) { w.outcome.Answers[code.Name()]++ }
