--- a/internal/core/node/cluster_test.go
+++ b/internal/core/node/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"testing"
@@ -26,7 +27,11 @@
 	order   int
 	daemons map[string]*daemon
 	// cut drops messages between two addresses when it returns true.
-	cut      func(from, to string) bool
+	cut func(from, to string) bool
+	// random draws delays and losses when set; without it each message takes
+	// the same time.
+	random   *rand.Rand
+	loss     float64
 	platform *platform
 	messages int
 	// submitted is set once the file exists.
@@ -49,6 +54,8 @@
 	// life grows with each start; messages to an earlier life are dropped.
 	life    int
 	running bool
+	// pausedUntil is when a paused daemon wakes.
+	pausedUntil time.Duration
 }
 
 type event struct {
@@ -158,7 +165,17 @@
 	c.after(node.TickInterval, func() { c.tick(d, life) })
 }
 
+// step gives a node a message; a paused one gets it when it wakes.
 func (c *cluster) step(d *daemon, message node.Message) {
+	if c.now < d.pausedUntil {
+		life := d.life
+		c.after(d.pausedUntil-c.now, func() {
+			if d.life == life {
+				c.step(d, message)
+			}
+		})
+		return
+	}
 	for _, effect := range d.node.Step(c.now, message) {
 		c.carryOut(d, effect)
 	}
@@ -226,6 +243,17 @@
 	c.logs(fmt.Sprintf("%8.3f %s event=%s %s", c.now.Seconds(), d.id, one.Name, strings.Join(fields, " ")))
 }
 
+func (c *cluster) lost(from, to string) bool {
+	return c.cut(from, to) || c.random != nil && c.random.Float64() < c.loss
+}
+
+func (c *cluster) delay() time.Duration {
+	if c.random == nil {
+		return delay
+	}
+	return delay + time.Duration(c.random.ExpFloat64()*float64(5*time.Millisecond))
+}
+
 // callPeer carries a call; each half may be cut.
 func (c *cluster) callPeer(from *daemon, life int, call node.CallPeer) {
 	done := false
@@ -239,12 +267,12 @@
 	c.after(call.Timeout, func() { reply(nil, true) })
 	c.messages++
 	to, known := c.daemons[call.Address]
-	if c.cut(from.config.ControlAddress, call.Address) {
+	if c.lost(from.config.ControlAddress, call.Address) {
 		return
 	}
-	c.after(delay, func() {
+	c.after(c.delay(), func() {
 		if !known || !to.running {
-			c.after(delay, func() { reply(nil, true) })
+			c.after(c.delay(), func() { reply(nil, true) })
 			return
 		}
 		c.deliver(from, to, call.Body, func(body any) { reply(body, false) })
@@ -255,8 +283,8 @@
 	c.order++
 	token := node.Token(c.order) | 1<<40
 	to.answers[token] = func(answer any) {
-		if !c.cut(to.config.ControlAddress, from.config.ControlAddress) {
-			c.after(delay, func() { reply(answer) })
+		if !c.lost(to.config.ControlAddress, from.config.ControlAddress) {
+			c.after(c.delay(), func() { reply(answer) })
 		}
 	}
 	c.step(to, node.PeerRequest{Token: token, Body: body})
--- a/internal/core/node/start.go
+++ b/internal/core/node/start.go
@@ -208,6 +208,9 @@
 	}
 	n.visitors.heard(n.now, request.Self)
 	n.heardRoot(request.Self)
+	if request.Known.ID == n.self.ID {
+		n.heardOfSelf(request.Known)
+	}
 	if !request.FreshHead || request.Region != n.config.Region && !n.readerSide.reader.IsReader() {
 		n.answerFloor(token, request, n.start.keeper.Answer(request))
 		return
@@ -258,13 +261,26 @@
 	if len(addresses) == 0 {
 		return
 	}
-	n.greetAddress(addresses[n.random.IntN(len(addresses))])
+	n.greetAddress(addresses[n.random.IntN(len(addresses))], protocol.Member{})
 }
 
-func (n *Node) greetMember(member protocol.Member) { n.greetAddress(member.ControlAddress) }
+// greetMember greets a daemon that is known, and tells what is known of it.
+func (n *Node) greetMember(member protocol.Member) {
+	known, found := n.roster.Get(member.ID)
+	if !found {
+		known = member
+	}
+	n.greetAddress(member.ControlAddress, known)
+}
 
-func (n *Node) greetAddress(address string) {
-	request := &protocol.FloorRequest{Format: protocol.Format, Region: n.config.Region, From: n.self.ID, Self: n.self}
+func (n *Node) greetAddress(address string, known protocol.Member) {
+	request := &protocol.FloorRequest{
+		Format: protocol.Format,
+		Region: n.config.Region,
+		From:   n.self.ID,
+		Self:   n.self,
+		Known:  known,
+	}
 	n.call(address, request, greetTimeout, func(body any) {
 		reply, ok := body.(*protocol.FloorReply)
 		if !ok || reply == nil {
@@ -273,21 +289,28 @@
 		n.start.answered = true
 		n.heardPeers(reply)
 		for _, peer := range reply.Peers {
-			n.heardGreeted(reply.From, peer)
+			n.heardGreeted(reply.From, peer, known.ID == "")
 		}
 	})
 }
 
 // heardGreeted takes a member named in the answer to a greeting. A better root
-// that answers for itself takes over.
-func (n *Node) heardGreeted(from protocol.NodeID, peer protocol.Member) {
+// that answers for itself takes over. Another root that is named in the answer
+// to a greeting at random is greeted too.
+func (n *Node) heardGreeted(from protocol.NodeID, peer protocol.Member, follow bool) {
 	if !n.root.active {
 		if _, known := n.floor(); known {
 			n.heardMember(peer, membership.Above)
 		}
 		return
 	}
-	if peer.Region != n.config.Region || !peer.Root || peer.ID != from {
+	if peer.Region != n.config.Region || !peer.Root || peer.ID == n.self.ID {
+		return
+	}
+	if peer.ID != from {
+		if follow {
+			n.greetMember(peer)
+		}
 		return
 	}
 	n.heardMember(peer, membership.Below)
--- a/internal/core/protocol/protocol.go
+++ b/internal/core/protocol/protocol.go
@@ -233,6 +233,8 @@
 	FreshHead bool
 	// Self is the record of the asker, which may not have joined yet.
 	Self Member
+	// Known is the asker's record of the one asked, who may refute it.
+	Known Member
 }
 
 // FloorReply answers a FloorRequest.
