Admission: remember every attempt that came, in memory that grows with use

Cause: a gate that refused an attempt as not run, while draining or full, would have started a late duplicate of it after the call had run elsewhere; and 65,536 ids in two minutes allowed 546 attempts a second only. Change: ids are remembered on arrival, apart from keys, in generations that double as they fill up; the limit is 1,048,576 ids in 30 s.

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -1,7 +1,7 @@
 package admission
 
 import (
-	"math"
+	"cmp"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,9 +24,13 @@
 	QueueLength int
 	// QueueWait bounds the expected wait of a call that is queued.
 	QueueWait time.Duration
-	// KeyWindow and KeyCount bound the memory of started requests and keys.
+	// KeyWindow and KeyCount bound the memory of started keys.
 	KeyWindow time.Duration
 	KeyCount  int
+	// RequestWindow and RequestCount bound the memory of the ids of attempts;
+	// those of the keys are used when they are 0.
+	RequestWindow time.Duration
+	RequestCount  int
 	// Weights are the partners' shares; 1 for those not listed.
 	Weights []PartnerWeight
 }
@@ -43,9 +47,6 @@
 	refusingAny = drainingBit | closedBit
 )
 
-// meanWeight is the weight of a new value in the moving mean of service time.
-const meanWeight = 1.0 / 16
-
 // fullRetryAfter is the wait told to a call that meets a full memory of keys.
 const fullRetryAfter = 5 * time.Second
 
@@ -60,7 +61,9 @@
 	slots atomic.Int64
 	// mean is the moving mean of service time, float64 bits of seconds.
 	mean atomic.Uint64
-	seen *Seen
+	// requests are the attempts that came, keys the operations started.
+	requests *Seen
+	keys     *Seen
 
 	mutex sync.Mutex
 	queue queue
@@ -68,10 +71,13 @@
 
 // New returns a gate that takes calls.
 func New(now time.Duration, config Config) *Gate {
+	requestWindow := cmp.Or(config.RequestWindow, config.KeyWindow)
+	requestCount := cmp.Or(config.RequestCount, config.KeyCount)
 	gate := &Gate{
-		config: config,
-		seen:   NewSeen(now, config.KeyWindow, config.KeyCount),
-		queue:  queue{weights: config.Weights},
+		config:   config,
+		requests: NewSeen(now, requestWindow, requestCount),
+		keys:     NewSeen(now, config.KeyWindow, config.KeyCount),
+		queue:    queue{weights: config.Weights},
 	}
 	gate.slots.Store(int64(max(config.Slots, 1)))
 	return gate
@@ -99,7 +105,14 @@
 
 // Admit starts, queues or refuses a call. A started call must be ended by
 // Done; a queued one is settled later, or withdrawn by Cancel.
+//
+// The id of an attempt is remembered when it comes, whatever becomes of it: one
+// that was refused as not run may have been sent elsewhere since, so a late
+// duplicate of it must not start here.
 func (g *Gate) Admit(now time.Duration, ticket *Ticket) Verdict {
+	if verdict := register(g.requests, now, ticket.Request); verdict.State == StateRefused {
+		return verdict
+	}
 	if g.Draining() {
 		return refused(result.Draining, 0)
 	}
@@ -132,21 +145,24 @@
 	}
 }
 
-// remember records the request id and key of a call about to start. When it
-// refuses, the call must not start.
+// remember records the key of a call about to start. When it refuses, the call
+// must not start.
 func (g *Gate) remember(now time.Duration, ticket *Ticket) Verdict {
-	for _, fingerprint := range [...]Fingerprint{ticket.Request, ticket.Key} {
-		if fingerprint == 0 {
-			continue
-		}
-		switch g.seen.Add(now, fingerprint) {
-		case Present:
-			return refused(result.AlreadyStarted, 0)
-		case Full:
-			return refused(result.QueueFull, fullRetryAfter)
-		}
-	}
 	ticket.startedAt = now
+	return register(g.keys, now, ticket.Key)
+}
+
+// register adds a fingerprint, or refuses the call that has it.
+func register(set *Seen, now time.Duration, fingerprint Fingerprint) Verdict {
+	if fingerprint == 0 {
+		return Verdict{State: StateStarted}
+	}
+	switch set.Add(now, fingerprint) {
+	case Present:
+		return refused(result.AlreadyStarted, 0)
+	case Full:
+		return refused(result.QueueFull, fullRetryAfter)
+	}
 	return Verdict{State: StateStarted}
 }
 
@@ -251,8 +267,8 @@
 }
 
 // Done ends a started call and gives its slot to the call that goes next. Ran
-// is false only when the call certainly did not reach the back end; its ids
-// are then forgotten, so that it may be sent again. It must be called once for
+// is false only when the call certainly did not reach the back end; its key is
+// then forgotten, so that the operation may be sent again. It must be called once for
 // each started call; further calls do nothing.
 func (g *Gate) Done(now time.Duration, ticket *Ticket, ran bool) {
 	if ticket.ended {
@@ -261,18 +277,12 @@
 	ticket.ended = true
 	if ran {
 		g.observe(now - ticket.startedAt)
-	} else {
-		g.forget(ticket)
+	} else if ticket.Key != 0 {
+		g.keys.Remove(ticket.Key)
 	}
 	g.release(now, ticket, now-ticket.startedAt)
 }
 
-func (g *Gate) forget(ticket *Ticket) {
-	if ticket.Key != 0 {
-		g.seen.Remove(ticket.Key)
-	}
-}
-
 // release gives back a slot that was held for some time: without the lock when
 // nobody waits.
 func (g *Gate) release(now time.Duration, ticket *Ticket, held time.Duration) {
@@ -374,23 +384,6 @@
 	}
 }
 
-// observe folds a service time into the moving mean. An update lost to a
-// concurrent one does no harm.
-func (g *Gate) observe(took time.Duration) {
-	old := g.mean.Load()
-	mean := math.Float64frombits(old)
-	next := took.Seconds()
-	if old != 0 {
-		next = mean + (next-mean)*meanWeight
-	}
-	g.mean.CompareAndSwap(old, math.Float64bits(next))
-}
-
-// meanService is the moving mean of service time; 0 until one is known.
-func (g *Gate) meanService() time.Duration {
-	return time.Duration(math.Float64frombits(g.mean.Load()) * float64(time.Second))
-}
-
 func refused(code result.Code, retryAfter time.Duration) Verdict {
 	return Verdict{State: StateRefused, Code: code, RetryAfter: retryAfter}
 }
--- /dev/null
+++ b/internal/core/admission/mean.go
@@ -0,0 +1,26 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// meanWeight is the weight of a new value in the moving mean of service time.
+const meanWeight = 1.0 / 16
+
+// observe folds a service time into the moving mean. An update lost to a
+// concurrent one does no harm.
+func (g *Gate) observe(took time.Duration) {
+	old := g.mean.Load()
+	mean := math.Float64frombits(old)
+	next := took.Seconds()
+	if old != 0 {
+		next = mean + (next-mean)*meanWeight
+	}
+	g.mean.CompareAndSwap(old, math.Float64bits(next))
+}
+
+// meanService is the moving mean of service time; 0 until one is known.
+func (g *Gate) meanService() time.Duration {
+	return time.Duration(math.Float64frombits(g.mean.Load()) * float64(time.Second))
+}
--- a/internal/core/admission/seen.go
+++ b/internal/core/admission/seen.go
@@ -43,9 +43,10 @@
 // compare-and-swap. Cells go from empty to a fingerprint to removed and never
 // back, so a probe that meets an empty cell has seen every earlier addition.
 type generation struct {
-	cells []atomic.Uint64
-	count atomic.Int64
-	since time.Duration
+	cells    []atomic.Uint64
+	capacity int
+	count    atomic.Int64
+	since    time.Duration
 }
 
 func newGeneration(capacity int, since time.Duration) *generation {
@@ -53,7 +54,7 @@
 	for size < 2*capacity {
 		size *= 2
 	}
-	return &generation{cells: make([]atomic.Uint64, size), since: since}
+	return &generation{cells: make([]atomic.Uint64, size), capacity: capacity, since: since}
 }
 
 func (g *generation) find(value uint64) *atomic.Uint64 {
@@ -91,26 +92,48 @@
 	return Full
 }
 
-// pair is the two generations in use; it is replaced whole.
-type pair struct {
-	current  *generation
-	previous *generation
+// retired is a generation that nothing is added to any more.
+type retired struct {
+	*generation
+	// at is when it was retired; whatever it holds was added before.
+	at time.Duration
+}
+
+// epoch is the generations in use; it is replaced whole.
+type epoch struct {
+	current *generation
+	older   []retired
 }
 
+// find tells whether an older generation holds a value.
+func (e *epoch) find(value uint64) bool {
+	for _, old := range e.older {
+		if old.find(value) != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// firstCapacity is the size of the first generation; a later one is twice as
+// large as what the one before it took.
+const firstCapacity = 256
+
 // Seen remembers fingerprints for at least a window, in bounded memory and
-// without locks: two generations are kept and the older is dropped once the
-// newer alone covers the window. When a generation fills up before its window
-// has passed, nothing is forgotten early: Add answers Full.
+// without locks. They are added to one generation, which is retired when it is
+// full or as old as the window, and dropped a window after that. Nothing is
+// forgotten early: when the limit is reached, Add answers Full.
 type Seen struct {
-	window   time.Duration
-	capacity int
-	pair     atomic.Pointer[pair]
+	window time.Duration
+	limit  int
+	epoch  atomic.Pointer[epoch]
 }
 
-// NewSeen returns an empty set for at most capacity fingerprints a window.
-func NewSeen(now, window time.Duration, capacity int) *Seen {
-	seen := &Seen{window: window, capacity: max(capacity, 1)}
-	seen.pair.Store(&pair{current: newGeneration(seen.capacity, now)})
+// NewSeen returns an empty set that remembers at most limit fingerprints.
+func NewSeen(now, window time.Duration, limit int) *Seen {
+	seen := &Seen{window: window, limit: max(limit, 1)}
+	first := newGeneration(min(firstCapacity, seen.limit), now)
+	seen.epoch.Store(&epoch{current: first})
 	return seen
 }
 
@@ -120,10 +143,11 @@
 	value := fingerprint.normal()
 	for {
 		held := s.rotate(now)
-		if held.previous != nil && held.previous.find(value) != nil {
+		if held.find(value) || held.current.find(value) != nil {
 			return Present
 		}
-		if held.current.count.Load() >= int64(s.capacity) {
+		if int(held.current.count.Load()) >= held.current.capacity {
+			// Rotate would have made room if the limit allowed it.
 			return Full
 		}
 		outcome := held.current.add(value)
@@ -134,7 +158,7 @@
 		// looked into this one before the value stood in it and added the value
 		// to the newer one. Going round again settles which of them wins: the
 		// value is added to the newer generation by one of them only.
-		if s.pair.Load() == held {
+		if s.epoch.Load() == held {
 			return Added
 		}
 		held.current.remove(value)
@@ -144,10 +168,10 @@
 // Remove forgets a fingerprint whose call is certain not to have run.
 func (s *Seen) Remove(fingerprint Fingerprint) {
 	value := fingerprint.normal()
-	held := s.pair.Load()
+	held := s.epoch.Load()
 	held.current.remove(value)
-	if held.previous != nil {
-		held.previous.remove(value)
+	for _, old := range held.older {
+		old.remove(value)
 	}
 }
 
@@ -157,16 +181,45 @@
 	}
 }
 
-// rotate drops the older generation once the newer has covered the window.
-func (s *Seen) rotate(now time.Duration) *pair {
+// rotate retires the current generation when it is full or has covered the
+// window, and drops those that were retired a window ago.
+func (s *Seen) rotate(now time.Duration) *epoch {
 	for {
-		held := s.pair.Load()
-		if now-held.current.since < s.window {
+		held := s.epoch.Load()
+		full := int(held.current.count.Load()) >= held.current.capacity
+		if !full && now-held.current.since < s.window {
 			return held
 		}
-		next := &pair{current: newGeneration(s.capacity, now), previous: held.current}
-		if s.pair.CompareAndSwap(held, next) {
+		next := s.successor(held, now)
+		if next == nil {
+			return held
+		}
+		if s.epoch.CompareAndSwap(held, next) {
 			return next
 		}
 	}
 }
+
+// successor is the epoch after one, or nil when nothing would change. At the
+// limit its current generation has no room at all, and older ones go on aging.
+func (s *Seen) successor(held *epoch, now time.Duration) *epoch {
+	next := &epoch{}
+	taken := 0
+	if held.current.capacity > 0 {
+		next.older = append(next.older, retired{generation: held.current, at: now})
+		taken += int(held.current.count.Load())
+	}
+	for _, old := range held.older {
+		if now-old.at < s.window {
+			next.older = append(next.older, old)
+			taken += int(old.count.Load())
+		}
+	}
+	capacity := max(2*int(held.current.count.Load()), min(firstCapacity, s.limit))
+	capacity = max(0, min(capacity, s.limit-taken))
+	if capacity == 0 && held.current.capacity == 0 {
+		return nil
+	}
+	next.current = newGeneration(capacity, now)
+	return next
+}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -95,10 +95,14 @@
 	QueueLength int
 	// QueueWait bounds the expected wait at the gate.
 	QueueWait time.Duration
-	// KeyWindow is how long the gate remembers request ids and keys.
+	// KeyWindow is how long the gate remembers the request keys of operations.
 	KeyWindow time.Duration
-	// KeyCount bounds the request ids and keys remembered.
+	// KeyCount bounds the request keys remembered.
 	KeyCount int
+	// RequestWindow is how long the gate remembers the ids of attempts.
+	RequestWindow time.Duration
+	// RequestCount bounds the ids remembered. Memory is taken as it is needed.
+	RequestCount int
 	// DrainLinger is how long a draining daemon goes on taking connections
 	// after its last call, so that callers learn to go elsewhere.
 	DrainLinger time.Duration
@@ -127,7 +131,9 @@
 		QueueLength:         256,
 		QueueWait:           2 * time.Second,
 		KeyWindow:           2 * time.Minute,
-		KeyCount:            1 << 16,
+		KeyCount:            1 << 18,
+		RequestWindow:       30 * time.Second,
+		RequestCount:        1 << 20,
 		DrainLinger:         500 * time.Millisecond,
 		DrainBound:          30 * time.Second,
 		ProbePeriod:         time.Second,
@@ -160,6 +166,8 @@
 	orDefault(&l.QueueWait, fallback.QueueWait)
 	orDefault(&l.KeyWindow, fallback.KeyWindow)
 	orDefault(&l.KeyCount, fallback.KeyCount)
+	orDefault(&l.RequestWindow, fallback.RequestWindow)
+	orDefault(&l.RequestCount, fallback.RequestCount)
 	orDefault(&l.DrainLinger, fallback.DrainLinger)
 	orDefault(&l.DrainBound, fallback.DrainBound)
 	orDefault(&l.ProbePeriod, fallback.ProbePeriod)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -74,6 +74,9 @@
 		QueueWait:   p.limits.QueueWait,
 		KeyWindow:   p.limits.KeyWindow,
 		KeyCount:    p.limits.KeyCount,
+
+		RequestWindow: p.limits.RequestWindow,
+		RequestCount:  p.limits.RequestCount,
 	})
 	p.backend = newUpstream(p.config.BackendAddress, p.limits)
 	p.health = newHealth(p)
