--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -33,6 +33,9 @@
 	RequestCount  int
 	// Weights are the partners' shares; 1 for those not listed.
 	Weights []PartnerWeight
+	// NoEstimate refuses no call for its expected wait, and lets deadlines pass
+	// in the queue. It is for comparisons only.
+	NoEstimate bool
 }
 
 // The word of a gate packs what must change together: the draining and closed
@@ -206,6 +209,9 @@
 
 // mayWait refuses a call that would wait too long, or makes room for it.
 func (g *Gate) mayWait(now time.Duration, ticket *Ticket, into *lane) Verdict {
+	if g.config.NoEstimate {
+		return Verdict{State: StateQueued}
+	}
 	wait := g.expectedWait(into, into.ahead(ticket.class()))
 	if now+wait+g.meanService()/2 > ticket.Deadline {
 		return refused(result.DeadlineBeforeStart, wait)
@@ -324,7 +330,7 @@
 
 // startWaiting settles a call taken from the queue and tells whether it runs.
 func (g *Gate) startWaiting(now time.Duration, ticket *Ticket) bool {
-	if now+g.meanService()/2 > ticket.Deadline {
+	if !g.config.NoEstimate && now+g.meanService()/2 > ticket.Deadline {
 		ticket.settle(refused(result.DeadlineBeforeStart, 0))
 		return false
 	}
--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -126,3 +126,28 @@
 	}
 	return best
 }
+
+// ChooseInTurn takes the endpoints one after the other, whatever their load
+// and place. It is for comparisons only.
+func (s *Set) ChooseInTurn(now time.Duration, turn uint64, tried Tried) *Endpoint {
+	if s.usable == 0 {
+		return nil
+	}
+	for step := range uint64(s.usable) {
+		candidate := s.nth(int((turn + step) % uint64(s.usable)))
+		if !tried.has(candidate) && !candidate.leaving(now) {
+			return candidate
+		}
+	}
+	return s.nth(int(turn % uint64(s.usable)))
+}
+
+func (s *Set) nth(index int) *Endpoint {
+	for _, tier := range s.tiers {
+		if index < len(tier) {
+			return tier[index]
+		}
+		index -= len(tier)
+	}
+	return nil
+}
--- a/internal/core/retry/call.go
+++ b/internal/core/retry/call.go
@@ -57,6 +57,8 @@
 	NoRetry bool
 	// Deadline is on the caller's clock.
 	Deadline time.Duration
+	// Unbudgeted retries without budget and mark. It is for comparisons only.
+	Unbudgeted bool
 }
 
 // relocationLimit bounds the attempts beyond Policy.Attempts of a call that
@@ -139,7 +141,7 @@
 		return c.send(now, outcome)
 	case c.policy.NoRetry || c.attempts-c.relocations >= c.policy.Attempts:
 		return c.giveUp(outcome)
-	case !c.budget.Withdraw(now):
+	case !c.policy.Unbudgeted && !c.budget.Withdraw(now):
 		return c.budgetSpent(outcome)
 	}
 	return c.send(now, outcome)
@@ -190,7 +192,7 @@
 }
 
 func (c *Call) send(now time.Duration, outcome Outcome) Step {
-	step := Step{Action: Send, Mark: true}
+	step := Step{Action: Send, Mark: !c.policy.Unbudgeted}
 	if !outcome.Others {
 		step.Wait = min(sameEndpointWait, c.policy.Deadline-now)
 	}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -79,6 +79,9 @@
 	if c.key != "" {
 		return set.ChooseKeyed(now, c.keyHash, c.tried)
 	}
+	if c.proxy.config.Baseline.RoundRobin {
+		return set.ChooseInTurn(now, c.proxy.turn.Add(1), c.tried)
+	}
 	return set.Choose(now, c.proxy.random(), c.tried)
 }
 
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -125,8 +125,9 @@
 	c.policy = retry.Policy{
 		Repeatable: c.route.Repeatable(c.request.Method),
 		Attempts:   c.route.Attempts,
-		NoRetry:    header.Get(headerNoRetry) != "",
+		NoRetry:    header.Get(headerNoRetry) != "" && !c.proxy.config.Baseline.UnbudgetedRetries,
 		Deadline:   c.deadline,
+		Unbudgeted: c.proxy.config.Baseline.UnbudgetedRetries,
 	}
 	c.retries = retry.NewCall(c.policy, shared.budget)
 	if name := c.route.Resource.RequestKeyHeader; name != "" {
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -108,13 +108,18 @@
 	}
 	partner := header.Get(headerPartner)
 	c.verdicts = make(verdictChannel, 1)
-	return admission.NewTicket(admission.Call{
+	call := admission.Call{
 		Partner:  resource.Partner(partner),
 		Priority: resource.Priority(priority),
 		Deadline: c.deadline,
 		Request:  c.proxy.fingerprint("request", header.Get(headerRequest)),
 		Key:      c.proxy.fingerprint("key", partner, header.Get(headerRequestKey)),
-	}, c.verdicts)
+	}
+	if c.proxy.config.Baseline.UnboundedQueue {
+		call.Partner = ""
+		call.Priority = resource.PriorityNormal
+	}
+	return admission.NewTicket(call, c.verdicts)
 }
 
 // run admits the call, sends it to the back end and passes the answer on.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -43,6 +44,7 @@
 
 	requestPrefix string
 	requestCount  atomic.Uint64
+	turn          atomic.Uint64
 	randomState   atomic.Uint64
 	hashSeed      uint64
 }
@@ -68,6 +70,9 @@
 }
 
 func (p *Proxy) openGate() {
+	if p.config.Baseline.UnboundedQueue {
+		p.limits.QueueLength = math.MaxInt
+	}
 	p.gate = admission.New(p.config.Clock(), admission.Config{
 		Slots:       p.config.Slots,
 		QueueLength: p.limits.QueueLength,
@@ -77,6 +82,7 @@
 
 		RequestWindow: p.limits.RequestWindow,
 		RequestCount:  p.limits.RequestCount,
+		NoEstimate:    p.config.Baseline.UnboundedQueue,
 	})
 	p.backend = newUpstream(p.config.BackendAddress, p.limits)
 	p.health = newHealth(p)
