--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -25,6 +25,12 @@
 // holds the same table; a test holds them equal, and equal to the names that the
 // code writes.
 var events = []Event{
+	{"backend_state", log.InfoLevel,
+		"The back end beside the daemon has another state.",
+		"If it is down: look at the back end and its health endpoint."},
+	{"call_unknown", log.WarnLevel,
+		"A call was answered with ran=unknown.",
+		"If there are many: find what breaks the connections to that back end."},
 	{"catalogue_ready", log.DebugLevel,
 		"A reader holds all contents of a version.", nothing},
 	{"catalogue_refused", log.ErrorLevel,
@@ -42,6 +48,9 @@
 	{"delta_refused", log.WarnLevel,
 		"A delta could not be applied; the daemon asks for a whole snapshot.",
 		"If it goes on: compare the builds of the daemon and its parent."},
+	{"drain_bound", log.WarnLevel,
+		"The gate ended a call that was still running at the hard bound of a drain.",
+		"Raise drain.bound if such long calls are usual."},
 	{"drain_bound_reached", log.WarnLevel,
 		"Calls were still running at the hard bound of a drain and were ended.",
 		"Raise drain.bound if such long calls are usual."},
