--- a/internal/lab/standin/log.go
+++ b/internal/lab/standin/log.go
@@ -45,7 +45,7 @@
 	var events []object.Event
 	for _, event := range s.log[start:] {
 		if strings.HasPrefix(event.Object.Name, prefix) {
-			events = append(events, cloneEvent(event))
+			events = append(events, event)
 		}
 	}
 	return events, max(from, s.version), result.OK
@@ -58,18 +58,13 @@
 	for i := len(s.log) - 1; i >= 0 && len(events) < count; i-- {
 		event := s.log[i]
 		if event.Object.Version <= through && strings.HasPrefix(event.Object.Name, prefix) {
-			events = append(events, cloneEvent(event))
+			events = append(events, event)
 		}
 	}
 	slices.Reverse(events)
 	return events
 }
 
-func cloneEvent(event object.Event) object.Event {
-	event.Object = cloneObject(event.Object)
-	return event
-}
-
 // SetMachines replaces the machine list.
 func (s *Store) SetMachines(now time.Duration, machines []object.Machine) {
 	list := machineList{at: now, version: s.version, machines: slices.Clone(machines)}
--- a/internal/lab/standin/store.go
+++ b/internal/lab/standin/store.go
@@ -64,8 +64,8 @@
 }
 
 // Store is the linearizable state of the platform. All methods take the time
-// since an arbitrary origin; it never decreases. A Store is not safe for
-// concurrent use.
+// since an arbitrary origin; it never decreases. Values that it hands out are
+// shared and must not be changed. A Store is not safe for concurrent use.
 type Store struct {
 	limits   Limits
 	version  object.Version
@@ -77,6 +77,8 @@
 	marks     []mark
 	machines  []machineList
 	readers   readerSet
+	// sweptAt is when the history was last swept.
+	sweptAt time.Duration
 }
 
 // NewStore returns an empty store.
@@ -133,7 +135,7 @@
 	if current == nil || current.deleted {
 		return object.Reply{Code: result.PlatformNotFound}
 	}
-	return object.Reply{Code: result.OK, Object: cloneObject(current.object)}
+	return object.Reply{Code: result.OK, Object: current.object}
 }
 
 func (s *Store) list(asOf time.Duration, prefix string) object.Reply {
@@ -146,7 +148,7 @@
 			current = current.previous
 		}
 		if current != nil && !current.deleted {
-			reply.Objects = append(reply.Objects, cloneObject(current.object))
+			reply.Objects = append(reply.Objects, current.object)
 		}
 	}
 	slices.SortFunc(reply.Objects, func(a, b object.Object) int { return strings.Compare(a.Name, b.Name) })
@@ -230,18 +232,22 @@
 	return s.marks[0].version - 1
 }
 
+// sweepsPerHistory is how often the history is swept within its own length.
+const sweepsPerHistory = 4
+
 // forget drops superseded revisions, tombstones and marks that no list within
 // the history can show. The newest mark that is old enough is kept, since it
 // tells the version at the edge of the history.
 func (s *Store) forget(now time.Duration) {
+	if now-s.sweptAt < s.limits.History/sweepsPerHistory {
+		return
+	}
+	s.sweptAt = now
 	edge := now - s.limits.History
 	drop := 0
 	for drop+1 < len(s.marks) && s.marks[drop+1].at <= edge {
 		drop++
 	}
-	if drop == 0 {
-		return
-	}
 	s.marks = slices.Delete(s.marks, 0, drop)
 	for name, newest := range s.latest {
 		for old := newest; old != nil; old = old.previous {
@@ -254,9 +260,3 @@
 		}
 	}
 }
-
-// cloneObject copies the value, so that callers can't change the store.
-func cloneObject(o object.Object) object.Object {
-	o.Data = slices.Clone(o.Data)
-	return o
-}
--- a/internal/lab/standin/store_test.go
+++ b/internal/lab/standin/store_test.go
@@ -108,3 +108,28 @@
 	is.Equal(store.Readers(limits.ReaderWindow), 2) // a counts as recent after its watch
 	is.Equal(store.HighestReaders(), 2)
 }
+
+func TestHistoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	limits := DefaultLimits()
+	store := NewStore(limits)
+	version := write(store, 0, "head", "0")
+	at := time.Duration(0)
+	for range 1000 {
+		at += time.Second
+		update := object.Call{Kind: object.CallUpdate, Name: "head", Data: []byte("x"), Expect: version}
+		version = store.Apply(at, testClient, update, Lag{}).Object.Version
+		gone := write(store, at, "gone", "x")
+		store.Apply(at, testClient, object.Call{Kind: object.CallDelete, Name: "gone", Expect: gone}, Lag{})
+	}
+	most := int(limits.History/time.Second) * (sweepsPerHistory + 1) / sweepsPerHistory
+	length := 0
+	for old := store.latest["head"]; old != nil; old = old.previous {
+		length++
+	}
+	is.True(length <= most+1)
+	is.True(len(store.marks) <= 3*(most+1))
+	list := store.Apply(at, testClient, object.Call{Kind: object.CallList}, Lag{List: limits.History})
+	is.Equal(len(list.Objects), 1)
+	is.Equal(list.ListVersion, object.Version(1+3*(1000-60))) // the state a minute ago, whole
+}
