--- /dev/null
+++ b/internal/metrics/definitions.go
@@ -0,0 +1,53 @@
+package metrics
+
+// The metrics of a daemon.
+var (
+	Ready = define(Gauge, "ready",
+		"1 while callers may be sent to this daemon, else 0.",
+		"0 for longer than a start takes: /readyz names the reasons.")
+	Version = define(Gauge, "version",
+		"Configuration version in force on this daemon.",
+		"One daemon far below the others: `springstack status` names the laggards.")
+	Resources = define(Gauge, "resources",
+		"Resources in the snapshot in force.", "")
+	Members = define(Gauge, "members",
+		"Member records known.",
+		"A sudden fall: machines or a network link were lost.")
+	NodeSteps = define(Counter, "node_steps_total",
+		"Steps of the node core.", "")
+	NodeStepSeconds = define(Counter, "node_step_seconds_total",
+		"Time spent in steps of the node core, in seconds.",
+		"A rate near 1: the node core is the bottleneck of this daemon.")
+	PlatformCalls = define(Counter, "platform_calls_total",
+		"Calls and watches sent to the platform.",
+		"Rising on more than the readers: daemons fall back to the platform.")
+	PeerCallFailures = define(Counter, "peer_call_failures_total",
+		"Control calls that got no answer.",
+		"Rising on many daemons at once: look at the network or at their common parent.")
+	ControlBytes = define(Counter, "control_bytes_total",
+		"Control bytes on the wire, by kind of message and direction.",
+		"The rate is the control traffic; see CAPACITY.md for the rate to expect.",
+		"kind", "direction")
+	ControlFrames = define(Counter, "control_frames_total",
+		"Control messages on the wire, by kind of message and direction.", "",
+		"kind", "direction")
+	CallerCalls = define(Counter, "caller_calls_total",
+		"Calls taken from callers.", "")
+	GateCalls = define(Counter, "gate_calls_total",
+		"Calls taken at the gate.", "")
+	Attempts = define(Counter, "attempts_total",
+		"Sendings of calls to gates.", "")
+	Retries = define(Counter, "retries_total",
+		"Sendings after a call's first.",
+		"A share of attempts_total above a tenth: an endpoint or a zone is failing.")
+	GateRunning = define(Gauge, "gate_running",
+		"Calls that hold a slot of the back end.",
+		"At the number of slots for long: the back end is full.")
+	GateQueued = define(Gauge, "gate_queued",
+		"Calls that wait for a slot of the back end.",
+		"Above 0 for long: the back end is overloaded.")
+	Refusals = define(Counter, "refusals_total",
+		"Calls refused, by result code.",
+		"Look the code up in RESULT-CODES.md.",
+		"code", "name")
+)
