--- a/internal/core/distribution/inforce.go
+++ b/internal/core/distribution/inforce.go
@@ -97,8 +97,12 @@
 	return &Claims{lease: lease}
 }
 
+// clockMargin is the share of a lease, as a divisor, by which two clocks may
+// disagree over it: rates of 0.9 and 1.1 are covered.
+const clockMargin = 4
+
 // Margin returns a lease with the margin for clocks of different rates.
-func Margin(lease time.Duration) time.Duration { return lease + lease/2 }
+func Margin(lease time.Duration) time.Duration { return lease + lease/clockMargin }
 
 // Released records that a version was stored at a write quorum at now.
 func (c *Claims) Released(now time.Duration, version protocol.Version, alone bool) {
