--- a/cmd/springstack-lab/experiment.go
+++ b/cmd/springstack-lab/experiment.go
@@ -18,6 +18,7 @@
 		Name:  "experiment",
 		Usage: "measure springstack; the last line is one JSON object",
 		Commands: []*cli.Command{
+			convergenceCommand(),
 			requestPathCommand(),
 			overloadCommand(),
 			rollingCommand(),
--- a/internal/daemon/hollow.go
+++ b/internal/daemon/hollow.go
@@ -36,6 +36,9 @@
 	ServerTLS *tls.Config
 	ClientTLS *tls.Config
 	Limits    control.Limits
+	// Wrap, if set, stands between the control server and the node; baselines
+	// of experiments use it.
+	Wrap func(control.Handler) control.Handler
 }
 
 // NewHollow returns a hollow daemon that does not run yet.
@@ -63,7 +66,11 @@
 		Path:     options.Path,
 		Events:   options.Events,
 	})
-	server := control.NewServer(options.Listener, options.ServerTLS, shell, options.Limits, meter)
+	var handler control.Handler = shell
+	if options.Wrap != nil {
+		handler = options.Wrap(shell)
+	}
+	server := control.NewServer(options.Listener, options.ServerTLS, handler, options.Limits, meter)
 	return &Hollow{shell: shell, server: server, client: client, meter: meter}
 }
 
