Node: never attempt an answered change again

An answered change stays listed until the next tick. A tick later than the retry pause attempted it again without its request and panicked; seen with the direct baseline on a busy machine. Ticks skip answered changes now.

--- a/internal/core/node/operators.go
+++ b/internal/core/node/operators.go
@@ -62,7 +62,7 @@
 func (n *Node) tickOperators() {
 	for _, one := range n.operators.changes {
 		switch {
-		case one.busy:
+		case one.busy || one.request == nil:
 		case n.now >= one.deadline:
 			n.giveUp(one)
 		case n.now >= one.retryAt:
