Guard the daemon's ports by TLS as the settings say

Cause: settings took certificates, and counted control and operators as encrypted, but the daemon still served them in the clear. Change: the daemon takes its TLS configurations from access.NewPorts (control mutual, operators, platform), refuses peers that name another node than their certificate, and refuses to start with another node's certificate; springstackd run and check read the files. Test certificates moved to accesstest for use by both packages' tests. Checked: go test ./internal/access/... ./internal/daemon passes: two daemons join over TLS with a platform over TLS, a foreign authority, a false sender and clear HTTP are refused.

--- a/cmd/springstackd/flags.go
+++ b/cmd/springstackd/flags.go
@@ -2,9 +2,11 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/springstack/springstack/internal/access"
 	"github.com/springstack/springstack/internal/result"
 	"github.com/springstack/springstack/internal/settings"
 )
@@ -75,6 +77,9 @@
 		return settings.Settings{}, err
 	}
 	loaded, mistakes := settings.Load(command.String(settingsFlag), replaced)
+	if len(mistakes) == 0 {
+		mistakes = access.Check(loaded, time.Now())
+	}
 	if len(mistakes) == 0 {
 		return loaded, nil
 	}
--- a/internal/access/access_test.go
+++ b/internal/access/access_test.go
@@ -1,16 +1,9 @@
 package access
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"net"
-	"net/url"
 	"os"
 	"path/filepath"
 	"testing"
@@ -18,87 +11,12 @@
 
 	"github.com/matryer/is"
 
+	"github.com/springstack/springstack/internal/access/accesstest"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/result"
 	"github.com/springstack/springstack/internal/settings"
 )
 
-// authority issues test certificates.
-type authority struct {
-	t           *testing.T
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-}
-
-func newAuthority(t *testing.T) authority {
-	t.Helper()
-	key := newKey(t)
-	template := &x509.Certificate{
-		SerialNumber:          big.NewInt(time.Now().UnixNano()),
-		Subject:               pkix.Name{CommonName: "authority"},
-		NotBefore:             time.Now().Add(-time.Hour),
-		NotAfter:              time.Now().Add(time.Hour),
-		IsCA:                  true,
-		BasicConstraintsValid: true,
-		KeyUsage:              x509.KeyUsageCertSign,
-	}
-	return authority{t: t, certificate: sign(t, template, template, key, key), key: key}
-}
-
-func newKey(t *testing.T) *ecdsa.PrivateKey {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	is.New(t).NoErr(err)
-	return key
-}
-
-func sign(t *testing.T, template, parent *x509.Certificate, key, signer *ecdsa.PrivateKey) *x509.Certificate {
-	t.Helper()
-	is := is.New(t)
-	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
-	is.NoErr(err)
-	certificate, err := x509.ParseCertificate(der)
-	is.NoErr(err)
-	return certificate
-}
-
-// issue writes the files of a node into dir.
-func (a authority) issue(dir, commonName string, uris ...string) settings.TLS {
-	a.t.Helper()
-	is := is.New(a.t)
-	key := newKey(a.t)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(time.Now().UnixNano()),
-		Subject:      pkix.Name{CommonName: commonName},
-		NotBefore:    time.Now().Add(-time.Hour),
-		NotAfter:     time.Now().Add(time.Hour),
-		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
-	}
-	for _, text := range uris {
-		uri, err := url.Parse(text)
-		is.NoErr(err)
-		template.URIs = append(template.URIs, uri)
-	}
-	certificate := sign(a.t, template, a.certificate, key, a.key)
-	encodedKey, err := x509.MarshalECPrivateKey(key)
-	is.NoErr(err)
-	files := settings.TLS{
-		Certificate: filepath.Join(dir, "certificate.pem"),
-		Key:         filepath.Join(dir, "key.pem"),
-		Authority:   filepath.Join(dir, "authority.pem"),
-	}
-	writePEM(a.t, files.Certificate, "CERTIFICATE", certificate.Raw)
-	writePEM(a.t, files.Key, "EC PRIVATE KEY", encodedKey)
-	writePEM(a.t, files.Authority, "CERTIFICATE", a.certificate.Raw)
-	return files
-}
-
-func writePEM(t *testing.T, path, kind string, der []byte) {
-	t.Helper()
-	is.New(t).NoErr(os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
-}
-
 func newIdentity(t *testing.T, files settings.TLS, id string) *Identity {
 	t.Helper()
 	identity, err := NewIdentity(files, id)
@@ -144,10 +62,10 @@
 
 func TestControlIsMutual(t *testing.T) {
 	is := is.New(t)
-	common, other := newAuthority(t), newAuthority(t)
-	a := newIdentity(t, common.issue(t.TempDir(), "node-a"), "node-a")
-	b := newIdentity(t, common.issue(t.TempDir(), "ignored", "springstack://node/node-b"), "node-b")
-	stranger := newIdentity(t, other.issue(t.TempDir(), "node-a"), "node-a")
+	common, other := accesstest.NewAuthority(t), accesstest.NewAuthority(t)
+	a := newIdentity(t, common.Issue(t.TempDir(), "node-a"), "node-a")
+	b := newIdentity(t, common.Issue(t.TempDir(), "ignored", "springstack://node/node-b"), "node-b")
+	stranger := newIdentity(t, other.Issue(t.TempDir(), "node-a"), "node-a")
 
 	atServer, atClient, serverErr, clientErr := handshake(t, a.ControlServer(), b.ControlClient())
 	is.NoErr(serverErr)
@@ -174,7 +92,7 @@
 
 func TestRequestsComeFromWhomTheyName(t *testing.T) {
 	is := is.New(t)
-	files := newAuthority(t).issue(t.TempDir(), "node-a")
+	files := accesstest.NewAuthority(t).Issue(t.TempDir(), "node-a")
 	leaf := newIdentity(t, files, "node-a").current().certificate.Leaf
 	certificates := []*x509.Certificate{leaf}
 	tests := []struct {
@@ -202,10 +120,10 @@
 
 func TestOperatorsNeedNoCertificate(t *testing.T) {
 	is := is.New(t)
-	common := newAuthority(t)
-	a := newIdentity(t, common.issue(t.TempDir(), "node-a"), "node-a")
+	common := accesstest.NewAuthority(t)
+	a := newIdentity(t, common.Issue(t.TempDir(), "node-a"), "node-a")
 	pool := x509.NewCertPool()
-	pool.AddCert(common.certificate)
+	pool.AddCert(common.Certificate)
 	_, _, serverErr, clientErr := handshake(t, a.OperatorsServer(), &tls.Config{RootCAs: pool, ServerName: "127.0.0.1"})
 	is.NoErr(serverErr)
 	is.NoErr(clientErr)
@@ -213,8 +131,8 @@
 
 func TestPlatformIsCheckedByHost(t *testing.T) {
 	is := is.New(t)
-	common := newAuthority(t)
-	a := newIdentity(t, common.issue(t.TempDir(), "node-a"), "node-a")
+	common := accesstest.NewAuthority(t)
+	a := newIdentity(t, common.Issue(t.TempDir(), "node-a"), "node-a")
 	_, _, _, clientErr := handshake(t, a.OperatorsServer(), a.PlatformClient("127.0.0.1"))
 	is.NoErr(clientErr)
 	_, _, _, clientErr = handshake(t, a.OperatorsServer(), a.PlatformClient("127.0.0.2"))
@@ -224,20 +142,20 @@
 func TestCertificatesAreReadAgain(t *testing.T) {
 	is := is.New(t)
 	dir := t.TempDir()
-	before, after := newAuthority(t), newAuthority(t)
-	a := newIdentity(t, before.issue(dir, "node-a"), "node-a")
+	before, after := accesstest.NewAuthority(t), accesstest.NewAuthority(t)
+	a := newIdentity(t, before.Issue(dir, "node-a"), "node-a")
 	now := time.Now()
 	a.now = func() time.Time { return now }
 	server, client := a.ControlServer(), a.ControlClient() // made before the change
 	old := a.current()
 
-	after.issue(dir, "node-a")
+	after.Issue(dir, "node-a")
 	is.NoErr(os.Chtimes(filepath.Join(dir, "key.pem"), now, now.Add(time.Minute)))
 	is.Equal(a.current(), old) // not looked at within a second
 	now = now.Add(rereadInterval)
 	is.True(a.current() != old)
 	is.NoErr(a.Failure())
-	b := newIdentity(t, after.issue(t.TempDir(), "node-b"), "node-b")
+	b := newIdentity(t, after.Issue(t.TempDir(), "node-b"), "node-b")
 	_, _, serverErr, clientErr := handshake(t, server, b.ControlClient())
 	is.NoErr(serverErr)
 	is.NoErr(clientErr)
@@ -251,7 +169,7 @@
 	now = now.Add(rereadInterval)
 	is.Equal(a.current(), kept)
 	is.True(a.Failure() != nil)
-	after.issue(dir, "node-a")
+	after.Issue(dir, "node-a")
 	now = now.Add(rereadInterval)
 	is.True(a.current() != kept)
 	is.NoErr(a.Failure())
@@ -262,7 +180,7 @@
 	given := settings.Default()
 	given.Node.ID = "node-a"
 	is.Equal(len(Check(given, time.Now())), 0) // no TLS
-	given.TLS = newAuthority(t).issue(t.TempDir(), "node-a")
+	given.TLS = accesstest.NewAuthority(t).Issue(t.TempDir(), "node-a")
 	is.Equal(len(Check(given, time.Now())), 0)
 	is.Equal(len(Check(given, time.Now().Add(2*time.Hour))), 1) // expired
 	given.Node.ID = "node-b"
--- a/internal/daemon/shell.go
+++ b/internal/daemon/shell.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/springstack/springstack/internal/access"
 	"github.com/springstack/springstack/internal/control"
 	"github.com/springstack/springstack/internal/core/node"
 	"github.com/springstack/springstack/internal/core/protocol"
@@ -200,8 +201,14 @@
 	return errStopped
 }
 
-// HandlePeer passes a peer's call to the node and returns its answer.
-func (s *Shell) HandlePeer(ctx context.Context, _ control.Peer, body any) (any, error) {
+// HandlePeer passes a peer's call to the node and returns its answer. With TLS,
+// each peer has certificates, and speaks only for the node that they name.
+func (s *Shell) HandlePeer(ctx context.Context, peer control.Peer, body any) (any, error) {
+	if len(peer.Certificates) > 0 {
+		if refusal := access.CheckRequest(peer.Certificates, body); refusal != nil {
+			return nil, refusal
+		}
+	}
 	return s.ask(ctx, func(token node.Token) node.Message {
 		return node.PeerRequest{Token: token, Body: body}
 	})
--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -1,12 +1,11 @@
 package daemon
 
 import (
-	"crypto/tls"
-
 	"github.com/juju/errors"
 	"github.com/samber/do/v2"
 	"github.com/samber/lo"
 
+	"github.com/springstack/springstack/internal/access"
 	"github.com/springstack/springstack/internal/control"
 	"github.com/springstack/springstack/internal/core/node"
 	"github.com/springstack/springstack/internal/core/protocol"
@@ -44,12 +43,8 @@
 	gateServer      struct{ *pathServer }
 	operatorsServer struct{ *webServer }
 	adminServer     struct{ *webServer }
-	// security holds the TLS settings; all nil in the clear.
-	security struct {
-		control   *tls.Config
-		peers     *tls.Config
-		operators *tls.Config
-	}
+	// security holds the TLS configurations; all nil in the clear.
+	security struct{ access.Ports }
 )
 
 // Shutdown gives up the path's connections.
@@ -77,16 +72,25 @@
 }
 
 func (d *Daemon) newSecurity(do.Injector) (*security, error) {
-	return &security{}, nil
+	ports, err := access.NewPorts(d.settings)
+	if err != nil {
+		return nil, errors.Annotate(err, "tls")
+	}
+	return &security{ports}, nil
 }
 
-func (d *Daemon) newPlatform(do.Injector) (*platformPart, error) {
+func (d *Daemon) newPlatform(injector do.Injector) (*platformPart, error) {
 	if d.overrides.Platform != nil {
 		return &platformPart{Port: d.overrides.Platform}, nil
 	}
+	secure, err := do.Invoke[*security](injector)
+	if err != nil {
+		return nil, err
+	}
 	port, err := platform.NewHTTP(platform.HTTPConfig{
 		URL:    d.settings.Platform.URL,
 		Client: d.settings.Node.ID,
+		TLS:    secure.Platform,
 	})
 	if err != nil {
 		return nil, errors.Annotate(err, "platform")
@@ -157,8 +161,8 @@
 		Path:      path,
 		Events:    d.events,
 		Clock:     d.clock,
-		ServerTLS: secure.control,
-		ClientTLS: secure.peers,
+		ServerTLS: secure.Control,
+		ClientTLS: secure.Peers,
 		Limits:    control.DefaultLimits(),
 	})}, nil
 }
@@ -201,12 +205,12 @@
 	if err != nil {
 		return nil, err
 	}
-	access, err := operator.NewAccess(lo.Map(d.settings.Operators.Tokens, grantOf))
+	granted, err := operator.NewAccess(lo.Map(d.settings.Operators.Tokens, grantOf))
 	if err != nil {
 		return nil, errors.Annotate(err, "operators.tokens")
 	}
-	handler := operator.New(operatorBackend{shell: mesh.Shell()}, access)
-	return &operatorsServer{serveWeb(opened.operators, secure.operators, handler, d.closeBound)}, nil
+	handler := operator.New(operatorBackend{shell: mesh.Shell()}, granted)
+	return &operatorsServer{serveWeb(opened.operators, secure.Operators, handler, d.closeBound)}, nil
 }
 
 func grantOf(token settings.Token, _ int) operator.Grant {
