--- /dev/null
+++ b/internal/core/floor/model_test.go
@@ -0,0 +1,273 @@
+package floor
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"pgregory.net/rapid"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+)
+
+// model runs daemons and roots of one region over a network that delivers
+// messages in any order, or never, beside a list of accepted heads.
+type model struct {
+	// random draws the steps, so that the drawn number of steps can shrink.
+	random *rand.Rand
+	now    time.Duration
+	// heads holds the keeper set in the head at each version from 1 on.
+	heads   []protocol.KeeperSet
+	daemons []*daemon
+	roots   []*root
+	network []func()
+	// released is the highest version that any root has released.
+	released protocol.Version
+	// floors counts the floors learnt from keepers alone.
+	floors int
+}
+
+// daemon is one machine of the region. Its number is its address.
+type daemon struct {
+	number      int
+	member      protocol.Member
+	incarnation protocol.Incarnation
+	keeper      *Keeper
+	learner     *Learner
+	// atStart is the highest version released when the learner was made: the
+	// most that this daemon may have held before.
+	atStart protocol.Version
+	headAt  bool
+}
+
+// root is one daemon's role as root; several may be at work at once.
+type root struct {
+	releaser *Releaser
+	// seen is the newest head that it has read.
+	seen     protocol.Version
+	restarts int
+}
+
+func newModel(seed uint64, roots int) *model {
+	m := &model{random: rand.New(rand.NewPCG(seed, seed))}
+	daemons := 1 + m.random.IntN(10)
+	for i := range daemons {
+		d := &daemon{number: i, incarnation: 1, keeper: NewKeeper(name(i), "region")}
+		d.member = protocol.Member{ID: name(i), Region: "region", Zone: fmt.Sprint(i % 3), ControlAddress: fmt.Sprint(i), State: protocol.MemberAlive}
+		m.daemons = append(m.daemons, d)
+	}
+	first, _ := ChooseKeepers("region", protocol.KeeperSet{}, m.members(daemons), 0)
+	first.Revision = 1
+	m.heads = []protocol.KeeperSet{first}
+	for _, d := range m.daemons {
+		d.keeper.Validate(1, first)
+	}
+	for range roots {
+		m.roots = append(m.roots, &root{releaser: NewReleaser("root", "region"), seen: 1})
+	}
+	return m
+}
+
+func name(i int) protocol.NodeID { return protocol.NodeID(fmt.Sprintf("daemon-%d", i)) }
+
+func (m *model) members(count int) []protocol.Member {
+	var members []protocol.Member
+	for _, d := range m.daemons[:count] {
+		members = append(members, d.member)
+	}
+	return members
+}
+
+func (m *model) head() protocol.Version { return protocol.Version(len(m.heads)) }
+
+func (m *model) setAt(version protocol.Version) protocol.KeeperSet { return m.heads[version-1] }
+
+// restart makes a daemon forget everything.
+func (m *model) restart(d *daemon) {
+	d.incarnation++
+	d.keeper = NewKeeper(d.member.ID, "region")
+	d.atStart = m.released
+	d.headAt = false
+	d.learner = NewLearner(LearnerConfig{
+		ID:         d.member.ID,
+		Region:     "region",
+		Seeds:      []string{"0", "1", "2", "3"},
+		RandomSeed: uint64(d.incarnation)*100 + uint64(d.number),
+	})
+}
+
+// accept appends a version; a set proposed from an older head is dropped, as
+// update-if-version would.
+func (m *model) accept(proposed *protocol.KeeperSet) {
+	set := m.setAt(m.head())
+	if proposed != nil {
+		if proposed.Revision != set.Revision {
+			return
+		}
+		set = *proposed
+		set.Revision = m.head() + 1
+	}
+	m.heads = append(m.heads, set)
+}
+
+func (m *model) carryOut(t *rapid.T, d *daemon, r *root, outputs []Output) {
+	for _, output := range outputs {
+		switch output := output.(type) {
+		case AskFloor:
+			m.ask(t, d, output)
+		case StoreVersion:
+			m.store(t, r, output)
+		case ReadHead:
+			d.headAt = true
+		}
+	}
+}
+
+func (m *model) at(address string) *daemon {
+	for _, d := range m.daemons {
+		if d.member.ControlAddress == address {
+			return d
+		}
+	}
+	return nil
+}
+
+func (m *model) ask(t *rapid.T, from *daemon, ask AskFloor) {
+	learner := from.learner
+	m.send(func() {
+		to := m.at(ask.Address)
+		if to == nil {
+			return
+		}
+		reply := to.keeper.Answer(ask.Request)
+		reply.From = to.member.ID
+		m.send(func() {
+			if from.learner != learner {
+				return
+			}
+			m.carryOut(t, from, nil, learner.HandleReply(m.now, ask.Token, reply))
+			m.learnt(t, from)
+		})
+	})
+}
+
+func (m *model) store(t *rapid.T, r *root, store StoreVersion) {
+	releaser := r.releaser
+	m.send(func() {
+		to := m.at(store.Address)
+		reply := to.keeper.Store(store.Request)
+		reply.From = to.member.ID
+		reply.Incarnation = to.incarnation
+		m.send(func() {
+			if r.releaser != releaser {
+				return
+			}
+			m.carryOut(t, nil, r, releaser.HandleReply(m.now, store.Token, reply))
+			m.released = max(m.released, releaser.Released())
+		})
+	})
+}
+
+func (m *model) send(deliver func()) { m.network = append(m.network, deliver) }
+
+// learnt checks a floor once it is known (I1).
+func (m *model) learnt(t *rapid.T, d *daemon) {
+	if d.learner == nil {
+		return
+	}
+	floor, known := d.learner.Floor()
+	if !known {
+		return
+	}
+	if floor < d.atStart {
+		t.Fatalf("%s learnt floor %d but may have held %d", d.member.ID, floor, d.atStart)
+	}
+	d.keeper.Validate(floor, d.learner.Keepers())
+	d.learner = nil
+	m.floors++
+}
+
+// step draws and runs one action. Time passes and new things happen mostly
+// when little is under way, so that runs get somewhere.
+func (m *model) step(t *rapid.T) {
+	if len(m.network) > 0 && m.random.IntN(len(m.network)+6) >= 4 {
+		m.deliver()
+		return
+	}
+	d := m.daemons[m.random.IntN(len(m.daemons))]
+	r := m.roots[m.random.IntN(len(m.roots))]
+	switch action := m.random.IntN(100); {
+	case action < 30:
+		m.tick(t)
+	case action < 38:
+		m.restart(d)
+	case action < 62:
+		m.accept(nil)
+	case action < 74:
+		live := max(1+m.random.IntN(len(m.daemons)), 1+m.random.IntN(len(m.daemons)))
+		if next, changed := ChooseKeepers("region", m.setAt(r.seen), m.members(live), r.releaser.Released()); changed {
+			m.accept(&next)
+		}
+	case action < 94:
+		r.seen = m.head()
+		m.carryOut(t, nil, r, r.releaser.SetTarget(m.now, 1, r.seen, m.setAt(r.seen)))
+	case action < 96:
+		*r = root{releaser: NewReleaser("root", "region"), seen: r.seen}
+	case action < 99:
+		if d.learner != nil && d.headAt {
+			d.learner.HandleHead(m.now, m.head(), []protocol.KeeperSet{m.setAt(m.head())})
+			m.learnt(t, d)
+		}
+	default:
+		m.network = nil
+	}
+}
+
+// deliver runs a message, mostly one of the oldest, and sometimes leaves it to
+// come again or loses it.
+func (m *model) deliver() {
+	i := m.random.IntN(len(m.network))
+	if m.random.IntN(2) == 0 {
+		i = m.random.IntN(min(4, len(m.network)))
+	}
+	message := m.network[i]
+	if m.random.IntN(20) > 0 {
+		m.network = append(m.network[:i:i], m.network[i+1:]...)
+	}
+	if m.random.IntN(20) > 0 {
+		message()
+	}
+}
+
+func (m *model) tick(t *rapid.T) {
+	m.now += 300 * time.Millisecond
+	for _, r := range m.roots {
+		m.carryOut(t, nil, r, r.releaser.Tick(m.now))
+	}
+	for _, d := range m.daemons {
+		if d.learner != nil {
+			m.carryOut(t, d, nil, d.learner.Tick(m.now))
+		}
+	}
+}
+
+// modelSteps is how long one run of the model is.
+const modelSteps = 3000
+
+func TestFloorIsNeverBelowWhatWasReleased(t *testing.T) {
+	var floors, released int
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(xxhash.Sum64(rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "seed")), 2)
+		for range modelSteps - rapid.IntRange(0, modelSteps-1).Draw(t, "cut") {
+			m.step(t)
+		}
+		floors += m.floors
+		released += int(m.released)
+	})
+	t.Logf("floors learnt: %d, versions released: %d", floors, released)
+	if floors == 0 || released == 0 {
+		t.Fatal("the model never got anywhere")
+	}
+}
