--- a/internal/core/ledger/draft.go
+++ b/internal/core/ledger/draft.go
@@ -1,7 +1,9 @@
 package ledger
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -20,15 +22,17 @@
 	contents Contents
 	request  *Change
 	// version is the version that the head gets if anything accepted changes.
-	version  protocol.Version
-	changed  bool
-	promoted []resource.FileKey
+	version protocol.Version
+	changed bool
+	// touched are the files whose accepted revision may differ from before: the
+	// request's own and those promoted.
+	touched []resource.FileKey
 }
 
 func newDraft(head *Head, contents Contents, change *Change) *draft {
 	next := head.clone()
 	next.Term = max(next.Term, change.Term)
-	return &draft{before: head, head: next, contents: contents, request: change, version: head.Version + 1}
+	return &draft{before: head, head: next, contents: contents, request: change, version: head.Version + 1, touched: []resource.FileKey{change.Key()}}
 }
 
 // change puts the request into the head: a withdrawn file goes away, any other
@@ -78,7 +82,7 @@
 func (d *draft) settle() *protocol.SubmitReply {
 	for d.promote() {
 	}
-	broken := resource.Missing(d.accepted(nil))
+	broken := d.missing(nil)
 	if len(broken) > 0 {
 		return d.stillNeeded(broken)
 	}
@@ -92,79 +96,111 @@
 	return d.answer()
 }
 
-// promote tries all held files together, takes out those that can't stand and
-// accepts the rest. It reports whether it accepted any. Trying them together
-// lets files that need each other be accepted in one version.
+// promote accepts the oldest held file that can stand, together with the held
+// files that it needs for that, and reports whether there was one.
 func (d *draft) promote() bool {
-	trial := d.heldKeys()
-	for len(trial) > 0 {
-		failing := d.failing(trial)
-		if len(failing) == 0 {
-			break
+	for _, key := range d.heldKeys() {
+		set, stands := d.closure(key)
+		if !stands {
+			continue
 		}
-		trial = lo.Without(trial, failing...)
-	}
-	for _, key := range trial {
-		d.accept(key)
+		for _, member := range set {
+			d.accept(member)
+		}
+		return true
 	}
-	return len(trial) > 0
+	return false
 }
 
-// failing returns the files of a trial that must leave it next. First go those
-// that take away what an accepted file needs; then those that need what nobody
-// declares; last those that need what another of the trial takes away. Leaving
-// in this order keeps a file in the trial as long as it can stand. When nobody
-// in the trial is to blame, a reference was broken by the change itself, and
-// settle refuses it.
-func (d *draft) failing(trial []resource.FileKey) []resource.FileKey {
-	var takers, lacking, deprived []resource.FileKey
-	for _, missing := range resource.Missing(d.accepted(trial)) {
-		taker, taken := d.takenAwayBy(missing.To, trial)
-		waiting := slices.Contains(trial, missing.File)
-		switch {
-		case taken && !waiting:
-			takers = append(takers, taker)
-		case waiting && !taken:
-			lacking = append(lacking, missing.File)
-		case waiting:
-			deprived = append(deprived, missing.File)
+// closure returns the held files that must be accepted together with one, so
+// that nothing is missing, or false if there are none that do. Files that need
+// each other are accepted in one version this way, and no held file that can't
+// stand keeps others back.
+func (d *draft) closure(key resource.FileKey) ([]resource.FileKey, bool) {
+	set := []resource.FileKey{key}
+	for {
+		missing := d.missing(set)
+		if len(missing) == 0 {
+			return set, true
 		}
-	}
-	for _, class := range [][]resource.FileKey{takers, lacking, deprived} {
-		if len(class) > 0 {
-			return lo.Uniq(class)
+		next, found := d.remedy(missing[0], set)
+		if !found {
+			return nil, false
 		}
+		set = append(set, next)
 	}
-	return nil
 }
 
-// takenAwayBy returns the file of a trial whose accepted revision declares key.
-func (d *draft) takenAwayBy(key resource.Key, trial []resource.FileKey) (resource.FileKey, bool) {
-	return lo.Find(trial, func(file resource.FileKey) bool {
-		entry, _ := d.head.File(file)
-		return entry.Accepted != nil && slices.Contains(d.contents[entry.Accepted.Digest].Keys(), key)
+// remedy returns a held file outside the set that would mend a missing
+// reference: the one that declares its target or, when an accepted file
+// outside the set is what lacks it, that file's own replacement.
+func (d *draft) remedy(missing resource.MissingReference, set []resource.FileKey) (resource.FileKey, bool) {
+	candidates := lo.Without(d.heldKeys(), set...)
+	supplier, found := lo.Find(candidates, func(key resource.FileKey) bool {
+		entry, _ := d.head.File(key)
+		return slices.Contains(d.contents[entry.Held.Digest].Keys(), missing.To)
 	})
+	if found {
+		return supplier, true
+	}
+	return missing.File, slices.Contains(candidates, missing.File)
 }
 
-// accepted returns the contents in force, with the held revisions of trial in
-// place of the accepted ones.
-func (d *draft) accepted(trial []resource.FileKey) []*resource.File {
+// missing returns what the files in force would lack with the held revisions
+// of trial in place of their accepted ones. What was in force before the change
+// lacked nothing, so only what differs from it is looked at.
+func (d *draft) missing(trial []resource.FileKey) []resource.MissingReference {
 	files := make([]*resource.File, 0, len(d.head.Files))
 	for _, entry := range d.head.Files {
-		switch {
-		case entry.Held != nil && slices.Contains(trial, entry.Key()):
-			files = append(files, d.contents[entry.Held.Digest])
-		case entry.Accepted != nil:
-			files = append(files, d.contents[entry.Accepted.Digest])
+		digest := inForce(entry)
+		if entry.Held != nil && slices.Contains(trial, entry.Key()) {
+			digest = entry.Held.Digest
+		}
+		if digest != "" {
+			files = append(files, d.contents[digest])
+		}
+	}
+	added, removed := d.difference(trial)
+	return resource.MissingAfter(files, added, removed)
+}
+
+// difference returns the contents that came in and went out since before the
+// change, with the held revisions of trial in place of their accepted ones.
+func (d *draft) difference(trial []resource.FileKey) (added, removed []*resource.File) {
+	for _, key := range lo.Union(d.touched, trial) {
+		now, _ := d.head.File(key)
+		digest := inForce(now)
+		if now.Held != nil && slices.Contains(trial, key) {
+			digest = now.Held.Digest
+		}
+		earlier, _ := d.before.File(key)
+		before := inForce(earlier)
+		if before == digest {
+			continue
+		}
+		if digest != "" {
+			added = append(added, d.contents[digest])
 		}
+		if before != "" {
+			removed = append(removed, d.contents[before])
+		}
+	}
+	return added, removed
+}
+
+// inForce returns the digest of an entry's accepted revision, or "".
+func inForce(entry FileEntry) resource.Digest {
+	if entry.Accepted == nil {
+		return ""
 	}
-	return files
+	return entry.Accepted.Digest
 }
 
+// heldKeys returns the files with a held revision, the oldest revision first.
 func (d *draft) heldKeys() []resource.FileKey {
-	return lo.FilterMap(d.head.Files, func(entry FileEntry, _ int) (resource.FileKey, bool) {
-		return entry.Key(), entry.Held != nil
-	})
+	held := lo.Filter(d.head.Files, func(entry FileEntry, _ int) bool { return entry.Held != nil })
+	slices.SortFunc(held, func(a, b FileEntry) int { return cmp.Compare(a.Held.Revision, b.Held.Revision) })
+	return lo.Map(held, func(entry FileEntry, _ int) resource.FileKey { return entry.Key() })
 }
 
 // accept makes a held revision the accepted one. Content equal to what is in
@@ -186,9 +222,7 @@
 	entry.Accepted = accepted
 	entry.Held = nil
 	d.head.put(entry)
-	if key != d.request.Key() {
-		d.promoted = append(d.promoted, key)
-	}
+	d.touched = lo.Union(d.touched, []resource.FileKey{key})
 }
 
 // blockers refuses a replacement that would take away what accepted files
@@ -199,7 +233,7 @@
 	if !found || entry.Held == nil || entry.Accepted == nil {
 		return nil
 	}
-	others := lo.Filter(resource.Missing(d.accepted([]resource.FileKey{key})), func(missing resource.MissingReference, _ int) bool {
+	others := lo.Filter(d.missing([]resource.FileKey{key}), func(missing resource.MissingReference, _ int) bool {
 		return missing.File != key
 	})
 	if len(others) == 0 {
@@ -223,7 +257,7 @@
 func (d *draft) noteWaits() {
 	for _, key := range d.heldKeys() {
 		entry, _ := d.head.File(key)
-		lines := lo.Map(resource.Missing(d.accepted([]resource.FileKey{key})), func(missing resource.MissingReference, _ int) string {
+		lines := lo.Map(d.missing([]resource.FileKey{key}), func(missing resource.MissingReference, _ int) string {
 			return missing.String()
 		})
 		held := *entry.Held
@@ -243,7 +277,7 @@
 		reply.Code = result.Held
 		reply.WaitsFor = slices.Clone(entry.Held.WaitsFor)
 	}
-	names := lo.Map(d.promoted, func(key resource.FileKey, _ int) string { return key.String() })
+	names := lo.Map(d.touched[1:], func(key resource.FileKey, _ int) string { return key.String() })
 	slices.Sort(names)
 	reply.Promoted = names[:min(len(names), MaxWaitsFor)]
 	return reply
@@ -262,7 +296,23 @@
 		Promoted:    reply.Promoted,
 	}
 	d.head.remember(operation, d.request.Now)
-	d.contents = Prune(d.head, d.contents)
+	d.contents = d.pruned()
+}
+
+// pruned returns the contents without those that only the head before named. A
+// content names its file, so no other file's entry can name the same digest.
+func (d *draft) pruned() Contents {
+	pruned := maps.Clone(d.contents)
+	for _, key := range d.touched {
+		earlier, _ := d.before.File(key)
+		now, _ := d.head.File(key)
+		for _, digest := range earlier.digests() {
+			if !slices.Contains(now.digests(), digest) {
+				delete(pruned, digest)
+			}
+		}
+	}
+	return pruned
 }
 
 // advance makes the head one version newer. The time of acceptance never runs
--- a/internal/core/protocol/protocol.go
+++ b/internal/core/protocol/protocol.go
@@ -233,6 +233,8 @@
 	FreshHead bool
 	// Self is the record of the asker, which may not have joined yet.
 	Self Member
+	// Known is the asker's record of the one asked, who may refute it.
+	Known Member
 }
 
 // FloorReply answers a FloorRequest.
@@ -263,6 +265,21 @@
 	ActionWithdraw Action = "withdraw"
 )
 
+// Expectation is a revision that must still be the file's; the zero value is
+// any revision. It is no pointer, since gob drops a pointer to zero.
+type Expectation struct {
+	Given    bool
+	Revision uint64
+}
+
+// ExpectationOf turns an optional revision into an Expectation.
+func ExpectationOf(revision *uint64) Expectation {
+	if revision == nil {
+		return Expectation{}
+	}
+	return Expectation{Given: true, Revision: *revision}
+}
+
 // SubmitRequest carries one operator's change to a reader.
 type SubmitRequest struct {
 	Format int
@@ -272,8 +289,8 @@
 	Partner resource.Partner
 	Action  Action
 	File    string
-	// Expect is the file revision the operator saw; nil means any.
-	Expect *uint64
+	// Expect is the file revision the operator saw.
+	Expect Expectation
 	// Content is the file's text; empty for withdraw.
 	Content []byte
 	// SentAt is the wall clock of the daemon that took the request.
@@ -298,8 +315,6 @@
 type StatusRequest struct {
 	Format  int
 	Partner resource.Partner
-	// Resources asks for the digests of the resources in the partner's files.
-	Resources bool
 	// From is set by a region's root that asks another region's root; Self is
 	// its record.
 	From NodeID
@@ -322,14 +337,20 @@
 	// Version is the version that accepted this revision.
 	Version Version
 	InForce bool
-	// Exports are the services of another partner's file that the asker may use.
-	Exports []string
-	// Resources are given for the asker's own files when it asked for them.
+	// Exports are the services of the file that other partners may use.
+	Exports []ExportedService
+	// Resources are the resources of the file with their digests. They stay
+	// between daemons: an operator is never shown the digest of a secret.
 	Resources []ResourceDigest
 }
 
-// ResourceDigest names one resource of a file. The digest of a secret is for
-// comparing inside a daemon only and is never shown to people.
+// ExportedService is a service and the other partners that may use it.
+type ExportedService struct {
+	Name     string
+	Partners []resource.Partner
+}
+
+// ResourceDigest names one resource of a file.
 type ResourceDigest struct {
 	Kind   resource.Kind
 	Name   string
--- a/internal/core/retry/call.go
+++ b/internal/core/retry/call.go
@@ -57,6 +57,8 @@
 	NoRetry bool
 	// Deadline is on the caller's clock.
 	Deadline time.Duration
+	// Unbudgeted retries without budget and mark. It is for comparisons only.
+	Unbudgeted bool
 }
 
 // relocationLimit bounds the attempts beyond Policy.Attempts of a call that
@@ -132,14 +134,14 @@
 		return c.refuse(result.CallerGone, 0)
 	case now >= c.policy.Deadline || outcome.Kind == Expired:
 		return c.refuse(c.deadlineCode(), 0)
-	case !c.mayRepeat(outcome):
+	case !c.mayRepeat(outcome) || (leaves(outcome) && !outcome.Others):
 		return c.giveUp(outcome)
 	case c.relocates(outcome):
 		c.relocations++
 		return c.send(now, outcome)
 	case c.policy.NoRetry || c.attempts-c.relocations >= c.policy.Attempts:
 		return c.giveUp(outcome)
-	case !c.budget.Withdraw(now):
+	case !c.policy.Unbudgeted && !c.budget.Withdraw(now):
 		return c.budgetSpent(outcome)
 	}
 	return c.send(now, outcome)
@@ -180,18 +182,17 @@
 	if !didNotRun(outcome) || !outcome.Others || c.relocations >= relocationLimit {
 		return false
 	}
-	if outcome.Kind == NotSent {
-		return true
-	}
-	switch outcome.Code {
-	case result.Draining, result.WrongBackend, result.ConnectFailed, result.NotServing:
-		return true
-	}
-	return false
+	return outcome.Kind == NotSent || outcome.Code == result.ConnectFailed || leaves(outcome)
+}
+
+// leaves tells whether the endpoint takes no calls any more, so that asking it
+// again is of no use.
+func leaves(outcome Outcome) bool {
+	return outcome.Kind == Refused && (outcome.Code == result.Draining || outcome.Code == result.WrongBackend)
 }
 
 func (c *Call) send(now time.Duration, outcome Outcome) Step {
-	step := Step{Action: Send, Mark: true}
+	step := Step{Action: Send, Mark: !c.policy.Unbudgeted}
 	if !outcome.Others {
 		step.Wait = min(sameEndpointWait, c.policy.Deadline-now)
 	}
--- a/internal/core/retry/call_test.go
+++ b/internal/core/retry/call_test.go
@@ -7,6 +7,8 @@
 	"github.com/matryer/is"
 	"github.com/springstack/springstack/internal/result"
 	"pgregory.net/rapid"
+
+	_ "github.com/springstack/springstack/internal/fixedseed"
 )
 
 func newCall(policy Policy) *Call {
@@ -27,6 +29,8 @@
 		want    Step
 	}{
 		{"draining", draining, Step{Action: Send, Mark: true}},
+		{"draining, one endpoint", Outcome{Kind: Refused, Code: result.Draining, Ran: result.RanNo, Replayable: true},
+			Step{Action: Refuse, Code: result.Draining, Ran: result.RanNo}},
 		{"not sent", Outcome{Kind: NotSent, Replayable: true, Others: true}, Step{Action: Send, Mark: true}},
 		{"not sent, one endpoint", Outcome{Kind: NotSent, Replayable: true}, Step{Action: Send, Mark: true, Wait: sameEndpointWait}},
 		{"not sent, body gone", Outcome{Kind: NotSent, Others: true},
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -122,6 +122,11 @@
 	if r.plan.Calls > 0 && int(r.sequence.Load()) >= r.plan.Calls {
 		return false
 	}
+	select {
+	case <-r.plan.Stop:
+		return false
+	default:
+	}
 	return r.plan.Duration == 0 || now.Sub(r.begun) < r.plan.Duration
 }
 
@@ -129,7 +134,7 @@
 func (r *runner) call(ctx context.Context, sequence, kind int, intended time.Time) {
 	target := sequence % len(r.plan.Targets)
 	if r.plan.Dispatch != nil {
-		target = r.plan.Dispatch(sequence)
+		target = r.plan.Dispatch(sequence, kind)
 	}
 	id := backend.RequestID(fmt.Sprintf("%s-%d", r.plan.Prefix, sequence))
 	outcome := r.client.Call(ctx, r.plan.Targets[target].Address, r.plan.Kinds[kind], id)
--- a/internal/operator/changes.go
+++ b/internal/operator/changes.go
@@ -45,6 +45,8 @@
 func (a *API) registerChanges(served huma.API) {
 	submit := operation("submit-file", http.MethodPut, "/v1/files/{partner}/{name}", "Submit or replace a whole file")
 	schema := served.OpenAPI().Components.Schemas.Schema(changeType, true, "")
+	// The body is checked by readChange: huma knows no validation of YAML.
+	submit.SkipValidateBody = true
 	submit.RequestBody = &huma.RequestBody{
 		Required: true,
 		Content: map[string]*huma.MediaType{
@@ -66,7 +68,7 @@
 		Operation: change.Operation,
 		Action:    protocol.Action(change.Action),
 		File:      input.Name,
-		Expect:    change.Expect,
+		Expect:    protocol.ExpectationOf(change.Expect),
 		Content:   []byte(change.Content),
 	})
 }
@@ -80,7 +82,7 @@
 		Operation: input.Operation,
 		Action:    protocol.ActionWithdraw,
 		File:      input.Name,
-		Expect:    expect,
+		Expect:    protocol.ExpectationOf(expect),
 	})
 }
 
