--- a/cmd/springstack-lab/main.go
+++ b/cmd/springstack-lab/main.go
@@ -14,7 +14,7 @@
 	command := &cli.Command{
 		Name:     "springstack-lab",
 		Usage:    "emulate, load and measure springstack",
-		Commands: []*cli.Command{experimentCommand(), fuzzCommand()},
+		Commands: []*cli.Command{experimentCommand(), reportCommand(), fuzzCommand()},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
