--- a/cmd/springstack-lab/main.go
+++ b/cmd/springstack-lab/main.go
@@ -18,6 +18,7 @@
 			demoCommand(),
 			experimentCommand(),
 			fuzzCommand(),
+			reportCommand(),
 		},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
