Files: bound the fields of a mapping; check files before they leave the API

Change: at most 64 fields a mapping, counted on the tokens; the operators' API refuses bad files itself.

--- a/internal/core/resource/parse_test.go
+++ b/internal/core/resource/parse_test.go
@@ -116,6 +116,8 @@
 		{"flow depth", head + "services: " + strings.Repeat("[", 20) + strings.Repeat("]", 20), "", result.FileTooDeep, 3},
 		{"block depth", head + "services: \n  " + strings.Repeat("- ", 20) + "x\n", "", result.FileTooDeep, 4},
 		{"size", head + strings.Repeat("# padding\n", 30_000), "", result.FileTooLarge, 0},
+		{"many fields", head + strings.Repeat("x: y\n", 100), "", result.FileUnknownField, 65},
+		{"many flow fields", head + "services: [{" + strings.Repeat("x: y, ", 100) + "}]\n", "", result.FileUnknownField, 3},
 		{"duration", route + "    timeout: 5\n", "routes[0].timeout", result.FileWrongType, 7},
 		{"duration range", route + "    timeout: 48h\n", "routes[0].timeout", result.FileBadValue, 7},
 		{"attempts", route + "    retry_attempts: 0\n", "routes[0].retry_attempts", result.FileBadValue, 7},
--- a/internal/core/resource/yaml.go
+++ b/internal/core/resource/yaml.go
@@ -83,7 +83,7 @@
 }
 
 func checkTokens(tokens token.Tokens, limits Limits) *result.Error {
-	measure := depthMeasure{}
+	shape := shape{}
 	for _, current := range tokens {
 		if name, found := unsupported[current.Type]; found {
 			return &result.Error{
@@ -93,7 +93,8 @@
 				Mend:   "Write the value out.",
 			}
 		}
-		if measure.add(current) > limits.Depth {
+		shape.add(current)
+		if shape.depth() > limits.Depth {
 			return &result.Error{
 				Code:   result.FileTooDeep,
 				Line:   current.Position.Line,
@@ -101,40 +102,81 @@
 				Mend:   "Flatten it.",
 			}
 		}
+		if shape.keys() > maxKeys {
+			return &result.Error{
+				Code:   result.FileUnknownField,
+				Line:   current.Position.Line,
+				Detail: fmt.Sprintf("a mapping has more than %d fields", maxKeys),
+				Mend:   "Keep the fields of docs/FILES.md.",
+			}
+		}
 	}
 	return nil
 }
 
-// depthMeasure bounds the nesting from above while tokens go by: open flow
+// maxKeys bounds the fields of one mapping; no mapping of the format has as
+// many. The YAML parser's time grows with the square of their number.
+const maxKeys = 64
+
+// shape follows the nesting from above while tokens go by: the open flow
 // brackets, and the distinct columns of block entries and keys around them.
-type depthMeasure struct {
-	flow    int
-	columns []int
+type shape struct {
+	flow  []level
+	block []level
+}
+
+// level is one open list or mapping.
+type level struct {
+	column int
+	keys   int
+}
+
+func (s *shape) depth() int { return len(s.flow) + len(s.block) }
+
+// keys returns the number of fields seen so far in the innermost mapping.
+func (s *shape) keys() int {
+	switch {
+	case len(s.flow) > 0:
+		return s.flow[len(s.flow)-1].keys
+	case len(s.block) > 0:
+		return s.block[len(s.block)-1].keys
+	default:
+		return 0
+	}
 }
 
-func (m *depthMeasure) add(current *token.Token) int {
+func (s *shape) add(current *token.Token) {
 	switch current.Type {
 	case token.MappingStartType, token.SequenceStartType:
-		m.flow++
+		s.flow = append(s.flow, level{})
 	case token.MappingEndType, token.SequenceEndType:
-		m.flow = max(0, m.flow-1)
+		s.flow = s.flow[:max(0, len(s.flow)-1)]
 	case token.SequenceEntryType:
-		m.open(current.Position.Column)
+		s.open(current.Position.Column).keys = 0
 	case token.MappingValueType:
-		if current.Prev != nil && m.flow == 0 {
-			m.open(current.Prev.Position.Column)
-		}
+		s.addKey(current.Prev)
+	}
+}
+
+func (s *shape) addKey(key *token.Token) {
+	if len(s.flow) > 0 {
+		s.flow[len(s.flow)-1].keys++
+		return
+	}
+	if key != nil {
+		s.open(key.Position.Column).keys++
 	}
-	return m.flow + len(m.columns)
 }
 
-func (m *depthMeasure) open(column int) {
-	for len(m.columns) > 0 && m.columns[len(m.columns)-1] > column {
-		m.columns = m.columns[:len(m.columns)-1]
+// open returns the block level at a column, after closing those inside it.
+func (s *shape) open(column int) *level {
+	for len(s.block) > 0 && s.block[len(s.block)-1].column > column {
+		s.block = s.block[:len(s.block)-1]
 	}
-	if len(m.columns) == 0 || m.columns[len(m.columns)-1] < column {
-		m.columns = append(m.columns, column)
+	if len(s.block) == 0 || s.block[len(s.block)-1].column < column {
+		s.block = append(s.block, level{column: column})
 	}
+	return &s.block[len(s.block)-1]
 }
 
 // syntaxError takes line and message of the YAML library's error. Its text may
--- a/internal/operator/changes.go
+++ b/internal/operator/changes.go
@@ -7,9 +7,11 @@
 	"mime"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/danielgtaylor/huma/v2"
 
+	"github.com/springstack/springstack/internal/core/ledger"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/operator/message"
@@ -96,6 +98,10 @@
 	if !resource.ValidName(request.File) {
 		return nil, newFailure(message.Refusal(result.UsageError, "the name in the path is not a file name"))
 	}
+	// The reader checks again; here a bad file costs no other daemon any time.
+	if _, refused := ledger.Prepare(request, time.Now(), 0); refused != nil {
+		return nil, newFailure(message.FromReply(request.Operation, refused))
+	}
 	bounded, cancel := context.WithTimeout(ctx, SubmitTimeout)
 	defer cancel()
 	reply := a.backend.Submit(bounded, request)
