--- /dev/null
+++ b/internal/daemon/metrics.go
@@ -0,0 +1,68 @@
+package daemon
+
+import (
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/springstack/springstack/internal/metrics"
+)
+
+// registry returns the metrics of this daemon and of its process.
+func (d *Daemon) registry() *prometheus.Registry {
+	return metrics.NewRegistry(daemonCollector{daemon: d})
+}
+
+// daemonCollector reads the counters of a daemon when it is scraped.
+type daemonCollector struct {
+	daemon *Daemon
+}
+
+// Describe sends nothing: the collector is unchecked, because kinds and codes
+// appear as they are met.
+func (daemonCollector) Describe(chan<- *prometheus.Desc) {}
+
+// Collect sends the present values.
+func (c daemonCollector) Collect(out chan<- prometheus.Metric) {
+	c.collectNode(out)
+	c.collectControl(out)
+	c.collectPath(out)
+}
+
+func (c daemonCollector) collectNode(out chan<- prometheus.Metric) {
+	state := c.daemon.mesh.Shell().State()
+	ready := 0.0
+	if len(c.daemon.notReady(state)) == 0 {
+		ready = 1
+	}
+	metrics.Ready.Send(out, ready)
+	metrics.Version.Send(out, float64(state.Version))
+	metrics.Resources.Send(out, float64(state.Resources))
+	metrics.Members.Send(out, float64(state.Members))
+	metrics.NodeSteps.Send(out, float64(state.Steps))
+	metrics.NodeStepSeconds.Send(out, state.StepTime.Seconds())
+	metrics.PlatformCalls.Send(out, float64(state.PlatformCalls))
+	metrics.PeerCallFailures.Send(out, float64(state.PeerFailures))
+}
+
+func (c daemonCollector) collectControl(out chan<- prometheus.Metric) {
+	for kind, traffic := range c.daemon.mesh.Meter().ByKind() {
+		metrics.ControlBytes.Send(out, float64(traffic.BytesIn), string(kind), "in")
+		metrics.ControlBytes.Send(out, float64(traffic.BytesOut), string(kind), "out")
+		metrics.ControlFrames.Send(out, float64(traffic.FramesIn), string(kind), "in")
+		metrics.ControlFrames.Send(out, float64(traffic.FramesOut), string(kind), "out")
+	}
+}
+
+func (c daemonCollector) collectPath(out chan<- prometheus.Metric) {
+	counters := c.daemon.path.Counters()
+	metrics.CallerCalls.Send(out, float64(counters.CallerCalls))
+	metrics.GateCalls.Send(out, float64(counters.GateCalls))
+	metrics.Attempts.Send(out, float64(counters.Attempts))
+	metrics.Retries.Send(out, float64(counters.Retries))
+	metrics.GateRunning.Send(out, float64(counters.GateRunning))
+	metrics.GateQueued.Send(out, float64(counters.GateQueued))
+	for code, count := range counters.Refusals {
+		metrics.Refusals.Send(out, float64(count), strconv.Itoa(int(code)), code.Name())
+	}
+}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -29,6 +29,8 @@
 	Limits Limits
 	// RandomSeed makes the choices of endpoints repeatable; 0 draws a seed.
 	RandomSeed uint64
+	// Baseline switches protections off, for comparisons only.
+	Baseline Baseline
 	// OnBackendState is told when the state of the back end changes. It must
 	// not block. Nil means that nobody listens.
 	OnBackendState func(protocol.EndpointState)
@@ -36,6 +38,19 @@
 	Log func(Event)
 }
 
+// Baseline leaves out one protection each, so that an experiment can show what
+// it is for. The zero value is for production; no settings file reaches it.
+type Baseline struct {
+	// RoundRobin takes the endpoints in turn, whatever their load and zone.
+	RoundRobin bool
+	// UnboundedQueue lets any number of calls wait at the gate until their
+	// deadline, in order of arrival, whatever their priority and partner.
+	UnboundedQueue bool
+	// UnbudgetedRetries retries whenever a call has attempts left, without
+	// budget and without the mark against retries further down.
+	UnbudgetedRetries bool
+}
+
 // Event is one thing worth a log line. It never holds a secret.
 type Event struct {
 	// Name is a stable event name listed in docs/OPERATING.md.
@@ -80,10 +95,14 @@
 	QueueLength int
 	// QueueWait bounds the expected wait at the gate.
 	QueueWait time.Duration
-	// KeyWindow is how long the gate remembers request ids and keys.
+	// KeyWindow is how long the gate remembers the request keys of operations.
 	KeyWindow time.Duration
-	// KeyCount bounds the request ids and keys remembered.
+	// KeyCount bounds the request keys remembered.
 	KeyCount int
+	// RequestWindow is how long the gate remembers the ids of attempts.
+	RequestWindow time.Duration
+	// RequestCount bounds the ids remembered. Memory is taken as it is needed.
+	RequestCount int
 	// DrainLinger is how long a draining daemon goes on taking connections
 	// after its last call, so that callers learn to go elsewhere.
 	DrainLinger time.Duration
@@ -112,7 +131,9 @@
 		QueueLength:         256,
 		QueueWait:           2 * time.Second,
 		KeyWindow:           2 * time.Minute,
-		KeyCount:            1 << 16,
+		KeyCount:            1 << 18,
+		RequestWindow:       30 * time.Second,
+		RequestCount:        1 << 20,
 		DrainLinger:         500 * time.Millisecond,
 		DrainBound:          30 * time.Second,
 		ProbePeriod:         time.Second,
@@ -145,6 +166,8 @@
 	orDefault(&l.QueueWait, fallback.QueueWait)
 	orDefault(&l.KeyWindow, fallback.KeyWindow)
 	orDefault(&l.KeyCount, fallback.KeyCount)
+	orDefault(&l.RequestWindow, fallback.RequestWindow)
+	orDefault(&l.RequestCount, fallback.RequestCount)
 	orDefault(&l.DrainLinger, fallback.DrainLinger)
 	orDefault(&l.DrainBound, fallback.DrainBound)
 	orDefault(&l.ProbePeriod, fallback.ProbePeriod)
--- a/internal/sim/world/slot.go
+++ b/internal/sim/world/slot.go
@@ -94,8 +94,6 @@
 	}
 }
 
-func (s *slot) whole() bool { return s.place.Node%2 == 0 }
-
 func (s *slot) scopeName() string {
 	return [...]string{"whole", string(partners[0]), "whole", string(partners[1])}[s.place.Node%4]
 }
@@ -141,8 +139,8 @@
 		if !p.running() {
 			return
 		}
-		w.counts.Ticks++
-		w.carryOut(p, p.node.Step(p.now(w), node.Tick{}))
+		w.outcome.Ticks++
+		w.carryOut(p, p.node.Step(p.now(w), node.Tick{WallClock: p.slot.clock.wall(w.Now())}))
 		next := w.shape.TickEvery
 		w.tickLater(p, p.slot.clock.virtual(next)+w.timeline.Between(0, next/8))
 	})
@@ -159,7 +157,7 @@
 		p.backlog = append(p.backlog, message)
 		return
 	}
-	w.counts.Messages++
+	w.outcome.Steps++
 	w.carryOut(p, p.node.Step(p.now(w), message))
 }
 
