Status tells what one daemon knows when no reader answers; wait does not take it for the whole

Cause: the node answers no_reader together with what it knows, which helps an operator in an outage, but a file missing from it proves nothing.

--- a/internal/core/ledger/apply.go
+++ b/internal/core/ledger/apply.go
@@ -83,6 +83,9 @@
 	if known := FindOperation(head, change.Request); known != nil {
 		return head, contents, known
 	}
+	if !complete(head, contents) {
+		return head, contents, refuse(result.NotAccepted, "the reader does not have all contents at hand")
+	}
 	if refused := checkOperation(head, change.Request.Operation, change.Now); refused != nil {
 		return head, contents, refused
 	}
@@ -162,7 +165,8 @@
 	return next
 }
 
-// Catalogue returns all accepted resources, sorted by key.
+// Catalogue returns all accepted resources, sorted by key. The contents must
+// lack nothing that the head names; see Lacking.
 func Catalogue(head *Head, contents Contents) []resource.Encoded {
 	var catalogue []resource.Encoded
 	for _, entry := range head.Files {
@@ -185,6 +189,13 @@
 	return pruned
 }
 
+// complete reports whether contents holds all that the head names.
+func complete(head *Head, contents Contents) bool {
+	return lo.EveryBy(head.Files, func(entry FileEntry) bool {
+		return lo.EveryBy(entry.digests(), func(digest resource.Digest) bool { return contents[digest] != nil })
+	})
+}
+
 // Lacking returns the digests that the head names and contents lack.
 func Lacking(head *Head, contents Contents) []resource.Digest {
 	return lo.Filter(head.Digests(), func(digest resource.Digest, _ int) bool {
--- a/internal/operator/api_test.go
+++ b/internal/operator/api_test.go
@@ -144,6 +144,19 @@
 	is.True(!strings.Contains(recorder.Body.String(), "hidden"))
 }
 
+func TestWithoutReaderOnlyWhatIsKnownIsTold(t *testing.T) {
+	is := is.New(t)
+	backend := &scripted{status: &protocol.StatusReply{Code: result.NoReader, Members: []protocol.Member{{ID: "n1"}}}}
+	handler := serve(t, backend)
+	for target, want := range map[string]int{"/v1/status": 200, "/v1/members": 200, "/v1/files": 503} {
+		status, _ := call(handler, http.MethodGet, target, "token-a", "", "")
+		is.Equal(status, want)
+	}
+	status, answer := call(handler, http.MethodPost, "/v1/diff", "token-a", "text/yaml", content)
+	is.Equal(status, 503)
+	is.Equal(answer.Code, result.NoReader)
+}
+
 func TestOpenAPIListsEveryOperation(t *testing.T) {
 	is := is.New(t)
 	recorder := httptest.NewRecorder()
--- a/internal/operator/client/wait.go
+++ b/internal/operator/client/wait.go
@@ -62,6 +62,10 @@
 	if refused != nil {
 		return Progress{Trouble: refused}
 	}
+	if status.Partial != "" && goal.Name != "" {
+		trouble := message.Refusal(result.NoReader, "no reader could be asked for the file")
+		return Progress{Trouble: &trouble}
+	}
 	progress := Progress{Status: status, Version: goal.Version}
 	if goal.Name != "" {
 		progress.Version, progress.WaitsFor, progress.Trouble = goal.find(status.Files)
--- a/internal/operator/message/convert.go
+++ b/internal/operator/message/convert.go
@@ -6,6 +6,7 @@
 	"github.com/samber/lo"
 
 	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/result"
 )
 
 var memberStates = map[protocol.MemberState]string{
@@ -26,6 +27,7 @@
 // FromStatus converts a status reply.
 func FromStatus(reply *protocol.StatusReply) Status {
 	return Status{
+		Partial:    lo.Ternary(reply.Code == result.OK, "", reply.Code.Name()),
 		Version:    uint64(reply.Summary.Version),
 		InForce:    uint64(reply.Summary.InForce),
 		AcceptedAt: instant(reply.Summary.AcceptedAt),
--- a/internal/operator/message/message.go
+++ b/internal/operator/message/message.go
@@ -106,6 +106,9 @@
 
 // Status is the state of the mesh.
 type Status struct {
+	// Partial is set to a code's name when no reader could be asked: it is then
+	// only what the daemon knows by itself, and files may be missing.
+	Partial    string     `json:"partial,omitempty" doc:"Why this is only what one daemon knows"`
 	Version    uint64     `json:"version" doc:"Newest accepted version"`
 	InForce    uint64     `json:"in_force" doc:"Newest version in force on every counted proxy"`
 	AcceptedAt *time.Time `json:"accepted_at,omitempty"`
--- a/internal/operator/printer/printer.go
+++ b/internal/operator/printer/printer.go
@@ -87,6 +87,9 @@
 	if p.json(status) {
 		return
 	}
+	if status.Partial != "" {
+		p.line("%s: this is only what the daemon asked knows by itself; files may be missing", status.Partial)
+	}
 	p.line("version %d accepted %s; in force everywhere: %d %s",
 		status.Version, moment(status.AcceptedAt), status.InForce, moment(status.InForceAt))
 	for _, region := range status.CutRegions {
--- a/internal/operator/questions.go
+++ b/internal/operator/questions.go
@@ -38,7 +38,7 @@
 }
 
 func (a *API) status(ctx context.Context, _ *struct{}) (*statusOutput, error) {
-	reply, err := a.ask(ctx)
+	reply, err := a.askAny(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -54,26 +54,37 @@
 }
 
 func (a *API) members(ctx context.Context, _ *struct{}) (*membersOutput, error) {
-	reply, err := a.ask(ctx)
+	reply, err := a.askAny(ctx)
 	if err != nil {
 		return nil, err
 	}
 	return &membersOutput{Body: message.FromMembers(reply.Members)}, nil
 }
 
-// ask puts the question of the caller.
+// ask puts the question of the caller and takes only a whole answer.
 func (a *API) ask(ctx context.Context) (*protocol.StatusReply, error) {
+	reply, err := a.askAny(ctx)
+	if err == nil && reply.Code != result.OK {
+		return nil, newFailure(message.Refusal(reply.Code, "the question can't be answered now"))
+	}
+	return reply, err
+}
+
+// askAny takes as well what this daemon knows by itself when no reader answers.
+// The question is for all partners' files; visible then takes out what the
+// caller may not see.
+func (a *API) askAny(ctx context.Context) (*protocol.StatusReply, error) {
 	bounded, cancel := context.WithTimeout(ctx, StatusTimeout)
 	defer cancel()
-	request := &protocol.StatusRequest{Format: protocol.Format, Partner: callerOf(ctx)}
+	request := &protocol.StatusRequest{Format: protocol.Format}
 	reply := a.backend.Status(bounded, request)
 	if reply == nil {
 		return nil, newFailure(message.Refusal(result.NoReader, "no answer came in time"))
 	}
-	if reply.Code != result.OK {
+	if reply.Code != result.OK && len(reply.Members) == 0 {
 		return nil, newFailure(message.Refusal(reply.Code, "the question can't be answered now"))
 	}
-	return visible(reply, request.Partner), nil
+	return visible(reply, callerOf(ctx)), nil
 }
 
 // visible takes out what the partner may not see: of another partner's file it
