--- a/internal/access/access_test.go
+++ b/internal/access/access_test.go
@@ -168,6 +168,7 @@
 	is.NoErr(os.WriteFile(filepath.Join(dir, "key.pem"), []byte("half"), 0o600))
 	now = now.Add(rereadInterval)
 	is.Equal(a.current(), kept)
+	is.Equal(a.Expires(), kept.certificate.Leaf.NotAfter)
 	is.True(a.Failure() != nil)
 	after.Issue(dir, "node-a")
 	now = now.Add(rereadInterval)
--- a/internal/access/identity.go
+++ b/internal/access/identity.go
@@ -75,6 +75,10 @@
 	return nil
 }
 
+// Expires returns when the certificate in use expires, after a look at the
+// files.
+func (i *Identity) Expires() time.Time { return i.current().certificate.Leaf.NotAfter }
+
 // current returns the newest usable material.
 func (i *Identity) current() *material {
 	if i.mutex.TryLock() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"github.com/samber/do/v2"
 
+	"github.com/springstack/springstack/internal/access"
 	"github.com/springstack/springstack/internal/core/node"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/proxy"
@@ -30,6 +31,8 @@
 	backend  backendReporter
 	draining atomic.Bool
 	killed   atomic.Bool
+	// identity is behind the TLS of all ports; nil in the clear.
+	identity *access.Identity
 }
 
 // New returns a daemon that does not run yet. The settings must have been
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -27,6 +27,7 @@
 	c.collectNode(out)
 	c.collectControl(out)
 	c.collectPath(out)
+	c.collectCertificate(out)
 }
 
 func (c daemonCollector) collectNode(out chan<- prometheus.Metric) {
@@ -66,3 +67,17 @@
 		metrics.Refusals.Send(out, float64(count), strconv.Itoa(int(code)), code.Name())
 	}
 }
+
+// collectCertificate sends nothing in the clear.
+func (c daemonCollector) collectCertificate(out chan<- prometheus.Metric) {
+	identity := c.daemon.identity
+	if identity == nil {
+		return
+	}
+	metrics.CertificateExpiry.Send(out, float64(identity.Expires().Unix()))
+	usable := 0.0
+	if identity.Failure() == nil {
+		usable = 1
+	}
+	metrics.CertificateFilesUsable.Send(out, usable)
+}
--- a/internal/daemon/tls_test.go
+++ b/internal/daemon/tls_test.go
@@ -74,6 +74,8 @@
 	awaitMetric(t, first, "springstack_members 2")
 	awaitMetric(t, second, "springstack_members 2")
 
+	awaitMetric(t, second, "springstack_certificate_files_usable 1")
+
 	t.Run("a peer speaks only for itself", func(t *testing.T) {
 		is := is.New(t)
 		identity, err := access.NewIdentity(authority.Issue(t.TempDir(), "third"), "third")
--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -76,6 +76,7 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "tls")
 	}
+	d.identity = ports.Identity
 	return &security{ports}, nil
 }
 
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -13,6 +13,12 @@
 	Members = define(Gauge, "members",
 		"Member records known.",
 		"A sudden fall: machines or a network link were lost.")
+	CertificateExpiry = define(Gauge, "certificate_expiry_timestamp_seconds",
+		"When the certificate in use expires, in seconds since 1970; only with TLS.",
+		"Less than a week ahead: renew it; no restart is needed.")
+	CertificateFilesUsable = define(Gauge, "certificate_files_usable",
+		"1 while the newest state of the certificate files is in use, else 0; only with TLS.",
+		"0 for longer than a replacement takes: run `springstackd check` on that machine.")
 	NodeSteps = define(Counter, "node_steps_total",
 		"Steps of the node core.", "")
 	NodeStepSeconds = define(Counter, "node_step_seconds_total",
