springstack-lab platform serves the stand-in by itself

Cause: runs of real processes need a platform in a process of its own. Checked: started it on a free port, read an object, switched an outage on over HTTP, saw calls refused with code 500, and ended it by SIGTERM.

--- a/cmd/springstack-lab/main.go
+++ b/cmd/springstack-lab/main.go
@@ -18,6 +18,7 @@
 			demoCommand(),
 			experimentCommand(),
 			fuzzCommand(),
+			platformCommand(),
 		},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
