Hold the stand-in's lists against the state of their time

Change: the property now compares each list with the state of its time and its version with that of its time, beside rebuilding the present.

--- a/internal/lab/standin/property_test.go
+++ b/internal/lab/standin/property_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/samber/lo"
 	"pgregory.net/rapid"
 
 	"github.com/springstack/springstack/internal/core/object"
@@ -15,31 +17,52 @@
 )
 
 // TestListAndWatchShowThePresent draws writes, and holds after each that a list
-// of any age together with the events after it gives the present state, and
-// that versions only grow.
+// of any age shows the state of its time, that it and the events after it give
+// the present state, and that versions only grow.
 func TestListAndWatchShowThePresent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store := NewStore(DefaultLimits())
-		present := map[string]object.Version{}
+		states := []state{{at: -time.Hour, objects: map[string]object.Version{}}}
 		now := time.Duration(0)
 		for range rapid.IntRange(1, 60).Draw(t, "writes") {
 			now += time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second
-			before := store.Version()
-			call := drawWrite(t, present)
+			present := states[len(states)-1]
+			call := drawWrite(t, present.objects)
 			reply := store.Apply(now, testClient, call, Lag{})
-			wins := wouldWin(present, call)
-			if wins != (reply.Code == result.OK) || wins != (store.Version() == before+1) {
-				t.Fatalf("%+v answered %d at version %d", call, reply.Code, store.Version())
+			wins := wouldWin(present.objects, call)
+			if wins != (reply.Code == result.OK) {
+				t.Fatalf("%+v answered %d", call, reply.Code)
 			}
 			if wins {
-				follow(present, call, reply.Object.Version)
+				states = append(states, present.after(call, now))
+			}
+			if store.Version() != states[len(states)-1].version {
+				t.Fatalf("version %d after %+v", store.Version(), call)
 			}
 			lag := time.Duration(rapid.IntRange(0, 60).Draw(t, "lag")) * time.Second
-			checkPresent(t, store, now, lag, present)
+			checkList(t, store, now, lag, states)
 		}
 	})
 }
 
+// state is what the store should hold from a time on.
+type state struct {
+	at      time.Duration
+	version object.Version
+	objects map[string]object.Version
+}
+
+// after returns the state that a winning write leads to.
+func (s state) after(call object.Call, now time.Duration) state {
+	next := state{at: now, version: s.version + 1, objects: maps.Clone(s.objects)}
+	if call.Kind == object.CallDelete {
+		delete(next.objects, call.Name)
+	} else {
+		next.objects[call.Name] = next.version
+	}
+	return next
+}
+
 // drawWrite draws a write of one of a few objects, often at the right version.
 func drawWrite(t *rapid.T, present map[string]object.Version) object.Call {
 	name := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "name"))
@@ -58,20 +81,17 @@
 	return exists && version == call.Expect
 }
 
-func follow(present map[string]object.Version, call object.Call, version object.Version) {
-	if call.Kind == object.CallDelete {
-		delete(present, call.Name)
-		return
-	}
-	present[call.Name] = version
-}
-
-// checkPresent rebuilds the state from an old list and the events after it.
-func checkPresent(t *rapid.T, store *Store, now, lag time.Duration, present map[string]object.Version) {
+// checkList holds a list of an age against the state of that time, and the
+// events after it against the present.
+func checkList(t *rapid.T, store *Store, now, lag time.Duration, states []state) {
 	list := store.Apply(now, testClient, object.Call{Kind: object.CallList}, Lag{List: lag})
-	rebuilt := map[string]object.Version{}
+	shown := map[string]object.Version{}
 	for _, listed := range list.Objects {
-		rebuilt[listed.Name] = listed.Version
+		shown[listed.Name] = listed.Version
+	}
+	old, _ := lo.Last(lo.Filter(states, func(s state, _ int) bool { return s.at <= now-lag }))
+	if list.ListVersion != old.version || !maps.Equal(shown, old.objects) {
+		t.Fatalf("list of %v before shows %v at %d, not %v at %d", lag, shown, list.ListVersion, old.objects, old.version)
 	}
 	events, _, code := store.Events("", list.ListVersion)
 	if code != result.OK {
@@ -79,13 +99,13 @@
 	}
 	for _, event := range events {
 		if event.Kind == object.EventDelete {
-			delete(rebuilt, event.Object.Name)
+			delete(shown, event.Object.Name)
 			continue
 		}
-		rebuilt[event.Object.Name] = event.Object.Version
+		shown[event.Object.Name] = event.Object.Version
 	}
-	if fmt.Sprint(rebuilt) != fmt.Sprint(present) {
-		t.Fatalf("list %v before and events give %v, not %v", lag, rebuilt, present)
+	if present := states[len(states)-1].objects; !maps.Equal(shown, present) {
+		t.Fatalf("list of %v before and events give %v, not %v", lag, shown, present)
 	}
 }
 
