--- a/cmd/springstack-lab/main.go
+++ b/cmd/springstack-lab/main.go
@@ -19,6 +19,7 @@
 			experimentCommand(),
 			fuzzCommand(),
 			platformCommand(),
+			reportCommand(),
 		},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
