--- a/internal/lab/demo/steps.go
+++ b/internal/lab/demo/steps.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 
 	"github.com/juju/errors"
 
@@ -106,7 +107,7 @@
 	if err := expect(held, result.Held); err != nil {
 		return err
 	}
-	d.tell("file_held", "file", adomako+"/lookups", "waits_for", held.WaitsFor)
+	d.tell("file_held", "file", adomako+"/lookups", "waits_for", strings.Join(held.WaitsFor, ", "))
 	answer := d.change(ctx, protocol.ActionReplace, kameeldoring, "renewals",
 		renewalsFile(d.mesh.Machines(), secondPath, true))
 	if err := expect(answer, result.OK); err != nil {
--- a/internal/lab/mesh/mesh.go
+++ b/internal/lab/mesh/mesh.go
@@ -33,6 +33,8 @@
 	Logger log.Interface
 	// Settle is how long a stopping daemon stays after its last call.
 	Settle time.Duration
+	// Timing overrides the production periods.
+	Timing settings.Timing
 }
 
 // Place is where a machine stands.
@@ -188,6 +190,7 @@
 	given.Mesh = settings.Mesh{Seeds: m.seeds(), Partners: m.options.Partners}
 	given.Platform.URL = m.url
 	given.Drain.Settle = m.options.Settle
+	given.Timing = m.options.Timing
 	for _, partner := range m.options.Partners {
 		given.Operators.Tokens = append(given.Operators.Tokens, settings.Token{
 			Partner: partner,
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -83,7 +83,7 @@
 		header.Get(headerBackend) == p.config.Backend &&
 		header.Get(headerService) == p.config.Service.String()
 	if incarnation := header.Get(headerIncarnation); incarnation != "" {
-		mine = mine && incarnation == strconv.FormatUint(uint64(p.config.Incarnation), 10)
+		mine = mine && p.incarnations.include(incarnation)
 	}
 	if !mine {
 		return nil, Refusal{Code: result.WrongBackend}, false
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -34,6 +34,7 @@
 	backend *upstream
 	health  *health
 
+	incarnations   incarnations
 	tally          tally
 	callersRunning atomic.Int64
 	gateRunning    atomic.Int64
@@ -59,6 +60,7 @@
 		closed:   make(chan struct{}),
 		hashSeed: rand.Uint64(),
 	}
+	proxy.incarnations.add(config.Incarnation)
 	incarnation := strconv.FormatUint(uint64(config.Incarnation), 36)
 	proxy.requestPrefix = string(config.NodeID) + "-" + incarnation + "-"
 	proxy.randomState.Store(config.RandomSeed)
@@ -102,6 +104,7 @@
 func (p *Proxy) PublishMembers(members []protocol.Member) {
 	p.changing.Lock()
 	defer p.changing.Unlock()
+	p.incarnations.learn(p.config.NodeID, members)
 	old := p.view.Load()
 	p.publish(p.buildView(old, old.snapshot, members))
 }
