Admission and retry: time left to run, a reserve of retries for urgent calls

Change: a call waits at most 0.6 of its remaining time and starts only with a mean service time left; half of the saved retries are for urgent calls.

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -50,6 +50,11 @@
 	refusingAny = drainingBit | closedBit
 )
 
+// waitShare is the most of a call's remaining time that it may be expected to
+// wait. A call that starts with hardly any time left is likely to be cut off
+// while it runs, and its outcome to be unknown.
+const waitShare = 0.6
+
 // fullRetryAfter is the wait told to a call that meets a full memory of keys.
 const fullRetryAfter = 5 * time.Second
 
@@ -213,7 +218,8 @@
 		return Verdict{State: StateQueued}
 	}
 	wait := g.expectedWait(into, into.ahead(ticket.class()))
-	if now+wait+g.meanService()/2 > ticket.Deadline {
+	left := ticket.Deadline - now
+	if wait+g.meanService() > left || wait > time.Duration(float64(left)*waitShare) {
 		return refused(result.DeadlineBeforeStart, wait)
 	}
 	if wait > g.config.QueueWait {
@@ -330,7 +336,7 @@
 
 // startWaiting settles a call taken from the queue and tells whether it runs.
 func (g *Gate) startWaiting(now time.Duration, ticket *Ticket) bool {
-	if !g.config.NoEstimate && now+g.meanService()/2 > ticket.Deadline {
+	if !g.config.NoEstimate && now+g.meanService() > ticket.Deadline {
 		ticket.settle(refused(result.DeadlineBeforeStart, 0))
 		return false
 	}
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -12,6 +12,8 @@
 	depositPerCall = unit / 10
 	// budgetCap is the most that is saved up.
 	budgetCap = 20 * unit
+	// urgentReserve is the part of it that is kept for urgent calls.
+	urgentReserve = budgetCap / 2
 	// trickle keeps a service with few calls able to retry.
 	trickle       = unit
 	tricklePeriod = time.Second
@@ -48,15 +50,20 @@
 	}
 }
 
-// Withdraw takes one retry and answers false when there is none.
-func (b *Budget) Withdraw(now time.Duration) bool {
+// Withdraw takes one retry and answers false when there is none. The last half
+// of what may be saved up is for urgent calls.
+func (b *Budget) Withdraw(now time.Duration, urgent bool) bool {
+	floor := int64(unit)
+	if !urgent {
+		floor += urgentReserve
+	}
 	due := b.trickleAt.Load()
 	if int64(now) >= due && b.trickleAt.CompareAndSwap(due, int64(now+tricklePeriod)) {
 		b.add(trickle)
 	}
 	for {
 		held := b.tokens.Load()
-		if held < unit {
+		if held < floor {
 			return false
 		}
 		if b.tokens.CompareAndSwap(held, held-unit) {
--- a/internal/core/retry/call.go
+++ b/internal/core/retry/call.go
@@ -52,6 +52,8 @@
 	Repeatable bool
 	// Attempts is the most attempts, the first included.
 	Attempts int
+	// Urgent calls may use the part of the budget that is kept for them.
+	Urgent bool
 	// NoRetry is the mark of a caller above that retries already.
 	NoRetry bool
 	// Deadline is on the caller's clock.
@@ -143,7 +145,7 @@
 		return c.send(now, outcome)
 	case c.policy.NoRetry || c.attempts-c.relocations >= c.policy.Attempts:
 		return c.giveUp(outcome)
-	case !c.policy.Unbudgeted && !c.budget.Withdraw(now):
+	case !c.policy.Unbudgeted && !c.budget.Withdraw(now, c.policy.Urgent):
 		return c.budgetSpent(outcome)
 	}
 	return c.send(now, outcome)
--- a/internal/core/retry/call_test.go
+++ b/internal/core/retry/call_test.go
@@ -87,9 +87,14 @@
 		}
 	}
 	check.True(retries >= 100)
-	check.True(retries <= 121) // a tenth of the calls and what was saved up
-	check.True(budget.Withdraw(time.Second))
-	check.True(!budget.Withdraw(time.Second))
+	check.True(retries <= 111) // a tenth of the calls and half of what was saved up
+	check.True(!budget.Withdraw(0, false))
+	for range urgentReserve / unit {
+		check.True(budget.Withdraw(0, true)) // kept for urgent calls
+	}
+	check.True(!budget.Withdraw(0, true))
+	check.True(budget.Withdraw(time.Second, true)) // what trickles in
+	check.True(!budget.Withdraw(time.Second, true))
 }
 
 // TestAtMostOnce draws outcomes of attempts and holds the machine to I5 and
--- /dev/null
+++ b/internal/proxy/bench_test.go
@@ -0,0 +1,66 @@
+package proxy
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+
+	"github.com/springstack/springstack/internal/core/admission"
+	"github.com/springstack/springstack/internal/core/resource"
+)
+
+// BenchmarkDecisions is everything that the callers' side decides for a call
+// before it sends it: route, retries, endpoint and the outgoing request.
+func BenchmarkDecisions(b *testing.B) {
+	var backends []resource.Backend
+	for index := range 7 {
+		backends = append(backends, resource.Backend{
+			Partner: "k", Name: strconv.Itoa(index), Service: "plans",
+			Address: "127.0.0.1:1", Region: "r", Zone: "z", Slots: 6,
+		})
+	}
+	proxy := New(Config{Clock: testClock, NodeID: "caller", Region: "r", Zone: "z"})
+	b.Cleanup(proxy.Close)
+	proxy.Swap(testSnapshot(meshOptions{}, backends))
+	proxy.ExtendServing(1 << 62)
+	b.ReportAllocs()
+	b.RunParallel(func(loop *testing.PB) {
+		request := httptest.NewRequest(http.MethodGet, "http://host/orders/17?x=1", nil)
+		request.Header.Set("Accept", "text/plain")
+		for loop.Next() {
+			call, _, _ := proxy.acceptCall(request)
+			shared := proxy.view.Load().services[call.service]
+			chosen := call.choose(shared.set, testClock())
+			call.outgoing(chosen, false, call.timeout)
+		}
+	})
+}
+
+// BenchmarkFingerprints is the gate's hashing of the ids of a call.
+func BenchmarkFingerprints(b *testing.B) {
+	proxy := &Proxy{hashSeed: 1}
+	b.ReportAllocs()
+	b.RunParallel(func(loop *testing.PB) {
+		var last admission.Fingerprint
+		for loop.Next() {
+			last ^= proxy.fingerprint("request", "gate-a-1b2c3d4e5f-9k")
+		}
+	})
+}
+
+// BenchmarkMesh is a whole call over loopback: client, callers' side, gate,
+// back end and back again, with a client for each core.
+func BenchmarkMesh(b *testing.B) {
+	mesh := startMesh(b, meshOptions{slots: 1 << 10}, backendSpec{handler: func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = writer.Write([]byte("ok"))
+	}})
+	b.ReportAllocs()
+	b.RunParallel(func(loop *testing.PB) {
+		for loop.Next() {
+			if answer := mesh.call(b, "GET", "/", ""); answer.status != http.StatusOK {
+				b.Error(answer.status, answer.body)
+			}
+		}
+	})
+}
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -125,6 +125,7 @@
 	c.policy = retry.Policy{
 		Repeatable: c.route.Repeatable(c.request.Method),
 		Attempts:   c.route.Attempts,
+		Urgent:     c.route.Resource.Priority >= resource.PriorityHigh,
 		NoRetry:    header.Get(headerNoRetry) != "" && !c.proxy.config.Baseline.UnbudgetedRetries,
 		Deadline:   c.deadline,
 		Unbudgeted: c.proxy.config.Baseline.UnbudgetedRetries,
--- a/internal/proxy/mesh_test.go
+++ b/internal/proxy/mesh_test.go
@@ -55,7 +55,7 @@
 	state  func(protocol.EndpointState)
 }
 
-func startMesh(t *testing.T, options meshOptions, specs ...backendSpec) *mesh {
+func startMesh(t testing.TB, options meshOptions, specs ...backendSpec) *mesh {
 	t.Helper()
 	if options.slots == 0 {
 		options.slots = 6
@@ -120,7 +120,7 @@
 }
 
 // serve serves a handler until the test ends and returns the address.
-func serve(t *testing.T, handler http.Handler, limits Limits) string {
+func serve(t testing.TB, handler http.Handler, limits Limits) string {
 	t.Helper()
 	listener := listen(t)
 	server := NewServer(handler, limits)
@@ -129,7 +129,7 @@
 	return listener.Addr().String()
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -139,7 +139,7 @@
 	return listener
 }
 
-func startBackend(t *testing.T, spec backendSpec) string {
+func startBackend(t testing.TB, spec backendSpec) string {
 	t.Helper()
 	if spec.address != "" {
 		return spec.address
@@ -195,7 +195,7 @@
 func (a answered) code() string { return a.header.Get(headerCode) }
 func (a answered) ran() string  { return a.header.Get(headerRan) }
 
-func (m *mesh) call(t *testing.T, method, path, body string, headers ...string) answered {
+func (m *mesh) call(t testing.TB, method, path, body string, headers ...string) answered {
 	t.Helper()
 	var reader io.Reader
 	if body != "" {
@@ -211,7 +211,7 @@
 	return m.send(t, request)
 }
 
-func (m *mesh) send(t *testing.T, request *http.Request) answered {
+func (m *mesh) send(t testing.TB, request *http.Request) answered {
 	t.Helper()
 	answer, err := m.client.Do(request)
 	if err != nil {
@@ -224,7 +224,7 @@
 }
 
 // raw sends bytes to the callers' side and returns all that comes back.
-func (m *mesh) raw(t *testing.T, text string) string {
+func (m *mesh) raw(t testing.TB, text string) string {
 	t.Helper()
 	conn, err := net.Dial("tcp", m.address)
 	if err != nil {
@@ -248,7 +248,7 @@
 }
 
 // dead is an address where nobody listens.
-func dead(t *testing.T) string {
+func dead(t testing.TB) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
