--- a/cmd/springstack-lab/main.go
+++ b/cmd/springstack-lab/main.go
@@ -18,6 +18,8 @@
 			demoCommand(),
 			experimentCommand(),
 			fuzzCommand(),
+			platformCommand(),
+			reportCommand(),
 		},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
