Tell the mesh when a daemon has stopped; demo with short fetches; direct baseline without claims

The demo's leases were twice its fetch hold, so daemons left their parents between fetches and each became a root for a moment; a claim of in force then waited for the other root's leases.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -112,6 +112,7 @@
 	d.mesh.Shell().Leave(ctx)
 	d.path.StartDrain()
 	d.awaitDrained(ctx)
+	d.reportStopped(ctx)
 	err := d.shutdown()
 	d.event("daemon_stopped")
 	return errors.Trace(err)
@@ -138,6 +139,20 @@
 	}
 }
 
+// reportStopped tells the mesh that this daemon serves no more, so that it is
+// not waited for.
+func (d *Daemon) reportStopped(ctx context.Context) {
+	if !d.mesh.Shell().Stopped(ctx) {
+		return
+	}
+	reported := time.NewTimer(StoppedReport)
+	defer reported.Stop()
+	select {
+	case <-reported.C:
+	case <-ctx.Done():
+	}
+}
+
 // Kill ends the daemon at once, as a crash would: nothing is drained and
 // nobody is told.
 func (d *Daemon) Kill() {
--- a/internal/daemon/shell.go
+++ b/internal/daemon/shell.go
@@ -224,6 +224,13 @@
 // Leave tells the mesh that the daemon is leaving.
 func (s *Shell) Leave(ctx context.Context) bool { return s.send(ctx, node.Leave{}) }
 
+// Stopped tells the mesh that the data path has stopped for good. The shell
+// must run on for StoppedReport, so that the word goes out.
+func (s *Shell) Stopped(ctx context.Context) bool { return s.send(ctx, node.Stopped{}) }
+
+// StoppedReport is how long the word of a stop takes to go out.
+const StoppedReport = 500 * time.Millisecond
+
 // ReportBackend tells the node the state of the back end beside it. It does
 // not block; of several reports in a row the node may see only the newest.
 func (s *Shell) ReportBackend(state protocol.EndpointState) {
--- a/internal/lab/convergence/direct.go
+++ b/internal/lab/convergence/direct.go
@@ -31,6 +31,7 @@
 		return nil, errors.Trace(err)
 	}
 	cluster.Platform.SetReaderLimit(0)
+	cluster.Observer.IgnoreClaims()
 	if err := cluster.Start(); err != nil {
 		cluster.Close()
 		return nil, errors.Trace(err)
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -25,7 +25,10 @@
 
 // shortLeases keep the demo short: a new root may call nothing in force until
 // every lease that another root may have granted has run out.
+// A fetch must be answered well within half a lease, or daemons would leave
+// their parents.
 var shortLeases = settings.Timing{
+	FetchWait:    600 * time.Millisecond,
 	ServingLease: 4 * time.Second,
 	DeadAfter:    14 * time.Second,
 }
