--- a/cmd/springstack-lab/experiment.go
+++ b/cmd/springstack-lab/experiment.go
@@ -19,6 +19,7 @@
 		Usage: "measure springstack; the last line is one JSON object",
 		Commands: []*cli.Command{
 			convergenceCommand(),
+			scaleCommand(),
 			requestPathCommand(),
 			overloadCommand(),
 			rollingCommand(),
--- a/internal/lab/hollow/cluster.go
+++ b/internal/lab/hollow/cluster.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -84,22 +85,40 @@
 // Start starts all daemons.
 func (c *Cluster) Start() error {
 	c.Observer.Expect(len(c.Nodes))
+	if err := c.StartAll(); err != nil {
+		return err
+	}
+	c.publishMachines()
+	return nil
+}
+
+// KillAll ends all daemons at once.
+func (c *Cluster) KillAll() {
+	var ending sync.WaitGroup
+	for _, one := range c.Nodes {
+		if one.Daemon != nil {
+			ending.Go(one.Kill)
+		}
+	}
+	ending.Wait()
+}
+
+// StartAll starts all daemons that are down.
+func (c *Cluster) StartAll() error {
 	for _, one := range c.Nodes {
+		if one.Daemon != nil {
+			continue
+		}
 		if err := one.Start(); err != nil {
 			return err
 		}
 	}
-	c.publishMachines()
 	return nil
 }
 
 // Close ends everything at once.
 func (c *Cluster) Close() {
-	for _, one := range c.Nodes {
-		if one.Daemon != nil {
-			one.Kill()
-		}
-	}
+	c.KillAll()
 	c.server.Close()
 }
 
@@ -210,11 +229,7 @@
 func (c *Cluster) Traffic() control.Traffic {
 	var sum control.Traffic
 	for _, one := range c.Nodes {
-		traffic := one.Traffic()
-		sum.BytesIn += traffic.BytesIn
-		sum.BytesOut += traffic.BytesOut
-		sum.FramesIn += traffic.FramesIn
-		sum.FramesOut += traffic.FramesOut
+		sum = addTraffic(sum, one.Traffic())
 	}
 	return sum
 }
--- a/internal/lab/hollow/node.go
+++ b/internal/lab/hollow/node.go
@@ -1,8 +1,10 @@
 package hollow
 
 import (
+	"context"
 	"net"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -28,6 +30,8 @@
 
 	cluster *Cluster
 	number  int
+	// mutex guards Daemon and the past against the sampler.
+	mutex   sync.Mutex
 	address string
 	port    *platform.HTTP
 	// past is the traffic of earlier lives.
@@ -51,7 +55,7 @@
 	}
 	n.port = port
 	n.cluster.starts++
-	n.Daemon = daemon.NewHollow(daemon.HollowOptions{
+	started := daemon.NewHollow(daemon.HollowOptions{
 		Config:   n.config(),
 		Listener: listener,
 		Platform: acceptancePort{Port: port, observer: n.cluster.Observer},
@@ -59,7 +63,11 @@
 		Events:   eventWatch{node: n},
 		Wrap:     n.cluster.options.Wrap,
 	})
-	n.Daemon.Start()
+	started.Start()
+	started.Shell().ReportBackend(protocol.EndpointReady)
+	n.mutex.Lock()
+	n.Daemon = started
+	n.mutex.Unlock()
 	return nil
 }
 
@@ -93,37 +101,80 @@
 
 // Kill ends the daemon at once.
 func (n *Node) Kill() {
-	n.past = n.Traffic()
-	n.pastState = n.State()
-	n.Daemon.Stop()
-	n.port.Close()
+	n.mutex.Lock()
+	ending := n.Daemon
+	n.past = addTraffic(n.past, ending.Meter().Total())
+	n.pastState = addSteps(ending.Shell().State(), n.pastState)
 	n.Daemon = nil
+	n.mutex.Unlock()
+	ending.Stop()
+	n.port.Close()
 	n.cluster.Observer.Down(n.ID)
 }
 
+// Leave tells the others that the daemon leaves and has stopped.
+func (n *Node) Leave(ctx context.Context) {
+	n.Daemon.Shell().Leave(ctx)
+	n.Daemon.Shell().Stopped(ctx)
+	select {
+	case <-time.After(daemon.StoppedReport):
+	case <-ctx.Done():
+	}
+}
+
+// readyPoll is how often AwaitReady looks.
+const readyPoll = 5 * time.Millisecond
+
+// AwaitReady waits until the daemon serves.
+func (n *Node) AwaitReady(ctx context.Context, bound time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for !n.Daemon.Shell().State().Ready() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
 // Traffic returns the control bytes over all lives.
 func (n *Node) Traffic() control.Traffic {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
 	if n.Daemon == nil {
 		return n.past
 	}
-	now := n.Daemon.Meter().Total()
-	return control.Traffic{
-		BytesIn:   n.past.BytesIn + now.BytesIn,
-		BytesOut:  n.past.BytesOut + now.BytesOut,
-		FramesIn:  n.past.FramesIn + now.FramesIn,
-		FramesOut: n.past.FramesOut + now.FramesOut,
-	}
+	return addTraffic(n.past, n.Daemon.Meter().Total())
 }
 
 // State returns the shell's state, with steps counted over all lives.
 func (n *Node) State() daemon.State {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
 	if n.Daemon == nil {
 		return n.pastState
 	}
-	now := n.Daemon.Shell().State()
-	now.Steps += n.pastState.Steps
-	now.StepTime += n.pastState.StepTime
-	now.PlatformCalls += n.pastState.PlatformCalls
+	return addSteps(n.Daemon.Shell().State(), n.pastState)
+}
+
+func addTraffic(one, other control.Traffic) control.Traffic {
+	return control.Traffic{
+		BytesIn:   one.BytesIn + other.BytesIn,
+		BytesOut:  one.BytesOut + other.BytesOut,
+		FramesIn:  one.FramesIn + other.FramesIn,
+		FramesOut: one.FramesOut + other.FramesOut,
+	}
+}
+
+// addSteps adds the counts of an earlier life to a state.
+func addSteps(now, past daemon.State) daemon.State {
+	now.Steps += past.Steps
+	now.StepTime += past.StepTime
+	now.PlatformCalls += past.PlatformCalls
 	return now
 }
 
