--- /dev/null
+++ b/internal/core/reader/model_test.go
@@ -0,0 +1,337 @@
+package reader
+
+import (
+	"encoding/binary"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"pgregory.net/rapid"
+
+	"github.com/springstack/springstack/internal/core/ledger"
+	"github.com/springstack/springstack/internal/core/object"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+	_ "github.com/springstack/springstack/internal/fixedseed" // the same draws on every run
+	"github.com/springstack/springstack/internal/lab/standin"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// sending is one request of an operator and what it was told.
+type sending struct {
+	client  *client
+	life    *Reader
+	ticket  Ticket
+	request *protocol.SubmitRequest
+	reply   *protocol.SubmitReply
+}
+
+// question is a FreshHead and the version that its answer may not be below.
+type question struct {
+	client  *client
+	life    *Reader
+	ticket  Ticket
+	atLeast protocol.Version
+}
+
+// oracle sees what operators and daemons are told, and every head that the
+// platform ever had.
+type oracle struct {
+	t         *rapid.T
+	world     *world
+	seen      object.Version
+	history   []*ledger.Head
+	sendings  []*sending
+	questions []question
+	tickets   Ticket
+}
+
+// observe notes the head when it has changed and checks the readers.
+func (o *oracle) observe() {
+	head, version := o.world.headObject()
+	if version != o.seen {
+		o.checkHead(head)
+		o.seen = version
+		o.history = append(o.history, head)
+	}
+	o.checkLeases()
+}
+
+// checkHead holds a new head to the one before: versions are dense, and an
+// operation keeps its answer.
+func (o *oracle) checkHead(head *ledger.Head) {
+	if len(o.history) == 0 {
+		return
+	}
+	before := o.history[len(o.history)-1]
+	if head.Version < before.Version {
+		o.t.Fatalf("the head moved back from version %d to %d", before.Version, head.Version)
+	}
+	versions := map[string]protocol.Version{}
+	for _, operation := range before.Operations {
+		versions[operation.ID] = operation.Version
+	}
+	taken := 0
+	for _, operation := range head.Operations {
+		version, known := versions[operation.ID]
+		if known && version != operation.Version {
+			o.t.Fatalf("operation %s was applied twice", operation.ID)
+		}
+		if !known {
+			taken++
+		}
+	}
+	if grown := int(head.Version - before.Version); grown > max(taken, 1) {
+		o.t.Fatalf("%d operations made %d versions", taken, grown)
+	}
+}
+
+// checkLeases holds the readers to one a slot, by true time.
+func (o *oracle) checkLeases() {
+	holders := map[string]string{}
+	for _, c := range o.world.clients {
+		lease := &c.reader.lease
+		if !lease.held || c.clock() >= lease.expires {
+			continue
+		}
+		if other, taken := holders[lease.slot]; taken {
+			o.t.Fatalf("%s and %s hold %s at once", other, c.name, lease.slot)
+		}
+		holders[lease.slot] = c.name
+	}
+}
+
+// collect takes the answers that came and checks what they say.
+func (o *oracle) collect() {
+	for _, sent := range o.sendings {
+		if sent.reply == nil && sent.client.reader == sent.life {
+			sent.reply = sent.client.done[sent.ticket]
+		}
+	}
+	for _, asked := range o.questions {
+		answer, answered := asked.client.heads[asked.ticket]
+		if asked.client.reader == asked.life && answered && answer.OK && answer.Version < asked.atLeast {
+			o.t.Fatalf("a fresh head had version %d after %d", answer.Version, asked.atLeast)
+		}
+	}
+	for _, c := range o.world.clients {
+		o.checkReady(c)
+	}
+}
+
+// checkReady holds what a reader hands out to what was accepted: whole, in
+// order, never back.
+func (o *oracle) checkReady(c *client) {
+	last := protocol.Version(0)
+	for _, ready := range c.ready {
+		if ready.Version < last {
+			o.t.Fatalf("%s went back from version %d to %d", c.name, last, ready.Version)
+		}
+		last = ready.Version
+		accepted := 0
+		for _, file := range ready.Files {
+			if !file.Held {
+				accepted++
+			}
+		}
+		if accepted != len(ready.Resources) {
+			o.t.Fatalf("%s handed out %d resources of %d files", c.name, len(ready.Resources), accepted)
+		}
+	}
+	c.ready = c.ready[max(0, len(c.ready)-1):]
+}
+
+// finish checks what operators were told against all heads that ever were.
+func (o *oracle) finish() {
+	ran := map[string]protocol.Version{}
+	for _, head := range o.history {
+		for _, operation := range head.Operations {
+			ran[operation.ID] = operation.Version
+		}
+	}
+	refused := map[string]bool{}
+	for _, sent := range o.sendings {
+		id := sent.request.Operation
+		if sent.reply == nil {
+			refused[id] = false
+			continue
+		}
+		entry, _ := result.Lookup(sent.reply.Code)
+		accepted := sent.reply.Code == result.OK || sent.reply.Code == result.Held
+		if version, has := ran[id]; accepted && (!has || version != sent.reply.Version) {
+			o.t.Fatalf("operation %s was called accepted in version %d, which it was not", id, sent.reply.Version)
+		}
+		before, known := refused[id]
+		refused[id] = entry.Ran == result.RanNo && (before || !known)
+	}
+	for id, all := range refused {
+		if _, has := ran[id]; all && has {
+			o.t.Fatalf("operation %s ran, and all its sendings were told that it did not", id)
+		}
+	}
+}
+
+// step draws and runs one action.
+func (o *oracle) step() {
+	w := o.world
+	c := w.clients[w.random.IntN(len(w.clients))]
+	for range 4 {
+		if other := w.clients[w.random.IntN(len(w.clients))]; !c.reader.IsReader() {
+			c = other
+		}
+	}
+	switch action := w.random.IntN(100); {
+	case action < 40:
+		o.submit(c)
+	case action < 50:
+		o.resend(c)
+	case action < 58:
+		o.tickets++
+		o.questions = append(o.questions, question{client: c, life: c.reader, ticket: o.tickets, atLeast: w.head().Version})
+		ticket := o.tickets
+		c.input(func(now time.Duration) []Output { return c.reader.FreshHead(now, ticket) })
+	case action < 64:
+		o.setKeepers(c)
+	case action < 68:
+		c.paused = true
+	case action < 80:
+		for _, sleeper := range w.clients {
+			sleeper.wake()
+		}
+	case action < 82:
+		c.restart("windhoek")
+	case action < 88:
+		w.store.Compact(w.store.Version())
+	default:
+		o.changeFaults()
+	}
+	w.run(time.Duration(w.random.Int64N(int64(lengths[w.random.IntN(len(lengths))]))))
+	o.collect()
+}
+
+// lengths are the longest waits between two actions.
+var lengths = []time.Duration{5 * time.Millisecond, 50 * time.Millisecond, time.Second, 10 * time.Second}
+
+func (o *oracle) submit(c *client) {
+	files := []string{"roastery", "plans", "labels"}
+	o.tickets++
+	operation := string(binary.BigEndian.AppendUint64(nil, uint64(o.tickets)))
+	file := files[o.world.random.IntN(len(files))]
+	entry, found := o.world.head().File(resource.FileKey{Partner: "kameeldoring", Name: file})
+	action := protocol.ActionSubmit
+	if found {
+		action = []protocol.Action{protocol.ActionReplace, protocol.ActionReplace, protocol.ActionWithdraw}[o.world.random.IntN(3)]
+	}
+	request := o.world.change(operation, file, action)
+	if found && o.world.random.IntN(2) == 0 {
+		request.Expect = protocol.Expectation{Given: true, Revision: entry.Revision()}
+	}
+	o.send(c, request)
+}
+
+// resend sends an earlier request again, to any reader.
+func (o *oracle) resend(c *client) {
+	if len(o.sendings) == 0 {
+		return
+	}
+	o.tickets++
+	o.send(c, o.sendings[max(0, len(o.sendings)-1-o.world.random.IntN(4))].request)
+}
+
+func (o *oracle) send(c *client, request *protocol.SubmitRequest) {
+	o.sendings = append(o.sendings, &sending{client: c, life: c.reader, ticket: o.tickets, request: request})
+	c.submit(o.tickets, request)
+}
+
+func (o *oracle) setKeepers(c *client) {
+	current, _ := o.world.head().KeeperSet("windhoek")
+	set := protocol.KeeperSet{Region: "windhoek", Revision: current.Revision, Write: 1, Read: 1}
+	set.Members = []protocol.KeeperMember{{ID: protocol.NodeID(c.name), ControlAddress: "127.0.0.1:1"}}
+	c.input(func(now time.Duration) []Output { return c.reader.SetKeepers(now, []protocol.KeeperSet{set}) })
+}
+
+// changeFaults draws the platform's faults of the next while.
+func (o *oracle) changeFaults() {
+	w := o.world
+	chance := func() float64 { return float64(w.random.IntN(3)) * w.random.Float64() / 3 }
+	w.faults = standin.Faults{
+		Jitter:         time.Duration(w.random.Int64N(int64(200 * time.Millisecond))),
+		ListLag:        time.Duration(w.random.Int64N(int64(2 * time.Second))),
+		LostAnswer:     chance(),
+		LostRequest:    chance(),
+		LeaseLapse:     chance(),
+		DuplicateEvent: chance(),
+		CrossedEvent:   chance(),
+		ReplayedEvent:  chance(),
+		BrokenWatch:    chance(),
+	}
+	w.late = chance()
+	if w.random.IntN(5) == 0 {
+		w.faults.Outage = []standin.Outage{standin.OutageRefusing, standin.OutageSilent}[w.random.IntN(2)]
+	}
+	if w.random.IntN(6) == 0 {
+		w.faults, w.late = standin.Faults{}, 0
+	}
+}
+
+// recover switches all faults off and expects the next change to be accepted.
+func (o *oracle) recover() {
+	w := o.world
+	w.faults, w.late = standin.Faults{}, 0
+	for _, c := range w.clients {
+		c.wake()
+	}
+	w.run(time.Minute)
+	for _, c := range w.clients {
+		if !c.reader.IsReader() {
+			continue
+		}
+		o.tickets++
+		o.send(c, w.change(string(binary.BigEndian.AppendUint64(nil, uint64(o.tickets))), "last", protocol.ActionSubmit))
+		w.run(5 * time.Second)
+		o.collect()
+		if reply := o.sendings[len(o.sendings)-1].reply; reply == nil || reply.Code != result.OK && reply.Code != result.RevisionMismatch {
+			o.t.Fatalf("after the faults a change was answered %+v", reply)
+		}
+		return
+	}
+	o.t.Fatalf("a minute after the faults there was no reader")
+}
+
+func TestReadersUnderFaults(t *testing.T) {
+	accepted, unknown, refused := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		seed := xxhash.Sum64(rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "seed"))
+		o := &oracle{t: t, world: newWorld(seed)}
+		o.world.changed = o.observe
+		for range 4 {
+			c := o.world.add("windhoek")
+			c.rate = 0.97 + 0.02*float64(o.world.random.IntN(4))
+		}
+		for range modelSteps - rapid.IntRange(0, modelSteps-1).Draw(t, "cut") {
+			o.step()
+		}
+		o.recover()
+		o.finish()
+		for _, sent := range o.sendings {
+			if sent.reply == nil {
+				continue
+			}
+			switch entry, _ := result.Lookup(sent.reply.Code); entry.Ran {
+			case result.RanYes:
+				accepted++
+			case result.RanUnknown:
+				unknown++
+			default:
+				refused++
+			}
+		}
+	})
+	t.Logf("changes accepted: %d, unknown: %d, refused: %d", accepted, unknown, refused)
+	if accepted == 0 || unknown == 0 || refused == 0 {
+		t.Fatal("the model never got anywhere")
+	}
+}
+
+// modelSteps is how many actions one run of the model has at most.
+const modelSteps = 120
--- a/internal/core/reader/world_test.go
+++ b/internal/core/reader/world_test.go
@@ -16,14 +16,18 @@
 
 // world runs readers against the stand-in's store on virtual time.
 type world struct {
-	now     time.Duration
-	random  *rand.Rand
-	store   *standin.Store
-	faults  standin.Faults
-	late    float64
-	queue   schedule
-	order   int
-	clients []*client
+	now         time.Duration
+	random      *rand.Rand
+	store       *standin.Store
+	faults      standin.Faults
+	late        float64
+	queue       schedule
+	order       int
+	clients     []*client
+	headCache   *ledger.Head
+	headVersion object.Version
+	// changed is called after each event.
+	changed func()
 }
 
 // client is one reader with its share of the shell.
@@ -68,6 +72,7 @@
 func newWorld(seed uint64) *world {
 	limits := standin.DefaultLimits()
 	limits.LogEvents = 20
+	limits.Readers = 0
 	return &world{random: rand.New(rand.NewPCG(seed, 1)), store: standin.NewStore(limits)}
 }
 
@@ -83,6 +88,9 @@
 		next := heap.Pop(&w.queue).(scheduled)
 		w.now = next.at
 		next.run()
+		if w.changed != nil {
+			w.changed()
+		}
 	}
 	w.now = end
 }
@@ -267,13 +275,22 @@
 
 // head returns the head on the platform.
 func (w *world) head() *ledger.Head {
-	reply := w.store.Apply(w.now, "oracle", object.Call{Kind: object.CallGet, Name: ledger.HeadObject}, standin.Lag{})
+	head, _ := w.headObject()
+	return head
+}
+
+// headObject returns the head on the platform and its object version.
+func (w *world) headObject() (*ledger.Head, object.Version) {
+	reply := w.store.Apply(w.now, "", object.Call{Kind: object.CallGet, Name: ledger.HeadObject}, standin.Lag{})
 	if reply.Code != result.OK {
-		return ledger.NewHead()
+		return ledger.NewHead(), 0
 	}
-	head, err := ledger.Decode(reply.Object.Data)
-	if err != nil {
-		panic(err)
+	if w.headCache == nil || w.headVersion != reply.Object.Version {
+		head, err := ledger.Decode(reply.Object.Data)
+		if err != nil {
+			panic(err)
+		}
+		w.headCache, w.headVersion = head, reply.Object.Version
 	}
-	return head
+	return w.headCache, w.headVersion
 }
