--- /dev/null
+++ b/internal/core/reader/script_test.go
@@ -0,0 +1,246 @@
+package reader
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/samber/lo"
+
+	"github.com/springstack/springstack/internal/core/ledger"
+	"github.com/springstack/springstack/internal/core/object"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// script drives one reader by hand: it answers its calls one by one.
+type script struct {
+	is      *is.I
+	reader  *Reader
+	now     time.Duration
+	calls   []PlatformCall
+	outputs []Output
+	world   *world
+}
+
+// newScript returns a reader that has just gained its lease.
+func newScript(t *testing.T) *script {
+	s := &script{is: is.New(t), reader: New(Config{ID: "one", Region: "windhoek", RandomSeed: 1}), world: newWorld(1)}
+	s.pass(0)
+	s.reply(LeasePrefix+"windhoek/", object.Reply{})
+	s.reply(s.calls[0].Call.Name, object.Reply{Object: object.Object{Version: 1}})
+	s.is.True(s.reader.IsReader())
+	return s
+}
+
+// pass lets time go by with a tick.
+func (s *script) pass(duration time.Duration) {
+	s.now += duration
+	s.take(s.reader.Tick(s.now, Candidacy{Candidate: true}))
+}
+
+func (s *script) take(outputs []Output) {
+	for _, output := range outputs {
+		if call, is := output.(PlatformCall); is {
+			s.calls = append(s.calls, call)
+		}
+	}
+	s.outputs = append(s.outputs, outputs...)
+}
+
+// reply answers the oldest call on an object.
+func (s *script) reply(name string, reply object.Reply) PlatformCall {
+	call, index, found := lo.FindIndexOf(s.calls, func(call PlatformCall) bool { return call.Call.Name == name })
+	if !found {
+		panic("no call on " + name)
+	}
+	s.calls = append(s.calls[:index:index], s.calls[index+1:]...)
+	s.take(s.reader.HandlePlatformReply(s.now, call.Token, reply))
+	return call
+}
+
+// head answers the oldest call on the head with a head that was encoded.
+func (s *script) head(version object.Version, data []byte) {
+	s.reply(ledger.HeadObject, object.Reply{Object: object.Object{Name: ledger.HeadObject, Version: version, Data: data}})
+}
+
+func (s *script) submit(ticket Ticket, request *protocol.SubmitRequest) {
+	s.take(s.reader.Submit(s.now, time.UnixMilli(epoch), ticket, request))
+}
+
+// answers returns the codes that a ticket was answered with.
+func (s *script) answers(ticket Ticket) []result.Code {
+	return lo.FilterMap(s.outputs, func(output Output, _ int) (result.Code, bool) {
+		done, is := output.(SubmitDone)
+		if !is || done.Ticket != ticket {
+			return 0, false
+		}
+		return done.Reply.Code, true
+	})
+}
+
+// waiting reports whether a call on an object waits for its answer.
+func (s *script) waiting(name string) bool {
+	return lo.ContainsBy(s.calls, func(call PlatformCall) bool { return call.Call.Name == name })
+}
+
+// writeContents answers all writes of contents.
+func (s *script) writeContents() {
+	for _, call := range s.calls {
+		if call.Call.Kind == object.CallCreate && call.Call.Name != ledger.HeadObject {
+			s.reply(call.Call.Name, object.Reply{})
+		}
+	}
+}
+
+var (
+	notFound    = object.Reply{Code: result.PlatformNotFound}
+	lost        = object.Reply{Code: result.PlatformUnknown}
+	conflict    = object.Reply{Code: result.PlatformExists}
+	unavailable = object.Reply{Code: result.PlatformUnavailable}
+)
+
+// sendChange brings a first change as far as its head update.
+func (s *script) sendChange() PlatformCall {
+	s.reply(ledger.HeadObject, notFound)
+	s.submit(1, s.world.change("op000001", "roastery", protocol.ActionSubmit))
+	s.writeContents()
+	return s.calls[len(s.calls)-1]
+}
+
+// renew answers renewals so that the lease lasts, and refuses all else.
+func (s *script) renewOnly(duration time.Duration) {
+	for end := s.now + duration; s.now < end; {
+		s.pass(100 * time.Millisecond)
+		for _, call := range s.calls {
+			answer := unavailable
+			if call.Call.Name == s.reader.lease.slot {
+				answer = object.Reply{Object: object.Object{Version: call.Call.Expect + 1}}
+			}
+			s.reply(call.Call.Name, answer)
+		}
+	}
+}
+
+func TestLostUpdateThatLandedIsAccepted(t *testing.T) {
+	s := newScript(t)
+	update := s.sendChange()
+	s.reply(ledger.HeadObject, lost)
+	s.pass(time.Second)
+	s.head(5, update.Call.Data)
+	s.is.Equal(s.answers(1), []result.Code{result.OK})
+}
+
+func TestLostUpdateIsSentAgainUnchanged(t *testing.T) {
+	s := newScript(t)
+	update := s.sendChange()
+	s.reply(ledger.HeadObject, lost)
+	s.pass(time.Second)
+	s.reply(ledger.HeadObject, notFound)
+	s.pass(time.Second)
+	s.is.Equal(s.reply(ledger.HeadObject, object.Reply{Object: object.Object{Version: 6}}).Call, update.Call)
+	s.is.Equal(s.answers(1), []result.Code{result.OK})
+}
+
+func TestLostUpdateThatMayLandIsNeverCalledNotAccepted(t *testing.T) {
+	for _, second := range []object.Reply{lost, unavailable, conflict} {
+		s := newScript(t)
+		s.sendChange()
+		s.reply(ledger.HeadObject, lost)
+		s.pass(time.Second)
+		s.reply(ledger.HeadObject, notFound)
+		s.pass(time.Second)
+		s.reply(ledger.HeadObject, second)
+		s.renewOnly(15 * time.Second)
+		s.is.Equal(s.answers(1), []result.Code{result.OutcomeUnknown})
+	}
+}
+
+func TestUpdateNeverSentIsNotAccepted(t *testing.T) {
+	s := newScript(t)
+	s.sendChange()
+	s.renewOnly(15 * time.Second)
+	s.is.Equal(s.answers(1), []result.Code{result.NotAccepted})
+	s.is.True(!s.waiting(ledger.HeadObject))
+}
+
+func TestPausedHolderStopsBeforeItDoesAnything(t *testing.T) {
+	s := newScript(t)
+	s.sendChange()
+	s.submit(2, s.world.change("op000002", "plans", protocol.ActionSubmit))
+	s.now += time.Minute
+	s.outputs, s.calls = nil, nil
+	s.take(s.reader.FreshHead(s.now, 9))
+	s.is.True(!s.reader.IsReader())
+	s.is.Equal(s.answers(1), []result.Code{result.OutcomeUnknown}) // its update had been sent
+	s.is.Equal(s.answers(2), []result.Code{result.NotAccepted})
+	s.is.Equal(len(s.calls), 0)
+}
+
+func TestLeaseCountsFromTheSendingOfTheRenewal(t *testing.T) {
+	s := newScript(t)
+	s.reply(ledger.HeadObject, notFound)
+	s.pass(2 * time.Second)
+	sent := s.now
+	s.now += 1900 * time.Millisecond
+	s.reply(s.reader.lease.slot, object.Reply{Object: object.Object{Version: 2}})
+	s.is.Equal(s.reader.lease.expires, sent+5400*time.Millisecond)
+}
+
+func TestFreshHeadNeedsAReadSentAfterTheQuestion(t *testing.T) {
+	s := newScript(t)
+	read := func() (answers []HeadRead) {
+		return lo.FilterMap(s.outputs, func(output Output, _ int) (HeadRead, bool) {
+			answer, is := output.(HeadRead)
+			return answer, is
+		})
+	}
+	s.take(s.reader.FreshHead(s.now, 1)) // the first read is already under way
+	s.take(s.reader.FreshHead(s.now, 2))
+	s.reply(ledger.HeadObject, notFound)
+	s.is.Equal(len(read()), 0)
+	s.head(3, ledger.Encode(ledger.NewHead()))
+	s.is.Equal(read(), []HeadRead{{Ticket: 1, OK: true}, {Ticket: 2, OK: true}})
+}
+
+func TestChangeThatNeedsAnotherIsNotBatchedWithIt(t *testing.T) {
+	s := newScript(t)
+	s.reply(ledger.HeadObject, notFound)
+	s.submit(1, s.world.change("op000001", "plans", protocol.ActionSubmit))
+	s.submit(2, s.world.change("op000002", "roastery", protocol.ActionSubmit))
+	s.submit(3, s.world.change("op000003", "labels", protocol.ActionSubmit))
+	s.submit(4, s.world.change("op000004", "roastery", protocol.ActionReplace))
+	s.writeContents()
+	s.head(5, s.calls[len(s.calls)-1].Call.Data) // the first change went alone
+	s.writeContents()
+	update, err := ledger.Decode(s.calls[len(s.calls)-1].Call.Data)
+	s.is.NoErr(err)
+	s.is.Equal(len(update.Operations), 3) // two more together, not the fourth
+	s.is.Equal(update.Version, protocol.Version(3))
+}
+
+func TestOlderAndRepeatedEventsChangeNothing(t *testing.T) {
+	s := newScript(t)
+	empty := ledger.NewHead()
+	s.head(7, ledger.Encode(empty))
+	watch := lo.FilterMap(s.outputs, func(output Output, _ int) (Token, bool) {
+		start, is := output.(StartWatch)
+		return start.Token, is
+	})
+	for _, version := range []object.Version{5, 7, 9, 8, 9} {
+		changed := *empty
+		changed.Term = uint64(version)
+		event := object.Event{Kind: object.EventPut, Object: object.Object{Name: ledger.HeadObject, Version: version, Data: ledger.Encode(&changed)}}
+		s.take(s.reader.HandleEvent(s.now, watch[0], event))
+	}
+	s.is.Equal(s.reader.head.version, object.Version(9))
+	s.is.Equal(s.reader.head.head.Term, uint64(9))
+}
+
+func TestCandidatesOnlyTouchThePlatform(t *testing.T) {
+	is := is.New(t)
+	reader := New(Config{ID: "one", Region: "windhoek", RandomSeed: 1})
+	for now := time.Duration(0); now < time.Minute; now += 50 * time.Millisecond {
+		is.Equal(len(reader.Tick(now, Candidacy{})), 0)
+	}
+}
