Keep a node's own work in proportion to what changed

The tree and the expected members were computed anew after each change of any record, and each try of another parent was told to the whole mesh and brought the whole roster along. Now the tree is computed at most twice a second and only when who counts has changed; a parent is named in the own record only once it has accepted; the former parent is kept while a preferred one is tried, less often each time it refuses; and a new parent sends only records in buckets whose sums differ.

--- a/internal/core/membership/roster.go
+++ b/internal/core/membership/roster.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 
 	"github.com/springstack/springstack/internal/core/protocol"
@@ -37,10 +39,20 @@
 	// again; stale items are dropped when they outnumber the members.
 	log  []change
 	next Cursor
-	// sorted caches All until the next change.
-	sorted []protocol.Member
+	// order holds the entries in ascending order of id.
+	order []*entry
+	// structure counts the changes that Structure speaks of.
+	structure uint64
+	// sums hold, by bucket of ids, the sum of the hashes of all records.
+	sums Sums
 }
 
+// Buckets is into how many parts the records are divided for Sums.
+const Buckets = 64
+
+// Sums tell two rosters apart, bucket by bucket, without sending records.
+type Sums [Buckets]uint64
+
 type entry struct {
 	member  protocol.Member
 	changed Cursor
@@ -67,16 +79,66 @@
 	}
 	if !found {
 		known = &entry{}
-		r.entries[member.ID] = known
+		r.insert(member.ID, known)
+	} else {
+		r.sums[bucketOf(member.ID)] -= recordHash(known.member)
 	}
+	if !found || structureDiffers(known.member, member) {
+		r.structure++
+	}
+	r.sums[bucketOf(member.ID)] += recordHash(member)
 	known.member = member
 	known.at = now
 	known.source = source
-	r.sorted = nil
 	r.logChange(known)
 	return true
 }
 
+func (r *Roster) insert(id protocol.NodeID, added *entry) {
+	r.entries[id] = added
+	at, _ := slices.BinarySearchFunc(r.order, id, compareEntry)
+	r.order = slices.Insert(r.order, at, added)
+}
+
+func compareEntry(one *entry, id protocol.NodeID) int { return cmp.Compare(one.member.ID, id) }
+
+// structureDiffers reports whether a change concerns who counts and who may be
+// whose parent, and not only an endpoint.
+func structureDiffers(a, b protocol.Member) bool {
+	return a.Incarnation != b.Incarnation || Live(a) != Live(b) || a.Reader != b.Reader || a.Root != b.Root ||
+		a.Zone != b.Zone || a.Region != b.Region || a.ControlAddress != b.ControlAddress
+}
+
+// recordHash identifies one state of a record: two records of a daemon with
+// the same place in the order of merging are the same.
+func recordHash(member protocol.Member) uint64 {
+	text := []byte(member.ID)
+	text = binary.BigEndian.AppendUint64(text, uint64(member.Incarnation))
+	text = binary.BigEndian.AppendUint64(text, member.Sequence)
+	text = append(text, byte(member.State))
+	return xxhash.Sum64(text)
+}
+
+func bucketOf(id protocol.NodeID) int { return int(xxhash.Sum64String(string(id)) % Buckets) }
+
+// Structure grows with each change of who counts and who may be whose parent.
+func (r *Roster) Structure() uint64 { return r.structure }
+
+// Sums returns the sums of all records.
+func (r *Roster) Sums() Sums { return r.sums }
+
+// Differing returns the records in buckets whose sums differ from the given.
+func (r *Roster) Differing(sums Sums) []protocol.Member {
+	var members []protocol.Member
+	for _, known := range r.order {
+		bucket := bucketOf(known.member.ID)
+		if sums[bucket] != r.sums[bucket] {
+			members = append(members, known.member)
+		}
+	}
+	return members
+}
+
 // MergeQuietly is Merge for a judgement that is not news from the member, such
 // as suspicion: ChangedAt stays what it was.
 func (r *Roster) MergeQuietly(now time.Duration, member protocol.Member, source Source) bool {
@@ -138,18 +200,32 @@
 	return 0
 }
 
-// All returns every record in ascending order of id. The list is shared and
-// must not be changed.
+// All returns a copy of every record in ascending order of id.
 func (r *Roster) All() []protocol.Member {
-	if r.sorted != nil {
-		return r.sorted
+	members := make([]protocol.Member, len(r.order))
+	for i, known := range r.order {
+		members[i] = known.member
 	}
-	r.sorted = make([]protocol.Member, 0, len(r.entries))
-	for _, known := range r.entries {
-		r.sorted = append(r.sorted, known.member)
+	return members
+}
+
+// Each calls visit with every record in ascending order of id. Records may be
+// merged meanwhile.
+func (r *Roster) Each(visit func(protocol.Member)) {
+	for _, known := range slices.Clone(r.order) {
+		visit(known.member)
 	}
-	slices.SortFunc(r.sorted, func(a, b protocol.Member) int { return cmp.Compare(a.ID, b.ID) })
-	return r.sorted
+}
+
+// Where returns the records that fit, in ascending order of id.
+func (r *Roster) Where(fits func(protocol.Member) bool) []protocol.Member {
+	var members []protocol.Member
+	for _, known := range r.order {
+		if fits(known.member) {
+			members = append(members, known.member)
+		}
+	}
+	return members
 }
 
 // Cursor returns the position after the newest change.
@@ -185,10 +261,12 @@
 
 // Forget drops members that have been dead or left for ForgetAfter.
 func (r *Roster) Forget(now time.Duration) {
-	for id, known := range r.entries {
-		if !Live(known.member) && now-known.at > ForgetAfter {
-			delete(r.entries, id)
-			r.sorted = nil
+	r.order = slices.DeleteFunc(r.order, func(known *entry) bool {
+		forgotten := !Live(known.member) && now-known.at > ForgetAfter
+		if forgotten {
+			delete(r.entries, known.member.ID)
+			r.sums[bucketOf(known.member.ID)] -= recordHash(known.member)
 		}
-	}
+		return forgotten
+	})
 }
--- a/internal/core/node/cluster_test.go
+++ b/internal/core/node/cluster_test.go
@@ -33,7 +33,8 @@
 	random   *rand.Rand
 	loss     float64
 	platform *platform
-	messages int
+	// observe sees every message.
+	observe func(from, to string, body any)
 	// submitted is set once the file exists.
 	submitted bool
 	// logs prints log events when set.
@@ -86,6 +87,7 @@
 		is:      is.New(t),
 		daemons: map[string]*daemon{},
 		cut:     func(string, string) bool { return false },
+		observe: func(string, string, any) {},
 	}
 	c.platform = newPlatform(c)
 	return c
@@ -265,7 +267,7 @@
 		c.step(from, node.PeerReply{Token: call.Token, Body: body, Failed: failed})
 	}
 	c.after(call.Timeout, func() { reply(nil, true) })
-	c.messages++
+	c.observe(from.config.ControlAddress, call.Address, call.Body)
 	to, known := c.daemons[call.Address]
 	if c.lost(from.config.ControlAddress, call.Address) {
 		return
@@ -283,6 +285,7 @@
 	c.order++
 	token := node.Token(c.order) | 1<<40
 	to.answers[token] = func(answer any) {
+		c.observe(to.config.ControlAddress, from.config.ControlAddress, answer)
 		if !c.lost(to.config.ControlAddress, from.config.ControlAddress) {
 			c.after(c.delay(), func() { reply(answer) })
 		}
--- a/internal/core/node/downstream.go
+++ b/internal/core/node/downstream.go
@@ -34,6 +34,8 @@
 	// cursor is how far in this daemon's change log the child has heard.
 	cursor         membership.Cursor
 	keeperRevision protocol.Version
+	// sums tell which records the child lacks, when it has no cursor.
+	sums []uint64
 	// joinedAt is the position in the change log at which the child's record
 	// was known.
 	joinedAt membership.Cursor
@@ -196,6 +198,7 @@
 	known.token = token
 	known.wait = min(request.Wait, n.config.Timing.FetchWait)
 	known.cursor = 0
+	known.sums = request.RosterSums
 	if request.ParentIncarnation == n.self.Incarnation {
 		known.cursor = request.MemberCursor
 	}
@@ -209,16 +212,6 @@
 	for _, member := range request.Members {
 		n.heardMember(member, membership.Below)
 	}
-	n.refuteSuspicion(known)
-}
-
-// refuteSuspicion lets a child that was called suspect or dead know at once:
-// its fetch is answered with its own record, which it then refutes.
-func (n *Node) refuteSuspicion(known *child) {
-	member, found := n.roster.Get(known.id)
-	if found && (member.State == protocol.MemberSuspect || member.State == protocol.MemberDead) {
-		known.cursor = 0
-	}
 }
 
 // childMoved forgets a child that has another parent now, or has left or died.
@@ -314,7 +307,7 @@
 		Released:     store.Version(),
 		InForce:      n.holding.inForce,
 		Incarnation:  n.self.Incarnation,
-		Members:      n.roster.Since(known.cursor),
+		Members:      n.membersFor(known),
 		MemberCursor: n.roster.Cursor(),
 	}
 	if store.Version() > known.have {
@@ -331,6 +324,15 @@
 	n.answer(token, reply)
 }
 
+// membersFor returns the records that a child lacks: those that changed since
+// its cursor, or, without one, those in which its roster differs.
+func (n *Node) membersFor(known *child) []protocol.Member {
+	if known.cursor == 0 && len(known.sums) == membership.Buckets {
+		return n.roster.Differing(membership.Sums(known.sums))
+	}
+	return n.roster.Since(known.cursor)
+}
+
 // admit limits the bytes that go out at once.
 func (n *Node) admit(delta *protocol.Delta) (time.Duration, bool) {
 	if delta == nil || len(delta.Payload) <= smallDelta {
--- a/internal/core/node/members.go
+++ b/internal/core/node/members.go
@@ -97,12 +97,11 @@
 	if _, known := n.floor(); !known {
 		return
 	}
-	for _, member := range n.roster.All() {
-		if member.ID == n.self.ID || !membership.Live(member) || !n.answersFor(member) {
-			continue
+	n.roster.Each(func(member protocol.Member) {
+		if member.ID != n.self.ID && membership.Live(member) && n.answersFor(member) {
+			n.judge(member)
 		}
-		n.judge(member)
-	}
+	})
 }
 
 // answersFor reports whether this daemon watches a member: its parent does,
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -177,24 +177,44 @@
 	return n.wallClock.Add(n.now - n.wallClockAt)
 }
 
-// view caches the tree and the expected members until the roster changes.
+// view caches what is computed from the whole roster.
 type view struct {
-	cursor   membership.Cursor
-	tree     *distribution.Tree
-	expected distribution.Expected
+	tree          *distribution.Tree
+	treeAt        time.Duration
+	treeStructure uint64
+	expected      distribution.Expected
+	// structure is that of expected; 0 before the first.
+	structure uint64
 }
 
-// refreshed returns the view of the newest roster.
-func (n *Node) refreshed() *view {
-	if n.view.tree != nil && n.view.cursor == n.roster.Cursor() {
-		return &n.view
+// treeInterval is the least time between computations of the tree. A tree that
+// is a little old only leads to another parent.
+const treeInterval = 500 * time.Millisecond
+
+// tree returns this daemon's view of its region's tree.
+func (n *Node) tree() *distribution.Tree {
+	stale := n.view.treeStructure != n.roster.Structure() && n.now-n.view.treeAt >= treeInterval
+	if n.view.tree == nil || stale || n.now == n.startedAt {
+		n.view.tree = distribution.NewTree(n.self, n.roster.All(), n.config.Timing.FanOut)
+		n.view.treeAt = n.now
+		n.view.treeStructure = n.roster.Structure()
 	}
-	n.view = view{
-		cursor:   n.roster.Cursor(),
-		tree:     distribution.NewTree(n.self, n.roster.All(), n.config.Timing.FanOut),
-		expected: distribution.Expect(n.config.Region, n.roster.All()),
+	return n.view.tree
+}
+
+// expected returns who must hold a version before it is in force; it is never
+// older than the roster.
+func (n *Node) expected() distribution.Expected {
+	if n.view.structure != n.roster.Structure() {
+		n.view.expected = distribution.Expect(n.config.Region, n.roster.All())
+		n.view.structure = n.roster.Structure()
 	}
-	return &n.view
+	return n.view.expected
 }
 
-func (n *Node) tree() *distribution.Tree { return n.refreshed().tree }
+// liveInRegion returns the members of a region that are counted.
+func (n *Node) liveInRegion(region string) []protocol.Member {
+	return n.roster.Where(func(member protocol.Member) bool {
+		return member.Region == region && membership.Live(member)
+	})
+}
--- a/internal/core/node/operators.go
+++ b/internal/core/node/operators.go
@@ -79,7 +79,7 @@
 		n.submit(one.request.SentAt, one.request, func(reply *protocol.SubmitReply) { n.changeAnswered(one, reply) })
 		return
 	}
-	readers := lo.Filter(n.roster.All(), func(member protocol.Member, _ int) bool {
+	readers := n.roster.Where(func(member protocol.Member) bool {
 		return member.Reader && membership.Live(member) && member.ID != n.self.ID
 	})
 	if len(readers) == 0 {
--- a/internal/core/node/readerside.go
+++ b/internal/core/node/readerside.go
@@ -80,9 +80,7 @@
 	if n.leaving || n.now < n.start.aloneAt && !n.start.answered {
 		return reader.Candidacy{}
 	}
-	members := lo.Filter(n.roster.All(), func(member protocol.Member, _ int) bool {
-		return member.Region == n.config.Region && membership.Live(member)
-	})
+	members := n.liveInRegion(n.config.Region)
 	for _, visitor := range n.visitors.list {
 		if visitor.member.Region == n.config.Region {
 			members = append(members, visitor.member)
--- a/internal/core/node/regions.go
+++ b/internal/core/node/regions.go
@@ -55,9 +55,7 @@
 	if !n.root.active {
 		return
 	}
-	for _, member := range n.roster.All() {
-		n.needRegion(member.Region, membership.Live(member))
-	}
+	n.roster.Each(func(member protocol.Member) { n.needRegion(member.Region, membership.Live(member)) })
 	if n.readerSide.catalogue == nil {
 		return
 	}
@@ -118,9 +116,7 @@
 // regionAddress returns whom to ask in another region: its root or readers as
 // far as known, else its members and keepers in turn.
 func (n *Node) regionAddress(peer *regionPeer) string {
-	inRegion := lo.Filter(n.roster.All(), func(member protocol.Member, _ int) bool {
-		return member.Region == peer.region && membership.Live(member)
-	})
+	inRegion := n.liveInRegion(peer.region)
 	best := lo.Filter(inRegion, func(member protocol.Member, _ int) bool { return member.Root })
 	rest := lo.Filter(inRegion, func(member protocol.Member, _ int) bool { return member.Reader && !member.Root })
 	addresses := lo.Map(append(best, rest...), func(member protocol.Member, _ int) string { return member.ControlAddress })
--- a/internal/core/node/root.go
+++ b/internal/core/node/root.go
@@ -7,7 +7,6 @@
 
 	"github.com/springstack/springstack/internal/core/distribution"
 	"github.com/springstack/springstack/internal/core/floor"
-	"github.com/springstack/springstack/internal/core/membership"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/reader"
 )
@@ -263,9 +262,7 @@
 	}
 	n.root.keepersAt = n.now + keeperChangeInterval
 	current, _ := keeperSetOf(catalogue.Keepers, n.config.Region)
-	members := lo.Filter(n.roster.All(), func(member protocol.Member, _ int) bool {
-		return member.Region == n.config.Region && membership.Live(member)
-	})
+	members := n.liveInRegion(n.config.Region)
 	chosen, changed := floor.ChooseKeepers(n.config.Region, current, members, n.holding.store.Version())
 	if changed {
 		n.applyReader(n.readerSide.reader.SetKeepers(n.now, []protocol.KeeperSet{chosen}))
@@ -280,7 +277,7 @@
 
 // decideInForce says what is in force in this region and everywhere.
 func (n *Node) decideInForce() {
-	holding := n.refreshed().expected.Holding(n.acknowledgements())
+	holding := n.expected().Holding(n.acknowledgements())
 	claimed := min(holding, n.root.claims.Highest(n.now))
 	if claimed > n.root.regional {
 		n.root.regional = claimed
--- a/internal/core/node/start.go
+++ b/internal/core/node/start.go
@@ -242,7 +242,7 @@
 // its root, readers, candidates for root, relays of the asker's zone, and
 // others that start.
 func (n *Node) peersFor(request *protocol.FloorRequest) []protocol.Member {
-	readers := lo.Filter(n.roster.All(), func(member protocol.Member, _ int) bool {
+	readers := n.roster.Where(func(member protocol.Member) bool {
 		return membership.Live(member) && (member.Reader || member.Root)
 	})
 	list := append([]protocol.Member{n.self}, readers...)
--- a/internal/core/node/status.go
+++ b/internal/core/node/status.go
@@ -6,7 +6,6 @@
 
 	"github.com/samber/lo"
 
-	"github.com/springstack/springstack/internal/core/membership"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/result"
@@ -16,10 +15,7 @@
 // it, in ascending order of zone.
 func (n *Node) zoneStatuses() []protocol.ZoneStatus {
 	zones := map[string]*protocol.ZoneStatus{}
-	for _, member := range n.roster.All() {
-		if member.Region != n.config.Region || !membership.Live(member) {
-			continue
-		}
+	for _, member := range n.liveInRegion(n.config.Region) {
 		one, found := zones[member.Zone]
 		if !found {
 			one = &protocol.ZoneStatus{Region: member.Region, Zone: member.Zone}
--- a/internal/core/node/upstream.go
+++ b/internal/core/node/upstream.go
@@ -12,11 +12,26 @@
 	"github.com/springstack/springstack/internal/result"
 )
 
+// link is what is shared with one parent.
+type link struct {
+	// target is the daemon fetched from.
+	target protocol.Member
+	// memberCursor and incarnation are the parent's, from its last reply.
+	memberCursor uint64
+	incarnation  protocol.Incarnation
+	// reported is the own change log position that the parent has taken.
+	reported membership.Cursor
+	// leaseAt is when the parent last extended the lease.
+	leaseAt time.Duration
+}
+
 // upstream is this daemon's side of the calls to its parent.
 type upstream struct {
-	// target is the daemon fetched from; joined once it has answered OK.
-	target  protocol.Member
-	joined  bool
+	link
+	// joined is set once the target has answered OK.
+	joined bool
+	// former is the parent that works while a preferred one is tried.
+	former  *link
 	token   Token
 	sentAt  time.Duration
 	counter uint64
@@ -25,19 +40,16 @@
 	failures int
 	// avoid holds daemons that failed or refused, until when.
 	avoid map[protocol.NodeID]avoidance
-	// memberCursor and incarnation are the parent's, from its last reply.
-	memberCursor uint64
-	incarnation  protocol.Incarnation
-	// reported is the own change log position that the parent has taken, and
-	// sentCursor that of the fetch under way.
-	reported   membership.Cursor
-	sentCursor membership.Cursor
-	sentAcks   []protocol.Acknowledgement
-	urgentAt   time.Duration
-	// leaseAt is when the parent last extended the lease.
-	leaseAt time.Duration
-	// preferAt is when the preferred parent is tried again.
-	preferAt time.Duration
+	// sentCursor is the own change log position at the fetch under way, and
+	// sentSequence that of the own record in it.
+	sentCursor   membership.Cursor
+	sentSequence uint64
+	sentAcks     []protocol.Acknowledgement
+	urgentAt     time.Duration
+	// preferAt is when the preferred parent is tried again; preferRefusals
+	// counts how often it was tried in vain.
+	preferAt       time.Duration
+	preferRefusals int
 	// discoverAt is when others are asked for parents again.
 	discoverAt time.Duration
 	// orphanedAt is when the last parent was lost.
@@ -57,9 +69,11 @@
 	replySlack = 1500 * time.Millisecond
 	// avoidRefusing is how long a daemon that answered AskAnother is left out.
 	avoidRefusing = 6 * time.Second
-	// preferInterval bounds the jittered time between returns to the preferred
-	// parent.
+	// preferInterval is the mean time until the preferred parent is tried again;
+	// it doubles with each refusal, up to preferMax: the preferred one may be
+	// full.
 	preferInterval = 20 * time.Second
+	preferMax      = 10 * time.Minute
 	// rootPreferInterval is the same for a root that finds a better one.
 	rootPreferInterval = 2 * time.Second
 	// ackGather and memberGather bound how often news interrupts a held fetch.
@@ -179,13 +193,40 @@
 	if n.now < up.preferAt {
 		return
 	}
-	up.preferAt = n.now + preferInterval/2 + distribution.Jitter(n.random, preferInterval)
+	n.planPreferred()
 	best, found := n.bestCandidate()
-	if !found || best.ID == up.target.ID {
+	if !found || best.ID == up.target.ID || n.holding.staged != nil {
 		return
 	}
-	n.log("parent_preferred", LogField{Key: "parent", Value: string(best.ID)})
-	n.leaveParent(0)
+	if best.ID == n.self.ID {
+		n.becomeRoot()
+		return
+	}
+	former := up.link
+	n.fetchFrom(best)
+	up.former = &former
+}
+
+// planPreferred sets the jittered time at which the preferred parent is tried.
+func (n *Node) planPreferred() {
+	interval := min(preferInterval<<min(n.upstream.preferRefusals, 8), preferMax)
+	n.upstream.preferAt = n.now + interval/2 + distribution.Jitter(n.random, interval)
+}
+
+// returnToFormer goes on with the former parent after a preferred one was
+// tried in vain, and reports whether there is one.
+func (n *Node) returnToFormer() bool {
+	up := &n.upstream
+	if up.former == nil {
+		return false
+	}
+	up.link = *up.former
+	up.former = nil
+	up.joined = true
+	up.nextAt = n.now
+	up.preferRefusals++
+	n.planPreferred()
+	return true
 }
 
 // leaveParent gives up the parent; the next tick chooses again.
@@ -195,6 +236,7 @@
 		n.avoidFor(up.target.ID, avoid, false)
 	}
 	up.joined = false
+	up.former = nil
 	up.token = 0
 	up.nextAt = n.now
 	up.orphanedAt = n.now
@@ -223,13 +265,7 @@
 		ParentIncarnation: up.incarnation,
 		Wait:              n.config.Timing.FetchWait,
 	}
-	for _, member := range n.roster.SinceBelow(up.reported) {
-		if member.ID == n.self.ID {
-			request.Self = member
-			continue
-		}
-		request.Members = append(request.Members, member)
-	}
+	n.addRecords(request)
 	request.Have, request.HaveDigest = n.haveOf(request.Scope)
 	var token Token
 	sentAt := n.now
@@ -253,29 +289,63 @@
 	return n.holding.current.Version, n.holding.current.Digest
 }
 
-// adoptTarget turns to another parent. The own record says so under a new
-// sequence, so that the former parent stops answering for this daemon.
+// addRecords adds the records that the parent has not heard. Until it has
+// taken this daemon in, the own record names it as the parent: only a parent
+// that accepts the fetch merges it.
+func (n *Node) addRecords(request *protocol.FetchRequest) {
+	up := &n.upstream
+	for _, member := range n.roster.SinceBelow(up.reported) {
+		if member.ID == n.self.ID {
+			request.Self = member
+			continue
+		}
+		request.Members = append(request.Members, member)
+	}
+	if !up.joined {
+		request.Self = n.self
+		request.Self.Parent = up.target.ID
+		request.Self.Root = false
+	}
+	up.sentSequence = request.Self.Sequence
+	if up.memberCursor == 0 {
+		sums := n.roster.Sums()
+		request.RosterSums = sums[:]
+	}
+}
+
+// adoptTarget turns to another parent. The own record that says so carries a
+// new sequence, so that the former parent stops answering for this daemon.
 func (n *Node) adoptTarget(target protocol.Member) {
 	up := &n.upstream
-	up.target = target
+	up.link = link{target: target, leaseAt: n.now}
 	up.joined = false
-	up.memberCursor = 0
-	up.incarnation = 0
-	up.reported = 0
-	up.leaseAt = n.now
-	up.preferAt = n.now + preferInterval/2 + distribution.Jitter(n.random, preferInterval)
-	if n.self.Parent != target.ID || n.self.Root {
-		n.changeSelf(func(self *protocol.Member) {
-			self.Parent = target.ID
-			self.Root = false
-		})
-	}
-	n.roster.ReportAgain(n.self.ID)
+	up.former = nil
+	n.planPreferred()
+	n.self.Sequence++
 	for _, id := range n.downstream.order {
 		n.roster.ReportAgain(id)
 	}
 }
 
+// join records that the target has taken this daemon in.
+func (n *Node) join() {
+	up := &n.upstream
+	n.log("parent_joined", LogField{Key: "parent", Value: string(up.target.ID)})
+	up.joined = true
+	up.former = nil
+	up.urgentAt = 0
+	becomeChild := func(self *protocol.Member) {
+		self.Parent = up.target.ID
+		self.Root = false
+	}
+	if n.self.Sequence != up.sentSequence {
+		n.changeSelf(becomeChild)
+		return
+	}
+	becomeChild(&n.self)
+	n.roster.Merge(n.now, n.self, membership.Below)
+}
+
 // finishFetch takes the parent's reply to the fetch with the token.
 func (n *Node) finishFetch(token Token, from protocol.NodeID, sentAt time.Duration, body any) {
 	up := &n.upstream
@@ -302,6 +372,9 @@
 	up := &n.upstream
 	up.failures++
 	n.avoidFor(from, parentBackoff.Max/2+parentBackoff.Wait(n.random, up.failures), false)
+	if n.returnToFormer() {
+		return
+	}
 	if up.joined {
 		up.orphanedAt = n.now
 		n.log("parent_lost", LogField{Key: "parent", Value: string(from)})
@@ -316,9 +389,7 @@
 	for _, member := range reply.Members {
 		n.heardMember(member, membership.Above)
 	}
-	if up.joined {
-		up.orphanedAt = n.now
-	}
+	wasJoined := up.joined
 	up.joined = false
 	up.failures++
 	if reply.Incarnation != 0 && reply.Incarnation != up.incarnation && up.incarnation != 0 {
@@ -326,11 +397,17 @@
 		up.nextAt = n.now + distribution.Jitter(n.random, idleSpacing)
 		return
 	}
+	if wasJoined {
+		up.orphanedAt = n.now
+	}
 	period := avoidRefusing/2 + distribution.Jitter(n.random, avoidRefusing/2)
 	if n.relaying() {
 		period = distribution.Jitter(n.random, rootRefusal)
 	}
 	n.avoidFor(from, max(reply.RetryAfter, period), reply.Code == result.AskAnother)
+	if n.returnToFormer() {
+		return
+	}
 	up.nextAt = n.now + distribution.Jitter(n.random, idleSpacing)
 }
 
@@ -338,10 +415,8 @@
 func (n *Node) takeReply(sentAt time.Duration, reply *protocol.FetchReply) {
 	up := &n.upstream
 	if !up.joined {
-		n.log("parent_joined", LogField{Key: "parent", Value: string(up.target.ID)})
-		up.urgentAt = 0
+		n.join()
 	}
-	up.joined = true
 	up.failures = 0
 	up.reported = up.sentCursor
 	up.memberCursor = reply.MemberCursor
--- a/internal/core/protocol/protocol.go
+++ b/internal/core/protocol/protocol.go
@@ -132,6 +132,9 @@
 	Members []Member
 	// MemberCursor is the parent's cursor from the last reply; 0 asks for all.
 	MemberCursor uint64
+	// RosterSums are sent with MemberCursor 0: sums of the records that the
+	// sender knows, by bucket, so that a new parent sends only what differs.
+	RosterSums []uint64
 	// ParentIncarnation guards MemberCursor against a restarted parent.
 	ParentIncarnation Incarnation
 	// Wait is the longest time to hold the call when there is nothing to say.
