--- a/internal/sim/oracle/oracle.go
+++ b/internal/sim/oracle/oracle.go
@@ -59,7 +59,7 @@
 	changes map[string]*change
 	files   map[FileName]*fileHistory
 	proxies map[ProxyName]*proxy
-	digests map[digestKey]string
+	digests map[digestKey]firstHolding
 	// claimed is the highest version that anyone was told is in force.
 	claimed uint64
 	// accepted is the highest version that an operator was told of.
@@ -75,7 +75,7 @@
 		changes:  map[string]*change{},
 		files:    map[FileName]*fileHistory{},
 		proxies:  map[ProxyName]*proxy{},
-		digests:  map[digestKey]string{},
+		digests:  map[digestKey]firstHolding{},
 		calls:    map[string]*call{},
 		backends: map[string]*backend{},
 	}
