--- a/internal/sim/oracle/oracle.go
+++ b/internal/sim/oracle/oracle.go
@@ -56,10 +56,10 @@
 type Oracle struct {
 	violations []Violation
 
-	changes map[string]*change
-	files   map[FileName]*fileHistory
-	proxies map[ProxyName]*proxy
-	digests map[digestKey]firstHolding
+	changes  map[string]*change
+	files    map[FileName]*fileHistory
+	proxies  map[ProxyName]*proxy
+	contents map[contentKey]content
 	// claimed is the highest version that anyone was told is in force.
 	claimed uint64
 	// accepted is the highest version that an operator was told of.
@@ -75,7 +75,7 @@
 		changes:  map[string]*change{},
 		files:    map[FileName]*fileHistory{},
 		proxies:  map[ProxyName]*proxy{},
-		digests:  map[digestKey]firstHolding{},
+		contents: map[contentKey]content{},
 		calls:    map[string]*call{},
 		backends: map[string]*backend{},
 	}
