--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -34,6 +34,7 @@
 	backend *upstream
 	health  *health
 
+	incarnations   incarnations
 	tally          tally
 	callersRunning atomic.Int64
 	gateRunning    atomic.Int64
@@ -59,6 +60,7 @@
 		closed:   make(chan struct{}),
 		hashSeed: rand.Uint64(),
 	}
+	proxy.incarnations.add(config.Incarnation)
 	incarnation := strconv.FormatUint(uint64(config.Incarnation), 36)
 	proxy.requestPrefix = string(config.NodeID) + "-" + incarnation + "-"
 	proxy.randomState.Store(config.RandomSeed)
@@ -85,6 +87,7 @@
 		NoEstimate:    p.config.Baseline.UnboundedQueue,
 	})
 	p.backend = newUpstream(p.config.BackendAddress, p.limits)
+	p.backend.linger = p.limits.CancelWait
 	p.health = newHealth(p)
 	go p.health.run()
 }
@@ -102,6 +105,7 @@
 func (p *Proxy) PublishMembers(members []protocol.Member) {
 	p.changing.Lock()
 	defer p.changing.Unlock()
+	p.incarnations.learn(p.config.NodeID, members)
 	old := p.view.Load()
 	p.publish(p.buildView(old, old.snapshot, members))
 }
@@ -177,10 +181,16 @@
 // refuse counts a refusal and answers with it.
 func (p *Proxy) refuse(writer http.ResponseWriter, body *upload, refusal Refusal) {
 	p.tally.refused(refusal.Code)
+	refuseCall(writer, body, refusal, p.limits.StallTimeout)
+}
+
+// refuseCall answers with a refusal. A body that has arrived is read first, so
+// that the connection can be kept.
+func refuseCall(writer http.ResponseWriter, body *upload, refusal Refusal, stall time.Duration) {
 	body.takeArrived()
 	body.beforeAnswer(writer.Header())
 	// Without a deadline a caller that does not read could hold the call.
-	_ = http.NewResponseController(writer).SetWriteDeadline(time.Now().Add(p.limits.StallTimeout))
+	_ = http.NewResponseController(writer).SetWriteDeadline(time.Now().Add(stall))
 	refusal.write(writer)
 }
 
