--- a/cmd/springstack-lab/experiment_rolling.go
+++ b/cmd/springstack-lab/experiment_rolling.go
@@ -18,7 +18,8 @@
 		Flags: experimentFlags(
 			&cli.StringFlag{Name: "deployment", Value: "windhoek", Usage: "windhoek or accra"},
 			&cli.FloatFlag{Name: "rate", Usage: "calls a second; 0 means the default"},
-			&cli.BoolFlag{Name: "without-news", Usage: "keep changes of endpoints from spreading"},
+			&cli.BoolFlag{Name: "without-news", Usage: "keep the news that an endpoint leaves from spreading; implies --static"},
+			&cli.BoolFlag{Name: "static", Usage: "data paths only, without the control plane"},
 		),
 		Action: runRolling,
 	}
@@ -34,6 +35,7 @@
 		Seed:        command.Uint64("seed"),
 		Rate:        command.Float("rate"),
 		WithoutNews: command.Bool("without-news"),
+		Static:      command.Bool("static"),
 		Progress:    progressTo(command.ErrWriter, command.Name),
 	})
 	if err != nil {
--- a/internal/lab/load/plan.go
+++ b/internal/lab/load/plan.go
@@ -46,6 +46,16 @@
 	Name string
 	// Address is an IP and port.
 	Address string
+	// Resolve gives the address at the time of each call; nil means Address.
+	Resolve func() string
+}
+
+// address is where a call goes now.
+func (t Target) address() string {
+	if t.Resolve != nil {
+		return t.Resolve()
+	}
+	return t.Address
 }
 
 // Plan is one bounded run of load. Either Rate (open loop) or Workers (closed
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -137,7 +137,7 @@
 		target = r.plan.Dispatch(sequence, kind)
 	}
 	id := backend.RequestID(fmt.Sprintf("%s-%d", r.plan.Prefix, sequence))
-	outcome := r.client.Call(ctx, r.plan.Targets[target].Address, r.plan.Kinds[kind], id)
+	outcome := r.client.Call(ctx, r.plan.Targets[target].address(), r.plan.Kinds[kind], id)
 	outcome.Request = id
 	outcome.Kind = kind
 	outcome.Target = target
