--- a/cmd/springstack-lab/experiment.go
+++ b/cmd/springstack-lab/experiment.go
@@ -22,6 +22,7 @@
 			requestPathCommand(),
 			overloadCommand(),
 			rollingCommand(),
+			faultsCommand(),
 		},
 	}
 }
--- a/internal/lab/rig/machine.go
+++ b/internal/lab/rig/machine.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -38,6 +40,7 @@
 	backendAddress string
 	directAddress  string
 	clientAddress  string
+	backendLink    *link.Link
 	zoneLinks      map[string]*link.Link
 
 	proxy   *proxy.Proxy
@@ -96,6 +99,7 @@
 	if err != nil || near == nil {
 		return errors.Trace(err)
 	}
+	m.backendLink = near
 	m.backendAddress = near.Address()
 	direct := link.Config{Target: m.Backend.Address(), Latency: deployment.ClientLatency, OpenCost: deployment.OpenCost}
 	far, err := r.openLink(direct)
@@ -195,13 +199,27 @@
 
 // close stops everything at once.
 func (m *Machine) close() {
-	// Errors of closing listeners do not matter at the end of a run.
+	m.kill()
+	m.onward.CloseIdleConnections()
+	m.Backend.Crash()
+}
+
+// kill ends the daemon at once: its calls break and nobody is told.
+func (m *Machine) kill() {
+	// Errors of closing listeners do not matter to one that is killed.
 	_ = m.caller.Close()
 	_ = m.gate.Close()
 	<-m.serving
 	m.proxy.Close()
-	m.onward.CloseIdleConnections()
-	m.Backend.Crash()
+}
+
+// Links are the links to the back end and to the gate from other zones.
+func (m *Machine) Links() []*link.Link {
+	links := []*link.Link{m.backendLink}
+	for _, zone := range slices.Sorted(maps.Keys(m.zoneLinks)) {
+		links = append(links, m.zoneLinks[zone])
+	}
+	return links
 }
 
 // current is the running proxy, for goroutines other than the rig's owner.
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -299,6 +299,9 @@
 	return errors.Trace(machine.stopDaemon(ctx))
 }
 
+// KillDaemon ends the daemon of a machine at once; nobody is told.
+func (r *Rig) KillDaemon(machine *Machine) { machine.kill() }
+
 // StartDaemon starts a stopped daemon anew at the same addresses.
 func (r *Rig) StartDaemon(machine *Machine) error {
 	if err := machine.startDaemon(r); err != nil {
