--- a/internal/lab/load/judge.go
+++ b/internal/lab/load/judge.go
@@ -26,8 +26,14 @@
 	Examples []string `json:"examples,omitempty"`
 }
 
-// maxExamples bounds the examples of a verdict.
-const maxExamples = 8
+// Bounds of the examples of a verdict.
+const (
+	maxExamples    = 8
+	maxCutExamples = 3
+)
+
+// whatCut names the examples of calls that were cut.
+const whatCut = "cut"
 
 // Violations counts what must never happen, whatever fails.
 func (v Verdict) Violations() int {
@@ -89,7 +95,7 @@
 	}
 	if outcome.ranUnknown() {
 		v.Cut++
-		v.explain("cut", outcome, runs)
+		v.explain(whatCut, outcome, runs)
 	}
 }
 
@@ -103,8 +109,11 @@
 	return false
 }
 
-// explain keeps an example.
+// explain keeps an example. Cut calls must not crowd out violations.
 func (v *Verdict) explain(what string, outcome Result, runs []backend.Run) {
+	if what == whatCut && v.Cut > maxCutExamples {
+		return
+	}
 	v.Note(fmt.Sprintf("%s request=%s status=%d code=%d ran=%s fault=%s at=%s runs=%d %s",
 		what, outcome.Request, outcome.Status, outcome.Code, outcome.Ran, outcome.Fault, outcome.Done, len(runs), outcome.Detail))
 }
