--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -42,7 +42,7 @@
 	if !p.mayServe() {
 		// The lease has run out since the call came. What was sent before stands;
 		// nothing more is sent.
-		return c.without(retry.Outcome{Kind: retry.Refused, Code: result.NotServing, Ran: result.RanNo, RetryAfter: notServingWait})
+		return c.without(retry.Outcome{Kind: retry.Refused, Code: result.NotServing, Ran: result.RanNo})
 	}
 	if now >= c.deadline || c.context.Err() != nil {
 		return c.without(retry.Outcome{Kind: retry.NotSent})
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -15,9 +15,6 @@
 	"github.com/springstack/springstack/internal/result"
 )
 
-// notServingWait is told with NotServing.
-const notServingWait = time.Second
-
 // A gate is told a little less than what is left of a call's time, so that its
 // refusal, which may say "did not run", comes before the callers' side gives
 // up and can say only "unknown".
@@ -87,9 +84,9 @@
 	current := p.view.Load()
 	switch {
 	case p.drain.refusing.Load():
-		return nil, Refusal{Code: result.Draining, RetryAfter: notServingWait}, false
+		return nil, Refusal{Code: result.Draining}, false
 	case current.snapshot == nil || !p.mayServe():
-		return nil, Refusal{Code: result.NotServing, RetryAfter: notServingWait}, false
+		return nil, Refusal{Code: result.NotServing}, false
 	}
 	if refusal, fine := checkForm(request, p.limits); !fine {
 		return nil, refusal, false
@@ -106,7 +103,7 @@
 	call := &callerCall{proxy: p, route: route, place: located, request: request, service: route.Pick(p.random())}
 	shared := current.services[call.service]
 	if shared == nil {
-		return nil, Refusal{Code: result.NoEndpoint, RetryAfter: notServingWait}, false
+		return nil, Refusal{Code: result.NoEndpoint}, false
 	}
 	call.prepare(shared)
 	return call, Refusal{}, true
--- a/internal/proxy/refuse.go
+++ b/internal/proxy/refuse.go
@@ -62,8 +62,8 @@
 	if r.Load != "" {
 		header.Set(headerLoad, r.Load)
 	}
-	if r.RetryAfter > 0 {
-		header.Set("Retry-After", retryAfterSeconds(r.RetryAfter))
+	if wait := cmp.Or(r.RetryAfter, usualWait(r.Code)); wait > 0 {
+		header.Set("Retry-After", retryAfterSeconds(wait))
 	}
 	body := refusalBody{Code: r.Code, Name: entry.Name, Ran: r.execution(), Detail: r.Detail}
 	if body.Detail == "" {
@@ -79,6 +79,17 @@
 	_, _ = writer.Write(text)
 }
 
+// usualWait is told with refusals that pass with time and name no better wait.
+func usualWait(code result.Code) time.Duration {
+	switch code {
+	case result.NotServing, result.NoEndpoint, result.QueueFull, result.DeadlineBeforeStart,
+		result.Draining, result.ConnectFailed, result.ShareExceeded, result.Shed,
+		result.RetryBudgetSpent, result.Overloaded:
+		return time.Second
+	}
+	return 0
+}
+
 // retryAfterSeconds rounds up to whole seconds, as the header wants.
 func retryAfterSeconds(wait time.Duration) string {
 	return strconv.Itoa(int(math.Ceil(wait.Seconds())))
--- /dev/null
+++ b/internal/proxy/stream_test.go
@@ -0,0 +1,209 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/matryer/is"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// patterned is a body of a given length that depends on the place.
+type patterned struct {
+	left int
+	hash *xxhash.Digest
+}
+
+func (p *patterned) Read(bytes []byte) (int, error) {
+	if p.left == 0 {
+		return 0, io.EOF
+	}
+	count := min(p.left, len(bytes))
+	for index := range count {
+		bytes[index] = byte((p.left - index) * 7)
+	}
+	p.left -= count
+	_, _ = p.hash.Write(bytes[:count])
+	return count, nil
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// TestLargeUploadStreams sends 64 MiB, with and without a stated length. While
+// the back end does not read, nothing but bounded buffers may fill up.
+func TestLargeUploadStreams(t *testing.T) {
+	const size = 64 << 20
+	const heapBound = 16 << 20
+	for _, stated := range []int64{size, -1} {
+		t.Run(fmt.Sprint(stated), func(t *testing.T) {
+			check := is.New(t)
+			stalled := make(chan struct{})
+			resume := make(chan struct{})
+			sum := make(chan uint64, 1)
+			mesh := startMesh(t, meshOptions{}, backendSpec{handler: func(_ http.ResponseWriter, request *http.Request) {
+				hash := xxhash.New()
+				_, _ = io.CopyN(hash, request.Body, 1<<20)
+				close(stalled)
+				<-resume
+				_, _ = io.Copy(hash, request.Body)
+				sum <- hash.Sum64()
+			}})
+			before := heapBytes()
+			body := &patterned{left: size, hash: xxhash.New()}
+			request, err := http.NewRequest("PUT", "http://"+mesh.address+"/label", body)
+			check.NoErr(err)
+			request.ContentLength = stated
+			done := make(chan answered)
+			go func() { done <- mesh.send(t, request) }()
+			<-stalled
+			check.True(heapBytes() < before+heapBound)
+			close(resume)
+			check.Equal((<-done).status, http.StatusOK)
+			check.Equal(<-sum, body.hash.Sum64())
+		})
+	}
+}
+
+// TestRefusedUploadGoesElsewhereUnread: a body too large to be kept waits for
+// the gate's leave, so a gate that drains costs nothing.
+func TestRefusedUploadGoesElsewhereUnread(t *testing.T) {
+	check := is.New(t)
+	var runs atomic.Int64
+	mesh := startMesh(t, meshOptions{}, counting(&runs), counting(&runs))
+	mesh.gates[0].StartDrain()
+	body := strings.Repeat("x", 1<<20)
+	for range 6 {
+		check.Equal(mesh.call(t, "POST", "/", body).body, body)
+	}
+	check.Equal(runs.Load(), int64(6))
+}
+
+// TestAnswerAndRequestStreamTogether: each part of the answer comes before the
+// next part of the request is sent.
+func TestAnswerAndRequestStreamTogether(t *testing.T) {
+	check := is.New(t)
+	mesh := startMesh(t, meshOptions{}, backendSpec{handler: func(writer http.ResponseWriter, request *http.Request) {
+		control := http.NewResponseController(writer)
+		_ = control.EnableFullDuplex()
+		lines := bufio.NewScanner(request.Body)
+		for lines.Scan() {
+			_, _ = fmt.Fprintln(writer, "got", lines.Text())
+			_ = control.Flush()
+		}
+	}})
+	reader, writer := io.Pipe()
+	request, err := http.NewRequest("POST", "http://"+mesh.address, reader)
+	check.NoErr(err)
+	go func() { _, _ = io.WriteString(writer, "0\n") }()
+	answer, err := mesh.client.Do(request)
+	check.NoErr(err)
+	defer answer.Body.Close()
+	lines := bufio.NewReader(answer.Body)
+	for part := range 5 {
+		line, err := lines.ReadString('\n')
+		check.NoErr(err)
+		check.Equal(line, fmt.Sprintf("got %d\n", part))
+		_, err = fmt.Fprintf(writer, "%d\n", part+1)
+		check.NoErr(err)
+	}
+	check.NoErr(writer.Close())
+}
+
+// TestEarlyAnswerEndsTheUpload: the back end answers without reading.
+func TestEarlyAnswerEndsTheUpload(t *testing.T) {
+	check := is.New(t)
+	mesh := startMesh(t, meshOptions{}, backendSpec{handler: func(writer http.ResponseWriter, _ *http.Request) {
+		writer.WriteHeader(http.StatusUnauthorized)
+		_, _ = io.WriteString(writer, "no")
+	}})
+	for range 5 {
+		answer := mesh.call(t, "POST", "/", strings.Repeat("x", 100<<10))
+		check.Equal(answer.status, http.StatusUnauthorized)
+		check.Equal(answer.body, "no")
+	}
+	mesh.awaitIdle()
+}
+
+func TestSlowSenderIsTimedOut(t *testing.T) {
+	check := is.New(t)
+	limits := Limits{StallTimeout: 50 * time.Millisecond, HeaderTimeout: 50 * time.Millisecond}
+	mesh := startMesh(t, meshOptions{limits: limits}, newBlocking().spec())
+	text := mesh.raw(t, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nx")
+	check.True(strings.HasPrefix(text, "HTTP/1.1 408 "))
+	check.True(strings.Contains(text, "Springstack-Code: 416\r\n"))
+	check.True(strings.Contains(text, "Springstack-Ran: unknown\r\n"))
+	neverWhole := mesh.raw(t, "POST / HTTP/1.1\r\nHos")
+	check.True(strings.Contains(neverWhole, "Springstack-Code: 411\r\n"))
+	check.True(strings.Contains(neverWhole, "Springstack-Ran: no\r\n"))
+	mesh.awaitIdle()
+}
+
+func TestSlowReaderIsCutOff(t *testing.T) {
+	check := is.New(t)
+	limits := Limits{StallTimeout: 50 * time.Millisecond}
+	ended := make(chan struct{})
+	mesh := startMesh(t, meshOptions{limits: limits}, backendSpec{handler: func(writer http.ResponseWriter, _ *http.Request) {
+		defer close(ended)
+		block := bytes.Repeat([]byte("x"), 1<<20)
+		for {
+			if _, err := writer.Write(block); err != nil {
+				return
+			}
+		}
+	}})
+	conn, err := net.Dial("tcp", mesh.address)
+	check.NoErr(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	check.NoErr(err)
+	<-ended // the back end's answer broke, though nobody hung up
+	mesh.awaitIdle()
+}
+
+func TestConnectionLimitRefusesWithACode(t *testing.T) {
+	check := is.New(t)
+	var runs atomic.Int64
+	mesh := startMesh(t, meshOptions{limits: Limits{Connections: 1}}, counting(&runs))
+	check.Equal(mesh.call(t, "GET", "/", "").status, http.StatusOK) // kept open
+	text := mesh.raw(t, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	check.True(strings.Contains(text, "Springstack-Code: 302\r\n"))
+	check.True(strings.Contains(text, "Retry-After: 1\r\n"))
+}
+
+// TestQueueIsFullAtOnce: the refusal comes at once and says when to come back.
+func TestQueueIsFullAtOnce(t *testing.T) {
+	check := is.New(t)
+	backend := newBlocking()
+	options := meshOptions{slots: 1, limits: Limits{QueueLength: 1}, route: func(route *resource.Route) { route.Timeout = time.Hour }}
+	mesh := startMesh(t, options, backend.spec())
+	done := make(chan answered, 2)
+	for range 2 {
+		go func() { done <- mesh.call(t, "POST", "/", "x") }()
+	}
+	<-backend.entered
+	for mesh.gates[0].gate.Load().Queued == 0 {
+		runtime.Gosched()
+	}
+	refused := mesh.call(t, "POST", "/", "x")
+	expectRefusal(check, refused, result.QueueFull, result.RanNo)
+	check.Equal(refused.header.Get("Retry-After"), "1")
+	close(backend.release)
+	check.Equal((<-done).body, "done")
+	check.Equal((<-done).body, "done")
+}
