--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -179,7 +179,8 @@
 func TestConnectionLimitRefusesWithACode(t *testing.T) {
 	check := is.New(t)
 	var runs atomic.Int64
-	mesh := startMesh(t, meshOptions{limits: Limits{Connections: 1}}, counting(&runs))
+	mesh := startMesh(t, meshOptions{}, counting(&runs))
+	mesh.address = serve(t, mesh.caller.CallerHandler(), Limits{Connections: 1})
 	check.Equal(mesh.call(t, "GET", "/", "").status, http.StatusOK) // kept open
 	text := mesh.raw(t, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	check.True(strings.Contains(text, "Springstack-Code: 302\r\n"))
