--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -169,7 +169,9 @@
 	switch made.outcome.Code {
 	case result.Draining, result.WrongBackend:
 		made.evidence = endpoint.Leaving
-	case result.ConnectFailed, result.BrokenInFlight:
+	case result.ConnectFailed:
+		made.evidence = endpoint.Unreachable
+	case result.BrokenInFlight:
 		made.evidence = endpoint.Broken
 	}
 	c.detail = ""
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -57,12 +57,14 @@
 	proxy   *Proxy
 	route   *routing.Route
 	service resource.ServiceRef
-	place   place
-	request *http.Request
-	writer  http.ResponseWriter
-	control *http.ResponseController
-	body    *upload
-	context context.Context
+	// serviceName is the service as text.
+	serviceName string
+	place       place
+	request     *http.Request
+	writer      http.ResponseWriter
+	control     *http.ResponseController
+	body        *upload
+	context     context.Context
 	// timeout is what the call may take in all, deadline when that is over, on
 	// the proxy's clock.
 	timeout  time.Duration
@@ -105,6 +107,7 @@
 	if shared == nil {
 		return nil, Refusal{Code: result.NoEndpoint}, false
 	}
+	call.serviceName = shared.name
 	call.prepare(shared)
 	return call, Refusal{}, true
 }
@@ -181,7 +184,7 @@
 	if refusal.execution() == result.RanUnknown {
 		c.proxy.event("call_unknown", codeField(refusal.Code),
 			EventField{Key: "route", Value: c.route.Resource.Key().String()},
-			EventField{Key: "service", Value: c.service.String()})
+			EventField{Key: "service", Value: c.serviceName})
 	}
 	c.proxy.refuse(c.writer, c.body, refusal)
 }
@@ -245,15 +248,22 @@
 	return outgoing
 }
 
+// hopHeaders sets springstack's headers on a request to a gate.
 func (c *callerCall) hopHeaders(header http.Header, chosen *endpoint.Endpoint, mark bool, left time.Duration) {
-	header[headerHop] = []string{hopGate}
-	header[headerService] = []string{c.service.String()}
-	header[headerBackend] = []string{chosen.Backend}
-	header[headerRequest] = []string{c.proxy.nextRequest()}
 	left -= min(left/hopMarginShare, hopMarginLimit)
-	header[headerTimeout] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
-	header[headerPriority] = []string{strconv.Itoa(int(c.route.Resource.Priority))}
-	header[headerPartner] = []string{string(c.route.Resource.Partner)}
+	// One array backs all the values.
+	values := [...]string{
+		hopGate,
+		c.serviceName,
+		chosen.Backend,
+		c.proxy.nextRequest(),
+		strconv.FormatInt(left.Milliseconds(), 10),
+		strconv.Itoa(int(c.route.Resource.Priority)),
+		string(c.route.Resource.Partner),
+	}
+	for index, name := range hopHeaderNames {
+		header[name] = values[index : index+1 : index+1]
+	}
 	if chosen.Incarnation != 0 {
 		header[headerIncarnation] = []string{strconv.FormatUint(uint64(chosen.Incarnation), 10)}
 	}
@@ -265,6 +275,12 @@
 	}
 }
 
+// hopHeaderNames are the headers that every request to a gate has, in the
+// order of their values in hopHeaders.
+var hopHeaderNames = [...]string{
+	headerHop, headerService, headerBackend, headerRequest, headerTimeout, headerPriority, headerPartner,
+}
+
 // target is the URL of a call at an address. The path is sent in the form that
 // the route was matched by.
 func target(address, canonical, query string) *url.URL {
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -86,6 +86,9 @@
 	// UpstreamIdle closes an unused connection to an endpoint; it must be
 	// shorter than IdleTimeout, so that the side that sends closes first.
 	UpstreamIdle time.Duration
+	// BackendIdle is the same for connections to the back end, whose own limit
+	// is not known; many servers close after 5 s.
+	BackendIdle time.Duration
 	// Prewarm is how many connections are opened to a new endpoint ahead of
 	// its first call.
 	Prewarm int
@@ -129,6 +132,7 @@
 		DialTimeout:         time.Second,
 		UpstreamConnections: 130,
 		UpstreamIdle:        30 * time.Second,
+		BackendIdle:         4 * time.Second,
 		Prewarm:             2,
 		ReplayBytes:         64 << 10,
 		QueueLength:         256,
@@ -164,6 +168,7 @@
 	orDefault(&l.DialTimeout, fallback.DialTimeout)
 	orDefault(&l.UpstreamConnections, fallback.UpstreamConnections)
 	orDefault(&l.UpstreamIdle, fallback.UpstreamIdle)
+	orDefault(&l.BackendIdle, fallback.BackendIdle)
 	orDefault(&l.Prewarm, fallback.Prewarm)
 	orDefault(&l.ReplayBytes, fallback.ReplayBytes)
 	orDefault(&l.QueueLength, fallback.QueueLength)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -86,7 +86,7 @@
 		RequestCount:  p.limits.RequestCount,
 		NoEstimate:    p.config.Baseline.UnboundedQueue,
 	})
-	p.backend = newUpstream(p.config.BackendAddress, p.limits)
+	p.backend = newUpstream(p.config.BackendAddress, p.limits, p.limits.BackendIdle)
 	p.backend.linger = p.limits.CancelWait
 	p.health = newHealth(p)
 	go p.health.run()
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -14,7 +14,7 @@
 	continueWait = time.Hour
 	// spareLife is how long a connection opened ahead may wait for its first
 	// call; the other side closes connections without a request.
-	spareLife = 5 * time.Second
+	spareLife = 4 * time.Second
 	// spareLimit bounds the connections opened ahead to one address.
 	spareLimit = 8
 )
@@ -37,7 +37,7 @@
 	openedAt time.Time
 }
 
-func newUpstream(address string, limits Limits) *upstream {
+func newUpstream(address string, limits Limits, idle time.Duration) *upstream {
 	made := &upstream{
 		address: address,
 		dialer:  net.Dialer{Timeout: limits.DialTimeout},
@@ -48,7 +48,7 @@
 		DisableCompression:     true,
 		MaxConnsPerHost:        limits.UpstreamConnections,
 		MaxIdleConnsPerHost:    limits.UpstreamConnections,
-		IdleConnTimeout:        limits.UpstreamIdle,
+		IdleConnTimeout:        idle,
 		ExpectContinueTimeout:  continueWait,
 		MaxResponseHeaderBytes: int64(limits.HeaderBytes),
 	}
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -22,6 +22,7 @@
 
 // service is what calls to one service share.
 type service struct {
+	name   string
 	set    *endpoint.Set
 	budget *retry.Budget
 }
@@ -45,7 +46,7 @@
 	now := p.config.Clock()
 	self := endpoint.Locality{Region: p.config.Region, Zone: p.config.Zone}
 	for reference, backends := range held.Backends {
-		made := &service{}
+		made := &service{name: reference.String()}
 		var oldSet *endpoint.Set
 		if old := previous.services[reference]; old != nil {
 			oldSet = old.set
@@ -68,7 +69,7 @@
 		}
 		kept := previous.upstreams[one.Address]
 		if kept == nil {
-			kept = newUpstream(one.Address, p.limits)
+			kept = newUpstream(one.Address, p.limits, p.limits.UpstreamIdle)
 			if one.Zone == p.config.Zone && one.Region == p.config.Region {
 				kept.openAhead(1)
 			}
