Check periods with their defaults, and addresses that others must call

Cause: a serving lease of 20 s beside the default dead_after of 35 s passed the check, although a member may only be called dead after three leases; a daemon listening on 0.0.0.0 told others an address that nobody can call. Change: the check runs on the effective periods (which the daemon now takes from the same function), the lease must outlast two held fetches, seeds, back end and platform need a real target, and gate and control no unspecified address. goleak over the platform's tests. Checked: go test of settings, platform, daemon and the lab passes.

--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -1,8 +1,6 @@
 package daemon
 
 import (
-	"time"
-
 	"github.com/apex/log"
 
 	"github.com/springstack/springstack/internal/core/node"
@@ -39,7 +37,7 @@
 		Backend:     from.Backend.Name,
 		Slots:       from.Backend.Slots,
 		RandomSeed:  overrides.RandomSeed,
-		Timing:      timing(from.Timing),
+		Timing:      from.Timing.Effective(),
 	}
 }
 
@@ -68,19 +66,3 @@
 func backendService(backend settings.Backend) resource.ServiceRef {
 	return resource.ServiceRef{Partner: resource.Partner(backend.Partner), Name: backend.Service}
 }
-
-// timing puts the given periods in place of the production ones.
-func timing(given settings.Timing) node.Timing {
-	timing := node.DefaultTiming()
-	override(&timing.FetchWait, given.FetchWait)
-	override(&timing.ServingLease, given.ServingLease)
-	override(&timing.DeadAfter, given.DeadAfter)
-	override(&timing.ReaderLease, given.ReaderLease)
-	return timing
-}
-
-func override(period *time.Duration, given time.Duration) {
-	if given > 0 {
-		*period = given
-	}
-}
--- a/internal/platform/conformance_test.go
+++ b/internal/platform/conformance_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"go.uber.org/goleak"
 
 	"github.com/springstack/springstack/internal/lab/standin"
 	"github.com/springstack/springstack/internal/platform"
@@ -12,6 +13,8 @@
 
 const seed = 1
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 func TestMemoryConforms(t *testing.T) {
 	platformtest.Run(t, func(_ *testing.T, limits standin.Limits) platformtest.Harness {
 		service := standin.NewService(limits, seed)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,7 +2,11 @@
 // from flags, and lists every mistake at once.
 package settings
 
-import "time"
+import (
+	"time"
+
+	"github.com/springstack/springstack/internal/core/node"
+)
 
 // Settings is all that a daemon is told at its start.
 type Settings struct {
@@ -47,7 +51,7 @@
 // Mesh says whom the daemon talks to and what its callers may reach.
 type Mesh struct {
 	// Seeds are control addresses of some daemons.
-	Seeds []string `koanf:"seeds" validate:"dive,address"`
+	Seeds []string `koanf:"seeds" validate:"dive,target"`
 	// Partners are the partners whose callers use this daemon.
 	Partners []string `koanf:"partners" validate:"dive,name"`
 	// Services limits what the callers may reach, each partner/name; empty for
@@ -64,7 +68,7 @@
 	// Name is the back end's name in its partner's file.
 	Name string `koanf:"name" validate:"required_with=Address,omitempty,name"`
 	// Address is where the back end listens.
-	Address string `koanf:"address" validate:"required_with=Name,omitempty,address"`
+	Address string `koanf:"address" validate:"required_with=Name,omitempty,target"`
 	// Slots is how many calls the back end runs at once.
 	Slots int `koanf:"slots" validate:"required_with=Address,omitempty,min=1,max=10000"`
 }
@@ -151,6 +155,22 @@
 	ReaderLease time.Duration `koanf:"reader_lease" validate:"omitempty,min=100ms,max=10m"`
 }
 
+// Effective returns the node core's periods: its defaults, overridden.
+func (t Timing) Effective() node.Timing {
+	effective := node.DefaultTiming()
+	override(&effective.FetchWait, t.FetchWait)
+	override(&effective.ServingLease, t.ServingLease)
+	override(&effective.DeadAfter, t.DeadAfter)
+	override(&effective.ReaderLease, t.ReaderLease)
+	return effective
+}
+
+func override(period *time.Duration, given time.Duration) {
+	if given > 0 {
+		*period = given
+	}
+}
+
 // Default returns the settings before the file and the overrides are applied.
 func Default() Settings {
 	return Settings{
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -192,6 +192,37 @@
 	is.Equal(len(mistakes), 1)
 }
 
+func TestPeriodsAreCheckedWithTheirDefaults(t *testing.T) {
+	tests := map[string]string{
+		"{serving_lease: 20s}":                   "timing.dead_after", // the default is 35 s
+		"{dead_after: 5s}":                       "timing.dead_after", // the default lease is 6 s
+		"{fetch_wait: 5s}":                       "timing.serving_lease",
+		"{serving_lease: 100ms, fetch_wait: 1s}": "timing.serving_lease",
+	}
+	for given, field := range tests {
+		t.Run(given, func(t *testing.T) {
+			is := is.New(t)
+			_, mistakes := Parse("s.yaml", []byte(least+"timing: "+given+"\n"), nil)
+			is.Equal(len(mistakes), 1)
+			is.Equal(mistakes[0].Field, field)
+		})
+	}
+}
+
+func TestAddressesThatOthersCallCanBeCalled(t *testing.T) {
+	is := is.New(t)
+	_, mistakes := Parse("", []byte(least), []Override{
+		{Field: "tls.allow_insecure", Value: "true"},
+		{Field: "listen.control", Value: "0.0.0.0:7003"},
+		{Field: "listen.gate", Value: "[::]:7002"},
+		{Field: "listen.admin", Value: "0.0.0.0:7005"}, // nobody is told this one
+		{Field: "mesh.seeds", Value: "10.0.0.1:0"},
+		{Field: "platform.url", Value: "http://0.0.0.0:7000"},
+	})
+	fields := lo.Map(mistakes, func(m *result.Error, _ int) string { return m.Field })
+	is.Equal(fields, []string{"listen.control", "listen.gate", "mesh.seeds[0]", "platform.url"})
+}
+
 func TestCheckReadsTheFile(t *testing.T) {
 	is := is.New(t)
 	path := filepath.Join(t.TempDir(), "settings.yaml")
--- a/internal/settings/together.go
+++ b/internal/settings/together.go
@@ -4,12 +4,18 @@
 	"fmt"
 	"net/netip"
 
+	"github.com/springstack/springstack/internal/core/node"
 	"github.com/springstack/springstack/internal/result"
 )
 
-// leasesUntilDead is the least number of serving leases after which a silent
-// member may be called dead: by then it has stopped serving by itself.
-const leasesUntilDead = 3
+const (
+	// leasesUntilDead is the least number of serving leases after which a silent
+	// member may be called dead: by then it has stopped serving by itself.
+	leasesUntilDead = 3
+	// fetchesInLease is how many held fetches a serving lease must outlast, so
+	// that a quiet mesh keeps its leases.
+	fetchesInLease = 2
+)
 
 // checkTogether lists mistakes that take more than one field to see.
 func checkTogether(settings Settings, locator locator) []*result.Error {
@@ -17,12 +23,8 @@
 	mistakes = append(mistakes, checkDistinctAddresses(settings, locator)...)
 	mistakes = append(mistakes, checkClearListeners(settings, locator)...)
 	mistakes = append(mistakes, checkTokens(settings, locator)...)
-	timing := settings.Timing
-	if timing.DeadAfter > 0 && timing.DeadAfter < leasesUntilDead*timing.ServingLease {
-		mistakes = append(mistakes, locator.mistake("timing.dead_after",
-			fmt.Sprintf("shorter than %d serving leases", leasesUntilDead),
-			"raise it, or shorten timing.serving_lease"))
-	}
+	mistakes = append(mistakes, checkTiming(settings.Timing.Effective(), locator)...)
+	mistakes = append(mistakes, checkAdvertised(settings, locator)...)
 	if len(settings.Mesh.Services) > 0 && len(settings.Mesh.Partners) == 0 {
 		mistakes = append(mistakes, locator.mistake("mesh.partners",
 			"services are given without the partners whose callers use them", "add mesh.partners"))
@@ -30,6 +32,40 @@
 	return mistakes
 }
 
+// checkTiming holds the periods, defaults included, against each other.
+func checkTiming(timing node.Timing, locator locator) []*result.Error {
+	var mistakes []*result.Error
+	if timing.DeadAfter < leasesUntilDead*timing.ServingLease {
+		mistakes = append(mistakes, locator.mistake("timing.dead_after",
+			fmt.Sprintf("%s is shorter than %d serving leases of %s", timing.DeadAfter, leasesUntilDead, timing.ServingLease),
+			"raise it, or shorten timing.serving_lease"))
+	}
+	if timing.ServingLease < fetchesInLease*timing.FetchWait {
+		mistakes = append(mistakes, locator.mistake("timing.serving_lease",
+			fmt.Sprintf("%s is shorter than %d fetch waits of %s", timing.ServingLease, fetchesInLease, timing.FetchWait),
+			"raise it, or shorten timing.fetch_wait"))
+	}
+	return mistakes
+}
+
+// checkAdvertised refuses addresses that other daemons can't call, since a
+// daemon tells them where it listens.
+func checkAdvertised(settings Settings, locator locator) []*result.Error {
+	advertised := map[string]string{
+		"listen.gate":    settings.Listen.Gate,
+		"listen.control": settings.Listen.Control,
+	}
+	var mistakes []*result.Error
+	for field, text := range advertised {
+		address, err := netip.ParseAddrPort(text)
+		if err == nil && address.Addr().IsUnspecified() {
+			mistakes = append(mistakes, locator.mistake(field,
+				"other daemons are told this address, and cannot call it", "give the machine's own IP number"))
+		}
+	}
+	return mistakes
+}
+
 // Listener is one listening address of the settings.
 type Listener struct {
 	// Field is where it is set.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -42,6 +42,12 @@
 		detail: "not an IP number and port",
 		mend:   "write it as 10.0.0.1:7000 or [fd00::1]:7000",
 	},
+	{
+		tag:    "target",
+		check:  isTarget,
+		detail: "not an IP number and port that can be called",
+		mend:   "write it as 10.0.0.1:7000 or [fd00::1]:7000",
+	},
 	{
 		tag:    "reference",
 		check:  isReference,
@@ -67,6 +73,12 @@
 	return err == nil
 }
 
+// isTarget tells whether calls can be sent to an address.
+func isTarget(value string) bool {
+	address, err := netip.ParseAddrPort(value)
+	return err == nil && address.Port() != 0 && !address.Addr().IsUnspecified()
+}
+
 func isReference(value string) bool {
 	partner, name, found := strings.Cut(value, "/")
 	return found && namePattern.MatchString(partner) && namePattern.MatchString(name)
@@ -77,7 +89,7 @@
 	if err != nil || (parsed.Scheme != "http" && parsed.Scheme != "https") {
 		return false
 	}
-	return isAddress(parsed.Host) && parsed.User == nil && parsed.RawQuery == "" && parsed.Fragment == ""
+	return isTarget(parsed.Host) && parsed.User == nil && parsed.RawQuery == "" && parsed.Fragment == ""
 }
 
 // checker is the configured validator; it is safe for concurrent use.
