--- a/cmd/springstack-lab/experiment.go
+++ b/cmd/springstack-lab/experiment.go
@@ -23,6 +23,7 @@
 			requestPathCommand(),
 			overloadCommand(),
 			rollingCommand(),
+			faultsCommand(),
 		},
 	}
 }
