--- a/internal/core/node/holding.go
+++ b/internal/core/node/holding.go
@@ -91,7 +91,7 @@
 		n.stage(current.AtVersion(newest.Version))
 		return
 	}
-	built, err := snapshot.Build(newest.Version, selected)
+	built, err := snapshot.Rebuild(newest, newest.Version, selected)
 	if err != nil {
 		n.log("snapshot_refused", LogField{Key: "error", Value: err.Error()})
 		return
--- a/internal/core/node/upstream.go
+++ b/internal/core/node/upstream.go
@@ -479,7 +479,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return snapshot.Build(reply.Released, resources)
+	return snapshot.Rebuild(base, reply.Released, resources)
 }
 
 // takeForStore puts the released version into the store, from where children
--- /dev/null
+++ b/internal/core/snapshot/rebuild_test.go
@@ -0,0 +1,65 @@
+package snapshot
+
+import (
+	"reflect"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/resource"
+)
+
+// services returns encoded services with the given health paths by name.
+func services(paths map[string]string) []resource.Encoded {
+	file := &resource.File{Partner: "kameeldoring", Name: "file"}
+	for name, path := range paths {
+		file.Services = append(file.Services, resource.Service{Partner: file.Partner, Name: name, HealthPath: path})
+	}
+	return resource.Encode(file)
+}
+
+func TestRebuildDoesNotDependOnWhatWasHeldBefore(t *testing.T) {
+	is := is.New(t)
+	before, err := Build(1, services(map[string]string{"a": "/a", "b": "/b", "d": "/d"}))
+	is.NoErr(err)
+	next := services(map[string]string{"b": "/b", "c": "/c", "d": "/changed", "e": "/e"})
+	fresh, err := Build(2, next)
+	is.NoErr(err)
+	rebuilt, err := Rebuild(before, 2, next)
+	is.NoErr(err)
+	is.True(reflect.DeepEqual(rebuilt, fresh))
+}
+
+func TestRebuildDecodesAPayloadThatDiffersUnderAKnownDigest(t *testing.T) {
+	is := is.New(t)
+	held := services(map[string]string{"a": "/a"})
+	before, err := Build(1, held)
+	is.NoErr(err)
+	forged := services(map[string]string{"a": "/a"})
+	forged[0].Payload = services(map[string]string{"a": "/b"})[0].Payload
+	_, err = Rebuild(before, 2, forged)
+	is.True(err != nil)
+}
+
+func BenchmarkRebuildAfterOneChange(b *testing.B) {
+	paths := map[string]string{}
+	for i := range 1500 {
+		paths["service-"+string(rune('a'+i%26))+string(rune('a'+i/26%26))+string(rune('a'+i/676))] = "/health"
+	}
+	held := services(paths)
+	resource.SortEncoded(held)
+	before, err := Build(1, held)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("whole", func(b *testing.B) {
+		for b.Loop() {
+			_, _ = Build(2, held)
+		}
+	})
+	b.Run("changed", func(b *testing.B) {
+		for b.Loop() {
+			_, _ = Rebuild(before, 2, held)
+		}
+	})
+}
--- a/internal/core/snapshot/snapshot.go
+++ b/internal/core/snapshot/snapshot.go
@@ -4,6 +4,7 @@
 package snapshot
 
 import (
+	"bytes"
 	"slices"
 
 	"github.com/juju/errors"
@@ -29,6 +30,8 @@
 	Routes []resource.Route
 	// Encoded are the resources as received, sorted by key.
 	Encoded []resource.Encoded
+	// decoded holds what each of Encoded decodes to, in the same order.
+	decoded []resource.Resource
 }
 
 // Build decodes the resources and returns the snapshot of the version. It
@@ -36,6 +39,14 @@
 // UnknownFormat) or when a route names a service or secret that is not among
 // them (FileBadReference): no proxy ever gets a route that leads nowhere (I2).
 func Build(version protocol.Version, encoded []resource.Encoded) (*Snapshot, error) {
+	return Rebuild(nil, version, encoded)
+}
+
+// Rebuild is Build with the work in proportion to what changed: resources
+// whose key, digest and payload are those of previous, which may be nil, are
+// taken from there instead of being decoded again. The result does not depend
+// on previous.
+func Rebuild(previous *Snapshot, version protocol.Version, encoded []resource.Encoded) (*Snapshot, error) {
 	sorted := slices.Clone(encoded)
 	resource.SortEncoded(sorted)
 	built := &Snapshot{
@@ -45,12 +56,18 @@
 		Backends: map[resource.ServiceRef][]resource.Backend{},
 		Secrets:  map[resource.Key]resource.Secret{},
 		Encoded:  sorted,
+		decoded:  make([]resource.Resource, 0, len(sorted)),
+	}
+	known := earlier{from: previous}
+	if previous != nil && len(previous.decoded) != len(previous.Encoded) {
+		known.from = nil // it was not built here
 	}
 	for _, one := range sorted {
-		decoded, err := resource.Decode(one)
+		decoded, err := known.decode(one)
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
+		built.decoded = append(built.decoded, decoded)
 		built.add(decoded)
 	}
 	if err := built.checkReferences(); err != nil {
@@ -59,6 +76,31 @@
 	return built, nil
 }
 
+// earlier walks over an earlier snapshot in the order of keys.
+type earlier struct {
+	from *Snapshot
+	next int
+}
+
+// decode returns what a resource decodes to. Keys must come in order.
+func (e *earlier) decode(one resource.Encoded) (resource.Resource, error) {
+	if e.from == nil {
+		return resource.Decode(one)
+	}
+	for e.next < len(e.from.Encoded) && e.from.Encoded[e.next].Key.Less(one.Key) {
+		e.next++
+	}
+	if e.next == len(e.from.Encoded) {
+		return resource.Decode(one)
+	}
+	candidate := e.from.Encoded[e.next]
+	same := candidate.Key == one.Key && candidate.Digest == one.Digest && bytes.Equal(candidate.Payload, one.Payload)
+	if !same {
+		return resource.Decode(one)
+	}
+	return e.from.decoded[e.next], nil
+}
+
 // AtVersion returns the same content at another version. It serves a scope
 // that the versions in between did not touch.
 func (s *Snapshot) AtVersion(version protocol.Version) *Snapshot {
--- a/internal/core/snapshot/store.go
+++ b/internal/core/snapshot/store.go
@@ -78,7 +78,7 @@
 	if version <= s.Version() {
 		return nil
 	}
-	built, err := Build(version, resources)
+	built, err := Rebuild(s.Newest(), version, resources)
 	if err != nil {
 		return errors.Trace(err)
 	}
