--- a/internal/lab/convergence/convergence.go
+++ b/internal/lab/convergence/convergence.go
@@ -120,7 +120,9 @@
 		Seed:    options.Seed,
 	}
 	if options.Mode == ModeFull {
-		settings.Wrap = newWholes().wrap
+		baseline := newWholes()
+		settings.Wrap = baseline.wrap
+		settings.OnSwap = baseline.see
 	}
 	cluster, err := hollow.New(settings)
 	if err != nil {
--- a/internal/lab/convergence/full.go
+++ b/internal/lab/convergence/full.go
@@ -14,14 +14,14 @@
 )
 
 // wholes is the baseline without deltas: each delta that a parent answers is
-// replaced by the whole snapshot of its version. It keeps what each version
-// holds by applying the deltas itself.
+// replaced by the whole snapshot of its version, which all proxies hold alike.
 type wholes struct {
 	mutex    sync.Mutex
-	versions map[protocol.Version]whole
+	versions map[protocol.Version]*whole
 }
 
-// whole is one version: its resources, and the delta from nothing.
+// whole is one version: what it holds, and the delta from nothing once it was
+// asked for.
 type whole struct {
 	digest    resource.Digest
 	resources []resource.Encoded
@@ -29,7 +29,23 @@
 }
 
 func newWholes() *wholes {
-	return &wholes{versions: make(map[protocol.Version]whole)}
+	return &wholes{versions: make(map[protocol.Version]*whole)}
+}
+
+// see keeps what a version holds.
+func (w *wholes) see(held *snapshot.Snapshot) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.keep(held.Version, held.Digest, held.Encoded)
+}
+
+func (w *wholes) keep(version protocol.Version, digest resource.Digest, resources []resource.Encoded) *whole {
+	known, found := w.versions[version]
+	if !found {
+		known = &whole{digest: digest, resources: resources}
+		w.versions[version] = known
+	}
+	return known
 }
 
 // wrap stands before a node's handler.
@@ -60,19 +76,29 @@
 func (w *wholes) replace(delta *protocol.Delta) (*protocol.Delta, error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if known, found := w.versions[delta.To]; found && known.digest == delta.Digest {
-		return known.delta, nil
+	known, found := w.versions[delta.To]
+	if !found {
+		from, seen := w.versions[delta.From]
+		if !seen {
+			return delta, nil
+		}
+		resources, err := snapshot.Apply(from.resources, delta)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		known = w.keep(delta.To, delta.Digest, resources)
 	}
-	resources, err := snapshot.Apply(w.versions[delta.From].resources, delta)
-	if err != nil {
-		return delta, nil // an older version was not seen; leave the delta
+	if known.digest != delta.Digest {
+		return delta, nil // of another scope
 	}
-	encoded, err := wholeDelta(delta.To, resources)
-	if err != nil {
-		return nil, err
+	if known.delta == nil {
+		encoded, err := wholeDelta(delta.To, known.resources)
+		if err != nil {
+			return nil, err
+		}
+		known.delta = encoded
 	}
-	w.versions[delta.To] = whole{digest: delta.Digest, resources: resources, delta: encoded}
-	return encoded, nil
+	return known.delta, nil
 }
 
 // wholeDelta encodes resources as the delta from nothing.
--- a/internal/lab/hollow/cluster.go
+++ b/internal/lab/hollow/cluster.go
@@ -18,6 +18,7 @@
 	"github.com/springstack/springstack/internal/core/node"
 	"github.com/springstack/springstack/internal/core/object"
 	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/snapshot"
 	"github.com/springstack/springstack/internal/lab/catalogue"
 	"github.com/springstack/springstack/internal/lab/standin"
 	"github.com/springstack/springstack/internal/result"
@@ -34,6 +35,8 @@
 	// Wrap, if set, stands between the control server and the node of each
 	// daemon; baselines use it.
 	Wrap func(control.Handler) control.Handler
+	// OnSwap, if set, is told each snapshot that a daemon puts in force.
+	OnSwap func(held *snapshot.Snapshot)
 	// Log, if set, takes every event of every node.
 	Log func(id, name string, fields []node.LogField)
 }
--- a/internal/lab/hollow/node.go
+++ b/internal/lab/hollow/node.go
@@ -184,7 +184,12 @@
 }
 
 // Swap tells the observer.
-func (r recorder) Swap(next *snapshot.Snapshot) { r.node.cluster.Observer.Swapped(r.node.ID, next) }
+func (r recorder) Swap(next *snapshot.Snapshot) {
+	r.node.cluster.Observer.Swapped(r.node.ID, next)
+	if told := r.node.cluster.options.OnSwap; told != nil {
+		told(next)
+	}
+}
 
 // PublishMembers does nothing.
 func (recorder) PublishMembers([]protocol.Member) {}
