--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -13,9 +13,6 @@
 	"github.com/springstack/springstack/internal/result"
 )
 
-// idleCheck is how often unused connections are looked for.
-const idleCheck = 15 * time.Second
-
 // Client calls other daemons. It keeps one connection a peer.
 type Client struct {
 	secure *tls.Config
@@ -229,10 +226,10 @@
 	c.mutex.Unlock()
 }
 
-// closeIdle closes connections that no call has used for the idle timeout.
+// closeIdle closes connections that no call has used for the unused timeout.
 func (c *Client) closeIdle() {
 	defer c.running.Done()
-	ticker := time.NewTicker(idleCheck)
+	ticker := time.NewTicker(c.limits.UnusedTimeout / 2)
 	defer ticker.Stop()
 	for {
 		select {
@@ -246,14 +243,13 @@
 	}
 }
 
-// takeIdle removes and returns the idle connections. The bound is below the
-// server's, so that the client closes first and no call is lost to it.
+// takeIdle removes and returns the idle connections.
 func (c *Client) takeIdle() []*link {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	var idle []*link
 	for address, peer := range c.peers {
-		if peer.calls > 0 || time.Since(peer.lastUsed) < c.limits.IdleTimeout/2 {
+		if peer.calls > 0 || time.Since(peer.lastUsed) < c.limits.UnusedTimeout {
 			continue
 		}
 		delete(c.peers, address)
--- a/internal/control/doc.go
+++ b/internal/control/doc.go
@@ -39,8 +39,12 @@
 	WriteTimeout time.Duration
 	// FrameTimeout bounds the arrival of one frame after its first byte.
 	FrameTimeout time.Duration
-	// IdleTimeout closes a connection on which nothing was heard.
+	// IdleTimeout closes an accepted connection on which nothing was heard.
 	IdleTimeout time.Duration
+	// UnusedTimeout closes a connection made that no call uses. It must be
+	// below IdleTimeout, so that the calling side closes first and no call is
+	// lost to it.
+	UnusedTimeout time.Duration
 	// DialTimeout bounds connecting, the TLS handshake included.
 	DialTimeout time.Duration
 }
@@ -55,7 +59,8 @@
 		Calls:              4096,
 		WriteTimeout:       5 * time.Second,
 		FrameTimeout:       10 * time.Second,
-		IdleTimeout:        90 * time.Second,
+		IdleTimeout:        60 * time.Second,
+		UnusedTimeout:      10 * time.Second,
 		DialTimeout:        2 * time.Second,
 	}
 }
--- a/internal/lab/hollow/node.go
+++ b/internal/lab/hollow/node.go
@@ -61,6 +61,7 @@
 		Platform: acceptancePort{Port: port, observer: n.cluster.Observer},
 		Path:     recorder{node: n},
 		Events:   eventWatch{node: n},
+		Limits:   hollowLimits(),
 		Wrap:     n.cluster.options.Wrap,
 	})
 	started.Start()
@@ -90,6 +91,16 @@
 	}
 }
 
+// unusedTimeout is short, because both ends of all connections share one
+// process and its open files: the calls of a start go to many daemons once.
+const unusedTimeout = 2 * time.Second
+
+func hollowLimits() control.Limits {
+	limits := control.DefaultLimits()
+	limits.UnusedTimeout = unusedTimeout
+	return limits
+}
+
 // backendSlots is how many calls the back end beside a hollow daemon would
 // run.
 const backendSlots = 6
