Overload: amplification also where failures break connections

Cause: since answers of failure are never sent again, a leaf that answers 503 could not show any amplification, with or without budgets: a check that couldn't fail. Change: every failure in the chain breaks its connection, which is retried.

--- a/internal/lab/backend/server.go
+++ b/internal/lab/backend/server.go
@@ -214,6 +214,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	status := s.nested(request)
+	if status == FailBreak {
+		panic(http.ErrAbortHandler)
+	}
 	completed = true
 	if admission.Crash == CrashBeforeAnswering {
 		s.finishThenCrash(admission.Run)
@@ -229,17 +232,21 @@
 }
 
 // nested makes the further call that the request asks for and returns the
-// status to answer.
+// status to answer, or FailBreak.
 func (s *Server) nested(request *http.Request) int {
 	depth, _ := strconv.Atoi(request.Header.Get(HeaderDepth))
+	fail, _ := strconv.Atoi(request.Header.Get(HeaderFail))
 	if depth > 0 && s.forward != nil {
 		status, err := s.forward(request.Context(), request, depth-1)
+		if fail == FailBreak && (err != nil || status != http.StatusOK) {
+			return FailBreak
+		}
 		if err != nil {
 			return http.StatusBadGateway
 		}
 		return status
 	}
-	if fail, _ := strconv.Atoi(request.Header.Get(HeaderFail)); fail >= http.StatusBadRequest {
+	if fail != 0 {
 		return fail
 	}
 	return http.StatusOK
--- a/internal/lab/backend/wire.go
+++ b/internal/lab/backend/wire.go
@@ -17,7 +17,8 @@
 	// HeaderDepth asks the back end to make a further call, that many deep,
 	// before it answers.
 	HeaderDepth = "Lab-Depth"
-	// HeaderFail asks the back end at depth 0 to answer with this status.
+	// HeaderFail asks the back end at depth 0 to answer with this status, or with
+	// FailBreak to break its connection; those above it then break theirs.
 	HeaderFail = "Lab-Fail"
 	// HeaderBackend names the back end that answered.
 	HeaderBackend = "Lab-Backend"
@@ -32,6 +33,9 @@
 	HeaderNoRetry = "Springstack-No-Retry"
 )
 
+// FailBreak is the value of HeaderFail that breaks connections.
+const FailBreak = -1
+
 // Paths of the reports of a back end.
 const (
 	PathHealth = "/-/health"
--- a/internal/lab/overload/amplification.go
+++ b/internal/lab/overload/amplification.go
@@ -16,40 +16,55 @@
 // The chain of calls whose leaf fails.
 const (
 	chainDepth = 7
-	// chainCalls is small, since without any bound each makes thousands.
-	chainCalls   = 24
-	chainWorkers = 2
-	chainTimeout = 10 * time.Second
+	chainCalls = 150
+	// chainBound ends the run without any bound on retries, where each call
+	// makes thousands.
+	chainBound   = 8 * time.Second
+	chainWorkers = 4
+	chainTimeout = 8 * time.Second
 	// leafSuffix ends the request ids of the deepest calls.
 	leafSuffix = ".0"
 )
 
-// measureAmplification calls seven deep while the leaf answers 503, and counts
-// how often the leaf ran. The calls may be repeated.
+// measureAmplification calls seven deep while the leaf fails, and counts how
+// often the leaf ran. The calls may be repeated.
 func measureAmplification(ctx context.Context, options Options, figures *Figures) error {
-	options.Progress("retry_amplification")
+	var err error
+	options.Progress("retry_amplification_answered")
+	figures.AmplificationAnswered, err = amplification(ctx, options, figures, http.StatusServiceUnavailable)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	options.Progress("retry_amplification_broken")
+	figures.RetryAmplificationDepth7, err = amplification(ctx, options, figures, backend.FailBreak)
+	return errors.Trace(err)
+}
+
+// amplification is how often the leaf ran for each call.
+func amplification(ctx context.Context, options Options, figures *Figures, failure int) (float64, error) {
 	started, err := startRig(options, backend.Config{MeanService: backend.NoService}, func(rigOptions *rig.Options) {
 		rigOptions.Deployment.RouteTimeout = chainTimeout
 	})
 	if err != nil {
-		return errors.Trace(err)
+		return 0, errors.Trace(err)
 	}
 	defer started.Close()
 	kind := deployment().Calls[kindLow].Kind
 	kind.Depth = chainDepth - 1
-	kind.FailStatus = http.StatusServiceUnavailable
-	kind.Timeout = chainTimeout
+	kind.FailStatus = failure
+	kind.Timeout = chainTimeout + time.Second
 	report, err := load.Run(ctx, load.Plan{
-		Kinds:   []load.Kind{kind},
-		Targets: started.Targets(),
-		Workers: chainWorkers,
-		Calls:   chainCalls,
-		Prefix:  "chain",
-		Seed:    options.Seed,
-		Origin:  started.Origin,
+		Kinds:    []load.Kind{kind},
+		Targets:  started.Targets(),
+		Workers:  chainWorkers,
+		Calls:    chainCalls,
+		Duration: chainBound,
+		Prefix:   "chain",
+		Seed:     options.Seed,
+		Origin:   started.Origin,
 	})
 	if err != nil {
-		return errors.Trace(err)
+		return 0, errors.Trace(err)
 	}
 	figures.check(ctx, []load.Kind{kind}, report.Results, started)
 	leafRuns := 0
@@ -58,6 +73,5 @@
 			leafRuns += len(runs)
 		}
 	}
-	figures.RetryAmplificationDepth7 = float64(leafRuns) / float64(len(report.Results))
-	return nil
+	return float64(leafRuns) / float64(len(report.Results)), nil
 }
--- a/internal/lab/overload/overload.go
+++ b/internal/lab/overload/overload.go
@@ -63,10 +63,12 @@
 	// PartnerShareError is how far the smaller partner's share of goodput is
 	// from the half that both are due, relative to that half.
 	PartnerShareError float64 `json:"partner_share_error"`
-	// RetryAmplificationDepth7 is how often the failing leaf of calls seven deep
-	// is run for each call.
+	// RetryAmplificationDepth7 is how often the leaf of calls seven deep runs for
+	// each call when every failure breaks the connection, which is the worst.
 	RetryAmplificationDepth7 float64 `json:"retry_amplification_depth_7"`
-	Calls                    int     `json:"calls"`
+	// AmplificationAnswered is the same when the leaf answers 503.
+	AmplificationAnswered float64 `json:"retry_amplification_answered_503"`
+	Calls                 int     `json:"calls"`
 	// SlotsExceeded counts calls that a gate started while all slots were taken.
 	SlotsExceeded int          `json:"slots_exceeded"`
 	Verdict       load.Verdict `json:"verdict"`
