Proxy follows a raised incarnation; sets built from one index of members

Cause: a node whose incarnation peers remember as later raises its own, and its gate then refused every call as WrongBackend. Building sets looked through all members for each back end.

--- a/internal/core/endpoint/set.go
+++ b/internal/core/endpoint/set.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,16 +28,48 @@
 	usable int
 }
 
+// Index finds the record of the daemon beside a back end: that of its latest
+// incarnation. It is built once for the sets of all services.
+type Index map[place]protocol.Member
+
+// place names a back end.
+type place struct {
+	service resource.ServiceRef
+	backend string
+}
+
+// NewIndex builds the index of the member records.
+func NewIndex(members []protocol.Member) Index {
+	index := Index{}
+	for _, member := range members {
+		if member.Backend == "" {
+			continue
+		}
+		at := place{service: member.Service, backend: member.Backend}
+		if known, found := index[at]; !found || member.Incarnation > known.Incarnation {
+			index[at] = member
+		}
+	}
+	return index
+}
+
 // Build makes the set of a service from the configuration and the member
-// records. Counts carry over from the previous set, which may be nil, for
-// endpoints of the same incarnation; a new incarnation starts cold.
+// records; see BuildIndexed.
 func Build(previous *Set, self Locality, backends []resource.Backend, members []protocol.Member, now time.Duration) *Set {
+	return BuildIndexed(previous, self, backends, NewIndex(members), now)
+}
+
+// BuildIndexed makes the set of a service from the configuration and the index
+// of the member records. Counts carry over from the previous set, which may be
+// nil, for endpoints of the same incarnation; a new incarnation starts cold.
+func BuildIndexed(previous *Set, self Locality, backends []resource.Backend, index Index, now time.Duration) *Set {
 	set := &Set{}
+	known := previous.byName()
 	for _, backend := range backends {
-		made := describe(backend, members)
-		made.stats = carryOver(previous, made, now)
+		made, usable := describe(backend, index)
+		made.stats = carryOver(previous, known[made.Backend], made, now)
 		set.All = append(set.All, made)
-		if !takesWork(made, members) {
+		if !usable {
 			continue
 		}
 		tier := distance(self, made)
@@ -46,9 +79,23 @@
 	return set
 }
 
-// describe joins a back end with the record of the daemon beside it. The
-// daemon's own word on address and place goes before the configuration's.
-func describe(backend resource.Backend, members []protocol.Member) *Endpoint {
+// byName indexes a set, which may be nil.
+func (s *Set) byName() map[string]*Endpoint {
+	if s == nil {
+		return nil
+	}
+	index := make(map[string]*Endpoint, len(s.All))
+	for _, one := range s.All {
+		index[one.Backend] = one
+	}
+	return index
+}
+
+// describe joins a back end with the record of the daemon beside it, and tells
+// whether it may take new work. The daemon's own word on state, address and
+// place goes before the configuration's. Without one the endpoint counts as a
+// doubted one, for the records may not have come yet.
+func describe(backend resource.Backend, index Index) (*Endpoint, bool) {
 	made := &Endpoint{
 		Service: backend.ServiceRef(),
 		Backend: backend.Name,
@@ -58,9 +105,9 @@
 		Slots:   backend.Slots,
 		Doubted: true,
 	}
-	member := newest(made, members)
-	if member == nil {
-		return made
+	member, found := index[place{service: made.Service, backend: made.Backend}]
+	if !found {
+		return made, true
 	}
 	made.Node = member.ID
 	made.Incarnation = member.Incarnation
@@ -69,61 +116,30 @@
 	made.Doubted = member.State == protocol.MemberSuspect
 	made.Region = member.Region
 	made.Zone = member.Zone
-	if member.DataAddress != "" {
-		made.Address = member.DataAddress
-	}
-	if member.Slots > 0 {
-		made.Slots = member.Slots
-	}
-	return made
-}
-
-// newest finds the latest incarnation of a daemon beside the back end.
-func newest(of *Endpoint, members []protocol.Member) *protocol.Member {
-	var found *protocol.Member
-	for index := range members {
-		member := &members[index]
-		if member.Backend != of.Backend || member.Service != of.Service {
-			continue
-		}
-		if found == nil || member.Incarnation > found.Incarnation {
-			found = member
-		}
-	}
-	return found
+	made.Address = cmp.Or(member.DataAddress, made.Address)
+	made.Slots = cmp.Or(member.Slots, made.Slots)
+	return made, takesWork(member)
 }
 
-// takesWork weighs the daemon's own word. Without one, the endpoint counts as
-// a doubted one, for the records may not have come yet.
-func takesWork(made *Endpoint, members []protocol.Member) bool {
-	member := newest(made, members)
-	if member == nil {
-		return true
-	}
+// takesWork weighs the daemon's own word.
+func takesWork(member protocol.Member) bool {
 	if member.State != protocol.MemberAlive && member.State != protocol.MemberSuspect {
 		return false
 	}
 	return member.Endpoint == protocol.EndpointReady || member.Endpoint == protocol.EndpointWarming
 }
 
-// carryOver finds the counts of an endpoint in the previous set. In a first
+// carryOver takes the counts of an endpoint from the previous set. In a first
 // set everything counts as warm: the chooser is what is new, not the back
 // ends; those that say themselves that they are warming start cold.
-func carryOver(previous *Set, made *Endpoint, now time.Duration) *stats {
+func carryOver(previous *Set, old, made *Endpoint, now time.Duration) *stats {
+	if old != nil && (old.Incarnation == made.Incarnation || old.Incarnation == 0) {
+		return old.stats
+	}
 	fresh := &stats{}
+	fresh.readyAt.Store(int64(now))
 	if previous == nil && made.State != protocol.EndpointWarming {
 		fresh.readyAt.Store(int64(now - warmUp))
-		return fresh
-	}
-	fresh.readyAt.Store(int64(now))
-	if previous == nil {
-		return fresh
-	}
-	for _, old := range previous.All {
-		sameDaemon := old.Incarnation == made.Incarnation || old.Incarnation == 0
-		if old.Backend == made.Backend && sameDaemon {
-			return old.stats
-		}
 	}
 	return fresh
 }
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -159,6 +159,7 @@
 		select {
 		case <-running:
 		case <-bound.C:
+		case <-c.proxy.closed:
 		}
 		done()
 	}()
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -32,7 +32,11 @@
 	answeredAt atomic.Int64
 	// wake asks for a probe now.
 	wake chan struct{}
-	load atomic.Pointer[ownLoad]
+	// context ends with the proxy, done is closed when run has ended.
+	context context.Context
+	cancel  context.CancelFunc
+	done    chan struct{}
+	load    atomic.Pointer[ownLoad]
 
 	// state and failures belong to run.
 	state    protocol.EndpointState
@@ -52,14 +56,24 @@
 
 func newHealth(p *Proxy) *health {
 	transport := &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}
+	ctx, cancel := context.WithCancel(context.Background())
 	return &health{
-		proxy:  p,
-		client: &http.Client{Transport: transport, Timeout: p.limits.ProbeTimeout},
-		wake:   make(chan struct{}, 1),
-		state:  protocol.EndpointNone,
+		proxy:   p,
+		client:  &http.Client{Transport: transport, Timeout: p.limits.ProbeTimeout},
+		wake:    make(chan struct{}, 1),
+		context: ctx,
+		cancel:  cancel,
+		done:    make(chan struct{}),
+		state:   protocol.EndpointNone,
 	}
 }
 
+// stop ends the probes and waits for the one that runs.
+func (h *health) stop() {
+	h.cancel()
+	<-h.done
+}
+
 // answered records that a call was answered. It writes a few times a second at
 // most, so that calls do not contend for it.
 func (h *health) answered() {
@@ -89,6 +103,7 @@
 
 // run probes until the proxy is closed.
 func (h *health) run() {
+	defer close(h.done)
 	defer h.client.CloseIdleConnections()
 	for {
 		h.probe()
@@ -100,7 +115,7 @@
 		select {
 		case <-timer.C:
 		case <-h.wake:
-		case <-h.proxy.closed:
+		case <-h.context.Done():
 			timer.Stop()
 			return
 		}
@@ -114,7 +129,11 @@
 	if !known {
 		return
 	}
-	h.settle(h.ask(spec))
+	found := h.ask(spec)
+	if h.context.Err() != nil {
+		return
+	}
+	h.settle(found)
 	if spec.LoadPath != "" {
 		h.askLoad(spec.LoadPath)
 	}
@@ -136,7 +155,7 @@
 	started := h.proxy.config.Clock()
 	state := protocol.EndpointDown
 	if spec.HealthPath == "" {
-		conn, err := h.proxy.backend.dialer.Dial("tcp", h.proxy.config.BackendAddress)
+		conn, err := h.proxy.backend.dialer.DialContext(h.context, "tcp", h.proxy.config.BackendAddress)
 		if err == nil {
 			_ = conn.Close()
 			state = protocol.EndpointReady
@@ -186,32 +205,12 @@
 }
 
 func (h *health) get(path string) (*http.Response, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), h.proxy.limits.ProbeTimeout)
 	url := "http://" + h.proxy.config.BackendAddress + path
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	request, err := http.NewRequestWithContext(h.context, http.MethodGet, url, nil)
 	if err != nil {
-		cancel()
 		return nil, err
 	}
-	answer, err := h.client.Do(request)
-	if err != nil {
-		cancel()
-		return nil, err
-	}
-	answer.Body = &cancellingBody{ReadCloser: answer.Body, cancel: cancel}
-	return answer, nil
-}
-
-// cancellingBody ends the probe's context with the body.
-type cancellingBody struct {
-	io.ReadCloser
-	cancel context.CancelFunc
-}
-
-// Close closes the body.
-func (b *cancellingBody) Close() error {
-	b.cancel()
-	return b.ReadCloser.Close()
+	return h.client.Do(request)
 }
 
 // settle takes a probe's finding. Down needs several in a row, so that one
--- a/internal/proxy/path_test.go
+++ b/internal/proxy/path_test.go
@@ -262,6 +262,21 @@
 	check.Equal(runs.Load(), int64(1))
 }
 
+// TestRaisedIncarnationIsFollowed: the node raises its incarnation when peers
+// remember a later one of it.
+func TestRaisedIncarnationIsFollowed(t *testing.T) {
+	check := is.New(t)
+	var runs atomic.Int64
+	mesh := startMesh(t, meshOptions{}, counting(&runs))
+	mesh.members[0].Incarnation = 9
+	mesh.caller.PublishMembers(mesh.members)
+	expectRefusal(check, mesh.call(t, "POST", "/", "x"), result.WrongBackend, result.RanNo)
+	mesh.gates[0].PublishMembers(mesh.members)
+	mesh.members[0].Sequence++
+	mesh.caller.PublishMembers(mesh.members)
+	check.Equal(mesh.call(t, "POST", "/", "x").status, http.StatusOK)
+}
+
 func TestRequestKeyStartsOnce(t *testing.T) {
 	check := is.New(t)
 	var runs atomic.Int64
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -29,6 +29,8 @@
 	// servingUntil is a time on the clock, in nanoseconds.
 	servingUntil atomic.Int64
 
+	// incarnation is this daemon's own, as callers' sides know it.
+	incarnation atomic.Uint64
 	// gate and backend are nil when there is no back end beside the daemon.
 	gate    *admission.Gate
 	backend *upstream
@@ -64,6 +66,7 @@
 	incarnation := strconv.FormatUint(uint64(config.Incarnation), 36)
 	proxy.requestPrefix = string(config.NodeID) + "-" + incarnation + "-"
 	proxy.randomState.Store(config.RandomSeed)
+	proxy.incarnation.Store(uint64(config.Incarnation))
 	proxy.view.Store(&view{})
 	if config.Backend != "" {
 		proxy.openGate()
@@ -134,6 +137,9 @@
 	p.closeOnce.Do(func() {
 		close(p.closed)
 		p.connections.cut(errClosed)
+		if p.health != nil {
+			p.health.stop()
+		}
 		p.changing.Lock()
 		defer p.changing.Unlock()
 		for _, one := range p.view.Load().upstreams {
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -28,7 +28,9 @@
 	dialer    net.Dialer
 	spares    chan spare
 	opening   atomic.Int64
-	closed    atomic.Bool
+	// context ends when the upstream is given up.
+	context context.Context
+	cancel  context.CancelFunc
 }
 
 // spare is a connection opened ahead of its first call.
@@ -38,7 +40,10 @@
 }
 
 func newUpstream(address string, limits Limits, idle time.Duration) *upstream {
+	ctx, cancel := context.WithCancel(context.Background())
 	made := &upstream{
+		context: ctx,
+		cancel:  cancel,
 		address: address,
 		dialer:  net.Dialer{Timeout: limits.DialTimeout},
 		spares:  make(chan spare, spareLimit),
@@ -81,7 +86,7 @@
 // openAhead opens connections in the background for calls to come.
 func (u *upstream) openAhead(count int) {
 	for range count {
-		if u.closed.Load() || int(u.opening.Load())+len(u.spares) >= spareLimit {
+		if u.context.Err() != nil || int(u.opening.Load())+len(u.spares) >= spareLimit {
 			return
 		}
 		u.opening.Add(1)
@@ -91,7 +96,7 @@
 
 func (u *upstream) openSpare() {
 	defer u.opening.Add(-1)
-	conn, err := u.dialer.Dial("tcp", u.address)
+	conn, err := u.dialer.DialContext(u.context, "tcp", u.address)
 	if err != nil {
 		return // the call that needs one meets the error itself
 	}
@@ -100,7 +105,7 @@
 	default:
 		_ = conn.Close()
 	}
-	if u.closed.Load() {
+	if u.context.Err() != nil {
 		u.dropSpares()
 	}
 }
@@ -124,6 +129,6 @@
 
 // close gives up all connections once their calls have ended.
 func (u *upstream) close() {
-	u.closed.Store(true)
+	u.cancel()
 	u.closeIdle()
 }
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -44,6 +44,7 @@
 		next.table = routing.Compile(held)
 	}
 	now := p.config.Clock()
+	index := endpoint.NewIndex(members)
 	self := endpoint.Locality{Region: p.config.Region, Zone: p.config.Zone}
 	for reference, backends := range held.Backends {
 		made := &service{name: reference.String()}
@@ -54,7 +55,7 @@
 		} else {
 			made.budget = retry.NewBudget(now)
 		}
-		made.set = endpoint.Build(oldSet, self, backends, members, now)
+		made.set = endpoint.BuildIndexed(oldSet, self, backends, index, now)
 		next.services[reference] = made
 		p.connect(previous, next, made.set)
 	}
