Client: plainer lines; an identical file compares as the same

Seen with three daemons and the stand-in as separate processes: submit, held, promoted in the same version, wait until in force, still_needed, status, nodes.

--- a/internal/core/ledger/status.go
+++ b/internal/core/ledger/status.go
@@ -47,8 +47,13 @@
 			status.Exports = append(status.Exports, protocol.ExportedService{Name: service.Name, Partners: service.ExportTo})
 		}
 	}
-	status.Resources = lo.Map(resource.Encode(file), func(encoded resource.Encoded, _ int) protocol.ResourceDigest {
+	status.Resources = ResourceDigests(file)
+	return status
+}
+
+// ResourceDigests lists the resources of a file with their digests.
+func ResourceDigests(file *resource.File) []protocol.ResourceDigest {
+	return lo.Map(resource.Encode(file), func(encoded resource.Encoded, _ int) protocol.ResourceDigest {
 		return protocol.ResourceDigest{Kind: encoded.Key.Kind, Name: encoded.Key.Name, Digest: encoded.Digest}
 	})
-	return status
 }
--- a/internal/operator/client/attempts.go
+++ b/internal/operator/client/attempts.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
-	"fmt"
+	"net/url"
 	"slices"
 
+	"github.com/juju/errors"
+
 	"github.com/springstack/springstack/internal/operator/message"
 	"github.com/springstack/springstack/internal/result"
 )
@@ -29,7 +31,7 @@
 
 // notSent says that a call never left.
 func notSent(server string, err error) *failure {
-	answer := message.Refusal(result.Unreachable, fmt.Sprintf("%s: %v", server, err))
+	answer := message.Refusal(result.Unreachable, server+": "+reason(err))
 	answer.Ran = result.RanNo
 	return &failure{answer: answer}
 }
@@ -40,7 +42,16 @@
 	if !connected {
 		return notSent(server, err)
 	}
-	return &failure{answer: message.Refusal(result.Unreachable, fmt.Sprintf("%s: %v", server, err)), sent: true}
+	return &failure{answer: message.Refusal(result.Unreachable, server+": "+reason(err)), sent: true}
+}
+
+// reason leaves out the method and URL that net/http puts before an error.
+func reason(err error) string {
+	var wrapped *url.Error
+	if errors.As(err, &wrapped) {
+		return wrapped.Err.Error()
+	}
+	return err.Error()
 }
 
 // refused reads a server's refusal. A body that is not one, as from something
--- a/internal/operator/difference.go
+++ b/internal/operator/difference.go
@@ -6,6 +6,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/springstack/springstack/internal/core/ledger"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/operator/message"
@@ -22,6 +23,9 @@
 	if found && !identical && len(accepted.Resources) == 0 {
 		return message.Differences{}, newFailure(message.Refusal(result.NotReadyYet, "no resources of the accepted revision are listed"))
 	}
+	if identical {
+		accepted.Resources = ledger.ResourceDigests(file)
+	}
 	held := map[resource.Key]resource.Digest{}
 	for _, one := range accepted.Resources {
 		held[resource.Key{Partner: file.Partner, Kind: one.Kind, Name: one.Name}] = one.Digest
--- a/internal/operator/printer/printer.go
+++ b/internal/operator/printer/printer.go
@@ -66,7 +66,7 @@
 	}
 	p.line("springstack-%d %s (ran: %s)", answer.Code, answer.Name, answer.Ran)
 	if answer.Version > 0 || answer.Revision > 0 {
-		p.line("  version %d, revision %d", answer.Version, answer.Revision)
+		p.line("  version %s, revision %s", number(answer.Version), number(answer.Revision))
 	}
 	for _, missing := range answer.WaitsFor {
 		p.line("  waits: %s", missing)
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -63,7 +63,10 @@
 func (e *Error) Error() string {
 	text := fmt.Sprintf("springstack-%d %s", e.Code, e.Code.Name())
 	if e.File != "" {
-		text += fmt.Sprintf(" %s:%d", e.File, e.Line)
+		text += " " + e.File
+	}
+	if e.File != "" && e.Line > 0 {
+		text += fmt.Sprintf(":%d", e.Line)
 	}
 	if e.Field != "" {
 		text += " " + e.Field
