--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"github.com/samber/do/v2"
 
+	"github.com/springstack/springstack/internal/access"
 	"github.com/springstack/springstack/internal/core/node"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/proxy"
@@ -30,6 +31,8 @@
 	backend  backendReporter
 	draining atomic.Bool
 	killed   atomic.Bool
+	// identity is behind the TLS of all ports; nil in the clear.
+	identity *access.Identity
 }
 
 // New returns a daemon that does not run yet. The settings must have been
@@ -109,6 +112,7 @@
 	d.mesh.Shell().Leave(ctx)
 	d.path.StartDrain()
 	d.awaitDrained(ctx)
+	d.reportStopped(ctx)
 	err := d.shutdown()
 	d.event("daemon_stopped")
 	return errors.Trace(err)
@@ -135,6 +139,20 @@
 	}
 }
 
+// reportStopped tells the mesh that this daemon serves no more, so that it is
+// not waited for.
+func (d *Daemon) reportStopped(ctx context.Context) {
+	if !d.mesh.Shell().Stopped(ctx) {
+		return
+	}
+	reported := time.NewTimer(StoppedReport)
+	defer reported.Stop()
+	select {
+	case <-reported.C:
+	case <-ctx.Done():
+	}
+}
+
 // Kill ends the daemon at once, as a crash would: nothing is drained and
 // nobody is told.
 func (d *Daemon) Kill() {
