--- a/cmd/springstack/app_test.go
+++ b/cmd/springstack/app_test.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"encoding/pem"
+	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -128,6 +131,9 @@
 	status, text = b.run("adomako", "status")
 	is.Equal(status, 0)
 	is.True(strings.Contains(text, "roast-schedule") && !strings.Contains(text, "kameeldoring/routes"))
+	_, _ = b.run("adomako", "submit", "../../examples/adomako.yaml")
+	status, _ = b.run("adomako", "withdraw", "--wait", "adomako/timesheets")
+	is.Equal(status, 0)
 	status, text = b.run("adomako", "nodes")
 	is.Equal(status, 0)
 	is.True(strings.Contains(text, "klein-hall"))
@@ -205,6 +211,24 @@
 	is.Equal(answer.Ran, result.RanNo)
 }
 
+func TestServersAreVerified(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, plain)
+	secure := httptest.NewTLSServer(b.server.Config.Handler)
+	t.Cleanup(secure.Close)
+	secure.Config.ErrorLog = log.New(io.Discard, "", 0)
+	authority := filepath.Join(t.TempDir(), "ca.pem")
+	encoded := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: secure.Certificate().Raw})
+	is.NoErr(os.WriteFile(authority, encoded, 0o600))
+	status, _ := b.run("adomako", "--server", secure.URL, "--ca-file", authority, "--output", "json", "status")
+	is.Equal(status, 0)
+	var out bytes.Buffer
+	line := []string{"springstack", "--server", secure.URL, "--token-file", b.tokens["adomako"], "status"}
+	is.Equal(run(t.Context(), line, streams{in: strings.NewReader(""), out: &out, err: &out}), 14)
+	is.True(strings.Contains(out.String(), "certificate"))
+	is.Equal(b.backend.head.LastRevision, uint64(0))
+}
+
 func TestUsageAndSettings(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t, plain)
--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -289,3 +289,32 @@
 		is.True(err != nil)
 	}
 }
+
+// TestHeadRefusesToOutgrowItsBudget starts a little below the budget. A full
+// head still lets files go.
+func TestHeadRefusesToOutgrowItsBudget(t *testing.T) {
+	is := is.New(t)
+	c := newChain(t)
+	c.submit("a/f", service("s"))
+	pattern := *c.head.Files[0].Accepted
+	file := c.contents[pattern.Digest]
+	size := len(ledger.Encode(c.head))
+	for i := 0; size < ledger.HeadBudget-2_000; i++ {
+		entry := ledger.FileEntry{Partner: "z", Name: fmt.Sprintf("f%06d", i), Accepted: &pattern}
+		copied := *file
+		copied.Partner, copied.Name, copied.Services = entry.Partner, entry.Name, nil
+		accepted := pattern
+		accepted.Digest = resource.FileDigest(&copied)
+		entry.Accepted = &accepted
+		c.contents[accepted.Digest] = &copied
+		c.head.Files = append(c.head.Files, entry)
+		size += len(ledger.Encode(&ledger.Head{Files: []ledger.FileEntry{entry, entry}})) - len(ledger.Encode(&ledger.Head{Files: []ledger.FileEntry{entry}}))
+	}
+	reply := &protocol.SubmitReply{}
+	for i := 0; i < 100 && reply.Code == result.OK; i++ {
+		reply = c.submit(fmt.Sprintf("a/g%d", i), service(fmt.Sprintf("g%d", i)))
+		is.True(len(ledger.Encode(c.head)) <= ledger.HeadBudget)
+	}
+	is.Equal(reply.Code, result.HeadTooLarge)
+	is.Equal(c.withdraw("a/f").Code, result.OK)
+}
--- a/internal/operator/client/wait.go
+++ b/internal/operator/client/wait.go
@@ -17,7 +17,7 @@
 	Name    string
 	// Revision is the least revision of the file; 0 for any.
 	Revision uint64
-	// Version is waited for when no file is named.
+	// Version is waited for when no file is named; 0 is in force from the start.
 	Version uint64
 }
 
@@ -70,7 +70,8 @@
 	if goal.Name != "" {
 		progress.Version, progress.WaitsFor, progress.Trouble = goal.find(status.Files)
 	}
-	progress.Done = progress.Version > 0 && status.InForce >= progress.Version && len(progress.WaitsFor) == 0
+	known := goal.Name == "" || progress.Version > 0
+	progress.Done = known && len(progress.WaitsFor) == 0 && status.InForce >= progress.Version
 	return progress
 }
 
