Keep every other daemon serving while one restarts

Stepped on virtual time: (a) children waited 4 s for a leaving root to become root again, since the tree kept draining members in their roles and the cached tree ignored that change; (b) a refusal with a wait of 35 s also kept the next life of that daemon out; (c) daemons that refused for a moment were left out for 3 to 6 s; (d) a parent was called stale while its fetch was held, after a preferred one had been tried in vain, and left out for 6 s though it was the only root. Change: draining members have no role, a leaving daemon names its record, an avoidance belongs to one incarnation, refusals back off from 0.4 s, a parent is judged by its replies. Lease 7 s (was 6), slack of a fetch 1 s (was 1.5).

--- a/internal/core/distribution/tree.go
+++ b/internal/core/distribution/tree.go
@@ -30,14 +30,15 @@
 )
 
 // NewTree computes the tree of a region. The first ⌈members / fanOut⌉ members
-// of each zone by rendezvous rank are its relays. Candidates for root are the
+// of each zone by rendezvous rank are its relays; members that are draining have
+// no role. Candidates for root are the
 // readers, then who already acts as root without a reader lease (the platform
 // may be down for long), then the relays, which hold everything that was
 // released.
 func NewTree(self protocol.Member, members []protocol.Member, fanOut int) *Tree {
 	tree := &Tree{self: self.ID, zone: self.Zone, relays: map[string][]protocol.Member{}}
 	live := lo.Filter(members, func(member protocol.Member, _ int) bool {
-		return member.Region == self.Region && membership.Live(member)
+		return member.Region == self.Region && membership.MayBeParent(member)
 	})
 	byZone := lo.GroupBy(live, func(member protocol.Member) string { return member.Zone })
 	for name, zoneMembers := range byZone {
--- a/internal/core/membership/rank.go
+++ b/internal/core/membership/rank.go
@@ -54,6 +54,12 @@
 	return member.State != protocol.MemberLeft && member.State != protocol.MemberDead
 }
 
+// MayBeParent reports whether a member may have a role in the tree. One that
+// is draining still serves and counts, but takes no children any more.
+func MayBeParent(member protocol.Member) bool {
+	return Live(member) && member.State != protocol.MemberDraining
+}
+
 // Newer reports whether record a wins over record b of the same daemon.
 func Newer(a, b protocol.Member) bool {
 	if a.Incarnation != b.Incarnation {
--- a/internal/core/membership/roster.go
+++ b/internal/core/membership/roster.go
@@ -105,7 +105,7 @@
 // structureDiffers reports whether a change concerns who counts and who may be
 // whose parent, and not only an endpoint.
 func structureDiffers(a, b protocol.Member) bool {
-	return a.Incarnation != b.Incarnation || Live(a) != Live(b) || a.Reader != b.Reader || a.Root != b.Root ||
+	return a.Incarnation != b.Incarnation || Live(a) != Live(b) || MayBeParent(a) != MayBeParent(b) || a.Reader != b.Reader || a.Root != b.Root ||
 		a.Zone != b.Zone || a.Region != b.Region || a.ControlAddress != b.ControlAddress
 }
 
--- a/internal/core/node/downstream.go
+++ b/internal/core/node/downstream.go
@@ -297,7 +297,7 @@
 	token := known.token
 	known.token = 0
 	if n.leaving {
-		n.answer(token, refusal(result.AskAnother, n.config.Timing.DeadAfter))
+		n.answer(token, n.farewell(known))
 		return
 	}
 	store := n.holding.store
@@ -324,6 +324,19 @@
 	n.answer(token, reply)
 }
 
+// farewell turns a child elsewhere when this daemon leaves. It names this
+// daemon's own record, by which the child knows not to wait for it.
+func (n *Node) farewell(known *child) *protocol.FetchReply {
+	reply := refusal(result.AskAnother, n.config.Timing.DeadAfter)
+	reply.Incarnation = n.self.Incarnation
+	zone := ""
+	if member, found := n.roster.Get(known.id); found {
+		zone = member.Zone
+	}
+	reply.Members = n.hints(known.id, zone)
+	return reply
+}
+
 // membersFor returns the records that a child lacks: those that changed since
 // its cursor, or, without one, those in which its roster differs.
 func (n *Node) membersFor(known *child) []protocol.Member {
--- /dev/null
+++ b/internal/core/node/restart_test.go
@@ -0,0 +1,58 @@
+package node_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/node"
+)
+
+// watchServing runs for the period and returns the longest time that any
+// running daemon other than the given one did not serve.
+func (c *cluster) watchServing(period time.Duration, but *daemon) time.Duration {
+	const step = 50 * time.Millisecond
+	gaps := map[*daemon]time.Duration{}
+	longest := time.Duration(0)
+	for end := c.now + period; c.now < end; {
+		c.run(step)
+		for _, d := range c.daemons {
+			if d == but || !d.running || c.serving(d) {
+				gaps[d] = 0
+				continue
+			}
+			gaps[d] += step
+			if c.logs != nil {
+				c.logs(fmt.Sprintf("%8.3f %s does not serve", c.now.Seconds(), d.id))
+			}
+			longest = max(longest, gaps[d])
+		}
+	}
+	return longest
+}
+
+// TestRollingRestartKeepsOthersServing restarts every daemon in turn, by a
+// planned stop and then by a crash: no other daemon may stop serving
+// meanwhile, roots and keepers included.
+func TestRollingRestartKeepsOthersServing(t *testing.T) {
+	for _, planned := range []bool{true, false} {
+		t.Run(fmt.Sprint("planned ", planned), func(t *testing.T) {
+			c, daemons, version := settled(t)
+			for _, d := range daemons {
+				if planned {
+					c.step(d, node.Leave{})
+					c.run(2 * time.Second)
+					c.step(d, node.Stopped{})
+				}
+				c.stop(d)
+				gap := c.watchServing(time.Second, d)
+				c.start("windhoek", d.config.Zone, string(d.id), "addr-d00", "addr-d01", "addr-d02")
+				gap = max(gap, c.watchServing(8*time.Second, d))
+				if gap > 0 {
+					t.Errorf("another daemon did not serve for %v while %s restarted", gap, d.id)
+				}
+				c.until("it serves again", 20*time.Second, func() bool { return c.allServe(version) })
+			}
+		})
+	}
+}
--- a/internal/core/node/step.go
+++ b/internal/core/node/step.go
@@ -228,7 +228,7 @@
 func DefaultTiming() Timing {
 	return Timing{
 		FetchWait:    2 * time.Second,
-		ServingLease: 6 * time.Second,
+		ServingLease: 7 * time.Second,
 		DeadAfter:    35 * time.Second,
 		ReaderLease:  6 * time.Second,
 		FanOut:       24,
--- a/internal/core/node/upstream.go
+++ b/internal/core/node/upstream.go
@@ -56,9 +56,13 @@
 	orphanedAt time.Duration
 }
 
-// avoidance leaves a daemon out for a while.
+// avoidance leaves one life of a daemon out for a while. When it returns with
+// nothing remembered it is tried like any other.
 type avoidance struct {
-	until time.Duration
+	until       time.Duration
+	incarnation protocol.Incarnation
+	// refusals counts how often it has refused since a parent was last found.
+	refusals int
 	// refused is set when the daemon answered, but is no parent now.
 	refused bool
 }
@@ -66,9 +70,10 @@
 // The periods of the upstream side.
 const (
 	// replySlack is added to the wait of a fetch before it counts as failed.
-	replySlack = 1500 * time.Millisecond
-	// avoidRefusing is how long a daemon that answered AskAnother is left out.
-	avoidRefusing = 6 * time.Second
+	replySlack = time.Second
+	// avoidStale is how long a parent that no longer extends the lease is left
+	// out.
+	avoidStale = 2 * time.Second
 	// preferInterval is the mean time until the preferred parent is tried again;
 	// it doubles with each refusal, up to preferMax: the preferred one may be
 	// full.
@@ -91,6 +96,12 @@
 
 var parentBackoff = distribution.Backoff{Base: 200 * time.Millisecond, Max: 5 * time.Second}
 
+// refusalBackoff is how long a daemon that answered AskAnother is left out. It
+// starts well below the serving lease: after a root has gone all candidates
+// refuse for a moment, and a daemon must find the next one while it may still
+// serve.
+var refusalBackoff = distribution.Backoff{Base: 400 * time.Millisecond, Max: 6 * time.Second}
+
 // tickUpstream sends the next fetch when it is due.
 func (n *Node) tickUpstream() {
 	if _, known := n.floor(); !known || n.self.State == protocol.MemberLeft && n.upstream.reported >= n.roster.Cursor() {
@@ -163,19 +174,28 @@
 }
 
 func (n *Node) avoided(id protocol.NodeID) bool {
-	return n.now < n.upstream.avoid[id].until
+	avoid, found := n.upstream.avoid[id]
+	return found && n.now < avoid.until && avoid.incarnation == n.incarnationOf(id)
+}
+
+// incarnationOf returns the life of a daemon that the roster knows; 0 for none.
+func (n *Node) incarnationOf(id protocol.NodeID) protocol.Incarnation {
+	member, _ := n.roster.Get(id)
+	return member.Incarnation
 }
 
 func (n *Node) avoidFor(id protocol.NodeID, period time.Duration, refused bool) {
 	if n.upstream.avoid == nil {
 		n.upstream.avoid = map[protocol.NodeID]avoidance{}
 	}
-	n.upstream.avoid[id] = avoidance{until: n.now + period, refused: refused}
+	refusals := n.upstream.avoid[id].refusals
+	if refused {
+		refusals++
+	}
+	n.upstream.avoid[id] = avoidance{until: n.now + period, incarnation: n.incarnationOf(id), refused: refused, refusals: refusals}
 }
 
-// reconsiderParent returns to the preferred parent after a jittered time, and
-// leaves a parent that has not extended the lease for long: it is cut off from
-// above while another may not be.
+// reconsiderParent returns to the preferred parent after a jittered time.
 func (n *Node) reconsiderParent() {
 	up := &n.upstream
 	if n.root.active || !up.joined {
@@ -186,10 +206,6 @@
 		n.becomeRoot()
 		return
 	}
-	if n.now-up.leaseAt > n.config.Timing.ServingLease/2 {
-		n.leaveParent(avoidRefusing)
-		return
-	}
 	if n.now < up.preferAt {
 		return
 	}
@@ -334,6 +350,10 @@
 	up.joined = true
 	up.former = nil
 	up.urgentAt = 0
+	for id, avoid := range up.avoid {
+		avoid.refusals = 0
+		up.avoid[id] = avoid
+	}
 	becomeChild := func(self *protocol.Member) {
 		self.Parent = up.target.ID
 		self.Root = false
@@ -400,7 +420,7 @@
 	if wasJoined {
 		up.orphanedAt = n.now
 	}
-	period := avoidRefusing/2 + distribution.Jitter(n.random, avoidRefusing/2)
+	period := refusalBackoff.Wait(n.random, up.avoid[from].refusals+1)
 	if n.relaying() {
 		period = distribution.Jitter(n.random, rootRefusal)
 	}
@@ -411,7 +431,9 @@
 	up.nextAt = n.now + distribution.Jitter(n.random, idleSpacing)
 }
 
-// takeReply takes what the parent has to say.
+// takeReply takes what the parent has to say. It leaves a parent that answers
+// but has not extended the lease for long: that one is cut off from above while
+// another may not be. A parent that is slow to answer is not judged by it.
 func (n *Node) takeReply(sentAt time.Duration, reply *protocol.FetchReply) {
 	up := &n.upstream
 	if !up.joined {
@@ -430,6 +452,10 @@
 	n.raiseInForce(reply.InForce)
 	progressed := n.takeReleased(reply)
 	n.takeLease(sentAt, reply)
+	if n.now-up.leaseAt > n.config.Timing.ServingLease/2 {
+		n.leaveParent(avoidStale)
+		return
+	}
 	up.nextAt = n.now
 	if !progressed && len(reply.Members) == 0 && n.now-sentAt < idleSpacing {
 		up.nextAt = n.now + idleSpacing
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -79,8 +79,6 @@
 	{"parent_lost", log.WarnLevel,
 		"The parent no longer answers; another one is tried.",
 		"If it goes on for many daemons: look at the parent and the network."},
-	{"parent_preferred", log.DebugLevel,
-		"The daemon moves to a parent of higher rank.", nothing},
 	{"reader_gained", log.InfoLevel,
 		"The daemon has become a reader of the platform.", nothing},
 	{"reader_lease_gained", log.InfoLevel,
