--- a/internal/lab/backend/wire.go
+++ b/internal/lab/backend/wire.go
@@ -17,6 +17,9 @@
 	// HeaderDepth asks the back end to make a further call, that many deep,
 	// before it answers.
 	HeaderDepth = "Lab-Depth"
+	// HeaderChain lists the hosts of the further calls, separated by commas;
+	// without it they go to the host of the call itself.
+	HeaderChain = "Lab-Chain"
 	// HeaderFail asks the back end at depth 0 to answer with this status, or with
 	// FailBreak to break its connection; those above it then break theirs.
 	HeaderFail = "Lab-Fail"
--- a/internal/lab/load/client.go
+++ b/internal/lab/load/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -110,6 +111,9 @@
 	setNumber(request.Header, backend.HeaderAnswerBytes, kind.AnswerBytes)
 	setNumber(request.Header, backend.HeaderDepth, kind.Depth)
 	setNumber(request.Header, backend.HeaderFail, kind.FailStatus)
+	if len(kind.Chain) > 0 {
+		request.Header.Set(backend.HeaderChain, strings.Join(kind.Chain, ","))
+	}
 	if kind.Prepare != nil {
 		kind.Prepare(request)
 	}
--- a/internal/lab/load/plan.go
+++ b/internal/lab/load/plan.go
@@ -28,6 +28,8 @@
 	MayRepeat bool
 	// Depth is how many further calls the back ends make below this one.
 	Depth int
+	// Chain lists the hosts of the further calls; nil keeps to Host.
+	Chain []string
 	// FailStatus makes the deepest back end answer with this status; 0 means
 	// that it succeeds.
 	FailStatus int
--- a/internal/lab/rig/machine.go
+++ b/internal/lab/rig/machine.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -270,8 +271,19 @@
 // onwardTimeout bounds one nested call.
 const onwardTimeout = 10 * time.Second
 
-// forward is the back end's further call, through the daemon beside it and by
-// the same route as the call that it serves.
+// nextHost is the host of a further call; the rest of the chain is passed on.
+func nextHost(incoming *http.Request, outgoing http.Header) string {
+	next, rest, _ := strings.Cut(incoming.Header.Get(backend.HeaderChain), ",")
+	if next == "" {
+		return incoming.Host
+	}
+	if rest != "" {
+		outgoing.Set(backend.HeaderChain, rest)
+	}
+	return next
+}
+
+// forward is the back end's further call, through the daemon beside it.
 func (m *Machine) forward(ctx context.Context, incoming *http.Request, depth int) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, onwardTimeout)
 	defer cancel()
@@ -283,7 +295,7 @@
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
-	request.Host = incoming.Host
+	request.Host = nextHost(incoming, request.Header)
 	copied := []string{backend.HeaderFail, backend.HeaderNoRetry, HeaderStraight}
 	for _, name := range copied {
 		if value := incoming.Header.Get(name); value != "" {
