--- a/internal/lab/report/round.go
+++ b/internal/lab/report/round.go
@@ -68,7 +68,7 @@
 }
 
 // nestedFields are the objects whose numbers belong into a table as well.
-var nestedFields = map[string]bool{"conditions": true, "processor_us_per_call": true}
+var nestedFields = map[string]bool{"conditions": true, "processor_us_per_call": true, "uploads": true}
 
 // flatNumbers picks the numbers of an object.
 func flatNumbers(fields map[string]json.RawMessage) map[string]float64 {
--- a/internal/lab/requestpath/requestpath.go
+++ b/internal/lab/requestpath/requestpath.go
@@ -69,6 +69,7 @@
 	DirectCallsPerSecond float64        `json:"direct_calls_per_second"`
 	Processor            ProcessorUse   `json:"processor_us_per_call"`
 	Depths               []DepthFigures `json:"depths,omitempty"`
+	Uploads              UploadFigures  `json:"uploads"`
 	Counts               load.Counts    `json:"counts"`
 	Verdict              load.Verdict   `json:"verdict"`
 	Violations           int            `json:"violations"`
@@ -101,6 +102,9 @@
 	if err := measureThroughput(ctx, options, figures); err != nil {
 		return nil, errors.Annotate(err, "throughput")
 	}
+	if err := measureUploads(ctx, options, figures); err != nil {
+		return nil, errors.Annotate(err, "uploads")
+	}
 	if options.Depth {
 		if err := measureDepths(ctx, options, figures); err != nil {
 			return nil, errors.Annotate(err, "depth")
