--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -14,7 +14,7 @@
 	continueWait = time.Hour
 	// spareLife is how long a connection opened ahead may wait for its first
 	// call; the other side closes connections without a request.
-	spareLife = 5 * time.Second
+	spareLife = 4 * time.Second
 	// spareLimit bounds the connections opened ahead to one address.
 	spareLimit = 8
 )
@@ -28,7 +28,9 @@
 	dialer    net.Dialer
 	spares    chan spare
 	opening   atomic.Int64
-	closed    atomic.Bool
+	// context ends when the upstream is given up.
+	context context.Context
+	cancel  context.CancelFunc
 }
 
 // spare is a connection opened ahead of its first call.
@@ -37,8 +39,11 @@
 	openedAt time.Time
 }
 
-func newUpstream(address string, limits Limits) *upstream {
+func newUpstream(address string, limits Limits, idle time.Duration) *upstream {
+	ctx, cancel := context.WithCancel(context.Background())
 	made := &upstream{
+		context: ctx,
+		cancel:  cancel,
 		address: address,
 		dialer:  net.Dialer{Timeout: limits.DialTimeout},
 		spares:  make(chan spare, spareLimit),
@@ -48,7 +53,7 @@
 		DisableCompression:     true,
 		MaxConnsPerHost:        limits.UpstreamConnections,
 		MaxIdleConnsPerHost:    limits.UpstreamConnections,
-		IdleConnTimeout:        limits.UpstreamIdle,
+		IdleConnTimeout:        idle,
 		ExpectContinueTimeout:  continueWait,
 		MaxResponseHeaderBytes: int64(limits.HeaderBytes),
 	}
@@ -81,7 +86,7 @@
 // openAhead opens connections in the background for calls to come.
 func (u *upstream) openAhead(count int) {
 	for range count {
-		if u.closed.Load() || int(u.opening.Load())+len(u.spares) >= spareLimit {
+		if u.context.Err() != nil || int(u.opening.Load())+len(u.spares) >= spareLimit {
 			return
 		}
 		u.opening.Add(1)
@@ -91,7 +96,7 @@
 
 func (u *upstream) openSpare() {
 	defer u.opening.Add(-1)
-	conn, err := u.dialer.Dial("tcp", u.address)
+	conn, err := u.dialer.DialContext(u.context, "tcp", u.address)
 	if err != nil {
 		return // the call that needs one meets the error itself
 	}
@@ -100,7 +105,7 @@
 	default:
 		_ = conn.Close()
 	}
-	if u.closed.Load() {
+	if u.context.Err() != nil {
 		u.dropSpares()
 	}
 }
@@ -124,6 +129,6 @@
 
 // close gives up all connections once their calls have ended.
 func (u *upstream) close() {
-	u.closed.Store(true)
+	u.cancel()
 	u.closeIdle()
 }
