--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -144,7 +144,7 @@
 		CancelWait:          5 * time.Second,
 		DrainLinger:         500 * time.Millisecond,
 		DrainBound:          30 * time.Second,
-		ProbePeriod:         time.Second,
+		ProbePeriod:         500 * time.Millisecond,
 		ProbeTimeout:        500 * time.Millisecond,
 	}
 }
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -140,6 +140,30 @@
 	mesh.awaitIdle()
 }
 
+// TestRestOfARefusedBodyIsNoRequest: the refusal comes at once, and what is
+// sent of the body afterwards is never taken for the next request.
+func TestRestOfARefusedBodyIsNoRequest(t *testing.T) {
+	check := is.New(t)
+	var runs atomic.Int64
+	mesh := startMesh(t, meshOptions{limits: Limits{BodyBytes: 1000}}, counting(&runs))
+	conn, err := net.Dial("tcp", mesh.address)
+	check.NoErr(err)
+	defer conn.Close()
+	check.NoErr(conn.SetDeadline(time.Now().Add(10 * time.Second)))
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\nx")
+	check.NoErr(err)
+	reader := bufio.NewReader(conn)
+	answer, err := http.ReadResponse(reader, nil)
+	check.NoErr(err)
+	check.Equal(answer.StatusCode, http.StatusRequestEntityTooLarge)
+	check.True(answer.Close)
+	_, err = io.Copy(io.Discard, answer.Body)
+	check.NoErr(err)
+	_, err = reader.ReadByte()
+	check.Equal(err, io.EOF) // closed, though the caller did not close it
+	check.Equal(runs.Load(), int64(0))
+}
+
 func TestSlowSenderIsTimedOut(t *testing.T) {
 	check := is.New(t)
 	limits := Limits{StallTimeout: 50 * time.Millisecond, HeaderTimeout: 50 * time.Millisecond}
