--- a/cmd/springstack-lab/main.go
+++ b/cmd/springstack-lab/main.go
@@ -18,6 +18,7 @@
 			demoCommand(),
 			experimentCommand(),
 			fuzzCommand(),
+			mutantsCommand(),
 			platformCommand(),
 			reportCommand(),
 		},
--- a/internal/sim/calls/gate.go
+++ b/internal/sim/calls/gate.go
@@ -31,8 +31,6 @@
 type life struct {
 	admission *admission.Gate
 	attempts  map[*attempt]bool
-	// started remembers the attempts that this life let start.
-	started map[uint64]bool
 }
 
 func newGate(w *world, index int) *gate {
@@ -62,7 +60,6 @@
 			KeyWindow: keyWindow, KeyCount: keyCount,
 		}),
 		attempts: map[*attempt]bool{},
-		started:  map[uint64]bool{},
 	}
 }
 
@@ -105,11 +102,8 @@
 	w.timeline.After(a.call.deadline-w.now(), func() { w.gateDeadline(a) })
 }
 
-// again lets a late duplicate of a started request reach the gate.
+// again lets a late duplicate of a request reach the gate.
 func (w *world) again(a *attempt) {
-	if a.gate.life != a.life || !a.life.started[a.fingerprint()] {
-		return
-	}
 	duplicate := &attempt{world: w, call: a.call, number: a.number, gate: a.gate, life: a.life, closed: true}
 	w.receive(duplicate)
 }
@@ -130,7 +124,6 @@
 	case admission.StateRefused:
 		w.finish(a, ending{code: verdict.Code})
 	case admission.StateStarted:
-		a.life.started[a.fingerprint()] = true
 		a.holdsSlot = true
 		if a.cancelled {
 			w.releaseSlot(a, false)
