--- a/internal/core/node/upstream.go
+++ b/internal/core/node/upstream.go
@@ -33,7 +33,10 @@
 	reported   membership.Cursor
 	sentCursor membership.Cursor
 	sentAcks   []protocol.Acknowledgement
-	urgentAt   time.Duration
+	// sentRelaying is whether the fetch under way asked for the whole
+	// configuration, as a relay does.
+	sentRelaying bool
+	urgentAt     time.Duration
 	// leaseAt is when the parent last extended the lease.
 	leaseAt time.Duration
 	// preferAt is when the preferred parent is tried again.
@@ -231,6 +234,7 @@
 		request.Members = append(request.Members, member)
 	}
 	request.Have, request.HaveDigest = n.haveOf(request.Scope)
+	up.sentRelaying = request.Scope.Relay
 	var token Token
 	sentAt := n.now
 	token = n.call(target.ControlAddress, request, n.config.Timing.FetchWait+replySlack, func(reply any) {
@@ -370,6 +374,11 @@
 	if reply.Released < floorVersion {
 		return false
 	}
+	if n.relaying() != n.upstream.sentRelaying {
+		// The reply speaks of the other scope: "nothing changed" would be taken
+		// of the wrong content. The next fetch asks in the new role.
+		return false
+	}
 	if n.relaying() {
 		return n.takeForStore(reply)
 	}
