Simulate partitions that a daemon crosses, swaps that take time, resends and probes

Cause: mutants of the floor, of leases and of drains were missed. Change: partitions with a daemon that crosses over, late swaps, operators that send accepted changes again, a probe after the faults, lingering drains and deadlines that shrink to the gate; the oracle judges refusals after acceptance and the exact version told.

--- a/internal/sim/calls/gate.go
+++ b/internal/sim/calls/gate.go
@@ -94,14 +94,18 @@
 	a.ticket = admission.NewTicket(admission.Call{
 		Partner:  a.call.partner,
 		Priority: a.call.priority,
-		Deadline: a.call.deadline,
+		Deadline: a.call.deadline - hopMargin,
 		Request:  admission.Fingerprint(a.fingerprint()),
 		Key:      admission.Fingerprint(a.call.key),
 	}, a)
 	w.decide(a, l.admission.Admit(w.now(), a.ticket))
-	w.timeline.After(a.call.deadline-w.now(), func() { w.gateDeadline(a) })
+	w.timeline.After(a.call.deadline-hopMargin-w.now(), func() { w.gateDeadline(a) })
 }
 
+// hopMargin is by how much a deadline shrinks on the way to the gate, so that
+// the gate's word is back in time.
+const hopMargin = 20 * time.Millisecond
+
 // again lets a late duplicate of a request reach the gate.
 func (w *world) again(a *attempt) {
 	duplicate := &attempt{world: w, call: a.call, number: a.number, gate: a.gate, life: a.life, closed: true}
@@ -230,11 +234,13 @@
 	w.oracle.BackendReturned(g.name())
 }
 
-// drainPoll is how often a draining gate looks whether it is empty, and
-// drainBound the longest drain.
+// drainPoll is how often a draining gate looks whether it is empty, drainBound
+// the longest drain, and lingerLimit bounds how long the platform leaves a
+// drained machine running.
 const (
-	drainPoll  = 100 * time.Millisecond
-	drainBound = 25 * time.Second
+	drainPoll   = 100 * time.Millisecond
+	drainBound  = 25 * time.Second
+	lingerLimit = 14 * time.Second
 )
 
 // drain begins the planned stop of a back end.
@@ -248,7 +254,8 @@
 	g.model.Drain(w.now())
 	g.life.admission.Drain()
 	w.announce(g)
-	w.awaitDrained(g, g.life, w.now()+drainBound)
+	drained := g.life
+	w.timeline.After(w.timeline.Between(0, lingerLimit), func() { w.awaitDrained(g, drained, w.now()+drainBound) })
 }
 
 func (w *world) awaitDrained(g *gate, l *life, limit time.Duration) {
--- a/internal/sim/network/network.go
+++ b/internal/sim/network/network.go
@@ -45,7 +45,9 @@
 	timeline *timeline.Timeline
 	faults   Faults
 	cuts     []cut
-	counts   Counts
+	// exact holds the cuts between two single daemons.
+	exact  map[cut]bool
+	counts Counts
 }
 
 // Counts tells what the network did.
@@ -58,7 +60,7 @@
 
 // New returns a network without faults.
 func New(line *timeline.Timeline) *Network {
-	return &Network{timeline: line}
+	return &Network{timeline: line, exact: map[cut]bool{}}
 }
 
 // SetFaults replaces the random faults.
@@ -67,11 +69,18 @@
 // Cut blocks messages from one group of places to another. In a group an
 // empty Region or Zone and a Node of -1 match all.
 func (n *Network) Cut(from, to Place) {
+	if from.Node >= 0 && to.Node >= 0 {
+		n.exact[cut{from: from, to: to}] = true
+		return
+	}
 	n.cuts = append(n.cuts, cut{from: from, to: to})
 }
 
 // Heal removes all cuts.
-func (n *Network) Heal() { n.cuts = nil }
+func (n *Network) Heal() {
+	n.cuts = nil
+	clear(n.exact)
+}
 
 // Counts returns what the network did so far.
 func (n *Network) Counts() Counts { return n.counts }
@@ -108,6 +117,9 @@
 
 // Blocked reports whether a cut lies between two places.
 func (n *Network) Blocked(from, to Place) bool {
+	if len(n.exact) > 0 && n.exact[cut{from: from, to: to}] {
+		return true
+	}
 	for _, cut := range n.cuts {
 		if covers(cut.from, from) && covers(cut.to, to) && from != to {
 			return true
--- a/internal/sim/oracle/changes.go
+++ b/internal/sim/oracle/changes.go
@@ -21,8 +21,10 @@
 	Marker string
 	// Declares lists the resources of the file.
 	Declares []Declared
-	// NeverValid is set when no state can accept the file.
-	NeverValid bool
+	// NeverValid is set when no state can accept the file, MustSucceed when
+	// every state must accept it in the end.
+	NeverValid  bool
+	MustSucceed bool
 }
 
 // Declared is one resource that a file declares.
@@ -100,10 +102,37 @@
 		if entry.Ran == result.RanNo {
 			known.refused++
 		}
+		if known.accepted != 0 && decidesChange(answer.Code) {
+			o.violate(at, RefusalIsTrue, "operation %s told %s after it was accepted at %d",
+				operation, answer.Code.Name(), known.accepted)
+		}
 		o.toldRefused(at, known, answer.Code)
 	}
 }
 
+// decidesChange reports whether a refusal speaks of the change itself and not
+// of one sending that got nowhere.
+func decidesChange(code result.Code) bool {
+	switch code {
+	case result.RevisionMismatch, result.StillNeeded, result.NameTaken, result.NoSuchFile, result.OperationReused:
+		return true
+	default:
+		return false
+	}
+}
+
+// Unsucceeded counts the changes that must succeed and were not yet told
+// accepted.
+func (o *Oracle) Unsucceeded() int {
+	count := 0
+	for _, known := range o.changes {
+		if known.MustSucceed && known.accepted == 0 {
+			count++
+		}
+	}
+	return count
+}
+
 func (o *Oracle) toldAccepted(at time.Duration, known *change, version uint64) {
 	if known.NeverValid {
 		o.violate(at, WholeOrNothing, "operation %s accepted although its file is bad", known.Operation)
--- a/internal/sim/oracle/liveness.go
+++ b/internal/sim/oracle/liveness.go
@@ -17,6 +17,9 @@
 		}
 		o.checkFinal(at, name, final[name])
 	}
+	if count := o.Unsucceeded(); count > 0 {
+		o.violate(at, Liveness, "%d valid changes sent after the faults are not accepted", count)
+	}
 	if o.claimed < o.accepted {
 		o.violate(at, Liveness, "accepted is %d, said to be in force is %d", o.accepted, o.claimed)
 	}
--- a/internal/sim/oracle/proxies.go
+++ b/internal/sim/oracle/proxies.go
@@ -241,6 +241,10 @@
 			name, version, known.Operation, known.accepted)
 	}
 	last := history.lastAccepted(version)
+	if last != nil && last != known && last.accepted == version {
+		o.violate(at, OwnWholeAnswer, "%s at %d holds %s of %s, but %s was told that it is that version",
+			name, version, known.Operation, known.File, last.Operation)
+	}
 	if last != nil && known.accepted != 0 && known.accepted < last.accepted {
 		o.violate(at, InForceHolds, "%s at %d holds %s of %s, replaced at %d",
 			name, version, known.Operation, known.File, last.accepted)
--- a/internal/sim/world/action.go
+++ b/internal/sim/world/action.go
@@ -20,6 +20,8 @@
 	CutOneWay        script.Kind = "cut_one_way"
 	CutZone          script.Kind = "cut_zone"
 	CutDaemon        script.Kind = "cut_daemon"
+	Partition        script.Kind = "partition"
+	CrossOver        script.Kind = "cross_over"
 	CutPlatform      script.Kind = "cut_platform"
 	Heal             script.Kind = "heal"
 	NetworkFaults    script.Kind = "network_faults"
@@ -57,6 +59,8 @@
 	{Kind: CutOneWay, Weight: 3, Fault: true},
 	{Kind: CutZone, Weight: 3, Fault: true},
 	{Kind: CutDaemon, Weight: 4, Fault: true},
+	{Kind: Partition, Weight: 5, Fault: true},
+	{Kind: CrossOver, Weight: 8, Fault: true},
 	{Kind: CutPlatform, Weight: 2, Fault: true},
 	{Kind: Heal, Weight: 10},
 	{Kind: NetworkFaults, Weight: 4, Fault: true},
--- a/internal/sim/world/effects.go
+++ b/internal/sim/world/effects.go
@@ -5,6 +5,7 @@
 
 	"github.com/springstack/springstack/internal/core/node"
 	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/snapshot"
 )
 
 // carryOut does what a node asked of its shell.
@@ -37,17 +38,30 @@
 	}
 }
 
-// swap puts a snapshot in force and tells the node a little later.
+// swapLimit bounds how long a shell takes to swap.
+const swapLimit = 5 * time.Millisecond
+
+// swap puts a snapshot in force a little later, and then tells the node.
 func (w *World) swap(p *process, asked node.SwapSnapshot) {
-	p.inForce = asked.Snapshot
-	w.observeServing(p.slot)
-	w.oracle.PutInForce(w.Now(), p.slot.name(), holdingOf(p.slot, asked.Snapshot))
-	version := asked.Snapshot.Version
-	w.timeline.After(w.timeline.Between(0, time.Millisecond), func() {
-		w.step(p, node.SnapshotInForce{Version: version})
+	w.timeline.After(w.timeline.Between(0, swapLimit), func() {
+		if !p.alive() {
+			return
+		}
+		if p.paused {
+			p.swapOnWake = asked.Snapshot
+			return
+		}
+		w.putInForce(p, asked.Snapshot)
 	})
 }
 
+func (w *World) putInForce(p *process, next *snapshot.Snapshot) {
+	p.inForce = next
+	w.observeServing(p.slot)
+	w.oracle.PutInForce(w.Now(), p.slot.name(), holdingOf(p.slot, next))
+	w.step(p, node.SnapshotInForce{Version: next.Version})
+}
+
 // answer passes a node's answer to whoever asked; a second one is ignored.
 func (w *World) answer(p *process, token node.Token, body any) {
 	deliver, found := p.requests[token]
--- a/internal/sim/world/operators.go
+++ b/internal/sim/world/operators.go
@@ -60,6 +60,22 @@
 	})
 }
 
+// probe submits a file that nothing can speak against.
+func (o *operators) probe(partner resource.Partner) {
+	o.nextMarker++
+	self := resource.ServiceRef{Partner: partner, Name: probeName}
+	spec := fileSpec{partner: partner, name: probeName, marker: o.nextMarker, service: true, routeTo: []resource.ServiceRef{self}}
+	sent := &change{file: spec.file(), request: o.request(partner, probeName, false, spec.file())}
+	sent.request.Content = spec.text()
+	o.send(sent, oracle.Change{
+		Operation: sent.request.Operation, File: spec.file(), Marker: markerText(spec.marker),
+		Declares: spec.declares(), MustSucceed: true,
+	})
+}
+
+// probeName is the file that shows that changes are accepted again.
+const probeName = "probe"
+
 // withdraw takes a file of a partner back.
 func (o *operators) withdraw(partner resource.Partner, name string, expect bool) {
 	o.nextMarker++
@@ -118,16 +134,30 @@
 		w.countAnswer(reply.Code)
 	}
 	if reply != nil && !worthResending(reply.Code) {
-		if reply.Revision > 0 {
-			o.revisions[sent.file] = reply.Revision
-		}
+		o.settled(sent, described, reply)
 		return
 	}
-	if sent.sendings < resendLimit && !w.timeline.Chance(0.1) {
+	giveUp := 0.1
+	if reply != nil {
+		giveUp = 0.4
+	}
+	if described.MustSucceed || sent.sendings < resendLimit && !w.timeline.Chance(giveUp) {
 		w.timeline.After(resendPause, func() { o.send(sent, described) })
 	}
 }
 
+// settled takes a final answer. Some operators send an accepted change again
+// all the same.
+func (o *operators) settled(sent *change, described oracle.Change, reply *protocol.SubmitReply) {
+	w := o.world
+	if reply.Revision > 0 {
+		o.revisions[sent.file] = reply.Revision
+	}
+	if reply.Code == result.OK && sent.sendings < resendLimit && w.timeline.Chance(0.15) {
+		w.timeline.After(w.timeline.Between(0, operatorPatience), func() { o.send(sent, described) })
+	}
+}
+
 // worthResending reports whether the same operation may succeed later.
 func worthResending(code result.Code) bool {
 	switch code {
--- a/internal/sim/world/perform.go
+++ b/internal/sim/world/perform.go
@@ -63,6 +63,8 @@
 	},
 	CutZone:     func(w *World, a script.Action) { w.cutBothWays(w.zonePlace(a.A), anyPlace) },
 	CutDaemon:   cutDaemon,
+	Partition:   partition,
+	CrossOver:   crossOver,
 	CutPlatform: func(w *World, a script.Action) { w.cutBothWays(w.regionPlace(a.A), platformPlace) },
 	Heal: func(w *World, _ script.Action) {
 		w.network.Heal()
--- a/internal/sim/world/run.go
+++ b/internal/sim/world/run.go
@@ -58,6 +58,11 @@
 	}
 	w.stopFaults()
 	start := w.Now()
+	w.timeline.After(settlePoll, func() {
+		for _, partner := range partners {
+			w.operators.probe(partner)
+		}
+	})
 	for w.Now() < start+SettleBound && !w.failed() {
 		w.operators.status()
 		w.Run(settlePoll)
@@ -90,6 +95,7 @@
 func (w *World) settled() bool {
 	w.observeAllServing()
 	return w.operators.open == 0 &&
+		w.oracle.Unsucceeded() == 0 &&
 		len(w.oracle.Lagging(w.proxyNames())) == 0 &&
 		w.oracle.InForce() >= w.oracle.Accepted()
 }
--- a/internal/sim/world/slot.go
+++ b/internal/sim/world/slot.go
@@ -32,6 +32,8 @@
 	paused bool
 	// backlog holds what arrived during a pause.
 	backlog []node.Message
+	// swapOnWake is a swap that the pause held up.
+	swapOnWake *snapshot.Snapshot
 	// calls are outstanding calls to peers and to the platform.
 	calls map[node.Token]bool
 	// requests are peers' and operators' requests that are not yet answered.
@@ -126,6 +128,10 @@
 	}
 	p.paused = false
 	w.observeServing(s)
+	if held := p.swapOnWake; held != nil {
+		p.swapOnWake = nil
+		w.putInForce(p, held)
+	}
 	backlog := p.backlog
 	p.backlog = nil
 	for _, message := range backlog {
--- a/internal/sim/world/world.go
+++ b/internal/sim/world/world.go
@@ -57,6 +57,9 @@
 	byAddress map[string]*slot
 	operators *operators
 	outcome   script.Outcome
+	// separated is the zone that was cut off last, with or without the platform.
+	separated         network.Place
+	separatedPlatform bool
 }
 
 // New returns a world at virtual time 0 with all daemons started.
