--- a/cmd/springstack-lab/main.go
+++ b/cmd/springstack-lab/main.go
@@ -19,6 +19,7 @@
 			demoCommand(),
 			experimentCommand(),
 			fuzzCommand(),
+			mutantsCommand(),
 			platformCommand(),
 			reportCommand(),
 		},
