--- /dev/null
+++ b/internal/core/floor/floor_test.go
@@ -0,0 +1,241 @@
+package floor
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/samber/lo"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// region is a set of keepers that answer at once, or not at all.
+type region struct {
+	daemons  map[string]*daemon
+	releaser *Releaser
+	set      protocol.KeeperSet
+	waiting  []StoreVersion
+}
+
+// newRegion returns a region of eight keepers at version 1.
+func newRegion() *region {
+	m := newModel(3, 1)
+	for len(m.daemons) != MaxKeepers {
+		m = newModel(m.random.Uint64(), 1)
+	}
+	g := &region{daemons: map[string]*daemon{}, releaser: m.roots[0].releaser, set: m.heads[0]}
+	for _, d := range m.daemons {
+		g.daemons[d.member.ControlAddress] = d
+	}
+	return g
+}
+
+// release starts to release a version.
+func (g *region) release(version protocol.Version) {
+	g.take(g.releaser.SetTarget(0, 1, version, g.set))
+}
+
+func (g *region) take(outputs []Output) {
+	for _, output := range outputs {
+		g.waiting = append(g.waiting, output.(StoreVersion))
+	}
+}
+
+// deliver lets keepers answer what they were sent so far.
+func (g *region) deliver(addresses ...string) {
+	sent := g.waiting
+	g.waiting = nil
+	for _, store := range sent {
+		if !lo.Contains(addresses, store.Address) {
+			g.waiting = append(g.waiting, store)
+			continue
+		}
+		d := g.daemons[store.Address]
+		reply := d.keeper.Store(store.Request)
+		reply.From, reply.Incarnation = d.member.ID, d.incarnation
+		g.take(g.releaser.HandleReply(0, store.Token, reply))
+	}
+}
+
+// restart makes a keeper forget, and learn its floor from others.
+func (g *region) restart(address string, from ...string) {
+	d := g.daemons[address]
+	d.incarnation++
+	d.keeper = NewKeeper(d.member.ID, "region")
+	learner := NewLearner(LearnerConfig{ID: d.member.ID, Region: "region", Seeds: from})
+	for _, output := range append(learner.Tick(0), learner.Tick(time.Minute)...) {
+		if ask, is := output.(AskFloor); is && lo.Contains(from, ask.Address) {
+			other := g.daemons[ask.Address]
+			reply := other.keeper.Answer(ask.Request)
+			reply.From = other.member.ID
+			learner.HandleReply(0, ask.Token, reply)
+		}
+	}
+	if floor, known := learner.Floor(); known {
+		d.keeper.Validate(floor, learner.Keepers())
+	}
+}
+
+func TestReleaseNeedsAMomentWhenAQuorumHoldsTheVersion(t *testing.T) {
+	is := is.New(t)
+	g := newRegion()
+	g.release(2)
+	g.deliver("0", "1", "2", "3", "4")
+	g.restart("0", "5", "6", "7") // none of them has version 2
+	is.True(g.daemons["0"].keeper.Valid())
+	is.Equal(g.daemons["0"].keeper.Stored(), protocol.Version(1))
+	g.deliver("5") // the sixth answer, but 0, 6 and 7 do not have version 2
+	is.Equal(g.releaser.Released(), protocol.Version(0))
+	g.deliver("0") // stores again; its new life starts another round
+	g.deliver("1", "2", "3", "4")
+	is.Equal(g.releaser.Released(), protocol.Version(0))
+	g.deliver("0", "1", "2", "3", "4", "5")
+	is.Equal(g.releaser.Released(), protocol.Version(2))
+}
+
+func TestKeeperWithoutAFloorDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	g := newRegion()
+	g.restart("0")
+	g.release(2)
+	for range 3 {
+		g.deliver("0", "1", "2", "3", "4")
+	}
+	is.Equal(g.releaser.Released(), protocol.Version(0))
+	g.daemons["0"].keeper.Validate(1, g.set)
+	g.take(g.releaser.Tick(time.Second))
+	for range 3 {
+		g.deliver("0", "1", "2", "3", "4")
+	}
+	is.Equal(g.releaser.Released(), protocol.Version(0)) // five of six
+	g.take(g.releaser.Tick(2 * time.Second))
+	g.deliver("5")
+	g.deliver("0", "1", "2", "3", "4", "5")
+	is.Equal(g.releaser.Released(), protocol.Version(2))
+}
+
+func TestNewerTargetWaitsUnlessTheSetHasChanged(t *testing.T) {
+	is := is.New(t)
+	g := newRegion()
+	g.release(2)
+	g.release(3)
+	is.Equal(len(g.waiting), MaxKeepers)
+	g.set.Revision = 4
+	g.release(4)
+	is.Equal(g.waiting[len(g.waiting)-1].Request.Version, protocol.Version(4))
+	for range 2 {
+		g.deliver("0", "1", "2", "3", "4", "5")
+	}
+	is.Equal(g.releaser.Released(), protocol.Version(4))
+}
+
+// answer makes a valid keeper's reply.
+func answer(from protocol.NodeID, floor protocol.Version, set protocol.KeeperSet) *protocol.FloorReply {
+	return &protocol.FloorReply{Code: result.OK, From: from, Floor: floor, Keepers: set}
+}
+
+func keeperSet(revision protocol.Version, ids ...protocol.NodeID) protocol.KeeperSet {
+	set := protocol.KeeperSet{Region: "region", Revision: revision}
+	for _, id := range ids {
+		set.Members = append(set.Members, protocol.KeeperMember{ID: id, ControlAddress: string(id)})
+	}
+	set.Write, set.Read = Quorums(len(ids))
+	return set
+}
+
+func TestLearnerFollowsNewerSets(t *testing.T) {
+	older, newer := keeperSet(3, "a", "b", "c"), keeperSet(9, "d", "e", "f")
+	joint := newer
+	joint.Previous = &older
+	cases := []struct {
+		name    string
+		replies []*protocol.FloorReply
+		floor   protocol.Version
+		known   bool
+	}{
+		{"one answer of two", []*protocol.FloorReply{answer("a", 7, older)}, 0, false},
+		{"the same keeper twice", []*protocol.FloorReply{answer("a", 7, older), answer("a", 7, older)}, 0, false},
+		{"a read quorum", []*protocol.FloorReply{answer("a", 5, older), answer("c", 7, older)}, 7, true},
+		{"an answer tells of a newer set", []*protocol.FloorReply{answer("a", 5, older), answer("c", 10, newer)}, 0, false},
+		{"the newer set, which only knows the older", []*protocol.FloorReply{answer("a", 5, newer), answer("d", 5, older), answer("e", 5, older)}, 9, true},
+		{"only the newer set while the change is under way", []*protocol.FloorReply{answer("d", 5, joint), answer("e", 5, joint)}, 0, false},
+		{"both sets while the change is under way", []*protocol.FloorReply{answer("d", 5, joint), answer("e", 5, joint), answer("a", 12, older), answer("b", 5, older)}, 12, true},
+		{"keepers that are not ready", []*protocol.FloorReply{{Code: result.NotReadyYet, From: "a", Keepers: older}, {Code: result.NotReadyYet, From: "b", Keepers: older}}, 0, false},
+		{"a fresh head", []*protocol.FloorReply{{Code: result.OK, FromHead: true, Floor: 11, Keepers: newer}}, 11, true},
+		{"no head at all", []*protocol.FloorReply{{Code: result.OK, FromHead: true}}, 0, true},
+		{"a reader that could not read", []*protocol.FloorReply{{Code: result.NoReader, FromHead: true, Floor: 11}}, 0, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			learner := NewLearner(LearnerConfig{ID: "self", Region: "region", Seeds: []string{"seed"}})
+			learner.Tick(0)
+			for _, reply := range c.replies {
+				learner.pending[99] = true
+				learner.HandleReply(0, 99, reply)
+			}
+			floor, known := learner.Floor()
+			is.Equal(floor, c.floor)
+			is.Equal(known, c.known)
+		})
+	}
+}
+
+func TestQuorumsMeet(t *testing.T) {
+	is := is.New(t)
+	for size := 1; size <= MaxKeepers; size++ {
+		write, read := Quorums(size)
+		is.True(write+read > size && 2*write > size && write <= size && read >= 1)
+	}
+	write, read := Quorums(MaxKeepers + 1)
+	is.Equal(write+read, 0)
+}
+
+// live returns alive members, named by zone and number.
+func live(names ...string) []protocol.Member {
+	return lo.Map(names, func(name string, _ int) protocol.Member {
+		return protocol.Member{ID: protocol.NodeID(name), Region: "region", Zone: name[:1], ControlAddress: name, State: protocol.MemberAlive}
+	})
+}
+
+func TestKeepersAreSpreadOverZonesAndKept(t *testing.T) {
+	is := is.New(t)
+	all := live("a1", "a2", "a3", "a4", "b1", "b2", "b3", "c1", "c2", "c3", "d1", "d2", "d3")
+	first, changed := ChooseKeepers("region", protocol.KeeperSet{}, all, 0)
+	is.True(changed)
+	is.Equal(zones(first), map[string]int{"a": 2, "b": 2, "c": 2, "d": 2})
+	is.Equal(first.Write, 6)
+	is.True(first.Previous == nil)
+	first.Revision = 1
+	_, changed = ChooseKeepers("region", first, lo.Reverse(all), 0)
+	is.True(!changed)
+
+	gone := string(first.Members[0].ID)
+	left := lo.Reject(all, func(member protocol.Member, _ int) bool { return string(member.ID) == gone })
+	second, changed := ChooseKeepers("region", first, left, 0)
+	is.True(changed)
+	is.Equal(second.Previous.Members, first.Members)
+	is.Equal(len(lo.Intersect(ids(first), ids(second))), MaxKeepers-1) // only the lost one is replaced
+	is.Equal(zones(second), zones(first))
+
+	second.Revision = 5
+	_, changed = ChooseKeepers("region", second, left, 4)
+	is.True(!changed) // not released with both sets in the head yet
+	again, changed := ChooseKeepers("region", second, left[1:], 4)
+	is.Equal(changed, lo.Contains(ids(second), left[0].ID))
+	is.Equal(again.Previous.Members, first.Members) // the older set stays until the change has settled
+	third, changed := ChooseKeepers("region", second, left, 5)
+	is.True(changed)
+	is.True(third.Previous == nil)
+	is.Equal(third.Members, second.Members)
+}
+
+func zones(set protocol.KeeperSet) map[string]int {
+	return lo.CountValuesBy(set.Members, func(member protocol.KeeperMember) string { return string(member.ID)[:1] })
+}
+
+func ids(set protocol.KeeperSet) []protocol.NodeID {
+	return lo.Map(set.Members, func(member protocol.KeeperMember, _ int) protocol.NodeID { return member.ID })
+}
