--- a/internal/core/floor/floor_test.go
+++ b/internal/core/floor/floor_test.go
@@ -1,6 +1,7 @@
 package floor
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -101,21 +102,47 @@
 	g.restart("0")
 	g.release(2)
 	for range 3 {
-		g.deliver("0", "1", "2", "3", "4")
+		g.deliver("0", "1", "2", "3", "4", "5")
 	}
-	is.Equal(g.releaser.Released(), protocol.Version(0))
+	is.Equal(g.releaser.Released(), protocol.Version(0)) // five of six
 	g.daemons["0"].keeper.Validate(1, g.set)
 	g.take(g.releaser.Tick(time.Second))
-	for range 3 {
-		g.deliver("0", "1", "2", "3", "4")
-	}
-	is.Equal(g.releaser.Released(), protocol.Version(0)) // five of six
-	g.take(g.releaser.Tick(2 * time.Second))
-	g.deliver("5")
+	g.deliver("0")
 	g.deliver("0", "1", "2", "3", "4", "5")
 	is.Equal(g.releaser.Released(), protocol.Version(2))
 }
 
+func TestOnlyQuestionsOfTheRoundConfirm(t *testing.T) {
+	is := is.New(t)
+	g := newRegion()
+	g.release(2)
+	g.take(g.releaser.Tick(time.Second)) // all are asked twice
+	late := g.waiting[MaxKeepers:]
+	g.waiting = g.waiting[:MaxKeepers]
+	g.deliver("0", "1", "2", "3", "4", "5")
+	for _, store := range late { // answered before the round, heard after its start
+		d := g.daemons[store.Address]
+		reply := &protocol.StoreReply{Code: result.OK, From: d.member.ID, Incarnation: d.incarnation, Stored: 2}
+		g.take(g.releaser.HandleReply(0, store.Token, reply))
+	}
+	is.Equal(g.releaser.Released(), protocol.Version(0))
+}
+
+func TestKeeperRemembersTheNewest(t *testing.T) {
+	is := is.New(t)
+	older, newer := keeperSet(3, "a", "b", "c"), keeperSet(9, "d", "e", "f")
+	keeper := NewKeeper("a", "region")
+	ask := &protocol.FloorRequest{Region: "region"}
+	is.Equal(keeper.Store(&protocol.StoreRequest{Version: 10, Keepers: newer}).Code, result.NotReadyYet)
+	is.Equal(keeper.Answer(ask).Code, result.NotReadyYet)
+	keeper.Validate(4, older)
+	is.Equal(keeper.Store(&protocol.StoreRequest{Version: 5, Keepers: older}), &protocol.StoreReply{Code: result.OK, Stored: 10})
+	is.Equal(keeper.Answer(ask), &protocol.FloorReply{Code: result.NotKeeper, Floor: 10, Keepers: newer})
+	is.Equal(keeper.Answer(&protocol.FloorRequest{Region: "other"}), &protocol.FloorReply{Code: result.NotKeeper})
+	is.Equal(keeper.Store(&protocol.StoreRequest{Version: 99, Keepers: protocol.KeeperSet{Region: "other"}}).Code, result.NotKeeper)
+	is.Equal(keeper.Stored(), protocol.Version(10))
+}
+
 func TestNewerTargetWaitsUnlessTheSetHasChanged(t *testing.T) {
 	is := is.New(t)
 	g := newRegion()
@@ -209,7 +236,9 @@
 	is.Equal(first.Write, 6)
 	is.True(first.Previous == nil)
 	first.Revision = 1
-	_, changed = ChooseKeepers("region", first, lo.Reverse(all), 0)
+	reversed := slices.Clone(all)
+	slices.Reverse(reversed)
+	_, changed = ChooseKeepers("region", first, reversed, 0)
 	is.True(!changed)
 
 	gone := string(first.Members[0].ID)
