--- a/internal/core/node/upstream.go
+++ b/internal/core/node/upstream.go
@@ -12,11 +12,26 @@
 	"github.com/springstack/springstack/internal/result"
 )
 
+// link is what is shared with one parent.
+type link struct {
+	// target is the daemon fetched from.
+	target protocol.Member
+	// memberCursor and incarnation are the parent's, from its last reply.
+	memberCursor uint64
+	incarnation  protocol.Incarnation
+	// reported is the own change log position that the parent has taken.
+	reported membership.Cursor
+	// leaseAt is when the parent last extended the lease.
+	leaseAt time.Duration
+}
+
 // upstream is this daemon's side of the calls to its parent.
 type upstream struct {
-	// target is the daemon fetched from; joined once it has answered OK.
-	target  protocol.Member
-	joined  bool
+	link
+	// joined is set once the target has answered OK.
+	joined bool
+	// former is the parent that works while a preferred one is tried.
+	former  *link
 	token   Token
 	sentAt  time.Duration
 	counter uint64
@@ -25,28 +40,32 @@
 	failures int
 	// avoid holds daemons that failed or refused, until when.
 	avoid map[protocol.NodeID]avoidance
-	// memberCursor and incarnation are the parent's, from its last reply.
-	memberCursor uint64
-	incarnation  protocol.Incarnation
-	// reported is the own change log position that the parent has taken, and
-	// sentCursor that of the fetch under way.
-	reported   membership.Cursor
-	sentCursor membership.Cursor
-	sentAcks   []protocol.Acknowledgement
-	urgentAt   time.Duration
-	// leaseAt is when the parent last extended the lease.
-	leaseAt time.Duration
-	// preferAt is when the preferred parent is tried again.
-	preferAt time.Duration
+	// sentCursor is the own change log position at the fetch under way, and
+	// sentSequence that of the own record in it.
+	sentCursor   membership.Cursor
+	sentSequence uint64
+	sentAcks     []protocol.Acknowledgement
+	// sentRelaying is whether the fetch under way asked for the whole
+	// configuration, as a relay does.
+	sentRelaying bool
+	urgentAt     time.Duration
+	// preferAt is when the preferred parent is tried again; preferRefusals
+	// counts how often it was tried in vain.
+	preferAt       time.Duration
+	preferRefusals int
 	// discoverAt is when others are asked for parents again.
 	discoverAt time.Duration
 	// orphanedAt is when the last parent was lost.
 	orphanedAt time.Duration
 }
 
-// avoidance leaves a daemon out for a while.
+// avoidance leaves one life of a daemon out for a while. When it returns with
+// nothing remembered it is tried like any other.
 type avoidance struct {
-	until time.Duration
+	until       time.Duration
+	incarnation protocol.Incarnation
+	// refusals counts how often it has refused since a parent was last found.
+	refusals int
 	// refused is set when the daemon answered, but is no parent now.
 	refused bool
 }
@@ -54,12 +73,15 @@
 // The periods of the upstream side.
 const (
 	// replySlack is added to the wait of a fetch before it counts as failed.
-	replySlack = 1500 * time.Millisecond
-	// avoidRefusing is how long a daemon that answered AskAnother is left out.
-	avoidRefusing = 6 * time.Second
-	// preferInterval bounds the jittered time between returns to the preferred
-	// parent.
+	replySlack = time.Second
+	// avoidStale is how long a parent that no longer extends the lease is left
+	// out.
+	avoidStale = 2 * time.Second
+	// preferInterval is the mean time until the preferred parent is tried again;
+	// it doubles with each refusal, up to preferMax: the preferred one may be
+	// full.
 	preferInterval = 20 * time.Second
+	preferMax      = 10 * time.Minute
 	// rootPreferInterval is the same for a root that finds a better one.
 	rootPreferInterval = 2 * time.Second
 	// ackGather and memberGather bound how often news interrupts a held fetch.
@@ -77,6 +99,12 @@
 
 var parentBackoff = distribution.Backoff{Base: 200 * time.Millisecond, Max: 5 * time.Second}
 
+// refusalBackoff is how long a daemon that answered AskAnother is left out. It
+// starts well below the serving lease: after a root has gone all candidates
+// refuse for a moment, and a daemon must find the next one while it may still
+// serve.
+var refusalBackoff = distribution.Backoff{Base: 400 * time.Millisecond, Max: 6 * time.Second}
+
 // tickUpstream sends the next fetch when it is due.
 func (n *Node) tickUpstream() {
 	if _, known := n.floor(); !known || n.self.State == protocol.MemberLeft && n.upstream.reported >= n.roster.Cursor() {
@@ -149,19 +177,28 @@
 }
 
 func (n *Node) avoided(id protocol.NodeID) bool {
-	return n.now < n.upstream.avoid[id].until
+	avoid, found := n.upstream.avoid[id]
+	return found && n.now < avoid.until && avoid.incarnation == n.incarnationOf(id)
+}
+
+// incarnationOf returns the life of a daemon that the roster knows; 0 for none.
+func (n *Node) incarnationOf(id protocol.NodeID) protocol.Incarnation {
+	member, _ := n.roster.Get(id)
+	return member.Incarnation
 }
 
 func (n *Node) avoidFor(id protocol.NodeID, period time.Duration, refused bool) {
 	if n.upstream.avoid == nil {
 		n.upstream.avoid = map[protocol.NodeID]avoidance{}
 	}
-	n.upstream.avoid[id] = avoidance{until: n.now + period, refused: refused}
+	refusals := n.upstream.avoid[id].refusals
+	if refused {
+		refusals++
+	}
+	n.upstream.avoid[id] = avoidance{until: n.now + period, incarnation: n.incarnationOf(id), refused: refused, refusals: refusals}
 }
 
-// reconsiderParent returns to the preferred parent after a jittered time, and
-// leaves a parent that has not extended the lease for long: it is cut off from
-// above while another may not be.
+// reconsiderParent returns to the preferred parent after a jittered time.
 func (n *Node) reconsiderParent() {
 	up := &n.upstream
 	if n.root.active || !up.joined {
@@ -172,20 +209,43 @@
 		n.becomeRoot()
 		return
 	}
-	if n.now-up.leaseAt > n.config.Timing.ServingLease/2 {
-		n.leaveParent(avoidRefusing)
-		return
-	}
 	if n.now < up.preferAt {
 		return
 	}
-	up.preferAt = n.now + preferInterval/2 + distribution.Jitter(n.random, preferInterval)
+	n.planPreferred()
 	best, found := n.bestCandidate()
-	if !found || best.ID == up.target.ID {
+	if !found || best.ID == up.target.ID || n.holding.staged != nil {
 		return
 	}
-	n.log("parent_preferred", LogField{Key: "parent", Value: string(best.ID)})
-	n.leaveParent(0)
+	if best.ID == n.self.ID {
+		n.becomeRoot()
+		return
+	}
+	former := up.link
+	n.fetchFrom(best)
+	up.former = &former
+}
+
+// planPreferred sets the jittered time at which the preferred parent is tried.
+func (n *Node) planPreferred() {
+	interval := min(preferInterval<<min(n.upstream.preferRefusals, 8), preferMax)
+	n.upstream.preferAt = n.now + interval/2 + distribution.Jitter(n.random, interval)
+}
+
+// returnToFormer goes on with the former parent after a preferred one was
+// tried in vain, and reports whether there is one.
+func (n *Node) returnToFormer() bool {
+	up := &n.upstream
+	if up.former == nil {
+		return false
+	}
+	up.link = *up.former
+	up.former = nil
+	up.joined = true
+	up.nextAt = n.now
+	up.preferRefusals++
+	n.planPreferred()
+	return true
 }
 
 // leaveParent gives up the parent; the next tick chooses again.
@@ -195,6 +255,7 @@
 		n.avoidFor(up.target.ID, avoid, false)
 	}
 	up.joined = false
+	up.former = nil
 	up.token = 0
 	up.nextAt = n.now
 	up.orphanedAt = n.now
@@ -223,14 +284,9 @@
 		ParentIncarnation: up.incarnation,
 		Wait:              n.config.Timing.FetchWait,
 	}
-	for _, member := range n.roster.SinceBelow(up.reported) {
-		if member.ID == n.self.ID {
-			request.Self = member
-			continue
-		}
-		request.Members = append(request.Members, member)
-	}
+	n.addRecords(request)
 	request.Have, request.HaveDigest = n.haveOf(request.Scope)
+	up.sentRelaying = request.Scope.Relay
 	var token Token
 	sentAt := n.now
 	token = n.call(target.ControlAddress, request, n.config.Timing.FetchWait+replySlack, func(reply any) {
@@ -253,29 +309,67 @@
 	return n.holding.current.Version, n.holding.current.Digest
 }
 
-// adoptTarget turns to another parent. The own record says so under a new
-// sequence, so that the former parent stops answering for this daemon.
+// addRecords adds the records that the parent has not heard. Until it has
+// taken this daemon in, the own record names it as the parent: only a parent
+// that accepts the fetch merges it.
+func (n *Node) addRecords(request *protocol.FetchRequest) {
+	up := &n.upstream
+	for _, member := range n.roster.SinceBelow(up.reported) {
+		if member.ID == n.self.ID {
+			request.Self = member
+			continue
+		}
+		request.Members = append(request.Members, member)
+	}
+	if !up.joined {
+		request.Self = n.self
+		request.Self.Parent = up.target.ID
+		request.Self.Root = false
+	}
+	up.sentSequence = request.Self.Sequence
+	if up.memberCursor == 0 {
+		sums := n.roster.Sums()
+		request.RosterSums = sums[:]
+	}
+}
+
+// adoptTarget turns to another parent. The own record that says so carries a
+// new sequence, so that the former parent stops answering for this daemon.
 func (n *Node) adoptTarget(target protocol.Member) {
 	up := &n.upstream
-	up.target = target
+	up.link = link{target: target, leaseAt: n.now}
 	up.joined = false
-	up.memberCursor = 0
-	up.incarnation = 0
-	up.reported = 0
-	up.leaseAt = n.now
-	up.preferAt = n.now + preferInterval/2 + distribution.Jitter(n.random, preferInterval)
-	if n.self.Parent != target.ID || n.self.Root {
-		n.changeSelf(func(self *protocol.Member) {
-			self.Parent = target.ID
-			self.Root = false
-		})
-	}
-	n.roster.ReportAgain(n.self.ID)
+	up.former = nil
+	n.planPreferred()
+	n.self.Sequence++
 	for _, id := range n.downstream.order {
 		n.roster.ReportAgain(id)
 	}
 }
 
+// join records that the target has taken this daemon in.
+func (n *Node) join() {
+	up := &n.upstream
+	n.log("parent_joined", LogField{Key: "parent", Value: string(up.target.ID)})
+	up.joined = true
+	up.former = nil
+	up.urgentAt = 0
+	for id, avoid := range up.avoid {
+		avoid.refusals = 0
+		up.avoid[id] = avoid
+	}
+	becomeChild := func(self *protocol.Member) {
+		self.Parent = up.target.ID
+		self.Root = false
+	}
+	if n.self.Sequence != up.sentSequence {
+		n.changeSelf(becomeChild)
+		return
+	}
+	becomeChild(&n.self)
+	n.roster.Merge(n.now, n.self, membership.Below)
+}
+
 // finishFetch takes the parent's reply to the fetch with the token.
 func (n *Node) finishFetch(token Token, from protocol.NodeID, sentAt time.Duration, body any) {
 	up := &n.upstream
@@ -302,6 +396,9 @@
 	up := &n.upstream
 	up.failures++
 	n.avoidFor(from, parentBackoff.Max/2+parentBackoff.Wait(n.random, up.failures), false)
+	if n.returnToFormer() {
+		return
+	}
 	if up.joined {
 		up.orphanedAt = n.now
 		n.log("parent_lost", LogField{Key: "parent", Value: string(from)})
@@ -316,9 +413,7 @@
 	for _, member := range reply.Members {
 		n.heardMember(member, membership.Above)
 	}
-	if up.joined {
-		up.orphanedAt = n.now
-	}
+	wasJoined := up.joined
 	up.joined = false
 	up.failures++
 	if reply.Incarnation != 0 && reply.Incarnation != up.incarnation && up.incarnation != 0 {
@@ -326,22 +421,28 @@
 		up.nextAt = n.now + distribution.Jitter(n.random, idleSpacing)
 		return
 	}
-	period := avoidRefusing/2 + distribution.Jitter(n.random, avoidRefusing/2)
+	if wasJoined {
+		up.orphanedAt = n.now
+	}
+	period := refusalBackoff.Wait(n.random, up.avoid[from].refusals+1)
 	if n.relaying() {
 		period = distribution.Jitter(n.random, rootRefusal)
 	}
 	n.avoidFor(from, max(reply.RetryAfter, period), reply.Code == result.AskAnother)
+	if n.returnToFormer() {
+		return
+	}
 	up.nextAt = n.now + distribution.Jitter(n.random, idleSpacing)
 }
 
-// takeReply takes what the parent has to say.
+// takeReply takes what the parent has to say. It leaves a parent that answers
+// but has not extended the lease for long: that one is cut off from above while
+// another may not be. A parent that is slow to answer is not judged by it.
 func (n *Node) takeReply(sentAt time.Duration, reply *protocol.FetchReply) {
 	up := &n.upstream
 	if !up.joined {
-		n.log("parent_joined", LogField{Key: "parent", Value: string(up.target.ID)})
-		up.urgentAt = 0
+		n.join()
 	}
-	up.joined = true
 	up.failures = 0
 	up.reported = up.sentCursor
 	up.memberCursor = reply.MemberCursor
@@ -355,6 +456,10 @@
 	n.raiseInForce(reply.InForce)
 	progressed := n.takeReleased(reply)
 	n.takeLease(sentAt, reply)
+	if n.now-up.leaseAt > n.config.Timing.ServingLease/2 {
+		n.leaveParent(avoidStale)
+		return
+	}
 	up.nextAt = n.now
 	if !progressed && len(reply.Members) == 0 && n.now-sentAt < idleSpacing {
 		up.nextAt = n.now + idleSpacing
@@ -370,6 +475,11 @@
 	if reply.Released < floorVersion {
 		return false
 	}
+	if n.relaying() != n.upstream.sentRelaying {
+		// The reply speaks of the other scope: "nothing changed" would be taken
+		// of the wrong content. The next fetch asks in the new role.
+		return false
+	}
 	if n.relaying() {
 		return n.takeForStore(reply)
 	}
@@ -404,7 +514,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return snapshot.Build(reply.Released, resources)
+	return snapshot.Rebuild(base, reply.Released, resources)
 }
 
 // takeForStore puts the released version into the store, from where children
--- a/internal/lab/load/plan.go
+++ b/internal/lab/load/plan.go
@@ -28,6 +28,8 @@
 	MayRepeat bool
 	// Depth is how many further calls the back ends make below this one.
 	Depth int
+	// Chain lists the hosts of the further calls; nil keeps to Host.
+	Chain []string
 	// FailStatus makes the deepest back end answer with this status; 0 means
 	// that it succeeds.
 	FailStatus int
@@ -46,6 +48,16 @@
 	Name string
 	// Address is an IP and port.
 	Address string
+	// Resolve gives the address at the time of each call; nil means Address.
+	Resolve func() string
+}
+
+// address is where a call goes now.
+func (t Target) address() string {
+	if t.Resolve != nil {
+		return t.Resolve()
+	}
+	return t.Address
 }
 
 // Plan is one bounded run of load. Either Rate (open loop) or Workers (closed
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -15,9 +15,6 @@
 	"github.com/springstack/springstack/internal/result"
 )
 
-// notServingWait is told with NotServing.
-const notServingWait = time.Second
-
 // A gate is told a little less than what is left of a call's time, so that its
 // refusal, which may say "did not run", comes before the callers' side gives
 // up and can say only "unknown".
@@ -60,12 +57,14 @@
 	proxy   *Proxy
 	route   *routing.Route
 	service resource.ServiceRef
-	place   place
-	request *http.Request
-	writer  http.ResponseWriter
-	control *http.ResponseController
-	body    *upload
-	context context.Context
+	// serviceName is the service as text.
+	serviceName string
+	place       place
+	request     *http.Request
+	writer      http.ResponseWriter
+	control     *http.ResponseController
+	body        *upload
+	context     context.Context
 	// timeout is what the call may take in all, deadline when that is over, on
 	// the proxy's clock.
 	timeout  time.Duration
@@ -87,9 +86,9 @@
 	current := p.view.Load()
 	switch {
 	case p.drain.refusing.Load():
-		return nil, Refusal{Code: result.Draining, RetryAfter: notServingWait}, false
+		return nil, Refusal{Code: result.Draining}, false
 	case current.snapshot == nil || !p.mayServe():
-		return nil, Refusal{Code: result.NotServing, RetryAfter: notServingWait}, false
+		return nil, Refusal{Code: result.NotServing}, false
 	}
 	if refusal, fine := checkForm(request, p.limits); !fine {
 		return nil, refusal, false
@@ -106,8 +105,9 @@
 	call := &callerCall{proxy: p, route: route, place: located, request: request, service: route.Pick(p.random())}
 	shared := current.services[call.service]
 	if shared == nil {
-		return nil, Refusal{Code: result.NoEndpoint, RetryAfter: notServingWait}, false
+		return nil, Refusal{Code: result.NoEndpoint}, false
 	}
+	call.serviceName = shared.name
 	call.prepare(shared)
 	return call, Refusal{}, true
 }
@@ -184,7 +184,7 @@
 	if refusal.execution() == result.RanUnknown {
 		c.proxy.event("call_unknown", codeField(refusal.Code),
 			EventField{Key: "route", Value: c.route.Resource.Key().String()},
-			EventField{Key: "service", Value: c.service.String()})
+			EventField{Key: "service", Value: c.serviceName})
 	}
 	c.proxy.refuse(c.writer, c.body, refusal)
 }
@@ -248,15 +248,22 @@
 	return outgoing
 }
 
+// hopHeaders sets springstack's headers on a request to a gate.
 func (c *callerCall) hopHeaders(header http.Header, chosen *endpoint.Endpoint, mark bool, left time.Duration) {
-	header[headerHop] = []string{hopGate}
-	header[headerService] = []string{c.service.String()}
-	header[headerBackend] = []string{chosen.Backend}
-	header[headerRequest] = []string{c.proxy.nextRequest()}
 	left -= min(left/hopMarginShare, hopMarginLimit)
-	header[headerTimeout] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
-	header[headerPriority] = []string{strconv.Itoa(int(c.route.Resource.Priority))}
-	header[headerPartner] = []string{string(c.route.Resource.Partner)}
+	// One array backs all the values.
+	values := [...]string{
+		hopGate,
+		c.serviceName,
+		chosen.Backend,
+		c.proxy.nextRequest(),
+		strconv.FormatInt(left.Milliseconds(), 10),
+		strconv.Itoa(int(c.route.Resource.Priority)),
+		string(c.route.Resource.Partner),
+	}
+	for index, name := range hopHeaderNames {
+		header[name] = values[index : index+1 : index+1]
+	}
 	if chosen.Incarnation != 0 {
 		header[headerIncarnation] = []string{strconv.FormatUint(uint64(chosen.Incarnation), 10)}
 	}
@@ -268,6 +275,12 @@
 	}
 }
 
+// hopHeaderNames are the headers that every request to a gate has, in the
+// order of their values in hopHeaders.
+var hopHeaderNames = [...]string{
+	headerHop, headerService, headerBackend, headerRequest, headerTimeout, headerPriority, headerPartner,
+}
+
 // target is the URL of a call at an address. The path is sent in the form that
 // the route was matched by.
 func target(address, canonical, query string) *url.URL {
