--- a/internal/sim/calls/gate.go
+++ b/internal/sim/calls/gate.go
@@ -236,7 +236,7 @@
 
 // drainPoll is how often a draining gate looks whether it is empty, drainBound
 // the longest drain, and lingerLimit bounds how long the platform leaves a
-// drained machine running.
+// drained machine running; half of them go at once.
 const (
 	drainPoll   = 100 * time.Millisecond
 	drainBound  = 25 * time.Second
@@ -255,7 +255,7 @@
 	g.life.admission.Drain()
 	w.announce(g)
 	drained := g.life
-	w.timeline.After(w.timeline.Between(0, lingerLimit), func() { w.awaitDrained(g, drained, w.now()+drainBound) })
+	w.timeline.After(w.timeline.Between(-lingerLimit, lingerLimit), func() { w.awaitDrained(g, drained, w.now()+drainBound) })
 }
 
 func (w *world) awaitDrained(g *gate, l *life, limit time.Duration) {
--- a/internal/sim/world/run.go
+++ b/internal/sim/world/run.go
@@ -87,6 +87,7 @@
 	w.returnAll()
 	for _, s := range w.slots {
 		s.clock.setRate(w.Now(), 1)
+		s.clock.wallSkew = 0
 		w.platform.update(s, false)
 	}
 }
