Overload with uneven back ends

Cause: between equal back ends every way of choosing is as good as round robin. Change: one back end of seven is three times slower, one always reports no load and one reports any.

--- a/internal/lab/overload/amplification.go
+++ b/internal/lab/overload/amplification.go
@@ -48,6 +48,7 @@
 func amplification(ctx context.Context, options Options, figures *Figures, failure int) (float64, error) {
 	started, err := startRig(options, backend.Config{MeanService: backend.NoService}, func(rigOptions *rig.Options) {
 		rigOptions.Deployment = chainDeployment()
+		rigOptions.Tune = nil
 	})
 	if err != nil {
 		return 0, errors.Trace(err)
--- a/internal/lab/overload/overload.go
+++ b/internal/lab/overload/overload.go
@@ -30,9 +30,14 @@
 	Progress func(event string)
 }
 
-// The service under load: capacity is upstreams × slots / mean service time.
+// The service under load. One of its back ends is slow, and two mislead with
+// their load reports.
 const (
 	upstreams   = 7
+	slowFactor  = 3
+	slowNumber  = 0
+	zeroNumber  = 1
+	drawnNumber = 2
 	meanService = 200 * time.Millisecond
 	// callBound is when calls are no use any more: the route's timeout.
 	callBound = 2 * time.Second
@@ -90,7 +95,19 @@
 
 // capacity is what the slots can run, in calls a second.
 func capacity() float64 {
-	return upstreams * scenario.Slots / meanService.Seconds()
+	return (upstreams - 1 + 1.0/slowFactor) * scenario.Slots / meanService.Seconds()
+}
+
+// uneven gives the back ends their differences.
+func uneven(number int, config *backend.Config) {
+	switch number {
+	case slowNumber:
+		config.MeanService *= slowFactor
+	case zeroNumber:
+		config.LoadMode = backend.ReportZero
+	case drawnNumber:
+		config.LoadMode = backend.ReportRandom
+	}
 }
 
 // deployment is one service of Windhoek's zones, without emulated latency.
@@ -153,6 +170,7 @@
 	rigOptions := rig.Options{
 		Deployment:   deployment(),
 		Backend:      config,
+		Tune:         uneven,
 		WithoutLinks: true,
 		Configure:    func(config *proxy.Config) { config.Baseline = options.Baseline },
 		Seed:         options.Seed,
--- a/internal/lab/rig/machine.go
+++ b/internal/lab/rig/machine.go
@@ -68,6 +68,9 @@
 	}
 	config := r.options.Backend
 	config.Seed = r.options.Seed + uint64(number)
+	if r.options.Tune != nil {
+		r.options.Tune(number, &config)
+	}
 	server, err := backend.Start(upstream.Name, anyPort, config, r.Origin, machine.forward)
 	if err != nil {
 		return nil, errors.Trace(err)
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -26,6 +26,8 @@
 	Deployment scenario.Deployment
 	// Backend is the template of all back ends; each gets its own seed.
 	Backend backend.Config
+	// Tune changes the template for one back end; nil changes none.
+	Tune func(number int, config *backend.Config)
 	// ExtraRoutes are put beside the deployment's own, for example another
 	// partner's routes to the same services.
 	ExtraRoutes []resource.Route
