--- /dev/null
+++ b/internal/core/admission/control.go
@@ -0,0 +1,41 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/springstack/springstack/internal/result"
+)
+
+// Drain refuses all waiting calls at once and every later one until Resume;
+// those that run end by themselves.
+func (g *Gate) Drain() { g.refuseAll(drainingBit) }
+
+// Close refuses calls as Drain does, but Resume does not undo it.
+func (g *Gate) Close() { g.refuseAll(closedBit) }
+
+func (g *Gate) refuseAll(bit uint64) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.word.Or(bit)
+	for ticket := g.queue.pop(); ticket != nil; ticket = g.queue.pop() {
+		g.unqueue()
+		ticket.settle(refused(result.Draining, 0))
+	}
+}
+
+// Resume takes calls again after Drain, but not after Close.
+func (g *Gate) Resume() {
+	g.word.And(^uint64(drainingBit))
+}
+
+// SetSlots changes how many calls run at once. Fewer slots end no call; more
+// of them start waiting calls at once.
+func (g *Gate) SetSlots(now time.Duration, slots int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.slots.Store(int64(max(slots, 1)))
+	for g.queue.length > 0 && int64(g.word.Load()&runningMask) < g.slots.Load() {
+		g.word.Add(1)
+		g.handOver(now)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -29,8 +29,6 @@
 	// servingUntil is a time on the clock, in nanoseconds.
 	servingUntil atomic.Int64
 
-	// incarnation is this daemon's own, as callers' sides know it.
-	incarnation atomic.Uint64
 	// gate and backend are nil when there is no back end beside the daemon.
 	gate    *admission.Gate
 	backend *upstream
@@ -66,7 +64,6 @@
 	incarnation := strconv.FormatUint(uint64(config.Incarnation), 36)
 	proxy.requestPrefix = string(config.NodeID) + "-" + incarnation + "-"
 	proxy.randomState.Store(config.RandomSeed)
-	proxy.incarnation.Store(uint64(config.Incarnation))
 	proxy.view.Store(&view{})
 	if config.Backend != "" {
 		proxy.openGate()
