--- a/internal/core/node/upstream.go
+++ b/internal/core/node/upstream.go
@@ -45,6 +45,9 @@
 	sentCursor   membership.Cursor
 	sentSequence uint64
 	sentAcks     []protocol.Acknowledgement
+	// sentRelaying is whether the fetch under way asked for the whole
+	// configuration, as a relay does.
+	sentRelaying bool
 	urgentAt     time.Duration
 	// preferAt is when the preferred parent is tried again; preferRefusals
 	// counts how often it was tried in vain.
@@ -283,6 +286,7 @@
 	}
 	n.addRecords(request)
 	request.Have, request.HaveDigest = n.haveOf(request.Scope)
+	up.sentRelaying = request.Scope.Relay
 	var token Token
 	sentAt := n.now
 	token = n.call(target.ControlAddress, request, n.config.Timing.FetchWait+replySlack, func(reply any) {
@@ -471,6 +475,11 @@
 	if reply.Released < floorVersion {
 		return false
 	}
+	if n.relaying() != n.upstream.sentRelaying {
+		// The reply speaks of the other scope: "nothing changed" would be taken
+		// of the wrong content. The next fetch asks in the new role.
+		return false
+	}
 	if n.relaying() {
 		return n.takeForStore(reply)
 	}
