Proxy: mutual TLS on the hop between daemons

Cause: calls with routes' secrets cross the gate's port in the clear. Change: Config.PeerTLS and Server.Secure; handshakes of connections opened ahead are done ahead.

--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -5,6 +5,7 @@
 package proxy
 
 import (
+	"crypto/tls"
 	"time"
 
 	"github.com/springstack/springstack/internal/core/protocol"
@@ -27,6 +28,9 @@
 	// Slots is how many calls the back end runs at once.
 	Slots  int
 	Limits Limits
+	// PeerTLS guards the calls to other daemons' gates; nil sends them in the
+	// clear. A gate's server is guarded by Server.Secure.
+	PeerTLS *tls.Config
 	// RandomSeed makes the choices of endpoints repeatable; 0 draws a seed.
 	RandomSeed uint64
 	// Baseline switches protections off, for comparisons only.
--- a/internal/proxy/guard.go
+++ b/internal/proxy/guard.go
@@ -50,8 +50,8 @@
 	if !c.closed.CompareAndSwap(false, true) {
 		return nil
 	}
-	half, isTCP := c.Conn.(*net.TCPConn)
-	if c.linger == 0 || c.unfinished.Load() == nil || !isTCP {
+	half, canEnd := c.Conn.(writeCloser)
+	if c.linger == 0 || c.unfinished.Load() == nil || !canEnd {
 		defer close(c.gone)
 		return c.Conn.Close()
 	}
@@ -61,16 +61,20 @@
 	return nil
 }
 
-func (c *guardedConn) awaitEnd(half *net.TCPConn) {
+func (c *guardedConn) awaitEnd(half writeCloser) {
 	defer close(c.gone)
 	defer c.Conn.Close()
 	if half.CloseWrite() != nil {
 		return
 	}
-	_ = half.SetReadDeadline(time.Now().Add(c.linger))
-	_, _ = io.Copy(io.Discard, io.LimitReader(half, lingerBytes))
+	_ = c.Conn.SetReadDeadline(time.Now().Add(c.linger))
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, lingerBytes))
 }
 
+// writeCloser is a connection whose sending side can end by itself: of TCP and
+// of TLS.
+type writeCloser interface{ CloseWrite() error }
+
 // lingerBytes bounds what is read of the answer to a cancelled call.
 const lingerBytes = 1 << 20
 
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"io"
 	"log"
 	"net"
@@ -31,6 +32,7 @@
 type boundedListener struct {
 	net.Listener
 	limit    int64
+	secure   *tls.Config
 	open     atomic.Int64
 	refusing atomic.Int64
 	// conns are the open connections, entered and left once each.
@@ -61,6 +63,11 @@
 		if err != nil {
 			return nil, l.acceptFailed(err)
 		}
+		if l.secure != nil {
+			// The handshake takes place at the first reading or writing, in the
+			// connection's own goroutine and within its deadlines.
+			conn = tls.Server(conn, l.secure)
+		}
 		if l.stage.Load() == stageRetiring {
 			l.refuse(conn, leavingRefusal(0))
 			continue
@@ -108,7 +115,7 @@
 		if _, err := conn.Write(plainRefusal(refusal)); err != nil {
 			return
 		}
-		if half, ok := conn.(*net.TCPConn); ok {
+		if half, ok := conn.(writeCloser); ok {
 			_ = half.CloseWrite()
 		}
 		_, _ = io.Copy(io.Discard, io.LimitReader(conn, discardBytes))
@@ -164,7 +171,7 @@
 // CloseWrite ends the sending side, which the library does before it closes a
 // connection with unread input.
 func (c *countedConn) CloseWrite() error {
-	if half, ok := c.Conn.(*net.TCPConn); ok {
+	if half, ok := c.Conn.(writeCloser); ok {
 		return half.CloseWrite()
 	}
 	return nil
--- /dev/null
+++ b/internal/proxy/secure_test.go
@@ -0,0 +1,49 @@
+package proxy
+
+import (
+	"crypto/tls"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// TestHopBetweenDaemonsTakesTLS serves a gate by mutual TLS: calls pass with a
+// certificate, and without one nothing runs and that is known.
+func TestHopBetweenDaemonsTakesTLS(t *testing.T) {
+	check := is.New(t)
+	var runs atomic.Int64
+	mesh := startMesh(t, meshOptions{}, counting(&runs))
+	borrowed := httptest.NewTLSServer(http.NotFoundHandler())
+	t.Cleanup(borrowed.Close)
+	certificates := borrowed.TLS.Certificates
+	listener := listen(t)
+	server := NewServer(mesh.gates[0].GateHandler(), Limits{}).Secure(&tls.Config{
+		Certificates: certificates, ClientAuth: tls.RequireAnyClientCert, MaxVersion: tls.VersionTLS12,
+	})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	mesh.members[0].DataAddress = listener.Addr().String()
+	for _, given := range [][]tls.Certificate{certificates, nil} {
+		caller := New(Config{
+			Clock: testClock, NodeID: "caller", Region: "r", Zone: "z",
+			PeerTLS: &tls.Config{Certificates: given, RootCAs: borrowed.Client().Transport.(*http.Transport).TLSClientConfig.RootCAs, ServerName: "example.com"},
+		})
+		t.Cleanup(caller.Close)
+		caller.PublishMembers(mesh.members)
+		caller.Swap(mesh.held)
+		caller.ExtendServing(1 << 62)
+		mesh.address = serve(t, caller.CallerHandler(), Limits{})
+		answer := mesh.call(t, "POST", "/", "x")
+		if given != nil {
+			check.Equal(answer.body, "x")
+			continue
+		}
+		expectRefusal(check, answer, result.ConnectFailed, result.RanNo)
+	}
+	check.Equal(runs.Load(), int64(1))
+	check.NoErr(server.Shutdown(t.Context()))
+}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -60,6 +61,7 @@
 type Server struct {
 	inner  *http.Server
 	limits Limits
+	secure *tls.Config
 
 	mutex     sync.Mutex
 	listeners []*boundedListener
@@ -87,10 +89,18 @@
 	return &Server{inner: inner, limits: limits}
 }
 
+// Secure has the server take TLS only; nil leaves it in the clear. It is
+// called before Serve.
+func (s *Server) Secure(config *tls.Config) *Server {
+	s.secure = config
+	return s
+}
+
 // Serve takes connections until the server is closed; it returns
 // http.ErrServerClosed then.
 func (s *Server) Serve(listener net.Listener) error {
 	bounded := newBoundedListener(listener, s.limits.Connections)
+	bounded.secure = s.secure
 	if !s.add(bounded) {
 		_ = listener.Close()
 		return http.ErrServerClosed
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -23,7 +24,9 @@
 type upstream struct {
 	address string
 	// linger is how long a cancelled call may take to end; see guardedConn.
-	linger    time.Duration
+	linger time.Duration
+	// secure is for TLS; nil connects in the clear.
+	secure    *tls.Config
 	transport *http.Transport
 	dialer    net.Dialer
 	spares    chan spare
@@ -62,7 +65,7 @@
 
 // dial hands out a connection opened ahead, or opens one; either way it sees
 // to it that another one is ready.
-func (u *upstream) dial(ctx context.Context, network, address string) (net.Conn, error) {
+func (u *upstream) dial(ctx context.Context, _, _ string) (net.Conn, error) {
 	for {
 		select {
 		case ready := <-u.spares:
@@ -74,7 +77,7 @@
 			continue
 		default:
 		}
-		conn, err := u.dialer.DialContext(ctx, network, address)
+		conn, err := u.open(ctx)
 		if err != nil {
 			return nil, err
 		}
@@ -83,6 +86,22 @@
 	}
 }
 
+// open opens a connection, ready for calls.
+func (u *upstream) open(ctx context.Context) (net.Conn, error) {
+	bounded, cancel := context.WithTimeout(ctx, u.dialer.Timeout)
+	defer cancel()
+	conn, err := u.dialer.DialContext(bounded, "tcp", u.address)
+	if err != nil || u.secure == nil {
+		return conn, err
+	}
+	guarded := tls.Client(conn, u.secure)
+	if err := guarded.HandshakeContext(bounded); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return guarded, nil
+}
+
 // openAhead opens connections in the background for calls to come.
 func (u *upstream) openAhead(count int) {
 	for range count {
@@ -96,7 +115,7 @@
 
 func (u *upstream) openSpare() {
 	defer u.opening.Add(-1)
-	conn, err := u.dialer.DialContext(u.context, "tcp", u.address)
+	conn, err := u.open(u.context)
 	if err != nil {
 		return // the call that needs one meets the error itself
 	}
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -71,6 +71,7 @@
 		kept := previous.upstreams[one.Address]
 		if kept == nil {
 			kept = newUpstream(one.Address, p.limits, p.limits.UpstreamIdle)
+			kept.secure = p.config.PeerTLS
 			if one.Zone == p.config.Zone && one.Region == p.config.Region {
 				kept.openAhead(1)
 			}
