--- /dev/null
+++ b/internal/proxy/main_test.go
@@ -0,0 +1,12 @@
+package proxy
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// TestMain fails the package when goroutines outlive its tests.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
