--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -109,6 +109,17 @@
 	is.Equal(c.keys(), "a/route/r b/service/s")
 }
 
+func TestAllThatAChangeMendsIsPromotedWithIt(t *testing.T) {
+	is := is.New(t)
+	c := newChain(t)
+	is.Equal(c.submit("a/chained", route("r", "b/middle")).Code, result.Held)
+	is.Equal(c.submit("b/middle", service("middle", "a")+route("r", "c/s")).Code, result.Held)
+	is.Equal(c.submit("a/direct", route("r2", "c/s")).Code, result.Held)
+	reply := c.submit("c/f", service("s", "a", "b"))
+	is.Equal(reply.Promoted, []string{"a/chained", "a/direct", "b/middle"})
+	is.Equal(c.head.Version, protocol.Version(1))
+}
+
 func TestFilesThatNeedEachOtherArePromotedTogether(t *testing.T) {
 	is := is.New(t)
 	c := newChain(t)
