--- a/internal/core/ledger/property_test.go
+++ b/internal/core/ledger/property_test.go
@@ -12,6 +12,7 @@
 	"github.com/springstack/springstack/internal/core/ledger"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
+	_ "github.com/springstack/springstack/internal/fixedseed"
 	"github.com/springstack/springstack/internal/result"
 )
 
--- a/internal/core/resource/read_route.go
+++ b/internal/core/resource/read_route.go
@@ -1,6 +1,7 @@
 package resource
 
 import (
+	"net/textproto"
 	"slices"
 	"strings"
 
@@ -201,26 +202,17 @@
 	return priority
 }
 
-// canonicalHeader returns a header name with the first letter of each word in
-// upper case, as net/http spells it, or "" if it is not a token.
+// canonicalHeader returns a header name as net/http spells it, or "" if it is
+// not a token (RFC 9110).
 func canonicalHeader(name string) string {
 	const tokenPunctuation = "!#$%&'*+-.^_`|~"
-	canonical := []byte(name)
-	upper := true
-	for i, b := range canonical {
-		lowerCase := b >= 'a' && b <= 'z'
-		upperCase := b >= 'A' && b <= 'Z'
-		digit := b >= '0' && b <= '9'
-		if !lowerCase && !upperCase && !digit && strings.IndexByte(tokenPunctuation, b) < 0 {
-			return ""
-		}
-		if upper && lowerCase {
-			canonical[i] = b - 'a' + 'A'
-		}
-		if !upper && upperCase {
-			canonical[i] = b - 'A' + 'a'
-		}
-		upper = b == '-'
+	invalid := strings.ContainsFunc(name, func(r rune) bool {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
+		digit := r >= '0' && r <= '9'
+		return !letter && !digit && !strings.ContainsRune(tokenPunctuation, r)
+	})
+	if invalid {
+		return ""
 	}
-	return string(canonical)
+	return textproto.CanonicalMIMEHeaderKey(name)
 }
