--- a/cmd/springstack-lab/main.go
+++ b/cmd/springstack-lab/main.go
@@ -15,6 +15,7 @@
 		Name:  "springstack-lab",
 		Usage: "emulate, load and measure springstack",
 		Commands: []*cli.Command{
+			backendCommand(),
 			demoCommand(),
 			experimentCommand(),
 			fuzzCommand(),
