--- a/cmd/springstack-lab/main.go
+++ b/cmd/springstack-lab/main.go
@@ -16,6 +16,7 @@
 		Usage: "emulate, load and measure springstack",
 		Commands: []*cli.Command{
 			backendCommand(),
+			capacityCommand(),
 			demoCommand(),
 			experimentCommand(),
 			fuzzCommand(),
