Reader: tell resources and exports of files; shell: tell the node the wall clock

Cause: the reader listed files by a copy of ledger.FileStatuses that left out resources and exports. Seen with real processes: every diff of a changed file was refused with 307, and a partner never saw services exported to it. The shell's ticks carried no wall clock, so a root that no operator had asked showed 'in force' without a time.

Change: the reader uses ledger.FileStatuses; ticks carry the clock.

--- a/internal/core/reader/contents.go
+++ b/internal/core/reader/contents.go
@@ -7,7 +7,6 @@
 
 	"github.com/springstack/springstack/internal/core/ledger"
 	"github.com/springstack/springstack/internal/core/object"
-	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/result"
 )
@@ -114,7 +113,7 @@
 	r.emit(CatalogueReady{
 		Version:     head.Version,
 		Resources:   ledger.Catalogue(head, r.contents.files),
-		Files:       fileStatuses(head),
+		Files:       ledger.FileStatuses(head, r.contents.files),
 		Keepers:     head.Keepers,
 		BatchWindow: batchWindow(previous, head, r.contents.files),
 		AcceptedAt:  head.AcceptedAt,
@@ -122,35 +121,6 @@
 	r.event("catalogue_ready", EventField{"version", fmt.Sprint(head.Version)})
 }
 
-// fileStatuses lists the files of a head; a file with an accepted and a held
-// revision is listed twice.
-func fileStatuses(head *ledger.Head) []protocol.FileStatus {
-	var statuses []protocol.FileStatus
-	for _, entry := range head.Files {
-		if entry.Accepted != nil {
-			statuses = append(statuses, protocol.FileStatus{
-				Partner:    entry.Partner,
-				Name:       entry.Name,
-				Revision:   entry.Accepted.Revision,
-				Digest:     entry.Accepted.Digest,
-				AcceptedAt: entry.Accepted.At,
-				Version:    entry.Accepted.Version,
-			})
-		}
-		if entry.Held != nil {
-			statuses = append(statuses, protocol.FileStatus{
-				Partner:  entry.Partner,
-				Name:     entry.Name,
-				Revision: entry.Held.Revision,
-				Digest:   entry.Held.Digest,
-				Held:     true,
-				WaitsFor: entry.Held.WaitsFor,
-			})
-		}
-	}
-	return statuses
-}
-
 // batchWindow returns how long the step from one head to the next may wait for
 // more changes: as long as the most impatient of the files that it accepts
 // allows, and not at all for a withdrawal or a change of keepers.
--- a/internal/daemon/shell.go
+++ b/internal/daemon/shell.go
@@ -124,7 +124,7 @@
 		case <-s.ctx.Done():
 			return
 		case <-ticker.C:
-			s.step(node.Tick{})
+			s.step(node.Tick{WallClock: time.Now()})
 		case message := <-s.inbox:
 			s.step(message)
 		case <-s.backendChanged:
