Mutants follow the split of the gate; drop an unused field

Cause: admission/gate.go was split, so three mutants named a file without their line, which their own test caught.

--- a/internal/sim/mutant/calls.go
+++ b/internal/sim/mutant/calls.go
@@ -37,13 +37,13 @@
 		Old: "	if verdict := register(g.requests, now, ticket.Request); verdict",
 		New: "	if verdict := register(g.requests, now, 0); verdict"},
 
-	{Name: "drain_only_the_queue", Breaks: oracle.LeavingTakesNone, Simulation: Calls, File: "admission/gate.go",
+	{Name: "drain_only_the_queue", Breaks: oracle.LeavingTakesNone, Simulation: Calls, File: "admission/control.go",
 		Old: "	g.word.Or(bit)",
 		New: "	g.word.Or(0)"},
 	{Name: "drain_ends_with_a_call", Breaks: oracle.LeavingTakesNone, Simulation: Calls, File: "admission/gate.go",
 		Old: "		if g.word.CompareAndSwap(word, word-1) {\n			return",
 		New: "		if g.word.CompareAndSwap(word, (word-1)&^refusingAny) {\n			return"},
-	{Name: "drain_forgets_itself", Breaks: oracle.LeavingTakesNone, Simulation: Calls, File: "admission/gate.go",
+	{Name: "drain_forgets_itself", Breaks: oracle.LeavingTakesNone, Simulation: Calls, File: "admission/control.go",
 		Old: "		g.unqueue()\n		ticket.settle(refused(result.Draining, 0))",
 		New: "		g.unqueue(); g.word.And(^uint64(refusingAny))\n		ticket.settle(refused(result.Draining, 0))"},
 
@@ -53,7 +53,7 @@
 	{Name: "admit_uncounted", Breaks: oracle.PlannedStopIsSoft, Simulation: Calls, File: "admission/gate.go",
 		Old: "		if g.word.CompareAndSwap(word, word+1) {\n			return true",
 		New: "		if g.word.CompareAndSwap(word, word) {\n			return true"},
-	{Name: "drain_frees_slots", Breaks: oracle.PlannedStopIsSoft, Simulation: Calls, File: "admission/gate.go",
+	{Name: "drain_frees_slots", Breaks: oracle.PlannedStopIsSoft, Simulation: Calls, File: "admission/control.go",
 		Old: "	g.word.Or(bit)",
 		New: "	g.word.Or(bit); g.word.And(^uint64(runningMask))"},
 }
--- a/internal/sim/world/slot.go
+++ b/internal/sim/world/slot.go
@@ -39,7 +39,6 @@
 	// requests are peers' and operators' requests that are not yet answered.
 	requests     map[node.Token]func(body any)
 	nextToken    node.Token
-	watch        node.Token
 	inForce      *snapshot.Snapshot
 	servingUntil time.Duration
 	members      []protocol.Member
