--- a/internal/core/resource/encode.go
+++ b/internal/core/resource/encode.go
@@ -112,9 +112,14 @@
 	return encoded
 }
 
-// SortEncoded sorts resources by key.
+// SortEncoded sorts resources by key. Sorted ones, the usual case, cost one
+// look each.
 func SortEncoded(encoded []Encoded) {
-	slices.SortFunc(encoded, func(a, b Encoded) int { return a.Key.Compare(b.Key) })
+	byKey := func(a, b Encoded) int { return a.Key.Compare(b.Key) }
+	if slices.IsSortedFunc(encoded, byKey) {
+		return
+	}
+	slices.SortFunc(encoded, byKey)
 }
 
 // Decode reads one resource: a Service, Backend, Secret or Route. It refuses a
--- a/internal/core/snapshot/delta.go
+++ b/internal/core/snapshot/delta.go
@@ -52,18 +52,35 @@
 	if delta.From == 0 {
 		current = nil
 	}
-	held := lo.KeyBy(current, func(one resource.Encoded) resource.Key { return one.Key })
-	for _, one := range changes {
-		if one.removed {
-			delete(held, one.key)
-			continue
-		}
-		held[one.key] = resource.Encoded{Key: one.key, Digest: resource.DigestOf(one.payload), Payload: one.payload}
-	}
-	applied := lo.Values(held)
-	resource.SortEncoded(applied)
+	applied := merge(current, changes)
 	if DigestOf(applied) != delta.Digest {
 		return nil, result.New(result.DigestMismatch, "delta from version %d to %d does not lead to its digest", delta.From, delta.To)
 	}
 	return applied, nil
 }
+
+// merge returns current, which is sorted by key, with the changes made; of
+// several for one key the last counts. The work for what did not change is one
+// look each.
+func merge(current []resource.Encoded, changes []change) []resource.Encoded {
+	last := lo.KeyBy(changes, func(one change) resource.Key { return one.key })
+	var added []resource.Encoded
+	for key, one := range last {
+		if !one.removed {
+			added = append(added, resource.Encoded{Key: key, Digest: resource.DigestOf(one.payload), Payload: one.payload})
+		}
+	}
+	resource.SortEncoded(added)
+	merged := make([]resource.Encoded, 0, len(current)+len(added))
+	for _, one := range current {
+		if _, changed := last[one.Key]; changed {
+			continue
+		}
+		for len(added) > 0 && added[0].Key.Less(one.Key) {
+			merged = append(merged, added[0])
+			added = added[1:]
+		}
+		merged = append(merged, one)
+	}
+	return append(merged, added...)
+}
--- a/internal/core/snapshot/digest.go
+++ b/internal/core/snapshot/digest.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"io"
 
 	"github.com/springstack/springstack/internal/core/resource"
 )
@@ -13,17 +12,18 @@
 // digest hold the same configuration.
 func DigestOf(sorted []resource.Encoded) resource.Digest {
 	hash := sha256.New()
+	var fields []byte
 	for _, one := range sorted {
-		writeField(hash, string(one.Key.Partner))
-		writeField(hash, string(one.Key.Kind))
-		writeField(hash, one.Key.Name)
-		writeField(hash, string(one.Digest))
+		fields = appendEnded(fields[:0], string(one.Key.Partner))
+		fields = appendEnded(fields, string(one.Key.Kind))
+		fields = appendEnded(fields, one.Key.Name)
+		fields = appendEnded(fields, string(one.Digest))
+		_, _ = hash.Write(fields) // never fails
 	}
 	return resource.Digest(hex.EncodeToString(hash.Sum(nil)))
 }
 
-// writeField ends each field with a zero byte, which no name may hold.
-func writeField(hash io.Writer, field string) {
-	_, _ = io.WriteString(hash, field)
-	_, _ = hash.Write([]byte{0})
+// appendEnded ends each field with a zero byte, which no name may hold.
+func appendEnded(fields []byte, field string) []byte {
+	return append(append(fields, field...), 0)
 }
--- a/internal/lab/scale/sampler.go
+++ b/internal/lab/scale/sampler.go
@@ -1,18 +1,24 @@
 package scale
 
 import (
+	"context"
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/springstack/springstack/internal/lab/hollow"
+	"github.com/springstack/springstack/internal/lab/host"
 )
 
 // samplePeriod is the time between looks at every daemon's traffic.
 const samplePeriod = time.Second
 
-// sampler looks for the daemon with the most bytes in any one second.
+// sampler looks for the daemon with the most bytes in any one second, and ends
+// a run that takes too much memory.
 type sampler struct {
 	cluster *hollow.Cluster
+	cancel  context.CancelCauseFunc
 	ended   chan struct{}
 	running sync.WaitGroup
 
@@ -20,8 +26,8 @@
 	busiest float64
 }
 
-func startSampler(cluster *hollow.Cluster) *sampler {
-	s := &sampler{cluster: cluster, ended: make(chan struct{})}
+func startSampler(cluster *hollow.Cluster, cancel context.CancelCauseFunc) *sampler {
+	s := &sampler{cluster: cluster, cancel: cancel, ended: make(chan struct{})}
 	s.running.Go(s.run)
 	return s
 }
@@ -56,6 +62,9 @@
 			return
 		case <-ticker.C:
 		}
+		if resident := host.ResidentBytes(); resident > MaxResident {
+			s.cancel(errors.Errorf("%d bytes are resident; the bound is %d", resident, uint64(MaxResident)))
+		}
 		elapsed := time.Since(lastAt).Seconds()
 		lastAt = time.Now()
 		for index, one := range s.cluster.Nodes {
