--- a/internal/lab/hollow/cluster.go
+++ b/internal/lab/hollow/cluster.go
@@ -65,13 +65,13 @@
 	}
 	cluster := &Cluster{
 		Platform: service,
-		Observer: NewObserver(),
 		Files:    catalogue.Generate(options.Shape),
 		options:  options,
 		server:   server,
 		url:      url,
 		random:   rand.New(rand.NewPCG(options.Seed, 1)),
 	}
+	cluster.Observer = NewObserver(cluster.serving)
 	for number := range options.Daemons {
 		cluster.Nodes = append(cluster.Nodes, &Node{
 			ID:      fmt.Sprintf("node-%04d", number),
@@ -85,6 +85,12 @@
 	return cluster, nil
 }
 
+// serving reports whether a daemon may serve now.
+func (c *Cluster) serving(id string) bool {
+	one, found := lo.Find(c.Nodes, func(one *Node) bool { return one.ID == id })
+	return found && one.State().Serving
+}
+
 // Start starts all daemons.
 func (c *Cluster) Start() error {
 	c.Observer.Expect(len(c.Nodes))
