Hold in force back until all regions are known

Daemons that have only started are not taken into the roster any more: they were chosen as keepers before they knew their floor, and a herd of 600 then never released anything. The regions are now handed down with the configuration, from the keeper sets in the head, and a root that does not know them claims nothing.

--- a/internal/core/node/chaos_test.go
+++ b/internal/core/node/chaos_test.go
@@ -29,21 +29,23 @@
 // operators race; messages are lost and reordered. After each step nothing has
 // moved back and nothing older is served than what is called in force. Once
 // the faults stop, the newest accepted version comes in force everywhere.
-// CHAOS_SEEDS sets the number of seeds for a longer campaign.
+// CHAOS_SEEDS and CHAOS_FIRST choose the seeds of a longer campaign.
 func TestChaos(t *testing.T) {
-	seeds := 6
-	if given, err := strconv.Atoi(os.Getenv("CHAOS_SEEDS")); err == nil {
-		seeds = given
+	seeds := slices.Clone(foundSeeds)
+	if count, err := strconv.Atoi(os.Getenv("CHAOS_SEEDS")); err == nil {
+		first, _ := strconv.Atoi(os.Getenv("CHAOS_FIRST"))
+		seeds = lo.RangeFrom(first, count)
 	}
-	first := 0
-	if given, err := strconv.Atoi(os.Getenv("CHAOS_FIRST")); err == nil {
-		first = given
-	}
-	for seed := first; seed < first+seeds; seed++ {
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runChaos(t, uint64(seed)) })
 	}
 }
 
+// foundSeeds failed once: 3 and 13 by two roots that never met, 2003, 2012 and
+// 2029 by a new root that called a version in force without knowing of the
+// other region.
+var foundSeeds = []int{3, 13, 2003, 2012, 2029}
+
 func runChaos(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 7))
 	c := &chaos{cluster: newCluster(t), random: random, cuts: map[[2]string]bool{}}
--- a/internal/core/node/downstream.go
+++ b/internal/core/node/downstream.go
@@ -320,6 +320,9 @@
 	if known.keeperRevision < n.holding.keepers.Revision {
 		reply.Keepers = n.holding.keepers
 	}
+	if known.cursor == 0 || store.Version() > known.have {
+		reply.Regions = n.allRegions()
+	}
 	reply.LeaseRemaining = n.grant(known)
 	n.answer(token, reply)
 }
--- a/internal/core/node/members.go
+++ b/internal/core/node/members.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/springstack/springstack/internal/core/distribution"
@@ -163,7 +164,7 @@
 
 // The bounds of the visitors remembered.
 const (
-	maxVisitors   = 64
+	maxVisitors   = 256
 	visitorExpiry = 20 * time.Second
 )
 
@@ -178,11 +179,25 @@
 		}
 	}
 	if len(v.list) == maxVisitors {
-		v.list = v.list[1:]
+		v.list = slices.Delete(v.list, 0, 1)
 	}
 	v.list = append(v.list, visitor{member: member, heardAt: now})
 }
 
+// first returns the visitors that rank first as readers of a region. They are
+// all that others need to know: who does not rank before them does not turn to
+// the platform.
+func (v *visitors) first(region string) []protocol.Member {
+	var members []protocol.Member
+	for _, one := range v.list {
+		if one.member.Region == region {
+			members = append(members, one.member)
+		}
+	}
+	ranked := membership.Rank(readerPurpose(region), members)
+	return ranked[:min(len(ranked), maxCandidates)]
+}
+
 func (v *visitors) expire(now time.Duration) {
 	kept := v.list[:0]
 	for _, one := range v.list {
--- a/internal/core/node/readerside.go
+++ b/internal/core/node/readerside.go
@@ -93,7 +93,7 @@
 	if readers >= leaseSlots {
 		return reader.Candidacy{}
 	}
-	for rank, member := range membership.Rank("reader/"+n.config.Region, members) {
+	for rank, member := range membership.Rank(readerPurpose(n.config.Region), members) {
 		if rank == maxCandidates {
 			break
 		}
@@ -105,6 +105,9 @@
 	return reader.Candidacy{}
 }
 
+// readerPurpose is the purpose of the rank of candidates for a reader lease.
+func readerPurpose(region string) string { return "reader/" + region }
+
 // applyReader carries out what the reader asks for.
 func (n *Node) applyReader(outputs []reader.Output) {
 	for _, output := range outputs {
@@ -163,6 +166,7 @@
 		return
 	}
 	n.readerSide.catalogue = &catalogue
+	n.heardRegions(lo.Map(catalogue.Keepers, func(set protocol.KeeperSet, _ int) string { return set.Region }))
 	if n.root.active {
 		n.propose(&catalogue)
 	}
--- a/internal/core/node/regions.go
+++ b/internal/core/node/regions.go
@@ -13,7 +13,11 @@
 
 // regions is what a root knows of the other regions, from their roots.
 type regions struct {
+	// peers are the other regions that hold configuration.
 	peers map[string]*regionPeer
+	// known is set once all regions are known as of the version held. Until
+	// then nothing is called in force.
+	known bool
 	// inForceAt is the wall clock at which the newest version came in force.
 	inForceAt time.Time
 }
@@ -26,8 +30,9 @@
 	inForce protocol.Version
 	heardAt time.Duration
 	heard   bool
-	// cursor and incarnation follow the other root's change log.
+	// cursor, from and incarnation follow the other root's change log.
 	cursor      uint64
+	from        protocol.NodeID
 	incarnation protocol.Incarnation
 	askedAt     time.Duration
 	asking      bool
@@ -56,12 +61,26 @@
 		return
 	}
 	n.roster.Each(func(member protocol.Member) { n.needRegion(member.Region, membership.Live(member)) })
-	if n.readerSide.catalogue == nil {
-		return
+}
+
+// heardRegions takes the list of all regions at a version. A region that is
+// not in it has no keepers at that version, so nothing was released there yet,
+// and what will be is newer.
+func (n *Node) heardRegions(names []string) {
+	for _, name := range names {
+		n.needRegion(name, true)
 	}
-	for _, set := range n.readerSide.catalogue.Keepers {
-		n.needRegion(set.Region, len(set.Members) > 0)
+	n.regions.known = n.regions.known || len(names) > 0
+}
+
+// allRegions returns the names for a child; nil while they are not known.
+func (n *Node) allRegions() []string {
+	if !n.regions.known {
+		return nil
 	}
+	names := append(n.regionNames(), n.config.Region)
+	slices.Sort(names)
+	return names
 }
 
 func (n *Node) needRegion(region string, live bool) {
@@ -104,6 +123,7 @@
 		From:            n.self.ID,
 		Self:            n.self,
 		MemberCursor:    peer.cursor,
+		Peer:            peer.from,
 		PeerIncarnation: peer.incarnation,
 	}
 	n.call(address, request, regionTimeout, func(body any) {
@@ -152,6 +172,7 @@
 	peer.heard = true
 	peer.heardAt = n.now
 	peer.cursor = reply.MemberCursor
+	peer.from = reply.From
 	peer.incarnation = reply.Incarnation
 	peer.inForce = max(peer.inForce, reply.Summary.InForce)
 	peer.zones = reply.Summary.Zones
@@ -163,6 +184,9 @@
 // globalInForce returns what is in force in every region that has members. A
 // region that was never heard holds everything back.
 func (n *Node) globalInForce() protocol.Version {
+	if !n.regions.known {
+		return 0
+	}
 	lowest := n.root.regional
 	for _, peer := range n.regions.peers {
 		lowest = min(lowest, peer.inForce)
@@ -183,10 +207,11 @@
 		return
 	}
 	cursor := membership.Cursor(0)
-	if request.PeerIncarnation == n.self.Incarnation {
+	if request.Peer == n.self.ID && request.PeerIncarnation == n.self.Incarnation {
 		cursor = request.MemberCursor
 	}
 	reply.Code = result.OK
+	reply.From = n.self.ID
 	reply.MemberCursor = n.roster.Cursor()
 	reply.Members = lo.Filter(n.roster.Since(cursor), func(member protocol.Member, _ int) bool {
 		return member.Region == n.config.Region
--- a/internal/core/node/root.go
+++ b/internal/core/node/root.go
@@ -98,6 +98,7 @@
 	n.root.batch = nil
 	n.log("root_stopped", LogField{Key: "root", Value: string(better.ID)})
 	n.upstream.target = protocol.Member{}
+	n.upstream.orphanedAt = n.now
 	delete(n.upstream.avoid, better.ID)
 	n.upstream.nextAt = n.now
 	n.fetchFrom(better)
--- a/internal/core/node/start.go
+++ b/internal/core/node/start.go
@@ -104,7 +104,7 @@
 		n.holding.keepers = set
 	}
 	for _, peer := range n.start.learner.Peers() {
-		n.heardMember(peer, membership.Above)
+		n.heardPeer(peer)
 	}
 	n.log("floor_learnt", versionField("floor", learnt))
 }
@@ -247,14 +247,20 @@
 	})
 	list := append([]protocol.Member{n.self}, readers...)
 	list = append(list, n.hints(request.From, request.Self.Zone)...)
-	for _, one := range n.visitors.list {
-		list = append(list, one.member)
-	}
+	list = append(list, n.visitors.first(request.Region)...)
 	list = lo.Reject(list, func(member protocol.Member, _ int) bool { return member.ID == request.From })
 	list = lo.UniqBy(list, func(member protocol.Member) protocol.NodeID { return member.ID })
 	return list[:min(len(list), maxPeers)]
 }
 
+// heardPeer takes a member that was named by another. One that has not joined
+// is not counted: it serves nothing yet, and it may never join.
+func (n *Node) heardPeer(peer protocol.Member) {
+	if peer.Parent != "" || peer.Root || !membership.Live(peer) {
+		n.heardMember(peer, membership.Above)
+	}
+}
+
 // greet asks a random seed or known root for others, and shows itself to it.
 func (n *Node) greet() {
 	addresses := lo.Reject(n.config.Seeds, func(address string, _ int) bool { return address == n.config.ControlAddress })
@@ -300,7 +306,7 @@
 func (n *Node) heardGreeted(from protocol.NodeID, peer protocol.Member, follow bool) {
 	if !n.root.active {
 		if _, known := n.floor(); known {
-			n.heardMember(peer, membership.Above)
+			n.heardPeer(peer)
 		}
 		return
 	}
--- a/internal/core/node/upstream.go
+++ b/internal/core/node/upstream.go
@@ -387,7 +387,7 @@
 func (n *Node) fetchRefused(from protocol.NodeID, reply *protocol.FetchReply) {
 	up := &n.upstream
 	for _, member := range reply.Members {
-		n.heardMember(member, membership.Above)
+		n.heardPeer(member)
 	}
 	wasJoined := up.joined
 	up.joined = false
@@ -404,7 +404,7 @@
 	if n.relaying() {
 		period = distribution.Jitter(n.random, rootRefusal)
 	}
-	n.avoidFor(from, max(reply.RetryAfter, period), reply.Code == result.AskAnother)
+	n.avoidFor(from, max(reply.RetryAfter, period), reply.Code == result.AskAnother || reply.Code == result.NotReadyYet)
 	if n.returnToFormer() {
 		return
 	}
@@ -427,6 +427,7 @@
 	if reply.Keepers.Revision > n.holding.keepers.Revision {
 		n.adoptKeepers(reply.Keepers)
 	}
+	n.heardRegions(reply.Regions)
 	n.raiseInForce(reply.InForce)
 	progressed := n.takeReleased(reply)
 	n.takeLease(sentAt, reply)
--- a/internal/core/protocol/protocol.go
+++ b/internal/core/protocol/protocol.go
@@ -157,6 +157,9 @@
 	InForce Version
 	// Keepers is the keeper set of the sender's region.
 	Keepers KeeperSet
+	// Regions are all regions that hold configuration, in ascending order; empty
+	// when unchanged. A later root must wait for each of them.
+	Regions []string
 	// LeaseRemaining is how long the sender may serve, from when it sent the
 	// request; it never exceeds what the parent itself was granted.
 	LeaseRemaining time.Duration
@@ -322,9 +325,10 @@
 	// its record.
 	From NodeID
 	Self Member
-	// MemberCursor and PeerIncarnation ask only for records that changed since
-	// the last answer; used with From.
+	// MemberCursor, Peer and PeerIncarnation ask only for records that changed
+	// since the last answer of that daemon; used with From.
 	MemberCursor    uint64
+	Peer            NodeID
 	PeerIncarnation Incarnation
 }
 
@@ -390,7 +394,9 @@
 	Summary Summary
 	Files   []FileStatus
 	Members []Member
-	// MemberCursor and Incarnation are for the next request of the same root.
+	// MemberCursor, From and Incarnation are for the next request of the same
+	// root.
 	MemberCursor uint64
+	From         NodeID
 	Incarnation  Incarnation
 }
