--- a/cmd/springstack-lab/main.go
+++ b/cmd/springstack-lab/main.go
@@ -15,9 +15,11 @@
 		Name:  "springstack-lab",
 		Usage: "emulate, load and measure springstack",
 		Commands: []*cli.Command{
+			capacityCommand(),
 			demoCommand(),
 			experimentCommand(),
 			fuzzCommand(),
+			mutantsCommand(),
 			platformCommand(),
 			reportCommand(),
 		},
--- a/internal/lab/hollow/cluster.go
+++ b/internal/lab/hollow/cluster.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -17,6 +18,7 @@
 	"github.com/springstack/springstack/internal/core/node"
 	"github.com/springstack/springstack/internal/core/object"
 	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/snapshot"
 	"github.com/springstack/springstack/internal/lab/catalogue"
 	"github.com/springstack/springstack/internal/lab/standin"
 	"github.com/springstack/springstack/internal/result"
@@ -33,6 +35,8 @@
 	// Wrap, if set, stands between the control server and the node of each
 	// daemon; baselines use it.
 	Wrap func(control.Handler) control.Handler
+	// OnSwap, if set, is told each snapshot that a daemon puts in force.
+	OnSwap func(held *snapshot.Snapshot)
 	// Log, if set, takes every event of every node.
 	Log func(id, name string, fields []node.LogField)
 }
@@ -84,22 +88,40 @@
 // Start starts all daemons.
 func (c *Cluster) Start() error {
 	c.Observer.Expect(len(c.Nodes))
+	if err := c.StartAll(); err != nil {
+		return err
+	}
+	c.publishMachines()
+	return nil
+}
+
+// KillAll ends all daemons at once.
+func (c *Cluster) KillAll() {
+	var ending sync.WaitGroup
+	for _, one := range c.Nodes {
+		if one.Daemon != nil {
+			ending.Go(one.Kill)
+		}
+	}
+	ending.Wait()
+}
+
+// StartAll starts all daemons that are down.
+func (c *Cluster) StartAll() error {
 	for _, one := range c.Nodes {
+		if one.Daemon != nil {
+			continue
+		}
 		if err := one.Start(); err != nil {
 			return err
 		}
 	}
-	c.publishMachines()
 	return nil
 }
 
 // Close ends everything at once.
 func (c *Cluster) Close() {
-	for _, one := range c.Nodes {
-		if one.Daemon != nil {
-			one.Kill()
-		}
-	}
+	c.KillAll()
 	c.server.Close()
 }
 
@@ -210,11 +232,7 @@
 func (c *Cluster) Traffic() control.Traffic {
 	var sum control.Traffic
 	for _, one := range c.Nodes {
-		traffic := one.Traffic()
-		sum.BytesIn += traffic.BytesIn
-		sum.BytesOut += traffic.BytesOut
-		sum.FramesIn += traffic.FramesIn
-		sum.FramesOut += traffic.FramesOut
+		sum = addTraffic(sum, one.Traffic())
 	}
 	return sum
 }
--- a/internal/lab/rig/machine.go
+++ b/internal/lab/rig/machine.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +41,7 @@
 	backendAddress string
 	directAddress  string
 	clientAddress  string
+	backendLink    *link.Link
 	zoneLinks      map[string]*link.Link
 
 	proxy   *proxy.Proxy
@@ -64,6 +68,9 @@
 	}
 	config := r.options.Backend
 	config.Seed = r.options.Seed + uint64(number)
+	if r.options.Tune != nil {
+		r.options.Tune(number, &config)
+	}
 	server, err := backend.Start(upstream.Name, anyPort, config, r.Origin, machine.forward)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -96,6 +103,7 @@
 	if err != nil || near == nil {
 		return errors.Trace(err)
 	}
+	m.backendLink = near
 	m.backendAddress = near.Address()
 	direct := link.Config{Target: m.Backend.Address(), Latency: deployment.ClientLatency, OpenCost: deployment.OpenCost}
 	far, err := r.openLink(direct)
@@ -195,13 +203,27 @@
 
 // close stops everything at once.
 func (m *Machine) close() {
-	// Errors of closing listeners do not matter at the end of a run.
+	m.kill()
+	m.onward.CloseIdleConnections()
+	m.Backend.Crash()
+}
+
+// kill ends the daemon at once: its calls break and nobody is told.
+func (m *Machine) kill() {
+	// Errors of closing listeners do not matter to one that is killed.
 	_ = m.caller.Close()
 	_ = m.gate.Close()
 	<-m.serving
 	m.proxy.Close()
-	m.onward.CloseIdleConnections()
-	m.Backend.Crash()
+}
+
+// Links are the links to the back end and to the gate from other zones.
+func (m *Machine) Links() []*link.Link {
+	links := []*link.Link{m.backendLink}
+	for _, zone := range slices.Sorted(maps.Keys(m.zoneLinks)) {
+		links = append(links, m.zoneLinks[zone])
+	}
+	return links
 }
 
 // current is the running proxy, for goroutines other than the rig's owner.
@@ -252,8 +274,19 @@
 // onwardTimeout bounds one nested call.
 const onwardTimeout = 10 * time.Second
 
-// forward is the back end's further call, through the daemon beside it and by
-// the same route as the call that it serves.
+// nextHost is the host of a further call; the rest of the chain is passed on.
+func nextHost(incoming *http.Request, outgoing http.Header) string {
+	next, rest, _ := strings.Cut(incoming.Header.Get(backend.HeaderChain), ",")
+	if next == "" {
+		return incoming.Host
+	}
+	if rest != "" {
+		outgoing.Set(backend.HeaderChain, rest)
+	}
+	return next
+}
+
+// forward is the back end's further call, through the daemon beside it.
 func (m *Machine) forward(ctx context.Context, incoming *http.Request, depth int) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, onwardTimeout)
 	defer cancel()
@@ -265,7 +298,7 @@
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
-	request.Host = incoming.Host
+	request.Host = nextHost(incoming, request.Header)
 	copied := []string{backend.HeaderFail, backend.HeaderNoRetry, HeaderStraight}
 	for _, name := range copied {
 		if value := incoming.Header.Get(name); value != "" {
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -26,6 +26,8 @@
 	Deployment scenario.Deployment
 	// Backend is the template of all back ends; each gets its own seed.
 	Backend backend.Config
+	// Tune changes the template for one back end; nil changes none.
+	Tune func(number int, config *backend.Config)
 	// ExtraRoutes are put beside the deployment's own, for example another
 	// partner's routes to the same services.
 	ExtraRoutes []resource.Route
@@ -290,15 +292,20 @@
 // stopBound bounds the graceful stop of one process of the rig.
 const stopBound = 20 * time.Second
 
-// RestartDaemon restarts the daemon of a machine as an operator would: drain,
-// wait, stop, start anew at the same addresses.
-func (r *Rig) RestartDaemon(ctx context.Context, machine *Machine) error {
+// StopDaemon stops the daemon of a machine as an operator would: it tells the
+// others, drains, waits and ends.
+func (r *Rig) StopDaemon(ctx context.Context, machine *Machine) error {
 	ctx, cancel := context.WithTimeout(ctx, stopBound)
 	defer cancel()
 	r.update(machine.number, func(member *protocol.Member) { member.Endpoint = protocol.EndpointDraining })
-	if err := machine.stopDaemon(ctx); err != nil {
-		return errors.Trace(err)
-	}
+	return errors.Trace(machine.stopDaemon(ctx))
+}
+
+// KillDaemon ends the daemon of a machine at once; nobody is told.
+func (r *Rig) KillDaemon(machine *Machine) { machine.kill() }
+
+// StartDaemon starts a stopped daemon anew at the same addresses.
+func (r *Rig) StartDaemon(machine *Machine) error {
 	if err := machine.startDaemon(r); err != nil {
 		return errors.Trace(err)
 	}
@@ -309,19 +316,3 @@
 	})
 	return nil
 }
-
-// RestartBackend restarts the back end of a machine: it signals its drain,
-// is stopped once nothing runs, and starts cold.
-func (r *Rig) RestartBackend(ctx context.Context, machine *Machine, notice time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, stopBound)
-	defer cancel()
-	machine.Backend.Drain()
-	select {
-	case <-time.After(notice):
-	case <-ctx.Done():
-	}
-	if err := machine.Backend.Stop(ctx); err != nil {
-		return errors.Trace(err)
-	}
-	return errors.Trace(machine.Backend.Restart())
-}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -5,6 +5,7 @@
 package proxy
 
 import (
+	"crypto/tls"
 	"time"
 
 	"github.com/springstack/springstack/internal/core/protocol"
@@ -27,6 +28,9 @@
 	// Slots is how many calls the back end runs at once.
 	Slots  int
 	Limits Limits
+	// PeerTLS guards the calls to other daemons' gates; nil sends them in the
+	// clear. A gate's server is guarded by Server.Secure.
+	PeerTLS *tls.Config
 	// RandomSeed makes the choices of endpoints repeatable; 0 draws a seed.
 	RandomSeed uint64
 	// Baseline switches protections off, for comparisons only.
@@ -86,6 +90,9 @@
 	// UpstreamIdle closes an unused connection to an endpoint; it must be
 	// shorter than IdleTimeout, so that the side that sends closes first.
 	UpstreamIdle time.Duration
+	// BackendIdle is the same for connections to the back end, whose own limit
+	// is not known; many servers close after 5 s.
+	BackendIdle time.Duration
 	// Prewarm is how many connections are opened to a new endpoint ahead of
 	// its first call.
 	Prewarm int
@@ -129,6 +136,7 @@
 		DialTimeout:         time.Second,
 		UpstreamConnections: 130,
 		UpstreamIdle:        30 * time.Second,
+		BackendIdle:         4 * time.Second,
 		Prewarm:             2,
 		ReplayBytes:         64 << 10,
 		QueueLength:         256,
@@ -140,7 +148,7 @@
 		CancelWait:          5 * time.Second,
 		DrainLinger:         500 * time.Millisecond,
 		DrainBound:          30 * time.Second,
-		ProbePeriod:         time.Second,
+		ProbePeriod:         500 * time.Millisecond,
 		ProbeTimeout:        500 * time.Millisecond,
 	}
 }
@@ -164,6 +172,7 @@
 	orDefault(&l.DialTimeout, fallback.DialTimeout)
 	orDefault(&l.UpstreamConnections, fallback.UpstreamConnections)
 	orDefault(&l.UpstreamIdle, fallback.UpstreamIdle)
+	orDefault(&l.BackendIdle, fallback.BackendIdle)
 	orDefault(&l.Prewarm, fallback.Prewarm)
 	orDefault(&l.ReplayBytes, fallback.ReplayBytes)
 	orDefault(&l.QueueLength, fallback.QueueLength)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -86,7 +86,7 @@
 		RequestCount:  p.limits.RequestCount,
 		NoEstimate:    p.config.Baseline.UnboundedQueue,
 	})
-	p.backend = newUpstream(p.config.BackendAddress, p.limits)
+	p.backend = newUpstream(p.config.BackendAddress, p.limits, p.limits.BackendIdle)
 	p.backend.linger = p.limits.CancelWait
 	p.health = newHealth(p)
 	go p.health.run()
@@ -134,6 +134,9 @@
 	p.closeOnce.Do(func() {
 		close(p.closed)
 		p.connections.cut(errClosed)
+		if p.health != nil {
+			p.health.stop()
+		}
 		p.changing.Lock()
 		defer p.changing.Unlock()
 		for _, one := range p.view.Load().upstreams {
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -14,7 +15,7 @@
 	continueWait = time.Hour
 	// spareLife is how long a connection opened ahead may wait for its first
 	// call; the other side closes connections without a request.
-	spareLife = 5 * time.Second
+	spareLife = 4 * time.Second
 	// spareLimit bounds the connections opened ahead to one address.
 	spareLimit = 8
 )
@@ -23,12 +24,16 @@
 type upstream struct {
 	address string
 	// linger is how long a cancelled call may take to end; see guardedConn.
-	linger    time.Duration
+	linger time.Duration
+	// secure is for TLS; nil connects in the clear.
+	secure    *tls.Config
 	transport *http.Transport
 	dialer    net.Dialer
 	spares    chan spare
 	opening   atomic.Int64
-	closed    atomic.Bool
+	// context ends when the upstream is given up.
+	context context.Context
+	cancel  context.CancelFunc
 }
 
 // spare is a connection opened ahead of its first call.
@@ -37,8 +42,11 @@
 	openedAt time.Time
 }
 
-func newUpstream(address string, limits Limits) *upstream {
+func newUpstream(address string, limits Limits, idle time.Duration) *upstream {
+	ctx, cancel := context.WithCancel(context.Background())
 	made := &upstream{
+		context: ctx,
+		cancel:  cancel,
 		address: address,
 		dialer:  net.Dialer{Timeout: limits.DialTimeout},
 		spares:  make(chan spare, spareLimit),
@@ -48,7 +56,7 @@
 		DisableCompression:     true,
 		MaxConnsPerHost:        limits.UpstreamConnections,
 		MaxIdleConnsPerHost:    limits.UpstreamConnections,
-		IdleConnTimeout:        limits.UpstreamIdle,
+		IdleConnTimeout:        idle,
 		ExpectContinueTimeout:  continueWait,
 		MaxResponseHeaderBytes: int64(limits.HeaderBytes),
 	}
@@ -57,7 +65,7 @@
 
 // dial hands out a connection opened ahead, or opens one; either way it sees
 // to it that another one is ready.
-func (u *upstream) dial(ctx context.Context, network, address string) (net.Conn, error) {
+func (u *upstream) dial(ctx context.Context, _, _ string) (net.Conn, error) {
 	for {
 		select {
 		case ready := <-u.spares:
@@ -69,7 +77,7 @@
 			continue
 		default:
 		}
-		conn, err := u.dialer.DialContext(ctx, network, address)
+		conn, err := u.open(ctx)
 		if err != nil {
 			return nil, err
 		}
@@ -78,10 +86,26 @@
 	}
 }
 
+// open opens a connection, ready for calls.
+func (u *upstream) open(ctx context.Context) (net.Conn, error) {
+	bounded, cancel := context.WithTimeout(ctx, u.dialer.Timeout)
+	defer cancel()
+	conn, err := u.dialer.DialContext(bounded, "tcp", u.address)
+	if err != nil || u.secure == nil {
+		return conn, err
+	}
+	guarded := tls.Client(conn, u.secure)
+	if err := guarded.HandshakeContext(bounded); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return guarded, nil
+}
+
 // openAhead opens connections in the background for calls to come.
 func (u *upstream) openAhead(count int) {
 	for range count {
-		if u.closed.Load() || int(u.opening.Load())+len(u.spares) >= spareLimit {
+		if u.context.Err() != nil || int(u.opening.Load())+len(u.spares) >= spareLimit {
 			return
 		}
 		u.opening.Add(1)
@@ -91,7 +115,7 @@
 
 func (u *upstream) openSpare() {
 	defer u.opening.Add(-1)
-	conn, err := u.dialer.Dial("tcp", u.address)
+	conn, err := u.open(u.context)
 	if err != nil {
 		return // the call that needs one meets the error itself
 	}
@@ -100,7 +124,7 @@
 	default:
 		_ = conn.Close()
 	}
-	if u.closed.Load() {
+	if u.context.Err() != nil {
 		u.dropSpares()
 	}
 }
@@ -124,6 +148,6 @@
 
 // close gives up all connections once their calls have ended.
 func (u *upstream) close() {
-	u.closed.Store(true)
+	u.cancel()
 	u.closeIdle()
 }
