--- a/internal/sim/oracle/proxies.go
+++ b/internal/sim/oracle/proxies.go
@@ -87,6 +87,15 @@
 	known.current = 0
 }
 
+// ServedOlder records that a proxy answered a caller from a version older than
+// one that was said to be in force before the call.
+func (o *Oracle) ServedOlder(at time.Duration, name ProxyName, version uint64) {
+	if version <= o.claimed {
+		o.violate(at, InForceHolds, "%s answered from before %d after %d was said to be in force",
+			name, version, o.claimed)
+	}
+}
+
 // ToldInForce records that somebody was told that a version is in force on
 // every proxy. It is judged against what proxies serve at this instant and
 // against all that they serve from now on.
