--- a/internal/sim/world/world_test.go
+++ b/internal/sim/world/world_test.go
@@ -2,30 +2,20 @@
 
 import (
 	"flag"
-	"os"
 	"testing"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	_ "github.com/springstack/springstack/internal/fixedseed"
 	"github.com/springstack/springstack/internal/sim/world"
 )
 
-// TestMain fixes rapid's seed and bounds its checks unless flags say
-// otherwise, so that the verdict in CI repeats.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(one *flag.Flag) { given[one.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "12"} {
-		if given[name] {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
+// init bounds rapid's checks unless -rapid.checks says otherwise.
+func init() {
+	if err := flag.Set("rapid.checks", "12"); err != nil {
+		panic(err)
 	}
-	os.Exit(m.Run())
 }
 
 // TestInvariantsUnderDrawnFaults lets rapid draw the steps.
