--- a/internal/lab/load/client.go
+++ b/internal/lab/load/client.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -81,13 +83,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
 	request, err := newRequest(ctx, address, kind, id)
 	if err != nil {
 		return Result{Fault: FaultConnect, Detail: err.Error()}
 	}
 	answer, err := c.transport.RoundTrip(request)
 	if err != nil {
-		return Result{Fault: sendFault(err), Detail: err.Error()}
+		return Result{Fault: sendFault(err, connected.Load()), Detail: err.Error()}
 	}
 	defer answer.Body.Close()
 	return readAnswer(answer, kind, id)
@@ -127,13 +133,15 @@
 	}
 }
 
-// sendFault tells what an error before the answer means.
-func sendFault(err error) Fault {
+// sendFault tells what an error before the answer means. The transport sends
+// some calls again by itself, so an error of the last dialling doesn't mean
+// that nothing was sent.
+func sendFault(err error, connected bool) Fault {
 	if errors.Is(err, context.DeadlineExceeded) {
 		return FaultTimeout
 	}
 	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
+	if !connected && errors.As(err, &operation) && operation.Op == "dial" {
 		return FaultConnect
 	}
 	return FaultBroken
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -93,3 +94,11 @@
 		is.Equal(verdict, each.want)
 	}
 }
+
+func TestADialErrorAfterASendingIsNotCalledUnsent(t *testing.T) {
+	is := is.New(t)
+	refused := &net.OpError{Op: "dial", Err: net.ErrClosed}
+	is.Equal(sendFault(refused, false), FaultConnect)
+	is.Equal(sendFault(refused, true), FaultBroken)
+	is.Equal(sendFault(context.DeadlineExceeded, true), FaultTimeout)
+}
