Retry budgets: smaller savings, dearer second retries; heed a back end that sheds

A back end's own shedding now counts as full slots, so that calls go elsewhere without spending the budget.

--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -11,12 +11,12 @@
 	// depositPerCall lets retries be a tenth of the calls.
 	depositPerCall = unit / 10
 	// budgetCap is the most that is saved up.
-	budgetCap = 20 * unit
+	budgetCap = 10 * unit
 	// urgentReserve is the part of it that is kept for urgent calls.
 	urgentReserve = budgetCap / 2
 	// trickle keeps a service with few calls able to retry.
 	trickle       = unit
-	tricklePeriod = time.Second
+	tricklePeriod = 2 * time.Second
 )
 
 // Budget bounds the retries towards one service to a share of its calls. It is
@@ -50,10 +50,11 @@
 	}
 }
 
-// Withdraw takes one retry and answers false when there is none. The last half
-// of what may be saved up is for urgent calls.
-func (b *Budget) Withdraw(now time.Duration, urgent bool) bool {
-	floor := int64(unit)
+// Withdraw takes the cost of a retry, in retries, and answers false when there
+// is not so much. The last half of what may be saved up is for urgent calls.
+func (b *Budget) Withdraw(now time.Duration, cost int, urgent bool) bool {
+	price := int64(cost * unit)
+	floor := price
 	if !urgent {
 		floor += urgentReserve
 	}
@@ -66,7 +67,7 @@
 		if held < floor {
 			return false
 		}
-		if b.tokens.CompareAndSwap(held, held-unit) {
+		if b.tokens.CompareAndSwap(held, held-price) {
 			return true
 		}
 	}
--- a/internal/core/retry/call.go
+++ b/internal/core/retry/call.go
@@ -145,7 +145,9 @@
 		return c.send(now, outcome)
 	case c.policy.NoRetry || c.attempts-c.relocations >= c.policy.Attempts:
 		return c.giveUp(outcome)
-	case !c.policy.Unbudgeted && !c.budget.Withdraw(now, c.policy.Urgent):
+	case !c.policy.Unbudgeted && !c.budget.Withdraw(now, c.attempts-c.relocations, c.policy.Urgent):
+		// A second retry of one call costs two, for it helps less often and, in
+		// a chain of calls, multiplies more.
 		return c.budgetSpent(outcome)
 	}
 	return c.send(now, outcome)
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -105,7 +105,13 @@
 			made.evidence = endpoint.ServerError
 		}
 	}
-	if report, found := parseLoad(answer.Header.Get(headerLoad)); found {
+	report, found := parseLoad(answer.Header.Get(headerLoad))
+	if made.outcome.Kind == retry.Refused && made.outcome.Code == result.Shed {
+		// Whatever is counted and reported, the back end is full by its own word.
+		report.Own = max(report.Own, float64(made.chosen.Slots))
+		report.OwnAge = 0
+	}
+	if found {
 		made.chosen.Learn(now, report)
 	}
 }
