--- a/internal/core/admission/mean.go
+++ b/internal/core/admission/mean.go
@@ -20,6 +20,9 @@
 	g.mean.CompareAndSwap(old, math.Float64bits(next))
 }
 
+// MeanService is the moving mean of service time; 0 until one is known.
+func (g *Gate) MeanService() time.Duration { return g.meanService() }
+
 // meanService is the moving mean of service time; 0 until one is known.
 func (g *Gate) meanService() time.Duration {
 	return time.Duration(math.Float64frombits(g.mean.Load()) * float64(time.Second))
--- a/internal/core/endpoint/endpoint.go
+++ b/internal/core/endpoint/endpoint.go
@@ -27,6 +27,11 @@
 	// leavingLife is how long a gate's refusal to take new work stands against
 	// the member record known then. A newer record ends it earlier.
 	leavingLife = 5 * time.Second
+	// refusalLife and refusalLoad keep calls from a gate that has just refused
+	// one for load while there are others. Its queue may be short because its
+	// back end is slow, and would draw the calls that it then refuses.
+	refusalLife = 200 * time.Millisecond
+	refusalLoad = 100
 	// brokenLimit and errorLimit are the consecutive broken calls, and answers
 	// of server error, after which an endpoint is ejected. One failure to
 	// connect is enough.
@@ -76,10 +81,12 @@
 	// leavingUntil and leavingSequence hold a refusal to take new work.
 	leavingUntil    atomic.Int64
 	leavingSequence atomic.Uint64
+	// refusingUntil holds a refusal for load.
+	refusingUntil atomic.Int64
 	// readyAt is when the endpoint was first seen by this process.
 	readyAt atomic.Int64
 	// Neighbours on a cache line would slow each other down.
-	_ [40]byte
+	_ [32]byte
 }
 
 // Outcome is how a call at an endpoint ended, as evidence.
@@ -87,7 +94,7 @@
 
 // The outcomes of calls.
 const (
-	// Fine: an answer of the back end, or a refusal for load.
+	// Fine: an answer of the back end.
 	Fine Outcome = iota + 1
 	// ServerError: an answer that the back end failed.
 	ServerError
@@ -97,6 +104,8 @@
 	Broken
 	// Leaving: the gate takes no new work or is not that back end.
 	Leaving
+	// Full: the gate refused the call for load.
+	Full
 	// Withdrawn: the caller hung up, which says nothing of the endpoint.
 	Withdrawn
 )
@@ -120,6 +129,8 @@
 		if e.stats.failures.Add(1) >= brokenLimit {
 			e.stats.eject(now)
 		}
+	case Full:
+		e.stats.refusingUntil.Store(int64(now + refusalLife))
 	case Leaving:
 		e.stats.leavingSequence.Store(e.Sequence)
 		e.stats.leavingUntil.Store(int64(now + leavingLife))
@@ -191,6 +202,9 @@
 	if e.Doubted {
 		load++
 	}
+	if int64(now) < e.stats.refusingUntil.Load() {
+		load += refusalLoad
+	}
 	return load
 }
 
--- a/internal/core/endpoint/endpoint_test.go
+++ b/internal/core/endpoint/endpoint_test.go
@@ -100,6 +100,20 @@
 	check.True(set.All[1].load(reportLife) < 1.2)
 }
 
+func TestRefusalForLoadSendsCallsElsewhere(t *testing.T) {
+	check := is.New(t)
+	backends, members := fixture(home.Zone, "olympia-hall")
+	set := Build(nil, home, backends, members, 0)
+	for range 20 {
+		set.All[1].Begin() // busy, but it takes calls
+	}
+	set.All[0].Begin()
+	set.All[0].End(0, Full)
+	check.Equal(spread(set, 0, 50), map[string]int{"b1": 50})
+	check.Equal(spread(set, refusalLife, 50), map[string]int{"b0": 50})
+	check.Equal(set.Choose(0, 0, Tried{set.All[1]}).Backend, "b0") // rather than none
+}
+
 func TestZoneSpillsOverBeforeItOverloads(t *testing.T) {
 	check := is.New(t)
 	backends, members := fixture(home.Zone, "olympia-hall", "ludwigs-hall")
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -105,13 +105,7 @@
 			made.evidence = endpoint.ServerError
 		}
 	}
-	report, found := parseLoad(answer.Header.Get(headerLoad))
-	if made.outcome.Kind == retry.Refused && made.outcome.Code == result.Shed {
-		// Whatever is counted and reported, the back end is full by its own word.
-		report.Own = max(report.Own, float64(made.chosen.Slots))
-		report.OwnAge = 0
-	}
-	if found {
+	if report, found := parseLoad(answer.Header.Get(headerLoad)); found {
 		made.chosen.Learn(now, report)
 	}
 }
@@ -132,7 +126,10 @@
 		made.evidence = endpoint.Withdrawn
 		c.detail = "The request's body: " + c.body.problem().Error() + "."
 	case c.context.Err() == context.DeadlineExceeded:
+		// Under overload healthy endpoints are late as well, so this weighs less
+		// than a break.
 		made.outcome.Kind = retry.Expired
+		made.evidence = endpoint.ServerError
 	default:
 		made.outcome.Kind = retry.Broken
 	}
@@ -175,6 +172,8 @@
 	switch made.outcome.Code {
 	case result.Draining, result.WrongBackend:
 		made.evidence = endpoint.Leaving
+	case result.QueueFull, result.DeadlineBeforeStart, result.Shed, result.ShareExceeded, result.Overloaded:
+		made.evidence = endpoint.Full
 	case result.ConnectFailed:
 		made.evidence = endpoint.Unreachable
 	case result.BrokenInFlight:
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/springstack/springstack/internal/result"
 )
@@ -20,6 +21,8 @@
 	CallerRunning int
 	GateRunning   int
 	GateQueued    int
+	// GateService is the gate's mean service time.
+	GateService time.Duration
 	// Refusals counts refusals by code, on both sides.
 	Refusals map[result.Code]uint64
 }
@@ -58,6 +61,7 @@
 		load := p.gate.Load()
 		counters.GateRunning = load.Running
 		counters.GateQueued = load.Queued
+		counters.GateService = p.gate.MeanService()
 	}
 	for code := range p.tally.refusals {
 		if count := p.tally.refusals[code].Load(); count > 0 {
