Endpoint: weigh load by the gates' service times

Cause: the lab's slow back end (three times the service time) got as long a queue as its neighbours, in calls. Change: gates report their mean service time, and of two endpoints the one expected to be done sooner is chosen; failures are left out of the mean, and service times are believed to differ four times at most.

--- a/internal/core/admission/call.go
+++ b/internal/core/admission/call.go
@@ -55,6 +55,10 @@
 // Ticket is one call at the gate. It is used for one call only.
 type Ticket struct {
 	Call
+	// Unmeasured keeps the call out of the mean service time. The owner sets it
+	// before Done, for calls that fail at once would make a back end look fast.
+	Unmeasured bool
+
 	waiter Waiter
 	// state is guarded by the gate's lock once the ticket was queued.
 	state State
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -287,9 +287,10 @@
 		return
 	}
 	ticket.ended = true
-	if ran {
+	if ran && !ticket.Unmeasured {
 		g.observe(now - ticket.startedAt)
-	} else if ticket.Key != 0 {
+	}
+	if !ran && ticket.Key != 0 {
 		g.keys.Remove(ticket.Key)
 	}
 	g.release(now, ticket, now-ticket.startedAt)
--- a/internal/core/admission/gate_test.go
+++ b/internal/core/admission/gate_test.go
@@ -91,6 +91,16 @@
 	check.Equal(gate.Load().Running, 0)
 }
 
+func TestFailuresDoNotMakeABackEndLookFast(t *testing.T) {
+	check := is.New(t)
+	gate := New(0, testConfig(1))
+	teach(gate, 0, 100*time.Millisecond)
+	failing := offer(gate, 0, Call{})
+	failing.ticket.Unmeasured = true
+	gate.Done(time.Millisecond, failing.ticket, true)
+	check.Equal(gate.MeanService(), 100*time.Millisecond)
+}
+
 func TestDuplicatesAreRefusedWithinTheWindow(t *testing.T) {
 	check := is.New(t)
 	gate := New(0, testConfig(2))
--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -67,7 +67,8 @@
 	return float64(ejected) <= float64(s.usable)*ejectionFloor
 }
 
-// betterOfTwo draws two endpoints of a tier and returns the less loaded.
+// betterOfTwo draws two endpoints of a tier and returns the one that is expected
+// to be done sooner.
 func betterOfTwo(tier []*Endpoint, now time.Duration, random uint64, tried Tried, heed bool) *Endpoint {
 	if len(tier) == 0 {
 		return nil
@@ -79,7 +80,7 @@
 		return nil
 	}
 	second := usableFrom(tier, low, now, tried, heed, first)
-	if second == nil || first.load(now) <= second.load(now) {
+	if second == nil || first.lessLoaded(second, now) {
 		return first
 	}
 	return second
--- a/internal/core/endpoint/endpoint.go
+++ b/internal/core/endpoint/endpoint.go
@@ -32,6 +32,8 @@
 	// back end is slow, and would draw the calls that it then refuses.
 	refusalLife = 200 * time.Millisecond
 	refusalLoad = 100
+	// serviceRatio bounds how far service times are believed to differ.
+	serviceRatio = 4
 	// brokenLimit and errorLimit are the consecutive broken calls, and answers
 	// of server error, after which an endpoint is ejected. One failure to
 	// connect is enough.
@@ -73,6 +75,8 @@
 	// others is the load of other callers when last reported, float64 bits.
 	others     atomic.Uint64
 	reportedAt atomic.Int64
+	// service is the gate's mean service time, in nanoseconds.
+	service atomic.Int64
 	// failures and errors count since the last success.
 	failures     atomic.Int64
 	errors       atomic.Int64
@@ -86,7 +90,7 @@
 	// readyAt is when the endpoint was first seen by this process.
 	readyAt atomic.Int64
 	// Neighbours on a cache line would slow each other down.
-	_ [32]byte
+	_ [24]byte
 }
 
 // Outcome is how a call at an endpoint ended, as evidence.
@@ -169,6 +173,8 @@
 	// Running and Queued are the gate's own counts, at the sending.
 	Running int
 	Queued  int
+	// Service is the gate's mean service time; 0 when not known.
+	Service time.Duration
 	// Own is what the back end says of its load, in calls; negative when it
 	// says nothing. It may lie, so it only ever adds to what the gate counts.
 	Own float64
@@ -184,6 +190,23 @@
 	others += unseen * freshness(report.OwnAge)
 	e.stats.others.Store(math.Float64bits(others))
 	e.stats.reportedAt.Store(int64(now))
+	if report.Service > 0 {
+		e.stats.service.Store(int64(report.Service))
+	}
+}
+
+// lessLoaded tells whether a call is expected to be done here no later than at
+// another endpoint: by load, and by service times where both are known.
+func (e *Endpoint) lessLoaded(other *Endpoint, now time.Duration) bool {
+	mine := e.load(now)
+	theirs := other.load(now)
+	myService := e.stats.service.Load()
+	theirService := other.stats.service.Load()
+	if myService > 0 && theirService > 0 {
+		mine *= float64(max(myService, theirService/serviceRatio))
+		theirs *= float64(max(theirService, myService/serviceRatio))
+	}
+	return mine <= theirs
 }
 
 // freshness falls from 1 to 0 over the life of a report.
--- a/internal/core/endpoint/endpoint_test.go
+++ b/internal/core/endpoint/endpoint_test.go
@@ -100,6 +100,19 @@
 	check.True(set.All[1].load(reportLife) < 1.2)
 }
 
+func TestSlowEndpointGetsFewerCalls(t *testing.T) {
+	check := is.New(t)
+	backends, members := fixture(sameZone(2)...)
+	set := Build(nil, home, backends, members, 0)
+	set.All[0].Learn(0, Report{Own: -1, Service: 30 * time.Millisecond})
+	set.All[1].Learn(0, Report{Own: -1, Service: 10 * time.Millisecond})
+	random := rand.New(rand.NewPCG(9, 9))
+	for range 40 {
+		set.Choose(0, random.Uint64(), nil).Begin()
+	}
+	check.Equal(set.All[0].Outstanding(), 10)
+}
+
 func TestRefusalForLoadSendsCallsElsewhere(t *testing.T) {
 	check := is.New(t)
 	backends, members := fixture(home.Zone, "olympia-hall")
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -135,10 +135,12 @@
 	// The slot is given back once, whatever happens below.
 	defer c.end(sent, !refused || refusal.execution() != result.RanNo)
 	if refused {
+		c.ticket.Unmeasured = refusal.Code == result.BrokenInFlight
 		c.refuse(refusal)
 		return
 	}
 	c.proxy.health.answered()
+	c.ticket.Unmeasured = sent.answer.StatusCode >= http.StatusInternalServerError
 	c.deliver(sent)
 }
 
@@ -279,7 +281,7 @@
 // loadText is the load header's value now.
 func (p *Proxy) loadText() string {
 	load := p.gate.Load()
-	report := endpoint.Report{Running: load.Running, Queued: load.Queued, Own: -1}
+	report := endpoint.Report{Running: load.Running, Queued: load.Queued, Service: p.gate.MeanService()}
 	report.Own, report.OwnAge = p.health.ownLoad()
 	return formatLoad(report)
 }
--- a/internal/proxy/load.go
+++ b/internal/proxy/load.go
@@ -9,13 +9,16 @@
 )
 
 // formatLoad writes a load report for headerLoad: the calls running and queued
-// at the gate and, after a semicolon, the back end's own report and its age in
-// milliseconds, if it gives one. For example "3 0;2.5 140".
+// at the gate, its mean service time in microseconds and, after a semicolon, the
+// back end's own report and its age in milliseconds, if it gives one. For
+// example "3 0 5120;2.5 140".
 func formatLoad(report endpoint.Report) string {
 	var buffer [64]byte
 	text := strconv.AppendInt(buffer[:0], int64(report.Running), 10)
 	text = append(text, ' ')
 	text = strconv.AppendInt(text, int64(report.Queued), 10)
+	text = append(text, ' ')
+	text = strconv.AppendInt(text, report.Service.Microseconds(), 10)
 	if report.Own >= 0 {
 		text = append(text, ';')
 		text = strconv.AppendFloat(text, report.Own, 'g', 4, 64)
@@ -25,21 +28,27 @@
 	return string(text)
 }
 
+// gateFields is the number of the gate's own fields.
+const gateFields = 3
+
 // parseLoad reads a load report; false means that there is none to learn from.
 func parseLoad(text string) (endpoint.Report, bool) {
 	gate, own, hasOwn := strings.Cut(text, ";")
-	running, queued, found := strings.Cut(gate, " ")
 	report := endpoint.Report{Own: -1}
-	if !found {
+	fields := strings.Fields(gate)
+	if len(fields) != gateFields {
 		return report, false
 	}
-	var err error
-	if report.Running, err = strconv.Atoi(running); err != nil || report.Running < 0 {
-		return report, false
-	}
-	if report.Queued, err = strconv.Atoi(queued); err != nil || report.Queued < 0 {
-		return report, false
+	var numbers [gateFields]int
+	for index, field := range fields {
+		number, err := strconv.Atoi(field)
+		if err != nil || number < 0 {
+			return report, false
+		}
+		numbers[index] = number
 	}
+	report.Running, report.Queued = numbers[0], numbers[1]
+	report.Service = time.Duration(numbers[2]) * time.Microsecond
 	if hasOwn {
 		parseOwnLoad(&report, own)
 	}
