Status: a silent zone holds nothing; wait names who is silent; no endpoint of the gone

Seen with real processes: while a daemon was stopped, its zone showed HOLDING 1 and MINIMUM 0 at once; a wait that timed out did not say for whom; nodes showed endpoint ready for a daemon that had left.

--- a/internal/core/node/downstream.go
+++ b/internal/core/node/downstream.go
@@ -239,7 +239,7 @@
 	}
 	for _, id := range n.downstream.order {
 		known := n.downstream.children[id]
-		if n.now-known.heardAt > marginOf(n.config.Timing.ServingLease) {
+		if n.leaseEnded(known) {
 			continue
 		}
 		for _, one := range known.acks {
@@ -249,6 +249,11 @@
 	return fold.List()
 }
 
+// leaseEnded reports that the lease granted to a child has certainly ended.
+func (n *Node) leaseEnded(known *child) bool {
+	return n.now-known.heardAt > marginOf(n.config.Timing.ServingLease)
+}
+
 // sweepChildren notices children whose leases have ended.
 func (n *Node) sweepChildren() {
 	margin := marginOf(n.config.Timing.ServingLease)
--- a/internal/core/node/status.go
+++ b/internal/core/node/status.go
@@ -45,6 +45,7 @@
 
 // countHolding adds up the members at the newest version. A fold that is not
 // at the newest version counts none of its members: it only knows a minimum.
+// Children whose lease has ended are left out, as in acknowledgements.
 func (n *Node) countHolding(zones map[string]*protocol.ZoneStatus, newest protocol.Version) {
 	count := func(ack protocol.Acknowledgement) {
 		one, found := zones[ack.Zone]
@@ -53,7 +54,11 @@
 		}
 	}
 	for _, id := range n.downstream.order {
-		for _, ack := range n.downstream.children[id].acks {
+		child := n.downstream.children[id]
+		if n.leaseEnded(child) {
+			continue
+		}
+		for _, ack := range child.acks {
 			count(ack)
 		}
 	}
--- a/internal/operator/message/convert.go
+++ b/internal/operator/message/convert.go
@@ -5,6 +5,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/springstack/springstack/internal/core/membership"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/result"
 )
@@ -82,15 +83,17 @@
 
 func fromMember(member protocol.Member, _ int) Member {
 	converted := Member{
-		ID:       string(member.ID),
-		State:    memberStates[member.State],
-		Region:   member.Region,
-		Zone:     member.Zone,
-		Address:  member.DataAddress,
-		Reader:   member.Reader,
-		Backend:  member.Backend,
-		Endpoint: endpointStates[member.Endpoint],
-		Slots:    member.Slots,
+		ID:      string(member.ID),
+		State:   memberStates[member.State],
+		Region:  member.Region,
+		Zone:    member.Zone,
+		Address: member.DataAddress,
+		Reader:  member.Reader,
+		Backend: member.Backend,
+		Slots:   member.Slots,
+	}
+	if membership.Live(member) {
+		converted.Endpoint = endpointStates[member.Endpoint]
 	}
 	if member.Service.Name != "" {
 		converted.Service = member.Service.String()
--- a/internal/operator/printer/printer.go
+++ b/internal/operator/printer/printer.go
@@ -98,7 +98,7 @@
 	rows := [][]string{{"REGION", "ZONE", "MEMBERS", "HOLDING", "MINIMUM", "BEHIND", "SILENT"}}
 	for _, zone := range status.Zones {
 		rows = append(rows, []string{zone.Region, zone.Zone, strconv.Itoa(int(zone.Members)), strconv.Itoa(int(zone.Holding)),
-			strconv.FormatUint(zone.Minimum, 10), strings.Join(zone.Behind, " "), strings.Join(zone.Silent, " ")})
+			number(zone.Minimum), strings.Join(zone.Behind, " "), strings.Join(zone.Silent, " ")})
 	}
 	p.table(rows)
 	p.line("")
--- a/internal/operator/printer/progress.go
+++ b/internal/operator/printer/progress.go
@@ -29,16 +29,27 @@
 		return "held: " + strings.Join(progress.WaitsFor, "; ")
 	}
 	members, holding := uint32(0), uint32(0)
-	var behind []string
+	var behind, silent []string
 	for _, zone := range progress.Status.Zones {
 		members += zone.Members
 		holding += zone.Holding
 		behind = append(behind, zone.Behind...)
+		silent = append(silent, zone.Silent...)
 	}
 	line := fmt.Sprintf("version %d: in force %d; %d of %d daemons hold version %d",
 		progress.Version, progress.Status.InForce, holding, members, progress.Status.Version)
-	if len(behind) > 0 && !progress.Done {
-		line += "; behind: " + strings.Join(behind, " ")
+	if progress.Done {
+		return line
 	}
-	return line
+	line += named("behind", behind)
+	line += named("silent", silent)
+	return line + named("cut regions", progress.Status.CutRegions)
+}
+
+// named lists why a version is not in force yet; empty without names.
+func named(why string, names []string) string {
+	if len(names) == 0 {
+		return ""
+	}
+	return "; " + why + ": " + strings.Join(names, " ")
 }
