Operators hear the certain answer during an outage; status says when files are unknown

Cause: the reader's bound, the API's and a node's retries were 10, 10 and 15 s, so with the platform refusing every call an operator was told 205 outcome_unknown though the reader knew at 10 s that nothing had run; the client then began sends that its own timeout cut short, which made a certain refusal uncertain. A root that restarted without the platform answered status with an empty list of files, as if whole.

Change: the bounds nest (reader 10 s, attempt 12 s, API 14 s, client 16 s), and the client begins no send after a refusal for which there is no time. status answers no_reader (shown as partial) when the root has no catalogue.

--- a/internal/core/node/operators.go
+++ b/internal/core/node/operators.go
@@ -31,9 +31,11 @@
 	tried   int
 }
 
-// The bounds of a change on its way.
+// The bounds of a change on its way. A reader says within its SubmitTimeout, 10
+// seconds, that a change certainly did not run; an attempt waits longer than
+// that, so that the answer is heard, and the operators' API waits longer still.
 const (
-	changeTimeout  = 15 * time.Second
+	changeTimeout  = 10 * time.Second
 	attemptTimeout = 12 * time.Second
 	changeRetry    = 300 * time.Millisecond
 )
--- a/internal/core/node/status.go
+++ b/internal/core/node/status.go
@@ -74,10 +74,11 @@
 	return newest
 }
 
-// status answers from what this daemon knows itself.
+// status answers from what this daemon knows itself, with NoReader when it
+// can't tell the files: it has not read the platform since it started.
 func (n *Node) status(partner resource.Partner) *protocol.StatusReply {
 	reply := &protocol.StatusReply{
-		Code: result.OK,
+		Code: lo.Ternary(n.readerSide.catalogue != nil, result.OK, result.NoReader),
 		Summary: protocol.Summary{
 			Version:   n.newestVersion(),
 			InForce:   n.holding.inForce,
@@ -133,10 +134,16 @@
 		n.emit(OperatorAnswer{Token: token, Body: n.status(request.Partner)})
 		return
 	}
-	n.askStatus(token, request, n.statusTargets())
+	n.askStatus(token, request, n.statusTargets(), nil)
 }
 
-func (n *Node) askStatus(token Token, request *protocol.StatusRequest, targets []protocol.Member) {
+// askStatus asks the targets in turn. partial is what a root answered that
+// can't tell the files; it is better than what this daemon knows.
+func (n *Node) askStatus(token Token, request *protocol.StatusRequest, targets []protocol.Member, partial *protocol.StatusReply) {
+	if len(targets) == 0 && partial != nil {
+		n.emit(OperatorAnswer{Token: token, Body: partial})
+		return
+	}
 	if len(targets) == 0 {
 		own := n.status(request.Partner)
 		own.Code = result.NoReader
@@ -146,7 +153,10 @@
 	n.call(targets[0].ControlAddress, request, statusTimeout, func(body any) {
 		reply, _ := body.(*protocol.StatusReply)
 		if reply == nil || reply.Code != result.OK {
-			n.askStatus(token, request, targets[1:])
+			if reply != nil && reply.Code == result.NoReader {
+				partial = reply
+			}
+			n.askStatus(token, request, targets[1:], partial)
 			return
 		}
 		n.raiseInForce(reply.Summary.InForce)
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -26,7 +26,9 @@
 // Bounds of one call.
 const (
 	// SubmitTimeout is how long a change may take before its outcome is unknown.
-	SubmitTimeout = 10 * time.Second
+	// It is longer than a reader and the way to it take to say that a change
+	// was not accepted.
+	SubmitTimeout = 14 * time.Second
 	// StatusTimeout is how long a question may take.
 	StatusTimeout = 5 * time.Second
 	// maxBody leaves room for a whole file quoted in JSON.
--- a/internal/operator/client/attempts.go
+++ b/internal/operator/client/attempts.go
@@ -89,6 +89,14 @@
 	return &settled
 }
 
+// notAccepted reports that a server tried in vain, for as long as it does, and
+// that nothing has run. A further send that is cut short would make that
+// uncertain.
+func (a *attempts) notAccepted() bool {
+	inVain := a.last.Code == result.NotAccepted || a.last.Code == result.NoReader
+	return inVain && !a.uncertain
+}
+
 // final returns what can be said truthfully. A refusal that follows a send
 // whose answer was lost does not prove that the first send never takes effect.
 func (a *attempts) final() message.Answer {
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -10,6 +10,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -28,7 +29,7 @@
 const (
 	// callTimeout bounds one attempt; it is longer than a server's own bound, so
 	// that a server normally answers "outcome unknown" itself.
-	callTimeout = 15 * time.Second
+	callTimeout = 16 * time.Second
 	// retryPause is the wait after all servers were tried.
 	retryPause = 500 * time.Millisecond
 	// maxAnswer bounds an answer in bytes.
@@ -99,6 +100,9 @@
 			if settled := attempts.add(answer, failed); settled != nil {
 				return *settled
 			}
+			if attempts.notAccepted() && remaining(ctx) < callTimeout {
+				return attempts.final()
+			}
 		}
 		if !sleep(ctx, c.pause) {
 			return attempts.final()
@@ -106,6 +110,15 @@
 	}
 }
 
+// remaining returns how long a context still runs.
+func remaining(ctx context.Context) time.Duration {
+	deadline, bounded := ctx.Deadline()
+	if !bounded {
+		return math.MaxInt64
+	}
+	return time.Until(deadline)
+}
+
 func (c *Client) attempt(ctx context.Context, server string, change Change) (message.Answer, *failure) {
 	query := url.Values{"operation": {change.Operation}}
 	if change.Expect != nil {
