--- a/internal/core/ledger/year_test.go
+++ b/internal/core/ledger/year_test.go
@@ -1,6 +1,7 @@
 package ledger_test
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -119,12 +120,15 @@
 	t.Logf("%d changes, largest head %d bytes, answers %v", y.sent, y.largest, y.codes)
 }
 
+// yearChanges lets the benchmark run a part of the year.
+var yearChanges = flag.Int("year-changes", yearOfChanges, "how many changes BenchmarkYearOfChanges runs")
+
 // BenchmarkYearOfChanges runs the whole year:
 //
 //	go test ./internal/core/ledger -run - -bench Year -benchtime 1x -timeout 1h
 func BenchmarkYearOfChanges(b *testing.B) {
 	for b.Loop() {
-		y := runYear(b, yearOfChanges)
+		y := runYear(b, *yearChanges)
 		b.ReportMetric(float64(y.largest), "largest_head_bytes")
 		b.ReportMetric(float64(y.head.Version), "versions")
 		b.ReportMetric(float64(len(y.head.Operations)), "operations_at_end")
--- a/internal/operator/printer/printer.go
+++ b/internal/operator/printer/printer.go
@@ -46,13 +46,18 @@
 	return true
 }
 
-// table writes aligned rows.
+// table writes aligned rows. All rows have the same count of cells, for a
+// shorter one would end the alignment of its columns.
 func (p *Printer) table(rows [][]string) {
-	writer := tabwriter.NewWriter(p.Out, 0, 0, 2, ' ', 0)
+	var aligned strings.Builder
+	writer := tabwriter.NewWriter(&aligned, 0, 0, 2, ' ', 0)
 	for _, row := range rows {
-		_, _ = fmt.Fprintln(writer, strings.TrimRight(strings.Join(row, "\t"), "\t"))
+		_, _ = fmt.Fprintln(writer, strings.Join(row, "\t"))
 	}
 	_ = writer.Flush()
+	for line := range strings.Lines(aligned.String()) {
+		p.line("%s", strings.TrimRight(line, " \n"))
+	}
 }
 
 func (p *Printer) line(format string, arguments ...any) {
