Scale: let the mesh come to rest before measuring it

Cause: the rest was measured 10 s after forming, while keeper sets still grew and parents were reconsidered: 1,100 bytes a second on a leaf of 200 daemons. Change: 40 s.

--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -168,8 +168,9 @@
 	return nil
 }
 
-// settlePeriod lets roots and keepers come to rest.
-const settlePeriod = 10 * time.Second
+// settlePeriod lets roots and keepers come to rest: a keeper set grows by steps
+// of 5 s, and parents are reconsidered after 10 to 30 s.
+const settlePeriod = 40 * time.Second
 
 func (r *run) settle(ctx context.Context) { pause(ctx, settlePeriod) }
 
