Rounds to keepers leave out the keeper set that a keeper has confirmed

Cause: a root asks 8 keepers every second and sent the whole set, about 60 bytes a keeper, each time; the busiest daemon spends most of its bytes on it. Change: after an OK to the newest set, rounds carry the region alone until the keeper's incarnation changes.

--- a/internal/core/node/root.go
+++ b/internal/core/node/root.go
@@ -9,6 +9,7 @@
 	"github.com/springstack/springstack/internal/core/floor"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/reader"
+	"github.com/springstack/springstack/internal/result"
 )
 
 // root is what a daemon does as the root of its region: it stores versions at
@@ -30,10 +31,19 @@
 	roundAt    time.Duration
 	keepersAt  time.Duration
 	greetAt    time.Duration
+	// told says which keeper set a keeper has confirmed, so that the rounds need
+	// not carry it again.
+	told map[protocol.NodeID]toldSet
 	// regional is what is in force in this region.
 	regional protocol.Version
 }
 
+// toldSet is a keeper set that one life of a keeper remembers.
+type toldSet struct {
+	incarnation protocol.Incarnation
+	revision    protocol.Version
+}
+
 // The periods of a root.
 const (
 	// roundInterval is how often the keepers are asked to renew the root's
@@ -48,6 +58,7 @@
 func newRoot(config Config) root {
 	return root{
 		releaser: floor.NewReleaser(config.ID, config.Region),
+		told:     map[protocol.NodeID]toldSet{},
 		lease:    distribution.NewRootLease(config.Timing.ServingLease),
 		claims:   distribution.NewClaims(config.Timing.ServingLease),
 	}
@@ -73,6 +84,7 @@
 	n.root.lease = distribution.NewRootLease(n.config.Timing.ServingLease)
 	n.root.claims = distribution.NewClaims(n.config.Timing.ServingLease)
 	n.root.releaser = floor.NewReleaser(n.config.ID, n.config.Region)
+	n.root.told = map[protocol.NodeID]toldSet{}
 	n.root.target = nil
 	n.root.batch = nil
 	n.root.roundAt = n.now
@@ -208,13 +220,36 @@
 		Incarnation: n.self.Incarnation,
 		Term:        n.readerSide.reader.Term(),
 		Version:     n.holding.store.Version(),
-		Keepers:     n.holding.keepers,
+		Keepers:     n.setFor(keeper.ID),
 	}
 	address := keeper.ControlAddress
 	if member, found := n.roster.Get(keeper.ID); found {
 		address = member.ControlAddress
 	}
-	n.store(address, request, keeperTimeout, func(*protocol.StoreReply) {})
+	n.store(address, request, keeperTimeout, func(reply *protocol.StoreReply) { n.noteTold(request, reply) })
+}
+
+// setFor returns the keeper set that a round carries to a keeper: the region
+// alone once the keeper remembers the newest set.
+func (n *Node) setFor(keeper protocol.NodeID) protocol.KeeperSet {
+	if n.root.told[keeper].revision == n.holding.keepers.Revision {
+		return protocol.KeeperSet{Region: n.config.Region}
+	}
+	return n.holding.keepers
+}
+
+// noteTold remembers which set a keeper has confirmed, until it restarts.
+func (n *Node) noteTold(request *protocol.StoreRequest, reply *protocol.StoreReply) {
+	if reply == nil || reply.Code != result.OK {
+		return
+	}
+	if revision := request.Keepers.Revision; revision > 0 {
+		n.root.told[reply.From] = toldSet{incarnation: reply.Incarnation, revision: revision}
+		return
+	}
+	if n.root.told[reply.From].incarnation != reply.Incarnation {
+		delete(n.root.told, reply.From)
+	}
 }
 
 // store sends a store request to a keeper, which may be this daemon, and takes
