Status says what it can't know; a leaving reader gives its lease back

A root without a catalogue answered status with no files as if there were none; it says NoReader now. A root that has just taken over may have heard of an older version in force than the daemon that was asked: the answer no longer falls behind that. The history of a store holds 32 versions in place of 64, as each keeps its decoded maps and a child lags by seconds at most.

--- a/internal/core/node/members.go
+++ b/internal/core/node/members.go
@@ -69,6 +69,7 @@
 	}
 	n.leaving = true
 	n.changeSelf(func(self *protocol.Member) { self.State = protocol.MemberDraining })
+	n.applyReader(n.readerSide.reader.Resign(n.now))
 }
 
 // handleStopped reports that this daemon serves no more.
--- a/internal/core/node/status.go
+++ b/internal/core/node/status.go
@@ -69,7 +69,8 @@
 	return newest
 }
 
-// status answers from what this daemon knows itself.
+// status answers from what this daemon knows itself. Without a catalogue it
+// knows no files and says so with NoReader.
 func (n *Node) status(partner resource.Partner) *protocol.StatusReply {
 	reply := &protocol.StatusReply{
 		Code: result.OK,
@@ -87,10 +88,12 @@
 		}
 		reply.Summary.CutRegions = n.cutRegions()
 	}
-	if n.readerSide.catalogue != nil {
-		reply.Summary.AcceptedAt = n.readerSide.catalogue.AcceptedAt
-		reply.Files = n.fileStatuses(partner)
+	if n.readerSide.catalogue == nil {
+		reply.Code = result.NoReader
+		return reply
 	}
+	reply.Summary.AcceptedAt = n.readerSide.catalogue.AcceptedAt
+	reply.Files = n.fileStatuses(partner)
 	return reply
 }
 
@@ -98,8 +101,13 @@
 	files := lo.Filter(n.readerSide.catalogue.Files, func(file protocol.FileStatus, _ int) bool {
 		return partner == "" || file.Partner == partner
 	})
+	return markInForce(files, n.holding.inForce)
+}
+
+// markInForce says of each file whether its revision is in force.
+func markInForce(files []protocol.FileStatus, inForce protocol.Version) []protocol.FileStatus {
 	return lo.Map(files, func(file protocol.FileStatus, _ int) protocol.FileStatus {
-		file.InForce = !file.Held && file.Version > 0 && file.Version <= n.holding.inForce
+		file.InForce = !file.Held && file.Version > 0 && file.Version <= inForce
 		return file
 	})
 }
@@ -140,15 +148,26 @@
 	}
 	n.call(targets[0].ControlAddress, request, statusTimeout, func(body any) {
 		reply, _ := body.(*protocol.StatusReply)
-		if reply == nil || reply.Code != result.OK {
+		if reply == nil || (reply.Code != result.OK && reply.Code != result.NoReader) {
 			n.askStatus(token, request, targets[1:])
 			return
 		}
 		n.raiseInForce(reply.Summary.InForce)
+		n.addKnownInForce(reply)
 		n.emit(OperatorAnswer{Token: token, Body: reply})
 	})
 }
 
+// addKnownInForce lifts a root's answer to what this daemon has heard before: a
+// root that has just taken over may know less, and in force never reverts (I9).
+func (n *Node) addKnownInForce(reply *protocol.StatusReply) {
+	if reply.Summary.InForce >= n.holding.inForce {
+		return
+	}
+	reply.Summary.InForce = n.holding.inForce
+	reply.Files = markInForce(reply.Files, n.holding.inForce)
+}
+
 // statusTargets returns the likely roots of this region, best first.
 func (n *Node) statusTargets() []protocol.Member {
 	const most = 3
--- a/internal/core/snapshot/store.go
+++ b/internal/core/snapshot/store.go
@@ -9,7 +9,7 @@
 
 // HistoryLength is how many released versions a store keeps. A child that
 // holds an older one gets a whole snapshot.
-const HistoryLength = 64
+const HistoryLength = 32
 
 // Store is what a relay or root holds: every resource at the newest released
 // version, and a bounded history for deltas. Payloads are shared between
