Heartbeat while a swap is slow; test releases and status

A daemon whose shell was slow to swap sent no fetch, so its parent dropped it as silent and status no longer named it as behind. It now fetches once a second without acknowledging. New cases: nothing is acknowledged before the swap, counts by zone, files that prefer bytes are gathered (five changes: one swap), no reader is told truthfully.

--- a/internal/core/node/cluster_test.go
+++ b/internal/core/node/cluster_test.go
@@ -55,6 +55,9 @@
 	// life grows with each start; messages to an earlier life are dropped.
 	life    int
 	running bool
+	// holdsSwaps keeps swaps from being confirmed; swapped sees each.
+	holdsSwaps bool
+	swapped    func()
 	// pausedUntil is when a paused daemon wakes.
 	pausedUntil time.Duration
 }
@@ -198,9 +201,15 @@
 		c.is.True(one.Snapshot.Version > d.highest || d.snapshot == nil && one.Snapshot.Version >= d.highest) // I1
 		d.snapshot = one.Snapshot
 		d.highest = one.Snapshot.Version
+		if d.swapped != nil {
+			d.swapped()
+		}
+		if d.holdsSwaps {
+			return
+		}
 		c.after(0, func() {
 			if d.life == life {
-				c.step(d, node.SnapshotInForce{Version: one.Snapshot.Version})
+				c.confirm(d)
 			}
 		})
 	case node.ExtendServing:
@@ -234,6 +243,9 @@
 	}
 }
 
+// confirm tells a node that its newest snapshot is in force.
+func (c *cluster) confirm(d *daemon) { c.step(d, node.SnapshotInForce{Version: d.snapshot.Version}) }
+
 func (c *cluster) printLog(d *daemon, one node.LogEvent) {
 	if c.logs == nil {
 		return
--- a/internal/core/node/holding.go
+++ b/internal/core/node/holding.go
@@ -15,7 +15,8 @@
 	// current is in force on this daemon; nil before the first.
 	current *snapshot.Snapshot
 	// staged was given to the shell and is not confirmed yet.
-	staged *snapshot.Snapshot
+	staged   *snapshot.Snapshot
+	stagedAt time.Duration
 	// servingUntil is the end of the serving lease given to the shell.
 	servingUntil time.Duration
 	// waitingLease becomes the serving lease once its version is in force.
@@ -59,6 +60,7 @@
 		return
 	}
 	n.holding.staged = next
+	n.holding.stagedAt = n.now
 	n.emit(SwapSnapshot{Snapshot: next})
 }
 
@@ -75,6 +77,7 @@
 	n.log("snapshot_in_force", LogField{Key: "version", Value: strconv.FormatUint(uint64(version), 10)})
 	n.extendServing(n.holding.waitingLease)
 	n.adoptFromStore()
+	n.upstream.nextAt = n.now
 	n.fetchSoon()
 }
 
--- /dev/null
+++ b/internal/core/node/release_test.go
@@ -0,0 +1,84 @@
+package node_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// TestNothingIsAcknowledgedBeforeTheSwap lets one shell keep its old snapshot:
+// in force waits for it, and names it, until it has swapped.
+func TestNothingIsAcknowledgedBeforeTheSwap(t *testing.T) {
+	c, _, _ := settled(t)
+	slow := c.other(c.root())
+	slow.holdsSwaps = true
+	through := c.other(slow)
+	version := c.accept(through, 7)
+	c.run(30 * time.Second)
+	summary := c.status(through).Summary
+	c.is.Equal(summary.Version, version)
+	c.is.True(summary.InForce < version)
+	zone, found := lo.Find(summary.Zones, func(zone protocol.ZoneStatus) bool { return zone.Zone == slow.config.Zone })
+	c.is.True(found)
+	c.is.Equal(zone.Behind, []protocol.NodeID{slow.id})
+	slow.holdsSwaps = false
+	c.confirm(slow)
+	c.inForce(through, version, 5*time.Second)
+}
+
+// TestStatusCountsByZone reads who holds the newest version where.
+func TestStatusCountsByZone(t *testing.T) {
+	c, daemons, version := settled(t)
+	status := c.status(daemons[5])
+	c.is.Equal(status.Code, result.OK)
+	c.is.Equal(status.Summary.InForce, version)
+	c.is.Equal(len(status.Summary.Zones), 4)
+	for _, zone := range status.Summary.Zones {
+		c.is.Equal(zone.Members, uint32(3))
+		c.is.Equal(zone.Holding, uint32(3))
+		c.is.Equal(zone.Minimum, version)
+	}
+	c.is.Equal(len(status.Files), 1)
+	c.is.True(status.Files[0].InForce)
+	c.is.Equal(len(status.Members), len(daemons))
+}
+
+// TestFilesThatPreferBytesAreGathered accepts several changes within the
+// window of a file that prefers bytes: few versions are sent out.
+func TestFilesThatPreferBytesAreGathered(t *testing.T) {
+	c, daemons, _ := settled(t)
+	patient := func(slots int) string {
+		return strings.Replace(shopFile(slots), "name: shop\n", "name: shop\ndistribution: {prefer: bytes, batch_window: 2s}\n", 1)
+	}
+	swaps := 0
+	daemons[3].swapped = func() { swaps++ }
+	var last *protocol.SubmitReply
+	for slots := range 5 {
+		reply := c.submit(daemons[0], patient(10+slots))
+		c.until("answer", 20*time.Second, func() bool { return reply() != nil })
+		c.is.Equal(reply().Code, result.OK)
+		last = reply()
+	}
+	took := c.inForce(daemons[0], last.Version, 10*time.Second)
+	t.Logf("five changes came in force after %v with %d swaps", took, swaps)
+	c.is.True(swaps == 1)
+}
+
+// TestNoReaderIsToldTruthfully submits while the platform can't be reached by
+// anyone: the change did not run.
+func TestNoReaderIsToldTruthfully(t *testing.T) {
+	c := newCluster(t)
+	c.platform.down = true
+	d := c.start("windhoek", "klein-hall", "d00")
+	c.run(5 * time.Second)
+	reply := c.submit(d, shopFile(6))
+	c.until("answer", 30*time.Second, func() bool { return reply() != nil })
+	c.is.Equal(reply().Code, result.NoReader)
+	c.is.Equal(c.status(d).Code, result.NoReader)
+	c.is.True(!c.serving(d))
+}
--- a/internal/core/node/upstream.go
+++ b/internal/core/node/upstream.go
@@ -89,6 +89,9 @@
 	memberGather = 100 * time.Millisecond
 	// idleSpacing is the least time between fetches that bring nothing.
 	idleSpacing = 200 * time.Millisecond
+	// swapPatience is how long a swap may take before the parent is told, by a
+	// fetch without it, that this daemon is alive and behind.
+	swapPatience = time.Second
 	// rootPatience is how long a daemon waits for a better one to become root.
 	rootPatience = 4 * time.Second
 	// rootRefusal bounds the wait before a candidate for root is asked again.
@@ -111,7 +114,7 @@
 		return
 	}
 	n.reconsiderParent()
-	if n.root.active || n.upstream.token != 0 || n.now < n.upstream.nextAt || n.holding.staged != nil {
+	if n.root.active || n.upstream.token != 0 || n.now < n.upstream.nextAt || n.awaitsSwap() {
 		return
 	}
 	target, found := n.chooseParent()
@@ -126,9 +129,14 @@
 	n.fetchFrom(target)
 }
 
+// awaitsSwap reports whether the next fetch waits for a swap, to acknowledge it.
+func (n *Node) awaitsSwap() bool {
+	return n.holding.staged != nil && n.now-n.holding.stagedAt < swapPatience
+}
+
 // fetchSoon sends the next fetch at once when none is under way.
 func (n *Node) fetchSoon() {
-	if n.root.active || n.upstream.token != 0 || !n.upstream.joined || n.holding.staged != nil {
+	if n.root.active || n.upstream.token != 0 || !n.upstream.joined || n.awaitsSwap() {
 		return
 	}
 	if n.now < n.upstream.nextAt {
@@ -466,6 +474,9 @@
 		up.nextAt = n.now + idleSpacing
 	}
 	up.nextAt = max(up.nextAt, n.now+reply.RetryAfter)
+	if n.holding.staged != nil {
+		up.nextAt = max(up.nextAt, n.now+swapPatience)
+	}
 	n.fetchSoon()
 }
 
@@ -484,7 +495,7 @@
 	if n.relaying() {
 		return n.takeForStore(reply)
 	}
-	if reply.Released <= n.held() {
+	if reply.Released <= n.held() || n.holding.staged != nil {
 		return false
 	}
 	next, err := n.nextSnapshot(reply)
