Proxy: read short bodies before sending a call on; no addresses in refusals

And a slow sender of a short body held a slot. Change: bodies of a stated length up to 64 KiB are read first; connections opened ahead are given up before a server's header timeout.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/springstack/springstack/internal/core/endpoint"
 	"github.com/springstack/springstack/internal/core/retry"
 	"github.com/springstack/springstack/internal/result"
@@ -124,7 +125,7 @@
 		made.outcome.Kind = retry.Broken
 		made.outcome.Replayable = false
 		made.evidence = endpoint.Withdrawn
-		c.detail = "The request's body: " + c.body.problem().Error() + "."
+		c.detail = describeBody(c.body.problem())
 	case c.context.Err() == context.DeadlineExceeded:
 		// Under overload healthy endpoints are late as well, so this weighs less
 		// than a break.
@@ -144,13 +145,29 @@
 	}
 }
 
-// describeFailure names a failure without the library's request line, which
-// could hold what callers want kept.
+// describeFailure names a failure for callers, without addresses and without
+// the library's request line.
 func describeFailure(err error) string {
 	if err == nil {
 		return ""
 	}
-	return "The attempt failed: " + err.Error() + "."
+	return "The attempt failed: " + innermost(err).Error() + "."
+}
+
+// describeBody names a failure to read a request's body.
+func describeBody(err error) string {
+	return "The request's body: " + innermost(err).Error() + "."
+}
+
+// innermost unwraps an error to what it began with.
+func innermost(err error) error {
+	for {
+		next := errors.Unwrap(err)
+		if next == nil {
+			return err
+		}
+		err = next
+	}
 }
 
 // judgeRefusal reads the gate's word. One that can't be read counts as unknown.
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -49,9 +49,27 @@
 	call.writer = writer
 	call.control = control
 	call.body = body
+	if err := body.preload(ctx); err != nil {
+		p.refuse(writer, body, unsentRefusal(ctx, err))
+		return
+	}
 	call.run()
 }
 
+// unsentRefusal is for a call whose body did not arrive, before any attempt.
+func unsentRefusal(ctx context.Context, err error) Refusal {
+	refusal := Refusal{Code: result.RequestMalformed, Ran: result.RanNo, Detail: describeBody(err)}
+	switch {
+	case stalled(err):
+		refusal.Code = result.SlowPeer
+	case context.Cause(ctx) == errDrainBound:
+		refusal.Code = result.Draining
+	case ctx.Err() == context.DeadlineExceeded:
+		refusal.Code = result.DeadlineBeforeStart
+	}
+	return refusal
+}
+
 // callerCall is one call on the callers' side.
 type callerCall struct {
 	proxy   *Proxy
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"cmp"
+	"context"
 	"io"
 	"net/http"
 	"os"
@@ -83,6 +85,25 @@
 	return &uploadReader{upload: u}
 }
 
+// preload reads a body of a stated length that can be kept whole, before the
+// first attempt. A slow sender then holds no slot, and a call that did not run
+// can always be sent again.
+func (u *upload) preload(ctx context.Context) error {
+	if u == nil || u.declared < 0 || u.declared > int64(u.keep) {
+		return nil
+	}
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	buffer := make([]byte, u.declared+1)
+	for u.failure == nil && ctx.Err() == nil {
+		_, _ = u.read(buffer) // keeps what it reads, and how it ended
+	}
+	if u.failure == io.EOF {
+		return nil
+	}
+	return cmp.Or(u.failure, ctx.Err())
+}
+
 // replayable tells whether the body can be read from its start. It can't while
 // an attempt that was given up is still reading.
 func (u *upload) replayable() bool {
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -14,7 +14,8 @@
 	// call's deadline ends it earlier.
 	continueWait = time.Hour
 	// spareLife is how long a connection opened ahead may wait for its first
-	// call; the other side closes connections without a request.
+	// call, but not longer than half of what a server of ours waits for a
+	// request: the other side closes connections without one.
 	spareLife = 4 * time.Second
 	// spareLimit bounds the connections opened ahead to one address.
 	spareLimit = 8
@@ -30,6 +31,7 @@
 	transport *http.Transport
 	dialer    net.Dialer
 	spares    chan spare
+	spareLife time.Duration
 	opening   atomic.Int64
 	// context ends when the upstream is given up.
 	context context.Context
@@ -50,6 +52,8 @@
 		address: address,
 		dialer:  net.Dialer{Timeout: limits.DialTimeout},
 		spares:  make(chan spare, spareLimit),
+
+		spareLife: min(spareLife, limits.HeaderTimeout/2),
 	}
 	made.transport = &http.Transport{
 		DialContext:            made.dial,
@@ -69,7 +73,7 @@
 	for {
 		select {
 		case ready := <-u.spares:
-			if time.Since(ready.openedAt) < spareLife {
+			if time.Since(ready.openedAt) < u.spareLife {
 				u.openAhead(1)
 				return newGuardedConn(ready.conn, u.linger), nil
 			}
