--- a/internal/lab/requestpath/requestpath.go
+++ b/internal/lab/requestpath/requestpath.go
@@ -57,12 +57,14 @@
 	AddedP50 float64 `json:"added_p50_ms"`
 	AddedP99 float64 `json:"added_p99_ms"`
 	// AddedP99Strict is the mesh's 99th percentile above the direct median.
-	AddedP99Strict float64       `json:"added_p99_over_direct_p50_ms"`
-	MeshP50        float64       `json:"mesh_p50_ms"`
-	MeshP99        float64       `json:"mesh_p99_ms"`
-	DirectP50      float64       `json:"direct_p50_ms"`
-	DirectP99      float64       `json:"direct_p99_ms"`
-	Kinds          []KindFigures `json:"kinds"`
+	AddedP99Strict float64 `json:"added_p99_over_direct_p50_ms"`
+	// DirectJitter is the same for the direct calls: what the machine alone does.
+	DirectJitter float64       `json:"direct_p99_over_direct_p50_ms"`
+	MeshP50      float64       `json:"mesh_p50_ms"`
+	MeshP99      float64       `json:"mesh_p99_ms"`
+	DirectP50    float64       `json:"direct_p50_ms"`
+	DirectP99    float64       `json:"direct_p99_ms"`
+	Kinds        []KindFigures `json:"kinds"`
 	// CallsPerSecond is the closed loop's rate through the mesh, all of whose
 	// processes, callers and back ends share this machine.
 	CallsPerSecond       float64        `json:"calls_per_second"`
@@ -174,17 +176,14 @@
 	f.DirectP99 = load.Milliseconds(straight, 99)
 	f.AddedP50 = f.MeshP50 - f.DirectP50
 	f.AddedP99 = f.MeshP99 - f.DirectP99
-	var above []float64
+	var above, jitter []float64
 	for index, call := range deployment.Calls {
 		ofKind := func(outcome load.Result) bool { return outcome.Kind == index && outcome.Good() }
 		meshed := load.Latencies(mesh, ofKind)
 		straight := load.Latencies(direct, ofKind)
 		median := load.Milliseconds(straight, 50)
-		for _, outcome := range mesh {
-			if ofKind(outcome) {
-				above = append(above, outcome.Latency().Seconds()*millisecondsPerSecond-median)
-			}
-		}
+		above = append(above, distances(mesh, ofKind, median)...)
+		jitter = append(jitter, distances(direct, ofKind, median)...)
 		f.Kinds = append(f.Kinds, KindFigures{
 			Name:     call.Name,
 			Service:  call.Service,
@@ -194,6 +193,18 @@
 		})
 	}
 	f.AddedP99Strict = quantile(above, strictQuantile)
+	f.DirectJitter = quantile(jitter, strictQuantile)
+}
+
+// distances are the latencies above a median, in milliseconds.
+func distances(results []load.Result, include func(load.Result) bool, median float64) []float64 {
+	var above []float64
+	for _, outcome := range results {
+		if include(outcome) {
+			above = append(above, outcome.Latency().Seconds()*millisecondsPerSecond-median)
+		}
+	}
+	return above
 }
 
 // Constants of the strict figure.
--- a/internal/lab/requestpath/requestpath_test.go
+++ b/internal/lab/requestpath/requestpath_test.go
@@ -32,6 +32,7 @@
 	is.True(near(figures.AddedP50, 1))
 	is.True(near(figures.AddedP99, 1))
 	is.True(near(figures.AddedP99Strict, 1.49))
+	is.True(near(figures.DirectJitter, 0.49))
 	is.Equal(len(figures.Kinds), kinds)
 	is.True(near(figures.Kinds[0].AddedP99, 1))
 	is.Equal(quantile(nil, strictQuantile), 0.0)
