--- a/internal/lab/report/plots.go
+++ b/internal/lab/report/plots.go
@@ -4,12 +4,16 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"github.com/juju/errors"
+	"github.com/samber/lo"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
+
+	"github.com/springstack/springstack/internal/lab/overload"
 )
 
 // Size of each plot.
@@ -18,15 +22,22 @@
 	plotHeight = 9 * vg.Centimeter
 )
 
+// beforeSuffix ends the names of records of an earlier state, which are for
+// the tables of rounds and not for plots.
+const beforeSuffix = "-before"
+
 // Plots draws what the records hold into a directory and returns the files
 // written.
 func Plots(records []Record, directory string) ([]string, error) {
 	if err := os.MkdirAll(directory, 0o755); err != nil {
 		return nil, errors.Trace(err)
 	}
+	current := lo.Reject(records, func(record Record, _ int) bool {
+		return strings.HasSuffix(record.Name, beforeSuffix)
+	})
 	var written []string
-	for _, draw := range []func([]Record) (*drawing, error){goodputCurve, addedByDepth} {
-		drawn, err := draw(records)
+	for _, draw := range []func([]Record) (*drawing, error){goodputCurve, highLossCurve, addedByDepth} {
+		drawn, err := draw(current)
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
@@ -54,8 +65,9 @@
 	points plotter.XYs
 }
 
-// newDrawing draws some lines; nil when there are none.
-func newDrawing(file, title, horizontal, vertical string, lines []series) (*drawing, error) {
+// newDrawing draws some lines; nil when there are none. The legend stands at
+// the top left or at the bottom right.
+func newDrawing(file, title, horizontal, vertical string, legendTop bool, lines []series) (*drawing, error) {
 	if len(lines) == 0 {
 		return nil, nil
 	}
@@ -64,8 +76,8 @@
 	drawn.X.Label.Text = horizontal
 	drawn.Y.Label.Text = vertical
 	drawn.Y.Min = 0
-	drawn.Legend.Top = true
-	drawn.Legend.Left = true
+	drawn.Legend.Top = legendTop
+	drawn.Legend.Left = legendTop
 	drawn.Add(plotter.NewGrid())
 	var arguments []any
 	for _, line := range lines {
@@ -79,6 +91,24 @@
 
 // goodputCurve draws goodput over offered load, a line for each baseline.
 func goodputCurve(records []Record) (*drawing, error) {
+	lines, err := overCurve(records, func(point overload.Point) float64 { return point.Goodput })
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return newDrawing("goodput.svg", "Goodput under load", "offered load / capacity", "goodput / capacity", false, lines)
+}
+
+// highLossCurve draws the loss of calls of high priority likewise.
+func highLossCurve(records []Record) (*drawing, error) {
+	lines, err := overCurve(records, func(point overload.Point) float64 { return point.HighLoss })
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return newDrawing("high-loss.svg", "Calls of high priority lost", "offered load / capacity", "share lost", true, lines)
+}
+
+// overCurve takes one value of each point of the overload's curves.
+func overCurve(records []Record, value func(overload.Point) float64) ([]series, error) {
 	figures, err := overloads(records)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -87,7 +117,7 @@
 	for _, each := range figures {
 		points := make(plotter.XYs, 0, len(each.Curve))
 		for _, point := range each.Curve {
-			points = append(points, plotter.XY{X: point.Offered, Y: point.Goodput})
+			points = append(points, plotter.XY{X: point.Offered, Y: value(point)})
 		}
 		name := "springstack"
 		if each.Baseline != "none" {
@@ -95,7 +125,7 @@
 		}
 		lines = append(lines, series{name: name, points: points})
 	}
-	return newDrawing("goodput.svg", "Goodput under load", "offered load / capacity", "goodput / capacity", lines)
+	return lines, nil
 }
 
 // addedByDepth draws the median added time over the depth of calls, a line for
@@ -116,5 +146,5 @@
 		}
 		lines = append(lines, series{name: fmt.Sprintf("%s, median", each.Deployment), points: points})
 	}
-	return newDrawing("depth.svg", "Time added to nested calls", "depth of calls", "added time, ms", lines)
+	return newDrawing("depth.svg", "Time added to nested calls", "depth of calls", "added time, ms", true, lines)
 }
--- a/internal/lab/report/report_test.go
+++ b/internal/lab/report/report_test.go
@@ -48,7 +48,7 @@
 	is.Equal(len(records), 2)
 	written, err := Plots(records[:1], t.TempDir())
 	is.NoErr(err)
-	is.Equal(len(written), 1)
+	is.Equal(len(written), 2)
 	text, err := os.ReadFile(written[0])
 	is.NoErr(err)
 	is.True(strings.Contains(string(text), "Goodput"))
