--- a/internal/sim/calls/calls_test.go
+++ b/internal/sim/calls/calls_test.go
@@ -7,7 +7,6 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	_ "github.com/springstack/springstack/internal/fixedseed"
 	_ "github.com/springstack/springstack/internal/fixedseed"
 	"github.com/springstack/springstack/internal/sim/calls"
 	"github.com/springstack/springstack/internal/sim/script"
