--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -126,7 +126,10 @@
 		made.evidence = endpoint.Withdrawn
 		c.detail = "The request's body: " + c.body.problem().Error() + "."
 	case c.context.Err() == context.DeadlineExceeded:
+		// Under overload healthy endpoints are late as well, so this weighs less
+		// than a break.
 		made.outcome.Kind = retry.Expired
+		made.evidence = endpoint.ServerError
 	default:
 		made.outcome.Kind = retry.Broken
 	}
@@ -169,6 +172,8 @@
 	switch made.outcome.Code {
 	case result.Draining, result.WrongBackend:
 		made.evidence = endpoint.Leaving
+	case result.QueueFull, result.DeadlineBeforeStart, result.Shed, result.ShareExceeded, result.Overloaded:
+		made.evidence = endpoint.Full
 	case result.ConnectFailed:
 		made.evidence = endpoint.Unreachable
 	case result.BrokenInFlight:
