--- a/internal/sim/world/action.go
+++ b/internal/sim/world/action.go
@@ -29,6 +29,7 @@
 	PlatformSilence  script.Kind = "platform_silence"
 	PlatformSlow     script.Kind = "platform_slow"
 	PlatformLoses    script.Kind = "platform_loses_answers"
+	PlatformVanishes script.Kind = "platform_vanishes_after_effect"
 	PlatformLags     script.Kind = "platform_lags"
 	PlatformCrosses  script.Kind = "platform_crosses_events"
 	PlatformCompacts script.Kind = "platform_compacts"
@@ -68,6 +69,7 @@
 	{Kind: PlatformSilence, Weight: 2, Fault: true},
 	{Kind: PlatformSlow, Weight: 3, Fault: true},
 	{Kind: PlatformLoses, Weight: 4, Fault: true},
+	{Kind: PlatformVanishes, Weight: 4, Fault: true},
 	{Kind: PlatformLags, Weight: 3, Fault: true},
 	{Kind: PlatformCrosses, Weight: 3, Fault: true},
 	{Kind: PlatformCompacts, Weight: 3, Fault: true},
--- a/internal/sim/world/perform.go
+++ b/internal/sim/world/perform.go
@@ -20,6 +20,8 @@
 	slownessLimit  = 4 * time.Second
 	lagLimit       = 20 * time.Second
 	wallJumpLimit  = 2 * time.Hour
+	vanishLimit    = 1500 * time.Millisecond
+	silenceLimit   = 30 * time.Second
 	// rateSpread is how far a clock's rate may be off. Two machines may be off
 	// in opposite directions.
 	rateSpread = 0.04
@@ -75,6 +77,7 @@
 	PlatformSilence:  func(w *World, _ script.Action) { w.changePlatform(standin.Faults{Outage: standin.OutageSilent}) },
 	PlatformSlow:     platformSlow,
 	PlatformLoses:    platformLoses,
+	PlatformVanishes: platformVanishes,
 	PlatformLags:     platformLags,
 	PlatformCrosses:  platformCrosses,
 	PlatformCompacts: func(w *World, _ script.Action) { w.platform.compact() },
@@ -207,6 +210,19 @@
 	w.changePlatform(faults)
 }
 
+// platformVanishes takes changes in, loses the answers and then falls silent
+// for longer than readers and operators wait.
+func platformVanishes(w *World, a script.Action) {
+	w.changePlatform(standin.Faults{LostAnswer: 1})
+	for file := range 2 {
+		w.operators.submit(partners[a.A%2], fileNames[(a.B+file)%len(fileNames)], false)
+	}
+	w.Run(script.Scaled(a.A, vanishLimit))
+	w.changePlatform(standin.Faults{Outage: standin.OutageSilent})
+	w.operate(script.Scaled(a.B, silenceLimit))
+	w.changePlatform(standin.Faults{})
+}
+
 func platformLags(w *World, a script.Action) {
 	faults := w.platform.faults
 	faults.ListLag = script.Scaled(a.A, lagLimit)
