Reader: a head below what the mesh holds is not used; tell of a lost store

Cause: a reader took 'no head' for the start of the chain when it had seen none itself. Seen with real processes: with the platform's store lost and the readers restarted, files were accepted as versions 1 to 3 of another chain while the mesh served version 5, and a wait for version 3 said 'in force'. Only watch events told head_deleted and head_moved_back, so no alarm was raised.

Change: the node tells its reader the newest version it knows of; below it the reader accepts nothing, hands out nothing and answers no floor from the head. Five reads in a row without the present head raise the event, once. The refusal no longer says that the platform could not be reached. A test fails without it.

--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -150,6 +150,7 @@
 // settle does what follows from any message: children that wait may have an
 // answer now, and the parent may have news to hear.
 func (n *Node) settle() {
+	n.readerSide.reader.SetFloor(n.newestVersion())
 	n.serveChildren()
 	n.sendUrgentNews()
 	n.publishMembers()
--- a/internal/core/reader/attempt.go
+++ b/internal/core/reader/attempt.go
@@ -86,7 +86,7 @@
 // with all its contents is at hand.
 func (r *Reader) startAttempt() bool {
 	idle := len(r.changes.queue) == 0 && len(r.changes.keepers) == 0
-	if idle || !r.head.known || len(ledger.Lacking(r.head.head, r.contents.files)) > 0 {
+	if idle || !r.headUsable() || len(ledger.Lacking(r.head.head, r.contents.files)) > 0 {
 		return false
 	}
 	r.changes.attempts++
--- a/internal/core/reader/changes.go
+++ b/internal/core/reader/changes.go
@@ -120,7 +120,7 @@
 }
 
 func notAccepted() *protocol.SubmitReply {
-	return refusal(result.NotAccepted, "the platform could not be reached in time; no update was sent")
+	return refusal(result.NotAccepted, "the platform did not show the present head in time; no update was sent")
 }
 
 func outcomeUnknown() *protocol.SubmitReply {
--- a/internal/core/reader/contents.go
+++ b/internal/core/reader/contents.go
@@ -38,7 +38,7 @@
 // version once all of it is there: a part of a version is never handed out.
 func (r *Reader) advanceContents() {
 	announced := r.contents.announcedHead != nil && r.contents.announced == r.head.version
-	if !r.head.known || announced {
+	if !r.headUsable() || announced {
 		return
 	}
 	lacking := ledger.Lacking(r.head.head, r.contents.files)
--- a/internal/core/reader/head.go
+++ b/internal/core/reader/head.go
@@ -29,6 +29,9 @@
 	wanted   bool
 	attempt  backoff
 	resyncAt time.Duration
+	// missing counts the reads in a row that showed no head, or one below what
+	// the mesh holds.
+	missing int
 
 	// waiting are questions that need a read sent after them; asked are those
 	// that the read under way will answer.
@@ -96,6 +99,7 @@
 // before proves nothing and is repeated.
 func (r *Reader) headWasRead(call pendingCall, reply object.Reply) {
 	r.head.reading = false
+	defer r.countMissing(reply)
 	current := false
 	switch reply.Code {
 	case result.OK:
@@ -119,11 +123,43 @@
 	r.headConfirmed()
 }
 
+// headUsable reports that the head is known and not below what the mesh holds.
+func (r *Reader) headUsable() bool {
+	return r.head.known && r.head.head.Version >= r.floor
+}
+
+// missingReads is how many reads in a row must show an older head or none
+// before that is told; fewer may only lag.
+const missingReads = 5
+
+// countMissing tells, once, that the platform goes on showing no head or an
+// older one than the mesh holds.
+func (r *Reader) countMissing(reply object.Reply) {
+	gone := reply.Code == result.PlatformNotFound
+	if reply.Code != result.OK && !gone {
+		return
+	}
+	older := reply.Object.Version < r.head.version || r.head.head.Version < r.floor
+	if !older {
+		r.head.missing = 0
+		return
+	}
+	r.head.missing++
+	if r.head.missing != missingReads {
+		return
+	}
+	name := "head_moved_back"
+	if gone {
+		name = "head_deleted"
+	}
+	r.event(name, EventField{"object_version", fmt.Sprint(reply.Object.Version)}, EventField{"known", fmt.Sprint(max(r.floor, r.head.head.Version))})
+}
+
 func (r *Reader) answerAsked() {
 	for _, waiter := range r.head.asked {
 		r.emit(HeadRead{
 			Ticket:  waiter.ticket,
-			OK:      true,
+			OK:      r.headUsable(),
 			Version: r.head.head.Version,
 			Keepers: r.head.head.Keepers,
 		})
@@ -195,5 +231,5 @@
 	for _, waiter := range append(r.head.asked, r.head.waiting...) {
 		r.emit(HeadRead{Ticket: waiter.ticket})
 	}
-	r.head = headState{version: r.head.version, head: r.head.head}
+	r.head = headState{version: r.head.version, head: r.head.head, missing: r.head.missing}
 }
--- a/internal/core/reader/reader.go
+++ b/internal/core/reader/reader.go
@@ -89,6 +89,9 @@
 	head      headState
 	contents  contentState
 	changes   changeState
+	// floor is the newest version that the daemon knows of; a head below it is
+	// not used.
+	floor protocol.Version
 }
 
 // New returns a Reader that holds no lease.
@@ -135,6 +138,12 @@
 	attempt uint64
 }
 
+// SetFloor tells the newest version that the daemon knows of. What must hold:
+// no version is accepted on top of a head below it. Such a head is either old
+// or, if the platform lost its store, the start of another chain, which would
+// give accepted versions another content.
+func (r *Reader) SetFloor(version protocol.Version) { r.floor = max(r.floor, version) }
+
 // IsReader reports whether the lease was held at the time of the last call.
 func (r *Reader) IsReader() bool { return r.lease.held }
 
--- a/internal/core/reader/reader_test.go
+++ b/internal/core/reader/reader_test.go
@@ -6,7 +6,10 @@
 
 	"github.com/matryer/is"
 
+	"github.com/springstack/springstack/internal/core/ledger"
+	"github.com/springstack/springstack/internal/core/object"
 	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/lab/standin"
 	"github.com/springstack/springstack/internal/result"
 )
 
@@ -37,3 +40,22 @@
 		}
 	}
 }
+
+// TestEmptyStoreIsNotTheStartOfAnotherChain gives a reader that remembers
+// nothing a platform that has lost the head, in a mesh that holds version 5.
+func TestEmptyStoreIsNotTheStartOfAnotherChain(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	reader := w.add("windhoek")
+	reader.reader.SetFloor(5)
+	w.run(2 * time.Second)
+	is.True(reader.reader.IsReader())
+	reader.submit(1, w.change("op000001", "roastery", protocol.ActionSubmit))
+	w.run(defaultSubmitTimeout + time.Second)
+	is.Equal(reader.done[1].Code, result.NotAccepted)
+	is.Equal(len(reader.ready), 0)
+	is.Equal(w.store.Apply(w.now, "test", object.Call{Kind: object.CallGet, Name: ledger.HeadObject}, standin.Lag{}).Code,
+		result.PlatformNotFound)
+	w.run(time.Duration(missingReads) * defaultResyncInterval)
+	is.Equal(reader.names["head_deleted"], 1)
+}
