--- a/internal/lab/hollow/cluster.go
+++ b/internal/lab/hollow/cluster.go
@@ -53,6 +53,7 @@
 	url     string
 	starts  uint64
 	random  *rand.Rand
+	events  eventTally
 }
 
 // New starts the platform; no daemon runs yet.
@@ -231,6 +232,9 @@
 	return ledger.NewOperation(time.Now(), random)
 }
 
+// Events returns how many events of each name there were.
+func (c *Cluster) Events() map[string]uint64 { return c.events.counts() }
+
 // Traffic sums the control bytes of all daemons.
 func (c *Cluster) Traffic() control.Traffic {
 	var sum control.Traffic
--- a/internal/lab/hollow/events.go
+++ b/internal/lab/hollow/events.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -48,6 +50,7 @@
 	case eventRootStopped:
 		w.node.role.root.Store(false)
 	}
+	w.node.cluster.events.add(name)
 	if log := w.node.cluster.options.Log; log != nil {
 		log(w.node.ID, name, fields)
 	}
@@ -80,3 +83,24 @@
 	}
 	return reply
 }
+
+// eventTally counts events by name.
+type eventTally struct {
+	mutex sync.Mutex
+	names map[string]uint64
+}
+
+func (t *eventTally) add(name string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.names == nil {
+		t.names = make(map[string]uint64)
+	}
+	t.names[name]++
+}
+
+func (t *eventTally) counts() map[string]uint64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return maps.Clone(t.names)
+}
--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -63,15 +63,17 @@
 	FormMilliseconds  float64 `json:"form_ms"`
 	// HerdReady is until every daemon serves again after all were restarted at
 	// once; HerdBusiest the most bytes of one daemon in one second meanwhile.
-	HerdReady         float64         `json:"herd_restart_ready_ms"`
-	HerdBusiest       float64         `json:"herd_busiest_bytes_per_second"`
-	PlatformReaders   int             `json:"platform_readers_max"`
-	PlatformCallsPeak uint64          `json:"platform_calls_per_second_max"`
-	Violations        int             `json:"violations"`
-	Examples          []string        `json:"examples,omitempty"`
-	Roles             []RoleCost      `json:"roles"`
-	Seconds           float64         `json:"seconds"`
-	Conditions        host.Conditions `json:"conditions"`
+	HerdReady         float64    `json:"herd_restart_ready_ms"`
+	HerdBusiest       float64    `json:"herd_busiest_bytes_per_second"`
+	PlatformReaders   int        `json:"platform_readers_max"`
+	PlatformCallsPeak uint64     `json:"platform_calls_per_second_max"`
+	Violations        int        `json:"violations"`
+	Examples          []string   `json:"examples,omitempty"`
+	Roles             []RoleCost `json:"roles"`
+	// Events counts the daemons' events by name over the whole run.
+	Events     map[string]uint64 `json:"events"`
+	Seconds    float64           `json:"seconds"`
+	Conditions host.Conditions   `json:"conditions"`
 
 	convergence []time.Duration
 }
@@ -96,6 +98,7 @@
 	report.PlatformCallsPeak = counters.CallsPerSecondMax
 	report.Violations, report.Examples = r.cluster.Observer.Violations()
 	report.Roles = r.roleCosts()
+	report.Events = r.cluster.Events()
 }
 
 func processorOf(one rates) float64 { return one.processor }
