--- a/internal/core/endpoint/endpoint.go
+++ b/internal/core/endpoint/endpoint.go
@@ -27,6 +27,13 @@
 	// leavingLife is how long a gate's refusal to take new work stands against
 	// the member record known then. A newer record ends it earlier.
 	leavingLife = 5 * time.Second
+	// refusalLife and refusalLoad keep calls from a gate that has just refused
+	// one for load while there are others. Its queue may be short because its
+	// back end is slow, and would draw the calls that it then refuses.
+	refusalLife = 200 * time.Millisecond
+	refusalLoad = 100
+	// serviceRatio bounds how far service times are believed to differ.
+	serviceRatio = 4
 	// brokenLimit and errorLimit are the consecutive broken calls, and answers
 	// of server error, after which an endpoint is ejected. One failure to
 	// connect is enough.
@@ -68,6 +75,8 @@
 	// others is the load of other callers when last reported, float64 bits.
 	others     atomic.Uint64
 	reportedAt atomic.Int64
+	// service is the gate's mean service time, in nanoseconds.
+	service atomic.Int64
 	// failures and errors count since the last success.
 	failures     atomic.Int64
 	errors       atomic.Int64
@@ -76,10 +85,12 @@
 	// leavingUntil and leavingSequence hold a refusal to take new work.
 	leavingUntil    atomic.Int64
 	leavingSequence atomic.Uint64
+	// refusingUntil holds a refusal for load.
+	refusingUntil atomic.Int64
 	// readyAt is when the endpoint was first seen by this process.
 	readyAt atomic.Int64
 	// Neighbours on a cache line would slow each other down.
-	_ [40]byte
+	_ [24]byte
 }
 
 // Outcome is how a call at an endpoint ended, as evidence.
@@ -87,7 +98,7 @@
 
 // The outcomes of calls.
 const (
-	// Fine: an answer of the back end, or a refusal for load.
+	// Fine: an answer of the back end.
 	Fine Outcome = iota + 1
 	// ServerError: an answer that the back end failed.
 	ServerError
@@ -97,6 +108,8 @@
 	Broken
 	// Leaving: the gate takes no new work or is not that back end.
 	Leaving
+	// Full: the gate refused the call for load.
+	Full
 	// Withdrawn: the caller hung up, which says nothing of the endpoint.
 	Withdrawn
 )
@@ -120,6 +133,8 @@
 		if e.stats.failures.Add(1) >= brokenLimit {
 			e.stats.eject(now)
 		}
+	case Full:
+		e.stats.refusingUntil.Store(int64(now + refusalLife))
 	case Leaving:
 		e.stats.leavingSequence.Store(e.Sequence)
 		e.stats.leavingUntil.Store(int64(now + leavingLife))
@@ -158,6 +173,8 @@
 	// Running and Queued are the gate's own counts, at the sending.
 	Running int
 	Queued  int
+	// Service is the gate's mean service time; 0 when not known.
+	Service time.Duration
 	// Own is what the back end says of its load, in calls; negative when it
 	// says nothing. It may lie, so it only ever adds to what the gate counts.
 	Own float64
@@ -173,6 +190,23 @@
 	others += unseen * freshness(report.OwnAge)
 	e.stats.others.Store(math.Float64bits(others))
 	e.stats.reportedAt.Store(int64(now))
+	if report.Service > 0 {
+		e.stats.service.Store(int64(report.Service))
+	}
+}
+
+// lessLoaded tells whether a call is expected to be done here no later than at
+// another endpoint: by load, and by service times where both are known.
+func (e *Endpoint) lessLoaded(other *Endpoint, now time.Duration) bool {
+	mine := e.load(now)
+	theirs := other.load(now)
+	myService := e.stats.service.Load()
+	theirService := other.stats.service.Load()
+	if myService > 0 && theirService > 0 {
+		mine *= float64(max(myService, theirService/serviceRatio))
+		theirs *= float64(max(theirService, myService/serviceRatio))
+	}
+	return mine <= theirs
 }
 
 // freshness falls from 1 to 0 over the life of a report.
@@ -191,6 +225,9 @@
 	if e.Doubted {
 		load++
 	}
+	if int64(now) < e.stats.refusingUntil.Load() {
+		load += refusalLoad
+	}
 	return load
 }
 
