Scale runs wait until the mesh is at rest

The window at rest began 10 s after the last daemon had joined, while daemons still moved to their preferred parents: at 400 daemons a leaf showed 1,356 bytes a second.

--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -168,10 +168,32 @@
 	return nil
 }
 
-// settlePeriod lets roots and keepers come to rest.
-const settlePeriod = 10 * time.Second
+// How long the mesh is given to come to rest after it was formed: daemons try
+// their preferred parents, and each move is told to all.
+const (
+	settleStep  = 5 * time.Second
+	settleLeast = 4
+	settleMost  = 14
+	// settledShare of the bytes of the step before means that they no longer
+	// fall.
+	settledShare = 0.9
+)
 
-func (r *run) settle(ctx context.Context) { pause(ctx, settlePeriod) }
+// settle waits until the bytes of all daemons no longer fall.
+func (r *run) settle(ctx context.Context) {
+	before := r.cluster.Traffic().BytesOut
+	last := uint64(0)
+	for step := range settleMost {
+		pause(ctx, settleStep)
+		now := r.cluster.Traffic().BytesOut
+		spent := now - before
+		before = now
+		if step >= settleLeast && float64(spent) >= settledShare*float64(last) {
+			return
+		}
+		last = spent
+	}
+}
 
 func pause(ctx context.Context, period time.Duration) {
 	timer := time.NewTimer(period)
