--- a/internal/operator/printer/printer.go
+++ b/internal/operator/printer/printer.go
@@ -46,13 +46,18 @@
 	return true
 }
 
-// table writes aligned rows.
+// table writes aligned rows. All rows have the same count of cells, for a
+// shorter one would end the alignment of its columns.
 func (p *Printer) table(rows [][]string) {
-	writer := tabwriter.NewWriter(p.Out, 0, 0, 2, ' ', 0)
+	var aligned strings.Builder
+	writer := tabwriter.NewWriter(&aligned, 0, 0, 2, ' ', 0)
 	for _, row := range rows {
-		_, _ = fmt.Fprintln(writer, strings.TrimRight(strings.Join(row, "\t"), "\t"))
+		_, _ = fmt.Fprintln(writer, strings.Join(row, "\t"))
 	}
 	_ = writer.Flush()
+	for line := range strings.Lines(aligned.String()) {
+		p.line("%s", strings.TrimRight(line, " \n"))
+	}
 }
 
 func (p *Printer) line(format string, arguments ...any) {
@@ -98,7 +103,7 @@
 	rows := [][]string{{"REGION", "ZONE", "MEMBERS", "HOLDING", "MINIMUM", "BEHIND", "SILENT"}}
 	for _, zone := range status.Zones {
 		rows = append(rows, []string{zone.Region, zone.Zone, strconv.Itoa(int(zone.Members)), strconv.Itoa(int(zone.Holding)),
-			strconv.FormatUint(zone.Minimum, 10), strings.Join(zone.Behind, " "), strings.Join(zone.Silent, " ")})
+			number(zone.Minimum), strings.Join(zone.Behind, " "), strings.Join(zone.Silent, " ")})
 	}
 	p.table(rows)
 	p.line("")
