--- a/internal/lab/report/report_test.go
+++ b/internal/lab/report/report_test.go
@@ -38,6 +38,7 @@
 	is.True(strings.Contains(text.String(), "| `goodput_ratio_at_3x` | 0.5 | 0.981 |\n"))
 	is.True(strings.Contains(text.String(), "| `calls` | 10 | 12 |\n"))
 	is.True(!strings.Contains(text.String(), "seed"))
+	is.Equal(cell(map[string]float64{"a": 2052.095}, "a"), "2052")
 	round.After = "missing"
 	is.True(WriteRound(&text, round, testRecords(t)) != nil)
 }
--- a/internal/lab/report/round.go
+++ b/internal/lab/report/round.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"sort"
 	"strings"
 
@@ -98,6 +99,9 @@
 	return names
 }
 
+// wholeFrom is from where figures are printed without decimals.
+const wholeFrom = 100
+
 // cell prints a figure, or a dash when it is missing.
 func cell(numbers map[string]float64, name string) string {
 	number, found := numbers[name]
@@ -107,5 +111,8 @@
 	if number == float64(int64(number)) {
 		return fmt.Sprintf("%d", int64(number))
 	}
+	if math.Abs(number) >= wholeFrom {
+		return fmt.Sprintf("%.0f", number)
+	}
 	return fmt.Sprintf("%.3g", number)
 }
