--- a/internal/core/node/downstream.go
+++ b/internal/core/node/downstream.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/springstack/springstack/internal/core/distribution"
 	"github.com/springstack/springstack/internal/core/membership"
 	"github.com/springstack/springstack/internal/core/protocol"
@@ -48,8 +50,12 @@
 
 // The bounds of the downstream side.
 const (
-	// rootFanOutFactor times the fan-out is how many children a root takes.
-	rootFanOutFactor = 4
+	// A root has places for these multiples of the fan-out: for any daemon, for
+	// relays as well, and for daemons that bring readers or subtrees as well, so
+	// that leaves that came first in a herd don't keep a subtree out.
+	rootPlacesAny     = 2
+	rootPlacesRelay   = 4
+	rootPlacesSubtree = 8
 	// memberNews gathers changes of members before a held fetch is answered.
 	memberNews = 500 * time.Millisecond
 	// maxHints bounds the members named in a refusal.
@@ -108,7 +114,7 @@
 	switch {
 	case n.leaving || request.From == n.self.ID:
 		return result.AskAnother
-	case n.root.active && (already || len(n.downstream.children) < rootFanOutFactor*n.config.Timing.FanOut):
+	case n.root.active && (already || len(n.downstream.children) < n.rootPlaces(request)):
 		return result.OK
 	case n.root.active || !parentIsRoot || request.Scope.Relay || !n.relaying():
 		return result.AskAnother
@@ -119,6 +125,21 @@
 	}
 }
 
+// rootPlaces returns how many children this root may have for the sender to be
+// one more.
+func (n *Node) rootPlaces(request *protocol.FetchRequest) int {
+	below := lo.SumBy(request.Acknowledgements, func(ack protocol.Acknowledgement) uint32 { return ack.Count })
+	fanOut := n.config.Timing.FanOut
+	switch {
+	case request.Self.Reader || below > 1:
+		return rootPlacesSubtree * fanOut
+	case request.Scope.Relay && n.tree().IsRelay(request.Self):
+		return rootPlacesRelay * fanOut
+	default:
+		return rootPlacesAny * fanOut
+	}
+}
+
 // refuseFetch names daemons that may accept the sender.
 func (n *Node) refuseFetch(token Token, request *protocol.FetchRequest, code result.Code) {
 	reply := refusal(code, 0)
--- /dev/null
+++ b/internal/core/node/parent.go
@@ -0,0 +1,259 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/springstack/springstack/internal/core/distribution"
+	"github.com/springstack/springstack/internal/core/membership"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// candidates returns the daemons to fetch from, best first. A daemon that
+// relays fetches from a root only, so the tree is never deeper than root,
+// relay, leaf; it finds itself in the list where it would be root.
+func (n *Node) candidates() []protocol.Member {
+	if n.relaying() {
+		return n.tree().Roots()
+	}
+	parents := append(n.tree().Parents(), n.upstream.hinted...)
+	return lo.UniqBy(parents, func(member protocol.Member) protocol.NodeID { return member.ID })
+}
+
+// heardHints takes the daemons that a refusal names. Until this daemon knows
+// all members, its own tree has fewer relays than there are.
+func (n *Node) heardHints(hints []protocol.Member) {
+	const most = 2 * maxHints
+	for _, member := range hints {
+		n.heardPeer(member)
+	}
+	hinted := append(slices.Clone(hints), n.upstream.hinted...)
+	hinted = lo.UniqBy(hinted, func(member protocol.Member) protocol.NodeID { return member.ID })
+	hinted = lo.Reject(hinted, func(member protocol.Member, _ int) bool { return member.ID == n.self.ID })
+	n.upstream.hinted = hinted[:min(len(hinted), most)]
+}
+
+// chooseParent returns the current parent while it works, else the best
+// candidate that is not avoided.
+func (n *Node) chooseParent() (protocol.Member, bool) {
+	if n.upstream.joined && !n.avoided(n.upstream.target.ID) {
+		return n.upstream.target, true
+	}
+	return n.bestCandidate()
+}
+
+// bestCandidate returns the first candidate that is not avoided. This daemon
+// itself is the best once everyone before it cannot be reached. While one
+// before it answers that it is no root yet, that one is about to become it.
+func (n *Node) bestCandidate() (protocol.Member, bool) {
+	betterAnswers := false
+	for _, candidate := range n.candidates() {
+		if candidate.ID == n.self.ID {
+			if n.canBeRoot() && (!betterAnswers || n.now-n.upstream.orphanedAt > rootPatience) {
+				return n.self, true
+			}
+			continue
+		}
+		if !n.avoided(candidate.ID) {
+			return candidate, true
+		}
+		betterAnswers = betterAnswers || n.upstream.avoid[candidate.ID].refused
+	}
+	return protocol.Member{}, false
+}
+
+func (n *Node) avoided(id protocol.NodeID) bool {
+	avoid, found := n.upstream.avoid[id]
+	return found && n.now < avoid.until && avoid.incarnation == n.incarnationOf(id)
+}
+
+// incarnationOf returns the life of a daemon that the roster knows; 0 for none.
+func (n *Node) incarnationOf(id protocol.NodeID) protocol.Incarnation {
+	member, _ := n.roster.Get(id)
+	return member.Incarnation
+}
+
+func (n *Node) avoidFor(id protocol.NodeID, period time.Duration, refused bool) {
+	if n.upstream.avoid == nil {
+		n.upstream.avoid = map[protocol.NodeID]avoidance{}
+	}
+	refusals := n.upstream.avoid[id].refusals
+	if refused {
+		refusals++
+	}
+	n.upstream.avoid[id] = avoidance{until: n.now + period, incarnation: n.incarnationOf(id), refused: refused, refusals: refusals}
+}
+
+// avoidance leaves one life of a daemon out for a while. When it returns with
+// nothing remembered it is tried like any other.
+type avoidance struct {
+	until       time.Duration
+	incarnation protocol.Incarnation
+	// refusals counts how often it has refused since a parent was last found.
+	refusals int
+	// refused is set when the daemon answered, but is no parent now.
+	refused bool
+}
+
+// reconsiderParent returns to the preferred parent after a jittered time.
+func (n *Node) reconsiderParent() {
+	up := &n.upstream
+	if n.root.active || !up.joined {
+		return
+	}
+	if n.readerSide.reader.IsReader() && !up.target.Reader && n.canBeRoot() {
+		n.leaveParent(0)
+		n.becomeRoot()
+		return
+	}
+	if n.now < up.preferAt {
+		return
+	}
+	n.planPreferred()
+	best, found := n.bestCandidate()
+	if !found || best.ID == up.target.ID || n.holding.staged != nil {
+		return
+	}
+	if best.ID == n.self.ID {
+		n.becomeRoot()
+		return
+	}
+	former := up.link
+	n.fetchFrom(best)
+	up.former = &former
+}
+
+// planPreferred sets the jittered time at which the preferred parent is tried.
+func (n *Node) planPreferred() {
+	interval := min(preferInterval<<min(n.upstream.preferRefusals, 8), preferMax)
+	n.upstream.preferAt = n.now + interval/2 + distribution.Jitter(n.random, interval)
+}
+
+// returnToFormer goes on with the former parent after a preferred one was
+// tried in vain, and reports whether there is one.
+func (n *Node) returnToFormer() bool {
+	up := &n.upstream
+	if up.former == nil {
+		return false
+	}
+	up.link = *up.former
+	up.former = nil
+	up.joined = true
+	up.nextAt = n.now
+	up.preferRefusals++
+	n.planPreferred()
+	return true
+}
+
+// leaveParent gives up the parent; the next tick chooses again.
+func (n *Node) leaveParent(avoid time.Duration) {
+	up := &n.upstream
+	if avoid > 0 {
+		n.avoidFor(up.target.ID, avoid, false)
+	}
+	up.joined = false
+	up.former = nil
+	up.token = 0
+	up.nextAt = n.now
+	up.orphanedAt = n.now
+}
+
+// adoptTarget turns to another parent. The own record that says so carries a
+// new sequence, so that the former parent stops answering for this daemon.
+func (n *Node) adoptTarget(target protocol.Member) {
+	up := &n.upstream
+	up.link = link{target: target, leaseAt: n.now}
+	up.joined = false
+	up.former = nil
+	n.planPreferred()
+	n.self.Sequence++
+	for _, id := range n.downstream.order {
+		n.roster.ReportAgain(id)
+	}
+}
+
+// join records that the target has taken this daemon in.
+func (n *Node) join() {
+	up := &n.upstream
+	n.log("parent_joined", LogField{Key: "parent", Value: string(up.target.ID)})
+	up.joined = true
+	up.former = nil
+	up.hinted = nil
+	up.urgentAt = 0
+	for id, avoid := range up.avoid {
+		avoid.refusals = 0
+		up.avoid[id] = avoid
+	}
+	becomeChild := func(self *protocol.Member) {
+		self.Parent = up.target.ID
+		self.Root = false
+	}
+	if n.self.Sequence != up.sentSequence {
+		n.changeSelf(becomeChild)
+		return
+	}
+	becomeChild(&n.self)
+	n.roster.Merge(n.now, n.self, membership.Below)
+}
+
+// discover asks a random daemon for others, when no parent is known.
+func (n *Node) discover() {
+	up := &n.upstream
+	if n.now < up.discoverAt {
+		return
+	}
+	up.discoverAt = n.now + discoverInterval/2 + distribution.Jitter(n.random, discoverInterval)
+	n.greet()
+}
+
+// refusalBackoff is how long a daemon that answered AskAnother is left out. It
+// starts well below the serving lease: after a root has gone all candidates
+// refuse for a moment, and a daemon must find the next one while it may still
+// serve.
+var refusalBackoff = distribution.Backoff{Base: 400 * time.Millisecond, Max: 6 * time.Second}
+
+var parentBackoff = distribution.Backoff{Base: 200 * time.Millisecond, Max: 5 * time.Second}
+
+func (n *Node) fetchFailed(from protocol.NodeID) {
+	up := &n.upstream
+	up.failures++
+	n.avoidFor(from, parentBackoff.Max/2+parentBackoff.Wait(n.random, up.failures), false)
+	if n.returnToFormer() {
+		return
+	}
+	if up.joined {
+		up.orphanedAt = n.now
+		n.log("parent_lost", LogField{Key: "parent", Value: string(from)})
+	}
+	up.joined = false
+	up.nextAt = n.now + distribution.Jitter(n.random, parentBackoff.Base)
+}
+
+// fetchRefused turns elsewhere. The refusal names daemons that may accept.
+func (n *Node) fetchRefused(from protocol.NodeID, reply *protocol.FetchReply) {
+	up := &n.upstream
+	n.heardHints(reply.Members)
+	wasJoined := up.joined
+	up.joined = false
+	up.failures++
+	if reply.Incarnation != 0 && reply.Incarnation != up.incarnation && up.incarnation != 0 {
+		up.target = protocol.Member{}
+		up.nextAt = n.now + distribution.Jitter(n.random, idleSpacing)
+		return
+	}
+	if wasJoined {
+		up.orphanedAt = n.now
+	}
+	period := refusalBackoff.Wait(n.random, up.avoid[from].refusals+1)
+	if n.relaying() {
+		period = distribution.Jitter(n.random, rootRefusal)
+	}
+	n.avoidFor(from, max(reply.RetryAfter, period), reply.Code == result.AskAnother || reply.Code == result.NotReadyYet)
+	if n.returnToFormer() {
+		return
+	}
+	up.nextAt = n.now + distribution.Jitter(n.random, idleSpacing)
+}
