A root takes in the relays of tomorrow

A daemon that will be a relay of its zone once it has joined was refused by a full root, because it was not one yet: the last of a herd went round for 40 s. The root now compares its rank.

--- a/internal/core/distribution/distribution_test.go
+++ b/internal/core/distribution/distribution_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/samber/lo"
 
 	"github.com/springstack/springstack/internal/core/distribution"
 	"github.com/springstack/springstack/internal/core/protocol"
@@ -126,6 +128,14 @@
 	is.Equal(len(tree.Relays("zone-0")), 2)
 	is.Equal(len(tree.Relays("zone-1")), 2)
 	is.Equal(tree.Roots()[0].ID, members[11].ID) // a reader before all others
+	newcomers := 0
+	for i := range 200 {
+		newcomer := member("zone-0", fmt.Sprint("new", i), 1)
+		joined := distribution.NewTree(members[5], append(slices.Clone(members), newcomer), 24)
+		is.Equal(tree.WouldRelay(newcomer), joined.IsRelay(newcomer)) // as it is once it has joined
+		newcomers += lo.Ternary(joined.IsRelay(newcomer), 1, 0)
+	}
+	is.True(newcomers > 0 && newcomers < 50)
 	parents := tree.Parents()
 	is.Equal(parents[0].Zone, "zone-1") // the own zone's relays first
 	is.Equal(parents[1].Zone, "zone-1")
--- a/internal/core/distribution/tree.go
+++ b/internal/core/distribution/tree.go
@@ -42,7 +42,7 @@
 	})
 	byZone := lo.GroupBy(live, func(member protocol.Member) string { return member.Zone })
 	for name, zoneMembers := range byZone {
-		ranked := membership.Rank("relay/"+name, zoneMembers)
+		ranked := membership.Rank(relayPurpose(name), zoneMembers)
 		tree.relays[name] = ranked[:relayCount(len(ranked), fanOut)]
 	}
 	tree.roots = tree.rankRoots(self.Region, live)
@@ -84,6 +84,20 @@
 	return slices.ContainsFunc(t.relays[member.Zone], func(relay protocol.Member) bool { return relay.ID == member.ID })
 }
 
+// WouldRelay reports whether a member that may not have joined yet is a relay
+// of its zone, or would be once it has.
+func (t *Tree) WouldRelay(member protocol.Member) bool {
+	relays := t.relays[member.Zone]
+	if len(relays) == 0 || t.IsRelay(member) {
+		return true
+	}
+	purpose := relayPurpose(member.Zone)
+	return membership.Score(purpose, member.ID) > membership.Score(purpose, relays[len(relays)-1].ID)
+}
+
+// relayPurpose is the purpose of the rank of a zone's relays.
+func relayPurpose(zone string) string { return "relay/" + zone }
+
 // Relays returns the relays of a zone, best first.
 func (t *Tree) Relays(zone string) []protocol.Member { return t.relays[zone] }
 
--- a/internal/core/node/downstream.go
+++ b/internal/core/node/downstream.go
@@ -133,48 +133,13 @@
 	switch {
 	case request.Self.Reader || below > 1:
 		return rootPlacesSubtree * fanOut
-	case request.Scope.Relay && n.tree().IsRelay(request.Self):
+	case request.Scope.Relay && n.tree().WouldRelay(request.Self):
 		return rootPlacesRelay * fanOut
 	default:
 		return rootPlacesAny * fanOut
 	}
 }
 
-// refuseFetch names daemons that may accept the sender.
-func (n *Node) refuseFetch(token Token, request *protocol.FetchRequest, code result.Code) {
-	reply := refusal(code, 0)
-	reply.Incarnation = n.self.Incarnation
-	if code == result.NotReadyYet {
-		reply.RetryAfter = retryNotReady
-	}
-	reply.Members = n.hints(request.From, request.Self.Zone)
-	n.answer(token, reply)
-}
-
-// hints returns some daemons that a newcomer may turn to: this one, its
-// parent, the best candidates for root, and relays drawn at random, first of
-// the newcomer's zone, so that newcomers spread over those that have places.
-func (n *Node) hints(asker protocol.NodeID, zone string) []protocol.Member {
-	list := []protocol.Member{n.self}
-	if n.upstream.joined {
-		if parent, found := n.roster.Get(n.upstream.target.ID); found {
-			list = append(list, parent)
-		}
-	}
-	roots := n.tree().Roots()
-	list = append(list, roots[:min(len(roots), 2)]...)
-	list = append(list, n.shuffled(n.tree().Relays(zone), maxHints/2)...)
-	list = append(list, n.shuffled(n.tree().AllRelays(), maxHints)...)
-	var hints []protocol.Member
-	for _, member := range list {
-		known := slices.ContainsFunc(hints, func(one protocol.Member) bool { return one.ID == member.ID })
-		if !known && member.ID != asker && len(hints) < maxHints {
-			hints = append(hints, member)
-		}
-	}
-	return hints
-}
-
 // newcomerIsCurrent refuses a newcomer's late duplicate: one from an earlier
 // life, or from before it turned to another parent. Counting it here as well
 // would hold in force back.
@@ -189,13 +154,6 @@
 	return known.Incarnation == request.Incarnation && known.Sequence <= request.Self.Sequence
 }
 
-// shuffled returns some of the members in random order.
-func (n *Node) shuffled(members []protocol.Member, most int) []protocol.Member {
-	drawn := slices.Clone(members)
-	n.random.Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
-	return drawn[:min(len(drawn), most)]
-}
-
 func (n *Node) addChild(request *protocol.FetchRequest) *child {
 	if _, found := n.downstream.children[request.From]; !found {
 		at, _ := slices.BinarySearch(n.downstream.order, request.From)
@@ -362,19 +320,6 @@
 	n.answer(token, reply)
 }
 
-// farewell turns a child elsewhere when this daemon leaves. It names this
-// daemon's own record, by which the child knows not to wait for it.
-func (n *Node) farewell(known *child) *protocol.FetchReply {
-	reply := refusal(result.AskAnother, n.config.Timing.DeadAfter)
-	reply.Incarnation = n.self.Incarnation
-	zone := ""
-	if member, found := n.roster.Get(known.id); found {
-		zone = member.Zone
-	}
-	reply.Members = n.hints(known.id, zone)
-	return reply
-}
-
 // membersFor returns the records that a child lacks: those that changed since
 // its cursor, or, without one, those in which its roster differs.
 func (n *Node) membersFor(known *child) []protocol.Member {
