Root: store no version that too few keepers can take, and serve on

Cause: a root counts any keeper's store above its released version as another root's, its own unfinished one too. Seen with real processes: with 2 of 4 keepers dead, one accepted file made the whole region refuse calls with 401 after 7 s, until a keeper came back; docs/DESIGN.md promises that for 3 of 4.

Change: the root begins to store a version only while a write quorum has answered its rounds within 3 s; until then the version waits and what is released is served. The test crashes 3 of 8 keepers on virtual time and fails without the change. Keepers that die within those 3 s of a change still bring the old picture; to tell a root's own stores apart needs the protocol.

--- a/internal/core/distribution/rootlease.go
+++ b/internal/core/distribution/rootlease.go
@@ -76,6 +76,17 @@
 	})
 }
 
+// CanStore reports whether a write quorum of every set has answered questions
+// sent at or after since. To begin storing a version that can't reach a write
+// quorum would end this root's own lease: its rounds would hear of a version
+// newer than the one released.
+func (l *RootLease) CanStore(since time.Duration, sets ...protocol.KeeperSet) bool {
+	return lo.EveryBy(sets, func(set protocol.KeeperSet) bool {
+		oldest, found := l.quorum(set, set.Write, func(keeperAnswer) bool { return true })
+		return found && oldest >= since
+	})
+}
+
 // Newest returns the highest version that any keeper of the set reported.
 func (l *RootLease) Newest(set protocol.KeeperSet) protocol.Version {
 	return lo.Max(lo.Map(set.Members, func(keeper protocol.KeeperMember, _ int) protocol.Version {
--- a/internal/core/node/failure_test.go
+++ b/internal/core/node/failure_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/springstack/springstack/internal/core/ledger"
 	"github.com/springstack/springstack/internal/core/node"
 	"github.com/springstack/springstack/internal/core/protocol"
 )
@@ -205,3 +206,37 @@
 	is.True(len(logs[0]) > 20)
 	is.Equal(logs[0], logs[1])
 }
+
+// TestTooFewKeepersForANewVersionStillServeTheOldOne crashes so many keepers
+// that nothing can be released any more, and accepts a version: the others
+// serve on what is released, and take the version once keepers return.
+func TestTooFewKeepersForANewVersionStillServeTheOldOne(t *testing.T) {
+	c, daemons, released := settled(t)
+	root := c.root()
+	head, err := ledger.Decode(c.platform.objects[ledger.HeadObject].Data)
+	c.is.NoErr(err)
+	set, _ := head.KeeperSet("windhoek")
+	var crashed []*daemon
+	for _, keeper := range set.Members {
+		one := c.daemons["addr-"+string(keeper.ID)]
+		if one != root && len(crashed) <= len(set.Members)-set.Write {
+			c.stop(one)
+			crashed = append(crashed, one)
+		}
+	}
+	c.run(3 * time.Second)
+	version := c.accept(c.other(crashed...), 7)
+	c.run(20 * time.Second)
+	for _, d := range daemons {
+		if d.running && !c.serving(d) {
+			t.Errorf("%s does not serve", d.id)
+		}
+		if d.running && d.snapshot.Version != released {
+			t.Errorf("%s holds version %d that is stored at too few keepers", d.id, d.snapshot.Version)
+		}
+	}
+	for _, d := range crashed {
+		c.start("windhoek", d.config.Zone, string(d.id), "addr-d00", "addr-d01", "addr-d02", "addr-d03")
+	}
+	c.until("the new version is in force", 60*time.Second, func() bool { return c.allServe(version) })
+}
--- a/internal/core/node/root.go
+++ b/internal/core/node/root.go
@@ -150,9 +150,19 @@
 	n.root.batchUntil = min(n.root.batchUntil, n.now+catalogue.BatchWindow)
 }
 
-// startRelease begins to store a version at the keepers.
+// recentRounds is how old the answers of keepers may be for a root to begin to
+// store a newer version.
+const recentRounds = 3 * roundInterval
+
+// startRelease begins to store a version at the keepers. While too few of them
+// answer, what is released is served on and the version waits.
 func (n *Node) startRelease(catalogue *reader.CatalogueReady) {
 	n.root.batch = nil
+	if n.holding.store.Version() > 0 && !n.root.lease.CanStore(n.now-recentRounds, n.keeperSets()...) {
+		n.root.batch = catalogue
+		n.root.batchUntil = n.now + roundInterval
+		return
+	}
 	set, found := keeperSetOf(catalogue.Keepers, n.config.Region)
 	if !found {
 		return
