--- a/cmd/springstack-lab/experiment_scale.go
+++ b/cmd/springstack-lab/experiment_scale.go
@@ -19,6 +19,7 @@
 			&cli.IntFlag{Name: "services", Value: 190, Usage: "number of services in the catalogue"},
 			&cli.IntFlag{Name: "changes", Value: 24, Usage: "changes, made one after the other"},
 			&cli.IntFlag{Name: "restarts", Value: 12, Usage: "restarts, made one after the other"},
+			&cli.BoolFlag{Name: "herd", Value: true, Usage: "restart all daemons at once at the end"},
 			&cli.DurationFlag{Name: "rest", Usage: "how long the mesh is watched without events; 0 for the default"},
 		),
 		Action: runScale,
@@ -29,6 +30,7 @@
 	options := scale.DefaultOptions(command.Int("daemons"), command.Int("services"), command.Uint64("seed"))
 	options.Changes = command.Int("changes")
 	options.Restarts = command.Int("restarts")
+	options.Herd = command.Bool("herd")
 	options.Progress = progressTo(command.ErrWriter, "scale")
 	if rest := command.Duration("rest"); rest > 0 {
 		options.Rest = rest
