--- a/internal/lab/capacity/page.go
+++ b/internal/lab/capacity/page.go
@@ -35,7 +35,7 @@
 }
 
 var budgets = []budget{
-	{"change in force everywhere", 12_000, "ms", func(r scale.Report) float64 { return r.ConvergenceP99 },
+	{"change on every daemon, p99 over changes", 12_000, "ms", func(r scale.Report) float64 { return r.ConvergenceP99 },
 		"long polls answered at once on a tree of at most three hops; stored at keepers first"},
 	{"processor of a daemon, p99", 2.7, "% of a core", func(r scale.Report) float64 { return percent * r.ProcessorP99 },
 		"deltas; only what changed is decoded; acknowledgements folded by zone"},
