--- a/internal/lab/hollow/observer_test.go
+++ b/internal/lab/hollow/observer_test.go
@@ -2,25 +2,69 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/snapshot"
 )
 
-// TestClaimsAreHeldAgainstThoseThatServe guards a found fault of the check: a
-// daemon that had started and held a version, but no lease yet, counted.
-func TestClaimsAreHeldAgainstThoseThatServe(t *testing.T) {
+func held(version protocol.Version, digest resource.Digest) *snapshot.Snapshot {
+	return &snapshot.Snapshot{Version: version, Digest: digest}
+}
+
+func violations(o *Observer) int {
+	found, _ := o.Violations()
+	return found
+}
+
+func TestObserverSeesAProxyGoBackAlsoOverARestart(t *testing.T) {
+	is := is.New(t)
+	o := NewObserver()
+	o.Swapped("a", held(2, "x"))
+	o.Down("a")
+	o.Swapped("a", held(2, "x"))
+	is.Equal(violations(o), 0)
+	o.Down("a")
+	o.Swapped("a", held(1, "w"))
+	is.Equal(violations(o), 1)
+}
+
+func TestObserverSeesTwoContentsOfOneVersion(t *testing.T) {
+	is := is.New(t)
+	o := NewObserver()
+	o.Swapped("a", held(2, "x"))
+	o.Swapped("b", held(2, "y"))
+	is.Equal(violations(o), 1)
+}
+
+func TestObserverSeesAClaimThatIsNotTrue(t *testing.T) {
+	is := is.New(t)
+	o := NewObserver()
+	o.Swapped("a", held(2, "x"))
+	o.Swapped("b", held(1, "w"))
+	o.InForce("a", 1)
+	is.Equal(violations(o), 0)
+	o.InForce("a", 2)
+	is.Equal(violations(o), 1)
+	o.Down("b")
+	o.InForce("a", 2) // a proxy that is down serves nothing older
+	is.Equal(violations(o), 1)
+}
+
+func TestConvergedWaitsForEveryProxyThatIsExpected(t *testing.T) {
 	is := is.New(t)
-	serving := map[string]bool{}
-	observer := NewObserver(func(id string) bool { return serving[id] })
-	observer.Swapped("old", &snapshot.Snapshot{Version: 68, Digest: "a"})
-	observer.Swapped("new", &snapshot.Snapshot{Version: 69, Digest: "b"})
-	observer.InForce("new", 69)
-	found, _ := observer.Violations()
-	is.Equal(found, 0)
-	serving["old"] = true
-	observer.InForce("new", 69)
-	found, _ = observer.Violations()
-	is.Equal(found, 1)
+	o := NewObserver()
+	o.Expect(2)
+	o.Accepted(3, time.Now())
+	o.Swapped("a", held(3, "x"))
+	_, done := o.Converged(3, 0)
+	is.True(!done)
+	o.Swapped("b", held(4, "y"))
+	_, done = o.Converged(3, 0)
+	is.True(done) // a newer version counts
+	_, done = o.Converged(4, 0)
+	is.True(!done)
 }
