--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -42,7 +42,9 @@
 // Report is the result of a run. Rates are those of a day of 2,300 changes and
 // 180 restarts; those at high churn have a hundred times the restarts.
 type Report struct {
-	Daemons  int `json:"daemons"`
+	Daemons int `json:"daemons"`
+	// Real is how many whole daemons ran besides the hollow ones.
+	Real     int `json:"real_daemons"`
 	Services int `json:"services"`
 	// ConvergenceP50 and P99 are from acceptance to the last daemon's swap.
 	ConvergenceP50 float64 `json:"convergence_p50_ms"`
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -15,6 +15,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/springstack/springstack/internal/daemon"
 	"github.com/springstack/springstack/internal/lab/catalogue"
 	"github.com/springstack/springstack/internal/lab/hollow"
 	"github.com/springstack/springstack/internal/lab/host"
@@ -35,6 +36,8 @@
 	Daemons  int
 	Services int
 	Seed     uint64
+	// Real is how many whole daemons there are besides.
+	Real int
 	// Rest is how long the mesh is watched without events.
 	Rest time.Duration
 	// Changes and Restarts are how many events are made.
@@ -52,6 +55,7 @@
 		Daemons:  daemons,
 		Services: services,
 		Seed:     seed,
+		Real:     2,
 		Rest:     15 * time.Second,
 		Changes:  24,
 		Restarts: 12,
@@ -85,6 +89,8 @@
 	restarts window
 	// roles are those of the resting window, in the order of the nodes.
 	roles []Role
+	// real are the whole daemons.
+	real []*daemon.Daemon
 }
 
 // Run carries out one run.
@@ -102,12 +108,13 @@
 		cluster:  cluster,
 		random:   rand.New(rand.NewPCG(options.Seed, 3)),
 		baseline: baseline,
-		report:   &Report{Daemons: options.Daemons, Services: options.Services, Conditions: host.Now()},
+		report:   &Report{Daemons: options.Daemons, Real: options.Real, Services: options.Services, Conditions: host.Now()},
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	r.sampler = startSampler(cluster, cancel)
 	defer r.sampler.stop()
+	defer r.stopReal()
 	if err := r.phases(ctx); err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -163,6 +170,12 @@
 	if err := r.awaitNewest(formBound); err != nil {
 		return err
 	}
+	if err := r.startReal(); err != nil {
+		return err
+	}
+	if err := r.awaitReal(ctx, r.cluster.Observer.Newest(), formBound); err != nil {
+		return err
+	}
 	r.report.FormMilliseconds = float64(time.Since(began).Milliseconds())
 	r.settle(ctx)
 	return nil
@@ -238,7 +251,11 @@
 			return errors.Errorf("%d of %d daemons hold version %d after %v; events %v",
 				r.cluster.Observer.Holding(version), r.options.Daemons, version, changeBound, r.cluster.Events())
 		}
-		r.report.convergence = append(r.report.convergence, took)
+		reached := time.Now()
+		if err := r.awaitReal(ctx, version, changeBound); err != nil {
+			return err
+		}
+		r.report.convergence = append(r.report.convergence, took+time.Since(reached))
 	}
 	r.changes = between(before, r.take())
 	return nil
@@ -274,6 +291,7 @@
 		return nil
 	}
 	r.sampler.mark()
+	r.stopReal()
 	r.cluster.KillAll()
 	began := time.Now()
 	if err := r.cluster.StartAll(); err != nil {
