--- a/internal/lab/capacity/page.go
+++ b/internal/lab/capacity/page.go
@@ -154,8 +154,8 @@
 			continue
 		}
 		fit := FitLine(points)
-		fmt.Fprintf(out, "| %s | %s | %s | %s | %.2f | %s | %s | %s |\n", metric.Name, metric.Unit,
-			number(fit.Intercept), number(percent*fit.Slope), fit.RSquared, number(fit.StandardError),
+		fmt.Fprintf(out, "| %s | %s | %s | %s | %s | %s | %s | %s |\n", metric.Name, metric.Unit,
+			number(fit.Intercept), number(percent*fit.Slope), number(fit.RSquared), number(fit.StandardError),
 			number(fit.At(target)), measuredAt(metric, reports, x, target))
 	}
 	out.WriteString("\n")
