--- a/internal/core/node/status.go
+++ b/internal/core/node/status.go
@@ -78,7 +78,7 @@
 // can't tell the files: it has not read the platform since it started.
 func (n *Node) status(partner resource.Partner) *protocol.StatusReply {
 	reply := &protocol.StatusReply{
-		Code: lo.Ternary(n.readerSide.catalogue != nil, result.OK, result.NoReader),
+		Code: result.OK,
 		Summary: protocol.Summary{
 			Version:   n.newestVersion(),
 			InForce:   n.holding.inForce,
@@ -93,10 +93,12 @@
 		}
 		reply.Summary.CutRegions = n.cutRegions()
 	}
-	if n.readerSide.catalogue != nil {
-		reply.Summary.AcceptedAt = n.readerSide.catalogue.AcceptedAt
-		reply.Files = n.fileStatuses(partner)
+	if n.readerSide.catalogue == nil {
+		reply.Code = result.NoReader
+		return reply
 	}
+	reply.Summary.AcceptedAt = n.readerSide.catalogue.AcceptedAt
+	reply.Files = n.fileStatuses(partner)
 	return reply
 }
 
@@ -104,8 +106,13 @@
 	files := lo.Filter(n.readerSide.catalogue.Files, func(file protocol.FileStatus, _ int) bool {
 		return partner == "" || file.Partner == partner
 	})
+	return markInForce(files, n.holding.inForce)
+}
+
+// markInForce says of each file whether its revision is in force.
+func markInForce(files []protocol.FileStatus, inForce protocol.Version) []protocol.FileStatus {
 	return lo.Map(files, func(file protocol.FileStatus, _ int) protocol.FileStatus {
-		file.InForce = !file.Held && file.Version > 0 && file.Version <= n.holding.inForce
+		file.InForce = !file.Held && file.Version > 0 && file.Version <= inForce
 		return file
 	})
 }
@@ -160,10 +167,21 @@
 			return
 		}
 		n.raiseInForce(reply.Summary.InForce)
+		n.addKnownInForce(reply)
 		n.emit(OperatorAnswer{Token: token, Body: reply})
 	})
 }
 
+// addKnownInForce lifts a root's answer to what this daemon has heard before: a
+// root that has just taken over may know less, and in force never reverts (I9).
+func (n *Node) addKnownInForce(reply *protocol.StatusReply) {
+	if reply.Summary.InForce >= n.holding.inForce {
+		return
+	}
+	reply.Summary.InForce = n.holding.inForce
+	reply.Files = markInForce(reply.Files, n.holding.inForce)
+}
+
 // statusTargets returns the likely roots of this region, best first.
 func (n *Node) statusTargets() []protocol.Member {
 	const most = 3
