--- a/internal/core/node/upstream.go
+++ b/internal/core/node/upstream.go
@@ -40,11 +40,9 @@
 	failures int
 	// avoid holds daemons that failed or refused, until when.
 	avoid map[protocol.NodeID]avoidance
-	// sentCursor is the own change log position at the fetch under way, and
-	// sentSequence that of the own record in it.
-	sentCursor   membership.Cursor
-	sentSequence uint64
-	sentAcks     []protocol.Acknowledgement
+	// sentCursor is the own change log position at the fetch under way.
+	sentCursor membership.Cursor
+	sentAcks   []protocol.Acknowledgement
 	// sentRelaying is whether the fetch under way asked for the whole
 	// configuration, as a relay does.
 	sentRelaying bool
@@ -334,7 +332,6 @@
 		request.Self.Parent = up.target.ID
 		request.Self.Root = false
 	}
-	up.sentSequence = request.Self.Sequence
 	if up.memberCursor == 0 {
 		sums := n.roster.Sums()
 		request.RosterSums = sums[:]
@@ -366,16 +363,12 @@
 		avoid.refusals = 0
 		up.avoid[id] = avoid
 	}
-	becomeChild := func(self *protocol.Member) {
+	// A new sequence: greetings may have carried the one of the fetch with
+	// another parent, and two records must never share one.
+	n.changeSelf(func(self *protocol.Member) {
 		self.Parent = up.target.ID
 		self.Root = false
-	}
-	if n.self.Sequence != up.sentSequence {
-		n.changeSelf(becomeChild)
-		return
-	}
-	becomeChild(&n.self)
-	n.roster.Merge(n.now, n.self, membership.Below)
+	})
 }
 
 // finishFetch takes the parent's reply to the fetch with the token.
