--- a/internal/core/node/sequence_test.go
+++ b/internal/core/node/sequence_test.go
@@ -13,7 +13,7 @@
 func TestJoinTakesANewSequence(t *testing.T) {
 	is := is.New(t)
 	n := New(Config{ID: "child", Region: "windhoek", Zone: "klein-hall", Timing: DefaultTiming()})
-	n.adoptTarget(protocol.Member{ID: "parent"})
+	n.fetchFrom(protocol.Member{ID: "parent", ControlAddress: "10.0.0.1:7000"})
 	greeting := n.self
 	n.join()
 	is.Equal(n.self.Parent, protocol.NodeID("parent"))
