--- a/internal/core/node/parent.go
+++ b/internal/core/node/parent.go
@@ -7,7 +7,6 @@
 	"github.com/samber/lo"
 
 	"github.com/springstack/springstack/internal/core/distribution"
-	"github.com/springstack/springstack/internal/core/membership"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/result"
 )
@@ -187,16 +186,12 @@
 		avoid.refusals = 0
 		up.avoid[id] = avoid
 	}
-	becomeChild := func(self *protocol.Member) {
+	// A new sequence: greetings may have carried the one of the fetch with
+	// another parent, and two records must never share one.
+	n.changeSelf(func(self *protocol.Member) {
 		self.Parent = up.target.ID
 		self.Root = false
-	}
-	if n.self.Sequence != up.sentSequence {
-		n.changeSelf(becomeChild)
-		return
-	}
-	becomeChild(&n.self)
-	n.roster.Merge(n.now, n.self, membership.Below)
+	})
 }
 
 // discover asks a random daemon for others, when no parent is known.
