--- a/internal/core/node/upstream.go
+++ b/internal/core/node/upstream.go
@@ -41,11 +41,9 @@
 	failures int
 	// avoid holds daemons that failed or refused, until when.
 	avoid map[protocol.NodeID]avoidance
-	// sentCursor is the own change log position at the fetch under way, and
-	// sentSequence that of the own record in it.
-	sentCursor   membership.Cursor
-	sentSequence uint64
-	sentAcks     []protocol.Acknowledgement
+	// sentCursor is the own change log position at the fetch under way.
+	sentCursor membership.Cursor
+	sentAcks   []protocol.Acknowledgement
 	// sentRelaying is whether the fetch under way asked for the whole
 	// configuration, as a relay does.
 	sentRelaying bool
@@ -192,7 +190,6 @@
 		request.Self.Parent = up.target.ID
 		request.Self.Root = false
 	}
-	up.sentSequence = request.Self.Sequence
 	if up.memberCursor == 0 {
 		sums := n.roster.Sums()
 		request.RosterSums = sums[:]
--- a/internal/sim/mutant/configuration.go
+++ b/internal/sim/mutant/configuration.go
@@ -39,7 +39,7 @@
 	{Name: "catalogue_loses_last", Breaks: oracle.WholeOrNothing, Simulation: Mesh, File: "ledger/apply.go",
 		Old: "			catalogue = append(catalogue, resource.Encode(contents[entry.Accepted.Digest])...)",
 		New: "			catalogue = append(catalogue, resource.Encode(contents[entry.Accepted.Digest])[1:]...)"},
-	{Name: "ignore_delta", Breaks: oracle.WholeOrNothing, Simulation: Mesh, File: "node/upstream.go",
+	{Name: "ignore_delta", Breaks: oracle.WholeOrNothing, Simulation: Mesh, File: "node/take.go",
 		Old: "	if reply.Delta == nil && current != nil {",
 		New: "	if current != nil {"},
 
