--- a/internal/lab/capacity/metrics.go
+++ b/internal/lab/capacity/metrics.go
@@ -23,8 +23,8 @@
 	{"processor, mean over daemons", "% of a core", "", plain(func(r scale.Report) float64 { return percent * r.ProcessorMean })},
 	{"resident memory", "MB", "capacity-memory", plain(func(r scale.Report) float64 { return r.ResidentMegabytes })},
 	{"convergence, p99 over changes", "ms", "capacity-convergence", plain(func(r scale.Report) float64 { return r.ConvergenceP99 })},
-	{"herd restart until all serve", "ms", "capacity-herd", plain(func(r scale.Report) float64 { return r.HerdReady })},
-	{"herd restart, busiest second of a daemon", "B/s", "", plain(func(r scale.Report) float64 { return r.HerdBusiest })},
+	{"herd restart until all serve", "ms", "capacity-herd", measured(func(r scale.Report) float64 { return r.HerdReady })},
+	{"herd restart, busiest second of a daemon", "B/s", "", measured(func(r scale.Report) float64 { return r.HerdBusiest })},
 	{"platform readers, most at once", "readers", "", plain(func(r scale.Report) float64 { return float64(r.PlatformReaders) })},
 	{"platform calls, busiest second", "calls/s", "", plain(func(r scale.Report) float64 { return float64(r.PlatformCallsPeak) })},
 	{"leaf at rest", "B/s", "", ofRole(scale.RoleLeaf, restBytes)},
@@ -48,6 +48,14 @@
 	return func(report scale.Report) (float64, bool) { return read(report), true }
 }
 
+// measured is plain for figures that are 0 when their part was not run.
+func measured(read func(scale.Report) float64) func(scale.Report) (float64, bool) {
+	return func(report scale.Report) (float64, bool) {
+		value := read(report)
+		return value, value > 0
+	}
+}
+
 func ofRole(role scale.Role, read func(scale.RoleCost) float64) func(scale.Report) (float64, bool) {
 	return func(report scale.Report) (float64, bool) {
 		for _, cost := range report.Roles {
