--- a/internal/lab/capacity/page.go
+++ b/internal/lab/capacity/page.go
@@ -171,16 +171,24 @@
 }
 
 func writeRuns(out *strings.Builder, reports []scale.Report) {
-	out.WriteString("### Runs\n\n| daemons | services | changes in force p99 ms | herd ready ms | herd busiest B/s | platform readers | platform calls/s | violations | seconds | load average |\n")
+	out.WriteString("### Runs\n\n| daemons | services | change on every daemon, p99 ms | herd ready ms | herd busiest B/s | platform readers | platform calls/s | violations | seconds | load average |\n")
 	out.WriteString("|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|\n")
 	for _, one := range reports {
 		fmt.Fprintf(out, "| %d | %d | %s | %s | %s | %d | %d | %d | %s | %s |\n", one.Daemons, one.Services,
-			number(one.ConvergenceP99), number(one.HerdReady), number(one.HerdBusiest), one.PlatformReaders,
+			number(one.ConvergenceP99), ran(one.HerdReady), ran(one.HerdBusiest), one.PlatformReaders,
 			one.PlatformCallsPeak, one.Violations, number(one.Seconds), number(one.Conditions.LoadAverage))
 	}
 	out.WriteString("\n")
 }
 
+// ran writes a figure that is 0 when its part was not run.
+func ran(value float64) string {
+	if value == 0 {
+		return "not run"
+	}
+	return number(value)
+}
+
 // number writes a figure with three significant digits.
 func number(value float64) string {
 	if math.IsNaN(value) {
