Mutual TLS on the gate's port when certificates are given

Cause: calls between daemons carry the secrets of routes and crossed the gate's port in the clear; the proxy could do TLS but the daemon did not ask for it. Change: gate and its callers use the control port's mutual TLS; beyond loopback the gate no longer needs tls.allow_insecure. A test shows that a caller without a certificate and one in the clear are refused.

--- a/internal/daemon/pathserver.go
+++ b/internal/daemon/pathserver.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/http"
 
 	"github.com/juju/errors"
 
@@ -16,8 +15,8 @@
 	done   chan struct{}
 }
 
-func servePath(listener net.Listener, handler http.Handler, limits proxy.Limits, within closeBound) *pathServer {
-	path := &pathServer{server: proxy.NewServer(handler, limits), within: within, done: make(chan struct{})}
+func servePath(listener net.Listener, server *proxy.Server, within closeBound) *pathServer {
+	path := &pathServer{server: server, within: within, done: make(chan struct{})}
 	go func() {
 		defer close(path.done)
 		_ = path.server.Serve(listener) // always ErrServerClosed or a closed listener
--- a/internal/daemon/tls_test.go
+++ b/internal/daemon/tls_test.go
@@ -95,6 +95,25 @@
 		_, err = peer.Call(t.Context(), first.Addresses().Control, &protocol.StatusRequest{Format: protocol.Format})
 		is.True(err != nil)
 	})
+	t.Run("the gate takes calls over mutual TLS alone", func(t *testing.T) {
+		is := is.New(t)
+		identity, err := access.NewIdentity(authority.Issue(t.TempDir(), "third"), "third")
+		is.NoErr(err)
+		url := "https://" + first.Addresses().Gate + "/"
+		member := &http.Client{Transport: &http.Transport{TLSClientConfig: identity.ControlClient(), DisableKeepAlives: true}}
+		answer, err := member.Get(url)
+		is.NoErr(err)
+		answer.Body.Close()
+		is.Equal(answer.Header.Get("Springstack-Ran"), "no") // refused by the gate itself: it names no back end
+		pool := x509.NewCertPool()
+		pool.AddCert(authority.Certificate)
+		nobody := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}, DisableKeepAlives: true}}
+		_, err = nobody.Get(url)
+		is.True(err != nil)
+		clear := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+		_, err = clear.Get("http://" + first.Addresses().Gate + "/")
+		is.True(err != nil)
+	})
 	t.Run("operators call over TLS alone", func(t *testing.T) {
 		is := is.New(t)
 		pool := x509.NewCertPool()
--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -99,7 +99,11 @@
 	return &platformPart{Port: port, close: port.Close}, nil
 }
 
-func (d *Daemon) newPath(do.Injector) (*pathPart, error) {
+func (d *Daemon) newPath(injector do.Injector) (*pathPart, error) {
+	secure, err := do.Invoke[*security](injector)
+	if err != nil {
+		return nil, err
+	}
 	backend := d.settings.Backend
 	limits := proxy.DefaultLimits()
 	limits.BodyBytes = d.settings.Limits.BodyBytes
@@ -119,6 +123,7 @@
 		Slots:          backend.Slots,
 		Limits:         limits,
 		RandomSeed:     d.overrides.RandomSeed,
+		PeerTLS:        secure.Peers,
 		OnBackendState: d.reportBackend,
 		Log:            d.logPath,
 	})}, nil
@@ -173,7 +178,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callersServer{servePath(opened.callers, path.CallerHandler(), d.pathLimits(), d.closeBound)}, nil
+	return &callersServer{servePath(opened.callers, proxy.NewServer(path.CallerHandler(), d.pathLimits()), d.closeBound)}, nil
 }
 
 func (d *Daemon) newGateServer(injector do.Injector) (*gateServer, error) {
@@ -181,7 +186,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &gateServer{servePath(opened.gate, path.GateHandler(), d.pathLimits(), d.closeBound)}, nil
+	secure, err := do.Invoke[*security](injector)
+	if err != nil {
+		return nil, err
+	}
+	server := proxy.NewServer(path.GateHandler(), d.pathLimits()).Secure(secure.Control)
+	return &gateServer{servePath(opened.gate, server, d.closeBound)}, nil
 }
 
 func (d *Daemon) pathParts(injector do.Injector) (*listeners, *pathPart, error) {
--- a/internal/settings/together.go
+++ b/internal/settings/together.go
@@ -80,7 +80,7 @@
 func (s Settings) Listeners() []Listener {
 	return []Listener{
 		{Field: "listen.callers", Address: s.Listen.Callers},
-		{Field: "listen.gate", Address: s.Listen.Gate},
+		{Field: "listen.gate", Address: s.Listen.Gate, Encrypted: s.TLS.Enabled()},
 		{Field: "listen.control", Address: s.Listen.Control, Encrypted: s.TLS.Enabled()},
 		{Field: "listen.operators", Address: s.Listen.Operators, Encrypted: s.TLS.Enabled()},
 		{Field: "listen.admin", Address: s.Listen.Admin},
