Node tests run on the simulator's timeline

Cause: the cluster of the node's tests had its own copy of the event queue. Change: one queue, sim/timeline. The tests and their assertions stay.

--- a/internal/core/node/chaos_test.go
+++ b/internal/core/node/chaos_test.go
@@ -86,7 +86,7 @@
 	case 5:
 		c.herd()
 	case 6:
-		one.pausedUntil = c.now + time.Duration(c.random.Int64N(int64(20*time.Second)))
+		one.pausedUntil = c.now() + time.Duration(c.random.Int64N(int64(20*time.Second)))
 	case 7:
 		c.cutSome(one)
 	case 8:
@@ -131,7 +131,7 @@
 }
 
 func (c *chaos) change(through *daemon) {
-	if !through.running || c.now < through.pausedUntil {
+	if !through.running || c.now() < through.pausedUntil {
 		return
 	}
 	c.changes++
--- a/internal/core/node/cluster_test.go
+++ b/internal/core/node/cluster_test.go
@@ -1,7 +1,6 @@
 package node_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
@@ -14,6 +13,7 @@
 	"github.com/springstack/springstack/internal/core/node"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/snapshot"
+	"github.com/springstack/springstack/internal/sim/timeline"
 )
 
 // delay is the one-way time of every message.
@@ -21,11 +21,10 @@
 
 // cluster runs nodes, a platform and a network on virtual time.
 type cluster struct {
-	is      *is.I
-	now     time.Duration
-	queue   eventQueue
-	order   int
-	daemons map[string]*daemon
+	is       *is.I
+	timeline *timeline.Timeline
+	order    int
+	daemons  map[string]*daemon
 	// cut drops messages between two addresses when it returns true.
 	cut func(from, to string) bool
 	// random draws delays and losses when set; without it each message takes
@@ -62,70 +61,44 @@
 	pausedUntil time.Duration
 }
 
-type event struct {
-	at    time.Duration
-	order int
-	run   func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at != q[j].at {
-		return q[i].at < q[j].at
-	}
-	return q[i].order < q[j].order
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 func newCluster(t *testing.T) *cluster {
 	c := &cluster{
-		is:      is.New(t),
-		daemons: map[string]*daemon{},
-		cut:     func(string, string) bool { return false },
-		observe: func(string, string, any) {},
+		timeline: timeline.New(0),
+		is:       is.New(t),
+		daemons:  map[string]*daemon{},
+		cut:      func(string, string) bool { return false },
+		observe:  func(string, string, any) {},
 	}
 	c.platform = newPlatform(c)
 	return c
 }
 
-func (c *cluster) after(wait time.Duration, run func()) {
-	c.order++
-	heap.Push(&c.queue, event{at: c.now + wait, order: c.order, run: run})
-}
+func (c *cluster) now() time.Duration { return c.timeline.Now() }
+
+func (c *cluster) after(wait time.Duration, run func()) { c.timeline.After(wait, run) }
 
-func (c *cluster) wallClock() time.Time { return time.Unix(1_700_000_000, 0).Add(c.now) }
+func (c *cluster) wallClock() time.Time { return time.Unix(1_700_000_000, 0).Add(c.now()) }
 
 // run lets virtual time pass.
 func (c *cluster) run(period time.Duration) {
-	end := c.now + period
-	for len(c.queue) > 0 && c.queue[0].at <= end {
-		next := heap.Pop(&c.queue).(event)
-		c.now = next.at
-		next.run()
+	end := c.now() + period
+	for c.timeline.Step(end) {
 	}
-	c.now = end
+	c.timeline.AdvanceTo(end)
 }
 
 // until runs until the condition holds, and fails when it does not in time.
 func (c *cluster) until(what string, limit time.Duration, condition func() bool) time.Duration {
-	started := c.now
+	started := c.now()
 	for !condition() {
-		if c.now-started > limit {
+		if c.now()-started > limit {
 			c.is.Helper()
 			c.is.Equal(what, "in time") // the condition was not reached in time
 			c.is.Fail()
 		}
 		c.run(20 * time.Millisecond)
 	}
-	return c.now - started
+	return c.now() - started
 }
 
 // start starts a daemon, or starts it again with nothing remembered.
@@ -140,7 +113,7 @@
 	d.running = true
 	d.config = node.Config{
 		ID:             d.id,
-		Incarnation:    protocol.Incarnation(c.now + 1),
+		Incarnation:    protocol.Incarnation(c.now() + 1),
 		ControlAddress: address,
 		Region:         region,
 		Zone:           zone,
@@ -172,16 +145,16 @@
 
 // step gives a node a message; a paused one gets it when it wakes.
 func (c *cluster) step(d *daemon, message node.Message) {
-	if c.now < d.pausedUntil {
+	if c.now() < d.pausedUntil {
 		life := d.life
-		c.after(d.pausedUntil-c.now, func() {
+		c.after(d.pausedUntil-c.now(), func() {
 			if d.life == life {
 				c.step(d, message)
 			}
 		})
 		return
 	}
-	for _, effect := range d.node.Step(c.now, message) {
+	for _, effect := range d.node.Step(c.now(), message) {
 		c.carryOut(d, effect)
 	}
 }
@@ -254,7 +227,7 @@
 	for _, field := range one.Fields {
 		fields = append(fields, field.Key+"="+field.Value)
 	}
-	c.logs(fmt.Sprintf("%8.3f %s event=%s %s", c.now.Seconds(), d.id, one.Name, strings.Join(fields, " ")))
+	c.logs(fmt.Sprintf("%8.3f %s event=%s %s", c.now().Seconds(), d.id, one.Name, strings.Join(fields, " ")))
 }
 
 func (c *cluster) lost(from, to string) bool {
@@ -307,7 +280,7 @@
 
 // serving reports whether a daemon may serve now.
 func (c *cluster) serving(d *daemon) bool {
-	return d.running && d.snapshot != nil && c.now < d.servingUntil
+	return d.running && d.snapshot != nil && c.now() < d.servingUntil
 }
 
 // allServe reports whether all running daemons serve the version or a later.
--- a/internal/core/node/restart_test.go
+++ b/internal/core/node/restart_test.go
@@ -14,7 +14,7 @@
 	const step = 50 * time.Millisecond
 	gaps := map[*daemon]time.Duration{}
 	longest := time.Duration(0)
-	for end := c.now + period; c.now < end; {
+	for end := c.now() + period; c.now() < end; {
 		c.run(step)
 		for _, d := range c.daemons {
 			if d == but || !d.running || c.serving(d) {
@@ -23,7 +23,7 @@
 			}
 			gaps[d] += step
 			if c.logs != nil {
-				c.logs(fmt.Sprintf("%8.3f %s does not serve", c.now.Seconds(), d.id))
+				c.logs(fmt.Sprintf("%8.3f %s does not serve", c.now().Seconds(), d.id))
 			}
 			longest = max(longest, gaps[d])
 		}
