--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -32,11 +32,7 @@
 	p.tally.callerCalls.Add(1)
 	p.callersRunning.Add(1)
 	defer p.leave(&p.callersRunning)
-	if p.drain.started.Load() {
-		writer.Header().Set("Connection", "close")
-	}
-	control := http.NewResponseController(writer)
-	body := newUpload(request, control, p.limits)
+	control, body := p.begin(writer, request)
 	defer body.finish()
 	call, refusal, accepted := p.acceptCall(request)
 	if !accepted {
@@ -56,6 +52,17 @@
 	call.run()
 }
 
+// begin prepares what both sides need of an exchange: the control of its
+// connection, which is closed after the answer while the daemon drains, and the
+// body of its request.
+func (p *Proxy) begin(writer http.ResponseWriter, request *http.Request) (*http.ResponseController, *upload) {
+	if p.drain.started.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	control := http.NewResponseController(writer)
+	return control, newUpload(request, control, p.limits)
+}
+
 // unsentRefusal is for a call whose body did not arrive, before any attempt.
 func unsentRefusal(ctx context.Context, err error) Refusal {
 	refusal := Refusal{Code: result.RequestMalformed, Ran: result.RanNo, Detail: describeBody(err)}
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -35,11 +35,7 @@
 	p.tally.gateCalls.Add(1)
 	p.gateRunning.Add(1)
 	defer p.leave(&p.gateRunning)
-	if p.drain.started.Load() {
-		writer.Header().Set("Connection", "close")
-	}
-	control := http.NewResponseController(writer)
-	body := newUpload(request, control, p.limits)
+	control, body := p.begin(writer, request)
 	defer body.finish()
 	call, refusal, accepted := p.acceptGateCall(request)
 	if !accepted {
