--- /dev/null
+++ b/internal/core/node/herd_test.go
@@ -0,0 +1,35 @@
+package node_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestHerdOfHundredsComesBack guards a found fault: after all daemons of a
+// region had restarted at once, some that ranked as relays by what little they
+// knew asked a full root for a relay's place again and again; the last daemon
+// served after 103 s.
+func TestHerdOfHundredsComesBack(t *testing.T) {
+	const (
+		size  = 500
+		zones = 4
+	)
+	c := newCluster(t)
+	start := func() {
+		for i := range size {
+			seeds := []string{fmt.Sprintf("addr-d%02d", (i*7)%size), fmt.Sprintf("addr-d%02d", (i*13+5)%size), "addr-d00", "addr-d01"}
+			c.start("windhoek", fmt.Sprint("zone-", i%zones), fmt.Sprintf("d%02d", i), seeds...)
+		}
+	}
+	start()
+	c.until("all serve", 30*time.Second, func() bool { return c.allServe(1) })
+	c.run(20 * time.Second)
+	for _, d := range c.daemons {
+		c.stop(d)
+	}
+	c.run(time.Second)
+	start()
+	took := c.until("all serve again", 30*time.Second, func() bool { return c.allServe(1) })
+	t.Logf("a herd of %d serves after %v", size, took)
+}
--- a/internal/core/node/holding.go
+++ b/internal/core/node/holding.go
@@ -125,7 +125,8 @@
 // relaying reports whether this daemon holds everything, to be a parent: it is
 // a relay of its zone, a reader, a root, or still has children.
 func (n *Node) relaying() bool {
-	return n.root.active || n.readerSide.reader.IsReader() || len(n.downstream.children) > 0 || n.tree().IsRelay(n.self)
+	byRank := n.tree().IsRelay(n.self) && n.now >= n.upstream.leafUntil
+	return n.root.active || n.readerSide.reader.IsReader() || len(n.downstream.children) > 0 || byRank
 }
 
 // scopeToFetch returns the scope that this daemon asks its parent for.
--- a/internal/core/node/parent.go
+++ b/internal/core/node/parent.go
@@ -242,6 +242,9 @@
 	if wasJoined {
 		up.orphanedAt = n.now
 	}
+	if root, _ := n.roster.Get(from); root.Root && up.sentRelaying && reply.Code == result.AskAnother {
+		up.leafUntil = n.now + leafPeriod
+	}
 	period := refusalBackoff.Wait(n.random, up.avoid[from].refusals+1)
 	if n.relaying() {
 		period = distribution.Jitter(n.random, rootRefusal)
--- a/internal/core/node/upstream.go
+++ b/internal/core/node/upstream.go
@@ -44,6 +44,9 @@
 	// sentCursor is the own change log position at the fetch under way.
 	sentCursor membership.Cursor
 	sentAcks   []protocol.Acknowledgement
+	// leafUntil is until when this daemon joins as a leaf although it ranks as a
+	// relay: the root knows more members and had no place for it.
+	leafUntil time.Duration
 	// sentRelaying is whether the fetch under way asked for the whole
 	// configuration, as a relay does.
 	sentRelaying bool
@@ -84,6 +87,9 @@
 	rootPatience = 4 * time.Second
 	// rootRefusal bounds the wait before a candidate for root is asked again.
 	rootRefusal = 400 * time.Millisecond
+	// leafPeriod is how long a daemon that ranks as a relay, but was refused by a
+	// root, asks for a place as a leaf.
+	leafPeriod = 5 * time.Second
 	// discoverInterval is how often seeds are asked when no parent is found.
 	discoverInterval = time.Second
 )
