--- a/internal/core/floor/floor_test.go
+++ b/internal/core/floor/floor_test.go
@@ -128,6 +128,46 @@
 	is.Equal(g.releaser.Released(), protocol.Version(0))
 }
 
+// all are the addresses of a region of eight.
+var all = []string{"0", "1", "2", "3", "4", "5", "6", "7"}
+
+func TestKeepersRestartInTurnWithoutThePlatform(t *testing.T) {
+	is := is.New(t)
+	g := newRegion()
+	g.release(2)
+	g.deliver(all[:6]...)
+	g.deliver(all[:6]...)
+	is.Equal(g.releaser.Released(), protocol.Version(2))
+	for _, address := range all {
+		g.restart(address, lo.Without(all, address)...)
+		is.Equal(g.daemons[address].keeper.Stored(), protocol.Version(2))
+	}
+}
+
+func TestZoneLossStopsNeitherReleasesNorStarts(t *testing.T) {
+	is := is.New(t)
+	g := newRegion()
+	left := all[2:]
+	g.release(2)
+	g.deliver(left...)
+	g.deliver(left...)
+	is.Equal(g.releaser.Released(), protocol.Version(2))
+	g.restart("2", left[1:]...)
+	is.Equal(g.daemons["2"].keeper.Stored(), protocol.Version(2))
+}
+
+func TestHerdWaitsForThePlatform(t *testing.T) {
+	is := is.New(t)
+	g := newRegion()
+	for _, address := range all[:6] {
+		g.restart(address)
+	}
+	for _, address := range all[:6] {
+		g.restart(address, "6", "7") // two answers are no read quorum
+		is.True(!g.daemons[address].keeper.Valid())
+	}
+}
+
 func TestKeeperRemembersTheNewest(t *testing.T) {
 	is := is.New(t)
 	older, newer := keeperSet(3, "a", "b", "c"), keeperSet(9, "d", "e", "f")
@@ -229,20 +269,20 @@
 
 func TestKeepersAreSpreadOverZonesAndKept(t *testing.T) {
 	is := is.New(t)
-	all := live("a1", "a2", "a3", "a4", "b1", "b2", "b3", "c1", "c2", "c3", "d1", "d2", "d3")
-	first, changed := ChooseKeepers("region", protocol.KeeperSet{}, all, 0)
+	members := live("a1", "a2", "a3", "a4", "b1", "b2", "b3", "c1", "c2", "c3", "d1", "d2", "d3")
+	first, changed := ChooseKeepers("region", protocol.KeeperSet{}, members, 0)
 	is.True(changed)
 	is.Equal(zones(first), map[string]int{"a": 2, "b": 2, "c": 2, "d": 2})
 	is.Equal(first.Write, 6)
 	is.True(first.Previous == nil)
 	first.Revision = 1
-	reversed := slices.Clone(all)
+	reversed := slices.Clone(members)
 	slices.Reverse(reversed)
 	_, changed = ChooseKeepers("region", first, reversed, 0)
 	is.True(!changed)
 
 	gone := string(first.Members[0].ID)
-	left := lo.Reject(all, func(member protocol.Member, _ int) bool { return string(member.ID) == gone })
+	left := lo.Reject(members, func(member protocol.Member, _ int) bool { return string(member.ID) == gone })
 	second, changed := ChooseKeepers("region", first, left, 0)
 	is.True(changed)
 	is.Equal(second.Previous.Members, first.Members)
--- a/internal/core/floor/model_test.go
+++ b/internal/core/floor/model_test.go
@@ -324,6 +324,39 @@
 	}
 }
 
+// recover ends all faults and expects that every daemon learns its floor and
+// that the newest version is released, within some rounds.
+func (m *model) recover(t *rapid.T) {
+	m.held = map[route]bool{}
+	for range 40 {
+		m.tick(t)
+		for _, r := range m.roots {
+			r.seen = m.head()
+			m.carryOut(t, nil, r, r.releaser.SetTarget(m.now, 1, r.seen, m.setAt(r.seen)))
+		}
+		for _, d := range m.daemons {
+			if d.learner != nil && d.headAt {
+				d.learner.HandleHead(m.now, m.head(), []protocol.KeeperSet{m.setAt(m.head())})
+				m.learnt(t, d)
+			}
+		}
+		for len(m.network) > 0 {
+			next := m.network[0]
+			m.network = m.network[1:]
+			next.deliver()
+		}
+		m.checkQuorums(t)
+	}
+	for _, d := range m.daemons {
+		if !d.keeper.Valid() {
+			t.Fatalf("%s has no floor after the faults", d.member.ID)
+		}
+	}
+	if m.released != m.head() {
+		t.Fatalf("version %d is released after the faults, not %d", m.released, m.head())
+	}
+}
+
 // modelSteps is how long one run of the model is.
 const modelSteps = 1500
 
@@ -335,6 +368,7 @@
 			m.step(t)
 			m.checkQuorums(t)
 		}
+		m.recover(t)
 		floors += m.floors
 		released += int(m.released)
 	})
