--- a/internal/core/reader/script_test.go
+++ b/internal/core/reader/script_test.go
@@ -244,3 +244,19 @@
 		is.Equal(len(reader.Tick(now, Candidacy{})), 0)
 	}
 }
+
+func TestResigningFreesTheLeaseAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(3)
+	holder := w.add("windhoek")
+	w.run(2 * time.Second)
+	holder.candidate = false
+	holder.input(holder.reader.Resign)
+	is.True(!holder.reader.IsReader())
+	w.run(100 * time.Millisecond)
+	next := w.add("windhoek")
+	w.run(100 * time.Millisecond)
+	is.True(next.reader.IsReader())
+	is.Equal(next.reader.lease.slot, holder.reader.lease.slot)
+	is.Equal(next.reader.Term(), uint64(2))
+}
