--- a/internal/core/node/root.go
+++ b/internal/core/node/root.go
@@ -265,7 +265,7 @@
 	members := n.liveInRegion(n.config.Region)
 	chosen, changed := floor.ChooseKeepers(n.config.Region, current, members, n.holding.store.Version())
 	if changed {
-		n.applyReader(n.readerSide.reader.SetKeepers(n.now, []protocol.KeeperSet{chosen}))
+		n.applyReader(n.readerSide.reader.SetKeepers(n.now, n.wallNow(), []protocol.KeeperSet{chosen}))
 	}
 }
 
--- a/internal/core/reader/attempt.go
+++ b/internal/core/reader/attempt.go
@@ -109,7 +109,7 @@
 		return current.Revision != set.Revision
 	})
 	r.changes.keepers = nil
-	head := ledger.SetKeepers(r.head.head, wanted, r.head.head.AcceptedAt, r.lease.record.Term)
+	head := ledger.SetKeepers(r.head.head, wanted, r.changes.keepersAt, r.lease.record.Term)
 	if head == r.head.head {
 		return true
 	}
--- a/internal/core/reader/changes.go
+++ b/internal/core/reader/changes.go
@@ -40,6 +40,8 @@
 	alone bool
 	// keepers are the keeper sets that the owner wants in the head.
 	keepers []protocol.KeeperSet
+	// keepersAt is the owner's wall clock when it asked for them.
+	keepersAt time.Time
 }
 
 // enqueue takes a change in. A resend joins the change that is under way.
--- a/internal/core/reader/model_test.go
+++ b/internal/core/reader/model_test.go
@@ -247,7 +247,8 @@
 	current, _ := o.world.head().KeeperSet("windhoek")
 	set := protocol.KeeperSet{Region: "windhoek", Revision: current.Revision, Write: 1, Read: 1}
 	set.Members = []protocol.KeeperMember{{ID: protocol.NodeID(c.name), ControlAddress: "127.0.0.1:1"}}
-	c.input(func(now time.Duration) []Output { return c.reader.SetKeepers(now, []protocol.KeeperSet{set}) })
+	wall := time.UnixMilli(epoch).Add(o.world.now)
+	c.input(func(now time.Duration) []Output { return c.reader.SetKeepers(now, wall, []protocol.KeeperSet{set}) })
 }
 
 // changeFaults draws the platform's faults of the next while.
--- a/internal/core/reader/reader.go
+++ b/internal/core/reader/reader.go
@@ -190,8 +190,12 @@
 // version. The Revision of each set is that of the set which it was derived
 // from (0 for none); when the head has another one by then, the set is
 // dropped. The owner repeats the call until CatalogueReady shows the sets.
-func (r *Reader) SetKeepers(now time.Duration, sets []protocol.KeeperSet) []Output {
-	return r.step(now, func() { r.changes.keepers = sets })
+// wallClock is only written into the head, as the time of acceptance.
+func (r *Reader) SetKeepers(now time.Duration, wallClock time.Time, sets []protocol.KeeperSet) []Output {
+	return r.step(now, func() {
+		r.changes.keepers = sets
+		r.changes.keepersAt = wallClock
+	})
 }
 
 // Resign gives the lease back, so that another daemon can take it at once. The
