Node: an answer to a former releaser is not handed to the next one

Cause: each term as root makes a Releaser, whose tokens start anew. A late answer to the former one, with the same token and from the same keeper, could have confirmed a release though it was given before the confirming round, which is what that round must rule out. Conclusion: found by reading; the answer is dropped now.

--- a/internal/core/node/start.go
+++ b/internal/core/node/start.go
@@ -168,7 +168,11 @@
 
 func (n *Node) storeVersion(store floor.StoreVersion) {
 	store.Request.Incarnation = n.self.Incarnation
+	releaser := n.root.releaser
 	n.store(store.Address, store.Request, store.Timeout, func(reply *protocol.StoreReply) {
+		if releaser != n.root.releaser {
+			return // an answer to a former term as root proves nothing now
+		}
 		n.carryOutFloor(n.root.releaser.HandleReply(n.now, store.Token, reply))
 		if n.root.active {
 			n.release()
