--- a/internal/core/floor/releaser.go
+++ b/internal/core/floor/releaser.go
@@ -71,7 +71,8 @@
 	round   int
 }
 
-// NewReleaser returns a Releaser that has released nothing.
+// NewReleaser returns a Releaser that has released nothing. Its tokens start
+// anew: answers to a former Releaser must not be handed to it.
 func NewReleaser(id protocol.NodeID, region string) *Releaser {
 	return &Releaser{
 		id:        id,
