Claims count once, relaying asks the tree last, a field that decided nothing goes

Cause: reading the change again. Claims.Fenced and Claims.Highest had the same loop; relaying() computed the tree even where a role already decides; and retry.Outcome.Status was set by both sides and read by nobody. Change: one loop with a condition; the cheap questions first; the field removed.

--- a/internal/core/distribution/inforce.go
+++ b/internal/core/distribution/inforce.go
@@ -118,21 +118,25 @@
 // cut off or forgotten included. A lease belongs to the version that came with
 // it, and no root earns one at an older version once the newer is stored.
 func (c *Claims) Fenced(now time.Duration) protocol.Version {
-	var highest protocol.Version
-	for _, one := range c.released {
-		if now-one.storedAt >= Margin(c.lease) {
-			highest = max(highest, one.version)
-		}
-	}
-	return highest
+	return c.highest(func(one releasedVersion) bool { return c.fenced(one, now) })
 }
 
 // Highest returns the highest version that may be claimed at now, once it is
 // acknowledged.
 func (c *Claims) Highest(now time.Duration) protocol.Version {
+	return c.highest(func(one releasedVersion) bool { return one.alone || c.fenced(one, now) })
+}
+
+// fenced reports whether every lease at a version before this one has ended.
+func (c *Claims) fenced(one releasedVersion, now time.Duration) bool {
+	return now-one.storedAt >= Margin(c.lease)
+}
+
+// highest returns the highest released version that fits; 0 when none does.
+func (c *Claims) highest(fits func(releasedVersion) bool) protocol.Version {
 	var highest protocol.Version
 	for _, one := range c.released {
-		if one.alone || now-one.storedAt >= Margin(c.lease) {
+		if fits(one) {
 			highest = max(highest, one.version)
 		}
 	}
--- a/internal/core/node/holding.go
+++ b/internal/core/node/holding.go
@@ -125,8 +125,10 @@
 // relaying reports whether this daemon holds everything, to be a parent: it is
 // a relay of its zone, a reader, a root, or still has children.
 func (n *Node) relaying() bool {
-	byRank := n.tree().IsRelay(n.self) && n.now >= n.upstream.leafUntil
-	return n.root.active || n.readerSide.reader.IsReader() || len(n.downstream.children) > 0 || byRank
+	if n.root.active || n.readerSide.reader.IsReader() || len(n.downstream.children) > 0 {
+		return true
+	}
+	return n.now >= n.upstream.leafUntil && n.tree().IsRelay(n.self)
 }
 
 // scopeToFetch returns the scope that this daemon asks its parent for.
--- a/internal/core/retry/call.go
+++ b/internal/core/retry/call.go
@@ -38,8 +38,6 @@
 	Code       result.Code
 	Ran        result.Execution
 	RetryAfter time.Duration
-	// Status is the HTTP status, for Answered. No status leads to a retry.
-	Status int
 	// Replayable tells whether the request's body can be sent from its start.
 	Replayable bool
 	// Others tells whether an endpoint that was not tried yet can take it.
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -100,7 +100,6 @@
 		c.judgeRefusal(made, answer)
 	default:
 		made.outcome.Kind = retry.Answered
-		made.outcome.Status = answer.StatusCode
 		made.evidence = endpoint.Fine
 		if answer.StatusCode >= http.StatusInternalServerError {
 			made.evidence = endpoint.ServerError
--- a/internal/sim/calls/side.go
+++ b/internal/sim/calls/side.go
@@ -193,7 +193,7 @@
 		return
 	}
 	a.received = end
-	w.attemptEnded(a, endpoint.Fine, retry.Outcome{Kind: retry.Answered, Status: end.status})
+	w.attemptEnded(a, endpoint.Fine, retry.Outcome{Kind: retry.Answered})
 }
 
 // refusedBy takes a gate's refusal.
