--- a/cmd/springstackd/run.go
+++ b/cmd/springstackd/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/springstack/springstack/internal/daemon"
 	"github.com/springstack/springstack/internal/logging"
+	"github.com/springstack/springstack/internal/settings"
 )
 
 // pprofFlag serves /debug/pprof on the admin address.
@@ -28,6 +29,9 @@
 
 // runDaemon runs until a signal asks to stop. A second signal ends the drain.
 func runDaemon(ctx context.Context, command *cli.Command) error {
+	if settings.IsHosted(settingsPath(command)) {
+		return runHosted(ctx, command)
+	}
 	loaded, err := loadSettings(command)
 	if err != nil {
 		return errors.Trace(err)
@@ -40,6 +44,17 @@
 		Logger: logging.New(level),
 		Pprof:  command.Bool(pprofFlag),
 	})
+	return errors.Trace(untilSignal(ctx, started))
+}
+
+// stoppable is a daemon that runs until it is told to stop.
+type stoppable interface {
+	Start() error
+	Stop(ctx context.Context) error
+}
+
+// untilSignal runs a daemon until a signal asks to stop it.
+func untilSignal(ctx context.Context, started stoppable) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
--- a/internal/control/kind.go
+++ b/internal/control/kind.go
@@ -6,17 +6,21 @@
 	"github.com/springstack/springstack/internal/core/protocol"
 )
 
-// Kind names the five calls between daemons.
+// Kind names the calls between daemons.
 type Kind string
 
 // The kinds of calls. KindUnknown counts frames whose kind was not readable.
 const (
-	KindFetch   Kind = "fetch"
-	KindStore   Kind = "store"
-	KindFloor   Kind = "floor"
-	KindSubmit  Kind = "submit"
-	KindStatus  Kind = "status"
-	KindUnknown Kind = "unknown"
+	KindFetch  Kind = "fetch"
+	KindStore  Kind = "store"
+	KindFloor  Kind = "floor"
+	KindSubmit Kind = "submit"
+	KindStatus Kind = "status"
+	// KindExchange and KindDocument are between daemons that follow an external
+	// configuration authority.
+	KindExchange Kind = "exchange"
+	KindDocument Kind = "document"
+	KindUnknown  Kind = "unknown"
 )
 
 // serviceName is the net/rpc service under which the methods are registered.
@@ -24,17 +28,19 @@
 
 // The net/rpc methods, one a kind.
 const (
-	methodFetch  = serviceName + ".Fetch"
-	methodStore  = serviceName + ".Store"
-	methodFloor  = serviceName + ".Floor"
-	methodSubmit = serviceName + ".Submit"
-	methodStatus = serviceName + ".Status"
+	methodFetch    = serviceName + ".Fetch"
+	methodStore    = serviceName + ".Store"
+	methodFloor    = serviceName + ".Floor"
+	methodSubmit   = serviceName + ".Submit"
+	methodStatus   = serviceName + ".Status"
+	methodExchange = serviceName + ".Exchange"
+	methodDocument = serviceName + ".Document"
 )
 
 // kindOf returns the kind of a net/rpc method.
 func kindOf(method string) Kind {
 	switch method {
-	case methodFetch, methodStore, methodFloor, methodSubmit, methodStatus:
+	case methodFetch, methodStore, methodFloor, methodSubmit, methodStatus, methodExchange, methodDocument:
 		return Kind(strings.ToLower(strings.TrimPrefix(method, serviceName+".")))
 	}
 	return KindUnknown
@@ -54,6 +60,10 @@
 		return methodSubmit, new(protocol.SubmitReply)
 	case *protocol.StatusRequest:
 		return methodStatus, new(protocol.StatusReply)
+	case *protocol.ExchangeRequest:
+		return methodExchange, new(protocol.ExchangeReply)
+	case *protocol.DocumentRequest:
+		return methodDocument, new(protocol.DocumentReply)
 	}
 	return "", nil
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -199,6 +199,16 @@
 	return answer(m, request, reply)
 }
 
+// Exchange answers a comparison of member records.
+func (m *meshService) Exchange(request *protocol.ExchangeRequest, reply *protocol.ExchangeReply) error {
+	return answer(m, request, reply)
+}
+
+// Document answers a question for a configuration document.
+func (m *meshService) Document(request *protocol.DocumentRequest, reply *protocol.DocumentReply) error {
+	return answer(m, request, reply)
+}
+
 // answer runs one call within the bound of all calls.
 func answer[Reply any](m *meshService, request any, reply *Reply) error {
 	select {
--- /dev/null
+++ b/internal/core/backend/backend.go
@@ -0,0 +1,175 @@
+// Package backend follows the back end beside a daemon by what it reports
+// itself: which instance of it runs, and whether it may get work. Reports may
+// come late, twice, out of order and from an instance that has ended. It does
+// no input or output and reads no clock.
+package backend
+
+import (
+	"slices"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+)
+
+// Report is a heartbeat of a back end.
+type Report struct {
+	// Instance identifies one start of the back end.
+	Instance string
+	// Service is the name of the service that it belongs to.
+	Service string
+	// Sequence grows with each report of an instance.
+	Sequence uint64
+	// Draining says that the instance is about to end.
+	Draining bool
+	// WarmUp is how much longer the instance is slow.
+	WarmUp time.Duration
+	// Slots is how many calls it runs at once.
+	Slots int
+}
+
+// Probe is what the back end itself answered when it was asked.
+type Probe struct {
+	// Instance is the one that answered; empty when there was no answer.
+	Instance string
+	// Healthy says that the instance takes work.
+	Healthy bool
+}
+
+// endedLimit bounds the ended instances that are remembered.
+const endedLimit = 32
+
+// silentBeats is how many heartbeats must be missing, without an answered
+// call, before an instance counts as down.
+const silentBeats = 4
+
+// Tracker is what one daemon knows of the back end beside it. It is not safe
+// for concurrent use.
+type Tracker struct {
+	interval time.Duration
+
+	instance string
+	sequence uint64
+	slots    int
+	warmAt   time.Duration
+	draining bool
+	down     bool
+	heardAt  time.Duration
+	// candidate is a report of an instance that has not been confirmed.
+	candidate *Report
+	// ended are instances that have left or been replaced, oldest first.
+	ended []string
+}
+
+// NewTracker returns a tracker of back ends that report each interval.
+func NewTracker(interval time.Duration) *Tracker { return &Tracker{interval: interval} }
+
+// Reported takes a report, and tells whether the instance must be probed before
+// it is taken for the one that runs: a late report of an ended instance can't
+// be told from the first one of a new instance.
+func (t *Tracker) Reported(now time.Duration, report Report) (probe bool) {
+	if slices.Contains(t.ended, report.Instance) {
+		return false
+	}
+	if report.Instance != t.instance {
+		known := t.candidate
+		if known == nil || known.Instance != report.Instance || known.Sequence < report.Sequence {
+			t.candidate = &report
+		}
+		return true
+	}
+	if report.Sequence <= t.sequence {
+		return false
+	}
+	t.take(now, report)
+	return false
+}
+
+func (t *Tracker) take(now time.Duration, report Report) {
+	t.sequence = report.Sequence
+	t.slots = report.Slots
+	t.warmAt = now + report.WarmUp
+	t.draining = t.draining || report.Draining
+	t.down = false
+	t.heardAt = now
+}
+
+// Probed takes the answer of a probe. A candidate that answers itself replaces
+// the instance that ran before.
+func (t *Tracker) Probed(now time.Duration, probe Probe) {
+	if t.candidate == nil || probe.Instance != t.candidate.Instance {
+		return
+	}
+	if !probe.Healthy && !t.candidate.Draining {
+		return // it is leaving, or fails: the next report asks again
+	}
+	if t.instance != "" {
+		t.end(t.instance)
+	}
+	t.instance = t.candidate.Instance
+	t.draining = false
+	t.take(now, *t.candidate)
+	t.candidate = nil
+}
+
+// Unconfirmed tells whether a report waits for a probe.
+func (t *Tracker) Unconfirmed() bool { return t.candidate != nil }
+
+// Left takes the word of an instance that it gets no more work.
+func (t *Tracker) Left(instance string) {
+	if t.candidate != nil && t.candidate.Instance == instance {
+		t.candidate = nil
+	}
+	if instance == t.instance {
+		t.draining = true
+	}
+	t.end(instance)
+}
+
+func (t *Tracker) end(instance string) {
+	if slices.Contains(t.ended, instance) {
+		return
+	}
+	if len(t.ended) >= endedLimit {
+		t.ended = slices.Delete(t.ended, 0, 1)
+	}
+	t.ended = append(t.ended, instance)
+}
+
+// Unreachable is called when a call found that the instance takes no
+// connections. Its next report ends that.
+func (t *Tracker) Unreachable(instance string) {
+	if instance == t.instance {
+		t.down = true
+	}
+}
+
+// Answered is called when the instance has answered a call.
+func (t *Tracker) Answered(now time.Duration) { t.heardAt = max(t.heardAt, now) }
+
+// Leaving tells whether the instance that ran last is draining or has left.
+func (t *Tracker) Leaving() bool { return t.draining }
+
+// View is the present state of the back end.
+type View struct {
+	Instance string
+	Slots    int
+	State    protocol.EndpointState
+}
+
+// View returns the state at a time.
+func (t *Tracker) View(now time.Duration) View {
+	view := View{Instance: t.instance, Slots: t.slots}
+	switch {
+	case t.instance == "":
+		view.State = protocol.EndpointNone
+	case t.draining:
+		view.State = protocol.EndpointDraining
+	case t.down || now-t.heardAt > silentBeats*t.interval:
+		view.State = protocol.EndpointDown
+	case now < t.warmAt:
+		view.State = protocol.EndpointWarming
+	default:
+		view.State = protocol.EndpointReady
+	}
+	return view
+}
--- /dev/null
+++ b/internal/core/backend/backend_test.go
@@ -0,0 +1,98 @@
+package backend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+)
+
+const interval = time.Second
+
+func started(t *testing.T) *Tracker {
+	t.Helper()
+	tracker := NewTracker(interval)
+	is.New(t).True(tracker.Reported(0, Report{Instance: "a", Sequence: 3, Slots: 6}))
+	tracker.Probed(0, Probe{Instance: "a", Healthy: true})
+	is.New(t).Equal(tracker.View(0), View{Instance: "a", Slots: 6, State: protocol.EndpointReady})
+	return tracker
+}
+
+func TestAnInstanceIsTakenOnlyOnceItHasAnsweredItself(t *testing.T) {
+	check := is.New(t)
+	tracker := NewTracker(interval)
+	tracker.Reported(0, Report{Instance: "a", Sequence: 1, Slots: 6})
+	check.Equal(tracker.View(0).State, protocol.EndpointNone)
+	tracker.Probed(0, Probe{Instance: "b", Healthy: true})
+	check.Equal(tracker.View(0).State, protocol.EndpointNone)
+	tracker.Probed(0, Probe{})
+	check.Equal(tracker.View(0).State, protocol.EndpointNone)
+	tracker.Probed(0, Probe{Instance: "a"}) // it is leaving
+	check.Equal(tracker.View(0).State, protocol.EndpointNone)
+	check.True(tracker.Unconfirmed())
+	tracker.Probed(0, Probe{Instance: "a", Healthy: true})
+	check.Equal(tracker.View(0).State, protocol.EndpointReady)
+}
+
+func TestDrainingOutlivesLateReports(t *testing.T) {
+	check := is.New(t)
+	tracker := started(t)
+	tracker.Reported(0, Report{Instance: "a", Sequence: 5, Draining: true})
+	check.Equal(tracker.View(0).State, protocol.EndpointDraining)
+	tracker.Reported(0, Report{Instance: "a", Sequence: 4})
+	tracker.Reported(0, Report{Instance: "a", Sequence: 6}) // a daemon that was restarted in between may hear this
+	check.Equal(tracker.View(0).State, protocol.EndpointDraining)
+}
+
+func TestALateReportOfAnEndedInstanceIsNotANewOne(t *testing.T) {
+	check := is.New(t)
+	tracker := started(t)
+	check.True(tracker.Reported(0, Report{Instance: "b", Sequence: 1, Slots: 4}))
+	tracker.Probed(0, Probe{Instance: "b", Healthy: true})
+	check.Equal(tracker.View(0), View{Instance: "b", Slots: 4, State: protocol.EndpointReady})
+	check.True(!tracker.Reported(0, Report{Instance: "a", Sequence: 9}))
+	check.Equal(tracker.View(0).Instance, "b")
+	check.True(!tracker.Unconfirmed())
+}
+
+func TestLeavingWithoutDrainingEndsWork(t *testing.T) {
+	check := is.New(t)
+	tracker := started(t)
+	tracker.Left("b")
+	check.Equal(tracker.View(0).State, protocol.EndpointReady)
+	tracker.Left("a")
+	check.Equal(tracker.View(0).State, protocol.EndpointDraining)
+	check.True(!tracker.Reported(0, Report{Instance: "a", Sequence: 9}))
+	check.Equal(tracker.View(0).State, protocol.EndpointDraining)
+}
+
+func TestDownEndsWithTheNextReport(t *testing.T) {
+	check := is.New(t)
+	tracker := started(t)
+	tracker.Unreachable("b")
+	check.Equal(tracker.View(0).State, protocol.EndpointReady)
+	tracker.Unreachable("a")
+	check.Equal(tracker.View(0).State, protocol.EndpointDown)
+	tracker.Reported(interval, Report{Instance: "a", Sequence: 4, Slots: 6, WarmUp: interval})
+	check.Equal(tracker.View(interval).State, protocol.EndpointWarming)
+	check.Equal(tracker.View(2*interval).State, protocol.EndpointReady)
+}
+
+func TestSilenceCountsOnlyWithoutAnsweredCalls(t *testing.T) {
+	check := is.New(t)
+	tracker := started(t)
+	late := silentBeats*interval + 1
+	check.Equal(tracker.View(late).State, protocol.EndpointDown)
+	tracker.Answered(interval)
+	check.Equal(tracker.View(late).State, protocol.EndpointReady)
+}
+
+func TestEndedInstancesAreBounded(t *testing.T) {
+	tracker := started(t)
+	for index := range 3 * endedLimit {
+		tracker.Left(string(rune('A' + index)))
+	}
+	is.New(t).Equal(len(tracker.ended), endedLimit)
+}
--- a/internal/core/endpoint/set.go
+++ b/internal/core/endpoint/set.go
@@ -13,6 +13,9 @@
 type Locality struct {
 	Region string
 	Zone   string
+	// TrustStates says that back ends tell themselves when they are warm, so
+	// that one that has just come and is ready gets its full share.
+	TrustStates bool
 }
 
 // tierCount is the number of distances: own zone, own region, elsewhere.
@@ -67,7 +70,7 @@
 	known := previous.byName()
 	for _, backend := range backends {
 		made, usable := describe(backend, index)
-		made.stats = carryOver(previous, known[made.Backend], made, now)
+		made.stats = carryOver(self, previous, known[made.Backend], made, now)
 		set.All = append(set.All, made)
 		if !usable {
 			continue
@@ -132,13 +135,13 @@
 // carryOver takes the counts of an endpoint from the previous set. In a first
 // set everything counts as warm: the chooser is what is new, not the back
 // ends; those that say themselves that they are warming start cold.
-func carryOver(previous *Set, old, made *Endpoint, now time.Duration) *stats {
+func carryOver(self Locality, previous *Set, old, made *Endpoint, now time.Duration) *stats {
 	if old != nil && (old.Incarnation == made.Incarnation || old.Incarnation == 0) {
 		return old.stats
 	}
 	fresh := &stats{}
 	fresh.readyAt.Store(int64(now))
-	if previous == nil && made.State != protocol.EndpointWarming {
+	if (previous == nil || self.TrustStates) && made.State != protocol.EndpointWarming {
 		fresh.readyAt.Store(int64(now - warmUp))
 	}
 	return fresh
--- /dev/null
+++ b/internal/core/following/following.go
@@ -0,0 +1,168 @@
+// Package following decides how a daemon follows an external configuration
+// authority: when it reads and watches the store, when it asks other daemons,
+// and which version it takes. It is a pure state machine, stepped with events;
+// the actions that it returns are carried out by the daemon, and their results
+// come back as events. What must hold: a version is never followed by a lower
+// one, whatever the store, a peer or an old answer says.
+package following
+
+import (
+	"time"
+
+	"github.com/springstack/springstack/internal/authority"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// Config holds the periods of a follower.
+type Config struct {
+	// Pace is the least time between the starts of two watches, so that a storm
+	// of versions costs a bounded number of calls.
+	Pace time.Duration
+	// WatchWait is how long the store may hold a watch without news.
+	WatchWait time.Duration
+	// RetryMinimum and RetryMaximum bound the pause after a failure.
+	RetryMinimum time.Duration
+	RetryMaximum time.Duration
+	// Direct says whether this daemon watches the store itself. One that does
+	// not is told by its peers, and compares with a stale read each StalePeriod.
+	Direct      bool
+	StalePeriod time.Duration
+}
+
+// DefaultConfig returns the periods for production.
+func DefaultConfig() Config {
+	return Config{
+		Pace:         500 * time.Millisecond,
+		WatchWait:    10 * time.Second,
+		RetryMinimum: 100 * time.Millisecond,
+		RetryMaximum: time.Second,
+		Direct:       true,
+		StalePeriod:  5 * time.Second,
+	}
+}
+
+// ActionKind tells the actions apart.
+type ActionKind int
+
+// The actions.
+const (
+	// Read reads the newest configuration from the store.
+	Read ActionKind = iota + 1
+	// ReadStale is Read at a fraction of the price.
+	ReadStale
+	// Watch waits for changes after Action.From.
+	Watch
+	// AskPeer asks a peer for its document.
+	AskPeer
+	// Adopt puts Action.Document in force, if it can be decoded.
+	Adopt
+)
+
+// Action is one thing to do.
+type Action struct {
+	Kind ActionKind
+	// After is the pause before it.
+	After    time.Duration
+	From     authority.Position
+	Peer     protocol.NodeID
+	Document authority.Document
+	// Source names where the document came from, for logs.
+	Source string
+}
+
+// The names of sources in logs.
+const (
+	SourceStore = "store"
+	SourcePeer  = "peer"
+)
+
+// Follower is the state machine of one daemon. It is not safe for concurrent
+// use.
+type Follower struct {
+	config Config
+	// random returns a uniform number; it spreads retries.
+	random func() uint64
+	// version is the newest version handed out to be adopted.
+	version protocol.Version
+	// failures counts the store's failures in a row.
+	failures int
+	// answered is set once the store has answered at all.
+	answered  bool
+	watchedAt time.Duration
+	asking    map[protocol.NodeID]bool
+}
+
+// New returns a follower that has nothing yet.
+func New(config Config, random func() uint64) *Follower {
+	return &Follower{config: config, random: random, asking: map[protocol.NodeID]bool{}}
+}
+
+// Version is the newest version handed out to be adopted.
+func (f *Follower) Version() protocol.Version { return f.version }
+
+// StoreAnswered tells whether the store's last answer was one.
+func (f *Follower) StoreAnswered() bool { return f.answered && f.failures == 0 }
+
+// Start begins with a linearizable read.
+func (f *Follower) Start() []Action { return []Action{{Kind: Read}} }
+
+// StoreRead takes the result of Read, ReadStale or Watch.
+func (f *Follower) StoreRead(now time.Duration, reading authority.Reading) []Action {
+	actions := f.offer(reading.Document, SourceStore)
+	switch reading.Code {
+	case result.OK:
+		f.failures = 0
+		f.answered = true
+	case result.PlatformCompacted:
+		// The history is gone: what was missed is in the newest state.
+		return append(actions, Action{Kind: Read})
+	default:
+		f.failures++
+		return append(actions, Action{Kind: Read, After: f.backoff()})
+	}
+	if !f.config.Direct {
+		return append(actions, Action{Kind: ReadStale, After: f.jittered(f.config.StalePeriod)})
+	}
+	pause := max(0, f.watchedAt+f.config.Pace-now)
+	f.watchedAt = now + pause
+	return append(actions, Action{Kind: Watch, From: reading.At, After: pause})
+}
+
+// offer takes a document if it is newer than all before.
+func (f *Follower) offer(document authority.Document, source string) []Action {
+	if document.Version <= f.version {
+		return nil
+	}
+	f.version = document.Version
+	return []Action{{Kind: Adopt, Document: document, Source: source}}
+}
+
+// PeerVersion takes a peer's word of the version that it has in force.
+func (f *Follower) PeerVersion(peer protocol.NodeID, version protocol.Version) []Action {
+	if version <= f.version || f.asking[peer] {
+		return nil
+	}
+	f.asking[peer] = true
+	return []Action{{Kind: AskPeer, Peer: peer}}
+}
+
+// PeerAnswered takes a peer's document; one without a version is none.
+func (f *Follower) PeerAnswered(peer protocol.NodeID, document authority.Document) []Action {
+	delete(f.asking, peer)
+	return f.offer(document, SourcePeer)
+}
+
+// backoff is a random pause whose bound doubles with each failure.
+func (f *Follower) backoff() time.Duration {
+	bound := f.config.RetryMaximum
+	if f.failures < 8 {
+		bound = min(bound, f.config.RetryMinimum<<f.failures)
+	}
+	return f.config.RetryMinimum/2 + time.Duration(f.random()%uint64(bound))
+}
+
+// jittered spreads a period over a quarter more or less.
+func (f *Follower) jittered(period time.Duration) time.Duration {
+	return period*3/4 + time.Duration(f.random()%uint64(period/2))
+}
--- /dev/null
+++ b/internal/core/following/following_test.go
@@ -0,0 +1,123 @@
+package following
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/springstack/springstack/internal/authority"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/result"
+
+	_ "github.com/springstack/springstack/internal/fixedseed"
+)
+
+func newFollower() *Follower { return New(DefaultConfig(), func() uint64 { return 0 }) }
+
+func reading(version protocol.Version, at authority.Position) authority.Reading {
+	return authority.Reading{Code: result.OK, At: at, Document: authority.Document{Version: version}}
+}
+
+func kinds(actions []Action) []ActionKind {
+	var found []ActionKind
+	for _, action := range actions {
+		found = append(found, action.Kind)
+	}
+	return found
+}
+
+func TestItReadsThenWatchesFromWhereItRead(t *testing.T) {
+	check := is.New(t)
+	follower := newFollower()
+	check.Equal(kinds(follower.Start()), []ActionKind{Read})
+	actions := follower.StoreRead(time.Minute, reading(7, 40))
+	check.Equal(kinds(actions), []ActionKind{Adopt, Watch})
+	check.Equal(actions[0].Document.Version, protocol.Version(7))
+	check.Equal(actions[1].From, authority.Position(40))
+	check.Equal(actions[1].After, time.Duration(0))
+}
+
+func TestAStormOfVersionsCostsOneWatchAPace(t *testing.T) {
+	check := is.New(t)
+	follower := newFollower()
+	follower.StoreRead(time.Minute, reading(1, 1))
+	actions := follower.StoreRead(time.Minute+10*time.Millisecond, reading(2, 2))
+	check.Equal(kinds(actions), []ActionKind{Adopt, Watch})
+	check.Equal(actions[1].After, DefaultConfig().Pace-10*time.Millisecond)
+}
+
+func TestAForgottenHistoryIsReadAgainAtOnce(t *testing.T) {
+	check := is.New(t)
+	follower := newFollower()
+	follower.StoreRead(0, reading(5, 5))
+	actions := follower.StoreRead(0, authority.Reading{Code: result.PlatformCompacted})
+	check.Equal(kinds(actions), []ActionKind{Read})
+	check.Equal(kinds(follower.StoreRead(time.Minute, reading(3, 9))), []ActionKind{Watch}) // it lags
+	check.Equal(follower.Version(), protocol.Version(5))
+}
+
+func TestFailuresAreRetriedWithGrowingPauses(t *testing.T) {
+	check := is.New(t)
+	follower := New(DefaultConfig(), func() uint64 { return 1 << 40 })
+	for range 20 {
+		actions := follower.StoreRead(0, authority.Reading{Code: result.PlatformUnavailable})
+		check.Equal(kinds(actions), []ActionKind{Read})
+		check.True(actions[0].After > 0)
+		check.True(actions[0].After <= DefaultConfig().RetryMaximum+DefaultConfig().RetryMinimum)
+		check.True(!follower.StoreAnswered())
+	}
+}
+
+func TestAPeerWithANewerVersionIsAskedOnce(t *testing.T) {
+	check := is.New(t)
+	follower := newFollower()
+	follower.StoreRead(0, reading(5, 5))
+	check.Equal(kinds(follower.PeerVersion("p", 5)), nil)
+	check.Equal(kinds(follower.PeerVersion("p", 6)), []ActionKind{AskPeer})
+	check.Equal(kinds(follower.PeerVersion("p", 6)), nil)
+	check.Equal(kinds(follower.PeerAnswered("p", authority.Document{Version: 6})), []ActionKind{Adopt})
+	check.Equal(kinds(follower.PeerVersion("p", 7)), []ActionKind{AskPeer})
+	check.Equal(kinds(follower.PeerAnswered("p", authority.Document{})), nil)
+}
+
+func TestADaemonThatDoesNotWatchComparesWithStaleReads(t *testing.T) {
+	check := is.New(t)
+	config := DefaultConfig()
+	config.Direct = false
+	follower := New(config, func() uint64 { return 0 })
+	actions := follower.StoreRead(0, reading(5, 5))
+	check.Equal(kinds(actions), []ActionKind{Adopt, ReadStale})
+	check.True(actions[1].After >= config.StalePeriod/2)
+}
+
+// No order of readings and peers' answers leads to a lower version.
+func TestVersionsNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		follower := newFollower()
+		newest := protocol.Version(0)
+		take := func(actions []Action) {
+			for _, action := range actions {
+				if action.Kind != Adopt {
+					continue
+				}
+				if action.Document.Version <= newest {
+					t.Fatalf("version %d after %d", action.Document.Version, newest)
+				}
+				newest = action.Document.Version
+			}
+		}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			version := protocol.Version(rapid.IntRange(0, 9).Draw(t, "version"))
+			switch rapid.IntRange(0, 2).Draw(t, "event") {
+			case 0:
+				take(follower.StoreRead(0, reading(version, 1)))
+			case 1:
+				take(follower.PeerVersion("p", version))
+			default:
+				take(follower.PeerAnswered("p", authority.Document{Version: version}))
+			}
+		}
+	})
+}
--- a/internal/core/membership/roster.go
+++ b/internal/core/membership/roster.go
@@ -53,6 +53,15 @@
 // Sums tell two rosters apart, bucket by bucket, without sending records.
 type Sums [Buckets]uint64
 
+// Total sums all buckets up: equal rosters have equal totals.
+func (s Sums) Total() uint64 {
+	total := uint64(0)
+	for _, sum := range s {
+		total += sum
+	}
+	return total
+}
+
 type entry struct {
 	member  protocol.Member
 	changed Cursor
--- /dev/null
+++ b/internal/core/protocol/exchange.go
@@ -0,0 +1,50 @@
+package protocol
+
+// ExchangeRequest compares the member records of two daemons and tells the
+// sender's configuration version. It is sent without Sums first; when the
+// totals differ, it is sent again with Sums and the records of the buckets
+// that differ.
+type ExchangeRequest struct {
+	Format int
+	// From is the sender, Zone where it is.
+	From NodeID
+	Zone string
+	// Version is the configuration version in force on the sender.
+	Version Version
+	// Total is the sum over all buckets of the sender's records.
+	Total uint64
+	// Sums are the sums by bucket; empty in the first request.
+	Sums []uint64
+	// Push says that the records are news and that no comparison is asked for.
+	Push bool
+	// Members are records that the receiver may not know.
+	Members []Member
+}
+
+// ExchangeReply answers an ExchangeRequest.
+type ExchangeReply struct {
+	// Version is the configuration version in force on the receiver.
+	Version Version
+	// Sums are the receiver's sums after merging, when its total differs.
+	Sums []uint64
+	// Members are the receiver's records in the buckets whose sums differ from
+	// the request's.
+	Members []Member
+}
+
+// DocumentRequest asks for a configuration document newer than Have.
+type DocumentRequest struct {
+	Format int
+	From   NodeID
+	Have   Version
+}
+
+// DocumentReply holds the document in force on the receiver, as the
+// configuration authority wrote it. Version is 0 when there is none newer.
+type DocumentReply struct {
+	Version Version
+	// Compressed is the document in the zstd format.
+	Compressed []byte
+	// Bytes is the length of the document.
+	Bytes int
+}
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -6,45 +6,69 @@
 )
 
 // The budget is counted in thousandths of a retry.
-const (
-	unit = 1000
-	// depositPerCall lets retries be a tenth of the calls.
-	depositPerCall = unit / 10
-	// budgetCap is the most that is saved up.
-	budgetCap = 10 * unit
-	// urgentReserve is the part of it that is kept for urgent calls.
-	urgentReserve = budgetCap / 2
-	// trickle keeps a service with few calls able to retry.
-	trickle       = unit
-	tricklePeriod = 2 * time.Second
-)
+const unit = 1000
+
+// Limits bounds the retries towards one service.
+type Limits struct {
+	// Ratio is the retries that each call allows.
+	Ratio float64
+	// Saved is the most retries that are saved up; half of them are kept for
+	// urgent calls.
+	Saved float64
+	// Initial is how many are there at the start.
+	Initial float64
+	// TricklePeriod adds one retry each time, so that a service with few calls
+	// is able to retry; 0 adds none.
+	TricklePeriod time.Duration
+}
+
+// DefaultLimits lets retries be a tenth of the calls.
+func DefaultLimits() Limits {
+	return Limits{Ratio: 0.1, Saved: 10, Initial: 10, TricklePeriod: 2 * time.Second}
+}
 
 // Budget bounds the retries towards one service to a share of its calls. It is
 // shared by all calls and takes no lock.
 type Budget struct {
+	deposit int64
+	saved   int64
+	reserve int64
+	trickle time.Duration
+
 	tokens    atomic.Int64
 	trickleAt atomic.Int64
 }
 
-// NewBudget returns a full budget.
-func NewBudget(now time.Duration) *Budget {
-	budget := &Budget{}
-	budget.tokens.Store(budgetCap)
-	budget.trickleAt.Store(int64(now + tricklePeriod))
+// NewBudget returns a full budget of the default limits.
+func NewBudget(now time.Duration) *Budget { return NewBudgetWithin(now, DefaultLimits()) }
+
+// NewBudgetWithin returns a budget of the limits; zero limits mean the default.
+func NewBudgetWithin(now time.Duration, limits Limits) *Budget {
+	if limits == (Limits{}) {
+		limits = DefaultLimits()
+	}
+	budget := &Budget{
+		deposit: int64(limits.Ratio * unit),
+		saved:   int64(limits.Saved * unit),
+		reserve: int64(limits.Saved * unit / 2),
+		trickle: limits.TricklePeriod,
+	}
+	budget.tokens.Store(int64(limits.Initial * unit))
+	budget.trickleAt.Store(int64(now + limits.TricklePeriod))
 	return budget
 }
 
 // Deposit records a call; it is called once a call, at its first attempt.
-func (b *Budget) Deposit() { b.add(depositPerCall) }
+func (b *Budget) Deposit() { b.add(b.deposit) }
 
 func (b *Budget) add(amount int64) {
 	// A full budget is only read, so that it stays in every core's cache.
 	for {
 		held := b.tokens.Load()
-		if held >= budgetCap {
+		if held >= b.saved {
 			return
 		}
-		if b.tokens.CompareAndSwap(held, min(held+amount, budgetCap)) {
+		if b.tokens.CompareAndSwap(held, min(held+amount, b.saved)) {
 			return
 		}
 	}
@@ -56,11 +80,11 @@
 	price := int64(cost * unit)
 	floor := price
 	if !urgent {
-		floor += urgentReserve
+		floor += b.reserve
 	}
 	due := b.trickleAt.Load()
-	if int64(now) >= due && b.trickleAt.CompareAndSwap(due, int64(now+tricklePeriod)) {
-		b.add(trickle)
+	if b.trickle > 0 && int64(now) >= due && b.trickleAt.CompareAndSwap(due, int64(now+b.trickle)) {
+		b.add(unit)
 	}
 	for {
 		held := b.tokens.Load()
--- a/internal/core/retry/call.go
+++ b/internal/core/retry/call.go
@@ -42,6 +42,11 @@
 	Replayable bool
 	// Others tells whether an endpoint that was not tried yet can take it.
 	Others bool
+	// Failed says that an answer is the back end's own failure.
+	Failed bool
+	// Arrived says that the back end itself has seen an attempt that did not
+	// run, so that sending it again adds to its load.
+	Arrived bool
 }
 
 // Policy is what is allowed for one call.
@@ -54,6 +59,10 @@
 	Urgent bool
 	// NoRetry is the mark of a caller above that retries already.
 	NoRetry bool
+	// RetryFailures sends repeatable calls again after a failure that the back
+	// end answered, and goes on from a gate's refusal without budget, since no
+	// back end has seen the call.
+	RetryFailures bool
 	// Deadline is on the caller's clock.
 	Deadline time.Duration
 	// Unbudgeted retries without budget and mark. It is for comparisons only.
@@ -125,6 +134,11 @@
 // Next decides what follows an attempt.
 func (c *Call) Next(now time.Duration, outcome Outcome) Step {
 	c.attempts++
+	if outcome.Kind == Answered && c.retriesAnswer(now, outcome) {
+		c.mayHaveRun = true
+		c.unknownCode = result.BrokenInFlight
+		return c.send(now, outcome)
+	}
 	if outcome.Kind == Answered {
 		// An answer is an answer, also one of failure: in a chain of calls every
 		// level would retry it, and the calls below would multiply.
@@ -151,6 +165,16 @@
 	return c.send(now, outcome)
 }
 
+// retriesAnswer tells whether a failure that the back end answered is worth
+// another attempt: for repeatable calls only, at another endpoint, and within
+// the attempts and the budget.
+func (c *Call) retriesAnswer(now time.Duration, outcome Outcome) bool {
+	return outcome.Failed && c.policy.RetryFailures && c.policy.Repeatable && !c.policy.NoRetry &&
+		outcome.Replayable && outcome.Others && now < c.policy.Deadline &&
+		c.attempts-c.relocations < c.policy.Attempts &&
+		c.budget.Withdraw(now, c.attempts-c.relocations, c.policy.Urgent)
+}
+
 // weigh records an attempt that may have run.
 func (c *Call) weigh(outcome Outcome) {
 	if didNotRun(outcome) {
@@ -194,6 +218,9 @@
 	if !didNotRun(outcome) || !outcome.Others || c.relocations >= relocationLimit {
 		return false
 	}
+	if c.policy.RetryFailures && outcome.Kind == Refused && !outcome.Arrived {
+		return true
+	}
 	return outcome.Kind == NotSent || outcome.Code == result.ConnectFailed || leaves(outcome)
 }
 
--- a/internal/core/retry/call_test.go
+++ b/internal/core/retry/call_test.go
@@ -89,12 +89,12 @@
 	check.True(retries >= 100)
 	check.True(retries <= 106) // a tenth of the calls and half of what was saved up
 	check.True(!budget.Withdraw(0, 1, false))
-	for range urgentReserve / unit {
+	for range budget.reserve / unit {
 		check.True(budget.Withdraw(0, 1, true)) // kept for urgent calls
 	}
 	check.True(!budget.Withdraw(0, 1, true))
-	check.True(budget.Withdraw(tricklePeriod, 1, true)) // what trickles in
-	check.True(!budget.Withdraw(tricklePeriod, 1, true))
+	check.True(budget.Withdraw(budget.trickle, 1, true)) // what trickles in
+	check.True(!budget.Withdraw(budget.trickle, 1, true))
 }
 
 // TestAtMostOnce draws outcomes of attempts and holds the machine to I5 and
--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -85,6 +85,8 @@
 	// prefixes holds the routes with a prefix by that prefix, most specific
 	// first.
 	prefixes map[string][]*Route
+	// hosts holds the routes of a verbatim table, by host; nil in others.
+	hosts map[string]*hostRoutes
 	// longest is the length of the longest prefix.
 	longest int
 	size    int
@@ -148,6 +150,9 @@
 
 // Find returns the most specific route that matches, or nil.
 func (t *Table) Find(query Query) *Route {
+	if t.hosts != nil {
+		return t.findVerbatim(query)
+	}
 	if route := first(t.exact[query.Path], query); route != nil {
 		return route
 	}
--- /dev/null
+++ b/internal/core/snapshot/decoded.go
@@ -0,0 +1,28 @@
+package snapshot
+
+import (
+	"github.com/juju/errors"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+)
+
+// FromResources returns the snapshot of services and routes that came decoded,
+// as from an external configuration authority. It fails as Build does when a
+// route leads to a service that is not among them (I2).
+func FromResources(version protocol.Version, services []resource.Service, routes []resource.Route) (*Snapshot, error) {
+	built := &Snapshot{
+		Version:  version,
+		Services: make(map[resource.ServiceRef]resource.Service, len(services)),
+		Backends: map[resource.ServiceRef][]resource.Backend{},
+		Secrets:  map[resource.Key]resource.Secret{},
+		Routes:   routes,
+	}
+	for _, service := range services {
+		built.add(service)
+	}
+	if err := built.checkReferences(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return built, nil
+}
--- a/internal/daemon/close.go
+++ b/internal/daemon/close.go
@@ -9,9 +9,9 @@
 // stop, when no call is in flight any more.
 const gentleClose = 2 * time.Second
 
-// closeBound tells how long a server may take to end gently. It is no context
+// CloseBound tells how long a server may take to end gently. It is no context
 // given to do, because do skips a part's shutdown once its context has ended.
-type closeBound func() time.Duration
+type CloseBound func() time.Duration
 
 // closer is a server that can be ended gently or at once.
 type closer interface {
@@ -20,7 +20,7 @@
 }
 
 // closeGently ends a server within the bound, then closes what is left.
-func closeGently(server closer, within closeBound) error {
+func closeGently(server closer, within CloseBound) error {
 	ctx, cancel := context.WithTimeout(context.Background(), within())
 	defer cancel()
 	if server.Shutdown(ctx) == nil {
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/springstack/springstack/internal/metrics"
+	"github.com/springstack/springstack/internal/proxy"
 )
 
 // registry returns the metrics of this daemon and of its process.
@@ -56,7 +57,11 @@
 }
 
 func (c daemonCollector) collectPath(out chan<- prometheus.Metric) {
-	counters := c.daemon.path.Counters()
+	CollectPath(out, c.daemon.path.Counters())
+}
+
+// CollectPath sends the counters of a data path.
+func CollectPath(out chan<- prometheus.Metric, counters proxy.Counters) {
 	metrics.CallerCalls.Send(out, float64(counters.CallerCalls))
 	metrics.GateCalls.Send(out, float64(counters.GateCalls))
 	metrics.Attempts.Send(out, float64(counters.Attempts))
--- a/internal/daemon/pathserver.go
+++ b/internal/daemon/pathserver.go
@@ -8,15 +8,16 @@
 	"github.com/springstack/springstack/internal/proxy"
 )
 
-// pathServer serves one side of the data path.
-type pathServer struct {
+// PathServer serves one side of the data path.
+type PathServer struct {
 	server *proxy.Server
-	within closeBound
+	within CloseBound
 	done   chan struct{}
 }
 
-func servePath(listener net.Listener, server *proxy.Server, within closeBound) *pathServer {
-	path := &pathServer{server: server, within: within, done: make(chan struct{})}
+// ServePath starts to serve one side of the data path.
+func ServePath(listener net.Listener, server *proxy.Server, within CloseBound) *PathServer {
+	path := &PathServer{server: server, within: within, done: make(chan struct{})}
 	go func() {
 		defer close(path.done)
 		_ = path.server.Serve(listener) // always ErrServerClosed or a closed listener
@@ -25,7 +26,7 @@
 }
 
 // Shutdown lets running calls end within the bound, then cuts the rest.
-func (p *pathServer) Shutdown() error {
+func (p *PathServer) Shutdown() error {
 	err := closeGently(p.server, p.within)
 	<-p.done
 	return errors.Trace(err)
--- a/internal/daemon/web.go
+++ b/internal/daemon/web.go
@@ -18,17 +18,17 @@
 	webHeaderBytes   = 16 << 10
 )
 
-// webServer serves one small HTTP API.
-type webServer struct {
+// WebServer serves one small HTTP API.
+type WebServer struct {
 	server *http.Server
-	within closeBound
+	within CloseBound
 	done   chan struct{}
 }
 
-// serveWeb starts to serve a handler. secure is for TLS; nil serves in the
+// ServeWeb starts to serve a handler. secure is for TLS; nil serves in the
 // clear.
-func serveWeb(listener net.Listener, secure *tls.Config, handler http.Handler, within closeBound) *webServer {
-	web := &webServer{
+func ServeWeb(listener net.Listener, secure *tls.Config, handler http.Handler, within CloseBound) *WebServer {
+	web := &WebServer{
 		server: &http.Server{
 			Handler:           handler,
 			ReadHeaderTimeout: webHeaderTimeout,
@@ -52,7 +52,7 @@
 
 // Shutdown lets running calls end within the bound, then closes all
 // connections.
-func (w *webServer) Shutdown() error {
+func (w *WebServer) Shutdown() error {
 	err := closeGently(w.server, w.within)
 	<-w.done
 	return errors.Trace(err)
--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -39,10 +39,10 @@
 		platform.Port
 		close func()
 	}
-	callersServer   struct{ *pathServer }
-	gateServer      struct{ *pathServer }
-	operatorsServer struct{ *webServer }
-	adminServer     struct{ *webServer }
+	callersServer   struct{ *PathServer }
+	gateServer      struct{ *PathServer }
+	operatorsServer struct{ *WebServer }
+	adminServer     struct{ *WebServer }
 	// security holds the TLS configurations; all nil in the clear.
 	security struct{ access.Ports }
 )
@@ -178,7 +178,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callersServer{servePath(opened.callers, proxy.NewServer(path.CallerHandler(), d.pathLimits()), d.closeBound)}, nil
+	return &callersServer{ServePath(opened.callers, proxy.NewServer(path.CallerHandler(), d.pathLimits()), d.closeBound)}, nil
 }
 
 func (d *Daemon) newGateServer(injector do.Injector) (*gateServer, error) {
@@ -191,7 +191,7 @@
 		return nil, err
 	}
 	server := proxy.NewServer(path.GateHandler(), d.pathLimits()).Secure(secure.Control)
-	return &gateServer{servePath(opened.gate, server, d.closeBound)}, nil
+	return &gateServer{ServePath(opened.gate, server, d.closeBound)}, nil
 }
 
 func (d *Daemon) pathParts(injector do.Injector) (*listeners, *pathPart, error) {
@@ -221,7 +221,7 @@
 		return nil, errors.Annotate(err, "operators.tokens")
 	}
 	handler := operator.New(operatorBackend{shell: mesh.Shell()}, granted)
-	return &operatorsServer{serveWeb(opened.operators, secure.Operators, handler, d.closeBound)}, nil
+	return &operatorsServer{ServeWeb(opened.operators, secure.Operators, handler, d.closeBound)}, nil
 }
 
 func grantOf(token settings.Token, _ int) operator.Grant {
@@ -236,7 +236,7 @@
 	if _, err := do.Invoke[*meshPart](injector); err != nil {
 		return nil, err
 	}
-	return &adminServer{serveWeb(opened.admin, nil, d.adminHandler(d.registry()), d.closeBound)}, nil
+	return &adminServer{ServeWeb(opened.admin, nil, d.adminHandler(d.registry()), d.closeBound)}, nil
 }
 
 // shutdown ends every part that was made.
--- /dev/null
+++ b/internal/hosted/backendside.go
@@ -0,0 +1,169 @@
+package hosted
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/backend"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/proxy"
+)
+
+const (
+	// probeTimeout bounds one probe of the back end.
+	probeTimeout = time.Second
+	// probePause is the time between probes of an instance that has not
+	// answered.
+	probePause = 300 * time.Millisecond
+	// probeLimit bounds the probes for one report.
+	probeLimit = 5
+	// backendTick is how often the passing of time is looked at.
+	backendTick = 250 * time.Millisecond
+)
+
+// backendSide follows the back end beside the daemon: its reports come in, the
+// gate and the mesh are told.
+type backendSide struct {
+	settings hostedBackend
+	events   eventLog
+	clock    func() time.Duration
+	gate     func(proxy.BackendReport)
+	// announce tells the mesh; it must not block.
+	announce func(backend.View)
+	context  context.Context
+	running  sync.WaitGroup
+
+	mutex   sync.Mutex
+	tracker *backend.Tracker
+	shown   backend.View
+	probing bool
+	// stopping is set once the daemon leaves; the mesh is told that the back
+	// end takes no more work from here.
+	stopping bool
+}
+
+// hostedBackend is what the side needs of the settings.
+type hostedBackend struct {
+	address string
+	probe   Prober
+	// healthPath is the health path as the configuration has it; empty while
+	// that is not known.
+	healthPath func() string
+}
+
+func (b *backendSide) start() {
+	b.running.Add(1)
+	go b.tick()
+}
+
+// Heartbeat implements Reports.
+func (b *backendSide) Heartbeat(report backend.Report) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.tracker.Reported(b.clock(), report) {
+		b.probeSoon()
+	}
+	b.show()
+}
+
+// Leave implements Reports.
+func (b *backendSide) Leave(instance string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.tracker.Left(instance)
+	b.events.event("backend_left", field("instance", instance))
+	b.show()
+}
+
+// unreachable is called when a call met no connection.
+func (b *backendSide) unreachable(instance string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.tracker.Unreachable(instance)
+	b.show()
+}
+
+// stop tells the mesh that the back end takes no more work from here.
+func (b *backendSide) stop() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.stopping = true
+	b.show()
+}
+
+// leaving tells whether the back end itself is leaving.
+func (b *backendSide) leaving() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.tracker.Leaving()
+}
+
+// show puts the present view in force where it differs from the last one; the
+// lock is held.
+func (b *backendSide) show() {
+	view := b.tracker.View(b.clock())
+	if b.stopping && view.State != protocol.EndpointNone {
+		view.State = protocol.EndpointDraining
+	}
+	if view == b.shown || view.Instance == "" {
+		return
+	}
+	b.shown = view
+	if !b.stopping {
+		b.gate(proxy.BackendReport{Instance: view.Instance, Slots: view.Slots, State: view.State})
+	}
+	b.announce(view)
+}
+
+// tick looks at what time alone changes.
+func (b *backendSide) tick() {
+	defer b.running.Done()
+	for pause(b.context, backendTick) {
+		b.mutex.Lock()
+		b.show()
+		b.mutex.Unlock()
+	}
+}
+
+// probeSoon asks the back end itself, unless that is being done; the lock is
+// held.
+func (b *backendSide) probeSoon() {
+	if b.probing {
+		return
+	}
+	b.probing = true
+	b.running.Add(1)
+	go func() {
+		defer b.running.Done()
+		b.probe()
+	}()
+}
+
+// probe asks until the reported instance has answered, a few times at most. The
+// next report of an instance that is not confirmed by then starts anew.
+func (b *backendSide) probe() {
+	for asked := 0; asked < probeLimit; {
+		if path := b.settings.healthPath(); path != "" {
+			asked++
+			if b.probed(b.settings.probe(b.settings.address, path, probeTimeout)) {
+				break
+			}
+		}
+		if !pause(b.context, probePause) {
+			break
+		}
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.probing = false
+}
+
+// probed takes an answer, and tells whether nothing is left to confirm.
+func (b *backendSide) probed(answer backend.Probe) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.tracker.Probed(b.clock(), answer)
+	b.show()
+	return !b.tracker.Unconfirmed()
+}
--- /dev/null
+++ b/internal/hosted/configuration.go
@@ -0,0 +1,230 @@
+package hosted
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/klauspost/compress/zstd"
+
+	"github.com/springstack/springstack/internal/authority"
+	"github.com/springstack/springstack/internal/core/following"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/core/snapshot"
+	"github.com/springstack/springstack/internal/result"
+)
+
+const (
+	// readTimeout bounds one reading call to the store.
+	readTimeout = 1500 * time.Millisecond
+	// watchMargin is how much later than it promised a watch may be answered
+	// before its connection is given up.
+	watchMargin = time.Second
+)
+
+// configuration follows the authority and puts versions in force.
+type configuration struct {
+	source   authority.Source
+	events   eventLog
+	clock    func() time.Duration
+	swap     func(*snapshot.Snapshot)
+	askPeer  func(context.Context, protocol.NodeID, protocol.Version) authority.Document
+	context  context.Context
+	inForce  atomic.Pointer[authority.Document]
+	built    atomic.Pointer[snapshot.Snapshot]
+	tickets  sync.WaitGroup
+	mutex    sync.Mutex
+	follower *following.Follower
+	// storeLost is set while the store does not answer.
+	storeLost bool
+}
+
+func (c *configuration) start() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.carryOut(c.follower.Start())
+}
+
+// version is the version in force; 0 for none.
+func (c *configuration) version() protocol.Version {
+	if held := c.inForce.Load(); held != nil {
+		return held.Version
+	}
+	return 0
+}
+
+// document is what is in force, for peers.
+func (c *configuration) document() authority.Document {
+	if held := c.inForce.Load(); held != nil {
+		return *held
+	}
+	return authority.Document{}
+}
+
+// healthPath is where the back ends of a service answer probes; empty while
+// that is not known.
+func (c *configuration) healthPath(service resource.ServiceRef) string {
+	built := c.built.Load()
+	if built == nil {
+		return ""
+	}
+	return built.Services[service].HealthPath
+}
+
+// storeFails tells whether the store's last answer was a failure.
+func (c *configuration) storeFails() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.storeLost
+}
+
+// heardOf takes a peer's word of the version that it has in force.
+func (c *configuration) heardOf(peer protocol.NodeID, version protocol.Version) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.carryOut(c.follower.PeerVersion(peer, version))
+}
+
+// carryOut does what the follower has decided; the lock is held. Reads and
+// watches run on goroutines of their own and come back with their results.
+func (c *configuration) carryOut(actions []following.Action) {
+	for _, action := range actions {
+		if action.Kind == following.Adopt {
+			c.adopt(action)
+			continue
+		}
+		c.tickets.Add(1)
+		go func() {
+			defer c.tickets.Done()
+			c.ask(action)
+		}()
+	}
+}
+
+// ask carries out an action that waits for an answer.
+func (c *configuration) ask(action following.Action) {
+	if !pause(c.context, action.After) {
+		return
+	}
+	if action.Kind == following.AskPeer {
+		document := c.askPeer(c.context, action.Peer, c.version())
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		c.carryOut(c.follower.PeerAnswered(action.Peer, document))
+		return
+	}
+	reading := c.read(action)
+	if c.context.Err() != nil {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.noteStore(reading)
+	c.carryOut(c.follower.StoreRead(c.clock(), reading))
+}
+
+// read makes one call to the store.
+func (c *configuration) read(action following.Action) authority.Reading {
+	bound := readTimeout
+	if action.Kind == following.Watch {
+		bound = watchWait + watchMargin
+	}
+	ctx, cancel := context.WithTimeout(c.context, bound)
+	defer cancel()
+	switch action.Kind {
+	case following.Watch:
+		return c.source.Watch(ctx, action.From, watchWait)
+	case following.ReadStale:
+		return c.source.ReadStale(ctx)
+	}
+	return c.source.Read(ctx)
+}
+
+// noteStore logs when the store is lost and regained; the lock is held.
+func (c *configuration) noteStore(reading authority.Reading) {
+	lost := reading.Code != result.OK && reading.Code != result.PlatformCompacted
+	if lost == c.storeLost {
+		return
+	}
+	c.storeLost = lost
+	if lost {
+		c.events.event("store_lost", field("code", codeText(reading.Code)), field("detail", reading.Detail))
+		return
+	}
+	c.events.event("store_regained")
+}
+
+// adopt puts a document in force whole, or leaves what is in force; the lock
+// is held, so versions come in order.
+func (c *configuration) adopt(action following.Action) {
+	document := action.Document
+	decoded, err := c.source.Decode(document)
+	if err == nil {
+		var built *snapshot.Snapshot
+		if built, err = snapshot.FromResources(decoded.Version, decoded.Services, decoded.Routes); err == nil {
+			c.swap(built)
+			c.built.Store(built)
+			c.inForce.Store(&document)
+		}
+	}
+	if err != nil {
+		c.events.event("configuration_refused", field("version", versionText(document.Version)),
+			field("source", action.Source), field("error", err.Error()))
+		return
+	}
+	c.events.event("configuration_in_force", field("version", versionText(document.Version)),
+		field("source", action.Source), field("routes", strconv.Itoa(len(decoded.Routes))))
+}
+
+// stop waits until nothing runs any more; the context must have ended.
+func (c *configuration) stop() { c.tickets.Wait() }
+
+func versionText(version protocol.Version) string { return strconv.FormatUint(uint64(version), 10) }
+
+func codeText(code result.Code) string { return strconv.Itoa(int(code)) }
+
+// pause waits, and tells whether the context still runs.
+func pause(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// compress packs a document for a peer.
+func compress(document authority.Document) (protocol.DocumentReply, error) {
+	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedFastest))
+	if err != nil {
+		return protocol.DocumentReply{}, err
+	}
+	defer encoder.Close()
+	return protocol.DocumentReply{
+		Version:    document.Version,
+		Compressed: encoder.EncodeAll(document.Body, nil),
+		Bytes:      len(document.Body),
+	}, nil
+}
+
+// decompress unpacks a peer's document of at most limit bytes.
+func decompress(reply protocol.DocumentReply, limit int) (authority.Document, error) {
+	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(uint64(limit)))
+	if err != nil {
+		return authority.Document{}, err
+	}
+	defer decoder.Close()
+	body, err := decoder.DecodeAll(reply.Compressed, nil)
+	if err != nil {
+		return authority.Document{}, err
+	}
+	return authority.Document{Version: reply.Version, Body: body}, nil
+}
--- /dev/null
+++ b/internal/hosted/daemon.go
@@ -0,0 +1,169 @@
+package hosted
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/samber/do/v2"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/daemon"
+	"github.com/springstack/springstack/internal/proxy"
+	"github.com/springstack/springstack/internal/settings"
+)
+
+// Daemon is one hosted springstackd. It is started and stopped once.
+type Daemon struct {
+	settings settings.Hosted
+	options  Options
+	clock    daemon.Clock
+	events   eventLog
+	injector *do.RootScope
+	draining atomic.Bool
+
+	path          *proxy.Proxy
+	configuration *configuration
+	mesh          *mesh
+	backend       *backendSide
+
+	context context.Context
+	cancel  context.CancelFunc
+}
+
+// New returns a daemon that does not run yet. The settings must have been
+// checked.
+func New(checked settings.Hosted, options Options) *Daemon {
+	ctx, cancel := context.WithCancel(context.Background())
+	made := &Daemon{
+		settings: checked,
+		options:  options,
+		clock:    daemon.NewClock(),
+		events:   newEventLog(options.Logger, checked.Node.ID),
+		injector: do.New(),
+		context:  ctx,
+		cancel:   cancel,
+	}
+	made.provide()
+	return made
+}
+
+// Start opens the addresses and begins to run. After an error nothing is left
+// running.
+func (d *Daemon) Start() error {
+	if err := d.assemble(); err != nil {
+		_ = d.shutdown() // the first failure is the one to report
+		return errors.Trace(err)
+	}
+	d.mesh.start()
+	d.configuration.start()
+	d.backend.start()
+	d.events.event("daemon_started", field("callers", d.settings.Listen.Callers),
+		field("gate", d.settings.Listen.Gate), field("control", d.settings.Listen.Control))
+	return nil
+}
+
+// newPath makes the data path.
+func (d *Daemon) newPath(do.Injector) (*pathPart, error) {
+	edge := d.options.Platform.Edge
+	edge.Service = d.settings.Backend.Service
+	return &pathPart{proxy.New(proxy.Config{
+		Clock:                d.clock,
+		NodeID:               protocol.NodeID(d.settings.Node.ID),
+		Region:               d.settings.Node.Region,
+		Zone:                 d.settings.Node.Zone,
+		Service:              serviceRef(d.settings.Backend.Service),
+		BackendAddress:       d.settings.Backend.Address,
+		Slots:                1,
+		Limits:               pathLimits(),
+		RandomSeed:           0,
+		Reported:             true,
+		Edge:                 &edge,
+		RetryBudget:          d.retryBudget(),
+		OnBackendUnreachable: d.reportUnreachable,
+		Log:                  d.logPath,
+	})}, nil
+}
+
+func (d *Daemon) reportUnreachable(instance string) { d.backend.unreachable(instance) }
+
+func (d *Daemon) logPath(event proxy.Event) {
+	fields := make([]eventField, 0, len(event.Fields))
+	for _, one := range event.Fields {
+		fields = append(fields, field(one.Key, one.Value))
+	}
+	d.events.event(event.Name, fields...)
+}
+
+// Ready reports whether callers may be sent here.
+func (d *Daemon) Ready() bool {
+	return !d.draining.Load() && d.configuration.version() > 0 && d.mesh.joined()
+}
+
+// Stop drains and ends the daemon. It returns within the platform's grace, or
+// soon after ctx ends.
+func (d *Daemon) Stop(ctx context.Context) error {
+	began := d.clock()
+	d.draining.Store(true)
+	d.events.event("drain_started")
+	d.path.StartDrain()
+	d.backend.stop()
+	bound := time.NewTimer(d.settings.Drain.Grace() - closeMargin)
+	defer bound.Stop()
+	select {
+	case <-d.path.Drained():
+	case <-bound.C:
+		d.events.event("drain_bound_reached")
+	case <-ctx.Done():
+	}
+	d.mesh.leave(ctx)
+	if d.backend.leaving() {
+		d.mesh.unregister(ctx)
+	}
+	d.cancel()
+	err := d.shutdown()
+	d.events.event("daemon_stopped", field("took_ms", milliseconds(d.clock()-began)))
+	return errors.Trace(err)
+}
+
+// shutdown ends every part that was made.
+func (d *Daemon) shutdown() error {
+	d.cancel()
+	report := d.injector.Shutdown()
+	if d.options.Platform.Close != nil {
+		d.options.Platform.Close()
+	}
+	if report == nil || report.Succeed {
+		return nil
+	}
+	return report
+}
+
+// partner owns all services of a platform's configuration, which knows none.
+const partner resource.Partner = "platform"
+
+// serviceRef is the reference of a service by its name on the platform.
+func serviceRef(name string) resource.ServiceRef {
+	return resource.ServiceRef{Partner: partner, Name: name}
+}
+
+func milliseconds(duration time.Duration) string {
+	return strconv.FormatInt(duration.Milliseconds(), 10)
+}
+
+// incarnation is a number that grows with each start as long as the clock does;
+// the mesh raises it above what peers remember.
+func incarnation() protocol.Incarnation { return protocol.Incarnation(time.Now().UnixNano()) }
+
+func randomNumber() uint64 { return rand.Uint64() }
+
+// listen opens one address of the settings.
+func listen(name, address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	return listener, errors.Annotate(err, name)
+}
--- /dev/null
+++ b/internal/hosted/limits.go
@@ -0,0 +1,78 @@
+package hosted
+
+import (
+	"time"
+
+	"github.com/springstack/springstack/internal/control"
+	"github.com/springstack/springstack/internal/core/retry"
+	"github.com/springstack/springstack/internal/proxy"
+)
+
+const (
+	// closeMargin is kept of the platform's grace for closing connections.
+	closeMargin = 1500 * time.Millisecond
+	// linger is how long callers are served after the daemon has called itself
+	// not ready: until whoever asks for that has asked twice.
+	linger = 2500 * time.Millisecond
+	// keepIdle is how long an idle connection of a caller is kept. It is longer
+	// than what callers are told, so that they close first.
+	keepIdle = 2 * time.Minute
+	// gateIdle is how long a connection to another daemon's gate is kept.
+	gateIdle = 30 * time.Second
+	// dialTimeout bounds connecting to a gate or back end. Either is a round
+	// trip away, and a silent one must leave time for another attempt.
+	dialTimeout = 150 * time.Millisecond
+	// collectBytes holds a usual answer whole.
+	collectBytes = 64 << 10
+	// replayBytes holds a usual upload whole.
+	replayBytes = 512 << 10
+	// queueWait bounds the expected wait at the gate; deadlines end it earlier.
+	queueWait = 2 * time.Second
+)
+
+// pathLimits are the limits of the data path of a hosted daemon.
+func pathLimits() proxy.Limits {
+	limits := proxy.DefaultLimits()
+	limits.IdleTimeout = keepIdle
+	limits.UpstreamIdle = gateIdle
+	limits.DialTimeout = dialTimeout
+	limits.CollectBytes = collectBytes
+	limits.ReplayBytes = replayBytes
+	limits.QueueWait = queueWait
+	limits.QuietClose = true
+	limits.NoSpares = true
+	limits.DrainLinger = linger
+	limits.RequestCount = 1 << 17
+	limits.KeyCount = 1 << 10
+	return limits
+}
+
+// controlLimits are the limits of the control protocol: a few small messages a
+// second from each peer, and a document now and then.
+func controlLimits() control.Limits {
+	limits := control.DefaultLimits()
+	limits.DialTimeout = controlTimeout
+	limits.WriteTimeout = controlTimeout
+	return limits
+}
+
+// meshSizeForTokens is the number of daemons among which the slack of the
+// retry budget is divided when nothing else is known.
+const meshSizeForTokens = 12
+
+// budgetShare is how much of what the platform allows is used, so that repeats
+// of repeats, which a daemon can't see, stay within it.
+const budgetShare = 0.5
+
+// retryBudget is this daemon's part of the budget of all daemons.
+func (d *Daemon) retryBudget() retry.Limits {
+	slack := d.settings.Retries.Slack * budgetShare / meshSizeForTokens
+	return retry.Limits{
+		Ratio:   d.settings.Retries.Ratio * budgetShare,
+		Saved:   max(slack, 1),
+		Initial: slack,
+	}
+}
+
+// closeBound is how long the servers may take to end once nothing runs.
+func closeBound() time.Duration { return time.Second }
--- /dev/null
+++ b/internal/hosted/mesh.go
@@ -0,0 +1,438 @@
+package hosted
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/springstack/springstack/internal/authority"
+	"github.com/springstack/springstack/internal/control"
+	"github.com/springstack/springstack/internal/core/backend"
+	"github.com/springstack/springstack/internal/core/membership"
+	"github.com/springstack/springstack/internal/core/protocol"
+)
+
+const (
+	// controlTimeout bounds one call to a peer.
+	controlTimeout = 500 * time.Millisecond
+	// exchangePeriod is the time between two comparisons with peers of the own
+	// zone, exchangeUrgent the same while the store does not answer.
+	exchangePeriod = time.Second
+	exchangeUrgent = 300 * time.Millisecond
+	// farEvery is how many comparisons pass between two with other zones.
+	farEvery = 2
+	// farPushes is how many daemons of each other zone are told of a change;
+	// they tell their own zones.
+	farPushes = 2
+	// joinWait is how long a start waits to hear from a peer before the daemon
+	// calls itself ready without.
+	joinWait = 1500 * time.Millisecond
+	// registryPause is the time between tries to reach the registry.
+	registryPause = time.Second
+	// isolatedAfter is when a daemon that no peer has answered lists the
+	// registry again.
+	isolatedAfter = 5 * time.Second
+)
+
+// mesh knows the other daemons and the back ends beside them. Records spread
+// by pushes when they change and by comparisons of sums ever after.
+type mesh struct {
+	events   eventLog
+	clock    func() time.Duration
+	registry authority.Registry
+	client   *control.Client
+	// publish gives the data path the newest records.
+	publish func([]protocol.Member)
+	version func() protocol.Version
+	// document is the configuration in force, for peers that ask.
+	document   func() authority.Document
+	heardOf    func(protocol.NodeID, protocol.Version)
+	storeFails func() bool
+	valueBytes int
+	context    context.Context
+	running    sync.WaitGroup
+
+	hasJoined atomic.Bool
+	mutex     sync.Mutex
+	self      protocol.Member
+	roster    *membership.Roster
+	// registered are daemons that the registry names.
+	registered []authority.Registration
+	// lost are the peers that did not answer last time.
+	lost map[protocol.NodeID]bool
+	// heardAt is when a peer last answered.
+	heardAt time.Duration
+	turn    int
+}
+
+// peer is where another daemon takes control calls.
+type peer struct {
+	id      protocol.NodeID
+	address string
+	zone    string
+}
+
+func (m *mesh) start() {
+	m.mutex.Lock()
+	m.roster.Merge(m.clock(), m.self, membership.Below)
+	m.mutex.Unlock()
+	for _, loop := range []func(){m.register, m.compareForever, m.awaitJoin} {
+		m.running.Add(1)
+		go func() {
+			defer m.running.Done()
+			loop()
+		}()
+	}
+}
+
+// joined tells whether the daemon has heard of its peers, or waited for them.
+func (m *mesh) joined() bool { return m.hasJoined.Load() }
+
+func (m *mesh) awaitJoin() {
+	if pause(m.context, joinWait) {
+		m.hasJoined.Store(true)
+	}
+}
+
+// register reads the registry and leaves the daemon's own registration there,
+// unless it stands there already.
+func (m *mesh) register() {
+	for m.context.Err() == nil {
+		if m.readRegistry() && m.putRegistration() {
+			return
+		}
+		if !pause(m.context, registryPause/2+time.Duration(randomNumber()%uint64(registryPause))) {
+			return
+		}
+	}
+}
+
+func (m *mesh) readRegistry() bool {
+	ctx, cancel := context.WithTimeout(m.context, readTimeout)
+	defer cancel()
+	listed, err := m.registry.List(ctx)
+	if err != nil {
+		m.events.event("registry_unavailable", field("error", err.Error()))
+		return false
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.registered = listed
+	return true
+}
+
+func (m *mesh) putRegistration() bool {
+	m.mutex.Lock()
+	mine := authority.Registration{
+		ID: m.self.ID, Address: m.self.ControlAddress, Zone: m.self.Zone, Region: m.self.Region,
+	}
+	known := slices.Contains(m.registered, mine)
+	m.mutex.Unlock()
+	if known {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(m.context, readTimeout)
+	defer cancel()
+	if err := m.registry.Put(ctx, mine); err != nil {
+		m.events.event("registry_unavailable", field("error", err.Error()))
+		return false
+	}
+	return true
+}
+
+// announce changes what the own record says of the back end, and tells peers.
+func (m *mesh) announce(view backend.View) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.self.Backend = view.Instance
+	m.self.Slots = view.Slots
+	m.self.Endpoint = view.State
+	m.pushSelf()
+}
+
+// pushSelf raises the own record and tells peers; the lock is held.
+func (m *mesh) pushSelf() {
+	m.self.Sequence++
+	m.roster.Merge(m.clock(), m.self, membership.Below)
+	m.publishAll()
+	m.push(m.pushTargets(), m.self)
+}
+
+// publishAll gives the data path all records; the lock is held. The data path
+// knows back ends by instance, so what it is told of daemons is only that
+// newer records have a higher sequence.
+func (m *mesh) publishAll() {
+	m.publish(lo.Map(m.roster.All(), func(member protocol.Member, _ int) protocol.Member {
+		member.Sequence += uint64(member.Incarnation)
+		member.Incarnation = 0
+		return member
+	}))
+}
+
+// peers lists the other daemons known, in order of id; the lock is held.
+func (m *mesh) peers() []peer {
+	var found []peer
+	m.roster.Each(func(member protocol.Member) {
+		if member.ID != m.self.ID && member.State != protocol.MemberLeft {
+			found = append(found, peer{id: member.ID, address: member.ControlAddress, zone: member.Zone})
+		}
+	})
+	for _, registration := range m.registered {
+		if _, known := m.roster.Get(registration.ID); !known {
+			found = append(found, peer{id: registration.ID, address: registration.Address, zone: registration.Zone})
+		}
+	}
+	return found
+}
+
+// pushTargets are the peers that are told of a change of the own record: all
+// of the own zone and some of each other zone; the lock is held.
+func (m *mesh) pushTargets() []peer {
+	byZone := lo.GroupBy(m.peers(), func(one peer) string { return one.zone })
+	var targets []peer
+	for zone, members := range byZone {
+		if zone != m.self.Zone {
+			members = drawn(members, farPushes)
+		}
+		targets = append(targets, members...)
+	}
+	return targets
+}
+
+// drawn returns up to count peers at random.
+func drawn(peers []peer, count int) []peer {
+	shuffled := slices.Clone(peers)
+	for index := range min(count, len(shuffled)) {
+		other := index + int(randomNumber()%uint64(len(shuffled)-index))
+		shuffled[index], shuffled[other] = shuffled[other], shuffled[index]
+	}
+	return shuffled[:min(count, len(shuffled))]
+}
+
+// push tells peers of records without waiting for them; the lock is held.
+func (m *mesh) push(targets []peer, records ...protocol.Member) {
+	request := &protocol.ExchangeRequest{
+		Format: protocol.Format, From: m.self.ID, Zone: m.self.Zone, Version: m.version(),
+		Push: true, Members: records,
+	}
+	for _, target := range targets {
+		if m.lost[target.id] {
+			continue
+		}
+		m.running.Add(1)
+		go func() {
+			defer m.running.Done()
+			m.call(target, request)
+		}()
+	}
+}
+
+// call sends one request to a peer; nil means that there was no answer.
+func (m *mesh) call(target peer, request *protocol.ExchangeRequest) *protocol.ExchangeReply {
+	ctx, cancel := context.WithTimeout(m.context, controlTimeout)
+	defer cancel()
+	body, err := m.client.Call(ctx, target.address, request)
+	if m.context.Err() != nil {
+		return nil
+	}
+	reply, _ := body.(*protocol.ExchangeReply)
+	m.noteAnswer(target, err == nil && reply != nil)
+	if err != nil || reply == nil {
+		return nil
+	}
+	m.heardOf(target.id, reply.Version)
+	return reply
+}
+
+// noteAnswer logs when a peer is lost and regained.
+func (m *mesh) noteAnswer(target peer, answered bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if answered {
+		m.heardAt = m.clock()
+		m.hasJoined.Store(true)
+	}
+	if m.lost[target.id] == !answered {
+		return
+	}
+	if answered {
+		delete(m.lost, target.id)
+		m.events.event("peer_regained", field("peer", string(target.id)))
+		return
+	}
+	m.lost[target.id] = true
+	m.events.event("peer_lost", field("peer", string(target.id)))
+}
+
+// compareForever compares records with one peer after the other.
+func (m *mesh) compareForever() {
+	for round := 0; m.context.Err() == nil; round++ {
+		for _, target := range m.nextTargets(round) {
+			m.compare(target)
+		}
+		m.relist()
+		period := exchangePeriod
+		if m.storeFails() || !m.joined() {
+			period = exchangeUrgent
+		}
+		if !pause(m.context, period*3/4+time.Duration(randomNumber()%uint64(period/2))) {
+			return
+		}
+	}
+}
+
+// nextTargets are the peers of one round: the next one of the own zone, and
+// now and then one of another zone.
+func (m *mesh) nextTargets(round int) []peer {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	near, far := lo.FilterReject(m.peers(), func(one peer, _ int) bool { return one.zone == m.self.Zone })
+	var targets []peer
+	if len(near) > 0 {
+		targets = append(targets, near[m.turn%len(near)])
+		m.turn++
+	}
+	if round%farEvery == 0 || len(near) == 0 {
+		// Each zone speaks for itself about as often, however many daemons it has.
+		if len(far) > 0 && (round == 0 || randomNumber()%uint64(len(near)+1) == 0) {
+			targets = append(targets, drawn(far, 1)...)
+		}
+	}
+	return targets
+}
+
+// relist reads the registry again when no peer answers.
+func (m *mesh) relist() {
+	m.mutex.Lock()
+	isolated := m.clock()-m.heardAt > isolatedAfter
+	if isolated {
+		m.heardAt = m.clock()
+	}
+	m.mutex.Unlock()
+	if isolated {
+		m.readRegistry()
+	}
+}
+
+// compare brings the records of both sides to the same.
+func (m *mesh) compare(target peer) {
+	m.mutex.Lock()
+	request := m.request()
+	m.mutex.Unlock()
+	reply := m.call(target, request)
+	if reply == nil || len(reply.Sums) != membership.Buckets {
+		return
+	}
+	m.mutex.Lock()
+	request = m.request()
+	sums := m.roster.Sums()
+	request.Sums = sums[:]
+	request.Members = m.roster.Differing(membership.Sums(reply.Sums))
+	m.mutex.Unlock()
+	if reply = m.call(target, request); reply != nil {
+		m.take(target.zone, reply.Members)
+	}
+}
+
+// request is an empty comparison; the lock is held.
+func (m *mesh) request() *protocol.ExchangeRequest {
+	return &protocol.ExchangeRequest{
+		Format: protocol.Format, From: m.self.ID, Zone: m.self.Zone, Version: m.version(),
+		Total: m.roster.Sums().Total(),
+	}
+}
+
+// take merges records that a daemon of a zone has sent. News from another zone
+// is passed on within the own one.
+func (m *mesh) take(fromZone string, members []protocol.Member) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var news []protocol.Member
+	for _, member := range members {
+		if member.ID == m.self.ID {
+			m.defend(member)
+			continue
+		}
+		if m.roster.Merge(m.clock(), member, membership.Below) {
+			news = append(news, member)
+		}
+	}
+	if len(news) == 0 {
+		return
+	}
+	m.publishAll()
+	m.logNews(news)
+	if fromZone != m.self.Zone {
+		near := lo.Filter(m.peers(), func(one peer, _ int) bool { return one.zone == m.self.Zone })
+		m.push(near, news...)
+	}
+}
+
+// defend raises the own record above what another daemon remembers of an
+// earlier start; the lock is held.
+func (m *mesh) defend(remembered protocol.Member) {
+	if !membership.Newer(remembered, m.self) {
+		return
+	}
+	m.self.Incarnation = remembered.Incarnation + 1
+	m.pushSelf()
+}
+
+// logNews writes a line for each endpoint whose state is news.
+func (m *mesh) logNews(news []protocol.Member) {
+	for _, member := range news {
+		m.events.event("endpoint_news", field("peer", string(member.ID)), field("instance", member.Backend),
+			field("state", endpointStates[member.Endpoint]), field("member", memberStates[member.State]))
+	}
+}
+
+var endpointStates = map[protocol.EndpointState]string{
+	protocol.EndpointNone:     "none",
+	protocol.EndpointWarming:  "warming",
+	protocol.EndpointReady:    "ready",
+	protocol.EndpointDraining: "draining",
+	protocol.EndpointDown:     "down",
+}
+
+var memberStates = map[protocol.MemberState]string{
+	protocol.MemberAlive:    "alive",
+	protocol.MemberSuspect:  "suspect",
+	protocol.MemberDraining: "draining",
+	protocol.MemberLeft:     "left",
+	protocol.MemberDead:     "dead",
+}
+
+// leave tells peers that the daemon ends.
+func (m *mesh) leave(ctx context.Context) {
+	m.mutex.Lock()
+	m.self.State = protocol.MemberLeft
+	m.pushSelf()
+	m.mutex.Unlock()
+	pause(ctx, leaveWait)
+}
+
+// leaveWait is how long the last pushes may take.
+const leaveWait = 50 * time.Millisecond
+
+// unregister takes the daemon's registration away, because its machine goes.
+func (m *mesh) unregister(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	if err := m.registry.Remove(bounded, m.self.ID); err != nil {
+		m.events.event("registry_unavailable", field("error", err.Error()))
+	}
+}
+
+// size is how many daemons are known, this one included.
+func (m *mesh) size() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return len(m.peers()) + 1
+}
+
+// stop waits until nothing runs any more; the context must have ended.
+func (m *mesh) stop() { m.running.Wait() }
--- /dev/null
+++ b/internal/hosted/metrics.go
@@ -0,0 +1,38 @@
+package hosted
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/springstack/springstack/internal/daemon"
+	"github.com/springstack/springstack/internal/metrics"
+)
+
+// metricsHandler serves the daemon's counters.
+func (d *Daemon) metricsHandler() http.Handler {
+	registry := metrics.NewRegistry(collector{daemon: d})
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	return mux
+}
+
+// collector reads the counters of a hosted daemon when it is scraped.
+type collector struct{ daemon *Daemon }
+
+// Describe sends nothing: the collector is unchecked, because codes appear as
+// they are met.
+func (collector) Describe(chan<- *prometheus.Desc) {}
+
+// Collect sends the present values.
+func (c collector) Collect(out chan<- prometheus.Metric) {
+	ready := 0.0
+	if c.daemon.Ready() {
+		ready = 1
+	}
+	metrics.Ready.Send(out, ready)
+	metrics.Version.Send(out, float64(c.daemon.configuration.version()))
+	metrics.Members.Send(out, float64(c.daemon.mesh.size()))
+	daemon.CollectPath(out, c.daemon.path.Counters())
+}
--- /dev/null
+++ b/internal/hosted/peers.go
@@ -0,0 +1,95 @@
+package hosted
+
+import (
+	"context"
+
+	"github.com/springstack/springstack/internal/authority"
+	"github.com/springstack/springstack/internal/control"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// HandlePeer implements control.Handler: it answers other daemons.
+func (m *mesh) HandlePeer(_ context.Context, _ control.Peer, body any) (any, error) {
+	switch request := body.(type) {
+	case *protocol.ExchangeRequest:
+		if request.Format != protocol.Format {
+			return nil, result.New(result.UnknownFormat, "format %d of a peer", request.Format)
+		}
+		return m.answerExchange(request), nil
+	case *protocol.DocumentRequest:
+		return m.answerDocument(request)
+	}
+	return nil, result.New(result.UnknownFormat, "%T is not answered by a hosted daemon", body)
+}
+
+// answerExchange merges what a peer has sent and tells it what it lacks.
+func (m *mesh) answerExchange(request *protocol.ExchangeRequest) *protocol.ExchangeReply {
+	m.heardOf(request.From, request.Version)
+	m.take(request.Zone, request.Members)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.heardAt = m.clock()
+	m.hasJoined.Store(true)
+	reply := &protocol.ExchangeReply{Version: m.version()}
+	sums := m.roster.Sums()
+	switch {
+	case request.Push:
+	case len(request.Sums) == len(sums):
+		reply.Members = m.roster.Differing([len(sums)]uint64(request.Sums))
+	case request.Total != sums.Total():
+		reply.Sums = sums[:]
+	}
+	return reply
+}
+
+// answerDocument gives a peer the configuration in force if it is newer.
+func (m *mesh) answerDocument(request *protocol.DocumentRequest) (*protocol.DocumentReply, error) {
+	held := m.document()
+	if held.Version <= request.Have {
+		return &protocol.DocumentReply{}, nil
+	}
+	packed, err := compress(held)
+	if err != nil {
+		return nil, result.New(result.Internal, "the document can't be packed: %s", err)
+	}
+	return &packed, nil
+}
+
+// askDocument asks a peer for a document newer than a version; one without a
+// version means that there is none.
+func (m *mesh) askDocument(ctx context.Context, id protocol.NodeID, have protocol.Version) authority.Document {
+	address, found := m.addressOf(id)
+	if !found {
+		return authority.Document{}
+	}
+	bounded, cancel := context.WithTimeout(ctx, documentTimeout)
+	defer cancel()
+	request := &protocol.DocumentRequest{Format: protocol.Format, From: m.self.ID, Have: have}
+	body, err := m.client.Call(bounded, address, request)
+	reply, typed := body.(*protocol.DocumentReply)
+	if err != nil || !typed || reply.Version == 0 {
+		return authority.Document{}
+	}
+	document, err := decompress(*reply, m.valueBytes)
+	if err != nil {
+		m.events.event("peer_document_refused", field("peer", string(id)), field("error", err.Error()))
+		return authority.Document{}
+	}
+	return document
+}
+
+// documentTimeout bounds the call for a document.
+const documentTimeout = 2 * controlTimeout
+
+// addressOf is where a daemon takes control calls.
+func (m *mesh) addressOf(id protocol.NodeID) (string, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, one := range m.peers() {
+		if one.id == id {
+			return one.address, true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/hosted/ports.go
@@ -0,0 +1,45 @@
+package hosted
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/springstack/springstack/internal/authority"
+	"github.com/springstack/springstack/internal/core/backend"
+	"github.com/springstack/springstack/internal/proxy"
+)
+
+// Platform is what an adapter to a platform gives a hosted daemon.
+type Platform struct {
+	Source   authority.Source
+	Registry authority.Registry
+	// Edge is how callers and back ends speak.
+	Edge proxy.Edge
+	// Ready makes the handler that tells whether callers may be sent here.
+	Ready func(ready func() bool) http.Handler
+	// Reports makes the handler that takes the heartbeats of the back end.
+	Reports func(Reports) http.Handler
+	// Probe makes the request that asks a back end for its health at a path.
+	Probe Prober
+	// Close gives up the adapter's connections; nil for none.
+	Close func()
+}
+
+// Reports takes what the back end beside the daemon says. When a method
+// returns, what was said is in force at this daemon's gate.
+type Reports interface {
+	Heartbeat(report backend.Report)
+	Leave(instance string)
+}
+
+// Prober asks the back end at an address itself. It answers with the instance
+// that runs there, and whether that takes work.
+type Prober func(address, path string, within time.Duration) backend.Probe
+
+// Options are what a hosted daemon is given beside its settings.
+type Options struct {
+	Logger   log.Interface
+	Platform Platform
+}
--- /dev/null
+++ b/internal/hosted/wiring.go
@@ -0,0 +1,243 @@
+package hosted
+
+import (
+	"net/http"
+
+	"github.com/samber/do/v2"
+
+	"github.com/springstack/springstack/internal/control"
+	"github.com/springstack/springstack/internal/core/backend"
+	"github.com/springstack/springstack/internal/core/following"
+	"github.com/springstack/springstack/internal/core/membership"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/daemon"
+	"github.com/springstack/springstack/internal/proxy"
+)
+
+// watchWait is how long the store may hold a watch without news.
+var watchWait = following.DefaultConfig().WatchWait
+
+// The parts of a daemon as do knows them: a type of its own for each.
+type (
+	pathPart      struct{ *proxy.Proxy }
+	meshPart      struct{ *mesh }
+	controlPart   struct{ *control.Server }
+	callersServer struct{ *daemon.PathServer }
+	gateServer    struct{ *daemon.PathServer }
+	readyServer   struct{ *daemon.WebServer }
+	reportsServer struct{ *daemon.WebServer }
+	metricsServer struct{ *daemon.WebServer }
+)
+
+// Shutdown gives up the path's connections.
+func (p *pathPart) Shutdown() error {
+	p.Close()
+	return nil
+}
+
+// Shutdown ends the mesh's loops and calls.
+func (m *meshPart) Shutdown() error {
+	m.client.Close()
+	m.stop()
+	return nil
+}
+
+// Shutdown stops taking calls of peers.
+func (c *controlPart) Shutdown() error {
+	c.Close()
+	return nil
+}
+
+// provide registers the parts. do makes each when it is first asked for and
+// shuts them down in the opposite order of their dependencies.
+func (d *Daemon) provide() {
+	do.Provide(d.injector, d.newPath)
+	do.Provide(d.injector, d.newMesh)
+	do.Provide(d.injector, d.newControl)
+	do.Provide(d.injector, d.newCallersServer)
+	do.Provide(d.injector, d.newGateServer)
+	do.Provide(d.injector, d.newReadyServer)
+	do.Provide(d.injector, d.newReportsServer)
+	do.Provide(d.injector, d.newMetricsServer)
+}
+
+// assemble makes all parts.
+func (d *Daemon) assemble() error {
+	path, err := do.Invoke[*pathPart](d.injector)
+	if err != nil {
+		return err
+	}
+	d.path = path.Proxy
+	made, err := do.Invoke[*meshPart](d.injector)
+	if err != nil {
+		return err
+	}
+	d.mesh = made.mesh
+	for _, invoke := range []func() error{
+		invoked[*controlPart](d.injector),
+		invoked[*callersServer](d.injector),
+		invoked[*gateServer](d.injector),
+		invoked[*readyServer](d.injector),
+		invoked[*reportsServer](d.injector),
+		invoked[*metricsServer](d.injector),
+	} {
+		if err := invoke(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// invoked makes a part that nothing else asks for.
+func invoked[Part any](injector do.Injector) func() error {
+	return func() error {
+		_, err := do.Invoke[Part](injector)
+		return err
+	}
+}
+
+// newMesh makes the mesh, the configuration and the back end's side, which
+// know each other by what they call.
+func (d *Daemon) newMesh(injector do.Injector) (*meshPart, error) {
+	path, err := do.Invoke[*pathPart](injector)
+	if err != nil {
+		return nil, err
+	}
+	made := &mesh{
+		events:     d.events,
+		clock:      d.clock,
+		registry:   d.options.Platform.Registry,
+		client:     control.NewClient(nil, controlLimits(), control.NewMeter()),
+		publish:    path.PublishMembers,
+		valueBytes: d.settings.Authority.ValueBytes,
+		context:    d.context,
+		roster:     membership.NewRoster(),
+		lost:       map[protocol.NodeID]bool{},
+		self: protocol.Member{
+			ID:             protocol.NodeID(d.settings.Node.ID),
+			Incarnation:    incarnation(),
+			State:          protocol.MemberAlive,
+			ControlAddress: d.settings.Listen.Control,
+			DataAddress:    d.settings.Listen.Gate,
+			Region:         d.settings.Node.Region,
+			Zone:           d.settings.Node.Zone,
+			Service:        serviceRef(d.settings.Backend.Service),
+		},
+	}
+	d.configuration = &configuration{
+		source:   d.options.Platform.Source,
+		events:   d.events,
+		clock:    d.clock,
+		swap:     path.Swap,
+		askPeer:  made.askDocument,
+		context:  d.context,
+		follower: following.New(following.DefaultConfig(), randomNumber),
+	}
+	made.version = d.configuration.version
+	made.document = d.configuration.document
+	made.heardOf = d.configuration.heardOf
+	made.storeFails = d.configuration.storeFails
+	d.backend = &backendSide{
+		settings: hostedBackend{
+			address:    d.settings.Backend.Address,
+			probe:      d.options.Platform.Probe,
+			healthPath: d.healthPath,
+		},
+		events:   d.events,
+		clock:    d.clock,
+		gate:     path.ReportBackend,
+		announce: made.announce,
+		context:  d.context,
+		tracker:  backend.NewTracker(d.settings.Backend.HeartbeatInterval()),
+	}
+	path.ExtendServing(forever)
+	return &meshPart{made}, nil
+}
+
+// forever is a time on the clock that never comes: a hosted daemon may serve
+// what it holds, however long it is cut off.
+const forever = 1 << 62
+
+// healthPath is where the back end answers probes; empty while that is not
+// known.
+func (d *Daemon) healthPath() string {
+	return d.configuration.healthPath(serviceRef(d.settings.Backend.Service))
+}
+
+func (d *Daemon) newControl(injector do.Injector) (*controlPart, error) {
+	made, err := do.Invoke[*meshPart](injector)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := listen("listen.control", d.settings.Listen.Control)
+	if err != nil {
+		return nil, err
+	}
+	server := control.NewServer(listener, nil, made.mesh, controlLimits(), control.NewMeter())
+	server.Start()
+	return &controlPart{server}, nil
+}
+
+func (d *Daemon) newCallersServer(injector do.Injector) (*callersServer, error) {
+	server, err := d.servePath(injector, "listen.callers", d.settings.Listen.Callers, (*proxy.Proxy).CallerHandler)
+	return &callersServer{server}, err
+}
+
+func (d *Daemon) newGateServer(injector do.Injector) (*gateServer, error) {
+	server, err := d.servePath(injector, "listen.gate", d.settings.Listen.Gate, (*proxy.Proxy).GateHandler)
+	return &gateServer{server}, err
+}
+
+// servePath serves one side of the data path at an address.
+func (d *Daemon) servePath(injector do.Injector, name, address string, side func(*proxy.Proxy) http.Handler) (*daemon.PathServer, error) {
+	path, err := do.Invoke[*pathPart](injector)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := listen(name, address)
+	if err != nil {
+		return nil, err
+	}
+	return daemon.ServePath(listener, proxy.NewServer(side(path.Proxy), pathLimits()), closeBound), nil
+}
+
+func (d *Daemon) newReadyServer(do.Injector) (*readyServer, error) {
+	server, err := serveWeb("listen.ready", d.settings.Listen.Ready, d.options.Platform.Ready(d.Ready))
+	return &readyServer{server}, err
+}
+
+func (d *Daemon) newReportsServer(injector do.Injector) (*reportsServer, error) {
+	if _, err := do.Invoke[*meshPart](injector); err != nil {
+		return nil, err
+	}
+	server, err := serveWeb("listen.reports", d.settings.Listen.Reports, d.options.Platform.Reports(d.backend))
+	return &reportsServer{server}, err
+}
+
+func (d *Daemon) newMetricsServer(injector do.Injector) (*metricsServer, error) {
+	if d.settings.Listen.Metrics == "" {
+		return &metricsServer{}, nil
+	}
+	if _, err := do.Invoke[*meshPart](injector); err != nil {
+		return nil, err
+	}
+	server, err := serveWeb("listen.metrics", d.settings.Listen.Metrics, d.metricsHandler())
+	return &metricsServer{server}, err
+}
+
+// Shutdown ends the metrics' server, if there is one.
+func (m *metricsServer) Shutdown() error {
+	if m.WebServer == nil {
+		return nil
+	}
+	return m.WebServer.Shutdown()
+}
+
+// serveWeb serves a small HTTP interface at an address.
+func serveWeb(name, address string, handler http.Handler) (*daemon.WebServer, error) {
+	listener, err := listen(name, address)
+	if err != nil {
+		return nil, err
+	}
+	return daemon.ServeWeb(listener, nil, handler, closeBound), nil
+}
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -80,11 +81,19 @@
 	if d.extra != nil {
 		d.extra(header)
 	}
+	if d.answer.ContentLength >= 0 && !hasLength(header) && d.answer.StatusCode != http.StatusNoContent {
+		header["Content-Length"] = []string{strconv.FormatInt(d.answer.ContentLength, 10)}
+	}
 	d.upload.beforeAnswer(header)
 	d.allowWrite()
 	d.writer.WriteHeader(d.answer.StatusCode)
 }
 
+func hasLength(header http.Header) bool {
+	_, found := header["Content-Length"]
+	return found
+}
+
 func trailerNames(trailer http.Header) []string {
 	names := make([]string, 0, len(trailer))
 	for name := range trailer {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -65,7 +65,7 @@
 	chosen.Begin()
 	made := &attempt{chosen: chosen}
 	relay := &informer{writer: c.writer}
-	made.exchange = path.send(c.context, c.outgoing(chosen, mark, c.deadline-now), relay)
+	made.exchange = path.send(c.context, c.outgoing(chosen, mark, c.deadline-now), relay, nil)
 	c.tried = append(c.tried, chosen)
 	c.judge(made, shared.set)
 	return made
@@ -88,6 +88,7 @@
 
 // judge tells what became of an attempt, for the call and for the endpoint.
 func (c *callerCall) judge(made *attempt, set *endpoint.Set) {
+	made.exchange.collect(c.proxy.limits.CollectBytes)
 	now := c.proxy.config.Clock()
 	made.outcome.Replayable = c.body.replayable()
 	made.outcome.Others = set.Others(now, c.tried)
@@ -102,6 +103,7 @@
 		made.outcome.Kind = retry.Answered
 		made.evidence = endpoint.Fine
 		if answer.StatusCode >= http.StatusInternalServerError {
+			made.outcome.Failed = true
 			made.evidence = endpoint.ServerError
 		}
 	}
@@ -192,6 +194,9 @@
 		made.evidence = endpoint.Full
 	case result.ConnectFailed:
 		made.evidence = endpoint.Unreachable
+	case result.BackendRefused:
+		made.evidence = endpoint.Full
+		made.outcome.Arrived = true
 	case result.BrokenInFlight:
 		made.evidence = endpoint.Broken
 	}
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -118,7 +119,7 @@
 	if refusal, fine := checkForm(request, p.limits); !fine {
 		return nil, refusal, false
 	}
-	located, refusal, fine := locate(request)
+	located, refusal, fine := p.locate(request)
 	if !fine {
 		return nil, refusal, false
 	}
@@ -127,7 +128,7 @@
 	if route == nil {
 		return nil, Refusal{Code: result.NoRoute}, false
 	}
-	call := &callerCall{proxy: p, route: route, place: located, request: request, service: route.Pick(p.random())}
+	call := &callerCall{proxy: p, route: route, place: located, request: request, service: p.pick(route)}
 	shared := current.services[call.service]
 	if shared == nil {
 		return nil, Refusal{Code: result.NoEndpoint}, false
@@ -143,7 +144,7 @@
 func (c *callerCall) prepare(shared *service) {
 	header := c.request.Header
 	c.timeout = c.route.Timeout
-	if stated, found := statedTimeout(header); found {
+	if stated, found := c.proxy.statedTime(header); found {
 		c.timeout = min(c.timeout, stated)
 	}
 	c.deadline = c.proxy.config.Clock() + c.timeout
@@ -154,6 +155,8 @@
 		NoRetry:    header.Get(headerNoRetry) != "" && !c.proxy.config.Baseline.UnbudgetedRetries,
 		Deadline:   c.deadline,
 		Unbudgeted: c.proxy.config.Baseline.UnbudgetedRetries,
+
+		RetryFailures: c.proxy.config.Edge != nil,
 	}
 	c.retries = retry.NewCall(c.policy, shared.budget)
 	if name := c.route.Resource.RequestKeyHeader; name != "" {
@@ -248,6 +251,9 @@
 	header := c.request.Header.Clone()
 	stripHopByHop(header)
 	stripOwn(header)
+	if edge := c.proxy.config.Edge; edge != nil {
+		header[edge.CallerService] = []string{edge.Service}
+	}
 	header.Del("Expect") // this server has answered it
 	if _, found := header["User-Agent"]; !found {
 		header["User-Agent"] = []string{""} // the library would add its own
@@ -258,7 +264,7 @@
 	c.hopHeaders(header, chosen, mark, left)
 	outgoing := &http.Request{
 		Method: c.request.Method, Host: c.request.Host, Header: header,
-		URL:   target(chosen.Address, c.place.path, c.request.URL.RawQuery),
+		URL:   c.proxy.target(chosen.Address, c.request, c.place.path),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	if c.body != nil {
@@ -306,6 +312,42 @@
 	headerHop, headerService, headerBackend, headerRequest, headerTimeout, headerPriority, headerPartner,
 }
 
+// pick chooses the destination of a call by the weights of its route.
+func (p *Proxy) pick(route *routing.Route) resource.ServiceRef {
+	return route.Pick(p.random())
+}
+
+// locate finds the host and path that a call is matched by.
+func (p *Proxy) locate(request *http.Request) (place, Refusal, bool) {
+	if p.config.Edge == nil {
+		return locate(request)
+	}
+	path := verbatimPath(verbatimTarget(request))
+	return place{host: verbatimHost(request.Host), path: path}, Refusal{}, true
+}
+
+// statedTime is what a caller says is left of its time.
+func (p *Proxy) statedTime(header http.Header) (time.Duration, bool) {
+	if p.config.Edge != nil {
+		return p.config.Edge.statedDeadline(header)
+	}
+	return statedTimeout(header)
+}
+
+// target is the URL of a call at an address: as the caller sent it with an
+// Edge, and else in the canonical form that the route was matched by.
+func (p *Proxy) target(address string, request *http.Request, canonical string) *url.URL {
+	if p.config.Edge == nil {
+		return target(address, canonical, request.URL.RawQuery)
+	}
+	verbatim := verbatimTarget(request)
+	if strings.HasPrefix(verbatim, "//") {
+		// The library would take it for a host.
+		return target(address, verbatimPath(verbatim), request.URL.RawQuery)
+	}
+	return &url.URL{Scheme: "http", Host: address, Opaque: verbatim}
+}
+
 // target is the URL of a call at an address. The path is sent in the form that
 // the route was matched by.
 func target(address, canonical, query string) *url.URL {
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -10,6 +10,7 @@
 
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/core/retry"
 )
 
 // Config is what a proxy is told at its start.
@@ -28,6 +29,18 @@
 	// Slots is how many calls the back end runs at once.
 	Slots  int
 	Limits Limits
+	// Reported says that the back end reports its own state, by ReportBackend, and
+	// is not probed. Back ends are then known by instance, and the endpoints of
+	// all services come from the member records alone.
+	Reported bool
+	// Edge is how callers and back ends of a foreign platform speak; nil means
+	// springstack's own headers.
+	Edge *Edge
+	// RetryBudget bounds retries; the zero value means retry.DefaultLimits.
+	RetryBudget retry.Limits
+	// OnBackendUnreachable is told when a call found that the back end takes no
+	// connections. It must not block. Nil means that nobody listens.
+	OnBackendUnreachable func(instance string)
 	// PeerTLS guards the calls to other daemons' gates; nil sends them in the
 	// clear. A gate's server is guarded by Server.Secure.
 	PeerTLS *tls.Config
@@ -75,6 +88,8 @@
 	HeaderBytes int
 	// BodyBytes bounds the body of a request, in bytes.
 	BodyBytes int64
+	// QuietClose closes idle connections without an answer that announces it.
+	QuietClose bool
 	// Connections bounds the connections of one listener.
 	Connections int
 	// HeaderTimeout bounds the arrival of a request's headers.
@@ -93,9 +108,15 @@
 	// BackendIdle is the same for connections to the back end, whose own limit
 	// is not known; many servers close after 5 s.
 	BackendIdle time.Duration
+	// NoSpares opens no connections ahead of the calls that need them.
+	NoSpares bool
 	// Prewarm is how many connections are opened to a new endpoint ahead of
 	// its first call.
 	Prewarm int
+	// CollectBytes is how much of an answer is read before its head is passed
+	// on, so that an answer cut short can still be told from a whole one. 0
+	// streams every answer.
+	CollectBytes int
 	// ReplayBytes is how much of a request's body is kept for sending again.
 	ReplayBytes int
 	// QueueLength bounds the calls waiting at the gate.
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -30,7 +31,9 @@
 
 // send makes one exchange. The outgoing request is written on one connection
 // at most. The caller must call close.
-func (u *upstream) send(ctx context.Context, outgoing *http.Request, relay *informer) *exchange {
+// An answer that edge, if given, does not take for that of the request fails
+// the exchange.
+func (u *upstream) send(ctx context.Context, outgoing *http.Request, relay *informer, edge *Edge) *exchange {
 	attempt, cancel := context.WithCancel(ctx)
 	guard := &attemptGuard{cancel: cancel}
 	trace := &httptrace.ClientTrace{GotConn: guard.gotConn}
@@ -45,7 +48,10 @@
 		relay.end()
 	}
 	if err == nil {
-		err = checkAnswer(answer)
+		err = checkAnswer(answer, u.takesUnframed)
+	}
+	if err == nil && edge != nil {
+		err = edge.checkAnswer(outgoing.Header, answer)
 	}
 	made := &exchange{answer: answer, err: err, guard: guard, cancel: cancel}
 	if err != nil {
@@ -58,17 +64,58 @@
 }
 
 // checkAnswer refuses answers that can't be passed on whole.
-func checkAnswer(answer *http.Response) error {
+func checkAnswer(answer *http.Response, takesUnframed bool) error {
 	if answer.StatusCode == http.StatusSwitchingProtocols {
 		return errUpgraded
 	}
 	untilClose := answer.ContentLength < 0 && len(answer.TransferEncoding) == 0
-	if untilClose && answer.Request.Method != http.MethodHead {
+	if untilClose && !takesUnframed && answer.Request.Method != http.MethodHead {
 		return errNoLength
 	}
 	return nil
 }
 
+// collect reads an answer of at most limit bytes whole, so that one that breaks
+// off fails here, before anything of it was passed on. A longer one stays to
+// be streamed.
+func (e *exchange) collect(limit int) {
+	if e.answer == nil || limit <= 0 || e.answer.ContentLength > int64(limit) || e.answer.Header.Get("Trailer") != "" {
+		return
+	}
+	var head bytes.Buffer
+	if e.answer.ContentLength > 0 {
+		head.Grow(int(e.answer.ContentLength) + bytes.MinRead)
+	}
+	_, err := io.Copy(&head, io.LimitReader(e.answer.Body, int64(limit)+1))
+	if err != nil {
+		e.err = err
+		e.dropAnswer()
+		return
+	}
+	if head.Len() > limit {
+		rest := io.MultiReader(&head, e.answer.Body)
+		e.answer.Body = joinedBody{Reader: rest, Closer: e.answer.Body}
+		return
+	}
+	if !e.hasNoBody() {
+		e.answer.ContentLength = int64(head.Len())
+	}
+	e.answer.Body = joinedBody{Reader: &head, Closer: e.answer.Body}
+}
+
+// hasNoBody tells whether the length of the answer speaks of a body that is
+// not sent.
+func (e *exchange) hasNoBody() bool {
+	return e.answer.Request.Method == http.MethodHead || e.answer.StatusCode == http.StatusNotModified ||
+		e.answer.StatusCode == http.StatusNoContent
+}
+
+// joinedBody reads what was collected and closes what it came from.
+type joinedBody struct {
+	io.Reader
+	io.Closer
+}
+
 func (e *exchange) dropAnswer() {
 	if e.answer != nil {
 		_ = e.answer.Body.Close()
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -64,6 +64,8 @@
 	deadline time.Duration
 	ticket   *admission.Ticket
 	verdicts verdictChannel
+	// backend is the instance that the call is for.
+	backend string
 }
 
 // verdictChannel is a waiter of the gate; it holds the one verdict.
@@ -77,7 +79,7 @@
 func (p *Proxy) acceptGateCall(request *http.Request) (*gateCall, Refusal, bool) {
 	header := request.Header
 	mine := p.gate != nil && header.Get(headerHop) == hopGate &&
-		header.Get(headerBackend) == p.config.Backend &&
+		header.Get(headerBackend) == p.instance() &&
 		header.Get(headerService) == p.config.Service.String()
 	if incarnation := header.Get(headerIncarnation); incarnation != "" {
 		mine = mine && p.incarnations.include(incarnation)
@@ -88,7 +90,7 @@
 	if refusal, fine := checkForm(request, p.limits); !fine {
 		return nil, refusal, false
 	}
-	call := &gateCall{proxy: p, request: request, timeout: routing.DefaultTimeout}
+	call := &gateCall{proxy: p, request: request, timeout: routing.DefaultTimeout, backend: header.Get(headerBackend)}
 	if stated, found := statedTimeout(header); found {
 		call.timeout = stated
 	}
@@ -199,7 +201,7 @@
 func (c *gateCall) send() *exchange {
 	relay := &informer{writer: c.writer}
 	for try := 1; ; try++ {
-		sent := c.proxy.backend.send(c.context, c.outgoing(), relay)
+		sent := c.proxy.backend.send(c.context, c.outgoing(), relay, c.proxy.config.Edge)
 		again := sent.err != nil && sent.unsent && c.body.replayable() && c.context.Err() == nil
 		if !again || try == gateTries {
 			return sent
@@ -210,13 +212,16 @@
 
 // judge tells whether there is an answer to pass on, and else the refusal.
 func (c *gateCall) judge(sent *exchange) (Refusal, bool) {
+	if sent.err == nil {
+		sent.collect(c.proxy.limits.CollectBytes)
+	}
 	if sent.err == nil {
 		return c.judgeAnswer(sent.answer)
 	}
 	detail := describeFailure(sent.err)
 	switch {
 	case sent.unsent && c.context.Err() == nil:
-		c.proxy.health.unreachable()
+		c.proxy.backendUnreachable(c.backend)
 		return Refusal{Code: result.ConnectFailed, Detail: detail, RetryAfter: time.Second}, true
 	case sent.unsent:
 		return Refusal{Code: result.DeadlineBeforeStart, Detail: detail}, true
@@ -234,6 +239,9 @@
 
 // judgeAnswer takes a back end's own word that it has shed a call.
 func (c *gateCall) judgeAnswer(answer *http.Response) (Refusal, bool) {
+	if edge := c.proxy.config.Edge; edge != nil {
+		return c.judgeEdgeAnswer(edge, answer)
+	}
 	shed := answer.StatusCode == http.StatusServiceUnavailable &&
 		answer.Header.Get(headerBackendRan) == string(result.RanNo)
 	if !shed {
@@ -248,6 +256,18 @@
 	return refusal, true
 }
 
+// judgeEdgeAnswer takes the word of a back end of a foreign platform.
+func (c *gateCall) judgeEdgeAnswer(edge *Edge, answer *http.Response) (Refusal, bool) {
+	if !edge.notExecuted(answer) {
+		return Refusal{}, false
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, refusalBytes))
+	if answer.StatusCode == http.StatusMisdirectedRequest {
+		return Refusal{Code: result.WrongBackend}, true
+	}
+	return Refusal{Code: result.BackendRefused}, true
+}
+
 // refuse answers with a refusal and the load, from which senders learn.
 func (c *gateCall) refuse(refusal Refusal) {
 	refusal.Load = c.proxy.loadText()
@@ -295,14 +315,20 @@
 		header["User-Agent"] = []string{""}
 	}
 	left := max(c.deadline-c.proxy.config.Clock(), 0)
-	header[headerTimeout] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
-	header[headerRequest] = []string{request}
-	if noRetry != "" {
-		header[headerNoRetry] = []string{noRetry}
+	milliseconds := []string{strconv.FormatInt(left.Milliseconds(), 10)}
+	if edge := c.proxy.config.Edge; edge != nil {
+		header[edge.Deadline] = milliseconds
+		header[edge.ExpectedInstance] = []string{c.backend}
+	} else {
+		header[headerTimeout] = milliseconds
+		header[headerRequest] = []string{request}
+		if noRetry != "" {
+			header[headerNoRetry] = []string{noRetry}
+		}
 	}
 	outgoing := &http.Request{
 		Method: c.request.Method, Host: c.request.Host, Header: header,
-		URL:   target(c.proxy.config.BackendAddress, c.request.URL.EscapedPath(), c.request.URL.RawQuery),
+		URL:   c.proxy.target(c.proxy.config.BackendAddress, c.request, c.request.URL.EscapedPath()),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	if c.body != nil {
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -91,6 +91,17 @@
 	}
 }
 
+// backendUnreachable is called when a call met no connection to the back end.
+func (p *Proxy) backendUnreachable(instance string) {
+	if !p.config.Reported {
+		p.health.unreachable()
+		return
+	}
+	if p.config.OnBackendUnreachable != nil {
+		p.config.OnBackendUnreachable(instance)
+	}
+}
+
 // ownLoad is the back end's last report and its age; the report is negative
 // when there is none.
 func (h *health) ownLoad() (float64, time.Duration) {
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -31,7 +31,9 @@
 // the library's own refusals of malformed requests a code.
 type boundedListener struct {
 	net.Listener
-	limit    int64
+	limit int64
+	// quiet closes idle connections without an announcing answer.
+	quiet    bool
 	secure   *tls.Config
 	open     atomic.Int64
 	refusing atomic.Int64
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -35,6 +35,7 @@
 	health  *health
 
 	incarnations   incarnations
+	reported       reportedBackend
 	tally          tally
 	callersRunning atomic.Int64
 	gateRunning    atomic.Int64
@@ -65,7 +66,7 @@
 	proxy.requestPrefix = string(config.NodeID) + "-" + incarnation + "-"
 	proxy.randomState.Store(config.RandomSeed)
 	proxy.view.Store(&view{})
-	if config.Backend != "" {
+	if config.Backend != "" || config.Reported {
 		proxy.openGate()
 	}
 	return proxy
@@ -88,7 +89,13 @@
 	})
 	p.backend = newUpstream(p.config.BackendAddress, p.limits, p.limits.BackendIdle)
 	p.backend.linger = p.limits.CancelWait
+	p.backend.takesUnframed = p.config.Edge != nil
 	p.health = newHealth(p)
+	if p.config.Reported {
+		p.gate.Drain() // until the back end reports
+		close(p.health.done)
+		return
+	}
 	go p.health.run()
 }
 
@@ -184,6 +191,7 @@
 // refuse counts a refusal and answers with it.
 func (p *Proxy) refuse(writer http.ResponseWriter, body *upload, refusal Refusal) {
 	p.tally.refused(refusal.Code)
+	refusal.edge = p.config.Edge
 	refuseCall(writer, body, refusal, p.limits.StallTimeout)
 }
 
--- a/internal/proxy/refuse.go
+++ b/internal/proxy/refuse.go
@@ -24,6 +24,9 @@
 	Status int
 	// Load is the value of headerLoad, on refusals of a gate.
 	Load string
+
+	// edge is set for callers of a foreign platform.
+	edge *Edge
 }
 
 // refusalBody is the JSON body of a refusal.
@@ -63,7 +66,7 @@
 		header.Set(headerLoad, r.Load)
 	}
 	if wait := cmp.Or(r.RetryAfter, usualWait(r.Code)); wait > 0 {
-		header.Set("Retry-After", retryAfterSeconds(wait))
+		header.Set("Retry-After", r.retryAfter(wait))
 	}
 	body := refusalBody{Code: r.Code, Name: entry.Name, Ran: r.execution(), Detail: r.Detail}
 	if body.Detail == "" {
@@ -74,7 +77,11 @@
 		text = []byte("{}")
 	}
 	header.Set("Content-Length", strconv.Itoa(len(text)))
-	writer.WriteHeader(cmp.Or(r.Status, entry.HTTPStatus))
+	status := cmp.Or(r.Status, entry.HTTPStatus)
+	if r.edge != nil {
+		status = r.edge.status(r)
+	}
+	writer.WriteHeader(status)
 	// A failed write means that the caller is gone; there is no one to tell.
 	_, _ = writer.Write(text)
 }
@@ -90,6 +97,15 @@
 	return 0
 }
 
+// retryAfter is the value of the header. Callers of a foreign platform take
+// fractions of a second.
+func (r Refusal) retryAfter(wait time.Duration) string {
+	if r.edge != nil {
+		return strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)
+	}
+	return retryAfterSeconds(wait)
+}
+
 // retryAfterSeconds rounds up to whole seconds, as the header wants.
 func retryAfterSeconds(wait time.Duration) string {
 	return strconv.Itoa(int(math.Ceil(wait.Seconds())))
--- /dev/null
+++ b/internal/proxy/reported.go
@@ -0,0 +1,56 @@
+package proxy
+
+import (
+	"sync/atomic"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+)
+
+// BackendReport is what the back end beside the daemon has said of itself.
+type BackendReport struct {
+	// Instance identifies one start of the back end.
+	Instance string
+	// Slots is how many calls it runs at once.
+	Slots int
+	State protocol.EndpointState
+}
+
+// reportedBackend is the newest report, read on the path of a request.
+type reportedBackend struct {
+	current atomic.Pointer[BackendReport]
+}
+
+// instance is the name by which callers' sides address the back end.
+func (p *Proxy) instance() string {
+	if !p.config.Reported {
+		return p.config.Backend
+	}
+	if report := p.reported.current.Load(); report != nil {
+		return report.Instance
+	}
+	return ""
+}
+
+// ReportBackend puts a report of the back end in force at the gate. When it
+// returns, a back end that is draining gets no new call from here, and the
+// calls that waited have been refused. One goroutine reports at a time.
+func (p *Proxy) ReportBackend(report BackendReport) {
+	previous := p.reported.current.Load()
+	if previous != nil && previous.Instance != report.Instance {
+		// Connections to an earlier instance lead nowhere.
+		p.backend.closeIdle()
+	}
+	takesWork := report.State == protocol.EndpointReady || report.State == protocol.EndpointWarming
+	if !takesWork {
+		p.gate.Drain()
+	}
+	p.reported.current.Store(&report)
+	if report.Slots > 0 {
+		p.gate.SetSlots(p.config.Clock(), report.Slots)
+	}
+	if takesWork {
+		p.gate.Resume()
+	}
+	p.event("backend_state", EventField{Key: "backend", Value: report.Instance},
+		EventField{Key: "state", Value: stateNames[report.State]})
+}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -101,6 +101,7 @@
 func (s *Server) Serve(listener net.Listener) error {
 	bounded := newBoundedListener(listener, s.limits.Connections)
 	bounded.secure = s.secure
+	bounded.quiet = s.limits.QuietClose
 	if !s.add(bounded) {
 		_ = listener.Close()
 		return http.ErrServerClosed
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -131,6 +131,10 @@
 	if !c.phase.CompareAndSwap(phaseIdle, phaseRetired) {
 		return
 	}
+	if c.listener.quiet {
+		_ = c.CloseWrite()
+		return
+	}
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusedWait))
 	if _, err := c.Conn.Write(plainRefusal(leavingRefusal(http.StatusRequestTimeout))); err == nil {
 		_ = c.CloseWrite()
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -32,7 +32,11 @@
 	dialer    net.Dialer
 	spares    chan spare
 	spareLife time.Duration
-	opening   atomic.Int64
+	// takesUnframed takes answers whose end is that of their connection.
+	takesUnframed bool
+	// noSpares opens no connections ahead of calls.
+	noSpares bool
+	opening  atomic.Int64
 	// context ends when the upstream is given up.
 	context context.Context
 	cancel  context.CancelFunc
@@ -54,6 +58,7 @@
 		spares:  make(chan spare, spareLimit),
 
 		spareLife: min(spareLife, limits.HeaderTimeout/2),
+		noSpares:  limits.NoSpares,
 	}
 	made.transport = &http.Transport{
 		DialContext:            made.dial,
@@ -109,7 +114,7 @@
 // openAhead opens connections in the background for calls to come.
 func (u *upstream) openAhead(count int) {
 	for range count {
-		if u.context.Err() != nil || int(u.opening.Load())+len(u.spares) >= spareLimit {
+		if u.noSpares || u.context.Err() != nil || int(u.opening.Load())+len(u.spares) >= spareLimit {
 			return
 		}
 		u.opening.Add(1)
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -42,18 +42,21 @@
 	}
 	if held != previous.snapshot {
 		next.table = routing.Compile(held)
+		if p.config.Edge != nil {
+			next.table = routing.CompileVerbatim(held)
+		}
 	}
 	now := p.config.Clock()
 	index := endpoint.NewIndex(members)
-	self := endpoint.Locality{Region: p.config.Region, Zone: p.config.Zone}
-	for reference, backends := range held.Backends {
+	self := endpoint.Locality{Region: p.config.Region, Zone: p.config.Zone, TrustStates: p.config.Reported}
+	for reference, backends := range p.backendsOf(held, members) {
 		made := &service{name: reference.String()}
 		var oldSet *endpoint.Set
 		if old := previous.services[reference]; old != nil {
 			oldSet = old.set
 			made.budget = old.budget
 		} else {
-			made.budget = retry.NewBudget(now)
+			made.budget = retry.NewBudgetWithin(now, p.config.RetryBudget)
 		}
 		made.set = endpoint.BuildIndexed(oldSet, self, backends, index, now)
 		next.services[reference] = made
@@ -62,6 +65,28 @@
 	return next
 }
 
+// backendsOf lists the back ends of each service: those that the snapshot
+// declares or, where back ends report themselves, those of the member records.
+func (p *Proxy) backendsOf(held *snapshot.Snapshot, members []protocol.Member) map[resource.ServiceRef][]resource.Backend {
+	if !p.config.Reported {
+		return held.Backends
+	}
+	backends := make(map[resource.ServiceRef][]resource.Backend, len(held.Services))
+	for reference := range held.Services {
+		backends[reference] = nil
+	}
+	for _, member := range members {
+		if _, known := held.Services[member.Service]; !known || member.Backend == "" {
+			continue
+		}
+		backends[member.Service] = append(backends[member.Service], resource.Backend{
+			Partner: member.Service.Partner, Name: member.Backend, Service: member.Service.Name,
+			Address: member.DataAddress, Region: member.Region, Zone: member.Zone, Slots: member.Slots,
+		})
+	}
+	return backends
+}
+
 // connect gives every endpoint of a set its connections.
 func (p *Proxy) connect(previous, next *view, set *endpoint.Set) {
 	for _, one := range set.All {
@@ -72,7 +97,7 @@
 		if kept == nil {
 			kept = newUpstream(one.Address, p.limits, p.limits.UpstreamIdle)
 			kept.secure = p.config.PeerTLS
-			if one.Zone == p.config.Zone && one.Region == p.config.Region {
+			if !p.config.Reported && one.Zone == p.config.Zone && one.Region == p.config.Region {
 				kept.openAhead(1)
 			}
 		}
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -54,6 +54,7 @@
 	DrainBound          Code = 417
 	RetryBudgetSpent    Code = 418
 	CallerGone          Code = 419
+	BackendRefused      Code = 420
 	PlatformUnavailable Code = 500
 	PlatformUnknown     Code = 501
 	PlatformNotFound    Code = 502
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -22,14 +22,13 @@
 
 // decode turns the tree into settings over the defaults and lists fields that
 // are unknown or of a wrong type.
-func decode(tree *koanf.Koanf, locator locator) (Settings, []*result.Error) {
-	settings := Default()
+func decode[T any](tree *koanf.Koanf, locator locator, settings T) (T, []*result.Error) {
 	err := tree.UnmarshalWithConf("", &settings, koanf.UnmarshalConf{DecoderConfig: &mapstructure.DecoderConfig{
 		DecodeHook: decodeField,
 		MatchName:  func(key, field string) bool { return key == field },
 	}})
 	var mistakes []*result.Error
-	for _, field := range unknownFields(tree.Raw(), reflect.TypeFor[Settings](), "") {
+	for _, field := range unknownFields(tree.Raw(), reflect.TypeFor[T](), "") {
 		mistakes = append(mistakes, locator.mistake(field, "the field is not known", "remove it or correct its name"))
 	}
 	for _, failed := range decodeErrors(err) {
--- /dev/null
+++ b/internal/settings/hosted.go
@@ -0,0 +1,144 @@
+package settings
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/goccy/go-yaml/ast"
+
+	"github.com/springstack/springstack/internal/result"
+)
+
+// hostedSection is the section that only settings of a hosted daemon have.
+const hostedSection = "authority"
+
+// Hosted is all that a daemon is told at its start on a platform that holds
+// the configuration.
+type Hosted struct {
+	Node      Node            `koanf:"node" validate:"required"`
+	Listen    HostedListen    `koanf:"listen" validate:"required"`
+	Backend   HostedBackend   `koanf:"backend" validate:"required"`
+	Authority HostedAuthority `koanf:"authority" validate:"required"`
+	Retries   HostedRetries   `koanf:"retries"`
+	Drain     HostedDrain     `koanf:"drain"`
+	Log       Log             `koanf:"log"`
+}
+
+// HostedListen holds the addresses that a hosted daemon listens on.
+type HostedListen struct {
+	// Callers takes calls that start on this machine.
+	Callers string `koanf:"callers" validate:"required,address"`
+	// Gate takes calls from other daemons for the back end of this machine.
+	Gate string `koanf:"gate" validate:"required,target"`
+	// Control takes net/rpc calls from other daemons.
+	Control string `koanf:"control" validate:"required,target"`
+	// Ready answers whether callers may be sent here.
+	Ready string `koanf:"ready" validate:"required,address"`
+	// Reports takes the heartbeats of the back end.
+	Reports string `koanf:"reports" validate:"required,address"`
+	// Metrics serves counters and histograms; empty for none.
+	Metrics string `koanf:"metrics" validate:"omitempty,address"`
+}
+
+// HostedBackend names the back end beside a hosted daemon, which reports its
+// own state.
+type HostedBackend struct {
+	// Service is what the back end serves.
+	Service string `koanf:"service" validate:"required"`
+	// Address is where the back end listens.
+	Address string `koanf:"address" validate:"required,target"`
+	// HeartbeatMilliseconds is the time between two of its reports.
+	HeartbeatMilliseconds int `koanf:"heartbeat_milliseconds" validate:"min=10,max=60000"`
+}
+
+// HostedAuthority is where accepted configurations are read.
+type HostedAuthority struct {
+	// Address is the store's IP number and port.
+	Address string `koanf:"address" validate:"required,target"`
+	// ReadsPerSecond is how many reading calls all daemons may make together.
+	ReadsPerSecond float64 `koanf:"reads_per_second" validate:"min=1"`
+	// ValueBytes is the most that one object of the store may hold.
+	ValueBytes int `koanf:"value_bytes" validate:"min=1024,max=268435456"`
+}
+
+// HostedRetries bounds the retries of all daemons together.
+type HostedRetries struct {
+	// Ratio is how many arrivals beyond the first a call to a service allows.
+	Ratio float64 `koanf:"ratio" validate:"min=0,max=1"`
+	// Slack is how many more are allowed in any window.
+	Slack float64 `koanf:"slack" validate:"min=0,max=100000"`
+}
+
+// HostedDrain bounds a planned stop.
+type HostedDrain struct {
+	// GraceSeconds is when the platform kills the process.
+	GraceSeconds float64 `koanf:"grace_seconds" validate:"min=1,max=3600"`
+}
+
+// Grace is when the platform kills a process that is told to stop.
+func (d HostedDrain) Grace() time.Duration {
+	return time.Duration(d.GraceSeconds * float64(time.Second))
+}
+
+// HeartbeatInterval is the time between two reports of the back end.
+func (b HostedBackend) HeartbeatInterval() time.Duration {
+	return time.Duration(b.HeartbeatMilliseconds) * time.Millisecond
+}
+
+// DefaultHosted returns the settings before the file is applied.
+func DefaultHosted() Hosted {
+	return Hosted{
+		Backend:   HostedBackend{HeartbeatMilliseconds: 1500},
+		Authority: HostedAuthority{ReadsPerSecond: 100, ValueBytes: 1 << 20},
+		Retries:   HostedRetries{Ratio: 0.1, Slack: 10},
+		Drain:     HostedDrain{GraceSeconds: 30},
+		Log:       Log{Level: "info"},
+	}
+}
+
+// IsHosted tells whether a settings file is one of a hosted daemon.
+func IsHosted(path string) bool {
+	text, mistake := readFile(path)
+	if mistake != nil {
+		return false
+	}
+	parsed, mistake := parseDocument(path, text)
+	if mistake != nil || parsed.body == nil {
+		return false
+	}
+	return slices.ContainsFunc(pairsOf(parsed.body), func(pair *ast.MappingValueNode) bool {
+		return pair.Key.GetToken().Value == hostedSection
+	})
+}
+
+// LoadHosted reads the settings file of a hosted daemon and applies overrides.
+func LoadHosted(path string, overrides []Override) (Hosted, []*result.Error) {
+	text, mistake := readFile(path)
+	if mistake != nil {
+		return Hosted{}, []*result.Error{mistake}
+	}
+	return ParseHosted(path, text, overrides)
+}
+
+// ParseHosted is LoadHosted on the text of a file.
+func ParseHosted(path string, text []byte, overrides []Override) (Hosted, []*result.Error) {
+	return parse(path, text, overrides, DefaultHosted(), checkHosted)
+}
+
+// checkHosted refuses one address for two ports.
+func checkHosted(settings Hosted, locator locator) []*result.Error {
+	users := map[netip.AddrPort]string{}
+	var mistakes []*result.Error
+	for _, listener := range []Listener{
+		{Field: "listen.callers", Address: settings.Listen.Callers},
+		{Field: "listen.gate", Address: settings.Listen.Gate},
+		{Field: "listen.control", Address: settings.Listen.Control},
+		{Field: "listen.ready", Address: settings.Listen.Ready},
+		{Field: "listen.reports", Address: settings.Listen.Reports},
+		{Field: "listen.metrics", Address: settings.Listen.Metrics},
+	} {
+		mistakes = append(mistakes, checkDistinct(users, listener, locator)...)
+	}
+	return mistakes
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -33,20 +33,29 @@
 	if path == "" {
 		return Parse("", nil, overrides)
 	}
+	text, mistake := readFile(path)
+	if mistake != nil {
+		return Settings{}, []*result.Error{mistake}
+	}
+	return Parse(path, text, overrides)
+}
+
+// readFile reads a settings file of bounded size.
+func readFile(path string) ([]byte, *result.Error) {
 	info, err := os.Stat(path)
 	if err == nil && info.Size() > MaxFileBytes {
-		return Settings{}, []*result.Error{tooLarge(path)}
+		return nil, tooLarge(path)
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return Settings{}, []*result.Error{{
+		return nil, &result.Error{
 			Code:   result.SettingsInvalid,
 			File:   path,
 			Detail: "the file cannot be read: " + reason(err),
 			Mend:   "give the path of a readable file with --settings",
-		}}
+		}
 	}
-	return Parse(path, text, overrides)
+	return text, nil
 }
 
 // reason returns the cause of a failed file operation without the path.
@@ -74,28 +83,36 @@
 
 // Parse is Load on the text of a file; path is used in messages only.
 func Parse(path string, text []byte, overrides []Override) (Settings, []*result.Error) {
+	return parse(path, text, overrides, Default(), checkTogether)
+}
+
+// parse reads settings of any type over their defaults. Together lists the
+// mistakes that take more than one field to see.
+func parse[T any](path string, text []byte, overrides []Override, defaults T, together func(T, locator) []*result.Error) (T, []*result.Error) {
+	var none T
 	if len(text) > MaxFileBytes {
-		return Settings{}, []*result.Error{tooLarge(path)}
+		return none, []*result.Error{tooLarge(path)}
 	}
 	document, mistake := parseDocument(path, text)
 	if mistake != nil {
-		return Settings{}, []*result.Error{mistake}
+		return none, []*result.Error{mistake}
 	}
 	tree := koanf.New(fieldSeparator)
 	if mistake := document.load(tree); mistake != nil {
-		return Settings{}, []*result.Error{mistake}
+		return none, []*result.Error{mistake}
 	}
 	for _, override := range overrides {
 		if mistake := override.load(tree); mistake != nil {
-			return Settings{}, []*result.Error{mistake}
+			return none, []*result.Error{mistake}
 		}
 	}
 	locator := locator{document: document, overrides: overrides}
-	settings, mistakes := decode(tree, locator)
+	settings, mistakes := decode(tree, locator, defaults)
 	mistakes = append(mistakes, validateSettings(settings, locator, mistakes)...)
+	mistakes = append(mistakes, together(settings, locator)...)
 	if len(mistakes) > 0 {
 		sortMistakes(mistakes)
-		return Settings{}, mistakes
+		return none, mistakes
 	}
 	return settings, nil
 }
--- a/internal/settings/together.go
+++ b/internal/settings/together.go
@@ -112,18 +112,24 @@
 	var mistakes []*result.Error
 	users := map[netip.AddrPort]string{}
 	for _, listener := range settings.Listeners() {
-		address, err := netip.ParseAddrPort(listener.Address)
-		if err != nil || address.Port() == 0 {
-			continue
-		}
-		if other, taken := users[address]; taken {
-			mistakes = append(mistakes, locator.mistake(listener.Field, "the address is also that of "+other, "give each its own port"))
-		}
-		users[address] = listener.Field
+		mistakes = append(mistakes, checkDistinct(users, listener, locator)...)
 	}
 	return mistakes
 }
 
+// checkDistinct notes the address of a listener, or refuses one in use.
+func checkDistinct(users map[netip.AddrPort]string, listener Listener, locator locator) []*result.Error {
+	address, err := netip.ParseAddrPort(listener.Address)
+	if err != nil || address.Port() == 0 {
+		return nil
+	}
+	if other, taken := users[address]; taken {
+		return []*result.Error{locator.mistake(listener.Field, "the address is also that of "+other, "give each its own port")}
+	}
+	users[address] = listener.Field
+	return nil
+}
+
 // checkTokens refuses a token that stands for two partners.
 func checkTokens(settings Settings, locator locator) []*result.Error {
 	var mistakes []*result.Error
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -109,7 +109,7 @@
 
 // validateSettings lists the fields whose values are not allowed, leaving out
 // those that could not be decoded.
-func validateSettings(settings Settings, locator locator, decoded []*result.Error) []*result.Error {
+func validateSettings(settings any, locator locator, decoded []*result.Error) []*result.Error {
 	undecoded := func(field string) bool {
 		return slices.ContainsFunc(decoded, func(mistake *result.Error) bool {
 			return field == mistake.Field || strings.HasPrefix(field, mistake.Field+fieldSeparator)
@@ -124,7 +124,7 @@
 			}
 		}
 	}
-	return append(mistakes, checkTogether(settings, locator)...)
+	return mistakes
 }
 
 // valueMistake describes a failed validation tag.
