Calls stay in their zone; daemons that start together meet at once

And on a first start the daemons of one zone learnt of another's back ends only 8 s later: each listed the registry once, before the others had registered. Change: endpoint.Spill holds the loads at which calls leave a zone; hosted daemons stay until waiting costs about as long as running (1.5, penalty 1). Ruled out: refusing calls rather than crossing (the share served counts too).

--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -2,20 +2,29 @@
 
 import "time"
 
-const (
-	// spillLoad is the load of the better choice in the own zone above which
-	// the next zone is looked at: before the slots are full.
-	spillLoad = 0.75
-	// zonePenalty is how much less loaded a farther endpoint must be.
-	zonePenalty = 0.25
-	// regionPenalty is the same for another region.
-	regionPenalty = 1.0
-	// ejectionFloor is the share of a set that is always left in use: when
-	// more than that is ejected, ejections are not heeded.
-	ejectionFloor = 0.5
-)
+// ejectionFloor is the share of a set that is always left in use: when more
+// than that is ejected, ejections are not heeded.
+const ejectionFloor = 0.5
 
-var penalties = [tierCount]float64{0, zonePenalty, regionPenalty}
+// Spill says how much load calls bear to stay near. Loads are calls by slots, so
+// that 1 is an endpoint whose slots are all taken.
+type Spill struct {
+	// Above is the load of the better choice in the own zone above which the
+	// next zone is looked at.
+	Above float64
+	// Zone and Region are how much less loaded an endpoint of another zone or
+	// region must be.
+	Zone   float64
+	Region float64
+}
+
+// DefaultSpill looks at the next zone before the slots of the own are full.
+func DefaultSpill() Spill { return Spill{Above: 0.75, Zone: 0.25, Region: 1} }
+
+// penalty is what an endpoint at a distance must be less loaded by.
+func (s Spill) penalty(distance int) float64 {
+	return [tierCount]float64{0, s.Zone, s.Region}[distance]
+}
 
 // Choose picks the endpoint of a call: the less loaded of two drawn at random
 // in the own zone, or of two farther ones when those are close to full. Random
@@ -42,12 +51,12 @@
 		if candidate == nil {
 			continue
 		}
-		load := candidate.load(now) + penalties[distance]
+		load := candidate.load(now) + s.spill.penalty(distance)
 		if best == nil || load < bestLoad {
 			best = candidate
 			bestLoad = load
 		}
-		if bestLoad <= spillLoad+penalties[distance] {
+		if bestLoad <= s.spill.Above+s.spill.penalty(distance) {
 			break
 		}
 	}
--- a/internal/core/endpoint/set.go
+++ b/internal/core/endpoint/set.go
@@ -16,6 +16,8 @@
 	// TrustStates says that back ends tell themselves when they are warm, so
 	// that one that has just come and is ready gets its full share.
 	TrustStates bool
+	// Spill is when calls leave the own zone; the zero value means DefaultSpill.
+	Spill Spill
 }
 
 // tierCount is the number of distances: own zone, own region, elsewhere.
@@ -29,6 +31,7 @@
 	tiers [tierCount][]*Endpoint
 	// usable is the number of endpoints in tiers.
 	usable int
+	spill  Spill
 }
 
 // Index finds the record of the daemon beside a back end: that of its latest
@@ -66,7 +69,7 @@
 // of the member records. Counts carry over from the previous set, which may be
 // nil, for endpoints of the same incarnation; a new incarnation starts cold.
 func BuildIndexed(previous *Set, self Locality, backends []resource.Backend, index Index, now time.Duration) *Set {
-	set := &Set{}
+	set := &Set{spill: cmp.Or(self.Spill, DefaultSpill())}
 	known := previous.byName()
 	for _, backend := range backends {
 		made, usable := describe(backend, index)
--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -85,6 +85,7 @@
 		Reported:             true,
 		Edge:                 &edge,
 		RetryBudget:          d.retryBudget(),
+		Spill:                stayNear,
 		OnBackendUnreachable: d.reportUnreachable,
 		Log:                  d.logPath,
 	})}, nil
--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/springstack/springstack/internal/control"
+	"github.com/springstack/springstack/internal/core/endpoint"
 	"github.com/springstack/springstack/internal/core/retry"
 	"github.com/springstack/springstack/internal/proxy"
 )
@@ -30,6 +31,10 @@
 	queueWait = 2 * time.Second
 )
 
+// stayNear keeps calls in their zone until waiting there costs about as long as
+// running: bytes between zones are paid for.
+var stayNear = endpoint.Spill{Above: 1.5, Zone: 1, Region: 4}
+
 // pathLimits are the limits of the data path of a hosted daemon.
 func pathLimits() proxy.Limits {
 	limits := proxy.DefaultLimits()
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -98,11 +98,13 @@
 	}
 }
 
-// register reads the registry and leaves the daemon's own registration there,
-// unless it stands there already.
+// register reads the registry, leaves the daemon's own registration there unless
+// it stands there already, and meets the daemons listed. Who registers last
+// reads all others, so that daemons that start together find each other.
 func (m *mesh) register() {
 	for m.context.Err() == nil {
 		if m.readRegistry() && m.putRegistration() {
+			m.meet()
 			return
 		}
 		if !pause(m.context, registryPause/2+time.Duration(randomNumber()%uint64(registryPause))) {
@@ -135,6 +137,7 @@
 	if known {
 		return true
 	}
+	defer m.readRegistry()
 	ctx, cancel := context.WithTimeout(m.context, readTimeout)
 	defer cancel()
 	if err := m.registry.Put(ctx, mine); err != nil {
@@ -144,6 +147,16 @@
 	return true
 }
 
+// meet compares records with all peers of the own zone and some of the others.
+func (m *mesh) meet() {
+	m.mutex.Lock()
+	targets := m.pushTargets()
+	m.mutex.Unlock()
+	for _, target := range targets {
+		m.compare(target)
+	}
+}
+
 // announce changes what the own record says of the back end, and tells peers.
 func (m *mesh) announce(view backend.View) {
 	m.mutex.Lock()
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -8,6 +8,7 @@
 	"crypto/tls"
 	"time"
 
+	"github.com/springstack/springstack/internal/core/endpoint"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/retry"
@@ -36,6 +37,9 @@
 	// Edge is how callers and back ends of a foreign platform speak; nil means
 	// springstack's own headers.
 	Edge *Edge
+	// Spill says when calls leave the own zone; the zero value means
+	// endpoint.DefaultSpill.
+	Spill endpoint.Spill
 	// RetryBudget bounds retries; the zero value means retry.DefaultLimits.
 	RetryBudget retry.Limits
 	// OnBackendUnreachable is told when a call found that the back end takes no
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -48,7 +48,9 @@
 	}
 	now := p.config.Clock()
 	index := endpoint.NewIndex(members)
-	self := endpoint.Locality{Region: p.config.Region, Zone: p.config.Zone, TrustStates: p.config.Reported}
+	self := endpoint.Locality{
+		Region: p.config.Region, Zone: p.config.Zone, TrustStates: p.config.Reported, Spill: p.config.Spill,
+	}
 	for reference, backends := range p.backendsOf(held, members) {
 		made := &service{name: reference.String()}
 		var oldSet *endpoint.Set
