--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -33,6 +33,8 @@
 	joinWait = 1500 * time.Millisecond
 	// registryPause is the time between tries to reach the registry.
 	registryPause = time.Second
+	// returnWait is how long a daemon that has left is still asked.
+	returnWait = time.Minute
 	// isolatedAfter is when a daemon that no peer has answered lists the
 	// registry again.
 	isolatedAfter = 5 * time.Second
@@ -186,11 +188,15 @@
 	}))
 }
 
-// peers lists the other daemons known, in order of id; the lock is held.
+// peers lists the other daemons known, in order of id; the lock is held. One
+// that has left is still asked for a while: most come back, and one that the
+// store refuses then finds nobody by itself.
 func (m *mesh) peers() []peer {
 	var found []peer
+	now := m.clock()
 	m.roster.Each(func(member protocol.Member) {
-		if member.ID != m.self.ID && member.State != protocol.MemberLeft {
+		left := member.State == protocol.MemberLeft && now-m.roster.ChangedAt(member.ID) > returnWait
+		if member.ID != m.self.ID && !left {
 			found = append(found, peer{id: member.ID, address: member.ControlAddress, zone: member.Zone})
 		}
 	})
