A daemon that stops keeps its gate open while it lingers

Cause: at SIGTERM the gate refused at once, though the back end beside it goes on; so a rolling restart took each back end away for the 2.5 s of the linger on top of the restart. Looked at first: retries and the budget (refusals cost neither). Change: the gate closes when the linger ends, and peers are told 0.4 s ahead.

--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -113,7 +113,8 @@
 	d.draining.Store(true)
 	d.events.event("drain_started")
 	d.path.StartDrain()
-	d.backend.stop()
+	announcing := time.AfterFunc(linger-announceAhead, d.backend.stop)
+	defer announcing.Stop()
 	bound := time.NewTimer(d.settings.Drain.Grace() - closeMargin)
 	defer bound.Stop()
 	select {
--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -15,6 +15,9 @@
 	// linger is how long callers are served after the daemon has called itself
 	// not ready: until whoever asks for that has asked twice.
 	linger = 2500 * time.Millisecond
+	// announceAhead is how long before its gate closes a daemon that stops tells
+	// its peers to send it nothing more.
+	announceAhead = 400 * time.Millisecond
 	// keepIdle is how long an idle connection of a caller is kept. It is longer
 	// than what callers are told, so that they close first.
 	keepIdle = 2 * time.Minute
@@ -47,6 +50,7 @@
 	limits.QuietClose = true
 	limits.NoSpares = true
 	limits.DrainLinger = linger
+	limits.GateLingers = true
 	limits.RequestCount = 1 << 17
 	limits.KeyCount = 1 << 10
 	return limits
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -141,6 +141,9 @@
 	// DrainLinger is how long a draining daemon goes on taking connections
 	// after its last call, so that callers learn to go elsewhere.
 	DrainLinger time.Duration
+	// GateLingers keeps the gate open during the linger, for a daemon that stops
+	// while its back end goes on.
+	GateLingers bool
 	// DrainBound is when the calls still running are cut with DrainBound.
 	DrainBound time.Duration
 	// ProbePeriod is the time between probes of the back end's health and load.
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -30,17 +30,24 @@
 	return drain{idle: make(chan struct{}, 1), done: make(chan struct{})}
 }
 
-// StartDrain refuses new work at the gate at once and lets what runs end. The
+// StartDrain refuses new work at the gate at once, or after the linger with
+// Limits.GateLingers, and lets what runs end. The
 // callers' side serves on for the linger, asking callers to close their
 // connections, and then refuses with Draining.
 func (p *Proxy) StartDrain() {
 	if !p.drain.started.CompareAndSwap(false, true) {
 		return
 	}
+	if !p.limits.GateLingers {
+		p.closeGate()
+	}
+	go p.awaitDrained()
+}
+
+func (p *Proxy) closeGate() {
 	if p.gate != nil {
 		p.gate.Close()
 	}
-	go p.awaitDrained()
 }
 
 // Drained is closed when a drain has ended: the linger has passed and no call
@@ -60,6 +67,7 @@
 		return
 	}
 	p.drain.refusing.Store(true)
+	p.closeGate()
 	for p.running() > 0 {
 		select {
 		case <-p.drain.idle:
