Decisions are logged, bounded and never blocking; explain tells a request's story

Change: a line for each decision that touches a request (attempt_ended, request_refused, request_turned_away, request_cut, gate_refused, gate_failed; of ordinary successes a sample that is the same on all daemons) with the request's id, the version, what was known of the endpoint and the age of that, the queue, the time and the budget left. Lines go through buckets by rate and a bounded queue whose writer may be stuck; what is dropped is counted and said. Histograms of requests, queue and back end; counters of the store's calls, lost peers, dropped lines. springstack explain ID LOG... joins the lines of several daemons.

--- a/cmd/springstack/explain.go
+++ b/cmd/springstack/explain.go
@@ -15,13 +15,16 @@
 func explainCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "explain",
-		Usage:     "explain a result code, or list all of them",
-		ArgsUsage: "[CODE]",
-		Description: "A code may be given by number or by name. No daemon is asked.\n\n" +
+		Usage:     "explain a result code, list all of them, or tell the story of a request",
+		ArgsUsage: "[CODE] | REQUEST LOG...",
+		Description: "A code may be given by number or by name. With log files of daemons (- for standard\n" +
+			"input) the story of the request with that id is told: each decision in order, and\n" +
+			"what the daemon that made it believed then. No daemon is asked.\n\n" +
 			"Examples:\n" +
 			"  springstack explain 205\n" +
 			"  springstack explain outcome_unknown\n" +
-			"  springstack --output json explain",
+			"  springstack --output json explain\n" +
+			"  springstack explain 9c41d07be2a35f68 klein-1.log eros-1.log",
 		Action: func(_ context.Context, command *cli.Command) error {
 			settings, err := settingsOf(command)
 			if err != nil {
@@ -32,6 +35,9 @@
 				to.ExplainAll(result.Entries())
 				return nil
 			}
+			if command.Args().Len() > 1 {
+				return explainRequest(command)
+			}
 			text, err := argument(command, "CODE")
 			if err != nil {
 				return errors.Trace(err)
--- a/cmd/springstackd/hosted.go
+++ b/cmd/springstackd/hosted.go
@@ -52,9 +52,12 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	output := logging.NewQueue(os.Stdout)
+	defer output.Close(outputWait)
 	started := hosted.New(loaded, hosted.Options{
-		Logger:   logging.NewTo(os.Stdout, level),
-		Platform: platform.New(loaded),
+		Logger:       logging.NewTo(output, level),
+		LinesDropped: output.Dropped,
+		Platform:     platform.New(loaded),
 	})
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -64,6 +67,9 @@
 	return untilSignal(ctx, started)
 }
 
+// outputWait bounds the writing of the last log lines.
+const outputWait = 300 * time.Millisecond
+
 // settingsPeriod is how often the settings file is looked at.
 const settingsPeriod = time.Second
 
--- a/internal/core/endpoint/endpoint.go
+++ b/internal/core/endpoint/endpoint.go
@@ -85,6 +85,8 @@
 	// leavingUntil and leavingSequence hold a refusal to take new work.
 	leavingUntil    atomic.Int64
 	leavingSequence atomic.Uint64
+	// recordAt is when the present record of the daemon came.
+	recordAt atomic.Int64
 	// refusingUntil holds a refusal for load.
 	refusingUntil atomic.Int64
 	// readyAt is when the endpoint was first seen by this process.
@@ -141,6 +143,11 @@
 	}
 }
 
+// RecordAge is how long ago the daemon's present record came.
+func (e *Endpoint) RecordAge(now time.Duration) time.Duration {
+	return now - time.Duration(e.stats.recordAt.Load())
+}
+
 // Outstanding is the number of this process's calls at the endpoint.
 func (e *Endpoint) Outstanding() int { return int(e.stats.outstanding.Load()) }
 
--- a/internal/core/endpoint/set.go
+++ b/internal/core/endpoint/set.go
@@ -140,9 +140,17 @@
 // ends; those that say themselves that they are warming start cold.
 func carryOver(self Locality, previous *Set, old, made *Endpoint, now time.Duration) *stats {
 	if old != nil && (old.Incarnation == made.Incarnation || old.Incarnation == 0) {
+		if made.Sequence > old.Sequence {
+			old.stats.recordAt.Store(int64(now))
+			if self.TrustStates {
+				// Its daemon is heard again: what calls met before is old.
+				old.stats.success()
+			}
+		}
 		return old.stats
 	}
 	fresh := &stats{}
+	fresh.recordAt.Store(int64(now))
 	fresh.readyAt.Store(int64(now))
 	if (previous == nil || self.TrustStates) && made.State != protocol.EndpointWarming {
 		fresh.readyAt.Store(int64(now - warmUp))
--- a/internal/core/retry/call.go
+++ b/internal/core/retry/call.go
@@ -4,6 +4,7 @@
 package retry
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/springstack/springstack/internal/result"
@@ -65,6 +66,8 @@
 	RetryFailures bool
 	// Deadline is on the caller's clock.
 	Deadline time.Duration
+	// Margin is the least time in which another attempt can be of use.
+	Margin time.Duration
 	// Unbudgeted retries without budget and mark. It is for comparisons only.
 	Unbudgeted bool
 }
@@ -126,6 +129,11 @@
 	return &Call{policy: policy, budget: budget}
 }
 
+// BudgetLeft is how many retries the budget has left, as text for logs.
+func (c *Call) BudgetLeft() string {
+	return strconv.FormatFloat(float64(c.budget.tokens.Load())/unit, 'f', 1, 64)
+}
+
 // First returns the mark for the first attempt.
 func (c *Call) First() Step {
 	return Step{Action: Send, Mark: c.policy.NoRetry}
@@ -150,7 +158,7 @@
 		return c.refuse(result.CallerGone, 0)
 	case now >= c.policy.Deadline || c.unknownCode == result.DeadlineInFlight:
 		return c.refuse(c.deadlineCode(), 0)
-	case !c.mayRepeat(outcome) || (leaves(outcome) && !outcome.Others):
+	case !c.mayRepeat(outcome) || (leaves(outcome) && !outcome.Others) || now+c.policy.Margin >= c.policy.Deadline:
 		return c.giveUp(outcome)
 	case c.relocates(outcome):
 		c.relocations++
@@ -170,7 +178,7 @@
 // the attempts and the budget.
 func (c *Call) retriesAnswer(now time.Duration, outcome Outcome) bool {
 	return outcome.Failed && c.policy.RetryFailures && c.policy.Repeatable && !c.policy.NoRetry &&
-		outcome.Replayable && outcome.Others && now < c.policy.Deadline &&
+		outcome.Replayable && outcome.Others && now+c.policy.Margin < c.policy.Deadline &&
 		c.attempts-c.relocations < c.policy.Attempts &&
 		c.budget.Withdraw(now, c.attempts-c.relocations, c.policy.Urgent)
 }
--- a/internal/core/retry/call_test.go
+++ b/internal/core/retry/call_test.go
@@ -144,3 +144,38 @@
 		}
 	})
 }
+
+func TestNoAttemptFollowsWithoutTimeForIt(t *testing.T) {
+	check := is.New(t)
+	policy := Policy{Repeatable: true, RetryFailures: true, Deadline: 100, Margin: 10}
+	failed := Outcome{Kind: Answered, Failed: true, Replayable: true, Others: true}
+	check.Equal(newCall(policy).Next(89, failed).Action, Send)
+	check.Equal(newCall(policy).Next(90, failed).Action, Deliver)
+	broken := Outcome{Kind: Broken, Replayable: true, Others: true}
+	check.Equal(newCall(policy).Next(89, broken).Action, Send)
+	check.Equal(newCall(policy).Next(90, broken).Action, Refuse)
+}
+
+func TestAnAnsweredFailureIsTriedElsewhereOnlyWhereItMayBe(t *testing.T) {
+	check := is.New(t)
+	failed := Outcome{Kind: Answered, Failed: true, Replayable: true, Others: true}
+	check.Equal(newCall(Policy{Repeatable: true}).Next(0, failed).Action, Deliver) // not asked for
+	check.Equal(newCall(Policy{RetryFailures: true}).Next(0, failed).Action, Deliver)
+	check.Equal(newCall(Policy{Repeatable: true, RetryFailures: true, NoRetry: true}).Next(0, failed).Action, Deliver)
+	check.Equal(newCall(Policy{Repeatable: true, RetryFailures: true, Attempts: 1}).Next(0, failed).Action, Deliver)
+	call := newCall(Policy{Repeatable: true, RetryFailures: true})
+	check.Equal(call.Next(0, failed).Action, Send)
+	refusal := Outcome{Kind: Refused, Code: result.QueueFull, Ran: result.RanNo, Replayable: true}
+	check.Equal(call.Next(0, refusal).Action, Send)
+	check.Equal(call.Next(0, refusal).Ran, result.RanUnknown) // the first attempt has run
+}
+
+func TestAGatesRefusalCostsNoBudgetUnlessTheBackEndSawIt(t *testing.T) {
+	check := is.New(t)
+	budget := NewBudgetWithin(0, Limits{Ratio: 0, Saved: 1})
+	policy := Policy{RetryFailures: true, Attempts: 3, Deadline: 100}
+	refusal := Outcome{Kind: Refused, Code: result.QueueFull, Ran: result.RanNo, Replayable: true, Others: true}
+	check.Equal(NewCall(policy, budget).Next(0, refusal).Action, Send)
+	refusal.Code, refusal.Arrived = result.BackendRefused, true
+	check.Equal(NewCall(policy, budget).Next(0, refusal).Action, Refuse)
+}
--- a/internal/hosted/configuration.go
+++ b/internal/hosted/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -38,6 +39,10 @@
 	tickets  sync.WaitGroup
 	mutex    sync.Mutex
 	follower *following.Follower
+	// calls counts the store's answers by code.
+	calls map[result.Code]uint64
+	// changedAt is when the version in force came.
+	changedAt time.Duration
 	// storeLost is set while the store does not answer.
 	storeLost bool
 }
@@ -74,6 +79,23 @@
 	return built.Services[service].HealthPath
 }
 
+// storeCalls are the reading calls so far, by their codes.
+func (c *configuration) storeCalls() map[result.Code]uint64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return maps.Clone(c.calls)
+}
+
+// age is how long ago the version in force came; 0 without one.
+func (c *configuration) age() time.Duration {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.version() == 0 {
+		return 0
+	}
+	return c.clock() - c.changedAt
+}
+
 // storeFails tells whether the store's last answer was a failure.
 func (c *configuration) storeFails() bool {
 	c.mutex.Lock()
@@ -122,6 +144,7 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.calls[reading.Code]++
 	c.noteStore(reading)
 	c.carryOut(c.follower.StoreRead(c.clock(), reading))
 }
@@ -168,6 +191,7 @@
 			c.swap(built)
 			c.built.Store(built)
 			c.inForce.Store(&document)
+			c.changedAt = c.clock()
 		}
 	}
 	if err != nil {
--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/daemon"
+	"github.com/springstack/springstack/internal/metrics"
 	"github.com/springstack/springstack/internal/proxy"
 	"github.com/springstack/springstack/internal/settings"
 )
@@ -24,6 +25,8 @@
 	options  Options
 	clock    daemon.Clock
 	events   eventLog
+	requests *requestLog
+	timings  metrics.Timings
 	injector *do.RootScope
 	draining atomic.Bool
 
@@ -44,11 +47,13 @@
 		settings: checked,
 		options:  options,
 		clock:    daemon.NewClock(),
-		events:   newEventLog(options.Logger, checked.Node.ID),
 		injector: do.New(),
+		timings:  metrics.NewTimings(),
 		context:  ctx,
 		cancel:   cancel,
 	}
+	made.events = newEventLog(options.Logger, checked.Node.ID, made.clock)
+	made.requests = newRequestLog(made.events)
 	made.provide()
 	return made
 }
@@ -63,6 +68,7 @@
 	d.mesh.start()
 	d.configuration.start()
 	d.backend.start()
+	go d.summarize(d.context)
 	d.events.event("daemon_started", field("callers", d.settings.Listen.Callers),
 		field("gate", d.settings.Listen.Gate), field("control", d.settings.Listen.Control))
 	return nil
@@ -88,17 +94,19 @@
 		Spill:                stayNear,
 		OnBackendUnreachable: d.reportUnreachable,
 		Log:                  d.logPath,
+		Trace:                d.requests,
+		Timings: proxy.Timings{
+			Caller:  d.timings.Caller.Seconds,
+			Queue:   d.timings.Queue.Seconds,
+			Backend: d.timings.Backend.Seconds,
+		},
 	})}, nil
 }
 
 func (d *Daemon) reportUnreachable(instance string) { d.backend.unreachable(instance) }
 
 func (d *Daemon) logPath(event proxy.Event) {
-	fields := make([]eventField, 0, len(event.Fields))
-	for _, one := range event.Fields {
-		fields = append(fields, field(one.Key, one.Value))
-	}
-	d.events.event(event.Name, fields...)
+	d.events.event(event.Name, pathFields(event)...)
 }
 
 // Ready reports whether callers may be sent here.
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -446,6 +446,13 @@
 	}
 }
 
+// lostCount is how many peers did not answer when they were last asked.
+func (m *mesh) lostCount() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return len(m.lost)
+}
+
 // size is how many daemons are known, this one included.
 func (m *mesh) size() int {
 	m.mutex.Lock()
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -12,7 +13,7 @@
 
 // metricsHandler serves the daemon's counters.
 func (d *Daemon) metricsHandler() http.Handler {
-	registry := metrics.NewRegistry(collector{daemon: d})
+	registry := metrics.NewRegistry(collector{daemon: d}, d.timings.Collectors()...)
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	return mux
@@ -33,6 +34,12 @@
 	}
 	metrics.Ready.Send(out, ready)
 	metrics.Version.Send(out, float64(c.daemon.configuration.version()))
+	metrics.VersionAge.Send(out, c.daemon.configuration.age().Seconds())
 	metrics.Members.Send(out, float64(c.daemon.mesh.size()))
+	metrics.PeersLost.Send(out, float64(c.daemon.mesh.lostCount()))
+	metrics.LogLinesDropped.Send(out, float64(c.daemon.linesDropped()))
+	for code, calls := range c.daemon.configuration.storeCalls() {
+		metrics.StoreCalls.Send(out, float64(calls), strconv.Itoa(int(code)), code.Name())
+	}
 	daemon.CollectPath(out, c.daemon.path.Counters())
 }
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -40,6 +40,9 @@
 
 // Options are what a hosted daemon is given beside its settings.
 type Options struct {
-	Logger   log.Interface
-	Platform Platform
+	Logger log.Interface
+	// LinesDropped is how many lines the logger's output has dropped; nil for
+	// none.
+	LinesDropped func() uint64
+	Platform     Platform
 }
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -12,6 +12,7 @@
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/daemon"
 	"github.com/springstack/springstack/internal/proxy"
+	"github.com/springstack/springstack/internal/result"
 )
 
 // watchWait is how long the store may hold a watch without news.
@@ -131,6 +132,7 @@
 		swap:     path.Swap,
 		askPeer:  made.askDocument,
 		context:  d.context,
+		calls:    map[result.Code]uint64{},
 		follower: following.New(following.DefaultConfig(), randomNumber),
 	}
 	made.version = d.configuration.version
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -56,4 +56,17 @@
 		"Calls refused, by result code.",
 		"Look the code up in RESULT-CODES.md.",
 		"code", "name")
+	VersionAge = define(Gauge, "version_age_seconds",
+		"Time since the configuration in force came, in seconds.",
+		"Much older than on the other daemons: this one does not hear of changes.")
+	StoreCalls = define(Counter, "store_calls_total",
+		"Reading calls to the store of the external authority, by result code.",
+		"A rising code other than 0: look it up in RESULT-CODES.md.",
+		"code", "name")
+	PeersLost = define(Gauge, "peers_lost",
+		"Daemons that did not answer when they were last asked.",
+		"Many at once: a link or a zone is lost.")
+	LogLinesDropped = define(Counter, "log_lines_dropped_total",
+		"Log lines not written: over the rate, or the output did not take them.",
+		"Rising: a request's lines may be missing; see the line log_lines_dropped.")
 )
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -19,6 +19,8 @@
 const (
 	Gauge   Kind = "gauge"
 	Counter Kind = "counter"
+	// Histogram counts durations by buckets.
+	Histogram Kind = "histogram"
 )
 
 // Definition describes one metric.
@@ -65,14 +67,15 @@
 	out <- prometheus.MustNewConstMetric(d.description, valueType, value, labels...)
 }
 
-// NewRegistry returns a registry of a collector, and of the process's own
+// NewRegistry returns a registry of collectors, and of the process's own
 // metrics.
-func NewRegistry(collector prometheus.Collector) *prometheus.Registry {
+func NewRegistry(collector prometheus.Collector, more ...prometheus.Collector) *prometheus.Registry {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		collector,
 	)
+	registry.MustRegister(more...)
 	return registry
 }
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -38,13 +38,15 @@
 
 func (every) Collect(out chan<- prometheus.Metric) {
 	for _, definition := range Definitions() {
-		definition.Send(out, 1, definition.Labels...)
+		if definition.Kind != Histogram {
+			definition.Send(out, 1, definition.Labels...)
+		}
 	}
 }
 
 func TestRegistryGathersEveryDefinition(t *testing.T) {
 	is := is.New(t)
-	families, err := NewRegistry(every{}).Gather()
+	families, err := NewRegistry(every{}, NewTimings().Collectors()...).Gather()
 	is.NoErr(err)
 	gathered := map[string]string{}
 	for _, family := range families {
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -22,6 +22,9 @@
 const (
 	hopMarginShare = 20
 	hopMarginLimit = 10 * time.Millisecond
+
+	retryMarginShare = 8
+	retryMarginLimit = 50 * time.Millisecond
 )
 
 // CallerHandler takes callers' requests.
@@ -33,10 +36,13 @@
 	p.tally.callerCalls.Add(1)
 	p.callersRunning.Add(1)
 	defer p.leave(&p.callersRunning)
+	began := p.config.Clock()
+	defer func() { observe(p.config.Timings.Caller, p.config.Clock()-began) }()
 	control, body := p.begin(writer, request)
 	defer body.finish()
 	call, refusal, accepted := p.acceptCall(request)
 	if !accepted {
+		p.traceTurnedAway(request, refusal)
 		p.refuse(writer, body, refusal)
 		return
 	}
@@ -47,7 +53,9 @@
 	call.control = control
 	call.body = body
 	if err := body.preload(ctx); err != nil {
-		p.refuse(writer, body, unsentRefusal(ctx, err))
+		refusal := unsentRefusal(ctx, err)
+		p.traceTurnedAway(request, refusal)
+		p.refuse(writer, body, refusal)
 		return
 	}
 	call.run()
@@ -157,6 +165,7 @@
 		Unbudgeted: c.proxy.config.Baseline.UnbudgetedRetries,
 
 		RetryFailures: c.proxy.config.Edge != nil,
+		Margin:        c.proxy.retryMargin(c.timeout),
 	}
 	c.retries = retry.NewCall(c.policy, shared.budget)
 	if name := c.route.Resource.RequestKeyHeader; name != "" {
@@ -165,6 +174,15 @@
 	}
 }
 
+// retryMargin is the least time in which another attempt of a call can be of
+// use: a part of the call's time, at most retryMarginLimit.
+func (p *Proxy) retryMargin(timeout time.Duration) time.Duration {
+	if p.config.Edge == nil {
+		return 0
+	}
+	return min(timeout/retryMarginShare, retryMarginLimit)
+}
+
 // run makes attempts until there is an answer or a final refusal.
 func (c *callerCall) run() {
 	step := c.retries.First()
@@ -172,6 +190,7 @@
 		c.pause(step.Wait)
 		tried := c.attempt(step.Mark)
 		step = c.retries.Next(c.proxy.config.Clock(), tried.outcome)
+		c.traceAttempt(tried, step)
 		switch step.Action {
 		case retry.Send:
 			c.proxy.tally.retries.Add(1)
@@ -209,11 +228,12 @@
 	if stalled(c.body.problem()) && step.Ran == result.RanUnknown {
 		refusal.Code = result.SlowPeer
 	}
-	if refusal.execution() == result.RanUnknown {
+	if refusal.execution() == result.RanUnknown && c.proxy.config.Trace == nil {
 		c.proxy.event("call_unknown", codeField(refusal.Code),
 			EventField{Key: "route", Value: c.route.Resource.Key().String()},
 			EventField{Key: "service", Value: c.serviceName})
 	}
+	c.traceRefusal(refusal)
 	c.proxy.refuse(c.writer, c.body, refusal)
 }
 
@@ -231,6 +251,7 @@
 			tried.evidence = endpoint.Withdrawn
 		}
 	}
+	c.traceAnswer(tried, err)
 	tried.end(c.proxy)
 	if err != nil {
 		c.proxy.tally.aborted.Add(1)
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -57,6 +57,10 @@
 	OnBackendState func(protocol.EndpointState)
 	// Log takes one event; it must not block. Nil means no log.
 	Log func(Event)
+	// Trace takes the decisions that touch requests; nil for none.
+	Trace Trace
+	// Timings take durations; nil functions for none.
+	Timings Timings
 }
 
 // Baseline leaves out one protection each, so that an experiment can show what
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -39,6 +39,7 @@
 	defer body.finish()
 	call, refusal, accepted := p.acceptGateCall(request)
 	if !accepted {
+		p.traceTurnedAway(request, refusal)
 		p.refuse(writer, body, refusal)
 		return
 	}
@@ -123,20 +124,28 @@
 
 // run admits the call, sends it to the back end and passes the answer on.
 func (c *gateCall) run() {
+	came := c.proxy.config.Clock()
 	verdict := c.admit()
+	waited := c.proxy.config.Clock() - came
 	if verdict.State != admission.StateStarted {
+		c.traceGate("gate_refused", verdict.Code, 0, waited, 0)
 		c.refuse(Refusal{Code: verdict.Code, RetryAfter: verdict.RetryAfter})
 		return
 	}
+	observe(c.proxy.config.Timings.Queue, waited)
 	sent := c.send()
 	refusal, refused := c.judge(sent)
+	ran := c.proxy.config.Clock() - came - waited
+	observe(c.proxy.config.Timings.Backend, ran)
 	// The slot is given back once, whatever happens below.
 	defer c.end(sent, !refused || refusal.execution() != result.RanNo)
 	if refused {
 		c.ticket.Unmeasured = refusal.Code == result.BrokenInFlight
+		c.traceGate("gate_failed", refusal.Code, 0, waited, ran)
 		c.refuse(refusal)
 		return
 	}
+	c.traceGate("gate_answered", result.OK, sent.answer.StatusCode, waited, ran)
 	c.proxy.health.answered()
 	c.ticket.Unmeasured = sent.answer.StatusCode >= http.StatusInternalServerError
 	c.deliver(sent)
--- /dev/null
+++ b/internal/proxy/trace.go
@@ -0,0 +1,227 @@
+package proxy
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/endpoint"
+	"github.com/springstack/springstack/internal/core/retry"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// Trace takes the decisions that touch single requests. It must not block.
+type Trace interface {
+	// Wants tells whether an event is to be written now. Its fields are put
+	// together only then.
+	Wants(event string) bool
+	// Write takes an event that is wanted.
+	Write(Event)
+}
+
+// Timings take how long things took, for histograms. They must not block.
+type Timings struct {
+	// Caller is the whole time of a caller's request.
+	Caller func(time.Duration)
+	// Queue is the wait for a slot at the gate.
+	Queue func(time.Duration)
+	// Backend is the time from the sending to the back end until its answer.
+	Backend func(time.Duration)
+}
+
+// observe passes a duration on, if somebody listens.
+func observe(to func(time.Duration), took time.Duration) {
+	if to != nil {
+		to(took)
+	}
+}
+
+// traced writes an event about a request; fields are made only if it is wanted.
+func (p *Proxy) traced(event string, fields func() []EventField) {
+	if p.config.Trace == nil || !p.config.Trace.Wants(event) {
+		return
+	}
+	p.config.Trace.Write(Event{Name: event, Fields: fields()})
+}
+
+// requestID is the name of a request in logs: that of the caller with an Edge,
+// and else of the attempt.
+func (p *Proxy) requestID(header http.Header) string {
+	if p.config.Edge != nil {
+		return header.Get(p.config.Edge.RequestID)
+	}
+	return header.Get(headerRequest)
+}
+
+// sampled tells whether a request that went well has a line of its own. The
+// same requests are chosen on all daemons.
+func sampled(id string) bool {
+	const share = 128
+	sum := uint32(2166136261)
+	for index := range len(id) {
+		sum = (sum ^ uint32(id[index])) * 16777619
+	}
+	return sum%share == 0
+}
+
+func number(value int) string { return strconv.Itoa(value) }
+
+func millis(duration time.Duration) string {
+	return strconv.FormatFloat(float64(duration.Microseconds())/1000, 'f', 1, 64)
+}
+
+func textField(key, value string) EventField { return EventField{Key: key, Value: value} }
+
+// traceAttempt writes what became of an attempt that did not go well, what was
+// known of its endpoint, and what follows.
+func (c *callerCall) traceAttempt(tried *attempt, step retry.Step) {
+	if tried.outcome.Kind == retry.Answered && !tried.outcome.Failed {
+		return
+	}
+	c.proxy.traced("attempt_ended", func() []EventField {
+		now := c.proxy.config.Clock()
+		fields := append(c.identity(),
+			textField("attempt", number(len(c.tried))),
+			textField("outcome", outcomeNames[tried.outcome.Kind]),
+			textField("left_ms", millis(c.deadline-now)),
+			textField("next", stepNames[step.Action]))
+		if tried.outcome.Code != 0 {
+			fields = append(fields, textField("code", number(int(tried.outcome.Code))), textField("ran", string(tried.outcome.Ran)))
+		}
+		if tried.exchange != nil && tried.exchange.answer != nil {
+			fields = append(fields, textField("status", number(tried.exchange.answer.StatusCode)))
+		}
+		if c.detail != "" {
+			fields = append(fields, textField("detail", c.detail))
+		}
+		return append(fields, endpointFields(tried.chosen, now)...)
+	})
+}
+
+// identity is what every line about a call begins with.
+func (c *callerCall) identity() []EventField {
+	fields := []EventField{
+		textField("request", c.proxy.requestID(c.request.Header)),
+		textField("route", c.route.Resource.Name),
+		textField("service", c.service.Name),
+	}
+	if held := c.proxy.view.Load().snapshot; held != nil {
+		fields = append(fields, textField("version", strconv.FormatUint(uint64(held.Version), 10)))
+	}
+	return fields
+}
+
+// endpointFields are what was known of an endpoint and how old that was.
+func endpointFields(chosen *endpoint.Endpoint, now time.Duration) []EventField {
+	if chosen == nil {
+		return []EventField{textField("endpoint", "none")}
+	}
+	return []EventField{
+		textField("endpoint", chosen.Backend),
+		textField("peer", string(chosen.Node)),
+		textField("state", stateNames[chosen.State]),
+		textField("record_age_ms", millis(chosen.RecordAge(now))),
+		textField("outstanding", number(chosen.Outstanding())),
+	}
+}
+
+var outcomeNames = map[retry.Kind]string{
+	retry.Answered:   "failure_answered",
+	retry.Refused:    "refused_by_gate",
+	retry.NotSent:    "not_sent",
+	retry.Broken:     "broken",
+	retry.Expired:    "expired",
+	retry.CallerGone: "caller_gone",
+	retry.NoEndpoint: "no_endpoint",
+}
+
+var stepNames = map[retry.Action]string{
+	retry.Send:    "send_again",
+	retry.Deliver: "deliver",
+	retry.Refuse:  "refuse",
+}
+
+// traceRefusal writes the final refusal of a call.
+func (c *callerCall) traceRefusal(refusal Refusal) {
+	c.proxy.traced("request_refused", func() []EventField {
+		now := c.proxy.config.Clock()
+		return append(c.identity(),
+			textField("code", number(int(refusal.Code))),
+			textField("name", refusal.Code.Name()),
+			textField("ran", string(refusal.execution())),
+			textField("attempts", number(len(c.tried))),
+			textField("held_ms", millis(c.timeout-(c.deadline-now))),
+			textField("left_ms", millis(c.deadline-now)),
+			textField("budget", c.retries.BudgetLeft()))
+	})
+}
+
+// traceTurnedAway writes the refusal of a request before it became a call.
+func (p *Proxy) traceTurnedAway(request *http.Request, refusal Refusal) {
+	p.traced("request_turned_away", func() []EventField {
+		return []EventField{
+			textField("request", p.requestID(request.Header)),
+			textField("host", request.Host),
+			textField("code", number(int(refusal.Code))),
+			textField("name", refusal.Code.Name()),
+			textField("draining", strconv.FormatBool(p.drain.started.Load())),
+		}
+	})
+}
+
+// traceAnswer writes the end of a call that was answered, if it failed, was cut
+// or is one of the sample.
+func (c *callerCall) traceAnswer(tried *attempt, err error) {
+	status := tried.exchange.answer.StatusCode
+	failed := err != nil || status >= http.StatusInternalServerError || len(c.tried) > 1
+	if !failed && !sampled(c.proxy.requestID(c.request.Header)) {
+		return
+	}
+	fields := func() []EventField {
+		now := c.proxy.config.Clock()
+		fields := append(c.identity(),
+			textField("status", number(status)),
+			textField("attempts", number(len(c.tried))),
+			textField("held_ms", millis(c.timeout-(c.deadline-now))))
+		if err != nil {
+			fields = append(fields, textField("detail", innermost(err).Error()))
+		}
+		return append(fields, endpointFields(tried.chosen, now)...)
+	}
+	if err != nil {
+		c.proxy.traced("request_cut", fields)
+		return
+	}
+	c.proxy.traced("request_answered", fields)
+}
+
+// traceGate writes what the gate did with a call that it refused, that failed
+// at the back end, or that is one of the sample.
+func (c *gateCall) traceGate(event string, outcome result.Code, status int, waited, ran time.Duration) {
+	id := c.proxy.requestID(c.request.Header)
+	ordinary := outcome == result.OK && status < http.StatusInternalServerError
+	if ordinary && !sampled(id) {
+		return
+	}
+	c.proxy.traced(event, func() []EventField {
+		load := c.proxy.gate.Load()
+		fields := []EventField{
+			textField("request", id),
+			textField("instance", c.backend),
+			textField("running", number(load.Running)),
+			textField("queued", number(load.Queued)),
+			textField("slots", number(load.Slots)),
+			textField("mean_ms", millis(c.proxy.gate.MeanService())),
+			textField("waited_ms", millis(waited)),
+			textField("ran_ms", millis(ran)),
+			textField("left_ms", millis(c.deadline-c.proxy.config.Clock())),
+		}
+		if outcome != result.OK {
+			fields = append(fields, textField("code", number(int(outcome))), textField("name", outcome.Name()))
+		}
+		if status != 0 {
+			fields = append(fields, textField("status", number(status)))
+		}
+		return fields
+	})
+}
