A stop answers what it cuts short, before the platform's grace ends

Ruled out: the linger (the request came within it) and the peer's gate (it held the call in its queue, as it should). Change: the data path is given the bound (five sixths of the grace and 0.1 s), cuts with an answer, and tells gates no more than the time until then, so that they refuse at once what can't end by then.

--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -86,7 +86,7 @@
 		Service:              serviceRef(d.settings.Backend.Service),
 		BackendAddress:       d.settings.Backend.Address,
 		Slots:                1,
-		Limits:               pathLimits(),
+		Limits:               pathLimits(d.settings.Drain.Grace()),
 		RandomSeed:           0,
 		Reported:             true,
 		Edge:                 &edge,
@@ -121,14 +121,10 @@
 	d.draining.Store(true)
 	d.events.event("drain_started")
 	d.path.StartDrain()
-	announcing := time.AfterFunc(linger-announceAhead, d.backend.stop)
+	announcing := time.AfterFunc(lingerOf(d.settings.Drain.Grace())-announceAhead, d.backend.stop)
 	defer announcing.Stop()
-	bound := time.NewTimer(d.settings.Drain.Grace() - closeMargin)
-	defer bound.Stop()
 	select {
 	case <-d.path.Drained():
-	case <-bound.C:
-		d.events.event("drain_bound_reached")
 	case <-ctx.Done():
 	}
 	d.mesh.leave(ctx)
--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -10,11 +10,14 @@
 )
 
 const (
-	// closeMargin is kept of the platform's grace for closing connections.
-	closeMargin = 1500 * time.Millisecond
-	// linger is how long callers are served after the daemon has called itself
-	// not ready: until whoever asks for that has asked twice.
-	linger = 2500 * time.Millisecond
+	// graceParts divides the platform's grace: calls may run for all parts but
+	// the last, in which they are cut and connections closed.
+	graceParts = 6
+	// cutMargin is how far into the last part calls may still run.
+	cutMargin = 100 * time.Millisecond
+	// lingerLimit is the longest time that callers are served after the daemon
+	// has called itself not ready: until whoever asks for that has asked twice.
+	lingerLimit = 2500 * time.Millisecond
 	// announceAhead is how long before its gate closes a daemon that stops tells
 	// its peers to send it nothing more.
 	announceAhead = 400 * time.Millisecond
@@ -38,8 +41,18 @@
 // running: bytes between zones are paid for.
 var stayNear = endpoint.Spill{Above: 1.5, Zone: 1, Region: 4}
 
+// drainBound is when calls that still run are cut, after the start of a stop.
+func drainBound(grace time.Duration) time.Duration {
+	return grace - grace/graceParts + cutMargin
+}
+
+// lingerOf is how long callers are served after the start of a stop.
+func lingerOf(grace time.Duration) time.Duration {
+	return min(lingerLimit, drainBound(grace)/2)
+}
+
 // pathLimits are the limits of the data path of a hosted daemon.
-func pathLimits() proxy.Limits {
+func pathLimits(grace time.Duration) proxy.Limits {
 	limits := proxy.DefaultLimits()
 	limits.IdleTimeout = keepIdle
 	limits.UpstreamIdle = gateIdle
@@ -49,7 +62,8 @@
 	limits.QueueWait = queueWait
 	limits.QuietClose = true
 	limits.NoSpares = true
-	limits.DrainLinger = linger
+	limits.DrainLinger = lingerOf(grace)
+	limits.DrainBound = drainBound(grace)
 	limits.GateLingers = true
 	limits.RequestCount = 1 << 17
 	limits.KeyCount = 1 << 10
@@ -84,4 +98,4 @@
 }
 
 // closeBound is how long the servers may take to end once nothing runs.
-func closeBound() time.Duration { return time.Second }
+func closeBound() time.Duration { return 500 * time.Millisecond }
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -200,7 +200,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return daemon.ServePath(listener, proxy.NewServer(side(path.Proxy), pathLimits()), closeBound), nil
+	return daemon.ServePath(listener, proxy.NewServer(side(path.Proxy), pathLimits(d.settings.Drain.Grace())), closeBound), nil
 }
 
 func (d *Daemon) newReadyServer(do.Injector) (*readyServer, error) {
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -155,6 +155,7 @@
 	if stated, found := c.proxy.statedTime(header); found {
 		c.timeout = min(c.timeout, stated)
 	}
+	c.timeout = c.proxy.timeUntilCut(c.timeout)
 	c.deadline = c.proxy.config.Clock() + c.timeout
 	c.policy = retry.Policy{
 		Repeatable: c.route.Repeatable(c.request.Method),
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -19,6 +19,8 @@
 // drain is the state of leaving.
 type drain struct {
 	started atomic.Bool
+	// cutAt is when calls that still run are cut, on the clock.
+	cutAt atomic.Int64
 	// refusing is set once callers have had the linger to go elsewhere.
 	refusing atomic.Bool
 	// idle is signalled when the last call ends.
@@ -35,6 +37,7 @@
 // callers' side serves on for the linger, asking callers to close their
 // connections, and then refuses with Draining.
 func (p *Proxy) StartDrain() {
+	p.drain.cutAt.CompareAndSwap(0, int64(p.config.Clock()+p.limits.DrainBound))
 	if !p.drain.started.CompareAndSwap(false, true) {
 		return
 	}
@@ -54,6 +57,15 @@
 // runs any more, or the calls that ran past the hard bound have been cut.
 func (p *Proxy) Drained() <-chan struct{} { return p.drain.done }
 
+// timeUntilCut bounds the time of a call that comes while the daemon drains:
+// gates are told no more than that, and refuse at once what can't end by then.
+func (p *Proxy) timeUntilCut(timeout time.Duration) time.Duration {
+	if !p.drain.started.Load() {
+		return timeout
+	}
+	return min(timeout, max(0, time.Duration(p.drain.cutAt.Load())-p.config.Clock()))
+}
+
 func (p *Proxy) awaitDrained() {
 	linger := time.NewTimer(p.limits.DrainLinger)
 	defer linger.Stop()
