A fault soak of our own on real processes

Change: springstack-lab soak runs springstackd as processes on loopback and harms them from outside: links to the store, gates and control ports are silenced, cut one way or reset; daemons are killed, stopped, paused, told to reload; the store is busy, throttled, silent, slow, loses answers or forgets its history; upstreams crash, drain, leave and are replaced at the same address. An oracle judges by what clients and upstreams see: at most once, true refusals, whole answers, unchanged requests, true caller, routes, drains, no version back, in force in seconds, faults heal; a test breaks each promise once. Hosted settings may advertise other addresses than they listen on, which the links need.

--- a/cmd/springstack-lab/main.go
+++ b/cmd/springstack-lab/main.go
@@ -19,7 +19,7 @@
 			capacityCommand(),
 			demoCommand(),
 			experimentCommand(),
-			fuzzCommand(),
+			fuzzCommand(), soakCommand(),
 			mutantsCommand(),
 			platformCommand(),
 			reportCommand(),
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"cmp"
 	"net/http"
 
 	"github.com/samber/do/v2"
@@ -118,8 +119,8 @@
 			ID:             protocol.NodeID(d.settings.Node.ID),
 			Incarnation:    incarnation(),
 			State:          protocol.MemberAlive,
-			ControlAddress: d.settings.Listen.Control,
-			DataAddress:    d.settings.Listen.Gate,
+			ControlAddress: cmp.Or(d.settings.Listen.AdvertisedControl, d.settings.Listen.Control),
+			DataAddress:    cmp.Or(d.settings.Listen.AdvertisedGate, d.settings.Listen.Gate),
 			Region:         d.settings.Node.Region,
 			Zone:           d.settings.Node.Zone,
 			Service:        serviceRef(d.settings.Backend.Service),
--- /dev/null
+++ b/internal/lab/soak/machine.go
@@ -0,0 +1,182 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/springstack/springstack/internal/lab/link"
+	"github.com/springstack/springstack/platform/standin"
+)
+
+// endWait bounds the wait for a daemon that was told to stop.
+const endWait = 10 * time.Second
+
+// machine is one machine of the soak: a daemon as a process of its own, the
+// upstream beside it in this process, and the links to and from the daemon.
+type machine struct {
+	name     string
+	zone     string
+	service  string
+	settings string
+	log      string
+	program  string
+
+	callers string
+	ready   string
+	reports string
+	app     string
+
+	// store, gate and control are the links from the daemon to the store and
+	// from other daemons to it.
+	store   *link.Link
+	gate    *link.Link
+	control *link.Link
+
+	upstream *standin.Upstream
+	command  *exec.Cmd
+	ended    chan struct{}
+	// starts counts the daemon's starts.
+	starts int
+	paused bool
+}
+
+// addresses hands out addresses on loopback hosts of their own, so that no
+// ephemeral port meets them.
+func addresses(host string, count int) ([]string, error) {
+	found := make([]string, 0, count)
+	for range count {
+		listener, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		defer listener.Close()
+		found = append(found, listener.Addr().String())
+	}
+	return found, nil
+}
+
+// newMachine opens the links of a machine and writes its settings.
+func newMachine(options Options, index int, service, store string) (*machine, error) {
+	made := &machine{
+		name:    fmt.Sprintf("soak-%d", index),
+		zone:    fmt.Sprintf("zone-%d", index%options.Zones),
+		service: service,
+		program: options.Program,
+	}
+	made.settings = filepath.Join(options.Directory, made.name+".yaml")
+	made.log = filepath.Join(options.Directory, made.name+".log")
+	free, err := addresses(fmt.Sprintf("127.78.0.%d", index+1), 7)
+	if err != nil {
+		return nil, err
+	}
+	made.callers, made.ready, made.reports, made.app = free[0], free[1], free[2], free[3]
+	gate, control, metrics := free[4], free[5], free[6]
+	for _, opened := range []struct {
+		link   **link.Link
+		target string
+	}{{&made.store, store}, {&made.gate, gate}, {&made.control, control}} {
+		if *opened.link, err = link.Open(link.Config{Target: opened.target, Latency: options.Latency}); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	text := fmt.Sprintf(`node: {id: %s, region: soak, zone: %s}
+listen: {callers: %q, gate: %q, control: %q, ready: %q, reports: %q, metrics: %q, advertised_gate: %q, advertised_control: %q}
+backend: {service: %s, address: %q, heartbeat_milliseconds: %d}
+authority: {address: %q, reads_per_second: 2000}
+retries: {ratio: 0.2, slack: 64}
+drain: {grace_seconds: 6}
+`, made.name, made.zone, made.callers, gate, control, made.ready, made.reports, metrics,
+		made.gate.Address(), made.control.Address(), service, made.app, heartbeat.Milliseconds(), made.store.Address())
+	return made, errors.Trace(os.WriteFile(made.settings, []byte(text), 0o600))
+}
+
+// heartbeat is the time between two reports of an upstream.
+const heartbeat = 500 * time.Millisecond
+
+// startName names one start of the daemon.
+func (m *machine) startName() string { return fmt.Sprintf("%s#%d", m.name, m.starts) }
+
+// start starts the daemon's process.
+func (m *machine) start() error {
+	log, err := os.OpenFile(m.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer log.Close()
+	m.command = exec.Command(m.program, "run", "--settings", m.settings)
+	m.command.Stdout = log
+	m.command.Stderr = log
+	if err := m.command.Start(); err != nil {
+		return errors.Annotate(err, m.name)
+	}
+	m.starts++
+	m.ended = make(chan struct{})
+	go func(command *exec.Cmd, ended chan struct{}) {
+		defer close(ended)
+		_ = command.Wait() // how it ended is asked where that matters
+	}(m.command, m.ended)
+	return nil
+}
+
+// running tells whether the process has not ended.
+func (m *machine) running() bool {
+	select {
+	case <-m.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// signal sends a signal to the process that this machine started, if it runs.
+func (m *machine) signal(signal syscall.Signal) {
+	if m.running() {
+		_ = m.command.Process.Signal(signal) // it may end at this moment
+	}
+}
+
+// end sends a signal and waits until the process has ended, by force in the end.
+func (m *machine) end(signal syscall.Signal) {
+	m.signal(signal)
+	timer := time.NewTimer(endWait)
+	defer timer.Stop()
+	select {
+	case <-m.ended:
+	case <-timer.C:
+		m.signal(syscall.SIGKILL)
+		<-m.ended
+	}
+}
+
+// close ends the process and the links.
+func (m *machine) close() {
+	if m.command != nil {
+		m.signal(syscall.SIGCONT)
+		m.end(syscall.SIGKILL)
+	}
+	if m.upstream != nil {
+		m.upstream.Crash()
+	}
+	for _, opened := range []io.Closer{closing{m.store}, closing{m.gate}, closing{m.control}} {
+		_ = opened.Close()
+	}
+}
+
+// closing closes a link that may not have been opened.
+type closing struct{ link *link.Link }
+
+// Close closes the link.
+func (c closing) Close() error {
+	if c.link != nil {
+		c.link.Close()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/soak/oracle.go
@@ -0,0 +1,250 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/springstack/springstack/platform/standin"
+)
+
+// The bounds that the promises are held to. They are those of the users' pages,
+// with room for a busy machine where a bound is on time.
+const (
+	// drainBound is how long after an acknowledged drain a request may still
+	// reach the upstream.
+	drainBound = 2 * time.Second
+	// rollbackSlack is how long after an effect of a version an older one may
+	// still be seen.
+	rollbackSlack = 250 * time.Millisecond
+	// applyBound is when an accepted version must be in force on a daemon that
+	// nothing happened to for calmBefore.
+	applyBound = 4 * time.Second
+	calmBefore = 6 * time.Second
+)
+
+// Request is one request of a client.
+type Request struct {
+	ID         string
+	Machine    string
+	Service    string
+	Method     string
+	Target     string
+	Body       string
+	Repeatable bool
+	SentAt     time.Time
+}
+
+// Answer is what a client got for a request. Status 0 means none.
+type Answer struct {
+	Status    int
+	Signature string
+	Body      string
+	At        time.Time
+}
+
+// Violation is a promise that was broken.
+type Violation struct {
+	Promise string
+	Detail  string
+}
+
+// String names the promise and what was seen.
+func (v Violation) String() string { return v.Promise + ": " + v.Detail }
+
+// Oracle judges what clients and upstreams see. It may be used from several
+// goroutines.
+type Oracle struct {
+	mutex      sync.Mutex
+	requests   map[string]Request
+	runs       map[string][]standin.Arrival
+	promised   map[string]int
+	drained    map[string]time.Time
+	disturbed  map[string]time.Time
+	allowed    map[string][]string
+	proven     map[string]provenVersion
+	violations []Violation
+}
+
+// provenVersion is the newest version that a start of a daemon has shown.
+type provenVersion struct {
+	version int
+	at      time.Time
+}
+
+// NewOracle returns an oracle that has seen nothing.
+func NewOracle() *Oracle {
+	return &Oracle{
+		requests: map[string]Request{}, runs: map[string][]standin.Arrival{}, promised: map[string]int{},
+		drained: map[string]time.Time{}, disturbed: map[string]time.Time{}, allowed: map[string][]string{},
+		proven: map[string]provenVersion{},
+	}
+}
+
+func (o *Oracle) violate(promise, detail string, values ...any) {
+	o.violations = append(o.violations, Violation{Promise: promise, Detail: fmt.Sprintf(detail, values...)})
+}
+
+// Violations returns what was broken so far.
+func (o *Oracle) Violations() []Violation {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return slices.Clone(o.violations)
+}
+
+// Allow notes that a version that was written lets a service run requests for
+// a prefix.
+func (o *Oracle) Allow(prefix, service string) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if !slices.Contains(o.allowed[prefix], service) {
+		o.allowed[prefix] = append(o.allowed[prefix], service)
+	}
+}
+
+// Disturbed notes that something is done to a machine now.
+func (o *Oracle) Disturbed(machine string, at time.Time) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if at.After(o.disturbed[machine]) {
+		o.disturbed[machine] = at
+	}
+}
+
+// Calm tells whether nothing was done to a machine for a while.
+func (o *Oracle) Calm(machine string, at time.Time) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return at.Sub(o.disturbed[machine]) > calmBefore
+}
+
+// Drained notes that the drain or leave of an instance was acknowledged.
+func (o *Oracle) Drained(instance string, at time.Time) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if _, known := o.drained[instance]; !known {
+		o.drained[instance] = at
+	}
+}
+
+// Sent notes a request before it is sent.
+func (o *Oracle) Sent(request Request) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.requests[request.ID] = request
+}
+
+// Arrived judges what an upstream got.
+func (o *Oracle) Arrived(arrival standin.Arrival) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if !arrival.Ran {
+		return
+	}
+	request, known := o.requests[arrival.ID]
+	if !known {
+		o.violate("nothing runs that nobody sent", "%s ran unknown %s", arrival.Instance, arrival.ID)
+		return
+	}
+	o.checkUnchanged(request, arrival)
+	o.checkService(request, arrival)
+	o.checkDrained(request, arrival)
+	o.runs[arrival.ID] = append(o.runs[arrival.ID], arrival)
+	if !request.Repeatable && len(o.runs[arrival.ID]) > 1 {
+		o.violate("at most once", "%s ran on %s and %s", arrival.ID, o.runs[arrival.ID][0].Instance, arrival.Instance)
+	}
+	if status := o.promised[arrival.ID]; status != 0 {
+		o.violate("did not run is true", "%s ran on %s after its sender was told %d", arrival.ID, arrival.Instance, status)
+	}
+}
+
+func (o *Oracle) checkUnchanged(request Request, arrival standin.Arrival) {
+	if request.Method != arrival.Method || request.Target != arrival.Target || request.Body != string(arrival.Body) {
+		o.violate("requests are carried unchanged", "%s came as %s %s with %d bytes", request.ID, arrival.Method, arrival.Target, len(arrival.Body))
+	}
+	if caller := arrival.Header.Get(standin.CallerHeader); caller != request.Service {
+		o.violate("the caller's service is true", "%s came from %q, not %q", request.ID, caller, request.Service)
+	}
+}
+
+func (o *Oracle) checkService(request Request, arrival standin.Arrival) {
+	for prefix, services := range o.allowed {
+		if strings.HasPrefix(request.Target, prefix) && slices.Contains(services, arrival.Service) {
+			return
+		}
+	}
+	o.violate("no route without its service", "%s for %s ran on %s", request.ID, request.Target, arrival.Service)
+}
+
+func (o *Oracle) checkDrained(request Request, arrival standin.Arrival) {
+	at, drained := o.drained[arrival.Instance]
+	calm := arrival.At.Sub(o.disturbed[request.Machine]) > calmBefore
+	if drained && calm && arrival.At.Sub(at) > drainBound {
+		o.violate("a leaving back end gets no new work", "%s reached %s %s after its drain was acknowledged",
+			request.ID, arrival.Instance, arrival.At.Sub(at))
+	}
+}
+
+// The statuses that promise that a request did not run.
+var promises = []int{408, 421, 429, 503}
+
+const (
+	statusOK       = 200
+	statusNotFound = 404
+)
+
+// Answered judges what a client got.
+func (o *Oracle) Answered(request Request, answer Answer) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if slices.Contains(promises, answer.Status) && !request.Repeatable {
+		o.promised[request.ID] = answer.Status
+		if len(o.runs[request.ID]) > 0 {
+			o.violate("did not run is true", "%s was told %d and ran on %s", request.ID, answer.Status, o.runs[request.ID][0].Instance)
+		}
+	}
+	if answer.Status != statusOK {
+		return
+	}
+	for _, run := range o.runs[request.ID] {
+		if answer.Signature == standin.Signature(run.Instance, request.ID) && answer.Body == standin.BodyOf(run.Instance, request.ID) {
+			return
+		}
+	}
+	o.violate("each caller gets the whole of its own answer", "%s got %d bytes signed %q", request.ID, len(answer.Body), answer.Signature)
+}
+
+// Shown judges a probe by which a start of a daemon has shown that a version is
+// in force.
+func (o *Oracle) Shown(start string, version int, sentAt, at time.Time) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	known := o.proven[start]
+	if version < known.version && sentAt.Sub(known.at) > rollbackSlack {
+		o.violate("no proxy goes back a version", "%s showed %d, %s after %d", start, version, sentAt.Sub(known.at), known.version)
+	}
+	if version > known.version {
+		o.proven[start] = provenVersion{version: version, at: at}
+	}
+}
+
+// NotInForce judges a probe by which a daemon has shown that it does not hold
+// the newest version, accepted some time before the probe was sent.
+func (o *Oracle) NotInForce(machine string, version int, acceptedAt, sentAt time.Time) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	calm := sentAt.Sub(o.disturbed[machine]) > calmBefore
+	if calm && sentAt.Sub(acceptedAt) > applyBound {
+		o.violate("what is accepted is in force in seconds", "%s has no version %d, %s after it was accepted",
+			machine, version, sentAt.Sub(acceptedAt))
+	}
+}
+
+// Never judges something that was waited for and did not come.
+func (o *Oracle) Never(what string) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.violate("faults heal", "%s", what)
+}
--- /dev/null
+++ b/internal/lab/soak/oracle_test.go
@@ -0,0 +1,107 @@
+package soak
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/platform/standin"
+)
+
+var start = time.Unix(1000, 0)
+
+// sentBy is an oracle that knows one request.
+func sentBy(request Request) *Oracle {
+	oracle := NewOracle()
+	oracle.Allow("/write/", "app")
+	oracle.Sent(request)
+	return oracle
+}
+
+func charge() Request {
+	return Request{ID: "q", Machine: "m", Service: "app", Method: "POST", Target: "/write/1", Body: "b", SentAt: start}
+}
+
+func ran(instance string, at time.Duration) standin.Arrival {
+	return standin.Arrival{
+		ID: "q", Instance: instance, Service: "app", Method: "POST", Target: "/write/1", Body: []byte("b"),
+		Header: http.Header{standin.CallerHeader: {"app"}}, At: start.Add(at), Ran: true,
+	}
+}
+
+func whole(instance string) Answer {
+	return Answer{Status: 200, Signature: standin.Signature(instance, "q"), Body: standin.BodyOf(instance, "q")}
+}
+
+// TestTheOracleSeesEachBrokenPromise breaks each promise once; the case that
+// keeps it comes before.
+func TestTheOracleSeesEachBrokenPromise(t *testing.T) {
+	cases := []struct {
+		promise string
+		kept    func(*Oracle)
+		broken  func(*Oracle)
+	}{
+		{"at most once", func(o *Oracle) { o.Arrived(ran("a", 0)) }, func(o *Oracle) { o.Arrived(ran("b", 0)) }},
+		{"did not run is true", func(o *Oracle) { o.Answered(charge(), Answer{Status: 503}) }, func(o *Oracle) { o.Arrived(ran("a", 0)) }},
+		{"did not run is true", func(o *Oracle) { o.Arrived(ran("a", 0)) }, func(o *Oracle) { o.Answered(charge(), Answer{Status: 429}) }},
+		{"each caller gets the whole of its own answer",
+			func(o *Oracle) { o.Arrived(ran("a", 0)); o.Answered(charge(), whole("a")) },
+			func(o *Oracle) { o.Answered(charge(), whole("b")) }},
+		{"nothing runs that nobody sent", func(*Oracle) {}, func(o *Oracle) {
+			unknown := ran("a", 0)
+			unknown.ID = "other"
+			o.Arrived(unknown)
+		}},
+		{"requests are carried unchanged", func(*Oracle) {}, func(o *Oracle) {
+			changed := ran("a", 0)
+			changed.Target = "/write/1?"
+			o.Arrived(changed)
+		}},
+		{"the caller's service is true", func(*Oracle) {}, func(o *Oracle) {
+			forged := ran("a", 0)
+			forged.Header = http.Header{standin.CallerHeader: {"forged"}}
+			o.Arrived(forged)
+		}},
+		{"no route without its service", func(o *Oracle) { o.Allow("/read/", "other") }, func(o *Oracle) {
+			wrong := ran("a", 0)
+			wrong.Service = "other"
+			o.Arrived(wrong)
+		}},
+		{"a leaving back end gets no new work",
+			func(o *Oracle) { o.Drained("a", start); o.Arrived(ran("a", drainBound)) },
+			func(o *Oracle) {
+				o.Sent(Request{ID: "q", Service: "app", Method: "POST", Target: "/write/1", Body: "b", Repeatable: true})
+				o.Arrived(ran("a", drainBound+time.Millisecond))
+			}},
+		{"no proxy goes back a version",
+			func(o *Oracle) { o.Shown("m#1", 5, start, start); o.Shown("m#2", 4, start.Add(time.Second), start) },
+			func(o *Oracle) { o.Shown("m#1", 4, start.Add(time.Second), start.Add(time.Second)) }},
+		{"what is accepted is in force in seconds",
+			func(o *Oracle) { o.NotInForce("m", 3, start, start.Add(applyBound)) },
+			func(o *Oracle) { o.NotInForce("m", 3, start, start.Add(applyBound+time.Millisecond)) }},
+	}
+	for _, given := range cases {
+		t.Run(given.promise, func(t *testing.T) {
+			check := is.New(t)
+			oracle := sentBy(charge())
+			given.kept(oracle)
+			check.Equal(len(oracle.Violations()), 0)
+			given.broken(oracle)
+			check.True(len(oracle.Violations()) > 0)
+			check.Equal(oracle.Violations()[0].Promise, given.promise)
+		})
+	}
+}
+
+func TestADisturbedMachineIsHeldToNoTime(t *testing.T) {
+	check := is.New(t)
+	oracle := sentBy(charge())
+	oracle.Disturbed("m", start.Add(time.Minute))
+	check.True(!oracle.Calm("m", start.Add(time.Minute)))
+	oracle.NotInForce("m", 3, start, start.Add(time.Minute))
+	oracle.Drained("a", start)
+	oracle.Arrived(ran("a", time.Minute))
+	check.Equal(len(oracle.Violations()), 0)
+}
--- /dev/null
+++ b/internal/lab/soak/soak.go
@@ -0,0 +1,207 @@
+// Package soak runs real daemons as separate processes on loopback under
+// random faults that come from outside of them, and judges by what clients and
+// upstreams see whether the promises of the project's pages hold. The store,
+// the upstreams and the clients run in this process; links between them and
+// the daemons are delayed, reset, cut one way or silenced; daemons are
+// stopped, paused, killed and restarted by signals.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/springstack/springstack/platform/standin"
+)
+
+// Options say what a soak runs.
+type Options struct {
+	// Program is the path of springstackd.
+	Program string
+	// Directory takes settings and logs.
+	Directory string
+	Seed      uint64
+	Duration  time.Duration
+	Machines  int
+	Zones     int
+	// Clients is how many clients send requests on each machine.
+	Clients int
+	// Latency is the one-way latency of the links.
+	Latency time.Duration
+}
+
+// Report is what came of a soak.
+type Report struct {
+	Seed       uint64      `json:"seed"`
+	Requests   int         `json:"requests"`
+	Served     int         `json:"served"`
+	Runs       int         `json:"runs"`
+	Faults     int         `json:"faults"`
+	Versions   int         `json:"versions"`
+	Violations []Violation `json:"violations"`
+}
+
+// soak is one run.
+type soak struct {
+	options  Options
+	random   *rand.Rand
+	store    *standin.Store
+	server   *standin.Server
+	oracle   *Oracle
+	machines []*machine
+	log      func(event, detail string)
+
+	mutex    sync.Mutex
+	version  int
+	accepted time.Time
+	requests int
+	served   int
+	runs     int
+	faults   int
+	// instances counts the upstreams started.
+	instances int
+}
+
+// services are the names of the soak's services, by turns of machines.
+var services = []string{"app", "ledger"}
+
+// Run plays a soak. Log takes what is done, as it is done.
+func Run(ctx context.Context, options Options, log func(event, detail string)) (Report, error) {
+	played := &soak{
+		options: options,
+		random:  rand.New(rand.NewPCG(options.Seed, options.Seed)),
+		store:   standin.NewStore(),
+		oracle:  NewOracle(),
+		log:     log,
+	}
+	played.server = standin.NewServer(played.store)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return Report{}, errors.Trace(err)
+	}
+	web := &http.Server{Handler: played.server}
+	go func() { _ = web.Serve(listener) }() // ends with Close
+	defer web.Close()
+	defer played.close()
+	played.operate()
+	if err := played.open(listener.Addr().String()); err != nil {
+		return Report{}, err
+	}
+	played.play(ctx)
+	return played.report(), nil
+}
+
+// open starts all machines.
+func (s *soak) open(store string) error {
+	for index := range s.options.Machines {
+		made, err := newMachine(s.options, index, services[index%len(services)], store)
+		if made != nil {
+			s.machines = append(s.machines, made)
+		}
+		if err != nil {
+			return err
+		}
+		if err := made.start(); err != nil {
+			return err
+		}
+		if err := s.startUpstream(made); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startUpstream starts a new instance of the upstream of a machine.
+func (s *soak) startUpstream(on *machine) error {
+	s.instances++
+	on.upstream = &standin.Upstream{
+		Instance: fmt.Sprintf("i-%d-%s", s.instances, on.name), Service: on.service,
+		Slots: 6, Work: 20 * time.Millisecond, Observe: s.arrived,
+	}
+	return errors.Trace(on.upstream.Start(on.app, on.reports, heartbeat))
+}
+
+func (s *soak) arrived(arrival standin.Arrival) {
+	s.oracle.Arrived(arrival)
+	if arrival.Ran {
+		s.mutex.Lock()
+		s.runs++
+		s.mutex.Unlock()
+	}
+}
+
+// operate writes the next version: its own route tells that it is in force,
+// and the routes' services change places with every second version.
+func (s *soak) operate() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.version += 1 + int(s.random.Uint64()%3)
+	read, write := services[s.version/2%2], services[0]
+	routes := []standin.Route{
+		{Name: "read", Host: host, Prefix: "/read/", Kind: "safe", Service: read, Timeout: 1000, Attempts: 3},
+		{Name: "write", Host: host, Prefix: "/write/", Kind: "unsafe", Service: write, Timeout: 1500, Attempts: 2},
+		{Name: "version", Host: host, Prefix: versionPrefix(s.version), Kind: "safe", Service: write, Timeout: 1000, Attempts: 2},
+	}
+	for _, route := range routes {
+		s.oracle.Allow(route.Prefix, route.Service)
+	}
+	s.store.Operate(standin.Configuration{Version: s.version, Services: services, Routes: routes})
+	s.accepted = time.Now()
+}
+
+func versionPrefix(version int) string { return fmt.Sprintf("/version-%d/", version) }
+
+// newest is the newest version and when it was accepted.
+func (s *soak) newest() (int, time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.version, s.accepted
+}
+
+// play sends requests and does harm until the time is over, then heals all and
+// sees that everything serves again.
+func (s *soak) play(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, s.options.Duration)
+	defer cancel()
+	s.awaitHealed("at the start")
+	var clients sync.WaitGroup
+	for _, on := range s.machines {
+		for index := range s.options.Clients {
+			clients.Add(1)
+			go func() {
+				defer clients.Done()
+				s.client(bounded, on, index)
+			}()
+		}
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			s.prober(bounded, on)
+		}()
+	}
+	s.harm(bounded)
+	clients.Wait()
+	s.awaitHealed("at the end")
+}
+
+// report sums up.
+func (s *soak) report() Report {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return Report{
+		Seed: s.options.Seed, Requests: s.requests, Served: s.served, Runs: s.runs,
+		Faults: s.faults, Versions: s.version, Violations: s.oracle.Violations(),
+	}
+}
+
+func (s *soak) close() {
+	for _, one := range s.machines {
+		one.close()
+	}
+}
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -33,6 +33,10 @@
 	Gate string `koanf:"gate" validate:"required,target"`
 	// Control takes net/rpc calls from other daemons.
 	Control string `koanf:"control" validate:"required,target"`
+	// AdvertisedGate and AdvertisedControl are what other daemons are told, where
+	// they reach this machine at other addresses; empty for the same.
+	AdvertisedGate    string `koanf:"advertised_gate" validate:"omitempty,target"`
+	AdvertisedControl string `koanf:"advertised_control" validate:"omitempty,target"`
 	// Ready answers whether callers may be sent here.
 	Ready string `koanf:"ready" validate:"required,address"`
 	// Reports takes the heartbeats of the back end.
