Retry slack is shared by the daemons there are; limits of the configuration hold

Cause: the slack of the retry budget was divided by 12 whatever the mesh's size; at 60 daemons the parts add up to 160 of the 64 allowed. And max_body_bytes and max_header_bytes of the configuration were read and not heeded. Change: the budget's part follows the number of daemons known; one retry is saved up out of calls alone where the part is less than one. The two limits are in force with their version (413, 431, did not run). Left: header_timeout_ms and idle_timeout_ms are not taken from the configuration; the daemon's own are longer (10 s, 2 min), so nothing that keeps to them is cut.

--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -31,10 +31,10 @@
 // shared by all calls and takes no lock.
 type Budget struct {
 	deposit int64
-	saved   int64
-	reserve int64
 	trickle time.Duration
 
+	saved atomic.Int64
+
 	tokens    atomic.Int64
 	trickleAt atomic.Int64
 }
@@ -49,15 +49,29 @@
 	}
 	budget := &Budget{
 		deposit: int64(limits.Ratio * unit),
-		saved:   int64(limits.Saved * unit),
-		reserve: int64(limits.Saved * unit / 2),
 		trickle: limits.TricklePeriod,
 	}
+	budget.saved.Store(int64(limits.Saved * unit))
 	budget.tokens.Store(int64(limits.Initial * unit))
 	budget.trickleAt.Store(int64(now + limits.TricklePeriod))
 	return budget
 }
 
+// SetSaved changes the most that is saved up, as the number of daemons that
+// share the whole changes.
+func (b *Budget) SetSaved(saved float64) {
+	b.saved.Store(int64(saved * unit))
+	for {
+		held := b.tokens.Load()
+		if held <= b.saved.Load() || b.tokens.CompareAndSwap(held, b.saved.Load()) {
+			return
+		}
+	}
+}
+
+// reserve is the part that is kept for urgent calls.
+func (b *Budget) reserve() int64 { return b.saved.Load() / 2 }
+
 // Deposit records a call; it is called once a call, at its first attempt.
 func (b *Budget) Deposit() { b.add(b.deposit) }
 
@@ -65,10 +79,10 @@
 	// A full budget is only read, so that it stays in every core's cache.
 	for {
 		held := b.tokens.Load()
-		if held >= b.saved {
+		if held >= b.saved.Load() {
 			return
 		}
-		if b.tokens.CompareAndSwap(held, min(held+amount, b.saved)) {
+		if b.tokens.CompareAndSwap(held, min(held+amount, b.saved.Load())) {
 			return
 		}
 	}
@@ -80,7 +94,7 @@
 	price := int64(cost * unit)
 	floor := price
 	if !urgent {
-		floor += b.reserve
+		floor += b.reserve()
 	}
 	due := b.trickleAt.Load()
 	if b.trickle > 0 && int64(now) >= due && b.trickleAt.CompareAndSwap(due, int64(now+b.trickle)) {
--- a/internal/core/retry/call_test.go
+++ b/internal/core/retry/call_test.go
@@ -89,7 +89,7 @@
 	check.True(retries >= 100)
 	check.True(retries <= 106) // a tenth of the calls and half of what was saved up
 	check.True(!budget.Withdraw(0, 1, false))
-	for range budget.reserve / unit {
+	for range budget.reserve() / unit {
 		check.True(budget.Withdraw(0, 1, true)) // kept for urgent calls
 	}
 	check.True(!budget.Withdraw(0, 1, true))
@@ -179,3 +179,16 @@
 	refusal.Code, refusal.Arrived = result.BackendRefused, true
 	check.Equal(NewCall(policy, budget).Next(0, refusal).Action, Refuse)
 }
+
+func TestABudgetShrinksWithItsShare(t *testing.T) {
+	check := is.New(t)
+	budget := NewBudgetWithin(0, Limits{Ratio: 0.5, Saved: 4, Initial: 4})
+	budget.SetSaved(1)
+	check.True(budget.Withdraw(0, 1, true))
+	check.True(!budget.Withdraw(0, 1, true))
+	for range 10 {
+		budget.Deposit()
+	}
+	check.True(budget.Withdraw(0, 1, true))
+	check.True(!budget.Withdraw(0, 1, true)) // no more than its share is saved up
+}
--- a/internal/hosted/configuration.go
+++ b/internal/hosted/configuration.go
@@ -32,6 +32,7 @@
 	events   eventLog
 	clock    func() time.Duration
 	swap     func(*snapshot.Snapshot)
+	limit    func(authority.RequestLimits)
 	askPeer  func(context.Context, protocol.NodeID, protocol.Version) authority.Document
 	context  context.Context
 	inForce  atomic.Pointer[authority.Document]
@@ -188,6 +189,7 @@
 	if err == nil {
 		var built *snapshot.Snapshot
 		if built, err = snapshot.FromResources(decoded.Version, decoded.Services, decoded.Routes); err == nil {
+			c.limit(decoded.Limits)
 			c.swap(built)
 			c.built.Store(built)
 			c.inForce.Store(&document)
--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -90,7 +90,7 @@
 		RandomSeed:           0,
 		Reported:             true,
 		Edge:                 &edge,
-		RetryBudget:          d.retryBudget(),
+		RetryBudget:          d.retryBudget,
 		Spill:                stayNear,
 		OnBackendUnreachable: d.reportUnreachable,
 		Log:                  d.logPath,
--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -79,17 +79,15 @@
 	return limits
 }
 
-// meshSizeForTokens is the number of daemons among which the slack of the
-// retry budget is divided when nothing else is known.
-const meshSizeForTokens = 12
-
 // budgetShare is how much of what the platform allows is used, so that repeats
 // of repeats, which a daemon can't see, stay within it.
 const budgetShare = 0.5
 
-// retryBudget is this daemon's part of the budget of all daemons.
-func (d *Daemon) retryBudget() retry.Limits {
-	slack := d.settings.Retries.Slack * budgetShare / meshSizeForTokens
+// retryBudget is this daemon's part of the budget of all daemons: the slack is
+// divided among them. Among many its part is less than one retry, and one is
+// saved up out of calls alone.
+func (d *Daemon) retryBudget(daemons int) retry.Limits {
+	slack := d.settings.Retries.Slack * budgetShare / float64(max(daemons, 1))
 	return retry.Limits{
 		Ratio:   d.settings.Retries.Ratio * budgetShare,
 		Saved:   max(slack, 1),
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -6,6 +6,7 @@
 
 	"github.com/samber/do/v2"
 
+	"github.com/springstack/springstack/internal/authority"
 	"github.com/springstack/springstack/internal/control"
 	"github.com/springstack/springstack/internal/core/backend"
 	"github.com/springstack/springstack/internal/core/following"
@@ -127,10 +128,13 @@
 		},
 	}
 	d.configuration = &configuration{
-		source:   d.options.Platform.Source,
-		events:   d.events,
-		clock:    d.clock,
-		swap:     path.Swap,
+		source: d.options.Platform.Source,
+		events: d.events,
+		clock:  d.clock,
+		swap:   path.Swap,
+		limit: func(limits authority.RequestLimits) {
+			path.SetRequestLimits(proxy.RequestLimits{HeaderBytes: limits.HeaderBytes, BodyBytes: limits.BodyBytes})
+		},
 		askPeer:  made.askDocument,
 		context:  d.context,
 		calls:    map[result.Code]uint64{},
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -184,8 +184,8 @@
 	if answer.Header.Get(headerRan) == string(result.RanNo) {
 		made.outcome.Ran = result.RanNo
 	}
-	if seconds, err := strconv.Atoi(answer.Header.Get("Retry-After")); err == nil && seconds > 0 {
-		made.outcome.RetryAfter = time.Duration(seconds) * time.Second
+	if seconds, err := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64); err == nil && seconds > 0 {
+		made.outcome.RetryAfter = time.Duration(seconds * float64(time.Second))
 	}
 	switch made.outcome.Code {
 	case result.Draining, result.WrongBackend:
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -69,7 +69,9 @@
 		writer.Header().Set("Connection", "close")
 	}
 	control := http.NewResponseController(writer)
-	return control, newUpload(request, control, p.limits)
+	limits := p.limits
+	limits.BodyBytes = p.RequestLimits().BodyBytes
+	return control, newUpload(request, control, limits)
 }
 
 // unsentRefusal is for a call whose body did not arrive, before any attempt.
@@ -124,7 +126,7 @@
 	case current.snapshot == nil || !p.mayServe():
 		return nil, Refusal{Code: result.NotServing}, false
 	}
-	if refusal, fine := checkForm(request, p.limits); !fine {
+	if refusal, fine := p.checkForm(request); !fine {
 		return nil, refusal, false
 	}
 	located, refusal, fine := p.locate(request)
--- a/internal/proxy/check.go
+++ b/internal/proxy/check.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,13 +13,17 @@
 // checkForm refuses requests that this proxy can't carry whole and unchanged.
 // Ambiguous framing can't come through: the library has parsed the one form,
 // and a new one is written for the next hop. What it can't parse it refuses.
-func checkForm(request *http.Request, limits Limits) (Refusal, bool) {
+func (p *Proxy) checkForm(request *http.Request) (Refusal, bool) {
+	limits := p.RequestLimits()
 	switch {
 	case request.Method == http.MethodConnect, request.Header.Get("Upgrade") != "":
 		return Refusal{Code: result.UpgradeRefused}, false
 	case !request.ProtoAtLeast(1, 1):
 		detail := "HTTP/1.0 can't tell an answer that was cut short; use HTTP/1.1."
 		return Refusal{Code: result.RequestMalformed, Detail: detail}, false
+	case headerBytes(request) > limits.HeaderBytes:
+		detail := "The headers are larger than " + strconv.Itoa(limits.HeaderBytes) + " bytes."
+		return Refusal{Code: result.RequestTooLarge, Status: http.StatusRequestHeaderFieldsTooLarge, Detail: detail}, false
 	case request.ContentLength > limits.BodyBytes:
 		detail := "The body is larger than " + strconv.FormatInt(limits.BodyBytes, 10) + " bytes."
 		return Refusal{Code: result.RequestTooLarge, Detail: detail}, false
@@ -26,6 +31,40 @@
 	return Refusal{}, true
 }
 
+// RequestLimits bound the requests of callers; a configuration may change them.
+type RequestLimits struct {
+	HeaderBytes int
+	BodyBytes   int64
+}
+
+// SetRequestLimits changes what callers may send; a zero field leaves what the
+// proxy was started with.
+func (p *Proxy) SetRequestLimits(limits RequestLimits) { p.requestLimits.Store(&limits) }
+
+// RequestLimits are the limits in force.
+func (p *Proxy) RequestLimits() RequestLimits {
+	limits := RequestLimits{HeaderBytes: p.limits.HeaderBytes, BodyBytes: p.limits.BodyBytes}
+	if given := p.requestLimits.Load(); given != nil {
+		limits.HeaderBytes = cmp.Or(given.HeaderBytes, limits.HeaderBytes)
+		limits.BodyBytes = cmp.Or(given.BodyBytes, limits.BodyBytes)
+	}
+	return limits
+}
+
+// headerOverhead is what a header line has besides its name and value.
+const headerOverhead = len(": \r\n")
+
+// headerBytes is about how many bytes the request line and headers had.
+func headerBytes(request *http.Request) int {
+	total := len(request.Method) + len(request.RequestURI) + len(request.Host)
+	for name, values := range request.Header {
+		for _, value := range values {
+			total += len(name) + len(value) + headerOverhead
+		}
+	}
+	return total
+}
+
 // place is the canonical host and path of a request.
 type place struct {
 	host string
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -40,8 +40,9 @@
 	// Spill says when calls leave the own zone; the zero value means
 	// endpoint.DefaultSpill.
 	Spill endpoint.Spill
-	// RetryBudget bounds retries; the zero value means retry.DefaultLimits.
-	RetryBudget retry.Limits
+	// RetryBudget bounds retries at each of a number of daemons that share the
+	// whole; nil means retry.DefaultLimits.
+	RetryBudget func(daemons int) retry.Limits
 	// OnBackendUnreachable is told when a call found that the back end takes no
 	// connections. It must not block. Nil means that nobody listens.
 	OnBackendUnreachable func(instance string)
--- a/internal/proxy/edge.go
+++ b/internal/proxy/edge.go
@@ -79,6 +79,9 @@
 // status is the HTTP status of a refusal towards callers of the platform, to
 // whom 503 promises that the request has not run and never will.
 func (e *Edge) status(refusal Refusal) int {
+	if refusal.Status != 0 {
+		return refusal.Status
+	}
 	if refusal.execution() != result.RanNo {
 		if refusal.Code == result.DeadlineInFlight {
 			return http.StatusGatewayTimeout
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -88,7 +88,7 @@
 	if !mine {
 		return nil, Refusal{Code: result.WrongBackend}, false
 	}
-	if refusal, fine := checkForm(request, p.limits); !fine {
+	if refusal, fine := p.checkForm(request); !fine {
 		return nil, refusal, false
 	}
 	call := &gateCall{proxy: p, request: request, timeout: routing.DefaultTimeout, backend: header.Get(headerBackend)}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -36,6 +36,7 @@
 
 	incarnations   incarnations
 	reported       reportedBackend
+	requestLimits  atomic.Pointer[RequestLimits]
 	tally          tally
 	callersRunning atomic.Int64
 	gateRunning    atomic.Int64
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -47,6 +47,7 @@
 		}
 	}
 	now := p.config.Clock()
+	budget := p.retryLimits(len(members))
 	index := endpoint.NewIndex(members)
 	self := endpoint.Locality{
 		Region: p.config.Region, Zone: p.config.Zone, TrustStates: p.config.Reported, Spill: p.config.Spill,
@@ -57,8 +58,9 @@
 		if old := previous.services[reference]; old != nil {
 			oldSet = old.set
 			made.budget = old.budget
+			made.budget.SetSaved(budget.Saved)
 		} else {
-			made.budget = retry.NewBudgetWithin(now, p.config.RetryBudget)
+			made.budget = retry.NewBudgetWithin(now, budget)
 		}
 		made.set = endpoint.BuildIndexed(oldSet, self, backends, index, now)
 		next.services[reference] = made
@@ -67,6 +69,14 @@
 	return next
 }
 
+// retryLimits are the limits of each budget among a number of daemons.
+func (p *Proxy) retryLimits(daemons int) retry.Limits {
+	if p.config.RetryBudget == nil {
+		return retry.DefaultLimits()
+	}
+	return p.config.RetryBudget(daemons)
+}
+
 // backendsOf lists the back ends of each service: those that the snapshot
 // declares or, where back ends report themselves, those of the member records.
 func (p *Proxy) backendsOf(held *snapshot.Snapshot, members []protocol.Member) map[resource.ServiceRef][]resource.Backend {
