Silent gates, silent watches, and attempts of an earlier start

Ruled out: 410 (no reading came at all) and a store refused (store_lost was not written). Now two daemons of each zone read the store each 1.1 s besides their watches and spread what they find. Calls sent to machines without power, frozen or cut off waited to their ends. A gate that owes an answer for 120 ms and answers nobody has its daemon verified over the control port (150 ms); while it does not answer, calls go elsewhere, and repeatable ones under way too.

--- a/internal/core/endpoint/endpoint.go
+++ b/internal/core/endpoint/endpoint.go
@@ -148,6 +148,16 @@
 	return now - time.Duration(e.stats.recordAt.Load())
 }
 
+// SetReachable says whether the daemon beside the back end answers its peers.
+// While it does not, calls go elsewhere, if there is an elsewhere.
+func (e *Endpoint) SetReachable(reachable bool) {
+	if reachable {
+		e.stats.success()
+		return
+	}
+	e.stats.ejectedUntil.Store(math.MaxInt64)
+}
+
 // Outstanding is the number of this process's calls at the endpoint.
 func (e *Endpoint) Outstanding() int { return int(e.stats.outstanding.Load()) }
 
--- a/internal/core/endpoint/set.go
+++ b/internal/core/endpoint/set.go
@@ -139,8 +139,8 @@
 // set everything counts as warm: the chooser is what is new, not the back
 // ends; those that say themselves that they are warming start cold.
 func carryOver(self Locality, previous *Set, old, made *Endpoint, now time.Duration) *stats {
-	if old != nil && (old.Incarnation == made.Incarnation || old.Incarnation == 0) {
-		if made.Sequence > old.Sequence {
+	if old != nil && (self.TrustStates || old.Incarnation == made.Incarnation || old.Incarnation == 0) {
+		if made.newerThan(old) {
 			old.stats.recordAt.Store(int64(now))
 			if self.TrustStates {
 				// Its daemon is heard again: what calls met before is old.
@@ -158,6 +158,15 @@
 	return fresh
 }
 
+// newerThan tells whether the daemon's record is newer than that of another
+// endpoint.
+func (e *Endpoint) newerThan(old *Endpoint) bool {
+	if e.Incarnation != old.Incarnation {
+		return e.Incarnation > old.Incarnation
+	}
+	return e.Sequence > old.Sequence
+}
+
 func distance(self Locality, of *Endpoint) int {
 	switch {
 	case of.Region != self.Region:
--- a/internal/core/following/following.go
+++ b/internal/core/following/following.go
@@ -21,6 +21,9 @@
 	Pace time.Duration
 	// WatchWait is how long the store may hold a watch without news.
 	WatchWait time.Duration
+	// PeerGrace is how long a version that a peer has may still come from the
+	// store before the peer is asked for it.
+	PeerGrace time.Duration
 	// RetryMinimum and RetryMaximum bound the pause after a failure.
 	RetryMinimum time.Duration
 	RetryMaximum time.Duration
@@ -35,6 +38,7 @@
 	return Config{
 		Pace:         500 * time.Millisecond,
 		WatchWait:    10 * time.Second,
+		PeerGrace:    150 * time.Millisecond,
 		RetryMinimum: 100 * time.Millisecond,
 		RetryMaximum: time.Second,
 		Direct:       true,
@@ -63,9 +67,11 @@
 type Action struct {
 	Kind ActionKind
 	// After is the pause before it.
-	After    time.Duration
-	From     authority.Position
-	Peer     protocol.NodeID
+	After time.Duration
+	From  authority.Position
+	Peer  protocol.NodeID
+	// Version is what the peer said it has.
+	Version  protocol.Version
 	Document authority.Document
 	// Source names where the document came from, for logs.
 	Source string
@@ -74,6 +80,7 @@
 // The names of sources in logs.
 const (
 	SourceStore = "store"
+	SourcePoll  = "poll"
 	SourcePeer  = "peer"
 )
 
@@ -129,6 +136,15 @@
 	return append(actions, Action{Kind: Watch, From: reading.At, After: pause})
 }
 
+// StorePolled takes the result of a read that was made besides the watch: a
+// watch may be silent about a change, a linearizable read is not.
+func (f *Follower) StorePolled(reading authority.Reading) []Action {
+	return f.offer(reading.Document, SourcePoll)
+}
+
+// Lacks tells whether a version is newer than all that were handed out.
+func (f *Follower) Lacks(version protocol.Version) bool { return version > f.version }
+
 // offer takes a document if it is newer than all before.
 func (f *Follower) offer(document authority.Document, source string) []Action {
 	if document.Version <= f.version {
@@ -144,7 +160,11 @@
 		return nil
 	}
 	f.asking[peer] = true
-	return []Action{{Kind: AskPeer, Peer: peer}}
+	grace := f.config.PeerGrace
+	if !f.StoreAnswered() {
+		grace = 0
+	}
+	return []Action{{Kind: AskPeer, Peer: peer, Version: version, After: grace}}
 }
 
 // PeerAnswered takes a peer's document; one without a version is none.
--- a/internal/core/following/following_test.go
+++ b/internal/core/following/following_test.go
@@ -82,6 +82,27 @@
 	check.Equal(kinds(follower.PeerAnswered("p", authority.Document{})), nil)
 }
 
+func TestAPollFindsWhatTheWatchWasSilentAbout(t *testing.T) {
+	check := is.New(t)
+	follower := newFollower()
+	follower.StoreRead(0, reading(5, 5))
+	check.Equal(kinds(follower.StorePolled(reading(5, 9))), nil)
+	check.Equal(kinds(follower.StorePolled(authority.Reading{Code: result.PlatformUnavailable})), nil)
+	check.Equal(kinds(follower.StorePolled(reading(6, 9))), []ActionKind{Adopt})
+	check.True(!follower.Lacks(6))
+	check.True(follower.Lacks(7))
+}
+
+func TestAPeerIsAskedAtOnceOnlyWhileTheStoreFails(t *testing.T) {
+	check := is.New(t)
+	follower := newFollower()
+	check.Equal(follower.PeerVersion("p", 5)[0].After, time.Duration(0)) // nothing read yet
+	follower.StoreRead(0, reading(5, 5))
+	check.Equal(follower.PeerVersion("q", 6)[0].After, DefaultConfig().PeerGrace)
+	follower.StoreRead(0, authority.Reading{Code: result.PlatformUnavailable})
+	check.Equal(follower.PeerVersion("r", 6)[0].After, time.Duration(0))
+}
+
 func TestADaemonThatDoesNotWatchComparesWithStaleReads(t *testing.T) {
 	check := is.New(t)
 	config := DefaultConfig()
--- a/internal/hosted/configuration.go
+++ b/internal/hosted/configuration.go
@@ -28,11 +28,14 @@
 
 // configuration follows the authority and puts versions in force.
 type configuration struct {
-	source   authority.Source
-	events   eventLog
-	clock    func() time.Duration
-	swap     func(*snapshot.Snapshot)
-	limit    func(authority.RequestLimits)
+	source authority.Source
+	events eventLog
+	clock  func() time.Duration
+	swap   func(*snapshot.Snapshot)
+	limit  func(authority.RequestLimits)
+	// spread tells peers of the version in force, which their watches may have
+	// missed too; it must not wait.
+	spread   func()
 	askPeer  func(context.Context, protocol.NodeID, protocol.Version) authority.Document
 	context  context.Context
 	inForce  atomic.Pointer[authority.Document]
@@ -133,7 +136,7 @@
 		return
 	}
 	if action.Kind == following.AskPeer {
-		document := c.askPeer(c.context, action.Peer, c.version())
+		document := c.askIfLacking(action)
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
 		c.carryOut(c.follower.PeerAnswered(action.Peer, document))
@@ -150,6 +153,30 @@
 	c.carryOut(c.follower.StoreRead(c.clock(), reading))
 }
 
+// askIfLacking asks a peer for its document, unless its version has come from
+// elsewhere meanwhile.
+func (c *configuration) askIfLacking(action following.Action) authority.Document {
+	c.mutex.Lock()
+	lacking := c.follower.Lacks(action.Version)
+	c.mutex.Unlock()
+	if !lacking {
+		return authority.Document{}
+	}
+	return c.askPeer(c.context, action.Peer, c.version())
+}
+
+// poll reads the store besides the watch.
+func (c *configuration) poll() {
+	reading := c.read(following.Action{Kind: following.Read})
+	if c.context.Err() != nil {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.calls[reading.Code]++
+	c.carryOut(c.follower.StorePolled(reading))
+}
+
 // read makes one call to the store.
 func (c *configuration) read(action following.Action) authority.Reading {
 	bound := readTimeout
@@ -201,6 +228,9 @@
 			field("source", action.Source), field("error", err.Error()))
 		return
 	}
+	if action.Source != following.SourceStore {
+		c.spread()
+	}
 	c.events.event("configuration_in_force", field("version", versionText(document.Version)),
 		field("source", action.Source), field("routes", strconv.Itoa(len(decoded.Routes))))
 }
--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -29,6 +29,8 @@
 	timings  metrics.Timings
 	injector *do.RootScope
 	draining atomic.Bool
+	// incarnation tells this start from earlier ones.
+	incarnation protocol.Incarnation
 
 	path          *proxy.Proxy
 	configuration *configuration
@@ -49,8 +51,10 @@
 		clock:    daemon.NewClock(),
 		injector: do.New(),
 		timings:  metrics.NewTimings(),
-		context:  ctx,
-		cancel:   cancel,
+
+		incarnation: newIncarnation(),
+		context:     ctx,
+		cancel:      cancel,
 	}
 	made.events = newEventLog(options.Logger, checked.Node.ID, made.clock)
 	made.requests = newRequestLog(made.events)
@@ -81,6 +85,7 @@
 	return &pathPart{proxy.New(proxy.Config{
 		Clock:                d.clock,
 		NodeID:               protocol.NodeID(d.settings.Node.ID),
+		Incarnation:          d.incarnation,
 		Region:               d.settings.Node.Region,
 		Zone:                 d.settings.Node.Zone,
 		Service:              serviceRef(d.settings.Backend.Service),
@@ -93,6 +98,7 @@
 		RetryBudget:          d.retryBudget,
 		Spill:                stayNear,
 		OnBackendUnreachable: d.reportUnreachable,
+		OnSilent:             d.verifyPeer,
 		Log:                  d.logPath,
 		Trace:                d.requests,
 		Timings: proxy.Timings{
@@ -103,6 +109,9 @@
 	})}, nil
 }
 
+// verifyPeer asks whether a daemon whose gate is silent is there.
+func (d *Daemon) verifyPeer(node protocol.NodeID) { d.mesh.verify(node) }
+
 func (d *Daemon) reportUnreachable(instance string) { d.backend.unreachable(instance) }
 
 func (d *Daemon) logPath(event proxy.Event) {
@@ -162,9 +171,9 @@
 	return strconv.FormatInt(duration.Milliseconds(), 10)
 }
 
-// incarnation is a number that grows with each start as long as the clock does;
-// the mesh raises it above what peers remember.
-func incarnation() protocol.Incarnation { return protocol.Incarnation(time.Now().UnixNano()) }
+// newIncarnation is a number that grows with each start as long as the clock
+// does; the mesh raises it above what peers remember.
+func newIncarnation() protocol.Incarnation { return protocol.Incarnation(time.Now().UnixNano()) }
 
 func randomNumber() uint64 { return rand.Uint64() }
 
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -54,6 +54,8 @@
 	document   func() authority.Document
 	heardOf    func(protocol.NodeID, protocol.Version)
 	storeFails func() bool
+	// poll reads the store once.
+	poll       func()
 	valueBytes int
 	context    context.Context
 	running    sync.WaitGroup
@@ -66,6 +68,10 @@
 	registered []authority.Registration
 	// lost are the peers that did not answer last time.
 	lost map[protocol.NodeID]bool
+	// verifying are the daemons that are being asked whether they are there.
+	verifying map[protocol.NodeID]bool
+	// setReachable tells the data path.
+	setReachable func(protocol.NodeID, bool)
 	// heardAt is when a peer last answered.
 	heardAt time.Duration
 	turn    int
@@ -76,13 +82,14 @@
 	id      protocol.NodeID
 	address string
 	zone    string
+	region  string
 }
 
 func (m *mesh) start() {
 	m.mutex.Lock()
 	m.roster.Merge(m.clock(), m.self, membership.Below)
 	m.mutex.Unlock()
-	for _, loop := range []func(){m.register, m.compareForever, m.awaitJoin} {
+	for _, loop := range []func(){m.register, m.compareForever, m.pollForever, m.awaitJoin} {
 		m.running.Add(1)
 		go func() {
 			defer m.running.Done()
@@ -177,16 +184,8 @@
 	m.push(m.pushTargets(), m.self)
 }
 
-// publishAll gives the data path all records; the lock is held. The data path
-// knows back ends by instance, so what it is told of daemons is only that
-// newer records have a higher sequence.
-func (m *mesh) publishAll() {
-	m.publish(lo.Map(m.roster.All(), func(member protocol.Member, _ int) protocol.Member {
-		member.Sequence += uint64(member.Incarnation)
-		member.Incarnation = 0
-		return member
-	}))
-}
+// publishAll gives the data path all records; the lock is held.
+func (m *mesh) publishAll() { m.publish(m.roster.All()) }
 
 // peers lists the other daemons known, in order of id; the lock is held. One
 // that has left is still asked for a while: most come back, and one that the
@@ -197,12 +196,16 @@
 	m.roster.Each(func(member protocol.Member) {
 		left := member.State == protocol.MemberLeft && now-m.roster.ChangedAt(member.ID) > returnWait
 		if member.ID != m.self.ID && !left {
-			found = append(found, peer{id: member.ID, address: member.ControlAddress, zone: member.Zone})
+			found = append(found, peer{
+				id: member.ID, address: member.ControlAddress, zone: member.Zone, region: member.Region,
+			})
 		}
 	})
 	for _, registration := range m.registered {
 		if _, known := m.roster.Get(registration.ID); !known {
-			found = append(found, peer{id: registration.ID, address: registration.Address, zone: registration.Zone})
+			found = append(found, peer{
+				id: registration.ID, address: registration.Address, zone: registration.Zone, region: registration.Region,
+			})
 		}
 	}
 	return found
@@ -273,7 +276,6 @@
 	defer m.mutex.Unlock()
 	if answered {
 		m.heardAt = m.clock()
-		m.hasJoined.Store(true)
 	}
 	if m.lost[target.id] == !answered {
 		return
@@ -285,6 +287,7 @@
 	}
 	m.lost[target.id] = true
 	m.events.event("peer_lost", field("peer", string(target.id)))
+	m.verifyLocked(target)
 }
 
 // compareForever compares records with one peer after the other.
@@ -343,7 +346,11 @@
 	request := m.request()
 	m.mutex.Unlock()
 	reply := m.call(target, request)
-	if reply == nil || len(reply.Sums) != membership.Buckets {
+	if reply == nil {
+		return
+	}
+	if len(reply.Sums) != membership.Buckets {
+		m.hasJoined.Store(true) // both know the same
 		return
 	}
 	m.mutex.Lock()
@@ -354,6 +361,7 @@
 	m.mutex.Unlock()
 	if reply = m.call(target, request); reply != nil {
 		m.take(target.zone, reply.Members)
+		m.hasJoined.Store(true)
 	}
 }
 
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/samber/lo"
+
 	"github.com/springstack/springstack/internal/authority"
 	"github.com/springstack/springstack/internal/control"
 	"github.com/springstack/springstack/internal/core/protocol"
@@ -30,7 +32,6 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.heardAt = m.clock()
-	m.hasJoined.Store(true)
 	reply := &protocol.ExchangeReply{Version: m.version()}
 	sums := m.roster.Sums()
 	switch {
@@ -59,14 +60,16 @@
 // askDocument asks a peer for a document newer than a version; one without a
 // version means that there is none.
 func (m *mesh) askDocument(ctx context.Context, id protocol.NodeID, have protocol.Version) authority.Document {
-	address, found := m.addressOf(id)
+	m.mutex.Lock()
+	target, found := m.peerOf(id)
+	m.mutex.Unlock()
 	if !found {
 		return authority.Document{}
 	}
 	bounded, cancel := context.WithTimeout(ctx, documentTimeout)
 	defer cancel()
 	request := &protocol.DocumentRequest{Format: protocol.Format, From: m.self.ID, Have: have}
-	body, err := m.client.Call(bounded, address, request)
+	body, err := m.client.Call(bounded, target.address, request)
 	reply, typed := body.(*protocol.DocumentReply)
 	if err != nil || !typed || reply.Version == 0 {
 		return authority.Document{}
@@ -82,14 +85,7 @@
 // documentTimeout bounds the call for a document.
 const documentTimeout = 2 * controlTimeout
 
-// addressOf is where a daemon takes control calls.
-func (m *mesh) addressOf(id protocol.NodeID) (string, bool) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	for _, one := range m.peers() {
-		if one.id == id {
-			return one.address, true
-		}
-	}
-	return "", false
+// peerOf finds a daemon by its id; the lock is held.
+func (m *mesh) peerOf(id protocol.NodeID) (peer, bool) {
+	return lo.Find(m.peers(), func(one peer) bool { return one.id == id })
 }
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -116,9 +116,12 @@
 		context:    d.context,
 		roster:     membership.NewRoster(),
 		lost:       map[protocol.NodeID]bool{},
+		verifying:  map[protocol.NodeID]bool{},
+
+		setReachable: path.SetReachable,
 		self: protocol.Member{
 			ID:             protocol.NodeID(d.settings.Node.ID),
-			Incarnation:    incarnation(),
+			Incarnation:    d.incarnation,
 			State:          protocol.MemberAlive,
 			ControlAddress: cmp.Or(d.settings.Listen.AdvertisedControl, d.settings.Listen.Control),
 			DataAddress:    cmp.Or(d.settings.Listen.AdvertisedGate, d.settings.Listen.Gate),
@@ -144,6 +147,8 @@
 	made.document = d.configuration.document
 	made.heardOf = d.configuration.heardOf
 	made.storeFails = d.configuration.storeFails
+	made.poll = d.configuration.poll
+	d.configuration.spread = made.spread
 	d.backend = &backendSide{
 		settings: hostedBackend{
 			address:    d.settings.Backend.Address,
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -24,6 +24,8 @@
 	outcome  retry.Outcome
 	evidence endpoint.Outcome
 	ended    bool
+	// cancel frees the context of the attempt; nil for none.
+	cancel context.CancelFunc
 }
 
 // end closes the exchange and gives the endpoint its evidence, once.
@@ -33,6 +35,9 @@
 	}
 	a.ended = true
 	a.exchange.close()
+	if a.cancel != nil {
+		a.cancel()
+	}
 	a.chosen.End(p.config.Clock(), a.evidence)
 }
 
@@ -64,13 +69,32 @@
 	p.tally.attempts.Add(1)
 	chosen.Begin()
 	made := &attempt{chosen: chosen}
-	relay := &informer{writer: c.writer}
-	made.exchange = path.send(c.context, c.outgoing(chosen, mark, c.deadline-now), relay, nil)
 	c.tried = append(c.tried, chosen)
+	c.send(made, path, mark, now)
 	c.judge(made, shared.set)
 	return made
 }
 
+// send sends an attempt and waits for the head of its answer. While the gate is
+// silent its daemon is asked for; an attempt that may be made elsewhere ends
+// when the daemon is found to be unreachable.
+func (c *callerCall) send(made *attempt, path *upstream, mark bool, now time.Duration) {
+	relay := &informer{writer: c.writer}
+	defer c.proxy.watch(path, made.chosen)()
+	ctx := c.context
+	if c.policy.Repeatable && c.proxy.config.OnSilent != nil {
+		cancellable, cancel := context.WithCancel(ctx)
+		made.cancel = cancel
+		ctx = cancellable
+		path.silence.hold(made, cancel)
+		defer path.silence.release(made)
+	}
+	made.exchange = path.send(ctx, c.outgoing(made.chosen, mark, c.deadline-now), relay, nil)
+	if made.exchange.answer != nil {
+		c.proxy.heard(path)
+	}
+}
+
 // without is an attempt that went to no endpoint.
 func (c *callerCall) without(outcome retry.Outcome) *attempt {
 	return &attempt{outcome: outcome}
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -319,7 +319,7 @@
 	for index, name := range hopHeaderNames {
 		header[name] = values[index : index+1 : index+1]
 	}
-	if chosen.Incarnation != 0 {
+	if chosen.Incarnation != 0 && !c.proxy.config.Reported {
 		header[headerIncarnation] = []string{strconv.FormatUint(uint64(chosen.Incarnation), 10)}
 	}
 	if c.key != "" {
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -46,6 +46,9 @@
 	// OnBackendUnreachable is told when a call found that the back end takes no
 	// connections. It must not block. Nil means that nobody listens.
 	OnBackendUnreachable func(instance string)
+	// OnSilent is told when a daemon's gate owes answers and gives none. It must
+	// not block. Nil means that nobody listens.
+	OnSilent func(protocol.NodeID)
 	// PeerTLS guards the calls to other daemons' gates; nil sends them in the
 	// clear. A gate's server is guarded by Server.Secure.
 	PeerTLS *tls.Config
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -21,6 +21,10 @@
 	spareLimit = 8
 )
 
+// keepAlive finds connections to machines without power or behind a cut, so
+// that no call is sent on one of them after the machine is back.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2}
+
 // upstream is the connections to one address: of a gate, or of the back end.
 type upstream struct {
 	address string
@@ -37,6 +41,10 @@
 	// noSpares opens no connections ahead of calls.
 	noSpares bool
 	opening  atomic.Int64
+	// incarnation is that of the daemon at the address; connections to an
+	// earlier one are dead.
+	incarnation atomic.Uint64
+	silence     silence
 	// context ends when the upstream is given up.
 	context context.Context
 	cancel  context.CancelFunc
@@ -54,7 +62,7 @@
 		context: ctx,
 		cancel:  cancel,
 		address: address,
-		dialer:  net.Dialer{Timeout: limits.DialTimeout},
+		dialer:  net.Dialer{Timeout: limits.DialTimeout, KeepAliveConfig: keepAlive},
 		spares:  make(chan spare, spareLimit),
 
 		spareLife: min(spareLife, limits.HeaderTimeout/2),
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -113,6 +113,9 @@
 				kept.openAhead(1)
 			}
 		}
+		if before := kept.incarnation.Swap(uint64(one.Incarnation)); before != 0 && before != uint64(one.Incarnation) {
+			kept.closeIdle()
+		}
 		next.upstreams[one.Address] = kept
 	}
 }
