--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -287,7 +287,9 @@
 	}
 	m.lost[target.id] = true
 	m.events.event("peer_lost", field("peer", string(target.id)))
-	m.verifyLocked(target)
+	if member, known := m.roster.Get(target.id); !known || member.State != protocol.MemberLeft {
+		m.verifyLocked(target)
+	}
 }
 
 // compareForever compares records with one peer after the other.
--- a/internal/hosted/poll.go
+++ b/internal/hosted/poll.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// pollersInZone is how many daemons of a zone read the store besides their
-	// watches. A watch may be silent about a change, and all watches of a mesh at
-	// the same time.
-	pollersInZone = 2
+	// pollersWanted is how many daemons read the store besides their watches, by
+	// equal parts of the zones but at least one of each. A watch may be silent
+	// about a change, and all watches of a mesh at the same time.
+	pollersWanted = 4
 	// pollPeriod is the time between two such reads of one daemon.
 	pollPeriod = 1100 * time.Millisecond
 )
@@ -32,12 +32,14 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	before := 0
+	zones := map[string]bool{m.self.Zone: true}
 	for _, one := range m.peers() {
+		zones[one.zone] = true
 		if one.zone == m.self.Zone && one.id < m.self.ID && !m.lost[one.id] {
 			before++
 		}
 	}
-	return before < pollersInZone
+	return before < max(1, pollersWanted/len(zones))
 }
 
 // spread tells the peers of the own zone, and one of each other zone, which
