Calls that higher ones starve are refused when that is to be expected

The estimate on entry does not know of higher calls that come later, and the one on their coming looked at tails only and left out the call's own service time. Change: after each push and each end of a call, the waiting calls at the heads that can't start in time behind the higher ones are refused then and there. Test: TestCallsThatHigherOnesStarveAreRefusedAhead (fails without the change). Ruled out: the entry (it had sent the call on after 2 ms).

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -197,6 +197,7 @@
 			ticket.state = StateQueued
 			g.queue.push(ticket, into)
 			g.shedBehind(now, ticket)
+			g.shedHopeless(now)
 			return Verdict{State: StateQueued}
 		}
 	}
@@ -259,6 +260,32 @@
 	}
 }
 
+// shedHopeless refuses the waiting calls that higher ones keep from starting
+// until it is too late, as soon as that is to be expected: a call that is given
+// up gets its answer at once and may still go elsewhere. The lock is held.
+func (g *Gate) shedHopeless(now time.Duration) {
+	if g.config.NoEstimate {
+		return
+	}
+	mean := g.meanService()
+	for _, one := range g.queue.lanes {
+		for class := range classCount {
+			for head := one.classes[class].head; head != nil; head = one.classes[class].head {
+				higher := one.ahead(class + 1)
+				wait := g.expectedWait(one, higher)
+				if now+wait+mean <= head.Deadline {
+					break
+				}
+				code := result.Shed
+				if higher == 0 {
+					code = result.DeadlineBeforeStart
+				}
+				g.evict(head, refused(code, wait))
+			}
+		}
+	}
+}
+
 // evict refuses a waiting call.
 func (g *Gate) evict(ticket *Ticket, verdict Verdict) {
 	g.queue.remove(ticket)
@@ -312,6 +339,7 @@
 	defer g.mutex.Unlock()
 	g.queue.settleCharge(ticket, held.Seconds())
 	g.handOver(now)
+	g.shedHopeless(now)
 }
 
 // handOver gives a held slot to the next call that can still start, or frees
--- a/internal/core/admission/gate_test.go
+++ b/internal/core/admission/gate_test.go
@@ -372,3 +372,28 @@
 		}
 	})
 }
+
+// A waiting call that higher ones will keep from starting in time is refused
+// when that is to be expected, not at its deadline.
+func TestCallsThatHigherOnesStarveAreRefusedAhead(t *testing.T) {
+	check := is.New(t)
+	config := testConfig(1)
+	config.QueueLength = 100
+	config.QueueWait = time.Hour
+	gate := New(0, config)
+	teach(gate, 0, 100*time.Millisecond)
+	now := time.Second
+	running := offer(gate, now, Call{})
+	low := offer(gate, now, Call{Priority: resource.PriorityLow, Deadline: now + time.Second})
+	check.Equal(low.state, StateQueued)
+	for range 6 {
+		check.Equal(offer(gate, now, Call{Priority: resource.PriorityHigh}).state, StateQueued)
+	}
+	check.Equal(len(low.waiter.verdicts), 0) // seven of 100 ms and its own leave time
+	for range 3 {
+		offer(gate, now, Call{Priority: resource.PriorityHigh})
+	}
+	check.Equal(low.waiter.last().Code, result.Shed)
+	check.Equal(low.waiter.last().State, StateRefused)
+	gate.Done(now, running.ticket, true)
+}
