--- a/cmd/springstackd/check.go
+++ b/cmd/springstackd/check.go
@@ -6,6 +6,8 @@
 
 	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
+
+	"github.com/springstack/springstack/internal/settings"
 )
 
 // checkCommand returns the command that checks settings without running.
@@ -19,11 +21,20 @@
 }
 
 func check(_ context.Context, command *cli.Command) error {
-	loaded, err := loadSettings(command)
+	node, err := checkedNode(command)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	_, err = fmt.Fprintf(command.Writer, "event=settings_valid id=%s region=%s zone=%s\n",
-		loaded.Node.ID, loaded.Node.Region, loaded.Node.Zone)
+	_, err = fmt.Fprintf(command.Writer, "event=settings_valid id=%s region=%s zone=%s\n", node.ID, node.Region, node.Zone)
 	return errors.Trace(err)
 }
+
+// checkedNode checks settings of either kind and returns whose they are.
+func checkedNode(command *cli.Command) (settings.Node, error) {
+	if settings.IsHosted(settingsPath(command)) {
+		loaded, err := loadHosted(command)
+		return loaded.Node, err
+	}
+	loaded, err := loadSettings(command)
+	return loaded.Node, err
+}
--- a/internal/core/node/step.go
+++ b/internal/core/node/step.go
@@ -167,7 +167,7 @@
 
 // LogEvent asks for one log line.
 type LogEvent struct {
-	// Name is a stable event name listed in docs/OPERATING.md.
+	// Name is a stable event name listed in docs/OPERATIONS.md.
 	Name   string
 	Fields []LogField
 }
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -21,7 +21,7 @@
 // nothing is the action of events that need none.
 const nothing = "Nothing."
 
-// events is the table of all events, in ascending order of name. docs/OPERATING.md
+// events is the table of all events, in ascending order of name. docs/OPERATIONS.md
 // holds the same table; a test holds them equal, and equal to the names that the
 // code writes.
 var events = []Event{
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -80,7 +80,7 @@
 		return []string{"`" + event.Name + "`", event.Level.String(), event.Meaning, event.Action}
 	})
 	table := doctest.Table([]string{"event", "level", "meaning", "what to do"}, rows)
-	doctest.Section(t, filepath.Join("..", "..", "docs", "OPERATING.md"), "events", table)
+	doctest.Section(t, filepath.Join("..", "..", "docs", "OPERATIONS.md"), "events", table)
 }
 
 // eventName is the form of event names in code.
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -28,7 +28,7 @@
 		}
 	})
 	table := doctest.Table([]string{"metric", "kind", "labels", "meaning", "look at it when"}, rows)
-	doctest.Section(t, filepath.Join("..", "..", "docs", "OPERATING.md"), "metrics", table)
+	doctest.Section(t, filepath.Join("..", "..", "docs", "OPERATIONS.md"), "metrics", table)
 }
 
 // every sends each metric once.
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -82,7 +82,7 @@
 
 // Event is one thing worth a log line. It never holds a secret.
 type Event struct {
-	// Name is a stable event name listed in docs/OPERATING.md.
+	// Name is a stable event name listed in docs/OPERATIONS.md.
 	Name   string
 	Fields []EventField
 }
--- a/internal/settings/document_test.go
+++ b/internal/settings/document_test.go
@@ -17,17 +17,27 @@
 )
 
 func TestSettingsAreDocumented(t *testing.T) {
+	documented(t, "settings", reflect.ValueOf(Default()))
+}
+
+func TestHostedSettingsAreDocumented(t *testing.T) {
+	documented(t, "hosted", reflect.ValueOf(DefaultHosted()))
+}
+
+// documented holds a section of the page equal to the fields of settings.
+func documented(t *testing.T, section string, defaults reflect.Value) {
+	t.Helper()
 	is := is.New(t)
 	comments := fieldComments(t)
 	var rows [][]string
-	describe(reflect.ValueOf(Default()), "", func(field reflect.StructField, path string, value reflect.Value) {
+	describe(defaults, "", func(field reflect.StructField, path string, value reflect.Value) {
 		owner := strings.TrimSuffix(path, fieldSeparator+field.Tag.Get("koanf"))
 		comment := comments[owner+fieldSeparator+field.Name]
 		is.True(comment != "") // a field without a comment
 		rows = append(rows, []string{"`" + path + "`", typeName(field.Type), defaultOf(value), rulesOf(field), comment})
 	})
 	table := doctest.Table([]string{"field", "type", "default", "rules", "meaning"}, rows)
-	doctest.Section(t, filepath.Join("..", "..", "docs", "SETTINGS.md"), "settings", table)
+	doctest.Section(t, filepath.Join("..", "..", "docs", "SETTINGS.md"), section, table)
 }
 
 // describe visits all fields that are not sections.
@@ -62,19 +72,38 @@
 
 // fieldComments returns the comments of all fields, by section path and Go name.
 func fieldComments(t *testing.T) map[string]string {
-	file, err := parser.ParseFile(token.NewFileSet(), "settings.go", nil, parser.ParseComments)
-	is.New(t).NoErr(err)
+	comments := map[string]string{}
+	for _, name := range []string{"settings.go", "hosted.go"} {
+		file, err := parser.ParseFile(token.NewFileSet(), name, nil, parser.ParseComments)
+		is.New(t).NoErr(err)
+		addComments(file, sectionNames(), comments)
+	}
+	return comments
+}
+
+// sectionNames are the sections by the names of their types.
+func sectionNames() map[string]string {
 	sections := map[string]string{"Token": "operators.tokens[]"}
-	for _, field := range reflect.VisibleFields(reflect.TypeFor[Settings]()) {
-		sections[field.Type.Name()] = field.Tag.Get("koanf")
+	for _, whole := range []reflect.Type{reflect.TypeFor[Settings](), reflect.TypeFor[Hosted]()} {
+		for _, field := range reflect.VisibleFields(whole) {
+			sections[field.Type.Name()] = field.Tag.Get("koanf")
+		}
 	}
-	comments := map[string]string{}
+	return sections
+}
+
+// addComments collects the comments on the fields of sections.
+func addComments(file *ast.File, sections, comments map[string]string) {
 	ast.Inspect(file, func(node ast.Node) bool {
 		declared, isType := node.(*ast.TypeSpec)
 		if !isType {
 			return true
 		}
-		for _, field := range declared.Type.(*ast.StructType).Fields.List {
+		structure, isStruct := declared.Type.(*ast.StructType)
+		if !isStruct {
+			return false
+		}
+		for _, field := range structure.Fields.List {
 			for _, name := range field.Names {
 				key := sections[declared.Name.Name] + fieldSeparator + name.Name
 				comments[key] = strings.Join(strings.Fields(field.Doc.Text()), " ")
@@ -82,7 +111,6 @@
 		}
 		return false
 	})
-	return comments
 }
 
 func TestDocumentedExampleIsTaken(t *testing.T) {
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -33,9 +33,11 @@
 	Gate string `koanf:"gate" validate:"required,target"`
 	// Control takes net/rpc calls from other daemons.
 	Control string `koanf:"control" validate:"required,target"`
-	// AdvertisedGate and AdvertisedControl are what other daemons are told, where
-	// they reach this machine at other addresses; empty for the same.
-	AdvertisedGate    string `koanf:"advertised_gate" validate:"omitempty,target"`
+	// AdvertisedGate is the gate's address as other daemons are told it; empty for
+	// the same.
+	AdvertisedGate string `koanf:"advertised_gate" validate:"omitempty,target"`
+	// AdvertisedControl is the control port's address as other daemons are told
+	// it; empty for the same.
 	AdvertisedControl string `koanf:"advertised_control" validate:"omitempty,target"`
 	// Ready answers whether callers may be sent here.
 	Ready string `koanf:"ready" validate:"required,address"`
