--- /dev/null
+++ b/internal/hosted/hosted_test.go
@@ -0,0 +1,246 @@
+package hosted
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/authority"
+	"github.com/springstack/springstack/internal/control"
+	"github.com/springstack/springstack/internal/core/following"
+	"github.com/springstack/springstack/internal/core/membership"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/core/snapshot"
+	"github.com/springstack/springstack/internal/logging"
+	"github.com/springstack/springstack/internal/proxy"
+	"github.com/springstack/springstack/internal/result"
+	"github.com/springstack/springstack/internal/settings"
+)
+
+// scriptedSource decodes documents by their text alone.
+type scriptedSource struct{}
+
+func (scriptedSource) Read(context.Context) authority.Reading      { return authority.Reading{} }
+func (scriptedSource) ReadStale(context.Context) authority.Reading { return authority.Reading{} }
+func (scriptedSource) Watch(context.Context, authority.Position, time.Duration) authority.Reading {
+	return authority.Reading{}
+}
+
+func (scriptedSource) Decode(document authority.Document) (authority.Configuration, error) {
+	service := resource.Service{Partner: partner, Name: "app", HealthPath: "/health"}
+	route := resource.Route{Partner: partner, Name: "r", Split: []resource.Destination{{Service: serviceRef("app"), Weight: 1}}}
+	decoded := authority.Configuration{Version: document.Version, Services: []resource.Service{service}, Routes: []resource.Route{route}}
+	switch string(document.Body) {
+	case "unreadable":
+		return authority.Configuration{}, result.New(result.FileWrongType, "routes.timeout_ms")
+	case "dangling":
+		decoded.Services = nil
+	}
+	return decoded, nil
+}
+
+// follower is a configuration with what it did.
+type follower struct {
+	*configuration
+	swapped []protocol.Version
+	spreads int
+	log     bytes.Buffer
+}
+
+func newFollower() *follower {
+	made := &follower{}
+	clock := func() time.Duration { return time.Minute }
+	made.configuration = &configuration{
+		source: scriptedSource{}, clock: clock,
+		events:   newEventLog(logging.NewTo(&made.log, log.InfoLevel), "n", clock),
+		swap:     func(built *snapshot.Snapshot) { made.swapped = append(made.swapped, built.Version) },
+		limit:    func(authority.RequestLimits) {},
+		spread:   func() { made.spreads++ },
+		follower: following.New(following.DefaultConfig(), func() uint64 { return 0 }),
+	}
+	return made
+}
+
+func (f *follower) offer(version protocol.Version, body, source string) {
+	f.adopt(following.Action{Source: source, Document: authority.Document{Version: version, Body: []byte(body)}})
+}
+
+func TestAVersionThatCantBeUsedLeavesTheOneBefore(t *testing.T) {
+	check := is.New(t)
+	held := newFollower()
+	held.offer(3, "sound", following.SourceStore)
+	held.offer(5, "unreadable", following.SourceStore)
+	held.offer(6, "dangling", following.SourceStore)
+	check.Equal(held.version(), protocol.Version(3))
+	check.Equal(held.swapped, []protocol.Version{3})
+	check.Equal(strings.Count(held.log.String(), "event=configuration_refused"), 2)
+	check.True(strings.Contains(held.log.String(), "routes.timeout_ms")) // the field is named
+	held.offer(7, "sound", following.SourceStore)
+	check.Equal(held.version(), protocol.Version(7))
+	check.Equal(held.healthPath(serviceRef("app")), "/health")
+	check.Equal(held.healthPath(serviceRef("other")), "")
+}
+
+func TestOnlyWhatWatchesMayHaveMissedIsSpread(t *testing.T) {
+	check := is.New(t)
+	held := newFollower()
+	held.offer(3, "sound", following.SourceStore)
+	check.Equal(held.spreads, 0)
+	held.offer(4, "sound", following.SourcePoll)
+	held.offer(5, "sound", following.SourcePeer)
+	check.Equal(held.spreads, 2)
+}
+
+func TestDocumentsCrossWholeAndBounded(t *testing.T) {
+	check := is.New(t)
+	document := authority.Document{Version: 9, Body: bytes.Repeat([]byte("routes and services "), 4096)}
+	packed, err := compress(document)
+	check.NoErr(err)
+	check.True(len(packed.Compressed) < len(document.Body)/10)
+	unpacked, err := decompress(packed, 1<<20)
+	check.NoErr(err)
+	check.Equal(unpacked, document)
+	_, err = decompress(packed, 1<<10)
+	check.True(err != nil) // more than a document may hold
+	packed.Compressed = packed.Compressed[:len(packed.Compressed)/2]
+	_, err = decompress(packed, 1<<20)
+	check.True(err != nil)
+}
+
+// newTestMesh is a mesh of one daemon that knows others, and calls nobody.
+func newTestMesh(zone string, others ...protocol.Member) *mesh {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // no loop runs and nothing is sent
+	made := &mesh{
+		clock:     func() time.Duration { return 0 },
+		publish:   func([]protocol.Member) {},
+		version:   func() protocol.Version { return 0 },
+		context:   ctx,
+		roster:    membership.NewRoster(),
+		lost:      map[protocol.NodeID]bool{},
+		verifying: map[protocol.NodeID]bool{},
+		self:      protocol.Member{ID: "m", Zone: zone, Incarnation: 5, Sequence: 1, State: protocol.MemberAlive},
+	}
+	made.roster.Merge(0, made.self, membership.Below)
+	for _, other := range others {
+		made.roster.Merge(0, other, membership.Below)
+	}
+	return made
+}
+
+func member(id protocol.NodeID, zone string) protocol.Member {
+	return protocol.Member{ID: id, Zone: zone, Incarnation: 1, Sequence: 1, State: protocol.MemberAlive}
+}
+
+func TestThePollersOfAZoneAreItsFirstThatAnswer(t *testing.T) {
+	check := is.New(t)
+	check.True(newTestMesh("z1").polls()) // alone
+	check.True(newTestMesh("z1", member("a", "z1"), member("b", "z1"), member("c", "z1")).polls())
+	check.True(!newTestMesh("z1", member("a", "z1"), member("b", "z1"), member("c", "z1"), member("d", "z1")).polls())
+	four := newTestMesh("z1", member("a", "z1"), member("b", "z2"), member("c", "z3"), member("d", "z4"))
+	check.True(!four.polls()) // one a zone, and that is a
+	four.lost["a"] = true
+	check.True(four.polls())
+}
+
+func TestADaemonDefendsItsRecordAgainstAnEarlierStart(t *testing.T) {
+	check := is.New(t)
+	held := newTestMesh("z1")
+	earlier := held.self
+	earlier.Incarnation = 9 // its clock was ahead then
+	earlier.Endpoint = protocol.EndpointReady
+	held.take("z1", []protocol.Member{earlier})
+	check.Equal(held.self.Incarnation, protocol.Incarnation(10))
+	known, _ := held.roster.Get("m")
+	check.Equal(known.Incarnation, protocol.Incarnation(10))
+}
+
+func TestAComparisonTellsOnlyWhatDiffers(t *testing.T) {
+	check := is.New(t)
+	held := newTestMesh("z1", member("a", "z1"), member("b", "z2"))
+	held.heardOf = func(protocol.NodeID, protocol.Version) {}
+	same := held.answerExchange(&protocol.ExchangeRequest{From: "x", Total: held.roster.Sums().Total()})
+	check.Equal(len(same.Sums)+len(same.Members), 0)
+	differs := held.answerExchange(&protocol.ExchangeRequest{From: "x", Total: 1})
+	check.Equal(len(differs.Sums), membership.Buckets)
+	empty := membership.Sums{}
+	whole := held.answerExchange(&protocol.ExchangeRequest{From: "x", Sums: empty[:]})
+	check.Equal(len(whole.Members), 3)
+	pushed := held.answerExchange(&protocol.ExchangeRequest{From: "x", Zone: "z1", Push: true, Total: 1, Members: []protocol.Member{member("c", "z1")}})
+	check.Equal(len(pushed.Sums)+len(pushed.Members), 0)
+	_, known := held.roster.Get("c")
+	check.True(known)
+	_, err := held.HandlePeer(context.Background(), control.Peer{}, &protocol.ExchangeRequest{Format: protocol.Format + 1})
+	check.True(err != nil)
+}
+
+func TestDrawnPeersDiffer(t *testing.T) {
+	check := is.New(t)
+	peers := []peer{{id: "a"}, {id: "b"}, {id: "c"}}
+	for range 50 {
+		two := drawn(peers, 2)
+		check.Equal(len(two), 2)
+		check.True(two[0].id != two[1].id)
+	}
+	check.Equal(len(drawn(peers, 9)), 3)
+	check.Equal(len(drawn(nil, 2)), 0)
+}
+
+func TestAStopFitsIntoTheGrace(t *testing.T) {
+	check := is.New(t)
+	for _, grace := range []time.Duration{time.Second, 6 * time.Second, 30 * time.Second} {
+		check.True(lingerOf(grace) < drainBound(grace))
+		check.True(drainBound(grace) < grace)
+	}
+	check.True(drainBound(6*time.Second)+closeBound() < 6*time.Second)
+}
+
+func TestTheSlackOfRetriesIsDivided(t *testing.T) {
+	check := is.New(t)
+	daemon := &Daemon{settings: settings.Hosted{Retries: settings.HostedRetries{Ratio: 0.2, Slack: 64}}}
+	for _, daemons := range []int{0, 1, 12, 300} {
+		limits := daemon.retryBudget(daemons)
+		check.True(limits.Initial*float64(daemons) <= 64)
+		check.True(limits.Ratio < 0.2)
+		check.True(limits.Saved >= 1) // one retry can always be saved up
+	}
+}
+
+func TestLinesOnRequestsAreBounded(t *testing.T) {
+	check := is.New(t)
+	var out bytes.Buffer
+	clock := func() time.Duration { return time.Second }
+	requests := newRequestLog(newEventLog(logging.NewTo(&out, log.InfoLevel), "n", clock))
+	written := 0
+	for range 10 * requestsBurst {
+		if requests.Wants("request_refused") {
+			requests.Write(proxy.Event{Name: "request_refused", Fields: []proxy.EventField{{Key: "request", Value: "q"}}})
+			written++
+		}
+	}
+	check.Equal(written, requestsBurst)
+	check.Equal(strings.Count(out.String(), "event=request_refused node=n request=q"), written)
+	check.Equal(requests.rate.Dropped(), uint64(9*requestsBurst))
+}
+
+func TestAReloadSaysWhatItFound(t *testing.T) {
+	check := is.New(t)
+	var out bytes.Buffer
+	clock := func() time.Duration { return 0 }
+	daemon := &Daemon{settings: settings.DefaultHosted(), events: newEventLog(logging.NewTo(&out, log.InfoLevel), "n", clock)}
+	daemon.Reload(settings.DefaultHosted(), nil)
+	changed := settings.DefaultHosted()
+	changed.Drain.GraceSeconds = 7
+	daemon.Reload(changed, nil)
+	daemon.Reload(settings.Hosted{}, errors.New("2 mistakes"))
+	for _, event := range []string{"settings_unchanged", "settings_changed", "settings_refused"} {
+		check.Equal(strings.Count(out.String(), "event="+event), 1)
+	}
+}
