One bounded wait in place of nine; the mesh's file has one job

A hosted daemon waits for its readings when it ends; a field that nothing read goes. No behaviour changes else.

--- a/internal/hosted/backendside.go
+++ b/internal/hosted/backendside.go
@@ -7,6 +7,7 @@
 
 	"github.com/springstack/springstack/internal/core/backend"
 	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/pause"
 	"github.com/springstack/springstack/internal/proxy"
 )
 
@@ -119,7 +120,7 @@
 // tick looks at what time alone changes.
 func (b *backendSide) tick() {
 	defer b.running.Done()
-	for pause(b.context, backendTick) {
+	for pause.For(b.context, backendTick) {
 		b.mutex.Lock()
 		b.show()
 		b.mutex.Unlock()
@@ -150,7 +151,7 @@
 				break
 			}
 		}
-		if !pause(b.context, probePause) {
+		if !pause.For(b.context, probePause) {
 			break
 		}
 	}
--- /dev/null
+++ b/internal/hosted/comparing.go
@@ -0,0 +1,81 @@
+package hosted
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/springstack/springstack/internal/core/membership"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/pause"
+)
+
+// compareForever compares records with one peer after the other.
+func (m *mesh) compareForever() {
+	for round := 0; m.context.Err() == nil; round++ {
+		for _, target := range m.nextTargets(round) {
+			m.compare(target)
+		}
+		m.relist()
+		period := exchangePeriod
+		if m.storeFails() || !m.joined() {
+			period = exchangeUrgent
+		}
+		if !pause.For(m.context, period*3/4+time.Duration(randomNumber()%uint64(period/2))) {
+			return
+		}
+	}
+}
+
+// nextTargets are the peers of one round: the next one of the own zone, and
+// now and then one of another zone.
+func (m *mesh) nextTargets(round int) []peer {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	near, far := lo.FilterReject(m.peers(), func(one peer, _ int) bool { return one.zone == m.self.Zone })
+	var targets []peer
+	if len(near) > 0 {
+		targets = append(targets, near[m.turn%len(near)])
+		m.turn++
+	}
+	if round%farEvery == 0 || len(near) == 0 {
+		// Each zone speaks for itself about as often, however many daemons it has.
+		if len(far) > 0 && (round == 0 || randomNumber()%uint64(len(near)+1) == 0) {
+			targets = append(targets, drawn(far, 1)...)
+		}
+	}
+	return targets
+}
+
+// compare brings the records of both sides to the same.
+func (m *mesh) compare(target peer) {
+	m.mutex.Lock()
+	request := m.request()
+	m.mutex.Unlock()
+	reply := m.call(target, request)
+	if reply == nil {
+		return
+	}
+	if len(reply.Sums) != membership.Buckets {
+		m.hasJoined.Store(true) // both know the same
+		return
+	}
+	m.mutex.Lock()
+	request = m.request()
+	sums := m.roster.Sums()
+	request.Sums = sums[:]
+	request.Members = m.roster.Differing(membership.Sums(reply.Sums))
+	m.mutex.Unlock()
+	if reply = m.call(target, request); reply != nil {
+		m.take(target.zone, reply.Members)
+		m.hasJoined.Store(true)
+	}
+}
+
+// request is an empty comparison; the lock is held.
+func (m *mesh) request() *protocol.ExchangeRequest {
+	return &protocol.ExchangeRequest{
+		Format: protocol.Format, From: m.self.ID, Zone: m.self.Zone, Version: m.version(),
+		Total: m.roster.Sums().Total(),
+	}
+}
--- a/internal/hosted/configuration.go
+++ b/internal/hosted/configuration.go
@@ -15,6 +15,7 @@
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/snapshot"
+	"github.com/springstack/springstack/internal/pause"
 	"github.com/springstack/springstack/internal/result"
 )
 
@@ -132,7 +133,7 @@
 
 // ask carries out an action that waits for an answer.
 func (c *configuration) ask(action following.Action) {
-	if !pause(c.context, action.After) {
+	if !pause.For(c.context, action.After) {
 		return
 	}
 	if action.Kind == following.AskPeer {
@@ -242,21 +243,6 @@
 
 func codeText(code result.Code) string { return strconv.Itoa(int(code)) }
 
-// pause waits, and tells whether the context still runs.
-func pause(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // compress packs a document for a peer.
 func compress(document authority.Document) (protocol.DocumentReply, error) {
 	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedFastest))
--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -150,6 +150,9 @@
 func (d *Daemon) shutdown() error {
 	d.cancel()
 	report := d.injector.Shutdown()
+	if d.configuration != nil {
+		d.configuration.stop()
+	}
 	if d.options.Platform.Close != nil {
 		d.options.Platform.Close()
 	}
--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"github.com/springstack/springstack/internal/logging"
+	"github.com/springstack/springstack/internal/pause"
 	"github.com/springstack/springstack/internal/proxy"
 )
 
@@ -94,7 +95,7 @@
 func (d *Daemon) summarize(ctx context.Context) {
 	var last proxy.Counters
 	dropped := uint64(0)
-	for pause(ctx, summaryPeriod) {
+	for pause.For(ctx, summaryPeriod) {
 		now := d.path.Counters()
 		if now.CallerCalls != last.CallerCalls || now.GateCalls != last.GateCalls {
 			d.events.event("requests_summary",
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -14,6 +14,7 @@
 	"github.com/springstack/springstack/internal/core/backend"
 	"github.com/springstack/springstack/internal/core/membership"
 	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/pause"
 )
 
 const (
@@ -102,70 +103,11 @@
 func (m *mesh) joined() bool { return m.hasJoined.Load() }
 
 func (m *mesh) awaitJoin() {
-	if pause(m.context, joinWait) {
+	if pause.For(m.context, joinWait) {
 		m.hasJoined.Store(true)
 	}
 }
 
-// register reads the registry, leaves the daemon's own registration there unless
-// it stands there already, and meets the daemons listed. Who registers last
-// reads all others, so that daemons that start together find each other.
-func (m *mesh) register() {
-	for m.context.Err() == nil {
-		if m.readRegistry() && m.putRegistration() {
-			m.meet()
-			return
-		}
-		if !pause(m.context, registryPause/2+time.Duration(randomNumber()%uint64(registryPause))) {
-			return
-		}
-	}
-}
-
-func (m *mesh) readRegistry() bool {
-	ctx, cancel := context.WithTimeout(m.context, readTimeout)
-	defer cancel()
-	listed, err := m.registry.List(ctx)
-	if err != nil {
-		m.events.event("registry_unavailable", field("error", err.Error()))
-		return false
-	}
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	m.registered = listed
-	return true
-}
-
-func (m *mesh) putRegistration() bool {
-	m.mutex.Lock()
-	mine := authority.Registration{
-		ID: m.self.ID, Address: m.self.ControlAddress, Zone: m.self.Zone, Region: m.self.Region,
-	}
-	known := slices.Contains(m.registered, mine)
-	m.mutex.Unlock()
-	if known {
-		return true
-	}
-	defer m.readRegistry()
-	ctx, cancel := context.WithTimeout(m.context, readTimeout)
-	defer cancel()
-	if err := m.registry.Put(ctx, mine); err != nil {
-		m.events.event("registry_unavailable", field("error", err.Error()))
-		return false
-	}
-	return true
-}
-
-// meet compares records with all peers of the own zone and some of the others.
-func (m *mesh) meet() {
-	m.mutex.Lock()
-	targets := m.pushTargets()
-	m.mutex.Unlock()
-	for _, target := range targets {
-		m.compare(target)
-	}
-}
-
 // announce changes what the own record says of the back end, and tells peers.
 func (m *mesh) announce(view backend.View) {
 	m.mutex.Lock()
@@ -292,89 +234,6 @@
 	}
 }
 
-// compareForever compares records with one peer after the other.
-func (m *mesh) compareForever() {
-	for round := 0; m.context.Err() == nil; round++ {
-		for _, target := range m.nextTargets(round) {
-			m.compare(target)
-		}
-		m.relist()
-		period := exchangePeriod
-		if m.storeFails() || !m.joined() {
-			period = exchangeUrgent
-		}
-		if !pause(m.context, period*3/4+time.Duration(randomNumber()%uint64(period/2))) {
-			return
-		}
-	}
-}
-
-// nextTargets are the peers of one round: the next one of the own zone, and
-// now and then one of another zone.
-func (m *mesh) nextTargets(round int) []peer {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	near, far := lo.FilterReject(m.peers(), func(one peer, _ int) bool { return one.zone == m.self.Zone })
-	var targets []peer
-	if len(near) > 0 {
-		targets = append(targets, near[m.turn%len(near)])
-		m.turn++
-	}
-	if round%farEvery == 0 || len(near) == 0 {
-		// Each zone speaks for itself about as often, however many daemons it has.
-		if len(far) > 0 && (round == 0 || randomNumber()%uint64(len(near)+1) == 0) {
-			targets = append(targets, drawn(far, 1)...)
-		}
-	}
-	return targets
-}
-
-// relist reads the registry again when no peer answers.
-func (m *mesh) relist() {
-	m.mutex.Lock()
-	isolated := m.clock()-m.heardAt > isolatedAfter
-	if isolated {
-		m.heardAt = m.clock()
-	}
-	m.mutex.Unlock()
-	if isolated {
-		m.readRegistry()
-	}
-}
-
-// compare brings the records of both sides to the same.
-func (m *mesh) compare(target peer) {
-	m.mutex.Lock()
-	request := m.request()
-	m.mutex.Unlock()
-	reply := m.call(target, request)
-	if reply == nil {
-		return
-	}
-	if len(reply.Sums) != membership.Buckets {
-		m.hasJoined.Store(true) // both know the same
-		return
-	}
-	m.mutex.Lock()
-	request = m.request()
-	sums := m.roster.Sums()
-	request.Sums = sums[:]
-	request.Members = m.roster.Differing(membership.Sums(reply.Sums))
-	m.mutex.Unlock()
-	if reply = m.call(target, request); reply != nil {
-		m.take(target.zone, reply.Members)
-		m.hasJoined.Store(true)
-	}
-}
-
-// request is an empty comparison; the lock is held.
-func (m *mesh) request() *protocol.ExchangeRequest {
-	return &protocol.ExchangeRequest{
-		Format: protocol.Format, From: m.self.ID, Zone: m.self.Zone, Version: m.version(),
-		Total: m.roster.Sums().Total(),
-	}
-}
-
 // take merges records that a daemon of a zone has sent. News from another zone
 // is passed on within the own one.
 func (m *mesh) take(fromZone string, members []protocol.Member) {
@@ -435,27 +294,6 @@
 	protocol.MemberDead:     "dead",
 }
 
-// leave tells peers that the daemon ends.
-func (m *mesh) leave(ctx context.Context) {
-	m.mutex.Lock()
-	m.self.State = protocol.MemberLeft
-	m.pushSelf()
-	m.mutex.Unlock()
-	pause(ctx, leaveWait)
-}
-
-// leaveWait is how long the last pushes may take.
-const leaveWait = 50 * time.Millisecond
-
-// unregister takes the daemon's registration away, because its machine goes.
-func (m *mesh) unregister(ctx context.Context) {
-	bounded, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
-	if err := m.registry.Remove(bounded, m.self.ID); err != nil {
-		m.events.event("registry_unavailable", field("error", err.Error()))
-	}
-}
-
 // lostCount is how many peers did not answer when they were last asked.
 func (m *mesh) lostCount() int {
 	m.mutex.Lock()
--- a/internal/hosted/poll.go
+++ b/internal/hosted/poll.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/samber/lo"
+
+	"github.com/springstack/springstack/internal/pause"
 )
 
 const (
@@ -19,7 +21,7 @@
 // pollForever reads the store now and then while this daemon is one of the
 // pollers of its zone.
 func (m *mesh) pollForever() {
-	for pause(m.context, pollPeriod*3/4+time.Duration(randomNumber()%uint64(pollPeriod/2))) {
+	for pause.For(m.context, pollPeriod*3/4+time.Duration(randomNumber()%uint64(pollPeriod/2))) {
 		if m.polls() {
 			m.poll()
 		}
--- a/internal/hosted/verify.go
+++ b/internal/hosted/verify.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/pause"
 )
 
 const (
@@ -52,7 +53,7 @@
 	m.events.event("peer_unreachable", field("peer", string(target.id)))
 	m.setReachable(target.id, false)
 	for began := m.clock(); m.clock()-began < verifyFor; {
-		if !pause(m.context, verifyPause) {
+		if !pause.For(m.context, verifyPause) {
 			return
 		}
 		if m.answers(target) {
--- a/internal/lab/backend/server.go
+++ b/internal/lab/backend/server.go
@@ -12,6 +12,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
+
+	"github.com/springstack/springstack/internal/pause"
 )
 
 // Forward makes the further call of a nested request: the back end asks its
@@ -210,7 +212,7 @@
 		s.crashFromHandler()
 		panic(http.ErrAbortHandler)
 	}
-	if !work(request.Context(), admission.Service) {
+	if !pause.For(request.Context(), admission.Service) {
 		panic(http.ErrAbortHandler)
 	}
 	status := s.nested(request)
@@ -274,18 +276,3 @@
 		_ = WriteFiller(writer, string(id), filler)
 	}
 }
-
-// work holds a slot for the service time; false means that it was cancelled.
-func work(ctx context.Context, service time.Duration) bool {
-	if service <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(service)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/lab/faults/injector.go
+++ b/internal/lab/faults/injector.go
@@ -11,6 +11,7 @@
 	"github.com/springstack/springstack/internal/lab/backend"
 	"github.com/springstack/springstack/internal/lab/link"
 	"github.com/springstack/springstack/internal/lab/rig"
+	"github.com/springstack/springstack/internal/pause"
 )
 
 // injector draws one fault after the other. One goroutine uses it.
@@ -53,7 +54,7 @@
 		if err := i.inject(ctx, machine); err != nil {
 			return errors.Trace(err)
 		}
-		pause(ctx, faultGap)
+		pause.For(ctx, faultGap)
 	}
 	return nil
 }
@@ -80,7 +81,7 @@
 	point := crashPoints[i.random.IntN(len(crashPoints))]
 	i.counts[fmt.Sprintf("backend_crash_point_%d", point)]++
 	machine.Backend.With(func(model *backend.Model, _ time.Duration) { model.PlanCrash(point, 0) })
-	pause(ctx, downFor)
+	pause.For(ctx, downFor)
 	return errors.Annotate(machine.Backend.Restart(), machine.Upstream.Name)
 }
 
@@ -88,7 +89,7 @@
 func (i *injector) killDaemon(ctx context.Context, machine *rig.Machine) error {
 	i.counts["daemon_killed"]++
 	i.rig.KillDaemon(machine)
-	pause(ctx, downFor)
+	pause.For(ctx, downFor)
 	return errors.Trace(i.rig.StartDaemon(machine))
 }
 
@@ -111,7 +112,7 @@
 		chosen.Cut(link.Backward)
 	}
 	i.counts[fmt.Sprintf("cut_direction_%d_both_%t", direction, both)]++
-	pause(ctx, cutFor)
+	pause.For(ctx, cutFor)
 	chosen.Heal(link.Forward)
 	chosen.Heal(link.Backward)
 }
@@ -135,11 +136,3 @@
 	}
 	return link.Backward
 }
-
-// pause lets time pass unless the context ends.
-func pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-time.After(wait):
-	case <-ctx.Done():
-	}
-}
--- a/internal/lab/rolling/rolling.go
+++ b/internal/lab/rolling/rolling.go
@@ -15,6 +15,7 @@
 	"github.com/springstack/springstack/internal/lab/host"
 	"github.com/springstack/springstack/internal/lab/load"
 	"github.com/springstack/springstack/internal/lab/scenario"
+	"github.com/springstack/springstack/internal/pause"
 )
 
 // Options bound the experiment. A zero field means its default.
@@ -178,7 +179,7 @@
 // restartAll restarts every daemon in turn and then every back end, one of
 // each application at a time.
 func restartAll(ctx context.Context, options Options, started system) ([]departure, error) {
-	pause(ctx, time.Second)
+	pause.For(ctx, time.Second)
 	var departures []departure
 	for number, each := range started.units() {
 		options.Progress("restart_daemon_" + each.name)
@@ -191,7 +192,7 @@
 		if err := started.startDaemon(ctx, number); err != nil {
 			return nil, errors.Trace(err)
 		}
-		pause(ctx, settle)
+		pause.For(ctx, settle)
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	byApplication := make([][]departure, len(options.Deployment.Applications))
@@ -225,7 +226,7 @@
 		if !started.waitReady(ctx, number) {
 			return nil, errors.Errorf("back end %s was not called ready again within %s", each.name, readyWait)
 		}
-		pause(ctx, settle)
+		pause.For(ctx, settle)
 	}
 	return departures, nil
 }
--- a/internal/lab/rolling/system.go
+++ b/internal/lab/rolling/system.go
@@ -6,6 +6,7 @@
 
 	"github.com/springstack/springstack/internal/lab/backend"
 	"github.com/springstack/springstack/internal/lab/load"
+	"github.com/springstack/springstack/internal/pause"
 )
 
 // system is what is restarted under load.
@@ -38,7 +39,7 @@
 // and starts it cold.
 func restartBackend(ctx context.Context, server *backend.Server) error {
 	server.Drain()
-	pause(ctx, drainNotice)
+	pause.For(ctx, drainNotice)
 	ctx, cancel := context.WithTimeout(ctx, stopBound)
 	defer cancel()
 	if err := server.Stop(ctx); err != nil {
@@ -47,14 +48,6 @@
 	return server.Restart()
 }
 
-// pause lets time pass unless the context ends.
-func pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-time.After(wait):
-	case <-ctx.Done():
-	}
-}
-
 // pollEvery is how often a wait looks.
 const pollEvery = 20 * time.Millisecond
 
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -19,6 +19,7 @@
 	"github.com/springstack/springstack/internal/lab/catalogue"
 	"github.com/springstack/springstack/internal/lab/hollow"
 	"github.com/springstack/springstack/internal/lab/host"
+	"github.com/springstack/springstack/internal/pause"
 )
 
 // The rates of the size that springstack is built for, by day.
@@ -197,7 +198,7 @@
 	before := r.cluster.Traffic().BytesOut
 	last := uint64(0)
 	for step := range settleMost {
-		pause(ctx, settleStep)
+		pause.For(ctx, settleStep)
 		now := r.cluster.Traffic().BytesOut
 		spent := now - before
 		before = now
@@ -208,15 +209,6 @@
 	}
 }
 
-func pause(ctx context.Context, period time.Duration) {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // awaitNewest waits until every daemon holds the newest version.
 func (r *run) awaitNewest(bound time.Duration) error {
 	newest := r.cluster.Observer.Newest()
@@ -230,7 +222,7 @@
 // watchRest measures a window without events.
 func (r *run) watchRest(ctx context.Context) error {
 	before := r.take()
-	pause(ctx, r.options.Rest)
+	pause.For(ctx, r.options.Rest)
 	r.rest = between(before, r.take())
 	r.report.ResidentMegabytes = r.residentByDaemon()
 	return r.readRoles(ctx)
--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/springstack/springstack/internal/pause"
 	"github.com/springstack/springstack/platform/standin"
 )
 
@@ -46,7 +47,7 @@
 			s.served++
 		}
 		s.mutex.Unlock()
-		sleep(ctx, clientPause)
+		pause.For(ctx, clientPause)
 	}
 }
 
@@ -104,7 +105,7 @@
 				s.oracle.NotInForce(on.name, version, accepted, sentAt)
 			}
 		}
-		sleep(ctx, probePause)
+		pause.For(ctx, probePause)
 	}
 }
 
@@ -127,16 +128,7 @@
 				s.oracle.Never(fmt.Sprintf("%s does not serve version %d %s", on.name, version, when))
 				break
 			}
-			sleep(ctx, probePause)
+			pause.For(ctx, probePause)
 		}
 	}
 }
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/springstack/springstack/internal/lab/link"
+	"github.com/springstack/springstack/internal/pause"
 	"github.com/springstack/springstack/platform/standin"
 )
 
@@ -190,7 +191,7 @@
 		open = kept
 	}
 	for ctx.Err() == nil {
-		sleep(ctx, faultPause/2+time.Duration(s.random.Int64N(int64(faultPause))))
+		pause.For(ctx, faultPause/2+time.Duration(s.random.Int64N(int64(faultPause))))
 		heal(false)
 		drawn, on := s.draw()
 		busy := len(open) >= 2
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -45,7 +45,6 @@
 	ended    chan struct{}
 	// starts counts the daemon's starts.
 	starts int
-	paused bool
 }
 
 // addresses hands out addresses on loopback hosts of their own, so that no
--- a/internal/lab/standin/service.go
+++ b/internal/lab/standin/service.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/springstack/springstack/internal/core/object"
+	"github.com/springstack/springstack/internal/pause"
 	"github.com/springstack/springstack/internal/platform"
 	"github.com/springstack/springstack/internal/result"
 )
@@ -124,7 +125,7 @@
 		s.rate.call(now, call)
 		decision = s.faults.Decide(s.random, call)
 	})
-	if !sleep(ctx, decision.Before) {
+	if !pause.For(ctx, decision.Before) {
 		return outcome{lost: true}
 	}
 	if decision.Refuse {
@@ -141,27 +142,12 @@
 		reply = s.store.Apply(now, client, call, decision.Lag)
 		s.rate.answer(reply)
 	})
-	if !sleep(ctx, decision.After) || decision.LoseAnswer {
+	if !pause.For(ctx, decision.After) || decision.LoseAnswer {
 		return outcome{lost: true}
 	}
 	return outcome{reply: reply}
 }
 
-// sleep waits, and returns false if the context ends first.
-func sleep(ctx context.Context, delay time.Duration) bool {
-	if delay <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Watch delivers events under prefix after a version until ctx ends or the
 // watch breaks, and returns why: see platform.Port.
 func (s *Service) Watch(ctx context.Context, client, prefix string, from object.Version, deliver func(object.Event)) object.Reply {
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -22,6 +22,7 @@
 	"github.com/springstack/springstack/internal/core/ledger"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/operator/message"
+	"github.com/springstack/springstack/internal/pause"
 	"github.com/springstack/springstack/internal/result"
 )
 
@@ -104,7 +105,7 @@
 				return attempts.final()
 			}
 		}
-		if !sleep(ctx, c.pause) {
+		if !pause.For(ctx, c.pause) {
 			return attempts.final()
 		}
 	}
@@ -213,15 +214,3 @@
 	}
 	return nil
 }
-
-// sleep waits and reports whether ctx is still running.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/operator/client/wait.go
+++ b/internal/operator/client/wait.go
@@ -7,6 +7,7 @@
 	"github.com/samber/lo"
 
 	"github.com/springstack/springstack/internal/operator/message"
+	"github.com/springstack/springstack/internal/pause"
 	"github.com/springstack/springstack/internal/result"
 )
 
@@ -51,7 +52,7 @@
 		if progress.Trouble != nil && !(&failure{answer: *progress.Trouble}).transient() {
 			return *progress.Trouble
 		}
-		if !sleep(ctx, min(pollInterval, c.pause)) {
+		if !pause.For(ctx, min(pollInterval, c.pause)) {
 			return timedOut(progress)
 		}
 	}
