Connections rest, and headers take, as long as the configuration in force says

Cause: header_timeout_ms and idle_timeout_ms of the configuration were read and not heeded; the HTTP server's own can't change while it runs. Change: each connection of a caller has a timer, set when it rests or sends headers, stopped when a call begins; a connection is closed only while no call has begun on it, by the compare-and-set that a drain uses too.

--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -136,7 +136,7 @@
 		clock:  d.clock,
 		swap:   path.Swap,
 		limit: func(limits authority.RequestLimits) {
-			path.SetRequestLimits(proxy.RequestLimits{HeaderBytes: limits.HeaderBytes, BodyBytes: limits.BodyBytes})
+			path.SetRequestLimits(proxy.RequestLimits(limits))
 		},
 		askPeer:  made.askDocument,
 		context:  d.context,
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -29,7 +29,7 @@
 
 // CallerHandler takes callers' requests.
 func (p *Proxy) CallerHandler() http.Handler {
-	return &side{proxy: p, serve: p.serveCaller}
+	return &side{proxy: p, serve: p.serveCaller, callers: true}
 }
 
 func (p *Proxy) serveCaller(writer http.ResponseWriter, request *http.Request) {
--- a/internal/proxy/check.go
+++ b/internal/proxy/check.go
@@ -35,6 +35,11 @@
 type RequestLimits struct {
 	HeaderBytes int
 	BodyBytes   int64
+	// HeaderTimeout bounds the arrival of a request's headers after their first
+	// byte, IdleTimeout the time that a connection rests. 0 leaves the server's
+	// own.
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // SetRequestLimits changes what callers may send; a zero field leaves what the
@@ -47,6 +52,8 @@
 	if given := p.requestLimits.Load(); given != nil {
 		limits.HeaderBytes = cmp.Or(given.HeaderBytes, limits.HeaderBytes)
 		limits.BodyBytes = cmp.Or(given.BodyBytes, limits.BodyBytes)
+		limits.HeaderTimeout = given.HeaderTimeout
+		limits.IdleTimeout = given.IdleTimeout
 	}
 	return limits
 }
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -130,6 +130,7 @@
 	listener *boundedListener
 	once     sync.Once
 	phase    atomic.Int32
+	rest     restTimer
 }
 
 // The phases of a connection.
@@ -146,6 +147,7 @@
 // begin marks the start of a call; false means that the connection is retired
 // and that the call must not run.
 func (c *countedConn) begin() bool {
+	c.rest.await(0, c)
 	return c.phase.CompareAndSwap(phaseIdle, phaseBusy) || c.phase.Load() == phaseBusy
 }
 
@@ -164,6 +166,7 @@
 // Close closes the connection.
 func (c *countedConn) Close() error {
 	c.once.Do(func() {
+		c.rest.await(0, c)
 		c.listener.open.Add(-1)
 		c.listener.conns.Delete(c)
 	})
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -18,6 +18,8 @@
 type side struct {
 	proxy *Proxy
 	serve func(http.ResponseWriter, *http.Request)
+	// callers is set for the callers' side.
+	callers bool
 }
 
 // ServeHTTP serves one call.
@@ -81,11 +83,17 @@
 		ErrorLog:          quietLog,
 	}
 	open := &connections{}
-	if tracked, known := handler.(*side); known {
+	tracked, known := handler.(*side)
+	if known {
 		open = &tracked.proxy.connections
 	}
 	inner.ConnContext = open.open
-	inner.ConnState = open.change
+	inner.ConnState = func(conn net.Conn, state http.ConnState) {
+		if tracked != nil && tracked.callers {
+			tracked.proxy.watchRest(conn, state)
+		}
+		open.change(conn, state)
+	}
 	return &Server{inner: inner, limits: limits}
 }
 
