--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -14,6 +14,10 @@
 	"github.com/springstack/springstack/internal/result"
 )
 
+// Owner owns all services and routes of an external authority, whose
+// configurations name no partners.
+const Owner resource.Partner = "platform"
+
 // Document is one accepted configuration as the authority wrote it.
 type Document struct {
 	// Version is the authority's; 0 means that there is no configuration yet.
--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"github.com/samber/do/v2"
 
+	"github.com/springstack/springstack/internal/authority"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/daemon"
@@ -162,12 +163,9 @@
 	return report
 }
 
-// partner owns all services of a platform's configuration, which knows none.
-const partner resource.Partner = "platform"
-
 // serviceRef is the reference of a service by its name on the platform.
 func serviceRef(name string) resource.ServiceRef {
-	return resource.ServiceRef{Partner: partner, Name: name}
+	return resource.ServiceRef{Partner: authority.Owner, Name: name}
 }
 
 func milliseconds(duration time.Duration) string {
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -34,8 +34,8 @@
 }
 
 func (scriptedSource) Decode(document authority.Document) (authority.Configuration, error) {
-	service := resource.Service{Partner: partner, Name: "app", HealthPath: "/health"}
-	route := resource.Route{Partner: partner, Name: "r", Split: []resource.Destination{{Service: serviceRef("app"), Weight: 1}}}
+	service := resource.Service{Partner: authority.Owner, Name: "app", HealthPath: "/health"}
+	route := resource.Route{Partner: authority.Owner, Name: "r", Split: []resource.Destination{{Service: serviceRef("app"), Weight: 1}}}
 	decoded := authority.Configuration{Version: document.Version, Services: []resource.Service{service}, Routes: []resource.Route{route}}
 	switch string(document.Body) {
 	case "unreadable":
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -164,18 +163,9 @@
 	if m.upstream != nil {
 		m.upstream.Crash()
 	}
-	for _, opened := range []io.Closer{closing{m.store}, closing{m.gate}, closing{m.control}} {
-		_ = opened.Close()
-	}
-}
-
-// closing closes a link that may not have been opened.
-type closing struct{ link *link.Link }
-
-// Close closes the link.
-func (c closing) Close() error {
-	if c.link != nil {
-		c.link.Close()
+	for _, opened := range []*link.Link{m.store, m.gate, m.control} {
+		if opened != nil {
+			opened.Close()
+		}
 	}
-	return nil
 }
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -13,6 +13,7 @@
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/retry"
 	"github.com/springstack/springstack/internal/core/routing"
+	"github.com/springstack/springstack/internal/pause"
 	"github.com/springstack/springstack/internal/result"
 )
 
@@ -138,7 +139,7 @@
 	if route == nil {
 		return nil, Refusal{Code: result.NoRoute}, false
 	}
-	call := &callerCall{proxy: p, route: route, place: located, request: request, service: p.pick(route)}
+	call := &callerCall{proxy: p, route: route, place: located, request: request, service: route.Pick(p.random())}
 	shared := current.services[call.service]
 	if shared == nil {
 		return nil, Refusal{Code: result.NoEndpoint}, false
@@ -190,7 +191,7 @@
 func (c *callerCall) run() {
 	step := c.retries.First()
 	for {
-		c.pause(step.Wait)
+		pause.For(c.context, step.Wait)
 		tried := c.attempt(step.Mark)
 		step = c.retries.Next(c.proxy.config.Clock(), tried.outcome)
 		c.traceAttempt(tried, step)
@@ -209,19 +210,6 @@
 	}
 }
 
-// pause waits before an attempt, or until the call has ended.
-func (c *callerCall) pause(wait time.Duration) {
-	if wait <= 0 {
-		return
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-c.context.Done():
-	}
-}
-
 // refuse gives the final refusal. A caller that has hung up gets none.
 func (c *callerCall) refuse(step retry.Step) {
 	refusal := Refusal{Code: step.Code, Ran: step.Ran, RetryAfter: step.RetryAfter, Detail: c.detail}
@@ -336,11 +324,6 @@
 	headerHop, headerService, headerBackend, headerRequest, headerTimeout, headerPriority, headerPartner,
 }
 
-// pick chooses the destination of a call by the weights of its route.
-func (p *Proxy) pick(route *routing.Route) resource.ServiceRef {
-	return route.Pick(p.random())
-}
-
 // locate finds the host and path that a call is matched by.
 func (p *Proxy) locate(request *http.Request) (place, Refusal, bool) {
 	if p.config.Edge == nil {
