A drain outlives its daemon though the upstream denies it; outliers are ejected by their gate

Cause: a daemon that starts took the upstream's own health as the only proof that it is not leaving. Ruled out: writing drains to the store (a write each, none acknowledged while it is down). Change: a start first compares records with a peer of its zone; replies are made before the restarted daemon's new record is merged, so they carry what its earlier start had announced; the instance is then taken as draining for good. A daemon that stops now says so of itself (member state), not of its upstream, since peers' memory of that would keep a sound upstream from work. A drain acknowledged while the daemon stops closes the gate.

Endpoints called degraded get calls only as a last resort, unless over 0.3 of a service are: then the cause is likely common.

State names stood in three tables; they are methods of the states now.

--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -57,7 +57,8 @@
 	// candidate is a report of an instance that has not been confirmed.
 	candidate *Report
 	// ended are instances that have left or been replaced, oldest first.
-	ended []string
+	ended   []string
+	outlier outlier
 }
 
 // NewTracker returns a tracker of back ends that report each interval.
@@ -107,6 +108,7 @@
 	}
 	t.instance = t.candidate.Instance
 	t.draining = false
+	t.outlier = outlier{answered: t.outlier.answered}
 	t.take(now, *t.candidate)
 	t.candidate = nil
 }
@@ -125,6 +127,16 @@
 	t.end(instance)
 }
 
+// Remembered takes a peer's memory that an earlier start of this daemon had
+// acknowledged that an instance is leaving. Instances that leave never come
+// back, so what the instance says of itself after that counts for nothing.
+func (t *Tracker) Remembered(instance string) {
+	if t.instance == "" {
+		t.instance = instance
+	}
+	t.Left(instance)
+}
+
 func (t *Tracker) end(instance string) {
 	if slices.Contains(t.ended, instance) {
 		return
@@ -143,6 +155,12 @@
 	}
 }
 
+// Failed is called when an instance has failed a call, with the count of all
+// calls so far that went well. It tells whether the instance is ejected by it.
+func (t *Tracker) Failed(now time.Duration, instance string, answered uint64) bool {
+	return instance == t.instance && t.outlier.failed(now, answered)
+}
+
 // Answered is called when the instance has answered a call.
 func (t *Tracker) Answered(now time.Duration) { t.heardAt = max(t.heardAt, now) }
 
@@ -166,6 +184,8 @@
 		view.State = protocol.EndpointDraining
 	case t.down || now-t.heardAt > silentBeats*t.interval:
 		view.State = protocol.EndpointDown
+	case t.outlier.ejected(now):
+		view.State = protocol.EndpointDegraded
 	case now < t.warmAt:
 		view.State = protocol.EndpointWarming
 	default:
--- a/internal/core/backend/backend_test.go
+++ b/internal/core/backend/backend_test.go
@@ -96,3 +96,17 @@
 	}
 	is.New(t).Equal(len(tracker.ended), endedLimit)
 }
+
+func TestWhatPeersRememberOfALeavingInstanceStands(t *testing.T) {
+	check := is.New(t)
+	tracker := NewTracker(time.Second)
+	tracker.Remembered("one")
+	check.Equal(tracker.View(0).State, protocol.EndpointDraining)
+	check.True(!tracker.Reported(0, Report{Instance: "one", Sequence: 9, Slots: 6})) // it denies that, in vain
+	check.Equal(tracker.View(0).State, protocol.EndpointDraining)
+	check.True(tracker.Reported(0, Report{Instance: "two", Sequence: 1, Slots: 6}))
+	tracker.Probed(0, Probe{Instance: "two", Healthy: true})
+	check.Equal(tracker.View(0).State, protocol.EndpointReady)
+	tracker.Remembered("one") // told late: the newer instance works on
+	check.Equal(tracker.View(0), View{Instance: "two", Slots: 6, State: protocol.EndpointReady})
+}
--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -1,10 +1,20 @@
 package endpoint
 
-import "time"
+import (
+	"time"
 
-// ejectionFloor is the share of a set that is always left in use: when more
-// than that is ejected, ejections are not heeded.
-const ejectionFloor = 0.5
+	"github.com/springstack/springstack/internal/core/protocol"
+)
+
+const (
+	// ejectionFloor is the share of a set that is always left in use: when more
+	// than that is ejected, ejections are not heeded.
+	ejectionFloor = 0.5
+	// degradedLimit is the share of a set that may be degraded. When more is, the
+	// cause is likely common to all, such as a service that they call, and to
+	// leave some out would only burden the others.
+	degradedLimit = 0.3
+)
 
 // Spill says how much load calls bear to stay near. Loads are calls by slots, so
 // that 1 is an endpoint whose slots are all taken.
@@ -66,14 +76,19 @@
 // floorHolds tells whether enough of the set is in use without those ejected.
 func (s *Set) floorHolds(now time.Duration) bool {
 	ejected := 0
+	degraded := 0
 	for _, tier := range s.tiers {
 		for _, candidate := range tier {
 			if candidate.ejected(now) {
 				ejected++
 			}
+			if candidate.State == protocol.EndpointDegraded {
+				degraded++
+			}
 		}
 	}
-	return float64(ejected) <= float64(s.usable)*ejectionFloor
+	return float64(ejected) <= float64(s.usable)*ejectionFloor &&
+		float64(degraded) <= float64(s.usable)*degradedLimit
 }
 
 // betterOfTwo draws two endpoints of a tier and returns the one that is expected
--- a/internal/core/endpoint/endpoint.go
+++ b/internal/core/endpoint/endpoint.go
@@ -267,6 +267,8 @@
 	return int64(now) < e.stats.leavingUntil.Load() && e.stats.leavingSequence.Load() >= e.Sequence
 }
 
+// ejected tells whether calls go elsewhere as long as enough others are left: by
+// what this process met, or by the word of the gate.
 func (e *Endpoint) ejected(now time.Duration) bool {
-	return int64(now) < e.stats.ejectedUntil.Load()
+	return e.State == protocol.EndpointDegraded || int64(now) < e.stats.ejectedUntil.Load()
 }
--- a/internal/core/endpoint/set.go
+++ b/internal/core/endpoint/set.go
@@ -118,21 +118,22 @@
 	made.Node = member.ID
 	made.Incarnation = member.Incarnation
 	made.Sequence = member.Sequence
-	made.State = member.Endpoint
+	made.State = stateOf(member)
 	made.Doubted = member.State == protocol.MemberSuspect
 	made.Region = member.Region
 	made.Zone = member.Zone
 	made.Address = cmp.Or(member.DataAddress, made.Address)
 	made.Slots = cmp.Or(member.Slots, made.Slots)
-	return made, takesWork(member)
+	return made, made.State.TakesWork()
 }
 
-// takesWork weighs the daemon's own word.
-func takesWork(member protocol.Member) bool {
+// stateOf is the state of a back end behind its daemon: one whose daemon leaves
+// takes no more work either.
+func stateOf(member protocol.Member) protocol.EndpointState {
 	if member.State != protocol.MemberAlive && member.State != protocol.MemberSuspect {
-		return false
+		return protocol.EndpointDraining
 	}
-	return member.Endpoint == protocol.EndpointReady || member.Endpoint == protocol.EndpointWarming
+	return member.Endpoint
 }
 
 // carryOver takes the counts of an endpoint from the previous set. In a first
--- a/internal/core/protocol/protocol.go
+++ b/internal/core/protocol/protocol.go
@@ -48,8 +48,40 @@
 	EndpointReady
 	EndpointDraining
 	EndpointDown
+	// EndpointDegraded takes calls but fails many of them: it is a last resort.
+	EndpointDegraded
 )
 
+// memberStateNames are the names of member states in logs and status.
+var memberStateNames = map[MemberState]string{
+	MemberAlive:    "alive",
+	MemberSuspect:  "suspect",
+	MemberDraining: "draining",
+	MemberLeft:     "left",
+	MemberDead:     "dead",
+}
+
+// String names the state; empty for none.
+func (s MemberState) String() string { return memberStateNames[s] }
+
+// endpointStateNames are the names of endpoint states in logs and status.
+var endpointStateNames = map[EndpointState]string{
+	EndpointNone:     "none",
+	EndpointWarming:  "warming",
+	EndpointReady:    "ready",
+	EndpointDraining: "draining",
+	EndpointDown:     "down",
+	EndpointDegraded: "degraded",
+}
+
+// TakesWork tells whether a back end in the state may get new calls.
+func (s EndpointState) TakesWork() bool {
+	return s == EndpointReady || s == EndpointWarming || s == EndpointDegraded
+}
+
+// String names the state.
+func (s EndpointState) String() string { return endpointStateNames[s] }
+
 // Member is the soft record of one daemon and of the back end beside it.
 // Records are merged by (Incarnation, Sequence, State); the daemon itself is
 // the only one that raises Sequence.
--- a/internal/hosted/backendside.go
+++ b/internal/hosted/backendside.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/springstack/springstack/internal/core/backend"
-	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/pause"
 	"github.com/springstack/springstack/internal/proxy"
 )
@@ -17,6 +16,8 @@
 	// probePause is the time between probes of an instance that has not
 	// answered.
 	probePause = 300 * time.Millisecond
+	// probeAhead is the time between looks whether the back end may be probed yet.
+	probeAhead = 50 * time.Millisecond
 	// probeLimit bounds the probes for one report.
 	probeLimit = 5
 	// backendTick is how often the passing of time is looked at.
@@ -39,8 +40,8 @@
 	tracker *backend.Tracker
 	shown   backend.View
 	probing bool
-	// stopping is set once the daemon leaves; the mesh is told that the back
-	// end takes no more work from here.
+	// stopping is set once the daemon leaves: the gate, which is closing, is not
+	// opened again.
 	stopping bool
 }
 
@@ -51,6 +52,9 @@
 	// healthPath is the health path as the configuration has it; empty while
 	// that is not known.
 	healthPath func() string
+	// joined tells whether peers have told what an earlier start of this daemon
+	// has acknowledged.
+	joined func() bool
 }
 
 func (b *backendSide) start() {
@@ -85,12 +89,35 @@
 	b.show()
 }
 
-// stop tells the mesh that the back end takes no more work from here.
+// failed is called when the back end has failed a call, with the count of all
+// calls so far that it answered well.
+func (b *backendSide) failed(instance string, answered uint64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.tracker.Failed(b.clock(), instance, answered) {
+		b.show()
+	}
+}
+
+// rememberLeaving takes a peer's memory that an instance was leaving before this
+// daemon started. It does not block.
+func (b *backendSide) rememberLeaving(instance string) {
+	b.running.Add(1)
+	go func() {
+		defer b.running.Done()
+		b.mutex.Lock()
+		defer b.mutex.Unlock()
+		b.tracker.Remembered(instance)
+		b.events.event("backend_remembered", field("instance", instance), field("state", "draining"))
+		b.show()
+	}()
+}
+
+// stop keeps the gate from being opened again.
 func (b *backendSide) stop() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.stopping = true
-	b.show()
 }
 
 // leaving tells whether the back end itself is leaving.
@@ -104,14 +131,11 @@
 // lock is held.
 func (b *backendSide) show() {
 	view := b.tracker.View(b.clock())
-	if b.stopping && view.State != protocol.EndpointNone {
-		view.State = protocol.EndpointDraining
-	}
 	if view == b.shown || view.Instance == "" {
 		return
 	}
 	b.shown = view
-	if !b.stopping {
+	if !b.stopping || !view.State.TakesWork() {
 		b.gate(proxy.BackendReport{Instance: view.Instance, Slots: view.Slots, State: view.State})
 	}
 	b.announce(view)
@@ -144,20 +168,34 @@
 // probe asks until the reported instance has answered, a few times at most. The
 // next report of an instance that is not confirmed by then starts anew.
 func (b *backendSide) probe() {
+	b.probeUntilConfirmed()
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.probing = false
+}
+
+func (b *backendSide) probeUntilConfirmed() {
 	for asked := 0; asked < probeLimit; {
-		if path := b.settings.healthPath(); path != "" {
+		wait := probeAhead
+		if path := b.probePath(); path != "" {
 			asked++
 			if b.probed(b.settings.probe(b.settings.address, path, probeTimeout)) {
-				break
+				return
 			}
+			wait = probePause
 		}
-		if !pause.For(b.context, probePause) {
-			break
+		if !pause.For(b.context, wait) {
+			return
 		}
 	}
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.probing = false
+}
+
+// probePath is where the back end is probed; empty while it may not be yet.
+func (b *backendSide) probePath() string {
+	if !b.settings.joined() {
+		return ""
+	}
+	return b.settings.healthPath()
 }
 
 // probed takes an answer, and tells whether nothing is left to confirm.
--- a/internal/hosted/comparing.go
+++ b/internal/hosted/comparing.go
@@ -57,7 +57,7 @@
 		return
 	}
 	if len(reply.Sums) != membership.Buckets {
-		m.hasJoined.Store(true) // both know the same
+		m.noteJoined(target) // both know the same
 		return
 	}
 	m.mutex.Lock()
@@ -68,6 +68,18 @@
 	m.mutex.Unlock()
 	if reply = m.call(target, request); reply != nil {
 		m.take(target.zone, reply.Members)
+		m.noteJoined(target)
+	}
+}
+
+// noteJoined notes that the records of a peer have come. Those of the own zone
+// know what an earlier start of this daemon announced, others may not, so they
+// count only where the zone has nobody else.
+func (m *mesh) noteJoined(from peer) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	near := lo.ContainsBy(m.peers(), func(one peer) bool { return one.zone == m.self.Zone })
+	if from.zone == m.self.Zone || !near {
 		m.hasJoined.Store(true)
 	}
 }
--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -99,6 +99,7 @@
 		RetryBudget:          d.retryBudget,
 		Spill:                stayNear,
 		OnBackendUnreachable: d.reportUnreachable,
+		OnBackendFailed:      d.reportFailed,
 		OnSilent:             d.verifyPeer,
 		Log:                  d.logPath,
 		Trace:                d.requests,
@@ -115,6 +116,8 @@
 
 func (d *Daemon) reportUnreachable(instance string) { d.backend.unreachable(instance) }
 
+func (d *Daemon) reportFailed(instance string, answered uint64) { d.backend.failed(instance, answered) }
+
 func (d *Daemon) logPath(event proxy.Event) {
 	d.events.event(event.Name, pathFields(event)...)
 }
@@ -131,7 +134,8 @@
 	d.draining.Store(true)
 	d.events.event("drain_started")
 	d.path.StartDrain()
-	announcing := time.AfterFunc(lingerOf(d.settings.Drain.Grace())-announceAhead, d.backend.stop)
+	d.backend.stop()
+	announcing := time.AfterFunc(lingerOf(d.settings.Drain.Grace())-announceAhead, d.mesh.announceStop)
 	defer announcing.Stop()
 	select {
 	case <-d.path.Drained():
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -71,6 +71,9 @@
 	lost map[protocol.NodeID]bool
 	// verifying are the daemons that are being asked whether they are there.
 	verifying map[protocol.NodeID]bool
+	// rememberLeaving takes a peer's memory that an instance beside this daemon
+	// was leaving; it must not call back.
+	rememberLeaving func(instance string)
 	// setReachable tells the data path.
 	setReachable func(protocol.NodeID, bool)
 	// heardAt is when a peer last answered.
@@ -118,6 +121,14 @@
 	m.pushSelf()
 }
 
+// announceStop tells peers that this daemon takes no more work.
+func (m *mesh) announceStop() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.self.State = protocol.MemberDraining
+	m.pushSelf()
+}
+
 // pushSelf raises the own record and tells peers; the lock is held.
 func (m *mesh) pushSelf() {
 	m.self.Sequence++
@@ -242,6 +253,7 @@
 	var news []protocol.Member
 	for _, member := range members {
 		if member.ID == m.self.ID {
+			m.recall(member)
 			m.defend(member)
 			continue
 		}
@@ -260,6 +272,14 @@
 	}
 }
 
+// recall takes over the drain that an earlier start has acknowledged; the lock
+// is held.
+func (m *mesh) recall(remembered protocol.Member) {
+	if remembered.Incarnation < m.self.Incarnation && remembered.Endpoint == protocol.EndpointDraining {
+		m.rememberLeaving(remembered.Backend)
+	}
+}
+
 // defend raises the own record above what another daemon remembers of an
 // earlier start; the lock is held.
 func (m *mesh) defend(remembered protocol.Member) {
@@ -274,26 +294,10 @@
 func (m *mesh) logNews(news []protocol.Member) {
 	for _, member := range news {
 		m.events.event("endpoint_news", field("peer", string(member.ID)), field("instance", member.Backend),
-			field("state", endpointStates[member.Endpoint]), field("member", memberStates[member.State]))
+			field("state", member.Endpoint.String()), field("member", member.State.String()))
 	}
 }
 
-var endpointStates = map[protocol.EndpointState]string{
-	protocol.EndpointNone:     "none",
-	protocol.EndpointWarming:  "warming",
-	protocol.EndpointReady:    "ready",
-	protocol.EndpointDraining: "draining",
-	protocol.EndpointDown:     "down",
-}
-
-var memberStates = map[protocol.MemberState]string{
-	protocol.MemberAlive:    "alive",
-	protocol.MemberSuspect:  "suspect",
-	protocol.MemberDraining: "draining",
-	protocol.MemberLeft:     "left",
-	protocol.MemberDead:     "dead",
-}
-
 // lostCount is how many peers did not answer when they were last asked.
 func (m *mesh) lostCount() int {
 	m.mutex.Lock()
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -28,7 +28,15 @@
 // answerExchange merges what a peer has sent and tells it what it lacks.
 func (m *mesh) answerExchange(request *protocol.ExchangeRequest) *protocol.ExchangeReply {
 	m.heardOf(request.From, request.Version)
+	reply := m.exchangeReply(request)
 	m.take(request.Zone, request.Members)
+	return reply
+}
+
+// exchangeReply tells a peer what it lacks. It is made before the peer's own
+// records are merged, so that one that has restarted is told what its earlier
+// start had announced.
+func (m *mesh) exchangeReply(request *protocol.ExchangeRequest) *protocol.ExchangeReply {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.heardAt = m.clock()
--- a/internal/hosted/registering.go
+++ b/internal/hosted/registering.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/springstack/springstack/internal/authority"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/pause"
@@ -59,12 +61,13 @@
 	return true
 }
 
-// meet compares records with all peers of the own zone and some of the others.
+// meet compares records with all peers of the own zone, then with some of the
+// others.
 func (m *mesh) meet() {
 	m.mutex.Lock()
-	targets := m.pushTargets()
+	near, far := lo.FilterReject(m.pushTargets(), func(one peer, _ int) bool { return one.zone == m.self.Zone })
 	m.mutex.Unlock()
-	for _, target := range targets {
+	for _, target := range slices.Concat(near, far) {
 		m.compare(target)
 	}
 }
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -154,6 +154,7 @@
 			address:    d.settings.Backend.Address,
 			probe:      d.options.Platform.Probe,
 			healthPath: d.healthPath,
+			joined:     made.joined,
 		},
 		events:   d.events,
 		clock:    d.clock,
@@ -162,6 +163,7 @@
 		context:  d.context,
 		tracker:  backend.NewTracker(d.settings.Backend.HeartbeatInterval()),
 	}
+	made.rememberLeaving = d.backend.rememberLeaving
 	path.ExtendServing(forever)
 	return &meshPart{made}, nil
 }
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -29,6 +29,8 @@
 		"An attempt of a request did not go well: its outcome, what was known of the endpoint, and what follows.", "Read it with the other lines of the request: springstack explain ID."},
 	{"backend_left", log.InfoLevel,
 		"The back end beside the daemon said that it gets no more work.", nothing},
+	{"backend_remembered", log.InfoLevel,
+		"A peer remembers that the back end was leaving before this daemon started.", nothing},
 	{"backend_state", log.InfoLevel,
 		"The back end beside the daemon has another state.",
 		"If it is down: look at the back end and its health endpoint."},
--- a/internal/logging/story/story.go
+++ b/internal/logging/story/story.go
@@ -148,7 +148,7 @@
 
 // beliefEvents are the events that change what a daemon believes.
 var beliefEvents = []string{
-	"backend_state", "backend_left", "configuration_in_force", "endpoint_news", "peer_lost", "peer_regained",
+	"backend_state", "backend_left", "backend_remembered", "configuration_in_force", "endpoint_news", "peer_lost", "peer_regained",
 	"store_lost", "store_regained", "daemon_started", "drain_started",
 }
 
@@ -177,7 +177,7 @@
 func subject(line, decision Line) (string, bool) {
 	instance := cmp.Or(decision.Get("endpoint"), decision.Get("instance"))
 	switch line.Event {
-	case "backend_state", "backend_left", "endpoint_news":
+	case "backend_state", "backend_left", "backend_remembered", "endpoint_news":
 		return "instance", instance != "" && cmp.Or(line.Get("instance"), line.Get("backend")) == instance
 	case "peer_lost", "peer_regained":
 		return "peer", decision.Get("peer") != "" && line.Get("peer") == decision.Get("peer")
--- a/internal/operator/message/convert.go
+++ b/internal/operator/message/convert.go
@@ -10,21 +10,6 @@
 	"github.com/springstack/springstack/internal/result"
 )
 
-var memberStates = map[protocol.MemberState]string{
-	protocol.MemberAlive:    "alive",
-	protocol.MemberSuspect:  "suspect",
-	protocol.MemberDraining: "draining",
-	protocol.MemberLeft:     "left",
-	protocol.MemberDead:     "dead",
-}
-
-var endpointStates = map[protocol.EndpointState]string{
-	protocol.EndpointWarming:  "warming",
-	protocol.EndpointReady:    "ready",
-	protocol.EndpointDraining: "draining",
-	protocol.EndpointDown:     "down",
-}
-
 // FromStatus converts a status reply.
 func FromStatus(reply *protocol.StatusReply) Status {
 	return Status{
@@ -84,7 +69,7 @@
 func fromMember(member protocol.Member, _ int) Member {
 	converted := Member{
 		ID:      string(member.ID),
-		State:   memberStates[member.State],
+		State:   member.State.String(),
 		Region:  member.Region,
 		Zone:    member.Zone,
 		Address: member.DataAddress,
@@ -92,8 +77,8 @@
 		Backend: member.Backend,
 		Slots:   member.Slots,
 	}
-	if membership.Live(member) {
-		converted.Endpoint = endpointStates[member.Endpoint]
+	if membership.Live(member) && member.Endpoint != protocol.EndpointNone {
+		converted.Endpoint = member.Endpoint.String()
 	}
 	if member.Service.Name != "" {
 		converted.Service = member.Service.String()
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -37,7 +37,9 @@
 	attempts    atomic.Uint64
 	retries     atomic.Uint64
 	aborted     atomic.Uint64
-	refusals    [codeLimit]atomic.Uint64
+	// answered are the calls that the back end answered well.
+	answered atomic.Uint64
+	refusals [codeLimit]atomic.Uint64
 }
 
 func (t *tally) refused(code result.Code) {
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -135,6 +135,7 @@
 	observe(c.proxy.config.Timings.Queue, waited)
 	sent := c.send()
 	refusal, refused := c.judge(sent)
+	c.noteBackend(sent, refusal, refused)
 	ran := c.proxy.config.Clock() - came - waited
 	observe(c.proxy.config.Timings.Backend, ran)
 	// The slot is given back once, whatever happens below.
@@ -277,6 +278,33 @@
 	return Refusal{Code: result.BackendRefused}, true
 }
 
+// noteBackend counts whether the back end has answered the call or failed it.
+func (c *gateCall) noteBackend(sent *exchange, refusal Refusal, refused bool) {
+	failed := false
+	switch {
+	case refused:
+		failed = failsBackend(refusal.Code)
+	default:
+		failed = sent.answer.StatusCode >= http.StatusInternalServerError
+	}
+	switch {
+	case !failed && !refused:
+		c.proxy.tally.answered.Add(1)
+	case failed && c.proxy.config.OnBackendFailed != nil:
+		c.proxy.config.OnBackendFailed(c.backend, c.proxy.tally.answered.Load())
+	}
+}
+
+// failsBackend tells whether a call that ended with a code was failed by its back
+// end, and not by its caller or by a lack of time.
+func failsBackend(code result.Code) bool {
+	switch code {
+	case result.BrokenInFlight, result.DeadlineInFlight, result.BackendRefused, result.Shed:
+		return true
+	}
+	return false
+}
+
 // refuse answers with a refusal and the load, from which senders learn.
 func (c *gateCall) refuse(refusal Refusal) {
 	refusal.Load = c.proxy.loadText()
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -255,16 +255,8 @@
 		h.proxy.backend.openAhead(h.proxy.limits.Prewarm)
 	}
 	h.proxy.event("backend_state", EventField{Key: "backend", Value: h.proxy.config.Backend},
-		EventField{Key: "state", Value: stateNames[next]})
+		EventField{Key: "state", Value: next.String()})
 	if h.proxy.config.OnBackendState != nil {
 		h.proxy.config.OnBackendState(next)
 	}
 }
-
-var stateNames = map[protocol.EndpointState]string{
-	protocol.EndpointNone:     "none",
-	protocol.EndpointWarming:  "warming",
-	protocol.EndpointReady:    "ready",
-	protocol.EndpointDraining: "draining",
-	protocol.EndpointDown:     "down",
-}
--- a/internal/proxy/reported.go
+++ b/internal/proxy/reported.go
@@ -40,7 +40,7 @@
 		// Connections to an earlier instance lead nowhere.
 		p.backend.closeIdle()
 	}
-	takesWork := report.State == protocol.EndpointReady || report.State == protocol.EndpointWarming
+	takesWork := report.State.TakesWork()
 	if !takesWork {
 		p.gate.Drain()
 	}
@@ -52,5 +52,5 @@
 		p.gate.Resume()
 	}
 	p.event("backend_state", EventField{Key: "backend", Value: report.Instance},
-		EventField{Key: "state", Value: stateNames[report.State]})
+		EventField{Key: "state", Value: report.State.String()})
 }
--- a/internal/proxy/trace.go
+++ b/internal/proxy/trace.go
@@ -119,7 +119,7 @@
 	return []EventField{
 		textField("endpoint", chosen.Backend),
 		textField("peer", string(chosen.Node)),
-		textField("state", stateNames[chosen.State]),
+		textField("state", chosen.State.String()),
 		textField("record_age_ms", millis(chosen.RecordAge(now))),
 		textField("outstanding", number(chosen.Outstanding())),
 	}
