Calls are broken off only if another attempt is paid for, and a daemon only after two questions

Ruled out: the SIGTERM itself (the break came from the verification). Change: an attempt is broken off only once the next one is paid for (retry.Call.Prepay); after the first question without an answer new calls go elsewhere, after the second the calls under way are given up; an answer that this daemon itself learns late does not count.

--- a/internal/core/retry/call.go
+++ b/internal/core/retry/call.go
@@ -121,6 +121,8 @@
 	mayHaveRun bool
 	// unknownCode is the code of the last attempt that may have run.
 	unknownCode result.Code
+	// prepaid says that the attempt after the present one is paid for.
+	prepaid bool
 }
 
 // NewCall starts the account of a call and deposits into the budget.
@@ -165,14 +167,35 @@
 		return c.send(now, outcome)
 	case c.policy.NoRetry || c.attempts-c.relocations >= c.policy.Attempts:
 		return c.giveUp(outcome)
-	case !c.policy.Unbudgeted && !c.budget.Withdraw(now, c.attempts-c.relocations, c.policy.Urgent):
-		// A second retry of one call costs two, for it helps less often and, in
-		// a chain of calls, multiplies more.
+	case !c.withdraw(now, c.attempts-c.relocations):
 		return c.budgetSpent(outcome)
 	}
 	return c.send(now, outcome)
 }
 
+// Prepay pays for another attempt while the present one still runs, and tells
+// whether there will be one if the present one is broken off now with an outcome.
+// Without that promise, breaking it off would only lose its answer.
+func (c *Call) Prepay(now time.Duration, outcome Outcome) bool {
+	if c.prepaid {
+		return true
+	}
+	attempts := c.attempts + 1 - c.relocations
+	c.prepaid = c.policy.Repeatable && outcome.Replayable && outcome.Others && !c.policy.NoRetry &&
+		now+c.policy.Margin < c.policy.Deadline && attempts < c.policy.Attempts && c.withdraw(now, attempts)
+	return c.prepaid
+}
+
+// withdraw pays for the attempt after a number of attempts. A second retry of one
+// call costs two, for it helps less often and, in a chain of calls, multiplies more.
+func (c *Call) withdraw(now time.Duration, attempts int) bool {
+	if c.prepaid {
+		c.prepaid = false
+		return true
+	}
+	return c.policy.Unbudgeted || c.budget.Withdraw(now, attempts, c.policy.Urgent)
+}
+
 // retriesAnswer tells whether a failure that the back end answered is worth
 // another attempt: for repeatable calls only, at another endpoint, and within
 // the attempts and the budget.
@@ -180,7 +203,7 @@
 	return outcome.Failed && c.policy.RetryFailures && c.policy.Repeatable && !c.policy.NoRetry &&
 		outcome.Replayable && outcome.Others && now+c.policy.Margin < c.policy.Deadline &&
 		c.attempts-c.relocations < c.policy.Attempts &&
-		c.budget.Withdraw(now, c.attempts-c.relocations, c.policy.Urgent)
+		c.withdraw(now, c.attempts-c.relocations)
 }
 
 // weigh records an attempt that may have run.
--- a/internal/core/retry/call_test.go
+++ b/internal/core/retry/call_test.go
@@ -192,3 +192,25 @@
 	check.True(budget.Withdraw(0, 1, true))
 	check.True(!budget.Withdraw(0, 1, true)) // no more than its share is saved up
 }
+
+func TestAnAttemptIsBrokenOffOnlyIfAnotherIsPaidFor(t *testing.T) {
+	check := is.New(t)
+	lost := Outcome{Kind: Broken, Replayable: true, Others: true}
+	policy := Policy{Repeatable: true, RetryFailures: true, Attempts: 3, Deadline: 100, Margin: 10}
+	budget := NewBudgetWithin(0, Limits{Saved: 2, Initial: 2})
+	first, second := NewCall(policy, budget), NewCall(policy, budget)
+	check.True(first.Prepay(0, lost))
+	check.True(first.Prepay(0, lost)) // paid for once
+	check.True(!second.Prepay(0, lost))
+	check.Equal(first.Next(1, lost).Action, Send)
+	check.Equal(first.Next(2, lost).Action, Refuse) // what was paid for is used up
+
+	plenty := Limits{Saved: 100, Initial: 100}
+	unsafe := policy
+	unsafe.Repeatable = false
+	check.True(!NewCall(unsafe, NewBudgetWithin(0, plenty)).Prepay(0, lost))
+	check.True(!NewCall(policy, NewBudgetWithin(0, plenty)).Prepay(95, lost)) // too late
+	alone := lost
+	alone.Others = false
+	check.True(!NewCall(policy, NewBudgetWithin(0, plenty)).Prepay(0, alone))
+}
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -74,13 +74,20 @@
 	// rememberLeaving takes a peer's memory that an instance beside this daemon
 	// was leaving; it must not call back.
 	rememberLeaving func(instance string)
-	// setReachable tells the data path.
-	setReachable func(protocol.NodeID, bool)
+	path            reachability
 	// heardAt is when a peer last answered.
 	heardAt time.Duration
 	turn    int
 }
 
+// reachability is what the data path is told of daemons that do not answer.
+type reachability interface {
+	// SetReachable keeps new calls from a daemon, or lets them go there again.
+	SetReachable(protocol.NodeID, bool)
+	// GiveUp breaks off the calls to a daemon that may be made elsewhere.
+	GiveUp(protocol.NodeID)
+}
+
 // peer is where another daemon takes control calls.
 type peer struct {
 	id      protocol.NodeID
--- a/internal/hosted/verify.go
+++ b/internal/hosted/verify.go
@@ -14,6 +14,11 @@
 	verifyTimeout = 150 * time.Millisecond
 	// verifyFarTimeout is the same for a daemon of another region.
 	verifyFarTimeout = 450 * time.Millisecond
+	// verifyLate is how late this daemon may find out that there was no answer. If
+	// it is later, it stood still itself and knows nothing of the other one.
+	verifyLate = 50 * time.Millisecond
+	// verifyTries bounds the questions of which this daemon knows nothing.
+	verifyTries = 3
 	// verifyPause is the time between questions to an unreachable daemon, and
 	// verifyFor how long it is asked before only the usual comparisons do.
 	verifyPause = 300 * time.Millisecond
@@ -46,32 +51,55 @@
 	}()
 }
 
+// verifyUntilAnswered acts by degrees: after the first question without an answer
+// new calls go elsewhere, which does no harm if the daemon only stood still for a
+// moment; after the second one the calls under way are given up.
 func (m *mesh) verifyUntilAnswered(target peer) {
 	if m.answers(target) || m.context.Err() != nil {
 		return
 	}
 	m.events.event("peer_unreachable", field("peer", string(target.id)))
-	m.setReachable(target.id, false)
+	m.path.SetReachable(target.id, false)
+	if !m.answers(target) && m.context.Err() == nil {
+		m.events.event("peer_given_up", field("peer", string(target.id)))
+		m.path.GiveUp(target.id)
+		m.awaitAnswer(target)
+	}
+	m.path.SetReachable(target.id, true)
+	m.events.event("peer_reachable", field("peer", string(target.id)))
+}
+
+// awaitAnswer asks until the daemon answers, for a while.
+func (m *mesh) awaitAnswer(target peer) {
 	for began := m.clock(); m.clock()-began < verifyFor; {
-		if !pause.For(m.context, verifyPause) {
+		if !pause.For(m.context, verifyPause) || m.answers(target) {
 			return
 		}
-		if m.answers(target) {
-			break
-		}
 	}
-	m.setReachable(target.id, true)
-	m.events.event("peer_reachable", field("peer", string(target.id)))
 }
 
-// answers tells whether a daemon answers an empty push in time. A failure that
-// comes at once may be that of an old connection, so it is asked again over a
-// new one.
+// answers tells whether a daemon answers in time. What this daemon learns late it
+// asks again.
 func (m *mesh) answers(target peer) bool {
 	timeout := verifyTimeout
 	if target.region != m.self.Region {
 		timeout = verifyFarTimeout
 	}
+	for try := 1; ; try++ {
+		asked := m.clock()
+		if m.answersWithin(target, timeout) {
+			return true
+		}
+		late := m.clock()-asked > timeout+verifyLate
+		if !late || try == verifyTries || m.context.Err() != nil {
+			return false
+		}
+	}
+}
+
+// answersWithin sends an empty push. A failure that comes at once may be that of
+// an old connection, so it is sent again over a new one.
+func (m *mesh) answersWithin(target peer, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(m.context, timeout)
 	defer cancel()
 	m.mutex.Lock()
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -118,7 +118,7 @@
 		lost:       map[protocol.NodeID]bool{},
 		verifying:  map[protocol.NodeID]bool{},
 
-		setReachable: path.SetReachable,
+		path: path.Proxy,
 		self: protocol.Member{
 			ID:             protocol.NodeID(d.settings.Node.ID),
 			Incarnation:    d.incarnation,
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -70,15 +70,15 @@
 	chosen.Begin()
 	made := &attempt{chosen: chosen}
 	c.tried = append(c.tried, chosen)
-	c.send(made, path, mark, now)
+	c.send(made, path, shared.set, mark, now)
 	c.judge(made, shared.set)
 	return made
 }
 
 // send sends an attempt and waits for the head of its answer. While the gate is
-// silent its daemon is asked for; an attempt that may be made elsewhere ends
-// when the daemon is found to be unreachable.
-func (c *callerCall) send(made *attempt, path *upstream, mark bool, now time.Duration) {
+// silent its daemon is asked for; when the daemon is found to be unreachable, an
+// attempt ends if another one is sure to follow.
+func (c *callerCall) send(made *attempt, path *upstream, set *endpoint.Set, mark bool, now time.Duration) {
 	relay := &informer{writer: c.writer}
 	defer c.proxy.watch(path, made.chosen)()
 	ctx := c.context
@@ -86,7 +86,14 @@
 		cancellable, cancel := context.WithCancel(ctx)
 		made.cancel = cancel
 		ctx = cancellable
-		path.silence.hold(made, cancel)
+		replayable := c.body.replayable()
+		path.silence.hold(made, func() {
+			now := c.proxy.config.Clock()
+			lost := retry.Outcome{Kind: retry.Broken, Replayable: replayable, Others: set.Others(now, c.tried)}
+			if c.retries.Prepay(now, lost) {
+				cancel()
+			}
+		})
 		defer path.silence.release(made)
 	}
 	made.exchange = path.send(ctx, c.outgoing(made.chosen, mark, c.deadline-now), relay, nil)
--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,8 +26,8 @@
 	askedAt atomic.Int64
 
 	mutex sync.Mutex
-	// waiting are the attempts that may be made elsewhere.
-	waiting map[*attempt]context.CancelFunc
+	// waiting are the attempts that may be made elsewhere, with what gives them up.
+	waiting map[*attempt]func()
 }
 
 // watch asks for the daemon of an endpoint if the gate stays silent while an
@@ -70,13 +69,14 @@
 
 // hold keeps an attempt that may be made elsewhere once its gate is found to be
 // unreachable.
-func (s *silence) hold(made *attempt, cancel context.CancelFunc) {
+// What gives it up is called under the lock, so never after release.
+func (s *silence) hold(made *attempt, giveUp func()) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.waiting == nil {
-		s.waiting = map[*attempt]context.CancelFunc{}
+		s.waiting = map[*attempt]func(){}
 	}
-	s.waiting[made] = cancel
+	s.waiting[made] = giveUp
 }
 
 func (s *silence) release(made *attempt) {
@@ -85,38 +85,48 @@
 	delete(s.waiting, made)
 }
 
-// giveUp cancels the attempts that may be made elsewhere.
+// giveUp gives up the attempts that may be made elsewhere.
 func (s *silence) giveUp() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for _, cancel := range s.waiting {
-		cancel()
+	for _, giveUp := range s.waiting {
+		giveUp()
 	}
 }
 
-// giveUp ends the attempts that may be made elsewhere. A daemon that drains
-// breaks nothing off.
-func (p *Proxy) giveUp(path *upstream) {
-	if !p.drain.started.Load() {
-		path.silence.giveUp()
+// SetReachable says whether a daemon answers its peers. New calls to one that does
+// not go elsewhere. The idle connections to it are closed, so that calls that come
+// to it all the same find out before they send anything.
+func (p *Proxy) SetReachable(node protocol.NodeID, reachable bool) {
+	p.eachEndpoint(node, func(candidate *endpoint.Endpoint, path *upstream) {
+		candidate.SetReachable(reachable)
+		if path != nil && !reachable {
+			path.closeIdle()
+		}
+	})
+}
+
+// GiveUp ends the attempts at a daemon that are sure to be made elsewhere. A
+// daemon that drains itself breaks nothing off.
+func (p *Proxy) GiveUp(node protocol.NodeID) {
+	if p.drain.started.Load() {
+		return
 	}
+	p.eachEndpoint(node, func(_ *endpoint.Endpoint, path *upstream) {
+		if path != nil {
+			path.silence.giveUp()
+		}
+	})
 }
 
-// SetReachable says whether a daemon answers its peers. Calls to one that does
-// not go elsewhere: new ones, and those under way that may be repeated. The
-// connections to it are given up, so that later calls find out before they
-// send anything.
-func (p *Proxy) SetReachable(node protocol.NodeID, reachable bool) {
+// eachEndpoint visits the endpoints beside a daemon, with their connections, which
+// may be nil.
+func (p *Proxy) eachEndpoint(node protocol.NodeID, visit func(*endpoint.Endpoint, *upstream)) {
 	current := p.view.Load()
 	for _, one := range current.services {
 		for _, candidate := range one.set.All {
-			if candidate.Node != node {
-				continue
-			}
-			candidate.SetReachable(reachable)
-			if path := current.upstreams[candidate.Address]; path != nil && !reachable {
-				path.closeIdle()
-				p.giveUp(path)
+			if candidate.Node == node {
+				visit(candidate, current.upstreams[candidate.Address])
 			}
 		}
 	}
