--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/springstack/springstack/internal/core/protocol"
 )
 
 const (
@@ -52,10 +50,13 @@
 	return chosen
 }
 
-func (s *Set) choose(now time.Duration, random uint64, tried Tried, heedEjection bool) *Endpoint {
+func (s *Set) choose(now time.Duration, random uint64, tried Tried, heedEvidence bool) *Endpoint {
 	var best *Endpoint
 	bestLoad := 0.0
-	heed := heedEjection && s.floorHolds(now)
+	var heed heeded
+	if heedEvidence {
+		heed = s.heeds(now)
+	}
 	for distance, tier := range s.tiers {
 		candidate := betterOfTwo(tier, now, random, tried, heed)
 		if candidate == nil {
@@ -73,8 +74,19 @@
 	return best
 }
 
-// floorHolds tells whether enough of the set is in use without those ejected.
-func (s *Set) floorHolds(now time.Duration) bool {
+// heeded says which evidence against endpoints is heeded in a choice.
+type heeded struct {
+	ejections bool
+	degraded  bool
+}
+
+// bars tells whether an endpoint is left out.
+func (h heeded) bars(candidate *Endpoint, now time.Duration) bool {
+	return (h.ejections && candidate.ejected(now)) || (h.degraded && candidate.degraded())
+}
+
+// heeds tells which evidence leaves enough of the set in use.
+func (s *Set) heeds(now time.Duration) heeded {
 	ejected := 0
 	degraded := 0
 	for _, tier := range s.tiers {
@@ -82,18 +94,20 @@
 			if candidate.ejected(now) {
 				ejected++
 			}
-			if candidate.State == protocol.EndpointDegraded {
+			if candidate.degraded() {
 				degraded++
 			}
 		}
 	}
-	return float64(ejected) <= float64(s.usable)*ejectionFloor &&
-		float64(degraded) <= float64(s.usable)*degradedLimit
+	return heeded{
+		ejections: float64(ejected) <= float64(s.usable)*ejectionFloor,
+		degraded:  float64(degraded) <= float64(s.usable)*degradedLimit,
+	}
 }
 
 // betterOfTwo draws two endpoints of a tier and returns the one that is expected
 // to be done sooner.
-func betterOfTwo(tier []*Endpoint, now time.Duration, random uint64, tried Tried, heed bool) *Endpoint {
+func betterOfTwo(tier []*Endpoint, now time.Duration, random uint64, tried Tried, heed heeded) *Endpoint {
 	if len(tier) == 0 {
 		return nil
 	}
@@ -112,13 +126,13 @@
 
 // usableFrom returns the first endpoint that may be used, from a random place
 // on, other than one that was drawn already.
-func usableFrom(tier []*Endpoint, start int, now time.Duration, tried Tried, heed bool, drawn *Endpoint) *Endpoint {
+func usableFrom(tier []*Endpoint, start int, now time.Duration, tried Tried, heed heeded, drawn *Endpoint) *Endpoint {
 	for step := range tier {
 		candidate := tier[(start+step)%len(tier)]
 		if candidate == drawn || tried.has(candidate) || candidate.leaving(now) {
 			continue
 		}
-		if heed && candidate.ejected(now) {
+		if heed.bars(candidate, now) {
 			continue
 		}
 		return candidate
--- a/internal/core/endpoint/endpoint.go
+++ b/internal/core/endpoint/endpoint.go
@@ -267,8 +267,10 @@
 	return int64(now) < e.stats.leavingUntil.Load() && e.stats.leavingSequence.Load() >= e.Sequence
 }
 
-// ejected tells whether calls go elsewhere as long as enough others are left: by
-// what this process met, or by the word of the gate.
+// ejected tells whether this process has met too many failures here lately.
 func (e *Endpoint) ejected(now time.Duration) bool {
-	return e.State == protocol.EndpointDegraded || int64(now) < e.stats.ejectedUntil.Load()
+	return int64(now) < e.stats.ejectedUntil.Load()
 }
+
+// degraded tells whether the gate says that its back end fails many calls.
+func (e *Endpoint) degraded() bool { return e.State == protocol.EndpointDegraded }
--- a/internal/core/endpoint/endpoint_test.go
+++ b/internal/core/endpoint/endpoint_test.go
@@ -251,3 +251,29 @@
 		}
 	})
 }
+
+func TestDegradedEndpointsAreALastResort(t *testing.T) {
+	check := is.New(t)
+	backends, members := fixture(sameZone(4)...)
+	members[0].Endpoint = protocol.EndpointDegraded
+	set := Build(nil, home, backends, members, 0)
+	counts := spread(set, time.Hour, 300)
+	check.Equal(counts["b0"], 0)
+	check.Equal(len(counts), 3)
+
+	tried := Tried{set.All[1], set.All[2], set.All[3]}
+	check.Equal(set.Choose(time.Hour, 1, tried).Backend, "b0") // better than no answer
+}
+
+func TestTroubleThatIsCommonEjectsNobody(t *testing.T) {
+	check := is.New(t)
+	backends, members := fixture(sameZone(6)...)
+	for index := range 3 {
+		members[index].Endpoint = protocol.EndpointDegraded
+	}
+	set := Build(nil, home, backends, members, 0)
+	check.Equal(len(spread(set, time.Hour, 600)), 6)
+	set.All[5].Begin()
+	set.All[5].End(time.Hour, Unreachable) // what this process met itself is heeded all the same
+	check.Equal(len(spread(set, time.Hour, 600)), 5)
+}
