--- a/internal/core/node/failure_test.go
+++ b/internal/core/node/failure_test.go
@@ -252,3 +252,26 @@
 	}
 	c.until("the new version is in force", 60*time.Second, func() bool { return c.allServe(version) })
 }
+
+// TestAChangeOfKeepersSettlesAtOnce watches the first growth of a keeper set.
+// While it has not settled, the former set counts as well, and that may be a
+// single daemon whose loss would stop the region.
+func TestAChangeOfKeepersSettlesAtOnce(t *testing.T) {
+	c := newCluster(t)
+	var changedAt, settledAt time.Duration
+	c.observe = func(_, _ string, body any) {
+		request, isStore := body.(*protocol.StoreRequest)
+		if !isStore || request.Keepers.Revision == 0 {
+			return
+		}
+		switch {
+		case changedAt == 0 && request.Keepers.Previous != nil:
+			changedAt = c.now()
+		case changedAt > 0 && settledAt == 0 && request.Keepers.Previous == nil:
+			settledAt = c.now()
+		}
+	}
+	twelve(c)
+	c.until("the set has grown and settled", 60*time.Second, func() bool { return settledAt > 0 })
+	c.is.True(settledAt-changedAt < 2*time.Second)
+}
--- a/internal/core/node/root.go
+++ b/internal/core/node/root.go
@@ -30,7 +30,9 @@
 	batchUntil time.Duration
 	roundAt    time.Duration
 	keepersAt  time.Duration
-	greetAt    time.Duration
+	// settleAt is the earliest time of the next try to settle a change of keepers.
+	settleAt time.Duration
+	greetAt  time.Duration
 	// told says which keeper set a keeper has confirmed, so that the rounds need
 	// not carry it again.
 	told map[protocol.NodeID]toldSet
@@ -51,6 +53,8 @@
 	roundInterval = time.Second
 	// keeperTimeout is how long a keeper may take to answer.
 	keeperTimeout = time.Second
+	// settleInterval is the least time between tries to settle a change.
+	settleInterval = 500 * time.Millisecond
 	// keeperChangeInterval is the least time between changes of the keeper set.
 	keeperChangeInterval = 5 * time.Second
 )
@@ -300,14 +304,18 @@
 // the region has grown. Only a reader can write it into the head.
 func (n *Node) chooseKeepers() {
 	catalogue := n.readerSide.catalogue
-	if catalogue == nil || !n.readerSide.reader.IsReader() || n.now < n.root.keepersAt {
+	if catalogue == nil || !n.readerSide.reader.IsReader() {
+		return
+	}
+	current, _ := keeperSetOf(catalogue.Keepers, n.config.Region)
+	if n.now < n.root.keepersAt && !n.maySettle(current) {
 		return
 	}
 	if n.holding.store.Version() < catalogue.Version && len(n.holding.keepers.Members) > 0 {
 		return
 	}
 	n.root.keepersAt = n.now + keeperChangeInterval
-	current, _ := keeperSetOf(catalogue.Keepers, n.config.Region)
+	n.root.settleAt = n.now + settleInterval
 	members := n.liveInRegion(n.config.Region)
 	chosen, changed := floor.ChooseKeepers(n.config.Region, current, members, n.holding.store.Version())
 	if changed {
@@ -315,6 +323,12 @@
 	}
 }
 
+// maySettle tells whether a change of the keeper set can be ended. That does not
+// wait: until then the former set counts as well, and too few of it may be left.
+func (n *Node) maySettle(current protocol.KeeperSet) bool {
+	return current.Previous != nil && n.holding.store.Version() >= current.Revision && n.now >= n.root.settleAt
+}
+
 // adoptKeepers takes a newer keeper set of this region.
 func (n *Node) adoptKeepers(set protocol.KeeperSet) {
 	n.holding.keepers = set
