The soak harms with false health, failing upstreams, denied drains and replicas that lag

Four kinds of harm that came with the grown deployments and with lagging watches. The daemon's program is unchanged.

--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -28,6 +28,8 @@
 	// that one lasts.
 	faultPause = 1200 * time.Millisecond
 	faultTime  = 2 * time.Second
+	// toldWait lets a daemon tell its peers of a drain before it is killed.
+	toldWait = 200 * time.Millisecond
 )
 
 // faults are the kinds of harm.
@@ -82,6 +84,9 @@
 	{name: "store_down", weight: 1, everyone: true, harm: storeFault(standin.Faults{Silent: true})},
 	{name: "store_slow", weight: 1, everyone: true, harm: storeFault(standin.Faults{Delay: 400 * time.Millisecond})},
 	{name: "store_loses_answers", weight: 1, everyone: true, harm: storeFault(standin.Faults{LostWrites: 0.7})},
+	{name: "store_replica_lags", weight: 2, everyone: true, harm: func(s *soak, on *machine) func() {
+		return storeFault(standin.Faults{Stale: s.store.Copy()})(s, on)
+	}},
 	{name: "store_forgets", weight: 1, everyone: true, harm: func(s *soak, _ *machine) func() {
 		s.store.Forget()
 		return nil
@@ -114,6 +119,29 @@
 			s.startAgain(on)
 		}
 	}},
+	{name: "drain_denied_then_kill", weight: 2, harm: func(s *soak, on *machine) func() {
+		s.drain(on, (*standin.Upstream).Leave)
+		on.upstream.DenyLeaving()
+		time.Sleep(toldWait)
+		on.end(syscall.SIGKILL)
+		s.restart(on)
+		return func() {
+			on.upstream.Crash()
+			s.startAgain(on)
+		}
+	}},
+	{name: "upstream_looks_ill", weight: 1, harm: func(s *soak, on *machine) func() {
+		upstream := on.upstream
+		upstream.SetIll(true)
+		on.end(syscall.SIGKILL)
+		s.restart(on)
+		return func() { upstream.SetIll(false) }
+	}},
+	{name: "upstream_fails", weight: 2, harm: func(_ *soak, on *machine) func() {
+		upstream := on.upstream
+		upstream.SetFailing(true)
+		return func() { upstream.SetFailing(false) }
+	}},
 	{name: "configuration", weight: 8, harm: func(s *soak, _ *machine) func() {
 		for range 1 + s.random.IntN(6) {
 			s.operate()
