--- a/internal/proxy/bench_test.go
+++ b/internal/proxy/bench_test.go
@@ -49,12 +49,58 @@
 	})
 }
 
+// answerOK is the least that a back end or gate answers.
+func answerOK(writer http.ResponseWriter, _ *http.Request) { _, _ = writer.Write([]byte("ok")) }
+
+// BenchmarkEntry is a call through the callers' side alone: a stand-in over loopback
+// takes the place of the gate, and no client is measured.
+func BenchmarkEntry(b *testing.B) {
+	gate := httptest.NewServer(http.HandlerFunc(answerOK))
+	b.Cleanup(gate.Close)
+	backends := []resource.Backend{{
+		Partner: "k", Name: "a", Service: "plans", Address: gate.Listener.Addr().String(), Region: "r", Zone: "z", Slots: 6,
+	}}
+	proxy := New(Config{Clock: testClock, NodeID: "caller", Region: "r", Zone: "z"})
+	b.Cleanup(proxy.Close)
+	proxy.Swap(testSnapshot(meshOptions{}, backends))
+	proxy.ExtendServing(1 << 62)
+	handler := proxy.CallerHandler()
+	b.ReportAllocs()
+	for b.Loop() {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "http://host/orders/17", nil))
+		if recorder.Code != http.StatusOK {
+			b.Fatal(recorder.Code, recorder.Body)
+		}
+	}
+}
+
+// BenchmarkGate is a call through the gate alone, with a back end over loopback.
+func BenchmarkGate(b *testing.B) {
+	mesh := startMesh(b, meshOptions{slots: 1 << 10}, backendSpec{handler: answerOK})
+	handler := mesh.gates[0].GateHandler()
+	b.ReportAllocs()
+	calls := 0
+	for b.Loop() {
+		calls++
+		request := httptest.NewRequest(http.MethodGet, "http://host/orders/17", nil)
+		request.Header.Set(headerHop, hopGate)
+		request.Header.Set(headerService, testService.String())
+		request.Header.Set(headerBackend, "a")
+		request.Header.Set(headerRequest, strconv.Itoa(calls))
+		request.Header.Set(headerTimeout, "1000")
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, request)
+		if recorder.Code != http.StatusOK {
+			b.Fatal(recorder.Code, recorder.Body)
+		}
+	}
+}
+
 // BenchmarkMesh is a whole call over loopback: client, callers' side, gate,
 // back end and back again, with a client for each core.
 func BenchmarkMesh(b *testing.B) {
-	mesh := startMesh(b, meshOptions{slots: 1 << 10}, backendSpec{handler: func(writer http.ResponseWriter, _ *http.Request) {
-		_, _ = writer.Write([]byte("ok"))
-	}})
+	mesh := startMesh(b, meshOptions{slots: 1 << 10}, backendSpec{handler: answerOK})
 	b.ReportAllocs()
 	b.RunParallel(func(loop *testing.PB) {
 		for loop.Next() {
