--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -1,8 +1,6 @@
 package endpoint
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// ejectionFloor is the share of a set that is always left in use: when more
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -295,8 +295,8 @@
 	}
 }
 
-// failsBackend tells whether a call that ended with a code was failed by its back
-// end, and not by its caller or by a lack of time.
+// failsBackend tells whether a call that ended with a code, after it had a slot, was
+// failed by its back end: broken, turned away, or not answered in its time.
 func failsBackend(code result.Code) bool {
 	switch code {
 	case result.BrokenInFlight, result.DeadlineInFlight, result.BackendRefused, result.Shed:
