--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -105,19 +105,13 @@
 	}},
 	{name: "upstream_leaves", weight: 2, harm: func(s *soak, on *machine) func() {
 		s.drain(on, (*standin.Upstream).Leave)
-		return func() {
-			on.upstream.Crash()
-			s.startAgain(on)
-		}
+		return func() { s.replaceUpstream(on) }
 	}},
 	{name: "drain_then_kill", weight: 2, harm: func(s *soak, on *machine) func() {
 		s.drain(on, (*standin.Upstream).Drain)
 		on.end(syscall.SIGKILL)
 		s.restart(on)
-		return func() {
-			on.upstream.Crash()
-			s.startAgain(on)
-		}
+		return func() { s.replaceUpstream(on) }
 	}},
 	{name: "drain_denied_then_kill", weight: 2, harm: func(s *soak, on *machine) func() {
 		s.drain(on, (*standin.Upstream).Leave)
@@ -125,10 +119,7 @@
 		time.Sleep(toldWait)
 		on.end(syscall.SIGKILL)
 		s.restart(on)
-		return func() {
-			on.upstream.Crash()
-			s.startAgain(on)
-		}
+		return func() { s.replaceUpstream(on) }
 	}},
 	{name: "upstream_looks_ill", weight: 1, harm: func(s *soak, on *machine) func() {
 		upstream := on.upstream
@@ -188,6 +179,12 @@
 	}
 }
 
+// replaceUpstream ends an upstream and starts a new instance in its place.
+func (s *soak) replaceUpstream(on *machine) {
+	on.upstream.Crash()
+	s.startAgain(on)
+}
+
 // startAgain starts a new instance at the address of the one before.
 func (s *soak) startAgain(on *machine) {
 	if err := s.startUpstream(on); err != nil {
