Calls sent one behind another on a connection run side by side

Ways weighed: a loop of our own over the library's reader would replace the library's answers, deadlines and closing; a front that cuts a connection into one lane a request needs a parser of answers and a server connection for each. Chosen: the library goes on serving in turn; a connection (package pipeline) reads on behind its back while a handler runs, starts the repeatable requests that wait, and holds their answers for replay. Order, framing and closing stay the library's. What may not be repeated waits for its turn. A drain closes a connection with the last answer that is owed, not before.

--- /dev/null
+++ b/internal/pipeline/framing.go
@@ -0,0 +1,94 @@
+package pipeline
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"strconv"
+)
+
+// framing is what a request's head tells about where the request ends.
+type framing struct {
+	// known is false when only the server can tell where the request ends, or
+	// whether another one may follow.
+	known bool
+	// body is the length of the body that follows the head, in bytes.
+	body int
+}
+
+// headEnd returns the length of the head at the start of text, its empty line
+// included, or -1 when the head is not complete. Lines may end without a
+// carriage return, as the server allows.
+func headEnd(text []byte) int {
+	for from := 0; ; {
+		newline := bytes.IndexByte(text[from:], '\n')
+		if newline < 0 {
+			return -1
+		}
+		from += newline + 1
+		rest := text[from:]
+		switch {
+		case bytes.HasPrefix(rest, []byte("\n")):
+			return from + 1
+		case bytes.HasPrefix(rest, []byte("\r\n")):
+			return from + 2
+		}
+	}
+}
+
+// readFraming reads the framing from a complete head. Whatever is not plain is
+// left to the server.
+func readFraming(head []byte) framing {
+	first, rest, _ := bytes.Cut(head, []byte("\n"))
+	if !plainRequestLine(first) {
+		return framing{}
+	}
+	made := framing{known: true}
+	stated := false
+	for len(rest) > 0 {
+		var line []byte
+		line, rest, _ = bytes.Cut(rest, []byte("\n"))
+		name, value, found := bytes.Cut(line, []byte(":"))
+		if !found {
+			continue // the empty line; the server refuses any other
+		}
+		value = bytes.TrimSpace(value)
+		switch {
+		case line[0] == ' ' || line[0] == '\t':
+			return framing{} // the rest of the line before
+		case equalName(name, "Content-Length"):
+			length, err := strconv.ParseUint(string(value), 10, 31)
+			if err != nil || stated {
+				return framing{}
+			}
+			made.body = int(length)
+			stated = true
+		case equalName(name, "Connection"):
+			if !equalName(value, "keep-alive") {
+				return framing{}
+			}
+		case equalName(name, "Transfer-Encoding"), equalName(name, "Expect"), equalName(name, "Upgrade"):
+			return framing{}
+		}
+	}
+	return made
+}
+
+// plainRequestLine tells whether a request line names a path and HTTP/1.1.
+// Requests for other targets may be answered without a handler.
+func plainRequestLine(line []byte) bool {
+	method, rest, found := bytes.Cut(line, []byte(" "))
+	if !found || len(method) == 0 || method[0] < 'A' || method[0] > 'Z' {
+		return false
+	}
+	return bytes.HasPrefix(rest, []byte("/")) && bytes.HasSuffix(bytes.TrimRight(rest, "\r"), []byte(" HTTP/1.1"))
+}
+
+func equalName(text []byte, name string) bool {
+	return len(text) == len(name) && bytes.EqualFold(text, []byte(name))
+}
+
+// parseHead parses the complete head of a request without a body.
+func parseHead(head []byte) (*http.Request, error) {
+	return http.ReadRequest(bufio.NewReaderSize(bytes.NewReader(head), len(head)))
+}
--- /dev/null
+++ b/internal/pipeline/pipeline_test.go
@@ -0,0 +1,414 @@
+package pipeline
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/samber/lo"
+	"pgregory.net/rapid"
+
+	_ "github.com/springstack/springstack/internal/fixedseed"
+)
+
+// echo answers with what it was asked: a status, a length, after some yielding,
+// and with trailers or an interim answer if wanted.
+func echo(writer http.ResponseWriter, request *http.Request) {
+	for range number(request, "yield") {
+		runtime.Gosched()
+	}
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	header := writer.Header()
+	header["Date"] = nil
+	if number(request, "hint") > 0 {
+		header.Set("Link", "early")
+		writer.WriteHeader(http.StatusEarlyHints)
+		header.Del("Link")
+	}
+	header.Set("Asked", request.Method+" "+request.URL.Path)
+	header.Set("Content-Type", "text/plain")
+	length := number(request, "length")
+	if number(request, "chunked") == 0 {
+		header.Set("Content-Length", strconv.Itoa(length+len(body)))
+	}
+	status := number(request, "status")
+	writer.WriteHeader(max(status, http.StatusOK))
+	_, _ = writer.Write(body)
+	text := bytes.Repeat([]byte("abcdefghij"), length/10+1)[:length]
+	for len(text) > 0 {
+		part := min(len(text), 700)
+		if _, err := writer.Write(text[:part]); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		text = text[part:]
+	}
+	if number(request, "break") > 0 {
+		panic(http.ErrAbortHandler)
+	}
+	if number(request, "chunked") > 0 {
+		header.Set(http.TrailerPrefix+"Sum", request.URL.Path)
+	}
+}
+
+// drawRequest draws the bytes of one request.
+func drawRequest(t *rapid.T, index int) []byte {
+	query := fmt.Sprintf("/%d?yield=%d&length=%d&hint=%d", index,
+		rapid.IntRange(0, 30).Draw(t, "yield"),
+		rapid.SampledFrom([]int{0, 3, 900, 2500, 6000}).Draw(t, "length"),
+		rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(t, "hint"))
+	if rapid.IntRange(0, 4).Draw(t, "chunked") == 0 {
+		query += "&chunked=1"
+	}
+	if rapid.IntRange(0, 9).Draw(t, "failing") == 0 {
+		query += "&status=503"
+	}
+	if rapid.IntRange(0, 19).Draw(t, "breaking") == 0 {
+		query += "&break=1"
+	}
+	const host = " HTTP/1.1\r\nHost: a\r\n"
+	switch rapid.IntRange(0, 19).Draw(t, "kind") {
+	case 0:
+		return []byte("POST " + query + host + "Content-Length: 5\r\n\r\nhello")
+	case 1:
+		return []byte("POST " + query + host + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+	case 2:
+		return []byte("HEAD " + query + host + "\r\n")
+	case 3:
+		return []byte("GET " + query + host + "Connection: close\r\n\r\n")
+	case 4:
+		return []byte("GET " + query + " HTTP/1.1\nHost: a\n\n")
+	case 5:
+		return []byte("GET " + query + host + "Content-Length: 2\r\n\r\nhi")
+	case 6:
+		return []byte("OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n")
+	case 7:
+		return []byte("nonsense\r\n\r\n")
+	case 8:
+		return []byte("GET " + query + " HTTP/1.0\r\n\r\n")
+	case 9:
+		return []byte("PUT " + query + host + "Content-Length: 0\r\n\r\n")
+	}
+	return []byte("GET " + query + host + "Connection: keep-alive\r\n\r\n")
+}
+
+// cut draws how bytes are cut into writes.
+func cut(t *rapid.T, text []byte) [][]byte {
+	var pieces [][]byte
+	for len(text) > 0 {
+		size := min(len(text), rapid.SampledFrom([]int{1, 7, 40, 200, 5000}).Draw(t, "piece"))
+		pieces = append(pieces, text[:size])
+		text = text[size:]
+	}
+	return pieces
+}
+
+// TestAnswersAreThoseOfASerialServer compares all bytes that come back with those
+// of the library alone.
+func TestAnswersAreThoseOfASerialServer(t *testing.T) {
+	serial, ahead := newRig(t, true, echo), newRig(t, false, echo)
+	rapid.Check(t, func(t *rapid.T) {
+		var text []byte
+		for index := range rapid.IntRange(1, 12).Draw(t, "requests") {
+			text = append(text, drawRequest(t, index)...)
+		}
+		text = append(text, "GET /last HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"...)
+		pieces := cut(t, text)
+		wanted, got := serial.exchange(pieces), ahead.exchange(pieces)
+		if !sameAnswers(wanted, got) {
+			t.Fatalf("sent %q in pieces %d\nserial %q\nahead  %q", text, sizes(pieces), shorten(wanted), shorten(got))
+		}
+	})
+	check := is.New(t)
+	check.True(ahead.started.Load() > 0)
+	check.Equal(ahead.held.Bytes(), int64(0))
+}
+
+// sizes are the lengths of pieces.
+func sizes(pieces [][]byte) []int {
+	return lo.Map(pieces, func(piece []byte, _ int) int { return len(piece) })
+}
+
+// shorten leaves most of the bodies out.
+func shorten(text []byte) []byte {
+	return bytes.ReplaceAll(text, bytes.Repeat([]byte("abcdefghij"), 10), []byte("~"))
+}
+
+// sameAnswers compares answers. One that breaks off may do so earlier or later.
+func sameAnswers(wanted, got []byte) bool {
+	return bytes.Equal(wanted, got) || slices.Equal(readAnswers(wanted), readAnswers(got))
+}
+
+// readAnswers reads whole answers as text.
+func readAnswers(text []byte) (answers []string) {
+	reader := bufio.NewReader(bytes.NewReader(text))
+	for {
+		answer, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return answers
+		}
+		body, err := io.ReadAll(answer.Body)
+		if err != nil {
+			return answers
+		}
+		answer.Header.Del("Date") // the library's own answers have one
+		answers = append(answers, fmt.Sprint(answer.StatusCode, answer.Header, string(body), answer.Trailer))
+	}
+}
+
+// get is a request that may be repeated.
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n" }
+
+// read reads one answer and returns its body.
+func read(t testing.TB, reader *bufio.Reader) string {
+	t.Helper()
+	answer, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(body)
+}
+
+// gated is a handler whose requests wait until the test lets them go on.
+type gated struct {
+	mutex sync.Mutex
+	gates map[string]chan struct{}
+	began chan string
+	gone  chan string
+}
+
+func newGated() *gated {
+	return &gated{gates: map[string]chan struct{}{}, began: make(chan string, 64), gone: make(chan string, 64)}
+}
+
+func (g *gated) gate(path string) chan struct{} {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.gates[path] == nil {
+		g.gates[path] = make(chan struct{})
+	}
+	return g.gates[path]
+}
+
+func (g *gated) serve(writer http.ResponseWriter, request *http.Request) {
+	path := request.URL.Path
+	_, _ = io.Copy(io.Discard, request.Body)
+	g.began <- path
+	select {
+	case <-g.gate(path):
+		_, _ = io.WriteString(writer, path)
+	case <-request.Context().Done():
+		g.gone <- path
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func TestRequestsRunSideBySideAndAreAnsweredInOrder(t *testing.T) {
+	check := is.New(t)
+	handler := newGated()
+	conn := newRig(t, false, handler.serve).dial()
+	defer conn.Close()
+	_, err := io.WriteString(conn, get("/a")+get("/b")+get("/c"))
+	check.NoErr(err)
+	begun := map[string]bool{<-handler.began: true, <-handler.began: true, <-handler.began: true}
+	check.Equal(begun, map[string]bool{"/a": true, "/b": true, "/c": true})
+	close(handler.gate("/c"))
+	close(handler.gate("/b"))
+	close(handler.gate("/a"))
+	reader := bufio.NewReader(conn)
+	check.Equal(read(t, reader), "/a")
+	check.Equal(read(t, reader), "/b")
+	check.Equal(read(t, reader), "/c")
+}
+
+// TestUnsafeWaitsForEveryAnswerAhead: a request that may not be repeated is not
+// run while an answer ahead of it could still close the connection.
+func TestUnsafeWaitsForEveryAnswerAhead(t *testing.T) {
+	check := is.New(t)
+	handler := newGated()
+	conn := newRig(t, false, handler.serve).dial()
+	defer conn.Close()
+	post := "POST /pay HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi"
+	_, err := io.WriteString(conn, get("/a")+get("/b")+post+get("/c"))
+	check.NoErr(err)
+	<-handler.began
+	<-handler.began
+	close(handler.gate("/b"))
+	close(handler.gate("/a"))
+	reader := bufio.NewReader(conn)
+	check.Equal(read(t, reader), "/a")
+	check.Equal(len(handler.began), 0) // the answer of /b has not gone yet
+	check.Equal(read(t, reader), "/b")
+	check.Equal(<-handler.began, "/pay")
+	check.Equal(<-handler.began, "/c") // it may run beside /pay
+	close(handler.gate("/pay"))
+	check.Equal(read(t, reader), "/pay")
+	close(handler.gate("/c"))
+	check.Equal(read(t, reader), "/c")
+}
+
+// TestAClosingAnswerDropsWhatIsBehindIt: nothing behind it is answered, and what
+// runs is cancelled.
+func TestAClosingAnswerDropsWhatIsBehindIt(t *testing.T) {
+	check := is.New(t)
+	handler := newGated()
+	rig := newRig(t, false, func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/last" {
+			writer.Header().Set("Connection", "close")
+		}
+		handler.serve(writer, request)
+	})
+	conn := rig.dial()
+	defer conn.Close()
+	_, err := io.WriteString(conn, get("/last")+get("/b")+get("/c"))
+	check.NoErr(err)
+	for range 3 {
+		<-handler.began
+	}
+	close(handler.gate("/last"))
+	answered, err := io.ReadAll(conn)
+	check.NoErr(err)
+	check.Equal(strings.Count(string(answered), "HTTP/1.1"), 1)
+	gone := []string{<-handler.gone, <-handler.gone}
+	check.True(gone[0] != gone[1])
+}
+
+// TestALeavingClientIsSeenWhileRequestsWait: also behind a request that must
+// wait for its turn, and with more requests than may run.
+func TestALeavingClientIsSeenWhileRequestsWait(t *testing.T) {
+	for name, behind := range map[string]string{
+		"none":    "",
+		"safe":    get("/b"),
+		"unsafe":  "POST /pay HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi",
+		"partial": "GET /half HTTP",
+		"many":    strings.Repeat(get("/b"), 8),
+	} {
+		t.Run(name, func(t *testing.T) {
+			check := is.New(t)
+			handler := newGated()
+			conn := newRig(t, false, handler.serve).dial()
+			_, err := io.WriteString(conn, get("/a")+behind)
+			check.NoErr(err)
+			check.NoErr(conn.Close())
+			for path := <-handler.gone; path != "/a"; path = <-handler.gone {
+				check.Equal(path, "/b")
+			}
+			for len(handler.began) > 0 {
+				check.True(<-handler.began != "/pay")
+			}
+		})
+	}
+}
+
+// TestWhatIsHeldIsBounded: a handler whose answer is longer than may be held
+// waits for its turn, and the connection is read no further than its bound.
+func TestWhatIsHeldIsBounded(t *testing.T) {
+	check := is.New(t)
+	open := make(chan struct{})
+	var written atomic.Int64
+	rig := newRig(t, false, func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/a" {
+			<-open
+			return
+		}
+		for range 64 {
+			if _, err := writer.Write(make([]byte, 1<<10)); err != nil {
+				panic(http.ErrAbortHandler)
+			}
+			written.Add(1 << 10)
+		}
+	})
+	conn := rig.dial()
+	defer conn.Close()
+	sent := make(chan error, 1)
+	go func() {
+		_, err := io.WriteString(conn, get("/a")+get("/b")+get("/c")+strings.Repeat("x", 64<<10))
+		sent <- err
+	}()
+	for written.Load() < 2*int64(rig.config.AnswerBytes) {
+		runtime.Gosched()
+	}
+	check.Equal(rig.held.Bytes(), written.Load())
+	check.Equal(len(sent), 0) // not all of it was read
+	close(open)
+	reader := bufio.NewReader(conn)
+	check.Equal(len(read(t, reader)), 0)
+	check.Equal(len(read(t, reader)), 64<<10)
+	check.Equal(len(read(t, reader)), 64<<10)
+	check.Equal(rig.held.Bytes(), int64(0))
+}
+
+// TestTimeBehindOthersIsKnown: the time of a request counts from its arrival,
+// whether it runs ahead or waits for its turn.
+func TestTimeBehindOthersIsKnown(t *testing.T) {
+	check := is.New(t)
+	handler := newGated()
+	rig := newRig(t, false, handler.serve)
+	conn := rig.dial()
+	defer conn.Close()
+	_, err := io.WriteString(conn, get("/a"))
+	check.NoErr(err)
+	check.Equal(<-handler.began, "/a")
+	wrapped := <-rig.wrapped
+	check.True(!wrapped.Pending())
+	_, err = io.WriteString(conn, "POST /pay HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi")
+	check.NoErr(err)
+	came := time.Now()
+	close(handler.gate("/a"))
+	reader := bufio.NewReader(conn)
+	check.Equal(read(t, reader), "/a")
+	check.Equal(<-handler.began, "/pay")
+	check.True(<-rig.waits == 0)
+	waited := <-rig.waits
+	check.True(waited > 0 && waited <= time.Since(came)+time.Second)
+	close(handler.gate("/pay"))
+	check.Equal(read(t, reader), "/pay")
+}
+
+// FuzzHead holds the looking for a head's end and its framing to the library: what
+// is said to be a whole request without a body is one.
+func FuzzHead(f *testing.F) {
+	f.Add([]byte(get("/a")))
+	f.Add([]byte("GET / HTTP/1.1\nHost: a\n\n"))
+	f.Add([]byte("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"))
+	f.Add([]byte("GET / HTTP/1.1\r\nHost: a\r\nContent-Length : 3\r\n\r\nabc"))
+	f.Add([]byte("GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))
+	f.Add([]byte("GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		size := headEnd(text)
+		if size < 0 {
+			return
+		}
+		form := readFraming(text[:size])
+		reader := bufio.NewReader(bytes.NewReader(text))
+		request, err := http.ReadRequest(reader)
+		if !form.known || err != nil {
+			return // the server decides, and closes on an error
+		}
+		consumed := len(text) - reader.Buffered()
+		if len(text) <= 4096 && consumed != size {
+			t.Fatalf("the head of %q ends at %d, not at %d", text, consumed, size)
+		}
+		if request.ContentLength != int64(form.body) || len(request.TransferEncoding) > 0 || request.Close {
+			t.Fatalf("%q: body %d, encoded %v, close %v; said to have %d",
+				text, request.ContentLength, request.TransferEncoding, request.Close, form.body)
+		}
+	})
+}
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -66,7 +66,7 @@
 // connection, which is closed after the answer while the daemon drains, and the
 // body of its request.
 func (p *Proxy) begin(writer http.ResponseWriter, request *http.Request) (*http.ResponseController, *upload) {
-	if p.drain.started.Load() {
+	if p.closesAfter(request) {
 		writer.Header().Set("Connection", "close")
 	}
 	control := http.NewResponseController(writer)
@@ -134,8 +134,7 @@
 	if !fine {
 		return nil, refusal, false
 	}
-	query := routing.Query{Method: request.Method, Host: located.host, Path: located.path, Header: request.Header.Get}
-	route := current.table.Find(query)
+	route := current.find(request, located)
 	if route == nil {
 		return nil, Refusal{Code: result.NoRoute}, false
 	}
@@ -158,7 +157,7 @@
 	if stated, found := c.proxy.statedTime(header); found {
 		c.timeout = min(c.timeout, stated)
 	}
-	c.timeout = c.proxy.timeUntilCut(c.timeout)
+	c.timeout = c.proxy.timeUntilCut(max(c.timeout-waitOf(c.request), 0))
 	c.deadline = c.proxy.config.Clock() + c.timeout
 	c.policy = retry.Policy{
 		Repeatable: c.route.Repeatable(c.request.Method),
@@ -252,7 +251,7 @@
 
 // answerHeaders asks callers to go elsewhere while the daemon is leaving.
 func (c *callerCall) answerHeaders(header http.Header) {
-	if c.proxy.drain.started.Load() {
+	if c.proxy.closesAfter(c.request) {
 		header.Set("Connection", "close")
 	}
 }
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -133,6 +133,17 @@
 	// on, so that an answer cut short can still be told from a whole one. 0
 	// streams every answer.
 	CollectBytes int
+	// AheadCalls bounds the repeatable requests of one caller's connection that
+	// run before their turn; a negative number runs each in its turn.
+	AheadCalls int
+	// AheadInputBytes bounds what is read of a caller's connection beyond the request
+	// that is served.
+	AheadInputBytes int
+	// AheadAnswerBytes bounds what is held of one answer until its turn, and
+	// AheadHeldBytes what is held of all. The calls behind longer answers go on when
+	// their turn comes.
+	AheadAnswerBytes int
+	AheadHeldBytes   int64
 	// ReplayBytes is how much of a request's body is kept for sending again.
 	ReplayBytes int
 	// QueueLength bounds the calls waiting at the gate.
@@ -178,6 +189,10 @@
 		UpstreamIdle:        30 * time.Second,
 		BackendIdle:         4 * time.Second,
 		Prewarm:             2,
+		AheadCalls:          16,
+		AheadInputBytes:     64 << 10,
+		AheadAnswerBytes:    64 << 10,
+		AheadHeldBytes:      16 << 20,
 		ReplayBytes:         64 << 10,
 		QueueLength:         256,
 		QueueWait:           2 * time.Second,
@@ -214,6 +229,10 @@
 	orDefault(&l.UpstreamIdle, fallback.UpstreamIdle)
 	orDefault(&l.BackendIdle, fallback.BackendIdle)
 	orDefault(&l.Prewarm, fallback.Prewarm)
+	orDefault(&l.AheadCalls, fallback.AheadCalls)
+	orDefault(&l.AheadInputBytes, fallback.AheadInputBytes)
+	orDefault(&l.AheadAnswerBytes, fallback.AheadAnswerBytes)
+	orDefault(&l.AheadHeldBytes, fallback.AheadHeldBytes)
 	orDefault(&l.ReplayBytes, fallback.ReplayBytes)
 	orDefault(&l.QueueLength, fallback.QueueLength)
 	orDefault(&l.QueueWait, fallback.QueueWait)
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -17,6 +17,11 @@
 	Retries  uint64
 	// Aborted are the answers cut short.
 	Aborted uint64
+	// Ahead are the calls that ran before their turn on a connection, AheadDepth
+	// the most that did so at a time on one, AheadBytes the answers held now.
+	Ahead      uint64
+	AheadDepth int
+	AheadBytes int64
 	// CallerRunning, GateRunning and GateQueued are the calls now.
 	CallerRunning int
 	GateRunning   int
@@ -37,6 +42,10 @@
 	attempts    atomic.Uint64
 	retries     atomic.Uint64
 	aborted     atomic.Uint64
+	// ahead are the calls that ran ahead of their turn, aheadDepth the most that
+	// did on one connection at a time.
+	ahead      atomic.Uint64
+	aheadDepth atomic.Int64
 	// answered are the calls that the back end answered well.
 	answered atomic.Uint64
 	refusals [codeLimit]atomic.Uint64
@@ -56,6 +65,9 @@
 		Attempts:      p.tally.attempts.Load(),
 		Retries:       p.tally.retries.Load(),
 		Aborted:       p.tally.aborted.Load(),
+		Ahead:         p.tally.ahead.Load(),
+		AheadDepth:    int(p.tally.aheadDepth.Load()),
+		AheadBytes:    p.held.Bytes(),
 		CallerRunning: int(p.callersRunning.Load()),
 		Refusals:      map[result.Code]uint64{},
 	}
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -118,7 +118,11 @@
 func (c *connections) open(ctx context.Context, conn net.Conn) context.Context {
 	bounded, cancel := context.WithCancelCause(ctx)
 	c.cancels.Store(conn, cancel)
-	return context.WithValue(bounded, connKey{}, conn)
+	bound := context.WithValue(bounded, connKey{}, conn)
+	if counted, known := conn.(*countedConn); known && counted.ahead != nil {
+		counted.ahead.Bind(bound)
+	}
+	return bound
 }
 
 // change follows the state of a connection.
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -326,7 +326,7 @@
 
 func (c *gateCall) answerHeaders(header http.Header) {
 	header[headerLoad] = []string{c.proxy.loadText()}
-	if c.proxy.drain.started.Load() {
+	if c.proxy.closesAfter(c.request) {
 		header.Set("Connection", "close")
 	}
 }
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/springstack/springstack/internal/pipeline"
 	"github.com/springstack/springstack/internal/result"
 )
 
@@ -33,8 +34,10 @@
 	net.Listener
 	limit int64
 	// quiet closes idle connections without an announcing answer.
-	quiet    bool
-	secure   *tls.Config
+	quiet  bool
+	secure *tls.Config
+	// ahead is set when requests of a connection may run ahead of their turn.
+	ahead    *pipeline.Config
 	open     atomic.Int64
 	refusing atomic.Int64
 	// conns are the open connections, entered and left once each.
@@ -75,7 +78,7 @@
 			continue
 		}
 		if l.open.Add(1) <= l.limit {
-			counted := &countedConn{Conn: conn, listener: l}
+			counted := newCountedConn(conn, l)
 			l.conns.Store(counted, struct{}{})
 			return counted, nil
 		}
@@ -128,11 +131,26 @@
 type countedConn struct {
 	net.Conn
 	listener *boundedListener
-	once     sync.Once
-	phase    atomic.Int32
-	rest     restTimer
+	// ahead is Conn when requests may run ahead of their turn, and else nil.
+	ahead *pipeline.Conn
+	once  sync.Once
+	phase atomic.Int32
+	rest  restTimer
 }
 
+func newCountedConn(conn net.Conn, listener *boundedListener) *countedConn {
+	counted := &countedConn{Conn: conn, listener: listener}
+	if listener.ahead != nil {
+		counted.ahead = pipeline.Wrap(conn, listener.ahead)
+		counted.Conn = counted.ahead
+	}
+	return counted
+}
+
+// owes tells whether answers are owed to requests behind the current one that
+// run or have run ahead.
+func (c *countedConn) owes() bool { return c.ahead != nil && c.ahead.Pending() }
+
 // The phases of a connection.
 const (
 	// phaseIdle: no call was begun since the last answer. Only the library
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -13,6 +13,7 @@
 	"github.com/springstack/springstack/internal/core/admission"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/snapshot"
+	"github.com/springstack/springstack/internal/pipeline"
 	"github.com/springstack/springstack/internal/result"
 )
 
@@ -42,8 +43,10 @@
 	gateRunning    atomic.Int64
 	drain          drain
 	connections    connections
-	closed         chan struct{}
-	closeOnce      sync.Once
+	// held bounds the answers of calls that have run ahead of their turn.
+	held      *pipeline.Held
+	closed    chan struct{}
+	closeOnce sync.Once
 
 	requestPrefix string
 	requestCount  atomic.Uint64
@@ -62,6 +65,7 @@
 		closed:   make(chan struct{}),
 		hashSeed: rand.Uint64(),
 	}
+	proxy.held = pipeline.NewHeld(proxy.limits.AheadHeldBytes)
 	proxy.incarnations.add(config.Incarnation)
 	incarnation := strconv.FormatUint(uint64(config.Incarnation), 36)
 	proxy.requestPrefix = string(config.NodeID) + "-" + incarnation + "-"
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/springstack/springstack/internal/pipeline"
 )
 
 // answerLimit is the write deadline that the server sets at the start of each
@@ -27,15 +29,29 @@
 	s.serve(writer, request)
 }
 
-// onLiveConn runs a handler only on connections that are not retired.
+// onLiveConn runs a handler only on connections that are not retired. The answer
+// of a request that has run ahead of its turn is replayed.
 func onLiveConn(handler http.Handler, limits Limits) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		conn, counted := request.Context().Value(connKey{}).(*countedConn)
-		if counted && !conn.begin() {
+		if !counted {
+			handler.ServeHTTP(writer, request)
+			return
+		}
+		if !conn.begin() {
 			discardRetired(writer, request)
 			panic(http.ErrAbortHandler)
 		}
-		if counted && conn.listener.stage.Load() != stageServing {
+		if conn.ahead != nil {
+			call, waited := conn.ahead.Begin(request)
+			defer conn.ahead.End()
+			if call != nil {
+				handler.(*side).replay(writer, request, call)
+				return
+			}
+			request = withWait(request, waited)
+		}
+		if conn.listener.stage.Load() != stageServing {
 			refuseLeaving(writer, request, limits)
 			return
 		}
@@ -64,6 +80,8 @@
 	inner  *http.Server
 	limits Limits
 	secure *tls.Config
+	// ahead is nil when requests run in their turn only.
+	ahead *pipeline.Config
 
 	mutex     sync.Mutex
 	listeners []*boundedListener
@@ -94,7 +112,11 @@
 		}
 		open.change(conn, state)
 	}
-	return &Server{inner: inner, limits: limits}
+	server := &Server{inner: inner, limits: limits}
+	if tracked != nil && tracked.callers {
+		server.ahead = tracked.proxy.aheadConfig()
+	}
+	return server
 }
 
 // Secure has the server take TLS only; nil leaves it in the clear. It is
@@ -110,6 +132,7 @@
 	bounded := newBoundedListener(listener, s.limits.Connections)
 	bounded.secure = s.secure
 	bounded.quiet = s.limits.QuietClose
+	bounded.ahead = s.ahead
 	if !s.add(bounded) {
 		_ = listener.Close()
 		return http.ErrServerClosed
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -52,6 +52,7 @@
 		listener.closeEmpty()
 	}
 	awaitRefused(ctx, listeners)
+	awaitOwed(ctx, listeners)
 	return s.inner.Shutdown(ctx)
 }
 
@@ -83,6 +84,31 @@
 	}
 }
 
+// awaitOwed waits until no connection owes answers to requests behind its current
+// one: the library closes connections after the current answer.
+func awaitOwed(ctx context.Context, listeners []*boundedListener) {
+	poll := time.NewTicker(stagePoll)
+	defer poll.Stop()
+	for anyOwed(listeners) {
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func anyOwed(listeners []*boundedListener) bool {
+	owed := false
+	for _, listener := range listeners {
+		listener.conns.Range(func(conn, _ any) bool {
+			owed = owed || conn.(*countedConn).owes()
+			return !owed
+		})
+	}
+	return owed
+}
+
 func anyOpen(listeners []*boundedListener) bool {
 	for _, listener := range listeners {
 		if listener.open.Load()+listener.refusing.Load() > 0 {
@@ -128,6 +154,9 @@
 // holds for whatever is still sent. An idle caller takes an answer with this
 // status for the close that it is (RFC 9110, 15.5.9).
 func (c *countedConn) retire() {
+	if c.owes() {
+		return // finished retires it
+	}
 	if !c.phase.CompareAndSwap(phaseIdle, phaseRetired) {
 		return
 	}
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"net/http"
+
 	"github.com/springstack/springstack/internal/core/endpoint"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
@@ -27,6 +29,13 @@
 	budget *retry.Budget
 }
 
+// find returns the route of a request, or nil.
+func (v *view) find(request *http.Request, located place) *routing.Route {
+	return v.table.Find(routing.Query{
+		Method: request.Method, Host: located.host, Path: located.path, Header: request.Header.Get,
+	})
+}
+
 // buildView makes the view of a snapshot and member records. Counts, budgets
 // and connections carry over from the previous view.
 func (p *Proxy) buildView(previous *view, held *snapshot.Snapshot, members []protocol.Member) *view {
