--- a/internal/core/admission/call.go
+++ b/internal/core/admission/call.go
@@ -19,6 +19,11 @@
 	// Deadline is on the gate's clock; a call that can't start and end by then
 	// is refused.
 	Deadline time.Duration
+	// Target is until when an answer is of full use, on the gate's clock; 0 when
+	// that is not stated. TargetSpan is how long after a call's start that is for
+	// calls of its kind; it tells short calls from long ones.
+	Target     time.Duration
+	TargetSpan time.Duration
 	// Request identifies the attempt; 0 means that it has no id.
 	Request Fingerprint
 	// Key identifies the operation; 0 means that it has no key.
@@ -65,10 +70,12 @@
 	// ended is set by Done; only the owner of the call touches it.
 	ended     bool
 	startedAt time.Duration
-	charged   float64
-	lane      *lane
-	next      *Ticket
-	previous  *Ticket
+	// startBy orders the waiting calls of a class: the earliest goes first.
+	startBy  time.Duration
+	charged  float64
+	lane     *lane
+	next     *Ticket
+	previous *Ticket
 }
 
 // NewTicket returns the ticket of a call. The waiter may be nil when the
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -55,6 +55,13 @@
 // while it runs, and its outcome to be unknown.
 const waitShare = 0.6
 
+// retryParts divides the service time of a call that is refused for its target:
+// the least wait that is told for another attempt.
+const retryParts = 2
+
+// shortShare is the share of the mean service time below which a call is short.
+const shortShare = 0.75
+
 // fullRetryAfter is the wait told to a call that meets a full memory of keys.
 const fullRetryAfter = 5 * time.Second
 
@@ -67,8 +74,9 @@
 	word atomic.Uint64
 	// slots may be changed while calls run.
 	slots atomic.Int64
-	// mean is the moving mean of service time, float64 bits of seconds.
-	mean atomic.Uint64
+	// mean is the mean service time of all calls, kinds that of each kind.
+	mean  movingMean
+	kinds [kindCount]kindService
 	// requests are the attempts that came, keys the operations started.
 	requests *Seen
 	keys     *Seen
@@ -179,6 +187,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	into := g.queue.lane(ticket.Partner)
+	ticket.startBy = g.startBy(now, ticket)
 	if verdict := g.mayWait(now, ticket, into); verdict.State == StateRefused {
 		return verdict
 	}
@@ -203,6 +212,26 @@
 	}
 }
 
+// startBy is when a call must start: in time for its target, or at once when none
+// is stated.
+func (g *Gate) startBy(now time.Duration, ticket *Ticket) time.Duration {
+	if ticket.Target <= 0 {
+		return now
+	}
+	return ticket.Target - g.serviceOf(&ticket.Call)
+}
+
+// lateness is by how much the answer of a call that starts at a time is expected to
+// miss its target. It is 0 for calls that are shorter than most: to run them costs little, and
+// whoever makes a short call usually needs it to go on.
+func (g *Gate) lateness(ticket *Ticket, start time.Duration) time.Duration {
+	service := g.serviceOf(&ticket.Call)
+	if ticket.Target <= 0 || float64(service) < shortShare*float64(g.meanService()) {
+		return 0
+	}
+	return max(start+g.longServiceOf(&ticket.Call)-ticket.Target, 0)
+}
+
 // startLocked starts a call that holds a slot, or gives the slot on.
 func (g *Gate) startLocked(now time.Duration, ticket *Ticket) Verdict {
 	verdict := g.remember(now, ticket)
@@ -218,9 +247,13 @@
 	if g.config.NoEstimate {
 		return Verdict{State: StateQueued}
 	}
-	wait := g.expectedWait(into, into.ahead(ticket.class()))
+	wait := g.expectedWait(into, into.aheadOf(ticket))
 	left := ticket.Deadline - now
-	if wait+g.meanService() > left || wait > time.Duration(float64(left)*waitShare) {
+	service := g.serviceOf(&ticket.Call)
+	if late := g.lateness(ticket, now+wait); late > 0 {
+		return refused(result.QueueFull, max(late, service/retryParts))
+	}
+	if wait+service > left || wait > time.Duration(float64(left)*waitShare) {
 		return refused(result.DeadlineBeforeStart, wait)
 	}
 	if wait > g.config.QueueWait {
@@ -267,13 +300,12 @@
 	if g.config.NoEstimate {
 		return
 	}
-	mean := g.meanService()
 	for _, one := range g.queue.lanes {
 		for class := range classCount {
 			for head := one.classes[class].head; head != nil; head = one.classes[class].head {
 				higher := one.ahead(class + 1)
 				wait := g.expectedWait(one, higher)
-				if now+wait+mean <= head.Deadline {
+				if now+wait+g.serviceOf(&head.Call) <= head.Deadline {
 					break
 				}
 				code := result.Shed
@@ -315,7 +347,7 @@
 	}
 	ticket.ended = true
 	if ran && !ticket.Unmeasured {
-		g.observe(now - ticket.startedAt)
+		g.observe(&ticket.Call, now-ticket.startedAt)
 	}
 	if !ran && ticket.Key != 0 {
 		g.keys.Remove(ticket.Key)
@@ -365,13 +397,19 @@
 
 // startWaiting settles a call taken from the queue and tells whether it runs.
 func (g *Gate) startWaiting(now time.Duration, ticket *Ticket) bool {
-	if !g.config.NoEstimate && now+g.meanService() > ticket.Deadline {
+	service := g.serviceOf(&ticket.Call)
+	if !g.config.NoEstimate && now+service > ticket.Deadline {
 		ticket.settle(refused(result.DeadlineBeforeStart, 0))
 		return false
 	}
+	if !g.config.NoEstimate && g.queue.length > 0 && g.lateness(ticket, now) > 0 {
+		// Its answer would be late, and make others late.
+		ticket.settle(refused(result.QueueFull, service/retryParts))
+		return false
+	}
 	verdict := g.remember(now, ticket)
 	if verdict.State == StateStarted {
-		g.queue.charge(ticket, g.meanService().Seconds())
+		g.queue.charge(ticket, service.Seconds())
 	}
 	ticket.settle(verdict)
 	return verdict.State == StateStarted
--- a/internal/core/admission/mean.go
+++ b/internal/core/admission/mean.go
@@ -1,7 +1,10 @@
 package admission
 
 import (
+	"cmp"
 	"math"
+	"math/bits"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,23 +16,70 @@
 // the gate refuse what waits for many times longer than the stall lasted.
 const outlierFactor = 4
 
-// observe folds a service time into the moving mean. An update lost to a
-// concurrent one does no harm.
-func (g *Gate) observe(took time.Duration) {
-	old := g.mean.Load()
+// movingMean is the moving mean of durations, as float64 bits of seconds; 0 until
+// one is known.
+type movingMean struct {
+	bits atomic.Uint64
+}
+
+// observe folds a duration into the mean. An update lost to a concurrent one does no
+// harm.
+func (m *movingMean) observe(took time.Duration) {
+	old := m.bits.Load()
 	mean := math.Float64frombits(old)
 	next := took.Seconds()
 	if old != 0 {
 		next = min(next, mean*outlierFactor)
 		next = mean + (next-mean)*meanWeight
 	}
-	g.mean.CompareAndSwap(old, math.Float64bits(next))
+	m.bits.CompareAndSwap(old, math.Float64bits(next))
+}
+
+func (m *movingMean) value() time.Duration {
+	return time.Duration(math.Float64frombits(m.bits.Load()) * float64(time.Second))
+}
+
+// kindCount is the number of kinds of calls whose service times are kept apart.
+const kindCount = 20
+
+// kind is the index of a call's kind: the binary order of magnitude of its
+// target's span in milliseconds. The operator's target tells how long calls take,
+// so those of like targets are taken to be of like length.
+func kind(call *Call) int {
+	return min(bits.Len64(uint64(max(call.TargetSpan, 0).Milliseconds())), kindCount-1)
+}
+
+// observe folds the service time of a call into the means.
+func (g *Gate) observe(call *Call, took time.Duration) {
+	g.mean.observe(took)
+	one := &g.kinds[kind(call)]
+	if mean := one.mean.value(); mean > 0 {
+		one.deviation.observe(max(took-mean, mean-took))
+	}
+	one.mean.observe(took)
+}
+
+// serviceOf is how long a call is expected to run: as others of its kind do, or
+// else as all do.
+func (g *Gate) serviceOf(call *Call) time.Duration {
+	return cmp.Or(g.kinds[kind(call)].mean.value(), g.meanService())
+}
+
+// longServiceOf is how long a call may well run: somewhat longer than others of its
+// kind in the mean.
+func (g *Gate) longServiceOf(call *Call) time.Duration {
+	return g.serviceOf(call) + g.kinds[kind(call)].deviation.value()
+}
+
+// kindService are the service times of one kind of calls.
+type kindService struct {
+	mean movingMean
+	// deviation is the mean distance from the mean.
+	deviation movingMean
 }
 
 // MeanService is the moving mean of service time; 0 until one is known.
 func (g *Gate) MeanService() time.Duration { return g.meanService() }
 
 // meanService is the moving mean of service time; 0 until one is known.
-func (g *Gate) meanService() time.Duration {
-	return time.Duration(math.Float64frombits(g.mean.Load()) * float64(time.Second))
-}
+func (g *Gate) meanService() time.Duration { return g.mean.value() }
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/springstack/springstack/internal/core/resource"
 )
@@ -13,25 +14,44 @@
 // laneLimit bounds the partners remembered while none of their calls wait.
 const laneLimit = 64
 
-// list is a doubly linked list of tickets, oldest first.
+// list is a doubly linked list of tickets, in the order in which they must start.
 type list struct {
 	head   *Ticket
 	tail   *Ticket
 	length int
 }
 
+// push inserts a ticket behind those that must start no later than it.
 func (l *list) push(ticket *Ticket) {
-	ticket.previous = l.tail
-	ticket.next = nil
-	if l.tail == nil {
+	before := l.tail
+	for before != nil && before.startBy > ticket.startBy {
+		before = before.previous
+	}
+	ticket.previous = before
+	if before == nil {
+		ticket.next = l.head
 		l.head = ticket
 	} else {
-		l.tail.next = ticket
+		ticket.next = before.next
+		before.next = ticket
+	}
+	if ticket.next == nil {
+		l.tail = ticket
+	} else {
+		ticket.next.previous = ticket
 	}
-	l.tail = ticket
 	l.length++
 }
 
+// until counts the tickets that must start no later than a time.
+func (l *list) until(startBy time.Duration) int {
+	count := 0
+	for ticket := l.head; ticket != nil && ticket.startBy <= startBy; ticket = ticket.next {
+		count++
+	}
+	return count
+}
+
 func (l *list) remove(ticket *Ticket) {
 	if ticket.previous == nil {
 		l.head = ticket.next
@@ -68,6 +88,12 @@
 	return count
 }
 
+// aheadOf counts the waiting calls that go before a new one.
+func (l *lane) aheadOf(ticket *Ticket) int {
+	class := ticket.class()
+	return l.ahead(class+1) + l.classes[class].until(ticket.startBy)
+}
+
 // first is the call of the lane that goes next.
 func (l *lane) first() *Ticket {
 	for class := classCount - 1; class >= 0; class-- {
--- a/internal/core/resource/types.go
+++ b/internal/core/resource/types.go
@@ -197,6 +197,9 @@
 	Secret *SecretUse `json:"secret,omitempty"`
 	// Timeout bounds the whole call; 0 means the default of 15 s.
 	Timeout time.Duration `json:"timeout,omitempty"`
+	// Target is the time within which an answer is of full use; 0 when none is
+	// stated.
+	Target time.Duration `json:"target,omitempty"`
 	// Repeatable says that running a call twice does no harm. When the file
 	// leaves it out, GET and HEAD are repeatable and all others are not.
 	Repeatable *bool `json:"repeatable,omitempty"`
--- a/internal/proxy/ahead_test.go
+++ b/internal/proxy/ahead_test.go
@@ -84,7 +84,8 @@
 	backend := newHeld("/a", "/b", "/pay")
 	mesh := startMesh(t, meshOptions{}, backend.spec())
 	caller := mesh.pipeline(t, getOf("/a"), getOf("/b"), postOf)
-	check.True(<-backend.began != <-backend.began)
+	first := <-backend.began
+	check.True(first != <-backend.began)
 	close(backend.gates["/b"])
 	close(backend.gates["/a"])
 	for _, wanted := range []string{"/a", "/b"} {
@@ -163,7 +164,8 @@
 	<-backend.began
 	<-backend.began
 	check.NoErr(caller.conn.Close())
-	check.True(<-backend.gone != <-backend.gone)
+	first := <-backend.gone
+	check.True(first != <-backend.gone)
 	check.Equal(len(backend.began), 0)
 }
 
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -106,8 +106,10 @@
 	// the proxy's clock.
 	timeout  time.Duration
 	deadline time.Duration
-	policy   retry.Policy
-	retries  *retry.Call
+	// target is until when an answer is of full use; 0 when none is stated.
+	target  time.Duration
+	policy  retry.Policy
+	retries *retry.Call
 	// key is the value of the route's request key header, keyHash its hash; the
 	// hash is the same on all daemons.
 	key     string
@@ -157,8 +159,11 @@
 	if stated, found := c.proxy.statedTime(header); found {
 		c.timeout = min(c.timeout, stated)
 	}
-	c.timeout = c.proxy.timeUntilCut(max(c.timeout-waitOf(c.request), 0))
-	c.deadline = c.proxy.config.Clock() + c.timeout
+	waited := waitOf(c.request)
+	now := c.proxy.config.Clock()
+	c.timeout = c.proxy.timeUntilCut(max(c.timeout-waited, 0))
+	c.deadline = now + c.timeout
+	c.target = now - waited + c.route.Resource.Target
 	c.policy = retry.Policy{
 		Repeatable: c.route.Repeatable(c.request.Method),
 		Attempts:   c.route.Attempts,
@@ -315,6 +320,9 @@
 	if mark {
 		header[headerNoRetry] = []string{"1"}
 	}
+	if span := c.route.Resource.Target; span > 0 {
+		header[headerTarget] = []string{formatTarget(c.target-c.proxy.config.Clock(), span)}
+	}
 }
 
 // hopHeaderNames are the headers that every request to a gate has, in the
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -115,6 +115,11 @@
 		Request:  c.proxy.fingerprint("request", header.Get(headerRequest)),
 		Key:      c.proxy.fingerprint("key", partner, header.Get(headerRequestKey)),
 	}
+	if left, span, stated := parseTarget(header.Get(headerTarget)); stated {
+		// One that has passed is still a target: 0 means none.
+		call.Target = max(c.proxy.config.Clock()+left, 1)
+		call.TargetSpan = span
+	}
 	if c.proxy.config.Baseline.UnboundedQueue {
 		call.Partner = ""
 		call.Priority = resource.PriorityNormal
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -16,6 +16,7 @@
 	headerIncarnation = "Springstack-Incarnation"
 	headerRequest     = "Springstack-Request"
 	headerTimeout     = "Springstack-Timeout-Ms"
+	headerTarget      = "Springstack-Target-Ms"
 	headerPriority    = "Springstack-Priority"
 	headerPartner     = "Springstack-Partner"
 	headerRequestKey  = "Springstack-Request-Key"
