Waits are reckoned as they turn out; what can't make its target is refused early; large bodies heed none

Change: a gate learns by kind how much longer calls wait than those ahead of them make expect; whenever a call is queued, those that it leaves no time are refused at once; a call that hardly waits is not refused for its target; requests with 16 KB of body or more state no target to the gate.

--- a/internal/core/admission/call.go
+++ b/internal/core/admission/call.go
@@ -71,11 +71,15 @@
 	ended     bool
 	startedAt time.Duration
 	// startBy orders the waiting calls of a class: the earliest goes first.
-	startBy  time.Duration
-	charged  float64
-	lane     *lane
-	next     *Ticket
-	previous *Ticket
+	startBy time.Duration
+	// queuedAt is when the call was queued, expectedWait what it was then expected
+	// to wait.
+	queuedAt     time.Duration
+	expectedWait time.Duration
+	charged      float64
+	lane         *lane
+	next         *Ticket
+	previous     *Ticket
 }
 
 // NewTicket returns the ticket of a call. The waiter may be nil when the
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -55,13 +55,6 @@
 // while it runs, and its outcome to be unknown.
 const waitShare = 0.6
 
-// retryParts divides the service time of a call that is refused for its target:
-// the least wait that is told for another attempt.
-const retryParts = 2
-
-// shortShare is the share of the mean service time below which a call is short.
-const shortShare = 0.75
-
 // fullRetryAfter is the wait told to a call that meets a full memory of keys.
 const fullRetryAfter = 5 * time.Second
 
@@ -206,32 +199,13 @@
 			ticket.state = StateQueued
 			g.queue.push(ticket, into)
 			g.shedBehind(now, ticket)
+			g.shedLate(now, into)
 			g.shedHopeless(now)
 			return Verdict{State: StateQueued}
 		}
 	}
 }
 
-// startBy is when a call must start: in time for its target, or at once when none
-// is stated.
-func (g *Gate) startBy(now time.Duration, ticket *Ticket) time.Duration {
-	if ticket.Target <= 0 {
-		return now
-	}
-	return ticket.Target - g.serviceOf(&ticket.Call)
-}
-
-// lateness is by how much the answer of a call that starts at a time is expected to
-// miss its target. It is 0 for calls that are shorter than most: to run them costs little, and
-// whoever makes a short call usually needs it to go on.
-func (g *Gate) lateness(ticket *Ticket, start time.Duration) time.Duration {
-	service := g.serviceOf(&ticket.Call)
-	if ticket.Target <= 0 || float64(service) < shortShare*float64(g.meanService()) {
-		return 0
-	}
-	return max(start+g.longServiceOf(&ticket.Call)-ticket.Target, 0)
-}
-
 // startLocked starts a call that holds a slot, or gives the slot on.
 func (g *Gate) startLocked(now time.Duration, ticket *Ticket) Verdict {
 	verdict := g.remember(now, ticket)
@@ -250,9 +224,11 @@
 	wait := g.expectedWait(into, into.aheadOf(ticket))
 	left := ticket.Deadline - now
 	service := g.serviceOf(&ticket.Call)
-	if late := g.lateness(ticket, now+wait); late > 0 {
-		return refused(result.QueueFull, max(late, service/retryParts))
+	if verdict := g.targetVerdict(now, ticket, wait); verdict.State == StateRefused {
+		return verdict
 	}
+	ticket.queuedAt = now
+	ticket.expectedWait = wait
 	if wait+service > left || wait > time.Duration(float64(left)*waitShare) {
 		return refused(result.DeadlineBeforeStart, wait)
 	}
@@ -409,6 +385,7 @@
 	}
 	verdict := g.remember(now, ticket)
 	if verdict.State == StateStarted {
+		g.observeDelay(ticket, now-ticket.queuedAt)
 		g.queue.charge(ticket, service.Seconds())
 	}
 	ticket.settle(verdict)
--- a/internal/core/admission/gate_test.go
+++ b/internal/core/admission/gate_test.go
@@ -499,3 +499,56 @@
 	check.Equal(offer(gate, 0, targeted(0, short)).state, StateQueued)
 	check.Equal(offer(gate, 0, targeted(0, short)).state, StateQueued) // late, but soon done
 }
+
+// TestWhatOthersPushBehindIsRefusedEarly: a call that waits is refused as soon as
+// later ones that go first leave it no time for its target, not when its turn comes.
+func TestWhatOthersPushBehindIsRefusedEarly(t *testing.T) {
+	check := is.New(t)
+	gate := New(0, testConfig(1))
+	const span = 400 * time.Millisecond
+	teachKind(gate, 0, span, 100*time.Millisecond)
+	offer(gate, 0, targeted(0, span))
+	pushed := targeted(0, span)
+	pushed.Target -= 50 * time.Millisecond
+	waiting := offer(gate, 0, pushed)
+	check.Equal(waiting.state, StateQueued)
+	for range 2 {
+		sooner := targeted(0, span)
+		sooner.Target -= 60 * time.Millisecond
+		check.Equal(offer(gate, 0, sooner).state, StateQueued)
+	}
+	check.Equal(waiting.waiter.last().Code, result.QueueFull)
+	check.True(waiting.waiter.last().RetryAfter > 0)
+}
+
+// TestWaitsAreReckonedAsTheyTurnOut: where calls wait longer than those ahead of
+// them made expect, fewer are let in.
+func TestWaitsAreReckonedAsTheyTurnOut(t *testing.T) {
+	check := is.New(t)
+	gate := New(0, testConfig(1))
+	const span = 400 * time.Millisecond
+	for range 64 {
+		teachKind(gate, 0, span, 100*time.Millisecond)
+	}
+	admitted := func() (queued int) {
+		holder := offer(gate, 0, targeted(0, span))
+		var waiting []*offered
+		for one := offer(gate, 0, targeted(0, span)); one.state == StateQueued; one = offer(gate, 0, targeted(0, span)) {
+			waiting = append(waiting, one)
+		}
+		for _, one := range waiting {
+			gate.Cancel(one.ticket)
+		}
+		gate.Done(100*time.Millisecond, holder.ticket, true)
+		return len(waiting)
+	}
+	before := admitted()
+	for range 64 {
+		holder := offer(gate, 0, targeted(0, span))
+		late := offer(gate, 0, targeted(0, span))
+		gate.Done(200*time.Millisecond, holder.ticket, false) // twice as long as calls run
+		check.Equal(late.waiter.last().State, StateStarted)
+		gate.Done(300*time.Millisecond, late.ticket, true)
+	}
+	check.True(before > admitted())
+}
--- a/internal/core/admission/mean.go
+++ b/internal/core/admission/mean.go
@@ -71,11 +71,32 @@
 	return g.serviceOf(call) + g.kinds[kind(call)].deviation.value()
 }
 
+// delayLimit bounds by how much a wait is believed to exceed what the queue alone
+// makes expect.
+const delayLimit = 4
+
+// delayOf is by how much calls of a kind wait longer than the calls ahead of them
+// alone make expect: others come later and go first. At least 1.
+func (g *Gate) delayOf(call *Call) float64 {
+	return min(max(g.kinds[kind(call)].delay.value().Seconds(), 1), delayLimit)
+}
+
+// observeDelay learns how long a call has waited or will have, against what was
+// expected when it came.
+func (g *Gate) observeDelay(ticket *Ticket, waited time.Duration) {
+	if ticket.expectedWait > 0 {
+		ratio := min(float64(waited)/float64(ticket.expectedWait), delayLimit)
+		g.kinds[kind(&ticket.Call)].delay.observe(time.Duration(ratio * float64(time.Second)))
+	}
+}
+
 // kindService are the service times of one kind of calls.
 type kindService struct {
 	mean movingMean
 	// deviation is the mean distance from the mean.
 	deviation movingMean
+	// delay is the mean of waits by expected waits, in seconds.
+	delay movingMean
 }
 
 // MeanService is the moving mean of service time; 0 until one is known.
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -320,7 +320,7 @@
 	if mark {
 		header[headerNoRetry] = []string{"1"}
 	}
-	if span := c.route.Resource.Target; span > 0 {
+	if span := c.route.Resource.Target; span > 0 && !c.carriesMuch() {
 		header[headerTarget] = []string{formatTarget(c.target-c.proxy.config.Clock(), span)}
 	}
 }
