The faster of two endpoints is filled first

Change: two endpoints are compared by the expected time to answer: a call waits only where all slots are taken.

--- a/internal/core/endpoint/endpoint.go
+++ b/internal/core/endpoint/endpoint.go
@@ -213,17 +213,22 @@
 }
 
 // lessLoaded tells whether a call is expected to be done here no later than at
-// another endpoint: by load, and by service times where both are known.
+// another endpoint: by service times where both are known, and by load. A call
+// waits only where all slots are taken, so below that load costs no time.
 func (e *Endpoint) lessLoaded(other *Endpoint, now time.Duration) bool {
 	mine := e.load(now)
 	theirs := other.load(now)
 	myService := e.stats.service.Load()
 	theirService := other.stats.service.Load()
-	if myService > 0 && theirService > 0 {
-		mine *= float64(max(myService, theirService/serviceRatio))
-		theirs *= float64(max(theirService, myService/serviceRatio))
+	if myService <= 0 || theirService <= 0 {
+		return mine <= theirs
 	}
-	return mine <= theirs
+	myTime := max(mine, 1) * float64(max(myService, theirService/serviceRatio))
+	theirTime := max(theirs, 1) * float64(max(theirService, myService/serviceRatio))
+	if myTime == theirTime {
+		return mine <= theirs
+	}
+	return myTime < theirTime
 }
 
 // freshness falls from 1 to 0 over the life of a report.
--- a/internal/core/endpoint/endpoint_test.go
+++ b/internal/core/endpoint/endpoint_test.go
@@ -113,6 +113,23 @@
 	check.Equal(set.All[0].Outstanding(), 10)
 }
 
+// TestFasterEndpointFillsFirst: a call waits only where all slots are taken, so the
+// faster one is better until then, and the less loaded of two alike.
+func TestFasterEndpointFillsFirst(t *testing.T) {
+	check := is.New(t)
+	backends, members := fixture(sameZone(2)...)
+	set := Build(nil, home, backends, members, 0)
+	set.All[0].Learn(0, Report{Own: -1, Service: 20 * time.Millisecond})
+	set.All[1].Learn(0, Report{Own: -1, Service: 10 * time.Millisecond})
+	random := rand.New(rand.NewPCG(9, 9))
+	for range 6 {
+		set.Choose(0, random.Uint64(), nil).Begin()
+	}
+	check.Equal(set.All[1].Outstanding(), 6)
+	set.All[0].Learn(0, Report{Own: -1, Service: 10 * time.Millisecond})
+	check.Equal(spread(set, 0, 50), map[string]int{"b0": 50})
+}
+
 func TestRefusalForLoadSendsCallsElsewhere(t *testing.T) {
 	check := is.New(t)
 	backends, members := fixture(home.Zone, "olympia-hall")
