Large bodies come to a gate two at a time, before the call asks for a slot

Change: a body of 16 KB or more waits at its sender until the gate takes it (Expect: 100-continue, which bodies too large to keep used before); a gate takes two at a time and whole, refuses at once what would wait longer than 0.3 of the call's time, and reports bodies that wait as load.

--- a/internal/core/admission/call.go
+++ b/internal/core/admission/call.go
@@ -24,6 +24,9 @@
 	// calls of its kind; it tells short calls from long ones.
 	Target     time.Duration
 	TargetSpan time.Duration
+	// Patient calls are not refused for their target: to send them elsewhere is
+	// dearer than that they end late.
+	Patient bool
 	// Request identifies the attempt; 0 means that it has no id.
 	Request Fingerprint
 	// Key identifies the operation; 0 means that it has no key.
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -287,8 +287,8 @@
 		outgoing.Body = c.body.open()
 		outgoing.ContentLength = c.request.ContentLength
 		outgoing.Trailer = c.request.Trailer
-		if outgoing.ContentLength < 0 || outgoing.ContentLength > int64(c.proxy.limits.ReplayBytes) {
-			// A body that can't be sent again waits until the call has a slot.
+		if c.body.isLarge() {
+			// It waits until the gate takes it.
 			header.Set("Expect", "100-continue")
 		}
 	}
@@ -320,7 +320,7 @@
 	if mark {
 		header[headerNoRetry] = []string{"1"}
 	}
-	if span := c.route.Resource.Target; span > 0 && !c.carriesMuch() {
+	if span := c.route.Resource.Target; span > 0 {
 		header[headerTarget] = []string{formatTarget(c.target-c.proxy.config.Clock(), span)}
 	}
 }
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -37,7 +37,7 @@
 	defer p.leave(&p.gateRunning)
 	control, body := p.begin(writer, request)
 	defer body.finish()
-	call, refusal, accepted := p.acceptGateCall(request)
+	call, refusal, accepted := p.acceptGateCall(request, body)
 	if !accepted {
 		p.traceTurnedAway(request, refusal)
 		p.refuse(writer, body, refusal)
@@ -48,7 +48,6 @@
 	call.context = ctx
 	call.writer = writer
 	call.control = control
-	call.body = body
 	call.run()
 }
 
@@ -77,7 +76,7 @@
 
 // acceptGateCall checks that the call is for this back end as its sender knows
 // it.
-func (p *Proxy) acceptGateCall(request *http.Request) (*gateCall, Refusal, bool) {
+func (p *Proxy) acceptGateCall(request *http.Request, body *upload) (*gateCall, Refusal, bool) {
 	header := request.Header
 	mine := p.gate != nil && header.Get(headerHop) == hopGate &&
 		header.Get(headerBackend) == p.instance() &&
@@ -91,7 +90,7 @@
 	if refusal, fine := p.checkForm(request); !fine {
 		return nil, refusal, false
 	}
-	call := &gateCall{proxy: p, request: request, timeout: routing.DefaultTimeout, backend: header.Get(headerBackend)}
+	call := &gateCall{proxy: p, request: request, body: body, timeout: routing.DefaultTimeout, backend: header.Get(headerBackend)}
 	if stated, found := statedTimeout(header); found {
 		call.timeout = stated
 	}
@@ -119,6 +118,7 @@
 		// One that has passed is still a target: 0 means none.
 		call.Target = max(c.proxy.config.Clock()+left, 1)
 		call.TargetSpan = span
+		call.Patient = c.body.isLarge()
 	}
 	if c.proxy.config.Baseline.UnboundedQueue {
 		call.Partner = ""
@@ -130,6 +130,11 @@
 // run admits the call, sends it to the back end and passes the answer on.
 func (c *gateCall) run() {
 	came := c.proxy.config.Clock()
+	if refusal, received := c.receive(); !received {
+		c.traceGate("gate_refused", refusal.Code, 0, c.proxy.config.Clock()-came, 0)
+		c.refuse(refusal)
+		return
+	}
 	verdict := c.admit()
 	waited := c.proxy.config.Clock() - came
 	if verdict.State != admission.StateStarted {
@@ -339,7 +344,9 @@
 // loadText is the load header's value now.
 func (p *Proxy) loadText() string {
 	load := p.gate.Load()
-	report := endpoint.Report{Running: load.Running, Queued: load.Queued, Service: p.gate.MeanService()}
+	service := p.gate.MeanService()
+	queued := load.Queued + p.transfers.asQueued(load.Slots, service)
+	report := endpoint.Report{Running: load.Running, Queued: queued, Service: service}
 	report.Own, report.OwnAge = p.health.ownLoad()
 	return formatLoad(report)
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -31,9 +31,10 @@
 	servingUntil atomic.Int64
 
 	// gate and backend are nil when there is no back end beside the daemon.
-	gate    *admission.Gate
-	backend *upstream
-	health  *health
+	gate      *admission.Gate
+	transfers *transfers
+	backend   *upstream
+	health    *health
 
 	incarnations   incarnations
 	reported       reportedBackend
@@ -95,6 +96,7 @@
 	p.backend = newUpstream(p.config.BackendAddress, p.limits, p.limits.BackendIdle)
 	p.backend.linger = p.limits.CancelWait
 	p.backend.takesUnframed = p.config.Edge != nil
+	p.transfers = newTransfers()
 	p.health = newHealth(p)
 	if p.config.Reported {
 		p.gate.Drain() // until the back end reports
--- a/internal/proxy/target.go
+++ b/internal/proxy/target.go
@@ -6,16 +6,6 @@
 	"time"
 )
 
-// largeBody is the length of a request's body, in bytes, from which on its target is
-// not heeded. To be refused and sent on costs its bytes once more, mostly between
-// zones, which is dearer than that the answer comes late.
-const largeBody = 16 << 10
-
-// carriesMuch tells whether the call has a large body, or one of unknown length.
-func (c *callerCall) carriesMuch() bool {
-	return c.body != nil && (c.body.declared < 0 || c.body.declared >= largeBody)
-}
-
 // formatTarget writes headerTarget: what is left until an answer is late, which
 // may be negative, and the whole span that the route states, in milliseconds.
 func formatTarget(left, span time.Duration) string {
--- /dev/null
+++ b/internal/proxy/transfer.go
@@ -0,0 +1,95 @@
+package proxy
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/springstack/springstack/internal/result"
+)
+
+const (
+	// transferLimit bounds the large bodies that a gate receives at a time. More at
+	// once would not come sooner, and all else that comes to the machine, such as
+	// news of a configuration, would queue behind them on a slow link.
+	transferLimit = 2
+	// transferShare is the most of a call's remaining time that its body may be
+	// expected to wait before it is sent.
+	transferShare = 0.3
+	// transferWeight is the weight of a new value in the mean time of a transfer.
+	transferWeight = 1.0 / 8
+)
+
+// transfers lets large bodies come to a gate a few at a time. Their senders wait
+// with the body until they are told to continue.
+type transfers struct {
+	tokens  chan struct{}
+	waiting atomic.Int64
+	// mean is the moving mean of the time that a body takes, in nanoseconds.
+	mean atomic.Int64
+}
+
+func newTransfers() *transfers {
+	return &transfers{tokens: make(chan struct{}, transferLimit)}
+}
+
+// expectedWait is how long one more body is expected to wait.
+func (t *transfers) expectedWait() time.Duration {
+	return time.Duration(t.waiting.Load() * t.mean.Load() / transferLimit)
+}
+
+// asQueued is the number of calls that would make the next one wait for a slot as
+// long as it would wait for its body: what the gate reports as its load.
+func (t *transfers) asQueued(slots int, service time.Duration) int {
+	waiting := int(t.waiting.Load())
+	if service <= 0 {
+		return waiting
+	}
+	return max(waiting, int(t.expectedWait()*time.Duration(slots)/service))
+}
+
+// await waits until a body may come; false means that ctx has ended before.
+func (t *transfers) await(ctx context.Context) bool {
+	t.waiting.Add(1)
+	defer t.waiting.Add(-1)
+	select {
+	case t.tokens <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// done ends a transfer that took a time.
+func (t *transfers) done(took time.Duration) {
+	<-t.tokens
+	mean := t.mean.Load()
+	next := int64(took)
+	if mean > 0 {
+		next = mean + int64(float64(next-mean)*transferWeight)
+	}
+	t.mean.Store(next)
+}
+
+// receive takes in a large body whole before the call asks for a slot, so that a
+// slow link holds no slot. It refuses the call when that would take too long.
+func (c *gateCall) receive() (Refusal, bool) {
+	if !c.body.isLarge() {
+		return Refusal{}, true
+	}
+	transfers := c.proxy.transfers
+	now := c.proxy.config.Clock()
+	if wait := transfers.expectedWait(); float64(wait) > transferShare*float64(c.deadline-now) {
+		return Refusal{Code: result.QueueFull, RetryAfter: wait}, false
+	}
+	if !transfers.await(c.context) {
+		return Refusal{Code: c.endCode()}, false
+	}
+	began := c.proxy.config.Clock()
+	err := c.body.preload(c.context)
+	transfers.done(c.proxy.config.Clock() - began)
+	if err != nil {
+		return unsentRefusal(c.context, err), false
+	}
+	return Refusal{}, true
+}
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -19,6 +19,12 @@
 	errBodyGone     = errors.ConstError("the request's body can't be sent again")
 )
 
+// largeBody is the length, in bytes, from which on a body is large: it is sent to a
+// gate only when that takes it, and its call's target is not heeded there. To be
+// refused and sent on costs its bytes once more, mostly between zones, which is
+// dearer than that the answer comes late.
+const largeBody = 16 << 10
+
 const (
 	// discardWait and discardBytes bound the rest of a body that nobody wants;
 	// it is read so that closing its connection does not reset it before the
@@ -104,6 +110,11 @@
 	return cmp.Or(u.failure, ctx.Err())
 }
 
+// isLarge tells whether the body is large or of unknown length.
+func (u *upload) isLarge() bool {
+	return u != nil && (u.declared < 0 || u.declared >= largeBody)
+}
+
 // replayable tells whether the body can be read from its start. It can't while
 // an attempt that was given up is still reading.
 func (u *upload) replayable() bool {
