After a refusal for load only gates that have not refused lately are asked

Cause: a call that a full gate refused was sent on to up to four others, though the daemon had just been refused there: bytes, processor time, and a refusal that comes late.

--- a/internal/core/endpoint/endpoint.go
+++ b/internal/core/endpoint/endpoint.go
@@ -247,12 +247,17 @@
 	if e.Doubted {
 		load++
 	}
-	if int64(now) < e.stats.refusingUntil.Load() {
+	if e.refusing(now) {
 		load += refusalLoad
 	}
 	return load
 }
 
+// refusing tells whether the gate has just refused a call for load.
+func (e *Endpoint) refusing(now time.Duration) bool {
+	return int64(now) < e.stats.refusingUntil.Load()
+}
+
 // share rises from coldShare to 1 while the endpoint warms up.
 func (e *Endpoint) share(now time.Duration) float64 {
 	age := now - time.Duration(e.stats.readyAt.Load())
--- a/internal/core/endpoint/endpoint_test.go
+++ b/internal/core/endpoint/endpoint_test.go
@@ -294,3 +294,18 @@
 	set.All[5].End(time.Hour, Unreachable) // what this process met itself is heeded all the same
 	check.Equal(len(spread(set, time.Hour, 600)), 5)
 }
+
+// TestOthersThatRefuseAreNotAsked: an endpoint that has just refused a call for load
+// counts as none that might take another, for a while.
+func TestOthersThatRefuseAreNotAsked(t *testing.T) {
+	check := is.New(t)
+	backends, members := fixture(sameZone(2)...)
+	set := Build(nil, home, backends, members, 0)
+	tried := Tried{set.All[0]}
+	check.True(set.OthersTaking(0, tried))
+	set.All[1].Begin()
+	set.All[1].End(0, Full)
+	check.True(!set.OthersTaking(0, tried))
+	check.True(set.Others(0, tried))
+	check.True(set.OthersTaking(refusalLife, tried))
+}
--- a/internal/core/endpoint/set.go
+++ b/internal/core/endpoint/set.go
@@ -208,6 +208,19 @@
 	return false
 }
 
+// OthersTaking tells whether an endpoint is left that was not tried and has not
+// lately refused a call for load.
+func (s *Set) OthersTaking(now time.Duration, tried Tried) bool {
+	for _, tier := range s.tiers {
+		for _, candidate := range tier {
+			if !tried.has(candidate) && !candidate.leaving(now) && !candidate.refusing(now) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // keyedHash mixes a key with a back end's name for rendezvous hashing.
 func keyedHash(key uint64, backend string) uint64 {
 	mixed := xxhash.Sum64String(backend) ^ key
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -130,6 +130,10 @@
 		return
 	case answer.Header.Get(headerCode) != "":
 		c.judgeRefusal(made, answer)
+		if made.evidence == endpoint.Full && !made.outcome.Arrived {
+			// To ask gates that have just refused others would burden them for nothing.
+			made.outcome.Others = set.OthersTaking(now, c.tried)
+		}
 	default:
 		made.outcome.Kind = retry.Answered
 		made.evidence = endpoint.Fine
