--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -66,6 +66,10 @@
 	metrics.GateCalls.Send(out, float64(counters.GateCalls))
 	metrics.Attempts.Send(out, float64(counters.Attempts))
 	metrics.Retries.Send(out, float64(counters.Retries))
+	metrics.CallsAhead.Send(out, float64(counters.Ahead))
+	metrics.AheadDepth.Send(out, float64(counters.AheadDepth))
+	metrics.AheadBytes.Send(out, float64(counters.AheadBytes))
+	metrics.BodiesWaiting.Send(out, float64(counters.BodiesWaiting))
 	metrics.GateRunning.Send(out, float64(counters.GateRunning))
 	metrics.GateQueued.Send(out, float64(counters.GateQueued))
 	for code, count := range counters.Refusals {
--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -105,6 +105,7 @@
 		Trace:                d.requests,
 		Timings: proxy.Timings{
 			Caller:  d.timings.Caller.Seconds,
+			Turn:    d.timings.Turn.Seconds,
 			Queue:   d.timings.Queue.Seconds,
 			Backend: d.timings.Backend.Seconds,
 		},
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -130,6 +130,8 @@
 		"An answer broke off on its way to the caller, whose connection was broken.", "If there are many: look at the links, and at the back end named."},
 	{"request_refused", log.InfoLevel,
 		"A caller got a final refusal; ran tells whether the request may have run.", "Look the code up in RESULT-CODES.md."},
+	{"request_turn", log.InfoLevel,
+		"A request waited for its turn behind others of its connection, for a second or as one of the sample; ahead tells whether it ran meanwhile.", nothing},
 	{"request_turned_away", log.InfoLevel,
 		"A request was refused before any attempt: it did not run.", "Code 400: no such route in the version in force; 401: no configuration yet."},
 	{"requests_summary", log.InfoLevel,
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -46,6 +46,17 @@
 	Retries = define(Counter, "retries_total",
 		"Sendings after a call's first.",
 		"A share of attempts_total above a tenth: an endpoint or a zone is failing.")
+	CallsAhead = define(Counter, "calls_ahead_total",
+		"Callers' requests that ran before their turn on a connection.", "")
+	AheadDepth = define(Gauge, "calls_ahead_deepest",
+		"The most requests of one connection that have run before their turn at a time.",
+		"At its bound: callers send more at once than run side by side.")
+	AheadBytes = define(Gauge, "calls_ahead_held_bytes",
+		"Answers held until their turn, in bytes.",
+		"Near its bound: callers read slowly, or wait behind slow requests.")
+	BodiesWaiting = define(Gauge, "gate_bodies_waiting",
+		"Large request bodies that wait to be sent to this gate.",
+		"Above 0 for long: the machine's link is full.")
 	GateRunning = define(Gauge, "gate_running",
 		"Calls that hold a slot of the back end.",
 		"At the number of slots for long: the back end is full.")
--- a/internal/metrics/timings.go
+++ b/internal/metrics/timings.go
@@ -11,6 +11,9 @@
 	callerSeconds = define(Histogram, "caller_seconds",
 		"Time of a caller's request at this daemon, in seconds.",
 		"Its upper quantiles, against gate_queue_seconds and backend_seconds, tell where time goes.")
+	turnSeconds = define(Histogram, "turn_seconds",
+		"Time for which a caller's request waited behind others of its connection, in seconds.",
+		"Long times: callers send requests one behind another that may not run side by side.")
 	queueSeconds = define(Histogram, "gate_queue_seconds",
 		"Wait of a call for a slot of the back end, in seconds.",
 		"Long waits: the back end has more work than slots.")
@@ -31,6 +34,7 @@
 // Timings are the histograms of one daemon.
 type Timings struct {
 	Caller  Timing
+	Turn    Timing
 	Queue   Timing
 	Backend Timing
 }
@@ -39,6 +43,7 @@
 func NewTimings() Timings {
 	return Timings{
 		Caller:  callerSeconds.newTiming(),
+		Turn:    turnSeconds.newTiming(),
 		Queue:   queueSeconds.newTiming(),
 		Backend: backendSeconds.newTiming(),
 	}
@@ -46,7 +51,7 @@
 
 // Collectors are the histograms for a registry.
 func (t Timings) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{t.Caller.histogram, t.Queue.histogram, t.Backend.histogram}
+	return []prometheus.Collector{t.Caller.histogram, t.Turn.histogram, t.Queue.histogram, t.Backend.histogram}
 }
 
 func (d *Definition) newTiming() Timing {
--- a/internal/proxy/ahead.go
+++ b/internal/proxy/ahead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/springstack/springstack/internal/pipeline"
@@ -67,6 +68,29 @@
 	call.Replay(writer)
 }
 
+// longWait is a wait for a request's turn that is always logged.
+const longWait = time.Second
+
+// waited notes how long a request has waited behind others of its connection.
+func (s *side) waited(request *http.Request, waited time.Duration, ahead bool) {
+	if waited <= 0 {
+		return
+	}
+	p := s.proxy
+	observe(p.config.Timings.Turn, waited)
+	id := p.requestID(request.Header)
+	if waited < longWait && !sampled(id) {
+		return
+	}
+	p.traced("request_turn", func() []EventField {
+		return []EventField{
+			textField("request", id),
+			textField("waited_ms", millis(waited)),
+			textField("ahead", strconv.FormatBool(ahead)),
+		}
+	})
+}
+
 // closesAfter tells whether a connection is closed after the answer to its
 // current request: when the daemon drains, and no request behind it has run ahead.
 func (p *Proxy) closesAfter(request *http.Request) bool {
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -22,6 +22,8 @@
 	Ahead      uint64
 	AheadDepth int
 	AheadBytes int64
+	// BodiesWaiting are the large bodies that wait to be sent to the gate now.
+	BodiesWaiting int
 	// CallerRunning, GateRunning and GateQueued are the calls now.
 	CallerRunning int
 	GateRunning   int
@@ -75,6 +77,7 @@
 		load := p.gate.Load()
 		counters.GateRunning = load.Running
 		counters.GateQueued = load.Queued
+		counters.BodiesWaiting = int(p.transfers.waiting.Load())
 		counters.GateService = p.gate.MeanService()
 	}
 	for code := range p.tally.refusals {
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -45,8 +45,10 @@
 		if conn.ahead != nil {
 			call, waited := conn.ahead.Begin(request)
 			defer conn.ahead.End()
+			callers := handler.(*side)
+			callers.waited(request, waited, call != nil)
 			if call != nil {
-				handler.(*side).replay(writer, request, call)
+				callers.replay(writer, request, call)
 				return
 			}
 			request = withWait(request, waited)
--- a/internal/proxy/trace.go
+++ b/internal/proxy/trace.go
@@ -23,6 +23,8 @@
 type Timings struct {
 	// Caller is the whole time of a caller's request.
 	Caller func(time.Duration)
+	// Turn is the wait of a caller's request behind others of its connection.
+	Turn func(time.Duration)
 	// Queue is the wait for a slot at the gate.
 	Queue func(time.Duration)
 	// Backend is the time from the sending to the back end until its answer.
