A large body whose wait would make its call late is refused unsent

Change: as long as the body has not been sent, a call that can't make its target for it is refused, by the mean of transfers and the long service time.

--- a/internal/core/admission/mean.go
+++ b/internal/core/admission/mean.go
@@ -65,9 +65,9 @@
 	return cmp.Or(g.kinds[kind(call)].mean.value(), g.meanService())
 }
 
-// longServiceOf is how long a call may well run: somewhat longer than others of its
-// kind in the mean.
-func (g *Gate) longServiceOf(call *Call) time.Duration {
+// LongServiceOf is how long a call may well run: somewhat longer than others of its
+// kind in the mean; 0 when that is not known.
+func (g *Gate) LongServiceOf(call *Call) time.Duration {
 	return g.serviceOf(call) + g.kinds[kind(call)].deviation.value()
 }
 
--- a/internal/core/admission/target.go
+++ b/internal/core/admission/target.go
@@ -68,5 +68,5 @@
 	if ticket.Target <= 0 || ticket.Patient || float64(service) < shortShare*float64(g.meanService()) {
 		return 0
 	}
-	return max(start+g.longServiceOf(&ticket.Call)-ticket.Target, 0)
+	return max(start+g.LongServiceOf(&ticket.Call)-ticket.Target, 0)
 }
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -33,6 +33,9 @@
 	return &transfers{tokens: make(chan struct{}, transferLimit)}
 }
 
+// meanTime is how long a body takes.
+func (t *transfers) meanTime() time.Duration { return time.Duration(t.mean.Load()) }
+
 // expectedWait is how long one more body is expected to wait.
 func (t *transfers) expectedWait() time.Duration {
 	return time.Duration(t.waiting.Load() * t.mean.Load() / transferLimit)
@@ -71,6 +74,17 @@
 	t.mean.Store(next)
 }
 
+// lateAfter is by how much a call is expected to miss its target because its body
+// waits; 0 when it does not miss it, or hardly waits. As long as the body has not been
+// sent, to go elsewhere costs little.
+func (c *gateCall) lateAfter(now, wait time.Duration) time.Duration {
+	if c.ticket.Target <= 0 || wait <= c.proxy.transfers.meanTime() {
+		return 0
+	}
+	service := c.proxy.gate.LongServiceOf(&c.ticket.Call)
+	return max(now+wait+c.proxy.transfers.meanTime()+service-c.ticket.Target, 0)
+}
+
 // receive takes in a large body whole before the call asks for a slot, so that a
 // slow link holds no slot. It refuses the call when that would take too long.
 func (c *gateCall) receive() (Refusal, bool) {
@@ -79,9 +93,13 @@
 	}
 	transfers := c.proxy.transfers
 	now := c.proxy.config.Clock()
-	if wait := transfers.expectedWait(); float64(wait) > transferShare*float64(c.deadline-now) {
+	wait := transfers.expectedWait()
+	if float64(wait) > transferShare*float64(c.deadline-now) {
 		return Refusal{Code: result.QueueFull, RetryAfter: wait}, false
 	}
+	if late := c.lateAfter(now, wait); late > 0 {
+		return Refusal{Code: result.QueueFull, RetryAfter: late}, false
+	}
 	if !transfers.await(c.context) {
 		return Refusal{Code: c.endCode()}, false
 	}
--- a/internal/proxy/transfer_test.go
+++ b/internal/proxy/transfer_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/springstack/springstack/internal/core/resource"
 )
 
 // TestLargeBodiesComeFewAtATime: a gate tells only some senders at once to go on,
@@ -45,14 +46,27 @@
 	check.Equal(len(transfers.tokens), 0)
 }
 
-// TestABodyThatWouldComeTooLateIsRefusedUnsent: at once, as not run.
+// TestABodyThatWouldComeTooLateIsRefusedUnsent: at once, as not run; too late for
+// its deadline, or for its route's target.
 func TestABodyThatWouldComeTooLateIsRefusedUnsent(t *testing.T) {
+	for name, route := range map[string]func(*resource.Route){
+		"deadline": nil,
+		"target":   func(route *resource.Route) { route.Target = time.Second },
+	} {
+		t.Run(name, func(t *testing.T) { refusesUnsent(t, route) })
+	}
+}
+
+func refusesUnsent(t *testing.T, route func(*resource.Route)) {
 	check := is.New(t)
 	var runs atomic.Int64
-	mesh := startMesh(t, meshOptions{}, counting(&runs))
+	mesh := startMesh(t, meshOptions{route: route}, counting(&runs))
 	transfers := mesh.gates[0].transfers
+	transfers.waiting.Add(4)
 	transfers.mean.Store(int64(time.Minute))
-	transfers.waiting.Add(1)
+	if route != nil {
+		transfers.mean.Store(int64(800 * time.Millisecond)) // within the deadline's share
+	}
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+mesh.address+"/",
 		strings.NewReader(strings.Repeat("x", largeBody)))
 	check.NoErr(err)
