--- a/cmd/springstack-lab/experiment.go
+++ b/cmd/springstack-lab/experiment.go
@@ -21,6 +21,7 @@
 			convergenceCommand(),
 			scaleCommand(),
 			requestPathCommand(),
+			pipeliningCommand(),
 			overloadCommand(),
 			rollingCommand(),
 			faultsCommand(),
