The run of real processes allows for a change of unknown outcome that lands late

Change 4 had ended as outcome_unknown (its reader was paused) and change 5 was accepted as 9; then change 4 was accepted, as 10 or 12, and replaced the file. That is what an unknown outcome means, so the check was wrong: it took any daemon without the route of change 5 for one that serves an older version. Change, as strict: if a daemon lacks the current route, the changes of unknown outcome are looked for there; if one is found, every daemon must have that one, those too that had the other, or it counts as older.

--- a/internal/lab/processes/run.go
+++ b/internal/lab/processes/run.go
@@ -47,6 +47,11 @@
 	// the newest one known to be accepted.
 	marker   int
 	accepted uint64
+	// current is the marker of the change that should be in force. doubted are
+	// those of changes whose outcome is not known: each may be accepted at any later
+	// time, also after a newer one.
+	current int
+	doubted []int
 	// certain is set while the newest change is known to be accepted.
 	certain bool
 	client  *http.Client
@@ -195,8 +200,11 @@
 		judge.Answered(at, change.Operation, oracle.Answer{Code: answer.Code, Version: answer.Version})
 	})
 	r.certain = answer.Code == result.OK
+	r.current = r.marker
 	if r.certain {
 		r.accepted = answer.Version
+	} else {
+		r.doubted = append(r.doubted, r.marker)
 	}
 }
 
@@ -223,22 +231,42 @@
 	r.journal.with(func(judge *oracle.Oracle, at time.Duration) {
 		judge.ToldInForce(at, "operator", status.InForce)
 	})
+	older := r.probeAll(ctx)
+	if len(older) > 0 && r.findLate(ctx, older[0]) {
+		// All daemons must have that change then, those that had the other one too.
+		older = r.probeAll(ctx)
+	}
+	for _, d := range older {
+		r.journal.with(func(judge *oracle.Oracle, at time.Duration) {
+			judge.ServedOlder(at, d.name(), r.accepted)
+		})
+	}
+}
+
+// probeAll calls the route of the current change on every daemon and returns those
+// that know no such route: they serve an older version.
+func (r *run) probeAll(ctx context.Context) (older []*daemonProcess) {
 	for _, d := range r.daemons {
-		if d.running() && d != r.paused {
-			r.probe(ctx, d)
+		if d.running() && d != r.paused && r.send(ctx, d).Code == result.NoRoute {
+			older = append(older, d)
 		}
 	}
+	return older
 }
 
-// probe calls the route of the newest accepted change. A daemon that knows no
-// such route serves an older version.
-func (r *run) probe(ctx context.Context, d *daemonProcess) {
-	answer := r.send(ctx, d)
-	if answer.Code == result.NoRoute {
-		r.journal.with(func(judge *oracle.Oracle, at time.Duration) {
-			judge.ServedOlder(at, d.name(), r.accepted)
-		})
+// findLate looks on a daemon for a change of unknown outcome that has been accepted
+// after the current one, and makes it the current one.
+func (r *run) findLate(ctx context.Context, d *daemonProcess) bool {
+	expected := r.current
+	for _, marker := range r.doubted {
+		r.current = marker
+		if r.send(ctx, d).Code == result.OK {
+			r.options.Report("change %d, of unknown outcome, came after change %d", marker, expected)
+			return true
+		}
 	}
+	r.current = expected
+	return false
 }
 
 // call makes one call through a random daemon.
@@ -300,7 +328,7 @@
 
 func (r *run) exchange(ctx context.Context, d *daemonProcess, id string) oracle.Outcome {
 	unknown := oracle.Outcome{Code: result.Unreachable, Ran: result.RanUnknown}
-	url := "http://" + d.callers + "/" + markerText(r.marker)
+	url := "http://" + d.callers + "/" + markerText(r.current)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
 	if err != nil {
 		return unknown
