--- /dev/null
+++ b/internal/core/admission/target_test.go
@@ -0,0 +1,165 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// targeted is a call whose answer is wanted within a span from now.
+func targeted(now, span time.Duration) Call {
+	return Call{Deadline: now + time.Hour, Target: now + span, TargetSpan: span}
+}
+
+// teachKind gives a gate the service time of calls with a target.
+func teachKind(gate *Gate, now, span, service time.Duration) {
+	first := offer(gate, now, targeted(now, span))
+	gate.Done(now+service, first.ticket, true)
+}
+
+// TestWhatCannotMakeItsTargetIsRefusedAtOnce: though its deadline is far, and with
+// the time after which another attempt may make it.
+func TestWhatCannotMakeItsTargetIsRefusedAtOnce(t *testing.T) {
+	check := is.New(t)
+	gate := New(0, testConfig(1))
+	const span = 250 * time.Millisecond
+	teachKind(gate, 0, span, 100*time.Millisecond)
+	now := time.Second
+	check.Equal(offer(gate, now, targeted(now, span)).state, StateStarted)
+	check.Equal(offer(gate, now, targeted(now, span)).state, StateQueued) // in 100 ms
+	waiter := &record{}
+	verdict := gate.Admit(now, NewTicket(targeted(now, span), waiter))
+	check.Equal(verdict.Code, result.QueueFull) // would end after 300 ms
+	check.Equal(verdict.RetryAfter, 50*time.Millisecond)
+	check.Equal(offer(gate, now, Call{}).state, StateQueued) // no target, so it may wait
+}
+
+// TestATargetAllowsForSlowerCallsThanTheMean: where service times differ, less is
+// admitted than the mean alone would let in.
+func TestATargetAllowsForSlowerCallsThanTheMean(t *testing.T) {
+	check := is.New(t)
+	const span = 300 * time.Millisecond
+	steady, varied := New(0, testConfig(1)), New(0, testConfig(1))
+	for range 64 {
+		teachKind(steady, 0, span, 100*time.Millisecond)
+		teachKind(varied, 0, span, 20*time.Millisecond)
+		teachKind(varied, 0, span, 180*time.Millisecond)
+	}
+	for _, gate := range []*Gate{steady, varied} {
+		offer(gate, 0, targeted(0, span))
+		offer(gate, 0, targeted(0, span))
+	}
+	check.Equal(offer(steady, 0, targeted(0, span)).state, StateQueued)
+	check.Equal(offer(varied, 0, targeted(0, span)).code, result.QueueFull)
+}
+
+// TestEarliestStartGoesFirst: within a class the call that must start first does.
+func TestEarliestStartGoesFirst(t *testing.T) {
+	check := is.New(t)
+	gate := New(0, testConfig(1))
+	holder := offer(gate, 0, Call{})
+	late := offer(gate, 0, targeted(0, 500*time.Millisecond))
+	soon := offer(gate, 1, targeted(1, 120*time.Millisecond))
+	high := Call{Deadline: time.Hour, Target: time.Second, TargetSpan: time.Second, Priority: resource.PriorityHigh}
+	urgent := offer(gate, 2, high)
+	gate.Done(3, holder.ticket, true)
+	check.Equal(urgent.waiter.last().State, StateStarted)
+	gate.Done(4, urgent.ticket, true)
+	check.Equal(soon.waiter.last().State, StateStarted)
+	gate.Done(5, soon.ticket, true)
+	check.Equal(late.waiter.last().State, StateStarted)
+}
+
+// TestALateCallMakesRoomForOthersOnly: one that can't make its target any more when
+// its turn comes runs if nobody waits behind it.
+func TestALateCallMakesRoomForOthersOnly(t *testing.T) {
+	check := is.New(t)
+	const span = 200 * time.Millisecond
+	for _, others := range []bool{false, true} {
+		gate := New(0, testConfig(1))
+		teachKind(gate, 0, span, 50*time.Millisecond)
+		holder := offer(gate, 0, targeted(0, span))
+		waiting := offer(gate, 0, targeted(0, span))
+		behind := Call{Deadline: time.Hour, Target: 10 * time.Second, TargetSpan: span}
+		if others {
+			check.Equal(offer(gate, 0, behind).state, StateQueued)
+		}
+		gate.Done(190*time.Millisecond, holder.ticket, true)
+		if others {
+			check.Equal(waiting.waiter.last().Code, result.QueueFull)
+		} else {
+			check.Equal(waiting.waiter.last().State, StateStarted)
+		}
+	}
+}
+
+// TestShortCallsAreNotRefusedForTheirTarget: they cost little, and who makes them
+// fails without them.
+func TestShortCallsAreNotRefusedForTheirTarget(t *testing.T) {
+	check := is.New(t)
+	gate := New(0, testConfig(1))
+	const short, long = 60 * time.Millisecond, 500 * time.Millisecond
+	for range 64 {
+		teachKind(gate, 0, short, 20*time.Millisecond)
+		teachKind(gate, 0, long, 200*time.Millisecond)
+	}
+	offer(gate, 0, targeted(0, long))
+	check.Equal(offer(gate, 0, targeted(0, short)).state, StateQueued)
+	check.Equal(offer(gate, 0, targeted(0, short)).state, StateQueued) // late, but soon done
+}
+
+// TestWhatOthersPushBehindIsRefusedEarly: a call that waits is refused as soon as
+// later ones that go first leave it no time for its target, not when its turn comes.
+func TestWhatOthersPushBehindIsRefusedEarly(t *testing.T) {
+	check := is.New(t)
+	gate := New(0, testConfig(1))
+	const span = 400 * time.Millisecond
+	teachKind(gate, 0, span, 100*time.Millisecond)
+	offer(gate, 0, targeted(0, span))
+	pushed := targeted(0, span)
+	pushed.Target -= 50 * time.Millisecond
+	waiting := offer(gate, 0, pushed)
+	check.Equal(waiting.state, StateQueued)
+	for range 2 {
+		sooner := targeted(0, span)
+		sooner.Target -= 60 * time.Millisecond
+		check.Equal(offer(gate, 0, sooner).state, StateQueued)
+	}
+	check.Equal(waiting.waiter.last().Code, result.QueueFull)
+	check.True(waiting.waiter.last().RetryAfter > 0)
+}
+
+// TestWaitsAreReckonedAsTheyTurnOut: where calls wait longer than those ahead of
+// them made expect, fewer are let in.
+func TestWaitsAreReckonedAsTheyTurnOut(t *testing.T) {
+	check := is.New(t)
+	gate := New(0, testConfig(1))
+	const span = 400 * time.Millisecond
+	for range 64 {
+		teachKind(gate, 0, span, 100*time.Millisecond)
+	}
+	admitted := func() (queued int) {
+		holder := offer(gate, 0, targeted(0, span))
+		var waiting []*offered
+		for one := offer(gate, 0, targeted(0, span)); one.state == StateQueued; one = offer(gate, 0, targeted(0, span)) {
+			waiting = append(waiting, one)
+		}
+		for _, one := range waiting {
+			gate.Cancel(one.ticket)
+		}
+		gate.Done(100*time.Millisecond, holder.ticket, true)
+		return len(waiting)
+	}
+	before := admitted()
+	for range 64 {
+		holder := offer(gate, 0, targeted(0, span))
+		late := offer(gate, 0, targeted(0, span))
+		gate.Done(200*time.Millisecond, holder.ticket, false) // twice as long as calls run
+		check.Equal(late.waiter.last().State, StateStarted)
+		gate.Done(300*time.Millisecond, late.ticket, true)
+	}
+	check.True(before > admitted())
+}
--- /dev/null
+++ b/internal/pipeline/ahead.go
@@ -0,0 +1,115 @@
+package pipeline
+
+import (
+	"net"
+	"os"
+	"time"
+)
+
+// chunkBytes is how much is read ahead at a time.
+const chunkBytes = 4 << 10
+
+// readAhead reads on until the connection fails or the read deadline passes. It
+// returns no bytes: they are kept for when the server reads the next request.
+func (c *Conn) readAhead(probe []byte) (int, error) {
+	into := probe
+	for {
+		c.startCalls()
+		if err := c.awaitRoom(); err != nil {
+			return 0, err
+		}
+		count, err := c.Conn.Read(into)
+		c.keep(into[:count], err)
+		if err != nil {
+			return 0, err
+		}
+		if len(into) < chunkBytes {
+			into = make([]byte, chunkBytes)
+		}
+	}
+}
+
+// awaitRoom waits while as much is unread as may be.
+func (c *Conn) awaitRoom() error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for len(c.unread) >= c.config.InputBytes && !c.interrupted && c.failure == nil {
+		c.changed.Wait()
+	}
+	if c.failure != nil {
+		return c.failure
+	}
+	if c.interrupted {
+		return os.ErrDeadlineExceeded
+	}
+	return nil
+}
+
+// keep keeps what was read ahead, or that the client has left.
+func (c *Conn) keep(text []byte, err error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if len(text) > 0 {
+		c.unread = append(c.unread, text...)
+		c.readAt = time.Now()
+	}
+	if err != nil && !isTimeout(err) {
+		c.fail(err)
+	}
+}
+
+func isTimeout(err error) bool {
+	timeout, known := err.(net.Error)
+	return known && timeout.Timeout()
+}
+
+// fail drops all that runs ahead; the lock is held.
+func (c *Conn) fail(err error) {
+	if c.failure == nil {
+		c.failure = err
+	}
+	for _, call := range append(c.queue, c.current, c.serving) {
+		if call != nil {
+			call.drop()
+		}
+	}
+	c.queue, c.queued, c.unread = nil, 0, nil
+	c.changed.Broadcast()
+}
+
+// startCalls starts the requests that have come behind the current one.
+func (c *Conn) startCalls() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for c.failure == nil && !c.barred && len(c.queue) < c.config.Calls {
+		text := c.unread[c.queued:]
+		size := headEnd(text)
+		if size < 0 {
+			return
+		}
+		call := c.newCall(text[:size])
+		if call == nil {
+			c.barred = true
+			return
+		}
+		c.queue = append(c.queue, call)
+		c.queued += size
+		if c.config.OnStart != nil {
+			c.config.OnStart(len(c.queue))
+		}
+		go call.run(c.config.Handler)
+	}
+}
+
+// newCall returns the call of a request, or nil when it must wait for its turn.
+func (c *Conn) newCall(head []byte) *Call {
+	if form := readFraming(head); !form.known || form.body > 0 {
+		return nil
+	}
+	request, err := parseHead(head)
+	if err != nil || !c.config.MayRunAhead(request) {
+		return nil
+	}
+	request.RemoteAddr = c.RemoteAddr().String()
+	return newCall(c.base, request, len(head), c.config)
+}
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"time"
 )
@@ -45,9 +44,6 @@
 	unknown
 )
 
-// chunkBytes is how much is read ahead at a time.
-const chunkBytes = 4 << 10
-
 // Conn is a connection whose waiting requests are run ahead of their turn. The
 // server reads it; Begin and End tell it of the requests that the server serves.
 type Conn struct {
@@ -164,115 +160,10 @@
 	return true
 }
 
-// readAhead reads on until the connection fails or the read deadline passes. It
-// returns no bytes: they are kept for when the server reads the next request.
-func (c *Conn) readAhead(probe []byte) (int, error) {
-	into := probe
-	for {
-		c.startCalls()
-		if err := c.awaitRoom(); err != nil {
-			return 0, err
-		}
-		count, err := c.Conn.Read(into)
-		c.keep(into[:count], err)
-		if err != nil {
-			return 0, err
-		}
-		if len(into) < chunkBytes {
-			into = make([]byte, chunkBytes)
-		}
-	}
-}
-
-// awaitRoom waits while as much is unread as may be.
-func (c *Conn) awaitRoom() error {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for len(c.unread) >= c.config.InputBytes && !c.interrupted && c.failure == nil {
-		c.changed.Wait()
-	}
-	if c.failure != nil {
-		return c.failure
-	}
-	if c.interrupted {
-		return os.ErrDeadlineExceeded
-	}
-	return nil
-}
-
-// keep keeps what was read ahead, or that the client has left.
-func (c *Conn) keep(text []byte, err error) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if len(text) > 0 {
-		c.unread = append(c.unread, text...)
-		c.readAt = time.Now()
-	}
-	if err != nil && !isTimeout(err) {
-		c.fail(err)
-	}
-}
-
-func isTimeout(err error) bool {
-	timeout, known := err.(net.Error)
-	return known && timeout.Timeout()
-}
-
-// fail drops all that runs ahead; the lock is held.
-func (c *Conn) fail(err error) {
-	if c.failure == nil {
-		c.failure = err
-	}
-	for _, call := range append(c.queue, c.current, c.serving) {
-		if call != nil {
-			call.drop()
-		}
-	}
-	c.queue, c.queued, c.unread = nil, 0, nil
-	c.changed.Broadcast()
-}
-
-// startCalls starts the requests that have come behind the current one.
-func (c *Conn) startCalls() {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for c.failure == nil && !c.barred && len(c.queue) < c.config.Calls {
-		text := c.unread[c.queued:]
-		size := headEnd(text)
-		if size < 0 {
-			return
-		}
-		call := c.newCall(text[:size])
-		if call == nil {
-			c.barred = true
-			return
-		}
-		c.queue = append(c.queue, call)
-		c.queued += size
-		if c.config.OnStart != nil {
-			c.config.OnStart(len(c.queue))
-		}
-		go call.run(c.config.Handler)
-	}
-}
-
-// newCall returns the call of a request, or nil when it must wait for its turn.
-func (c *Conn) newCall(head []byte) *Call {
-	if form := readFraming(head); !form.known || form.body > 0 {
-		return nil
-	}
-	request, err := parseHead(head)
-	if err != nil || !c.config.MayRunAhead(request) {
-		return nil
-	}
-	request.RemoteAddr = c.RemoteAddr().String()
-	return newCall(c.base, request, len(head), c.config)
-}
-
 // readNext reads a part of the next request: never beyond its end, as far as
 // that is known.
 func (c *Conn) readNext(into []byte) (int, error) {
-	if count, err, any := c.readKept(into); any {
+	if count, found, err := c.readKept(into); found {
 		return count, err
 	}
 	count, err := c.Conn.Read(into)
@@ -291,17 +182,17 @@
 	return used, err
 }
 
-// readKept reads from what was taken from the socket before; any is false when
+// readKept reads from what was taken from the socket before; found is false when
 // there is nothing.
-func (c *Conn) readKept(into []byte) (count int, err error, any bool) {
+func (c *Conn) readKept(into []byte) (count int, found bool, err error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.failure != nil {
-		return 0, c.failure, true
+		return 0, true, c.failure
 	}
 	if len(c.unread) == 0 {
 		c.unread = nil
-		return 0, nil, false
+		return 0, false, nil
 	}
 	c.arrived = c.readAt
 	text := c.unread[:min(len(into), len(c.unread))]
@@ -309,7 +200,7 @@
 	copy(into, text[:used])
 	c.unread = c.unread[used:]
 	c.changed.Broadcast()
-	return used, nil, true
+	return used, true, nil
 }
 
 // advance moves the position over bytes for the server and returns how many of
@@ -358,7 +249,7 @@
 	size := headEnd(head)
 	if size < 0 {
 		if len(head) > c.config.InputBytes {
-			c.lose()
+			c.leaveToServer()
 			return len(text)
 		}
 		c.partial = append(c.partial, text...)
@@ -367,7 +258,7 @@
 	used := size - len(c.partial)
 	form := readFraming(head[:size])
 	if !form.known {
-		c.lose()
+		c.leaveToServer()
 		return len(text)
 	}
 	c.partial = nil
@@ -390,8 +281,8 @@
 	}
 }
 
-// lose leaves the connection to the server for good.
-func (c *Conn) lose() {
+// leaveToServer gives up following where requests end, for good.
+func (c *Conn) leaveToServer() {
 	c.at = unknown
 	c.partial = nil
 }
