--- a/internal/core/resource/parse_test.go
+++ b/internal/core/resource/parse_test.go
@@ -120,6 +120,7 @@
 		{"many flow fields", head + "services: [{" + strings.Repeat("x: y, ", 100) + "}]\n", "", result.FileUnknownField, 3},
 		{"duration", route + "    timeout: 5\n", "routes[0].timeout", result.FileWrongType, 7},
 		{"duration range", route + "    timeout: 48h\n", "routes[0].timeout", result.FileBadValue, 7},
+		{"target range", route + "    target: 0s\n", "routes[0].target", result.FileBadValue, 7},
 		{"attempts", route + "    retry_attempts: 0\n", "routes[0].retry_attempts", result.FileBadValue, 7},
 		{"priority", route + "    priority: urgent\n", "routes[0].priority", result.FileBadValue, 7},
 		{"reserved header", route + "    request_key_header: springstack-request\n", "routes[0].request_key_header", result.FileBadValue, 7},
--- a/internal/core/resource/read_route.go
+++ b/internal/core/resource/read_route.go
@@ -26,7 +26,7 @@
 func isSpringstackHeader(name string) bool { return strings.HasPrefix(name, springstackHeaderPrefix) }
 
 func readRoute(entry value, partner Partner) Route {
-	fields := entry.object("name", "match", "split", "secret", "timeout", "repeatable",
+	fields := entry.object("name", "match", "split", "secret", "timeout", "target", "repeatable",
 		"retry_attempts", "priority", "request_key_header")
 	return Route{
 		Partner:          partner,
@@ -35,6 +35,7 @@
 		Split:            readSplit(fields.required("split"), partner),
 		Secret:           readSecretUse(fields.optional("secret")),
 		Timeout:          fields.optional("timeout").duration(minTimeout, maxTimeout),
+		Target:           fields.optional("target").duration(minTimeout, maxTimeout),
 		Repeatable:       fields.optional("repeatable").boolean(),
 		RetryAttempts:    fields.optional("retry_attempts").integer(1, maxAttempts),
 		Priority:         fields.optional("priority").priority(),
