Read again: one loop for the endpoints that are left

Set.Others and Set.OthersTaking walked the tiers each for itself; one piece with a condition serves both. A comment is brought to its width. No behaviour changes.

--- a/internal/core/admission/target.go
+++ b/internal/core/admission/target.go
@@ -61,8 +61,9 @@
 }
 
 // lateness is by how much the answer of a call that starts at a time is expected to
-// miss its target. It is 0 for patient calls, and for calls that are shorter than most: to run them costs little, and
-// whoever makes a short call usually needs it to go on.
+// miss its target. It is 0 for patient calls, and for calls that are shorter than
+// most: to run them costs little, and whoever makes a short call usually needs it to
+// go on.
 func (g *Gate) lateness(ticket *Ticket, start time.Duration) time.Duration {
 	service := g.serviceOf(&ticket.Call)
 	if ticket.Target <= 0 || ticket.Patient || float64(service) < shortShare*float64(g.meanService()) {
--- a/internal/core/endpoint/set.go
+++ b/internal/core/endpoint/set.go
@@ -198,22 +198,21 @@
 
 // Others tells whether an endpoint is left that was not tried.
 func (s *Set) Others(now time.Duration, tried Tried) bool {
-	for _, tier := range s.tiers {
-		for _, candidate := range tier {
-			if !tried.has(candidate) && !candidate.leaving(now) {
-				return true
-			}
-		}
-	}
-	return false
+	return s.leaves(now, tried, func(*Endpoint) bool { return true })
 }
 
 // OthersTaking tells whether an endpoint is left that was not tried and has not
 // lately refused a call for load.
 func (s *Set) OthersTaking(now time.Duration, tried Tried) bool {
+	return s.leaves(now, tried, func(candidate *Endpoint) bool { return !candidate.refusing(now) })
+}
+
+// leaves tells whether an endpoint is left that was not tried, takes new work and
+// satisfies a condition.
+func (s *Set) leaves(now time.Duration, tried Tried, condition func(*Endpoint) bool) bool {
 	for _, tier := range s.tiers {
 		for _, candidate := range tier {
-			if !tried.has(candidate) && !candidate.leaving(now) && !candidate.refusing(now) {
+			if !tried.has(candidate) && !candidate.leaving(now) && condition(candidate) {
 				return true
 			}
 		}
