Retry budget among many daemons: what calls earned in a window may be saved up

Cause: a daemon's part of the slack was divided by the daemons, at most max(part, 1) retries were saved up, and a call that is not urgent had to leave half of that. Ruled out: a reserve of less than a half alone, which lets one retry be saved up by each daemon, so that a thousand of them together could pass the slack. Change: what the calls of the last window earned may be saved up where that is more than the part; it lapses with the window, whose length is a new setting. The reserve for urgent calls never takes the last retry of what may be saved up. The sum over all daemons is bounded by the calls of two windows and the slack. Tests: a daemon among 13, 74, 295 and 1,000 may retry; a property over whole meshes, every window; earnings lapse. The check that at least one retry is saved up per daemon is replaced by one as strict: after twenty calls one retry is granted at each size, and the parts of all daemons stay within the slack (which the old limit broke from 65 on).

--- /dev/null
+++ b/internal/core/retry/budget_test.go
@@ -0,0 +1,118 @@
+package retry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// meshSizes are the numbers of daemons that the tests divide a budget among.
+var meshSizes = []int{13, 74, 295, 1000}
+
+const (
+	testWindow = 10 * time.Second
+	// allowedRatio and allowedSlack are what all daemons may retry together in any
+	// window; their budgets are made of half of each.
+	allowedRatio = 0.2
+	allowedSlack = 630
+	partOfWhole  = 0.5
+)
+
+// partOf is the budget of one daemon among many.
+func partOf(daemons int) Limits {
+	part := allowedSlack * partOfWhole / float64(daemons)
+	return Limits{Ratio: allowedRatio * partOfWhole, Saved: part, Initial: part, Window: testWindow}
+}
+
+// A call that is not urgent can be sent again by a daemon among any number, once
+// the daemon has made some calls.
+func TestADaemonAmongManyMayRetryCallsThatAreNotUrgent(t *testing.T) {
+	for _, daemons := range meshSizes {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			check := is.New(t)
+			budget := NewBudgetWithin(0, partOf(daemons))
+			now := time.Duration(0)
+			for range 40 { // four seconds of ten calls
+				now += 100 * time.Millisecond
+				budget.Deposit(now)
+			}
+			check.True(budget.Withdraw(now, 1, false))
+		})
+	}
+}
+
+// What calls have earned does not outlive the window.
+func TestEarningsLapse(t *testing.T) {
+	check := is.New(t)
+	budget := NewBudgetWithin(0, Limits{Ratio: 0.5, Window: testWindow})
+	for range 20 {
+		budget.Deposit(time.Second)
+	}
+	check.True(budget.Withdraw(6*time.Second, 1, true))
+	check.True(!budget.Withdraw(25*time.Second, 1, true))
+}
+
+// meshRun is many daemons with a budget each, and what they have called and
+// retried in each tenth of a second.
+type meshRun struct {
+	budgets []*Budget
+	calls   []int
+	retries []int
+}
+
+const tick = 100 * time.Millisecond
+
+// step plays one tick: calls at drawn daemons, of which a share fails and is sent
+// again as often as the budget allows.
+func (m *meshRun) step(t *rapid.T, calls int, failing bool) {
+	now := time.Duration(len(m.calls)) * tick
+	seed := rapid.IntRange(0, len(m.budgets)-1).Draw(t, "daemon")
+	stride := rapid.IntRange(1, len(m.budgets)).Draw(t, "stride")
+	retried := 0
+	for call := range calls {
+		budget := m.budgets[(seed+call*stride)%len(m.budgets)]
+		budget.Deposit(now)
+		for failing && budget.Withdraw(now, 1, call%3 == 0) {
+			retried++
+		}
+	}
+	m.calls = append(m.calls, calls)
+	m.retries = append(m.retries, retried)
+}
+
+func sum(counts []int, from, to int) (total int) {
+	for _, count := range counts[max(0, from):max(0, min(to, len(counts)))] {
+		total += count
+	}
+	return total
+}
+
+// All daemons together stay within the ratio and the slack in every window, with
+// whatever calls, failures and number of daemons. The calls of a window count as
+// those of the window before it where these are more.
+func TestTheMeshStaysWithinTheBudgetInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		check := is.New(t)
+		daemons := rapid.SampledFrom(meshSizes).Draw(t, "daemons")
+		run := &meshRun{}
+		for range daemons {
+			run.budgets = append(run.budgets, NewBudgetWithin(0, partOf(daemons)))
+		}
+		for range rapid.IntRange(1, 8).Draw(t, "phases") {
+			calls := rapid.IntRange(0, 200).Draw(t, "calls")
+			failing := rapid.Bool().Draw(t, "failing")
+			for range rapid.IntRange(1, 80).Draw(t, "ticks") {
+				run.step(t, calls, failing)
+			}
+		}
+		window := int(testWindow / tick)
+		for at := range run.calls {
+			requests := max(sum(run.calls, at, at+window), sum(run.calls, at-window, at), sum(run.calls, at-window/2, at+window/2))
+			allowed := allowedRatio*float64(requests) + allowedSlack
+			check.True(float64(sum(run.retries, at, at+window)) <= allowed)
+		}
+	})
+}
--- a/internal/core/retry/call.go
+++ b/internal/core/retry/call.go
@@ -126,8 +126,8 @@
 }
 
 // NewCall starts the account of a call and deposits into the budget.
-func NewCall(policy Policy, budget *Budget) *Call {
-	budget.Deposit()
+func NewCall(now time.Duration, policy Policy, budget *Budget) *Call {
+	budget.Deposit(now)
 	return &Call{policy: policy, budget: budget}
 }
 
--- a/internal/core/retry/call_test.go
+++ b/internal/core/retry/call_test.go
@@ -18,7 +18,7 @@
 	if policy.Deadline == 0 {
 		policy.Deadline = time.Minute
 	}
-	return NewCall(policy, NewBudget(0))
+	return NewCall(0, policy, NewBudget(0))
 }
 
 func TestNonRepeatableIsSentAgainOnlyIfItDidNotRun(t *testing.T) {
@@ -81,7 +81,7 @@
 	budget := NewBudget(0)
 	retries := 0
 	for range 1000 {
-		call := NewCall(Policy{Repeatable: true, Attempts: 3, Deadline: time.Minute}, budget)
+		call := NewCall(0, Policy{Repeatable: true, Attempts: 3, Deadline: time.Minute}, budget)
 		for call.Next(0, Outcome{Kind: Broken, Replayable: true, Others: true}).Action == Send {
 			retries++
 		}
@@ -89,7 +89,7 @@
 	check.True(retries >= 100)
 	check.True(retries <= 106) // a tenth of the calls and half of what was saved up
 	check.True(!budget.Withdraw(0, 1, false))
-	for range budget.reserve() / unit {
+	for range reserve(budget.limit(0)) / unit {
 		check.True(budget.Withdraw(0, 1, true)) // kept for urgent calls
 	}
 	check.True(!budget.Withdraw(0, 1, true))
@@ -140,7 +140,7 @@
 	budget := NewBudget(0)
 	b.RunParallel(func(loop *testing.PB) {
 		for loop.Next() {
-			budget.Deposit()
+			budget.Deposit(0)
 		}
 	})
 }
@@ -175,19 +175,19 @@
 	budget := NewBudgetWithin(0, Limits{Ratio: 0, Saved: 1})
 	policy := Policy{RetryFailures: true, Attempts: 3, Deadline: 100}
 	refusal := Outcome{Kind: Refused, Code: result.QueueFull, Ran: result.RanNo, Replayable: true, Others: true}
-	check.Equal(NewCall(policy, budget).Next(0, refusal).Action, Send)
+	check.Equal(NewCall(0, policy, budget).Next(0, refusal).Action, Send)
 	refusal.Code, refusal.Arrived = result.BackendRefused, true
-	check.Equal(NewCall(policy, budget).Next(0, refusal).Action, Refuse)
+	check.Equal(NewCall(0, policy, budget).Next(0, refusal).Action, Refuse)
 }
 
 func TestABudgetShrinksWithItsShare(t *testing.T) {
 	check := is.New(t)
 	budget := NewBudgetWithin(0, Limits{Ratio: 0.5, Saved: 4, Initial: 4})
-	budget.SetSaved(1)
+	budget.SetSaved(0, 1)
 	check.True(budget.Withdraw(0, 1, true))
 	check.True(!budget.Withdraw(0, 1, true))
 	for range 10 {
-		budget.Deposit()
+		budget.Deposit(0)
 	}
 	check.True(budget.Withdraw(0, 1, true))
 	check.True(!budget.Withdraw(0, 1, true)) // no more than its share is saved up
@@ -198,7 +198,7 @@
 	lost := Outcome{Kind: Broken, Replayable: true, Others: true}
 	policy := Policy{Repeatable: true, RetryFailures: true, Attempts: 3, Deadline: 100, Margin: 10}
 	budget := NewBudgetWithin(0, Limits{Saved: 2, Initial: 2})
-	first, second := NewCall(policy, budget), NewCall(policy, budget)
+	first, second := NewCall(0, policy, budget), NewCall(0, policy, budget)
 	check.True(first.Prepay(0, lost))
 	check.True(first.Prepay(0, lost)) // paid for once
 	check.True(!second.Prepay(0, lost))
@@ -208,9 +208,9 @@
 	plenty := Limits{Saved: 100, Initial: 100}
 	unsafe := policy
 	unsafe.Repeatable = false
-	check.True(!NewCall(unsafe, NewBudgetWithin(0, plenty)).Prepay(0, lost))
-	check.True(!NewCall(policy, NewBudgetWithin(0, plenty)).Prepay(95, lost)) // too late
+	check.True(!NewCall(0, unsafe, NewBudgetWithin(0, plenty)).Prepay(0, lost))
+	check.True(!NewCall(0, policy, NewBudgetWithin(0, plenty)).Prepay(95, lost)) // too late
 	alone := lost
 	alone.Others = false
-	check.True(!NewCall(policy, NewBudgetWithin(0, plenty)).Prepay(0, alone))
+	check.True(!NewCall(0, policy, NewBudgetWithin(0, plenty)).Prepay(0, alone))
 }
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -17,6 +17,7 @@
 	"github.com/springstack/springstack/internal/core/membership"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/core/retry"
 	"github.com/springstack/springstack/internal/core/snapshot"
 	"github.com/springstack/springstack/internal/logging"
 	"github.com/springstack/springstack/internal/proxy"
@@ -203,12 +204,17 @@
 
 func TestTheSlackOfRetriesIsDivided(t *testing.T) {
 	check := is.New(t)
-	daemon := &Daemon{settings: settings.Hosted{Retries: settings.HostedRetries{Ratio: 0.2, Slack: 64}}}
-	for _, daemons := range []int{0, 1, 12, 300} {
+	daemon := &Daemon{settings: settings.Hosted{Retries: settings.HostedRetries{Ratio: 0.2, Slack: 64, WindowSeconds: 10}}}
+	for _, daemons := range []int{0, 1, 12, 74, 300, 1000} {
 		limits := daemon.retryBudget(daemons)
 		check.True(limits.Initial*float64(daemons) <= 64)
+		check.True(limits.Saved*float64(daemons) <= 64)
 		check.True(limits.Ratio < 0.2)
-		check.True(limits.Saved >= 1) // one retry can always be saved up
+		budget := retry.NewBudgetWithin(0, limits)
+		for range 20 {
+			budget.Deposit(time.Second)
+		}
+		check.True(budget.Withdraw(time.Second, 1, false)) // one retry can always be saved up
 	}
 }
 
--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -84,14 +84,16 @@
 const budgetShare = 0.5
 
 // retryBudget is this daemon's part of the budget of all daemons: the slack is
-// divided among them. Among many its part is less than one retry, and one is
-// saved up out of calls alone.
+// divided among them, and what its own calls of the last window have earned may be
+// saved up. So the sum over all daemons stays within what is allowed for any
+// number of daemons.
 func (d *Daemon) retryBudget(daemons int) retry.Limits {
-	slack := d.settings.Retries.Slack * budgetShare / float64(max(daemons, 1))
+	part := d.settings.Retries.Slack * budgetShare / float64(max(daemons, 1))
 	return retry.Limits{
 		Ratio:   d.settings.Retries.Ratio * budgetShare,
-		Saved:   max(slack, 1),
-		Initial: slack,
+		Saved:   part,
+		Initial: part,
+		Window:  d.settings.Retries.Window(),
 	}
 }
 
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -175,7 +175,7 @@
 		RetryFailures: c.proxy.config.Edge != nil,
 		Margin:        c.proxy.retryMargin(c.timeout),
 	}
-	c.retries = retry.NewCall(c.policy, shared.budget)
+	c.retries = retry.NewCall(c.proxy.config.Clock(), c.policy, shared.budget)
 	if name := c.route.Resource.RequestKeyHeader; name != "" {
 		c.key = header.Get(name)
 		c.keyHash = xxhash.Sum64String(c.key)
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -67,7 +67,7 @@
 		if old := previous.services[reference]; old != nil {
 			oldSet = old.set
 			made.budget = old.budget
-			made.budget.SetSaved(budget.Saved)
+			made.budget.SetSaved(now, budget.Saved)
 		} else {
 			made.budget = retry.NewBudgetWithin(now, budget)
 		}
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -74,6 +74,13 @@
 	Ratio float64 `koanf:"ratio" validate:"min=0,max=1"`
 	// Slack is how many more are allowed in any window.
 	Slack float64 `koanf:"slack" validate:"min=0,max=100000"`
+	// WindowSeconds is the length of such a window.
+	WindowSeconds float64 `koanf:"window_seconds" validate:"min=1,max=3600"`
+}
+
+// Window is the span in which the retries are counted.
+func (r HostedRetries) Window() time.Duration {
+	return time.Duration(r.WindowSeconds * float64(time.Second))
 }
 
 // HostedDrain bounds a planned stop.
@@ -97,7 +104,7 @@
 	return Hosted{
 		Backend:   HostedBackend{HeartbeatMilliseconds: 1500},
 		Authority: HostedAuthority{ReadsPerSecond: 100, ValueBytes: 1 << 20},
-		Retries:   HostedRetries{Ratio: 0.1, Slack: 10},
+		Retries:   HostedRetries{Ratio: 0.1, Slack: 10, WindowSeconds: 10},
 		Drain:     HostedDrain{GraceSeconds: 30},
 		Log:       Log{Level: "info"},
 	}
