Fewer calls to the store: lagging lists and first reads, pollers by zones, growing pauses

Change: lists and the first read of the configuration may lag (a tenth of the price); a daemon that had to register lists again when the lag has passed; pollers of more than four zones read less often, so that a mesh makes five such reads a second; pauses after failures double up to 4 s in place of 1 s, those of the poller up to 2 s. Calls are counted by purpose in store_calls_total. Ruled out: fewer pollers than zones, since a third of the daemons may be refused and nobody else knows who; linearizable watches, not yet tried.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -60,10 +60,21 @@
 	Document Document
 }
 
+// Freshness is how new an answer of the store must be.
+type Freshness int
+
+// The kinds of freshness.
+const (
+	// Linearizable answers hold every change that was acknowledged before.
+	Linearizable Freshness = iota + 1
+	// Lagging answers come from a replica and may be seconds old. They are cheap.
+	Lagging
+)
+
 // Source reads accepted configurations.
 type Source interface {
-	// Read returns the newest configuration.
-	Read(ctx context.Context) Reading
+	// Read returns the newest configuration, as far as the freshness goes.
+	Read(ctx context.Context, freshness Freshness) Reading
 	// Watch returns as soon as there is a change after a position, or with
 	// nothing new when wait has passed. It is cheap and may lag behind Read by
 	// seconds, or be silent about a change.
@@ -84,8 +95,8 @@
 
 // Registry holds one registration for each daemon.
 type Registry interface {
-	// List returns all registrations.
-	List(ctx context.Context) ([]Registration, error)
+	// List returns all registrations, as far as the freshness goes.
+	List(ctx context.Context, freshness Freshness) ([]Registration, error)
 	// Put writes the registration of a daemon, in place of an earlier one.
 	Put(ctx context.Context, registration Registration) error
 	// Remove takes a registration away.
--- a/internal/core/following/following.go
+++ b/internal/core/following/following.go
@@ -24,19 +24,17 @@
 	// PeerGrace is how long a version that a peer has may still come from the
 	// store before the peer is asked for it.
 	PeerGrace time.Duration
-	// RetryMinimum and RetryMaximum bound the pause after a failure.
-	RetryMinimum time.Duration
-	RetryMaximum time.Duration
+	// Retry is the pause after a failure.
+	Retry Backoff
 }
 
 // DefaultConfig returns the periods for production.
 func DefaultConfig() Config {
 	return Config{
-		Pace:         500 * time.Millisecond,
-		WatchWait:    10 * time.Second,
-		PeerGrace:    150 * time.Millisecond,
-		RetryMinimum: 100 * time.Millisecond,
-		RetryMaximum: time.Second,
+		Pace:      500 * time.Millisecond,
+		WatchWait: 10 * time.Second,
+		PeerGrace: 150 * time.Millisecond,
+		Retry:     DefaultBackoff(),
 	}
 }
 
@@ -45,7 +43,7 @@
 
 // The actions.
 const (
-	// Read reads the newest configuration from the store.
+	// Read reads the newest configuration from the store, as Action.Freshness says.
 	Read ActionKind = iota + 1
 	// Watch waits for changes after Action.From.
 	Watch
@@ -61,7 +59,9 @@
 	// After is the pause before it.
 	After time.Duration
 	From  authority.Position
-	Peer  protocol.NodeID
+	// Freshness is that of Read.
+	Freshness authority.Freshness
+	Peer      protocol.NodeID
 	// Version is what the peer said it has.
 	Version  protocol.Version
 	Document authority.Document
@@ -105,8 +105,8 @@
 // StoreAnswered tells whether the store's last answer was one.
 func (f *Follower) StoreAnswered() bool { return f.answered && f.failures == 0 }
 
-// Start begins with a linearizable read.
-func (f *Follower) Start() []Action { return []Action{{Kind: Read}} }
+// Start begins with a read that may lag: watches and peers bring what it lacks.
+func (f *Follower) Start() []Action { return []Action{{Kind: Read, Freshness: authority.Lagging}} }
 
 // StoreRead takes the result of Read or Watch. A watch may be answered by a replica
 // that lags behind what was read before; it goes on from the latter.
@@ -117,11 +117,12 @@
 		f.failures = 0
 		f.answered = true
 	case result.PlatformCompacted:
-		// The history is gone: what was missed is in the newest state.
-		return append(actions, Action{Kind: Read})
+		// The history is gone: what was missed is in the newest state. A replica
+		// may be behind the history itself.
+		return append(actions, Action{Kind: Read, Freshness: authority.Linearizable})
 	default:
 		f.failures++
-		return append(actions, Action{Kind: Read, After: f.backoff()})
+		return append(actions, Action{Kind: Read, Freshness: authority.Lagging, After: f.backoff()})
 	}
 	pause := max(0, f.watchedAt+f.config.Pace-now)
 	f.watchedAt = now + pause
@@ -166,11 +167,5 @@
 	return f.offer(document, SourcePeer)
 }
 
-// backoff is a random pause whose bound doubles with each failure.
-func (f *Follower) backoff() time.Duration {
-	bound := f.config.RetryMaximum
-	if f.failures < 8 {
-		bound = min(bound, f.config.RetryMinimum<<f.failures)
-	}
-	return f.config.RetryMinimum/2 + time.Duration(f.random()%uint64(bound))
-}
+// backoff is the pause after the present failure.
+func (f *Follower) backoff() time.Duration { return f.config.Retry.Pause(f.failures, f.random()) }
--- a/internal/core/following/following_test.go
+++ b/internal/core/following/following_test.go
@@ -65,7 +65,7 @@
 		actions := follower.StoreRead(0, authority.Reading{Code: result.PlatformUnavailable})
 		check.Equal(kinds(actions), []ActionKind{Read})
 		check.True(actions[0].After > 0)
-		check.True(actions[0].After <= DefaultConfig().RetryMaximum+DefaultConfig().RetryMinimum)
+		check.True(actions[0].After <= DefaultConfig().Retry.Maximum+DefaultConfig().Retry.Minimum)
 		check.True(!follower.StoreAnswered())
 	}
 }
--- a/internal/hosted/configuration.go
+++ b/internal/hosted/configuration.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -44,8 +43,8 @@
 	tickets  sync.WaitGroup
 	mutex    sync.Mutex
 	follower *following.Follower
-	// calls counts the store's answers by code.
-	calls map[result.Code]uint64
+	// calls counts the calls to the store.
+	calls *storeCalls
 	// changedAt is when the version in force came.
 	changedAt time.Duration
 	// storeLost is set while the store does not answer.
@@ -84,13 +83,6 @@
 	return built.Services[service].HealthPath
 }
 
-// storeCalls are the reading calls so far, by their codes.
-func (c *configuration) storeCalls() map[result.Code]uint64 {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return maps.Clone(c.calls)
-}
-
 // age is how long ago the version in force came; 0 without one.
 func (c *configuration) age() time.Duration {
 	c.mutex.Lock()
@@ -149,7 +141,6 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.calls[reading.Code]++
 	c.noteStore(reading)
 	c.carryOut(c.follower.StoreRead(c.clock(), reading))
 }
@@ -166,16 +157,19 @@
 	return c.askPeer(c.context, action.Peer, c.version())
 }
 
-// poll reads the store besides the watch.
-func (c *configuration) poll() {
-	reading := c.read(following.Action{Kind: following.Read})
+// poll reads the store besides the watch, and tells whether it answered.
+func (c *configuration) poll() bool {
+	ctx, cancel := context.WithTimeout(c.context, readTimeout)
+	defer cancel()
+	reading := c.source.Read(ctx, authority.Linearizable)
 	if c.context.Err() != nil {
-		return
+		return false
 	}
+	c.calls.note(purposePoll, reading.Code)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.calls[reading.Code]++
 	c.carryOut(c.follower.StorePolled(reading))
+	return reading.Code == result.OK
 }
 
 // read makes one call to the store.
@@ -186,10 +180,16 @@
 	}
 	ctx, cancel := context.WithTimeout(c.context, bound)
 	defer cancel()
+	purpose := purposeRead
+	var reading authority.Reading
 	if action.Kind == following.Watch {
-		return c.source.Watch(ctx, action.From, watchWait)
+		purpose = purposeWatch
+		reading = c.source.Watch(ctx, action.From, watchWait)
+	} else {
+		reading = c.source.Read(ctx, action.Freshness)
 	}
-	return c.source.Read(ctx)
+	c.calls.note(purpose, reading.Code)
+	return reading
 }
 
 // noteStore logs when the store is lost and regained; the lock is held.
--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -32,6 +32,7 @@
 	draining atomic.Bool
 	// incarnation tells this start from earlier ones.
 	incarnation protocol.Incarnation
+	storeCalls  storeCalls
 
 	path          *proxy.Proxy
 	configuration *configuration
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -29,7 +30,9 @@
 // scriptedSource decodes documents by their text alone.
 type scriptedSource struct{}
 
-func (scriptedSource) Read(context.Context) authority.Reading { return authority.Reading{} }
+func (scriptedSource) Read(context.Context, authority.Freshness) authority.Reading {
+	return authority.Reading{}
+}
 func (scriptedSource) Watch(context.Context, authority.Position, time.Duration) authority.Reading {
 	return authority.Reading{}
 }
@@ -60,7 +63,7 @@
 	made := &follower{}
 	clock := func() time.Duration { return time.Minute }
 	made.configuration = &configuration{
-		source: scriptedSource{}, clock: clock,
+		source: scriptedSource{}, clock: clock, calls: &storeCalls{},
 		events:   newEventLog(logging.NewTo(&made.log, log.InfoLevel), "n", clock),
 		swap:     func(built *snapshot.Snapshot) { made.swapped = append(made.swapped, built.Version) },
 		limit:    func(authority.RequestLimits) {},
@@ -144,13 +147,29 @@
 
 func TestThePollersOfAZoneAreItsFirstThatAnswer(t *testing.T) {
 	check := is.New(t)
-	check.True(newTestMesh("z1").polls()) // alone
-	check.True(newTestMesh("z1", member("a", "z1"), member("b", "z1"), member("c", "z1")).polls())
-	check.True(!newTestMesh("z1", member("a", "z1"), member("b", "z1"), member("c", "z1"), member("d", "z1")).polls())
+	polls := func(held *mesh) bool {
+		is, _ := held.polls()
+		return is
+	}
+	check.True(polls(newTestMesh("z1"))) // alone
+	check.True(polls(newTestMesh("z1", member("a", "z1"), member("b", "z1"), member("c", "z1"))))
+	check.True(!polls(newTestMesh("z1", member("a", "z1"), member("b", "z1"), member("c", "z1"), member("d", "z1"))))
 	four := newTestMesh("z1", member("a", "z1"), member("b", "z2"), member("c", "z3"), member("d", "z4"))
-	check.True(!four.polls()) // one a zone, and that is a
+	check.True(!polls(four)) // one a zone, and that is a
 	four.lost["a"] = true
-	check.True(four.polls())
+	check.True(polls(four))
+}
+
+func TestAMeshOfManyZonesPollsTheStoreNoMoreOften(t *testing.T) {
+	check := is.New(t)
+	var others []protocol.Member
+	for zone := range 8 {
+		others = append(others, member(protocol.NodeID(fmt.Sprint("n", zone)), fmt.Sprint("z", zone)))
+		held := newTestMesh("z0", others...)
+		pollers := max(pollersWanted, zone+1)
+		_, period := held.polls()
+		check.Equal(time.Duration(pollers)*pollPeriod/period, time.Duration(pollersWanted))
+	}
 }
 
 func TestADaemonDefendsItsRecordAgainstAnEarlierStart(t *testing.T) {
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -28,8 +28,10 @@
 	// joinWait is how long a start waits to hear from a peer before the daemon
 	// calls itself ready without.
 	joinWait = 1500 * time.Millisecond
-	// registryPause is the time between tries to reach the registry.
-	registryPause = time.Second
+	// registryLag is how old the registry's list may be (seed_lag_s of the sites):
+	// who has registered lists again after that, so that daemons that started
+	// together find each other.
+	registryLag = 3 * time.Second
 	// returnWait is how long a daemon that has left is still asked.
 	returnWait = time.Minute
 	// isolatedAfter is when a daemon that no peer has answered lists the
@@ -43,6 +45,7 @@
 	events   eventLog
 	clock    func() time.Duration
 	registry authority.Registry
+	calls    *storeCalls
 	client   *control.Client
 	// publish gives the data path the newest records.
 	publish func([]protocol.Member)
@@ -51,8 +54,8 @@
 	document   func() authority.Document
 	heardOf    func(protocol.NodeID, protocol.Version)
 	storeFails func() bool
-	// poll reads the store once.
-	poll       func()
+	// poll reads the store once, and tells whether it answered.
+	poll       func() bool
 	valueBytes int
 	context    context.Context
 	running    sync.WaitGroup
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -38,8 +38,8 @@
 	metrics.Members.Send(out, float64(c.daemon.mesh.size()))
 	metrics.PeersLost.Send(out, float64(c.daemon.mesh.lostCount()))
 	metrics.LogLinesDropped.Send(out, float64(c.daemon.linesDropped()))
-	for code, calls := range c.daemon.configuration.storeCalls() {
-		metrics.StoreCalls.Send(out, float64(calls), strconv.Itoa(int(code)), code.Name())
+	for call, count := range c.daemon.storeCalls.snapshot() {
+		metrics.StoreCalls.Send(out, float64(count), string(call.purpose), strconv.Itoa(int(call.code)), call.code.Name())
 	}
 	daemon.CollectPath(out, c.daemon.path.Counters())
 }
--- a/internal/hosted/poll.go
+++ b/internal/hosted/poll.go
@@ -11,27 +11,33 @@
 	// equal parts of the zones but at least one of each. A watch may lag or be silent
 	// about a change, and all watches of a mesh at the same time.
 	pollersWanted = 4
-	// pollPeriod is the time between two such reads of one daemon.
+	// pollPeriod is the time between two such reads of one daemon where there are
+	// pollersWanted of them. Where more zones ask for more of them, each reads less
+	// often, so that the mesh makes five such reads a second.
 	pollPeriod = 800 * time.Millisecond
 )
 
 // pollForever reads the store now and then while this daemon is one of the
-// pollers of its zone.
+// pollers of its zone, and less often while the store fails.
 func (m *mesh) pollForever() {
-	for pause.For(m.context, pollPeriod*3/4+time.Duration(randomNumber()%uint64(pollPeriod/2))) {
-		if m.polls() {
-			m.poll()
+	wait := pollPeriod
+	for pause.For(m.context, wait*3/4+time.Duration(randomNumber()%uint64(wait/2))) {
+		polls, period := m.polls()
+		if !polls || m.poll() {
+			wait = period
+			continue
 		}
+		wait = min(2*wait, registryBackoff.Maximum/2)
 	}
 }
 
-// polls tells whether this daemon is one of the pollers of its zone: the first
-// by id among those that answer.
-func (m *mesh) polls() bool {
+// polls tells whether this daemon is one of the pollers of its zone, the first
+// by id among those that answer, and how often it then reads the store.
+func (m *mesh) polls() (bool, time.Duration) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	before := 0
 	directory := m.peers()
+	before := 0
 	for _, one := range directory.Near() {
 		if one.ID < m.self.ID && !m.isLost(one.ID) {
 			before++
@@ -41,7 +47,8 @@
 	if len(directory.Near()) == 0 {
 		zones++ // the own one
 	}
-	return before < max(1, pollersWanted/zones)
+	period := pollPeriod * time.Duration(max(zones, pollersWanted)) / pollersWanted
+	return before < max(1, pollersWanted/zones), period
 }
 
 // announceTargets is how many daemons of the own zone are told of a version that
--- a/internal/hosted/registering.go
+++ b/internal/hosted/registering.go
@@ -7,29 +7,52 @@
 
 	"github.com/springstack/springstack/internal/authority"
 	"github.com/springstack/springstack/internal/core/dissemination"
+	"github.com/springstack/springstack/internal/core/following"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/pause"
 )
 
 // register reads the registry, leaves the daemon's own registration there unless
-// it stands there already, and meets the daemons listed. Who registers last
-// reads all others, so that daemons that start together find each other.
+// it stands there already, and meets the daemons listed. The list may lag, so one
+// that had to register reads it again when the lag has passed.
 func (m *mesh) register() {
-	for m.context.Err() == nil {
-		if m.readRegistry() && m.putRegistration() {
-			m.meet()
-			return
+	if !m.untilDone(m.readRegistry) {
+		return
+	}
+	m.meet()
+	if m.isRegistered() {
+		return
+	}
+	if !m.untilDone(m.putRegistration) || !pause.For(m.context, registryLag) {
+		return
+	}
+	if m.untilDone(m.readRegistry) {
+		m.meet()
+	}
+}
+
+// untilDone tries a call to the store until it succeeds; false means that the
+// daemon has ended.
+func (m *mesh) untilDone(call func() bool) bool {
+	for failures := 0; m.context.Err() == nil; failures++ {
+		if call() {
+			return true
 		}
-		if !pause.For(m.context, registryPause/2+time.Duration(randomNumber()%uint64(registryPause))) {
-			return
+		if !pause.For(m.context, registryBackoff.Pause(failures, randomNumber())) {
+			return false
 		}
 	}
+	return false
 }
 
+// registryBackoff is the pause between tries to reach the registry.
+var registryBackoff = following.DefaultBackoff()
+
 func (m *mesh) readRegistry() bool {
 	ctx, cancel := context.WithTimeout(m.context, readTimeout)
 	defer cancel()
-	listed, err := m.registry.List(ctx)
+	listed, err := m.registry.List(ctx, authority.Lagging)
+	m.calls.noteError(purposeList, err)
 	if err != nil {
 		m.events.event("registry_unavailable", field("error", err.Error()))
 		return false
@@ -40,20 +63,29 @@
 	return true
 }
 
-func (m *mesh) putRegistration() bool {
-	m.mutex.Lock()
-	mine := authority.Registration{
+// registration is what the daemon leaves in the registry; the lock is held.
+func (m *mesh) registration() authority.Registration {
+	return authority.Registration{
 		ID: m.self.ID, Address: m.self.ControlAddress, Zone: m.self.Zone, Region: m.self.Region,
 	}
-	known := slices.Contains(m.registered, mine)
+}
+
+// isRegistered tells whether the registry has named the daemon as it is.
+func (m *mesh) isRegistered() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return slices.Contains(m.registered, m.registration())
+}
+
+func (m *mesh) putRegistration() bool {
+	m.mutex.Lock()
+	mine := m.registration()
 	m.mutex.Unlock()
-	if known {
-		return true
-	}
-	defer m.readRegistry()
 	ctx, cancel := context.WithTimeout(m.context, readTimeout)
 	defer cancel()
-	if err := m.registry.Put(ctx, mine); err != nil {
+	err := m.registry.Put(ctx, mine)
+	m.calls.noteError(purposeRegister, err)
+	if err != nil {
 		m.events.event("registry_unavailable", field("error", err.Error()))
 		return false
 	}
@@ -114,7 +146,9 @@
 func (m *mesh) unregister(ctx context.Context) {
 	bounded, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	if err := m.registry.Remove(bounded, m.self.ID); err != nil {
+	err := m.registry.Remove(bounded, m.self.ID)
+	m.calls.noteError(purposeUnregister, err)
+	if err != nil {
 		m.events.event("registry_unavailable", field("error", err.Error()))
 	}
 }
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -15,7 +15,6 @@
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/daemon"
 	"github.com/springstack/springstack/internal/proxy"
-	"github.com/springstack/springstack/internal/result"
 )
 
 // watchWait is how long the store may hold a watch without news.
@@ -112,6 +111,7 @@
 		clock:      d.clock,
 		registry:   d.options.Platform.Registry,
 		client:     control.NewClient(nil, controlLimits(), control.NewMeter()),
+		calls:      &d.storeCalls,
 		publish:    path.PublishMembers,
 		valueBytes: d.settings.Authority.ValueBytes,
 		context:    d.context,
@@ -142,7 +142,7 @@
 		},
 		askPeer:  made.askDocument,
 		context:  d.context,
-		calls:    map[result.Code]uint64{},
+		calls:    &d.storeCalls,
 		follower: following.New(following.DefaultConfig(), randomNumber),
 	}
 	made.version = d.configuration.version
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -71,9 +71,9 @@
 		"Time since the configuration in force came, in seconds.",
 		"Much older than on the other daemons: this one does not hear of changes.")
 	StoreCalls = define(Counter, "store_calls_total",
-		"Reading calls to the store of the external authority, by result code.",
+		"Calls to the store of the external authority, by purpose and result code.",
 		"A rising code other than 0: look it up in RESULT-CODES.md.",
-		"code", "name")
+		"purpose", "code", "name")
 	PeersLost = define(Gauge, "peers_lost",
 		"Daemons that did not answer when they were last asked.",
 		"Many at once: a link or a zone is lost.")
