--- a/internal/hosted/registering.go
+++ b/internal/hosted/registering.go
@@ -13,20 +13,22 @@
 )
 
 // register reads the registry, leaves the daemon's own registration there unless
-// it stands there already, and meets the daemons listed. The list may lag, so one
-// that had to register reads it again when the lag has passed.
+// it stands there already, and meets the daemons listed. Who had to register reads
+// the list again at once, so that of daemons that start together the last one knows
+// all others, and once more when what may lag behind has come.
 func (m *mesh) register() {
 	if !m.untilDone(m.readRegistry) {
 		return
 	}
-	m.meet()
 	if m.isRegistered() {
+		m.meet()
 		return
 	}
-	if !m.untilDone(m.putRegistration) || !pause.For(m.context, registryLag) {
+	if !m.untilDone(m.putRegistration) || !m.untilDone(m.readRegistry) {
 		return
 	}
-	if m.untilDone(m.readRegistry) {
+	m.meet()
+	if pause.For(m.context, registryLag) && m.untilDone(m.readRegistry) {
 		m.meet()
 	}
 }
