Documents for peers are packed once; gates are asked for when their routes expect an answer

Change: one shared compressor (package compression, taken out of the control frames), and a document packed once a version; a gate is asked for after half of the route's target where that is longer than 120 ms.

--- a/internal/control/frame.go
+++ b/internal/control/frame.go
@@ -8,8 +8,8 @@
 
 	"github.com/juju/errors"
 	"github.com/klauspost/compress/flate"
-	"github.com/klauspost/compress/zstd"
 
+	"github.com/springstack/springstack/internal/compression"
 	"github.com/springstack/springstack/internal/result"
 )
 
@@ -32,31 +32,6 @@
 // the next one, and the size up to which a payload is deflated with it.
 const relatedBytes = 8 << 10
 
-// compressors are shared: EncodeAll and DecodeAll are safe for concurrent use.
-var (
-	frameEncoder = sync.OnceValue(func() *zstd.Encoder {
-		encoder, err := zstd.NewWriter(nil,
-			zstd.WithEncoderLevel(zstd.SpeedFastest),
-			zstd.WithEncoderConcurrency(2),
-			zstd.WithWindowSize(128<<10),
-			zstd.WithLowerEncoderMem(true))
-		if err != nil {
-			panic(err) // the options are constants
-		}
-		return encoder
-	})
-	frameDecoder = sync.OnceValue(func() *zstd.Decoder {
-		decoder, err := zstd.NewReader(nil,
-			zstd.WithDecoderConcurrency(2),
-			zstd.WithDecoderLowmem(true),
-			zstd.WithDecoderMaxMemory(uint64(DefaultLimits().ReplyBytes)))
-		if err != nil {
-			panic(err) // the options are constants
-		}
-		return decoder
-	})
-)
-
 // relation is one direction of a connection: it remembers the end of the last
 // payload. Both ends keep the same.
 type relation struct {
@@ -78,7 +53,7 @@
 	switch {
 	case already:
 	case len(payload) > relatedBytes:
-		buffer = frameEncoder().EncodeAll(payload, buffer)
+		buffer = compression.Append(buffer, payload)
 		flags = frameCompressed
 	default:
 		out := bytes.NewBuffer(buffer)
@@ -123,7 +98,7 @@
 	case frameRaw:
 		payload = body.Bytes()
 	case frameCompressed:
-		payload, err = decompress(body.Bytes(), limit)
+		payload, err = compression.Unpack(body.Bytes(), limit)
 	case frameRelated:
 		payload, err = inflate(body.Bytes(), r.last, limit)
 	default:
@@ -158,29 +133,6 @@
 	return payload.Bytes(), nil
 }
 
-// decompress expands a payload to at most limit bytes. The size is taken from
-// the compressed header and checked first; a payload without one is refused.
-func decompress(compressed []byte, limit int) ([]byte, error) {
-	var header zstd.Header
-	if err := header.Decode(compressed); err != nil {
-		return nil, errors.Annotate(err, "compressed frame")
-	}
-	if !header.HasFCS {
-		return nil, errors.New("compressed frame does not state its size")
-	}
-	if header.FrameContentSize > uint64(limit) {
-		return nil, tooLarge(int64(header.FrameContentSize), limit)
-	}
-	payload, err := frameDecoder().DecodeAll(compressed, make([]byte, 0, header.FrameContentSize))
-	if err != nil {
-		return nil, errors.Annotate(err, "compressed frame")
-	}
-	if len(payload) > limit {
-		return nil, tooLarge(int64(len(payload)), limit)
-	}
-	return payload, nil
-}
-
 func tooLarge(size int64, limit int) error {
 	return result.New(result.MessageTooLarge, "a control message of %d bytes exceeds %d", size, limit)
 }
--- a/internal/control/wire.go
+++ b/internal/control/wire.go
@@ -142,12 +142,14 @@
 	}
 }
 
-// mostlyCompressed reports that most of a message is a delta's payload, which
-// the snapshot package has compressed already.
+// mostlyCompressed reports that most of a message is a delta's payload or a
+// document, which was compressed already.
 func mostlyCompressed(body any, size int) bool {
-	reply, ok := body.(*protocol.FetchReply)
-	if !ok || reply.Delta == nil {
-		return false
+	switch reply := body.(type) {
+	case *protocol.FetchReply:
+		return reply.Delta != nil && 2*len(reply.Delta.Payload) > size
+	case *protocol.DocumentReply:
+		return 2*len(reply.Compressed) > size
 	}
-	return 2*len(reply.Delta.Payload) > size
+	return false
 }
--- a/internal/hosted/configuration.go
+++ b/internal/hosted/configuration.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/klauspost/compress/zstd"
-
 	"github.com/springstack/springstack/internal/authority"
 	"github.com/springstack/springstack/internal/core/following"
 	"github.com/springstack/springstack/internal/core/protocol"
@@ -39,6 +37,9 @@
 	askPeer  func(context.Context, protocol.NodeID, protocol.Version) authority.Document
 	context  context.Context
 	inForce  atomic.Pointer[authority.Document]
+	// packing guards packed, the document that peers were last given.
+	packing  sync.Mutex
+	packed   protocol.DocumentReply
 	built    atomic.Pointer[snapshot.Snapshot]
 	tickets  sync.WaitGroup
 	mutex    sync.Mutex
@@ -65,12 +66,20 @@
 	return 0
 }
 
-// document is what is in force, for peers.
-func (c *configuration) document() authority.Document {
-	if held := c.inForce.Load(); held != nil {
-		return *held
+// packedDocument is what is in force for a peer that has an older version; one
+// without a version means that there is nothing newer. It is packed once for all
+// peers.
+func (c *configuration) packedDocument(have protocol.Version) protocol.DocumentReply {
+	held := c.inForce.Load()
+	if held == nil || held.Version <= have {
+		return protocol.DocumentReply{}
 	}
-	return authority.Document{}
+	c.packing.Lock()
+	defer c.packing.Unlock()
+	if c.packed.Version != held.Version {
+		c.packed = packDocument(*held)
+	}
+	return c.packed
 }
 
 // healthPath is where the back ends of a service answer probes; empty while
@@ -239,31 +248,3 @@
 func versionText(version protocol.Version) string { return strconv.FormatUint(uint64(version), 10) }
 
 func codeText(code result.Code) string { return strconv.Itoa(int(code)) }
-
-// compress packs a document for a peer.
-func compress(document authority.Document) (protocol.DocumentReply, error) {
-	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedFastest))
-	if err != nil {
-		return protocol.DocumentReply{}, err
-	}
-	defer encoder.Close()
-	return protocol.DocumentReply{
-		Version:    document.Version,
-		Compressed: encoder.EncodeAll(document.Body, nil),
-		Bytes:      len(document.Body),
-	}, nil
-}
-
-// decompress unpacks a peer's document of at most limit bytes.
-func decompress(reply protocol.DocumentReply, limit int) (authority.Document, error) {
-	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(uint64(limit)))
-	if err != nil {
-		return authority.Document{}, err
-	}
-	defer decoder.Close()
-	body, err := decoder.DecodeAll(reply.Compressed, nil)
-	if err != nil {
-		return authority.Document{}, err
-	}
-	return authority.Document{Version: reply.Version, Body: body}, nil
-}
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -105,17 +105,20 @@
 
 func TestDocumentsCrossWholeAndBounded(t *testing.T) {
 	check := is.New(t)
-	document := authority.Document{Version: 9, Body: bytes.Repeat([]byte("routes and services "), 4096)}
-	packed, err := compress(document)
-	check.NoErr(err)
-	check.True(len(packed.Compressed) < len(document.Body)/10)
-	unpacked, err := decompress(packed, 1<<20)
+	held := newFollower()
+	check.Equal(held.packedDocument(0), protocol.DocumentReply{}) // nothing is held
+	held.offer(9, "sound", following.SourceStore)
+	check.Equal(held.packedDocument(9), protocol.DocumentReply{}) // the peer has it
+	packed := held.packedDocument(3)
+	unpacked, err := unpackDocument(packed, 1<<20)
 	check.NoErr(err)
-	check.Equal(unpacked, document)
-	_, err = decompress(packed, 1<<10)
+	check.Equal(unpacked, authority.Document{Version: 9, Body: []byte("sound")})
+	_, err = unpackDocument(packed, 3)
 	check.True(err != nil) // more than a document may hold
+	held.offer(10, "sound", following.SourceStore)
+	check.Equal(held.packedDocument(9).Version, protocol.Version(10)) // not what was packed before
 	packed.Compressed = packed.Compressed[:len(packed.Compressed)/2]
-	_, err = decompress(packed, 1<<20)
+	_, err = unpackDocument(packed, 1<<20)
 	check.True(err != nil)
 }
 
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -50,8 +50,9 @@
 	// publish gives the data path the newest records.
 	publish func([]protocol.Member)
 	version func() protocol.Version
-	// document is the configuration in force, for peers that ask.
-	document   func() authority.Document
+	// document is the configuration in force, packed for a peer that has an older
+	// version.
+	document   func(have protocol.Version) protocol.DocumentReply
 	heardOf    func(protocol.NodeID, protocol.Version)
 	storeFails func() bool
 	// poll reads the store once, and tells whether it answered.
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -18,7 +18,8 @@
 		}
 		return m.answerExchange(request), nil
 	case *protocol.DocumentRequest:
-		return m.answerDocument(request)
+		reply := m.document(request.Have)
+		return &reply, nil
 	}
 	return nil, result.New(result.UnknownFormat, "%T is not answered by a hosted daemon", body)
 }
@@ -54,19 +55,6 @@
 	return reply
 }
 
-// answerDocument gives a peer the configuration in force if it is newer.
-func (m *mesh) answerDocument(request *protocol.DocumentRequest) (*protocol.DocumentReply, error) {
-	held := m.document()
-	if held.Version <= request.Have {
-		return &protocol.DocumentReply{}, nil
-	}
-	packed, err := compress(held)
-	if err != nil {
-		return nil, result.New(result.Internal, "the document can't be packed: %s", err)
-	}
-	return &packed, nil
-}
-
 // askDocument asks a peer for a document newer than a version; one without a
 // version means that there is none.
 func (m *mesh) askDocument(ctx context.Context, id protocol.NodeID, have protocol.Version) authority.Document {
@@ -84,7 +72,7 @@
 	if err != nil || !typed || reply.Version == 0 {
 		return authority.Document{}
 	}
-	document, err := decompress(*reply, m.valueBytes)
+	document, err := unpackDocument(*reply, m.valueBytes)
 	if err != nil {
 		m.events.event("peer_document_refused", field("peer", string(id)), field("error", err.Error()))
 		return authority.Document{}
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -146,7 +146,7 @@
 		follower: following.New(following.DefaultConfig(), randomNumber),
 	}
 	made.version = d.configuration.version
-	made.document = d.configuration.document
+	made.document = d.configuration.packedDocument
 	made.heardOf = d.configuration.heardOf
 	made.storeFails = d.configuration.storeFails
 	made.poll = d.configuration.poll
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -80,7 +80,7 @@
 // attempt ends if another one is sure to follow.
 func (c *callerCall) send(made *attempt, path *upstream, set *endpoint.Set, mark bool, now time.Duration) {
 	relay := &informer{writer: c.writer}
-	defer c.proxy.watch(path, made.chosen)()
+	defer c.proxy.watch(path, made.chosen, silenceOf(c.route.Resource.Target))()
 	ctx := c.context
 	if c.policy.Repeatable && c.proxy.config.OnSilent != nil {
 		cancellable, cancel := context.WithCancel(ctx)
--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -11,12 +11,23 @@
 
 const (
 	// silenceWait is how long a gate may owe an answer, and answer nobody, before
-	// the daemon is asked whether it is there at all.
+	// the daemon is asked whether it is there at all. Where the route states a
+	// target it is targetShare of that, if longer: among hundreds of daemons each
+	// meets a gate so seldom that one answer says nothing of the next, and most
+	// calls that take long would have their daemons asked (78 questions in 10 s at
+	// each of 295 daemons, half of all messages between them).
 	silenceWait = 120 * time.Millisecond
+	targetShare = 0.5
 	// silencePause is the least time between two such questions.
 	silencePause = 250 * time.Millisecond
 )
 
+// silenceOf is how long a gate may owe the answer of a call whose route states a
+// target, which is 0 for none.
+func silenceOf(target time.Duration) time.Duration {
+	return max(silenceWait, time.Duration(float64(target)*targetShare))
+}
+
 // silence watches for a gate that answers nothing: one that is cut off, paused
 // or without power looks like one that is busy.
 type silence struct {
@@ -30,9 +41,9 @@
 	waiting map[*attempt]func()
 }
 
-// watch asks for the daemon of an endpoint if the gate stays silent while an
-// attempt waits. What it returns must be called when the attempt has ended.
-func (p *Proxy) watch(path *upstream, chosen *endpoint.Endpoint) (stop func()) {
+// watch asks for the daemon of an endpoint if the gate stays silent for a time while
+// an attempt waits. What it returns must be called when the attempt has ended.
+func (p *Proxy) watch(path *upstream, chosen *endpoint.Endpoint, wait time.Duration) (stop func()) {
 	if p.config.OnSilent == nil {
 		return func() {}
 	}
@@ -40,28 +51,28 @@
 	var timer *time.Timer
 	timer = time.AfterFunc(time.Hour, func() {
 		if !ended.Load() {
-			timer.Reset(p.lookAfter(path, chosen.Node))
+			timer.Reset(p.lookAfter(path, chosen.Node, wait))
 		}
 	})
-	timer.Reset(silenceWait)
+	timer.Reset(wait)
 	return func() {
 		ended.Store(true)
 		timer.Stop()
 	}
 }
 
-// lookAfter asks for the daemon of a gate that is silent, and returns when to
-// look again.
-func (p *Proxy) lookAfter(path *upstream, node protocol.NodeID) time.Duration {
+// lookAfter asks for the daemon of a gate that has been silent for a time, and
+// returns when to look again.
+func (p *Proxy) lookAfter(path *upstream, node protocol.NodeID, wait time.Duration) time.Duration {
 	now := p.config.Clock()
-	if silentFor := now - time.Duration(path.silence.heardAt.Load()); silentFor < silenceWait {
-		return silenceWait - silentFor
+	if silentFor := now - time.Duration(path.silence.heardAt.Load()); silentFor < wait {
+		return wait - silentFor
 	}
 	asked := path.silence.askedAt.Load()
 	if now-time.Duration(asked) >= silencePause && path.silence.askedAt.CompareAndSwap(asked, int64(now)) {
 		p.config.OnSilent(node)
 	}
-	return silencePause
+	return max(silencePause, wait)
 }
 
 // heard notes that a gate has answered.
