The pace of watches and of versions from peers follows the time to apply them

Change: the time in which a version has to be in force is a setting (authority.apply_milliseconds); the pace is a quarter of it (0.5 s at 2 s as before, 0.75 s at 3 s), and holds for versions from peers too.

--- a/internal/core/following/following.go
+++ b/internal/core/following/following.go
@@ -16,8 +16,9 @@
 
 // Config holds the periods of a follower.
 type Config struct {
-	// Pace is the least time between the starts of two watches, so that a storm
-	// of versions costs a bounded number of calls.
+	// Pace is the least time between the starts of two watches, and between the
+	// versions taken from peers, so that a storm of versions costs a bounded number
+	// of calls and of versions put in force.
 	Pace time.Duration
 	// WatchWait is how long the store may hold a watch without news.
 	WatchWait time.Duration
@@ -28,10 +29,23 @@
 	Retry Backoff
 }
 
-// DefaultConfig returns the periods for production.
-func DefaultConfig() Config {
+// paceParts divides the time in which a version has to be in force everywhere: one
+// part may pass before a watch is made again, the others are for the store's lag, for
+// peers that pass the version on, and for putting it in force.
+const paceParts = 4
+
+// DefaultApply is the time in which a version has to be in force everywhere where
+// nothing else is stated.
+const DefaultApply = 2 * time.Second
+
+// DefaultConfig is ConfigFor the default time.
+func DefaultConfig() Config { return ConfigFor(DefaultApply) }
+
+// ConfigFor returns the periods where a version has to be in force everywhere within
+// a time.
+func ConfigFor(apply time.Duration) Config {
 	return Config{
-		Pace:      500 * time.Millisecond,
+		Pace:      apply / paceParts,
 		WatchWait: 10 * time.Second,
 		PeerGrace: 150 * time.Millisecond,
 		Retry:     DefaultBackoff(),
@@ -91,6 +105,9 @@
 	// answered is set once the store has answered at all.
 	answered  bool
 	watchedAt time.Duration
+	// adoptedAt is when a version was last handed out; adopted is set by the first.
+	adoptedAt time.Duration
+	adopted   bool
 	asking    map[protocol.NodeID]bool
 }
 
@@ -111,7 +128,7 @@
 // StoreRead takes the result of Read or Watch. A watch may be answered by a replica
 // that lags behind what was read before; it goes on from the latter.
 func (f *Follower) StoreRead(now time.Duration, reading authority.Reading) []Action {
-	actions := f.offer(reading.Document, SourceStore)
+	actions := f.offer(now, reading.Document, SourceStore)
 	switch reading.Code {
 	case result.OK:
 		f.failures = 0
@@ -132,24 +149,26 @@
 
 // StorePolled takes the result of a read that was made besides the watch: a
 // watch may be silent about a change, a linearizable read is not.
-func (f *Follower) StorePolled(reading authority.Reading) []Action {
-	return f.offer(reading.Document, SourcePoll)
+func (f *Follower) StorePolled(now time.Duration, reading authority.Reading) []Action {
+	return f.offer(now, reading.Document, SourcePoll)
 }
 
 // Lacks tells whether a version is newer than all that were handed out.
 func (f *Follower) Lacks(version protocol.Version) bool { return version > f.version }
 
 // offer takes a document if it is newer than all before.
-func (f *Follower) offer(document authority.Document, source string) []Action {
+func (f *Follower) offer(now time.Duration, document authority.Document, source string) []Action {
 	if document.Version <= f.version {
 		return nil
 	}
 	f.version = document.Version
+	f.adoptedAt = now
+	f.adopted = true
 	return []Action{{Kind: Adopt, Document: document, Source: source}}
 }
 
 // PeerVersion takes a peer's word of the version that it has in force.
-func (f *Follower) PeerVersion(peer protocol.NodeID, version protocol.Version) []Action {
+func (f *Follower) PeerVersion(now time.Duration, peer protocol.NodeID, version protocol.Version) []Action {
 	if version <= f.version || f.asking[peer] {
 		return nil
 	}
@@ -158,13 +177,16 @@
 	if !f.StoreAnswered() {
 		grace = 0
 	}
+	if f.adopted {
+		grace = max(grace, f.adoptedAt+f.config.Pace-now)
+	}
 	return []Action{{Kind: AskPeer, Peer: peer, Version: version, After: grace}}
 }
 
 // PeerAnswered takes a peer's document; one without a version is none.
-func (f *Follower) PeerAnswered(peer protocol.NodeID, document authority.Document) []Action {
+func (f *Follower) PeerAnswered(now time.Duration, peer protocol.NodeID, document authority.Document) []Action {
 	delete(f.asking, peer)
-	return f.offer(document, SourcePeer)
+	return f.offer(now, document, SourcePeer)
 }
 
 // backoff is the pause after the present failure.
--- a/internal/hosted/configuration.go
+++ b/internal/hosted/configuration.go
@@ -113,7 +113,7 @@
 func (c *configuration) heardOf(peer protocol.NodeID, version protocol.Version) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.carryOut(c.follower.PeerVersion(peer, version))
+	c.carryOut(c.follower.PeerVersion(c.clock(), peer, version))
 }
 
 // carryOut does what the follower has decided; the lock is held. Reads and
@@ -141,7 +141,7 @@
 		document := c.askIfLacking(action)
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
-		c.carryOut(c.follower.PeerAnswered(action.Peer, document))
+		c.carryOut(c.follower.PeerAnswered(c.clock(), action.Peer, document))
 		return
 	}
 	reading := c.read(action)
@@ -177,7 +177,7 @@
 	c.calls.note(purposePoll, reading.Code)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.carryOut(c.follower.StorePolled(reading))
+	c.carryOut(c.follower.StorePolled(c.clock(), reading))
 	return reading.Code == result.OK
 }
 
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -143,7 +143,7 @@
 		askPeer:  made.askDocument,
 		context:  d.context,
 		calls:    &d.storeCalls,
-		follower: following.New(following.DefaultConfig(), randomNumber),
+		follower: following.New(following.ConfigFor(d.settings.Authority.Apply()), randomNumber),
 	}
 	made.version = d.configuration.version
 	made.document = d.configuration.packedDocument
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -66,6 +66,15 @@
 	ReadsPerSecond float64 `koanf:"reads_per_second" validate:"min=1"`
 	// ValueBytes is the most that one object of the store may hold.
 	ValueBytes int `koanf:"value_bytes" validate:"min=1024,max=268435456"`
+	// ApplyMilliseconds is within what time of its acceptance a version has to be in
+	// force on every daemon.
+	ApplyMilliseconds int `koanf:"apply_milliseconds" validate:"min=500,max=600000"`
+}
+
+// Apply is within what time of its acceptance a version has to be in force on every
+// daemon.
+func (a HostedAuthority) Apply() time.Duration {
+	return time.Duration(a.ApplyMilliseconds) * time.Millisecond
 }
 
 // HostedRetries bounds the retries of all daemons together.
@@ -103,7 +112,7 @@
 func DefaultHosted() Hosted {
 	return Hosted{
 		Backend:   HostedBackend{HeartbeatMilliseconds: 1500},
-		Authority: HostedAuthority{ReadsPerSecond: 100, ValueBytes: 1 << 20},
+		Authority: HostedAuthority{ReadsPerSecond: 100, ValueBytes: 1 << 20, ApplyMilliseconds: 2000},
 		Retries:   HostedRetries{Ratio: 0.1, Slack: 10, WindowSeconds: 10},
 		Drain:     HostedDrain{GraceSeconds: 30},
 		Log:       Log{Level: "info"},
