--- a/internal/compression/compression.go
+++ b/internal/compression/compression.go
@@ -16,8 +16,9 @@
 	// window is how far back repeated text is found. Routes repeat within a few
 	// hundred bytes of each other; a larger window only holds memory.
 	window = 128 << 10
-	// concurrency is how many messages are packed or unpacked at once.
-	concurrency = 2
+	// concurrency is how many messages are packed or unpacked at once. Each more
+	// holds about half a megabyte, and a daemon has one processor.
+	concurrency = 1
 	// maximum bounds the memory of one unpacking; callers give lower limits.
 	maximum = 1 << 30
 )
--- a/internal/core/dissemination/directory.go
+++ b/internal/core/dissemination/directory.go
@@ -33,6 +33,8 @@
 	all   []Peer
 	byID  map[protocol.NodeID]int
 	zones map[string][]Peer
+	// far are those of other zones, in ascending order of id.
+	far []Peer
 }
 
 // relayPurpose names the ranking by which relays are chosen.
@@ -54,6 +56,9 @@
 	for index, one := range made.all {
 		made.byID[one.ID] = index
 		made.zones[one.Zone] = append(made.zones[one.Zone], one)
+		if one.Zone != zone {
+			made.far = append(made.far, one)
+		}
 		scores[one.ID] = membership.Score(relayPurpose, one.ID)
 	}
 	for _, ranked := range made.zones {
@@ -79,6 +84,9 @@
 // Near returns the other daemons of the own zone, ranked.
 func (d *Directory) Near() []Peer { return d.zones[d.zone] }
 
+// Far returns the daemons of all other zones in ascending order of id.
+func (d *Directory) Far() []Peer { return d.far }
+
 // Zones returns the names of all zones with another daemon, in order.
 func (d *Directory) Zones() []string {
 	names := make([]string, 0, len(d.zones))
--- a/internal/hosted/comparing.go
+++ b/internal/hosted/comparing.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/samber/lo"
-
 	"github.com/springstack/springstack/internal/core/dissemination"
 	"github.com/springstack/springstack/internal/core/membership"
 	"github.com/springstack/springstack/internal/core/protocol"
@@ -33,7 +31,7 @@
 func (m *mesh) nextTargets(round int) []dissemination.Peer {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	near, far := m.nearAndFar()
+	near, far := m.peers().Near(), m.peers().Far()
 	var targets []dissemination.Peer
 	if len(near) > 0 {
 		targets = append(targets, near[m.turn%len(near)])
@@ -84,14 +82,6 @@
 	}
 }
 
-// nearAndFar divides the other daemons into those of the own zone, ranked, and
-// those of others; the lock is held.
-func (m *mesh) nearAndFar() (near, far []dissemination.Peer) {
-	directory := m.peers()
-	far = lo.Reject(directory.All(), func(one dissemination.Peer, _ int) bool { return one.Zone == m.self.Zone })
-	return directory.Near(), far
-}
-
 // noteJoined notes that the records of a peer have come. Those of the own zone
 // know what an earlier start of this daemon announced, others may not, so they
 // count only where the zone has nobody else.
--- a/internal/hosted/registering.go
+++ b/internal/hosted/registering.go
@@ -113,7 +113,7 @@
 func (m *mesh) meetTargets() []dissemination.Peer {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	near, far := m.nearAndFar()
+	near, far := m.peers().Near(), m.peers().Far()
 	targets := slices.Clone(near[:min(meetNear, len(near))])
 	return append(targets, drawn(far, 1)...)
 }
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -50,10 +50,7 @@
 		return next
 	}
 	if held != previous.snapshot {
-		next.table = routing.Compile(held)
-		if p.config.Edge != nil {
-			next.table = routing.CompileVerbatim(held)
-		}
+		next.table = p.compile(held)
 	}
 	now := p.config.Clock()
 	budget := p.retryLimits(len(members))
@@ -78,6 +75,15 @@
 	return next
 }
 
+// compile makes the table of a snapshot's routes, which at an edge match hosts and
+// paths as they were sent.
+func (p *Proxy) compile(held *snapshot.Snapshot) *routing.Table {
+	if p.config.Edge != nil {
+		return routing.CompileVerbatim(held)
+	}
+	return routing.Compile(held)
+}
+
 // retryLimits are the limits of each budget among a number of daemons.
 func (p *Proxy) retryLimits(daemons int) retry.Limits {
 	if p.config.RetryBudget == nil {
@@ -92,9 +98,13 @@
 	if !p.config.Reported {
 		return held.Backends
 	}
+	counts := make(map[resource.ServiceRef]int, len(held.Services))
+	for index := range members {
+		counts[members[index].Service]++
+	}
 	backends := make(map[resource.ServiceRef][]resource.Backend, len(held.Services))
 	for reference := range held.Services {
-		backends[reference] = nil
+		backends[reference] = make([]resource.Backend, 0, counts[reference])
 	}
 	for _, member := range members {
 		if _, known := held.Services[member.Service]; !known || member.Backend == "" {
