--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -10,6 +10,7 @@
 	"github.com/springstack/springstack/internal/logging"
 	"github.com/springstack/springstack/internal/pause"
 	"github.com/springstack/springstack/internal/proxy"
+	"github.com/springstack/springstack/internal/result"
 )
 
 // The rates of lines, so that logging stays a small part of the daemon's work
@@ -109,6 +110,7 @@
 				field("version", versionText(d.configuration.version())))
 		}
 		last = now
+		d.summarizeStoreCalls()
 		if total := d.linesDropped(); total != dropped {
 			d.events.event("log_lines_dropped", field("lines", count(total-dropped)))
 			dropped = total
@@ -116,6 +118,24 @@
 	}
 }
 
+// summarizeStoreCalls writes how many calls to the store were made since the start,
+// by their purpose.
+func (d *Daemon) summarizeStoreCalls() {
+	totals := map[storePurpose]uint64{}
+	failed := uint64(0)
+	for call, made := range d.storeCalls.snapshot() {
+		totals[call.purpose] += made
+		if call.code != result.OK {
+			failed += made
+		}
+	}
+	fields := []eventField{field("failed", count(failed))}
+	for _, purpose := range storePurposes {
+		fields = append(fields, field(string(purpose), count(totals[purpose])))
+	}
+	d.events.event("store_summary", fields...)
+}
+
 // linesDropped is how many log lines were not written since the start.
 func (d *Daemon) linesDropped() uint64 {
 	total := d.events.rate.Dropped() + d.requests.rate.Dropped()
--- a/internal/hosted/storecalls.go
+++ b/internal/hosted/storecalls.go
@@ -29,6 +29,11 @@
 	purposeUnregister storePurpose = "unregister"
 )
 
+// storePurposes are all purposes, in the order of summaries.
+var storePurposes = []storePurpose{
+	purposeList, purposeRegister, purposeRead, purposeWatch, purposePoll, purposeUnregister,
+}
+
 // storeCall is a kind of call to the store with its result.
 type storeCall struct {
 	purpose storePurpose
