Names of the field in the hosted mesh: broadcast, refute, sync at the start

meet, recall, defend and telling.go were words of our own; they are syncAtStart, resumeDrain, refute and broadcasting.go now. Publishing of records has a file of its own. No behaviour changes.

--- a/internal/hosted/telling.go
+++ b/internal/hosted/broadcasting.go
@@ -8,24 +8,20 @@
 	"github.com/springstack/springstack/internal/core/dissemination"
 	"github.com/springstack/springstack/internal/core/membership"
 	"github.com/springstack/springstack/internal/core/protocol"
-	"github.com/springstack/springstack/internal/pause"
 )
 
 const (
 	// batchPeriod is the least time between two broadcasts of one relay. A stop is
 	// announced longer than this before its gate closes (announceAhead).
 	batchPeriod = 200 * time.Millisecond
-	// publishPeriod is the least time between two views built for news of other
-	// daemons: a view of 295 daemons takes 0.3 to 0.7 ms to build (BenchmarkPublish).
-	publishPeriod = 100 * time.Millisecond
 	// relayTries is how many relays of a zone are tried for one message.
 	relayTries = 3
 )
 
-// tellSelf tells the relays of all zones of the own record; the lock is held. In
+// broadcastSelf tells the relays of all zones of the own record; the lock is held. In
 // the own zone a second daemon is told as well, so that what this daemon has
 // acknowledged is remembered although the relay ends before its broadcast.
-func (m *mesh) tellSelf() {
+func (m *mesh) broadcastSelf() {
 	directory := m.peers()
 	request := m.pushRequest([]protocol.Member{m.self})
 	request.Relay = true
@@ -44,9 +40,9 @@
 	m.push(near[:min(1, len(near))], m.self)
 }
 
-// tellZone has records of other zones broadcast in the own zone; the lock is
+// broadcastInZone has records of other zones broadcast in the own zone; the lock is
 // held.
-func (m *mesh) tellZone(records []protocol.Member) {
+func (m *mesh) broadcastInZone(records []protocol.Member) {
 	if m.peers().IsRelay(m.isLost) {
 		m.broadcastSoon(idsOf(records)...)
 		return
@@ -156,43 +152,6 @@
 	}
 }
 
-// publishSoon gives the data path the newest records, within publishPeriod; the
-// lock is held.
-func (m *mesh) publishSoon() {
-	if m.publishing {
-		return
-	}
-	wait := m.publishedAt + publishPeriod - m.clock()
-	if m.publishedAt == 0 || wait <= 0 {
-		m.publishAll()
-		return
-	}
-	m.publishing = true
-	m.later(wait, m.publishAll)
-}
-
-// publishAll gives the data path all records; the lock is held.
-func (m *mesh) publishAll() {
-	m.publishing = false
-	m.publishedAt = m.clock()
-	m.publish(m.roster.All())
-}
-
-// later runs an action with the lock held after a time, unless the daemon ends
-// before.
-func (m *mesh) later(wait time.Duration, action func()) {
-	m.running.Add(1)
-	go func() {
-		defer m.running.Done()
-		if !pause.For(m.context, wait) {
-			return
-		}
-		m.mutex.Lock()
-		defer m.mutex.Unlock()
-		action()
-	}()
-}
-
 func idsOf(records []protocol.Member) []protocol.NodeID {
 	return lo.Map(records, func(member protocol.Member, _ int) protocol.NodeID { return member.ID })
 }
--- a/internal/hosted/comparing.go
+++ b/internal/hosted/comparing.go
@@ -78,7 +78,7 @@
 	defer m.mutex.Unlock()
 	news := m.take(members)
 	if len(news) > 0 && fromZone != m.self.Zone {
-		m.tellZone(news)
+		m.broadcastInZone(news)
 	}
 }
 
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -142,7 +142,7 @@
 	m.self.Sequence++
 	m.roster.Merge(m.clock(), m.self, membership.Below)
 	m.publishAll()
-	m.tellSelf()
+	m.broadcastSelf()
 }
 
 // drawn returns up to count peers at random.
@@ -209,8 +209,8 @@
 	var news []protocol.Member
 	for _, member := range members {
 		if member.ID == m.self.ID {
-			m.recall(member)
-			m.defend(member)
+			m.resumeDrain(member)
+			m.refute(member)
 			continue
 		}
 		if m.roster.Merge(m.clock(), member, membership.Below) {
@@ -224,17 +224,17 @@
 	return news
 }
 
-// recall takes over the drain that an earlier start has acknowledged; the lock
+// resumeDrain takes over the drain that an earlier start has acknowledged; the lock
 // is held.
-func (m *mesh) recall(remembered protocol.Member) {
+func (m *mesh) resumeDrain(remembered protocol.Member) {
 	if remembered.Incarnation < m.self.Incarnation && remembered.Endpoint == protocol.EndpointDraining {
 		m.rememberLeaving(remembered.Backend)
 	}
 }
 
-// defend raises the own record above what another daemon remembers of an
+// refute raises the own record above what another daemon remembers of an
 // earlier start; the lock is held.
-func (m *mesh) defend(remembered protocol.Member) {
+func (m *mesh) refute(remembered protocol.Member) {
 	if !membership.Newer(remembered, m.self) {
 		return
 	}
--- /dev/null
+++ b/internal/hosted/publishing.go
@@ -0,0 +1,48 @@
+package hosted
+
+import (
+	"time"
+
+	"github.com/springstack/springstack/internal/pause"
+)
+
+// publishPeriod is the least time between two views built for news of other
+// daemons: a view of 295 daemons takes 0.3 to 0.7 ms to build (BenchmarkPublish).
+const publishPeriod = 100 * time.Millisecond
+
+// publishSoon gives the data path the newest records, within publishPeriod; the
+// lock is held.
+func (m *mesh) publishSoon() {
+	if m.publishing {
+		return
+	}
+	wait := m.publishedAt + publishPeriod - m.clock()
+	if m.publishedAt == 0 || wait <= 0 {
+		m.publishAll()
+		return
+	}
+	m.publishing = true
+	m.later(wait, m.publishAll)
+}
+
+// publishAll gives the data path all records; the lock is held.
+func (m *mesh) publishAll() {
+	m.publishing = false
+	m.publishedAt = m.clock()
+	m.publish(m.roster.All())
+}
+
+// later runs an action with the lock held after a time, unless the daemon ends
+// before.
+func (m *mesh) later(wait time.Duration, action func()) {
+	m.running.Add(1)
+	go func() {
+		defer m.running.Done()
+		if !pause.For(m.context, wait) {
+			return
+		}
+		m.mutex.Lock()
+		defer m.mutex.Unlock()
+		action()
+	}()
+}
--- a/internal/hosted/registering.go
+++ b/internal/hosted/registering.go
@@ -12,24 +12,24 @@
 	"github.com/springstack/springstack/internal/pause"
 )
 
-// register reads the registry, leaves the daemon's own registration there unless
-// it stands there already, and meets the daemons listed. Who had to register reads
-// the list again at once, so that of daemons that start together the last one knows
-// all others, and once more when what may lag behind has come.
+// register reads the registry, leaves the daemon's own registration there unless it
+// stands there already, and compares records with daemons listed. Who had to register
+// reads the list again at once, so that of daemons that start together the last one
+// knows all others, and once more when what may lag behind has come.
 func (m *mesh) register() {
 	if !m.untilDone(m.readRegistry) {
 		return
 	}
 	if m.isRegistered() {
-		m.meet()
+		m.syncAtStart()
 		return
 	}
 	if !m.untilDone(m.putRegistration) || !m.untilDone(m.readRegistry) {
 		return
 	}
-	m.meet()
+	m.syncAtStart()
 	if pause.For(m.context, registryLag) && m.untilDone(m.readRegistry) {
-		m.meet()
+		m.syncAtStart()
 	}
 }
 
@@ -94,27 +94,27 @@
 	return true
 }
 
-// meetNear is how many daemons of the own zone a start compares records with: the
+// startPeerCount is how many daemons of the own zone a start compares records with: the
 // relay, the one that is told what the relay is told, and one more.
-const meetNear = 3
+const startPeerCount = 3
 
-// meet compares records with some peers, the relay of the own zone first, and has
+// syncAtStart compares records with some peers, the relay of the own zone first, and has
 // the own record broadcast.
-func (m *mesh) meet() {
-	for _, target := range m.meetTargets() {
+func (m *mesh) syncAtStart() {
+	for _, target := range m.startPeers() {
 		m.compare(target)
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.tellSelf()
+	m.broadcastSelf()
 }
 
-// meetTargets are the peers that a start compares records with.
-func (m *mesh) meetTargets() []dissemination.Peer {
+// startPeers are the peers that a start compares records with.
+func (m *mesh) startPeers() []dissemination.Peer {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	near, far := m.peers().Near(), m.peers().Far()
-	targets := slices.Clone(near[:min(meetNear, len(near))])
+	targets := slices.Clone(near[:min(startPeerCount, len(near))])
 	return append(targets, drawn(far, 1)...)
 }
 
