Short calls are not refused for their target again

Cause: with the exemption gone, calls that upstreams make are refused where the called service is slow, and the runs that need them fail.

--- a/internal/core/admission/target.go
+++ b/internal/core/admission/target.go
@@ -10,6 +10,9 @@
 // the least wait that is told for another attempt.
 const retryParts = 2
 
+// shortShare is the share of the mean service time below which a call is short.
+const shortShare = 0.75
+
 // brief divides the service time of a call: a wait that is no longer than that part
 // of it is not why its answer is late.
 const brief = 4
@@ -58,9 +61,12 @@
 }
 
 // lateness is by how much the answer of a call that starts at a time is expected to
-// miss its target. It is 0 for patient calls.
+// miss its target. It is 0 for patient calls, and for calls that are shorter than
+// most: to run them costs little, and whoever makes a short call usually needs it to
+// go on.
 func (g *Gate) lateness(ticket *Ticket, start time.Duration) time.Duration {
-	if ticket.Target <= 0 || ticket.Patient {
+	service := g.serviceOf(&ticket.Call)
+	if ticket.Target <= 0 || ticket.Patient || float64(service) < shortShare*float64(g.meanService()) {
 		return 0
 	}
 	return max(start+g.LongServiceOf(&ticket.Call)-ticket.Target, 0)
