The retry budget counts calls and retries of the present window, by class of route

Two causes, both in the account. A daemon could spend in a window what that window and the one before it had earned: twice a half is the whole, and nothing was left for the second cause, the calls of runs that were retries themselves, which count as repetitions at the service they come to. A third was found by the property test: calls that back ends only turned away earned retries, so that after a time of rejections a service whose runs are few repeats more than its callees have calls.

Ruled out: the slack's division (0.5 of 35 in all), traffic that falls (the bound takes the larger of three windows).

Change: one sliding window of calls that ran and of retries, exact to a tenth of the window, for each service and for each class of its calls (package callclass: what routes state, not their names); the ratio is divided by the setting retries.call_depth, through how many services a call goes. What is kept for urgent calls is a quarter of the window's retries. No lock, no token bucket, no trickle.

Test: TestAChainOfServicesStaysWithinTheBudget, whole meshes of 13, 83 and 295 daemons, chains of 1 to 7, back ends that reject and fail, traffic that halves. It fails with a ratio that is not divided (level 3 of 6 overdrawn by 39), and with deposits for rejected calls.

--- a/internal/core/admission/call.go
+++ b/internal/core/admission/call.go
@@ -8,12 +8,15 @@
 import (
 	"time"
 
+	"github.com/springstack/springstack/internal/core/callclass"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/result"
 )
 
 // Call is what the gate knows of a call that wants to start.
 type Call struct {
+	// Class tells calls of like routes apart, whose service times are learned.
+	Class    callclass.Class
 	Partner  resource.Partner
 	Priority resource.Priority
 	// Deadline is on the gate's clock; a call that can't start and end by then
--- /dev/null
+++ b/internal/core/callclass/callclass_test.go
@@ -0,0 +1,53 @@
+package callclass
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/resource"
+)
+
+func route(target, timeout time.Duration, repeatable bool) *resource.Route {
+	return &resource.Route{
+		Partner: "kameeldoring", Target: target, Timeout: timeout, Repeatable: &repeatable,
+		Priority: resource.PriorityNormal,
+	}
+}
+
+// Kinds of calls whose targets are of one magnitude are still told apart.
+func TestRoutesOfLikeTargetsAreOfDifferentClasses(t *testing.T) {
+	check := is.New(t)
+	kinds := []*resource.Route{
+		route(800*time.Millisecond, 2*time.Second, true),
+		route(time.Second, 2500*time.Millisecond, false),
+		route(1200*time.Millisecond, 3*time.Second, false),
+		route(2*time.Second, 5*time.Second, true),
+		route(200*time.Millisecond, 600*time.Millisecond, true),
+	}
+	seen := map[Class]bool{}
+	for _, kind := range kinds {
+		check.True(Of(kind) < Count)
+		seen[Of(kind)] = true
+	}
+	check.Equal(len(seen), len(kinds))
+}
+
+// A route that is added or renamed is of the class of its like.
+func TestNamesDoNotMatter(t *testing.T) {
+	check := is.New(t)
+	one := route(time.Second, 2*time.Second, true)
+	other := route(time.Second, 2*time.Second, true)
+	other.Name = "another"
+	other.Match.Host = "elsewhere.example"
+	check.Equal(Of(one), Of(other))
+}
+
+func TestNumbersOutOfRangeAreNoClasses(t *testing.T) {
+	check := is.New(t)
+	check.True(Valid(0))
+	check.True(Valid(Count - 1))
+	check.True(!Valid(-1))
+	check.True(!Valid(Count))
+}
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -1,138 +1,154 @@
 package retry
 
 import (
+	"cmp"
 	"sync/atomic"
 	"time"
+
+	"github.com/springstack/springstack/internal/core/callclass"
 )
 
-// The budget is counted in thousandths of a retry.
+// unit is one call or retry in the accounts, which count in thousandths.
 const unit = 1000
 
-// Limits bounds the retries towards one service.
+// urgentParts divides what is allowed: one part of it is kept for urgent calls, so
+// that a service whose ordinary calls fail can still save those that matter most.
+const urgentParts = 4
+
+// Limits bounds the retries towards one service in every window.
 type Limits struct {
 	// Ratio is the retries that each call allows.
 	Ratio float64
-	// Saved is the most retries that are saved up in any case; half of what is
-	// saved up is kept for urgent calls.
-	Saved float64
-	// Initial is how many are there at the start.
-	Initial float64
-	// Window lets what the calls of the last Window allowed be saved up where
-	// that is more than Saved, so that a daemon whose part of the whole is small
-	// can retry at all; 0 does not.
+	// Part is how many retries are allowed where the calls allow fewer.
+	Part float64
+	// Window is the span in which calls and retries are counted.
 	Window time.Duration
-	// TricklePeriod adds one retry each time, so that a service with few calls
-	// is able to retry; 0 adds none.
-	TricklePeriod time.Duration
+}
+
+// safety is the share of a stated bound that is used, for attempts that arrive in
+// another window than the one they were counted in.
+const safety = 0.9
+
+// ForChain returns the limits of one of a number of daemons that together may repeat
+// a ratio of the calls to each service, and a slack, where calls go through at most
+// depth services, each of which is called by the one before it. Each of these adds its
+// own retries to what the last one gets, so that each may use a part. What the slack
+// allows at the first is multiplied by the calls that runs make further down.
+func ForChain(ratio, slack float64, depth, daemons int, window time.Duration) Limits {
+	services := float64(max(depth, 1))
+	return Limits{
+		Ratio:  ratio * safety / services,
+		Part:   slack / services / float64(max(daemons, 1)),
+		Window: window,
+	}
 }
 
 // DefaultLimits lets retries be a tenth of the calls.
 func DefaultLimits() Limits {
-	return Limits{Ratio: 0.1, Saved: 10, Initial: 10, TricklePeriod: 2 * time.Second}
+	return Limits{Ratio: 0.1, Part: 10, Window: 10 * time.Second}
+}
+
+// account counts the calls and retries of one service, or of one class of its calls.
+type account struct {
+	// calls are those that ran, retries those sent again.
+	calls   window
+	retries window
 }
 
-// Budget bounds the retries towards one service to a share of its calls. It is
-// shared by all calls and takes no lock.
+// Budget bounds the retries towards one service to a share of its calls, in every
+// window that ends now. It is shared by all calls and takes no lock.
 //
-// In any span of Window it allows at most what the calls of that span and of the
-// one before it earned, and Saved. So the sum over many daemons is bounded by the
-// calls of all of them, however the daemons' calls are spread.
+// What a daemon sends again in a window is at most Ratio of its calls in that window, or
+// Part where that is more. So the sum over many daemons is bounded by the calls of all of them.
+//
+// A run that was itself a retry makes calls, and these are repetitions at the services
+// called, though nobody there has sent them again and nobody can tell them from others.
+// So Ratio has to leave room for those of all services further up (see ForChain). For
+// that the bound holds for each class of calls as well: calls of a class that calls
+// nobody can't pay for retries of one that does.
 type Budget struct {
-	deposit int64
-	trickle time.Duration
-
-	saved  atomic.Int64
-	earned earnings
+	ratio  int64
+	window time.Duration
+	part   atomic.Int64
 
-	tokens    atomic.Int64
-	trickleAt atomic.Int64
+	service account
+	classes [callclass.Count]atomic.Pointer[account]
 }
 
-// NewBudget returns a full budget of the default limits.
-func NewBudget(now time.Duration) *Budget { return NewBudgetWithin(now, DefaultLimits()) }
+// NewBudget returns a budget of the default limits.
+func NewBudget() *Budget { return NewBudgetWithin(DefaultLimits()) }
 
-// NewBudgetWithin returns a budget of the limits; zero limits mean the default.
-func NewBudgetWithin(now time.Duration, limits Limits) *Budget {
-	if limits == (Limits{}) {
-		limits = DefaultLimits()
-	}
+// NewBudgetWithin returns a budget of the limits; without a window that of the
+// default limits is taken.
+func NewBudgetWithin(limits Limits) *Budget {
 	budget := &Budget{
-		deposit: int64(limits.Ratio * unit),
-		trickle: limits.TricklePeriod,
-		earned:  earnings{half: limits.Window / 2},
+		ratio:  int64(limits.Ratio * unit),
+		window: cmp.Or(limits.Window, DefaultLimits().Window),
 	}
-	budget.saved.Store(int64(limits.Saved * unit))
-	budget.tokens.Store(int64(limits.Initial * unit))
-	budget.trickleAt.Store(int64(now + limits.TricklePeriod))
+	budget.SetPart(limits.Part)
 	return budget
 }
 
-// SetSaved changes the most that is saved up in any case, as the number of
-// daemons that share the whole changes.
-func (b *Budget) SetSaved(now time.Duration, saved float64) {
-	b.saved.Store(int64(saved * unit))
-	b.trim(b.limit(now))
-}
-
-// limit is the most that may be saved up now.
-func (b *Budget) limit(now time.Duration) int64 {
-	return max(b.saved.Load(), b.earned.recent(now))
-}
+// SetPart changes what is allowed whatever the calls are, as the number of daemons
+// that share the whole changes.
+func (b *Budget) SetPart(part float64) { b.part.Store(int64(part * unit)) }
 
-// trim gives up what is saved beyond a limit.
-func (b *Budget) trim(limit int64) {
-	for {
-		held := b.tokens.Load()
-		if held <= limit || b.tokens.CompareAndSwap(held, limit) {
-			return
-		}
+// of is the account of a class.
+func (b *Budget) of(class callclass.Class) *account {
+	slot := &b.classes[class%callclass.Count]
+	if held := slot.Load(); held != nil {
+		return held
 	}
+	slot.CompareAndSwap(nil, &account{})
+	return slot.Load()
 }
 
-// reserve is the part of a limit that is kept for urgent calls: a half, but never
-// so much that one retry of another call does not fit beside it.
-func reserve(limit int64) int64 { return max(0, min(limit/2, limit-unit)) }
-
-// Deposit records a call; it is called once a call, at its first attempt.
-func (b *Budget) Deposit(now time.Duration) {
-	b.earned.add(now, b.deposit)
-	b.add(b.deposit, b.limit(now))
+// Deposit records a call that has run, or may have. One that back ends only turned
+// away allows no retries: it makes no calls itself, so that what it allowed would be
+// too much for the services that those which do run call.
+func (b *Budget) Deposit(now time.Duration, class callclass.Class) {
+	b.service.calls.add(now, b.window, unit)
+	b.of(class).calls.add(now, b.window, unit)
 }
 
-func (b *Budget) add(amount, limit int64) {
-	// A full budget is only read, so that it stays in every core's cache.
-	for {
-		held := b.tokens.Load()
-		if held >= limit {
-			return
-		}
-		if b.tokens.CompareAndSwap(held, min(held+amount, limit)) {
-			return
+// Withdraw takes the cost of a retry, in retries, and answers false when there is
+// not so much. The last part of what is allowed is for urgent calls.
+func (b *Budget) Withdraw(now time.Duration, class callclass.Class, cost int, urgent bool) bool {
+	price := int64(cost) * unit
+	accounts := [...]*account{&b.service, b.of(class)}
+	// It is taken first and given back where it was too much, so that two at the
+	// same moment never take more than there is.
+	for _, one := range accounts {
+		one.retries.add(now, b.window, price)
+	}
+	for _, one := range accounts {
+		if b.left(now, one, urgent) < 0 {
+			for _, taken := range accounts {
+				taken.retries.add(now, b.window, -price)
+			}
+			return false
 		}
 	}
+	return true
 }
 
-// Withdraw takes the cost of a retry, in retries, and answers false when there
-// is not so much. The last half of what may be saved up is for urgent calls.
-func (b *Budget) Withdraw(now time.Duration, cost int, urgent bool) bool {
-	price := int64(cost * unit)
-	limit := b.limit(now)
-	floor := price
+// left is what an account still allows; negative when it has been exceeded.
+func (b *Budget) left(now time.Duration, of *account, urgent bool) int64 {
+	calls := of.calls.atLeast(now, b.window)
+	retries := of.retries.atMost(now, b.window)
+	allowed := max(calls*b.ratio/unit, b.part.Load())
 	if !urgent {
-		floor += reserve(limit)
-	}
-	b.trim(limit)
-	due := b.trickleAt.Load()
-	if b.trickle > 0 && int64(now) >= due && b.trickleAt.CompareAndSwap(due, int64(now+b.trickle)) {
-		b.add(unit, limit)
-	}
-	for {
-		held := b.tokens.Load()
-		if held < floor {
-			return false
-		}
-		if b.tokens.CompareAndSwap(held, held-price) {
-			return true
-		}
+		allowed -= reserve(allowed)
 	}
+	return allowed - retries
+}
+
+// reserve is the part of what is allowed that is kept for urgent calls, but never so
+// much that one retry of another call does not fit beside it.
+func reserve(allowed int64) int64 { return max(0, min(allowed/urgentParts, allowed-unit)) }
+
+// Left is how many retries of urgent calls of a class are allowed now.
+func (b *Budget) Left(now time.Duration, class callclass.Class) float64 {
+	left := min(b.left(now, &b.service, true), b.left(now, b.of(class), true))
+	return float64(max(left, 0)) / unit
 }
--- a/internal/core/retry/call.go
+++ b/internal/core/retry/call.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/springstack/springstack/internal/core/callclass"
 	"github.com/springstack/springstack/internal/result"
 )
 
@@ -68,6 +69,8 @@
 	Deadline time.Duration
 	// Margin is the least time in which another attempt can be of use.
 	Margin time.Duration
+	// Class tells calls of like routes apart in the budget.
+	Class callclass.Class
 	// Unbudgeted retries without budget and mark. It is for comparisons only.
 	Unbudgeted bool
 }
@@ -119,21 +122,31 @@
 	// run, and never cleared: a later "did not run" speaks of its own attempt
 	// only.
 	mayHaveRun bool
+	// deposited says that the call has been recorded in the budget.
+	deposited bool
 	// unknownCode is the code of the last attempt that may have run.
 	unknownCode result.Code
 	// prepaid says that the attempt after the present one is paid for.
 	prepaid bool
 }
 
-// NewCall starts the account of a call and deposits into the budget.
-func NewCall(now time.Duration, policy Policy, budget *Budget) *Call {
-	budget.Deposit(now)
+// NewCall starts the account of a call.
+func NewCall(policy Policy, budget *Budget) *Call {
 	return &Call{policy: policy, budget: budget}
 }
 
+// deposit records the call in the budget at the first attempt that may have run.
+func (c *Call) deposit(now time.Duration, outcome Outcome) {
+	if c.deposited || didNotRun(outcome) {
+		return
+	}
+	c.deposited = true
+	c.budget.Deposit(now, c.policy.Class)
+}
+
 // BudgetLeft is how many retries the budget has left, as text for logs.
-func (c *Call) BudgetLeft() string {
-	return strconv.FormatFloat(float64(c.budget.tokens.Load())/unit, 'f', 1, 64)
+func (c *Call) BudgetLeft(now time.Duration) string {
+	return strconv.FormatFloat(c.budget.Left(now, c.policy.Class), 'f', 1, 64)
 }
 
 // First returns the mark for the first attempt.
@@ -144,6 +157,7 @@
 // Next decides what follows an attempt.
 func (c *Call) Next(now time.Duration, outcome Outcome) Step {
 	c.attempts++
+	c.deposit(now, outcome)
 	if outcome.Kind == Answered && c.retriesAnswer(now, outcome) {
 		c.mayHaveRun = true
 		c.unknownCode = result.BrokenInFlight
@@ -193,7 +207,7 @@
 		c.prepaid = false
 		return true
 	}
-	return c.policy.Unbudgeted || c.budget.Withdraw(now, attempts, c.policy.Urgent)
+	return c.policy.Unbudgeted || c.budget.Withdraw(now, c.policy.Class, attempts, c.policy.Urgent)
 }
 
 // retriesAnswer tells whether a failure that the back end answered is worth
--- /dev/null
+++ b/internal/core/retry/chain_test.go
@@ -0,0 +1,172 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/springstack/springstack/internal/core/callclass"
+)
+
+// chainRun is a mesh whose services call each other in a row. Every service has the
+// same daemons beside its back ends, and calls of two classes come to it: those of
+// class 0 call the next service, those of class 1 call nobody.
+type chainRun struct {
+	// levels are the services from the first to the last of the chain.
+	levels []chainLevel
+	// fanOut is how many calls a run of class 0 makes.
+	fanOut int
+	random func() float64
+	now    time.Duration
+	tick   int
+}
+
+// chainLevel is one service: the budgets at the daemons that call it, and what happened
+// each tick.
+type chainLevel struct {
+	budgets  []*Budget
+	requests []int
+	extra    []int
+	// rejecting and failing are the shares of arrivals that the back ends turn away
+	// and that run and fail.
+	rejecting float64
+	failing   float64
+}
+
+// chainCall is one call of a class, made at a daemon by a run that is a repetition
+// or not.
+type chainCall struct {
+	class    callclass.Class
+	daemon   int
+	repeated bool
+}
+
+const chainAttempts = 3
+
+// send plays a call at a level with all its attempts, and the calls of its runs.
+func (r *chainRun) send(level int, call chainCall) {
+	if level == len(r.levels) {
+		return
+	}
+	at := &r.levels[level]
+	budget := at.budgets[call.daemon]
+	policy := Policy{
+		Repeatable: true, Attempts: chainAttempts, RetryFailures: true, Deadline: time.Hour,
+		Class: call.class, Urgent: r.random() < 0.3,
+	}
+	state := NewCall(policy, budget)
+	at.requests[r.tick]++
+	for attempt := 1; ; attempt++ {
+		again := attempt > 1 || call.repeated
+		if again {
+			at.extra[r.tick]++
+		}
+		outcome := r.run(level, call, again)
+		if state.Next(r.now, outcome).Action != Send {
+			return
+		}
+	}
+}
+
+// run plays one arrival at a back end.
+func (r *chainRun) run(level int, call chainCall, again bool) Outcome {
+	at := &r.levels[level]
+	if r.random() < at.rejecting {
+		return Outcome{Kind: Refused, Ran: "no", Arrived: true, Replayable: true, Others: true}
+	}
+	daemon := int(r.random() * float64(len(at.budgets)))
+	if call.class == 0 {
+		for range r.fanOut {
+			class := callclass.Class(0)
+			if r.random() < 0.3 {
+				class = 1
+			}
+			r.send(level+1, chainCall{class: class, daemon: daemon, repeated: again})
+		}
+	}
+	return Outcome{Kind: Answered, Failed: r.random() < at.failing, Replayable: true, Others: true}
+}
+
+// begin opens the counts of a tick.
+func (r *chainRun) begin(tick int) {
+	r.tick = tick
+	r.now = time.Duration(tick) * testTick
+	for index := range r.levels {
+		level := &r.levels[index]
+		level.requests = append(level.requests, 0)
+		level.extra = append(level.extra, 0)
+	}
+}
+
+func newChain(depth, daemons, fanOut int, random func() float64) *chainRun {
+	limits := ForChain(allowedRatio, allowedSlack*chainSlack, depth, daemons, testWindow)
+	run := &chainRun{fanOut: fanOut, random: random, levels: make([]chainLevel, depth)}
+	for index := range run.levels {
+		for range daemons {
+			run.levels[index].budgets = append(run.levels[index].budgets, NewBudgetWithin(limits))
+		}
+	}
+	return run
+}
+
+// overdrawn tells by how much the arrivals beyond the first exceed what is allowed in
+// the worst window of a level.
+func (l *chainLevel) overdrawn() float64 {
+	worst := 0.0
+	window := int(testWindow / testTick)
+	for at := range l.requests {
+		requests := max(sum(l.requests, at, at+window), sum(l.requests, at-window, at), sum(l.requests, at-window/2, at+window/2))
+		allowed := allowedRatio*float64(requests) + allowedSlack*chainSlack
+		worst = max(worst, float64(sum(l.extra, at, at+window))-allowed)
+	}
+	return worst
+}
+
+// chainArrivals bounds the calls of a tick at the last service, for the time that a run
+// takes.
+const chainArrivals = 256
+
+// chainSlack scales the slack with the traffic of these runs, which is a part of that
+// of the deployments that the slack is from.
+const chainSlack = 0.2
+
+// The repetitions that a service gets stay within the budget in every window,
+// those that its callers' repetitions cause included: down a chain of calls, at any
+// number of daemons, whatever the back ends reject or fail, and while traffic falls.
+func TestAChainOfServicesStaysWithinTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		depth := rapid.IntRange(1, 7).Draw(t, "depth")
+		daemons := rapid.SampledFrom([]int{13, 83, 295}).Draw(t, "daemons")
+		fanOut := rapid.IntRange(1, 2).Draw(t, "fanOut")
+		state := rapid.Uint64().Draw(t, "seed")
+		random := func() float64 {
+			state = state*6364136223846793005 + 1442695040888963407
+			return float64(state>>11) / (1 << 53)
+		}
+		run := newChain(depth, daemons, fanOut, random)
+		most := max(chainArrivals>>((depth-1)*(fanOut-1)), 8)
+		calls := rapid.IntRange(5, most).Draw(t, "calls")
+		tick := 0
+		for range rapid.IntRange(2, 4).Draw(t, "phases") {
+			for index := range run.levels {
+				run.levels[index].rejecting = rapid.SampledFrom([]float64{0, 0, 0.3, 0.55, 0.9}).Draw(t, "rejecting")
+				run.levels[index].failing = rapid.SampledFrom([]float64{0, 0, 0.3, 0.9}).Draw(t, "failing")
+			}
+			for range rapid.IntRange(20, 80).Draw(t, "ticks") {
+				run.begin(tick)
+				for range calls {
+					run.send(0, chainCall{class: callclass.Class(random() * 2), daemon: int(random() * float64(daemons))})
+				}
+				tick++
+			}
+			calls = rapid.SampledFrom([]int{calls, calls / 2, calls * 2}).Draw(t, "next calls")
+			calls = min(max(calls, 2), most)
+		}
+		for index := range run.levels {
+			if over := run.levels[index].overdrawn(); over > 0 {
+				t.Fatalf("level %d of %d is overdrawn by %.0f", index+1, depth, over)
+			}
+		}
+	})
+}
--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/springstack/springstack/internal/core/callclass"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/snapshot"
 )
@@ -41,6 +42,8 @@
 // Route is a route prepared for matching. It is immutable.
 type Route struct {
 	Resource resource.Route
+	// Class tells calls of like routes apart from others.
+	Class callclass.Class
 	// Targets are the destinations in the file's order.
 	Targets []Target
 	// Timeout bounds the whole call; never 0.
@@ -113,6 +116,7 @@
 func compileRoute(route resource.Route, held *snapshot.Snapshot) *Route {
 	compiled := &Route{
 		Resource: route,
+		Class:    callclass.Of(&route),
 		Timeout:  cmp.Or(route.Timeout, DefaultTimeout),
 		Attempts: cmp.Or(route.RetryAttempts, DefaultAttempts),
 		host:     canonicalHost(route.Match.Host),
--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -80,22 +80,12 @@
 	return limits
 }
 
-// budgetShare is how much of what the platform allows is used, so that repeats
-// of repeats, which a daemon can't see, stay within it.
-const budgetShare = 0.5
-
 // retryBudget is this daemon's part of the budget of all daemons: the slack is
-// divided among them, and what its own calls of the last window have earned may be
-// saved up. So the sum over all daemons stays within what is allowed for any
-// number of daemons.
+// divided among them, and its own calls of the present window allow the rest. So the
+// sum over all daemons stays within what is allowed for any number of daemons.
 func (d *Daemon) retryBudget(daemons int) retry.Limits {
-	part := d.settings.Retries.Slack * budgetShare / float64(max(daemons, 1))
-	return retry.Limits{
-		Ratio:   d.settings.Retries.Ratio * budgetShare,
-		Saved:   part,
-		Initial: part,
-		Window:  d.settings.Retries.Window(),
-	}
+	bound := d.settings.Retries
+	return retry.ForChain(bound.Ratio, bound.Slack, bound.CallDepth, daemons, bound.Window())
 }
 
 // closeBound is how long the servers may take to end once nothing runs.
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -172,10 +172,12 @@
 		Deadline:   c.deadline,
 		Unbudgeted: c.proxy.config.Baseline.UnbudgetedRetries,
 
+		Class: c.route.Class,
+
 		RetryFailures: c.proxy.config.Edge != nil,
 		Margin:        c.proxy.retryMargin(c.timeout),
 	}
-	c.retries = retry.NewCall(c.proxy.config.Clock(), c.policy, shared.budget)
+	c.retries = retry.NewCall(c.policy, shared.budget)
 	if name := c.route.Resource.RequestKeyHeader; name != "" {
 		c.key = header.Get(name)
 		c.keyHash = xxhash.Sum64String(c.key)
@@ -307,6 +309,7 @@
 		strconv.FormatInt(left.Milliseconds(), 10),
 		strconv.Itoa(int(c.route.Resource.Priority)),
 		string(c.route.Resource.Partner),
+		strconv.Itoa(int(c.route.Class)),
 	}
 	for index, name := range hopHeaderNames {
 		header[name] = values[index : index+1 : index+1]
@@ -329,6 +332,7 @@
 // order of their values in hopHeaders.
 var hopHeaderNames = [...]string{
 	headerHop, headerService, headerBackend, headerRequest, headerTimeout, headerPriority, headerPartner,
+	headerClass,
 }
 
 // locate finds the host and path that a call is matched by.
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -108,6 +108,7 @@
 	partner := header.Get(headerPartner)
 	c.verdicts = make(verdictChannel, 1)
 	call := admission.Call{
+		Class:    parseClass(header.Get(headerClass)),
 		Partner:  resource.Partner(partner),
 		Priority: resource.Priority(priority),
 		Deadline: c.deadline,
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -17,6 +17,7 @@
 	headerRequest     = "Springstack-Request"
 	headerTimeout     = "Springstack-Timeout-Ms"
 	headerTarget      = "Springstack-Target-Ms"
+	headerClass       = "Springstack-Class"
 	headerPriority    = "Springstack-Priority"
 	headerPartner     = "Springstack-Partner"
 	headerRequestKey  = "Springstack-Request-Key"
--- a/internal/proxy/trace.go
+++ b/internal/proxy/trace.go
@@ -154,7 +154,7 @@
 			textField("attempts", number(len(c.tried))),
 			textField("held_ms", millis(c.timeout-(c.deadline-now))),
 			textField("left_ms", millis(c.deadline-now)),
-			textField("budget", c.retries.BudgetLeft()))
+			textField("budget", c.retries.BudgetLeft(now)))
 	})
 }
 
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -64,9 +64,9 @@
 		if old := previous.services[reference]; old != nil {
 			oldSet = old.set
 			made.budget = old.budget
-			made.budget.SetSaved(now, budget.Saved)
+			made.budget.SetPart(budget.Part)
 		} else {
-			made.budget = retry.NewBudgetWithin(now, budget)
+			made.budget = retry.NewBudgetWithin(budget)
 		}
 		made.set = endpoint.BuildIndexed(oldSet, self, backends, index, now)
 		next.services[reference] = made
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -83,6 +83,9 @@
 	Ratio float64 `koanf:"ratio" validate:"min=0,max=1"`
 	// Slack is how many more are allowed in any window.
 	Slack float64 `koanf:"slack" validate:"min=0,max=100000"`
+	// CallDepth is through how many services a call goes at most: 2 where back ends
+	// call others that call nobody. Each level may use a part of the ratio.
+	CallDepth int `koanf:"call_depth" validate:"min=1,max=16"`
 	// WindowSeconds is the length of such a window.
 	WindowSeconds float64 `koanf:"window_seconds" validate:"min=1,max=3600"`
 }
@@ -113,7 +116,7 @@
 	return Hosted{
 		Backend:   HostedBackend{HeartbeatMilliseconds: 1500},
 		Authority: HostedAuthority{ReadsPerSecond: 100, ValueBytes: 1 << 20, ApplyMilliseconds: 2000},
-		Retries:   HostedRetries{Ratio: 0.1, Slack: 10, WindowSeconds: 10},
+		Retries:   HostedRetries{Ratio: 0.1, Slack: 10, WindowSeconds: 10, CallDepth: 2},
 		Drain:     HostedDrain{GraceSeconds: 30},
 		Log:       Log{Level: "info"},
 	}
