Service times are learned by the class of a route

Cause: a gate told kinds of calls apart by the binary order of magnitude of their target. On the shifted site plan-view (800 ms) and renewal-charge (1,000), and label-upload (1,200, runs 230 ms) and blend-sheet (2,000, runs 780), were one kind each, so that means, deviations and corrections of waits were those of unlike things.

Change: the gate keeps them by the class of the route (package callclass), which the callers' side sends; the whole target is no longer sent.

Ways: the magnitude of the target (stood), the class.

--- a/internal/core/admission/call.go
+++ b/internal/core/admission/call.go
@@ -23,10 +23,8 @@
 	// is refused.
 	Deadline time.Duration
 	// Target is until when an answer is of full use, on the gate's clock; 0 when
-	// that is not stated. TargetSpan is how long after a call's start that is for
-	// calls of its kind; it tells short calls from long ones.
-	Target     time.Duration
-	TargetSpan time.Duration
+	// that is not stated.
+	Target time.Duration
 	// Patient calls are not refused for their target: to send them elsewhere is
 	// dearer than that they end late.
 	Patient bool
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/springstack/springstack/internal/core/callclass"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/result"
 )
@@ -67,9 +68,10 @@
 	word atomic.Uint64
 	// slots may be changed while calls run.
 	slots atomic.Int64
-	// mean is the mean service time of all calls, kinds that of each kind.
-	mean  movingMean
-	kinds [kindCount]kindService
+	// mean is the mean service time of all calls, classes those of each class that
+	// has come.
+	mean    movingMean
+	classes [callclass.Count]atomic.Pointer[classService]
 	// requests are the attempts that came, keys the operations started.
 	requests *Seen
 	keys     *Seen
--- a/internal/core/admission/mean.go
+++ b/internal/core/admission/mean.go
@@ -3,9 +3,10 @@
 import (
 	"cmp"
 	"math"
-	"math/bits"
 	"sync/atomic"
 	"time"
+
+	"github.com/springstack/springstack/internal/core/callclass"
 )
 
 // meanWeight is the weight of a new value in the moving mean of service time.
@@ -39,46 +40,46 @@
 	return time.Duration(math.Float64frombits(m.bits.Load()) * float64(time.Second))
 }
 
-// kindCount is the number of kinds of calls whose service times are kept apart.
-const kindCount = 20
-
-// kind is the index of a call's kind: the binary order of magnitude of its
-// target's span in milliseconds. The operator's target tells how long calls take,
-// so those of like targets are taken to be of like length.
-func kind(call *Call) int {
-	return min(bits.Len64(uint64(max(call.TargetSpan, 0).Milliseconds())), kindCount-1)
+// classOf returns what is known of the calls of a class, which is nothing at first.
+func (g *Gate) classOf(call *Call) *classService {
+	slot := &g.classes[call.Class%callclass.Count]
+	if held := slot.Load(); held != nil {
+		return held
+	}
+	slot.CompareAndSwap(nil, &classService{})
+	return slot.Load()
 }
 
 // observe folds the service time of a call into the means.
 func (g *Gate) observe(call *Call, took time.Duration) {
 	g.mean.observe(took)
-	one := &g.kinds[kind(call)]
+	one := g.classOf(call)
 	if mean := one.mean.value(); mean > 0 {
 		one.deviation.observe(max(took-mean, mean-took))
 	}
 	one.mean.observe(took)
 }
 
-// serviceOf is how long a call is expected to run: as others of its kind do, or
+// serviceOf is how long a call is expected to run: as others of its class do, or
 // else as all do.
 func (g *Gate) serviceOf(call *Call) time.Duration {
-	return cmp.Or(g.kinds[kind(call)].mean.value(), g.meanService())
+	return cmp.Or(g.classOf(call).mean.value(), g.meanService())
 }
 
 // LongServiceOf is how long a call may well run: somewhat longer than others of its
-// kind in the mean; 0 when that is not known.
+// class in the mean; 0 when that is not known.
 func (g *Gate) LongServiceOf(call *Call) time.Duration {
-	return g.serviceOf(call) + g.kinds[kind(call)].deviation.value()
+	return g.serviceOf(call) + g.classOf(call).deviation.value()
 }
 
 // delayLimit bounds by how much a wait is believed to exceed what the queue alone
 // makes expect.
 const delayLimit = 4
 
-// delayOf is by how much calls of a kind wait longer than the calls ahead of them
+// delayOf is by how much calls of a class wait longer than the calls ahead of them
 // alone make expect: others come later and go first. At least 1.
 func (g *Gate) delayOf(call *Call) float64 {
-	return min(max(g.kinds[kind(call)].delay.value().Seconds(), 1), delayLimit)
+	return min(max(g.classOf(call).delay.value().Seconds(), 1), delayLimit)
 }
 
 // observeDelay learns how long a call has waited or will have, against what was
@@ -86,12 +87,12 @@
 func (g *Gate) observeDelay(ticket *Ticket, waited time.Duration) {
 	if ticket.expectedWait > 0 {
 		ratio := min(float64(waited)/float64(ticket.expectedWait), delayLimit)
-		g.kinds[kind(&ticket.Call)].delay.observe(time.Duration(ratio * float64(time.Second)))
+		g.classOf(&ticket.Call).delay.observe(time.Duration(ratio * float64(time.Second)))
 	}
 }
 
-// kindService are the service times of one kind of calls.
-type kindService struct {
+// classService are the service times of one class of calls.
+type classService struct {
 	mean movingMean
 	// deviation is the mean distance from the mean.
 	deviation movingMean
--- a/internal/core/admission/target_test.go
+++ b/internal/core/admission/target_test.go
@@ -5,13 +5,20 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/callclass"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/result"
 )
 
-// targeted is a call whose answer is wanted within a span from now.
+// targeted is a call whose answer is wanted within a span from now; calls of one span
+// are of one class.
 func targeted(now, span time.Duration) Call {
-	return Call{Deadline: now + time.Hour, Target: now + span, TargetSpan: span}
+	return Call{Deadline: now + time.Hour, Target: now + span, Class: classOfSpan(span)}
+}
+
+func classOfSpan(span time.Duration) callclass.Class {
+	return callclass.Of(&resource.Route{Target: span})
 }
 
 // teachKind gives a gate the service time of calls with a target.
@@ -63,7 +70,7 @@
 	holder := offer(gate, 0, Call{})
 	late := offer(gate, 0, targeted(0, 500*time.Millisecond))
 	soon := offer(gate, 1, targeted(1, 120*time.Millisecond))
-	high := Call{Deadline: time.Hour, Target: time.Second, TargetSpan: time.Second, Priority: resource.PriorityHigh}
+	high := Call{Deadline: time.Hour, Target: time.Second, Class: classOfSpan(time.Second), Priority: resource.PriorityHigh}
 	urgent := offer(gate, 2, high)
 	gate.Done(3, holder.ticket, true)
 	check.Equal(urgent.waiter.last().State, StateStarted)
@@ -83,7 +90,7 @@
 		teachKind(gate, 0, span, 50*time.Millisecond)
 		holder := offer(gate, 0, targeted(0, span))
 		waiting := offer(gate, 0, targeted(0, span))
-		behind := Call{Deadline: time.Hour, Target: 10 * time.Second, TargetSpan: span}
+		behind := Call{Deadline: time.Hour, Target: 10 * time.Second, Class: classOfSpan(span)}
 		if others {
 			check.Equal(offer(gate, 0, behind).state, StateQueued)
 		}
@@ -111,6 +118,21 @@
 	check.Equal(offer(gate, 0, targeted(0, short)).state, StateQueued) // late, but soon done
 }
 
+// TestCallsOfLikeTargetsAreNotTakenForEachOther: a wait that is too long for the long
+// ones is none for the short ones.
+func TestCallsOfLikeTargetsAreNotTakenForEachOther(t *testing.T) {
+	check := is.New(t)
+	gate := New(0, testConfig(1))
+	const short, long = 1200 * time.Millisecond, 2000 * time.Millisecond
+	for range 64 {
+		teachKind(gate, 0, short, 230*time.Millisecond)
+		teachKind(gate, 0, long, 780*time.Millisecond)
+	}
+	shortCall, longCall := targeted(0, short), targeted(0, long)
+	check.True(gate.serviceOf(&shortCall) < 240*time.Millisecond)
+	check.True(gate.serviceOf(&longCall) > 770*time.Millisecond)
+}
+
 // TestWhatOthersPushBehindIsRefusedEarly: a call that waits is refused as soon as
 // later ones that go first leave it no time for its target, not when its turn comes.
 func TestWhatOthersPushBehindIsRefusedEarly(t *testing.T) {
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -323,8 +323,8 @@
 	if mark {
 		header[headerNoRetry] = []string{"1"}
 	}
-	if span := c.route.Resource.Target; span > 0 {
-		header[headerTarget] = []string{formatTarget(c.target-c.proxy.config.Clock(), span)}
+	if c.route.Resource.Target > 0 {
+		header[headerTarget] = []string{formatTarget(c.target - c.proxy.config.Clock())}
 	}
 }
 
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -115,10 +115,9 @@
 		Request:  c.proxy.fingerprint("request", header.Get(headerRequest)),
 		Key:      c.proxy.fingerprint("key", partner, header.Get(headerRequestKey)),
 	}
-	if left, span, stated := parseTarget(header.Get(headerTarget)); stated {
+	if left, stated := parseTarget(header.Get(headerTarget)); stated {
 		// One that has passed is still a target: 0 means none.
 		call.Target = max(c.proxy.config.Clock()+left, 1)
-		call.TargetSpan = span
 		call.Patient = c.body.isLarge()
 	}
 	if c.proxy.config.Baseline.UnboundedQueue {
