--- a/internal/control/kind.go
+++ b/internal/control/kind.go
@@ -20,6 +20,7 @@
 	// configuration authority.
 	KindExchange Kind = "exchange"
 	KindDocument Kind = "document"
+	KindEvidence Kind = "evidence"
 	KindUnknown  Kind = "unknown"
 )
 
@@ -35,12 +36,13 @@
 	methodStatus   = serviceName + ".Status"
 	methodExchange = serviceName + ".Exchange"
 	methodDocument = serviceName + ".Document"
+	methodEvidence = serviceName + ".Evidence"
 )
 
 // kindOf returns the kind of a net/rpc method.
 func kindOf(method string) Kind {
 	switch method {
-	case methodFetch, methodStore, methodFloor, methodSubmit, methodStatus, methodExchange, methodDocument:
+	case methodFetch, methodStore, methodFloor, methodSubmit, methodStatus, methodExchange, methodDocument, methodEvidence:
 		return Kind(strings.ToLower(strings.TrimPrefix(method, serviceName+".")))
 	}
 	return KindUnknown
@@ -64,6 +66,8 @@
 		return methodExchange, new(protocol.ExchangeReply)
 	case *protocol.DocumentRequest:
 		return methodDocument, new(protocol.DocumentReply)
+	case *protocol.EvidenceRequest:
+		return methodEvidence, new(protocol.EvidenceReply)
 	}
 	return "", nil
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -209,6 +209,11 @@
 	return answer(m, request, reply)
 }
 
+// Evidence answers a question for what a gate has counted.
+func (m *meshService) Evidence(request *protocol.EvidenceRequest, reply *protocol.EvidenceReply) error {
+	return answer(m, request, reply)
+}
+
 // answer runs one call within the bound of all calls.
 func answer[Reply any](m *meshService, request any, reply *Reply) error {
 	select {
--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -25,6 +25,8 @@
 	WarmUp time.Duration
 	// Slots is how many calls it runs at once.
 	Slots int
+	// Software is the version of its software.
+	Software string
 }
 
 // Probe is what the back end itself answered when it was asked.
@@ -50,6 +52,7 @@
 	instance string
 	sequence uint64
 	slots    int
+	software string
 	warmAt   time.Duration
 	draining bool
 	down     bool
@@ -88,6 +91,7 @@
 func (t *Tracker) take(now time.Duration, report Report) {
 	t.sequence = report.Sequence
 	t.slots = report.Slots
+	t.software = report.Software
 	t.warmAt = now + report.WarmUp
 	t.draining = t.draining || report.Draining
 	t.down = false
@@ -171,12 +175,13 @@
 type View struct {
 	Instance string
 	Slots    int
+	Software string
 	State    protocol.EndpointState
 }
 
 // View returns the state at a time.
 func (t *Tracker) View(now time.Duration) View {
-	view := View{Instance: t.instance, Slots: t.slots}
+	view := View{Instance: t.instance, Slots: t.slots, Software: t.software}
 	switch {
 	case t.instance == "":
 		view.State = protocol.EndpointNone
--- a/internal/core/endpoint/endpoint.go
+++ b/internal/core/endpoint/endpoint.go
@@ -52,6 +52,8 @@
 	Region  string
 	Zone    string
 	Slots   int
+	// Software is the version of the back end's software; empty when not known.
+	Software string
 	// Node, Incarnation and Sequence are those of the daemon's own record; zero
 	// when the daemon has not been heard of.
 	Node        protocol.NodeID
--- a/internal/core/endpoint/set.go
+++ b/internal/core/endpoint/set.go
@@ -127,6 +127,7 @@
 	made.Zone = member.Zone
 	made.Address = cmp.Or(member.DataAddress, made.Address)
 	made.Slots = cmp.Or(member.Slots, made.Slots)
+	made.Software = member.Software
 	return made, made.State.TakesWork()
 }
 
@@ -195,6 +196,26 @@
 	return 0
 }
 
+// Only returns the set of the endpoints that satisfy a condition, which are those of
+// this set.
+func (s *Set) Only(fits func(*Endpoint) bool) *Set {
+	part := &Set{spill: s.spill}
+	for _, one := range s.All {
+		if fits(one) {
+			part.All = append(part.All, one)
+		}
+	}
+	for distance, tier := range s.tiers {
+		for _, one := range tier {
+			if fits(one) {
+				part.tiers[distance] = append(part.tiers[distance], one)
+				part.usable++
+			}
+		}
+	}
+	return part
+}
+
 // Usable is the number of endpoints that may take new work by their daemons'
 // own word.
 func (s *Set) Usable() int { return s.usable }
--- a/internal/core/protocol/exchange.go
+++ b/internal/core/protocol/exchange.go
@@ -1,5 +1,10 @@
 package protocol
 
+import (
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/core/rollout"
+)
+
 // ExchangeRequest compares the member records of two daemons and tells the
 // sender's configuration version. It is sent without Sums first; when the
 // totals differ, it is sent again with Sums and the records of the buckets
@@ -24,6 +29,8 @@
 	Forward []Destination
 	// Members are records that the receiver may not know.
 	Members []Member
+	// Rollouts are the newest orders that the sender knows, one a service.
+	Rollouts []rollout.Record
 }
 
 // Destination is a daemon to which a push is passed on.
@@ -41,6 +48,25 @@
 	// Members are the receiver's records in the buckets whose sums differ from
 	// the request's.
 	Members []Member
+	// Rollouts are the newest orders that the receiver knows, one a service.
+	Rollouts []rollout.Record
+}
+
+// EvidenceRequest asks the daemon beside a back end what its gate has counted since it
+// has heard of an order.
+type EvidenceRequest struct {
+	Format  int
+	From    NodeID
+	Service resource.ServiceRef
+}
+
+// EvidenceReply answers an EvidenceRequest.
+type EvidenceReply struct {
+	// Software is the version of the back end that runs; empty for none of the service.
+	Software string
+	// Outstanding are the calls that run or wait at the gate.
+	Outstanding int
+	Evidence    rollout.Evidence
 }
 
 // DocumentRequest asks for a configuration document newer than Have.
--- a/internal/core/protocol/protocol.go
+++ b/internal/core/protocol/protocol.go
@@ -109,6 +109,8 @@
 	Endpoint EndpointState
 	// Slots is how many calls the back end runs at once.
 	Slots int
+	// Software is the version of the back end's software; empty when not known.
+	Software string
 }
 
 // Scope says which resources a daemon holds: the routes of its partners that
--- /dev/null
+++ b/internal/core/rollout/decider_test.go
@@ -0,0 +1,186 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// trial is one order played in virtual time with a decider, a service whose requests
+// come at a rate, and a target version that may turn bad.
+type trial struct {
+	target version
+	// badFrom is when the target turns bad.
+	badFrom  time.Duration
+	duration time.Duration
+	perStep  int
+	trouble  float64
+	random   *rand.Rand
+}
+
+// trialResult is what became of an order.
+type trialResult struct {
+	outcome Stage
+	at      time.Duration
+	// exposed are the requests that the target got of all; bad those that it answered
+	// badly, and lastAfter how long after the 50th of them it got its last request.
+	exposed   int
+	requests  int
+	bad       int
+	lastAfter time.Duration
+}
+
+const (
+	trialStep = 100 * time.Millisecond
+	// hearing is how late daemons heed a stage.
+	hearing    = 600 * time.Millisecond
+	trialShare = 0.07
+)
+
+// play steps an order until it has an outcome.
+func (t trial) play() trialResult {
+	decider := &Decider{}
+	record := Record{Service: testService, Target: "v2", Generation: 1, Duration: t.duration, Stage: StageCanary}
+	ofTarget, ofStable := Evidence{}, Evidence{}
+	result := trialResult{}
+	heeded, changedAt := StageCanary, time.Duration(0)
+	fiftieth := time.Duration(0)
+	for now := time.Duration(0); now < 4*t.duration; now += trialStep {
+		if now-changedAt >= hearing {
+			heeded = record.Stage
+		}
+		result.requests += t.perStep
+		for range t.perStep {
+			class := t.random.IntN(len(testMeans))
+			if !t.toTarget(heeded) {
+				good.answer(t.random, ofStable, class, t.trouble)
+				continue
+			}
+			result.exposed++
+			drawn := good
+			if now >= t.badFrom {
+				drawn = t.target
+			}
+			if drawn.answer(t.random, ofTarget, class, t.trouble) {
+				result.bad++
+			}
+			if result.bad == 50 && fiftieth == 0 {
+				fiftieth = now
+			}
+			if fiftieth > 0 {
+				result.lastAfter = now - fiftieth
+			}
+		}
+		seen := Observation{Stable: copyOf(ofStable), Target: copyOf(ofTarget), StableSlots: 100, TargetSlots: 100, StableKnown: true}
+		if heeded == StageCanary {
+			seen.StableRunning = 10
+		}
+		decision := decider.Step(now, record, now, seen)
+		if decision.Stage != record.Stage {
+			record.Stage = decision.Stage
+			changedAt = now
+		}
+		if record.Stage.Final() && heeded == record.Stage {
+			result.outcome, result.at = record.Stage, now
+			return result
+		}
+	}
+	return result
+}
+
+func (t trial) toTarget(stage Stage) bool {
+	switch stage {
+	case StageCanary:
+		return t.random.Float64() < trialShare
+	case StageShift, StageCompleted:
+		return true
+	}
+	return false
+}
+
+func copyOf(evidence Evidence) Evidence {
+	made := Evidence{}
+	made.Add(evidence)
+	return made
+}
+
+// Good versions are completed in time, with trouble that hits both versions too.
+func TestGoodVersionsAreCompletedInTime(t *testing.T) {
+	check := is.New(t)
+	completed, all := 0, 0
+	for seed := range uint64(60) {
+		for _, duration := range []time.Duration{12 * time.Second, 20 * time.Second, time.Minute} {
+			for _, trouble := range []float64{0, 0.06, 0.3} {
+				got := trial{
+					target: good, duration: duration, perStep: 60, trouble: trouble, random: rand.New(rand.NewPCG(seed, 3)),
+				}.play()
+				all++
+				if got.outcome == StageCompleted && got.at <= duration {
+					completed++
+				}
+			}
+		}
+	}
+	check.True(float64(completed) >= 0.98*float64(all))
+}
+
+// Bad versions are rolled back before they got their share of requests, and get nothing
+// more within 5 s of their 50th bad answer.
+func TestBadVersionsAreRolledBackInTime(t *testing.T) {
+	check := is.New(t)
+	const exposureShare, exposureSlack = 0.1, 50
+	for seed := range uint64(60) {
+		for _, bad := range []version{
+			{failing: 0.3, onlyClass: -1}, {slow: 0.6, onlyClass: -1}, {failing: 0.6, onlyClass: 1}, {slow: 0.9, onlyClass: 0},
+		} {
+			for _, from := range []time.Duration{0, 2 * time.Second, 4 * time.Second} {
+				order := trial{
+					target: bad, badFrom: from, duration: 20 * time.Second, perStep: 60, trouble: 0.02,
+					random: rand.New(rand.NewPCG(seed, 4)),
+				}
+				got := order.play()
+				check.Equal(got.outcome, StageRolledBack)
+				check.True(got.lastAfter <= 5*time.Second)
+				requests := float64(order.perStep) * float64(order.duration/trialStep)
+				check.True(float64(got.exposed) <= exposureShare*requests+exposureSlack)
+			}
+		}
+	}
+}
+
+func TestAnOrderWithoutRoomIsGivenUpAtItsDeadline(t *testing.T) {
+	check := is.New(t)
+	decider := &Decider{}
+	record := Record{Service: testService, Target: "v2", Duration: 10 * time.Second, Stage: StageCanary}
+	few := Observation{StableSlots: 100, TargetSlots: 10}
+	check.Equal(decider.Step(0, record, 9*time.Second, few).Stage, StageCanary)
+	check.Equal(decider.Step(0, record, 10*time.Second, few).Stage, StageHalted)
+	record.Stage = StageHalted
+	check.Equal(decider.Step(0, record, 10*time.Second, few).Stage, StageRolledBack)
+}
+
+func TestATargetThatAloneIsLeftIsComplete(t *testing.T) {
+	check := is.New(t)
+	record := Record{Service: testService, Target: "v2", Duration: 10 * time.Second, Stage: StageCanary}
+	alone := Observation{TargetSlots: 10}
+	check.Equal((&Decider{}).Step(0, record, time.Second, alone).Stage, StageCanary)
+	check.Equal((&Decider{}).Step(0, record, 2*time.Second, alone).Stage, StageCompleted)
+}
+
+// Calls at other versions are waited for, as long as they may run.
+func TestCompletionWaitsForCallsAtOtherVersions(t *testing.T) {
+	check := is.New(t)
+	decider := &Decider{}
+	record := Record{Service: testService, Target: "v2", Duration: 20 * time.Second, Stage: StageShift}
+	busy := Observation{StableSlots: 10, TargetSlots: 10, StableKnown: true, StableRunning: 1}
+	idle, unknown := busy, busy
+	idle.StableRunning = 0
+	unknown.StableRunning, unknown.StableKnown = 0, false
+	check.Equal(decider.Step(0, record, 0, idle).Stage, StageShift) // not all have heard
+	check.Equal(decider.Step(2*time.Second, record, 0, busy).Stage, StageShift)
+	check.Equal(decider.Step(3*time.Second, record, 0, unknown).Stage, StageShift)
+	check.Equal(decider.Step(3*time.Second, record, 0, idle).Stage, StageCompleted)
+	check.Equal(decider.Step(7*time.Second, record, 0, busy).Stage, StageCompleted)
+}
--- /dev/null
+++ b/internal/core/rollout/judge.go
@@ -0,0 +1,132 @@
+package rollout
+
+import (
+	"fmt"
+	"math"
+
+	"github.com/springstack/springstack/internal/core/callclass"
+)
+
+const (
+	// slowTail is the share of the stable version's answers that may count as slow: an
+	// answer of the target counts as slow when it took longer than all but so many.
+	slowTail = 0.02
+	// slowBuckets is by how many classes of latency an answer must be beyond that tail's
+	// start: one is a half as long again, so that a busy canary is not taken for slow.
+	slowBuckets = 1
+	// fewBad is the least number of bad answers that condemn a version.
+	fewBad = 4
+	// baseShare is the share of bad answers that is never held against a version;
+	// baseAlone is the same where the stable version gets no calls any more, so that
+	// trouble that would hit both can't be told.
+	baseShare = 0.02
+	baseAlone = 0.15
+	// expectedLimit is the most that is expected, for a share of 1 tells nothing.
+	expectedLimit = 0.95
+	// tolerance is by how much the target's share of bad answers may exceed the stable
+	// version's.
+	tolerance = 1.5
+	// condemnedAt is the evidence, in natural logarithms, from which a version is
+	// condemned: an e^8th, one in 3,000, that chance alone brings so many bad answers.
+	condemnedAt = 8
+)
+
+// Finding says why a version is condemned.
+type Finding struct {
+	Class callclass.Class
+	// Answers and Bad are the target's, of which Expected share would be bad were it as
+	// good as the stable version.
+	Answers  int
+	Bad      int
+	Expected float64
+	// All says that all classes together are meant.
+	All bool
+}
+
+// String puts the finding into a log line.
+func (f Finding) String() string {
+	return fmt.Sprintf("%d of %d answers bad, %.3f expected", f.Bad, f.Answers, f.Expected)
+}
+
+// Judge compares the answers of a target version with those of the stable one in the
+// same time, by class of calls and over all; true condemns the target. Faults that
+// hit both versions alike condemn neither. Base is the share of bad answers that is not
+// held against the target.
+//
+// The number of bad answers is held against a binomial distribution of the share that
+// the stable version shows, with some tolerance: by Chernoff's bound, the chance of a
+// share q where p is expected is at most exp(-n KL(q, p)).
+func Judge(target, stable Evidence, base float64) (Finding, bool) {
+	var allBad, allAnswers, expected float64
+	for class, counts := range target {
+		finding, condemned := judgeClass(counts, stable[class], base)
+		if condemned {
+			finding.Class = class
+			return finding, true
+		}
+		allBad += float64(finding.Bad)
+		allAnswers += float64(finding.Answers)
+		expected += finding.Expected * float64(finding.Answers)
+	}
+	if allAnswers == 0 {
+		return Finding{}, false
+	}
+	all := Finding{All: true, Answers: int(allAnswers), Bad: int(allBad), Expected: expected / allAnswers}
+	return all, all.condemns()
+}
+
+func judgeClass(target, stable Counts, base float64) (Finding, bool) {
+	limit := slowFrom(stable)
+	targetBad := int(target.Failures) + target.slowerThan(limit)
+	stableBad := int(stable.Failures) + stable.slowerThan(limit)
+	share := float64(stableBad+1) / float64(stable.Answers+2)
+	if stable.Answers == 0 {
+		share = 0 // nothing to compare with: failures alone count
+	}
+	finding := Finding{Answers: int(target.Answers), Bad: targetBad, Expected: min(share*tolerance+base, expectedLimit)}
+	return finding, finding.condemns()
+}
+
+// condemns tells whether chance does not explain the bad answers.
+func (f Finding) condemns() bool {
+	if f.Bad < fewBad {
+		return false
+	}
+	share := float64(f.Bad) / float64(f.Answers)
+	return share > f.Expected && float64(f.Answers)*divergence(share, f.Expected) > condemnedAt
+}
+
+// slowFrom is the class of latency from which an answer counts as slow.
+func slowFrom(stable Counts) int {
+	timed := stable.Answers - stable.Failures
+	if timed == 0 {
+		return latencyBuckets
+	}
+	beyond := uint32(0)
+	for bucket := latencyBuckets - 1; bucket >= 0; bucket-- {
+		beyond += stable.Latency[bucket]
+		if float64(beyond) > slowTail*float64(timed) {
+			return bucket + 1 + slowBuckets
+		}
+	}
+	return latencyBuckets
+}
+
+func (c Counts) slowerThan(bucket int) (count int) {
+	for at := bucket; at < latencyBuckets; at++ {
+		count += int(c.Latency[at])
+	}
+	return count
+}
+
+// divergence is the Kullback-Leibler divergence of two Bernoulli distributions, in nats.
+func divergence(q, p float64) float64 {
+	sum := 0.0
+	if q > 0 {
+		sum += q * math.Log(q/p)
+	}
+	if q < 1 {
+		sum += (1 - q) * math.Log((1-q)/(1-p))
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/core/rollout/judge_test.go
@@ -0,0 +1,157 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/callclass"
+)
+
+// version draws answers of one software version.
+type version struct {
+	// failing and slow are the shares of answers that fail and that take five times as
+	// long; onlyClass is the one class that this holds for, or -1 for all.
+	failing   float64
+	slow      float64
+	onlyClass int
+}
+
+var testMeans = []time.Duration{50 * time.Millisecond, 250 * time.Millisecond, 780 * time.Millisecond}
+
+// answer draws one answer of a class into evidence. Trouble is a share of answers that
+// fail whatever the version.
+func (v version) answer(random *rand.Rand, evidence Evidence, class int, trouble float64) (bad bool) {
+	counts := evidence[callclass.Class(class)]
+	counts.Answers++
+	touched := v.onlyClass < 0 || v.onlyClass == class
+	took := time.Duration(float64(testMeans[class]) * (0.4 + random.ExpFloat64()*0.6))
+	slow := touched && random.Float64() < v.slow
+	if slow {
+		took *= 5
+	}
+	if random.Float64() < trouble || (touched && random.Float64() < v.failing) {
+		counts.Failures++
+		bad = true
+	} else {
+		counts.Latency[latencyBucket(took)]++
+	}
+	evidence[callclass.Class(class)] = counts
+	return bad || slow
+}
+
+var good = version{onlyClass: -1}
+
+// judged plays answers of both versions until the target is condemned, and returns
+// after how many of the target's; 0 when it never was.
+func judged(seed uint64, target version, trouble float64, answers int) int {
+	random := rand.New(rand.NewPCG(seed, 1))
+	ofTarget, ofStable := Evidence{}, Evidence{}
+	for count := 1; count <= answers; count++ {
+		class := random.IntN(len(testMeans))
+		target.answer(random, ofTarget, class, trouble)
+		for range 10 {
+			good.answer(random, ofStable, random.IntN(len(testMeans)), trouble)
+		}
+		if count%20 != 0 {
+			continue
+		}
+		if _, condemned := Judge(ofTarget, ofStable, baseShare); condemned {
+			return count
+		}
+	}
+	return 0
+}
+
+// A version that fails or is slow is condemned within some hundred answers, also where
+// it is so on one class of calls only.
+func TestBadVersionsAreCondemned(t *testing.T) {
+	check := is.New(t)
+	for seed := range uint64(100) {
+		for _, bad := range []version{
+			{failing: 0.3, onlyClass: -1}, {slow: 0.5, onlyClass: -1},
+			{failing: 0.5, onlyClass: 2}, {slow: 0.8, onlyClass: 1},
+		} {
+			check.True(judged(seed, bad, 0, 400) > 0)
+			check.True(judged(seed, bad, 0.06, 600) > 0) // with trouble that hits both
+		}
+	}
+}
+
+// Trouble that hits both versions condemns a good one in fewer than 1 of 100 orders.
+func TestTroubleOfBothCondemnsNeither(t *testing.T) {
+	check := is.New(t)
+	condemned := 0
+	for seed := range uint64(300) {
+		for _, trouble := range []float64{0, 0.06, 0.4} {
+			if judged(seed, good, trouble, 600) > 0 {
+				condemned++
+			}
+		}
+	}
+	check.True(condemned < 9)
+}
+
+// The plain threshold that was weighed against the test: a version is condemned from a
+// share of bad answers on. Trouble of both condemns good versions by it.
+func TestAPlainThresholdCondemnsGoodVersionsInTrouble(t *testing.T) {
+	check := is.New(t)
+	condemned := 0
+	for seed := range uint64(100) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		evidence := Evidence{}
+		for range 200 {
+			good.answer(random, evidence, random.IntN(len(testMeans)), 0.4)
+		}
+		if total := evidence.Total(); float64(total.Failures) > 0.2*float64(total.Answers) {
+			condemned++
+		}
+	}
+	check.Equal(condemned, 100)
+}
+
+func TestLatencyBucketsGrow(t *testing.T) {
+	check := is.New(t)
+	last := -1
+	for milliseconds := 1; milliseconds < 100_000; milliseconds = milliseconds*3/2 + 1 {
+		bucket := latencyBucket(time.Duration(milliseconds) * time.Millisecond)
+		check.True(bucket >= last)
+		check.True(bucket < latencyBuckets)
+		last = bucket
+	}
+	check.Equal(latencyBucket(0), 0)
+	check.Equal(latencyBucket(time.Hour), latencyBuckets-1)
+}
+
+func TestATallyCountsWhileItIsTold(t *testing.T) {
+	check := is.New(t)
+	tally := &Tally{}
+	tally.Note(1, true, true, time.Second)
+	check.Equal(tally.Evidence().Total().Answers, uint32(0))
+	tally.Start()
+	tally.Note(1, false, true, 10*time.Millisecond)
+	tally.Note(1, true, false, 0)
+	tally.Note(2, false, false, time.Second) // cold: says nothing
+	for class := range callclass.Class(3 * classLimit) {
+		tally.Note(class, false, true, time.Millisecond) // more classes than are counted apart
+	}
+	evidence := tally.Evidence()
+	check.Equal(evidence[1].Answers, uint32(3))
+	check.Equal(evidence[1].Failures, uint32(1))
+	check.Equal(len(evidence), classLimit)
+	tally.Start() // again: goes on
+	check.Equal(tally.Evidence()[1].Answers, uint32(3))
+	tally.Reset()
+	check.Equal(tally.Evidence().Total().Answers, uint32(0))
+}
+
+func TestEvidenceSinceAnEarlierState(t *testing.T) {
+	check := is.New(t)
+	earlier := Evidence{1: Counts{Answers: 5, Failures: 2}}
+	now := Evidence{1: Counts{Answers: 9, Failures: 3}, 2: Counts{Answers: 1}}
+	check.Equal(now.Since(earlier), Evidence{1: Counts{Answers: 4, Failures: 1}, 2: Counts{Answers: 1}})
+	restarted := Evidence{1: Counts{Answers: 1}}
+	check.Equal(restarted.Since(earlier), restarted)
+}
--- /dev/null
+++ b/internal/core/rollout/record_test.go
@@ -0,0 +1,69 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/springstack/springstack/internal/core/resource"
+
+	_ "github.com/springstack/springstack/internal/fixedseed"
+)
+
+var testService = resource.ServiceRef{Partner: "p", Name: "app"}
+
+// Whatever records come in whatever order, daemons that have got the same ones hold the
+// same, and the stage of an order never goes back.
+func TestRecordsMergeAlikeAndNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		check := is.New(t)
+		records := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Record {
+			generation := rapid.Uint64Range(1, 3).Draw(t, "generation")
+			return Record{
+				Service: testService, Target: "v" + string(rune('0'+generation)), Generation: generation,
+				Stage: Stage(rapid.IntRange(int(StageCanary), int(StageCompleted)).Draw(t, "stage")),
+			}
+		}), 1, 12).Draw(t, "records")
+		shuffled := rapid.Permutation(records).Draw(t, "order")
+		one, other := NewTable(), NewTable()
+		var last Record
+		for _, record := range records {
+			one.Merge(0, record)
+			held, _ := one.Of(testService)
+			check.True(held == last || held.newerThan(last))
+			last = held
+		}
+		for _, record := range shuffled {
+			other.Merge(0, record)
+		}
+		check.Equal(one.Records(0), other.Records(0))
+	})
+}
+
+// A daemon that hears late takes over when the order began.
+func TestElapsedTimeIsToldOn(t *testing.T) {
+	check := is.New(t)
+	first, second := NewTable(), NewTable()
+	record := Record{Service: testService, Target: "v2", Generation: 1, Stage: StageCanary}
+	check.True(first.Merge(time.Second, record))
+	check.True(second.Merge(time.Minute, first.Records(4 * time.Second)[0]))
+	check.Equal(second.Elapsed(time.Minute, testService), 3*time.Second)
+	check.True(!second.Merge(time.Minute, record)) // no news, and it does not begin anew
+	check.Equal(second.Elapsed(time.Minute, testService), 3*time.Second)
+}
+
+func TestRecordsThatCannotBeAreLeftOut(t *testing.T) {
+	check := is.New(t)
+	table := NewTable()
+	for _, bad := range []Record{
+		{Service: testService, Generation: 1, Stage: StageCanary},
+		{Service: testService, Target: "v2", Generation: 1},
+		{Service: testService, Target: "v2", Generation: 1, Stage: StageCompleted + 1},
+		{Service: testService, Target: "v2", Generation: 1, Stage: StageCanary, Elapsed: -time.Second},
+	} {
+		check.True(!table.Merge(0, bad))
+	}
+	check.Equal(len(table.Records(0)), 0)
+}
--- a/internal/hosted/broadcasting.go
+++ b/internal/hosted/broadcasting.go
@@ -63,7 +63,7 @@
 func (m *mesh) pushRequest(records []protocol.Member) protocol.ExchangeRequest {
 	return protocol.ExchangeRequest{
 		Format: protocol.Format, From: m.self.ID, Zone: m.self.Zone, Version: m.version(),
-		Push: true, Members: records,
+		Push: true, Members: records, Rollouts: m.rollouts.records(m.clock()),
 	}
 }
 
--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -38,6 +38,7 @@
 	configuration *configuration
 	mesh          *mesh
 	backend       *backendSide
+	decider       *rolloutDecider
 
 	context context.Context
 	cancel  context.CancelFunc
@@ -74,6 +75,7 @@
 	d.mesh.start()
 	d.configuration.start()
 	d.backend.start()
+	d.decider.start()
 	go d.summarize(d.context)
 	d.events.event("daemon_started", field("callers", d.settings.Listen.Callers),
 		field("gate", d.settings.Listen.Gate), field("control", d.settings.Listen.Control))
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -128,7 +128,8 @@
 	cancel() // no loop runs and nothing is sent
 	made := &mesh{
 		clock:     func() time.Duration { return 0 },
-		publish:   func([]protocol.Member) {},
+		publish:   func([]protocol.Member, proxy.Splits) {},
+		rollouts:  newRolloutTable(0),
 		version:   func() protocol.Version { return 0 },
 		context:   ctx,
 		roster:    membership.NewRoster(),
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -13,7 +13,9 @@
 	"github.com/springstack/springstack/internal/core/dissemination"
 	"github.com/springstack/springstack/internal/core/membership"
 	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/rollout"
 	"github.com/springstack/springstack/internal/pause"
+	"github.com/springstack/springstack/internal/proxy"
 )
 
 const (
@@ -47,14 +49,20 @@
 	registry authority.Registry
 	calls    *storeCalls
 	client   *control.Client
-	// publish gives the data path the newest records.
-	publish func([]protocol.Member)
-	version func() protocol.Version
+	// publish gives the data path the newest records and how they are divided.
+	publish func([]protocol.Member, proxy.Splits)
+	// rollouts are the orders that the daemon knows; guarded by mutex.
+	rollouts *rolloutTable
+	version  func() protocol.Version
 	// document is the configuration in force, packed for a peer that has an older
 	// version.
 	document   func(have protocol.Version) protocol.DocumentReply
 	heardOf    func(protocol.NodeID, protocol.Version)
 	storeFails func() bool
+	// counted is what the gate has counted of the back end's answers, and how many calls
+	// run or wait there; countAnswers has it begin or end.
+	counted      func() (rollout.Evidence, int)
+	countAnswers func(bool)
 	// poll reads the store once, and tells whether it answered.
 	poll       func() bool
 	valueBytes int
@@ -125,6 +133,7 @@
 	defer m.mutex.Unlock()
 	m.self.Backend = view.Instance
 	m.self.Slots = view.Slots
+	m.self.Software = view.Software
 	m.self.Endpoint = view.State
 	m.pushSelf()
 }
@@ -178,6 +187,7 @@
 		return nil
 	}
 	m.heardOf(target.ID, reply.Version)
+	m.takeRollouts(reply.Rollouts)
 	return reply
 }
 
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -41,5 +41,8 @@
 	for call, count := range c.daemon.storeCalls.snapshot() {
 		metrics.StoreCalls.Send(out, float64(count), string(call.purpose), strconv.Itoa(int(call.code)), call.code.Name())
 	}
+	for _, record := range c.daemon.mesh.rolloutRecords() {
+		metrics.RolloutStage.Send(out, float64(record.Stage), record.Service.Name, record.Target)
+	}
 	daemon.CollectPath(out, c.daemon.path.Counters())
 }
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -17,6 +17,11 @@
 			return nil, result.New(result.UnknownFormat, "format %d of a peer", request.Format)
 		}
 		return m.answerExchange(request), nil
+	case *protocol.EvidenceRequest:
+		if request.Format != protocol.Format {
+			return nil, result.New(result.UnknownFormat, "format %d of a peer", request.Format)
+		}
+		return m.answerEvidence(request), nil
 	case *protocol.DocumentRequest:
 		reply := m.document(request.Have)
 		return &reply, nil
@@ -27,6 +32,7 @@
 // answerExchange merges what a peer has sent and tells it what it lacks.
 func (m *mesh) answerExchange(request *protocol.ExchangeRequest) *protocol.ExchangeReply {
 	m.heardOf(request.From, request.Version)
+	m.takeRollouts(request.Rollouts)
 	reply := m.exchangeReply(request)
 	if request.Push {
 		m.takePush(request)
@@ -43,7 +49,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.heardAt = m.clock()
-	reply := &protocol.ExchangeReply{Version: m.version()}
+	reply := &protocol.ExchangeReply{Version: m.version(), Rollouts: m.rollouts.records(m.clock())}
 	sums := m.roster.Sums()
 	switch {
 	case request.Push:
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -15,6 +15,7 @@
 type Platform struct {
 	Source   authority.Source
 	Registry authority.Registry
+	Rollouts authority.Rollouts
 	// Edge is how callers and back ends speak.
 	Edge proxy.Edge
 	// Ready makes the handler that tells whether callers may be sent here.
--- a/internal/hosted/publishing.go
+++ b/internal/hosted/publishing.go
@@ -29,7 +29,8 @@
 func (m *mesh) publishAll() {
 	m.publishing = false
 	m.publishedAt = m.clock()
-	m.publish(m.roster.All())
+	members := m.roster.All()
+	m.publish(members, m.divide(members))
 }
 
 // later runs an action with the lock held after a time, unless the daemon ends
--- /dev/null
+++ b/internal/hosted/rolloutdecider.go
@@ -0,0 +1,348 @@
+package hosted
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/springstack/springstack/internal/authority"
+	"github.com/springstack/springstack/internal/core/membership"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/core/rollout"
+	"github.com/springstack/springstack/internal/pause"
+)
+
+const (
+	// deciderCount is how many daemons follow the orders in the store and decide: the
+	// first of all by rank, so that some are left when others end or are refused.
+	deciderCount = 3
+	// deciderPause is the time between two looks whether this daemon is one of them.
+	deciderPause = time.Second
+	// rolloutWatchWait is how long the store may hold a watch of orders without news: its
+	// longest, for each watch is a call.
+	rolloutWatchWait = 30 * time.Second
+	// deciderStart is how long after its start a daemon may first be a decider: until it
+	// knows the others, for each that knows nobody ranks first.
+	deciderStart = 5 * time.Second
+	// decidePeriod is the time between two steps of a decision: a version that turns bad
+	// gets nothing more within some seconds of its 50th bad answer.
+	decidePeriod = 300 * time.Millisecond
+	// deciderStagger is how much later than the one before it by rank a decider acts, so
+	// that usually one alone writes.
+	deciderStagger = 700 * time.Millisecond
+	// evidenceLimit bounds the gates of each version that are asked for what they have
+	// counted; all stable ones are asked while their last calls are waited for.
+	evidenceLimit = 12
+	// deciderPurpose names the ranking by which deciders are chosen.
+	deciderPurpose = "rollout"
+)
+
+// rolloutDecider follows the operator's orders in the store where this daemon is one of
+// those that do, decides by what gates have counted, and writes the outcome. Several may
+// decide at a time: the store takes a status only over the revision that it was decided
+// on, and an outcome that was written is never replaced.
+type rolloutDecider struct {
+	mesh *mesh
+	port authority.Rollouts
+
+	mutex  sync.Mutex
+	orders map[resource.ServiceRef]*followedOrder
+}
+
+// followedOrder is one order as a decider knows it.
+type followedOrder struct {
+	order   authority.RolloutOrder
+	decider *rollout.Decider
+	// dueAt is since when a stage other than the present one is decided on; 0 for not.
+	dueAt time.Duration
+	// faultLogged is set once the order's fault has been written.
+	faultLogged bool
+}
+
+func newRolloutDecider(mesh *mesh, port authority.Rollouts) *rolloutDecider {
+	return &rolloutDecider{mesh: mesh, port: port, orders: map[resource.ServiceRef]*followedOrder{}}
+}
+
+// start begins to follow orders, where the settings say that there may be any.
+func (d *rolloutDecider) start() {
+	if d.mesh.rollouts.exposure == 0 || d.port == nil {
+		return
+	}
+	for _, loop := range []func(){d.follow, d.decideForever} {
+		d.mesh.running.Add(1)
+		go func() {
+			defer d.mesh.running.Done()
+			loop()
+		}()
+	}
+}
+
+// rank is the daemon's place among all that may decide; 0 is the first.
+func (d *rolloutDecider) rank() int {
+	m := d.mesh
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	own := membership.Score(deciderPurpose, m.self.ID)
+	rank := 0
+	for _, peer := range m.peers().All() {
+		if peer.Relays && !m.isLost(peer.ID) && membership.Score(deciderPurpose, peer.ID) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// follow reads and watches the orders while this daemon is one of the deciders.
+func (d *rolloutDecider) follow() {
+	failures := 0
+	pause.For(d.mesh.context, deciderStart)
+	for pause.For(d.mesh.context, deciderPause) {
+		if d.rank() >= deciderCount {
+			continue
+		}
+		at, err := d.list()
+		for err == nil && d.rank() < deciderCount {
+			at, err = d.watch(at)
+		}
+		if err == nil {
+			failures = 0
+			continue
+		}
+		failures++
+		pause.For(d.mesh.context, registryBackoff.Pause(failures, randomNumber()))
+	}
+}
+
+func (d *rolloutDecider) list() (authority.Position, error) {
+	ctx, cancel := context.WithTimeout(d.mesh.context, readTimeout)
+	defer cancel()
+	orders, at, err := d.port.List(ctx)
+	d.mesh.calls.noteError(purposeRollout, err)
+	d.take(orders)
+	return at, err
+}
+
+func (d *rolloutDecider) watch(from authority.Position) (authority.Position, error) {
+	ctx, cancel := context.WithTimeout(d.mesh.context, rolloutWatchWait+watchMargin)
+	defer cancel()
+	orders, at, err := d.port.Watch(ctx, from, rolloutWatchWait)
+	d.mesh.calls.noteError(purposeRollout, err)
+	d.take(orders)
+	return at, err
+}
+
+// take takes orders as the store has them.
+func (d *rolloutDecider) take(orders []authority.RolloutOrder) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, order := range orders {
+		d.takeOne(order)
+	}
+}
+
+// takeOne takes one order; the lock is held. What the store says of its outcome goes
+// before all that daemons believe.
+func (d *rolloutDecider) takeOne(order authority.RolloutOrder) {
+	known := d.orders[order.Service]
+	if known == nil || known.order.Target != order.Target || known.order.Duration != order.Duration {
+		known = &followedOrder{decider: &rollout.Decider{}}
+		d.orders[order.Service] = known
+	}
+	known.order = order
+	if order.Fault != nil {
+		d.logFault(known)
+		return
+	}
+	record := recordOf(order)
+	d.mesh.mutex.Lock()
+	defer d.mesh.mutex.Unlock()
+	if d.mesh.mergeRollouts([]rollout.Record{record}) {
+		d.mesh.spreadRollouts()
+	}
+}
+
+func (d *rolloutDecider) logFault(known *followedOrder) {
+	if known.faultLogged {
+		return
+	}
+	known.faultLogged = true
+	d.mesh.events.event("rollout_refused", field("service", known.order.Service.Name),
+		field("code", codeText(codeOf(known.order.Fault))), field("error", known.order.Fault.Error()))
+}
+
+// recordOf is the record of an order as the store has it. A status of another target
+// is that of an earlier order.
+func recordOf(order authority.RolloutOrder) rollout.Record {
+	record := rollout.Record{
+		Service: order.Service, Target: order.Target, Duration: order.Duration,
+		Generation: order.Revision, Stage: rollout.StageCanary,
+	}
+	if order.Status.Stage != 0 && order.Status.Target == order.Target {
+		record.Stage = order.Status.Stage
+		record.Generation = order.Status.Generation
+	}
+	return record
+}
+
+// decideForever steps the decisions on the orders that are under way.
+func (d *rolloutDecider) decideForever() {
+	for pause.For(d.mesh.context, decidePeriod) {
+		for _, service := range d.openOrders() {
+			d.decide(service)
+		}
+	}
+}
+
+// openOrders are the services whose orders have no outcome yet.
+func (d *rolloutDecider) openOrders() []resource.ServiceRef {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var open []resource.ServiceRef
+	for service, known := range d.orders {
+		if known.order.Fault == nil && !recordOf(known.order).Stage.Final() {
+			open = append(open, service)
+		}
+	}
+	return open
+}
+
+// decide makes one step on the order of a service.
+func (d *rolloutDecider) decide(service resource.ServiceRef) {
+	rank := d.rank()
+	if rank >= deciderCount {
+		return
+	}
+	m := d.mesh
+	m.mutex.Lock()
+	record, found := m.rollouts.orders.Of(service)
+	elapsed := m.rollouts.orders.Elapsed(m.clock(), service)
+	target, stable := m.rolloutGates(record)
+	m.mutex.Unlock()
+	if !found || record.Stage.Final() {
+		return
+	}
+	seen := d.observe(record, target, stable)
+	now := m.clock()
+
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	known := d.orders[service]
+	decision := known.decider.Step(now, record, elapsed, seen)
+	if decision.Stage == record.Stage && known.order.Status.Stage == record.Stage {
+		known.dueAt = 0
+		return
+	}
+	if known.dueAt == 0 {
+		known.dueAt = now
+	}
+	if decision.Stage == rollout.StageHalted {
+		d.halt(record, decision.Reason) // nobody needs to agree to less
+		decision.Stage = rollout.StageRolledBack
+	}
+	if now-known.dueAt >= time.Duration(rank)*deciderStagger {
+		d.write(known, record, decision)
+	}
+}
+
+// halt ends the calls to the target version on all daemons.
+func (d *rolloutDecider) halt(record rollout.Record, reason string) {
+	m := d.mesh
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	record.Stage = rollout.StageHalted
+	record.Elapsed = m.rollouts.orders.Elapsed(m.clock(), record.Service)
+	if m.mergeRollouts([]rollout.Record{record}) {
+		m.events.event("rollout_decided", field("service", record.Service.Name), field("target", record.Target),
+			field("stage", record.Stage.String()), field("reason", reason))
+		m.spreadRollouts()
+	}
+}
+
+// write writes a stage into the store and, when it stands there, tells all daemons; the
+// lock is held. A write that met another one's is read again by the watch.
+func (d *rolloutDecider) write(known *followedOrder, record rollout.Record, decision rollout.Decision) {
+	status := authority.RolloutStatus{Stage: decision.Stage, Target: record.Target, Generation: record.Generation}
+	ctx, cancel := context.WithTimeout(d.mesh.context, readTimeout)
+	defer cancel()
+	written, err := d.port.Write(ctx, known.order, status)
+	d.mesh.calls.noteError(purposeRollout, err)
+	d.mesh.events.event("rollout_decided", field("service", record.Service.Name), field("target", record.Target),
+		field("stage", decision.Stage.String()), field("reason", decision.Reason), field("code", codeText(codeOf(err))))
+	if err != nil {
+		d.reread()
+		return
+	}
+	known.dueAt = 0
+	d.takeOne(written)
+}
+
+// reread lists the orders after a write that failed or was not answered: it may have
+// been done.
+func (d *rolloutDecider) reread() {
+	ctx, cancel := context.WithTimeout(d.mesh.context, readTimeout)
+	defer cancel()
+	orders, _, err := d.port.List(ctx)
+	d.mesh.calls.noteError(purposeRollout, err)
+	for _, order := range orders {
+		d.takeOne(order)
+	}
+}
+
+// observe asks gates for what they have counted.
+func (d *rolloutDecider) observe(record rollout.Record, target, stable []rolloutGate) rollout.Observation {
+	seen := rollout.Observation{
+		Stable: rollout.Evidence{}, Target: rollout.Evidence{},
+		StableSlots: slotsOf(stable), TargetSlots: slotsOf(target),
+	}
+	asked := stable
+	if record.Stage == rollout.StageCanary {
+		asked = stable[:min(evidenceLimit, len(stable))]
+	}
+	replies := d.ask(record.Service, append(asked[:len(asked):len(asked)], target[:min(evidenceLimit, len(target))]...))
+	seen.StableKnown = true
+	for index, reply := range replies {
+		ofTarget := index >= len(asked)
+		switch {
+		case reply == nil:
+			seen.StableKnown = seen.StableKnown && ofTarget
+		case ofTarget && reply.Software == record.Target:
+			seen.Target.Add(reply.Evidence)
+		case !ofTarget && reply.Software != record.Target:
+			seen.Stable.Add(reply.Evidence)
+			seen.StableRunning += reply.Outstanding
+		}
+	}
+	return seen
+}
+
+// ask asks gates at the same time; nil stands for those that did not answer.
+func (d *rolloutDecider) ask(service resource.ServiceRef, gates []rolloutGate) []*protocol.EvidenceReply {
+	replies := make([]*protocol.EvidenceReply, len(gates))
+	var waiting sync.WaitGroup
+	for index, gate := range gates {
+		waiting.Add(1)
+		go func() {
+			defer waiting.Done()
+			replies[index] = d.askOne(service, gate)
+		}()
+	}
+	waiting.Wait()
+	return replies
+}
+
+func (d *rolloutDecider) askOne(service resource.ServiceRef, gate rolloutGate) *protocol.EvidenceReply {
+	m := d.mesh
+	request := &protocol.EvidenceRequest{Format: protocol.Format, From: m.self.ID, Service: service}
+	if gate.peer.ID == m.self.ID {
+		return m.answerEvidence(request)
+	}
+	ctx, cancel := context.WithTimeout(m.context, controlTimeout)
+	defer cancel()
+	body, err := m.client.Call(ctx, gate.peer.Address, request)
+	reply, typed := body.(*protocol.EvidenceReply)
+	if err != nil || !typed {
+		return nil
+	}
+	return reply
+}
--- a/internal/hosted/storecalls.go
+++ b/internal/hosted/storecalls.go
@@ -25,13 +25,15 @@
 	purposeList storePurpose = "list"
 	// purposeRegister writes the daemon's own registration.
 	purposeRegister storePurpose = "register"
+	// purposeRollout reads orders and writes what became of them.
+	purposeRollout storePurpose = "rollout"
 	// purposeUnregister takes it away.
 	purposeUnregister storePurpose = "unregister"
 )
 
 // storePurposes are all purposes, in the order of summaries.
 var storePurposes = []storePurpose{
-	purposeList, purposeRegister, purposeRead, purposeWatch, purposePoll, purposeUnregister,
+	purposeList, purposeRegister, purposeRead, purposeWatch, purposePoll, purposeRollout, purposeUnregister,
 }
 
 // storeCall is a kind of call to the store with its result.
@@ -58,13 +60,19 @@
 
 // noteError counts a call by its error, which may be nil.
 func (c *storeCalls) noteError(purpose storePurpose, err error) {
-	code := result.OK
+	c.note(purpose, codeOf(err))
+}
+
+// codeOf is the result code of a call to the store; PlatformUnknown for an error
+// without one.
+func codeOf(err error) result.Code {
+	if err == nil {
+		return result.OK
+	}
 	if coded := (*result.Error)(nil); errors.As(err, &coded) {
-		code = coded.Code
-	} else if err != nil {
-		code = result.PlatformUnknown
+		return coded.Code
 	}
-	c.note(purpose, code)
+	return result.PlatformUnknown
 }
 
 // snapshot returns the counts so far.
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -112,7 +112,8 @@
 		registry:   d.options.Platform.Registry,
 		client:     control.NewClient(nil, controlLimits(), control.NewMeter()),
 		calls:      &d.storeCalls,
-		publish:    path.PublishMembers,
+		publish:    path.PublishDivided,
+		rollouts:   newRolloutTable(d.settings.Rollouts.ExposureShare),
 		valueBytes: d.settings.Authority.ValueBytes,
 		context:    d.context,
 		roster:     membership.NewRoster(),
@@ -145,6 +146,8 @@
 		calls:    &d.storeCalls,
 		follower: following.New(following.ConfigFor(d.settings.Authority.Apply()), randomNumber),
 	}
+	made.counted = path.Answers
+	made.countAnswers = path.CountAnswers
 	made.version = d.configuration.version
 	made.document = d.configuration.packedDocument
 	made.heardOf = d.configuration.heardOf
@@ -166,6 +169,7 @@
 		tracker:  backend.NewTracker(d.settings.Backend.HeartbeatInterval()),
 	}
 	made.rememberLeaving = d.backend.rememberLeaving
+	d.decider = newRolloutDecider(made, d.options.Platform.Rollouts)
 	path.ExtendServing(forever)
 	return &meshPart{made}, nil
 }
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -74,6 +74,10 @@
 		"Calls to the store of the external authority, by purpose and result code.",
 		"A rising code other than 0: look it up in RESULT-CODES.md.",
 		"purpose", "code", "name")
+	RolloutStage = define(Gauge, "rollout_stage",
+		"Stage of the newest order of a service: 1 canary, 2 shift, 3 halted, 4 rolled back, 5 completed.",
+		"3 or 4: see OPERATIONS.md, a roll-out was rolled back.",
+		"service", "target")
 	PeersLost = define(Gauge, "peers_lost",
 		"Daemons that did not answer when they were last asked.",
 		"Many at once: a link or a zone is lost.")
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -58,7 +58,7 @@
 	if shared == nil {
 		return c.without(retry.Outcome{Kind: retry.NoEndpoint})
 	}
-	chosen := c.choose(shared.set, now)
+	chosen := c.choose(shared, now)
 	if chosen == nil {
 		return c.without(retry.Outcome{Kind: retry.NoEndpoint})
 	}
@@ -107,7 +107,14 @@
 	return &attempt{outcome: outcome}
 }
 
-func (c *callerCall) choose(set *endpoint.Set, now time.Duration) *endpoint.Endpoint {
+// choose picks the endpoint of the next attempt. First attempts may go to a canary.
+func (c *callerCall) choose(shared *service, now time.Duration) *endpoint.Endpoint {
+	set := shared.set
+	if len(c.tried) == 0 {
+		if chosen := shared.canary.choose(now, c.proxy.random(), c.proxy.random()); chosen != nil {
+			return chosen
+		}
+	}
 	if c.key != "" {
 		return set.ChooseKeyed(now, c.keyHash, c.tried)
 	}
--- a/internal/proxy/bench_test.go
+++ b/internal/proxy/bench_test.go
@@ -31,7 +31,7 @@
 		for loop.Next() {
 			call, _, _ := proxy.acceptCall(request)
 			shared := proxy.view.Load().services[call.service]
-			chosen := call.choose(shared.set, testClock())
+			chosen := call.choose(shared, testClock())
 			call.outgoing(chosen, false, call.timeout)
 		}
 	})
--- /dev/null
+++ b/internal/proxy/division.go
@@ -0,0 +1,111 @@
+package proxy
+
+import (
+	"slices"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/endpoint"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/core/rollout"
+)
+
+// Split says how the back ends of one service are divided: those of the target version
+// get what the stage allows.
+type Split struct {
+	Target string
+	Stage  rollout.Stage
+	// CanaryShare is the share of calls that canaries get.
+	CanaryShare float64
+}
+
+// Splits are the divisions of services; those not named are not divided.
+type Splits map[resource.ServiceRef]Split
+
+// sampledPart divides the calls of canaries: one part goes to any back end of the
+// target version, so that each is seen to work, the others to a few at full load.
+const sampledPart = 4
+
+// canary is the share of calls that a target version gets, and where. The zero value
+// is none.
+type canary struct {
+	share float64
+	// few are as many back ends as the share loads like the stable ones; every one is
+	// all of the target version.
+	few   *endpoint.Set
+	every *endpoint.Set
+}
+
+// divide sets which endpoints calls go to by the stage of a roll-out.
+func (s *service) divide(split Split) {
+	s.set = s.all
+	if split.Target == "" {
+		return
+	}
+	target := s.all.Only(func(one *endpoint.Endpoint) bool { return one.Software == split.Target })
+	stable := s.all.Only(func(one *endpoint.Endpoint) bool { return one.Software != split.Target })
+	switch split.Stage {
+	case rollout.StageHeld:
+		if stable.Usable() > 0 {
+			s.set = stable
+		}
+	case rollout.StageCanary:
+		if stable.Usable() > 0 {
+			s.set = stable
+			s.canary = newCanary(target, stable.Usable(), split.CanaryShare)
+		}
+	case rollout.StageShift, rollout.StageCompleted:
+		if target.Usable() > 0 {
+			s.set = target
+		}
+	case rollout.StageHalted, rollout.StageRolledBack:
+		s.set = stable
+	}
+}
+
+// newCanary chooses the canaries, the same on all daemons that know the same back ends.
+func newCanary(target *endpoint.Set, stable int, share float64) canary {
+	ranked := slices.Clone(target.All)
+	slices.SortFunc(ranked, func(a, b *endpoint.Endpoint) int { return rollout.CompareCanaries(a.Backend, b.Backend) })
+	ranked = slices.DeleteFunc(ranked, func(one *endpoint.Endpoint) bool { return !one.State.TakesWork() })
+	count := max(1, int(share*float64(stable)))
+	chosen := ranked[:min(count, len(ranked))]
+	return canary{
+		share: share,
+		few:   target.Only(func(one *endpoint.Endpoint) bool { return slices.Contains(chosen, one) }),
+		every: target,
+	}
+}
+
+// choose picks a canary for a share of the calls, and nil for the others. Both numbers
+// are uniform random ones.
+func (c canary) choose(now time.Duration, draw, random uint64) *endpoint.Endpoint {
+	if c.few == nil || c.few.Usable() == 0 {
+		return nil
+	}
+	point := float64(draw>>11) / (1 << 53) // 53 bits are a float64's fraction
+	if point >= c.share {
+		return nil
+	}
+	if point*sampledPart < c.share {
+		return c.every.Choose(now, random, nil)
+	}
+	return c.few.Choose(now, random, nil)
+}
+
+// CountAnswers has the gate count the answers of its back end, or ends that.
+func (p *Proxy) CountAnswers(count bool) {
+	if count {
+		p.answers.Start()
+		return
+	}
+	p.answers.Stop()
+}
+
+// Answers is what the gate has counted, and the calls that run or wait there.
+func (p *Proxy) Answers() (evidence rollout.Evidence, outstanding int) {
+	if p.gate == nil {
+		return nil, 0
+	}
+	load := p.gate.Load()
+	return p.answers.Evidence(), load.Running + load.Queued
+}
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -145,8 +145,8 @@
 	observe(c.proxy.config.Timings.Queue, waited)
 	sent := c.send()
 	refusal, refused := c.judge(sent)
-	c.noteBackend(sent, refusal, refused)
 	ran := c.proxy.config.Clock() - came - waited
+	c.noteBackend(sent, refusal, refused, ran)
 	observe(c.proxy.config.Timings.Backend, ran)
 	// The slot is given back once, whatever happens below.
 	defer c.end(sent, !refused || refusal.execution() != result.RanNo)
@@ -289,7 +289,7 @@
 }
 
 // noteBackend counts whether the back end has answered the call or failed it.
-func (c *gateCall) noteBackend(sent *exchange, refusal Refusal, refused bool) {
+func (c *gateCall) noteBackend(sent *exchange, refusal Refusal, refused bool, ran time.Duration) {
 	failed := false
 	switch {
 	case refused:
@@ -297,6 +297,9 @@
 	default:
 		failed = sent.answer.StatusCode >= http.StatusInternalServerError
 	}
+	if failed || !refused {
+		c.proxy.answers.Note(c.ticket.Class, failed, !c.proxy.warming(), ran)
+	}
 	switch {
 	case !failed && !refused:
 		c.proxy.tally.answered.Add(1)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/springstack/springstack/internal/core/admission"
 	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/rollout"
 	"github.com/springstack/springstack/internal/core/snapshot"
 	"github.com/springstack/springstack/internal/pipeline"
 	"github.com/springstack/springstack/internal/result"
@@ -36,6 +37,9 @@
 	backend   *upstream
 	health    *health
 
+	// answers counts those of the back end while a roll-out of its service goes on.
+	answers rollout.Tally
+
 	incarnations   incarnations
 	reported       reportedBackend
 	requestLimits  atomic.Pointer[RequestLimits]
@@ -112,7 +116,7 @@
 	p.changing.Lock()
 	defer p.changing.Unlock()
 	old := p.view.Load()
-	p.publish(p.buildView(old, held, old.members))
+	p.publish(p.buildView(old, held, old.members, old.splits))
 }
 
 // PublishMembers gives the newest member records, whole.
@@ -121,7 +125,17 @@
 	defer p.changing.Unlock()
 	p.incarnations.learn(p.config.NodeID, members)
 	old := p.view.Load()
-	p.publish(p.buildView(old, old.snapshot, members))
+	p.publish(p.buildView(old, old.snapshot, members, old.splits))
+}
+
+// PublishDivided gives the newest member records and how the back ends of services are
+// divided among versions.
+func (p *Proxy) PublishDivided(members []protocol.Member, splits Splits) {
+	p.changing.Lock()
+	defer p.changing.Unlock()
+	p.incarnations.learn(p.config.NodeID, members)
+	old := p.view.Load()
+	p.publish(p.buildView(old, old.snapshot, members, splits))
 }
 
 // ExtendServing lets the callers' side serve until a time on the clock. It
--- a/internal/proxy/reported.go
+++ b/internal/proxy/reported.go
@@ -39,6 +39,7 @@
 	if previous != nil && previous.Instance != report.Instance {
 		// Connections to an earlier instance lead nowhere.
 		p.backend.closeIdle()
+		p.answers.Reset()
 	}
 	takesWork := report.State.TakesWork()
 	if !takesWork {
@@ -54,3 +55,9 @@
 	p.event("backend_state", EventField{Key: "backend", Value: report.Instance},
 		EventField{Key: "state", Value: report.State.String()})
 }
+
+// warming tells whether the back end says that it is still slow from its start.
+func (p *Proxy) warming() bool {
+	report := p.reported.current.Load()
+	return report != nil && report.State == protocol.EndpointWarming
+}
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -17,6 +17,7 @@
 	snapshot *snapshot.Snapshot
 	table    *routing.Table
 	members  []protocol.Member
+	splits   Splits
 	services map[resource.ServiceRef]*service
 	// upstreams are the connections by address of a gate.
 	upstreams map[string]*upstream
@@ -24,8 +25,12 @@
 
 // service is what calls to one service share.
 type service struct {
-	name   string
+	name string
+	// all holds every endpoint, set those that calls go to in general, which is the
+	// same while no roll-out divides them.
+	all    *endpoint.Set
 	set    *endpoint.Set
+	canary canary
 	budget *retry.Budget
 }
 
@@ -38,11 +43,12 @@
 
 // buildView makes the view of a snapshot and member records. Counts, budgets
 // and connections carry over from the previous view.
-func (p *Proxy) buildView(previous *view, held *snapshot.Snapshot, members []protocol.Member) *view {
+func (p *Proxy) buildView(previous *view, held *snapshot.Snapshot, members []protocol.Member, splits Splits) *view {
 	next := &view{
 		snapshot:  held,
 		table:     previous.table,
 		members:   members,
+		splits:    splits,
 		services:  map[resource.ServiceRef]*service{},
 		upstreams: map[string]*upstream{},
 	}
@@ -62,15 +68,16 @@
 		made := &service{name: reference.String()}
 		var oldSet *endpoint.Set
 		if old := previous.services[reference]; old != nil {
-			oldSet = old.set
+			oldSet = old.all
 			made.budget = old.budget
 			made.budget.SetPart(budget.Part)
 		} else {
 			made.budget = retry.NewBudgetWithin(budget)
 		}
-		made.set = endpoint.BuildIndexed(oldSet, self, backends, index, now)
+		made.all = endpoint.BuildIndexed(oldSet, self, backends, index, now)
+		made.divide(splits[reference])
 		next.services[reference] = made
-		p.connect(previous, next, made.set)
+		p.connect(previous, next, made.all)
 	}
 	return next
 }
@@ -148,7 +155,7 @@
 		}
 	}
 	for _, one := range next.services {
-		p.closeLeaving(next, one.set)
+		p.closeLeaving(next, one.all)
 	}
 }
 
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -21,6 +21,7 @@
 	Backend   HostedBackend   `koanf:"backend" validate:"required"`
 	Authority HostedAuthority `koanf:"authority" validate:"required"`
 	Retries   HostedRetries   `koanf:"retries"`
+	Rollouts  HostedRollouts  `koanf:"rollouts"`
 	Drain     HostedDrain     `koanf:"drain"`
 	Log       Log             `koanf:"log"`
 }
@@ -95,6 +96,14 @@
 	return time.Duration(r.WindowSeconds * float64(time.Second))
 }
 
+// HostedRollouts bounds what a new software version of a service gets before it is known
+// to be good.
+type HostedRollouts struct {
+	// ExposureShare is the share of a service's requests that a version which proves bad
+	// may have got by the end of its order. 0, the default, follows no orders.
+	ExposureShare float64 `koanf:"exposure_share" validate:"min=0,max=1"`
+}
+
 // HostedDrain bounds a planned stop.
 type HostedDrain struct {
 	// GraceSeconds is when the platform kills the process.
