Questions after silence allow for what answers take

Cause: when a gate owes an answer for half of the route's target, its daemon is asked, and after two questions without an answer in 150 ms the calls there that may be repeated are broken off. Each time slots had run in vain, idle connections were closed and the calls went to other full gates.

Change: the timeout is the mean round trip and four deviations (RFC 6298), at least the 150 ms that stood, at most 700. Answers that come after it are still waited for, so that the estimate learns of them.

--- /dev/null
+++ b/internal/core/roundtrip/roundtrip_test.go
@@ -0,0 +1,30 @@
+package roundtrip
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestATimeoutFollowsRoundTrips(t *testing.T) {
+	check := is.New(t)
+	estimator := &Estimator{}
+	check.Equal(estimator.Timeout(), time.Duration(0))
+	estimator.Observe(10 * time.Millisecond)
+	check.Equal(estimator.Timeout(), 30*time.Millisecond)
+	for range 100 {
+		estimator.Observe(10 * time.Millisecond)
+	}
+	check.True(estimator.Timeout() < 12*time.Millisecond)
+	for range 4 { // a link that is suddenly busy
+		estimator.Observe(200 * time.Millisecond)
+	}
+	check.True(estimator.Timeout() > 300*time.Millisecond)
+	for range 100 {
+		estimator.Observe(10 * time.Millisecond)
+	}
+	check.True(estimator.Timeout() < 20*time.Millisecond)
+	estimator.Observe(-time.Second) // of a clock that went back
+	check.True(estimator.Timeout() >= 0)
+}
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -14,6 +14,7 @@
 	"github.com/springstack/springstack/internal/core/membership"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/rollout"
+	"github.com/springstack/springstack/internal/core/roundtrip"
 	"github.com/springstack/springstack/internal/pause"
 	"github.com/springstack/springstack/internal/proxy"
 )
@@ -92,6 +93,8 @@
 	// was leaving; it must not call back.
 	rememberLeaving func(instance string)
 	path            reachability
+	// roundTrips estimates how long peers take to answer.
+	roundTrips roundtrip.Estimator
 	// heardAt is when a peer last answered.
 	heardAt time.Duration
 	turn    int
@@ -177,10 +180,14 @@
 func (m *mesh) call(target dissemination.Peer, request *protocol.ExchangeRequest) *protocol.ExchangeReply {
 	ctx, cancel := context.WithTimeout(m.context, controlTimeout)
 	defer cancel()
+	asked := m.clock()
 	body, err := m.client.Call(ctx, target.Address, request)
 	if m.context.Err() != nil {
 		return nil
 	}
+	if err == nil {
+		m.roundTrips.Observe(m.clock() - asked)
+	}
 	reply, _ := body.(*protocol.ExchangeReply)
 	m.noteAnswer(target, err == nil && reply != nil)
 	if err != nil || reply == nil {
--- a/internal/hosted/verify.go
+++ b/internal/hosted/verify.go
@@ -10,11 +10,18 @@
 )
 
 const (
-	// verifyTimeout is how long a daemon may take to answer when its gate is
-	// silent. It answers at once even when its back end is full.
+	// verifyTimeout is how long a daemon may at least take to answer when its gate is
+	// silent. It answers at once even when its back end is full, but an upload ahead of
+	// the answer on a slow link, or a processor whose share is spent, may hold it up:
+	// what other answers took lately makes the timeout longer (roundtrip.Estimator).
 	verifyTimeout = 150 * time.Millisecond
 	// verifyFarTimeout is the same for a daemon of another region.
 	verifyFarTimeout = 450 * time.Millisecond
+	// verifyLimit bounds the timeout: of the calls that such a question is about most
+	// have a second or two.
+	verifyLimit = 700 * time.Millisecond
+	// questionLimit is how long an answer is waited for in all.
+	questionLimit = 2 * time.Second
 	// verifyLate is how late this daemon may find out that there was no answer. If
 	// it is later, it stood still itself and knows nothing of the other one.
 	verifyLate = 50 * time.Millisecond
@@ -82,10 +89,11 @@
 // answers tells whether a daemon answers in time. What this daemon learns late it
 // asks again.
 func (m *mesh) answers(target dissemination.Peer) bool {
-	timeout := verifyTimeout
+	least := verifyTimeout
 	if target.Region != m.self.Region {
-		timeout = verifyFarTimeout
+		least = verifyFarTimeout
 	}
+	timeout := min(max(m.roundTrips.Timeout(), least), verifyLimit)
 	for try := 1; ; try++ {
 		asked := m.clock()
 		if m.answersWithin(target, timeout) {
@@ -98,18 +106,42 @@
 	}
 }
 
-// answersWithin sends an empty push. A failure that comes at once may be that of
-// an old connection, so it is sent again over a new one.
+// answersWithin sends an empty push and tells whether it is answered in time. One that
+// is answered later is still waited for, so that the next timeout allows for it.
 func (m *mesh) answersWithin(target dissemination.Peer, timeout time.Duration) bool {
-	ctx, cancel := context.WithTimeout(m.context, timeout)
+	answered := make(chan bool, 1)
+	m.running.Add(1)
+	go func() {
+		defer m.running.Done()
+		answered <- m.question(target)
+	}()
+	bound := time.NewTimer(timeout)
+	defer bound.Stop()
+	select {
+	case fine := <-answered:
+		return fine
+	case <-bound.C:
+		return false
+	}
+}
+
+// question sends an empty push and measures how long its answer takes. A failure that
+// comes at once may be that of an old connection, so it is sent again over a new one.
+func (m *mesh) question(target dissemination.Peer) bool {
+	ctx, cancel := context.WithTimeout(m.context, questionLimit)
 	defer cancel()
 	m.mutex.Lock()
 	request := m.request()
 	m.mutex.Unlock()
 	request.Push = true
+	asked := m.clock()
 	_, err := m.client.Call(ctx, target.Address, request)
 	if err != nil && ctx.Err() == nil {
+		asked = m.clock()
 		_, err = m.client.Call(ctx, target.Address, request)
 	}
+	if err == nil {
+		m.roundTrips.Observe(m.clock() - asked)
+	}
 	return err == nil
 }
