The time to connect follows round trips as well

Cause: connecting was given up after 150 ms, and one such failure ejects an endpoint for a second and more.

Change: the limit is what answers of peers take lately (package roundtrip), at least 150 ms, at most 600.

--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/springstack/springstack/internal/authority"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/core/roundtrip"
 	"github.com/springstack/springstack/internal/daemon"
 	"github.com/springstack/springstack/internal/metrics"
 	"github.com/springstack/springstack/internal/proxy"
@@ -33,6 +34,8 @@
 	// incarnation tells this start from earlier ones.
 	incarnation protocol.Incarnation
 	storeCalls  storeCalls
+	// roundTrips estimates how long peers take to answer.
+	roundTrips roundtrip.Estimator
 
 	path          *proxy.Proxy
 	configuration *configuration
@@ -104,6 +107,7 @@
 		OnBackendUnreachable: d.reportUnreachable,
 		OnBackendFailed:      d.reportFailed,
 		OnSilent:             d.verifyPeer,
+		RoundTrip:            d.roundTrips.Timeout,
 		Log:                  d.logPath,
 		Trace:                d.requests,
 		Timings: proxy.Timings{
--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -30,6 +30,8 @@
 	// dialTimeout bounds connecting to a gate or back end. Either is a round
 	// trip away, and a silent one must leave time for another attempt.
 	dialTimeout = 150 * time.Millisecond
+	// dialLimit bounds it where peers take longer to answer: behind uploads on a slow link.
+	dialLimit = 600 * time.Millisecond
 	// collectBytes holds a usual answer whole.
 	collectBytes = 64 << 10
 	// replayBytes holds a usual upload whole.
@@ -58,6 +60,7 @@
 	limits.IdleTimeout = keepIdle
 	limits.UpstreamIdle = gateIdle
 	limits.DialTimeout = dialTimeout
+	limits.DialLimit = dialLimit
 	limits.CollectBytes = collectBytes
 	limits.ReplayBytes = replayBytes
 	limits.QueueWait = queueWait
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -94,7 +94,7 @@
 	rememberLeaving func(instance string)
 	path            reachability
 	// roundTrips estimates how long peers take to answer.
-	roundTrips roundtrip.Estimator
+	roundTrips *roundtrip.Estimator
 	// heardAt is when a peer last answered.
 	heardAt time.Duration
 	turn    int
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -113,6 +113,7 @@
 		client:     control.NewClient(nil, controlLimits(), control.NewMeter()),
 		calls:      &d.storeCalls,
 		publish:    path.PublishDivided,
+		roundTrips: &d.roundTrips,
 		rollouts:   newRolloutTable(d.settings.Rollouts.ExposureShare),
 		valueBytes: d.settings.Authority.ValueBytes,
 		context:    d.context,
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -53,6 +53,9 @@
 	// OnSilent is told when a daemon's gate owes answers and gives none. It must
 	// not block. Nil means that nobody listens.
 	OnSilent func(protocol.NodeID)
+	// RoundTrip is within what time nearly all answers of peers come lately. Connecting
+	// may take as long, if that is longer than the limit says. Nil knows nothing of it.
+	RoundTrip func() time.Duration
 	// PeerTLS guards the calls to other daemons' gates; nil sends them in the
 	// clear. A gate's server is guarded by Server.Secure.
 	PeerTLS *tls.Config
@@ -114,8 +117,10 @@
 	IdleTimeout time.Duration
 	// StallTimeout bounds each read and write of a body.
 	StallTimeout time.Duration
-	// DialTimeout bounds the opening of a connection.
+	// DialTimeout bounds the opening of a connection, DialLimit the same where answers
+	// of peers take longer (see Config.RoundTrip).
 	DialTimeout time.Duration
+	DialLimit   time.Duration
 	// UpstreamConnections bounds the connections to one endpoint.
 	UpstreamConnections int
 	// UpstreamIdle closes an unused connection to an endpoint; it must be
@@ -225,6 +230,7 @@
 	orDefault(&l.IdleTimeout, fallback.IdleTimeout)
 	orDefault(&l.StallTimeout, fallback.StallTimeout)
 	orDefault(&l.DialTimeout, fallback.DialTimeout)
+	l.DialLimit = max(l.DialLimit, l.DialTimeout)
 	orDefault(&l.UpstreamConnections, fallback.UpstreamConnections)
 	orDefault(&l.UpstreamIdle, fallback.UpstreamIdle)
 	orDefault(&l.BackendIdle, fallback.BackendIdle)
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -34,6 +34,10 @@
 	secure    *tls.Config
 	transport *http.Transport
 	dialer    net.Dialer
+	// roundTrip tells how long peers take to answer; nil knows nothing of it. dialLimit
+	// bounds what it may make of the time to connect.
+	roundTrip func() time.Duration
+	dialLimit time.Duration
 	spares    chan spare
 	spareLife time.Duration
 	// takesUnframed takes answers whose end is that of their connection.
@@ -63,7 +67,9 @@
 		cancel:  cancel,
 		address: address,
 		dialer:  net.Dialer{Timeout: limits.DialTimeout, KeepAliveConfig: keepAlive},
-		spares:  make(chan spare, spareLimit),
+
+		dialLimit: limits.DialLimit,
+		spares:    make(chan spare, spareLimit),
 
 		spareLife: min(spareLife, limits.HeaderTimeout/2),
 		noSpares:  limits.NoSpares,
@@ -105,9 +111,12 @@
 
 // open opens a connection, ready for calls.
 func (u *upstream) open(ctx context.Context) (net.Conn, error) {
-	bounded, cancel := context.WithTimeout(ctx, u.dialer.Timeout)
+	timeout := u.dialTimeout()
+	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	conn, err := u.dialer.DialContext(bounded, "tcp", u.address)
+	dialer := u.dialer
+	dialer.Timeout = timeout
+	conn, err := dialer.DialContext(bounded, "tcp", u.address)
 	if err != nil || u.secure == nil {
 		return conn, err
 	}
@@ -119,6 +128,14 @@
 	return guarded, nil
 }
 
+// dialTimeout is how long connecting may take now.
+func (u *upstream) dialTimeout() time.Duration {
+	if u.roundTrip == nil {
+		return u.dialer.Timeout
+	}
+	return min(max(u.roundTrip(), u.dialer.Timeout), u.dialLimit)
+}
+
 // openAhead opens connections in the background for calls to come.
 func (u *upstream) openAhead(count int) {
 	for range count {
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -135,6 +135,7 @@
 		if kept == nil {
 			kept = newUpstream(one.Address, p.limits, p.limits.UpstreamIdle)
 			kept.secure = p.config.PeerTLS
+			kept.roundTrip = p.config.RoundTrip
 			if !p.config.Reported && one.Zone == p.config.Zone && one.Region == p.config.Region {
 				kept.openAhead(1)
 			}
