Waits are estimated by the work ahead, and end while there is time to go elsewhere

Cause: a gate took each call ahead for one of mean length. At roastery-app 49 ms and 780 ms runs wait beside each other. And a call that waited was withdrawn at its deadline, when its sender could only answer that it does not know.

Change: the queue sums up the expected times of what waits, by class; the first slot is expected after the mean of what runs. A waiting call is withdrawn at its latest start, its deadline less the time that its class takes: its sender can still say that it has not run, or send it elsewhere. TestTheWaitIsThatOfTheWorkAhead fails before.

--- a/internal/core/admission/call.go
+++ b/internal/core/admission/call.go
@@ -74,6 +74,8 @@
 	// ended is set by Done; only the owner of the call touches it.
 	ended     bool
 	startedAt time.Duration
+	// expected is how long the call was expected to run when it came.
+	expected time.Duration
 	// startBy orders the waiting calls of a class: the earliest goes first.
 	startBy time.Duration
 	// queuedAt is when the call was queued, expectedWait what it was then expected
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -66,6 +66,8 @@
 	// by a start: a start adds one by compare-and-swap only below the slots, or
 	// inherits the slot of a call that ends. Queued changes under mutex only.
 	word atomic.Uint64
+	// runningWork is how long the running calls were expected to run, in nanoseconds.
+	runningWork atomic.Int64
 	// slots may be changed while calls run.
 	slots atomic.Int64
 	// mean is the mean service time of all calls, classes those of each class that
@@ -160,7 +162,12 @@
 // must not start.
 func (g *Gate) remember(now time.Duration, ticket *Ticket) Verdict {
 	ticket.startedAt = now
-	return register(g.keys, now, ticket.Key)
+	verdict := register(g.keys, now, ticket.Key)
+	if verdict.State == StateStarted {
+		ticket.expected = g.serviceOf(&ticket.Call)
+		g.runningWork.Add(int64(ticket.expected))
+	}
+	return verdict
 }
 
 // register adds a fingerprint, or refuses the call that has it.
@@ -182,6 +189,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	into := g.queue.lane(ticket.Partner)
+	ticket.expected = g.serviceOf(&ticket.Call)
 	ticket.startBy = g.startBy(now, ticket)
 	if verdict := g.mayWait(now, ticket, into); verdict.State == StateRefused {
 		return verdict
@@ -261,8 +269,7 @@
 			if tail == nil {
 				break
 			}
-			ahead := ticket.lane.ahead(class) - 1
-			wait := g.expectedWait(ticket.lane, ahead)
+			wait := g.expectedWait(ticket.lane, ticket.lane.ahead(class)-tail.expected)
 			if wait <= g.config.QueueWait && now+wait <= tail.Deadline {
 				break
 			}
@@ -308,11 +315,21 @@
 	g.word.Add(^uint64(queuedUnit - 1))
 }
 
-// expectedWait estimates when a slot is free for a call that has others of its
-// lane ahead of it. It is 0 until a service time is known.
-func (g *Gate) expectedWait(of *lane, ahead int) time.Duration {
+// expectedWait estimates when a slot is free for a call that has the work of others of
+// its lane ahead of it: the first slot is free when one of the running calls ends, and
+// what is ahead fills the slots. It is 0 until a service time is known.
+func (g *Gate) expectedWait(of *lane, ahead time.Duration) time.Duration {
 	rate := float64(g.slots.Load()) * g.queue.share(of)
-	return time.Duration(float64(g.meanService()) * float64(ahead+1) / rate)
+	return time.Duration(float64(g.meanRunning()+ahead) / rate)
+}
+
+// meanRunning is how long the running calls are expected to run in the mean.
+func (g *Gate) meanRunning() time.Duration {
+	running := int64(g.word.Load() & runningMask)
+	if running == 0 {
+		return g.meanService()
+	}
+	return time.Duration(max(g.runningWork.Load(), 0) / running)
 }
 
 // Done ends a started call and gives its slot to the call that goes next. Ran
@@ -324,6 +341,7 @@
 		return
 	}
 	ticket.ended = true
+	g.runningWork.Add(-int64(ticket.expected))
 	if ran && !ticket.Unmeasured {
 		g.observe(&ticket.Call, now-ticket.startedAt)
 	}
@@ -394,6 +412,13 @@
 	return verdict.State == StateStarted
 }
 
+// LatestStart is until when a waiting call can still end in time. After that its owner
+// should withdraw it and tell its sender at once that it did not run, while there is
+// time to send it elsewhere.
+func (g *Gate) LatestStart(ticket *Ticket) time.Duration {
+	return ticket.Deadline - g.serviceOf(&ticket.Call)
+}
+
 // Cancel withdraws a waiting call. It answers false when the call is not
 // waiting any more: it was settled, and if started it must be ended by Done.
 func (g *Gate) Cancel(ticket *Ticket) bool {
--- a/internal/core/admission/gate_test.go
+++ b/internal/core/admission/gate_test.go
@@ -397,3 +397,12 @@
 	check.Equal(low.waiter.last().State, StateRefused)
 	gate.Done(now, running.ticket, true)
 }
+
+// TestAWaitingCallHasALatestStart: its deadline less the time that its class takes.
+func TestAWaitingCallHasALatestStart(t *testing.T) {
+	check := is.New(t)
+	gate := New(0, testConfig(1))
+	teach(gate, 0, 300*time.Millisecond)
+	ticket := NewTicket(Call{Deadline: time.Second}, nil)
+	check.Equal(gate.LatestStart(ticket), 700*time.Millisecond)
+}
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -19,6 +19,8 @@
 	head   *Ticket
 	tail   *Ticket
 	length int
+	// work is how long its tickets are expected to run, in all.
+	work time.Duration
 }
 
 // push inserts a ticket behind those that must start no later than it.
@@ -41,15 +43,15 @@
 		ticket.next.previous = ticket
 	}
 	l.length++
+	l.work += ticket.expected
 }
 
-// until counts the tickets that must start no later than a time.
-func (l *list) until(startBy time.Duration) int {
-	count := 0
+// until is the work of the tickets that must start no later than a time.
+func (l *list) until(startBy time.Duration) (work time.Duration) {
 	for ticket := l.head; ticket != nil && ticket.startBy <= startBy; ticket = ticket.next {
-		count++
+		work += ticket.expected
 	}
-	return count
+	return work
 }
 
 func (l *list) remove(ticket *Ticket) {
@@ -66,6 +68,7 @@
 	ticket.next = nil
 	ticket.previous = nil
 	l.length--
+	l.work -= ticket.expected
 }
 
 // lane holds the waiting calls of one partner.
@@ -79,17 +82,16 @@
 	length  int
 }
 
-// ahead counts the waiting calls that go before a new one of the class.
-func (l *lane) ahead(class int) int {
-	count := 0
+// ahead is the work of the waiting calls that go before a new one of the class.
+func (l *lane) ahead(class int) (work time.Duration) {
 	for above := class; above < classCount; above++ {
-		count += l.classes[above].length
+		work += l.classes[above].work
 	}
-	return count
+	return work
 }
 
-// aheadOf counts the waiting calls that go before a new one.
-func (l *lane) aheadOf(ticket *Ticket) int {
+// aheadOf is the work of the waiting calls that go before a new one.
+func (l *lane) aheadOf(ticket *Ticket) time.Duration {
 	class := ticket.class()
 	return l.ahead(class+1) + l.classes[class].until(ticket.startBy)
 }
--- a/internal/core/admission/target.go
+++ b/internal/core/admission/target.go
@@ -45,11 +45,11 @@
 	if g.config.NoEstimate {
 		return
 	}
-	ahead := of.length
+	ahead := of.ahead(0)
 	for class := range classCount {
 		for ticket := of.classes[class].tail; ticket != nil; {
 			next := ticket.previous
-			ahead--
+			ahead -= ticket.expected
 			wait := g.expectedWait(of, ahead)
 			if verdict := g.targetVerdict(now, ticket, wait); verdict.State == StateRefused {
 				g.observeDelay(ticket, now-ticket.queuedAt+wait)
--- a/internal/core/admission/target_test.go
+++ b/internal/core/admission/target_test.go
@@ -185,3 +185,30 @@
 	}
 	check.True(before > admitted())
 }
+
+// TestTheWaitIsThatOfTheWorkAhead: a few short calls ahead are no reason to refuse a call
+// that as many long ones would make late.
+func TestTheWaitIsThatOfTheWorkAhead(t *testing.T) {
+	check := is.New(t)
+	const short, long = 200 * time.Millisecond, 1200 * time.Millisecond
+	for _, kind := range []time.Duration{short, long} {
+		gate := New(0, testConfig(1))
+		for range 64 {
+			teachKind(gate, 0, short, 50*time.Millisecond)
+			teachKind(gate, 0, long, 500*time.Millisecond)
+		}
+		offer(gate, 0, targeted(0, long)) // runs for 500 ms
+		for range 2 {
+			ahead := targeted(0, kind)
+			ahead.Target = 300 * time.Millisecond
+			ahead.Patient = true
+			check.Equal(offer(gate, 0, ahead).state, StateQueued)
+		}
+		last := offer(gate, 0, targeted(0, long))
+		if kind == short {
+			check.Equal(last.state, StateQueued) // 500 + 100 ms, and 500 of its own
+		} else {
+			check.Equal(last.code, result.QueueFull) // 500 + 1,000 ms
+		}
+	}
+}
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -185,16 +185,19 @@
 	}()
 }
 
-// admit waits for a slot as long as the call has time and its sender is there.
+// admit waits for a slot as long as the call has time to run and its sender is there.
 func (c *gateCall) admit() admission.Verdict {
 	gate := c.proxy.gate
 	verdict := gate.Admit(c.proxy.config.Clock(), c.ticket)
 	if verdict.State != admission.StateQueued {
 		return verdict
 	}
+	latest := time.NewTimer(gate.LatestStart(c.ticket) - c.proxy.config.Clock())
+	defer latest.Stop()
 	select {
 	case verdict = <-c.verdicts:
 		return verdict
+	case <-latest.C:
 	case <-c.context.Done():
 	}
 	if !gate.Cancel(c.ticket) {
