A call whose gate is silent is overtaken, not broken off

Ruled out: the stop itself (a daemon that drains gives nothing up).

Change: the attempt runs on while the next one is made, one at most for each call. Whichever is answered first is delivered; when the next one is refused or failed, the first is waited for as long as its daemon is reachable again or this daemon drains. Answers that are ready are delivered.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -76,32 +77,73 @@
 }
 
 // send sends an attempt and waits for the head of its answer. While the gate is
-// silent its daemon is asked for; when the daemon is found to be unreachable, an
-// attempt ends if another one is sure to follow.
+// silent its daemon is asked for; when the daemon is found to be unreachable and another
+// attempt is sure to follow, the attempt is overtaken. An answer of an attempt that was
+// overtaken before is taken when it comes first.
 func (c *callerCall) send(made *attempt, path *upstream, set *endpoint.Set, mark bool, now time.Duration) {
 	relay := &informer{writer: c.writer}
 	defer c.proxy.watch(path, made.chosen, silenceOf(c.route.Resource.Target))()
-	ctx := c.context
-	if c.policy.Repeatable && c.proxy.config.OnSilent != nil {
-		cancellable, cancel := context.WithCancel(ctx)
-		made.cancel = cancel
-		ctx = cancellable
-		replayable := c.body.replayable()
-		path.silence.hold(made, func() {
-			now := c.proxy.config.Clock()
-			lost := retry.Outcome{Kind: retry.Broken, Replayable: replayable, Others: set.Others(now, c.tried)}
-			if c.retries.Prepay(now, lost) {
+	ctx, cancel := context.WithCancel(c.context)
+	made.cancel = cancel
+	outgoing := c.outgoing(made.chosen, mark, c.deadline-now)
+	silent := c.holdSilent(made, path, set)
+	defer path.silence.release(made)
+	if silent == nil && c.overtaken == nil {
+		made.exchange = path.send(ctx, outgoing, relay, nil)
+		c.noteHeard(made, path)
+		return
+	}
+	under := fly(func() *exchange { return path.send(ctx, outgoing, relay, nil) })
+	for {
+		select {
+		case <-under.done:
+			made.exchange = under.take()
+			c.noteHeard(made, path)
+			return
+		case <-silent:
+			relay.end()
+			c.overtaken = &overtaken{chosen: made.chosen, flight: under}
+			made.cancel = nil // it runs on, at most until the call's context ends
+			made.exchange = &exchange{err: errOvertaken, cancel: func() {}}
+			return
+		case <-c.answered():
+			if c.resume(made) {
+				relay.end()
+				under.drop()
 				cancel()
+				return
 			}
-		})
-		defer path.silence.release(made)
+		}
 	}
-	made.exchange = path.send(ctx, c.outgoing(made.chosen, mark, c.deadline-now), relay, nil)
+}
+
+// noteHeard notes that a gate has answered an attempt, if it has.
+func (c *callerCall) noteHeard(made *attempt, path *upstream) {
 	if made.exchange.answer != nil {
 		c.proxy.heard(path)
 	}
 }
 
+// holdSilent returns what is closed when the daemon of the attempt's gate is unreachable
+// and another attempt is paid for. A call that may not be repeated, or of which an attempt
+// was overtaken already, waits for its gate.
+func (c *callerCall) holdSilent(made *attempt, path *upstream, set *endpoint.Set) <-chan struct{} {
+	if !c.policy.Repeatable || c.proxy.config.OnSilent == nil || c.overtaken != nil {
+		return nil
+	}
+	silent := make(chan struct{})
+	var once sync.Once
+	replayable := c.body.replayable()
+	path.silence.hold(made, func() {
+		now := c.proxy.config.Clock()
+		lost := retry.Outcome{Kind: retry.Broken, Replayable: replayable, Others: set.Others(now, c.tried)}
+		if c.retries.Prepay(now, lost) {
+			once.Do(func() { close(silent) })
+		}
+	})
+	return silent
+}
+
 // without is an attempt that went to no endpoint.
 func (c *callerCall) without(outcome retry.Outcome) *attempt {
 	return &attempt{outcome: outcome}
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -115,6 +115,8 @@
 	key     string
 	keyHash uint64
 	tried   endpoint.Tried
+	// overtaken is the attempt that another one has followed; nil for none.
+	overtaken *overtaken
 	// detail explains the last attempt for people.
 	detail string
 }
@@ -195,6 +197,7 @@
 
 // run makes attempts until there is an answer or a final refusal.
 func (c *callerCall) run() {
+	defer c.dropOvertaken()
 	step := c.retries.First()
 	for {
 		pause.For(c.context, step.Wait)
@@ -206,10 +209,17 @@
 			c.proxy.tally.retries.Add(1)
 			tried.end(c.proxy)
 		case retry.Deliver:
+			if tried.outcome.Failed {
+				tried = c.betterAnswer(tried)
+			}
 			c.deliver(tried)
 			return
 		default:
 			tried.end(c.proxy)
+			if late := c.awaitOvertaken(); late != nil {
+				c.deliver(late)
+				return
+			}
 			c.refuse(step)
 			return
 		}
