--- /dev/null
+++ b/internal/hosted/rolloutdecider_test.go
@@ -0,0 +1,150 @@
+package hosted
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/authority"
+	"github.com/springstack/springstack/internal/core/rollout"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// orderStore holds one order as the store does: a status is written only over the
+// revision that it was decided on.
+type orderStore struct {
+	order authority.RolloutOrder
+	// losing has the next write done and its answer lost.
+	losing bool
+	// outcome is the first outcome written; replaced says that another one came after it.
+	outcome  rollout.Stage
+	replaced bool
+}
+
+func newOrderStore() *orderStore {
+	return &orderStore{order: authority.RolloutOrder{
+		Service: serviceRef("app"), Target: "v2", Duration: 10 * time.Second, Revision: 7,
+	}}
+}
+
+func (s *orderStore) List(context.Context) ([]authority.RolloutOrder, authority.Position, error) {
+	return []authority.RolloutOrder{s.order}, authority.Position(s.order.Revision), nil
+}
+
+func (s *orderStore) Watch(context.Context, authority.Position, time.Duration) ([]authority.RolloutOrder, authority.Position, error) {
+	return nil, 0, result.New(result.PlatformUnavailable, "nothing is watched here")
+}
+
+func (s *orderStore) Write(_ context.Context, order authority.RolloutOrder, status authority.RolloutStatus) (authority.RolloutOrder, error) {
+	if order.Revision != s.order.Revision {
+		return order, result.New(result.PlatformConflict, "the order has changed")
+	}
+	s.order.Revision++
+	s.order.Status = status
+	if s.outcome.Final() && status.Stage != s.outcome {
+		s.replaced = true
+	}
+	if status.Stage.Final() {
+		s.outcome = status.Stage
+	}
+	if s.losing {
+		s.losing = false
+		return order, result.New(result.PlatformUnknown, "the answer is lost")
+	}
+	return s.order, nil
+}
+
+// deciderStep is one thing that happens: a decider reads the orders, or decides on a stage
+// and writes it by what it knows; or the next answer of the store is lost.
+type deciderStep struct {
+	decider int
+	stage   rollout.Stage
+	loses   bool
+}
+
+// deciderSteps are all steps of two deciders. One that has not read since the other
+// wrote is one that was paused, or that the store refused.
+func deciderSteps() []deciderStep {
+	steps := []deciderStep{{loses: true}}
+	for decider := range 2 {
+		for _, stage := range []rollout.Stage{0, rollout.StageCanary, rollout.StageShift, rollout.StageRolledBack, rollout.StageCompleted} {
+			steps = append(steps, deciderStep{decider: decider, stage: stage})
+		}
+	}
+	return steps
+}
+
+// twoDeciders are two daemons that decide on one order.
+type twoDeciders struct {
+	store    *orderStore
+	deciders [2]*rolloutDecider
+}
+
+func newTwoDeciders() *twoDeciders {
+	made := &twoDeciders{store: newOrderStore()}
+	for index := range made.deciders {
+		mesh := newTestMesh("z")
+		mesh.rollouts = newRolloutTable(0.1)
+		mesh.calls = &storeCalls{}
+		made.deciders[index] = newRolloutDecider(mesh, made.store)
+		made.deciders[index].take([]authority.RolloutOrder{made.store.order})
+	}
+	return made
+}
+
+func (t *twoDeciders) step(step deciderStep) {
+	if step.loses {
+		t.store.losing = true
+		return
+	}
+	decider := t.deciders[step.decider]
+	decider.mutex.Lock()
+	defer decider.mutex.Unlock()
+	if step.stage == 0 {
+		decider.reread()
+		return
+	}
+	record, _ := decider.mesh.rollouts.orders.Of(t.store.order.Service)
+	if record.Stage.Final() || step.stage < record.Stage {
+		return // as decide does: there is nothing to decide, or no such decision
+	}
+	decider.write(decider.orders[record.Service], record, rollout.Decision{Stage: step.stage})
+}
+
+// holds tells whether what was promised holds: an outcome is never replaced, and what a
+// daemon believes to be the outcome is.
+func (t *twoDeciders) holds() bool {
+	for _, decider := range t.deciders {
+		record, _ := decider.mesh.rollouts.orders.Of(t.store.order.Service)
+		if record.Stage.Final() && record.Stage != t.store.outcome {
+			return false
+		}
+	}
+	return !t.store.replaced
+}
+
+// Two deciders never write contradicting outcomes, and never believe them, in any order of
+// reads, decisions, conflicts and lost answers up to a depth.
+func TestTwoDecidersNeverContradict(t *testing.T) {
+	check := is.New(t)
+	const depth = 5
+	steps := deciderSteps()
+	sequences := 1
+	for range depth {
+		sequences *= len(steps)
+	}
+	for number := range sequences {
+		run := newTwoDeciders()
+		rest := number
+		for range depth {
+			run.step(steps[rest%len(steps)])
+			rest /= len(steps)
+			if !run.holds() {
+				t.Fatalf("sequence %d of %d breaks the outcome %v", number, sequences, run.store.outcome)
+			}
+		}
+	}
+	check.Equal(sequences, 161051)
+}
