--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -134,8 +134,8 @@
 
 // left is what an account still allows; negative when it has been exceeded.
 func (b *Budget) left(now time.Duration, of *account, urgent bool) int64 {
-	calls := of.calls.atLeast(now, b.window)
-	retries := of.retries.atMost(now, b.window)
+	calls := of.calls.lowerBound(now, b.window)
+	retries := of.retries.upperBound(now, b.window)
 	allowed := max(calls*b.ratio/unit, b.part.Load())
 	if !urgent {
 		allowed -= reserve(allowed)
--- a/internal/core/retry/window.go
+++ b/internal/core/retry/window.go
@@ -59,8 +59,9 @@
 	return total
 }
 
-// atMost is at least what was added in the last span.
-func (w *window) atMost(now, span time.Duration) int64 { return w.sum(now, span, windowSlots) }
+// upperBound is what was added in the last span or somewhat more: the part in which it
+// began counts whole.
+func (w *window) upperBound(now, span time.Duration) int64 { return w.sum(now, span, windowSlots) }
 
-// atLeast is at most what was added in the last span.
-func (w *window) atLeast(now, span time.Duration) int64 { return w.sum(now, span, windowSlots-1) }
+// lowerBound is the same or somewhat less: the part in which the span began is left out.
+func (w *window) lowerBound(now, span time.Duration) int64 { return w.sum(now, span, windowSlots-1) }
