--- /dev/null
+++ b/internal/core/admission/waiting.go
@@ -0,0 +1,113 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/springstack/springstack/internal/result"
+)
+
+// mayWait refuses a call that would wait too long, or makes room for it.
+func (g *Gate) mayWait(now time.Duration, ticket *Ticket, into *lane) Verdict {
+	if g.config.NoEstimate {
+		return Verdict{State: StateQueued}
+	}
+	wait := g.expectedWait(into, into.aheadOf(ticket))
+	left := ticket.Deadline - now
+	service := g.serviceOf(&ticket.Call)
+	if verdict := g.targetVerdict(now, ticket, wait); verdict.State == StateRefused {
+		return verdict
+	}
+	ticket.queuedAt = now
+	ticket.expectedWait = wait
+	if wait+service > left || wait > time.Duration(float64(left)*waitShare) {
+		return refused(result.DeadlineBeforeStart, wait)
+	}
+	if wait > g.config.QueueWait {
+		return refused(result.QueueFull, wait)
+	}
+	if g.queue.length < g.config.QueueLength {
+		return Verdict{State: StateQueued}
+	}
+	if lower := into.last(ticket.class()); lower != nil {
+		g.evict(lower, refused(result.Shed, wait))
+		return Verdict{State: StateQueued}
+	}
+	if over := g.queue.overShare(into, g.config.QueueLength); over != nil {
+		g.evict(over.last(classCount), refused(result.ShareExceeded, wait))
+		return Verdict{State: StateQueued}
+	}
+	return refused(result.QueueFull, wait)
+}
+
+// shedBehind refuses the waiting calls of lower priority that the new one has
+// pushed past their deadlines or the longest wait. They get their answer now
+// instead of at their deadlines.
+func (g *Gate) shedBehind(now time.Duration, ticket *Ticket) {
+	for class := 0; class < ticket.class(); class++ {
+		for {
+			tail := ticket.lane.classes[class].tail
+			if tail == nil {
+				break
+			}
+			wait := g.expectedWait(ticket.lane, ticket.lane.ahead(class)-tail.expected)
+			if wait <= g.config.QueueWait && now+wait <= tail.Deadline {
+				break
+			}
+			g.evict(tail, refused(result.Shed, wait))
+		}
+	}
+}
+
+// shedHopeless refuses the waiting calls that higher ones keep from starting
+// until it is too late, as soon as that is to be expected: a call that is given
+// up gets its answer at once and may still go elsewhere. The lock is held.
+func (g *Gate) shedHopeless(now time.Duration) {
+	if g.config.NoEstimate {
+		return
+	}
+	for _, one := range g.queue.lanes {
+		for class := range classCount {
+			for head := one.classes[class].head; head != nil; head = one.classes[class].head {
+				higher := one.ahead(class + 1)
+				wait := g.expectedWait(one, higher)
+				if now+wait+g.serviceOf(&head.Call) <= head.Deadline {
+					break
+				}
+				code := result.Shed
+				if higher == 0 {
+					code = result.DeadlineBeforeStart
+				}
+				g.evict(head, refused(code, wait))
+			}
+		}
+	}
+}
+
+// evict refuses a waiting call.
+func (g *Gate) evict(ticket *Ticket, verdict Verdict) {
+	g.queue.remove(ticket)
+	g.unqueue()
+	ticket.settle(verdict)
+}
+
+// unqueue takes one from the queued count; the lock is held.
+func (g *Gate) unqueue() {
+	g.word.Add(^uint64(queuedUnit - 1))
+}
+
+// expectedWait estimates when a slot is free for a call that has the work of others of
+// its lane ahead of it: the first slot is free when one of the running calls ends, and
+// what is ahead fills the slots. It is 0 until a service time is known.
+func (g *Gate) expectedWait(of *lane, ahead time.Duration) time.Duration {
+	rate := float64(g.slots.Load()) * g.queue.share(of)
+	return time.Duration(float64(g.meanRunning()+ahead) / rate)
+}
+
+// meanRunning is how long the running calls are expected to run in the mean.
+func (g *Gate) meanRunning() time.Duration {
+	running := int64(g.word.Load() & runningMask)
+	if running == 0 {
+		return g.meanService()
+	}
+	return time.Duration(max(g.runningWork.Load(), 0) / running)
+}
--- /dev/null
+++ b/internal/proxy/outgoing.go
@@ -0,0 +1,125 @@
+package proxy
+
+import (
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/endpoint"
+)
+
+// outgoing makes the request to the gate of an endpoint. Springstack's headers
+// of the caller are gone from it, and so are the headers of its connection.
+func (c *callerCall) outgoing(chosen *endpoint.Endpoint, mark bool, left time.Duration) *http.Request {
+	header := c.request.Header.Clone()
+	stripHopByHop(header)
+	stripOwn(header)
+	if edge := c.proxy.config.Edge; edge != nil {
+		header[edge.CallerService] = []string{edge.Service}
+	}
+	header.Del("Expect") // this server has answered it
+	if _, found := header["User-Agent"]; !found {
+		header["User-Agent"] = []string{""} // the library would add its own
+	}
+	if c.route.SecretHeader != "" {
+		header[c.route.SecretHeader] = []string{c.route.SecretText.Reveal()}
+	}
+	c.hopHeaders(header, chosen, mark, left)
+	outgoing := &http.Request{
+		Method: c.request.Method, Host: c.request.Host, Header: header,
+		URL:   c.proxy.target(chosen.Address, c.request, c.place.path),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if c.body != nil {
+		outgoing.Body = c.body.open()
+		outgoing.ContentLength = c.request.ContentLength
+		outgoing.Trailer = c.request.Trailer
+		if c.body.isLarge() {
+			// It waits until the gate takes it.
+			header.Set("Expect", "100-continue")
+		}
+	}
+	return outgoing
+}
+
+// hopHeaders sets springstack's headers on a request to a gate.
+func (c *callerCall) hopHeaders(header http.Header, chosen *endpoint.Endpoint, mark bool, left time.Duration) {
+	left -= min(left/hopMarginShare, hopMarginLimit)
+	// One array backs all the values.
+	values := [...]string{
+		hopGate,
+		c.serviceName,
+		chosen.Backend,
+		c.proxy.nextRequest(),
+		strconv.FormatInt(left.Milliseconds(), 10),
+		strconv.Itoa(int(c.route.Resource.Priority)),
+		string(c.route.Resource.Partner),
+		strconv.Itoa(int(c.route.Class)),
+	}
+	for index, name := range hopHeaderNames {
+		header[name] = values[index : index+1 : index+1]
+	}
+	if chosen.Incarnation != 0 && !c.proxy.config.Reported {
+		header[headerIncarnation] = []string{strconv.FormatUint(uint64(chosen.Incarnation), 10)}
+	}
+	if c.key != "" {
+		header[headerRequestKey] = []string{c.key}
+	}
+	if mark {
+		header[headerNoRetry] = []string{"1"}
+	}
+	if c.route.Resource.Target > 0 {
+		header[headerTarget] = []string{formatTarget(c.target - c.proxy.config.Clock())}
+	}
+}
+
+// hopHeaderNames are the headers that every request to a gate has, in the
+// order of their values in hopHeaders.
+var hopHeaderNames = [...]string{
+	headerHop, headerService, headerBackend, headerRequest, headerTimeout, headerPriority, headerPartner,
+	headerClass,
+}
+
+// locate finds the host and path that a call is matched by.
+func (p *Proxy) locate(request *http.Request) (place, Refusal, bool) {
+	if p.config.Edge == nil {
+		return locate(request)
+	}
+	path := verbatimPath(verbatimTarget(request))
+	return place{host: verbatimHost(request.Host), path: path}, Refusal{}, true
+}
+
+// statedTime is what a caller says is left of its time.
+func (p *Proxy) statedTime(header http.Header) (time.Duration, bool) {
+	if p.config.Edge != nil {
+		return p.config.Edge.statedDeadline(header)
+	}
+	return statedTimeout(header)
+}
+
+// target is the URL of a call at an address: as the caller sent it with an
+// Edge, and else in the canonical form that the route was matched by.
+func (p *Proxy) target(address string, request *http.Request, canonical string) *url.URL {
+	if p.config.Edge == nil {
+		return target(address, canonical, request.URL.RawQuery)
+	}
+	verbatim := verbatimTarget(request)
+	if strings.HasPrefix(verbatim, "//") {
+		// The library would take it for a host.
+		return target(address, verbatimPath(verbatim), request.URL.RawQuery)
+	}
+	return &url.URL{Scheme: "http", Host: address, Opaque: verbatim}
+}
+
+// target is the URL of a call at an address. The path is sent in the form that
+// the route was matched by.
+func target(address, canonical, query string) *url.URL {
+	made := &url.URL{Scheme: "http", Host: address, Path: canonical, RawQuery: query}
+	if plain, err := url.PathUnescape(canonical); err == nil {
+		made.Path = plain
+		made.RawPath = canonical
+	}
+	return made
+}
