Deciders list the orders in one place, and wait where the store knows none

A store without any order of a kind may answer 404: a decider then watched from position 0, which a store that forgets its history answers with 410, and listed again at once. It now lists each 2 s. A list that fails after a status that was not taken is logged (rollout_unread).

--- a/internal/hosted/rolloutdecider.go
+++ b/internal/hosted/rolloutdecider.go
@@ -22,6 +22,8 @@
 	// rolloutWatchWait is how long the store may hold a watch of orders without news: its
 	// longest, for each watch is a call.
 	rolloutWatchWait = 30 * time.Second
+	// rolloutRelist is the time between two lists while the store knows no orders at all.
+	rolloutRelist = 2 * time.Second
 	// deciderStart is how long after its start a daemon may first be a decider: until it
 	// knows the others, for each that knows nobody ranks first.
 	deciderStart = 5 * time.Second
@@ -101,26 +103,30 @@
 		if d.rank() >= deciderCount {
 			continue
 		}
-		at, err := d.list()
-		for err == nil && d.rank() < deciderCount {
+		orders, at, err := d.list()
+		d.take(orders)
+		for err == nil && at > 0 && d.rank() < deciderCount {
 			at, err = d.watch(at)
 		}
-		if err == nil {
+		switch {
+		case err != nil:
+			failures++
+			pause.For(d.mesh.context, registryBackoff.Pause(failures, randomNumber()))
+		case at == 0: // the store knows no orders at all, so there is nothing to watch
+			pause.For(d.mesh.context, rolloutRelist)
+		default:
 			failures = 0
-			continue
 		}
-		failures++
-		pause.For(d.mesh.context, registryBackoff.Pause(failures, randomNumber()))
 	}
 }
 
-func (d *rolloutDecider) list() (authority.Position, error) {
+// list reads all orders and the position after them; 0 where the store knows none.
+func (d *rolloutDecider) list() ([]authority.RolloutOrder, authority.Position, error) {
 	ctx, cancel := context.WithTimeout(d.mesh.context, readTimeout)
 	defer cancel()
 	orders, at, err := d.port.List(ctx)
 	d.mesh.calls.noteError(purposeRollout, err)
-	d.take(orders)
-	return at, err
+	return orders, at, err
 }
 
 func (d *rolloutDecider) watch(from authority.Position) (authority.Position, error) {
@@ -278,12 +284,12 @@
 }
 
 // reread lists the orders after a write that failed or was not answered: it may have
-// been done.
+// been done. The lock is held.
 func (d *rolloutDecider) reread() {
-	ctx, cancel := context.WithTimeout(d.mesh.context, readTimeout)
-	defer cancel()
-	orders, _, err := d.port.List(ctx)
-	d.mesh.calls.noteError(purposeRollout, err)
+	orders, _, err := d.list()
+	if err != nil {
+		d.mesh.events.event("rollout_unread", field("code", codeText(codeOf(err))), field("error", err.Error()))
+	}
 	for _, order := range orders {
 		d.takeOne(order)
 	}
