--- a/internal/hosted/rollouts.go
+++ b/internal/hosted/rollouts.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/springstack/springstack/internal/core/dissemination"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
@@ -18,6 +20,9 @@
 	// heldTime is how long a version that has just been seen gets nothing while others
 	// serve: until its order has been heard of, if there is one.
 	heldTime = 2500 * time.Millisecond
+	// versionLimit bounds the versions of a service that are remembered as seen: more are
+	// not in use at a time.
+	versionLimit = 16
 	// completedTime is how long back ends of other versions get nothing after an order was
 	// completed. They stop then; what comes later is no matter of the order.
 	completedTime = 10 * time.Second
@@ -87,12 +92,22 @@
 	}
 	since, known := versions[software]
 	if !known {
+		t.forgetOldest(versions)
 		versions[software] = now
 		return heldTime
 	}
 	return max(0, since+heldTime-now)
 }
 
+// forgetOldest makes room for one more version of a service.
+func (t *rolloutTable) forgetOldest(versions map[string]time.Duration) {
+	if len(versions) < versionLimit {
+		return
+	}
+	oldest := lo.MinBy(lo.Keys(versions), func(one, other string) bool { return versions[one] < versions[other] })
+	delete(versions, oldest)
+}
+
 // rolloutRecords are the orders that the daemon knows.
 func (m *mesh) rolloutRecords() []rollout.Record {
 	m.mutex.Lock()
