--- a/internal/core/retry/call.go
+++ b/internal/core/retry/call.go
@@ -144,6 +144,9 @@
 	c.budget.Deposit(now, c.policy.Class)
 }
 
+// Urge lets the call use the part of the budget that is kept for urgent calls.
+func (c *Call) Urge() { c.policy.Urgent = true }
+
 // BudgetLeft is how many retries the budget has left, as text for logs.
 func (c *Call) BudgetLeft(now time.Duration) string {
 	return strconv.FormatFloat(c.budget.Left(now, c.policy.Class), 'f', 1, 64)
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -154,6 +154,7 @@
 	set := shared.set
 	if len(c.tried) == 0 {
 		if chosen := shared.canary.choose(now, c.proxy.random(), c.proxy.random()); chosen != nil {
+			c.retries.Urge() // what a canary fails is no fault of its caller's
 			return chosen
 		}
 	}
