One table by class for the gate and the retry budget; copies and dead names go

Read again: admission.Gate.classOf and retry.Budget.of were the same lazily filled table; it is callclass.Table now, with a test of its own. rollout.Evidence.Clone stands in place of a copyOf in the experiment and one in a test. Endpoint.Ejected stood twice, exported and not. The experiment's Progress option was never called. No behaviour, bound or check has changed.

--- a/cmd/springstack-lab/experiment_rollouts.go
+++ b/cmd/springstack-lab/experiment_rollouts.go
@@ -36,7 +36,6 @@
 		ExposureShare:  command.Float("exposure-share"),
 		ExposureSlack:  command.Float("exposure-slack"),
 		RollbackWithin: command.Duration("rollback-within"),
-		Progress:       progressTo(command.ErrWriter, command.Name),
 	})
 	if err != nil {
 		return errors.Trace(err)
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -73,7 +73,7 @@
 	// mean is the mean service time of all calls, classes those of each class that
 	// has come.
 	mean    movingMean
-	classes [callclass.Count]atomic.Pointer[classService]
+	classes callclass.Table[classService]
 	// requests are the attempts that came, keys the operations started.
 	requests *Seen
 	keys     *Seen
--- a/internal/core/admission/mean.go
+++ b/internal/core/admission/mean.go
@@ -5,8 +5,6 @@
 	"math"
 	"sync/atomic"
 	"time"
-
-	"github.com/springstack/springstack/internal/core/callclass"
 )
 
 // meanWeight is the weight of a new value in the moving mean of service time.
@@ -42,12 +40,7 @@
 
 // classOf returns what is known of the calls of a class, which is nothing at first.
 func (g *Gate) classOf(call *Call) *classService {
-	slot := &g.classes[call.Class%callclass.Count]
-	if held := slot.Load(); held != nil {
-		return held
-	}
-	slot.CompareAndSwap(nil, &classService{})
-	return slot.Load()
+	return g.classes.Of(call.Class)
 }
 
 // observe folds the service time of a call into the means.
--- /dev/null
+++ b/internal/core/callclass/table_test.go
@@ -0,0 +1,29 @@
+package callclass
+
+import (
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Whoever asks first, all get the same value of a class, and each class has its own.
+func TestATableHasOneValueForEachClass(t *testing.T) {
+	check := is.New(t)
+	table := &Table[int]{}
+	values := make([]*int, 16)
+	var asking sync.WaitGroup
+	for index := range values {
+		asking.Add(1)
+		go func() {
+			defer asking.Done()
+			values[index] = table.Of(7)
+		}()
+	}
+	asking.Wait()
+	for _, value := range values {
+		check.True(value == values[0])
+	}
+	check.True(table.Of(8) != values[0])
+	check.True(table.Of(7+Count) == values[0]) // a number that is no class
+}
--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -80,7 +80,7 @@
 
 // bars tells whether an endpoint is left out.
 func (h heeded) bars(candidate *Endpoint, now time.Duration) bool {
-	return (h.ejections && candidate.ejected(now)) || (h.degraded && candidate.degraded())
+	return (h.ejections && candidate.Ejected(now)) || (h.degraded && candidate.degraded())
 }
 
 // heeds tells which evidence leaves enough of the set in use.
@@ -89,7 +89,7 @@
 	degraded := 0
 	for _, tier := range s.tiers {
 		for _, candidate := range tier {
-			if candidate.ejected(now) {
+			if candidate.Ejected(now) {
 				ejected++
 			}
 			if candidate.degraded() {
--- a/internal/core/endpoint/endpoint.go
+++ b/internal/core/endpoint/endpoint.go
@@ -260,10 +260,7 @@
 
 // Ejected tells whether this process keeps calls away since it has met too many failures
 // here lately, or since the daemon does not answer.
-func (e *Endpoint) Ejected(now time.Duration) bool { return e.ejected(now) }
-
-// ejected tells whether this process has met too many failures here lately.
-func (e *Endpoint) ejected(now time.Duration) bool {
+func (e *Endpoint) Ejected(now time.Duration) bool {
 	return int64(now) < e.stats.ejectedUntil.Load()
 }
 
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -72,7 +72,7 @@
 	part   atomic.Int64
 
 	service account
-	classes [callclass.Count]atomic.Pointer[account]
+	classes callclass.Table[account]
 }
 
 // NewBudget returns a budget of the default limits.
@@ -93,29 +93,19 @@
 // that share the whole changes.
 func (b *Budget) SetPart(part float64) { b.part.Store(int64(part * unit)) }
 
-// of is the account of a class.
-func (b *Budget) of(class callclass.Class) *account {
-	slot := &b.classes[class%callclass.Count]
-	if held := slot.Load(); held != nil {
-		return held
-	}
-	slot.CompareAndSwap(nil, &account{})
-	return slot.Load()
-}
-
 // Deposit records a call that has run, or may have. One that back ends only turned
 // away allows no retries: it makes no calls itself, so that what it allowed would be
 // too much for the services that those which do run call.
 func (b *Budget) Deposit(now time.Duration, class callclass.Class) {
 	b.service.calls.add(now, b.window, unit)
-	b.of(class).calls.add(now, b.window, unit)
+	b.classes.Of(class).calls.add(now, b.window, unit)
 }
 
 // Withdraw takes the cost of a retry, in retries, and answers false when there is
 // not so much. The last part of what is allowed is for urgent calls.
 func (b *Budget) Withdraw(now time.Duration, class callclass.Class, cost int, urgent bool) bool {
 	price := int64(cost) * unit
-	accounts := [...]*account{&b.service, b.of(class)}
+	accounts := [...]*account{&b.service, b.classes.Of(class)}
 	// It is taken first and given back where it was too much, so that two at the
 	// same moment never take more than there is.
 	for _, one := range accounts {
@@ -149,6 +139,6 @@
 
 // Left is how many retries of urgent calls of a class are allowed now.
 func (b *Budget) Left(now time.Duration, class callclass.Class) float64 {
-	left := min(b.left(now, &b.service, true), b.left(now, b.of(class), true))
+	left := min(b.left(now, &b.service, true), b.left(now, b.classes.Of(class), true))
 	return float64(max(left, 0)) / unit
 }
--- a/internal/core/rollout/decider_test.go
+++ b/internal/core/rollout/decider_test.go
@@ -73,7 +73,7 @@
 				result.lastAfter = now - fiftieth
 			}
 		}
-		seen := Observation{Stable: copyOf(ofStable), Target: copyOf(ofTarget), StableSlots: 100, TargetSlots: 100, StableKnown: true}
+		seen := Observation{Stable: ofStable.Clone(), Target: ofTarget.Clone(), StableSlots: 100, TargetSlots: 100, StableKnown: true}
 		if heeded == StageCanary {
 			seen.StableRunning = 10
 		}
@@ -100,12 +100,6 @@
 	return false
 }
 
-func copyOf(evidence Evidence) Evidence {
-	made := Evidence{}
-	made.Add(evidence)
-	return made
-}
-
 // Good versions are completed in time, with trouble that hits both versions too.
 func TestGoodVersionsAreCompletedInTime(t *testing.T) {
 	check := is.New(t)
--- a/internal/core/rollout/evidence.go
+++ b/internal/core/rollout/evidence.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"maps"
 	"math/bits"
 	"sync/atomic"
 	"time"
@@ -35,6 +36,9 @@
 	}
 }
 
+// Clone returns the same evidence, which does not change with this one.
+func (e Evidence) Clone() Evidence { return maps.Clone(e) }
+
 // Since returns what was counted after an earlier state of the same evidence. Where
 // less is counted now, as after the restart of a gate, the present counts stand.
 func (e Evidence) Since(earlier Evidence) Evidence {
--- a/internal/lab/rollouts/rollouts.go
+++ b/internal/lab/rollouts/rollouts.go
@@ -18,7 +18,6 @@
 	ExposureShare  float64
 	ExposureSlack  float64
 	RollbackWithin time.Duration
-	Progress       func(event string)
 }
 
 // Result is what became of one order.
--- a/internal/lab/rollouts/serve.go
+++ b/internal/lab/rollouts/serve.go
@@ -60,7 +60,7 @@
 		return
 	}
 	seen := rollout.Observation{
-		Stable: copyOf(r.stable), Target: copyOf(r.fresh), StableSlots: slots, TargetSlots: slots,
+		Stable: r.stable.Clone(), Target: r.fresh.Clone(), StableSlots: slots, TargetSlots: slots,
 		StableKnown: r.random.IntN(10) != 0,
 	}
 	if now-r.lastOld < longestCall {
@@ -117,9 +117,3 @@
 		r.broadcast(now, one.daemon)
 	}
 }
-
-func copyOf(evidence rollout.Evidence) rollout.Evidence {
-	made := rollout.Evidence{}
-	made.Add(evidence)
-	return made
-}
