Attempts that a daemon ends before their answer are counted and logged by reason

Cause of the gap: an attempt that this daemon ends itself left no line of its own, so that the hypotheses of the incident (broken off on suspicion, ended by the gate, ended by the stop) looked alike: all end as outcome=broken.

Change: event attempt_abandoned (reason, how long it ran, whether the daemon drains), counter springstack_attempts_abandoned_total by reason, and under_way and draining on request_refused. No decision changes.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -72,6 +72,9 @@
 	metrics.BodiesWaiting.Send(out, float64(counters.BodiesWaiting))
 	metrics.GateRunning.Send(out, float64(counters.GateRunning))
 	metrics.GateQueued.Send(out, float64(counters.GateQueued))
+	for reason, count := range counters.Abandoned {
+		metrics.AttemptsAbandoned.Send(out, float64(count), reason.String())
+	}
 	for code, count := range counters.Refusals {
 		metrics.Refusals.Send(out, float64(count), strconv.Itoa(int(code)), code.Name())
 	}
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -25,6 +25,8 @@
 // holds the same table; a test holds them equal, and equal to the names that the
 // code writes.
 var events = []Event{
+	{"attempt_abandoned", log.InfoLevel,
+		"This daemon ended an attempt that it had sent and that was not answered yet: why, how long it had run, and whether the daemon drained.", "Reason refused: a caller was told of a failure while its call was under way; report it."},
 	{"attempt_ended", log.InfoLevel,
 		"An attempt of a request did not go well: its outcome, what was known of the endpoint, and what follows.", "Read it with the other lines of the request: springstack explain ID."},
 	{"backend_left", log.InfoLevel,
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -67,6 +67,10 @@
 		"Calls refused, by result code.",
 		"Look the code up in RESULT-CODES.md.",
 		"code", "name")
+	AttemptsAbandoned = define(Counter, "attempts_abandoned_total",
+		"Attempts that were sent and that this daemon ended before their answer, by reason.",
+		"refused above 0: a caller was told of a failure while its call was under way. deadline rising: back ends or machines are too slow.",
+		"reason")
 	VersionAge = define(Gauge, "version_age_seconds",
 		"Time since the configuration in force came, in seconds.",
 		"Much older than on the other daemons: this one does not hear of changes.")
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -25,6 +25,8 @@
 	outcome  retry.Outcome
 	evidence endpoint.Outcome
 	ended    bool
+	// sentAt is when it was sent, on the clock.
+	sentAt time.Duration
 	// cancel frees the context of the attempt; nil for none.
 	cancel context.CancelFunc
 }
@@ -69,7 +71,7 @@
 	}
 	p.tally.attempts.Add(1)
 	chosen.Begin()
-	made := &attempt{chosen: chosen}
+	made := &attempt{chosen: chosen, sentAt: now}
 	c.tried = append(c.tried, chosen)
 	c.send(made, path, shared.set, mark, now)
 	c.judge(made, shared.set)
@@ -102,7 +104,7 @@
 			return
 		case <-silent:
 			relay.end()
-			c.overtaken = &overtaken{chosen: made.chosen, flight: under}
+			c.overtaken = &overtaken{chosen: made.chosen, sentAt: made.sentAt, flight: under}
 			made.cancel = nil // it runs on, at most until the call's context ends
 			made.exchange = &exchange{err: errOvertaken, cancel: func() {}}
 			return
@@ -220,6 +222,9 @@
 	default:
 		made.outcome.Kind = retry.Broken
 	}
+	if reason, ended := c.endReason(); ended && !made.exchange.unsent {
+		c.noteAbandoned(made, reason)
+	}
 	if c.context.Err() != nil && made.exchange.unsent {
 		made.evidence = endpoint.Withdrawn
 	}
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -114,6 +114,8 @@
 	tried   endpoint.Tried
 	// overtaken is the attempt that another one has followed; nil for none.
 	overtaken *overtaken
+	// answering is set once an answer is being passed on.
+	answering bool
 	// detail explains the last attempt for people.
 	detail string
 }
@@ -243,6 +245,7 @@
 
 // deliver passes the answer on whole, or breaks the caller's connection.
 func (c *callerCall) deliver(tried *attempt) {
+	c.answering = true
 	passing := delivery{
 		writer: c.writer, control: c.control, stall: c.proxy.limits.StallTimeout,
 		answer: tried.exchange.answer, upload: c.body, extra: c.answerHeaders,
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -32,6 +32,8 @@
 	GateService time.Duration
 	// Refusals counts refusals by code, on both sides.
 	Refusals map[result.Code]uint64
+	// Abandoned counts the attempts that were ended before their answer, by reason.
+	Abandoned map[AbandonReason]uint64
 }
 
 // codeLimit bounds the codes that are counted one by one.
@@ -51,6 +53,8 @@
 	// answered are the calls that the back end answered well.
 	answered atomic.Uint64
 	refusals [codeLimit]atomic.Uint64
+	// abandoned are the attempts that were ended before their answer.
+	abandoned abandonTally
 }
 
 func (t *tally) refused(code result.Code) {
@@ -72,6 +76,7 @@
 		AheadBytes:    p.held.Bytes(),
 		CallerRunning: int(p.callersRunning.Load()),
 		Refusals:      map[result.Code]uint64{},
+		Abandoned:     p.tally.abandoned.snapshot(),
 	}
 	if p.gate != nil {
 		load := p.gate.Load()
--- a/internal/proxy/overtake.go
+++ b/internal/proxy/overtake.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -65,6 +66,7 @@
 // as any. A call has one at most.
 type overtaken struct {
 	chosen *endpoint.Endpoint
+	sentAt time.Duration
 	flight *flight
 }
 
@@ -135,8 +137,19 @@
 
 // dropOvertaken gives up what is still under way when a call has ended.
 func (c *callerCall) dropOvertaken() {
-	if c.overtaken != nil {
-		c.overtaken.flight.drop()
-		c.overtaken = nil
+	if c.overtaken == nil {
+		return
+	}
+	dropped := c.overtaken
+	c.overtaken = nil
+	dropped.flight.drop()
+	reason, ended := c.endReason()
+	switch {
+	case ended:
+	case c.answering:
+		reason = AbandonedForAnswer
+	default:
+		reason = AbandonedForRefusal
 	}
+	c.noteAbandoned(&attempt{chosen: dropped.chosen, sentAt: dropped.sentAt}, reason)
 }
--- a/internal/proxy/trace.go
+++ b/internal/proxy/trace.go
@@ -154,10 +154,17 @@
 			textField("attempts", number(len(c.tried))),
 			textField("held_ms", millis(c.timeout-(c.deadline-now))),
 			textField("left_ms", millis(c.deadline-now)),
-			textField("budget", c.retries.BudgetLeft(now)))
+			textField("budget", c.retries.BudgetLeft(now)),
+			textField("under_way", strconv.FormatBool(c.overtaken != nil)),
+			c.proxy.drainField())
 	})
 }
 
+// drainField tells whether this daemon has begun to drain.
+func (p *Proxy) drainField() EventField {
+	return textField("draining", strconv.FormatBool(p.drain.started.Load()))
+}
+
 // traceTurnedAway writes the refusal of a request before it became a call.
 func (p *Proxy) traceTurnedAway(request *http.Request, refusal Refusal) {
 	p.traced("request_turned_away", func() []EventField {
@@ -166,7 +173,7 @@
 			textField("host", request.Host),
 			textField("code", number(int(refusal.Code))),
 			textField("name", refusal.Code.Name()),
-			textField("draining", strconv.FormatBool(p.drain.started.Load())),
+			p.drainField(),
 		}
 	})
 }
