A test of the incident, failing: calls are failed while an attempt of theirs runs

Cause: when a gate's daemon is silent, its attempt is overtaken by another one. If all other gates refuse that one, the first is waited for only while its daemon answers again or this daemon is known to drain. A stop of which the process learns a moment later comes too late: 502 with the back end at work. Taking an overtaken attempt's failure likewise cuts the other run.

--- a/internal/proxy/mesh_test.go
+++ b/internal/proxy/mesh_test.go
@@ -53,6 +53,8 @@
 	route  func(*resource.Route)
 	spec   resource.Service
 	state  func(protocol.EndpointState)
+	// caller changes the configuration of the callers' side.
+	caller func(*Config)
 }
 
 func startMesh(t testing.TB, options meshOptions, specs ...backendSpec) *mesh {
@@ -83,7 +85,11 @@
 		})
 	}
 	made.held = testSnapshot(options, backends)
-	made.caller = New(Config{Clock: testClock, NodeID: "caller", Incarnation: 3, Region: "r", Zone: "z", Limits: options.limits})
+	config := Config{Clock: testClock, NodeID: "caller", Incarnation: 3, Region: "r", Zone: "z", Limits: options.limits}
+	if options.caller != nil {
+		options.caller(&config)
+	}
+	made.caller = New(config)
 	t.Cleanup(made.caller.Close)
 	made.address = serve(t, made.caller.CallerHandler(), options.limits)
 	made.client = &http.Client{Transport: &http.Transport{DisableCompression: true}}
--- /dev/null
+++ b/internal/proxy/overtake_test.go
@@ -0,0 +1,220 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/routing"
+)
+
+// ending is how a back end ends a run.
+type ending int
+
+const (
+	endsWell ending = iota
+	endsWithFailure
+	endsByReset
+	// endsMidway resets the connection after a part of the answer.
+	endsMidway
+)
+
+// stepped is a back end whose runs end as the test says.
+type stepped struct {
+	entered   chan struct{}
+	ends      chan ending
+	cancelled chan struct{}
+}
+
+func newStepped() *stepped {
+	return &stepped{entered: make(chan struct{}, 9), ends: make(chan ending, 9), cancelled: make(chan struct{}, 9)}
+}
+
+func (s *stepped) spec(name string) backendSpec {
+	return backendSpec{handler: func(writer http.ResponseWriter, request *http.Request) {
+		s.entered <- struct{}{}
+		select {
+		case how := <-s.ends:
+			end(writer, how, name)
+		case <-request.Context().Done():
+			s.cancelled <- struct{}{}
+		}
+	}}
+}
+
+func end(writer http.ResponseWriter, how ending, name string) {
+	switch how {
+	case endsWell:
+		_, _ = io.WriteString(writer, name)
+	case endsWithFailure:
+		writer.WriteHeader(http.StatusInternalServerError)
+	case endsMidway:
+		writer.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(writer, "part")
+		_ = http.NewResponseController(writer).Flush()
+		panic(http.ErrAbortHandler)
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// breakAll breaks the runs of all attempts that a call may make.
+func (s *stepped) breakAll() {
+	for range routing.DefaultAttempts {
+		s.ends <- endsByReset
+	}
+}
+
+// overtaking is a mesh of two back ends with a call under way at one of them.
+type overtaking struct {
+	*mesh
+	first, second *stepped
+	// silent is the gate of the first.
+	silent  *Proxy
+	answers chan answered
+}
+
+// startOvertaking starts a repeatable call and waits until it runs.
+func startOvertaking(t *testing.T, change func(*Config)) *overtaking {
+	t.Helper()
+	one, other := newStepped(), newStepped()
+	made := &overtaking{answers: make(chan answered, 1)}
+	made.mesh = startMesh(t, meshOptions{caller: func(config *Config) {
+		config.OnSilent = func(protocol.NodeID) {} // calls may be overtaken
+		change(config)
+	}}, one.spec("a"), other.spec("b"))
+	go func() { made.answers <- made.call(t, "GET", "/", "") }()
+	select {
+	case <-one.entered:
+		made.first, made.second, made.silent = one, other, made.gates[0]
+	case <-other.entered:
+		made.first, made.second, made.silent = other, one, made.gates[1]
+	}
+	return made
+}
+
+// fallSilent tells the caller's side that the daemon of the first does not answer.
+func (o *overtaking) fallSilent() {
+	o.mesh.caller.SetReachable(o.silent.config.NodeID, false)
+	o.mesh.caller.GiveUp(o.silent.config.NodeID)
+}
+
+// closeOther has the other gate refuse all calls.
+func (o *overtaking) closeOther() {
+	for _, gate := range o.gates {
+		if gate != o.silent {
+			gate.StartDrain()
+			<-gate.Drained()
+		}
+	}
+}
+
+// awaitLimit bounds the waits for what must come.
+const awaitLimit = 5 * time.Second
+
+// await waits for one thing on a channel.
+func await[Thing any](t *testing.T, from <-chan Thing, what string) Thing {
+	t.Helper()
+	select {
+	case got := <-from:
+		return got
+	case <-time.After(awaitLimit):
+		t.Fatal("never: " + what)
+		panic("unreachable")
+	}
+}
+
+// settleTime is how long a wrong answer, which comes at once, is waited for.
+const settleTime = 60 * time.Millisecond
+
+// stayOpen fails when the caller is answered while the first attempt runs.
+func (o *overtaking) stayOpen(t *testing.T, when string) {
+	t.Helper()
+	select {
+	case got := <-o.answers:
+		t.Fatalf("%s: the caller got %d %q while its call ran", when, got.status, got.body)
+	case <-o.first.cancelled:
+		t.Fatalf("%s: the run was cut", when)
+	case <-time.After(settleTime):
+	}
+}
+
+// A daemon that was told to stop once cut a request which a back end was working on, and
+// answered it with 502 in its own name. The daemon beside that back end had been slow to
+// answer two questions, so the attempt there was broken off and another one made, which
+// all others refused. That nothing is broken off by a daemon that stops did not help: the
+// process learnt of its stop a moment after. So an attempt that was sent ends by its own
+// answer or connection, its caller, its time or the drain's hard bound, at any moment
+// around a stop, and never because its daemon is silent.
+func TestNoCallIsFailedWhileAnAttemptIsUnderWay(t *testing.T) {
+	ends := map[string]ending{"breaks": endsByReset, "is refused": endsWell}
+	for name, how := range ends {
+		for _, moment := range []string{"never", "before the silence", "before the other ends", "after the other ended"} {
+			t.Run("the other "+name+", stop "+moment, func(t *testing.T) { failsNoCallUnderWay(t, how, moment) })
+		}
+	}
+}
+
+func failsNoCallUnderWay(t *testing.T, how ending, stop string) {
+	check := is.New(t)
+	mesh := startOvertaking(t, func(*Config) {})
+	stopAt := func(moment string) {
+		if moment == stop {
+			mesh.caller.StartDrain()
+		}
+	}
+	if how != endsByReset {
+		mesh.closeOther()
+	}
+	stopAt("before the silence")
+	mesh.fallSilent()
+	if how == endsByReset {
+		await(t, mesh.second.entered, "another attempt")
+	}
+	stopAt("before the other ends")
+	if how == endsByReset {
+		mesh.second.breakAll()
+	}
+	mesh.stayOpen(t, "after the other attempt")
+	stopAt("after the other ended")
+	mesh.stayOpen(t, "after the stop")
+	mesh.first.ends <- endsWell
+	got := await(t, mesh.answers, "an answer")
+	check.Equal(got.status, http.StatusOK)
+	check.Equal(len(got.body), 1)
+}
+
+// A failure that the first back end answers does not end the attempt that runs at the
+// other one.
+func TestAFailureOfTheFirstDoesNotCutTheOther(t *testing.T) {
+	check := is.New(t)
+	mesh := startOvertaking(t, func(*Config) {})
+	mesh.fallSilent()
+	await(t, mesh.second.entered, "another attempt")
+	mesh.first.ends <- endsWithFailure
+	select {
+	case got := <-mesh.answers:
+		t.Fatalf("the caller got %d while its call ran", got.status)
+	case <-time.After(settleTime):
+	}
+	mesh.second.ends <- endsWell
+	check.Equal(await(t, mesh.answers, "an answer").status, http.StatusOK)
+}
+
+// A back end's own answer of failure is delivered rather than a failure of our own.
+func TestAFailureOfABackEndGoesBeforeOneOfOurOwn(t *testing.T) {
+	check := is.New(t)
+	mesh := startOvertaking(t, func(*Config) {})
+	mesh.fallSilent()
+	await(t, mesh.second.entered, "another attempt")
+	mesh.first.ends <- endsWithFailure
+	time.Sleep(settleTime)
+	mesh.second.breakAll()
+	got := await(t, mesh.answers, "an answer")
+	check.Equal(got.status, http.StatusInternalServerError)
+	check.Equal(got.code(), "")
+}
