An attempt that was sent ends by its answer, its connection, its caller or its time only

Cause: a call whose gate is silent is sent elsewhere too. If every other gate refused, the first attempt was given up while its daemon was still suspected, unless this daemon was known to drain; a process learns of its stop late, so that a stop found the back end at work and the caller with 502. The class: something certain (the call is lost) was done on a suspicion (silence), with an exception for stops that no process can apply in time.

Change: a suspicion adds an attempt and takes none away, whether or not the daemon drains: the overtaken one is waited for until it ends by itself or the call does. A failure that it is answered with no longer cuts the other attempt, and is delivered when nothing better comes. An overtaken answer that breaks off on its way is answered for whole (it closed the caller's connection without an answer). A call that ends at its time while waiting says so (504).

--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -104,7 +104,7 @@
 type reachability interface {
 	// SetReachable keeps new calls from a daemon, or lets them go there again.
 	SetReachable(protocol.NodeID, bool)
-	// GiveUp breaks off the calls to a daemon that may be made elsewhere.
+	// GiveUp has the calls at a daemon overtaken by attempts elsewhere.
 	GiveUp(protocol.NodeID)
 }
 
--- a/internal/hosted/verify.go
+++ b/internal/hosted/verify.go
@@ -61,7 +61,7 @@
 
 // verifyUntilAnswered acts by degrees: after the first question without an answer
 // new calls go elsewhere, which does no harm if the daemon only stood still for a
-// moment; after the second one the calls under way are given up.
+// moment; after the second one the calls under way are sent elsewhere as well.
 func (m *mesh) verifyUntilAnswered(target dissemination.Peer) {
 	if m.answers(target) || m.context.Err() != nil {
 		return
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -104,7 +104,7 @@
 	{"peer_document_refused", log.WarnLevel,
 		"A configuration that another daemon sent can't be unpacked.", "Compare the builds of the two daemons."},
 	{"peer_given_up", log.WarnLevel,
-		"A daemon has not answered two questions in a row; calls to it that may be repeated and are sure of another attempt were broken off.",
+		"A daemon has not answered two questions in a row; calls to it that may be repeated and are sure of another attempt were sent elsewhere as well.",
 		"If it goes on: look at that machine and the links to it."},
 	{"peer_lost", log.InfoLevel,
 		"Another daemon did not answer.", "If it stays: look at that machine and the links to it."},
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -44,6 +44,14 @@
 	a.chosen.End(p.config.Clock(), a.evidence)
 }
 
+// withdraw ends an attempt whose exchange has another owner; it says nothing of its
+// endpoint.
+func (a *attempt) withdraw(p *Proxy) {
+	a.exchange = &exchange{err: errOvertaken, cancel: func() {}}
+	a.evidence = endpoint.Withdrawn
+	a.end(p)
+}
+
 // attempt sends the call to the endpoint chosen now.
 func (c *callerCall) attempt(mark bool) *attempt {
 	p := c.proxy
@@ -73,16 +81,19 @@
 	chosen.Begin()
 	made := &attempt{chosen: chosen, sentAt: now}
 	c.tried = append(c.tried, chosen)
-	c.send(made, path, shared.set, mark, now)
-	c.judge(made, shared.set)
-	return made
+	ended := c.send(made, path, shared.set, mark, now)
+	if ended == made {
+		c.judge(made, shared.set)
+	}
+	return ended
 }
 
 // send sends an attempt and waits for the head of its answer. While the gate is
 // silent its daemon is asked for; when the daemon is found to be unreachable and another
 // attempt is sure to follow, the attempt is overtaken. An answer of an attempt that was
-// overtaken before is taken when it comes first.
-func (c *callerCall) send(made *attempt, path *upstream, set *endpoint.Set, mark bool, now time.Duration) {
+// overtaken before is taken when it comes first; if it is one of failure, this attempt
+// goes on. It returns the attempt that has ended, which is judged unless it is made.
+func (c *callerCall) send(made *attempt, path *upstream, set *endpoint.Set, mark bool, now time.Duration) *attempt {
 	relay := &informer{writer: c.writer}
 	defer c.proxy.watch(path, made.chosen, silenceOf(c.route.Resource.Target))()
 	ctx, cancel := context.WithCancel(c.context)
@@ -93,7 +104,7 @@
 	if silent == nil && c.overtaken == nil {
 		made.exchange = path.send(ctx, outgoing, relay, nil)
 		c.noteHeard(made, path)
-		return
+		return made
 	}
 	under := fly(func() *exchange { return path.send(ctx, outgoing, relay, nil) })
 	for {
@@ -101,19 +112,26 @@
 		case <-under.done:
 			made.exchange = under.take()
 			c.noteHeard(made, path)
-			return
+			return made
 		case <-silent:
 			relay.end()
-			c.overtaken = &overtaken{chosen: made.chosen, sentAt: made.sentAt, flight: under}
+			c.overtaken = &overtaken{chosen: made.chosen, sentAt: made.sentAt, set: set, flight: under}
 			made.cancel = nil // it runs on, at most until the call's context ends
 			made.exchange = &exchange{err: errOvertaken, cancel: func() {}}
-			return
+			return made
 		case <-c.answered():
-			if c.resume(made) {
+			late := c.landed()
+			switch {
+			case late == nil:
+			case late.outcome.Failed:
+				late.end(c.proxy)
+				c.keep(late)
+			default:
 				relay.end()
 				under.drop()
-				cancel()
-				return
+				c.noteAbandoned(made, AbandonedForAnswer)
+				made.withdraw(c.proxy)
+				return late
 			}
 		}
 	}
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -114,6 +114,8 @@
 	tried   endpoint.Tried
 	// overtaken is the attempt that another one has followed; nil for none.
 	overtaken *overtaken
+	// failure is an answer of failure to deliver if nothing better comes; nil for none.
+	failure *attempt
 	// answering is set once an answer is being passed on.
 	answering bool
 	// detail explains the last attempt for people.
@@ -207,6 +209,7 @@
 		case retry.Send:
 			c.proxy.tally.retries.Add(1)
 			tried.end(c.proxy)
+			c.keep(tried)
 		case retry.Deliver:
 			if tried.outcome.Failed {
 				tried = c.betterAnswer(tried)
@@ -215,8 +218,8 @@
 			return
 		default:
 			tried.end(c.proxy)
-			if late := c.awaitOvertaken(); late != nil {
-				c.deliver(late)
+			if last := c.lastAnswer(); last != nil {
+				c.deliver(last)
 				return
 			}
 			c.refuse(step)
@@ -228,8 +231,11 @@
 // refuse gives the final refusal. A caller that has hung up gets none.
 func (c *callerCall) refuse(step retry.Step) {
 	refusal := Refusal{Code: step.Code, Ran: step.Ran, RetryAfter: step.RetryAfter, Detail: c.detail}
-	if context.Cause(c.context) == errDrainBound {
+	switch {
+	case context.Cause(c.context) == errDrainBound:
 		refusal.Code = result.DrainBound
+	case c.context.Err() == context.DeadlineExceeded && step.Ran == result.RanUnknown:
+		refusal.Code = result.DeadlineInFlight // it was waited for until then
 	}
 	if stalled(c.body.problem()) && step.Ran == result.RanUnknown {
 		refusal.Code = result.SlowPeer
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -25,6 +25,8 @@
 	err error
 	// unsent is set when it is certain that not a byte was written.
 	unsent bool
+	// whole is set when all of the answer has been read.
+	whole  bool
 	guard  *attemptGuard
 	cancel context.CancelFunc
 }
@@ -101,6 +103,7 @@
 		e.answer.ContentLength = int64(head.Len())
 	}
 	e.answer.Body = joinedBody{Reader: &head, Closer: e.answer.Body}
+	e.whole = true
 }
 
 // hasNoBody tells whether the length of the answer speaks of a body that is
--- a/internal/proxy/overtake.go
+++ b/internal/proxy/overtake.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"github.com/springstack/springstack/internal/core/endpoint"
+	"github.com/springstack/springstack/internal/core/retry"
 )
 
 // errOvertaken is how an attempt ends for its call whose gate fell silent and that
@@ -61,12 +62,19 @@
 	}
 }
 
-// overtaken is an attempt that another one has followed since its gate fell silent. It
-// is not broken off: the gate may only have been slow, and its answer is then as good
-// as any. A call has one at most.
+// overtaken is an attempt that another one has followed since its gate fell silent.
+//
+// A silent daemon is only suspected: it may be slow, and its back end at work. So the
+// attempt is not broken off; like any other it ends by its answer, its connection, its
+// caller, the call's time or the drain's hard bound. Nothing here asks whether this
+// daemon drains: a process learns of a stop later than it is sent, up to some tenths of
+// a second where its processor share is spent, and a call broken off by then is cut by
+// the stop all the same. A call has one at most.
 type overtaken struct {
 	chosen *endpoint.Endpoint
 	sentAt time.Duration
+	// set is that of the endpoint when it was chosen.
+	set    *endpoint.Set
 	flight *flight
 }
 
@@ -78,55 +86,61 @@
 	return c.overtaken.flight.done
 }
 
-// resume makes an attempt that of the overtaken one, if that was answered by its back
-// end. Otherwise the call has no overtaken attempt any more. What the attempt has done
-// so far is withdrawn.
-func (c *callerCall) resume(made *attempt) bool {
+// landed returns the overtaken attempt, which has ended, if its back end has answered it,
+// and else nil. The call then has no overtaken attempt any more.
+func (c *callerCall) landed() *attempt {
 	earlier := c.overtaken
 	c.overtaken = nil
 	received := earlier.flight.take()
 	if received.answer == nil || received.answer.Header.Get(headerCode) != "" {
 		received.close()
-		return false
+		return nil
 	}
-	if made.chosen != nil {
-		made.chosen.End(c.proxy.config.Clock(), endpoint.Withdrawn)
+	late := &attempt{chosen: earlier.chosen, sentAt: earlier.sentAt, exchange: received}
+	late.chosen.Begin()
+	c.judge(late, earlier.set)
+	if late.outcome.Kind != retry.Answered {
+		late.end(c.proxy) // the answer broke off
+		return nil
 	}
-	made.chosen = earlier.chosen
-	made.chosen.Begin()
-	made.exchange = received
-	return true
+	return late
 }
 
-// awaitOvertaken waits for an overtaken attempt before a call is refused, and returns its
-// answer, or nil. It waits as long as its daemon is reachable again, so that the answer
-// is to be expected, or while this daemon drains, when nothing is broken off that runs.
+// awaitOvertaken waits for the overtaken attempt before a call is refused, and returns its
+// answer, or nil when it ended without one or the call ended before.
 func (c *callerCall) awaitOvertaken() *attempt {
 	if c.overtaken == nil {
 		return nil
 	}
-	expected := !c.overtaken.chosen.Ejected(c.proxy.config.Clock()) || c.proxy.drain.started.Load()
-	if !expected {
-		return nil
-	}
 	select {
 	case <-c.answered():
+		return c.landed()
 	case <-c.context.Done():
 		return nil
 	}
-	late := &attempt{}
-	if !c.resume(late) {
-		return nil
-	}
-	if shared := c.proxy.view.Load().services[c.service]; shared != nil {
-		c.judge(late, shared.set)
+}
+
+// isExpected tells whether the daemon of the overtaken attempt answers again, so that its
+// answer is likely to come.
+func (c *callerCall) isExpected() bool {
+	return c.overtaken != nil && !c.overtaken.chosen.Ejected(c.proxy.config.Clock())
+}
+
+// keep keeps a back end's answer of failure, to be delivered if nothing better comes. An
+// answer that was not read whole is not kept: it would hold its connection.
+func (c *callerCall) keep(failed *attempt) {
+	if c.failure == nil && failed.outcome.Kind == retry.Answered && failed.exchange.whole {
+		c.failure = failed
 	}
-	return late
 }
 
-// betterAnswer returns the answer of an overtaken attempt in place of one by which a back
-// end failed the call, if there is one.
+// betterAnswer returns the answer of the overtaken attempt in place of one by which a back
+// end failed the call, if there is one. It is waited for only if it is likely to come, for
+// there is an answer already.
 func (c *callerCall) betterAnswer(failed *attempt) *attempt {
+	if !c.isExpected() {
+		return failed
+	}
 	late := c.awaitOvertaken()
 	if late == nil {
 		return failed
@@ -135,6 +149,19 @@
 	return late
 }
 
+// lastAnswer returns what a call can be answered with before it is refused: what the
+// overtaken attempt is answered with or, failing that, a back end's failure; nil for
+// neither.
+func (c *callerCall) lastAnswer() *attempt {
+	if c.failure != nil && !c.isExpected() {
+		return c.failure
+	}
+	if late := c.awaitOvertaken(); late != nil {
+		return late
+	}
+	return c.failure
+}
+
 // dropOvertaken gives up what is still under way when a call has ended.
 func (c *callerCall) dropOvertaken() {
 	if c.overtaken == nil {
--- a/internal/proxy/overtake_test.go
+++ b/internal/proxy/overtake_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/routing"
+	"github.com/springstack/springstack/internal/result"
 )
 
 // ending is how a back end ends a run.
@@ -208,13 +209,27 @@
 // A back end's own answer of failure is delivered rather than a failure of our own.
 func TestAFailureOfABackEndGoesBeforeOneOfOurOwn(t *testing.T) {
 	check := is.New(t)
-	mesh := startOvertaking(t, func(*Config) {})
+	mesh := startOvertaking(t, func(config *Config) { config.Limits.CollectBytes = 1 << 10 })
 	mesh.fallSilent()
 	await(t, mesh.second.entered, "another attempt")
 	mesh.first.ends <- endsWithFailure
 	time.Sleep(settleTime)
 	mesh.second.breakAll()
+	mesh.first.breakAll() // further attempts
 	got := await(t, mesh.answers, "an answer")
 	check.Equal(got.status, http.StatusInternalServerError)
 	check.Equal(got.code(), "")
 }
+
+// An answer of the first that breaks off leaves the caller with a whole answer of our own.
+func TestABrokenLateAnswerIsAnsweredForWhole(t *testing.T) {
+	check := is.New(t)
+	mesh := startOvertaking(t, func(config *Config) { config.Limits.CollectBytes = 1 << 10 })
+	mesh.closeOther()
+	mesh.caller.GiveUp(mesh.silent.config.NodeID)
+	mesh.stayOpen(t, "after the other attempt")
+	mesh.first.ends <- endsMidway
+	got := await(t, mesh.answers, "an answer")
+	check.True(!got.cut)
+	check.Equal(got.ran(), string(result.RanUnknown))
+}
--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -78,8 +78,7 @@
 // heard notes that a gate has answered.
 func (p *Proxy) heard(path *upstream) { path.silence.heardAt.Store(int64(p.config.Clock())) }
 
-// hold keeps an attempt that may be made elsewhere once its gate is found to be
-// unreachable.
+// hold keeps an attempt that may be overtaken once its gate is found to be unreachable.
 // What gives it up is called under the lock, so never after release.
 func (s *silence) hold(made *attempt, giveUp func()) {
 	s.mutex.Lock()
@@ -117,12 +116,9 @@
 	})
 }
 
-// GiveUp ends the attempts at a daemon that are sure to be made elsewhere. A
-// daemon that drains itself breaks nothing off.
+// GiveUp has attempts at a daemon that doesn't answer overtaken by others. It breaks
+// none of them off.
 func (p *Proxy) GiveUp(node protocol.NodeID) {
-	if p.drain.started.Load() {
-		return
-	}
 	p.eachEndpoint(node, func(_ *endpoint.Endpoint, path *upstream) {
 		if path != nil {
 			path.silence.giveUp()
