SIGTERM that is sent again during a drain cuts nothing

Cause: a second signal of any kind ended the drain and cut the calls that ran; a platform may send its order twice, as when two rollouts overlap. Found by looking for other ways in which a stop ends attempts. SIGINT during a drain still ends it, for who sits at a terminal.

--- a/cmd/springstackd/run.go
+++ b/cmd/springstackd/run.go
@@ -27,7 +27,7 @@
 	}
 }
 
-// runDaemon runs until a signal asks to stop. A second signal ends the drain.
+// runDaemon runs until a signal asks to stop, and drains then.
 func runDaemon(ctx context.Context, command *cli.Command) error {
 	if settings.IsHosted(settingsPath(command)) {
 		return runHosted(ctx, command)
@@ -53,7 +53,9 @@
 	Stop(ctx context.Context) error
 }
 
-// untilSignal runs a daemon until a signal asks to stop it.
+// untilSignal runs a daemon until a signal asks to stop it. An interrupt from a terminal
+// then ends the drain. A repeated SIGTERM does not: a platform may send its order again, and
+// the calls that run would be cut.
 func untilSignal(ctx context.Context, started stoppable) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -67,12 +69,21 @@
 	}
 	stopping, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	go func() {
+	go endDrainOnInterrupt(stopping, cancel, signals)
+	return errors.Trace(started.Stop(stopping))
+}
+
+// endDrainOnInterrupt calls end at the first interrupt, until the context is done.
+func endDrainOnInterrupt(ctx context.Context, end func(), signals <-chan os.Signal) {
+	for {
 		select {
-		case <-signals:
-			cancel()
-		case <-stopping.Done():
+		case received := <-signals:
+			if received == syscall.SIGINT {
+				end()
+				return
+			}
+		case <-ctx.Done():
+			return
 		}
-	}()
-	return errors.Trace(started.Stop(stopping))
+	}
 }
