A draining gate gives calls no more time than is left until it cuts them

Cause: calls that come to a gate while its daemon drains were admitted by their own deadline and cut at the drain's bound: at an entry that stops as well that is a call broken off with its back end at work. The callers' side has bounded the time of its calls so before.

--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -57,8 +57,9 @@
 // runs any more, or the calls that ran past the hard bound have been cut.
 func (p *Proxy) Drained() <-chan struct{} { return p.drain.done }
 
-// timeUntilCut bounds the time of a call that comes while the daemon drains:
-// gates are told no more than that, and refuse at once what can't end by then.
+// timeUntilCut bounds the time of a call that comes while the daemon drains, to the
+// callers' side or to the gate: what can't end by then is refused at once as not run,
+// while there is time to send it elsewhere.
 func (p *Proxy) timeUntilCut(timeout time.Duration) time.Duration {
 	if !p.drain.started.Load() {
 		return timeout
--- a/internal/proxy/drain_test.go
+++ b/internal/proxy/drain_test.go
@@ -182,3 +182,24 @@
 		check.Equal(doubtful.Load(), int64(0))
 	}
 }
+
+// TestADrainingGateStartsNothingThatItWouldCut: what comes to a gate while its daemon
+// drains gets no more time than is left until running calls are cut, so that what can't
+// end by then is refused as not run and goes elsewhere.
+func TestADrainingGateStartsNothingThatItWouldCut(t *testing.T) {
+	check := is.New(t)
+	const bound = 2 * time.Second
+	told := make(chan time.Duration, 2)
+	limits := Limits{GateLingers: true, DrainLinger: time.Second, DrainBound: bound}
+	mesh := startMesh(t, meshOptions{limits: limits}, backendSpec{
+		handler: func(_ http.ResponseWriter, request *http.Request) {
+			left, _ := statedTimeout(request.Header)
+			told <- left
+		},
+	})
+	check.Equal(mesh.call(t, "GET", "/", "").status, http.StatusOK)
+	check.True(<-told > bound) // the route's own
+	mesh.gates[0].StartDrain()
+	check.Equal(mesh.call(t, "GET", "/", "").status, http.StatusOK)
+	check.True(<-told <= bound)
+}
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -94,6 +94,7 @@
 	if stated, found := statedTimeout(header); found {
 		call.timeout = stated
 	}
+	call.timeout = p.timeUntilCut(call.timeout)
 	call.deadline = p.config.Clock() + call.timeout
 	call.ticket = call.newTicket()
 	return call, Refusal{}, true
