A call is put on trial only if a second attempt of it is paid for

Change: a repeatable call goes to a canary only if one retry can be withdrawn ahead, with half of what is allowed left to others; it is given back when it wasn't needed. Calls that may not be repeated are put on trial as before.

--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -11,9 +11,15 @@
 // unit is one call or retry in the accounts, which count in thousandths.
 const unit = 1000
 
-// urgentParts divides what is allowed: one part of it is kept for urgent calls, so
-// that a service whose ordinary calls fail can still save those that matter most.
-const urgentParts = 4
+// What is allowed is kept in part for those whom it matters to most.
+const (
+	// keptForUrgent is the share that only urgent calls may use, so that a service whose
+	// ordinary calls fail can still save those that matter most.
+	keptForUrgent = 0.25
+	// keptFromTrials is the share that calls to a version on trial leave to all others:
+	// what such a version fails is not repeated at their cost.
+	keptFromTrials = 0.5
+)
 
 // Limits bounds the retries towards one service in every window.
 type Limits struct {
@@ -104,6 +110,28 @@
 // Withdraw takes the cost of a retry, in retries, and answers false when there is
 // not so much. The last part of what is allowed is for urgent calls.
 func (b *Budget) Withdraw(now time.Duration, class callclass.Class, cost int, urgent bool) bool {
+	kept := keptForUrgent
+	if urgent {
+		kept = 0
+	}
+	return b.withdraw(now, class, cost, kept)
+}
+
+// WithdrawForTrial takes the cost of one retry of a call that is sent to a version on
+// trial, ahead of its first attempt.
+func (b *Budget) WithdrawForTrial(now time.Duration, class callclass.Class) bool {
+	return b.withdraw(now, class, 1, keptFromTrials)
+}
+
+// Refund gives back the cost of a retry that was withdrawn at a time and not made.
+func (b *Budget) Refund(withdrawnAt time.Duration, class callclass.Class) {
+	for _, one := range [...]*account{&b.service, b.classes.Of(class)} {
+		one.retries.takeBack(withdrawnAt, b.window, unit)
+	}
+}
+
+// withdraw takes the cost of a retry where a share of what is allowed is left after it.
+func (b *Budget) withdraw(now time.Duration, class callclass.Class, cost int, kept float64) bool {
 	price := int64(cost) * unit
 	accounts := [...]*account{&b.service, b.classes.Of(class)}
 	// It is taken first and given back where it was too much, so that two at the
@@ -112,7 +140,7 @@
 		one.retries.add(now, b.window, price)
 	}
 	for _, one := range accounts {
-		if b.left(now, one, urgent) < 0 {
+		if b.left(now, one, kept) < 0 {
 			for _, taken := range accounts {
 				taken.retries.add(now, b.window, -price)
 			}
@@ -122,23 +150,23 @@
 	return true
 }
 
-// left is what an account still allows; negative when it has been exceeded.
-func (b *Budget) left(now time.Duration, of *account, urgent bool) int64 {
+// left is what an account still allows beside a share that is kept; negative when it
+// has been exceeded.
+func (b *Budget) left(now time.Duration, of *account, kept float64) int64 {
 	calls := of.calls.lowerBound(now, b.window)
 	retries := of.retries.upperBound(now, b.window)
 	allowed := max(calls*b.ratio/unit, b.part.Load())
-	if !urgent {
-		allowed -= reserve(allowed)
-	}
-	return allowed - retries
+	return allowed - reserve(allowed, kept) - retries
 }
 
-// reserve is the part of what is allowed that is kept for urgent calls, but never so
-// much that one retry of another call does not fit beside it.
-func reserve(allowed int64) int64 { return max(0, min(allowed/urgentParts, allowed-unit)) }
+// reserve is the share of what is allowed that is kept, but never so much that one retry
+// does not fit beside it.
+func reserve(allowed int64, kept float64) int64 {
+	return max(0, min(int64(float64(allowed)*kept), allowed-unit))
+}
 
 // Left is how many retries of urgent calls of a class are allowed now.
 func (b *Budget) Left(now time.Duration, class callclass.Class) float64 {
-	left := min(b.left(now, &b.service, true), b.left(now, b.classes.Of(class), true))
+	left := min(b.left(now, &b.service, 0), b.left(now, b.classes.Of(class), 0))
 	return float64(max(left, 0)) / unit
 }
--- a/internal/core/retry/budget_test.go
+++ b/internal/core/retry/budget_test.go
@@ -114,3 +114,44 @@
 		}
 	})
 }
+
+// Calls on trial leave half of what is allowed to others, and give back what they did
+// not need.
+func TestCallsOnTrialLeaveRetriesToOthers(t *testing.T) {
+	check := is.New(t)
+	budget := NewBudgetWithin(Limits{Part: 8, Window: testWindow})
+	policy := Policy{Repeatable: true, Attempts: 3, Deadline: time.Hour}
+	var trials []*Call
+	for range 4 {
+		trials = append(trials, NewCall(policy, budget))
+		check.True(trials[len(trials)-1].PayForTrial(time.Second))
+	}
+	check.True(!NewCall(policy, budget).PayForTrial(time.Second))
+	for range 4 {
+		check.True(budget.Withdraw(time.Second, 0, 1, true))
+	}
+	check.True(!budget.Withdraw(time.Second, 0, 1, true))
+	failed := Outcome{Kind: Broken, Replayable: true, Others: true}
+	check.Equal(trials[0].Next(2*time.Second, failed).Action, Send) // paid for
+	for _, trial := range trials {
+		trial.Settle()
+		trial.Settle() // once is enough
+	}
+	for range 3 { // the fourth was used
+		check.True(budget.Withdraw(3*time.Second, 0, 1, true))
+	}
+	check.True(!budget.Withdraw(3*time.Second, 0, 1, true))
+}
+
+// A call that may not be repeated is put on trial without paying, one that has no second
+// attempt is not.
+func TestWhichCallsMayBePutOnTrial(t *testing.T) {
+	check := is.New(t)
+	empty := NewBudgetWithin(Limits{Window: testWindow})
+	check.True(NewCall(Policy{Attempts: 3}, empty).PayForTrial(0))
+	plenty := NewBudgetWithin(Limits{Part: 8, Window: testWindow})
+	check.True(NewCall(Policy{Repeatable: true, Attempts: 2}, plenty).PayForTrial(0))
+	check.True(!NewCall(Policy{Repeatable: true, Attempts: 1}, plenty).PayForTrial(0))
+	check.True(!NewCall(Policy{Repeatable: true, Attempts: 3, NoRetry: true}, plenty).PayForTrial(0))
+	check.True(!NewCall(Policy{Repeatable: true, Attempts: 3}, empty).PayForTrial(0))
+}
--- a/internal/core/retry/call.go
+++ b/internal/core/retry/call.go
@@ -128,6 +128,9 @@
 	unknownCode result.Code
 	// prepaid says that the attempt after the present one is paid for.
 	prepaid bool
+	// onTrial says that it was paid for by PayForTrial, at trialPaidAt.
+	onTrial     bool
+	trialPaidAt time.Duration
 }
 
 // NewCall starts the account of a call.
@@ -144,8 +147,29 @@
 	c.budget.Deposit(now, c.policy.Class)
 }
 
-// Urge lets the call use the part of the budget that is kept for urgent calls.
-func (c *Call) Urge() { c.policy.Urgent = true }
+// PayForTrial pays for a second attempt before the first one is sent to a version on
+// trial, and tells whether it may be sent there: what such a version fails is no fault of
+// its caller's, so a call that may be repeated is put on trial only if it will be. A call
+// that may not be repeated has no second attempt to pay for. Settle must follow.
+func (c *Call) PayForTrial(now time.Duration) bool {
+	if !c.policy.Repeatable {
+		return true
+	}
+	if c.policy.NoRetry || c.policy.Attempts < 2 || c.prepaid || !c.budget.WithdrawForTrial(now, c.policy.Class) {
+		return false
+	}
+	c.prepaid, c.onTrial, c.trialPaidAt = true, true, now
+	return true
+}
+
+// Settle gives back what was paid for a second attempt that was not needed. It is called
+// when the call has ended.
+func (c *Call) Settle() {
+	if c.onTrial && c.prepaid {
+		c.prepaid = false
+		c.budget.Refund(c.trialPaidAt, c.policy.Class)
+	}
+}
 
 // BudgetLeft is how many retries the budget has left, as text for logs.
 func (c *Call) BudgetLeft(now time.Duration) string {
--- a/internal/core/retry/window.go
+++ b/internal/core/retry/window.go
@@ -27,7 +27,7 @@
 func part(now, span time.Duration) uint64 { return uint64(now / (span / windowSlots)) }
 
 // add counts an amount, which may be negative to take back what was added in the
-// same part.
+// same part; see takeBack.
 func (w *window) add(now, span time.Duration, amount int64) {
 	number := part(now, span)
 	slot := &w.slots[number%uint64(len(w.slots))]
@@ -44,6 +44,23 @@
 	}
 }
 
+// takeBack takes back what was added at an earlier time. Once that time's part has left
+// the window there is nothing to take back.
+func (w *window) takeBack(addedAt, span time.Duration, amount int64) {
+	number := part(addedAt, span)
+	slot := &w.slots[number%uint64(len(w.slots))]
+	for {
+		held := slot.Load()
+		if held>>amountBits != number&amountMask {
+			return
+		}
+		left := max(int64(held&amountMask)-amount, 0)
+		if slot.CompareAndSwap(held, number<<amountBits|uint64(left)) {
+			return
+		}
+	}
+}
+
 // sum is what was added in the present part and a number of parts before it.
 func (w *window) sum(now, span time.Duration, before uint64) int64 {
 	number := part(now, span)
--- a/internal/core/retry/window_test.go
+++ b/internal/core/retry/window_test.go
@@ -42,3 +42,20 @@
 	counted.add(time.Second, 10*time.Second, -5*unit) // never below nothing
 	check.Equal(counted.upperBound(time.Second, 10*time.Second), int64(0))
 }
+
+// What is taken back leaves the part that it was added in, and no other one, also when a
+// later part has taken its place.
+func TestTakingBackTouchesItsOwnPartOnly(t *testing.T) {
+	check := is.New(t)
+	const span = 10 * time.Second
+	var held window
+	held.add(0, span, 3)
+	held.add(2*time.Second, span, 4)
+	held.takeBack(0, span, 2)
+	check.Equal(held.upperBound(2*time.Second, span), int64(5))
+	held.takeBack(0, span, 9) // never below nothing
+	check.Equal(held.upperBound(2*time.Second, span), int64(4))
+	held.add(11*time.Second, span, 7) // in the place of the first part
+	held.takeBack(0, span, 1)
+	check.Equal(held.upperBound(11*time.Second, span), int64(11))
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -173,8 +173,8 @@
 func (c *callerCall) choose(shared *service, now time.Duration) *endpoint.Endpoint {
 	set := shared.set
 	if len(c.tried) == 0 {
-		if chosen := shared.canary.choose(now, c.proxy.random(), c.proxy.random()); chosen != nil {
-			c.retries.Urge() // what a canary fails is no fault of its caller's
+		chosen := shared.canary.choose(now, c.proxy.random(), c.proxy.random())
+		if chosen != nil && c.retries.PayForTrial(now) {
 			return chosen
 		}
 	}
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -199,6 +199,7 @@
 // run makes attempts until there is an answer or a final refusal.
 func (c *callerCall) run() {
 	defer c.dropOvertaken()
+	defer c.retries.Settle()
 	step := c.retries.First()
 	for {
 		pause.For(c.context, step.Wait)
