A version is held back until the orders were read late enough to tell

Cause: a version that had just been seen was held back for 2.5 s, by the clock. Deciders heed no order within 5 s of their start, and a daemon that starts amid an order knows neither it nor which version was there before: a version on trial then got calls as others do.

Change: a daemon that holds a version back reads the orders itself, 2.5 s after it saw the version (at once if it has read none since its start), and releases it when these tell that there is none, or after 10 s where the store doesn't answer. Of versions that a daemon meets at its start the most frequent counts as the one that was there. A daemon that knows of an order follows it at once. Cost: one or two calls a daemon where a new version appears, none else.

--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -64,6 +64,9 @@
 	// run or wait there; countAnswers has it begin or end.
 	counted      func() (rollout.Evidence, int)
 	countAnswers func(bool)
+	// listOrders reads the orders of roll-outs once, and tells whether the store answered;
+	// nil where none are followed.
+	listOrders func() bool
 	// poll reads the store once, and tells whether it answered.
 	poll       func() bool
 	valueBytes int
--- a/internal/hosted/rolloutdecider.go
+++ b/internal/hosted/rolloutdecider.go
@@ -24,8 +24,8 @@
 	rolloutWatchWait = 30 * time.Second
 	// rolloutRelist is the time between two lists while the store knows no orders at all.
 	rolloutRelist = 2 * time.Second
-	// deciderStart is how long after its start a daemon may first be a decider: until it
-	// knows the others, for each that knows nobody ranks first.
+	// deciderStart is how long after its start a daemon that knows of no order may first be
+	// a decider: until it knows the others, for each that knows nobody ranks first.
 	deciderStart = 5 * time.Second
 	// decidePeriod is the time between two steps of a decision: a version that turns bad
 	// gets nothing more within some seconds of its 50th bad answer.
@@ -71,6 +71,9 @@
 	if d.mesh.rollouts.exposure == 0 || d.port == nil {
 		return
 	}
+	d.mesh.mutex.Lock()
+	d.mesh.listOrders = d.confirm
+	d.mesh.mutex.Unlock()
 	for _, loop := range []func(){d.follow, d.decideForever} {
 		d.mesh.running.Add(1)
 		go func() {
@@ -95,10 +98,19 @@
 	return rank
 }
 
+// awaitPeers waits until the daemon may know the others, or has an order to follow.
+func (d *rolloutDecider) awaitPeers() {
+	for began := d.mesh.clock(); d.mesh.clock()-began < deciderStart; {
+		if len(d.mesh.rolloutRecords()) > 0 || !pause.For(d.mesh.context, deciderPause) {
+			return
+		}
+	}
+}
+
 // follow reads and watches the orders while this daemon is one of the deciders.
 func (d *rolloutDecider) follow() {
 	failures := 0
-	pause.For(d.mesh.context, deciderStart)
+	d.awaitPeers()
 	for pause.For(d.mesh.context, deciderPause) {
 		if d.rank() >= deciderCount {
 			continue
@@ -120,6 +132,22 @@
 	}
 }
 
+// confirm reads all orders, for a daemon that must know whether a version has one. It does
+// not tell the others: each that must know reads them itself.
+func (d *rolloutDecider) confirm() bool {
+	orders, _, err := d.list()
+	if err != nil {
+		d.mesh.events.event("rollout_unread", field("code", codeText(codeOf(err))), field("error", err.Error()))
+		return false
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, order := range orders {
+		d.merge(order)
+	}
+	return true
+}
+
 // list reads all orders and the position after them; 0 where the store knows none.
 func (d *rolloutDecider) list() ([]authority.RolloutOrder, authority.Position, error) {
 	ctx, cancel := context.WithTimeout(d.mesh.context, readTimeout)
@@ -147,9 +175,19 @@
 	}
 }
 
-// takeOne takes one order; the lock is held. What the store says of its outcome goes
-// before all that daemons believe.
+// takeOne takes one order, and tells all daemons what is news; the lock is held.
 func (d *rolloutDecider) takeOne(order authority.RolloutOrder) {
+	if !d.merge(order) {
+		return
+	}
+	d.mesh.mutex.Lock()
+	defer d.mesh.mutex.Unlock()
+	d.mesh.spreadRollouts()
+}
+
+// merge takes one order, and tells whether it was news; the lock is held. What the store
+// says of its outcome goes before all that daemons believe.
+func (d *rolloutDecider) merge(order authority.RolloutOrder) bool {
 	known := d.orders[order.Service]
 	if known == nil || known.order.Target != order.Target || known.order.Duration != order.Duration {
 		known = &followedOrder{decider: &rollout.Decider{}}
@@ -158,14 +196,12 @@
 	known.order = order
 	if order.Fault != nil {
 		d.logFault(known)
-		return
+		return false
 	}
 	record := recordOf(order)
 	d.mesh.mutex.Lock()
 	defer d.mesh.mutex.Unlock()
-	if d.mesh.mergeRollouts([]rollout.Record{record}) {
-		d.mesh.spreadRollouts()
-	}
+	return d.mesh.mergeRollouts([]rollout.Record{record})
 }
 
 func (d *rolloutDecider) logFault(known *followedOrder) {
--- a/internal/hosted/rollouts.go
+++ b/internal/hosted/rollouts.go
@@ -4,11 +4,8 @@
 	"slices"
 	"time"
 
-	"github.com/samber/lo"
-
 	"github.com/springstack/springstack/internal/core/dissemination"
 	"github.com/springstack/springstack/internal/core/protocol"
-	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/rollout"
 	"github.com/springstack/springstack/internal/proxy"
 )
@@ -17,12 +14,6 @@
 	// canaryOfExposure is the share of the allowed exposure that canaries get: the rest is
 	// for calls before all daemons have heard that a version was given up.
 	canaryOfExposure = 0.7
-	// heldTime is how long a version that has just been seen gets nothing while others
-	// serve: until its order has been heard of, if there is one.
-	heldTime = 2500 * time.Millisecond
-	// versionLimit bounds the versions of a service that are remembered as seen: more are
-	// not in use at a time.
-	versionLimit = 16
 	// completedTime is how long back ends of other versions get nothing after an order was
 	// completed. They stop then; what comes later is no matter of the order.
 	completedTime = 10 * time.Second
@@ -35,40 +26,33 @@
 	// follows no orders.
 	exposure float64
 	orders   *rollout.Table
-	// seen are the versions of each service and when each was first seen.
-	seen map[resource.ServiceRef]map[string]time.Duration
+	versions *sightings
+	// confirming is set while the daemon reads the orders for a version that it holds back.
+	confirming bool
 }
 
 func newRolloutTable(exposure float64) *rolloutTable {
-	return &rolloutTable{
-		exposure: exposure, orders: rollout.NewTable(),
-		seen: map[resource.ServiceRef]map[string]time.Duration{},
-	}
+	return &rolloutTable{exposure: exposure, orders: rollout.NewTable(), versions: newSightings()}
 }
 
 // records are the orders as they are told to peers now.
 func (t *rolloutTable) records(now time.Duration) []rollout.Record { return t.orders.Records(now) }
 
 // divide says how the back ends of services are divided among versions; the lock is
-// held. Where a version is held back for a moment, the records are published again
-// after that.
+// held. A version that has just been seen is held back until its order is known, if there
+// is one.
 func (m *mesh) divide(members []protocol.Member) proxy.Splits {
 	if m.rollouts.exposure == 0 {
 		return nil
 	}
 	now := m.clock()
 	splits := proxy.Splits{}
-	for index := range members {
-		member := &members[index]
-		if member.Software == "" || !member.Endpoint.TakesWork() {
-			continue
-		}
-		if wait := m.rollouts.heldFor(now, member.Service, member.Software); wait > 0 {
-			splits[member.Service] = proxy.Split{Target: member.Software, Stage: rollout.StageHeld}
-			if wait == heldTime { // just seen: once is enough
-				m.later(wait, m.publishSoon)
-			}
-		}
+	m.rollouts.versions.note(now, members)
+	for service, software := range m.rollouts.versions.held(now) {
+		splits[service] = proxy.Split{Target: software, Stage: rollout.StageHeld}
+	}
+	if len(splits) > 0 {
+		m.confirmOrders()
 	}
 	for _, record := range m.rollouts.records(now) {
 		if record.Stage == rollout.StageCompleted && m.rollouts.orders.InStage(now, record.Service) > completedTime {
@@ -82,32 +66,6 @@
 	return splits
 }
 
-// heldFor is how much longer a version is held back. The first version of a service that
-// a daemon sees is not.
-func (t *rolloutTable) heldFor(now time.Duration, service resource.ServiceRef, software string) time.Duration {
-	versions := t.seen[service]
-	if versions == nil {
-		t.seen[service] = map[string]time.Duration{software: now - heldTime}
-		return 0
-	}
-	since, known := versions[software]
-	if !known {
-		t.forgetOldest(versions)
-		versions[software] = now
-		return heldTime
-	}
-	return max(0, since+heldTime-now)
-}
-
-// forgetOldest makes room for one more version of a service.
-func (t *rolloutTable) forgetOldest(versions map[string]time.Duration) {
-	if len(versions) < versionLimit {
-		return
-	}
-	oldest := lo.MinBy(lo.Keys(versions), func(one, other string) bool { return versions[one] < versions[other] })
-	delete(versions, oldest)
-}
-
 // rolloutRecords are the orders that the daemon knows.
 func (m *mesh) rolloutRecords() []rollout.Record {
 	m.mutex.Lock()
--- a/internal/hosted/rollouts_test.go
+++ b/internal/hosted/rollouts_test.go
@@ -30,10 +30,41 @@
 	check.Equal(mesh.divide(members)[serviceRef("app")].Stage, rollout.StageHeld)
 	mesh.mergeRollouts([]rollout.Record{{Service: serviceRef("app"), Target: "v2", Generation: 1, Stage: rollout.StageCanary}})
 	check.Equal(mesh.divide(members)[serviceRef("app")].Stage, rollout.StageCanary)
-	now += heldTime
+	now += heldLimit
 	check.Equal(mesh.divide(members)[serviceRef("app")].Target, "v2")
 }
 
+// A version without an order is held back until the orders were read late enough to tell,
+// or for heldLimit where the store doesn't tell.
+func TestAVersionIsHeldUntilTheOrdersAreKnown(t *testing.T) {
+	check := is.New(t)
+	versions := newSightings()
+	app := serviceRef("app")
+	versions.note(time.Minute, []protocol.Member{atVersion("v1")})
+	check.Equal(len(versions.held(time.Minute)), 0)
+	versions.note(2*time.Minute, []protocol.Member{atVersion("v1"), atVersion("v2")})
+	check.Equal(versions.held(2 * time.Minute)[app], "v2")
+	versions.confirm(2*time.Minute + heldTime - time.Millisecond) // its order may come yet
+	check.Equal(versions.held(2*time.Minute + heldTime)[app], "v2")
+	check.Equal(versions.confirmWait(2*time.Minute+time.Second), heldTime-time.Second)
+	check.Equal(len(versions.held(2*time.Minute+heldLimit)), 0)
+	versions.confirm(2*time.Minute + heldTime)
+	check.Equal(len(versions.held(2*time.Minute+heldTime)), 0)
+}
+
+// A daemon that starts amid several versions takes the most frequent for the one that was
+// there before, and reads the orders at once.
+func TestADaemonThatStartsAmidVersionsHoldsTheFewer(t *testing.T) {
+	check := is.New(t)
+	versions := newSightings()
+	versions.note(0, []protocol.Member{atVersion("v2"), atVersion("v1"), atVersion("v1")})
+	check.Equal(versions.held(0)[serviceRef("app")], "v2")
+	check.Equal(versions.confirmWait(0), time.Duration(0))
+	even := newSightings()
+	even.note(0, []protocol.Member{atVersion("v2"), atVersion("v1")})
+	check.Equal(even.held(0)[serviceRef("app")], "v2")
+}
+
 // After some time a completed order divides nothing any more.
 func TestACompletedOrderEndsToDivide(t *testing.T) {
 	check := is.New(t)
@@ -52,15 +83,15 @@
 	check := is.New(t)
 	mesh := newTestMesh("z")
 	check.Equal(len(mesh.divide([]protocol.Member{atVersion("v1"), atVersion("v2")})), 0)
-	check.Equal(len(mesh.rollouts.seen), 0)
+	check.Equal(len(mesh.rollouts.versions.seen), 0)
 }
 
 // The versions that are remembered are bounded.
 func TestSeenVersionsAreBounded(t *testing.T) {
 	check := is.New(t)
-	table := newRolloutTable(0.1)
+	versions := newSightings()
 	for number := range 10 * versionLimit {
-		table.heldFor(time.Duration(number)*time.Minute, serviceRef("app"), fmt.Sprint(number))
+		versions.note(time.Duration(number)*time.Minute, []protocol.Member{atVersion(fmt.Sprint(number))})
 	}
-	check.Equal(len(table.seen[serviceRef("app")]), versionLimit)
+	check.Equal(len(versions.seen[serviceRef("app")]), versionLimit)
 }
