A surplus answer of another request is read past, and cuts no run

Cause: a back end may send an answer in excess, also late, in the place where the next one is due. The gate took the connection for spoilt and closed it: the run whose place it took was at work, was cut, and the caller got 502.

Change: the gate reads past whole answers that name another request, until the one that is due has begun. What names no request, or only its connection ends, is refused as before; the answer that is passed on is checked as before. The usual answer is searched for its id and not parsed twice.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -25,10 +25,12 @@
 	err error
 	// unsent is set when it is certain that not a byte was written.
 	unsent bool
-	// whole is set when all of the answer has been read.
-	whole  bool
-	guard  *attemptGuard
-	cancel context.CancelFunc
+	// collected is set once the answer was read as far as it is held; whole when that is
+	// all of it.
+	collected bool
+	whole     bool
+	guard     *attemptGuard
+	cancel    context.CancelFunc
 }
 
 // send makes one exchange. The outgoing request is written on one connection
@@ -38,6 +40,9 @@
 func (u *upstream) send(ctx context.Context, outgoing *http.Request, relay *informer, edge *Edge) *exchange {
 	attempt, cancel := context.WithCancel(ctx)
 	guard := &attemptGuard{cancel: cancel}
+	if edge != nil {
+		guard.answerHeader, guard.answerID = edge.RequestID, outgoing.Header.Get(edge.RequestID)
+	}
 	trace := &httptrace.ClientTrace{GotConn: guard.gotConn}
 	if relay != nil {
 		trace.Got1xxResponse = func(code int, header textproto.MIMEHeader) error {
@@ -81,9 +86,10 @@
 // off fails here, before anything of it was passed on. A longer one stays to
 // be streamed.
 func (e *exchange) collect(limit int) {
-	if e.answer == nil || limit <= 0 || e.answer.ContentLength > int64(limit) || e.answer.Header.Get("Trailer") != "" {
+	if e.answer == nil || e.collected || limit <= 0 || e.answer.ContentLength > int64(limit) || e.answer.Header.Get("Trailer") != "" {
 		return
 	}
+	e.collected = true
 	var head bytes.Buffer
 	if e.answer.ContentLength > 0 {
 		head.Grow(int(e.answer.ContentLength) + bytes.MinRead)
--- a/internal/proxy/guard.go
+++ b/internal/proxy/guard.go
@@ -25,17 +25,19 @@
 	// attempt; 0 closes at once.
 	linger time.Duration
 	closed atomic.Bool
+	// surplus reads past answers in excess.
+	surplus surplusFilter
 	// gone is closed when the connection is.
 	gone chan struct{}
 }
 
 func newGuardedConn(conn net.Conn, linger time.Duration) *guardedConn {
-	return &guardedConn{Conn: conn, linger: linger, gone: make(chan struct{})}
+	return &guardedConn{Conn: conn, linger: linger, surplus: surplusFilter{source: conn}, gone: make(chan struct{})}
 }
 
 // Read reads until the connection is closed on this side.
 func (c *guardedConn) Read(bytes []byte) (int, error) {
-	count, err := c.Conn.Read(bytes)
+	count, err := c.surplus.read(bytes, c.owner.Load)
 	if c.closed.Load() {
 		return 0, net.ErrClosed
 	}
@@ -106,6 +108,10 @@
 	// cancel gives the attempt up; it is called when the library comes with a
 	// second connection, so that it does not try all those it keeps.
 	cancel func()
+	// answerID is what the answer of the attempt names in answerHeader; empty where answers
+	// can't be told apart.
+	answerID     string
+	answerHeader string
 }
 
 // mayWrite is called before each write. The mark is set before the bytes go,
