--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -70,7 +70,7 @@
 		return c.without(retry.Outcome{Kind: retry.NoEndpoint})
 	}
 	chosen := c.choose(shared, now)
-	if chosen == nil {
+	if chosen == nil || c.runsAt(chosen) {
 		return c.without(retry.Outcome{Kind: retry.NoEndpoint})
 	}
 	path := current.upstreams[chosen.Address]
@@ -106,7 +106,8 @@
 		c.noteHeard(made, path)
 		return made
 	}
-	under := fly(func() *exchange { return path.send(ctx, outgoing, relay, nil) })
+	send := func() *exchange { return path.send(ctx, outgoing, relay, nil) }
+	under := fly(send, c.proxy.limits.CollectBytes)
 	for {
 		select {
 		case <-under.done:
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -57,14 +57,22 @@
 // runs any more, or the calls that ran past the hard bound have been cut.
 func (p *Proxy) Drained() <-chan struct{} { return p.drain.done }
 
-// timeUntilCut bounds the time of a call that comes while the daemon drains, to the
-// callers' side or to the gate: what can't end by then is refused at once as not run,
-// while there is time to send it elsewhere.
+// timeUntilCut bounds the time of a call that comes while the daemon drains: gates are
+// told no more than that, and refuse at once what can't end by then.
 func (p *Proxy) timeUntilCut(timeout time.Duration) time.Duration {
+	now := p.config.Clock()
+	return max(0, p.untilCut(now+timeout)-now)
+}
+
+// untilCut is the earlier of a time and the drain's hard bound, both on the clock. The gate
+// admits calls by it while the daemon drains, so that one which can't end by then goes
+// elsewhere rather than wait here. It does not end the call: what is cut at the bound is
+// repeated elsewhere if it may be, and its back end is not blamed.
+func (p *Proxy) untilCut(deadline time.Duration) time.Duration {
 	if !p.drain.started.Load() {
-		return timeout
+		return deadline
 	}
-	return min(timeout, max(0, time.Duration(p.drain.cutAt.Load())-p.config.Clock()))
+	return min(deadline, time.Duration(p.drain.cutAt.Load()))
 }
 
 func (p *Proxy) awaitDrained() {
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -94,7 +94,6 @@
 	if stated, found := statedTimeout(header); found {
 		call.timeout = stated
 	}
-	call.timeout = p.timeUntilCut(call.timeout)
 	call.deadline = p.config.Clock() + call.timeout
 	call.ticket = call.newTicket()
 	return call, Refusal{}, true
@@ -112,7 +111,7 @@
 		Class:    parseClass(header.Get(headerClass)),
 		Partner:  resource.Partner(partner),
 		Priority: resource.Priority(priority),
-		Deadline: c.deadline,
+		Deadline: c.proxy.untilCut(c.deadline),
 		Request:  c.proxy.fingerprint("request", header.Get(headerRequest)),
 		Key:      c.proxy.fingerprint("key", partner, header.Get(headerRequestKey)),
 	}
@@ -131,6 +130,12 @@
 // run admits the call, sends it to the back end and passes the answer on.
 func (c *gateCall) run() {
 	came := c.proxy.config.Clock()
+	if c.proxy.gate.Draining() {
+		// Told before a large body is taken in, it costs its sender nothing.
+		c.traceGate("gate_refused", result.Draining, 0, 0, 0)
+		c.refuse(Refusal{Code: result.Draining})
+		return
+	}
 	if refusal, received := c.receive(); !received {
 		c.traceGate("gate_refused", refusal.Code, 0, c.proxy.config.Clock()-came, 0)
 		c.refuse(refusal)
--- a/internal/proxy/overtake.go
+++ b/internal/proxy/overtake.go
@@ -24,11 +24,14 @@
 	dropped  bool
 }
 
-// fly starts an exchange.
-func fly(send func() *exchange) *flight {
+// fly starts an exchange and reads its answer as far as that may be held, so that whoever
+// waits for done never waits for an answer that stops midway.
+func fly(send func() *exchange, collectBytes int) *flight {
 	made := &flight{done: make(chan struct{})}
 	go func() {
-		made.land(send())
+		sent := send()
+		sent.collect(collectBytes)
+		made.land(sent)
 		close(made.done)
 	}()
 	return made
@@ -116,16 +119,15 @@
 	case <-c.answered():
 		return c.landed()
 	case <-c.context.Done():
+	}
+	select {
+	case <-c.answered(): // at the same moment: what is ready is delivered
+		return c.landed()
+	default:
 		return nil
 	}
 }
 
-// isExpected tells whether the daemon of the overtaken attempt answers again, so that its
-// answer is likely to come.
-func (c *callerCall) isExpected() bool {
-	return c.overtaken != nil && !c.overtaken.chosen.Ejected(c.proxy.config.Clock())
-}
-
 // keep keeps a back end's answer of failure, to be delivered if nothing better comes. An
 // answer that was not read whole is not kept: it would hold its connection.
 func (c *callerCall) keep(failed *attempt) {
@@ -135,12 +137,8 @@
 }
 
 // betterAnswer returns the answer of the overtaken attempt in place of one by which a back
-// end failed the call, if there is one. It is waited for only if it is likely to come, for
-// there is an answer already.
+// end failed the call, if there is one.
 func (c *callerCall) betterAnswer(failed *attempt) *attempt {
-	if !c.isExpected() {
-		return failed
-	}
 	late := c.awaitOvertaken()
 	if late == nil {
 		return failed
@@ -153,15 +151,17 @@
 // overtaken attempt is answered with or, failing that, a back end's failure; nil for
 // neither.
 func (c *callerCall) lastAnswer() *attempt {
-	if c.failure != nil && !c.isExpected() {
-		return c.failure
-	}
 	if late := c.awaitOvertaken(); late != nil {
 		return late
 	}
 	return c.failure
 }
 
+// runsAt tells whether the overtaken attempt is at an endpoint.
+func (c *callerCall) runsAt(chosen *endpoint.Endpoint) bool {
+	return c.overtaken != nil && chosen != nil && c.overtaken.chosen.Address == chosen.Address
+}
+
 // dropOvertaken gives up what is still under way when a call has ended.
 func (c *callerCall) dropOvertaken() {
 	if c.overtaken == nil {
--- a/internal/proxy/overtake_test.go
+++ b/internal/proxy/overtake_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -233,3 +234,77 @@
 	check.True(!got.cut)
 	check.Equal(got.ran(), string(result.RanUnknown))
 }
+
+// A suspicion takes no attempt away, whatever the other attempt ends with: the first back
+// end is at work, and its answer is of success.
+func TestAFailureOfTheOtherDoesNotCutTheFirst(t *testing.T) {
+	check := is.New(t)
+	mesh := startOvertaking(t, func(*Config) {})
+	mesh.fallSilent()
+	await(t, mesh.second.entered, "another attempt")
+	mesh.second.ends <- endsWithFailure
+	mesh.stayOpen(t, "after the other failed")
+	mesh.first.ends <- endsWell
+	check.Equal(await(t, mesh.answers, "an answer").status, http.StatusOK)
+}
+
+// The attempt that is waited for is the first one, and not a second one at the same place.
+func TestNoCallIsSentAgainToWhereItRuns(t *testing.T) {
+	check := is.New(t)
+	mesh := startOvertaking(t, func(*Config) {})
+	mesh.fallSilent()
+	await(t, mesh.second.entered, "another attempt")
+	mesh.second.breakAll()
+	mesh.stayOpen(t, "after the other attempt")
+	check.Equal(len(mesh.first.entered), 0) // a second run where the first one is at work
+	mesh.first.ends <- endsWell
+	check.Equal(await(t, mesh.answers, "an answer").status, http.StatusOK)
+}
+
+// An overtaken attempt whose answer stops midway holds no answer up that is whole.
+func TestALateAnswerThatStopsMidwayHoldsNothingUp(t *testing.T) {
+	check := is.New(t)
+	began := make(chan string, 9)
+	head := make(chan struct{})
+	finish := make(chan struct{})
+	var first atomic.Pointer[string]
+	spec := func(name string) backendSpec {
+		return backendSpec{handler: func(writer http.ResponseWriter, request *http.Request) {
+			mine := first.CompareAndSwap(nil, &name)
+			began <- name
+			if !mine {
+				<-finish
+				_, _ = io.WriteString(writer, name)
+				return
+			}
+			<-head
+			writer.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(writer, "part")
+			_ = http.NewResponseController(writer).Flush()
+			<-request.Context().Done()
+		}}
+	}
+	limits := Limits{CollectBytes: 1 << 10}
+	mesh := startMesh(t, meshOptions{limits: limits, caller: func(config *Config) {
+		config.OnSilent = func(protocol.NodeID) {}
+	}}, spec("a"), spec("b"))
+	for _, gate := range mesh.gates {
+		gate.limits.CollectBytes = 0 // the gate's machine is cut off midway
+	}
+	got := make(chan answered, 1)
+	go func() { got <- mesh.call(t, "GET", "/", "", "Springstack-Timeout-Ms", "2000") }()
+	name := await(t, began, "a run")
+	silent := mesh.gates[name[0]-'a'].config.NodeID
+	mesh.caller.SetReachable(silent, false)
+	mesh.caller.GiveUp(silent)
+	await(t, began, "another attempt")
+	close(head)
+	time.Sleep(settleTime)
+	close(finish)
+	select {
+	case one := <-got:
+		check.Equal(one.status, http.StatusOK)
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("a whole answer has been there for 500 ms; the call waits for the rest of the other one")
+	}
+}
--- a/internal/proxy/transfer_test.go
+++ b/internal/proxy/transfer_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/result"
 )
 
 // TestLargeBodiesComeFewAtATime: a gate tells only some senders at once to go on,
@@ -78,3 +79,20 @@
 	check.Equal(answer.Header.Get(headerRan), "no")
 	check.Equal(runs.Load(), int64(0))
 }
+
+// A gate that takes no more work says so before it takes a large body in.
+func TestAClosedGateTakesInNoLargeBody(t *testing.T) {
+	check := is.New(t)
+	var runs atomic.Int64
+	limits := Limits{DrainLinger: time.Millisecond}
+	mesh := startMesh(t, meshOptions{limits: limits}, counting(&runs))
+	mesh.gates[0].StartDrain()
+	<-mesh.gates[0].Drained()
+	body := make([]byte, 48<<10)
+	for index := range body {
+		body[index] = 'x'
+	}
+	got := mesh.call(t, "POST", "/", string(body))
+	check.Equal(got.code(), itoa(int(result.Draining)))
+	check.Equal(mesh.gates[0].transfers.meanTime(), time.Duration(0)) // a body was taken in
+}
