Tests of all ways in which a stop may end an attempt; surplus answers by the ids of their connection

TestAForeignAnswerIsNotPassedOn showed that any other id was read past, so that a back end that names the wrong one held its caller to the deadline (504 for 502).

--- a/internal/proxy/excess_test.go
+++ b/internal/proxy/excess_test.go
@@ -21,8 +21,8 @@
 // testEdge is how a foreign platform speaks in these tests.
 func testEdge() *Edge {
 	return &Edge{
-		RequestID: "Request-Id", Deadline: "Deadline-Milliseconds", Signature: "Response-Signature",
-		ExpectedInstance: "Expected-Instance", NotExecuted: "Not-Executed", CallerService: "Caller-Service", Service: "plans",
+		RequestID: "Id", Deadline: "Left", Signature: "Signed",
+		ExpectedInstance: "Meant-For", NotExecuted: "Not-Run", CallerService: "From", Service: "plans",
 	}
 }
 
@@ -35,7 +35,7 @@
 }
 
 func signedAnswer(id, body string) string {
-	return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: s\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nSigned: s\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
 }
 
 // excessive is a back end that sends an answer in excess in the place of the second one
@@ -48,9 +48,9 @@
 			if !fine {
 				return
 			}
-			id := request.Header.Get("Request-Id")
+			id := request.Header.Get("Id")
 			if cut.Load() {
-				_, _ = io.WriteString(conn, "HTTP/1.1 503 Full\r\nRequest-Id: "+id+"\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+				_, _ = io.WriteString(conn, "HTTP/1.1 503 Full\r\nId: "+id+"\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
 				continue
 			}
 			if number > 0 {
@@ -78,9 +78,9 @@
 			var cut atomic.Bool
 			mesh := startMesh(t, meshOptions{slots: 1}, excessive(&cut))
 			mesh.useEdge()
-			check.Equal(mesh.call(t, method, "/", "", "Request-Id", "first").body, "first")
+			check.Equal(mesh.call(t, method, "/", "", "Id", "first").body, "first")
 			mesh.caller.StartDrain() // as around a stop
-			got := mesh.call(t, method, "/", "", "Request-Id", "second")
+			got := mesh.call(t, method, "/", "", "Id", "second")
 			t.Log(got.status, got.body, "cut", cut.Load())
 			check.True(!cut.Load()) // the gate cut the run
 			check.Equal(got.status, http.StatusOK)
@@ -106,7 +106,7 @@
 
 func chunkedAnswer(id string, length int) string {
 	body := strings.Repeat("y", length)
-	return fmt.Sprintf("HTTP/1.1 500 No\r\nRequest-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", id, length, body)
+	return fmt.Sprintf("HTTP/1.1 500 No\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", id, length, body)
 }
 
 // Whatever answers of other requests come first, however the bytes are cut, what is passed
@@ -131,7 +131,11 @@
 			return rapid.SampledFrom([]int{1, 30, 500, 4096}).Draw(t, "piece")
 		}}
 		filter := &surplusFilter{source: source}
-		attempt := &attemptGuard{answerID: "mine", answerHeader: "Request-Id"}
+		for number := range 3 {
+			filter.begin(fmt.Sprint("other-", number))
+		}
+		filter.begin("mine")
+		attempt := &attemptGuard{answerID: "mine", answerHeader: "Id"}
 		var passed bytes.Buffer
 		buffer := make([]byte, rapid.SampledFrom([]int{100, 4096}).Draw(t, "buffer"))
 		for {
@@ -145,18 +149,20 @@
 	})
 }
 
-// An answer that names no request, and one that only its connection ends, are left to
-// whoever checks answers.
+// An answer that names no request of its connection, and one that only its connection ends,
+// are left to whoever checks answers.
 func TestTheSurplusFilterLeavesWhatItCannotTell(t *testing.T) {
 	for _, text := range []string{
 		"HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\nuntil the end",
+		signedAnswer("unheard of", "x"),
+		"HTTP/1.1 200 OK\r\nId: other\r\n\r\nuntil the end",
 		"no answer at all\r\n\r\n",
 		strings.Repeat("x", 2*headLimit),
 	} {
 		check := is.New(t)
 		filter := &surplusFilter{source: strings.NewReader(text)}
-		attempt := &attemptGuard{answerID: "mine", answerHeader: "Request-Id"}
+		filter.begin("other")
+		attempt := &attemptGuard{answerID: "mine", answerHeader: "Id"}
 		buffer := make([]byte, 4096)
 		count, err := filter.read(buffer, func() *attemptGuard { return attempt })
 		check.NoErr(err)
--- a/internal/proxy/guard.go
+++ b/internal/proxy/guard.go
@@ -133,6 +133,9 @@
 		g.writer.CompareAndSwap(nil, unguarded)
 		return
 	}
+	if g.answerID != "" {
+		conn.surplus.begin(g.answerID)
+	}
 	conn.owner.Store(g)
 	conn.unfinished.Store(g)
 	if g.writer.Load() != nil {
--- /dev/null
+++ b/internal/proxy/renewal_test.go
@@ -0,0 +1,63 @@
+package proxy
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/snapshot"
+)
+
+// A call whose upstream is at work is answered by it whatever view comes meanwhile, before
+// or after the start of a drain.
+func TestNoViewEndsACallThatRuns(t *testing.T) {
+	views := []struct {
+		name    string
+		publish func(*mesh)
+	}{
+		{"an equal one", func(m *mesh) { m.caller.PublishMembers(m.members) }},
+		{"another incarnation of the daemon", func(m *mesh) {
+			m.members[0].Incarnation++
+			m.caller.PublishMembers(m.members)
+		}},
+		{"another address of the daemon", func(m *mesh) {
+			m.members[0].DataAddress = "127.0.0.1:1"
+			m.caller.PublishMembers(m.members)
+		}},
+		{"the daemon drains", func(m *mesh) {
+			m.members[0].Sequence++
+			m.members[0].Endpoint = protocol.EndpointDraining
+			m.caller.PublishMembers(m.members)
+		}},
+		{"the daemon is gone", func(m *mesh) { m.caller.PublishMembers(nil) }},
+		{"a configuration without routes and back ends", func(m *mesh) { m.caller.Swap(&snapshot.Snapshot{Version: 2}) }},
+		{"the daemon is unreachable", func(m *mesh) { m.caller.SetReachable(m.members[0].ID, false) }},
+	}
+	for _, view := range views {
+		for _, drained := range []string{"before", "after"} {
+			t.Run(view.name+" "+drained+" the drain", func(t *testing.T) {
+				check := is.New(t)
+				backend := newBlocking()
+				mesh := startMesh(t, meshOptions{}, backend.spec())
+				running := make(chan answered)
+				for _, method := range []string{"GET", "POST"} {
+					go func() { running <- mesh.call(t, method, "/", "x") }()
+					<-backend.entered
+				}
+				if drained == "after" {
+					mesh.caller.StartDrain()
+					mesh.gates[0].StartDrain()
+				}
+				view.publish(mesh)
+				if drained == "before" {
+					mesh.caller.StartDrain()
+					mesh.gates[0].StartDrain()
+				}
+				close(backend.release)
+				check.Equal((<-running).body, "done")
+				check.Equal((<-running).body, "done")
+			})
+		}
+	}
+}
--- a/internal/proxy/surplus.go
+++ b/internal/proxy/surplus.go
@@ -5,12 +5,17 @@
 	"bytes"
 	"io"
 	"net/http"
+	"slices"
 )
 
 // headLimit bounds the head of an answer that is looked at, in bytes; a longer one is left to
 // the library, which refuses it by its own limit.
 const headLimit = 16 << 10
 
+// earlierLimit is how many requests of a connection are remembered: an answer in excess
+// belongs to the last one, or one of the last few where it comes late.
+const earlierLimit = 4
+
 // headEnding ends the head of an answer.
 var headEnding = []byte("\r\n\r\n")
 
@@ -27,6 +32,17 @@
 	found bool
 	// ready was read and is passed on next.
 	ready []byte
+	// earlier are the ids of the last requests sent before the attempt's, in turn, of sent
+	// in all.
+	earlier [earlierLimit]string
+	sent    int
+}
+
+// begin notes that a request is sent. It is called before any byte of it goes out, when no
+// other one is under way.
+func (f *surplusFilter) begin(id string) {
+	f.earlier[f.sent%earlierLimit] = id
+	f.sent++
 }
 
 // read reads for the library. The owner is asked for once bytes have come, since the library
@@ -94,8 +110,10 @@
 	return nil
 }
 
-// skippable tells whether an answer names another request and has an end of its own.
+// skippable tells whether an answer names an earlier request of the connection and has an
+// end of its own.
 func (f *surplusFilter) skippable(answer *http.Response) bool {
 	ends := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
-	return answer.StatusCode >= http.StatusOK && ends && answer.Header.Get(f.attempt.answerHeader) != ""
+	named := answer.Header.Get(f.attempt.answerHeader)
+	return ends && named != "" && named != f.attempt.answerID && slices.Contains(f.earlier[:], named)
 }
