A hangup during the start does not end the daemon

Cause: SIGHUP was taken only once the parts had been made, and ends a process until then; a series of signals around a restart could end a daemon that had just come back. Found by the soak's series of signals.

--- a/cmd/springstackd/hosted.go
+++ b/cmd/springstackd/hosted.go
@@ -43,7 +43,7 @@
 }
 
 // runHosted runs a daemon on a platform that holds the configuration.
-func runHosted(ctx context.Context, command *cli.Command) error {
+func runHosted(ctx context.Context, command *cli.Command, hangups <-chan os.Signal) error {
 	loaded, err := loadHosted(command)
 	if err != nil {
 		return errors.Trace(err)
@@ -61,7 +61,7 @@
 	})
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go watchSettings(watching, settingsPath(command), func() {
+	go watchSettings(watching, settingsPath(command), hangups, func() {
 		started.Reload(loadHosted(command))
 	})
 	return untilSignal(ctx, started)
@@ -73,12 +73,17 @@
 // settingsPeriod is how often the settings file is looked at.
 const settingsPeriod = time.Second
 
+// notifyHangups takes SIGHUP from now on, so that one that comes while the daemon starts
+// does not end the process. What it returns stops that.
+func notifyHangups() (hangups chan os.Signal, stop func()) {
+	hangups = make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups, func() { signal.Stop(hangups) }
+}
+
 // watchSettings calls changed at each SIGHUP, and when the settings file was
 // written without one.
-func watchSettings(ctx context.Context, path string, changed func()) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func watchSettings(ctx context.Context, path string, hangups <-chan os.Signal, changed func()) {
 	ticker := time.NewTicker(settingsPeriod)
 	defer ticker.Stop()
 	seen := fileVersion(path)
@@ -86,7 +91,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-hangups:
 		case <-ticker.C:
 			if fileVersion(path) == seen {
 				continue
--- a/cmd/springstackd/run.go
+++ b/cmd/springstackd/run.go
@@ -29,8 +29,10 @@
 
 // runDaemon runs until a signal asks to stop, and drains then.
 func runDaemon(ctx context.Context, command *cli.Command) error {
+	hangups, stop := notifyHangups()
+	defer stop()
 	if settings.IsHosted(settingsPath(command)) {
-		return runHosted(ctx, command)
+		return runHosted(ctx, command, hangups)
 	}
 	loaded, err := loadSettings(command)
 	if err != nil {
--- a/cmd/springstackd/run_test.go
+++ b/cmd/springstackd/run_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -83,3 +84,22 @@
 	<-daemon.cut
 	check.NoErr(<-ended)
 }
+
+// A hangup that comes before the daemon has started ends nothing, and is heeded once.
+func TestAHangupDuringTheStartIsHeeded(t *testing.T) {
+	check := is.New(t)
+	hangups, stop := notifyHangups()
+	defer stop()
+	send(t, syscall.SIGHUP)
+	changed := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		watchSettings(ctx, filepath.Join(t.TempDir(), "none"), hangups, func() { changed <- struct{}{} })
+	}()
+	<-changed
+	cancel()
+	<-ended
+	check.Equal(len(hangups), 0)
+}
