Failing and slow answers of a version are judged apart

Cause: both were counted as one kind of bad answers, so that trouble that fails the answers of both versions (0.2 to 0.3 of them) hid that the target was slow.

Ruled out: news that came late, deciders that were killed or paused, the store: these orders had none of them in common.

TestTroubleOfBothHidesNoSlowVersion fails before.

--- a/internal/core/rollout/judge.go
+++ b/internal/core/rollout/judge.go
@@ -34,8 +34,24 @@
 	condemnedAt = 5
 )
 
+// Sign is what is held against a version.
+type Sign int
+
+// The signs. Each is judged by itself: taken together, trouble that fails the answers of
+// both versions would hide that the target is slow.
+const (
+	// Failing: answers fail. All answers are counted.
+	Failing Sign = iota
+	// Slow: answers take much longer than the stable version's. Those that did not fail are
+	// counted.
+	Slow
+)
+
+var signNames = [...]string{Failing: "failed", Slow: "slow"}
+
 // Finding says why a version is condemned.
 type Finding struct {
+	Sign  Sign
 	Class callclass.Class
 	// Answers and Bad are the target's, of which Expected share would be bad were it as
 	// good as the stable version.
@@ -48,47 +64,65 @@
 
 // String puts the finding into a log line.
 func (f Finding) String() string {
-	return fmt.Sprintf("%d of %d answers bad, %.3f expected", f.Bad, f.Answers, f.Expected)
+	return fmt.Sprintf("%d of %d answers %s, %.3f expected", f.Bad, f.Answers, signNames[f.Sign], f.Expected)
 }
 
 // Judge compares the answers of a target version with those of the stable one in the
-// same time, by class of calls and over all; true condemns the target. Faults that
-// hit both versions alike condemn neither. Base is the share of bad answers that is not
+// same time, by class of calls and over all, by each sign; true condemns the target. Faults
+// that hit both versions alike condemn neither. Base is the share of bad answers that is not
 // held against the target.
 //
 // The number of bad answers is held against a binomial distribution of the share that
 // the stable version shows, with some tolerance for how little is known of it: by Chernoff's bound, the chance of a
 // share q where p is expected is at most exp(-n KL(q, p)).
 func Judge(target, stable Evidence, base float64) (Finding, bool) {
-	var allBad, allAnswers, expected float64
+	for _, sign := range [...]Sign{Failing, Slow} {
+		if finding, condemned := judgeBy(sign, target, stable, base); condemned {
+			return finding, true
+		}
+	}
+	return Finding{}, false
+}
+
+func judgeBy(sign Sign, target, stable Evidence, base float64) (Finding, bool) {
+	all := Finding{Sign: sign, All: true}
+	expected := 0.0
 	for class, counts := range target {
-		finding, condemned := judgeClass(counts, stable[class], base)
-		if condemned {
+		finding := findingOf(sign, counts, stable[class], base)
+		if finding.condemns() {
 			finding.Class = class
 			return finding, true
 		}
-		allBad += float64(finding.Bad)
-		allAnswers += float64(finding.Answers)
+		all.Bad += finding.Bad
+		all.Answers += finding.Answers
 		expected += finding.Expected * float64(finding.Answers)
 	}
-	if allAnswers == 0 {
+	if all.Answers == 0 {
 		return Finding{}, false
 	}
-	all := Finding{All: true, Answers: int(allAnswers), Bad: int(allBad), Expected: expected / allAnswers}
+	all.Expected = expected / float64(all.Answers)
 	return all, all.condemns()
 }
 
-func judgeClass(target, stable Counts, base float64) (Finding, bool) {
+// findingOf is what one class of calls shows by a sign.
+func findingOf(sign Sign, target, stable Counts, base float64) Finding {
 	limit := slowFrom(stable)
-	targetBad := int(target.Failures) + target.slowerThan(limit)
-	stableBad := int(stable.Failures) + stable.slowerThan(limit)
-	share := float64(stableBad+1) / float64(stable.Answers+2)
-	if stable.Answers == 0 {
+	answers, bad := target.showing(sign, limit)
+	stableAnswers, stableBad := stable.showing(sign, limit)
+	share := float64(stableBad+1) / float64(stableAnswers+2)
+	if stableAnswers == 0 {
 		share = 0 // nothing to compare with: failures alone count
 	}
-	uncertain := deviations * math.Sqrt(share*(1-share)/float64(stable.Answers+2))
-	finding := Finding{Answers: int(target.Answers), Bad: targetBad, Expected: min(share+uncertain+base, expectedLimit)}
-	return finding, finding.condemns()
+	uncertain := deviations * math.Sqrt(share*(1-share)/float64(stableAnswers+2))
+	return Finding{Sign: sign, Answers: answers, Bad: bad, Expected: min(share+uncertain+base, expectedLimit)}
+}
+
+// showing counts the answers that can show a sign, and those that do.
+func (c Counts) showing(sign Sign, slowFrom int) (answers, bad int) {
+	if sign == Failing {
+		return int(c.Answers), int(c.Failures)
+	}
+	return int(c.Answers - c.Failures), c.slowerThan(slowFrom)
 }
 
 // condemns tells whether chance does not explain the bad answers.
--- a/internal/core/rollout/judge_test.go
+++ b/internal/core/rollout/judge_test.go
@@ -155,3 +155,14 @@
 	restarted := Evidence{1: Counts{Answers: 1}}
 	check.Equal(restarted.Since(earlier), restarted)
 }
+
+// A version that is slow is found so beside trouble that fails the answers of both: were
+// slow and failed answers counted as one, the trouble would hide it.
+func TestTroubleOfBothHidesNoSlowVersion(t *testing.T) {
+	check := is.New(t)
+	for seed := range uint64(100) {
+		slow := version{slow: 0.45, onlyClass: -1}
+		found := judged(seed, slow, 0.28, 200)
+		check.True(found > 0)
+	}
+}
