A suspected version does not get all calls yet

Cause: an order's calls all moved at their time unless the target was condemned by then.

Change: evidence of more than 1.5 (one in four by chance) keeps the order where it is until more answers clear or condemn the version, or no time is left, when it is rolled back.

TestASuspectedVersionIsWatchedForLonger fails before.

--- a/internal/core/rollout/decider.go
+++ b/internal/core/rollout/decider.go
@@ -88,10 +88,14 @@
 }
 
 func (d *Decider) watchCanary(now time.Duration, record Record, elapsed time.Duration, seen Observation) Decision {
-	if finding, condemned := d.condemned(now, seen, baseShare); condemned {
+	finding := d.judge(now, seen, baseShare)
+	if finding.Condemns() {
 		return Decision{Stage: StageHalted, Reason: finding.String()}
 	}
 	due := elapsed >= ShiftAt(record.Duration)
+	if due && finding.Suspects() {
+		return watchSuspected(record, elapsed, finding)
+	}
 	switch {
 	case seen.TargetSlots > 0 && seen.StableSlots == 0 && elapsed >= settleTime:
 		return Decision{Stage: StageCompleted, Reason: "no other version is left"}
@@ -103,12 +107,21 @@
 	return Decision{Stage: StageCanary}
 }
 
+// watchSuspected goes on watching a version that is due to get all calls, and gives it up
+// when there is no time left to move them.
+func watchSuspected(record Record, elapsed time.Duration, finding Finding) Decision {
+	if elapsed >= record.Duration-deadlineMargin-settleTime {
+		return Decision{Stage: StageHalted, Reason: "suspected until the end: " + finding.String()}
+	}
+	return Decision{Stage: StageCanary}
+}
+
 func (d *Decider) finishShift(now time.Duration, seen Observation) Decision {
 	if !d.shifting {
 		d.shifting = true
 		d.shiftedAt = now
 	}
-	if finding, condemned := d.condemned(now, seen, baseAlone); condemned {
+	if finding := d.judge(now, seen, baseAlone); finding.Condemns() {
 		return Decision{Stage: StageHalted, Reason: finding.String()}
 	}
 	waited := now - d.shiftedAt
@@ -122,21 +135,20 @@
 	return Decision{Stage: StageShift}
 }
 
-// condemned judges all answers, and the latest by themselves.
-func (d *Decider) condemned(now time.Duration, seen Observation, base float64) (Finding, bool) {
-	if finding, condemned := Judge(seen.Target, seen.Stable, base); condemned {
-		return finding, true
-	}
+// judge judges all answers, and the latest by themselves, and returns the stronger finding.
+func (d *Decider) judge(now time.Duration, seen Observation, base float64) Finding {
+	finding := Judge(seen.Target, seen.Stable, base)
 	for _, one := range d.history {
-		if now-one.at <= recentSpan {
-			recent := seen.Stable.Since(one.stable)
-			if recent.Total().Answers < fewStable {
-				recent = seen.Stable
-			}
-			return Judge(seen.Target.Since(one.target), recent, base)
+		if now-one.at > recentSpan {
+			continue
+		}
+		recent := seen.Stable.Since(one.stable)
+		if recent.Total().Answers < fewStable {
+			recent = seen.Stable
 		}
+		return stronger(finding, Judge(seen.Target.Since(one.target), recent, base))
 	}
-	return Finding{}, false
+	return finding
 }
 
 // remember keeps an observation as long as the latest ones are compared with it.
--- a/internal/core/rollout/decider_test.go
+++ b/internal/core/rollout/decider_test.go
@@ -178,3 +178,23 @@
 	check.Equal(decider.Step(3*time.Second, record, 0, idle).Stage, StageCompleted)
 	check.Equal(decider.Step(7*time.Second, record, 0, busy).Stage, StageCompleted)
 }
+
+// A version of which too much was found to send it all calls, though too little to condemn
+// it, is watched for longer, and given up when no time is left.
+func TestASuspectedVersionIsWatchedForLonger(t *testing.T) {
+	check := is.New(t)
+	const duration = 20 * time.Second
+	record := Record{Service: testService, Target: "v2", Duration: duration, Stage: StageCanary}
+	seen := func(failures uint32) Observation {
+		return Observation{
+			Stable: Evidence{1: {Answers: 2000, Failures: 440}}, Target: Evidence{1: {Answers: 100, Failures: failures}},
+			StableSlots: 100, TargetSlots: 100,
+		}
+	}
+	suspected, cleared := seen(36), seen(25)
+	check.Equal((&Decider{}).Step(0, record, ShiftAt(duration), cleared).Stage, StageShift)
+	decider := &Decider{}
+	check.Equal(decider.Step(0, record, ShiftAt(duration), suspected).Stage, StageCanary)
+	check.Equal(decider.Step(time.Second, record, ShiftAt(duration)+time.Second, cleared).Stage, StageShift)
+	check.Equal((&Decider{}).Step(0, record, duration-deadlineMargin-settleTime, suspected).Stage, StageHalted)
+}
--- a/internal/core/rollout/judge.go
+++ b/internal/core/rollout/judge.go
@@ -32,6 +32,11 @@
 	// condemned: an e^5th, one in 150, that chance alone brings so many bad answers at a look. Of 345 good
 	// versions of the experiment it gives up 2, an 8 gives up none but overlooks 2 of 655 bad ones.
 	condemnedAt = 5
+	// suspectedAt is the evidence from which a version does not get all calls yet, but is
+	// watched for longer: one in four that chance alone brings so many bad answers. Once it
+	// has all calls nothing is left to compare it with. See docs/design/rollouts.md for what
+	// it buys.
+	suspectedAt = 1.5
 )
 
 // Sign is what is held against a version.
@@ -68,40 +73,41 @@
 }
 
 // Judge compares the answers of a target version with those of the stable one in the
-// same time, by class of calls and over all, by each sign; true condemns the target. Faults
-// that hit both versions alike condemn neither. Base is the share of bad answers that is not
-// held against the target.
+// same time, by class of calls and over all, by each sign, and returns the finding with most
+// evidence. Faults that hit both versions alike are evidence against neither. Base is the
+// share of bad answers that is not held against the target.
 //
 // The number of bad answers is held against a binomial distribution of the share that
-// the stable version shows, with some tolerance for how little is known of it: by Chernoff's bound, the chance of a
-// share q where p is expected is at most exp(-n KL(q, p)).
-func Judge(target, stable Evidence, base float64) (Finding, bool) {
-	for _, sign := range [...]Sign{Failing, Slow} {
-		if finding, condemned := judgeBy(sign, target, stable, base); condemned {
-			return finding, true
-		}
-	}
-	return Finding{}, false
+// the stable version shows, with some tolerance for how little is known of it: by Chernoff's
+// bound, the chance of a share q where p is expected is at most exp(-n KL(q, p)).
+func Judge(target, stable Evidence, base float64) Finding {
+	return stronger(judgeBy(Failing, target, stable, base), judgeBy(Slow, target, stable, base))
 }
 
-func judgeBy(sign Sign, target, stable Evidence, base float64) (Finding, bool) {
-	all := Finding{Sign: sign, All: true}
+func judgeBy(sign Sign, target, stable Evidence, base float64) Finding {
+	all, strongest := Finding{Sign: sign, All: true}, Finding{Sign: sign}
 	expected := 0.0
 	for class, counts := range target {
 		finding := findingOf(sign, counts, stable[class], base)
-		if finding.condemns() {
-			finding.Class = class
-			return finding, true
-		}
+		finding.Class = class
+		strongest = stronger(strongest, finding)
 		all.Bad += finding.Bad
 		all.Answers += finding.Answers
 		expected += finding.Expected * float64(finding.Answers)
 	}
 	if all.Answers == 0 {
-		return Finding{}, false
+		return strongest
 	}
 	all.Expected = expected / float64(all.Answers)
-	return all, all.condemns()
+	return stronger(strongest, all)
+}
+
+// stronger is the one of two findings with more evidence.
+func stronger(one, other Finding) Finding {
+	if other.Evidence() > one.Evidence() {
+		return other
+	}
+	return one
 }
 
 // findingOf is what one class of calls shows by a sign.
@@ -125,15 +131,26 @@
 	return int(c.Answers - c.Failures), c.slowerThan(slowFrom)
 }
 
-// condemns tells whether chance does not explain the bad answers.
-func (f Finding) condemns() bool {
+// Evidence is how little chance explains the bad answers, in natural logarithms; 0 where it
+// does, or where they are too few to tell.
+func (f Finding) Evidence() float64 {
 	if f.Bad < fewBad {
-		return false
+		return 0
 	}
 	share := float64(f.Bad) / float64(f.Answers)
-	return share > f.Expected && float64(f.Answers)*divergence(share, f.Expected) > condemnedAt
+	if share <= f.Expected {
+		return 0
+	}
+	return float64(f.Answers) * divergence(share, f.Expected)
 }
 
+// Condemns tells whether a version is given up for what was found.
+func (f Finding) Condemns() bool { return f.Evidence() > condemnedAt }
+
+// Suspects tells whether what was found, though it condemns no version, is too much to send it
+// all calls.
+func (f Finding) Suspects() bool { return f.Evidence() > suspectedAt }
+
 // slowFrom is the class of latency from which an answer counts as slow.
 func slowFrom(stable Counts) int {
 	timed := stable.Answers - stable.Failures
--- a/internal/core/rollout/judge_test.go
+++ b/internal/core/rollout/judge_test.go
@@ -58,7 +58,7 @@
 		if count%20 != 0 {
 			continue
 		}
-		if _, condemned := Judge(ofTarget, ofStable, baseShare); condemned {
+		if Judge(ofTarget, ofStable, baseShare).Condemns() {
 			return count
 		}
 	}
