The command capacity, its package, script, plots and generated tables go

They fitted lines through runs of a fleet of daemons without data path, which no user runs.

No rule of INVARIANTS.md rested on them.

--- a/cmd/springstack-lab/main.go
+++ b/cmd/springstack-lab/main.go
@@ -16,7 +16,6 @@
 		Usage: "emulate, load and measure springstack",
 		Commands: []*cli.Command{
 			backendCommand(),
-			capacityCommand(),
 			demoCommand(),
 			experimentCommand(),
 			fuzzCommand(), soakCommand(),
