The experiment scale and its package go

It measured daemons without data path, many to one process, with the laboratory's own work in their processor time.

The package had no tests. host.ResidentBytes had no other caller.

--- a/cmd/springstack-lab/experiment.go
+++ b/cmd/springstack-lab/experiment.go
@@ -19,7 +19,6 @@
 		Usage: "measure springstack; the last line is one JSON object",
 		Commands: []*cli.Command{
 			convergenceCommand(),
-			scaleCommand(),
 			requestPathCommand(),
 			pipeliningCommand(),
 			overloadCommand(),
--- a/internal/lab/host/host.go
+++ b/internal/lab/host/host.go
@@ -50,26 +50,3 @@
 	}
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
-
-// statusFile is where Linux tells the memory of this process.
-const statusFile = "/proc/self/status"
-
-// ResidentBytes is the resident memory of this process; 0 when unknown.
-func ResidentBytes() uint64 {
-	text, err := os.ReadFile(statusFile)
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(text)) {
-		rest, found := strings.CutPrefix(line, "VmRSS:")
-		if !found {
-			continue
-		}
-		kibibytes, err := strconv.ParseUint(strings.TrimSuffix(strings.TrimSpace(rest), " kB"), 10, 64)
-		if err != nil {
-			return 0
-		}
-		return kibibytes << 10
-	}
-	return 0
-}
