--- a/cmd/springstack-lab/experiment.go
+++ b/cmd/springstack-lab/experiment.go
@@ -18,7 +18,6 @@
 		Name:  "experiment",
 		Usage: "measure springstack; the last line is one JSON object",
 		Commands: []*cli.Command{
-			convergenceCommand(),
 			requestPathCommand(),
 			pipeliningCommand(),
 			overloadCommand(),
