--- a/internal/sim/oracle/oracle_test.go
+++ b/internal/sim/oracle/oracle_test.go
@@ -123,6 +123,39 @@
 	expect(t, judge, oracle.InForceHolds, oracle.InForceHolds)
 }
 
+func TestClaimMayPassOverAProxyThatDoesNotServe(t *testing.T) {
+	judge := submitted("1", "m1")
+	submit(judge, "2", "m2")
+	judge.PutInForce(0, "serving", holding(2, "m2"))
+	judge.Serving(0, "serving", true)
+	judge.PutInForce(0, "without lease", holding(1, "m1"))
+	judge.Serving(0, "without lease", false)
+	judge.PutInForce(0, "stopped", holding(1, "m1"))
+	judge.Serving(0, "stopped", true)
+	judge.Stopped("stopped")
+	judge.ToldInForce(0, "serving", 2)
+	expect(t, judge)
+	judge.Serving(time.Second, "without lease", true) // what it holds is older than the claim
+	expect(t, judge, oracle.InForceHolds)
+}
+
+func TestLaggingWaitsForEveryProxyThatIsExpected(t *testing.T) {
+	is := is.New(t)
+	judge := submitted("1", "m1")
+	judge.Answered(0, "1", oracle.Answer{Code: result.OK, Version: 3})
+	expected := []oracle.ProxyName{"a", "b"}
+	judge.PutInForce(0, "a", holding(3, "m1"))
+	judge.Serving(0, "a", true)
+	is.Equal(judge.Lagging(expected), []oracle.ProxyName{"b"}) // it was never heard of
+	judge.PutInForce(0, "b", holding(4, "m1"))
+	is.Equal(judge.Lagging(expected), []oracle.ProxyName{"b"}) // it does not serve
+	judge.Serving(0, "b", true)
+	is.Equal(len(judge.Lagging(expected)), 0) // a newer version counts
+	submit(judge, "2", "m2")
+	judge.Answered(0, "2", oracle.Answer{Code: result.OK, Version: 4})
+	is.Equal(judge.Lagging(expected), []oracle.ProxyName{"a"})
+}
+
 func TestRevertIsFound(t *testing.T) {
 	judge := submitted("1", "m1")
 	submit(judge, "2", "m2")
