daemon: the node and its control connections are a part like the others

internal/daemon/hollow.go existed so that a daemon without data path could be started by itself; nothing does so any more. Its options with their defaults, the empty data path, the wrapper for baselines and the accessors go; what is left is the part that the wiring makes (meshpart.go). Nothing else changes: tests of daemon, lab/mesh, lab/processes and operator pass unchanged.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -30,7 +30,7 @@
 }
 
 func (d *Daemon) serveLive(writer http.ResponseWriter, _ *http.Request) {
-	since := d.mesh.Shell().SinceStep()
+	since := d.mesh.shell.SinceStep()
 	if since > livenessBound {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 	}
@@ -39,7 +39,7 @@
 
 // serveReady answers 200 while callers may be sent here.
 func (d *Daemon) serveReady(writer http.ResponseWriter, _ *http.Request) {
-	state := d.mesh.Shell().State()
+	state := d.mesh.shell.State()
 	reasons := d.notReady(state)
 	if len(reasons) > 0 {
 		writer.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -66,8 +66,8 @@
 		_ = d.shutdown() // the first failure is the one to report
 		return errors.Trace(err)
 	}
-	d.mesh.Start()
-	d.backend.connect(d.mesh.Shell())
+	d.mesh.start()
+	d.backend.connect(d.mesh.shell)
 	addresses := d.Addresses()
 	d.event("daemon_started",
 		node.LogField{Key: "incarnation", Value: strconv.FormatUint(uint64(d.overrides.Incarnation), 10)},
@@ -109,7 +109,7 @@
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.event("drain_started")
 	d.draining.Store(true)
-	d.mesh.Shell().Leave(ctx)
+	d.mesh.shell.Leave(ctx)
 	d.path.StartDrain()
 	d.awaitDrained(ctx)
 	d.reportStopped(ctx)
@@ -142,7 +142,7 @@
 // reportStopped tells the mesh that this daemon serves no more, so that it is
 // not waited for.
 func (d *Daemon) reportStopped(ctx context.Context) {
-	if !d.mesh.Shell().Stopped(ctx) {
+	if !d.mesh.shell.Stopped(ctx) {
 		return
 	}
 	reported := time.NewTimer(StoppedReport)
@@ -157,7 +157,7 @@
 // nobody is told.
 func (d *Daemon) Kill() {
 	d.killed.Store(true)
-	d.mesh.Stop()
+	d.mesh.stop()
 	_ = d.shutdown() // calls in flight are cut
 }
 
@@ -173,10 +173,7 @@
 func (d *Daemon) Addresses() Addresses { return d.opened.addresses() }
 
 // State returns what the daemon has seen of its node; valid after Start.
-func (d *Daemon) State() State { return d.mesh.Shell().State() }
-
-// Mesh returns the daemon's node and control side; valid after Start.
-func (d *Daemon) Mesh() *Hollow { return d.mesh.Hollow }
+func (d *Daemon) State() State { return d.mesh.shell.State() }
 
 // Ready reports whether callers may be sent here.
 func (d *Daemon) Ready() bool { return len(d.notReady(d.State())) == 0 }
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -32,7 +32,7 @@
 }
 
 func (c daemonCollector) collectNode(out chan<- prometheus.Metric) {
-	state := c.daemon.mesh.Shell().State()
+	state := c.daemon.mesh.shell.State()
 	ready := 0.0
 	if len(c.daemon.notReady(state)) == 0 {
 		ready = 1
@@ -48,7 +48,7 @@
 }
 
 func (c daemonCollector) collectControl(out chan<- prometheus.Metric) {
-	for kind, traffic := range c.daemon.mesh.Meter().ByKind() {
+	for kind, traffic := range c.daemon.mesh.meter.ByKind() {
 		metrics.ControlBytes.Send(out, float64(traffic.BytesIn), string(kind), "in")
 		metrics.ControlBytes.Send(out, float64(traffic.BytesOut), string(kind), "out")
 		metrics.ControlFrames.Send(out, float64(traffic.FramesIn), string(kind), "in")
--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -6,7 +6,6 @@
 	"github.com/samber/lo"
 
 	"github.com/springstack/springstack/internal/access"
-	"github.com/springstack/springstack/internal/control"
 	"github.com/springstack/springstack/internal/core/node"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
@@ -33,7 +32,6 @@
 // The parts of a daemon as do knows them: a type of its own for each.
 type (
 	pathPart struct{ *proxy.Proxy }
-	meshPart struct{ *Hollow }
 	// platformPart is the port and what closes it, if anything.
 	platformPart struct {
 		platform.Port
@@ -53,12 +51,6 @@
 	return nil
 }
 
-// Shutdown ends the node and its control connections.
-func (m meshPart) Shutdown() error {
-	m.Stop()
-	return nil
-}
-
 // Shutdown closes the platform's connections.
 func (p platformPart) Shutdown() error {
 	if p.close != nil {
@@ -141,38 +133,6 @@
 	}))
 }
 
-func (d *Daemon) newMesh(injector do.Injector) (*meshPart, error) {
-	opened, err := do.Invoke[*listeners](injector)
-	if err != nil {
-		return nil, err
-	}
-	secure, err := do.Invoke[*security](injector)
-	if err != nil {
-		return nil, err
-	}
-	port, err := do.Invoke[*platformPart](injector)
-	if err != nil {
-		return nil, err
-	}
-	path, err := do.Invoke[*pathPart](injector)
-	if err != nil {
-		return nil, err
-	}
-	config := nodeConfig(d.settings, d.overrides)
-	config.DataAddress = opened.gate.Addr().String()
-	return &meshPart{NewHollow(HollowOptions{
-		Config:    config,
-		Listener:  opened.control,
-		Platform:  port,
-		Path:      path,
-		Events:    d.events,
-		Clock:     d.clock,
-		ServerTLS: secure.Control,
-		ClientTLS: secure.Peers,
-		Limits:    control.DefaultLimits(),
-	})}, nil
-}
-
 func (d *Daemon) newCallersServer(injector do.Injector) (*callersServer, error) {
 	opened, path, err := d.pathParts(injector)
 	if err != nil {
@@ -220,7 +180,7 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "operators.tokens")
 	}
-	handler := operator.New(operatorBackend{shell: mesh.Shell()}, granted)
+	handler := operator.New(operatorBackend{shell: mesh.shell}, granted)
 	return &operatorsServer{ServeWeb(opened.operators, secure.Operators, handler, d.closeBound)}, nil
 }
 
