--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -32,7 +32,7 @@
 		"Rising on many daemons at once: look at the network or at their common parent.")
 	ControlBytes = define(Counter, "control_bytes_total",
 		"Control bytes on the wire, by kind of message and direction.",
-		"The rate is the control traffic; see CAPACITY.md for the rate to expect.",
+		"The rate is the control traffic.",
 		"kind", "direction")
 	ControlFrames = define(Counter, "control_frames_total",
 		"Control messages on the wire, by kind of message and direction.", "",
