control: bytes are metered by kind only

The counters by peer and the sum of all were read by the fleet without data path alone; every connection of a daemon kept and filled them, up to 4,096 entries.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -164,7 +164,7 @@
 		c.forget(address, peer)
 		return
 	}
-	peer.wire = newWire(connection, c.limits, c.limits.ReplyBytes, c.meter, address)
+	peer.wire = newWire(connection, c.limits, c.limits.ReplyBytes, c.meter)
 	codec := &clientCodec{wire: peer.wire, kinds: make(map[uint64]Kind)}
 	peer.rpc = rpc.NewClientWithCodec(codec)
 }
--- a/internal/control/client_codec.go
+++ b/internal/control/client_codec.go
@@ -38,7 +38,7 @@
 	if !found {
 		kind = KindUnknown
 	}
-	c.wire.meter.received(c.wire.peer, kind, size)
+	c.wire.meter.received(kind, size)
 	return nil
 }
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -139,9 +139,8 @@
 	if err := server.RegisterName(serviceName, service); err != nil {
 		return // the methods are fixed; tests show that they register
 	}
-	host, _, _ := net.SplitHostPort(peer.Address)
 	codec := &serverCodec{
-		wire:   newWire(connection, s.limits, s.limits.RequestBytes, s.meter, host),
+		wire:   newWire(connection, s.limits, s.limits.RequestBytes, s.meter),
 		cancel: cancel,
 		slots:  make(chan struct{}, s.limits.CallsPerConnection),
 		done:   ctx.Done(),
--- a/internal/control/server_codec.go
+++ b/internal/control/server_codec.go
@@ -44,7 +44,7 @@
 		return err
 	}
 	kind := kindOf(request.ServiceMethod)
-	c.wire.meter.received(c.wire.peer, kind, size)
+	c.wire.meter.received(kind, size)
 	c.mutex.Lock()
 	c.kinds[request.Seq] = kind
 	c.mutex.Unlock()
--- a/internal/control/wire.go
+++ b/internal/control/wire.go
@@ -26,7 +26,6 @@
 	connection net.Conn
 	limits     Limits
 	meter      *Meter
-	peer       *counters
 
 	readLimit   int
 	incoming    relation
@@ -41,12 +40,11 @@
 	frame    []byte
 }
 
-func newWire(connection net.Conn, limits Limits, readLimit int, meter *Meter, peer string) *wire {
+func newWire(connection net.Conn, limits Limits, readLimit int, meter *Meter) *wire {
 	w := &wire{
 		connection: connection,
 		limits:     limits,
 		meter:      meter,
-		peer:       meter.peer(peer),
 		readLimit:  readLimit,
 	}
 	w.decoder = gob.NewDecoder(&w.input)
@@ -112,7 +110,7 @@
 		w.connection.Close()
 		return err
 	}
-	w.meter.sent(w.peer, kind, len(w.frame))
+	w.meter.sent(kind, len(w.frame))
 	err = w.write(w.frame)
 	w.shrink()
 	return err
