--- a/internal/access/check.go
+++ b/internal/access/check.go
@@ -8,7 +8,7 @@
 )
 
 // Check lists what is wrong with the files that the TLS settings name, beyond
-// what settings.Check sees. now is the wall clock.
+// what settings.Load sees. now is the wall clock.
 func Check(given settings.Settings, now time.Time) []*result.Error {
 	if !given.TLS.Enabled() {
 		return nil
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -74,13 +74,6 @@
 	return mistake
 }
 
-// Check lists every mistake of a settings file and of the overrides; an empty
-// list means that a daemon can start with them.
-func Check(path string, overrides []Override) []*result.Error {
-	_, mistakes := Load(path, overrides)
-	return mistakes
-}
-
 // Parse is Load on the text of a file; path is used in messages only.
 func Parse(path string, text []byte, overrides []Override) (Settings, []*result.Error) {
 	return parse(path, text, overrides, Default(), checkTogether)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -223,14 +223,17 @@
 	is.Equal(fields, []string{"listen.control", "listen.gate", "mesh.seeds[0]", "platform.url"})
 }
 
-func TestCheckReadsTheFile(t *testing.T) {
+func TestLoadReadsTheFile(t *testing.T) {
 	is := is.New(t)
 	path := filepath.Join(t.TempDir(), "settings.yaml")
-	is.Equal(len(Check(path, nil)), 1) // no such file
+	_, mistakes := Load(path, nil)
+	is.Equal(len(mistakes), 1) // no such file
 	is.NoErr(os.WriteFile(path, []byte(least), 0o600))
-	is.Equal(len(Check(path, nil)), 0)
+	_, mistakes = Load(path, nil)
+	is.Equal(len(mistakes), 0)
 	is.NoErr(os.WriteFile(path, make([]byte, MaxFileBytes+1), 0o600))
-	is.Equal(len(Check(path, nil)), 1)
+	_, mistakes = Load(path, nil)
+	is.Equal(len(mistakes), 1)
 }
 
 // FuzzParse holds that no text panics, that mistakes are always complete, and
