--- a/internal/sim/oracle/calls.go
+++ b/internal/sim/oracle/calls.go
@@ -132,12 +132,6 @@
 	}
 }
 
-// CutByPlannedStop records that a call in flight at a planned stop was cut by
-// the stop and by nothing else.
-func (o *Oracle) CutByPlannedStop(at time.Duration, name, id string) {
-	o.violate(at, PlannedStopIsSoft, "planned stop of %s cut call %s", name, id)
-}
-
 // CallsSettled judges liveness of calls: each has an answer.
 func (o *Oracle) CallsSettled(at time.Duration) {
 	open := 0
