--- a/internal/core/ledger/head.go
+++ b/internal/core/ledger/head.go
@@ -7,6 +7,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/springstack/springstack/internal/core/protocol"
@@ -176,3 +177,40 @@
 		h.Files = slices.Delete(h.Files, position, position+1)
 	}
 }
+
+// advance makes the head one version newer. The time of acceptance never runs
+// backwards, whichever reader's clock it comes from.
+func (h *Head) advance(now time.Time) {
+	h.Version++
+	if now.After(h.AcceptedAt) {
+		h.AcceptedAt = now
+	}
+}
+
+// setKeepers puts one region's set in place and reports whether it changed.
+func (h *Head) setKeepers(set protocol.KeeperSet) bool {
+	position, found := slices.BinarySearchFunc(h.Keepers, set, func(a, b protocol.KeeperSet) int {
+		return strings.Compare(a.Region, b.Region)
+	})
+	if found && sameKeepers(h.Keepers[position], set) {
+		return false
+	}
+	set.Revision = h.Version + 1
+	set.Members = slices.Clone(set.Members)
+	if found {
+		h.Keepers[position] = set
+		return true
+	}
+	h.Keepers = slices.Insert(h.Keepers, position, set)
+	return true
+}
+
+func sameKeepers(a, b protocol.KeeperSet) bool {
+	if (a.Previous == nil) != (b.Previous == nil) {
+		return false
+	}
+	if a.Previous != nil && !sameKeepers(*a.Previous, *b.Previous) {
+		return false
+	}
+	return a.Write == b.Write && a.Read == b.Read && slices.Equal(a.Members, b.Members)
+}
