reader: renewals and the writes of an attempt in files of their own

Moved only; no line differs. The mutant conflict_is_accepted names the file in which its line stands now.

--- /dev/null
+++ b/internal/core/reader/attemptwrite.go
@@ -0,0 +1,92 @@
+package reader
+
+import (
+	"github.com/springstack/springstack/internal/core/ledger"
+	"github.com/springstack/springstack/internal/core/object"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// writeContents creates the contents; one that exists already is as good.
+func (r *Reader) writeContents(current *attempt) {
+	if len(current.unwritten) == 0 {
+		r.writeHead(current)
+		return
+	}
+	for _, item := range current.items {
+		digest := item.change.Digest
+		if current.unwritten[digest] == nil || current.writing[digest] || len(current.writing) >= parallelContents {
+			continue
+		}
+		current.writing[digest] = true
+		r.call(pendingCall{purpose: purposeContentWrite, digest: digest, attempt: current.number},
+			object.Call{Kind: object.CallCreate, Name: ledger.ContentObject(digest), Data: current.unwritten[digest]})
+	}
+}
+
+func (r *Reader) contentWasWritten(call pendingCall, reply object.Reply) {
+	current := r.changes.attempt
+	if current == nil || current.number != call.attempt {
+		return
+	}
+	delete(current.writing, call.digest)
+	switch reply.Code {
+	case result.OK, result.PlatformExists:
+		r.changes.retry.succeed()
+		delete(current.unwritten, call.digest)
+	case result.PlatformTooLarge:
+		r.refuseTooLarge(current, result.FileTooLarge)
+	default:
+		r.changes.retry.fail(r.now, r.random)
+	}
+}
+
+// writeHead sends the update that accepts the batch.
+func (r *Reader) writeHead(current *attempt) {
+	current.phase = phaseWriting
+	write := object.Call{Kind: object.CallUpdate, Name: ledger.HeadObject, Expect: current.base, Data: current.data}
+	if current.base == 0 {
+		write.Kind = object.CallCreate
+	}
+	r.call(pendingCall{purpose: purposeHeadWrite, attempt: current.number}, write)
+}
+
+// headWasWritten takes the answer to an update. Only an OK and a newer head
+// settle it; see attempt.
+func (r *Reader) headWasWritten(call pendingCall, reply object.Reply) {
+	current := r.changes.attempt
+	if current == nil || current.number != call.attempt {
+		return
+	}
+	switch reply.Code {
+	case result.OK:
+		r.changes.retry.succeed()
+		r.adopt(object.Object{Name: ledger.HeadObject, Version: reply.Object.Version, Data: current.data})
+	case result.PlatformUnavailable, result.PlatformReadersFull:
+		r.changes.retry.fail(r.now, r.random)
+		current.phase = phaseWrite
+		if current.lost {
+			current.phase = phaseResolve
+		}
+	case result.PlatformTooLarge:
+		r.refuseTooLarge(current, result.HeadTooLarge)
+	case result.PlatformConflict, result.PlatformExists, result.PlatformNotFound:
+		current.phase = phaseResolve
+	default:
+		current.lost = true
+		current.phase = phaseResolve
+		r.changes.retry.fail(r.now, r.random)
+	}
+}
+
+// refuseTooLarge ends an attempt that the platform will never take. A batch is
+// taken apart; a single change is refused.
+func (r *Reader) refuseTooLarge(current *attempt, code result.Code) {
+	if len(current.items) != 1 {
+		r.changes.alone = true
+		current.lost = false
+		r.requeue(current)
+		return
+	}
+	r.changes.attempt = nil
+	r.answerAll(current.items[0], refusal(code, "the platform refuses an object of this size"))
+}
--- a/internal/core/reader/lease.go
+++ b/internal/core/reader/lease.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"slices"
 	"strconv"
 	"time"
 
@@ -69,12 +68,6 @@
 	sent []sentRenewal
 }
 
-// sentRenewal is when a renewal left.
-type sentRenewal struct {
-	renewals uint64
-	at       time.Duration
-}
-
 func (r *Reader) setCandidacy(candidacy Candidacy) {
 	if candidacy.Candidate && !r.lease.candidate {
 		r.lease.attempt = backoff{until: r.now + candidacy.Delay}
@@ -237,111 +230,6 @@
 	r.event("reader_lease_gained", EventField{"slot", call.slot}, EventField{"term", fmt.Sprint(call.record.Term)})
 }
 
-// holdUntil returns when a lease written by a call sent at sent must no longer
-// be used. It is earlier than anybody else may take it, since others count a
-// tenth more than the duration from when they saw the write, after sent.
-func (r *Reader) holdUntil(sent time.Duration) time.Duration {
-	return sent + r.config.LeaseDuration - r.config.LeaseDuration/clockMargin
-}
-
-// advanceRenewal sends what keeps a held lease alive.
-func (r *Reader) advanceRenewal() {
-	if r.lease.renewing || r.now < r.lease.renewAt {
-		return
-	}
-	r.lease.renewing = true
-	if r.lease.mustRead {
-		r.call(pendingCall{purpose: purposeLeaseRead, slot: r.lease.slot}, object.Call{Kind: object.CallGet, Name: r.lease.slot})
-		return
-	}
-	record := r.lease.record
-	record.Renewals = r.nextRenewal()
-	r.lease.sent = append(r.lease.sent, sentRenewal{renewals: record.Renewals, at: r.now})
-	r.call(pendingCall{purpose: purposeLeaseRenew, record: record, slot: r.lease.slot},
-		object.Call{Kind: object.CallUpdate, Name: r.lease.slot, Expect: r.lease.version, Data: record.encode()})
-}
-
-// nextRenewal returns a count that no write under this term has carried.
-func (r *Reader) nextRenewal() uint64 {
-	highest := r.lease.record.Renewals
-	for _, sent := range r.lease.sent {
-		highest = max(highest, sent.renewals)
-	}
-	return highest + 1
-}
-
-func (r *Reader) leaseRenewed(call pendingCall, reply object.Reply) {
-	r.lease.renewing = false
-	switch reply.Code {
-	case result.OK:
-		r.renewalLanded(call.record, reply.Object.Version)
-	case result.PlatformUnavailable, result.PlatformReadersFull:
-		r.lease.renewAt = r.now + r.renewalRetry()
-	default:
-		r.lease.mustRead = true
-		r.lease.renewAt = r.now
-	}
-}
-
-// renewalRetry is short, for the lease must be saved within its duration.
-func (r *Reader) renewalRetry() time.Duration {
-	return jitter(r.random, r.config.LeaseDuration/clockMargin)
-}
-
-// renewalLanded extends the lease from when the write that landed was sent.
-func (r *Reader) renewalLanded(record leaseRecord, version object.Version) {
-	r.lease.version = version
-	r.lease.record = record
-	index := slices.IndexFunc(r.lease.sent, func(sent sentRenewal) bool { return sent.renewals == record.Renewals })
-	if index < 0 {
-		return
-	}
-	sent := r.lease.sent[index].at
-	r.lease.sent = r.lease.sent[index+1:]
-	r.lease.expires = max(r.lease.expires, r.holdUntil(sent))
-	r.lease.renewAt = max(r.now, sent+r.config.LeaseDuration/renewalsPerLease)
-}
-
-// leaseRead resolves a write whose answer was lost, or that met a conflict.
-func (r *Reader) leaseRead(call pendingCall, reply object.Reply) {
-	if !r.lease.held {
-		r.takeResolved(call, reply)
-		return
-	}
-	r.lease.renewing = false
-	if reply.Code != result.OK && reply.Code != result.PlatformNotFound {
-		r.lease.renewAt = r.now + r.renewalRetry()
-		return
-	}
-	var record leaseRecord
-	if reply.Code != result.OK || json.Unmarshal(reply.Object.Data, &record) != nil || !r.isMine(record) {
-		r.loseLease("taken")
-		return
-	}
-	r.lease.mustRead = false
-	r.lease.renewAt = r.now
-	if reply.Object.Version > r.lease.version {
-		r.renewalLanded(record, reply.Object.Version)
-	}
-}
-
-func (r *Reader) isMine(record leaseRecord) bool {
-	return record.Holder == r.config.ID && record.Term == r.lease.record.Term
-}
-
-// takeResolved ends an acquisition whose answer was lost. A write that lands
-// later only makes the lease look held by this daemon, which may take it again.
-func (r *Reader) takeResolved(call pendingCall, reply object.Reply) {
-	r.lease.busy = false
-	var record leaseRecord
-	if reply.Code != result.OK || json.Unmarshal(reply.Object.Data, &record) != nil || record != call.record {
-		r.lease.attempt.fail(r.now, r.random)
-		return
-	}
-	call.sent = call.takeSent
-	r.gainLease(call, reply.Object.Version)
-}
-
 // resign gives the lease back.
 func (r *Reader) resign() {
 	r.lease.candidate = false
--- a/internal/sim/mutant/configuration.go
+++ b/internal/sim/mutant/configuration.go
@@ -59,7 +59,7 @@
 	{Name: "claim_for_all_regions", Breaks: oracle.InForceHolds, Simulation: Mesh, File: "node/regions.go",
 		Old: "		lowest = min(lowest, peer.inForce)",
 		New: "		lowest = max(lowest, peer.inForce)"},
-	{Name: "conflict_is_accepted", Breaks: oracle.InForceHolds, Simulation: Mesh, File: "reader/attempt.go",
+	{Name: "conflict_is_accepted", Breaks: oracle.InForceHolds, Simulation: Mesh, File: "reader/attemptwrite.go",
 		Old: "	case result.PlatformConflict, result.PlatformExists, result.PlatformNotFound:\n",
 		New: "	case result.PlatformConflict, result.PlatformExists, result.PlatformNotFound:\n		r.adopt(object.Object{Name: ledger.HeadObject, Version: reply.Object.Version, Data: current.data}); return\n"},
 	{Name: "lease_without_keepers", Breaks: oracle.InForceHolds, Simulation: Mesh, File: "distribution/rootlease.go",
