--- a/internal/daemon/meshpart.go
+++ b/internal/daemon/meshpart.go
@@ -18,7 +18,7 @@
 
 // newMesh makes the node, which does not run yet.
 func (d *Daemon) newMesh(injector do.Injector) (*meshPart, error) {
-	opened, err := do.Invoke[*listeners](injector)
+	opened, path, err := d.pathParts(injector)
 	if err != nil {
 		return nil, err
 	}
@@ -30,10 +30,6 @@
 	if err != nil {
 		return nil, err
 	}
-	path, err := do.Invoke[*pathPart](injector)
-	if err != nil {
-		return nil, err
-	}
 	config := nodeConfig(d.settings, d.overrides)
 	config.DataAddress = opened.gate.Addr().String()
 	config.ControlAddress = opened.control.Addr().String()
