--- a/internal/sim/oracle/oracle.go
+++ b/internal/sim/oracle/oracle.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// Invariant numbers the brief's rules in their order.
+// Invariant numbers the rules of docs/INVARIANTS.md in their order.
 type Invariant int
 
 // The invariants, and liveness, which is judged once faults have stopped.
