A heartbeat that was held up does not hold its successor up

Cause: one unconfirmed instance was remembered. A late heartbeat of one that has crashed took the place of its successor's, whose answer to the probe was then not taken until its next heartbeat. Change: the newest reports of up to four unconfirmed instances are held, and the back end's own answer tells which runs. TestALateReportDoesNotHoldItsSuccessorUp fails before.

--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -37,6 +37,10 @@
 	Healthy bool
 }
 
+// candidateLimit bounds the unconfirmed instances: one that starts, and a few before it that
+// have crashed within the time for which heartbeats may be held up.
+const candidateLimit = 4
+
 // endedLimit bounds the ended instances that are remembered.
 const endedLimit = 32
 
@@ -57,8 +61,10 @@
 	draining bool
 	down     bool
 	heardAt  time.Duration
-	// candidate is a report of an instance that has not been confirmed.
-	candidate *Report
+	// candidates are the newest reports of instances that have not been confirmed, oldest
+	// first. A heartbeat that was held up may come from one that has crashed since, after
+	// that of its successor; the back end's own answer tells which of them runs.
+	candidates []Report
 	// ended are instances that have left or been replaced, oldest first.
 	ended   []string
 	outlier outlier
@@ -75,10 +81,7 @@
 		return false
 	}
 	if report.Instance != t.instance {
-		known := t.candidate
-		if known == nil || known.Instance != report.Instance || known.Sequence < report.Sequence {
-			t.candidate = &report
-		}
+		t.addCandidate(report)
 		return true
 	}
 	if report.Sequence <= t.sequence {
@@ -88,6 +91,26 @@
 	return false
 }
 
+// addCandidate keeps a report unless a newer one of its instance is held.
+func (t *Tracker) addCandidate(report Report) {
+	at := t.candidateAt(report.Instance)
+	switch {
+	case at >= 0 && t.candidates[at].Sequence < report.Sequence:
+		t.candidates[at] = report
+	case at >= 0:
+	default:
+		if len(t.candidates) >= candidateLimit {
+			t.candidates = slices.Delete(t.candidates, 0, 1)
+		}
+		t.candidates = append(t.candidates, report)
+	}
+}
+
+// candidateAt is the index of an instance's report, or -1.
+func (t *Tracker) candidateAt(instance string) int {
+	return slices.IndexFunc(t.candidates, func(held Report) bool { return held.Instance == instance })
+}
+
 func (t *Tracker) take(now time.Duration, report Report) {
 	t.sequence = report.Sequence
 	t.slots = report.Slots
@@ -101,29 +124,31 @@
 // Probed takes the answer of a probe. A candidate that answers itself replaces
 // the instance that ran before.
 func (t *Tracker) Probed(now time.Duration, probe Probe) {
-	if t.candidate == nil || probe.Instance != t.candidate.Instance {
+	at := t.candidateAt(probe.Instance)
+	if at < 0 {
 		return
 	}
-	if !probe.Healthy && !t.candidate.Draining {
+	confirmed := t.candidates[at]
+	if !probe.Healthy && !confirmed.Draining {
 		return // it is leaving, or fails: the next report asks again
 	}
 	if t.instance != "" {
 		t.end(t.instance)
 	}
-	t.instance = t.candidate.Instance
+	t.instance = confirmed.Instance
 	t.draining = false
 	t.outlier = outlier{answered: t.outlier.answered}
-	t.take(now, *t.candidate)
-	t.candidate = nil
+	t.take(now, confirmed)
+	t.candidates = nil
 }
 
 // Unconfirmed tells whether a report waits for a probe.
-func (t *Tracker) Unconfirmed() bool { return t.candidate != nil }
+func (t *Tracker) Unconfirmed() bool { return len(t.candidates) > 0 }
 
 // Left takes the word of an instance that it gets no more work.
 func (t *Tracker) Left(instance string) {
-	if t.candidate != nil && t.candidate.Instance == instance {
-		t.candidate = nil
+	if at := t.candidateAt(instance); at >= 0 {
+		t.candidates = slices.Delete(t.candidates, at, at+1)
 	}
 	if instance == t.instance {
 		t.draining = true
--- a/internal/core/backend/backend_test.go
+++ b/internal/core/backend/backend_test.go
@@ -110,3 +110,24 @@
 	tracker.Remembered("one") // told late: the newer instance works on
 	check.Equal(tracker.View(0), View{Instance: "two", Slots: 6, State: protocol.EndpointReady})
 }
+
+// A heartbeat that was held up comes from an instance that has crashed, after the first one of
+// its successor: the successor is taken as soon as it answers itself.
+func TestALateReportDoesNotHoldItsSuccessorUp(t *testing.T) {
+	check := is.New(t)
+	for _, before := range []string{"", "a"} { // the daemon may have known the crashed one, or not
+		tracker := NewTracker(time.Second)
+		if before != "" {
+			tracker.Reported(0, Report{Instance: before, Sequence: 1, Slots: 6})
+			tracker.Probed(0, Probe{Instance: before, Healthy: true})
+		}
+		check.True(tracker.Reported(time.Second, Report{Instance: "b", Sequence: 1, Slots: 6}))
+		tracker.Reported(2*time.Second, Report{Instance: "a", Sequence: 9, Slots: 6})
+		tracker.Probed(2*time.Second, Probe{Instance: "b", Healthy: true})
+		check.Equal(tracker.View(2*time.Second).Instance, "b")
+		check.Equal(tracker.View(2*time.Second).State, protocol.EndpointReady)
+		tracker.Reported(3*time.Second, Report{Instance: "a", Sequence: 10, Slots: 6}) // later still
+		tracker.Probed(3*time.Second, Probe{Instance: "b", Healthy: true})
+		check.Equal(tracker.View(3*time.Second).Instance, "b")
+	}
+}
