What a start acknowledges binds the next one, whoever it asks

Found by the soak (drains that upstreams deny, daemons that are killed), two faults of the same promise: a leaving back end gets no new work.

The instance that leaves, or says in its first heartbeat that it drains, is now taken for the one that runs. Peers of its zone that remember a drain which the new record doesn't show now tell it. TestAStartIsToldOfTheDrainThatItForgot.

--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -81,6 +81,10 @@
 		return false
 	}
 	if report.Instance != t.instance {
+		if t.instance == "" && report.Draining {
+			t.Left(report.Instance) // no probe is needed for taking no work
+			return false
+		}
 		t.addCandidate(report)
 		return true
 	}
@@ -145,8 +149,13 @@
 // Unconfirmed tells whether a report waits for a probe.
 func (t *Tracker) Unconfirmed() bool { return len(t.candidates) > 0 }
 
-// Left takes the word of an instance that it gets no more work.
+// Left takes the word of an instance that it gets no more work. Where no instance is known
+// yet it is taken for the one that runs, so that peers hear of it: what was acknowledged
+// binds the next start of this daemon as well.
 func (t *Tracker) Left(instance string) {
+	if t.instance == "" {
+		t.instance = instance
+	}
 	if at := t.candidateAt(instance); at >= 0 {
 		t.candidates = slices.Delete(t.candidates, at, at+1)
 	}
@@ -159,12 +168,7 @@
 // Remembered takes a peer's memory that an earlier start of this daemon had
 // acknowledged that an instance is leaving. Instances that leave never come
 // back, so what the instance says of itself after that counts for nothing.
-func (t *Tracker) Remembered(instance string) {
-	if t.instance == "" {
-		t.instance = instance
-	}
-	t.Left(instance)
-}
+func (t *Tracker) Remembered(instance string) { t.Left(instance) }
 
 func (t *Tracker) end(instance string) {
 	if slices.Contains(t.ended, instance) {
--- a/internal/core/backend/backend_test.go
+++ b/internal/core/backend/backend_test.go
@@ -131,3 +131,26 @@
 		check.Equal(tracker.View(3*time.Second).Instance, "b")
 	}
 }
+
+// A daemon that has had no heartbeat since its start tells of what it acknowledges: were it
+// killed then, nobody else would know.
+func TestALeaveBeforeTheFirstHeartbeatIsTold(t *testing.T) {
+	check := is.New(t)
+	leave := map[string]func(*Tracker){
+		"leave":              func(tracker *Tracker) { tracker.Left("a") },
+		"draining heartbeat": func(tracker *Tracker) { tracker.Reported(0, Report{Instance: "a", Sequence: 1, Draining: true}) },
+	}
+	for name, say := range leave {
+		tracker := NewTracker(time.Second)
+		say(tracker)
+		t.Log(name)
+		check.Equal(tracker.View(0).Instance, "a")
+		check.Equal(tracker.View(0).State, protocol.EndpointDraining)
+		tracker.Reported(0, Report{Instance: "a", Sequence: 9, Slots: 6}) // it denies that
+		tracker.Probed(0, Probe{Instance: "a", Healthy: true})
+		check.Equal(tracker.View(0).State, protocol.EndpointDraining)
+		tracker.Reported(0, Report{Instance: "b", Sequence: 1, Slots: 6}) // its successor
+		tracker.Probed(0, Probe{Instance: "b", Healthy: true})
+		check.Equal(tracker.View(0).State, protocol.EndpointReady)
+	}
+}
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -233,8 +233,13 @@
 			m.refute(member)
 			continue
 		}
-		if m.roster.Merge(m.clock(), member, membership.Below) {
-			news = append(news, member)
+		remembered, known := m.roster.Get(member.ID)
+		if !m.roster.Merge(m.clock(), member, membership.Below) {
+			continue
+		}
+		news = append(news, member)
+		if known && forgetsDrain(remembered, member) {
+			m.remind(remembered, member)
 		}
 	}
 	if len(news) > 0 {
@@ -252,6 +257,27 @@
 	}
 }
 
+// forgetsDrain tells whether a daemon that has started again does not know that an earlier
+// start has acknowledged that its back end is leaving.
+func forgetsDrain(remembered, started protocol.Member) bool {
+	restarted := started.Incarnation > remembered.Incarnation
+	acknowledged := remembered.Backend != "" && remembered.Endpoint == protocol.EndpointDraining
+	another := started.Backend != "" && started.Backend != remembered.Backend
+	return restarted && acknowledged && !another && started.Endpoint != protocol.EndpointDraining
+}
+
+// remind tells a daemon of the own zone that has started again what its earlier start had
+// acknowledged; the lock is held. The peer that it joined by may not have heard of that.
+func (m *mesh) remind(remembered, started protocol.Member) {
+	if started.Zone != m.self.Zone {
+		return
+	}
+	target := dissemination.Peer{
+		ID: started.ID, Address: started.ControlAddress, Zone: started.Zone, Region: started.Region,
+	}
+	m.push([]dissemination.Peer{target}, remembered)
+}
+
 // refute raises the own record above what another daemon remembers of an
 // earlier start; the lock is held.
 func (m *mesh) refute(remembered protocol.Member) {
--- /dev/null
+++ b/internal/hosted/remind_test.go
@@ -0,0 +1,85 @@
+package hosted
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/control"
+	"github.com/springstack/springstack/internal/core/protocol"
+)
+
+// recordingPeer keeps the records that it is sent.
+type recordingPeer struct{ told chan protocol.Member }
+
+func (r recordingPeer) HandlePeer(_ context.Context, _ control.Peer, body any) (any, error) {
+	if request, typed := body.(*protocol.ExchangeRequest); typed {
+		for _, member := range request.Members {
+			r.told <- member
+		}
+	}
+	return &protocol.ExchangeReply{}, nil
+}
+
+// A daemon that has started again asks one peer, which may not have heard what the earlier
+// start had acknowledged. Those that have tell it.
+func TestAStartIsToldOfTheDrainThatItForgot(t *testing.T) {
+	check := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	check.NoErr(err)
+	peer := recordingPeer{told: make(chan protocol.Member, 9)}
+	server := control.NewServer(listener, nil, peer, controlLimits(), control.NewMeter())
+	server.Start()
+	t.Cleanup(server.Close)
+
+	before := member("a", "z1")
+	before.ControlAddress = listener.Addr().String()
+	before.Backend, before.Endpoint = "i", protocol.EndpointDraining
+	held := newTestMesh("z1", before)
+	held.heardOf = func(protocol.NodeID, protocol.Version) {}
+	ctx, cancel := context.WithCancel(context.Background())
+	held.context = ctx
+	held.client = control.NewClient(nil, controlLimits(), control.NewMeter())
+	t.Cleanup(func() {
+		cancel()
+		held.client.Close()
+		held.running.Wait()
+	})
+	started := before
+	started.Incarnation++
+	started.Backend, started.Endpoint = "", protocol.EndpointNone
+	held.takeCompared("z1", []protocol.Member{started})
+	select {
+	case told := <-peer.told:
+		check.Equal(told.Backend, "i")
+		check.Equal(told.Endpoint, protocol.EndpointDraining)
+		check.Equal(told.Incarnation, before.Incarnation)
+	case <-time.After(5 * time.Second):
+		t.Fatal("never told")
+	}
+}
+
+// Only a start that does not know is told: not one that still drains, nor one that has another
+// back end, nor a later record of the same start.
+func TestWhoForgetsADrain(t *testing.T) {
+	check := is.New(t)
+	remembered := member("a", "z1")
+	remembered.Backend, remembered.Endpoint = "i", protocol.EndpointDraining
+	restarted := remembered
+	restarted.Incarnation++
+	check.True(!forgetsDrain(remembered, restarted)) // it drains
+	restarted.Endpoint = protocol.EndpointReady
+	check.True(forgetsDrain(remembered, restarted))
+	restarted.Backend = "another"
+	check.True(!forgetsDrain(remembered, restarted))
+	later := remembered
+	later.Sequence++
+	later.Endpoint = protocol.EndpointReady
+	check.True(!forgetsDrain(remembered, later))
+	ready := remembered
+	ready.Endpoint = protocol.EndpointReady
+	check.True(!forgetsDrain(ready, restarted))
+}
