The soak's oracle knows when daemons stop and holds them to what they passed on

Cause: a request was cut at a stopping entry while its upstream was at work on it, and no check of the soak could see that: it judged neither lost answers nor ones that no upstream signed.

Change: the stand-in upstream tells of the end of each run and how it ended (answered, failed, cut by its caller, broken off by itself). The oracle notes each SIGTERM and each unplanned harm from its beginning to its end, and judges once all is seen: a request that was passed on before the entry's or the gate's hard bound, and got no answer or one that no upstream signed, is a violation unless its time was over, the upstream ended or failed it, or one of the machines on its way was harmed from 3 s before it was sent. Faults of the store alone excuse nothing.

Tests break the promise in 8 ways and keep it in 11.

--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -32,11 +32,13 @@
 	for count := 0; ctx.Err() == nil; count++ {
 		request := Request{
 			ID: fmt.Sprintf("%s-%d-%d", on.name, index, count), Machine: on.name, Service: on.service,
-			Method: http.MethodGet, Target: fmt.Sprintf("/read/%d?x=%%20%d", index, count), Repeatable: true,
+			Method: http.MethodGet, Target: fmt.Sprintf("%s%d?x=%%20%d", readPrefix, index, count), Repeatable: true,
+			Timeout: readTimeout,
 		}
 		if count%3 == 0 {
 			request.Method = http.MethodPost
-			request.Target = fmt.Sprintf("/write//%d", count)
+			request.Target = fmt.Sprintf("%s/%d", writePrefix, count)
+			request.Timeout = writeTimeout
 			request.Body = strings.Repeat("b", 1+count%3000)
 			request.Repeatable = false
 		}
@@ -55,7 +57,7 @@
 func (s *soak) exchange(ctx context.Context, transport *http.Transport, on *machine, request Request) Answer {
 	bounded, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	request.SentAt = time.Now()
+	request.SentAt, request.Deadline = time.Now(), patience
 	s.oracle.Sent(request)
 	sent, err := standin.NewRequest(bounded, request.Method, on.callers, host, request.Target, request.ID, patience, strings.NewReader(request.Body))
 	if err != nil {
@@ -64,11 +66,13 @@
 	sent.GetBody = nil // nothing is sent twice under one id
 	got, err := transport.RoundTrip(sent)
 	if err != nil {
+		s.lost(ctx, request)
 		return Answer{}
 	}
 	defer got.Body.Close()
 	body, err := io.ReadAll(got.Body)
 	if err != nil {
+		s.lost(ctx, request)
 		return Answer{}
 	}
 	answer := Answer{
@@ -78,6 +82,13 @@
 	return answer
 }
 
+// lost notes a request that got no whole answer, unless the client itself left.
+func (s *soak) lost(ctx context.Context, request Request) {
+	if ctx.Err() == nil {
+		s.oracle.Lost(request, time.Now())
+	}
+}
+
 // prober asks a daemon for the newest version and the one that it showed last.
 func (s *soak) prober(ctx context.Context, on *machine) {
 	transport := &http.Transport{DisableKeepAlives: true}
@@ -92,6 +103,7 @@
 			request := Request{
 				ID: fmt.Sprintf("probe-%s-%d-%d", on.name, count, asked), Machine: on.name, Service: on.service,
 				Method: http.MethodGet, Target: versionPrefix(asked), Repeatable: true,
+				Timeout: readTimeout,
 			}
 			sentAt := time.Now()
 			answer := s.exchange(ctx, transport, on, request)
@@ -120,6 +132,7 @@
 			request := Request{
 				ID: fmt.Sprintf("heal-%s-%s-%d", strings.ReplaceAll(when, " ", "-"), on.name, count), Machine: on.name,
 				Service: on.service, Method: http.MethodGet, Target: versionPrefix(version), Repeatable: true,
+				Timeout: readTimeout,
 			}
 			if s.exchange(ctx, transport, on, request).Status == http.StatusOK {
 				break
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -19,6 +19,8 @@
 	harm func(s *soak, on *machine) func()
 	// weight is how often it is drawn.
 	weight int
+	// planned says that it is planned work, which breaks no request off.
+	planned bool
 	// everyone says that it concerns all machines, as when the store is down.
 	everyone bool
 }
@@ -38,7 +40,8 @@
 		on.end(syscall.SIGKILL)
 		return func() { s.restart(on) }
 	}},
-	{name: "stop", weight: 2, harm: func(s *soak, on *machine) func() {
+	{name: "stop", weight: 2, planned: true, harm: func(s *soak, on *machine) func() {
+		s.oracle.Stopped(on.name, time.Now())
 		on.end(syscall.SIGTERM)
 		return func() { s.restart(on) }
 	}},
@@ -46,7 +49,7 @@
 		on.signal(syscall.SIGSTOP)
 		return func() { on.signal(syscall.SIGCONT) }
 	}},
-	{name: "reload", weight: 1, harm: func(_ *soak, on *machine) func() {
+	{name: "reload", weight: 1, planned: true, harm: func(_ *soak, on *machine) func() {
 		on.signal(syscall.SIGHUP)
 		return nil
 	}},
@@ -133,7 +136,7 @@
 		upstream.SetFailing(true)
 		return func() { upstream.SetFailing(false) }
 	}},
-	{name: "configuration", weight: 8, harm: func(s *soak, _ *machine) func() {
+	{name: "configuration", weight: 8, planned: true, harm: func(s *soak, _ *machine) func() {
 		for range 1 + s.random.IntN(6) {
 			s.operate()
 		}
@@ -231,15 +234,23 @@
 		if drawn.everyone {
 			s.disturbAll()
 		}
+		healed := func(time.Time) {}
+		if !drawn.planned && !drawn.everyone {
+			healed = s.oracle.Harmed(on.name, time.Now())
+		}
 		undo := drawn.harm(s, on)
 		s.faults++
+		if undo == nil {
+			healed(time.Now())
+		}
 		if undo != nil {
 			lasts := faultTime/4 + time.Duration(s.random.Int64N(int64(faultTime*3/2)))
 			everyone := undo
 			if drawn.everyone {
 				everyone = func() { undo(); s.disturbAll() }
 			}
-			open = append(open, pending{name: drawn.name, on: on, undo: everyone, at: time.Now().Add(lasts)})
+			undone := func() { everyone(); healed(time.Now()) }
+			open = append(open, pending{name: drawn.name, on: on, undo: undone, at: time.Now().Add(lasts)})
 		}
 		s.disturb(on)
 	}
--- a/internal/lab/soak/oracle.go
+++ b/internal/lab/soak/oracle.go
@@ -35,6 +35,9 @@
 	Body       string
 	Repeatable bool
 	SentAt     time.Time
+	// Timeout is that of its route, Deadline the client's; both from SentAt.
+	Timeout  time.Duration
+	Deadline time.Duration
 }
 
 // Answer is what a client got for a request. Status 0 means none.
@@ -59,12 +62,16 @@
 type Oracle struct {
 	mutex      sync.Mutex
 	requests   map[string]Request
-	runs       map[string][]standin.Arrival
+	runs       map[string][]*run
 	promised   map[string]int
 	drained    map[string]time.Time
 	disturbed  map[string]time.Time
 	allowed    map[string][]string
 	proven     map[string]provenVersion
+	hosts      map[string]string
+	stops      map[string][]time.Time
+	harms      map[string][]*span
+	unserved   []unserved
 	violations []Violation
 }
 
@@ -77,9 +84,10 @@
 // NewOracle returns an oracle that has seen nothing.
 func NewOracle() *Oracle {
 	return &Oracle{
-		requests: map[string]Request{}, runs: map[string][]standin.Arrival{}, promised: map[string]int{},
+		requests: map[string]Request{}, runs: map[string][]*run{}, promised: map[string]int{},
 		drained: map[string]time.Time{}, disturbed: map[string]time.Time{}, allowed: map[string][]string{},
 		proven: map[string]provenVersion{},
+		hosts:  map[string]string{}, stops: map[string][]time.Time{}, harms: map[string][]*span{},
 	}
 }
 
@@ -91,7 +99,7 @@
 func (o *Oracle) Violations() []Violation {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	return slices.Clone(o.violations)
+	return slices.Concat(o.violations, o.cutRequests())
 }
 
 // Allow notes that a version that was written lets a service run requests for
@@ -151,7 +159,7 @@
 	o.checkUnchanged(request, arrival)
 	o.checkService(request, arrival)
 	o.checkDrained(request, arrival)
-	o.runs[arrival.ID] = append(o.runs[arrival.ID], arrival)
+	o.runs[arrival.ID] = append(o.runs[arrival.ID], &run{Arrival: arrival})
 	if !request.Repeatable && len(o.runs[arrival.ID]) > 1 {
 		o.violate("at most once", "%s ran on %s and %s", arrival.ID, o.runs[arrival.ID][0].Instance, arrival.Instance)
 	}
@@ -206,6 +214,9 @@
 		}
 	}
 	if answer.Status != statusOK {
+		if answer.Signature == "" {
+			o.unserved = append(o.unserved, unserved{request: request, answer: answer})
+		}
 		return
 	}
 	for _, run := range o.runs[request.ID] {
--- a/internal/lab/soak/oracle_test.go
+++ b/internal/lab/soak/oracle_test.go
@@ -95,6 +95,91 @@
 	}
 }
 
+// passedOn is an oracle that knows one request which the gate g passed on to its
+// upstream a, of which entry m got SIGTERM 100 ms after it was sent.
+func passedOn() (*Oracle, Request) {
+	request := charge()
+	request.Timeout, request.Deadline = 1500*time.Millisecond, 2*time.Second
+	oracle := sentBy(request)
+	oracle.Hosted("a", "g")
+	oracle.Arrived(ran("a", 10*time.Millisecond))
+	oracle.Stopped("m", start.Add(100*time.Millisecond))
+	return oracle, request
+}
+
+func ended(outcome standin.RunOutcome, at time.Duration) standin.Ending {
+	return standin.Ending{ID: "q", Instance: "a", At: start.Add(at), Outcome: outcome}
+}
+
+func unsigned(status int, at time.Duration) Answer {
+	return Answer{Status: status, At: start.Add(at)}
+}
+
+// TestAStopCutsNoRequest breaks the promise of stops in each way that it may be
+// broken, and then gives each reason for which a request may end all the same.
+func TestAStopCutsNoRequest(t *testing.T) {
+	const at = 200 * time.Millisecond
+	broken := map[string]func(*Oracle, Request){
+		"cut while at work":     func(o *Oracle, r Request) { o.Lost(r, start.Add(at)) },
+		"answered and cut":      func(o *Oracle, r Request) { o.Ended(ended(standin.Answered, at/2)); o.Lost(r, start.Add(at)) },
+		"own answer":            func(o *Oracle, r Request) { o.Answered(r, unsigned(502, at)) },
+		"own answer after":      func(o *Oracle, r Request) { o.Ended(ended(standin.Cut, at/2)); o.Answered(r, unsigned(502, at)) },
+		"told of the cut later": func(o *Oracle, r Request) { o.Lost(r, start.Add(at)); o.Ended(ended(standin.Cut, 2*at)) },
+		"the gate stops": func(o *Oracle, r Request) {
+			o.stops = map[string][]time.Time{"g": {start}}
+			o.Lost(r, start.Add(at))
+		},
+		"harm before": func(o *Oracle, r Request) {
+			o.Harmed("m", start.Add(-2*unharmedBefore))(start.Add(-unharmedBefore))
+			o.Lost(r, start.Add(at))
+		},
+		"harm elsewhere": func(o *Oracle, r Request) { o.Harmed("other", start); o.Lost(r, start.Add(at)) },
+	}
+	for name, breach := range broken {
+		t.Run(name, func(t *testing.T) {
+			check := is.New(t)
+			oracle, request := passedOn()
+			check.Equal(len(oracle.Violations()), 0)
+			breach(oracle, request)
+			check.Equal(len(oracle.Violations()), 1)
+			check.Equal(oracle.Violations()[0].Promise, promiseOfStops)
+		})
+	}
+	kept := map[string]func(*Oracle, Request){
+		"whole answer":       func(o *Oracle, r Request) { o.Answered(r, whole("a")) },
+		"signed failure":     func(o *Oracle, r Request) { o.Answered(r, Answer{Status: 500, Signature: "a.q", At: start.Add(at)}) },
+		"upstream broke off": func(o *Oracle, r Request) { o.Ended(ended(standin.BrokenOff, at/2)); o.Answered(r, unsigned(502, at)) },
+		"upstream failed":    func(o *Oracle, r Request) { o.Ended(ended(standin.Failed, at/2)); o.Answered(r, unsigned(500, at)) },
+		"route's timeout":    func(o *Oracle, r Request) { o.Answered(r, unsigned(504, r.Timeout)) },
+		"before the stop":    func(o *Oracle, r Request) { o.Lost(r, start.Add(50*time.Millisecond)) },
+		"client's deadline": func(o *Oracle, r Request) {
+			r.Deadline = at
+			o.Lost(r, start.Add(at))
+		},
+		"hard bound": func(o *Oracle, r Request) {
+			r.Timeout, r.Deadline = time.Minute, time.Minute
+			o.Lost(r, start.Add(100*time.Millisecond+hardBound))
+		},
+		"nothing ran": func(o *Oracle, r Request) {
+			r.ID = "other"
+			o.Lost(r, start.Add(at))
+		},
+		"entry is harmed": func(o *Oracle, r Request) { o.Harmed("m", start.Add(at/2)); o.Lost(r, start.Add(at)) },
+		"gate was harmed": func(o *Oracle, r Request) {
+			o.Harmed("g", start.Add(-time.Minute))(start.Add(-unharmedBefore + time.Millisecond))
+			o.Lost(r, start.Add(at))
+		},
+	}
+	for name, reason := range kept {
+		t.Run(name, func(t *testing.T) {
+			check := is.New(t)
+			oracle, request := passedOn()
+			reason(oracle, request)
+			check.Equal(oracle.Violations(), nil)
+		})
+	}
+}
+
 func TestADisturbedMachineIsHeldToNoTime(t *testing.T) {
 	check := is.New(t)
 	oracle := sentBy(charge())
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -122,8 +122,9 @@
 	s.instances++
 	on.upstream = &standin.Upstream{
 		Instance: fmt.Sprintf("i-%d-%s", s.instances, on.name), Service: on.service,
-		Slots: 6, Work: 20 * time.Millisecond, Observe: s.arrived,
+		Slots: 6, Work: 20 * time.Millisecond, Observe: s.arrived, ObserveEnd: s.oracle.Ended,
 	}
+	s.oracle.Hosted(on.upstream.Instance, on.name)
 	return errors.Trace(on.upstream.Start(on.app, on.reports, heartbeat))
 }
 
@@ -144,9 +145,9 @@
 	s.version += 1 + int(s.random.Uint64()%3)
 	read, write := services[s.version/2%2], services[0]
 	routes := []standin.Route{
-		{Name: "read", Host: host, Prefix: "/read/", Kind: "safe", Service: read, Timeout: 1000, Attempts: 3},
-		{Name: "write", Host: host, Prefix: "/write/", Kind: "unsafe", Service: write, Timeout: 1500, Attempts: 2},
-		{Name: "version", Host: host, Prefix: versionPrefix(s.version), Kind: "safe", Service: write, Timeout: 1000, Attempts: 2},
+		{Name: "read", Host: host, Prefix: readPrefix, Kind: "safe", Service: read, Timeout: milliseconds(readTimeout), Attempts: 3},
+		{Name: "write", Host: host, Prefix: writePrefix, Kind: "unsafe", Service: write, Timeout: milliseconds(writeTimeout), Attempts: 2},
+		{Name: "version", Host: host, Prefix: versionPrefix(s.version), Kind: "safe", Service: write, Timeout: milliseconds(readTimeout), Attempts: 2},
 	}
 	for _, route := range routes {
 		s.oracle.Allow(route.Prefix, route.Service)
@@ -155,6 +156,16 @@
 	s.accepted = time.Now()
 }
 
+// The routes of all versions.
+const (
+	readPrefix   = "/read/"
+	writePrefix  = "/write/"
+	readTimeout  = time.Second
+	writeTimeout = 1500 * time.Millisecond
+)
+
+func milliseconds(of time.Duration) int { return int(of.Milliseconds()) }
+
 func versionPrefix(version int) string { return fmt.Sprintf("/version-%d/", version) }
 
 // newest is the newest version and when it was accepted.
--- /dev/null
+++ b/internal/lab/soak/stops.go
@@ -0,0 +1,171 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/springstack/springstack/platform/standin"
+)
+
+const (
+	// stopGrace is the grace period of the daemons' settings.
+	stopGrace = 6 * time.Second
+	// hardBound is when, after SIGTERM, a stop may break off what still runs: the
+	// last sixth of the grace period. The promise is judged up to it.
+	hardBound = stopGrace * 5 / 6
+	// unharmedBefore is how long before a request nothing unplanned may have been
+	// done to the machines on its way for the promise of a stop to be judged.
+	unharmedBefore = 3 * time.Second
+	// promiseOfStops is the promise that stopped daemons are held to.
+	promiseOfStops = "a stop cuts no request at which an upstream is at work"
+)
+
+// run is one run of a request by an upstream. Outcome 0 means that it has not
+// ended.
+type run struct {
+	standin.Arrival
+	outcome standin.RunOutcome
+	endedAt time.Time
+}
+
+// span is a time during which a machine is harmed; until is zero while it lasts.
+type span struct {
+	from  time.Time
+	until time.Time
+}
+
+// unserved is a request whose client got no whole answer of an upstream.
+type unserved struct {
+	request Request
+	answer  Answer
+}
+
+// Hosted notes on which machine an instance of an upstream is.
+func (o *Oracle) Hosted(instance, machine string) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.hosts[instance] = machine
+}
+
+// Stopped notes that a machine's daemon is sent SIGTERM now.
+func (o *Oracle) Stopped(machine string, at time.Time) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.stops[machine] = append(o.stops[machine], at)
+}
+
+// Harmed notes that something unplanned is done to a machine from now on, until
+// what it returns is called.
+func (o *Oracle) Harmed(machine string, from time.Time) (healed func(until time.Time)) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	harm := &span{from: from}
+	o.harms[machine] = append(o.harms[machine], harm)
+	return func(until time.Time) {
+		o.mutex.Lock()
+		defer o.mutex.Unlock()
+		harm.until = until
+	}
+}
+
+// Ended notes how a run of a request ended.
+func (o *Oracle) Ended(ending standin.Ending) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for _, one := range o.runs[ending.ID] {
+		if one.Instance == ending.Instance && one.outcome == 0 {
+			one.outcome, one.endedAt = ending.Outcome, ending.At
+			return
+		}
+	}
+}
+
+// Lost notes that a client's connection ended without a complete answer.
+func (o *Oracle) Lost(request Request, at time.Time) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.unserved = append(o.unserved, unserved{request: request, answer: Answer{At: at}})
+}
+
+// cutRequests judges the requests that got no answer, or one that no upstream
+// signed. It is asked once all is seen: an upstream may tell of the end of a run
+// after the client has seen it.
+func (o *Oracle) cutRequests() []Violation {
+	var found []Violation
+	for _, one := range o.unserved {
+		if broken := o.cutByStop(one); broken != "" {
+			found = append(found, Violation{Promise: promiseOfStops, Detail: broken})
+		}
+	}
+	return found
+}
+
+// cutByStop tells how a stop broke off a request, or nothing if none did.
+func (o *Oracle) cutByStop(one unserved) string {
+	at := one.answer.At
+	runs := lo.Filter(o.runs[one.request.ID], func(known *run, _ int) bool { return !known.At.After(at) })
+	if len(runs) == 0 || !at.Before(one.request.SentAt.Add(one.request.timeBound())) {
+		return ""
+	}
+	last := runs[len(runs)-1]
+	if last.outcome == standin.BrokenOff || last.outcome == standin.Failed {
+		return ""
+	}
+	entry, gate := one.request.Machine, o.hosts[last.Instance]
+	for _, machine := range append(lo.Map(runs, func(known *run, _ int) string { return o.hosts[known.Instance] }), entry) {
+		if o.harmedDuring(machine, one.request.SentAt.Add(-unharmedBefore), at) {
+			return ""
+		}
+	}
+	for _, stopped := range []struct{ role, machine string }{{"entry", entry}, {"gate", gate}} {
+		if after, is := o.sinceStop(stopped.machine, at); is {
+			return fmt.Sprintf("%s sent %s ago got %s, %s after SIGTERM of its %s %s; %s", one.request.ID,
+				at.Sub(one.request.SentAt), describe(one.answer), after, stopped.role, stopped.machine, last.describe(at))
+		}
+	}
+	return ""
+}
+
+// sinceStop returns how long before a moment a machine got SIGTERM, if the promise
+// is judged then.
+func (o *Oracle) sinceStop(machine string, at time.Time) (time.Duration, bool) {
+	stops := lo.Filter(o.stops[machine], func(stop time.Time, _ int) bool { return !stop.After(at) })
+	if len(stops) == 0 {
+		return 0, false
+	}
+	after := at.Sub(stops[len(stops)-1])
+	return after, after < hardBound
+}
+
+// harmedDuring tells whether something unplanned was done to a machine in a time.
+func (o *Oracle) harmedDuring(machine string, from, to time.Time) bool {
+	return lo.SomeBy(o.harms[machine], func(harm *span) bool {
+		return harm.from.Before(to) && (harm.until.IsZero() || harm.until.After(from))
+	})
+}
+
+// timeBound is when a request may end without an answer: at its route's timeout
+// or its client's deadline.
+func (r Request) timeBound() time.Duration { return min(r.Timeout, r.Deadline) }
+
+// describe says what a client got.
+func describe(answer Answer) string {
+	if answer.Status == 0 {
+		return "no whole answer"
+	}
+	return fmt.Sprintf("an unsigned %d", answer.Status)
+}
+
+// describe says what an upstream did of a run by a moment.
+func (r *run) describe(at time.Time) string {
+	began := at.Sub(r.At)
+	switch {
+	case r.outcome == 0 || r.endedAt.After(at):
+		return fmt.Sprintf("%s is at work on it since %s", r.Instance, began)
+	case r.outcome == standin.Answered:
+		return fmt.Sprintf("%s began %s and answered %s before", r.Instance, began, at.Sub(r.endedAt))
+	}
+	return fmt.Sprintf("%s began %s and was cut %s before", r.Instance, began, at.Sub(r.endedAt))
+}
