Soak: clients keep their connections, faults come in series, runs last, links die

Cause: stops met hardly any running work (20 ms a run), the library's client sent cut reads again and hid the cuts, faults came one at a time, and a stop was waited for before the next fault.

Change: a client of our own uses its connection until the daemon ends it, sends up to 4 repeatable requests one behind another, and sends nothing twice. Open connections of a link may fall silent for good (link.Silence).

--- a/internal/lab/link/connection.go
+++ b/internal/lab/link/connection.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/springstack/springstack/internal/lab/precise"
@@ -14,6 +15,8 @@
 	link *Link
 	near *net.TCPConn
 	far  *net.TCPConn
+	// silent is set once nothing of either side reaches the other any more.
+	silent atomic.Bool
 }
 
 // Sizes of the bytes under way in one direction.
@@ -42,6 +45,14 @@
 	resetConn(c.far)
 }
 
+// breakOff resets both sides, unless the connection is silent: then neither learns
+// of the other's end.
+func (c *connection) breakOff() {
+	if !c.silent.Load() {
+		c.reset()
+	}
+}
+
 // resetConn closes a connection with a TCP reset.
 func resetConn(conn *net.TCPConn) {
 	// Errors mean that it is closed already.
@@ -111,7 +122,7 @@
 		}
 	}
 	if !ended {
-		c.reset()
+		c.breakOff()
 	}
 }
 
@@ -120,13 +131,16 @@
 	if !c.link.waitHealed(direction) {
 		return false
 	}
+	if c.silent.Load() {
+		return !next.ended
+	}
 	if next.ended {
 		return to.CloseWrite() == nil
 	}
 	size, reset := c.link.allowance(direction, next.size)
 	_, err := to.Write((*next.buffer)[:size])
 	if reset || err != nil {
-		c.reset()
+		c.breakOff()
 		return false
 	}
 	return true
@@ -150,7 +164,7 @@
 			return
 		}
 		if err != nil {
-			c.reset()
+			c.breakOff()
 			return
 		}
 	}
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -91,6 +91,16 @@
 	}
 }
 
+// Silence makes all connections that are open now fall silent for good: bytes and
+// closes of either side are lost, without a reset. New connections work.
+func (l *Link) Silence() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for connection := range l.connections {
+		connection.silent.Store(true)
+	}
+}
+
 // ResetAfter plans one reset: the connection that first carries a byte beyond
 // count in the direction is reset, after exactly count of its bytes since now
 // have passed.
@@ -100,8 +110,19 @@
 	l.resetAfter[direction] = count
 }
 
-// Reset breaks all connections at once.
+// Reset breaks all connections at once, but for those that fell silent.
 func (l *Link) Reset() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for connection := range l.connections {
+		if !connection.silent.Load() {
+			connection.reset()
+		}
+	}
+}
+
+// resetAll breaks all connections, also those that fell silent.
+func (l *Link) resetAll() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for connection := range l.connections {
@@ -114,7 +135,7 @@
 	close(l.closed)
 	// Closing a listener fails only when it is closed already.
 	_ = l.listener.Close()
-	l.Reset()
+	l.resetAll()
 	l.workers.Wait()
 }
 
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -102,3 +102,40 @@
 	is.NoErr(conn.Close())
 	opened.Close()
 }
+
+func TestSilenceIsForGoodAndOnlyForOpenConnections(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	server := echoServer(t)
+	defer server.Close()
+	for _, latency := range []time.Duration{0, time.Millisecond} {
+		check := is.New(t)
+		opened, silent := dial(t, Config{Target: server.Addr().String(), Latency: latency})
+		check.Equal(echo(t, silent), "beans") // both sides are open
+		opened.Silence()
+		_, err := silent.Write([]byte("lost"))
+		check.NoErr(err)
+		opened.Reset() // a silent connection is not told
+		working, err := net.Dial("tcp", opened.Address())
+		check.NoErr(err)
+		check.Equal(echo(t, working), "beans")
+		check.NoErr(silent.SetReadDeadline(time.Now().Add(20 * time.Millisecond)))
+		_, err = silent.Read(make([]byte, 1))
+		timeout, is := err.(net.Error)
+		check.True(is && timeout.Timeout()) // neither bytes nor an end
+		check.NoErr(working.Close())
+		check.NoErr(silent.Close())
+		opened.Close()
+	}
+}
+
+// echo sends some bytes and returns what comes back.
+func echo(t *testing.T, conn net.Conn) string {
+	buffer := []byte("beans")
+	if _, err := conn.Write(buffer); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(conn, buffer); err != nil {
+		t.Fatal(err)
+	}
+	return string(buffer)
+}
--- /dev/null
+++ b/internal/lab/soak/connection.go
@@ -0,0 +1,130 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/springstack/springstack/platform/standin"
+)
+
+// dialWait bounds the opening of a connection.
+const dialWait = time.Second
+
+// connection is one kept connection of a client to a daemon. It is used until the
+// daemon ends it, whatever becomes of the daemon, and opened anew then. Unlike the
+// library's client it never sends a request again, so that no cut is hidden.
+type connection struct {
+	address string
+	conn    net.Conn
+	reader  *bufio.Reader
+}
+
+// open connects unless a connection is open.
+func (c *connection) open() error {
+	if c.conn != nil {
+		return nil
+	}
+	conn, err := net.DialTimeout("tcp", c.address, dialWait)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	c.conn, c.reader = conn, bufio.NewReader(conn)
+	return nil
+}
+
+// close ends the connection, if one is open.
+func (c *connection) close() {
+	if c.conn != nil {
+		_ = c.conn.Close() // an error means that it has ended
+		c.conn = nil
+	}
+}
+
+// write sends requests one behind another, all in one piece.
+func (c *connection) write(requests []*http.Request) error {
+	var text bytes.Buffer
+	for _, request := range requests {
+		if err := request.Write(&text); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	_, err := c.conn.Write(text.Bytes())
+	return errors.Trace(err)
+}
+
+// read reads the next answer, and ends the connection after one that announces it.
+func (c *connection) read(request *http.Request) (Answer, error) {
+	got, err := http.ReadResponse(c.reader, request)
+	if err != nil {
+		return Answer{}, errors.Trace(err)
+	}
+	defer got.Body.Close()
+	body, err := io.ReadAll(got.Body)
+	if err != nil {
+		return Answer{}, errors.Trace(err)
+	}
+	return Answer{
+		Status: got.StatusCode, Signature: got.Header.Get(standin.SignatureHeader), Body: string(body), At: time.Now(),
+		Last: got.Close,
+	}, nil
+}
+
+// exchange sends requests one behind another on a connection and judges their
+// answers. Where no connection can be opened nothing is sent.
+func (s *soak) exchange(on *connection, requests ...Request) []Answer {
+	answers := make([]Answer, len(requests))
+	if on.open() != nil {
+		return answers
+	}
+	now := time.Now()
+	_ = on.conn.SetDeadline(now.Add(patience)) // one that has ended shows when it is used
+	outgoing := make([]*http.Request, 0, len(requests))
+	for index := range requests {
+		requests[index].SentAt, requests[index].Deadline = now, patience
+		made, err := newRequest(on.address, requests[index])
+		if err != nil {
+			return answers
+		}
+		outgoing = append(outgoing, made)
+	}
+	for _, request := range requests {
+		s.oracle.Sent(request)
+	}
+	_ = on.write(outgoing) // what was not sent gets no answer
+	for index, request := range requests {
+		answer, err := on.read(outgoing[index])
+		if err != nil {
+			on.close()
+			s.lost(requests[index:])
+			return answers
+		}
+		answers[index] = answer
+		s.oracle.Answered(request, answer)
+	}
+	if answers[len(answers)-1].Last {
+		on.close()
+	}
+	return answers
+}
+
+// lost notes requests that got no whole answer.
+func (s *soak) lost(requests []Request) {
+	now := time.Now()
+	for _, request := range requests {
+		s.oracle.Lost(request, now)
+	}
+}
+
+func newRequest(address string, request Request) (*http.Request, error) {
+	made, err := standin.NewRequest(context.Background(), request.Method, address, host, request.Target, request.ID, patience,
+		strings.NewReader(request.Body))
+	return made, errors.Trace(err)
+}
--- a/internal/lab/soak/oracle.go
+++ b/internal/lab/soak/oracle.go
@@ -46,6 +46,8 @@
 	Signature string
 	Body      string
 	At        time.Time
+	// Last says that the connection ends with it.
+	Last bool
 }
 
 // Violation is a promise that was broken.
--- /dev/null
+++ b/internal/lab/soak/soak_test.go
@@ -0,0 +1,96 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// newTestSoak is a soak of some machines without processes.
+func newTestSoak(machines int) *soak {
+	made := &soak{options: Options{Seed: 1}, random: rand.New(rand.NewPCG(1, 1)), oracle: NewOracle()}
+	for range machines {
+		made.machines = append(made.machines, &machine{})
+	}
+	return made
+}
+
+func TestRunsLastAsLongAsTheirIdsSay(t *testing.T) {
+	check := is.New(t)
+	played := newTestSoak(0)
+	check.Equal(played.workOn("q"), played.workOn("q"))
+	var long, short int
+	for _, id := range ids(1000) {
+		work := played.workOn(id)
+		check.True(work >= shortestWork && work <= longestWork)
+		if work > longestWork/3 {
+			long++
+		}
+		if work < 3*shortestWork {
+			short++
+		}
+	}
+	check.True(long > 100 && short > 100)
+}
+
+func ids(count int) []string {
+	made := make([]string, count)
+	for index := range made {
+		made[index] = string(rune('a' + index))
+	}
+	return made
+}
+
+func TestRequestsOfAClientHaveIdsOfTheirOwn(t *testing.T) {
+	check := is.New(t)
+	on := &machine{name: "m", service: "app"}
+	seen := map[string]bool{}
+	most := 0
+	for count := range 40 {
+		requests := requestsOf(on, 1, count)
+		most = max(most, len(requests))
+		for _, request := range requests {
+			check.True(!seen[request.ID])
+			seen[request.ID] = true
+			check.True(request.Repeatable || len(requests) == 1) // only repeatable ones go behind one another
+		}
+	}
+	check.Equal(most, mostBehind)
+}
+
+// TestFaultsOverlapWithinBounds admits faults beside each other as far as they may.
+func TestFaultsOverlapWithinBounds(t *testing.T) {
+	check := is.New(t)
+	played := newTestSoak(6)
+	unplanned := func(on int) drawn { return drawn{fault: fault{name: "kill"}, on: played.machines[on]} }
+	stop := func(on int) drawn {
+		return drawn{fault: fault{name: "stop", planned: true, stops: true}, on: played.machines[on]}
+	}
+	reload := drawn{fault: fault{name: "reload", planned: true, beside: true}, on: played.machines[0]}
+	check.True(played.admit(unplanned(0)))
+	check.True(!played.admit(stop(0))) // its machine is taken
+	check.True(played.admit(reload))   // comes beside
+	check.True(played.admit(unplanned(1)))
+	check.True(!played.admit(unplanned(2))) // two at a time
+	check.True(played.admit(stop(2)))
+	check.True(played.admit(stop(3)))
+	check.True(!played.admit(stop(4))) // a third of the machines
+	played.dismiss(stop(2))
+	check.True(played.admit(stop(2)))
+	played.dismiss(unplanned(0))
+	check.True(played.admit(unplanned(0)))
+}
+
+// TestTheSameSeedDrawsTheSameFaults holds the plan of faults to its seed.
+func TestTheSameSeedDrawsTheSameFaults(t *testing.T) {
+	check := is.New(t)
+	one, other := newTestSoak(5), newTestSoak(5)
+	for range 200 {
+		drawnByOne, drawnByOther := one.draw(), other.draw()
+		check.Equal(drawnByOne.name, drawnByOther.name)
+		check.Equal(drawnByOne.lasts, drawnByOther.lasts)
+		check.True(drawnByOne.lasts >= faultTime/4 && drawnByOne.lasts < 2*faultTime+time.Millisecond)
+	}
+}
--- a/internal/lab/soak/stops.go
+++ b/internal/lab/soak/stops.go
@@ -18,6 +18,9 @@
 	// unharmedBefore is how long before a request nothing unplanned may have been
 	// done to the machines on its way for the promise of a stop to be judged.
 	unharmedBefore = 3 * time.Second
+	// timeoutMargin is how long before a request's time is over a daemon may give it
+	// up: each hop tells the next some milliseconds less than are left.
+	timeoutMargin = 20 * time.Millisecond
 	// promiseOfStops is the promise that stopped daemons are held to.
 	promiseOfStops = "a stop cuts no request at which an upstream is at work"
 )
@@ -148,7 +151,7 @@
 
 // timeBound is when a request may end without an answer: at its route's timeout
 // or its client's deadline.
-func (r Request) timeBound() time.Duration { return min(r.Timeout, r.Deadline) }
+func (r Request) timeBound() time.Duration { return min(r.Timeout, r.Deadline) - timeoutMargin }
 
 // describe says what a client got.
 func describe(answer Answer) string {
