Soak: rolling restarts as a fault kind, up to 60 daemons

Cause: what stops one after another, each again once back, was not drawn, and the bound of 24 daemons kept runs smaller than the machine bears.

--- a/cmd/springstack-lab/soak.go
+++ b/cmd/springstack-lab/soak.go
@@ -28,7 +28,7 @@
 			&cli.StringFlag{Name: "directory", Required: true, Usage: "folder for settings and logs"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the faults"},
 			&cli.DurationFlag{Name: "duration", Value: time.Minute, Usage: "how long faults go on"},
-			&cli.IntFlag{Name: "machines", Value: 8, Usage: "daemons, at most 24"},
+			&cli.IntFlag{Name: "machines", Value: 8, Usage: "daemons, at most 60"},
 			&cli.IntFlag{Name: "zones", Value: 4, Usage: "zones"},
 			&cli.IntFlag{Name: "clients", Value: 3, Usage: "clients on each machine"},
 		},
@@ -37,7 +37,7 @@
 }
 
 // soakMachines bounds the processes that a soak starts.
-const soakMachines = 24
+const soakMachines = 60
 
 func runSoak(ctx context.Context, command *cli.Command) error {
 	machines := command.Int("machines")
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -1,7 +1,10 @@
 package soak
 
 import (
+	"context"
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -25,8 +28,18 @@
 	beside bool
 	// stops says that the machine's daemon is down for a while as planned.
 	stops bool
+	// rolls says that daemons are restarted one after another; once at a time.
+	rolls bool
 }
 
+const (
+	// mostRolling is how many daemons one rolling restart concerns at most.
+	mostRolling = 6
+	// rollingWait bounds the wait for a restarted daemon to serve, after which the
+	// rolling restart goes on to the next one all the same.
+	rollingWait = 5 * time.Second
+)
+
 // toldWait lets a daemon tell its peers of a drain before it is killed.
 const toldWait = 200 * time.Millisecond
 
@@ -47,6 +60,10 @@
 		on.signal(syscall.SIGSTOP)
 		return func() { on.signal(syscall.SIGCONT) }
 	}},
+	{name: "rolling_restart", weight: 4, planned: true, beside: true, stops: true, rolls: true, harm: func(s *soak, on *machine, random *rand.Rand) func() {
+		s.restartRolling(on, 2+random.IntN(mostRolling-1))
+		return nil
+	}},
 	{name: "reload", weight: 3, planned: true, beside: true, harm: func(_ *soak, on *machine, _ *rand.Rand) func() {
 		on.signal(syscall.SIGHUP)
 		return nil
@@ -198,6 +215,36 @@
 	}
 }
 
+// restartRolling restarts some daemons as planned from one machine on, each once the
+// one before serves again. Machines on which another fault is in force are passed over.
+func (s *soak) restartRolling(first *machine, count int) {
+	begin := slices.Index(s.machines, first)
+	for index := range s.machines {
+		if count == 0 || s.over() {
+			return
+		}
+		on := s.machines[(begin+index)%len(s.machines)]
+		if on.take() {
+			s.restartPlanned(on)
+			on.release()
+			count--
+		}
+	}
+}
+
+// restartPlanned stops one daemon, starts it again and waits until it serves.
+func (s *soak) restartPlanned(on *machine) {
+	s.log("rolling", on.name)
+	s.disturbOne(on)
+	s.stop(on)
+	s.awaitStopped(on)
+	s.restart(on)
+	bounded, cancel := context.WithTimeout(context.Background(), rollingWait)
+	defer cancel()
+	s.awaitServing(bounded, on, fmt.Sprint("rolling ", on.startName()))
+	s.disturbOne(on)
+}
+
 // restart starts a daemon again.
 func (s *soak) restart(on *machine) {
 	if err := on.start(); err != nil {
--- a/internal/lab/soak/series.go
+++ b/internal/lab/soak/series.go
@@ -44,6 +44,8 @@
 	unplanned int
 	down      int
 	everyone  bool
+	rolling   bool
+	over      bool
 	working   sync.WaitGroup
 }
 
@@ -53,9 +55,19 @@
 	for pause.For(ctx, faultPause/2+time.Duration(s.random.Int64N(int64(faultPause)))) {
 		s.series(ctx)
 	}
+	s.inForce.mutex.Lock()
+	s.inForce.over = true
+	s.inForce.mutex.Unlock()
 	s.inForce.working.Wait()
 }
 
+// over tells whether no further harm is to be done.
+func (s *soak) over() bool {
+	s.inForce.mutex.Lock()
+	defer s.inForce.mutex.Unlock()
+	return s.inForce.over
+}
+
 // series begins one fault in half of all cases, else some that overlap.
 func (s *soak) series(ctx context.Context) {
 	length := 1
@@ -103,6 +115,7 @@
 	switch {
 	case !one.planned && now.unplanned >= unplannedAtATime,
 		one.everyone && now.everyone,
+		one.rolls && now.rolling,
 		one.stops && now.down >= max(1, len(s.machines)/downShare),
 		!one.beside && !one.on.take():
 		return false
@@ -132,6 +145,9 @@
 	if one.everyone {
 		f.everyone = by > 0
 	}
+	if one.rolls {
+		f.rolling = by > 0
+	}
 }
 
 // carryOut does harm, waits and undoes it.
@@ -164,6 +180,8 @@
 		concerned = s.machines
 	}
 	for _, machine := range concerned {
-		s.oracle.Disturbed(machine.name, time.Now())
+		s.disturbOne(machine)
 	}
 }
+
+func (s *soak) disturbOne(on *machine) { s.oracle.Disturbed(on.name, time.Now()) }
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -83,6 +83,20 @@
 	check.True(played.admit(unplanned(0)))
 }
 
+// TestOneRollingRestartAtATime leaves it to a rolling restart to take its machines.
+func TestOneRollingRestartAtATime(t *testing.T) {
+	check := is.New(t)
+	played := newTestSoak(6)
+	rolling := drawn{fault: fault{name: "rolling_restart", planned: true, beside: true, stops: true, rolls: true}, on: played.machines[0]}
+	check.True(played.admit(rolling))
+	check.True(!played.admit(rolling))
+	check.True(played.machines[0].take()) // it takes its machines itself
+	check.True(!played.machines[0].take())
+	played.machines[0].release()
+	played.dismiss(rolling)
+	check.True(played.admit(rolling))
+}
+
 // TestTheSameSeedDrawsTheSameFaults holds the plan of faults to its seed.
 func TestTheSameSeedDrawsTheSameFaults(t *testing.T) {
 	check := is.New(t)
