Soak: a daemon that ends untold is a violation; SIGHUP only once it takes signals

Cause: a process that ended by itself showed only as one that does not serve. And a SIGHUP in the first milliseconds of a process, before it takes signals, ends it; whether the soak met them depended on the machine's speed.

Change: the end of a process that was sent neither SIGTERM nor SIGKILL is a violation, and a daemon is sent SIGHUP only once it has taken a connection.

--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -65,7 +65,9 @@
 		return nil
 	}},
 	{name: "reload", weight: 3, planned: true, beside: true, harm: func(_ *soak, on *machine, _ *rand.Rand) func() {
-		on.signal(syscall.SIGHUP)
+		if on.settle() {
+			on.signal(syscall.SIGHUP)
+		}
 		return nil
 	}},
 	{name: "store_silent", weight: 2, harm: func(_ *soak, on *machine, _ *rand.Rand) func() { return silence(on.store) }},
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -46,6 +46,12 @@
 	ended    chan struct{}
 	// starts counts the daemon's starts.
 	starts int
+	// told says that the process was told to end, settled that it has taken a
+	// connection since its start.
+	told    bool
+	settled bool
+	// endedUntold is called when the process ended by itself.
+	endedUntold func(state *os.ProcessState)
 	// taken says that a fault is in force here.
 	taken bool
 }
@@ -161,14 +167,39 @@
 		return errors.Annotate(err, m.name)
 	}
 	m.starts++
+	m.told, m.settled = false, false
 	m.ended = make(chan struct{})
-	go func(command *exec.Cmd, ended chan struct{}) {
-		defer close(ended)
-		_ = command.Wait() // how it ended is asked where that matters
-	}(m.command, m.ended)
+	go m.await(m.command, m.ended)
 	return nil
 }
 
+// await waits for the end of a process.
+func (m *machine) await(command *exec.Cmd, ended chan struct{}) {
+	defer close(ended)
+	_ = command.Wait() // the state tells how it ended
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if !m.told {
+		m.endedUntold(command.ProcessState)
+	}
+}
+
+// settle tells whether the process has taken a connection since its start: before,
+// it may not have got so far as to take signals.
+func (m *machine) settle() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if !m.settled {
+		conn, err := net.DialTimeout("tcp", m.ready, dialWait)
+		if err != nil {
+			return false
+		}
+		_ = conn.Close()
+		m.settled = true
+	}
+	return true
+}
+
 // process is the one that was started last, and what is closed at its end.
 func (m *machine) process() (*os.Process, <-chan struct{}) {
 	m.mutex.Lock()
@@ -179,6 +210,11 @@
 // signal sends a signal to the process that this machine started, if it runs.
 func (m *machine) signal(signal syscall.Signal) {
 	process, _ := m.process()
+	if signal == syscall.SIGTERM || signal == syscall.SIGKILL {
+		m.mutex.Lock()
+		m.told = true
+		m.mutex.Unlock()
+	}
 	_ = process.Signal(signal) // it may have ended; the library sends nothing then
 }
 
--- a/internal/lab/soak/oracle.go
+++ b/internal/lab/soak/oracle.go
@@ -263,6 +263,13 @@
 	}
 }
 
+// EndedUntold judges a daemon's process that ended although nobody told it to.
+func (o *Oracle) EndedUntold(machine, state string) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.violate("a daemon ends only when it is told to", "%s ended: %s", machine, state)
+}
+
 // Never judges something that was waited for and did not come.
 func (o *Oracle) Never(what string) {
 	o.mutex.Lock()
--- a/internal/lab/soak/oracle_test.go
+++ b/internal/lab/soak/oracle_test.go
@@ -78,6 +78,7 @@
 		{"no proxy goes back a version",
 			func(o *Oracle) { o.Shown("m#1", 5, start, start); o.Shown("m#2", 4, start.Add(time.Second), start) },
 			func(o *Oracle) { o.Shown("m#1", 4, start.Add(time.Second), start.Add(time.Second)) }},
+		{"a daemon ends only when it is told to", func(*Oracle) {}, func(o *Oracle) { o.EndedUntold("m", "exit status 2") }},
 		{"what is accepted is in force in seconds",
 			func(o *Oracle) { o.NotInForce("m", 3, start, start.Add(applyBound)) },
 			func(o *Oracle) { o.NotInForce("m", 3, start, start.Add(applyBound+time.Millisecond)) }},
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -115,6 +116,7 @@
 		if err != nil {
 			return err
 		}
+		made.endedUntold = func(state *os.ProcessState) { s.oracle.EndedUntold(made.name, state.String()) }
 		if err := made.start(); err != nil {
 			return err
 		}
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -117,3 +120,28 @@
 		check.True(drawnByOne.lasts >= faultTime/4 && drawnByOne.lasts < 2*faultTime+time.Millisecond)
 	}
 }
+
+// TestAnEndThatNobodyAskedForIsNoted ends processes that stand in for daemons: one
+// by itself, one as it is told.
+func TestAnEndThatNobodyAskedForIsNoted(t *testing.T) {
+	check := is.New(t)
+	noted := 0
+	on := &machine{log: filepath.Join(t.TempDir(), "log"), endedUntold: func(*os.ProcessState) { noted++ }}
+	on.program = "false"
+	check.NoErr(on.start())
+	check.True(on.awaitEnd())
+	check.Equal(noted, 1)
+	on.program = sleeper(t)
+	check.NoErr(on.start())
+	on.end(syscall.SIGKILL)
+	check.Equal(noted, 1)
+}
+
+// sleeper is a program that runs until it is killed.
+func sleeper(t *testing.T) string {
+	path := filepath.Join(t.TempDir(), "sleeper")
+	if err := os.WriteFile(path, []byte("#!/bin/sh\nexec sleep 600\n"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
