Soak: machines are replaced as a whole, a quarter of the answers stream

Cause: the most usual planned work, a machine of which daemon and upstream both leave, was not drawn; and no stop met an answer that had begun.

Change: a fault kind drains the upstream, sends its daemon SIGTERM, and starts a new instance and the daemon once both have ended what ran.

--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/springstack/springstack/internal/lab/link"
+	"github.com/springstack/springstack/internal/pause"
 	"github.com/springstack/springstack/platform/standin"
 )
 
@@ -38,6 +39,10 @@
 	// rollingWait bounds the wait for a restarted daemon to serve, after which the
 	// rolling restart goes on to the next one all the same.
 	rollingWait = 5 * time.Second
+	// idleWait bounds the wait for an upstream to end what it runs, idlePoll is how
+	// often it is asked.
+	idleWait = 2 * longestWork
+	idlePoll = 5 * time.Millisecond
 )
 
 // toldWait lets a daemon tell its peers of a drain before it is killed.
@@ -60,6 +65,17 @@
 		on.signal(syscall.SIGSTOP)
 		return func() { on.signal(syscall.SIGCONT) }
 	}},
+	{name: "machine_replaced", weight: 4, planned: true, stops: true, harm: func(s *soak, on *machine, _ *rand.Rand) func() {
+		upstream := on.currentUpstream()
+		s.drain(on, (*standin.Upstream).Drain)
+		s.stop(on)
+		return func() {
+			s.awaitStopped(on)
+			awaitIdle(upstream)
+			s.replaceUpstream(on)
+			s.restart(on)
+		}
+	}},
 	{name: "rolling_restart", weight: 4, planned: true, beside: true, stops: true, rolls: true, harm: func(s *soak, on *machine, random *rand.Rand) func() {
 		s.restartRolling(on, 2+random.IntN(mostRolling-1))
 		return nil
@@ -217,6 +233,14 @@
 	}
 }
 
+// awaitIdle waits until an upstream runs nothing, within idleWait.
+func awaitIdle(upstream *standin.Upstream) {
+	bounded, cancel := context.WithTimeout(context.Background(), idleWait)
+	defer cancel()
+	for upstream.Running() > 0 && pause.For(bounded, idlePoll) {
+	}
+}
+
 // restartRolling restarts some daemons as planned from one machine on, each once the
 // one before serves again. Machines on which another fault is in force are passed over.
 func (s *soak) restartRolling(first *machine, count int) {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -134,7 +134,7 @@
 	instance := fmt.Sprintf("i-%d-%s", s.instances, on.name)
 	s.mutex.Unlock()
 	upstream := &standin.Upstream{
-		Instance: instance, Service: on.service, Slots: slots, WorkOn: s.workOn,
+		Instance: instance, Service: on.service, Slots: slots, WorkOn: s.workOn, StreamOn: s.streamOn,
 		Observe: s.arrived, ObserveEnd: s.oracle.Ended,
 	}
 	s.oracle.Hosted(instance, on.name)
@@ -154,17 +154,27 @@
 	// last, and the most are short.
 	shortestWork = 5 * time.Millisecond
 	longestWork  = 900 * time.Millisecond
+	// streamShare is the share of answers that begin before the work is done.
+	streamShare = 0.25
 )
 
 // workOn draws how long the run of a request takes, each order of magnitude as
 // often: the same for each run of the same request.
 func (s *soak) workOn(id string) time.Duration {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(id)) // it never fails
-	share := rand.New(rand.NewPCG(s.options.Seed, hash.Sum64())).Float64()
+	share := s.shareOf(id, "work")
 	return time.Duration(float64(shortestWork) * math.Pow(float64(longestWork)/float64(shortestWork), share))
 }
 
+// streamOn draws whether the answer to a request begins before the work is done.
+func (s *soak) streamOn(id string) bool { return s.shareOf(id, "stream") < streamShare }
+
+// shareOf draws a number below 1 for one purpose of a request.
+func (s *soak) shareOf(id, purpose string) float64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(id + " " + purpose)) // it never fails
+	return rand.New(rand.NewPCG(s.options.Seed, hash.Sum64())).Float64()
+}
+
 func (s *soak) arrived(arrival standin.Arrival) {
 	s.oracle.Arrived(arrival)
 	if arrival.Ran {
