Soak: the address of an upstream that is replaced is free

A process that is being started holds copies of all sockets of the soak until it runs, and with faults that overlap an upstream's address was taken again in that moment.

Change: no process is being started while an upstream's listening socket closes. The fault was the soak's, not the daemon's.

--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -140,7 +140,7 @@
 		return nil
 	}},
 	{name: "upstream_crash", weight: 2, harm: func(s *soak, on *machine, _ *rand.Rand) func() {
-		on.currentUpstream().Crash()
+		s.crash(on)
 		return func() { s.startAgain(on) }
 	}},
 	{name: "upstream_replaced", weight: 3, harm: func(s *soak, on *machine, _ *rand.Rand) func() {
@@ -280,10 +280,17 @@
 
 // replaceUpstream ends an upstream and starts a new instance in its place.
 func (s *soak) replaceUpstream(on *machine) {
-	on.currentUpstream().Crash()
+	s.crash(on)
 	s.startAgain(on)
 }
 
+// crash ends an upstream, whose address is free then.
+func (s *soak) crash(on *machine) {
+	forking.Lock()
+	defer forking.Unlock()
+	on.currentUpstream().Crash()
+}
+
 // startAgain starts a new instance at the address of the one before.
 func (s *soak) startAgain(on *machine) {
 	if err := s.startUpstream(on); err != nil {
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -151,6 +151,11 @@
 	return fmt.Sprintf("%s#%d", m.name, m.starts)
 }
 
+// forking is held for reading while a process is being started, which holds copies of
+// all sockets of this process until it runs, and for writing while a listening socket
+// is closed whose address is to be free.
+var forking sync.RWMutex
+
 // start starts the daemon's process.
 func (m *machine) start() error {
 	log, err := os.OpenFile(m.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -163,7 +168,10 @@
 	m.command = exec.Command(m.program, "run", "--settings", m.settings)
 	m.command.Stdout = log
 	m.command.Stderr = log
-	if err := m.command.Start(); err != nil {
+	forking.RLock()
+	err = m.command.Start()
+	forking.RUnlock()
+	if err != nil {
 		return errors.Annotate(err, m.name)
 	}
 	m.starts++
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -145,3 +146,41 @@
 	}
 	return path
 }
+
+// TestAnUpstreamIsReplacedWhileProcessesStart takes the address of an upstream again
+// while processes start, which hold copies of all sockets until they run.
+func TestAnUpstreamIsReplacedWhileProcessesStart(t *testing.T) {
+	check := is.New(t)
+	played := newTestSoak(0)
+	addresses, err := addresses(loopbackHost(0), 1)
+	check.NoErr(err)
+	on := &machine{name: "m", app: addresses[0], reports: "127.0.0.1:1"}
+	check.NoErr(played.startUpstream(on))
+	replaced := make(chan struct{})
+	var starting sync.WaitGroup
+	for range 4 {
+		starting.Add(1)
+		go func() {
+			defer starting.Done()
+			starter := &machine{program: "true", log: filepath.Join(t.TempDir(), "log"), endedUntold: func(*os.ProcessState) {}}
+			for {
+				select {
+				case <-replaced:
+					return
+				default:
+				}
+				if err := starter.start(); err != nil {
+					t.Error(err)
+				}
+				starter.awaitEnd()
+			}
+		}()
+	}
+	for range 300 {
+		played.replaceUpstream(on)
+	}
+	close(replaced)
+	starting.Wait()
+	played.crash(on)
+	check.Equal(len(played.oracle.Violations()), 0)
+}
