Soak: each machine has a latency of its own

Change: the latency of a machine's links is drawn between the least one and 25 times that, so that what a stop sets off and what runs cross on the way.

--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -106,7 +106,7 @@
 const firstHost = 64
 
 // newMachine opens the links of a machine and writes its settings.
-func newMachine(options Options, index int, service, store string) (*machine, error) {
+func newMachine(options Options, index int, service, store string, latency time.Duration) (*machine, error) {
 	made := &machine{
 		name:    fmt.Sprintf("soak-%d", index),
 		zone:    fmt.Sprintf("zone-%d", index%options.Zones),
@@ -125,7 +125,7 @@
 		link   **link.Link
 		target string
 	}{{&made.store, store}, {&made.gate, gate}, {&made.control, control}} {
-		if *opened.link, err = link.Open(link.Config{Target: opened.target, Latency: options.Latency}); err != nil {
+		if *opened.link, err = link.Open(link.Config{Target: opened.target, Latency: latency}); err != nil {
 			return nil, errors.Trace(err)
 		}
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -35,7 +35,8 @@
 	Zones     int
 	// Clients is how many clients send requests on each machine.
 	Clients int
-	// Latency is the one-way latency of the links.
+	// Latency is the least one-way latency of the links; each machine's is drawn, up
+	// to latencySpread times as long.
 	Latency time.Duration
 	// Planned leaves only planned work in: stops, restarts, reloads and changes of
 	// the configuration.
@@ -109,7 +110,7 @@
 // open starts all machines.
 func (s *soak) open(store string) error {
 	for index := range s.options.Machines {
-		made, err := newMachine(s.options, index, services[index%len(services)], store)
+		made, err := newMachine(s.options, index, services[index%len(services)], store, s.drawLatency())
 		if made != nil {
 			s.machines = append(s.machines, made)
 		}
@@ -127,6 +128,16 @@
 	return nil
 }
 
+// latencySpread is how many times longer than the least a machine's latency may be: with
+// 1 ms it reaches that between regions.
+const latencySpread = 25
+
+// drawLatency draws the latency of one machine's links, each order of magnitude as
+// often.
+func (s *soak) drawLatency() time.Duration {
+	return time.Duration(float64(s.options.Latency) * math.Pow(latencySpread, s.random.Float64()))
+}
+
 // startUpstream starts a new instance of the upstream of a machine.
 func (s *soak) startUpstream(on *machine) error {
 	s.mutex.Lock()
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -39,6 +39,19 @@
 	check.True(long > 100 && short > 100)
 }
 
+func TestLatenciesSpread(t *testing.T) {
+	check := is.New(t)
+	played := newTestSoak(0)
+	played.options.Latency = time.Millisecond
+	least, most := time.Hour, time.Duration(0)
+	for range 200 {
+		drawn := played.drawLatency()
+		least, most = min(least, drawn), max(most, drawn)
+	}
+	check.True(least >= time.Millisecond && least < 2*time.Millisecond)
+	check.True(most <= latencySpread*time.Millisecond && most > latencySpread*time.Millisecond/2)
+}
+
 func ids(count int) []string {
 	made := make([]string, count)
 	for index := range made {
