Soak: cuts without a stop are reported apart

Cause: what breaks a request off beside a stop may do so without one, and the soak did not tell.

Change: the report lists requests that were broken off while an upstream was at work on them although nothing was done to a daemon on their way. They are no violation.

--- a/internal/lab/soak/oracle_test.go
+++ b/internal/lab/soak/oracle_test.go
@@ -185,6 +185,19 @@
 	}
 }
 
+func TestACutWithoutAStopIsToldApart(t *testing.T) {
+	check := is.New(t)
+	oracle, request := passedOn()
+	oracle.Lost(request, start.Add(200*time.Millisecond))
+	check.Equal(len(oracle.Violations()), 1)
+	check.Equal(len(oracle.CalmCuts()), 0)
+	oracle.stops = nil
+	check.Equal(len(oracle.Violations()), 0)
+	check.Equal(len(oracle.CalmCuts()), 1)
+	oracle.Harmed("g", start)
+	check.Equal(len(oracle.CalmCuts()), 0)
+}
+
 func TestRequestsThatMetAStopAreCounted(t *testing.T) {
 	check := is.New(t)
 	oracle, _ := passedOn()
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -51,8 +51,10 @@
 	Runs     int    `json:"runs"`
 	Faults   int    `json:"faults"`
 	// MetStops is how many requests at work met a stop of a daemon on their way.
-	MetStops   int         `json:"met_stops"`
-	Versions   int         `json:"versions"`
+	MetStops int `json:"met_stops"`
+	Versions int `json:"versions"`
+	// CalmCuts are requests broken off at work without a stop or harm on their way.
+	CalmCuts   []string    `json:"calm_cuts"`
 	Violations []Violation `json:"violations"`
 }
 
@@ -265,7 +267,7 @@
 	defer s.mutex.Unlock()
 	return Report{
 		Seed: s.options.Seed, Requests: s.requests, Served: s.served, Runs: s.runs,
-		Faults: s.faults, MetStops: s.oracle.MetStops(), Versions: s.version, Violations: s.oracle.Violations(),
+		Faults: s.faults, MetStops: s.oracle.MetStops(), CalmCuts: s.oracle.CalmCuts(), Versions: s.version, Violations: s.oracle.Violations(),
 	}
 }
 
--- a/internal/lab/soak/stops.go
+++ b/internal/lab/soak/stops.go
@@ -96,39 +96,61 @@
 // signed. It is asked once all is seen: an upstream may tell of the end of a run
 // after the client has seen it.
 func (o *Oracle) cutRequests() []Violation {
-	var found []Violation
-	for _, one := range o.unserved {
-		if broken := o.cutByStop(one); broken != "" {
-			found = append(found, Violation{Promise: promiseOfStops, Detail: broken})
+	return lo.FilterMap(o.unserved, func(one unserved, _ int) (Violation, bool) {
+		last, cut := o.cutAtWork(one)
+		if !cut {
+			return Violation{}, false
 		}
-	}
-	return found
+		stop, stopped := o.stopBehind(one, last)
+		return Violation{Promise: promiseOfStops, Detail: one.describe(last) + stop}, stopped
+	})
 }
 
-// cutByStop tells how a stop broke off a request, or nothing if none did.
-func (o *Oracle) cutByStop(one unserved) string {
+// CalmCuts describes the requests that were broken off while an upstream was at work
+// on them although no daemon on their way was stopped and nothing else done to it: no
+// promise of stops is broken, but what did it may also do it beside a stop.
+func (o *Oracle) CalmCuts() []string {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return lo.FilterMap(o.unserved, func(one unserved, _ int) (string, bool) {
+		last, cut := o.cutAtWork(one)
+		if !cut {
+			return "", false
+		}
+		_, stopped := o.stopBehind(one, last)
+		return one.describe(last), !stopped
+	})
+}
+
+// cutAtWork returns the last run of a request that was broken off before its time was
+// over, and tells whether it was: not if no upstream ran it, the upstream itself ended
+// or failed it, or one of the machines on its way was harmed.
+func (o *Oracle) cutAtWork(one unserved) (last *run, cut bool) {
 	at := one.answer.At
 	runs := lo.Filter(o.runs[one.request.ID], func(known *run, _ int) bool { return !known.At.After(at) })
 	if len(runs) == 0 || !at.Before(one.request.SentAt.Add(one.request.timeBound())) {
-		return ""
+		return nil, false
 	}
-	last := runs[len(runs)-1]
+	last = runs[len(runs)-1]
 	if last.outcome == standin.BrokenOff || last.outcome == standin.Failed {
-		return ""
-	}
-	entry, gate := one.request.Machine, o.hosts[last.Instance]
-	for _, machine := range append(lo.Map(runs, func(known *run, _ int) string { return o.hosts[known.Instance] }), entry) {
-		if o.harmedDuring(machine, one.request.SentAt.Add(-unharmedBefore), at) {
-			return ""
-		}
+		return nil, false
 	}
-	for _, stopped := range []struct{ role, machine string }{{"entry", entry}, {"gate", gate}} {
-		if after, is := o.sinceStop(stopped.machine, at); is {
-			return fmt.Sprintf("%s sent %s ago got %s, %s after SIGTERM of its %s %s; %s", one.request.ID,
-				at.Sub(one.request.SentAt), describe(one.answer), after, stopped.role, stopped.machine, last.describe(at))
+	machines := append(lo.Map(runs, func(known *run, _ int) string { return o.hosts[known.Instance] }), one.request.Machine)
+	return last, !lo.SomeBy(machines, func(machine string) bool {
+		return o.harmedDuring(machine, one.request.SentAt.Add(-unharmedBefore), at)
+	})
+}
+
+// stopBehind describes the stop of the entry or of the gate of a request that was
+// under way when it was broken off, and tells whether there was one.
+func (o *Oracle) stopBehind(one unserved, last *run) (string, bool) {
+	on := []struct{ role, machine string }{{"entry", one.request.Machine}, {"gate", o.hosts[last.Instance]}}
+	for _, stopped := range on {
+		if after, under := o.sinceStop(stopped.machine, one.answer.At); under {
+			return fmt.Sprintf("; %s after SIGTERM of its %s %s", after, stopped.role, stopped.machine), true
 		}
 	}
-	return ""
+	return "", false
 }
 
 // sinceStop returns how long before a moment a machine got SIGTERM, if the promise
@@ -153,12 +175,13 @@
 // or its client's deadline.
 func (r Request) timeBound() time.Duration { return min(r.Timeout, r.Deadline) - timeoutMargin }
 
-// describe says what a client got.
-func describe(answer Answer) string {
-	if answer.Status == 0 {
-		return "no whole answer"
+// describe says what the client got, and what the upstream did.
+func (u unserved) describe(last *run) string {
+	got := "no whole answer"
+	if u.answer.Status != 0 {
+		got = fmt.Sprintf("an unsigned %d", u.answer.Status)
 	}
-	return fmt.Sprintf("an unsigned %d", answer.Status)
+	return fmt.Sprintf("%s got %s %s after it was sent; %s", u.request.ID, got, u.answer.At.Sub(u.request.SentAt), last.describe(u.answer.At))
 }
 
 // describe says what an upstream did of a run by a moment.
