--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -110,6 +110,13 @@
 	l.resetAfter[direction] = count
 }
 
+// CancelReset gives a planned reset up that has not come.
+func (l *Link) CancelReset(direction Direction) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.resetAfter[direction] = noReset
+}
+
 // Reset breaks all connections at once, but for those that fell silent.
 func (l *Link) Reset() {
 	l.mutex.Lock()
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -82,6 +82,19 @@
 	}
 }
 
+func TestACancelledResetDoesNotCome(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	check := is.New(t)
+	server := echoServer(t)
+	defer server.Close()
+	opened, conn := dial(t, Config{Target: server.Addr().String()})
+	opened.ResetAfter(Backward, 3)
+	opened.CancelReset(Backward)
+	check.Equal(echo(t, conn), "beans")
+	check.NoErr(conn.Close())
+	opened.Close()
+}
+
 func TestCutHoldsBytesUntilHealed(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	is := is.New(t)
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -100,7 +100,7 @@
 	}},
 	{name: "gate_break", weight: 2, harm: func(_ *soak, on *machine, random *rand.Rand) func() {
 		on.gate.ResetAfter(link.Backward, int64(random.IntN(5000)))
-		return nil
+		return func() { on.gate.CancelReset(link.Backward) }
 	}},
 	{name: "gate_connections_die", weight: 2, harm: func(_ *soak, on *machine, _ *rand.Rand) func() {
 		on.gate.Silence()
