--- /dev/null
+++ b/internal/hosted/rolloutorders.go
@@ -0,0 +1,138 @@
+package hosted
+
+import (
+	"context"
+
+	"github.com/springstack/springstack/internal/authority"
+	"github.com/springstack/springstack/internal/core/rollout"
+	"github.com/springstack/springstack/internal/pause"
+)
+
+// follow reads and watches the orders while this daemon is one of the deciders.
+func (d *rolloutDecider) follow() {
+	failures := 0
+	d.awaitPeers()
+	for pause.For(d.mesh.context, deciderPause) {
+		if d.rank() >= deciderCount {
+			continue
+		}
+		orders, at, err := d.list()
+		d.take(orders)
+		for err == nil && at > 0 && d.rank() < deciderCount {
+			at, err = d.watch(at)
+		}
+		switch {
+		case err != nil:
+			failures++
+			pause.For(d.mesh.context, registryBackoff.Pause(failures, randomNumber()))
+		case at == 0: // the store knows no orders at all, so there is nothing to watch
+			pause.For(d.mesh.context, rolloutRelist)
+		default:
+			failures = 0
+		}
+	}
+}
+
+// awaitPeers waits until the daemon may know the others, or has an order to follow.
+func (d *rolloutDecider) awaitPeers() {
+	for began := d.mesh.clock(); d.mesh.clock()-began < deciderStart; {
+		if len(d.mesh.rolloutRecords()) > 0 || !pause.For(d.mesh.context, deciderPause) {
+			return
+		}
+	}
+}
+
+// confirm reads all orders, for a daemon that must know whether a version has one. It does
+// not tell the others: each that must know reads them itself.
+func (d *rolloutDecider) confirm() bool {
+	orders, _, err := d.list()
+	if err != nil {
+		d.mesh.events.event("rollout_unread", field("code", codeText(codeOf(err))), field("error", err.Error()))
+		return false
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, order := range orders {
+		d.merge(order)
+	}
+	return true
+}
+
+// list reads all orders and the position after them; 0 where the store knows none.
+func (d *rolloutDecider) list() ([]authority.RolloutOrder, authority.Position, error) {
+	ctx, cancel := context.WithTimeout(d.mesh.context, readTimeout)
+	defer cancel()
+	orders, at, err := d.port.List(ctx)
+	d.mesh.calls.noteError(purposeRollout, err)
+	return orders, at, err
+}
+
+func (d *rolloutDecider) watch(from authority.Position) (authority.Position, error) {
+	ctx, cancel := context.WithTimeout(d.mesh.context, rolloutWatchWait+watchMargin)
+	defer cancel()
+	orders, at, err := d.port.Watch(ctx, from, rolloutWatchWait)
+	d.mesh.calls.noteError(purposeRollout, err)
+	d.take(orders)
+	return at, err
+}
+
+// take takes orders as the store has them.
+func (d *rolloutDecider) take(orders []authority.RolloutOrder) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, order := range orders {
+		d.takeOne(order)
+	}
+}
+
+// takeOne takes one order, and tells all daemons what is news; the lock is held.
+func (d *rolloutDecider) takeOne(order authority.RolloutOrder) {
+	if !d.merge(order) {
+		return
+	}
+	d.mesh.mutex.Lock()
+	defer d.mesh.mutex.Unlock()
+	d.mesh.spreadRollouts()
+}
+
+// merge takes one order, and tells whether it was news; the lock is held. What the store
+// says of its outcome goes before all that daemons believe.
+func (d *rolloutDecider) merge(order authority.RolloutOrder) bool {
+	known := d.orders[order.Service]
+	if known == nil || known.order.Target != order.Target || known.order.Duration != order.Duration {
+		known = &followedOrder{decider: &rollout.Decider{}}
+		d.orders[order.Service] = known
+	}
+	known.order = order
+	if order.Fault != nil {
+		d.logFault(known)
+		return false
+	}
+	record := recordOf(order)
+	d.mesh.mutex.Lock()
+	defer d.mesh.mutex.Unlock()
+	return d.mesh.mergeRollouts([]rollout.Record{record})
+}
+
+func (d *rolloutDecider) logFault(known *followedOrder) {
+	if known.faultLogged {
+		return
+	}
+	known.faultLogged = true
+	d.mesh.events.event("rollout_refused", field("service", known.order.Service.Name),
+		field("code", codeText(codeOf(known.order.Fault))), field("error", known.order.Fault.Error()))
+}
+
+// recordOf is the record of an order as the store has it. A status of another target
+// is that of an earlier order.
+func recordOf(order authority.RolloutOrder) rollout.Record {
+	record := rollout.Record{
+		Service: order.Service, Target: order.Target, Duration: order.Duration,
+		Generation: order.Revision, Stage: rollout.StageCanary,
+	}
+	if order.Status.Stage != 0 && order.Status.Target == order.Target {
+		record.Stage = order.Status.Stage
+		record.Generation = order.Status.Generation
+	}
+	return record
+}
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -239,94 +238,6 @@
 	}
 }
 
-// judge tells whether there is an answer to pass on, and else the refusal.
-func (c *gateCall) judge(sent *exchange) (Refusal, bool) {
-	if sent.err == nil {
-		sent.collect(c.proxy.limits.CollectBytes)
-	}
-	if sent.err == nil {
-		return c.judgeAnswer(sent.answer)
-	}
-	detail := describeFailure(sent.err)
-	switch {
-	case sent.unsent && c.context.Err() == nil:
-		c.proxy.backendUnreachable(c.backend)
-		return Refusal{Code: result.ConnectFailed, Detail: detail, RetryAfter: time.Second}, true
-	case sent.unsent:
-		return Refusal{Code: result.DeadlineBeforeStart, Detail: detail}, true
-	case context.Cause(c.context) == errDrainBound:
-		return Refusal{Code: result.DrainBound}, true
-	case stalled(c.body.problem()):
-		return Refusal{Code: result.SlowPeer}, true
-	case c.context.Err() == context.DeadlineExceeded:
-		return Refusal{Code: result.DeadlineInFlight}, true
-	case c.context.Err() != nil:
-		return Refusal{Code: result.CallerGone}, true
-	}
-	return Refusal{Code: result.BrokenInFlight, Detail: detail}, true
-}
-
-// judgeAnswer takes a back end's own word that it has shed a call.
-func (c *gateCall) judgeAnswer(answer *http.Response) (Refusal, bool) {
-	if edge := c.proxy.config.Edge; edge != nil {
-		return c.judgeEdgeAnswer(edge, answer)
-	}
-	shed := answer.StatusCode == http.StatusServiceUnavailable &&
-		answer.Header.Get(headerBackendRan) == string(result.RanNo)
-	if !shed {
-		return Refusal{}, false
-	}
-	// Read to its end, it leaves the connection and the slot free.
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, refusalBytes))
-	refusal := Refusal{Code: result.Shed, Detail: "The back end has shed the call.", RetryAfter: time.Second}
-	if seconds, err := strconv.Atoi(answer.Header.Get("Retry-After")); err == nil && seconds > 0 {
-		refusal.RetryAfter = time.Duration(seconds) * time.Second
-	}
-	return refusal, true
-}
-
-// judgeEdgeAnswer takes the word of a back end of a foreign platform.
-func (c *gateCall) judgeEdgeAnswer(edge *Edge, answer *http.Response) (Refusal, bool) {
-	if !edge.notExecuted(answer) {
-		return Refusal{}, false
-	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, refusalBytes))
-	if answer.StatusCode == http.StatusMisdirectedRequest {
-		return Refusal{Code: result.WrongBackend}, true
-	}
-	return Refusal{Code: result.BackendRefused}, true
-}
-
-// noteBackend counts whether the back end has answered the call or failed it.
-func (c *gateCall) noteBackend(sent *exchange, refusal Refusal, refused bool, ran time.Duration) {
-	failed := false
-	switch {
-	case refused:
-		failed = failsBackend(refusal.Code)
-	default:
-		failed = sent.answer.StatusCode >= http.StatusInternalServerError
-	}
-	if failed || !refused {
-		c.proxy.answers.Note(c.ticket.Class, failed, !c.proxy.warming(), ran)
-	}
-	switch {
-	case !failed && !refused:
-		c.proxy.tally.answered.Add(1)
-	case failed && c.proxy.config.OnBackendFailed != nil:
-		c.proxy.config.OnBackendFailed(c.backend, c.proxy.tally.answered.Load())
-	}
-}
-
-// failsBackend tells whether a call that ended with a code, after it had a slot, was
-// failed by its back end: broken, turned away, or not answered in its time.
-func failsBackend(code result.Code) bool {
-	switch code {
-	case result.BrokenInFlight, result.DeadlineInFlight, result.BackendRefused, result.Shed:
-		return true
-	}
-	return false
-}
-
 // refuse answers with a refusal and the load, from which senders learn.
 func (c *gateCall) refuse(refusal Refusal) {
 	refusal.Load = c.proxy.loadText()
