The usual answer is searched where it was read, without a copy

The filter of surplus answers allocated 4 KB and copied the first read of each answer. Now only an answer that does not begin with its own whole head is. Behaviour as before: 3,000 drawn cases of the property test, two whole runs of the package.

--- a/internal/proxy/surplus.go
+++ b/internal/proxy/surplus.go
@@ -57,6 +57,10 @@
 		if err != nil || f.found || attempt == nil || attempt.answerID == "" {
 			return count, err
 		}
+		if f.beginsOwn(into[:count]) {
+			f.found = true // the usual case, in which nothing is copied or parsed twice
+			return count, nil
+		}
 		f.ready = append(f.ready, into[:count]...)
 		if err := f.skipForeign(); err != nil {
 			return 0, err
@@ -74,9 +78,8 @@
 		if err := f.fillHead(); err != nil {
 			return err
 		}
-		head, _, complete := bytes.Cut(f.ready, headEnding)
-		if !complete || bytes.Contains(head, []byte(f.attempt.answerID)) {
-			f.found = true // the usual case, in which nothing is parsed twice
+		if f.beginsOwn(f.ready) || len(f.ready) >= headLimit {
+			f.found = true
 			return nil
 		}
 		held := bytes.NewReader(f.ready)
@@ -97,8 +100,18 @@
 	}
 }
 
+// beginsOwn tells whether bytes begin with the whole head of an answer that names the
+// attempt.
+func (f *surplusFilter) beginsOwn(text []byte) bool {
+	head, _, complete := bytes.Cut(text, headEnding)
+	return complete && bytes.Contains(head, []byte(f.attempt.answerID))
+}
+
 // fillHead reads until a whole head is there, or as much as is looked at.
 func (f *surplusFilter) fillHead() error {
+	if bytes.Contains(f.ready, headEnding) {
+		return nil
+	}
 	chunk := make([]byte, 4<<10)
 	for !bytes.Contains(f.ready, headEnding) && len(f.ready) < headLimit {
 		count, err := f.source.Read(chunk)
