A slow store does not hold up a decider's other orders and news

Cause: the status of an order was written under the decider's lock. Found when reading; a slow store held up the decisions on other services and the news of orders. The write now holds no lock, and a state of an order that is older than the one known is not taken, whichever call brings it. TestASlowWriteHoldsNoNewsUp hangs before; 161,051 orders of two deciders hold.

--- a/internal/hosted/rolloutdecider.go
+++ b/internal/hosted/rolloutdecider.go
@@ -142,16 +142,26 @@
 		return
 	}
 	seen := d.observe(record, target, stable)
-	now := m.clock()
+	decision, order, due := d.step(record, elapsed, seen, time.Duration(rank)*deciderStagger)
+	if due {
+		d.write(order, record, decision)
+	}
+}
 
+// step steps the decision on an order, and tells whether it is due to be written over the
+// order as it was read: it has stood for a time.
+func (d *rolloutDecider) step(
+	record rollout.Record, elapsed time.Duration, seen rollout.Observation, stood time.Duration,
+) (decision rollout.Decision, order authority.RolloutOrder, due bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	known := d.orders[service]
+	now := d.mesh.clock()
+	known := d.orders[record.Service]
 	d.respread(known, record, now)
-	decision := known.decider.Step(now, record, elapsed, seen)
+	decision = known.decider.Step(now, record, elapsed, seen)
 	if decision.Stage == record.Stage && known.order.Status.Stage == record.Stage {
 		known.dueAt = 0
-		return
+		return decision, known.order, false
 	}
 	if known.dueAt == 0 {
 		known.dueAt = now
@@ -160,9 +170,7 @@
 		d.halt(record, decision.Reason) // nobody needs to agree to less
 		decision.Stage = rollout.StageRolledBack
 	}
-	if now-known.dueAt >= time.Duration(rank)*deciderStagger {
-		d.write(known, record, decision)
-	}
+	return decision, known.order, now-known.dueAt >= stood
 }
 
 // respread tells all daemons again of a stage that they should have heard of; the lock is
@@ -191,13 +199,14 @@
 	}
 }
 
-// write writes a stage into the store and, when it stands there, tells all daemons; the
-// lock is held. A write that met another one's is read again by the watch.
-func (d *rolloutDecider) write(known *followedOrder, record rollout.Record, decision rollout.Decision) {
+// write writes a stage into the store over an order as it was read and, when it stands
+// there, tells all daemons. A write that met another one's is read again. It holds no lock while
+// the store is called, which may be slow, so that other orders and news are not held up.
+func (d *rolloutDecider) write(order authority.RolloutOrder, record rollout.Record, decision rollout.Decision) {
 	status := authority.RolloutStatus{Stage: decision.Stage, Target: record.Target, Generation: record.Generation}
 	ctx, cancel := context.WithTimeout(d.mesh.context, readTimeout)
 	defer cancel()
-	written, err := d.port.Write(ctx, known.order, status)
+	written, err := d.port.Write(ctx, order, status)
 	d.mesh.calls.noteError(purposeRollout, err)
 	d.mesh.events.event("rollout_decided", field("service", record.Service.Name), field("target", record.Target),
 		field("stage", decision.Stage.String()), field("reason", decision.Reason), field("code", codeText(codeOf(err))))
@@ -205,18 +214,18 @@
 		d.reread()
 		return
 	}
-	known.dueAt = 0
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.orders[record.Service].dueAt = 0
 	d.takeOne(written)
 }
 
 // reread lists the orders after a write that failed or was not answered: it may have
-// been done. The lock is held.
+// been done.
 func (d *rolloutDecider) reread() {
 	orders, _, err := d.list()
 	if err != nil {
 		d.mesh.events.event("rollout_unread", field("code", codeText(codeOf(err))), field("error", err.Error()))
 	}
-	for _, order := range orders {
-		d.takeOne(order)
-	}
+	d.take(orders)
 }
--- a/internal/hosted/rolloutdecider_test.go
+++ b/internal/hosted/rolloutdecider_test.go
@@ -100,8 +100,6 @@
 		return
 	}
 	decider := t.deciders[step.decider]
-	decider.mutex.Lock()
-	defer decider.mutex.Unlock()
 	if step.stage == 0 {
 		decider.reread()
 		return
@@ -110,7 +108,7 @@
 	if record.Stage.Final() || step.stage < record.Stage {
 		return // as decide does: there is nothing to decide, or no such decision
 	}
-	decider.write(decider.orders[record.Service], record, rollout.Decision{Stage: step.stage})
+	decider.write(decider.orders[record.Service].order, record, rollout.Decision{Stage: step.stage})
 }
 
 // holds tells whether what was promised holds: an outcome is never replaced, and what a
@@ -148,3 +146,39 @@
 	}
 	check.Equal(sequences, 161051)
 }
+
+// slowStore answers a write when it is let.
+type slowStore struct {
+	*orderStore
+	writing chan struct{}
+	let     chan struct{}
+}
+
+func (s *slowStore) Write(ctx context.Context, order authority.RolloutOrder, status authority.RolloutStatus) (authority.RolloutOrder, error) {
+	close(s.writing)
+	<-s.let
+	return s.orderStore.Write(ctx, order, status)
+}
+
+// News of orders are taken while the store is slow to answer a write.
+func TestASlowWriteHoldsNoNewsUp(t *testing.T) {
+	check := is.New(t)
+	run := newTwoDeciders()
+	decider := run.deciders[0]
+	slow := &slowStore{orderStore: run.store, writing: make(chan struct{}), let: make(chan struct{})}
+	decider.port = slow
+	record, _ := decider.mesh.rollouts.orders.Of(run.store.order.Service)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		decider.write(run.store.order, record, rollout.Decision{Stage: rollout.StageShift})
+	}()
+	<-slow.writing
+	newer := run.store.order
+	newer.Target, newer.Revision = "v3", newer.Revision+100
+	decider.take([]authority.RolloutOrder{newer}) // hangs where the write holds the lock
+	close(slow.let)
+	<-written
+	check.Equal(run.store.order.Status.Stage, rollout.StageShift)
+	check.Equal(decider.orders[newer.Service].order.Target, "v3") // what the write tells is older
+}
--- a/internal/hosted/rolloutorders.go
+++ b/internal/hosted/rolloutorders.go
@@ -99,6 +99,9 @@
 // says of its outcome goes before all that daemons believe.
 func (d *rolloutDecider) merge(order authority.RolloutOrder) bool {
 	known := d.orders[order.Service]
+	if known != nil && order.Revision < known.order.Revision {
+		return false // a newer state was read while this one was on its way
+	}
 	if known == nil || known.order.Target != order.Target || known.order.Duration != order.Duration {
 		known = &followedOrder{decider: &rollout.Decider{}}
 		d.orders[order.Service] = known
