--- a/internal/proxy/overtake_test.go
+++ b/internal/proxy/overtake_test.go
@@ -184,6 +184,8 @@
 	mesh.stayOpen(t, "after the other attempt")
 	stopAt("after the other ended")
 	mesh.stayOpen(t, "after the stop")
+	check.Equal(len(mesh.first.entered), 0) // what keeps the call open is its first attempt alone
+	check.Equal(len(mesh.caller.Counters().Abandoned), 0)
 	mesh.first.ends <- endsWell
 	got := await(t, mesh.answers, "an answer")
 	check.Equal(got.status, http.StatusOK)
