--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -107,7 +107,7 @@
 type reachability interface {
 	// SetReachable keeps new calls from a daemon, or lets them go there again.
 	SetReachable(protocol.NodeID, bool)
-	// GiveUp has the calls at a daemon overtaken by attempts elsewhere.
+	// GiveUp has the calls at a daemon hedged by attempts elsewhere.
 	GiveUp(protocol.NodeID)
 }
 
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -47,7 +47,7 @@
 // withdraw ends an attempt whose exchange has another owner; it says nothing of its
 // endpoint.
 func (a *attempt) withdraw(p *Proxy) {
-	a.exchange = &exchange{err: errOvertaken, cancel: func() {}}
+	a.exchange = &exchange{err: errHedged, cancel: func() {}}
 	a.evidence = endpoint.Withdrawn
 	a.end(p)
 }
@@ -90,8 +90,8 @@
 
 // send sends an attempt and waits for the head of its answer. While the gate is
 // silent its daemon is asked for; when the daemon is found to be unreachable and another
-// attempt is sure to follow, the attempt is overtaken. An answer of an attempt that was
-// overtaken before is taken when it comes first; if it is one of failure, this attempt
+// attempt is sure to follow, the attempt is hedged. An answer of an attempt that was
+// hedged before is taken when it comes first; if it is one of failure, this attempt
 // goes on. It returns the attempt that has ended, which is judged unless it is made.
 func (c *callerCall) send(made *attempt, path *upstream, set *endpoint.Set, mark bool, now time.Duration) *attempt {
 	relay := &informer{writer: c.writer}
@@ -101,13 +101,13 @@
 	outgoing := c.outgoing(made.chosen, mark, c.deadline-now)
 	silent := c.holdSilent(made, path, set)
 	defer path.silence.release(made)
-	if silent == nil && c.overtaken == nil {
+	if silent == nil && c.hedged == nil {
 		made.exchange = path.send(ctx, outgoing, relay, nil)
 		c.noteHeard(made, path)
 		return made
 	}
 	send := func() *exchange { return path.send(ctx, outgoing, relay, nil) }
-	under := fly(send, c.proxy.limits.CollectBytes)
+	under := startExchange(send, c.proxy.limits.CollectBytes)
 	for {
 		select {
 		case <-under.done:
@@ -116,12 +116,12 @@
 			return made
 		case <-silent:
 			relay.end()
-			c.overtaken = &overtaken{chosen: made.chosen, sentAt: made.sentAt, set: set, flight: under}
+			c.hedged = &hedged{chosen: made.chosen, sentAt: made.sentAt, set: set, pending: under}
 			made.cancel = nil // it runs on, at most until the call's context ends
-			made.exchange = &exchange{err: errOvertaken, cancel: func() {}}
+			made.exchange = &exchange{err: errHedged, cancel: func() {}}
 			return made
 		case <-c.answered():
-			late := c.landed()
+			late := c.takeHedged()
 			switch {
 			case late == nil:
 			case late.outcome.Failed:
@@ -147,9 +147,9 @@
 
 // holdSilent returns what is closed when the daemon of the attempt's gate is unreachable
 // and another attempt is paid for. A call that may not be repeated, or of which an attempt
-// was overtaken already, waits for its gate.
+// was hedged already, waits for its gate.
 func (c *callerCall) holdSilent(made *attempt, path *upstream, set *endpoint.Set) <-chan struct{} {
-	if !c.policy.Repeatable || c.proxy.config.OnSilent == nil || c.overtaken != nil {
+	if !c.policy.Repeatable || c.proxy.config.OnSilent == nil || c.hedged != nil {
 		return nil
 	}
 	silent := make(chan struct{})
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -112,8 +112,8 @@
 	key     string
 	keyHash uint64
 	tried   endpoint.Tried
-	// overtaken is the attempt that another one has followed; nil for none.
-	overtaken *overtaken
+	// hedged is the attempt that another one has followed; nil for none.
+	hedged *hedged
 	// failure is an answer of failure to deliver if nothing better comes; nil for none.
 	failure *attempt
 	// answering is set once an answer is being passed on.
@@ -198,7 +198,7 @@
 
 // run makes attempts until there is an answer or a final refusal.
 func (c *callerCall) run() {
-	defer c.dropOvertaken()
+	defer c.dropHedged()
 	defer c.retries.Settle()
 	step := c.retries.First()
 	for {
--- a/internal/proxy/overtake.go
+++ b/internal/proxy/hedge.go
@@ -10,12 +10,12 @@
 	"github.com/springstack/springstack/internal/core/retry"
 )
 
-// errOvertaken is how an attempt ends for its call whose gate fell silent and that
+// errHedged is how an attempt ends for its call whose gate fell silent and that
 // another attempt follows while it may still be answered.
-const errOvertaken = errors.ConstError("the gate is silent, and the call is sent elsewhere")
+const errHedged = errors.ConstError("the gate is silent, and the call is sent elsewhere")
 
-// flight is an exchange that runs on a goroutine of its own.
-type flight struct {
+// pendingExchange is an exchange that runs on a goroutine of its own.
+type pendingExchange struct {
 	// done is closed when the exchange has ended.
 	done chan struct{}
 
@@ -24,48 +24,48 @@
 	dropped  bool
 }
 
-// fly starts an exchange and reads its answer as far as that may be held, so that whoever
+// startExchange starts an exchange and reads its answer as far as that may be held, so that whoever
 // waits for done never waits for an answer that stops midway.
-func fly(send func() *exchange, collectBytes int) *flight {
-	made := &flight{done: make(chan struct{})}
+func startExchange(send func() *exchange, collectBytes int) *pendingExchange {
+	made := &pendingExchange{done: make(chan struct{})}
 	go func() {
 		sent := send()
 		sent.collect(collectBytes)
-		made.land(sent)
+		made.finish(sent)
 		close(made.done)
 	}()
 	return made
 }
 
-// land keeps what came of the exchange, unless nobody wants it any more.
-func (f *flight) land(made *exchange) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	if f.dropped {
+// finish keeps what came of the exchange, unless nobody wants it any more.
+func (e *pendingExchange) finish(made *exchange) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.dropped {
 		made.close()
 		return
 	}
-	f.exchange = made
+	e.exchange = made
 }
 
 // take returns the exchange, whose owner is then the caller; done must be closed.
-func (f *flight) take() *exchange {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return f.exchange
+func (e *pendingExchange) take() *exchange {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.exchange
 }
 
 // drop closes the exchange, at its end if it still runs.
-func (f *flight) drop() {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.dropped = true
-	if f.exchange != nil {
-		f.exchange.close()
+func (e *pendingExchange) drop() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.dropped = true
+	if e.exchange != nil {
+		e.exchange.close()
 	}
 }
 
-// overtaken is an attempt that another one has followed since its gate fell silent.
+// hedged is an attempt that another one has followed since its gate fell silent.
 //
 // A silent daemon is only suspected: it may be slow, and its back end at work. So the
 // attempt is not broken off; like any other it ends by its answer, its connection, its
@@ -73,28 +73,28 @@
 // daemon drains: a process learns of a stop later than it is sent, up to some tenths of
 // a second where its processor share is spent, and a call broken off by then is cut by
 // the stop all the same. A call has one at most.
-type overtaken struct {
+type hedged struct {
 	chosen *endpoint.Endpoint
 	sentAt time.Duration
 	// set is that of the endpoint when it was chosen.
-	set    *endpoint.Set
-	flight *flight
+	set     *endpoint.Set
+	pending *pendingExchange
 }
 
-// answered is closed when the overtaken attempt has ended; nil, which never is, without one.
+// answered is closed when the hedged attempt has ended; nil, which never is, without one.
 func (c *callerCall) answered() <-chan struct{} {
-	if c.overtaken == nil {
+	if c.hedged == nil {
 		return nil
 	}
-	return c.overtaken.flight.done
+	return c.hedged.pending.done
 }
 
-// landed returns the overtaken attempt, which has ended, if its back end has answered it,
-// and else nil. The call then has no overtaken attempt any more.
-func (c *callerCall) landed() *attempt {
-	earlier := c.overtaken
-	c.overtaken = nil
-	received := earlier.flight.take()
+// takeHedged returns the hedged attempt, which has ended, if its back end has answered it,
+// and else nil. The call then has no hedged attempt any more.
+func (c *callerCall) takeHedged() *attempt {
+	earlier := c.hedged
+	c.hedged = nil
+	received := earlier.pending.take()
 	if received.answer == nil || received.answer.Header.Get(headerCode) != "" {
 		received.close()
 		return nil
@@ -109,20 +109,20 @@
 	return late
 }
 
-// awaitOvertaken waits for the overtaken attempt before a call is refused, and returns its
+// awaitHedged waits for the hedged attempt before a call is refused, and returns its
 // answer, or nil when it ended without one or the call ended before.
-func (c *callerCall) awaitOvertaken() *attempt {
-	if c.overtaken == nil {
+func (c *callerCall) awaitHedged() *attempt {
+	if c.hedged == nil {
 		return nil
 	}
 	select {
 	case <-c.answered():
-		return c.landed()
+		return c.takeHedged()
 	case <-c.context.Done():
 	}
 	select {
 	case <-c.answered(): // at the same moment: what is ready is delivered
-		return c.landed()
+		return c.takeHedged()
 	default:
 		return nil
 	}
@@ -136,10 +136,10 @@
 	}
 }
 
-// betterAnswer returns the answer of the overtaken attempt in place of one by which a back
+// betterAnswer returns the answer of the hedged attempt in place of one by which a back
 // end failed the call, if there is one.
 func (c *callerCall) betterAnswer(failed *attempt) *attempt {
-	late := c.awaitOvertaken()
+	late := c.awaitHedged()
 	if late == nil {
 		return failed
 	}
@@ -148,28 +148,28 @@
 }
 
 // lastAnswer returns what a call can be answered with before it is refused: what the
-// overtaken attempt is answered with or, failing that, a back end's failure; nil for
+// hedged attempt is answered with or, failing that, a back end's failure; nil for
 // neither.
 func (c *callerCall) lastAnswer() *attempt {
-	if late := c.awaitOvertaken(); late != nil {
+	if late := c.awaitHedged(); late != nil {
 		return late
 	}
 	return c.failure
 }
 
-// runsAt tells whether the overtaken attempt is at an endpoint.
+// runsAt tells whether the hedged attempt is at an endpoint.
 func (c *callerCall) runsAt(chosen *endpoint.Endpoint) bool {
-	return c.overtaken != nil && chosen != nil && c.overtaken.chosen.Address == chosen.Address
+	return c.hedged != nil && chosen != nil && c.hedged.chosen.Address == chosen.Address
 }
 
-// dropOvertaken gives up what is still under way when a call has ended.
-func (c *callerCall) dropOvertaken() {
-	if c.overtaken == nil {
+// dropHedged gives up what is still under way when a call has ended.
+func (c *callerCall) dropHedged() {
+	if c.hedged == nil {
 		return
 	}
-	dropped := c.overtaken
-	c.overtaken = nil
-	dropped.flight.drop()
+	dropped := c.hedged
+	c.hedged = nil
+	dropped.pending.drop()
 	reason, ended := c.endReason()
 	switch {
 	case ended:
--- a/internal/proxy/overtake_test.go
+++ b/internal/proxy/hedge_test.go
@@ -71,8 +71,8 @@
 	}
 }
 
-// overtaking is a mesh of two back ends with a call under way at one of them.
-type overtaking struct {
+// hedging is a mesh of two back ends with a call under way at one of them.
+type hedging struct {
 	*mesh
 	first, second *stepped
 	// silent is the gate of the first.
@@ -80,13 +80,13 @@
 	answers chan answered
 }
 
-// startOvertaking starts a repeatable call and waits until it runs.
-func startOvertaking(t *testing.T, change func(*Config)) *overtaking {
+// startHedging starts a repeatable call and waits until it runs.
+func startHedging(t *testing.T, change func(*Config)) *hedging {
 	t.Helper()
 	one, other := newStepped(), newStepped()
-	made := &overtaking{answers: make(chan answered, 1)}
+	made := &hedging{answers: make(chan answered, 1)}
 	made.mesh = startMesh(t, meshOptions{caller: func(config *Config) {
-		config.OnSilent = func(protocol.NodeID) {} // calls may be overtaken
+		config.OnSilent = func(protocol.NodeID) {} // calls may be hedged
 		change(config)
 	}}, one.spec("a"), other.spec("b"))
 	go func() { made.answers <- made.call(t, "GET", "/", "") }()
@@ -100,13 +100,13 @@
 }
 
 // fallSilent tells the caller's side that the daemon of the first does not answer.
-func (o *overtaking) fallSilent() {
+func (o *hedging) fallSilent() {
 	o.mesh.caller.SetReachable(o.silent.config.NodeID, false)
 	o.mesh.caller.GiveUp(o.silent.config.NodeID)
 }
 
 // closeOther has the other gate refuse all calls.
-func (o *overtaking) closeOther() {
+func (o *hedging) closeOther() {
 	for _, gate := range o.gates {
 		if gate != o.silent {
 			gate.StartDrain()
@@ -134,7 +134,7 @@
 const settleTime = 60 * time.Millisecond
 
 // stayOpen fails when the caller is answered while the first attempt runs.
-func (o *overtaking) stayOpen(t *testing.T, when string) {
+func (o *hedging) stayOpen(t *testing.T, when string) {
 	t.Helper()
 	select {
 	case got := <-o.answers:
@@ -163,7 +163,7 @@
 
 func failsNoCallUnderWay(t *testing.T, how ending, stop string) {
 	check := is.New(t)
-	mesh := startOvertaking(t, func(*Config) {})
+	mesh := startHedging(t, func(*Config) {})
 	stopAt := func(moment string) {
 		if moment == stop {
 			mesh.caller.StartDrain()
@@ -196,7 +196,7 @@
 // other one.
 func TestAFailureOfTheFirstDoesNotCutTheOther(t *testing.T) {
 	check := is.New(t)
-	mesh := startOvertaking(t, func(*Config) {})
+	mesh := startHedging(t, func(*Config) {})
 	mesh.fallSilent()
 	await(t, mesh.second.entered, "another attempt")
 	mesh.first.ends <- endsWithFailure
@@ -212,7 +212,7 @@
 // A back end's own answer of failure is delivered rather than a failure of our own.
 func TestAFailureOfABackEndGoesBeforeOneOfOurOwn(t *testing.T) {
 	check := is.New(t)
-	mesh := startOvertaking(t, func(config *Config) { config.Limits.CollectBytes = 1 << 10 })
+	mesh := startHedging(t, func(config *Config) { config.Limits.CollectBytes = 1 << 10 })
 	mesh.fallSilent()
 	await(t, mesh.second.entered, "another attempt")
 	mesh.first.ends <- endsWithFailure
@@ -227,7 +227,7 @@
 // An answer of the first that breaks off leaves the caller with a whole answer of our own.
 func TestABrokenLateAnswerIsAnsweredForWhole(t *testing.T) {
 	check := is.New(t)
-	mesh := startOvertaking(t, func(config *Config) { config.Limits.CollectBytes = 1 << 10 })
+	mesh := startHedging(t, func(config *Config) { config.Limits.CollectBytes = 1 << 10 })
 	mesh.closeOther()
 	mesh.caller.GiveUp(mesh.silent.config.NodeID)
 	mesh.stayOpen(t, "after the other attempt")
@@ -241,7 +241,7 @@
 // end is at work, and its answer is of success.
 func TestAFailureOfTheOtherDoesNotCutTheFirst(t *testing.T) {
 	check := is.New(t)
-	mesh := startOvertaking(t, func(*Config) {})
+	mesh := startHedging(t, func(*Config) {})
 	mesh.fallSilent()
 	await(t, mesh.second.entered, "another attempt")
 	mesh.second.ends <- endsWithFailure
@@ -253,7 +253,7 @@
 // The attempt that is waited for is the first one, and not a second one at the same place.
 func TestNoCallIsSentAgainToWhereItRuns(t *testing.T) {
 	check := is.New(t)
-	mesh := startOvertaking(t, func(*Config) {})
+	mesh := startHedging(t, func(*Config) {})
 	mesh.fallSilent()
 	await(t, mesh.second.entered, "another attempt")
 	mesh.second.breakAll()
@@ -263,7 +263,7 @@
 	check.Equal(await(t, mesh.answers, "an answer").status, http.StatusOK)
 }
 
-// An overtaken attempt whose answer stops midway holds no answer up that is whole.
+// A hedged attempt whose answer stops midway holds no answer up that is whole.
 func TestALateAnswerThatStopsMidwayHoldsNothingUp(t *testing.T) {
 	check := is.New(t)
 	began := make(chan string, 9)
--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -78,7 +78,7 @@
 // heard notes that a gate has answered.
 func (p *Proxy) heard(path *upstream) { path.silence.heardAt.Store(int64(p.config.Clock())) }
 
-// hold keeps an attempt that may be overtaken once its gate is found to be unreachable.
+// hold keeps an attempt that may be hedged once its gate is found to be unreachable.
 // What gives it up is called under the lock, so never after release.
 func (s *silence) hold(made *attempt, giveUp func()) {
 	s.mutex.Lock()
@@ -116,7 +116,7 @@
 	})
 }
 
-// GiveUp has attempts at a daemon that doesn't answer overtaken by others. It breaks
+// GiveUp has attempts at a daemon that doesn't answer hedged by others. It breaks
 // none of them off.
 func (p *Proxy) GiveUp(node protocol.NodeID) {
 	p.eachEndpoint(node, func(_ *endpoint.Endpoint, path *upstream) {
--- a/internal/proxy/trace.go
+++ b/internal/proxy/trace.go
@@ -155,7 +155,7 @@
 			textField("held_ms", millis(c.timeout-(c.deadline-now))),
 			textField("left_ms", millis(c.deadline-now)),
 			textField("budget", c.retries.BudgetLeft(now)),
-			textField("under_way", strconv.FormatBool(c.overtaken != nil)),
+			textField("under_way", strconv.FormatBool(c.hedged != nil)),
 			c.proxy.drainField())
 	})
 }
