A daemon is ready only once what it has heard of its peers is in force

Cause: a daemon called itself ready when a peer's records had come, while the view of them might still wait up to 100 ms for its time: calls found no back end (503).

TestADaemonThatIsReadyKnowsItsPeers fails before.

--- a/internal/hosted/comparing.go
+++ b/internal/hosted/comparing.go
@@ -89,7 +89,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if from.Zone == m.self.Zone || len(m.peers().Near()) == 0 {
-		m.hasJoined.Store(true)
+		m.join()
 	}
 }
 
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -274,3 +274,24 @@
 		check.Equal(strings.Count(out.String(), "event="+event), 1)
 	}
 }
+
+// A daemon is ready only once what it has heard of its peers is in force, also when another
+// publication has just been made.
+func TestADaemonThatIsReadyKnowsItsPeers(t *testing.T) {
+	check := is.New(t)
+	held := newTestMesh("z1")
+	now := time.Minute
+	held.clock = func() time.Duration { return now }
+	published := 0
+	held.publish = func(members []protocol.Member, _ proxy.Splits) {
+		check.True(!held.joined())
+		published = len(members)
+	}
+	held.publishAll() // of its own record
+	held.takeCompared("z1", []protocol.Member{member("a", "z1"), member("b", "z1")})
+	check.Equal(published, 1) // it waits for its time
+	held.noteJoined(dissemination.Peer{ID: "a", Zone: "z1"})
+	check.True(held.joined())
+	check.Equal(published, 3)
+	held.noteJoined(dissemination.Peer{ID: "b", Zone: "z1"}) // nothing more
+}
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -128,9 +128,23 @@
 func (m *mesh) joined() bool { return m.hasJoined.Load() }
 
 func (m *mesh) awaitJoin() {
-	if pause.For(m.context, joinWait) {
-		m.hasJoined.Store(true)
+	if !pause.For(m.context, joinWait) {
+		return
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.join()
+}
+
+// join lets the daemon call itself ready; the lock is held. What it has heard of its peers is
+// put in force before: a publication may wait for its time, and calls that come to a daemon
+// that says it is ready would find no back end meanwhile.
+func (m *mesh) join() {
+	if m.joined() {
+		return
 	}
+	m.publishAll()
+	m.hasJoined.Store(true)
 }
 
 // announce changes what the own record says of the back end, and tells peers.
