--- a/internal/core/rollout/judge.go
+++ b/internal/core/rollout/judge.go
@@ -29,8 +29,9 @@
 	// share of bad answers is taken to be larger than it shows.
 	deviations = 2
 	// condemnedAt is the evidence, in natural logarithms, from which a version is
-	// condemned: an e^5th, one in 150, that chance alone brings so many bad answers at a look. Of 345 good
-	// versions of the experiment it gives up 2, an 8 gives up none but overlooks 2 of 655 bad ones.
+	// condemned: an e^5th, one in 150, that chance alone brings so many bad answers at a
+	// look. With suspectedAt it gives up 60 of 7,068 good versions of the experiment and
+	// overlooks none of 13,932 bad ones.
 	condemnedAt = 5
 	// suspectedAt is the evidence from which a version does not get all calls yet, but is
 	// watched for longer: one in four that chance alone brings so many bad answers. Once it
