Read again: one piece of code for what stood twice, and no count of versions without a new one

- Lists that forget their oldest entry, the accounts that a retry is charged to, the reading of orders beside the watch with its log line, and the exchange of a hedged attempt: once each.
- A view that shows no new version counts none: two maps a publication on deployments with roll-outs, some times a second.
- The filter of surplus answers reads heads into its own buffer and looks for their end once.

Behaviour, bounds and assertions as before: backend, retry, hosted, proxy and 3,000 drawn cases of the filter pass.

--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -103,10 +103,7 @@
 		t.candidates[at] = report
 	case at >= 0:
 	default:
-		if len(t.candidates) >= candidateLimit {
-			t.candidates = slices.Delete(t.candidates, 0, 1)
-		}
-		t.candidates = append(t.candidates, report)
+		t.candidates = appendBounded(t.candidates, candidateLimit, report)
 	}
 }
 
@@ -174,10 +171,15 @@
 	if slices.Contains(t.ended, instance) {
 		return
 	}
-	if len(t.ended) >= endedLimit {
-		t.ended = slices.Delete(t.ended, 0, 1)
+	t.ended = appendBounded(t.ended, endedLimit, instance)
+}
+
+// appendBounded appends to a list that forgets its oldest entry at a limit.
+func appendBounded[Entry any](list []Entry, limit int, entry Entry) []Entry {
+	if len(list) >= limit {
+		list = slices.Delete(list, 0, 1)
 	}
-	t.ended = append(t.ended, instance)
+	return append(list, entry)
 }
 
 // Unreachable is called when a call found that the instance takes no
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -125,15 +125,20 @@
 
 // Refund gives back the cost of a retry that was withdrawn at a time and not made.
 func (b *Budget) Refund(withdrawnAt time.Duration, class callclass.Class) {
-	for _, one := range [...]*account{&b.service, b.classes.Of(class)} {
+	for _, one := range b.accountsOf(class) {
 		one.retries.takeBack(withdrawnAt, b.window, unit)
 	}
 }
 
+// accountsOf are the accounts that a retry of a class is charged to.
+func (b *Budget) accountsOf(class callclass.Class) [2]*account {
+	return [...]*account{&b.service, b.classes.Of(class)}
+}
+
 // withdraw takes the cost of a retry where a share of what is allowed is left after it.
 func (b *Budget) withdraw(now time.Duration, class callclass.Class, cost int, kept float64) bool {
 	price := int64(cost) * unit
-	accounts := [...]*account{&b.service, b.classes.Of(class)}
+	accounts := b.accountsOf(class)
 	// It is taken first and given back where it was too much, so that two at the
 	// same moment never take more than there is.
 	for _, one := range accounts {
--- a/internal/hosted/rolloutdecider.go
+++ b/internal/hosted/rolloutdecider.go
@@ -223,9 +223,6 @@
 // reread lists the orders after a write that failed or was not answered: it may have
 // been done.
 func (d *rolloutDecider) reread() {
-	orders, _, err := d.list()
-	if err != nil {
-		d.mesh.events.event("rollout_unread", field("code", codeText(codeOf(err))), field("error", err.Error()))
-	}
+	orders, _ := d.listAgain() // where it failed, the watch or the next write tells
 	d.take(orders)
 }
--- a/internal/hosted/rolloutorders.go
+++ b/internal/hosted/rolloutorders.go
@@ -45,17 +45,23 @@
 // confirm reads all orders, for a daemon that must know whether a version has one. It does
 // not tell the others: each that must know reads them itself.
 func (d *rolloutDecider) confirm() bool {
-	orders, _, err := d.list()
-	if err != nil {
-		d.mesh.events.event("rollout_unread", field("code", codeText(codeOf(err))), field("error", err.Error()))
-		return false
-	}
+	orders, read := d.listAgain()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for _, order := range orders {
 		d.merge(order)
 	}
-	return true
+	return read
+}
+
+// listAgain reads all orders beside the watch, and tells whether the store answered.
+func (d *rolloutDecider) listAgain() (orders []authority.RolloutOrder, read bool) {
+	orders, _, err := d.list()
+	if err != nil {
+		d.mesh.events.event("rollout_unread", field("code", codeText(codeOf(err))), field("error", err.Error()))
+		return nil, false
+	}
+	return orders, true
 }
 
 // list reads all orders and the position after them; 0 where the store knows none.
--- a/internal/hosted/sightings.go
+++ b/internal/hosted/sightings.go
@@ -44,6 +44,9 @@
 // note takes the versions of back ends that take work. Of those that a daemon sees first of
 // a service, the most frequent one is taken for the one that was there before.
 func (s *sightings) note(now time.Duration, members []protocol.Member) {
+	if s.knows(members) {
+		return // as nearly always, and views are built some times a second
+	}
 	for service, counts := range countVersions(members) {
 		versions := s.seen[service]
 		if versions == nil {
@@ -59,12 +62,31 @@
 	}
 }
 
+// knows tells whether each version that takes work was seen before.
+func (s *sightings) knows(members []protocol.Member) bool {
+	for index := range members {
+		member := &members[index]
+		if !hasVersion(member) {
+			continue
+		}
+		if _, known := s.seen[member.Service][member.Software]; !known {
+			return false
+		}
+	}
+	return true
+}
+
+// hasVersion tells whether a back end takes work and says what software it runs.
+func hasVersion(member *protocol.Member) bool {
+	return member.Software != "" && member.Endpoint.TakesWork()
+}
+
 // countVersions counts the back ends of each service that take work by their version.
 func countVersions(members []protocol.Member) map[resource.ServiceRef]map[string]int {
 	counted := map[resource.ServiceRef]map[string]int{}
 	for index := range members {
 		member := &members[index]
-		if member.Software == "" || !member.Endpoint.TakesWork() {
+		if !hasVersion(member) {
 			continue
 		}
 		if counted[member.Service] == nil {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -47,7 +47,7 @@
 // withdraw ends an attempt whose exchange has another owner; it says nothing of its
 // endpoint.
 func (a *attempt) withdraw(p *Proxy) {
-	a.exchange = &exchange{err: errHedged, cancel: func() {}}
+	a.exchange = hedgedExchange()
 	a.evidence = endpoint.Withdrawn
 	a.end(p)
 }
@@ -118,7 +118,7 @@
 			relay.end()
 			c.hedged = &hedged{chosen: made.chosen, sentAt: made.sentAt, set: set, pending: under}
 			made.cancel = nil // it runs on, at most until the call's context ends
-			made.exchange = &exchange{err: errHedged, cancel: func() {}}
+			made.exchange = hedgedExchange()
 			return made
 		case <-c.answered():
 			late := c.takeHedged()
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -14,6 +14,9 @@
 // another attempt follows while it may still be answered.
 const errHedged = errors.ConstError("the gate is silent, and the call is sent elsewhere")
 
+// hedgedExchange stands for the exchange of an attempt whose own goes on without it.
+func hedgedExchange() *exchange { return &exchange{err: errHedged, cancel: func() {}} }
+
 // pendingExchange is an exchange that runs on a goroutine of its own.
 type pendingExchange struct {
 	// done is closed when the exchange has ended.
--- a/internal/proxy/surplus.go
+++ b/internal/proxy/surplus.go
@@ -12,6 +12,9 @@
 // the library, which refuses it by its own limit.
 const headLimit = 16 << 10
 
+// readSize is how much of a head is read at a time, in bytes: the library's own buffer.
+const readSize = 4 << 10
+
 // earlierLimit is how many requests of a connection are remembered: an answer in excess
 // belongs to the last one, or one of the last few where it comes late.
 const earlierLimit = 4
@@ -109,13 +112,11 @@
 
 // fillHead reads until a whole head is there, or as much as is looked at.
 func (f *surplusFilter) fillHead() error {
-	if bytes.Contains(f.ready, headEnding) {
-		return nil
-	}
-	chunk := make([]byte, 4<<10)
 	for !bytes.Contains(f.ready, headEnding) && len(f.ready) < headLimit {
-		count, err := f.source.Read(chunk)
-		f.ready = append(f.ready, chunk[:count]...)
+		held := len(f.ready)
+		f.ready = slices.Grow(f.ready, readSize)[:held+readSize]
+		count, err := f.source.Read(f.ready[held:])
+		f.ready = f.ready[:held+count]
 		if err != nil {
 			return err
 		}
