Sight: a back end that ends under calls is logged, with what was at work there

Cause: logs named requests by ids, which are new with each try, so what ran at several ends of back ends could not be compared. Ruled out: logging targets themselves (they may hold what is not for logs). Change: a gate whose call breaks finds out whether its back end takes connections still; if not, backend_ended and a line call_at_end a call, with the signature: a hash of method, host, target, caller and the first 64 KiB of the body. No decision depends on it yet.

--- /dev/null
+++ b/internal/proxy/ended.go
@@ -0,0 +1,113 @@
+package proxy
+
+import (
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// endDialTimeout bounds one connection to a back end on the same machine, which takes
+	// connections or refuses them within a millisecond.
+	endDialTimeout = 50 * time.Millisecond
+	// endDialTries and endDialPause are how often and how far apart a back end is asked that
+	// still takes connections: an ending process may close its connections before its port.
+	endDialTries = 2
+	endDialPause = 10 * time.Millisecond
+	// endGather is how long calls are gathered that were at work on a back end as it ended.
+	// Their connections break in the same moment; it allows for the scheduling of the
+	// goroutines that read them.
+	endGather = 5 * time.Millisecond
+)
+
+// backendEnds finds out whether the back end has ended when connections to it break under
+// calls, and which calls were at work there.
+type backendEnds struct {
+	mutex sync.Mutex
+	// newest is the last moment at which calls broke; nil for none.
+	newest *backendEnd
+}
+
+// backendEnd is one moment at which connections to an instance broke.
+type backendEnd struct {
+	instance string
+	// settled is closed when ended is known and all calls have been gathered.
+	settled chan struct{}
+	ended   bool
+	// atWork are the calls whose connections broke; guarded by the mutex until settled.
+	atWork []*gateCall
+}
+
+// awaitEnd takes a call whose connection broke before an answer, and waits until it is
+// known whether the instance has ended: some 5 ms, 65 ms at most where it has not.
+func (p *Proxy) awaitEnd(call *gateCall) *backendEnd {
+	p.ends.mutex.Lock()
+	end := p.ends.newest
+	if end == nil || end.instance != call.backend {
+		end = &backendEnd{instance: call.backend, settled: make(chan struct{})}
+		p.ends.newest = end
+		go p.settleEnd(end)
+	}
+	if !end.isSettled() {
+		end.atWork = append(end.atWork, call)
+	}
+	p.ends.mutex.Unlock()
+	<-end.settled
+	return end
+}
+
+func (e *backendEnd) isSettled() bool {
+	select {
+	case <-e.settled:
+		return true
+	default:
+		return false
+	}
+}
+
+// settleEnd finds out whether an instance has ended.
+func (p *Proxy) settleEnd(end *backendEnd) {
+	ended := !p.gate.Draining() && refusesConnections(p.config.BackendAddress)
+	if ended {
+		time.Sleep(endGather)
+	}
+	p.ends.mutex.Lock()
+	defer p.ends.mutex.Unlock()
+	end.ended = ended
+	if ended {
+		p.logEnd(end)
+	} else {
+		p.ends.newest = nil // the next broken call asks anew
+	}
+	close(end.settled)
+}
+
+// refusesConnections tells whether nothing listens at an address of this machine. A reset
+// connection, a lost answer and a back end that is silent or full are no end of it.
+func refusesConnections(address string) bool {
+	for range endDialTries {
+		conn, err := net.DialTimeout("tcp", address, endDialTimeout)
+		if err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
+		_ = conn.Close()
+		time.Sleep(endDialPause)
+	}
+	return false
+}
+
+// logEnd writes that an instance has ended, and a line for each call that was at work there.
+func (p *Proxy) logEnd(end *backendEnd) {
+	p.event("backend_ended", textField("backend", end.instance), textField("at_work", number(len(end.atWork))))
+	for _, call := range end.atWork {
+		signature, _ := call.signature()
+		p.event("call_at_end", textField("backend", end.instance),
+			textField("request", p.requestID(call.request.Header)),
+			textField("signature", signature.String()),
+			textField("method", call.request.Method),
+			textField("caller", call.caller()))
+	}
+}
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -89,6 +89,7 @@
 	if refusal, fine := p.checkForm(request); !fine {
 		return nil, refusal, false
 	}
+	body.sign()
 	call := &gateCall{proxy: p, request: request, body: body, timeout: routing.DefaultTimeout, backend: header.Get(headerBackend)}
 	if stated, found := statedTimeout(header); found {
 		call.timeout = stated
@@ -151,6 +152,9 @@
 	sent := c.send()
 	refusal, refused := c.judge(sent)
 	ran := c.proxy.config.Clock() - came - waited
+	if refusal.Code == result.BrokenInFlight {
+		c.proxy.awaitEnd(c)
+	}
 	c.noteBackend(sent, refusal, refused, ran)
 	observe(c.proxy.config.Timings.Backend, ran)
 	// The slot is given back once, whatever happens below.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -40,6 +40,7 @@
 	// answers counts those of the back end while a roll-out of its service goes on.
 	answers rollout.Tally
 
+	ends           backendEnds
 	incarnations   incarnations
 	reported       reportedBackend
 	requestLimits  atomic.Pointer[RequestLimits]
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/springstack/springstack/internal/core/quarantine"
 )
 
 const (
@@ -52,7 +54,10 @@
 	// kept holds all that was read, until it would exceed keep.
 	kept     []byte
 	overflow bool
-	count    int64
+	// signs has the first bytes hashed before they are dropped; firstHash is their hash then.
+	signs     bool
+	firstHash quarantine.Hash
+	count     int64
 	// failure is how the source ended, io.EOF included.
 	failure error
 	// declared is the stated length, or -1.
@@ -266,12 +271,38 @@
 	}
 	if len(u.kept)+len(bytes) > u.keep {
 		u.overflow = true
+		if u.signs {
+			u.firstHash = quarantine.SumBody(append(u.kept, bytes...))
+		}
 		u.kept = nil
 		return
 	}
 	u.kept = append(u.kept, bytes...)
 }
 
+// sign has the first bytes of a body hashed, whatever its length.
+func (u *upload) sign() {
+	if u != nil {
+		u.signs = true
+	}
+}
+
+// signed is the hash of the body's first bytes; false while they have not come, or when
+// the body was discarded.
+func (u *upload) signed() (quarantine.Hash, bool) {
+	if u == nil {
+		return quarantine.Hash{}, true
+	}
+	if !u.mutex.TryLock() {
+		return quarantine.Hash{}, false
+	}
+	defer u.mutex.Unlock()
+	if u.overflow {
+		return u.firstHash, u.firstHash != quarantine.Hash{}
+	}
+	return quarantine.SumBody(u.kept), u.failure == io.EOF
+}
+
 // stalled tells whether an error is that of a peer that was too slow.
 func stalled(err error) bool {
 	return errors.Is(err, os.ErrDeadlineExceeded)
