A request that ends its back ends is known again and held

Cause: every try of a request has a new id, and ids and keys are all that daemons compared, so a request that ends each back end that runs it was sent to one after the other. Ruled out: load and bad starts (ends at ordinary load, of instances of any age; shown by the test without either). Change: gates find out which requests were at work as their back end ended; these are suspected, which is told to all daemons at once and rides on the calls' own further attempts. Suspected ones go to one gate that all agree on and run there one at a time; a good answer clears them. Two ends in a row hold a request (four if it was answered well within the last minute), which is then refused at once by every daemon with code 421 and Retry-After.

--- a/internal/core/admission/seen.go
+++ b/internal/core/admission/seen.go
@@ -165,6 +165,13 @@
 	}
 }
 
+// Has tells whether a fingerprint is remembered.
+func (s *Seen) Has(fingerprint Fingerprint) bool {
+	value := fingerprint.normal()
+	held := s.epoch.Load()
+	return held.current.find(value) != nil || held.find(value)
+}
+
 // Remove forgets a fingerprint whose call is certain not to have run.
 func (s *Seen) Remove(fingerprint Fingerprint) {
 	value := fingerprint.normal()
--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -142,6 +142,27 @@
 // operation meet at the same gate, which refuses the second. It heeds load no
 // more than ejection does. With membership changing it is a help only.
 func (s *Set) ChooseKeyed(now time.Duration, key uint64, tried Tried) *Endpoint {
+	best := s.firstRanked(now, key, tried, heeded{})
+	if best == nil {
+		return s.Choose(now, key, tried)
+	}
+	return best
+}
+
+// ChooseRanked picks by the hash of what is sent, so that all callers' sides send it to the
+// same gate, whatever the load there. Other than with a request key, a gate that does not
+// answer is passed over.
+func (s *Set) ChooseRanked(now time.Duration, key uint64, tried Tried) *Endpoint {
+	best := s.firstRanked(now, key, tried, heeded{ejections: true})
+	if best == nil {
+		return s.Choose(now, key, tried)
+	}
+	return best
+}
+
+// firstRanked is the first by rendezvous hashing of those that may be used, outside of the
+// own region only if there is none inside.
+func (s *Set) firstRanked(now time.Duration, key uint64, tried Tried, heed heeded) *Endpoint {
 	var best *Endpoint
 	var bestHash uint64
 	for distance, tier := range s.tiers {
@@ -149,7 +170,7 @@
 			break
 		}
 		for _, candidate := range tier {
-			if tried.has(candidate) || candidate.leaving(now) {
+			if tried.has(candidate) || candidate.leaving(now) || heed.bars(candidate, now) {
 				continue
 			}
 			if hash := keyedHash(key, candidate.Backend); best == nil || hash > bestHash {
@@ -158,9 +179,6 @@
 			}
 		}
 	}
-	if best == nil {
-		return s.Choose(now, key, tried)
-	}
 	return best
 }
 
--- a/internal/core/protocol/exchange.go
+++ b/internal/core/protocol/exchange.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"github.com/springstack/springstack/internal/core/quarantine"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/rollout"
 )
@@ -31,6 +32,10 @@
 	Members []Member
 	// Rollouts are the newest orders that the sender knows, one a service.
 	Rollouts []rollout.Record
+	// Harmful are records of requests that may end the back ends that run them, as far as
+	// they are news, HarmfulSum the sum of all that the sender knows.
+	Harmful    []quarantine.Record
+	HarmfulSum uint64
 }
 
 // Destination is a daemon to which a push is passed on.
@@ -50,6 +55,9 @@
 	Members []Member
 	// Rollouts are the newest orders that the receiver knows, one a service.
 	Rollouts []rollout.Record
+	// Harmful are all records of harmful requests that the receiver knows, when their sum
+	// is another one than the sender's.
+	Harmful []quarantine.Record
 }
 
 // EvidenceRequest asks the daemon beside a back end what its gate has counted since it
--- a/internal/core/quarantine/signature.go
+++ b/internal/core/quarantine/signature.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 )
 
@@ -63,6 +64,11 @@
 	return Hash(digest[:hashBytes])
 }
 
+// Key is a short form of the signature for memories and rankings.
+func (s Signature) Key() uint64 {
+	return binary.BigEndian.Uint64(s.Head[:]) ^ binary.BigEndian.Uint64(s.Body[:])
+}
+
 // textBytes is how much of each half is shown to people, in bytes.
 const textBytes = 6
 
--- /dev/null
+++ b/internal/core/quarantine/table.go
@@ -0,0 +1,272 @@
+package quarantine
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// tableLimit bounds the requests that are remembered: some 300 bytes each. What is dropped
+// first are requests that were cleared, then suspected ones, then held ones, the oldest of
+// each.
+const tableLimit = 1024
+
+// Table is what one daemon knows of requests that may be harmful. It is not safe for
+// concurrent use.
+type Table struct {
+	entries map[Signature]*entry
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{entries: map[Signature]*entry{}} }
+
+// Ended notes that an instance has ended under a request; familiar says that its back end
+// had answered the request well before. It tells whether that is news.
+func (t *Table) Ended(now time.Duration, signature Signature, instance string, familiar bool) bool {
+	known := t.live(now, signature)
+	switch {
+	case known == nil:
+		t.put(now, &entry{record: Record{Signature: signature, Ends: []string{instance}, Familiar: familiar}, endedAt: now})
+		return true
+	case slices.Contains(known.record.Ends, instance):
+		return false
+	case known.record.Cleared:
+		round := known.record.Round + 1
+		t.put(now, &entry{record: Record{Signature: signature, Round: round, Ends: []string{instance}, Familiar: true}, endedAt: now})
+		return true
+	}
+	known.record.Familiar = known.record.Familiar || familiar
+	known.endedAt = now
+	return known.addEnds([]string{instance})
+}
+
+// addEnds adds ends, and tells whether any is new. Past the limit only the first by name
+// are kept, so that all daemons keep the same.
+func (e *entry) addEnds(ends []string) bool {
+	all := slices.Compact(slices.Sorted(slices.Values(slices.Concat(e.record.Ends, ends))))
+	all = all[:min(len(all), endLimit)]
+	news := !slices.Equal(all, e.record.Ends)
+	e.record.Ends = all
+	return news
+}
+
+// Cleared notes that a back end has answered a request well, or that an operator releases
+// it. It tells whether that is news.
+func (t *Table) Cleared(now time.Duration, signature Signature) bool {
+	known := t.live(now, signature)
+	if known == nil || known.record.Cleared {
+		return false
+	}
+	known.record.Cleared = true
+	return true
+}
+
+// Familiar notes that a request was answered well before the first end under it. It tells
+// whether that is news.
+func (t *Table) Familiar(now time.Duration, signature Signature) bool {
+	known := t.live(now, signature)
+	if known == nil || known.record.Familiar {
+		return false
+	}
+	known.record.Familiar = true
+	return true
+}
+
+// Merge takes a record of a peer. It tells whether that is news, and whether it can be true.
+func (t *Table) Merge(now time.Duration, record Record) (news, valid bool) {
+	if !record.valid() {
+		return false, false
+	}
+	record.Ends = slices.Compact(slices.Sorted(slices.Values(record.Ends)))
+	given := &entry{record: record, endedAt: now - record.Age}
+	if given.expired(now) {
+		return false, true
+	}
+	known := t.live(now, record.Signature)
+	if known == nil || known.record.Round < record.Round {
+		t.put(now, given)
+		return true, true
+	}
+	if known.record.Round > record.Round {
+		return false, true
+	}
+	return known.merge(given), true
+}
+
+// merge takes another entry of the same round, and tells whether it holds news.
+func (e *entry) merge(given *entry) bool {
+	more := e.addEnds(given.record.Ends)
+	if more {
+		e.endedAt = max(e.endedAt, given.endedAt)
+	}
+	familiar := given.record.Familiar && !e.record.Familiar
+	cleared := given.record.Cleared && !e.record.Cleared
+	e.record.Familiar = e.record.Familiar || familiar
+	e.record.Cleared = e.record.Cleared || cleared
+	return more || familiar || cleared
+}
+
+// live is the entry of a request; nil for none that counts still.
+func (t *Table) live(now time.Duration, signature Signature) *entry {
+	known := t.entries[signature]
+	if known == nil || known.expired(now) {
+		return nil
+	}
+	return known
+}
+
+// put holds an entry; one that is least worth makes room for it.
+func (t *Table) put(now time.Duration, given *entry) {
+	if t.entries[given.record.Signature] == nil && len(t.entries) >= tableLimit {
+		t.Expire(now)
+		t.makeRoom(now)
+	}
+	t.entries[given.record.Signature] = given
+}
+
+func (t *Table) makeRoom(now time.Duration) {
+	if len(t.entries) < tableLimit {
+		return
+	}
+	var least *entry
+	for _, one := range t.entries {
+		if least == nil || compareWorth(now, one, least) < 0 {
+			least = one
+		}
+	}
+	delete(t.entries, least.record.Signature)
+}
+
+// compareWorth orders entries by what they protect, then by age.
+func compareWorth(now time.Duration, a, b *entry) int {
+	return cmp.Or(cmp.Compare(a.belief(now), b.belief(now)), cmp.Compare(a.endedAt, b.endedAt),
+		bytes.Compare(a.record.Signature.Head[:], b.record.Signature.Head[:]))
+}
+
+// Expire forgets what counts no more, and tells whether there was any.
+func (t *Table) Expire(now time.Duration) bool {
+	before := len(t.entries)
+	for signature, one := range t.entries {
+		if one.expired(now) {
+			delete(t.entries, signature)
+		}
+	}
+	return len(t.entries) < before
+}
+
+// Records are all that count, as they are sent now, in order of their signatures.
+func (t *Table) Records(now time.Duration) []Record {
+	var records []Record
+	for signature := range t.entries {
+		if record, found := t.Of(now, signature); found {
+			records = append(records, record)
+		}
+	}
+	slices.SortFunc(records, func(a, b Record) int {
+		return cmp.Or(bytes.Compare(a.Signature.Head[:], b.Signature.Head[:]), bytes.Compare(a.Signature.Body[:], b.Signature.Body[:]))
+	})
+	return records
+}
+
+// Of is the record of a request, as it is sent now.
+func (t *Table) Of(now time.Duration, signature Signature) (Record, bool) {
+	known := t.live(now, signature)
+	if known == nil {
+		return Record{}, false
+	}
+	sent := known.record
+	sent.Ends = slices.Clone(sent.Ends)
+	sent.Age = now - known.endedAt
+	return sent, true
+}
+
+// Sum is the same for two daemons that know the same, but for ages; 0 for nothing.
+func (t *Table) Sum(now time.Duration) uint64 {
+	sum := uint64(0)
+	for _, one := range t.entries {
+		if !one.expired(now) {
+			sum ^= one.record.sum()
+		}
+	}
+	return sum
+}
+
+func (r Record) sum() uint64 {
+	text := append(slices.Clone(r.Signature.Head[:]), r.Signature.Body[:]...)
+	text = binary.BigEndian.AppendUint32(text, r.Round)
+	text = append(text, flag(r.Familiar), flag(r.Cleared))
+	for _, name := range r.Ends {
+		text = append(append(text, name...), 0)
+	}
+	return xxhash.Sum64(text)
+}
+
+func flag(set bool) byte {
+	if set {
+		return 1
+	}
+	return 0
+}
+
+// Suspects tells whether the table speaks of a request and has not cleared it.
+func (t *Table) Suspects(now time.Duration, signature Signature) bool {
+	known := t.live(now, signature)
+	return known != nil && known.belief(now) != Trusted
+}
+
+// View is what the path of a request reads.
+func (t *Table) View(now time.Duration) *View {
+	made := &View{heads: map[Hash]bool{}, entries: map[Signature]entry{}}
+	for signature, one := range t.entries {
+		if one.expired(now) {
+			continue
+		}
+		made.heads[signature.Head] = true
+		kept := *one
+		kept.record.Ends = slices.Clone(one.record.Ends)
+		made.entries[signature] = kept
+	}
+	return made
+}
+
+// View is a table as it was at a moment. It is immutable.
+type View struct {
+	heads   map[Hash]bool
+	entries map[Signature]entry
+}
+
+// Empty tells whether nothing is known of any request, as is usual.
+func (v *View) Empty() bool { return v == nil || len(v.entries) == 0 }
+
+// HasHead tells whether something is known of a request with a head. Of others the body
+// need not be looked at.
+func (v *View) HasHead(head Hash) bool { return !v.Empty() && v.heads[head] }
+
+// Has tells whether something is known of a request.
+func (v *View) Has(signature Signature) bool {
+	if v.Empty() {
+		return false
+	}
+	_, found := v.entries[signature]
+	return found
+}
+
+// Belief is what to believe of a request, and for how long it is held.
+func (v *View) Belief(now time.Duration, signature Signature) (Belief, time.Duration) {
+	if v.Empty() {
+		return Trusted, 0
+	}
+	known, found := v.entries[signature]
+	if !found {
+		return Trusted, 0
+	}
+	belief := known.belief(now)
+	if belief != Held {
+		return belief, 0
+	}
+	return Held, known.heldUntil() - now
+}
--- /dev/null
+++ b/internal/core/quarantine/table_test.go
@@ -0,0 +1,237 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "github.com/springstack/springstack/internal/fixedseed"
+)
+
+func signatureOf(target string) Signature {
+	return Signature{Head: Head{Method: "GET", Host: "app.example", Target: target, Caller: "app"}.Sum()}
+}
+
+func beliefIn(table *Table, now time.Duration, signature Signature) Belief {
+	belief, _ := table.View(now).Belief(now, signature)
+	return belief
+}
+
+func TestWhatARequestAsksMakesItsSignature(t *testing.T) {
+	check := is.New(t)
+	one := Head{Method: "GET", Host: "a.example", Target: "/x?y=1", Caller: "app"}
+	others := []Head{
+		{Method: "PUT", Host: "a.example", Target: "/x?y=1", Caller: "app"},
+		{Method: "GET", Host: "b.example", Target: "/x?y=1", Caller: "app"},
+		{Method: "GET", Host: "a.example", Target: "/x?y=2", Caller: "app"},
+		{Method: "GET", Host: "a.example", Target: "/x?y=1", Caller: "other"},
+		{Method: "GET", Host: "a.example/x?y=1", Target: "", Caller: "app"},
+	}
+	check.Equal(one.Sum(), one.Sum())
+	for _, other := range others {
+		check.True(one.Sum() != other.Sum())
+	}
+	check.Equal(SumBody(nil), Hash{})
+	check.True(SumBody([]byte("x")) != SumBody([]byte("y")))
+	long := make([]byte, BodyBytes+1)
+	check.Equal(SumBody(long), SumBody(long[:BodyBytes])) // what is past it does not count
+}
+
+func TestARequestIsHeldAfterEnoughEnds(t *testing.T) {
+	check := is.New(t)
+	table := NewTable()
+	harmful := signatureOf("/harmful")
+	check.Equal(beliefIn(table, 0, harmful), Trusted)
+	check.True(table.Ended(0, harmful, "a", false))
+	check.Equal(beliefIn(table, 0, harmful), Suspected)
+	check.True(!table.Ended(0, harmful, "a", false)) // the same end, told again
+	check.Equal(beliefIn(table, 0, harmful), Suspected)
+	check.True(table.Ended(0, harmful, "b", false))
+	check.Equal(beliefIn(table, 0, harmful), Held)
+	check.Equal(beliefIn(table, 0, signatureOf("/other")), Trusted)
+}
+
+func TestARequestThatWasAnsweredBeforeIsHeldLater(t *testing.T) {
+	check := is.New(t)
+	table := NewTable()
+	request := signatureOf("/often")
+	for end := range endsToHoldFamiliar - 1 {
+		table.Ended(0, request, fmt.Sprint(end), true)
+		check.Equal(beliefIn(table, 0, request), Suspected)
+	}
+	table.Ended(0, request, "last", true)
+	check.Equal(beliefIn(table, 0, request), Held)
+}
+
+func TestAGoodAnswerClearsARequest(t *testing.T) {
+	check := is.New(t)
+	table := NewTable()
+	request := signatureOf("/harmless")
+	check.True(!table.Cleared(0, request)) // nobody suspects it
+	table.Ended(0, request, "a", false)
+	check.True(table.Cleared(0, request))
+	check.Equal(beliefIn(table, 0, request), Trusted)
+	table.Ended(0, request, "b", false) // a new round: it counts as answered before
+	table.Ended(0, request, "c", false)
+	check.Equal(beliefIn(table, 0, request), Suspected)
+	check.True(table.Cleared(0, request))
+}
+
+func TestAHoldLapsesAndTheNextEndRenewsItForLonger(t *testing.T) {
+	check := is.New(t)
+	table := NewTable()
+	request := signatureOf("/harmful")
+	table.Ended(0, request, "a", false)
+	table.Ended(0, request, "b", false)
+	_, left := table.View(time.Minute).Belief(time.Minute, request)
+	check.Equal(left, holdTime-time.Minute)
+	check.Equal(beliefIn(table, holdTime-1, request), Held)
+	check.Equal(beliefIn(table, holdTime, request), Suspected) // its next try runs apart
+	table.Ended(holdTime, request, "c", false)
+	check.Equal(beliefIn(table, 3*holdTime-1, request), Held)
+	check.Equal(beliefIn(table, 3*holdTime, request), Suspected)
+	check.Equal(beliefIn(table, 3*holdTime+holdMemory, request), Trusted)
+}
+
+func TestASuspicionLapses(t *testing.T) {
+	check := is.New(t)
+	table := NewTable()
+	request := signatureOf("/harmless")
+	table.Ended(0, request, "a", false)
+	check.Equal(beliefIn(table, suspicionTime-1, request), Suspected)
+	check.Equal(beliefIn(table, suspicionTime, request), Trusted)
+	check.True(table.Sum(0) != 0)
+	check.Equal(table.Sum(suspicionTime), uint64(0))
+	check.True(table.Expire(suspicionTime))
+	check.True(table.View(suspicionTime).Empty())
+}
+
+func TestRecordsThatCantBeTrueHoldNothing(t *testing.T) {
+	check := is.New(t)
+	request := signatureOf("/harmless")
+	tooMany := make([]string, endLimit+1)
+	for index := range tooMany {
+		tooMany[index] = fmt.Sprint(index)
+	}
+	for _, record := range []Record{
+		{},
+		{Ends: []string{"a", "b"}},
+		{Signature: request},
+		{Signature: request, Ends: []string{"a", ""}},
+		{Signature: request, Ends: []string{"a", string(make([]byte, nameLimit+1))}},
+		{Signature: request, Ends: tooMany},
+		{Signature: request, Ends: []string{"a", "b"}, Age: -1},
+		{Signature: request, Ends: []string{"a", "b"}, Age: holdLimit + holdMemory + 1},
+	} {
+		table := NewTable()
+		news, valid := table.Merge(0, record)
+		check.True(!news)
+		check.True(!valid)
+		check.True(table.View(0).Empty())
+	}
+	table := NewTable()
+	_, valid := table.Merge(0, Record{Signature: request, Ends: []string{"a", "a"}})
+	check.True(valid)
+	check.Equal(beliefIn(table, 0, request), Suspected) // one end, named twice
+	news, valid := table.Merge(0, Record{Signature: signatureOf("/old"), Ends: []string{"a"}, Age: suspicionTime})
+	check.True(!news)
+	check.True(valid)
+}
+
+func TestTheTableIsBoundedAndKeepsWhatIsHeld(t *testing.T) {
+	check := is.New(t)
+	table := NewTable()
+	held := signatureOf("/held")
+	table.Ended(0, held, "a", false)
+	table.Ended(0, held, "b", false)
+	for index := range 4 * tableLimit {
+		table.Ended(time.Duration(index+1), signatureOf(fmt.Sprint(index)), "c", false)
+	}
+	check.Equal(len(table.entries), tableLimit)
+	check.Equal(beliefIn(table, 4*tableLimit, held), Held)
+	check.Equal(beliefIn(table, 4*tableLimit, signatureOf(fmt.Sprint(4*tableLimit-1))), Suspected)
+}
+
+// Daemons that have heard the same news believe the same, in whatever order, how often and
+// through whom it came.
+func TestNewsInAnyOrderLeadsToTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		check := is.New(t)
+		const now = time.Second
+		source := NewTable()
+		var told []Record
+		requests := []Signature{signatureOf("/0"), signatureOf("/1"), signatureOf("/2")}
+		for range rapid.IntRange(1, 30).Draw(t, "events") {
+			request := rapid.SampledFrom(requests).Draw(t, "request")
+			instance := fmt.Sprint(rapid.IntRange(0, 10).Draw(t, "instance"))
+			// Some events are seen by a daemon that has not heard of the others.
+			at := source
+			if rapid.Bool().Draw(t, "alone") {
+				at = NewTable()
+			}
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				at.Cleared(now, request)
+			case 1:
+				at.Familiar(now, request)
+			default:
+				at.Ended(now, request, instance, rapid.Bool().Draw(t, "familiar"))
+			}
+			told = append(told, at.Records(now)...)
+		}
+		tables := []*Table{NewTable(), NewTable()}
+		for index, table := range tables {
+			order := rapid.Permutation(slices.Concat(told, told)).Draw(t, fmt.Sprint("order ", index))
+			for _, record := range order {
+				_, valid := table.Merge(now, record)
+				check.True(valid)
+			}
+		}
+		check.Equal(tables[0].Sum(now), tables[1].Sum(now))
+		for _, request := range requests {
+			check.Equal(beliefIn(tables[0], now, request), beliefIn(tables[1], now, request))
+		}
+		for _, record := range tables[0].Records(now) {
+			news, _ := tables[1].Merge(now, record)
+			check.True(!news)
+		}
+	})
+}
+
+// An echo of what is known does not make it younger, however often it goes to and fro.
+func TestAnEchoRenewsNothing(t *testing.T) {
+	check := is.New(t)
+	one, other := NewTable(), NewTable()
+	request := signatureOf("/harmful")
+	one.Ended(0, request, "a", false)
+	for now := time.Duration(0); now < suspicionTime-time.Second; now += time.Second {
+		for _, record := range one.Records(now) {
+			other.Merge(now+time.Second/2, record)
+		}
+		for _, record := range other.Records(now + time.Second/2) {
+			one.Merge(now+time.Second, record)
+		}
+	}
+	check.Equal(beliefIn(one, suspicionTime, request), Trusted)
+}
+
+func BenchmarkSignature(b *testing.B) {
+	head := Head{Method: "GET", Host: "app.example", Target: "/orders/17?full=1&page=3", Caller: "subscriber-app"}
+	b.ReportAllocs()
+	for b.Loop() {
+		head.Sum()
+	}
+}
+
+func BenchmarkSignatureOfABody(b *testing.B) {
+	body := make([]byte, BodyBytes)
+	b.ReportAllocs()
+	b.SetBytes(BodyBytes)
+	for b.Loop() {
+		SumBody(body)
+	}
+}
--- a/internal/hosted/broadcasting.go
+++ b/internal/hosted/broadcasting.go
@@ -63,7 +63,7 @@
 func (m *mesh) pushRequest(records []protocol.Member) protocol.ExchangeRequest {
 	return protocol.ExchangeRequest{
 		Format: protocol.Format, From: m.self.ID, Zone: m.self.Zone, Version: m.version(),
-		Push: true, Members: records, Rollouts: m.rollouts.records(m.clock()),
+		Push: true, Members: records, Rollouts: m.rollouts.records(m.clock()), HarmfulSum: m.harmful.HarmfulSum(),
 	}
 }
 
@@ -114,7 +114,9 @@
 	targets := lo.Map(request.Forward, func(to protocol.Destination, _ int) dissemination.Peer {
 		return dissemination.Peer{ID: to.ID, Address: to.Address, Zone: m.self.Zone, Region: m.self.Region}
 	})
-	m.sendBranches(targets, m.pushRequest(request.Members))
+	passed := m.pushRequest(request.Members)
+	passed.Harmful = request.Harmful
+	m.sendBranches(targets, passed)
 }
 
 // sendBranches sends a push to all targets along a tree; the lock is held.
--- a/internal/hosted/comparing.go
+++ b/internal/hosted/comparing.go
@@ -97,6 +97,6 @@
 func (m *mesh) request() *protocol.ExchangeRequest {
 	return &protocol.ExchangeRequest{
 		Format: protocol.Format, From: m.self.ID, Zone: m.self.Zone, Version: m.version(),
-		Total: m.roster.Sums().Total(), Rollouts: m.rollouts.records(m.clock()),
+		Total: m.roster.Sums().Total(), Rollouts: m.rollouts.records(m.clock()), HarmfulSum: m.harmful.HarmfulSum(),
 	}
 }
--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -107,6 +107,7 @@
 		OnBackendUnreachable: d.reportUnreachable,
 		OnBackendFailed:      d.reportFailed,
 		OnSilent:             d.verifyPeer,
+		OnHarmful:            d.tellHarmful,
 		RoundTrip:            d.roundTrips.Timeout,
 		Log:                  d.logPath,
 		Trace:                d.requests,
@@ -122,6 +123,9 @@
 // verifyPeer asks whether a daemon whose gate is silent is there.
 func (d *Daemon) verifyPeer(node protocol.NodeID) { d.mesh.verify(node) }
 
+// tellHarmful has other daemons told of requests that may be harmful.
+func (d *Daemon) tellHarmful(urgent bool) { d.mesh.tellHarmful(urgent) }
+
 func (d *Daemon) reportUnreachable(instance string) { d.backend.unreachable(instance) }
 
 func (d *Daemon) reportFailed(instance string, answered uint64) { d.backend.failed(instance, answered) }
--- /dev/null
+++ b/internal/hosted/harmful.go
@@ -0,0 +1,82 @@
+package hosted
+
+import (
+	"time"
+
+	"github.com/springstack/springstack/internal/core/quarantine"
+	"github.com/springstack/springstack/internal/pause"
+)
+
+const (
+	// harmfulWait is the least time until a daemon tells what it only adds to the news of
+	// another one, and harmfulSpread by how much more it may be: most find by then that
+	// somebody else has told.
+	harmfulWait   = 10 * time.Millisecond
+	harmfulSpread = 50 * time.Millisecond
+)
+
+// harmfulRequests is what the data path knows of requests that may end the back ends that
+// run them.
+type harmfulRequests interface {
+	// MergeHarmful takes a peer's records, and tells how many can't be true. What is news is
+	// told to all daemons in turn where pass is set.
+	MergeHarmful(records []quarantine.Record, pass bool) (refused int)
+	// HarmfulRecords are all records, UntoldHarmful those that nobody has been told of.
+	HarmfulRecords() []quarantine.Record
+	UntoldHarmful() []quarantine.Record
+	// HarmfulSum is the same on daemons that know the same.
+	HarmfulSum() uint64
+}
+
+// tellHarmful has all daemons told of news of harmful requests: at once if the next request
+// that comes anywhere may depend on it. It does not block.
+func (m *mesh) tellHarmful(urgent bool) {
+	wait := time.Duration(0)
+	if !urgent {
+		wait = harmfulWait + time.Duration(randomNumber()%uint64(harmfulSpread))
+	}
+	m.running.Add(1)
+	go func() {
+		defer m.running.Done()
+		if wait > 0 && !pause.For(m.context, wait) {
+			return
+		}
+		m.mutex.Lock()
+		defer m.mutex.Unlock()
+		m.spreadHarmful()
+	}()
+}
+
+// spreadHarmful tells all daemons of what they have not been told yet, along a tree in each
+// zone; the lock is held. Comparisons of sums reach those that it misses.
+func (m *mesh) spreadHarmful() {
+	records := m.harmful.UntoldHarmful()
+	if len(records) == 0 {
+		return
+	}
+	request := m.pushRequest(nil)
+	request.Harmful = records
+	directory := m.peers()
+	for _, zone := range directory.Zones() {
+		m.sendBranches(directory.InZone(zone), request)
+	}
+}
+
+// takeHarmful takes a peer's records of harmful requests.
+func (m *mesh) takeHarmful(from string, records []quarantine.Record, pass bool) {
+	if len(records) == 0 {
+		return
+	}
+	if refused := m.harmful.MergeHarmful(records, pass); refused > 0 {
+		m.events.event("harmful_refused", field("peer", from), field("records", count(uint64(refused))))
+	}
+}
+
+// harmfulFor are the records for a peer that knows something else; nil when it knows the
+// same.
+func (m *mesh) harmfulFor(sum uint64) []quarantine.Record {
+	if sum == m.harmful.HarmfulSum() {
+		return nil
+	}
+	return m.harmful.HarmfulRecords()
+}
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -129,6 +129,7 @@
 	made := &mesh{
 		clock:     func() time.Duration { return 0 },
 		publish:   func([]protocol.Member, proxy.Splits) {},
+		harmful:   proxy.New(proxy.Config{Clock: func() time.Duration { return 0 }}),
 		rollouts:  newRolloutTable(0),
 		version:   func() protocol.Version { return 0 },
 		context:   ctx,
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -52,6 +52,7 @@
 	client   *control.Client
 	// publish gives the data path the newest records and how they are divided.
 	publish func([]protocol.Member, proxy.Splits)
+	harmful harmfulRequests
 	// rollouts are the orders that the daemon knows; guarded by mutex.
 	rollouts *rolloutTable
 	version  func() protocol.Version
@@ -212,6 +213,7 @@
 	}
 	m.heardOf(target.ID, reply.Version)
 	m.takeRollouts(reply.Rollouts)
+	m.takeHarmful(string(target.ID), reply.Harmful, len(request.Harmful) > 0)
 	return reply
 }
 
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -33,6 +33,7 @@
 func (m *mesh) answerExchange(request *protocol.ExchangeRequest) *protocol.ExchangeReply {
 	m.heardOf(request.From, request.Version)
 	m.takeRollouts(request.Rollouts)
+	m.takeHarmful(string(request.From), request.Harmful, false)
 	reply := m.exchangeReply(request)
 	if request.Push {
 		m.takePush(request)
@@ -49,7 +50,9 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.heardAt = m.clock()
-	reply := &protocol.ExchangeReply{Version: m.version(), Rollouts: m.rollouts.records(m.clock())}
+	reply := &protocol.ExchangeReply{
+		Version: m.version(), Rollouts: m.rollouts.records(m.clock()), Harmful: m.harmfulFor(request.HarmfulSum),
+	}
 	sums := m.roster.Sums()
 	switch {
 	case request.Push:
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -114,6 +114,7 @@
 		calls:      &d.storeCalls,
 		publish:    path.PublishDivided,
 		roundTrips: &d.roundTrips,
+		harmful:    path.Proxy,
 		rollouts:   newRolloutTable(d.settings.Rollouts.ExposureShare),
 		valueBytes: d.settings.Authority.ValueBytes,
 		context:    d.context,
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 	"github.com/springstack/springstack/internal/core/endpoint"
+	"github.com/springstack/springstack/internal/core/quarantine"
 	"github.com/springstack/springstack/internal/core/retry"
 	"github.com/springstack/springstack/internal/result"
 )
@@ -27,6 +28,8 @@
 	ended    bool
 	// sentAt is when it was sent, on the clock.
 	sentAt time.Duration
+	// suspected says that the call may end the back end that runs it.
+	suspected bool
 	// cancel frees the context of the attempt; nil for none.
 	cancel context.CancelFunc
 }
@@ -64,12 +67,16 @@
 	if now >= c.deadline || c.context.Err() != nil {
 		return c.without(retry.Outcome{Kind: retry.NotSent})
 	}
+	belief, held := c.belief()
+	if belief == quarantine.Held {
+		return c.without(retry.Outcome{Kind: retry.Refused, Code: held.Code, Ran: result.RanNo, RetryAfter: held.RetryAfter})
+	}
 	current := p.view.Load()
 	shared := current.services[c.service]
 	if shared == nil {
 		return c.without(retry.Outcome{Kind: retry.NoEndpoint})
 	}
-	chosen := c.choose(shared, now)
+	chosen := c.choose(shared, belief, now)
 	if chosen == nil || c.runsAt(chosen) {
 		return c.without(retry.Outcome{Kind: retry.NoEndpoint})
 	}
@@ -79,7 +86,7 @@
 	}
 	p.tally.attempts.Add(1)
 	chosen.Begin()
-	made := &attempt{chosen: chosen, sentAt: now}
+	made := &attempt{chosen: chosen, sentAt: now, suspected: belief == quarantine.Suspected}
 	c.tried = append(c.tried, chosen)
 	ended := c.send(made, path, shared.set, mark, now)
 	if ended == made {
@@ -146,10 +153,10 @@
 }
 
 // holdSilent returns what is closed when the daemon of the attempt's gate is unreachable
-// and another attempt is paid for. A call that may not be repeated, or of which an attempt
-// was hedged already, waits for its gate.
+// and another attempt is paid for. A call that may not be repeated or may end its back ends, or
+// of which an attempt was hedged already, waits for its gate.
 func (c *callerCall) holdSilent(made *attempt, path *upstream, set *endpoint.Set) <-chan struct{} {
-	if !c.policy.Repeatable || c.proxy.config.OnSilent == nil || c.hedged != nil {
+	if !c.policy.Repeatable || made.suspected || c.proxy.config.OnSilent == nil || c.hedged != nil {
 		return nil
 	}
 	silent := make(chan struct{})
@@ -171,8 +178,11 @@
 }
 
 // choose picks the endpoint of the next attempt. First attempts may go to a canary.
-func (c *callerCall) choose(shared *service, now time.Duration) *endpoint.Endpoint {
+func (c *callerCall) choose(shared *service, belief quarantine.Belief, now time.Duration) *endpoint.Endpoint {
 	set := shared.set
+	if belief == quarantine.Suspected {
+		return set.ChooseRanked(now, c.suspicion.signature.Key(), c.tried)
+	}
 	if len(c.tried) == 0 {
 		chosen := shared.canary.choose(now, c.proxy.random(), c.proxy.random())
 		if chosen != nil && c.retries.PayForTrial(now) {
@@ -309,6 +319,7 @@
 	case result.BrokenInFlight:
 		made.evidence = endpoint.Broken
 	}
+	c.noteEnded(answer.Header.Get(headerEnded))
 	c.detail = ""
 	// Reading the rest lets the connection be used again; it is short.
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, refusalBytes))
--- a/internal/proxy/bench_test.go
+++ b/internal/proxy/bench_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/springstack/springstack/internal/core/admission"
+	"github.com/springstack/springstack/internal/core/quarantine"
 	"github.com/springstack/springstack/internal/core/resource"
 )
 
@@ -31,7 +32,7 @@
 		for loop.Next() {
 			call, _, _ := proxy.acceptCall(request)
 			shared := proxy.view.Load().services[call.service]
-			chosen := call.choose(shared, testClock())
+			chosen := call.choose(shared, quarantine.Trusted, testClock())
 			call.outgoing(chosen, false, call.timeout)
 		}
 	})
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -118,6 +118,7 @@
 	failure *attempt
 	// answering is set once an answer is being passed on.
 	answering bool
+	suspicion suspicion
 	// detail explains the last attempt for people.
 	detail string
 }
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -56,6 +56,10 @@
 	// RoundTrip is within what time nearly all answers of peers come lately. Connecting
 	// may take as long, if that is longer than the limit says. Nil knows nothing of it.
 	RoundTrip func() time.Duration
+	// OnHarmful is told that there is news of requests that may be harmful, which
+	// UntoldHarmful returns, and whether it is urgent. It must not block. Nil means that
+	// nobody listens.
+	OnHarmful func(urgent bool)
 	// PeerTLS guards the calls to other daemons' gates; nil sends them in the
 	// clear. A gate's server is guarded by Server.Secure.
 	PeerTLS *tls.Config
--- a/internal/proxy/ended.go
+++ b/internal/proxy/ended.go
@@ -2,11 +2,15 @@
 
 import (
 	"net"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/springstack/springstack/internal/core/quarantine"
 )
 
 const (
@@ -29,6 +33,8 @@
 	mutex sync.Mutex
 	// newest is the last moment at which calls broke; nil for none.
 	newest *backendEnd
+	// answeredBefore is how many calls were answered well before the instance came.
+	answeredBefore atomic.Uint64
 }
 
 // backendEnd is one moment at which connections to an instance broke.
@@ -39,11 +45,25 @@
 	ended   bool
 	// atWork are the calls whose connections broke; guarded by the mutex until settled.
 	atWork []*gateCall
+	// suspected are the requests that the end is put down to.
+	suspected map[quarantine.Signature]bool
 }
 
-// awaitEnd takes a call whose connection broke before an answer, and waits until it is
-// known whether the instance has ended: some 5 ms, 65 ms at most where it has not.
-func (p *Proxy) awaitEnd(call *gateCall) *backendEnd {
+// awaitEnd waits, after the connection of the call broke before an answer, until it is known
+// whether the instance has ended: some 5 ms, 120 ms at most where it has not. It returns
+// the instance if it has and this call is suspected of it, and else nothing.
+func (c *gateCall) awaitEnd() string {
+	end := c.proxy.gatherEnd(c)
+	<-end.settled
+	signature, signed := c.signature()
+	if !end.ended || !signed || !end.suspected[signature] {
+		return ""
+	}
+	return end.instance
+}
+
+// gatherEnd adds a call to the moment at which its connection broke.
+func (p *Proxy) gatherEnd(call *gateCall) *backendEnd {
 	p.ends.mutex.Lock()
 	end := p.ends.newest
 	if end == nil || end.instance != call.backend {
@@ -55,7 +75,6 @@
 		end.atWork = append(end.atWork, call)
 	}
 	p.ends.mutex.Unlock()
-	<-end.settled
 	return end
 }
 
@@ -78,6 +97,7 @@
 	defer p.ends.mutex.Unlock()
 	end.ended = ended
 	if ended {
+		p.suspectOf(end)
 		p.logEnd(end)
 	} else {
 		p.ends.newest = nil // the next broken call asks anew
@@ -85,6 +105,34 @@
 	close(end.settled)
 }
 
+// suspectOf says which requests an end is put down to. Where one that was suspected before
+// was at work, it is that one, and the others only ran beside it. Else it may be any of them;
+// but an instance that has never answered anything may be unable to, whatever it runs, so
+// that its end speaks of no request.
+func (p *Proxy) suspectOf(end *backendEnd) {
+	fresh := map[quarantine.Signature]bool{}
+	end.suspected = map[quarantine.Signature]bool{}
+	for _, call := range end.atWork {
+		signature, signed := call.signature()
+		switch {
+		case !signed:
+		case p.harmful.suspects(signature):
+			end.suspected[signature] = true
+		default:
+			fresh[signature] = true
+		}
+	}
+	if len(end.suspected) == 0 && p.hasAnswered() {
+		end.suspected = fresh
+	}
+	for signature := range end.suspected {
+		p.harmful.noteEnded(signature, end.instance, true)
+	}
+}
+
+// hasAnswered tells whether the instance that runs, or ran last, has answered a call well.
+func (p *Proxy) hasAnswered() bool { return p.tally.answered.Load() > p.ends.answeredBefore.Load() }
+
 // refusesConnections tells whether nothing listens at an address of this machine. A reset
 // connection, a lost answer and a back end that is silent or full are no end of it.
 func refusesConnections(address string) bool {
@@ -107,6 +155,7 @@
 		p.event("call_at_end", textField("backend", end.instance),
 			textField("request", p.requestID(call.request.Header)),
 			textField("signature", signature.String()),
+			textField("suspected", strconv.FormatBool(end.suspected[signature])),
 			textField("method", call.request.Method),
 			textField("caller", call.caller()))
 	}
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -65,6 +65,8 @@
 	verdicts verdictChannel
 	// backend is the instance that the call is for.
 	backend string
+	// hasTurn says that it is suspected to be harmful and runs while no other one does.
+	hasTurn bool
 }
 
 // verdictChannel is a waiter of the gate; it holds the one verdict.
@@ -141,6 +143,12 @@
 		c.refuse(refusal)
 		return
 	}
+	defer c.endTurn()
+	if refusal, passed := c.awaitTurn(); !passed {
+		c.traceGate("gate_refused", refusal.Code, 0, c.proxy.config.Clock()-came, 0)
+		c.refuse(refusal)
+		return
+	}
 	verdict := c.admit()
 	waited := c.proxy.config.Clock() - came
 	if verdict.State != admission.StateStarted {
@@ -153,7 +161,7 @@
 	refusal, refused := c.judge(sent)
 	ran := c.proxy.config.Clock() - came - waited
 	if refusal.Code == result.BrokenInFlight {
-		c.proxy.awaitEnd(c)
+		refusal.Ended = c.awaitEnd()
 	}
 	c.noteBackend(sent, refusal, refused, ran)
 	observe(c.proxy.config.Timings.Backend, ran)
@@ -167,6 +175,7 @@
 	}
 	c.traceGate("gate_answered", result.OK, sent.answer.StatusCode, waited, ran)
 	c.proxy.health.answered()
+	c.noteAnswered(sent.answer.StatusCode)
 	c.ticket.Unmeasured = sent.answer.StatusCode >= http.StatusInternalServerError
 	c.deliver(sent)
 }
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -25,6 +25,9 @@
 	headerCode        = "Springstack-Code"
 	headerRan         = "Springstack-Ran"
 	headerLoad        = "Springstack-Load"
+	// headerEnded names the instances that have ended under a call so far, divided by
+	// commas: on an attempt, and on the refusal of one that the gate suspects of it.
+	headerEnded = "Springstack-Ended"
 )
 
 // hopGate is the value of headerHop on calls between daemons.
--- a/internal/proxy/outgoing.go
+++ b/internal/proxy/outgoing.go
@@ -67,6 +67,9 @@
 	if c.key != "" {
 		header[headerRequestKey] = []string{c.key}
 	}
+	if c.suspicion.ended != "" {
+		header[headerEnded] = []string{c.suspicion.ended}
+	}
 	if mark {
 		header[headerNoRetry] = []string{"1"}
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -40,7 +40,13 @@
 	// answers counts those of the back end while a roll-out of its service goes on.
 	answers rollout.Tally
 
-	ends           backendEnds
+	// harmful are requests that may end the back ends that run them; ends finds out about
+	// the ends of the back end beside the daemon. suspectTurn is held by the one suspected
+	// call that the gate runs at a time.
+	harmful     *harmful
+	ends        backendEnds
+	suspectTurn chan struct{}
+
 	incarnations   incarnations
 	reported       reportedBackend
 	requestLimits  atomic.Pointer[RequestLimits]
@@ -65,12 +71,16 @@
 // serve.
 func New(config Config) *Proxy {
 	proxy := &Proxy{
-		config:   config,
-		limits:   config.Limits.withDefaults(),
-		drain:    newDrain(),
-		closed:   make(chan struct{}),
+		config: config,
+		limits: config.Limits.withDefaults(),
+		drain:  newDrain(),
+		closed: make(chan struct{}),
+
+		suspectTurn: make(chan struct{}, 1),
+
 		hashSeed: rand.Uint64(),
 	}
+	proxy.harmful = newHarmful(config.Clock, config.OnHarmful, proxy.event)
 	proxy.held = pipeline.NewHeld(proxy.limits.AheadHeldBytes)
 	proxy.incarnations.add(config.Incarnation)
 	incarnation := strconv.FormatUint(uint64(config.Incarnation), 36)
--- /dev/null
+++ b/internal/proxy/quarantine.go
@@ -0,0 +1,179 @@
+package proxy
+
+import (
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/admission"
+	"github.com/springstack/springstack/internal/core/quarantine"
+)
+
+const (
+	// answeredTime is how long the gate remembers which requests its back end answered
+	// well, and answeredCount how many at most: 32 bytes each. Within it a request that
+	// comes regularly is not taken for one that ends its back end.
+	answeredTime  = time.Minute
+	answeredCount = 1 << 14
+)
+
+// harmful is what the daemon knows of requests that may end the back ends that run them.
+// Calls read it by an atomic pointer, and pay two loads where nothing is known.
+type harmful struct {
+	clock func() time.Duration
+	log   func(name string, fields ...EventField)
+	// tell is told that there is news for all daemons, urgent when it holds for the next
+	// request that comes. It must not block. Nil tells nobody.
+	tell func(urgent bool)
+	// answered are the requests that the back end beside the daemon has answered well.
+	answered *admission.Seen
+	view     atomic.Pointer[quarantine.View]
+
+	mutex sync.Mutex
+	table *quarantine.Table
+	// untold are the requests of which others have not been told yet.
+	untold map[quarantine.Signature]bool
+}
+
+func newHarmful(clock func() time.Duration, tell func(urgent bool), log func(string, ...EventField)) *harmful {
+	return &harmful{
+		clock: clock, tell: tell, log: log, table: quarantine.NewTable(),
+		answered: admission.NewSeen(clock(), answeredTime, answeredCount),
+		untold:   map[quarantine.Signature]bool{},
+	}
+}
+
+// change changes what is known of a request. What changed is told to all daemons if tell is
+// set.
+func (h *harmful) change(signature quarantine.Signature, tell bool, change func(now time.Duration) bool) bool {
+	h.mutex.Lock()
+	changed := change(h.clock())
+	if changed {
+		h.publish(signature)
+		if tell {
+			h.untold[signature] = true
+		}
+	}
+	h.mutex.Unlock()
+	if changed && tell && h.tell != nil {
+		h.tell(true)
+	}
+	return changed
+}
+
+// publish puts what is known in force, and logs what that means for some requests; the
+// lock is held.
+func (h *harmful) publish(changed ...quarantine.Signature) {
+	now := h.clock()
+	next := h.table.View(now)
+	before := h.view.Swap(next)
+	for _, signature := range changed {
+		was, _ := before.Belief(now, signature)
+		is, _ := next.Belief(now, signature)
+		if was == is {
+			continue
+		}
+		record, _ := h.table.Of(now, signature)
+		h.log("harmful_request", textField("signature", signature.String()), textField("belief", is.String()),
+			textField("ends", number(len(record.Ends))), textField("round", number(int(record.Round))),
+			textField("familiar", strconv.FormatBool(record.Familiar)))
+	}
+}
+
+// noteEnded notes that an instance has ended under a request. The gate that saw it tells.
+func (h *harmful) noteEnded(signature quarantine.Signature, instance string, tell bool) {
+	h.change(signature, tell, func(now time.Duration) bool {
+		return h.table.Ended(now, signature, instance, h.answered.Has(fingerprintOf(signature)))
+	})
+}
+
+// noteAnswered remembers that the back end has answered a request well, and clears it if it
+// was suspected.
+func (h *harmful) noteAnswered(signature quarantine.Signature) {
+	h.answered.Add(h.clock(), fingerprintOf(signature))
+	if h.view.Load().Has(signature) {
+		h.change(signature, true, func(now time.Duration) bool { return h.table.Cleared(now, signature) })
+	}
+}
+
+// suspects tells whether a request is suspected now.
+func (h *harmful) suspects(signature quarantine.Signature) bool {
+	belief, _ := h.view.Load().Belief(h.clock(), signature)
+	return belief != quarantine.Trusted
+}
+
+// fingerprintOf shortens a signature to what is remembered of answered requests. Two with
+// the same one can at worst be held two ends later.
+func fingerprintOf(signature quarantine.Signature) admission.Fingerprint {
+	return admission.Fingerprint(signature.Key())
+}
+
+// MergeHarmful takes a peer's records of requests that may be harmful, and tells how many
+// can't be true. Of those that its back end has answered well before, the daemon tells in
+// its turn; those that came by an answer are told to all, since the peer was asked first.
+func (p *Proxy) MergeHarmful(records []quarantine.Record, pass bool) (refused int) {
+	h := p.harmful
+	h.mutex.Lock()
+	now := h.clock()
+	var changed []quarantine.Signature
+	tell := false
+	for _, record := range records {
+		news, valid := h.table.Merge(now, record)
+		if !valid {
+			refused++
+		}
+		own := news && !record.Familiar && h.answered.Has(fingerprintOf(record.Signature)) && h.table.Familiar(now, record.Signature)
+		if news {
+			changed = append(changed, record.Signature)
+		}
+		if own || (news && pass) {
+			h.untold[record.Signature] = true
+			tell = true
+		}
+	}
+	if len(changed) > 0 {
+		h.publish(changed...)
+	}
+	h.mutex.Unlock()
+	if tell && h.tell != nil {
+		h.tell(false)
+	}
+	return refused
+}
+
+// HarmfulRecords are all records of requests that may be harmful.
+func (p *Proxy) HarmfulRecords() []quarantine.Record {
+	p.harmful.mutex.Lock()
+	defer p.harmful.mutex.Unlock()
+	return p.harmful.table.Records(p.harmful.clock())
+}
+
+// UntoldHarmful are the records that others have not been told of; they count as told then.
+func (p *Proxy) UntoldHarmful() []quarantine.Record {
+	h := p.harmful
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	var records []quarantine.Record
+	for signature := range h.untold {
+		if record, found := h.table.Of(h.clock(), signature); found {
+			records = append(records, record)
+		}
+	}
+	clear(h.untold)
+	return records
+}
+
+// HarmfulSum is the same on daemons that know the same of harmful requests; 0 for nothing.
+func (p *Proxy) HarmfulSum() uint64 {
+	h := p.harmful
+	if h.view.Load().Empty() {
+		return 0
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.table.Expire(h.clock()) {
+		h.publish()
+	}
+	return h.table.Sum(h.clock())
+}
--- a/internal/proxy/refuse.go
+++ b/internal/proxy/refuse.go
@@ -25,6 +25,9 @@
 	// Load is the value of headerLoad, on refusals of a gate.
 	Load string
 
+	// Ended is the value of headerEnded, on refusals of a gate.
+	Ended string
+
 	// edge is set for callers of a foreign platform.
 	edge *Edge
 }
@@ -65,6 +68,9 @@
 	if r.Load != "" {
 		header.Set(headerLoad, r.Load)
 	}
+	if r.Ended != "" {
+		header.Set(headerEnded, r.Ended)
+	}
 	if wait := cmp.Or(r.RetryAfter, usualWait(r.Code)); wait > 0 {
 		header.Set("Retry-After", r.retryAfter(wait))
 	}
--- a/internal/proxy/reported.go
+++ b/internal/proxy/reported.go
@@ -40,6 +40,7 @@
 		// Connections to an earlier instance lead nowhere.
 		p.backend.closeIdle()
 		p.answers.Reset()
+		p.ends.answeredBefore.Store(p.tally.answered.Load())
 	}
 	takesWork := report.State.TakesWork()
 	if !takesWork {
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -28,6 +28,8 @@
 const largeBody = 16 << 10
 
 const (
+	// signReadBytes is how much is read at a time of a body whose signature is needed.
+	signReadBytes = 8 << 10
 	// discardWait and discardBytes bound the rest of a body that nobody wants;
 	// it is read so that closing its connection does not reset it before the
 	// caller has read the answer.
@@ -272,7 +274,7 @@
 	if len(u.kept)+len(bytes) > u.keep {
 		u.overflow = true
 		if u.signs {
-			u.firstHash = quarantine.SumBody(append(u.kept, bytes...))
+			u.firstHash = quarantine.SumBody(append(u.kept, bytes...)[:u.signedBytes()])
 		}
 		u.kept = nil
 		return
@@ -300,7 +302,25 @@
 	if u.overflow {
 		return u.firstHash, u.firstHash != quarantine.Hash{}
 	}
-	return quarantine.SumBody(u.kept), u.failure == io.EOF
+	return quarantine.SumBody(u.kept), u.failure == io.EOF || len(u.kept) == u.signedBytes()
+}
+
+// signedBytes is how much of the body counts for the signature: what can be kept of it.
+func (u *upload) signedBytes() int { return min(u.keep, quarantine.BodyBytes) }
+
+// awaitSigned reads the body's first bytes, which are kept, as far as they count for the
+// signature.
+func (u *upload) awaitSigned(ctx context.Context) {
+	if u == nil {
+		return
+	}
+	u.signs = true
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	buffer := make([]byte, signReadBytes)
+	for u.failure == nil && !u.overflow && ctx.Err() == nil && len(u.kept) < u.signedBytes() {
+		_, _ = u.read(buffer[:min(len(buffer), u.signedBytes()-len(u.kept))]) // keeps what it reads, and how it ended
+	}
 }
 
 // stalled tells whether an error is that of a peer that was too slow.
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -55,6 +55,7 @@
 	RetryBudgetSpent    Code = 418
 	CallerGone          Code = 419
 	BackendRefused      Code = 420
+	Quarantined         Code = 421
 	PlatformUnavailable Code = 500
 	PlatformUnknown     Code = 501
 	PlatformNotFound    Code = 502
