Held requests outlive all daemons: they are left in the store

Cause: what is held was known to daemons alone, so after all of them had ended at once such a request ended two back ends anew. Ruled out: telling it with the registrations (they change with a daemon, not with a request). Change: the daemon whose back end's end holds a request writes one object; each start lists them once, from a replica. Conclusion: what is held is forgotten by its time alone.

--- a/internal/core/quarantine/record.go
+++ b/internal/core/quarantine/record.go
@@ -50,6 +50,9 @@
 	holdMemory = time.Hour
 )
 
+// LongestMemory is the age at which a record counts no more, whatever it says.
+const LongestMemory = holdLimit + holdMemory
+
 // Record is what daemons tell each other of one request.
 type Record struct {
 	Signature Signature
@@ -69,7 +72,7 @@
 
 // valid tells whether a record of a peer can be true.
 func (r Record) valid() bool {
-	if r.Signature.Head == (Hash{}) || r.Age < 0 || r.Age > holdLimit+holdMemory {
+	if r.Signature.Head == (Hash{}) || r.Age < 0 || r.Age > LongestMemory {
 		return false
 	}
 	if len(r.Ends) == 0 || len(r.Ends) > endLimit {
--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/springstack/springstack/internal/authority"
 	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/quarantine"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/roundtrip"
 	"github.com/springstack/springstack/internal/daemon"
@@ -108,6 +109,7 @@
 		OnBackendFailed:      d.reportFailed,
 		OnSilent:             d.verifyPeer,
 		OnHarmful:            d.tellHarmful,
+		OnHeld:               d.keepHeld,
 		RoundTrip:            d.roundTrips.Timeout,
 		Log:                  d.logPath,
 		Trace:                d.requests,
@@ -126,6 +128,9 @@
 // tellHarmful has other daemons told of requests that may be harmful.
 func (d *Daemon) tellHarmful(urgent bool) { d.mesh.tellHarmful(urgent) }
 
+// keepHeld leaves a held request in the store.
+func (d *Daemon) keepHeld(record quarantine.Record) { d.mesh.keepHeld(record) }
+
 func (d *Daemon) reportUnreachable(instance string) { d.backend.unreachable(instance) }
 
 func (d *Daemon) reportFailed(instance string, answered uint64) { d.backend.failed(instance, answered) }
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -53,6 +53,8 @@
 	// publish gives the data path the newest records and how they are divided.
 	publish func([]protocol.Member, proxy.Splits)
 	harmful harmfulRequests
+	// held keeps requests that are held, for a start at which nobody remembers them.
+	held authority.HeldRequests
 	// rollouts are the orders that the daemon knows; guarded by mutex.
 	rollouts *rolloutTable
 	version  func() protocol.Version
@@ -116,7 +118,7 @@
 	m.mutex.Lock()
 	m.roster.Merge(m.clock(), m.self, membership.Below)
 	m.mutex.Unlock()
-	for _, loop := range []func(){m.register, m.compareForever, m.pollForever, m.awaitJoin} {
+	for _, loop := range []func(){m.register, m.compareForever, m.pollForever, m.awaitJoin, m.loadHeld} {
 		m.running.Add(1)
 		go func() {
 			defer m.running.Done()
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -16,6 +16,7 @@
 	Source   authority.Source
 	Registry authority.Registry
 	Rollouts authority.Rollouts
+	Held     authority.HeldRequests
 	// Edge is how callers and back ends speak.
 	Edge proxy.Edge
 	// Ready makes the handler that tells whether callers may be sent here.
--- a/internal/hosted/storecalls.go
+++ b/internal/hosted/storecalls.go
@@ -27,13 +27,15 @@
 	purposeRegister storePurpose = "register"
 	// purposeRollout reads orders and writes what became of them.
 	purposeRollout storePurpose = "rollout"
+	// purposeHeld reads and writes the requests that are held.
+	purposeHeld storePurpose = "held"
 	// purposeUnregister takes it away.
 	purposeUnregister storePurpose = "unregister"
 )
 
 // storePurposes are all purposes, in the order of summaries.
 var storePurposes = []storePurpose{
-	purposeList, purposeRegister, purposeRead, purposeWatch, purposePoll, purposeRollout, purposeUnregister,
+	purposeList, purposeRegister, purposeRead, purposeWatch, purposePoll, purposeRollout, purposeHeld, purposeUnregister,
 }
 
 // storeCall is a kind of call to the store with its result.
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -115,6 +115,7 @@
 		publish:    path.PublishDivided,
 		roundTrips: &d.roundTrips,
 		harmful:    path.Proxy,
+		held:       d.options.Platform.Held,
 		rollouts:   newRolloutTable(d.settings.Rollouts.ExposureShare),
 		valueBytes: d.settings.Authority.ValueBytes,
 		context:    d.context,
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -10,6 +10,7 @@
 
 	"github.com/springstack/springstack/internal/core/endpoint"
 	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/quarantine"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/retry"
 )
@@ -60,6 +61,9 @@
 	// UntoldHarmful returns, and whether it is urgent. It must not block. Nil means that
 	// nobody listens.
 	OnHarmful func(urgent bool)
+	// OnHeld is told of a request that is held by an end that this daemon has seen. It must
+	// not block. Nil means that nobody listens.
+	OnHeld func(quarantine.Record)
 	// PeerTLS guards the calls to other daemons' gates; nil sends them in the
 	// clear. A gate's server is guarded by Server.Secure.
 	PeerTLS *tls.Config
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -80,7 +80,7 @@
 
 		hashSeed: rand.Uint64(),
 	}
-	proxy.harmful = newHarmful(config.Clock, config.OnHarmful, proxy.event)
+	proxy.harmful = newHarmful(config, proxy.event)
 	proxy.held = pipeline.NewHeld(proxy.limits.AheadHeldBytes)
 	proxy.incarnations.add(config.Incarnation)
 	incarnation := strconv.FormatUint(uint64(config.Incarnation), 36)
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -23,6 +23,8 @@
 type harmful struct {
 	clock func() time.Duration
 	log   func(name string, fields ...EventField)
+	// held is told of requests that are held by an end seen here. Nil tells nobody.
+	held func(quarantine.Record)
 	// tell is told that there is news for all daemons, urgent when it holds for the next
 	// request that comes. It must not block. Nil tells nobody.
 	tell func(urgent bool)
@@ -36,10 +38,10 @@
 	untold map[quarantine.Signature]bool
 }
 
-func newHarmful(clock func() time.Duration, tell func(urgent bool), log func(string, ...EventField)) *harmful {
+func newHarmful(config Config, log func(string, ...EventField)) *harmful {
 	return &harmful{
-		clock: clock, tell: tell, log: log, table: quarantine.NewTable(),
-		answered: admission.NewSeen(clock(), answeredTime, answeredCount),
+		clock: config.Clock, tell: config.OnHarmful, held: config.OnHeld, log: log, table: quarantine.NewTable(),
+		answered: admission.NewSeen(config.Clock(), answeredTime, answeredCount),
 		untold:   map[quarantine.Signature]bool{},
 	}
 }
@@ -83,9 +85,23 @@
 
 // noteEnded notes that an instance has ended under a request. The gate that saw it tells.
 func (h *harmful) noteEnded(signature quarantine.Signature, instance string, tell bool) {
-	h.change(signature, tell, func(now time.Duration) bool {
+	changed := h.change(signature, tell, func(now time.Duration) bool {
 		return h.table.Ended(now, signature, instance, h.answered.Has(fingerprintOf(signature)))
 	})
+	if changed && tell && h.held != nil {
+		h.tellHeld(signature)
+	}
+}
+
+// tellHeld tells of a request if it is held now.
+func (h *harmful) tellHeld(signature quarantine.Signature) {
+	h.mutex.Lock()
+	record, found := h.table.Of(h.clock(), signature)
+	h.mutex.Unlock()
+	belief, _ := h.view.Load().Belief(h.clock(), signature)
+	if found && belief == quarantine.Held {
+		h.held(record)
+	}
 }
 
 // noteAnswered remembers that the back end has answered a request well, and clears it if it
