Soak: requests that end each upstream that runs them come beside all other faults

Cause: the soak did not know such requests, so nothing judged them beside kills, cuts, restarts. Change: several at a time, drawn kind and period, again and again at the daemons of one service; the oracle holds daemons to at most three sends later than 3 s after the third end by daemons in touch, and to holding no harmless request.

--- a/cmd/springstack-lab/soak.go
+++ b/cmd/springstack-lab/soak.go
@@ -31,6 +31,7 @@
 			&cli.IntFlag{Name: "machines", Value: 8, Usage: "daemons, at most 60"},
 			&cli.IntFlag{Name: "zones", Value: 4, Usage: "zones"},
 			&cli.BoolFlag{Name: "planned", Usage: "only planned work: stops, restarts, reloads, changes"},
+			&cli.BoolFlag{Name: "harmful", Value: true, Usage: "requests that end each upstream that runs them"},
 			&cli.IntFlag{Name: "clients", Value: 3, Usage: "clients on each machine"},
 		},
 		Action: runSoak,
@@ -59,6 +60,7 @@
 		Clients:   command.Int("clients"),
 		Latency:   time.Millisecond,
 		Planned:   command.Bool("planned"),
+		Harmful:   command.Bool("harmful"),
 	}, func(event, detail string) {
 		_, _ = fmt.Fprintf(command.ErrWriter, "event=soak_%s at=%.1f what=%q\n", event, time.Since(began).Seconds(), detail)
 	})
--- a/internal/lab/soak/connection.go
+++ b/internal/lab/soak/connection.go
@@ -7,17 +7,24 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/juju/errors"
 
+	"github.com/springstack/springstack/internal/result"
 	"github.com/springstack/springstack/platform/standin"
 )
 
 // dialWait bounds the opening of a connection.
 const dialWait = time.Second
 
+// codeHeader names the reason of a refusal, heldCode that of a request that is held.
+const codeHeader = "Springstack-Code"
+
+var heldCode = strconv.Itoa(int(result.Quarantined))
+
 // connection is one kept connection of a client to a daemon. It is used until the
 // daemon ends it, whatever becomes of the daemon, and opened anew then. Unlike the
 // library's client it never sends a request again, so that no cut is hidden.
@@ -73,7 +80,7 @@
 	}
 	return Answer{
 		Status: got.StatusCode, Signature: got.Header.Get(standin.SignatureHeader), Body: string(body), At: time.Now(),
-		Last: got.Close,
+		Last: got.Close, Held: got.Header.Get(codeHeader) == heldCode,
 	}, nil
 }
 
--- a/internal/lab/soak/oracle.go
+++ b/internal/lab/soak/oracle.go
@@ -48,6 +48,8 @@
 	At        time.Time
 	// Last says that the connection ends with it.
 	Last bool
+	// Held says that the request is refused as one that ends its upstreams.
+	Held bool
 }
 
 // Violation is a promise that was broken.
@@ -76,6 +78,7 @@
 	hosts      map[string]string
 	stops      map[string][]time.Time
 	harms      map[string][]*span
+	harmful    map[string]*harmDone
 	unserved   []unserved
 	violations []Violation
 }
@@ -93,6 +96,7 @@
 		drained: map[string]time.Time{}, disturbed: map[string]time.Time{}, allowed: map[string][]string{},
 		proven: map[string]provenVersion{},
 		hosts:  map[string]string{}, stops: map[string][]time.Time{}, harms: map[string][]*span{},
+		harmful: map[string]*harmDone{},
 	}
 }
 
@@ -169,6 +173,7 @@
 	o.checkUnchanged(request, arrival)
 	o.checkService(request, arrival)
 	o.checkDrained(request, arrival)
+	o.checkHarm(request, arrival)
 	o.runs[arrival.ID] = append(o.runs[arrival.ID], &run{Arrival: arrival})
 	if !request.Repeatable && len(o.runs[arrival.ID]) > 1 {
 		o.violate("at most once", "%s ran on %s and %s", arrival.ID, o.runs[arrival.ID][0].Instance, arrival.Instance)
@@ -223,6 +228,7 @@
 			o.violate("did not run is true", "%s was told %d and ran on %s", request.ID, answer.Status, o.runs[request.ID][0].Instance)
 		}
 	}
+	o.checkHarmless(request, answer)
 	if answer.Status != statusOK {
 		if answer.Signature == "" {
 			o.unserved = append(o.unserved, unserved{request: request, answer: answer})
--- a/internal/lab/soak/processes_test.go
+++ b/internal/lab/soak/processes_test.go
@@ -29,10 +29,11 @@
 	}
 	report, err := soak.Run(t.Context(), soak.Options{
 		Program: program, Directory: directory, Seed: 1, Duration: plannedTime, Machines: 5, Zones: 2, Clients: 3,
-		Latency: time.Millisecond, Planned: true,
+		Latency: time.Millisecond, Planned: true, Harmful: true,
 	}, func(event, detail string) { t.Log(event, detail) })
 	check.NoErr(err)
 	t.Logf("requests=%d runs=%d faults=%d met_stops=%d", report.Requests, report.Runs, report.Faults, report.MetStops)
 	check.True(report.Runs > 0)
+	check.True(len(report.HarmEnds) > 0)
 	check.Equal(lo.Filter(report.Violations, func(one soak.Violation, _ int) bool { return !one.Timed }), []soak.Violation{})
 }
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -41,6 +41,8 @@
 	// Planned leaves only planned work in: stops, restarts, reloads and changes of
 	// the configuration.
 	Planned bool
+	// Harmful has requests come that end each upstream that runs them.
+	Harmful bool
 }
 
 // Report is what came of a soak.
@@ -53,6 +55,8 @@
 	// MetStops is how many requests at work met a stop of a daemon on their way.
 	MetStops int `json:"met_stops"`
 	Versions int `json:"versions"`
+	// HarmEnds counts, for each harmful request, the upstreams that ended under it.
+	HarmEnds []int `json:"harm_ends,omitempty"`
 	// CalmCuts are requests broken off at work without a stop or harm on their way.
 	CalmCuts   []string    `json:"calm_cuts"`
 	Violations []Violation `json:"violations"`
@@ -78,6 +82,8 @@
 	// instances counts the upstreams started.
 	instances int
 	inForce   inForce
+	// returning waits for upstreams that have ended and are to be back.
+	returning sync.WaitGroup
 }
 
 // services are the names of the soak's services, by turns of machines.
@@ -148,7 +154,11 @@
 	s.mutex.Unlock()
 	upstream := &standin.Upstream{
 		Instance: instance, Service: on.service, Slots: slots, WorkOn: s.workOn, StreamOn: s.streamOn,
-		Observe: s.arrived, ObserveEnd: s.oracle.Ended,
+		Observe: s.arrived, ObserveEnd: s.oracle.Ended, Harms: isHarmful, HarmAfter: harmfulAfter,
+	}
+	upstream.EndBy = func(arrival standin.Arrival) {
+		s.endByRequest(on, upstream)
+		s.oracle.HarmEnded(arrival, time.Now())
 	}
 	s.oracle.Hosted(instance, on.name)
 	if err := upstream.Start(on.app, on.reports, heartbeat); err != nil {
@@ -256,8 +266,16 @@
 			s.prober(bounded, on)
 		}()
 	}
+	if s.options.Harmful {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			s.sendHarmful(bounded)
+		}()
+	}
 	s.harm(bounded)
 	clients.Wait()
+	s.returning.Wait()
 	s.awaitHealed("at the end")
 }
 
@@ -267,7 +285,8 @@
 	defer s.mutex.Unlock()
 	return Report{
 		Seed: s.options.Seed, Requests: s.requests, Served: s.served, Runs: s.runs,
-		Faults: s.faults, MetStops: s.oracle.MetStops(), CalmCuts: s.oracle.CalmCuts(), Versions: s.version, Violations: s.oracle.Violations(),
+		Faults: s.faults, MetStops: s.oracle.MetStops(), CalmCuts: s.oracle.CalmCuts(), Versions: s.version, HarmEnds: s.oracle.HarmEnds(),
+		Violations: s.oracle.Violations(),
 	}
 }
 
