Quarantine: an end is put down to what may have done it, and a first hold is short

Cause: soak held a harmless request for a moment. Two reasons: an entry counted ends in its own table without knowing that back ends had answered the request before; and where two suspected requests met at one end, or a version ended on everything, all were blamed. Ruled out: holding after three ends in place of two (one back end more for each harmful request). Change: only the gate whose back end ended tells of it, callers' sides count for their call alone; requests that were answered before, suspected and new ones are told apart at each end; ends of a software version that has answered nothing blame no request; the first hold is 10 s, then the next try settles it, and one end more holds for 10 minutes.

--- a/cmd/springstack-lab/experiment.go
+++ b/cmd/springstack-lab/experiment.go
@@ -24,6 +24,7 @@
 			rollingCommand(),
 			faultsCommand(),
 			rolloutsCommand(),
+			harmfulCommand(),
 		},
 	}
 }
--- a/internal/core/quarantine/record.go
+++ b/internal/core/quarantine/record.go
@@ -24,16 +24,22 @@
 // String names the belief.
 func (b Belief) String() string { return beliefNames[b] }
 
-// The rules by which a request is held.
+// Rules say how many ends in a row hold a request. All daemons of a mesh need the same.
+type Rules struct {
+	// Ends is for a request that no daemon remembers a good answer to. The first end may be
+	// of any request that ran there; the second one is of a request that ran apart.
+	Ends int
+	// EndsFamiliar is for a request that was answered well before: it must have become
+	// harmful since, which is rare, and it is often at work as others end back ends.
+	EndsFamiliar int
+}
+
+// DefaultRules are the ones that hold a harmful request after the fewest ends of those that
+// held no harmless one in drawn runs; docs/design/harmful-requests.md has the figures.
+func DefaultRules() Rules { return Rules{Ends: 2, EndsFamiliar: 4} }
+
+// The times of suspicions and holds.
 const (
-	// endsToHold is how many ends in a row hold a request that no daemon remembers a good
-	// answer to. The first one may be of any request that ran there; the second one is of a
-	// request that ran apart.
-	endsToHold = 2
-	// endsToHoldFamiliar is the same for a request that was answered well before: it must
-	// have become harmful since, which is rare, and it is often at work as others end
-	// back ends.
-	endsToHoldFamiliar = 4
 	// endLimit bounds the ends that are remembered of a request, and nameLimit the length
 	// of an instance's name in bytes.
 	endLimit  = 8
@@ -41,9 +47,12 @@
 	// suspicionTime is how long a request is suspected after the last end under it. Who
 	// comes again later than that ends one back end more.
 	suspicionTime = 2 * time.Minute
-	// holdTime is how long a request is held after the end that was enough for it, and
-	// doubles with each further one up to holdLimit. Then it is suspected again: its next
-	// try runs apart and settles it.
+	// firstHold is how long a request is held after the end that was enough for it. It may
+	// still be harmless: then it ran beside two that were not. After that it is suspected
+	// again, and its next try, which runs apart, settles it.
+	firstHold = 10 * time.Second
+	// holdTime is how long it is held after one end more, and doubles with each further one
+	// up to holdLimit.
 	holdTime  = 10 * time.Minute
 	holdLimit = 2 * time.Hour
 	// holdMemory is how long a request that was held is suspected after that.
@@ -82,34 +91,41 @@
 }
 
 // endsNeeded is how many ends hold the request.
-func (r Record) endsNeeded() int {
-	if r.Familiar {
-		return endsToHoldFamiliar
+func (r Rules) endsNeeded(record *Record) int {
+	if record.Familiar {
+		return r.EndsFamiliar
 	}
-	return endsToHold
+	return r.Ends
 }
 
 // isHarmful tells whether enough back ends have ended under the request.
-func (r Record) isHarmful() bool { return !r.Cleared && len(r.Ends) >= r.endsNeeded() }
+func (r Rules) isHarmful(record *Record) bool {
+	return !record.Cleared && len(record.Ends) >= r.endsNeeded(record)
+}
 
 // holdTime is how long the request is held after the newest end; 0 when it is not.
-func (r Record) holdTime() time.Duration {
-	if !r.isHarmful() {
+func (r Rules) holdTime(record *Record) time.Duration {
+	if !r.isHarmful(record) {
 		return 0
 	}
-	return min(holdTime<<(len(r.Ends)-r.endsNeeded()), holdLimit)
+	more := len(record.Ends) - r.endsNeeded(record)
+	if more == 0 {
+		return firstHold
+	}
+	return min(holdTime<<(more-1), holdLimit)
 }
 
 // lifeTime is how long after the newest end the record counts.
-func (r Record) lifeTime() time.Duration {
-	if r.isHarmful() {
-		return r.holdTime() + holdMemory
+func (r Rules) lifeTime(record *Record) time.Duration {
+	if r.isHarmful(record) {
+		return r.holdTime(record) + holdMemory
 	}
 	return suspicionTime
 }
 
 // entry is a record as a table holds it.
 type entry struct {
+	rules  Rules
 	record Record
 	// endedAt is when the newest end was first heard of by anybody, on the own clock.
 	endedAt time.Duration
@@ -127,6 +143,6 @@
 }
 
 // heldUntil is when the request is not held any more.
-func (e entry) heldUntil() time.Duration { return e.endedAt + e.record.holdTime() }
+func (e entry) heldUntil() time.Duration { return e.endedAt + e.rules.holdTime(&e.record) }
 
-func (e entry) expired(now time.Duration) bool { return now >= e.endedAt+e.record.lifeTime() }
+func (e entry) expired(now time.Duration) bool { return now >= e.endedAt+e.rules.lifeTime(&e.record) }
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -18,11 +18,12 @@
 // Table is what one daemon knows of requests that may be harmful. It is not safe for
 // concurrent use.
 type Table struct {
+	rules   Rules
 	entries map[Signature]*entry
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{entries: map[Signature]*entry{}} }
+func NewTable(rules Rules) *Table { return &Table{rules: rules, entries: map[Signature]*entry{}} }
 
 // Ended notes that an instance has ended under a request; familiar says that its back end
 // had answered the request well before. It tells whether that is news.
@@ -30,13 +31,13 @@
 	known := t.live(now, signature)
 	switch {
 	case known == nil:
-		t.put(now, &entry{record: Record{Signature: signature, Ends: []string{instance}, Familiar: familiar}, endedAt: now})
+		t.put(now, &entry{rules: t.rules, record: Record{Signature: signature, Ends: []string{instance}, Familiar: familiar}, endedAt: now})
 		return true
 	case slices.Contains(known.record.Ends, instance):
 		return false
 	case known.record.Cleared:
 		round := known.record.Round + 1
-		t.put(now, &entry{record: Record{Signature: signature, Round: round, Ends: []string{instance}, Familiar: true}, endedAt: now})
+		t.put(now, &entry{rules: t.rules, record: Record{Signature: signature, Round: round, Ends: []string{instance}, Familiar: true}, endedAt: now})
 		return true
 	}
 	known.record.Familiar = known.record.Familiar || familiar
@@ -82,7 +83,7 @@
 		return false, false
 	}
 	record.Ends = slices.Compact(slices.Sorted(slices.Values(record.Ends)))
-	given := &entry{record: record, endedAt: now - record.Age}
+	given := &entry{rules: t.rules, record: record, endedAt: now - record.Age}
 	if given.expired(now) {
 		return false, true
 	}
@@ -255,6 +256,12 @@
 	return found
 }
 
+// IsFamiliar tells whether a request is known to have been answered well before the first
+// end under it.
+func (v *View) IsFamiliar(signature Signature) bool {
+	return !v.Empty() && v.entries[signature].record.Familiar
+}
+
 // Belief is what to believe of a request, and for how long it is held.
 func (v *View) Belief(now time.Duration, signature Signature) (Belief, time.Duration) {
 	if v.Empty() {
--- a/internal/hosted/backendside.go
+++ b/internal/hosted/backendside.go
@@ -136,7 +136,9 @@
 	}
 	b.shown = view
 	if !b.stopping || !view.State.TakesWork() {
-		b.gate(proxy.BackendReport{Instance: view.Instance, Slots: view.Slots, State: view.State})
+		b.gate(proxy.BackendReport{
+			Instance: view.Instance, Slots: view.Slots, Software: view.Software, State: view.State,
+		})
 	}
 	b.announce(view)
 }
--- a/internal/hosted/harmful.go
+++ b/internal/hosted/harmful.go
@@ -7,11 +7,13 @@
 	"github.com/springstack/springstack/internal/pause"
 )
 
+// Where many daemons have something to add to the same news, they do so in turn, within
+// harmfulStep for each daemon of the mesh and harmfulSpread at most: most of them find then
+// that another one has told it. A small mesh has all news within some milliseconds, so that
+// nothing is decided on a part of it; a large one sends a few hundred messages in place of
+// the square of its daemons.
 const (
-	// harmfulWait is the least time until a daemon tells what it only adds to the news of
-	// another one, and harmfulSpread by how much more it may be: most find by then that
-	// somebody else has told.
-	harmfulWait   = 10 * time.Millisecond
+	harmfulStep   = 500 * time.Microsecond
 	harmfulSpread = 50 * time.Millisecond
 )
 
@@ -33,7 +35,8 @@
 func (m *mesh) tellHarmful(urgent bool) {
 	wait := time.Duration(0)
 	if !urgent {
-		wait = harmfulWait + time.Duration(randomNumber()%uint64(harmfulSpread))
+		most := min(harmfulStep*time.Duration(m.size()), harmfulSpread)
+		wait = time.Duration(randomNumber() % uint64(most))
 	}
 	m.running.Add(1)
 	go func() {
--- a/internal/proxy/ended.go
+++ b/internal/proxy/ended.go
@@ -33,7 +33,8 @@
 	mutex sync.Mutex
 	// newest is the last moment at which calls broke; nil for none.
 	newest *backendEnd
-	// answeredBefore is how many calls were answered well before the instance came.
+	// answeredBefore is how many calls were answered well before the software version came
+	// that runs now.
 	answeredBefore atomic.Uint64
 }
 
@@ -105,33 +106,70 @@
 	close(end.settled)
 }
 
-// suspectOf says which requests an end is put down to. Where one that was suspected before
-// was at work, it is that one, and the others only ran beside it. Else it may be any of them;
-// but an instance that has never answered anything may be unable to, whatever it runs, so
-// that its end speaks of no request.
+// suspectOf says which requests an end is put down to.
+//
+// Requests that back ends answer well are at work at many ends, so they need more of them
+// and take nothing from the doubt about others. Of those that nobody has answered yet one
+// that was suspected before is it, and the rest only ran beside it; where two of those met,
+// neither can be told from the other, and both stay suspected. Otherwise it may be any.
+//
+// A software version that has never answered anything here may be unable to, whatever it
+// runs: its ends speak of no request.
 func (p *Proxy) suspectOf(end *backendEnd) {
-	fresh := map[quarantine.Signature]bool{}
+	doubt := p.doubtOf(end)
+	blamed := doubt.familiar
+	switch len(doubt.suspected) {
+	case 0:
+		blamed = append(blamed, doubt.fresh...)
+	case 1:
+		blamed = append(blamed, doubt.suspected...)
+	}
+	if !p.softwareHasAnswered() {
+		blamed = nil
+	}
 	end.suspected = map[quarantine.Signature]bool{}
+	for _, signature := range blamed {
+		end.suspected[signature] = true
+		p.harmful.noteEnded(signature, end.instance)
+	}
+}
+
+// doubt are the different requests that were at work as an instance ended.
+type doubt struct {
+	// familiar were answered well before; suspected and fresh were not, and are suspected
+	// already or not.
+	familiar  []quarantine.Signature
+	suspected []quarantine.Signature
+	fresh     []quarantine.Signature
+}
+
+// doubtOf sorts the calls at an end.
+func (p *Proxy) doubtOf(end *backendEnd) doubt {
+	var sorted doubt
+	seen := map[quarantine.Signature]bool{}
 	for _, call := range end.atWork {
 		signature, signed := call.signature()
+		if !signed || seen[signature] {
+			continue
+		}
+		seen[signature] = true
 		switch {
-		case !signed:
-		case p.harmful.suspects(signature):
-			end.suspected[signature] = true
+		case p.harmful.isFamiliar(signature):
+			sorted.familiar = append(sorted.familiar, signature)
+		case call.hasTurn || p.harmful.suspects(signature):
+			sorted.suspected = append(sorted.suspected, signature)
 		default:
-			fresh[signature] = true
+			sorted.fresh = append(sorted.fresh, signature)
 		}
 	}
-	if len(end.suspected) == 0 && p.hasAnswered() {
-		end.suspected = fresh
-	}
-	for signature := range end.suspected {
-		p.harmful.noteEnded(signature, end.instance, true)
-	}
+	return sorted
 }
 
-// hasAnswered tells whether the instance that runs, or ran last, has answered a call well.
-func (p *Proxy) hasAnswered() bool { return p.tally.answered.Load() > p.ends.answeredBefore.Load() }
+// softwareHasAnswered tells whether the software version that runs, or ran last, has answered
+// a call well at this gate.
+func (p *Proxy) softwareHasAnswered() bool {
+	return p.tally.answered.Load() > p.ends.answeredBefore.Load()
+}
 
 // refusesConnections tells whether nothing listens at an address of this machine. A reset
 // connection, a lost answer and a back end that is silent or full are no end of it.
--- /dev/null
+++ b/internal/proxy/ended_test.go
@@ -0,0 +1,159 @@
+package proxy
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/quarantine"
+)
+
+// atWorkOn is an end of the back end beside a proxy under calls of some targets.
+func atWorkOn(proxy *Proxy, targets ...string) *backendEnd {
+	end := &backendEnd{instance: "i", settled: make(chan struct{})}
+	for _, target := range targets {
+		end.atWork = append(end.atWork, &gateCall{proxy: proxy, request: gateRequest(target)})
+	}
+	return end
+}
+
+func gateRequest(target string) *http.Request {
+	request, err := http.NewRequest(http.MethodGet, "http://app.example"+target, nil)
+	if err != nil {
+		panic(err) // targets are the tests' own
+	}
+	request.RequestURI = target
+	return request
+}
+
+func signatureAt(proxy *Proxy, target string) quarantine.Signature {
+	signature, _ := (&gateCall{proxy: proxy, request: gateRequest(target)}).signature()
+	return signature
+}
+
+// blamed are the targets that an end is put down to.
+func blamed(proxy *Proxy, end *backendEnd, targets ...string) string {
+	proxy.suspectOf(end)
+	var found []string
+	for _, target := range targets {
+		if end.suspected[signatureAt(proxy, target)] {
+			found = append(found, target)
+		}
+	}
+	return strings.Join(found, " ")
+}
+
+func newEndsProxy(t *testing.T) *Proxy {
+	t.Helper()
+	proxy := New(Config{Clock: testClock, NodeID: "gate"})
+	t.Cleanup(proxy.Close)
+	proxy.tally.answered.Store(1)
+	return proxy
+}
+
+// An end may be of any request that nobody has answered yet; once one of them was suspected
+// before, it is that one, and where two such met it stays open.
+func TestAnEndIsPutDownToWhatMayHaveDoneIt(t *testing.T) {
+	check := is.New(t)
+	proxy := newEndsProxy(t)
+	check.Equal(blamed(proxy, atWorkOn(proxy, "/a", "/b", "/a"), "/a", "/b"), "/a /b")
+	check.Equal(blamed(proxy, atWorkOn(proxy, "/a", "/c"), "/a", "/c"), "/a")
+	check.Equal(blamed(proxy, atWorkOn(proxy, "/a", "/b", "/c"), "/a", "/b", "/c"), "")
+	proxy.harmful.noteAnswered(signatureAt(proxy, "/often"))
+	check.Equal(blamed(proxy, atWorkOn(proxy, "/often", "/d"), "/often", "/d"), "/often /d")
+	check.Equal(blamed(proxy, atWorkOn(proxy, "/often", "/d", "/e"), "/often", "/d", "/e"), "/often /d")
+}
+
+// A software version that has answered nothing may be unable to, so that its ends speak of
+// no request, until it has.
+func TestEndsOfAVersionThatAnswersNothingBlameNoRequest(t *testing.T) {
+	check := is.New(t)
+	proxy := newEndsProxy(t)
+	proxy.ends.answeredBefore.Store(proxy.tally.answered.Load())
+	check.Equal(blamed(proxy, atWorkOn(proxy, "/a"), "/a"), "")
+	proxy.tally.answered.Add(1)
+	check.Equal(blamed(proxy, atWorkOn(proxy, "/a"), "/a"), "/a")
+}
+
+// A back end that takes connections, or says nothing, has not ended.
+func TestOnlyARefusedConnectionIsAnEnd(t *testing.T) {
+	check := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	check.NoErr(err)
+	check.True(!refusesConnections(listener.Addr().String()))
+	check.NoErr(listener.Close())
+	check.True(refusesConnections(listener.Addr().String()))
+}
+
+// What others know of a request in addition reaches those who have heard of its first end.
+func TestADaemonTellsThatItsBackEndHasAnsweredARequest(t *testing.T) {
+	check := is.New(t)
+	told := make(chan bool, 8)
+	one := newEndsProxy(t)
+	other := New(Config{Clock: testClock, NodeID: "other", OnHarmful: func(urgent bool) { told <- urgent }})
+	t.Cleanup(other.Close)
+	other.harmful.noteAnswered(signatureAt(other, "/often"))
+	one.suspectOf(atWorkOn(one, "/often"))
+	check.Equal(other.MergeHarmful(one.UntoldHarmful(), false), 0)
+	check.Equal(<-told, false)
+	records := other.UntoldHarmful()
+	check.Equal(len(records), 1)
+	check.True(records[0].Familiar)
+	check.Equal(len(other.UntoldHarmful()), 0) // told once
+	one.MergeHarmful(records, false)
+	check.Equal(one.HarmfulSum(), other.HarmfulSum())
+	other.harmful.noteAnswered(signatureAt(other, "/often"))
+	check.Equal(<-told, true)
+	one.MergeHarmful(other.UntoldHarmful(), false)
+	check.True(!one.harmful.suspects(signatureAt(one, "/often")))
+}
+
+// BenchmarkUnsuspected is what a call pays at its entry and its gate while nothing is known
+// of any request, and what its gate remembers of its answer.
+func BenchmarkUnsuspected(b *testing.B) {
+	proxy := New(Config{Clock: testClock, NodeID: "gate"})
+	b.Cleanup(proxy.Close)
+	call := &gateCall{proxy: proxy, request: gateRequest("/orders/17?full=1")}
+	entry := &callerCall{proxy: proxy, request: call.request}
+	b.Run("entry", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			entry.belief()
+		}
+	})
+	b.Run("gate", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			_, _ = call.awaitTurn()
+			call.noteAnswered(http.StatusOK)
+		}
+	})
+}
+
+// Two harmful requests that wait for their turn at one gate run one after the other.
+func TestSuspectedCallsRunOneAtATime(t *testing.T) {
+	check := is.New(t)
+	proxy := newEndsProxy(t)
+	proxy.suspectOf(atWorkOn(proxy, "/a", "/b"))
+	first := &gateCall{proxy: proxy, request: gateRequest("/a"), context: t.Context()}
+	second := &gateCall{proxy: proxy, request: gateRequest("/b"), context: t.Context()}
+	_, passed := first.awaitTurn()
+	check.True(passed)
+	started := make(chan bool)
+	go func() {
+		_, passed := second.awaitTurn()
+		started <- passed
+	}()
+	select {
+	case <-started:
+		t.Fatal("both run at a time")
+	case <-time.After(20 * time.Millisecond):
+	}
+	proxy.harmful.noteEnded(signatureAt(proxy, "/b"), "elsewhere") // it is held meanwhile
+	first.endTurn()
+	check.True(!<-started)
+}
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -25,8 +25,8 @@
 	headerCode        = "Springstack-Code"
 	headerRan         = "Springstack-Ran"
 	headerLoad        = "Springstack-Load"
-	// headerEnded names the instances that have ended under a call so far, divided by
-	// commas: on an attempt, and on the refusal of one that the gate suspects of it.
+	// headerEnded is on an attempt how many instances have ended under earlier ones of its
+	// call, and on a gate's refusal the instance that has ended under it.
 	headerEnded = "Springstack-Ended"
 )
 
--- a/internal/proxy/outgoing.go
+++ b/internal/proxy/outgoing.go
@@ -67,8 +67,8 @@
 	if c.key != "" {
 		header[headerRequestKey] = []string{c.key}
 	}
-	if c.suspicion.ended != "" {
-		header[headerEnded] = []string{c.suspicion.ended}
+	if c.suspicion.ends > 0 {
+		header[headerEnded] = []string{strconv.Itoa(c.suspicion.ends)}
 	}
 	if mark {
 		header[headerNoRetry] = []string{"1"}
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -40,25 +40,22 @@
 
 func newHarmful(config Config, log func(string, ...EventField)) *harmful {
 	return &harmful{
-		clock: config.Clock, tell: config.OnHarmful, held: config.OnHeld, log: log, table: quarantine.NewTable(),
+		clock: config.Clock, tell: config.OnHarmful, held: config.OnHeld, log: log, table: quarantine.NewTable(quarantine.DefaultRules()),
 		answered: admission.NewSeen(config.Clock(), answeredTime, answeredCount),
 		untold:   map[quarantine.Signature]bool{},
 	}
 }
 
-// change changes what is known of a request. What changed is told to all daemons if tell is
-// set.
-func (h *harmful) change(signature quarantine.Signature, tell bool, change func(now time.Duration) bool) bool {
+// change changes what is known of a request, and has all daemons told of what changed.
+func (h *harmful) change(signature quarantine.Signature, change func(now time.Duration) bool) bool {
 	h.mutex.Lock()
 	changed := change(h.clock())
 	if changed {
 		h.publish(signature)
-		if tell {
-			h.untold[signature] = true
-		}
+		h.untold[signature] = true
 	}
 	h.mutex.Unlock()
-	if changed && tell && h.tell != nil {
+	if changed && h.tell != nil {
 		h.tell(true)
 	}
 	return changed
@@ -83,12 +80,13 @@
 	}
 }
 
-// noteEnded notes that an instance has ended under a request. The gate that saw it tells.
-func (h *harmful) noteEnded(signature quarantine.Signature, instance string, tell bool) {
-	changed := h.change(signature, tell, func(now time.Duration) bool {
+// noteEnded notes that an instance beside this daemon has ended under a request, and has
+// all others told.
+func (h *harmful) noteEnded(signature quarantine.Signature, instance string) {
+	changed := h.change(signature, func(now time.Duration) bool {
 		return h.table.Ended(now, signature, instance, h.answered.Has(fingerprintOf(signature)))
 	})
-	if changed && tell && h.held != nil {
+	if changed && h.held != nil {
 		h.tellHeld(signature)
 	}
 }
@@ -109,7 +107,7 @@
 func (h *harmful) noteAnswered(signature quarantine.Signature) {
 	h.answered.Add(h.clock(), fingerprintOf(signature))
 	if h.view.Load().Has(signature) {
-		h.change(signature, true, func(now time.Duration) bool { return h.table.Cleared(now, signature) })
+		h.change(signature, func(now time.Duration) bool { return h.table.Cleared(now, signature) })
 	}
 }
 
@@ -119,6 +117,12 @@
 	return belief != quarantine.Trusted
 }
 
+// isFamiliar tells whether a request was answered well before the first end under it, by the
+// back end beside this daemon or, as far as is known, by another one.
+func (h *harmful) isFamiliar(signature quarantine.Signature) bool {
+	return h.answered.Has(fingerprintOf(signature)) || h.view.Load().IsFamiliar(signature)
+}
+
 // fingerprintOf shortens a signature to what is remembered of answered requests. Two with
 // the same one can at worst be held two ends later.
 func fingerprintOf(signature quarantine.Signature) admission.Fingerprint {
--- a/internal/proxy/reported.go
+++ b/internal/proxy/reported.go
@@ -12,7 +12,9 @@
 	Instance string
 	// Slots is how many calls it runs at once.
 	Slots int
-	State protocol.EndpointState
+	// Software is the version of its software; empty where it is not told.
+	Software string
+	State    protocol.EndpointState
 }
 
 // reportedBackend is the newest report, read on the path of a request.
@@ -40,6 +42,8 @@
 		// Connections to an earlier instance lead nowhere.
 		p.backend.closeIdle()
 		p.answers.Reset()
+	}
+	if previous == nil || previous.Software != report.Software {
 		p.ends.answeredBefore.Store(p.tally.answered.Load())
 	}
 	takesWork := report.State.TakesWork()
--- a/internal/proxy/suspect.go
+++ b/internal/proxy/suspect.go
@@ -2,21 +2,19 @@
 
 import (
 	"net/http"
-	"strings"
 
 	"github.com/springstack/springstack/internal/core/quarantine"
 	"github.com/springstack/springstack/internal/result"
 )
 
-// endedLimit bounds the instances that an attempt may name as ended under its call: a call
-// has as many attempts at most.
-const endedLimit = 8
+// endsOfCall is how many instances may end under the attempts of one call before it is given
+// up: as many as hold a request that nobody has answered.
+var endsOfCall = quarantine.DefaultRules().Ends
 
 // awaitTurn keeps a call that is suspected to end its back end apart from others that are:
 // one runs at a time, so that the next end is of that one alone, and the others do not end
 // further back ends before that is known. A call that is held is refused.
 func (c *gateCall) awaitTurn() (Refusal, bool) {
-	c.learnEnded()
 	belief, refusal := c.belief()
 	if belief == quarantine.Suspected {
 		select {
@@ -37,35 +35,24 @@
 	}
 }
 
-// learnEnded takes the word of the callers' side on which instances have ended under the
-// call: its attempts may come faster than the news of their ends.
-func (c *gateCall) learnEnded() {
-	text := c.request.Header.Get(headerEnded)
-	if text == "" {
-		return
-	}
-	c.body.awaitSigned(c.context)
-	signature, signed := c.signature()
-	if !signed {
-		return
-	}
-	for _, instance := range strings.SplitN(text, ",", endedLimit) {
-		c.proxy.harmful.noteEnded(signature, instance, false)
-	}
-}
-
-// belief is what to believe of the call, and the refusal if it is held.
+// belief is what to believe of the call, and the refusal if it is held. A call under whose
+// earlier attempt an instance has ended is suspected before the news of that has come.
 func (c *gateCall) belief() (quarantine.Belief, Refusal) {
+	least := quarantine.Trusted
+	if c.request.Header.Get(headerEnded) != "" {
+		least = quarantine.Suspected
+	}
 	view := c.proxy.harmful.view.Load()
 	if view.Empty() || !view.HasHead(c.head()) {
-		return quarantine.Trusted, Refusal{}
+		return least, Refusal{}
 	}
 	c.body.awaitSigned(c.context)
 	signature, signed := c.signature()
 	if !signed {
-		return quarantine.Trusted, Refusal{}
+		return least, Refusal{}
 	}
-	return c.proxy.beliefOf(view, signature)
+	belief, refusal := c.proxy.beliefOf(view, signature)
+	return max(least, belief), refusal
 }
 
 func (p *Proxy) beliefOf(view *quarantine.View, signature quarantine.Signature) (quarantine.Belief, Refusal) {
@@ -89,13 +76,26 @@
 	// signature is known once signed is set.
 	signature quarantine.Signature
 	signed    bool
-	// ended are the instances that have ended under the call, divided by commas.
-	ended string
+	// ends counts the instances that have ended under the call's attempts.
+	ends int
 }
 
-// belief is what to believe of the call, and the refusal if it is held. Its body is looked
-// at only where something is known of its head.
+// belief is what to believe of the call, and the refusal if it is held. What its own attempts
+// have met counts before the news of that has come.
 func (c *callerCall) belief() (quarantine.Belief, Refusal) {
+	if c.suspicion.ends >= endsOfCall {
+		return quarantine.Held, Refusal{Code: result.Quarantined}
+	}
+	belief, refusal := c.beliefOfAll()
+	if belief == quarantine.Trusted && c.suspicion.ends > 0 {
+		belief = quarantine.Suspected
+	}
+	return belief, refusal
+}
+
+// beliefOfAll is what the daemon believes of the call's request. Its body is looked at only
+// where something is known of its head.
+func (c *callerCall) beliefOfAll() (quarantine.Belief, Refusal) {
 	view := c.proxy.harmful.view.Load()
 	if view.Empty() {
 		return quarantine.Trusted, Refusal{}
@@ -138,12 +138,7 @@
 // noteEnded takes a gate's word that an instance has ended and that the call is suspected
 // of it.
 func (c *callerCall) noteEnded(instance string) {
-	if instance == "" || !c.sign() {
-		return
-	}
-	if c.suspicion.ended != "" {
-		c.suspicion.ended += ","
+	if instance != "" && c.sign() {
+		c.suspicion.ends++
 	}
-	c.suspicion.ended += instance
-	c.proxy.harmful.noteEnded(c.suspicion.signature, instance, false)
 }
