--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -262,6 +262,20 @@
 	return !v.Empty() && v.entries[signature].record.Familiar
 }
 
+// Count is how many requests are suspected and held now.
+func (v *View) Count(now time.Duration) map[Belief]int {
+	counts := map[Belief]int{Suspected: 0, Held: 0}
+	if v.Empty() {
+		return counts
+	}
+	for _, one := range v.entries {
+		if belief := one.belief(now); belief != Trusted {
+			counts[belief]++
+		}
+	}
+	return counts
+}
+
 // Belief is what to believe of a request, and for how long it is held.
 func (v *View) Belief(now time.Duration, signature Signature) (Belief, time.Duration) {
 	if v.Empty() {
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -78,7 +78,9 @@
 	table.Ended(0, request, "b", false) // a new round: it counts as answered before
 	table.Ended(0, request, "c", false)
 	check.Equal(beliefIn(table, 0, request), Suspected)
+	check.Equal(table.View(0).Count(0), map[Belief]int{Suspected: 1, Held: 0})
 	check.True(table.Cleared(0, request))
+	check.Equal(table.View(0).Count(0), map[Belief]int{Suspected: 0, Held: 0})
 }
 
 func TestAHoldLapsesAndTheNextEndRenewsItForLonger(t *testing.T) {
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -75,6 +75,10 @@
 	for reason, count := range counters.Abandoned {
 		metrics.AttemptsAbandoned.Send(out, float64(count), reason.String())
 	}
+	metrics.BackendEnds.Send(out, float64(counters.BackendEnds))
+	for belief, count := range counters.HarmfulRequests {
+		metrics.HarmfulRequests.Send(out, float64(count), belief.String())
+	}
 	for code, count := range counters.Refusals {
 		metrics.Refusals.Send(out, float64(count), strconv.Itoa(int(code)), code.Name())
 	}
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -71,6 +71,13 @@
 		"Attempts that were sent and that this daemon ended before their answer, by reason.",
 		"refused above 0: a caller was told of a failure while its call was under way. deadline rising: back ends or machines are too slow.",
 		"reason")
+	BackendEnds = define(Counter, "backend_ends_total",
+		"Ends of the back end under calls that it had not announced.",
+		"Rising on several daemons: see OPERATIONS.md, a request is quarantined.")
+	HarmfulRequests = define(Gauge, "harmful_requests",
+		"Requests that are suspected of ending the back ends that run them, or held for it, as this daemon knows.",
+		"held above 0: see OPERATIONS.md, a request is quarantined.",
+		"belief")
 	VersionAge = define(Gauge, "version_age_seconds",
 		"Time since the configuration in force came, in seconds.",
 		"Much older than on the other daemons: this one does not hear of changes.")
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/springstack/springstack/internal/core/quarantine"
 	"github.com/springstack/springstack/internal/result"
 )
 
@@ -32,6 +33,10 @@
 	GateService time.Duration
 	// Refusals counts refusals by code, on both sides.
 	Refusals map[result.Code]uint64
+	// BackendEnds counts the ends of the back end under calls, HarmfulRequests the requests
+	// that may be harmful by what is believed of them now.
+	BackendEnds     uint64
+	HarmfulRequests map[quarantine.Belief]int
 	// Abandoned counts the attempts that were ended before their answer, by reason.
 	Abandoned map[AbandonReason]uint64
 }
@@ -53,6 +58,8 @@
 	// answered are the calls that the back end answered well.
 	answered atomic.Uint64
 	refusals [codeLimit]atomic.Uint64
+	// backendEnds are the ends of the back end under calls.
+	backendEnds atomic.Uint64
 	// abandoned are the attempts that were ended before their answer.
 	abandoned abandonTally
 }
@@ -77,6 +84,9 @@
 		CallerRunning: int(p.callersRunning.Load()),
 		Refusals:      map[result.Code]uint64{},
 		Abandoned:     p.tally.abandoned.snapshot(),
+
+		BackendEnds:     p.tally.backendEnds.Load(),
+		HarmfulRequests: p.harmful.view.Load().Count(p.config.Clock()),
 	}
 	if p.gate != nil {
 		load := p.gate.Load()
--- a/internal/proxy/ended.go
+++ b/internal/proxy/ended.go
@@ -98,6 +98,7 @@
 	defer p.ends.mutex.Unlock()
 	end.ended = ended
 	if ended {
+		p.tally.backendEnds.Add(1)
 		p.suspectOf(end)
 		p.logEnd(end)
 	} else {
--- a/internal/proxy/trace.go
+++ b/internal/proxy/trace.go
@@ -147,7 +147,11 @@
 func (c *callerCall) traceRefusal(refusal Refusal) {
 	c.proxy.traced("request_refused", func() []EventField {
 		now := c.proxy.config.Clock()
-		return append(c.identity(),
+		fields := c.identity()
+		if c.suspicion.signed {
+			fields = append(fields, textField("signature", c.suspicion.signature.String()))
+		}
+		return append(fields,
 			textField("code", number(int(refusal.Code))),
 			textField("name", refusal.Code.Name()),
 			textField("ran", string(refusal.execution())),
