An operator releases a held request by removing it from the store

Change: while something is held, the daemons that wrote or read it there look for it each 3 s, by a list that may lag; what is missing in one that may not is released on all daemons. What a good answer cleared is removed from the store. Weighed: an endpoint of the daemon (a hosted one has none with rights of operators); a watch by all daemons (a call each for what is rare).

--- a/internal/hosted/harmful.go
+++ b/internal/hosted/harmful.go
@@ -28,6 +28,9 @@
 	UntoldHarmful() []quarantine.Record
 	// HarmfulSum is the same on daemons that know the same.
 	HarmfulSum() uint64
+	// HarmfulBelief is what is believed of a request, ReleaseHarmful has it trusted again.
+	HarmfulBelief(quarantine.Signature) quarantine.Belief
+	ReleaseHarmful(quarantine.Signature)
 }
 
 // tellHarmful has all daemons told of news of harmful requests: at once if the next request
--- a/internal/hosted/heldrequests.go
+++ b/internal/hosted/heldrequests.go
@@ -4,31 +4,47 @@
 	"context"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/springstack/springstack/internal/authority"
 	"github.com/springstack/springstack/internal/core/quarantine"
+	"github.com/springstack/springstack/internal/pause"
 )
 
 // Peers tell a daemon that starts what they hold. The store is for a start at which there
-// are none: one write for each request that is held, and one list at each start, which may
-// lag, since a request is held longer than any replica lags.
+// are none, and for operators: they see there what is held, and release a request by
+// removing it. It costs one write for each request that is held, one list at each start and,
+// while something is held, a list each heldPeriod by the daemons that wrote or read it. These
+// lists may lag; only one that misses a request is confirmed by one that may not.
 
-// loadHeld takes what the store knows of held requests, and removes what counts no more.
-func (m *mesh) loadHeld() {
-	if m.held == nil {
+// heldPeriod is the time between two looks at what is held in the store.
+const heldPeriod = 3 * time.Second
+
+// followHeld takes what the store knows of held requests, and then looks for what operators
+// have removed there.
+func (m *mesh) followHeld() {
+	if m.held == nil || !m.untilDone(m.loadHeld) {
 		return
 	}
-	var listed []authority.HeldRequest
-	read := m.untilDone(func() bool {
-		ctx, cancel := context.WithTimeout(m.context, readTimeout)
-		defer cancel()
-		found, err := m.held.List(ctx, authority.Lagging)
-		m.calls.noteError(purposeHeld, err)
-		listed = found
-		return err == nil
-	})
-	if !read {
-		return
+	for pause.For(m.context, heldPeriod*3/4+time.Duration(randomNumber()%uint64(heldPeriod/2))) {
+		if len(m.keeping()) > 0 {
+			m.compareHeld()
+		}
 	}
+}
+
+// listHeld reads what the store knows, and tells whether it answered.
+func (m *mesh) listHeld(freshness authority.Freshness) ([]authority.HeldRequest, bool) {
+	ctx, cancel := context.WithTimeout(m.context, readTimeout)
+	defer cancel()
+	listed, err := m.held.List(ctx, freshness)
+	m.calls.noteError(purposeHeld, err)
+	return listed, err == nil
+}
+
+// loadHeld takes what the store knows of held requests, and removes what counts no more.
+func (m *mesh) loadHeld() bool {
+	listed, read := m.listHeld(authority.Lagging)
 	records := make([]quarantine.Record, 0, len(listed))
 	for _, one := range listed {
 		record := one.Record
@@ -39,8 +55,10 @@
 			continue
 		}
 		records = append(records, record)
+		m.keep(record.Signature)
 	}
 	m.takeHarmful("store", records, false)
+	return read
 }
 
 // keepHeld writes a held request to the store; it does not block.
@@ -52,16 +70,75 @@
 	m.running.Add(1)
 	go func() {
 		defer m.running.Done()
-		m.untilDone(func() bool {
+		written := m.untilDone(func() bool {
 			ctx, cancel := context.WithTimeout(m.context, readTimeout)
 			defer cancel()
 			err := m.held.Put(ctx, held)
 			m.calls.noteError(purposeHeld, err)
 			return err == nil
 		})
+		if written {
+			m.keep(record.Signature)
+		}
 	}()
 }
 
+// keep notes that a request stands in the store.
+func (m *mesh) keep(signature quarantine.Signature) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.kept[signature] = true
+}
+
+// keeping are the requests that stand in the store as far as this daemon knows.
+func (m *mesh) keeping() []quarantine.Signature {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return lo.Keys(m.kept)
+}
+
+// compareHeld releases what operators have removed from the store, and removes there what
+// was cleared or counts no more.
+func (m *mesh) compareHeld() {
+	kept := m.keeping()
+	stands, read := m.standing(authority.Lagging)
+	missing := lo.SomeBy(kept, func(signature quarantine.Signature) bool { return !stands[signature] })
+	if read && missing {
+		stands, read = m.standing(authority.Linearizable)
+	}
+	if !read {
+		return
+	}
+	for _, signature := range kept {
+		m.settleKept(signature, stands[signature])
+	}
+}
+
+// standing are the requests that stand in the store.
+func (m *mesh) standing(freshness authority.Freshness) (map[quarantine.Signature]bool, bool) {
+	listed, read := m.listHeld(freshness)
+	return lo.SliceToMap(listed, func(one authority.HeldRequest) (quarantine.Signature, bool) {
+		return one.Record.Signature, true
+	}), read
+}
+
+// settleKept compares what is believed of one request with whether it stands in the store.
+func (m *mesh) settleKept(signature quarantine.Signature, stands bool) {
+	trusted := m.harmful.HarmfulBelief(signature) == quarantine.Trusted
+	switch {
+	case stands && !trusted:
+		return
+	case stands:
+		m.removeHeld(signature)
+	case !trusted:
+		m.events.event("harmful_released", field("signature", signature.String()))
+		m.harmful.ReleaseHarmful(signature)
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	delete(m.kept, signature)
+}
+
 // removeHeld takes a request from the store. Should that fail, the next daemon that starts
 // does it.
 func (m *mesh) removeHeld(signature quarantine.Signature) {
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -13,6 +13,7 @@
 	"github.com/springstack/springstack/internal/core/dissemination"
 	"github.com/springstack/springstack/internal/core/membership"
 	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/quarantine"
 	"github.com/springstack/springstack/internal/core/rollout"
 	"github.com/springstack/springstack/internal/core/roundtrip"
 	"github.com/springstack/springstack/internal/pause"
@@ -55,6 +56,9 @@
 	harmful harmfulRequests
 	// held keeps requests that are held, for a start at which nobody remembers them.
 	held authority.HeldRequests
+	// kept are the held requests that this daemon has written to the store or read there;
+	// guarded by mutex.
+	kept map[quarantine.Signature]bool
 	// rollouts are the orders that the daemon knows; guarded by mutex.
 	rollouts *rolloutTable
 	version  func() protocol.Version
@@ -118,7 +122,7 @@
 	m.mutex.Lock()
 	m.roster.Merge(m.clock(), m.self, membership.Below)
 	m.mutex.Unlock()
-	for _, loop := range []func(){m.register, m.compareForever, m.pollForever, m.awaitJoin, m.loadHeld} {
+	for _, loop := range []func(){m.register, m.compareForever, m.pollForever, m.awaitJoin, m.followHeld} {
 		m.running.Add(1)
 		go func() {
 			defer m.running.Done()
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -13,6 +13,7 @@
 	"github.com/springstack/springstack/internal/core/following"
 	"github.com/springstack/springstack/internal/core/membership"
 	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/quarantine"
 	"github.com/springstack/springstack/internal/daemon"
 	"github.com/springstack/springstack/internal/proxy"
 )
@@ -116,6 +117,7 @@
 		roundTrips: &d.roundTrips,
 		harmful:    path.Proxy,
 		held:       d.options.Platform.Held,
+		kept:       map[quarantine.Signature]bool{},
 		rollouts:   newRolloutTable(d.settings.Rollouts.ExposureShare),
 		valueBytes: d.settings.Authority.ValueBytes,
 		context:    d.context,
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -84,6 +84,8 @@
 		"The gate refused a call; it did not run.", "Codes 403, 404 and 414: more work than slots."},
 	{"harmful_refused", log.WarnLevel,
 		"A peer has sent records of harmful requests that can't be true; they are left out.", "Look at the build and the clock of that peer."},
+	{"harmful_released", log.InfoLevel,
+		"A held request was removed from the store by an operator: all daemons trust it again.", nothing},
 	{"harmful_request", log.InfoLevel,
 		"What this daemon believes of a request has changed: suspected of ending its back ends, held, or trusted again.", "Held: find the request by its signature in the lines call_at_end of the gates, and why back ends end under it."},
 	{"head_deleted", log.ErrorLevel,
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -162,6 +162,18 @@
 	return refused
 }
 
+// HarmfulBelief is what the daemon believes of a request.
+func (p *Proxy) HarmfulBelief(signature quarantine.Signature) quarantine.Belief {
+	belief, _ := p.harmful.view.Load().Belief(p.harmful.clock(), signature)
+	return belief
+}
+
+// ReleaseHarmful has a request trusted again by all daemons, until back ends end under it
+// anew.
+func (p *Proxy) ReleaseHarmful(signature quarantine.Signature) {
+	p.harmful.change(signature, func(now time.Duration) bool { return p.harmful.table.Cleared(now, signature) })
+}
+
 // HarmfulRecords are all records of requests that may be harmful.
 func (p *Proxy) HarmfulRecords() []quarantine.Record {
 	p.harmful.mutex.Lock()
