--- a/internal/proxy/ended.go
+++ b/internal/proxy/ended.go
@@ -20,7 +20,7 @@
 	// endDialTries and endDialPause are how often and how far apart a back end is asked that
 	// still takes connections: an ending process may close its connections before its port.
 	endDialTries = 2
-	endDialPause = 10 * time.Millisecond
+	endDialPause = 3 * time.Millisecond
 	// endGather is how long calls are gathered that were at work on a back end as it ended.
 	// Their connections break in the same moment; it allows for the scheduling of the
 	// goroutines that read them.
@@ -51,8 +51,8 @@
 }
 
 // awaitEnd waits, after the connection of the call broke before an answer, until it is known
-// whether the instance has ended: some 5 ms, 120 ms at most where it has not. It returns
-// the instance if it has and this call is suspected of it, and else nothing.
+// whether the instance has ended: some 5 ms, endDialTimeout where nothing answers. It
+// returns the instance if it has and this call is suspected of it, and else nothing.
 func (c *gateCall) awaitEnd() string {
 	end := c.proxy.gatherEnd(c)
 	<-end.settled
@@ -104,6 +104,7 @@
 	} else {
 		p.ends.newest = nil // the next broken call asks anew
 	}
+	end.atWork = nil // their requests and bodies are not kept for it
 	close(end.settled)
 }
 
@@ -175,13 +176,15 @@
 // refusesConnections tells whether nothing listens at an address of this machine. A reset
 // connection, a lost answer and a back end that is silent or full are no end of it.
 func refusesConnections(address string) bool {
-	for range endDialTries {
+	for try := range endDialTries {
+		if try > 0 {
+			time.Sleep(endDialPause)
+		}
 		conn, err := net.DialTimeout("tcp", address, endDialTimeout)
 		if err != nil {
 			return errors.Is(err, syscall.ECONNREFUSED)
 		}
 		_ = conn.Close()
-		time.Sleep(endDialPause)
 	}
 	return false
 }
--- a/internal/proxy/ended_test.go
+++ b/internal/proxy/ended_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -112,6 +113,21 @@
 	check.True(!one.harmful.suspects(signatureAt(one, "/often")))
 }
 
+// A message between daemons holds a bounded number of records: those with the newest ends.
+func TestAMessageHoldsTheNewestRecords(t *testing.T) {
+	check := is.New(t)
+	now := time.Duration(0)
+	proxy := New(Config{Clock: func() time.Duration { return now }, NodeID: "gate"})
+	t.Cleanup(proxy.Close)
+	for number := range 2 * harmfulPerMessage {
+		now += time.Millisecond
+		proxy.harmful.noteEnded(signatureAt(proxy, "/"+strconv.Itoa(number)), "i")
+	}
+	records := proxy.HarmfulRecords()
+	check.Equal(len(records), harmfulPerMessage)
+	check.Equal(records[0].Signature, signatureAt(proxy, "/"+strconv.Itoa(2*harmfulPerMessage-1)))
+}
+
 // BenchmarkUnsuspected is what a call pays at its entry and its gate while nothing is known
 // of any request, and what its gate remembers of its answer.
 func BenchmarkUnsuspected(b *testing.B) {
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -16,6 +18,9 @@
 	// comes regularly is not taken for one that ends its back end.
 	answeredTime  = time.Minute
 	answeredCount = 1 << 14
+	// harmfulPerMessage bounds the records in one message between daemons, of some 150 bytes
+	// each.
+	harmfulPerMessage = 256
 )
 
 // harmful is what the daemon knows of requests that may end the back ends that run them.
@@ -40,7 +45,11 @@
 
 func newHarmful(config Config, log func(string, ...EventField)) *harmful {
 	return &harmful{
-		clock: config.Clock, tell: config.OnHarmful, held: config.OnHeld, log: log, table: quarantine.NewTable(quarantine.DefaultRules()),
+		clock:    config.Clock,
+		tell:     config.OnHarmful,
+		held:     config.OnHeld,
+		log:      log,
+		table:    quarantine.NewTable(quarantine.DefaultRules()),
 		answered: admission.NewSeen(config.Clock(), answeredTime, answeredCount),
 		untold:   map[quarantine.Signature]bool{},
 	}
@@ -174,11 +183,14 @@
 	p.harmful.change(signature, func(now time.Duration) bool { return p.harmful.table.Cleared(now, signature) })
 }
 
-// HarmfulRecords are all records of requests that may be harmful.
+// HarmfulRecords are the records of requests that may be harmful, as many as one message
+// holds: those with the newest ends.
 func (p *Proxy) HarmfulRecords() []quarantine.Record {
 	p.harmful.mutex.Lock()
 	defer p.harmful.mutex.Unlock()
-	return p.harmful.table.Records(p.harmful.clock())
+	records := p.harmful.table.Records(p.harmful.clock())
+	slices.SortStableFunc(records, func(a, b quarantine.Record) int { return cmp.Compare(a.Age, b.Age) })
+	return records[:min(len(records), harmfulPerMessage)]
 }
 
 // UntoldHarmful are the records that others have not been told of; they count as told then.
