Quarantine: ends are explained by what was at work at all of them

Cause: soak held a harmless request for 10 s: it was at work at the first end of a harmful one, and ran as the suspected one at a gate that had heard nothing for 600 ms, beside a further try of the harmful one; that gate blamed it alone, and no later news could mend that. Ruled out: waiting for news before blaming (news may be late by any time); three ends in place of two (one back end more for each harmful request). Change: a gate puts an end down to all that was at work. Every daemon explains all ends by as few requests as possible: the one at work at the most of them is harmful, what ran beside it is trusted again, and what was at work at just the same ends stays open. The table holds 256. Conclusion: kept, for it does not depend on what a gate had heard.

--- a/internal/core/quarantine/record.go
+++ b/internal/core/quarantine/record.go
@@ -27,11 +27,14 @@
 // Rules say how many ends in a row hold a request. All daemons of a mesh need the same.
 type Rules struct {
 	// Ends is for a request that no daemon remembers a good answer to. The first end may be
-	// of any request that ran there; the second one is of a request that ran apart.
+	// of any request that ran there; at a second one it is rarely by chance.
 	Ends int
 	// EndsFamiliar is for a request that was answered well before: it must have become
 	// harmful since, which is rare, and it is often at work as others end back ends.
 	EndsFamiliar int
+	// EachByItself leaves out that one request explains ends that others were at work at. It
+	// is for comparisons only.
+	EachByItself bool
 }
 
 // DefaultRules are the ones that hold a harmful request after the fewest ends of those that
@@ -131,18 +134,4 @@
 	endedAt time.Duration
 }
 
-// belief is what follows from the entry.
-func (e entry) belief(now time.Duration) Belief {
-	switch {
-	case e.record.Cleared || e.expired(now):
-		return Trusted
-	case now < e.heldUntil():
-		return Held
-	}
-	return Suspected
-}
-
-// heldUntil is when the request is not held any more.
-func (e entry) heldUntil() time.Duration { return e.endedAt + e.rules.holdTime(&e.record) }
-
-func (e entry) expired(now time.Duration) bool { return now >= e.endedAt+e.rules.lifeTime(&e.record) }
+func (e *entry) expired(now time.Duration) bool { return now >= e.endedAt+e.rules.lifeTime(&e.record) }
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -10,10 +10,11 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// tableLimit bounds the requests that are remembered: some 300 bytes each. What is dropped
-// first are requests that were cleared, then suspected ones, then held ones, the oldest of
-// each.
-const tableLimit = 1024
+// tableLimit bounds the requests that are remembered, some 300 bytes each, so that all of
+// them fit into one message between daemons and are judged within a millisecond
+// (BenchmarkView). What is dropped first are requests that are trusted, then suspected ones,
+// then held ones, the oldest of each.
+const tableLimit = 256
 
 // Table is what one daemon knows of requests that may be harmful. It is not safe for
 // concurrent use.
@@ -133,19 +134,20 @@
 	if len(t.entries) < tableLimit {
 		return
 	}
+	judged := t.judge(now)
+	worth := func(one *entry) Belief { return judged[one.record.Signature].belief(now) }
 	var least *entry
 	for _, one := range t.entries {
-		if least == nil || compareWorth(now, one, least) < 0 {
+		if least == nil || cmp.Or(cmp.Compare(worth(one), worth(least)), cmp.Compare(one.endedAt, least.endedAt),
+			compareSignatures(one.record.Signature, least.record.Signature)) < 0 {
 			least = one
 		}
 	}
 	delete(t.entries, least.record.Signature)
 }
 
-// compareWorth orders entries by what they protect, then by age.
-func compareWorth(now time.Duration, a, b *entry) int {
-	return cmp.Or(cmp.Compare(a.belief(now), b.belief(now)), cmp.Compare(a.endedAt, b.endedAt),
-		bytes.Compare(a.record.Signature.Head[:], b.record.Signature.Head[:]))
+func compareSignatures(a, b Signature) int {
+	return cmp.Or(bytes.Compare(a.Head[:], b.Head[:]), bytes.Compare(a.Body[:], b.Body[:]))
 }
 
 // Expire forgets what counts no more, and tells whether there was any.
@@ -167,9 +169,7 @@
 			records = append(records, record)
 		}
 	}
-	slices.SortFunc(records, func(a, b Record) int {
-		return cmp.Or(bytes.Compare(a.Signature.Head[:], b.Signature.Head[:]), bytes.Compare(a.Signature.Body[:], b.Signature.Body[:]))
-	})
+	slices.SortFunc(records, func(a, b Record) int { return compareSignatures(a.Signature, b.Signature) })
 	return records
 }
 
@@ -213,35 +213,28 @@
 	return 0
 }
 
-// Suspects tells whether the table speaks of a request and has not cleared it.
-func (t *Table) Suspects(now time.Duration, signature Signature) bool {
-	known := t.live(now, signature)
-	return known != nil && known.belief(now) != Trusted
-}
-
 // View is what the path of a request reads.
 func (t *Table) View(now time.Duration) *View {
-	made := &View{heads: map[Hash]bool{}, entries: map[Signature]entry{}}
+	made := &View{heads: map[Hash]bool{}, known: map[Signature]judgement{}}
+	judged := t.judge(now)
 	for signature, one := range t.entries {
 		if one.expired(now) {
 			continue
 		}
 		made.heads[signature.Head] = true
-		kept := *one
-		kept.record.Ends = slices.Clone(one.record.Ends)
-		made.entries[signature] = kept
+		made.known[signature] = judged[signature]
 	}
 	return made
 }
 
 // View is a table as it was at a moment. It is immutable.
 type View struct {
-	heads   map[Hash]bool
-	entries map[Signature]entry
+	heads map[Hash]bool
+	known map[Signature]judgement
 }
 
 // Empty tells whether nothing is known of any request, as is usual.
-func (v *View) Empty() bool { return v == nil || len(v.entries) == 0 }
+func (v *View) Empty() bool { return v == nil || len(v.known) == 0 }
 
 // HasHead tells whether something is known of a request with a head. Of others the body
 // need not be looked at.
@@ -252,23 +245,17 @@
 	if v.Empty() {
 		return false
 	}
-	_, found := v.entries[signature]
+	_, found := v.known[signature]
 	return found
 }
 
-// IsFamiliar tells whether a request is known to have been answered well before the first
-// end under it.
-func (v *View) IsFamiliar(signature Signature) bool {
-	return !v.Empty() && v.entries[signature].record.Familiar
-}
-
 // Count is how many requests are suspected and held now.
 func (v *View) Count(now time.Duration) map[Belief]int {
 	counts := map[Belief]int{Suspected: 0, Held: 0}
 	if v.Empty() {
 		return counts
 	}
-	for _, one := range v.entries {
+	for _, one := range v.known {
 		if belief := one.belief(now); belief != Trusted {
 			counts[belief]++
 		}
@@ -281,13 +268,6 @@
 	if v.Empty() {
 		return Trusted, 0
 	}
-	known, found := v.entries[signature]
-	if !found {
-		return Trusted, 0
-	}
-	belief := known.belief(now)
-	if belief != Held {
-		return belief, 0
-	}
-	return Held, known.heldUntil() - now
+	found := v.known[signature]
+	return found.belief(now), max(found.heldUntil-now, 0)
 }
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -162,6 +162,68 @@
 	check.Equal(beliefIn(table, 4*tableLimit, signatureOf(fmt.Sprint(4*tableLimit-1))), Suspected)
 }
 
+// What was at work at two ends explains both; what ran beside it at one of them is trusted.
+func TestARequestExplainsWhatRanBesideIt(t *testing.T) {
+	check := is.New(t)
+	table := NewTable(DefaultRules())
+	harmful, beside, later := signatureOf("/harmful"), signatureOf("/beside"), signatureOf("/later")
+	for _, request := range []Signature{harmful, beside} {
+		table.Ended(0, request, "a", false)
+	}
+	check.Equal(beliefIn(table, 0, beside), Suspected)
+	for _, request := range []Signature{harmful, later} {
+		table.Ended(0, request, "b", false)
+	}
+	check.Equal(beliefIn(table, 0, harmful), Held)
+	check.Equal(beliefIn(table, 0, beside), Trusted)
+	check.Equal(beliefIn(table, 0, later), Trusted)
+	table.Ended(0, beside, "c", false) // one end that the harmful one was not at
+	check.Equal(beliefIn(table, 0, beside), Suspected)
+}
+
+// Two requests that were at work at the same ends can't be told from each other; a good
+// answer or one end more settles it.
+func TestWhatIsAtWorkAtTheSameEndsStaysOpen(t *testing.T) {
+	check := is.New(t)
+	settle := map[string]func(*Table, Signature, Signature){
+		"an end":         func(table *Table, harmful, _ Signature) { table.Ended(0, harmful, "c", false) },
+		"a good answer":  func(table *Table, _, harmless Signature) { table.Cleared(0, harmless) },
+		"it is familiar": func(table *Table, _, harmless Signature) { table.Familiar(0, harmless) },
+	}
+	for name, settles := range settle {
+		table := NewTable(DefaultRules())
+		harmful, harmless := signatureOf("/harmful"), signatureOf("/harmless")
+		for _, instance := range []string{"a", "b"} {
+			table.Ended(0, harmful, instance, false)
+			table.Ended(0, harmless, instance, false)
+		}
+		check.Equal(beliefIn(table, 0, harmful), Suspected)
+		check.Equal(beliefIn(table, 0, harmless), Suspected)
+		settles(table, harmful, harmless)
+		t.Log(name)
+		check.Equal(beliefIn(table, 0, harmful), Held)
+		check.Equal(beliefIn(table, 0, harmless), Trusted)
+	}
+}
+
+// Two harmful requests are both held, and what ran beside one and then beside the other is
+// held for neither.
+func TestTwoHarmfulRequestsExplainTheEndsOfBoth(t *testing.T) {
+	check := is.New(t)
+	table := NewTable(DefaultRules())
+	one, other, between := signatureOf("/one"), signatureOf("/other"), signatureOf("/between")
+	for instance, at := range map[string][]Signature{
+		"a": {one, between}, "b": {one}, "c": {other, between}, "d": {other}, "e": {one},
+	} {
+		for _, request := range at {
+			table.Ended(0, request, instance, false)
+		}
+	}
+	check.Equal(beliefIn(table, 0, one), Held)
+	check.Equal(beliefIn(table, 0, other), Held)
+	check.Equal(beliefIn(table, 0, between), Trusted)
+}
+
 // Daemons that have heard the same news believe the same, in whatever order, how often and
 // through whom it came.
 func TestNewsInAnyOrderLeadsToTheSame(t *testing.T) {
@@ -225,6 +287,22 @@
 	check.Equal(beliefIn(one, suspicionTime, request), Trusted)
 }
 
+// BenchmarkView judges a full table, half of it harmful requests.
+func BenchmarkView(b *testing.B) {
+	table := NewTable(DefaultRules())
+	for index := range tableLimit {
+		request := signatureOf(fmt.Sprint(index))
+		table.Ended(0, request, fmt.Sprint(index/4), false)
+		if index%2 == 0 {
+			table.Ended(0, request, fmt.Sprint("again ", index), false)
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		table.View(0)
+	}
+}
+
 func BenchmarkSignature(b *testing.B) {
 	head := Head{Method: "GET", Host: "app.example", Target: "/orders/17?full=1&page=3", Caller: "subscriber-app"}
 	b.ReportAllocs()
--- a/internal/hosted/harmful.go
+++ b/internal/hosted/harmful.go
@@ -23,8 +23,7 @@
 	// MergeHarmful takes a peer's records, and tells how many can't be true. What is news is
 	// told to all daemons in turn where pass is set.
 	MergeHarmful(records []quarantine.Record, pass bool) (refused int)
-	// HarmfulRecords are the records for one message, UntoldHarmful those that nobody has
-	// been told of.
+	// HarmfulRecords are all records, UntoldHarmful those that nobody has been told of.
 	HarmfulRecords() []quarantine.Record
 	UntoldHarmful() []quarantine.Record
 	// HarmfulSum is the same on daemons that know the same.
--- a/internal/proxy/ended.go
+++ b/internal/proxy/ended.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/samber/lo"
 
 	"github.com/springstack/springstack/internal/core/quarantine"
 )
@@ -108,63 +109,21 @@
 	close(end.settled)
 }
 
-// suspectOf says which requests an end is put down to.
-//
-// Requests that back ends answer well are at work at many ends, so they need more of them
-// and take nothing from the doubt about others. Of those that nobody has answered yet one
-// that was suspected before is it, and the rest only ran beside it; where two of those met,
-// neither can be told from the other, and both stay suspected. Otherwise it may be any.
-//
-// A software version that has never answered anything here may be unable to, whatever it
-// runs: its ends speak of no request.
+// suspectOf puts an end down to the requests that were at work; which of them did it follows
+// from all ends that they were at work at (quarantine.Table). A software version that has
+// never answered anything here may be unable to, whatever it runs: its ends speak of no
+// request.
 func (p *Proxy) suspectOf(end *backendEnd) {
-	doubt := p.doubtOf(end)
-	blamed := doubt.familiar
-	switch len(doubt.suspected) {
-	case 0:
-		blamed = append(blamed, doubt.fresh...)
-	case 1:
-		blamed = append(blamed, doubt.suspected...)
-	}
-	if !p.softwareHasAnswered() {
-		blamed = nil
-	}
 	end.suspected = map[quarantine.Signature]bool{}
-	for _, signature := range blamed {
-		end.suspected[signature] = true
-		p.harmful.noteEnded(signature, end.instance)
+	if !p.softwareHasAnswered() {
+		return
 	}
-}
-
-// doubt are the different requests that were at work as an instance ended.
-type doubt struct {
-	// familiar were answered well before; suspected and fresh were not, and are suspected
-	// already or not.
-	familiar  []quarantine.Signature
-	suspected []quarantine.Signature
-	fresh     []quarantine.Signature
-}
-
-// doubtOf sorts the calls at an end.
-func (p *Proxy) doubtOf(end *backendEnd) doubt {
-	var sorted doubt
-	seen := map[quarantine.Signature]bool{}
 	for _, call := range end.atWork {
-		signature, signed := call.signature()
-		if !signed || seen[signature] {
-			continue
-		}
-		seen[signature] = true
-		switch {
-		case p.harmful.isFamiliar(signature):
-			sorted.familiar = append(sorted.familiar, signature)
-		case call.hasTurn || p.harmful.suspects(signature):
-			sorted.suspected = append(sorted.suspected, signature)
-		default:
-			sorted.fresh = append(sorted.fresh, signature)
+		if signature, signed := call.signature(); signed {
+			end.suspected[signature] = true
 		}
 	}
-	return sorted
+	p.harmful.noteEnded(end.instance, lo.Keys(end.suspected)...)
 }
 
 // softwareHasAnswered tells whether the software version that runs, or ran last, has answered
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -1,13 +1,13 @@
 package proxy
 
 import (
-	"cmp"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/springstack/springstack/internal/core/admission"
 	"github.com/springstack/springstack/internal/core/quarantine"
 )
@@ -18,9 +18,6 @@
 	// comes regularly is not taken for one that ends its back end.
 	answeredTime  = time.Minute
 	answeredCount = 1 << 14
-	// harmfulPerMessage bounds the records in one message between daemons, of some 150 bytes
-	// each.
-	harmfulPerMessage = 256
 )
 
 // harmful is what the daemon knows of requests that may end the back ends that run them.
@@ -55,47 +52,52 @@
 	}
 }
 
-// change changes what is known of a request, and has all daemons told of what changed.
-func (h *harmful) change(signature quarantine.Signature, change func(now time.Duration) bool) bool {
+// change changes what is known of some requests, and has all daemons told of what changed.
+func (h *harmful) change(signatures []quarantine.Signature, change func(now time.Duration, signature quarantine.Signature) bool) []quarantine.Signature {
 	h.mutex.Lock()
-	changed := change(h.clock())
-	if changed {
-		h.publish(signature)
+	now := h.clock()
+	changed := lo.Filter(signatures, func(signature quarantine.Signature, _ int) bool { return change(now, signature) })
+	for _, signature := range changed {
 		h.untold[signature] = true
 	}
+	if len(changed) > 0 {
+		h.publish()
+	}
 	h.mutex.Unlock()
-	if changed && h.tell != nil {
+	if len(changed) > 0 && h.tell != nil {
 		h.tell(true)
 	}
 	return changed
 }
 
-// publish puts what is known in force, and logs what that means for some requests; the
-// lock is held.
-func (h *harmful) publish(changed ...quarantine.Signature) {
+// publish puts what is known in force, and logs what that means for requests; the lock is
+// held. What changes of one may change what is believed of others.
+func (h *harmful) publish() {
 	now := h.clock()
 	next := h.table.View(now)
 	before := h.view.Swap(next)
-	for _, signature := range changed {
-		was, _ := before.Belief(now, signature)
-		is, _ := next.Belief(now, signature)
+	for _, record := range h.table.Records(now) {
+		was, _ := before.Belief(now, record.Signature)
+		is, _ := next.Belief(now, record.Signature)
 		if was == is {
 			continue
 		}
-		record, _ := h.table.Of(now, signature)
-		h.log("harmful_request", textField("signature", signature.String()), textField("belief", is.String()),
+		h.log("harmful_request", textField("signature", record.Signature.String()), textField("belief", is.String()),
 			textField("ends", number(len(record.Ends))), textField("round", number(int(record.Round))),
 			textField("familiar", strconv.FormatBool(record.Familiar)))
 	}
 }
 
-// noteEnded notes that an instance beside this daemon has ended under a request, and has
+// noteEnded notes that an instance beside this daemon has ended under some requests, and has
 // all others told.
-func (h *harmful) noteEnded(signature quarantine.Signature, instance string) {
-	changed := h.change(signature, func(now time.Duration) bool {
+func (h *harmful) noteEnded(instance string, signatures ...quarantine.Signature) {
+	changed := h.change(signatures, func(now time.Duration, signature quarantine.Signature) bool {
 		return h.table.Ended(now, signature, instance, h.answered.Has(fingerprintOf(signature)))
 	})
-	if changed && h.held != nil {
+	if h.held == nil {
+		return
+	}
+	for _, signature := range changed {
 		h.tellHeld(signature)
 	}
 }
@@ -116,20 +118,13 @@
 func (h *harmful) noteAnswered(signature quarantine.Signature) {
 	h.answered.Add(h.clock(), fingerprintOf(signature))
 	if h.view.Load().Has(signature) {
-		h.change(signature, func(now time.Duration) bool { return h.table.Cleared(now, signature) })
+		h.clear(signature)
 	}
 }
 
-// suspects tells whether a request is suspected now.
-func (h *harmful) suspects(signature quarantine.Signature) bool {
-	belief, _ := h.view.Load().Belief(h.clock(), signature)
-	return belief != quarantine.Trusted
-}
-
-// isFamiliar tells whether a request was answered well before the first end under it, by the
-// back end beside this daemon or, as far as is known, by another one.
-func (h *harmful) isFamiliar(signature quarantine.Signature) bool {
-	return h.answered.Has(fingerprintOf(signature)) || h.view.Load().IsFamiliar(signature)
+// clear has a request trusted again.
+func (h *harmful) clear(signature quarantine.Signature) {
+	h.change([]quarantine.Signature{signature}, h.table.Cleared)
 }
 
 // fingerprintOf shortens a signature to what is remembered of answered requests. Two with
@@ -145,24 +140,21 @@
 	h := p.harmful
 	h.mutex.Lock()
 	now := h.clock()
-	var changed []quarantine.Signature
-	tell := false
+	changed, tell := false, false
 	for _, record := range records {
 		news, valid := h.table.Merge(now, record)
 		if !valid {
 			refused++
 		}
 		own := news && !record.Familiar && h.answered.Has(fingerprintOf(record.Signature)) && h.table.Familiar(now, record.Signature)
-		if news {
-			changed = append(changed, record.Signature)
-		}
+		changed = changed || news
 		if own || (news && pass) {
 			h.untold[record.Signature] = true
 			tell = true
 		}
 	}
-	if len(changed) > 0 {
-		h.publish(changed...)
+	if changed {
+		h.publish()
 	}
 	h.mutex.Unlock()
 	if tell && h.tell != nil {
@@ -180,17 +172,14 @@
 // ReleaseHarmful has a request trusted again by all daemons, until back ends end under it
 // anew.
 func (p *Proxy) ReleaseHarmful(signature quarantine.Signature) {
-	p.harmful.change(signature, func(now time.Duration) bool { return p.harmful.table.Cleared(now, signature) })
+	p.harmful.clear(signature)
 }
 
-// HarmfulRecords are the records of requests that may be harmful, as many as one message
-// holds: those with the newest ends.
+// HarmfulRecords are all records of requests that may be harmful.
 func (p *Proxy) HarmfulRecords() []quarantine.Record {
 	p.harmful.mutex.Lock()
 	defer p.harmful.mutex.Unlock()
-	records := p.harmful.table.Records(p.harmful.clock())
-	slices.SortStableFunc(records, func(a, b quarantine.Record) int { return cmp.Compare(a.Age, b.Age) })
-	return records[:min(len(records), harmfulPerMessage)]
+	return p.harmful.table.Records(p.harmful.clock())
 }
 
 // UntoldHarmful are the records that others have not been told of; they count as told then.
