Quarantine: three ends hold a request, for a minute at first

Cause: soak: a harmless request was at work at an end of a harmful one and at the next one, which the soak brought about, and was held for 3 s. Change: three ends in place of two, four for a familiar one as before; the first hold lasts a minute; a call under which two back ends have ended is not sent to a third.

--- a/internal/core/quarantine/record.go
+++ b/internal/core/quarantine/record.go
@@ -27,7 +27,7 @@
 // Rules say how many ends in a row hold a request. All daemons of a mesh need the same.
 type Rules struct {
 	// Ends is for a request that no daemon remembers a good answer to. The first end may be
-	// of any request that ran there; at a second one it is rarely by chance.
+	// of any request that ran there, and at a second one it may be by chance.
 	Ends int
 	// EndsFamiliar is for a request that was answered well before: it must have become
 	// harmful since, which is rare, and it is often at work as others end back ends.
@@ -37,9 +37,9 @@
 	EachByItself bool
 }
 
-// DefaultRules are the ones that hold a harmful request after the fewest ends of those that
-// held no harmless one in drawn runs; docs/design/harmful-requests.md has the figures.
-func DefaultRules() Rules { return Rules{Ends: 2, EndsFamiliar: 4} }
+// DefaultRules hold a request after the fewest ends of those that held no harmless one on
+// drawn days with harmful requests; docs/design/harmful-requests.md has the figures.
+func DefaultRules() Rules { return Rules{Ends: 3, EndsFamiliar: 4} }
 
 // The times of suspicions and holds.
 const (
@@ -51,9 +51,9 @@
 	// comes again later than that ends one back end more.
 	suspicionTime = 2 * time.Minute
 	// firstHold is how long a request is held after the end that was enough for it. It may
-	// still be harmless: then it ran beside two that were not. After that it is suspected
-	// again, and its next try, which runs apart, settles it.
-	firstHold = 10 * time.Second
+	// still be harmless: then it was at work at ends of several causes. After that it is
+	// suspected again, and its next try, which runs apart, settles it.
+	firstHold = time.Minute
 	// holdTime is how long it is held after one end more, and doubles with each further one
 	// up to holdLimit.
 	holdTime  = 10 * time.Minute
--- a/internal/proxy/suspect.go
+++ b/internal/proxy/suspect.go
@@ -8,8 +8,9 @@
 )
 
 // endsOfCall is how many instances may end under the attempts of one call before it is given
-// up: as many as hold a request that nobody has answered.
-var endsOfCall = quarantine.DefaultRules().Ends
+// up: what ran beside a harmful request is saved by its second attempt, and a third one
+// would mostly save what ends a third back end.
+const endsOfCall = 2
 
 // awaitTurn keeps a call that is suspected to end its back end apart from others that are:
 // one runs at a time, so that the next end is of that one alone, and the others do not end
