A signature waits for no attempt that was given up and still reads the body

Cause: reading again: the first bytes of a body were waited for under the lock that a given-up attempt may hold while a slow caller sends. Change: such a call has no signature then; its mark is set under the lock.

--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -284,9 +284,12 @@
 
 // sign has the first bytes of a body hashed, whatever its length.
 func (u *upload) sign() {
-	if u != nil {
-		u.signs = true
+	if u == nil {
+		return
 	}
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	u.signs = true
 }
 
 // signed is the hash of the body's first bytes; false while they have not come, or when
@@ -309,14 +312,13 @@
 func (u *upload) signedBytes() int { return min(u.keep, quarantine.BodyBytes) }
 
 // awaitSigned reads the body's first bytes, which are kept, as far as they count for the
-// signature.
+// signature. It does not while an attempt that was given up still reads.
 func (u *upload) awaitSigned(ctx context.Context) {
-	if u == nil {
+	if u == nil || !u.mutex.TryLock() {
 		return
 	}
-	u.signs = true
-	u.mutex.Lock()
 	defer u.mutex.Unlock()
+	u.signs = true
 	buffer := make([]byte, signReadBytes)
 	for u.failure == nil && !u.overflow && ctx.Err() == nil && len(u.kept) < u.signedBytes() {
 		_, _ = u.read(buffer[:min(len(buffer), u.signedBytes()-len(u.kept))]) // keeps what it reads, and how it ended
