--- a/internal/hosted/harmful.go
+++ b/internal/hosted/harmful.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/springstack/springstack/internal/core/quarantine"
-	"github.com/springstack/springstack/internal/pause"
 )
 
 // Where many daemons have something to add to the same news, they do so in turn, within
@@ -41,16 +40,7 @@
 		most := min(harmfulStep*time.Duration(m.size()), harmfulSpread)
 		wait = time.Duration(randomNumber() % uint64(most))
 	}
-	m.running.Add(1)
-	go func() {
-		defer m.running.Done()
-		if wait > 0 && !pause.For(m.context, wait) {
-			return
-		}
-		m.mutex.Lock()
-		defer m.mutex.Unlock()
-		m.spreadHarmful()
-	}()
+	m.later(wait, m.spreadHarmful)
 }
 
 // spreadHarmful tells all daemons of what they have not been told yet, along a tree in each
--- a/internal/lab/harmful/day.go
+++ b/internal/lab/harmful/day.go
@@ -16,10 +16,10 @@
 	attempts = 2
 	tries    = 2
 	// inTouch and sendsAllowed are the bound on what is sent after the third end.
-	inTouch = 3 * time.Second
-	// longHold is longer than the first hold of any request.
-	longHold     = time.Minute
+	inTouch      = 3 * time.Second
 	sendsAllowed = 3
+	// longHold is longer than the first hold of any request.
+	longHold = 2 * time.Minute
 )
 
 // request is one request with all that is drawn of it.
@@ -39,7 +39,6 @@
 	suspect bool
 	// tried are the gates it was sent to in this try.
 	tried []int
-	done  bool
 	// hasTurn says that it runs as the one suspected request of its gate.
 	hasTurn bool
 }
@@ -169,7 +168,6 @@
 // answer ends a run well and gives the next suspected request its turn.
 func (d *day) answer(sent *work, at *daemon, gate int) {
 	at.running = lo.Without(at.running, sent)
-	sent.done = true
 	d.clear(at, sent.signature)
 	d.nextTurn(at, gate)
 }
--- a/internal/lab/soak/harmful.go
+++ b/internal/lab/soak/harmful.go
@@ -124,7 +124,7 @@
 	forking.Lock()
 	ended.Crash()
 	forking.Unlock()
-	back := harmfulBack/2 + time.Duration(rand.Int64N(int64(harmfulBack)))
+	back := harmfulBack/2 + time.Duration(s.shareOf(ended.Instance, "back")*float64(harmfulBack))
 	s.returning.Add(1)
 	go func() {
 		defer s.returning.Done()
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -128,7 +128,7 @@
 }
 
 // fingerprintOf shortens a signature to what is remembered of answered requests. Two with
-// the same one can at worst be held two ends later.
+// the same one can at worst be held an end later.
 func fingerprintOf(signature quarantine.Signature) admission.Fingerprint {
 	return admission.Fingerprint(signature.Key())
 }
