Interfaces of evacuation, warm-up, restarted back ends and allowed regions

Cause: two customers' terms are not served: zones that operators empty, cold back ends that bear a stated rate, back ends that start again under their name, routes whose calls may run in some regions only. Change: the shared types, settings, result codes and the decoding of the new fields, agreed before the parts are built side by side. A field that can't be read is told by configuration_fault and never drops an accepted version.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -32,6 +32,9 @@
 	Services []resource.Service
 	Routes   []resource.Route
 	Limits   RequestLimits
+	// Faults are what the authority has accepted and no daemon can carry out: each names the
+	// field. The rest is in force nevertheless.
+	Faults []error
 }
 
 // RequestLimits bound what callers may send, and how long they may take.
--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -15,6 +15,8 @@
 type Report struct {
 	// Instance identifies one start of the back end.
 	Instance string
+	// Born is when it started by its own word, in Unix milliseconds; 0 when it does not tell.
+	Born int64
 	// Service is the name of the service that it belongs to.
 	Service string
 	// Sequence grows with each report of an instance.
@@ -35,6 +37,10 @@
 	Instance string
 	// Healthy says that the instance takes work.
 	Healthy bool
+	// TellsWarmUp says that the answer told how much longer the instance is cold, which is
+	// WarmUp.
+	TellsWarmUp bool
+	WarmUp      time.Duration
 }
 
 // candidateLimit bounds the unconfirmed instances: one that starts, and a few before it that
--- a/internal/core/protocol/protocol.go
+++ b/internal/core/protocol/protocol.go
@@ -111,6 +111,9 @@
 	Slots int
 	// Software is the version of the back end's software; empty when not known.
 	Software string
+	// Born is when the back end started by its own word, in Unix milliseconds: it tells two
+	// starts under the same name apart. 0 when it does not tell.
+	Born int64
 }
 
 // Scope says which resources a daemon holds: the routes of its partners that
--- a/internal/core/resource/types.go
+++ b/internal/core/resource/types.go
@@ -111,6 +111,19 @@
 	HealthPath string `json:"health_path,omitempty"`
 	// LoadPath is where the back end reports its load; empty means none.
 	LoadPath string `json:"load_path,omitempty"`
+	// WarmUp bounds the calls to a cold back end, and MaxConnections the connections to any
+	// one, 0 for no bound. Only an external authority states them.
+	WarmUp         WarmUp `json:"-"`
+	MaxConnections int    `json:"-"`
+}
+
+// WarmUp is what a back end of a service bears while it is cold: after its start, and
+// whenever it says that it has become cold again. The zero value bounds nothing.
+type WarmUp struct {
+	// Duration is how long a back end is cold after its start.
+	Duration time.Duration
+	// PerSecond is how many calls a second a cold one bears; 0 for any number.
+	PerSecond float64
 }
 
 // Key returns the resource's key.
@@ -209,6 +222,9 @@
 	// RequestKeyHeader names a header whose value identifies the operation, so
 	// that a gate refuses a second start within its window. Empty means none.
 	RequestKeyHeader string `json:"request_key_header,omitempty"`
+	// AllowedRegions are the regions in which calls may run and their bodies may be held;
+	// nil allows all, an empty list none. Only an external authority states them.
+	AllowedRegions []string `json:"-"`
 }
 
 // Key returns the resource's key.
--- a/internal/hosted/configuration.go
+++ b/internal/hosted/configuration.go
@@ -235,6 +235,7 @@
 			field("source", action.Source), field("error", err.Error()))
 		return
 	}
+	c.logFaults(document.Version, decoded.Faults)
 	if action.Source != following.SourceStore {
 		c.announce(action.Source == following.SourcePoll)
 	}
@@ -242,6 +243,14 @@
 		field("source", action.Source), field("routes", strconv.Itoa(len(decoded.Routes))))
 }
 
+// logFaults writes a line for each part of a version that can't be carried out.
+func (c *configuration) logFaults(version protocol.Version, faults []error) {
+	for _, fault := range faults {
+		c.events.event("configuration_fault", field("version", versionText(version)),
+			field("code", codeText(codeOf(fault))), field("error", fault.Error()))
+	}
+}
+
 // stop waits until nothing runs any more; the context must have ended.
 func (c *configuration) stop() { c.tickets.Wait() }
 
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -56,6 +56,9 @@
 	CallerGone          Code = 419
 	BackendRefused      Code = 420
 	Quarantined         Code = 421
+	WarmingUp           Code = 422
+	ZoneEvacuated       Code = 423
+	RegionNotAllowed    Code = 424
 	PlatformUnavailable Code = 500
 	PlatformUnknown     Code = 501
 	PlatformNotFound    Code = 502
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -22,8 +22,12 @@
 	Authority HostedAuthority `koanf:"authority" validate:"required"`
 	Retries   HostedRetries   `koanf:"retries"`
 	Rollouts  HostedRollouts  `koanf:"rollouts"`
-	Drain     HostedDrain     `koanf:"drain"`
-	Log       Log             `koanf:"log"`
+	WarmUp    HostedWarmUp    `koanf:"warm_up"`
+
+	Evacuations HostedEvacuations `koanf:"evacuations"`
+
+	Drain HostedDrain `koanf:"drain"`
+	Log   Log         `koanf:"log"`
 }
 
 // HostedListen holds the addresses that a hosted daemon listens on.
@@ -104,6 +108,29 @@
 	ExposureShare float64 `koanf:"exposure_share" validate:"min=0,max=1"`
 }
 
+// HostedWarmUp says how far the calls to a cold back end may exceed the rate that its service
+// states.
+type HostedWarmUp struct {
+	// Overage is how many times the stated rate a cold back end may get in one second; 0,
+	// the default, is the rate itself.
+	Overage float64 `koanf:"overage" validate:"min=0,max=100"`
+	// Slack is how many calls more it may get in one second.
+	Slack float64 `koanf:"slack" validate:"min=0,max=100000"`
+}
+
+// HostedEvacuations bounds the evacuation of a zone.
+type HostedEvacuations struct {
+	// WithinMilliseconds is within what time of an operator's order nothing more may reach
+	// the zone's back ends. 0, the default, follows no orders.
+	WithinMilliseconds int `koanf:"within_milliseconds" validate:"min=0,max=600000"`
+}
+
+// Within is within what time of an operator's order nothing more may reach a zone's back
+// ends; 0 where no orders are followed.
+func (e HostedEvacuations) Within() time.Duration {
+	return time.Duration(e.WithinMilliseconds) * time.Millisecond
+}
+
 // HostedDrain bounds a planned stop.
 type HostedDrain struct {
 	// GraceSeconds is when the platform kills the process.
