Follow starts of a back end by name and time, and read reports strictly

A back end may start again under its name, and its counts begin anew. The tracker dropped each report whose sequence was not higher and barred a name for good once it had left, so such a back end was never heard again. A start is now (name, time); a newer one ends the older one at once and gets calls as soon as it has answered a probe. An older one counts for nothing unless it alone goes on reporting, as where a clock was wrong. Member records, endpoints, evidence and ends carry the time. Reports that can't be understood whole are refused with a numbered error and change nothing.

--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -1,6 +1,6 @@
 // Package backend follows the back end beside a daemon by what it reports
-// itself: which instance of it runs, and whether it may get work. Reports may
-// come late, twice, out of order and from an instance that has ended. It does
+// itself: which start of it runs, and whether it may get work. Reports may
+// come late, twice, out of order and from a start that has ended. It does
 // no input or output and reads no clock.
 package backend
 
@@ -13,13 +13,13 @@
 
 // Report is a heartbeat of a back end.
 type Report struct {
-	// Instance identifies one start of the back end.
+	// Instance is the name of the back end, which several starts may bear.
 	Instance string
 	// Born is when it started by its own word, in Unix milliseconds; 0 when it does not tell.
 	Born int64
 	// Service is the name of the service that it belongs to.
 	Service string
-	// Sequence grows with each report of an instance.
+	// Sequence grows with each report of a start, and begins anew with the next one.
 	Sequence uint64
 	// Draining says that the instance is about to end.
 	Draining bool
@@ -31,6 +31,11 @@
 	Software string
 }
 
+// Start is the start that reports.
+func (r Report) Start() protocol.BackendStart {
+	return protocol.BackendStart{Instance: r.Instance, Born: r.Born}
+}
+
 // Probe is what the back end itself answered when it was asked.
 type Probe struct {
 	// Instance is the one that answered; empty when there was no answer.
@@ -47,9 +52,6 @@
 // have crashed within the time for which heartbeats may be held up.
 const candidateLimit = 4
 
-// endedLimit bounds the ended instances that are remembered.
-const endedLimit = 32
-
 // silentBeats is how many heartbeats must be missing, without an answered
 // call, before an instance counts as down.
 const silentBeats = 4
@@ -59,57 +61,92 @@
 type Tracker struct {
 	interval time.Duration
 
-	instance string
-	sequence uint64
-	slots    int
-	software string
-	warmAt   time.Duration
-	draining bool
-	down     bool
-	heardAt  time.Duration
-	// candidates are the newest reports of instances that have not been confirmed, oldest
-	// first. A heartbeat that was held up may come from one that has crashed since, after
-	// that of its successor; the back end's own answer tells which of them runs.
+	// running is the start that gets the calls, or got them last.
+	running protocol.BackendStart
+	// unconfirmed says that the running start has told of itself and has not answered yet: it
+	// gets no call until it has.
+	unconfirmed bool
+	sequence    uint64
+	slots       int
+	software    string
+	warmAt      time.Duration
+	draining    bool
+	down        bool
+	// heardAt is when the running start last reported or answered a call, reportedAt when it
+	// last reported.
+	heardAt    time.Duration
+	reportedAt time.Duration
+	// candidates are the newest reports of starts that have not been confirmed, one for each
+	// instance, oldest first. A heartbeat that was held up may come from one that has crashed
+	// since, after that of its successor; the back end's own answer tells which instance runs.
 	candidates []Report
-	// ended are instances that have left or been replaced, oldest first.
-	ended   []string
+	// ended are starts that have left or been replaced, oldest first.
+	ended []endedStart
+	// older follows a start that seems older than one that is known.
+	older   persistence
 	outlier outlier
 }
 
 // NewTracker returns a tracker of back ends that report each interval.
 func NewTracker(interval time.Duration) *Tracker { return &Tracker{interval: interval} }
 
-// Reported takes a report, and tells whether the instance must be probed before
-// it is taken for the one that runs: a late report of an ended instance can't
-// be told from the first one of a new instance.
+// Reported takes a report, and tells whether the back end must be probed before the start is
+// taken for the one that runs: a late report of a start that has ended can't be told from the
+// first one of a new instance.
 func (t *Tracker) Reported(now time.Duration, report Report) (probe bool) {
-	if slices.Contains(t.ended, report.Instance) {
+	start := report.Start()
+	if t.hasEnded(start) {
+		return false
+	}
+	if start == t.running && !t.unconfirmed {
+		t.takeLater(now, report)
 		return false
 	}
-	if report.Instance != t.instance {
-		if t.instance == "" && report.Draining {
-			t.Left(report.Instance) // no probe is needed for taking no work
-			return false
-		}
-		t.addCandidate(report)
-		return true
+	if t.isOlder(start) && !t.older.persists(now, t.interval, t.reportedAt, report) {
+		return false
 	}
-	if report.Sequence <= t.sequence {
+	return t.reportedAnother(now, report)
+}
+
+// takeLater takes a report of the running start unless a later one has come.
+func (t *Tracker) takeLater(now time.Duration, report Report) {
+	if report.Sequence > t.sequence {
+		t.take(now, report)
+	}
+}
+
+// reportedAnother takes a report of a start that does not run yet. One that is newer under
+// the name of the running one shows that that has ended, and may be cold: nothing is sent to
+// it before it has answered.
+func (t *Tracker) reportedAnother(now time.Duration, report Report) (probe bool) {
+	start := report.Start()
+	sameName := t.running.Instance == start.Instance
+	if report.Draining && (sameName || t.running.Instance == "") {
+		t.Left(start, 0) // no probe is needed for taking no work
 		return false
 	}
-	t.take(now, report)
-	return false
+	if sameName {
+		t.reportedAt = now
+		t.begin(start)
+	}
+	t.addCandidate(report)
+	return true
 }
 
 // addCandidate keeps a report unless a newer one of its instance is held.
 func (t *Tracker) addCandidate(report Report) {
 	at := t.candidateAt(report.Instance)
+	if at < 0 {
+		t.candidates = appendBounded(t.candidates, candidateLimit, report)
+		return
+	}
+	held := t.candidates[at]
 	switch {
-	case at >= 0 && t.candidates[at].Sequence < report.Sequence:
+	case held.Born == report.Born && held.Sequence < report.Sequence:
+		report.Draining = report.Draining || held.Draining // what was acknowledged binds
+		t.candidates[at] = report
+	case held.Born != report.Born && !t.isOlder(report.Start()):
 		t.candidates[at] = report
-	case at >= 0:
-	default:
-		t.candidates = appendBounded(t.candidates, candidateLimit, report)
 	}
 }
 
@@ -126,10 +163,31 @@
 	t.draining = t.draining || report.Draining
 	t.down = false
 	t.heardAt = now
+	t.reportedAt = now
 }
 
-// Probed takes the answer of a probe. A candidate that answers itself replaces
-// the instance that ran before.
+// begin makes a start the running one, with nothing that was known of the one before it.
+func (t *Tracker) begin(start protocol.BackendStart) {
+	if start == t.running {
+		return
+	}
+	renamed := t.running.Instance != start.Instance
+	if t.running.Instance != "" && (renamed || t.draining) {
+		t.end(endedStart{start: t.running})
+	}
+	t.running = start
+	t.unconfirmed = true
+	t.sequence = 0
+	t.warmAt = 0
+	t.draining = false
+	t.down = true
+	t.outlier = outlier{answered: t.outlier.answered}
+}
+
+// Probed takes the answer of a probe. A candidate that answers itself replaces the start that
+// ran before. The answer names the instance only. Of two starts under one name the newer one
+// has told of itself, and they never run at once, so what answers is the newer one or one
+// that is newer still, whose report then replaces it.
 func (t *Tracker) Probed(now time.Duration, probe Probe) {
 	at := t.candidateAt(probe.Instance)
 	if at < 0 {
@@ -139,12 +197,8 @@
 	if !probe.Healthy && !confirmed.Draining {
 		return // it is leaving, or fails: the next report asks again
 	}
-	if t.instance != "" {
-		t.end(t.instance)
-	}
-	t.instance = confirmed.Instance
-	t.draining = false
-	t.outlier = outlier{answered: t.outlier.answered}
+	t.begin(confirmed.Start())
+	t.unconfirmed = false
 	t.take(now, confirmed)
 	t.candidates = nil
 }
@@ -152,54 +206,55 @@
 // Unconfirmed tells whether a report waits for a probe.
 func (t *Tracker) Unconfirmed() bool { return len(t.candidates) > 0 }
 
-// Left takes the word of an instance that it gets no more work. Where no instance is known
-// yet it is taken for the one that runs, so that peers hear of it: what was acknowledged
-// binds the next start of this daemon as well.
-func (t *Tracker) Left(instance string) {
-	if t.instance == "" {
-		t.instance = instance
-	}
-	if at := t.candidateAt(instance); at >= 0 {
-		t.candidates = slices.Delete(t.candidates, at, at+1)
-	}
-	if instance == t.instance {
-		t.draining = true
+// Left takes the word of a start that it gets no more work, said at a time in Unix
+// milliseconds. Where no start is known yet it is taken for the one that runs, so that peers
+// hear of it: what was acknowledged binds the next start of this daemon as well. A word
+// without the time of the start is that of the newest start known under the name, or else of
+// whichever had begun when it was said.
+func (t *Tracker) Left(start protocol.BackendStart, saidAt int64) {
+	known := t.newestOf(start.Instance)
+	unknown := start.Born == 0 && known.Instance == ""
+	switch {
+	case unknown:
+		start.Born = saidAt
+	case start.Born == 0:
+		start = known
 	}
-	t.end(instance)
+	t.leave(endedStart{start: start, andEarlier: unknown})
 }
 
-// Remembered takes a peer's memory that an earlier start of this daemon had
-// acknowledged that an instance is leaving. Instances that leave never come
-// back, so what the instance says of itself after that counts for nothing.
-func (t *Tracker) Remembered(instance string) { t.Left(instance) }
-
-func (t *Tracker) end(instance string) {
-	if slices.Contains(t.ended, instance) {
-		return
-	}
-	t.ended = appendBounded(t.ended, endedLimit, instance)
+// Remembered takes a peer's memory that an earlier start of this daemon had acknowledged that
+// a start of the back end is leaving. That one never comes back, so what it says of itself
+// after that counts for nothing. The peer may know the time of the start as that of its word.
+func (t *Tracker) Remembered(start protocol.BackendStart) {
+	t.leave(endedStart{start: start, andEarlier: true})
 }
 
-// appendBounded appends to a list that forgets its oldest entry at a limit.
-func appendBounded[Entry any](list []Entry, limit int, entry Entry) []Entry {
-	if len(list) >= limit {
-		list = slices.Delete(list, 0, 1)
+func (t *Tracker) leave(left endedStart) {
+	start := left.start
+	if t.running.Instance == "" || t.running.Instance == start.Instance && start.Born > t.running.Born {
+		t.begin(start)
+	}
+	if start == t.running {
+		t.draining = true
 	}
-	return append(list, entry)
+	t.end(left)
+	t.candidates = slices.DeleteFunc(t.candidates, func(held Report) bool { return t.hasEnded(held.Start()) })
 }
 
-// Unreachable is called when a call found that the instance takes no
-// connections. Its next report ends that.
-func (t *Tracker) Unreachable(instance string) {
-	if instance == t.instance {
+// Unreachable is called when a call found that a start takes no connections. Its next report
+// ends that.
+func (t *Tracker) Unreachable(start protocol.BackendStart) {
+	if start == t.running {
 		t.down = true
 	}
 }
 
-// Failed is called when an instance has failed a call, with the count of all
-// calls so far that went well. It tells whether the instance is ejected by it.
-func (t *Tracker) Failed(now time.Duration, instance string, answered uint64) bool {
-	return instance == t.instance && t.outlier.failed(now, answered)
+// Failed is called when a start has failed a call, with the count of all calls so far that
+// went well. It tells whether the back end is ejected by it. Calls that an earlier start has
+// failed say nothing of the present one.
+func (t *Tracker) Failed(now time.Duration, start protocol.BackendStart, answered uint64) bool {
+	return start == t.running && t.outlier.failed(now, answered)
 }
 
 // Answered is called when the instance has answered a call.
@@ -210,7 +265,7 @@
 
 // View is the present state of the back end.
 type View struct {
-	Instance string
+	Start    protocol.BackendStart
 	Slots    int
 	Software string
 	State    protocol.EndpointState
@@ -218,9 +273,9 @@
 
 // View returns the state at a time.
 func (t *Tracker) View(now time.Duration) View {
-	view := View{Instance: t.instance, Slots: t.slots, Software: t.software}
+	view := View{Start: t.running, Slots: t.slots, Software: t.software}
 	switch {
-	case t.instance == "":
+	case t.running.Instance == "":
 		view.State = protocol.EndpointNone
 	case t.draining:
 		view.State = protocol.EndpointDraining
--- a/internal/core/backend/backend_test.go
+++ b/internal/core/backend/backend_test.go
@@ -16,7 +16,7 @@
 	tracker := NewTracker(interval)
 	is.New(t).True(tracker.Reported(0, Report{Instance: "a", Sequence: 3, Slots: 6}))
 	tracker.Probed(0, Probe{Instance: "a", Healthy: true})
-	is.New(t).Equal(tracker.View(0), View{Instance: "a", Slots: 6, State: protocol.EndpointReady})
+	is.New(t).Equal(tracker.View(0), View{Start: protocol.BackendStart{Instance: "a"}, Slots: 6, State: protocol.EndpointReady})
 	return tracker
 }
 
@@ -51,18 +51,18 @@
 	tracker := started(t)
 	check.True(tracker.Reported(0, Report{Instance: "b", Sequence: 1, Slots: 4}))
 	tracker.Probed(0, Probe{Instance: "b", Healthy: true})
-	check.Equal(tracker.View(0), View{Instance: "b", Slots: 4, State: protocol.EndpointReady})
+	check.Equal(tracker.View(0), View{Start: protocol.BackendStart{Instance: "b"}, Slots: 4, State: protocol.EndpointReady})
 	check.True(!tracker.Reported(0, Report{Instance: "a", Sequence: 9}))
-	check.Equal(tracker.View(0).Instance, "b")
+	check.Equal(tracker.View(0).Start.Instance, "b")
 	check.True(!tracker.Unconfirmed())
 }
 
 func TestLeavingWithoutDrainingEndsWork(t *testing.T) {
 	check := is.New(t)
 	tracker := started(t)
-	tracker.Left("b")
+	tracker.Left(protocol.BackendStart{Instance: "b"}, 0)
 	check.Equal(tracker.View(0).State, protocol.EndpointReady)
-	tracker.Left("a")
+	tracker.Left(protocol.BackendStart{Instance: "a"}, 0)
 	check.Equal(tracker.View(0).State, protocol.EndpointDraining)
 	check.True(!tracker.Reported(0, Report{Instance: "a", Sequence: 9}))
 	check.Equal(tracker.View(0).State, protocol.EndpointDraining)
@@ -71,9 +71,9 @@
 func TestDownEndsWithTheNextReport(t *testing.T) {
 	check := is.New(t)
 	tracker := started(t)
-	tracker.Unreachable("b")
+	tracker.Unreachable(protocol.BackendStart{Instance: "b"})
 	check.Equal(tracker.View(0).State, protocol.EndpointReady)
-	tracker.Unreachable("a")
+	tracker.Unreachable(protocol.BackendStart{Instance: "a"})
 	check.Equal(tracker.View(0).State, protocol.EndpointDown)
 	tracker.Reported(interval, Report{Instance: "a", Sequence: 4, Slots: 6, WarmUp: interval})
 	check.Equal(tracker.View(interval).State, protocol.EndpointWarming)
@@ -92,7 +92,7 @@
 func TestEndedInstancesAreBounded(t *testing.T) {
 	tracker := started(t)
 	for index := range 3 * endedLimit {
-		tracker.Left(string(rune('A' + index)))
+		tracker.Left(protocol.BackendStart{Instance: string(rune('A' + index))}, 0)
 	}
 	is.New(t).Equal(len(tracker.ended), endedLimit)
 }
@@ -100,15 +100,15 @@
 func TestWhatPeersRememberOfALeavingInstanceStands(t *testing.T) {
 	check := is.New(t)
 	tracker := NewTracker(time.Second)
-	tracker.Remembered("one")
+	tracker.Remembered(protocol.BackendStart{Instance: "one"})
 	check.Equal(tracker.View(0).State, protocol.EndpointDraining)
 	check.True(!tracker.Reported(0, Report{Instance: "one", Sequence: 9, Slots: 6})) // it denies that, in vain
 	check.Equal(tracker.View(0).State, protocol.EndpointDraining)
 	check.True(tracker.Reported(0, Report{Instance: "two", Sequence: 1, Slots: 6}))
 	tracker.Probed(0, Probe{Instance: "two", Healthy: true})
 	check.Equal(tracker.View(0).State, protocol.EndpointReady)
-	tracker.Remembered("one") // told late: the newer instance works on
-	check.Equal(tracker.View(0), View{Instance: "two", Slots: 6, State: protocol.EndpointReady})
+	tracker.Remembered(protocol.BackendStart{Instance: "one"}) // told late: the newer instance works on
+	check.Equal(tracker.View(0), View{Start: protocol.BackendStart{Instance: "two"}, Slots: 6, State: protocol.EndpointReady})
 }
 
 // A heartbeat that was held up comes from an instance that has crashed, after the first one of
@@ -124,11 +124,11 @@
 		check.True(tracker.Reported(time.Second, Report{Instance: "b", Sequence: 1, Slots: 6}))
 		tracker.Reported(2*time.Second, Report{Instance: "a", Sequence: 9, Slots: 6})
 		tracker.Probed(2*time.Second, Probe{Instance: "b", Healthy: true})
-		check.Equal(tracker.View(2*time.Second).Instance, "b")
+		check.Equal(tracker.View(2*time.Second).Start.Instance, "b")
 		check.Equal(tracker.View(2*time.Second).State, protocol.EndpointReady)
 		tracker.Reported(3*time.Second, Report{Instance: "a", Sequence: 10, Slots: 6}) // later still
 		tracker.Probed(3*time.Second, Probe{Instance: "b", Healthy: true})
-		check.Equal(tracker.View(3*time.Second).Instance, "b")
+		check.Equal(tracker.View(3*time.Second).Start.Instance, "b")
 	}
 }
 
@@ -137,14 +137,14 @@
 func TestALeaveBeforeTheFirstHeartbeatIsTold(t *testing.T) {
 	check := is.New(t)
 	leave := map[string]func(*Tracker){
-		"leave":              func(tracker *Tracker) { tracker.Left("a") },
+		"leave":              func(tracker *Tracker) { tracker.Left(protocol.BackendStart{Instance: "a"}, 0) },
 		"draining heartbeat": func(tracker *Tracker) { tracker.Reported(0, Report{Instance: "a", Sequence: 1, Draining: true}) },
 	}
 	for name, say := range leave {
 		tracker := NewTracker(time.Second)
 		say(tracker)
 		t.Log(name)
-		check.Equal(tracker.View(0).Instance, "a")
+		check.Equal(tracker.View(0).Start.Instance, "a")
 		check.Equal(tracker.View(0).State, protocol.EndpointDraining)
 		tracker.Reported(0, Report{Instance: "a", Sequence: 9, Slots: 6}) // it denies that
 		tracker.Probed(0, Probe{Instance: "a", Healthy: true})
--- a/internal/core/backend/outlier_test.go
+++ b/internal/core/backend/outlier_test.go
@@ -21,7 +21,7 @@
 			answered++
 			continue
 		}
-		if tracker.Failed(now, "a", answered) {
+		if tracker.Failed(now, protocol.BackendStart{Instance: "a"}, answered) {
 			return now, answered
 		}
 	}
@@ -50,7 +50,7 @@
 	check.Equal(answered, uint64(900))
 	few := started(t)
 	for call := range failureCalls - 1 {
-		check.True(!few.Failed(time.Duration(call)*time.Millisecond, "a", 0)) // too few to tell
+		check.True(!few.Failed(time.Duration(call)*time.Millisecond, protocol.BackendStart{Instance: "a"}, 0)) // too few to tell
 	}
 }
 
@@ -63,7 +63,7 @@
 	tracker.Probed(now, Probe{Instance: "b", Healthy: true})
 	check.Equal(tracker.View(now).State, protocol.EndpointReady)
 	for range 100 {
-		check.True(!tracker.Failed(now, "a", answered))
+		check.True(!tracker.Failed(now, protocol.BackendStart{Instance: "a"}, answered))
 	}
 	check.Equal(tracker.View(now).State, protocol.EndpointReady)
 }
@@ -72,6 +72,6 @@
 	check := is.New(t)
 	tracker := started(t)
 	now, _ := failing(tracker, 0, 0, 100, 1)
-	tracker.Left("a")
+	tracker.Left(protocol.BackendStart{Instance: "a"}, 0)
 	check.Equal(tracker.View(now).State, protocol.EndpointDraining)
 }
--- /dev/null
+++ b/internal/core/backend/starts.go
@@ -0,0 +1,107 @@
+package backend
+
+import (
+	"slices"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+)
+
+const (
+	// endedLimit bounds the ended starts that are remembered.
+	endedLimit = 32
+	// persistentBeats is how many heartbeats in a row, over as many intervals, make a start
+	// that seems older than a silent one the one that runs. Its clock, or that of the other
+	// one, was wrong then. Heartbeats that were held up come together, and are fewer.
+	persistentBeats = 8
+)
+
+// endedStart is a start that gets no work any more.
+type endedStart struct {
+	start protocol.BackendStart
+	// andEarlier says that the same holds for all earlier starts under the name.
+	andEarlier bool
+}
+
+// covers tells whether a start has ended by this.
+func (e endedStart) covers(start protocol.BackendStart) bool {
+	if e.start.Instance != start.Instance {
+		return false
+	}
+	return start.Born == e.start.Born || e.andEarlier && start.Born < e.start.Born
+}
+
+// hasEnded tells whether a start has left or been replaced by another instance.
+func (t *Tracker) hasEnded(start protocol.BackendStart) bool {
+	return slices.ContainsFunc(t.ended, func(known endedStart) bool { return known.covers(start) })
+}
+
+func (t *Tracker) end(ended endedStart) {
+	if !slices.Contains(t.ended, ended) {
+		t.ended = appendBounded(t.ended, endedLimit, ended)
+	}
+}
+
+// isOlder tells whether a start is older than another one known under its name.
+func (t *Tracker) isOlder(start protocol.BackendStart) bool {
+	if t.running.Instance == start.Instance && start.Born < t.running.Born {
+		return true
+	}
+	if at := t.candidateAt(start.Instance); at >= 0 && start.Born < t.candidates[at].Born {
+		return true
+	}
+	return slices.ContainsFunc(t.ended, func(known endedStart) bool {
+		return known.start.Instance == start.Instance && start.Born < known.start.Born
+	})
+}
+
+// newestOf is the newest start known under a name; empty where none is.
+func (t *Tracker) newestOf(instance string) protocol.BackendStart {
+	var newest protocol.BackendStart
+	note := func(start protocol.BackendStart) {
+		if start.Instance == instance && (newest.Instance == "" || start.Born > newest.Born) {
+			newest = start
+		}
+	}
+	note(t.running)
+	for _, held := range t.candidates {
+		note(held.Start())
+	}
+	for _, known := range t.ended {
+		note(known.start)
+	}
+	return newest
+}
+
+// persistence follows a start that seems older than a known one and goes on reporting. Times
+// of starts come from clocks that may be wrong, and a start that lives must not be locked out
+// by an absurd time that another one has told.
+type persistence struct {
+	start    protocol.BackendStart
+	sequence uint64
+	reports  int
+	since    time.Duration
+}
+
+// persists takes a report of an older start, with the time at which the running one last
+// reported. It tells whether the older one has gone on for long enough while the running one
+// was silent.
+func (p *persistence) persists(now, interval, runningAt time.Duration, report Report) bool {
+	if p.start != report.Start() || runningAt >= p.since && p.reports > 0 {
+		*p = persistence{start: report.Start(), since: now}
+	}
+	if p.reports > 0 && report.Sequence <= p.sequence {
+		return false
+	}
+	p.sequence = report.Sequence
+	p.reports++
+	return p.reports >= persistentBeats && now-p.since >= persistentBeats*interval
+}
+
+// appendBounded appends to a list that forgets its oldest entry at a limit.
+func appendBounded[Entry any](list []Entry, limit int, entry Entry) []Entry {
+	if len(list) >= limit {
+		list = slices.Delete(list, 0, 1)
+	}
+	return append(list, entry)
+}
--- a/internal/core/endpoint/endpoint.go
+++ b/internal/core/endpoint/endpoint.go
@@ -54,6 +54,8 @@
 	Slots   int
 	// Software is the version of the back end's software; empty when not known.
 	Software string
+	// Born is when the back end started by its own word; 0 when it does not tell.
+	Born int64
 	// Node, Incarnation and Sequence are those of the daemon's own record; zero
 	// when the daemon has not been heard of.
 	Node        protocol.NodeID
--- a/internal/core/endpoint/set.go
+++ b/internal/core/endpoint/set.go
@@ -45,7 +45,8 @@
 	backend string
 }
 
-// NewIndex builds the index of the member records.
+// NewIndex builds the index of the member records. Where two name a back end, as after it
+// has started again on another machine, that of its newer start holds.
 func NewIndex(members []protocol.Member) Index {
 	index := make(Index, len(members))
 	for position := range members {
@@ -54,13 +55,21 @@
 			continue
 		}
 		at := place{service: member.Service, backend: member.Backend}
-		if known, found := index[at]; !found || member.Incarnation > known.Incarnation {
+		if known, found := index[at]; !found || newerRecord(member, known) {
 			index[at] = member
 		}
 	}
 	return index
 }
 
+// newerRecord tells which of two records that name the same back end speaks of it now.
+func newerRecord(one, other *protocol.Member) bool {
+	if one.Born != other.Born {
+		return one.Born > other.Born
+	}
+	return one.Incarnation > other.Incarnation
+}
+
 // Build makes the set of a service from the configuration and the member
 // records; see BuildIndexed.
 func Build(previous *Set, self Locality, backends []resource.Backend, members []protocol.Member, now time.Duration) *Set {
@@ -128,6 +137,7 @@
 	made.Address = cmp.Or(member.DataAddress, made.Address)
 	made.Slots = cmp.Or(member.Slots, made.Slots)
 	made.Software = member.Software
+	made.Born = member.Born
 	return made, made.State.TakesWork()
 }
 
@@ -158,7 +168,8 @@
 // set everything counts as warm: the chooser is what is new, not the back
 // ends; those that say themselves that they are warming start cold.
 func carryOver(self Locality, previous *Set, old, made *Endpoint, now time.Duration) *stats {
-	if old != nil && (self.TrustStates || old.Incarnation == made.Incarnation || old.Incarnation == 0) {
+	restarted := old != nil && old.Born != made.Born // what the earlier start met says nothing of it
+	if old != nil && !restarted && (self.TrustStates || old.Incarnation == made.Incarnation || old.Incarnation == 0) {
 		if made.newerThan(old) {
 			old.stats.recordAt.Store(int64(now))
 			if self.TrustStates {
--- a/internal/core/protocol/protocol.go
+++ b/internal/core/protocol/protocol.go
@@ -4,6 +4,7 @@
 package protocol
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/springstack/springstack/internal/core/resource"
@@ -82,6 +83,23 @@
 // String names the state.
 func (s EndpointState) String() string { return endpointStateNames[s] }
 
+// BackendStart identifies one start of a back end. Starts under the same name are told apart
+// by when they began.
+type BackendStart struct {
+	// Instance is the name of the back end.
+	Instance string
+	// Born is when it started by its own word, in Unix milliseconds; 0 when it does not tell.
+	Born int64
+}
+
+// String names the start, in the same way on all daemons.
+func (s BackendStart) String() string {
+	if s.Born == 0 {
+		return s.Instance
+	}
+	return s.Instance + "@" + strconv.FormatInt(s.Born, 10)
+}
+
 // Member is the soft record of one daemon and of the back end beside it.
 // Records are merged by (Incarnation, Sequence, State); the daemon itself is
 // the only one that raises Sequence.
@@ -116,6 +134,11 @@
 	Born int64
 }
 
+// BackendStart is the start of the back end beside the daemon.
+func (m *Member) BackendStart() BackendStart {
+	return BackendStart{Instance: m.Backend, Born: m.Born}
+}
+
 // Scope says which resources a daemon holds: the routes of its partners that
 // lead to the listed services (all of them when Services is empty), closed
 // under references. A relay scope holds everything, encoded.
--- a/internal/hosted/backendside.go
+++ b/internal/hosted/backendside.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/springstack/springstack/internal/core/backend"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/logging"
 	"github.com/springstack/springstack/internal/pause"
 	"github.com/springstack/springstack/internal/proxy"
+	"github.com/springstack/springstack/internal/result"
 )
 
 const (
@@ -20,6 +24,9 @@
 	probeAhead = 50 * time.Millisecond
 	// probeLimit bounds the probes for one report.
 	probeLimit = 5
+	// refusalsPerSecond and refusalsBurst bound the lines on reports that were not taken.
+	refusalsPerSecond = 1
+	refusalsBurst     = 5
 	// backendTick is how often the passing of time is looked at.
 	backendTick = 250 * time.Millisecond
 )
@@ -35,6 +42,8 @@
 	announce func(backend.View)
 	context  context.Context
 	running  sync.WaitGroup
+	// refusals bounds the lines on reports that were not taken.
+	refusals *logging.Rate
 
 	mutex   sync.Mutex
 	tracker *backend.Tracker
@@ -73,42 +82,51 @@
 }
 
 // Leave implements Reports.
-func (b *backendSide) Leave(instance string) {
+func (b *backendSide) Leave(start protocol.BackendStart) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.tracker.Left(instance)
-	b.events.event("backend_left", field("instance", instance))
+	b.tracker.Left(start, time.Now().UnixMilli())
+	b.events.event("backend_left", field("instance", start.String()))
 	b.show()
 }
 
+// Refused implements Reports. Others may send whatever they like, so the lines have a rate of
+// their own.
+func (b *backendSide) Refused(instance string, failure *result.Error) {
+	if b.refusals.Allow(b.clock()) {
+		b.events.event("report_refused", field("instance", strconv.QuoteToASCII(instance)),
+			field("code", codeText(failure.Code)), field("field", failure.Field), field("error", failure.Error()))
+	}
+}
+
 // unreachable is called when a call met no connection.
-func (b *backendSide) unreachable(instance string) {
+func (b *backendSide) unreachable(start protocol.BackendStart) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.tracker.Unreachable(instance)
+	b.tracker.Unreachable(start)
 	b.show()
 }
 
 // failed is called when the back end has failed a call, with the count of all
 // calls so far that it answered well.
-func (b *backendSide) failed(instance string, answered uint64) {
+func (b *backendSide) failed(start protocol.BackendStart, answered uint64) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.tracker.Failed(b.clock(), instance, answered) {
+	if b.tracker.Failed(b.clock(), start, answered) {
 		b.show()
 	}
 }
 
-// rememberLeaving takes a peer's memory that an instance was leaving before this
-// daemon started. It does not block.
-func (b *backendSide) rememberLeaving(instance string) {
+// rememberLeaving takes a peer's memory that a start of the back end was leaving before
+// this daemon started. It does not block.
+func (b *backendSide) rememberLeaving(start protocol.BackendStart) {
 	b.running.Add(1)
 	go func() {
 		defer b.running.Done()
 		b.mutex.Lock()
 		defer b.mutex.Unlock()
-		b.tracker.Remembered(instance)
-		b.events.event("backend_remembered", field("instance", instance), field("state", "draining"))
+		b.tracker.Remembered(start)
+		b.events.event("backend_remembered", field("instance", start.String()), field("state", "draining"))
 		b.show()
 	}()
 }
@@ -131,13 +149,13 @@
 // lock is held.
 func (b *backendSide) show() {
 	view := b.tracker.View(b.clock())
-	if view == b.shown || view.Instance == "" {
+	if view == b.shown || view.Start.Instance == "" {
 		return
 	}
 	b.shown = view
 	if !b.stopping || !view.State.TakesWork() {
 		b.gate(proxy.BackendReport{
-			Instance: view.Instance, Slots: view.Slots, Software: view.Software, State: view.State,
+			Start: view.Start, Slots: view.Slots, Software: view.Software, State: view.State,
 		})
 	}
 	b.announce(view)
--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -131,9 +131,11 @@
 // keepHeld leaves a held request in the store.
 func (d *Daemon) keepHeld(record quarantine.Record) { d.mesh.keepHeld(record) }
 
-func (d *Daemon) reportUnreachable(instance string) { d.backend.unreachable(instance) }
+func (d *Daemon) reportUnreachable(start protocol.BackendStart) { d.backend.unreachable(start) }
 
-func (d *Daemon) reportFailed(instance string, answered uint64) { d.backend.failed(instance, answered) }
+func (d *Daemon) reportFailed(start protocol.BackendStart, answered uint64) {
+	d.backend.failed(start, answered)
+}
 
 func (d *Daemon) logPath(event proxy.Event) {
 	d.events.event(event.Name, pathFields(event)...)
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -99,9 +99,9 @@
 	lost map[protocol.NodeID]bool
 	// verifying are the daemons that are being asked whether they are there.
 	verifying map[protocol.NodeID]bool
-	// rememberLeaving takes a peer's memory that an instance beside this daemon
+	// rememberLeaving takes a peer's memory that a start of the back end beside this daemon
 	// was leaving; it must not call back.
-	rememberLeaving func(instance string)
+	rememberLeaving func(protocol.BackendStart)
 	path            reachability
 	// roundTrips estimates how long peers take to answer.
 	roundTrips *roundtrip.Estimator
@@ -158,7 +158,8 @@
 func (m *mesh) announce(view backend.View) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.self.Backend = view.Instance
+	m.self.Backend = view.Start.Instance
+	m.self.Born = view.Start.Born
 	m.self.Slots = view.Slots
 	m.self.Software = view.Software
 	m.self.Endpoint = view.State
@@ -275,7 +276,7 @@
 // is held.
 func (m *mesh) resumeDrain(remembered protocol.Member) {
 	if remembered.Incarnation < m.self.Incarnation && remembered.Endpoint == protocol.EndpointDraining {
-		m.rememberLeaving(remembered.Backend)
+		m.rememberLeaving(remembered.BackendStart())
 	}
 }
 
@@ -284,7 +285,8 @@
 func forgetsDrain(remembered, started protocol.Member) bool {
 	restarted := started.Incarnation > remembered.Incarnation
 	acknowledged := remembered.Backend != "" && remembered.Endpoint == protocol.EndpointDraining
-	another := started.Backend != "" && started.Backend != remembered.Backend
+	renamed := started.Backend != remembered.Backend
+	another := started.Backend != "" && (renamed || started.Born > remembered.Born)
 	return restarted && acknowledged && !another && started.Endpoint != protocol.EndpointDraining
 }
 
@@ -313,7 +315,7 @@
 // logNews writes a line for each endpoint whose state is news.
 func (m *mesh) logNews(news []protocol.Member) {
 	for _, member := range news {
-		m.events.event("endpoint_news", field("peer", string(member.ID)), field("instance", member.Backend),
+		m.events.event("endpoint_news", field("peer", string(member.ID)), field("instance", member.BackendStart().String()),
 			field("state", member.Endpoint.String()), field("member", member.State.String()))
 	}
 }
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -8,7 +8,9 @@
 
 	"github.com/springstack/springstack/internal/authority"
 	"github.com/springstack/springstack/internal/core/backend"
+	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/proxy"
+	"github.com/springstack/springstack/internal/result"
 )
 
 // Platform is what an adapter to a platform gives a hosted daemon.
@@ -33,7 +35,11 @@
 // returns, what was said is in force at this daemon's gate.
 type Reports interface {
 	Heartbeat(report backend.Report)
-	Leave(instance string)
+	// Leave takes the word of a start that it gets no more work; Born is 0 where it does not
+	// tell when it started.
+	Leave(start protocol.BackendStart)
+	// Refused is told of a report that was not taken, by the name that its sender gave.
+	Refused(instance string, failure *result.Error)
 }
 
 // Prober asks the back end at an address itself. It answers with the instance
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -15,6 +15,7 @@
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/quarantine"
 	"github.com/springstack/springstack/internal/daemon"
+	"github.com/springstack/springstack/internal/logging"
 	"github.com/springstack/springstack/internal/proxy"
 )
 
@@ -172,6 +173,7 @@
 		announce: made.announce,
 		context:  d.context,
 		tracker:  backend.NewTracker(d.settings.Backend.HeartbeatInterval()),
+		refusals: logging.NewRate(refusalsPerSecond, refusalsBurst),
 	}
 	made.rememberLeaving = d.backend.rememberLeaving
 	d.decider = newRolloutDecider(made, d.options.Platform.Rollouts)
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -46,11 +46,11 @@
 	RetryBudget func(daemons int) retry.Limits
 	// OnBackendUnreachable is told when a call found that the back end takes no
 	// connections. It must not block. Nil means that nobody listens.
-	OnBackendUnreachable func(instance string)
+	OnBackendUnreachable func(protocol.BackendStart)
 	// OnBackendFailed is told when the back end has failed a call, with the count
 	// of all calls so far that it answered well. It must not block. Nil means that
 	// nobody listens.
-	OnBackendFailed func(instance string, answered uint64)
+	OnBackendFailed func(start protocol.BackendStart, answered uint64)
 	// OnSilent is told when a daemon's gate owes answers and gives none. It must
 	// not block. Nil means that nobody listens.
 	OnSilent func(protocol.NodeID)
--- a/internal/proxy/drain_test.go
+++ b/internal/proxy/drain_test.go
@@ -217,7 +217,7 @@
 	var runs atomic.Int64
 	mesh := startMesh(t, meshOptions{limits: limits}, slow, counting(&runs))
 	for _, gate := range mesh.gates {
-		gate.config.OnBackendFailed = func(string, uint64) { failed.Add(1) }
+		gate.config.OnBackendFailed = func(protocol.BackendStart, uint64) { failed.Add(1) }
 	}
 	mesh.gates[0].StartDrain()
 	for {
--- a/internal/proxy/ended.go
+++ b/internal/proxy/ended.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"github.com/samber/lo"
 
+	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/quarantine"
 )
 
@@ -41,7 +42,8 @@
 
 // backendEnd is one moment at which connections to an instance broke.
 type backendEnd struct {
-	instance string
+	// start is the start of the instance, which may start again under its name.
+	start protocol.BackendStart
 	// settled is closed when ended is known and all calls have been gathered.
 	settled chan struct{}
 	ended   bool
@@ -53,7 +55,7 @@
 
 // awaitEnd waits, after the connection of the call broke before an answer, until it is known
 // whether the instance has ended: some 5 ms, endDialTimeout where nothing answers. It
-// returns the instance if it has and this call is suspected of it, and else nothing.
+// returns the start if it has and this call is suspected of it, and else nothing.
 func (c *gateCall) awaitEnd() string {
 	end := c.proxy.gatherEnd(c)
 	<-end.settled
@@ -61,15 +63,15 @@
 	if !end.ended || !signed || !end.suspected[signature] {
 		return ""
 	}
-	return end.instance
+	return end.start.String()
 }
 
 // gatherEnd adds a call to the moment at which its connection broke.
 func (p *Proxy) gatherEnd(call *gateCall) *backendEnd {
 	p.ends.mutex.Lock()
 	end := p.ends.newest
-	if end == nil || end.instance != call.backend {
-		end = &backendEnd{instance: call.backend, settled: make(chan struct{})}
+	if end == nil || end.start != call.start {
+		end = &backendEnd{start: call.start, settled: make(chan struct{})}
 		p.ends.newest = end
 		go p.settleEnd(end)
 	}
@@ -123,7 +125,7 @@
 			end.suspected[signature] = true
 		}
 	}
-	p.harmful.noteEnded(end.instance, lo.Keys(end.suspected)...)
+	p.harmful.noteEnded(end.start.String(), lo.Keys(end.suspected)...)
 }
 
 // softwareHasAnswered tells whether the software version that runs, or ran last, has answered
@@ -150,10 +152,10 @@
 
 // logEnd writes that an instance has ended, and a line for each call that was at work there.
 func (p *Proxy) logEnd(end *backendEnd) {
-	p.event("backend_ended", textField("backend", end.instance), textField("at_work", number(len(end.atWork))))
+	p.event("backend_ended", textField("backend", end.start.String()), textField("at_work", number(len(end.atWork))))
 	for _, call := range end.atWork {
 		signature, _ := call.signature()
-		p.event("call_at_end", textField("backend", end.instance),
+		p.event("call_at_end", textField("backend", end.start.String()),
 			textField("request", p.requestID(call.request.Header)),
 			textField("signature", signature.String()),
 			textField("suspected", strconv.FormatBool(end.suspected[signature])),
--- a/internal/proxy/ended_test.go
+++ b/internal/proxy/ended_test.go
@@ -10,12 +10,13 @@
 	"github.com/matryer/is"
 	"github.com/samber/lo"
 
+	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/quarantine"
 )
 
 // atWorkOn is the end of an instance beside a proxy under calls of some targets.
 func atWorkOn(proxy *Proxy, instance string, targets ...string) *backendEnd {
-	end := &backendEnd{instance: instance, settled: make(chan struct{})}
+	end := &backendEnd{start: protocol.BackendStart{Instance: instance}, settled: make(chan struct{})}
 	for _, target := range targets {
 		end.atWork = append(end.atWork, &gateCall{proxy: proxy, request: gateRequest(target)})
 	}
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -8,6 +8,7 @@
 
 	"github.com/springstack/springstack/internal/core/admission"
 	"github.com/springstack/springstack/internal/core/endpoint"
+	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/routing"
 	"github.com/springstack/springstack/internal/result"
@@ -65,6 +66,8 @@
 	verdicts verdictChannel
 	// backend is the instance that the call is for.
 	backend string
+	// start is the start of the instance that the call was last sent to.
+	start protocol.BackendStart
 	// hasTurn says that it is suspected to be harmful and runs while no other one does.
 	hasTurn bool
 }
@@ -242,6 +245,7 @@
 func (c *gateCall) send() *exchange {
 	relay := &informer{writer: c.writer}
 	for try := 1; ; try++ {
+		c.start = c.proxy.backendStart()
 		sent := c.proxy.backend.send(c.context, c.outgoing(), relay, c.proxy.config.Edge)
 		again := sent.err != nil && sent.unsent && c.body.replayable() && c.context.Err() == nil
 		if !again || try == gateTries {
--- a/internal/proxy/gatejudge.go
+++ b/internal/proxy/gatejudge.go
@@ -21,7 +21,7 @@
 	detail := describeFailure(sent.err)
 	switch {
 	case sent.unsent && c.context.Err() == nil:
-		c.proxy.backendUnreachable(c.backend)
+		c.proxy.backendUnreachable(c.start)
 		return Refusal{Code: result.ConnectFailed, Detail: detail, RetryAfter: time.Second}, true
 	case sent.unsent:
 		return Refusal{Code: result.DeadlineBeforeStart, Detail: detail}, true
@@ -84,7 +84,7 @@
 	case !failed && !refused:
 		c.proxy.tally.answered.Add(1)
 	case failed && c.proxy.config.OnBackendFailed != nil:
-		c.proxy.config.OnBackendFailed(c.backend, c.proxy.tally.answered.Load())
+		c.proxy.config.OnBackendFailed(c.start, c.proxy.tally.answered.Load())
 	}
 }
 
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -92,13 +92,13 @@
 }
 
 // backendUnreachable is called when a call met no connection to the back end.
-func (p *Proxy) backendUnreachable(instance string) {
+func (p *Proxy) backendUnreachable(start protocol.BackendStart) {
 	if !p.config.Reported {
 		p.health.unreachable()
 		return
 	}
 	if p.config.OnBackendUnreachable != nil {
-		p.config.OnBackendUnreachable(instance)
+		p.config.OnBackendUnreachable(start)
 	}
 }
 
--- a/internal/proxy/reported.go
+++ b/internal/proxy/reported.go
@@ -8,8 +8,8 @@
 
 // BackendReport is what the back end beside the daemon has said of itself.
 type BackendReport struct {
-	// Instance identifies one start of the back end.
-	Instance string
+	// Start is the start of the back end that runs.
+	Start protocol.BackendStart
 	// Slots is how many calls it runs at once.
 	Slots int
 	// Software is the version of its software; empty where it is not told.
@@ -28,18 +28,29 @@
 		return p.config.Backend
 	}
 	if report := p.reported.current.Load(); report != nil {
-		return report.Instance
+		return report.Start.Instance
 	}
 	return ""
 }
 
+// backendStart is the start of the back end that calls are sent to now.
+func (p *Proxy) backendStart() protocol.BackendStart {
+	if !p.config.Reported {
+		return protocol.BackendStart{Instance: p.config.Backend}
+	}
+	if report := p.reported.current.Load(); report != nil {
+		return report.Start
+	}
+	return protocol.BackendStart{}
+}
+
 // ReportBackend puts a report of the back end in force at the gate. When it
 // returns, a back end that is draining gets no new call from here, and the
 // calls that waited have been refused. One goroutine reports at a time.
 func (p *Proxy) ReportBackend(report BackendReport) {
 	previous := p.reported.current.Load()
-	if previous != nil && previous.Instance != report.Instance {
-		// Connections to an earlier instance lead nowhere.
+	if previous != nil && previous.Start != report.Start {
+		// Connections to an earlier start lead nowhere.
 		p.backend.closeIdle()
 		p.answers.Reset()
 	}
@@ -57,7 +68,7 @@
 	if takesWork {
 		p.gate.Resume()
 	}
-	p.event("backend_state", EventField{Key: "backend", Value: report.Instance},
+	p.event("backend_state", EventField{Key: "backend", Value: report.Start.String()},
 		EventField{Key: "state", Value: report.State.String()})
 }
 
