--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -103,6 +103,7 @@
 		return false
 	}
 	if t.isOlder(start) && !t.older.persists(now, t.interval, t.reportedAt, report) {
+		t.forget(report)
 		return false
 	}
 	return t.reportedAnother(now, report)
@@ -137,6 +138,9 @@
 func (t *Tracker) addCandidate(report Report) {
 	at := t.candidateAt(report.Instance)
 	if at < 0 {
+		if len(t.candidates) == candidateLimit {
+			t.forget(t.candidates[0])
+		}
 		t.candidates = appendBounded(t.candidates, candidateLimit, report)
 		return
 	}
@@ -146,10 +150,18 @@
 		report.Draining = report.Draining || held.Draining // what was acknowledged binds
 		t.candidates[at] = report
 	case held.Born != report.Born && !t.isOlder(report.Start()):
+		t.forget(held)
 		t.candidates[at] = report
 	}
 }
 
+// forget gives up a report. That its start drains was acknowledged, and binds.
+func (t *Tracker) forget(report Report) {
+	if report.Draining {
+		t.end(endedStart{start: report.Start()})
+	}
+}
+
 // candidateAt is the index of an instance's report, or -1.
 func (t *Tracker) candidateAt(instance string) int {
 	return slices.IndexFunc(t.candidates, func(held Report) bool { return held.Instance == instance })
@@ -200,6 +212,9 @@
 	t.begin(confirmed.Start())
 	t.unconfirmed = false
 	t.take(now, confirmed)
+	for _, held := range slices.Delete(t.candidates, at, at+1) {
+		t.forget(held)
+	}
 	t.candidates = nil
 }
 
@@ -239,7 +254,9 @@
 		t.draining = true
 	}
 	t.end(left)
-	t.candidates = slices.DeleteFunc(t.candidates, func(held Report) bool { return t.hasEnded(held.Start()) })
+	t.candidates = slices.DeleteFunc(t.candidates, func(held Report) bool {
+		return t.hasEnded(held.Start()) || t.isOlder(held.Start())
+	})
 }
 
 // Unreachable is called when a call found that a start takes no connections. Its next report
--- /dev/null
+++ b/internal/core/backend/restart_test.go
@@ -0,0 +1,207 @@
+package backend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+)
+
+func startOf(born int64) protocol.BackendStart {
+	return protocol.BackendStart{Instance: "a", Born: born}
+}
+
+func reportOf(born int64, sequence uint64) Report {
+	return Report{Instance: "a", Born: born, Sequence: sequence, Slots: 6}
+}
+
+// answers has the back end answer a probe under its name.
+func answers(tracker *Tracker, now time.Duration) {
+	tracker.Probed(now, Probe{Instance: "a", Healthy: true})
+}
+
+// runningSince returns a tracker of a back end that runs since a time.
+func runningSince(t *testing.T, born int64) *Tracker {
+	t.Helper()
+	tracker := NewTracker(interval)
+	is.New(t).True(tracker.Reported(0, reportOf(born, 7)))
+	answers(tracker, 0)
+	is.New(t).Equal(tracker.View(0), View{Start: startOf(born), Slots: 6, State: protocol.EndpointReady})
+	return tracker
+}
+
+func TestANewerStartReplacesTheOlderOne(t *testing.T) {
+	check := is.New(t)
+	tracker := runningSince(t, 100)
+	check.True(tracker.Reported(interval, reportOf(200, 1))) // its counts begin anew
+	check.Equal(tracker.View(interval).Start, startOf(200))
+	check.Equal(tracker.View(interval).State, protocol.EndpointDown) // nothing before it has answered
+	answers(tracker, interval)
+	check.Equal(tracker.View(interval).State, protocol.EndpointReady)
+	check.True(!tracker.Reported(interval, reportOf(200, 2)))
+}
+
+func TestANewerStartEndsTheDrainOfTheOlderOne(t *testing.T) {
+	check := is.New(t)
+	tracker := runningSince(t, 100)
+	tracker.Left(startOf(100), 0)
+	check.True(tracker.Reported(interval, reportOf(200, 1)))
+	answers(tracker, interval)
+	check.Equal(tracker.View(interval).State, protocol.EndpointReady)
+	tracker.Left(startOf(100), 0) // told twice, late
+	check.Equal(tracker.View(interval).State, protocol.EndpointReady)
+}
+
+func TestANewerStartEndsTheEjectionOfTheOlderOne(t *testing.T) {
+	check := is.New(t)
+	tracker := runningSince(t, 100)
+	for range failureCalls {
+		tracker.Failed(0, startOf(100), 0)
+	}
+	check.Equal(tracker.View(0).State, protocol.EndpointDegraded)
+	tracker.Reported(0, reportOf(200, 1))
+	answers(tracker, 0)
+	check.Equal(tracker.View(0).State, protocol.EndpointReady)
+	for range failureCalls {
+		check.True(!tracker.Failed(0, startOf(100), 0)) // calls lost with the older one
+	}
+	tracker.Unreachable(startOf(100))
+	check.Equal(tracker.View(0).State, protocol.EndpointReady)
+}
+
+func TestANewerStartHasItsOwnWarmUp(t *testing.T) {
+	check := is.New(t)
+	tracker := runningSince(t, 100)
+	cold := reportOf(100, 8)
+	cold.WarmUp = time.Minute
+	tracker.Reported(0, cold)
+	check.Equal(tracker.View(0).State, protocol.EndpointWarming)
+	tracker.Reported(0, reportOf(200, 1))
+	answers(tracker, 0)
+	check.Equal(tracker.View(0).State, protocol.EndpointReady)
+}
+
+func TestAnOlderStartsReportsCountForNothing(t *testing.T) {
+	check := is.New(t)
+	tracker := runningSince(t, 200)
+	check.True(!tracker.Reported(0, reportOf(100, 99)))
+	drained := reportOf(100, 100)
+	drained.Draining = true
+	check.True(!tracker.Reported(0, drained))
+	tracker.Left(startOf(100), 0)
+	check.Equal(tracker.View(0), View{Start: startOf(200), Slots: 6, State: protocol.EndpointReady})
+	check.True(!tracker.Unconfirmed())
+}
+
+func TestANewerStartThatDrainsGetsNothingAtOnce(t *testing.T) {
+	check := is.New(t)
+	tracker := runningSince(t, 100)
+	drained := reportOf(200, 1)
+	drained.Draining = true
+	check.True(!tracker.Reported(0, drained))
+	check.Equal(tracker.View(0), View{Start: startOf(200), Slots: 6, State: protocol.EndpointDraining})
+	check.True(!tracker.Reported(0, reportOf(200, 2))) // it denies that
+	answers(tracker, 0)
+	check.Equal(tracker.View(0).State, protocol.EndpointDraining)
+}
+
+// A leave call need not say when the start began: it is that of the newest one heard of.
+func TestALeaveWithoutATimeBindsTheNewestStart(t *testing.T) {
+	check := is.New(t)
+	tracker := runningSince(t, 100)
+	tracker.Left(startOf(0), 5000)
+	check.Equal(tracker.View(0), View{Start: startOf(100), Slots: 6, State: protocol.EndpointDraining})
+	check.True(!tracker.Reported(0, reportOf(100, 9)))
+	check.True(tracker.Reported(0, reportOf(200, 1)))
+}
+
+// A daemon that knows nothing yet can't tell which start leaves: whichever had begun by then.
+func TestALeaveWithoutATimeOfAnUnknownStartBindsAllBefore(t *testing.T) {
+	check := is.New(t)
+	tracker := NewTracker(interval)
+	tracker.Left(startOf(0), 5000)
+	check.Equal(tracker.View(0).State, protocol.EndpointDraining)
+	for beat := range uint64(4 * persistentBeats) { // it denies that, for long
+		now := time.Duration(beat) * interval
+		check.True(!tracker.Reported(now, reportOf(4000, beat)))
+		answers(tracker, now)
+		check.Equal(tracker.View(now).State, protocol.EndpointDraining)
+	}
+	check.True(tracker.Reported(0, reportOf(6000, 1)))
+	answers(tracker, 0)
+	check.Equal(tracker.View(0).State, protocol.EndpointReady)
+}
+
+func TestWhatPeersRememberOfAStartDoesNotBindANewerOne(t *testing.T) {
+	check := is.New(t)
+	tracker := NewTracker(interval)
+	tracker.Remembered(startOf(100))
+	check.Equal(tracker.View(0).State, protocol.EndpointDraining)
+	check.True(!tracker.Reported(0, reportOf(100, 9)))
+	check.True(!tracker.Reported(0, reportOf(50, 9)))
+	check.True(tracker.Reported(0, reportOf(200, 1)))
+	answers(tracker, 0)
+	tracker.Remembered(startOf(100)) // told late
+	check.Equal(tracker.View(0), View{Start: startOf(200), Slots: 6, State: protocol.EndpointReady})
+}
+
+// The clock by which starts tell their time may be set back, or another writer may have told
+// a time that never comes: the start that lives is taken in the end.
+func TestAnAbsurdTimeLocksNobodyOut(t *testing.T) {
+	for _, absurd := range []int64{300, 1 << 62} {
+		check := is.New(t)
+		tracker := runningSince(t, absurd)
+		taken := 0
+		for beat := 1; beat <= 2*persistentBeats && taken == 0; beat++ {
+			now := time.Duration(beat) * interval
+			if tracker.Reported(now, reportOf(200, uint64(beat))) {
+				answers(tracker, now)
+				taken = beat
+			}
+		}
+		check.Equal(taken, persistentBeats+1)
+		check.Equal(tracker.View((persistentBeats+1)*interval).Start, startOf(200))
+		check.True(tracker.Reported(0, reportOf(201, 1))) // the next one as ever
+	}
+}
+
+// Reports that were held up come together, however many they are.
+func TestABurstOfOldReportsIsNoLife(t *testing.T) {
+	check := is.New(t)
+	tracker := runningSince(t, 200)
+	for beat := range uint64(4 * persistentBeats) {
+		check.True(!tracker.Reported(time.Minute, reportOf(100, beat)))
+	}
+}
+
+// While the newer start reports, an older one is never taken.
+func TestAnOlderStartWaitsForTheSilenceOfTheNewerOne(t *testing.T) {
+	check := is.New(t)
+	tracker := runningSince(t, 200)
+	for beat := 1; beat <= 4*persistentBeats; beat++ {
+		now := time.Duration(beat) * interval
+		tracker.Reported(now, reportOf(200, uint64(beat+7)))
+		check.True(!tracker.Reported(now, reportOf(100, uint64(beat))))
+	}
+}
+
+// An instance that does not tell when it started is told apart by its name alone.
+func TestAnInstanceWithoutATimeNeverComesBack(t *testing.T) {
+	check := is.New(t)
+	tracker := runningSince(t, 0)
+	tracker.Left(startOf(0), 5000)
+	check.True(!tracker.Reported(0, reportOf(0, 99)))
+	check.Equal(tracker.View(0).State, protocol.EndpointDraining)
+}
+
+// What an unconfirmed start has had acknowledged binds although a later report denies it.
+func TestACandidateThatDrainsIsTakenAsDraining(t *testing.T) {
+	check := is.New(t)
+	tracker := runningSince(t, 100)
+	tracker.Reported(0, Report{Instance: "b", Born: 1, Sequence: 1, Draining: true})
+	tracker.Reported(0, Report{Instance: "b", Born: 1, Sequence: 2})
+	tracker.Probed(0, Probe{Instance: "b", Healthy: true})
+	check.Equal(tracker.View(0).State, protocol.EndpointDraining)
+}
