--- a/internal/hosted/backendside.go
+++ b/internal/hosted/backendside.go
@@ -86,7 +86,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.tracker.Left(start, time.Now().UnixMilli())
-	b.events.event("backend_left", field("instance", start.String()))
+	b.events.event("backend_left", field("instance", start.Instance), bornField(start.Born))
 	b.show()
 }
 
@@ -126,7 +126,7 @@
 		b.mutex.Lock()
 		defer b.mutex.Unlock()
 		b.tracker.Remembered(start)
-		b.events.event("backend_remembered", field("instance", start.String()), field("state", "draining"))
+		b.events.event("backend_remembered", field("instance", start.Instance), bornField(start.Born), field("state", "draining"))
 		b.show()
 	}()
 }
--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -31,6 +31,9 @@
 
 func field(key, value string) eventField { return eventField{key: key, value: value} }
 
+// bornField tells which start of an instance a line speaks of.
+func bornField(born int64) eventField { return field("born", strconv.FormatInt(born, 10)) }
+
 // eventLog writes events with the daemon's name, within a rate.
 type eventLog struct {
 	logger log.Interface
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -315,7 +315,7 @@
 // logNews writes a line for each endpoint whose state is news.
 func (m *mesh) logNews(news []protocol.Member) {
 	for _, member := range news {
-		m.events.event("endpoint_news", field("peer", string(member.ID)), field("instance", member.BackendStart().String()),
+		m.events.event("endpoint_news", field("peer", string(member.ID)), field("instance", member.Backend), bornField(member.Born),
 			field("state", member.Endpoint.String()), field("member", member.State.String()))
 	}
 }
--- a/internal/proxy/ended.go
+++ b/internal/proxy/ended.go
@@ -152,10 +152,10 @@
 
 // logEnd writes that an instance has ended, and a line for each call that was at work there.
 func (p *Proxy) logEnd(end *backendEnd) {
-	p.event("backend_ended", textField("backend", end.start.String()), textField("at_work", number(len(end.atWork))))
+	p.event("backend_ended", textField("backend", end.start.Instance), bornField(end.start), textField("at_work", number(len(end.atWork))))
 	for _, call := range end.atWork {
 		signature, _ := call.signature()
-		p.event("call_at_end", textField("backend", end.start.String()),
+		p.event("call_at_end", textField("backend", end.start.Instance), bornField(end.start),
 			textField("request", p.requestID(call.request.Header)),
 			textField("signature", signature.String()),
 			textField("suspected", strconv.FormatBool(end.suspected[signature])),
--- a/internal/proxy/reported.go
+++ b/internal/proxy/reported.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"strconv"
 	"sync/atomic"
 
 	"github.com/springstack/springstack/internal/core/protocol"
@@ -44,6 +45,11 @@
 	return protocol.BackendStart{}
 }
 
+// bornField tells which start of an instance a line speaks of.
+func bornField(start protocol.BackendStart) EventField {
+	return textField("born", strconv.FormatInt(start.Born, 10))
+}
+
 // ReportBackend puts a report of the back end in force at the gate. When it
 // returns, a back end that is draining gets no new call from here, and the
 // calls that waited have been refused. One goroutine reports at a time.
@@ -68,7 +74,7 @@
 	if takesWork {
 		p.gate.Resume()
 	}
-	p.event("backend_state", EventField{Key: "backend", Value: report.Start.String()},
+	p.event("backend_state", EventField{Key: "backend", Value: report.Start.Instance}, bornField(report.Start),
 		EventField{Key: "state", Value: report.State.String()})
 }
 
