Leave out strange entries of the store, and bear its late writes

An entry of the store of another writer was partly taken (any text for an address) and never told of; a spoilt one could make a whole list unreadable. A call of an earlier start that the store carries out late could take the registration of the next one away for its life, put a request back that an operator had released, or pass for an operator's release: a start looks once more after 15 s, and removals and releases are watched for as long.

--- a/internal/core/endpoint/endpoint_test.go
+++ b/internal/core/endpoint/endpoint_test.go
@@ -332,3 +332,31 @@
 		check.True(share < 1.1*speeds[index])
 	}
 }
+
+// A back end that starts again has failed nobody yet.
+func TestANewStartForgetsWhatCallsMet(t *testing.T) {
+	check := is.New(t)
+	trusting := home
+	trusting.TrustStates = true
+	backends, members := fixture(sameZone(4)...)
+	members[0].Born = 100
+	set := Build(nil, trusting, backends, members, 0)
+	set.All[0].Begin()
+	set.All[0].End(0, Unreachable)
+	check.Equal(spread(set, 0, 100)["b0"], 0)
+	set = Build(set, trusting, backends, members, 0)
+	check.Equal(spread(set, 0, 100)["b0"], 0) // the same start
+	members[0].Born = 200
+	set = Build(set, trusting, backends, members, 0)
+	check.True(spread(set, 0, 100)["b0"] > 10)
+}
+
+// Where the records of two daemons name a back end, it is where it started last.
+func TestTheNewerStartOfABackEndHolds(t *testing.T) {
+	check := is.New(t)
+	backends, members := fixture(home.Zone)
+	moved := members[0]
+	moved.ID, moved.DataAddress, moved.Born = "other", "127.0.0.1:3", 200
+	members[0].Born, members[0].Incarnation = 100, 9
+	check.Equal(Build(nil, home, backends, append(members, moved), 0).All[0].Address, moved.DataAddress)
+}
--- a/internal/hosted/heldrequests.go
+++ b/internal/hosted/heldrequests.go
@@ -27,7 +27,7 @@
 		return
 	}
 	for pause.For(m.context, heldPeriod*3/4+time.Duration(randomNumber()%uint64(heldPeriod/2))) {
-		if len(m.keeping()) > 0 {
+		if len(m.watched()) > 0 {
 			m.compareHeld()
 		}
 	}
@@ -97,10 +97,52 @@
 	return lo.Keys(m.kept)
 }
 
+// settledHeld is how a request came to stand in the store no more.
+type settledHeld struct {
+	at time.Duration
+	// removed says that this daemon has removed it.
+	removed bool
+}
+
+// watched are the requests that this daemon looks for in the store: those that stand there,
+// and those that a late write may still put there or take from there.
+func (m *mesh) watched() []quarantine.Signature {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for signature, settled := range m.settled {
+		if m.clock()-settled.at > lateWriteTime {
+			delete(m.settled, signature)
+		}
+	}
+	return lo.Union(lo.Keys(m.kept), lo.Keys(m.settled))
+}
+
+// settle notes that a request stands in the store no more.
+func (m *mesh) settle(signature quarantine.Signature, removed bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.settled == nil {
+		m.settled = map[quarantine.Signature]settledHeld{}
+	}
+	if _, known := m.settled[signature]; !known || removed {
+		m.settled[signature] = settledHeld{at: m.clock(), removed: removed}
+	}
+	delete(m.kept, signature)
+}
+
+// removedLately tells whether this daemon has removed a request so lately that its call may
+// have been carried out after the request was written again.
+func (m *mesh) removedLately(signature quarantine.Signature) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	settled, found := m.settled[signature]
+	return found && settled.removed && m.clock()-settled.at <= lateWriteTime
+}
+
 // compareHeld releases what operators have removed from the store, and removes there what
 // was cleared or counts no more.
 func (m *mesh) compareHeld() {
-	kept := m.keeping()
+	kept := m.watched()
 	stands, read := m.standing(authority.Lagging)
 	missing := lo.SomeBy(kept, func(signature quarantine.Signature) bool { return !stands[signature] })
 	if read && missing {
@@ -130,13 +172,11 @@
 		return
 	case stands:
 		m.removeHeld(signature)
-	case !trusted:
+	case !trusted && !m.removedLately(signature):
 		m.events.event("harmful_released", field("signature", signature.String()))
 		m.harmful.ReleaseHarmful(signature)
 	}
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	delete(m.kept, signature)
+	m.settle(signature, stands)
 }
 
 // removeHeld takes a request from the store. Should that fail, the next daemon that starts
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -59,6 +59,9 @@
 	// kept are the held requests that this daemon has written to the store or read there;
 	// guarded by mutex.
 	kept map[quarantine.Signature]bool
+	// settled are those that stand there no more by the daemon's or an operator's doing, while
+	// a late write may still change that; guarded by mutex.
+	settled map[quarantine.Signature]settledHeld
 	// rollouts are the orders that the daemon knows; guarded by mutex.
 	rollouts *rolloutTable
 	version  func() protocol.Version
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -27,10 +27,16 @@
 	Reports func(Reports) http.Handler
 	// Probe makes the request that asks a back end for its health at a path.
 	Probe Prober
+	// OnFault has somebody told of entries of the store that are left out; nil for nobody.
+	OnFault func(TellFault)
 	// Close gives up the adapter's connections; nil for none.
 	Close func()
 }
 
+// TellFault tells of an entry of the store, by its kind and name, that is left out because
+// another writer has made it or spoilt it.
+type TellFault func(kind, name string, fault error)
+
 // Reports takes what the back end beside the daemon says. When a method
 // returns, what was said is in force at this daemon's gate.
 type Reports interface {
--- a/internal/hosted/registering.go
+++ b/internal/hosted/registering.go
@@ -20,6 +20,7 @@
 	if !m.untilDone(m.readRegistry) {
 		return
 	}
+	defer m.confirmRegistered()
 	if m.isRegistered() {
 		m.syncAtStart()
 		return
@@ -33,6 +34,25 @@
 	}
 }
 
+// lateWriteTime is within what time the store has carried out a call that it did not answer,
+// if it ever does.
+const lateWriteTime = 15 * time.Second
+
+// confirmRegistered looks once more, when no write of an earlier start can come any more,
+// whether the daemon is registered: such a start may have taken the registration away, and its
+// call, or the news of it, may come after this one's list.
+func (m *mesh) confirmRegistered() {
+	if pause.For(m.context, lateWriteTime) {
+		m.untilDone(m.ensureRegistered)
+	}
+}
+
+// ensureRegistered writes the registration unless it stands, and tells whether the store
+// answered.
+func (m *mesh) ensureRegistered() bool {
+	return m.readRegistry() && (m.isRegistered() || m.putRegistration())
+}
+
 // untilDone tries a call to the store until it succeeds; false means that the
 // daemon has ended.
 func (m *mesh) untilDone(call func() bool) bool {
--- a/internal/hosted/remind_test.go
+++ b/internal/hosted/remind_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/springstack/springstack/internal/control"
+	"github.com/springstack/springstack/internal/core/backend"
 	"github.com/springstack/springstack/internal/core/protocol"
 )
 
@@ -73,6 +74,11 @@
 	check.True(!forgetsDrain(remembered, restarted)) // it drains
 	restarted.Endpoint = protocol.EndpointReady
 	check.True(forgetsDrain(remembered, restarted))
+	restarted.Born = remembered.Born - 1 // a heartbeat that came late
+	check.True(forgetsDrain(remembered, restarted))
+	restarted.Born = remembered.Born + 1 // its back end has started again as well
+	check.True(!forgetsDrain(remembered, restarted))
+	restarted.Born = remembered.Born
 	restarted.Backend = "another"
 	check.True(!forgetsDrain(remembered, restarted))
 	later := remembered
@@ -83,3 +89,26 @@
 	ready.Endpoint = protocol.EndpointReady
 	check.True(!forgetsDrain(ready, restarted))
 }
+
+// What peers remember of a drain is of one start of the back end.
+func TestADrainIsResumedOfTheStartThatPeersRemember(t *testing.T) {
+	check := is.New(t)
+	held := newTestMesh("z1")
+	var resumed []protocol.BackendStart
+	held.rememberLeaving = func(start protocol.BackendStart) { resumed = append(resumed, start) }
+	earlier := held.self
+	earlier.Incarnation--
+	earlier.Backend, earlier.Born, earlier.Endpoint = "i", 100, protocol.EndpointDraining
+	held.takeCompared("z1", []protocol.Member{earlier})
+	check.Equal(resumed, []protocol.BackendStart{{Instance: "i", Born: 100}})
+}
+
+func TestTheOwnRecordTellsTheStart(t *testing.T) {
+	check := is.New(t)
+	held := newTestMesh("z1")
+	held.announce(backend.View{
+		Start: protocol.BackendStart{Instance: "i", Born: 100}, Slots: 6, State: protocol.EndpointReady,
+	})
+	known, _ := held.roster.Get("m")
+	check.Equal(known.BackendStart(), protocol.BackendStart{Instance: "i", Born: 100})
+}
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -176,6 +176,9 @@
 		refusals: logging.NewRate(refusalsPerSecond, refusalsBurst),
 	}
 	made.rememberLeaving = d.backend.rememberLeaving
+	if d.options.Platform.OnFault != nil {
+		d.options.Platform.OnFault(newFaultLog(d.events).tell)
+	}
 	d.decider = newRolloutDecider(made, d.options.Platform.Rollouts)
 	path.ExtendServing(forever)
 	return &meshPart{made}, nil
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -179,6 +179,8 @@
 	{"snapshot_refused", log.ErrorLevel,
 		"A snapshot failed its checks; the older one stays in force.",
 		"Compare the builds of the daemons."},
+	{"store_entry_left_out", log.WarnLevel,
+		"An entry of the platform's store is not as this product writes it and is left out; told once for each daemon, entry and fault.", "Find out who wrote it, and remove it."},
 	{"store_lost", log.WarnLevel,
 		"The store of the external authority does not answer; what is in force serves on.", "Look at the platform's store, and at the links to it."},
 	{"store_regained", log.InfoLevel,
--- /dev/null
+++ b/internal/proxy/reported_test.go
@@ -0,0 +1,42 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/callclass"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/quarantine"
+)
+
+// What a gate has counted of one start of its back end says nothing of the next one.
+func TestANewStartsEvidenceBeginsAnew(t *testing.T) {
+	check := is.New(t)
+	proxy := New(Config{Clock: testClock, NodeID: "gate", Backend: "i", Reported: true})
+	t.Cleanup(proxy.Close)
+	report := BackendReport{Start: protocol.BackendStart{Instance: "i", Born: 100}, Slots: 2, State: protocol.EndpointReady}
+	proxy.ReportBackend(report)
+	proxy.CountAnswers(true)
+	proxy.answers.Note(callclass.Class(0), true, true, time.Second)
+	proxy.ReportBackend(report)
+	counted, _ := proxy.Answers()
+	check.Equal(counted[0].Failures, uint32(1))
+	report.Start.Born = 200
+	proxy.ReportBackend(report)
+	counted, _ = proxy.Answers()
+	check.Equal(counted[0].Failures, uint32(0))
+}
+
+// A request that ends a back end that starts again under its name has ended several.
+func TestEndsUnderOneNameAreCountedByStart(t *testing.T) {
+	check := is.New(t)
+	proxy := newEndsProxy(t)
+	for born := range int64(quarantine.DefaultRules().Ends) {
+		end := atWorkOn(proxy, "i", "/a")
+		end.start.Born = born + 1
+		proxy.suspectOf(end)
+	}
+	check.Equal(proxy.HarmfulBelief(signatureAt(proxy, "/a")), quarantine.Held)
+}
