Bound the calls that start at a cold back end

Cause: a back end that has just started bears few calls, and nothing read how many. After all of a service lost power each fell over under the load that returned, came back cold and fell over again, for good. Change: the gate beside a back end lets only so many calls start in each sliding second while it is cold, by the rate that its service states, and refuses the others at once as not run; a part is kept for more urgent calls while such come. A daemon that has just started counts its back end as cold and the first second as used. How long it is cold comes from heartbeats and health answers, the longer of the two. Entries give a cold endpoint its rate's part of what warm ones get, leave out a gate for as long as it has no start, and refuse at once where all have none.

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -8,6 +8,7 @@
 
 	"github.com/springstack/springstack/internal/core/callclass"
 	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/core/warmup"
 	"github.com/springstack/springstack/internal/result"
 )
 
@@ -77,6 +78,8 @@
 	// requests are the attempts that came, keys the operations started.
 	requests *Seen
 	keys     *Seen
+	// warmth bounds the starts while the back end is cold.
+	warmth *warmup.Limiter
 
 	mutex sync.Mutex
 	queue queue
@@ -90,6 +93,7 @@
 		config:   config,
 		requests: NewSeen(now, requestWindow, requestCount),
 		keys:     NewSeen(now, config.KeyWindow, config.KeyCount),
+		warmth:   warmup.New(now),
 		queue:    queue{weights: config.Weights},
 	}
 	gate.slots.Store(int64(max(config.Slots, 1)))
@@ -132,6 +136,9 @@
 	if ticket.Deadline <= now {
 		return refused(result.DeadlineBeforeStart, 0)
 	}
+	if wait := g.ColdWait(now, ticket); wait > 0 {
+		return refused(result.WarmingUp, wait)
+	}
 	if !g.acquire() {
 		return g.enqueue(now, ticket)
 	}
@@ -161,6 +168,9 @@
 // remember records the key of a call about to start. When it refuses, the call
 // must not start.
 func (g *Gate) remember(now time.Duration, ticket *Ticket) Verdict {
+	if wait := g.warmth.Start(now, ticket.class()); wait > 0 {
+		return refused(result.WarmingUp, wait)
+	}
 	ticket.startedAt = now
 	verdict := register(g.keys, now, ticket.Key)
 	if verdict.State == StateStarted {
--- /dev/null
+++ b/internal/core/admission/warmth.go
@@ -0,0 +1,42 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/springstack/springstack/internal/result"
+)
+
+// LimitCold bounds the calls that start in a second while the back end is cold; 0 bounds
+// nothing.
+func (g *Gate) LimitCold(now time.Duration, limit int) { g.warmth.SetLimit(now, limit) }
+
+// SetCold says until when the back end is cold. Until it is first called the back end counts
+// as cold.
+func (g *Gate) SetCold(now, until time.Duration) { g.warmth.SetCold(now, until) }
+
+// ColdWait is how long a call can't start because the back end is cold; 0 for not at all.
+func (g *Gate) ColdWait(now time.Duration, ticket *Ticket) time.Duration {
+	return g.warmth.Wait(now, ticket.class())
+}
+
+// RefuseCold tells whether a call that has come is refused since the back end is cold, before
+// anything else is done for it. Its id is remembered then, as by Admit.
+func (g *Gate) RefuseCold(now time.Duration, ticket *Ticket) (Verdict, bool) {
+	wait := g.ColdWait(now, ticket)
+	if wait == 0 {
+		return Verdict{}, false
+	}
+	if verdict := register(g.requests, now, ticket.Request); verdict.State == StateRefused {
+		return verdict, true
+	}
+	return refused(result.WarmingUp, wait), true
+}
+
+// StartAgain counts another sending of a started call, and tells whether a cold back end
+// bears it.
+func (g *Gate) StartAgain(now time.Duration, ticket *Ticket) bool {
+	return g.warmth.Start(now, ticket.class()) == 0
+}
+
+// Cold tells whether starts are bounded since the back end is cold.
+func (g *Gate) Cold(now time.Duration) bool { return g.warmth.Bounds(now) }
--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -63,7 +63,7 @@
 	sequence uint64
 	slots    int
 	software string
-	warmAt   time.Duration
+	warmth   warmth
 	draining bool
 	down     bool
 	heardAt  time.Duration
@@ -122,7 +122,7 @@
 	t.sequence = report.Sequence
 	t.slots = report.Slots
 	t.software = report.Software
-	t.warmAt = now + report.WarmUp
+	t.warmth.reported(now, report.WarmUp)
 	t.draining = t.draining || report.Draining
 	t.down = false
 	t.heardAt = now
@@ -133,6 +133,7 @@
 func (t *Tracker) Probed(now time.Duration, probe Probe) {
 	at := t.candidateAt(probe.Instance)
 	if at < 0 {
+		t.learnWarmth(now, probe)
 		return
 	}
 	confirmed := t.candidates[at]
@@ -145,7 +146,9 @@
 	t.instance = confirmed.Instance
 	t.draining = false
 	t.outlier = outlier{answered: t.outlier.answered}
+	t.warmth = warmth{assumed: t.warmth.assumed}
 	t.take(now, confirmed)
+	t.learnWarmth(now, probe)
 	t.candidates = nil
 }
 
@@ -214,11 +217,16 @@
 	Slots    int
 	Software string
 	State    protocol.EndpointState
+	// ColdUntil is until when the instance is cold; 0 when it is warm.
+	ColdUntil time.Duration
 }
 
 // View returns the state at a time.
 func (t *Tracker) View(now time.Duration) View {
 	view := View{Instance: t.instance, Slots: t.slots, Software: t.software}
+	if until := t.warmth.until(); now < until {
+		view.ColdUntil = until
+	}
 	switch {
 	case t.instance == "":
 		view.State = protocol.EndpointNone
@@ -228,7 +236,7 @@
 		view.State = protocol.EndpointDown
 	case t.outlier.ejected(now):
 		view.State = protocol.EndpointDegraded
-	case now < t.warmAt:
+	case view.ColdUntil > 0:
 		view.State = protocol.EndpointWarming
 	default:
 		view.State = protocol.EndpointReady
--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -42,7 +42,7 @@
 		// Everything left is ejected. Trying it beats refusing the call.
 		chosen = s.choose(now, random, tried, false)
 	}
-	if chosen == nil && len(tried) > 0 {
+	if chosen == nil && len(tried) > 0 && s.ColdWait(now) == 0 {
 		chosen = s.choose(now, random, nil, false)
 	}
 	return chosen
@@ -116,6 +116,9 @@
 		return nil
 	}
 	second := usableFrom(tier, low, now, tried, heed, first)
+	if second != nil && first.cold() != second.cold() {
+		return warmOrCold(first, second, now, random)
+	}
 	if second == nil || first.goesBefore(second, now, random) {
 		return first
 	}
@@ -127,7 +130,7 @@
 func usableFrom(tier []*Endpoint, start int, now time.Duration, tried Tried, heed heeded, drawn *Endpoint) *Endpoint {
 	for step := range tier {
 		candidate := tier[(start+step)%len(tier)]
-		if candidate == drawn || tried.has(candidate) || candidate.leaving(now) {
+		if candidate == drawn || tried.has(candidate) || candidate.shut(now) {
 			continue
 		}
 		if heed.bars(candidate, now) {
@@ -170,7 +173,7 @@
 			break
 		}
 		for _, candidate := range tier {
-			if tried.has(candidate) || candidate.leaving(now) || heed.bars(candidate, now) {
+			if tried.has(candidate) || candidate.shut(now) || heed.bars(candidate, now) {
 				continue
 			}
 			if hash := keyedHash(key, candidate.Backend); best == nil || hash > bestHash {
@@ -190,7 +193,7 @@
 	}
 	for step := range uint64(s.usable) {
 		candidate := s.nth(int((turn + step) % uint64(s.usable)))
-		if !tried.has(candidate) && !candidate.leaving(now) {
+		if !tried.has(candidate) && !candidate.shut(now) {
 			return candidate
 		}
 	}
--- a/internal/core/endpoint/endpoint.go
+++ b/internal/core/endpoint/endpoint.go
@@ -62,6 +62,8 @@
 	// State is what the daemon says of its back end; EndpointNone when it has
 	// not been heard of.
 	State protocol.EndpointState
+	// ColdRate is how many calls a second it bears while it is cold; 0 when not stated.
+	ColdRate float64
 	// Doubted is set while the daemon is silent or not heard of yet.
 	Doubted bool
 
@@ -87,12 +89,14 @@
 	leavingSequence atomic.Uint64
 	// recordAt is when the present record of the daemon came.
 	recordAt atomic.Int64
+	// coldUntil is until when the gate of a cold back end has no start.
+	coldUntil atomic.Int64
 	// refusingUntil holds a refusal for load.
 	refusingUntil atomic.Int64
 	// readyAt is when the endpoint was first seen by this process.
 	readyAt atomic.Int64
 	// Neighbours on a cache line would slow each other down.
-	_ [24]byte
+	_ [16]byte
 }
 
 // Outcome is how a call at an endpoint ended, as evidence.
@@ -220,11 +224,7 @@
 // load is the expected number of calls at the endpoint with one more, divided
 // by its slots and its share: the number that choices compare.
 func (e *Endpoint) load(now time.Duration) float64 {
-	calls := float64(e.stats.outstanding.Load()) + 1
-	if age := now - time.Duration(e.stats.reportedAt.Load()); age < reportLife {
-		calls += math.Float64frombits(e.stats.others.Load()) * freshness(age)
-	}
-	load := calls / (float64(max(e.Slots, 1)) * e.share(now))
+	load := (e.calls(now) + 1) / (float64(max(e.Slots, 1)) * e.share(now))
 	if e.Doubted {
 		load++
 	}
@@ -234,6 +234,15 @@
 	return load
 }
 
+// calls is the expected number of calls at the endpoint.
+func (e *Endpoint) calls(now time.Duration) float64 {
+	calls := float64(e.stats.outstanding.Load())
+	if age := now - time.Duration(e.stats.reportedAt.Load()); age < reportLife {
+		calls += math.Float64frombits(e.stats.others.Load()) * freshness(age)
+	}
+	return calls
+}
+
 // refusing tells whether the gate has just refused a call for load.
 func (e *Endpoint) refusing(now time.Duration) bool {
 	return int64(now) < e.stats.refusingUntil.Load()
@@ -242,6 +251,9 @@
 // share rises from coldShare to 1 while the endpoint warms up.
 func (e *Endpoint) share(now time.Duration) float64 {
 	age := now - time.Duration(e.stats.readyAt.Load())
+	if e.ColdRate > 0 {
+		return e.coldShareOf()
+	}
 	if age >= warmUp && e.State != protocol.EndpointWarming {
 		return 1
 	}
--- a/internal/core/endpoint/set.go
+++ b/internal/core/endpoint/set.go
@@ -16,6 +16,9 @@
 	// TrustStates says that back ends tell themselves when they are warm, so
 	// that one that has just come and is ready gets its full share.
 	TrustStates bool
+	// ColdRate is how many calls a second a cold back end of the service bears; 0 when the
+	// service does not say.
+	ColdRate float64
 	// Spill is when calls leave the own zone; the zero value means DefaultSpill.
 	Spill Spill
 }
@@ -76,6 +79,7 @@
 	known := previous.byName()
 	for _, backend := range backends {
 		described, usable := describe(backend, index)
+		described.ColdRate = self.ColdRate
 		made := renew(self, previous, known[backend.Name], described, now)
 		set.All = append(set.All, made)
 		if !usable {
@@ -250,7 +254,7 @@
 func (s *Set) leaves(now time.Duration, tried Tried, condition func(*Endpoint) bool) bool {
 	for _, tier := range s.tiers {
 		for _, candidate := range tier {
-			if !tried.has(candidate) && !candidate.leaving(now) && condition(candidate) {
+			if !tried.has(candidate) && !candidate.shut(now) && condition(candidate) {
 				return true
 			}
 		}
--- /dev/null
+++ b/internal/core/endpoint/warmth.go
@@ -0,0 +1,91 @@
+package endpoint
+
+import (
+	"math/bits"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+)
+
+// leastColdShare keeps a cold endpoint from looking infinitely loaded.
+const leastColdShare = 0.02
+
+// cold tells whether the endpoint is cold and its service states what it bears then.
+func (e *Endpoint) cold() bool { return e.ColdRate > 0 && e.State == protocol.EndpointWarming }
+
+// Cold is called when the gate has refused a call because its back end is cold, with the time
+// until it has a start.
+func (e *Endpoint) Cold(now, wait time.Duration) {
+	e.stats.coldUntil.Store(int64(now + min(max(wait, 0), leavingLife)))
+}
+
+// coldWait is how long the gate has no start; 0 when it may have one.
+func (e *Endpoint) coldWait(now time.Duration) time.Duration {
+	return max(time.Duration(e.stats.coldUntil.Load())-now, 0)
+}
+
+// shut tells whether the gate has said that it takes no call now.
+func (e *Endpoint) shut(now time.Duration) bool {
+	return e.leaving(now) || e.coldWait(now) > 0
+}
+
+// coldShareOf is what a cold endpoint bears of what its slots would run were it warm.
+func (e *Endpoint) coldShareOf() float64 {
+	if !e.cold() {
+		return 1
+	}
+	service := time.Duration(e.stats.service.Load())
+	if service <= 0 {
+		return coldShare
+	}
+	return min(max(e.ColdRate*service.Seconds()/float64(max(e.Slots, 1)), leastColdShare), 1)
+}
+
+// rate is how many calls a second the endpoint gets of all callers: by Little's law, the calls
+// there by the time that each runs. 0 means not known.
+func (e *Endpoint) rate(now time.Duration) float64 {
+	service := time.Duration(e.stats.service.Load())
+	if service <= 0 {
+		return 0
+	}
+	return e.calls(now) / service.Seconds()
+}
+
+// warmOrCold decides between a cold endpoint and a warm one. A pair of the two is drawn twice
+// as often as a warm endpoint is chosen, so the cold one gets its rate when it is taken in half
+// the proportion of its rate to what the warm one gets.
+func warmOrCold(first, second *Endpoint, now time.Duration, random uint64) *Endpoint {
+	warm, cold := first, second
+	if first.cold() {
+		warm, cold = second, first
+	}
+	part := coldShare
+	if rate := warm.rate(now); rate > 0 {
+		part = cold.ColdRate / rate / 2
+	}
+	if unitOf(bits.RotateLeft64(random, 16)) < part {
+		return cold
+	}
+	return warm
+}
+
+// ColdWait is how long each endpoint that was not left out otherwise has no start, since all
+// are cold; 0 when one may have.
+func (s *Set) ColdWait(now time.Duration) time.Duration {
+	least := time.Duration(0)
+	for _, tier := range s.tiers {
+		for _, candidate := range tier {
+			if candidate.leaving(now) {
+				continue
+			}
+			wait := candidate.coldWait(now)
+			if wait == 0 {
+				return 0
+			}
+			if least == 0 || wait < least {
+				least = wait
+			}
+		}
+	}
+	return least
+}
--- a/internal/core/retry/call.go
+++ b/internal/core/retry/call.go
@@ -201,11 +201,13 @@
 		return c.refuse(result.CallerGone, 0)
 	case now >= c.policy.Deadline || c.unknownCode == result.DeadlineInFlight:
 		return c.refuse(c.deadlineCode(), 0)
-	case !c.mayRepeat(outcome) || (leaves(outcome) && !outcome.Others) || now+c.policy.Margin >= c.policy.Deadline:
+	case !c.mayRepeat(outcome) || (turnsAway(outcome) && !outcome.Others) || now+c.policy.Margin >= c.policy.Deadline:
 		return c.giveUp(outcome)
 	case c.relocates(outcome):
 		c.relocations++
 		return c.send(now, outcome)
+	case isCold(outcome):
+		return c.giveUp(outcome) // to ask yet another gate would rather find it cold as well
 	case c.policy.NoRetry || c.attempts-c.relocations >= c.policy.Attempts:
 		return c.giveUp(outcome)
 	case !c.withdraw(now, c.attempts-c.relocations):
@@ -293,13 +295,19 @@
 	if c.policy.RetryFailures && outcome.Kind == Refused && !outcome.Arrived {
 		return true
 	}
-	return outcome.Kind == NotSent || outcome.Code == result.ConnectFailed || leaves(outcome)
+	return outcome.Kind == NotSent || outcome.Code == result.ConnectFailed || turnsAway(outcome)
 }
 
-// leaves tells whether the endpoint takes no calls any more, so that asking it
-// again is of no use.
-func leaves(outcome Outcome) bool {
-	return outcome.Kind == Refused && (outcome.Code == result.Draining || outcome.Code == result.WrongBackend)
+// turnsAway tells whether the endpoint takes no calls any more or for a while, so that
+// asking it again is of no use.
+func turnsAway(outcome Outcome) bool {
+	return isCold(outcome) || outcome.Kind == Refused &&
+		(outcome.Code == result.Draining || outcome.Code == result.WrongBackend)
+}
+
+// isCold tells whether the endpoint is cold and has no start for the call.
+func isCold(outcome Outcome) bool {
+	return outcome.Kind == Refused && outcome.Code == result.WarmingUp
 }
 
 func (c *Call) send(now time.Duration, outcome Outcome) Step {
--- /dev/null
+++ b/internal/core/warmup/collapse_test.go
@@ -0,0 +1,360 @@
+package warmup_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/admission"
+	"github.com/springstack/springstack/internal/core/endpoint"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/core/warmup"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// A small service on virtual time: some back ends that fall over when they get too much while
+// they are cold, with the real gates, limiters and choices of endpoints.
+const (
+	upstreamCount = 8
+	entryCount    = 4
+	slots         = 6
+	serviceTime   = 290 * time.Millisecond
+	ratePerSecond = 4.5
+	// fallsAbove is how many calls in a second a cold back end does not survive.
+	fallsAbove = 9
+	coldFor    = 3 * time.Second
+	// backAfter is how long a back end that fell over takes to answer again.
+	backAfter = 700 * time.Millisecond
+	// newsAfter is how long entries take to hear of a new state.
+	newsAfter = 200 * time.Millisecond
+	deadline  = 3 * time.Second
+	// callsPerSecond is half of what the warm back ends can run.
+	callsPerSecond = 80
+	// triesLimit is how many gates a call asks at most.
+	triesLimit = 5
+	pushAt     = 5 * time.Second
+	// playFor is the play, judgedFor the part of it whose calls have ended by then.
+	playFor   = 30 * time.Second
+	judgedFor = 25 * time.Second
+)
+
+type event struct {
+	at  time.Duration
+	run func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(a, b int) bool { return e[a].at < e[b].at }
+func (e events) Swap(a, b int)      { e[a], e[b] = e[b], e[a] }
+func (e *events) Push(one any)      { *e = append(*e, one.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+type upstream struct {
+	gate      *admission.Gate
+	start     int
+	up        bool
+	coldUntil time.Duration
+	arrivals  []time.Duration
+	member    protocol.Member
+}
+
+type world struct {
+	now       time.Duration
+	due       events
+	random    *rand.Rand
+	bounded   bool
+	rate      float64
+	upstreams []*upstream
+	entries   []*endpoint.Set
+	asked     []int
+	served    []int
+	falls     []int
+}
+
+// play runs the service with a push into trouble, and returns it. Bounded is the new way.
+func play(seed uint64, bounded bool, push func(*world)) *world {
+	seconds := int(playFor/time.Second) + 10
+	w := &world{
+		random: rand.New(rand.NewPCG(seed, 1)), bounded: bounded, rate: callsPerSecond,
+		entries: make([]*endpoint.Set, entryCount),
+		asked:   make([]int, seconds), served: make([]int, seconds), falls: make([]int, seconds),
+	}
+	for index := range upstreamCount {
+		made := &upstream{up: true}
+		name := fmt.Sprint("u", index)
+		made.member = protocol.Member{
+			ID: protocol.NodeID(name), Incarnation: 1, State: protocol.MemberAlive, Backend: name,
+			DataAddress: "127.0.0.1:1", Slots: slots, Endpoint: protocol.EndpointReady,
+		}
+		w.upstreams = append(w.upstreams, made)
+		w.restartGate(made)
+		made.gate.SetCold(0, 0)
+	}
+	w.publish()
+	w.arrive()
+	w.after(pushAt, func() { push(w) })
+	for w.now < playFor {
+		next := heap.Pop(&w.due).(event)
+		w.now = next.at
+		next.run()
+	}
+	return w
+}
+
+func (w *world) after(wait time.Duration, run func()) {
+	heap.Push(&w.due, event{at: w.now + wait, run: run})
+}
+
+func (w *world) second() int { return int(w.now / time.Second) }
+
+func (w *world) restartGate(u *upstream) {
+	u.gate = admission.New(w.now, admission.Config{
+		Slots: slots, QueueLength: 256, QueueWait: 2 * time.Second, KeyWindow: time.Second, KeyCount: 1,
+	})
+	if w.bounded {
+		u.gate.LimitCold(w.now, warmup.Terms{Overage: 1.5, Slack: 8}.Limit(ratePerSecond))
+	}
+}
+
+// publish gives all entries the present states.
+func (w *world) publish() {
+	self := endpoint.Locality{TrustStates: true}
+	if w.bounded {
+		self.ColdRate = ratePerSecond
+	}
+	var members []protocol.Member
+	var backends []resource.Backend
+	for _, one := range w.upstreams {
+		one.member.Sequence++
+		members = append(members, one.member)
+		backends = append(backends, resource.Backend{Name: one.member.Backend, Address: "127.0.0.1:1", Slots: slots})
+	}
+	for index := range w.entries {
+		w.entries[index] = endpoint.Build(w.entries[index], self, backends, members, w.now)
+	}
+}
+
+// arrive is one new call, and the next.
+func (w *world) arrive() {
+	w.asked[w.second()]++
+	w.send(&call{entry: w.random.IntN(entryCount), second: w.second(), deadline: w.now + deadline})
+	w.after(time.Duration(w.random.ExpFloat64()/w.rate*float64(time.Second)), w.arrive)
+}
+
+type call struct {
+	entry int
+	// second is when its client first asked.
+	second   int
+	deadline time.Duration
+	tried    endpoint.Tried
+	tries    int
+	again    bool
+}
+
+// send makes an attempt of a call.
+func (w *world) send(c *call) {
+	chosen := w.entries[c.entry].Choose(w.now, w.random.Uint64(), c.tried)
+	if chosen == nil || c.tries >= triesLimit || w.now >= c.deadline {
+		w.comeBack(c)
+		return
+	}
+	c.tries++
+	c.tried = append(c.tried, chosen)
+	chosen.Begin()
+	target := w.named(chosen.Backend)
+	if !target.up {
+		chosen.End(w.now, endpoint.Unreachable)
+		w.send(c)
+		return
+	}
+	start := target.start
+	waiting := &waiter{}
+	ticket := admission.NewTicket(admission.Call{Deadline: c.deadline, Priority: resource.PriorityNormal}, waiting)
+	waiting.settled = func(verdict admission.Verdict) {
+		w.after(0, func() { w.settle(c, chosen, target, start, ticket, verdict) })
+	}
+	if verdict := target.gate.Admit(w.now, ticket); verdict.State != admission.StateQueued {
+		w.settle(c, chosen, target, start, ticket, verdict)
+	}
+}
+
+type waiter struct{ settled func(admission.Verdict) }
+
+func (w *waiter) Settle(verdict admission.Verdict) { w.settled(verdict) }
+
+// settle is the gate's verdict on an attempt.
+func (w *world) settle(c *call, chosen *endpoint.Endpoint, u *upstream, start int, ticket *admission.Ticket, verdict admission.Verdict) {
+	if verdict.State == admission.StateRefused {
+		if verdict.Code == result.WarmingUp {
+			chosen.Cold(w.now, verdict.RetryAfter)
+			chosen.End(w.now, endpoint.Withdrawn)
+		} else {
+			chosen.End(w.now, endpoint.Full)
+		}
+		w.send(c)
+		return
+	}
+	w.reach(u, start)
+	w.after(serviceTime, func() {
+		if u.start != start || !u.up {
+			chosen.End(w.now, endpoint.ServerError)
+			w.comeBack(c) // it ran and failed, and is not sent again here
+			return
+		}
+		u.gate.Done(w.now, ticket, true)
+		load := u.gate.Load()
+		chosen.Learn(w.now, endpoint.Report{Running: load.Running, Queued: load.Queued, Service: u.gate.MeanService(), Own: -1})
+		chosen.End(w.now, endpoint.Fine)
+		w.served[c.second]++
+	})
+}
+
+// reach is the arrival of a call at the back end itself.
+func (w *world) reach(u *upstream, start int) {
+	if u.start != start || !u.up || w.now >= u.coldUntil {
+		return
+	}
+	u.arrivals = append(u.arrivals, w.now)
+	for len(u.arrivals) > 0 && u.arrivals[0] <= w.now-time.Second {
+		u.arrivals = u.arrivals[1:]
+	}
+	if len(u.arrivals) > fallsAbove {
+		w.falls[w.second()]++
+		w.fall(u)
+	}
+}
+
+// fall ends a back end, which comes back cold.
+func (w *world) fall(u *upstream) {
+	u.up = false
+	u.start++
+	u.arrivals = nil
+	u.member.Endpoint = protocol.EndpointDown
+	w.after(newsAfter, w.publish)
+	w.after(backAfter, func() {
+		u.up = true
+		w.restartGate(u)
+		w.turnCold(u)
+	})
+}
+
+// turnCold makes a back end cold, which it says itself.
+func (w *world) turnCold(u *upstream) {
+	start := u.start
+	u.coldUntil = w.now + coldFor
+	u.gate.SetCold(w.now, u.coldUntil)
+	u.member.Endpoint = protocol.EndpointWarming
+	w.after(newsAfter, w.publish)
+	w.after(coldFor, func() {
+		if u.start == start && w.now >= u.coldUntil {
+			u.member.Endpoint = protocol.EndpointReady
+			w.after(newsAfter, w.publish)
+		}
+	})
+}
+
+// comeBack has the client ask once more a second later.
+func (w *world) comeBack(c *call) {
+	if !c.again {
+		next := &call{entry: c.entry, second: c.second, deadline: c.deadline + time.Second, again: true}
+		w.after(time.Second, func() { w.send(next) })
+	}
+}
+
+func (w *world) named(name string) *upstream {
+	for _, one := range w.upstreams {
+		if one.member.Backend == name {
+			return one
+		}
+	}
+	return nil
+}
+
+// share is how much of what was first asked in some seconds was served.
+func (w *world) share(from, to time.Duration) float64 {
+	asked, served := 0, 0
+	for second := int(from / time.Second); second < int(to/time.Second); second++ {
+		asked += w.asked[second]
+		served += w.served[second]
+	}
+	return float64(served) / float64(asked)
+}
+
+func (w *world) fallen() (total int) {
+	for _, falls := range w.falls {
+		total += falls
+	}
+	return total
+}
+
+// pushes are ways into the trouble.
+var pushes = map[string]func(*world){
+	"all lose power": func(w *world) {
+		for _, one := range w.upstreams {
+			w.fall(one)
+		}
+	},
+	"all turn cold": func(w *world) {
+		for _, one := range w.upstreams {
+			w.turnCold(one)
+		}
+	},
+	"most are replaced": func(w *world) {
+		for _, one := range w.upstreams[:upstreamCount*3/4] {
+			w.fall(one)
+		}
+	},
+	"a burst meets cold ones": func(w *world) {
+		for _, one := range w.upstreams {
+			w.turnCold(one)
+		}
+		w.rate *= 3
+		w.after(2*time.Second, func() { w.rate /= 3 })
+	},
+}
+
+const (
+	seeds = 10
+	// recoverWithin is by when the service must be as before, after the last push.
+	recoverWithin = 6 * time.Second
+)
+
+// TestWithoutBoundsAServiceThatLostAllStaysDown shows the failure that feeds itself.
+func TestWithoutBoundsAServiceThatLostAllStaysDown(t *testing.T) {
+	check := is.New(t)
+	for seed := range uint64(seeds) {
+		w := play(seed, false, pushes["all lose power"])
+		share := w.share(judgedFor-10*time.Second, judgedFor)
+		t.Logf("seed %d: served %.2f of the last 10 s judged, %d fell over", seed, share, w.fallen())
+		check.True(share < 0.7)
+		check.True(w.fallen() > 5*upstreamCount)
+	}
+}
+
+// TestWithBoundsAServiceRecoversWhateverPushedItIn shows the way out of it.
+func TestWithBoundsAServiceRecoversWhateverPushedItIn(t *testing.T) {
+	for name, push := range pushes {
+		t.Run(name, func(t *testing.T) {
+			check := is.New(t)
+			for seed := range uint64(seeds) {
+				w := play(seed, true, push)
+				share := w.share(pushAt+recoverWithin, judgedFor)
+				t.Logf("seed %d: served %.2f after %s, %d fell over", seed, share, recoverWithin, w.fallen())
+				check.Equal(w.fallen(), 0)
+				check.True(share > 0.97)
+				check.True(w.share(pushAt+recoverWithin, pushAt+recoverWithin+3*time.Second) > 0.95)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/warmup/warmup_test.go
@@ -0,0 +1,167 @@
+package warmup
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "github.com/springstack/springstack/internal/fixedseed"
+)
+
+const (
+	second = time.Second
+	urgent = Classes - 1
+	low    = 0
+)
+
+// cold returns a limiter of a cold back end whose first window has passed at the time 0.
+func cold(limit int) *Limiter {
+	limiter := New(-window)
+	limiter.SetLimit(-window, limit)
+	limiter.SetCold(-window, time.Hour)
+	return limiter
+}
+
+func TestNothingStartsInTheFirstWindowOfADaemon(t *testing.T) {
+	check := is.New(t)
+	limiter := New(0)
+	limiter.SetLimit(0, 6)
+	check.Equal(limiter.Start(0, urgent), window)
+	check.Equal(limiter.Start(window-1, urgent), time.Duration(1))
+	check.Equal(limiter.Start(window, urgent), time.Duration(0))
+}
+
+func TestABackEndOfUnknownStateIsCold(t *testing.T) {
+	check := is.New(t)
+	limiter := New(-window)
+	limiter.SetLimit(-window, 1)
+	limiter.Start(0, urgent)
+	check.True(limiter.Start(time.Millisecond, urgent) > 0)
+}
+
+func TestAWarmBackEndAndOneWithoutARateAreNotBounded(t *testing.T) {
+	check := is.New(t)
+	warm := cold(1)
+	warm.SetCold(0, 0)
+	unstated := New(0)
+	for range 100 {
+		check.Equal(warm.Start(0, low), time.Duration(0))
+		check.Equal(unstated.Start(0, low), time.Duration(0))
+	}
+}
+
+func TestStartsAtAWarmBackEndCountWhenItTurnsCold(t *testing.T) {
+	check := is.New(t)
+	limiter := cold(6)
+	limiter.SetCold(0, 0)
+	limiter.Start(second, urgent)
+	limiter.SetCold(second, time.Hour)
+	check.Equal(limiter.Start(second, urgent), window)
+}
+
+func TestANewerWordOfAColdBackEndCostsNoStart(t *testing.T) {
+	check := is.New(t)
+	limiter := cold(6)
+	limiter.SetCold(0, 2*second)
+	check.Equal(limiter.Start(0, urgent), time.Duration(0))
+}
+
+func TestTheMostUrgentCallGetsTheLastStart(t *testing.T) {
+	check := is.New(t)
+	limiter := cold(4)
+	limiter.Start(0, urgent)
+	for limiter.Start(0, low) == 0 {
+	}
+	check.Equal(limiter.Start(0, urgent), time.Duration(0))
+	check.True(limiter.Start(0, urgent) > 0)
+}
+
+func TestWithoutUrgentCallsNothingIsKeptForThem(t *testing.T) {
+	check := is.New(t)
+	limiter := cold(4)
+	for range 4 {
+		check.Equal(limiter.Start(0, low), time.Duration(0))
+	}
+}
+
+func TestTheWaitEndsWhenAStartIsFree(t *testing.T) {
+	check := is.New(t)
+	limiter := cold(2)
+	limiter.Start(0, low)
+	limiter.Start(second/2, low)
+	wait := limiter.Wait(second/2, low)
+	check.True(limiter.Wait(second/2+wait-1, low) > 0)
+	check.Equal(limiter.Start(second/2+wait, low), time.Duration(0))
+}
+
+func TestAnAbsurdRateBoundsAsTightlyAsItMay(t *testing.T) {
+	check := is.New(t)
+	terms := Terms{Overage: 1.5, Slack: 8}
+	for stated, limit := range map[float64]int{
+		4.5: 6, 0.2: 1, 0: 0, -3: 0, math.Inf(-1): 0, math.Inf(1): startLimit, math.MaxFloat64: startLimit,
+	} {
+		check.Equal(terms.Limit(stated), limit)
+	}
+	check.Equal(terms.Limit(math.NaN()), 0)
+	check.Equal(Terms{Overage: math.NaN()}.Limit(3), startLimit)
+	check.Equal(Terms{}.Limit(4.5), 4)
+}
+
+// begun is a start, with the limit in force then.
+type begun struct {
+	at    time.Duration
+	limit int
+}
+
+// TestNoSecondGetsMoreThanTheLimit draws calls of all classes, restarts of the daemon, changes
+// of the rate, and back ends that turn warm and cold again or are replaced. With each start at
+// a back end that counts as cold, all starts of the second before it are counted, those while
+// it was warm as well.
+func TestNoSecondGetsMoreThanTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Duration(0)
+		limit := rapid.IntRange(1, 12).Draw(t, "limit")
+		limiter := New(now)
+		limiter.SetLimit(now, limit)
+		var starts []begun
+		for range rapid.IntRange(20, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "milliseconds")) * time.Millisecond
+			switch rapid.IntRange(0, 20).Draw(t, "event") {
+			case 0:
+				limiter = New(now)
+				limiter.SetLimit(now, limit)
+			case 1:
+				limit = rapid.IntRange(1, 12).Draw(t, "limit")
+				limiter.SetLimit(now, limit)
+			case 2:
+				limiter.SetCold(now, 0)
+			case 3:
+				limiter.SetCold(now, now+time.Duration(rapid.IntRange(1, 5).Draw(t, "seconds"))*second)
+			default:
+				for range rapid.IntRange(1, 8).Draw(t, "calls") {
+					if limiter.Start(now, rapid.IntRange(low, urgent).Draw(t, "class")) > 0 {
+						continue
+					}
+					starts = append(starts, begun{at: now, limit: limit})
+					if count, most := lately(starts, now); limiter.Bounds(now) && count > most {
+						t.Fatalf("%d starts in the second to %s, at most %d", count, now, most)
+					}
+				}
+			}
+		}
+	})
+}
+
+// lately counts the starts of the second to a time, and the most that any limit in it allowed.
+func lately(starts []begun, now time.Duration) (count, most int) {
+	for _, start := range starts {
+		if start.at > now-second {
+			count++
+			most = max(most, start.limit)
+		}
+	}
+	return count, most
+}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -72,6 +72,11 @@
 	metrics.BodiesWaiting.Send(out, float64(counters.BodiesWaiting))
 	metrics.GateRunning.Send(out, float64(counters.GateRunning))
 	metrics.GateQueued.Send(out, float64(counters.GateQueued))
+	cold := 0.0
+	if counters.Cold {
+		cold = 1
+	}
+	metrics.BackendCold.Send(out, cold)
 	for reason, count := range counters.Abandoned {
 		metrics.AttemptsAbandoned.Send(out, float64(count), reason.String())
 	}
--- a/internal/hosted/backendside.go
+++ b/internal/hosted/backendside.go
@@ -31,6 +31,8 @@
 	events   eventLog
 	clock    func() time.Duration
 	gate     func(proxy.BackendReport)
+	// cold tells the gate until when the back end is cold.
+	cold func(until time.Duration)
 	// announce tells the mesh; it must not block.
 	announce func(backend.View)
 	context  context.Context
@@ -40,6 +42,10 @@
 	tracker *backend.Tracker
 	shown   backend.View
 	probing bool
+	// doubtedAt is when its warmth was last doubted.
+	doubtedAt time.Duration
+	// toldCold is what the gate was last told of the back end's warm-up.
+	toldCold toldCold
 	// stopping is set once the daemon leaves: the gate, which is closing, is not
 	// opened again.
 	stopping bool
@@ -55,9 +61,13 @@
 	// joined tells whether peers have told what an earlier start of this daemon
 	// has acknowledged.
 	joined func() bool
+	// warmUp is how long the service calls its back ends cold after a start; 0 while that
+	// is not known.
+	warmUp func() time.Duration
 }
 
 func (b *backendSide) start() {
+	b.confirmWarmth()
 	b.running.Add(1)
 	go b.tick()
 }
@@ -131,7 +141,12 @@
 // lock is held.
 func (b *backendSide) show() {
 	view := b.tracker.View(b.clock())
-	if view == b.shown || view.Instance == "" {
+	if view.Instance == "" {
+		return
+	}
+	b.showWarmth(view)
+	view.ColdUntil = 0 // a change of it alone is no news to the mesh
+	if view == b.shown {
 		return
 	}
 	b.shown = view
@@ -181,7 +196,8 @@
 		wait := probeAhead
 		if path := b.probePath(); path != "" {
 			asked++
-			if b.probed(b.settings.probe(b.settings.address, path, probeTimeout)) {
+			askedAt := b.clock()
+			if b.probed(askedAt, b.settings.probe(b.settings.address, path, probeTimeout)) {
 				return
 			}
 			wait = probePause
@@ -200,11 +216,14 @@
 	return b.settings.healthPath()
 }
 
-// probed takes an answer, and tells whether nothing is left to confirm.
-func (b *backendSide) probed(answer backend.Probe) bool {
+// probed takes an answer to what was asked at a time, and tells whether nothing is left to
+// confirm.
+func (b *backendSide) probed(askedAt time.Duration, answer backend.Probe) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	// Asked before the back end may have become cold, it tells nothing of that.
+	answer.TellsWarmUp = answer.TellsWarmUp && askedAt >= b.doubtedAt
 	b.tracker.Probed(b.clock(), answer)
 	b.show()
-	return !b.tracker.Unconfirmed()
+	return !b.tracker.Unconfirmed() && !b.tracker.AwaitsWarmth(b.clock())
 }
--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/springstack/springstack/internal/core/quarantine"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/roundtrip"
+	"github.com/springstack/springstack/internal/core/warmup"
 	"github.com/springstack/springstack/internal/daemon"
 	"github.com/springstack/springstack/internal/metrics"
 	"github.com/springstack/springstack/internal/proxy"
@@ -111,6 +112,7 @@
 		OnHarmful:            d.tellHarmful,
 		OnHeld:               d.keepHeld,
 		RoundTrip:            d.roundTrips.Timeout,
+		WarmUp:               warmup.Terms(d.settings.WarmUp),
 		Log:                  d.logPath,
 		Trace:                d.requests,
 		Timings: proxy.Timings{
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"net/http"
+	"time"
 
 	"github.com/samber/do/v2"
 
@@ -165,10 +166,14 @@
 			probe:      d.options.Platform.Probe,
 			healthPath: d.healthPath,
 			joined:     made.joined,
+			warmUp: func() time.Duration {
+				return d.configuration.warmUp(serviceRef(d.settings.Backend.Service))
+			},
 		},
 		events:   d.events,
 		clock:    d.clock,
 		gate:     path.ReportBackend,
+		cold:     path.SetCold,
 		announce: made.announce,
 		context:  d.context,
 		tracker:  backend.NewTracker(d.settings.Backend.HeartbeatInterval()),
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -63,6 +63,9 @@
 	GateQueued = define(Gauge, "gate_queued",
 		"Calls that wait for a slot of the back end.",
 		"Above 0 for long: the back end is overloaded.")
+	BackendCold = define(Gauge, "backend_cold",
+		"1 while the gate bounds the starts of calls, since its back end is cold, else 0.",
+		"On most daemons of a service: it has little to give; see refusals_total with name warming_up.")
 	Refusals = define(Counter, "refusals_total",
 		"Calls refused, by result code.",
 		"Look the code up in RESULT-CODES.md.",
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -77,7 +77,10 @@
 		return c.without(retry.Outcome{Kind: retry.NoEndpoint})
 	}
 	chosen := c.choose(shared, belief, now)
-	if chosen == nil || c.runsAt(chosen) {
+	if chosen == nil {
+		return c.without(nothingChosen(shared.set, now))
+	}
+	if c.runsAt(chosen) {
 		return c.without(retry.Outcome{Kind: retry.NoEndpoint})
 	}
 	path := current.upstreams[chosen.Address]
@@ -309,6 +312,9 @@
 	switch made.outcome.Code {
 	case result.Draining, result.WrongBackend:
 		made.evidence = endpoint.Leaving
+	case result.WarmingUp:
+		made.evidence = endpoint.Withdrawn
+		made.chosen.Cold(c.proxy.config.Clock(), made.outcome.RetryAfter)
 	case result.QueueFull, result.DeadlineBeforeStart, result.Shed, result.ShareExceeded, result.Overloaded:
 		made.evidence = endpoint.Full
 	case result.ConnectFailed:
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -13,6 +13,7 @@
 	"github.com/springstack/springstack/internal/core/quarantine"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/retry"
+	"github.com/springstack/springstack/internal/core/warmup"
 )
 
 // Config is what a proxy is told at its start.
@@ -64,6 +65,9 @@
 	// OnHeld is told of a request that is held by an end that this daemon has seen. It must
 	// not block. Nil means that nobody listens.
 	OnHeld func(quarantine.Record)
+	// WarmUp says how far the calls to a cold back end may exceed the rate that its service
+	// states.
+	WarmUp warmup.Terms
 	// PeerTLS guards the calls to other daemons' gates; nil sends them in the
 	// clear. A gate's server is guarded by Server.Secure.
 	PeerTLS *tls.Config
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -33,6 +33,8 @@
 	GateService time.Duration
 	// Refusals counts refusals by code, on both sides.
 	Refusals map[result.Code]uint64
+	// Cold says that starts are bounded now, since the back end is cold.
+	Cold bool
 	// BackendEnds counts the ends of the back end under calls, HarmfulRequests the requests
 	// that may be harmful by what is believed of them now.
 	BackendEnds     uint64
@@ -91,6 +93,7 @@
 	if p.gate != nil {
 		load := p.gate.Load()
 		counters.GateRunning = load.Running
+		counters.Cold = p.gate.Cold(p.config.Clock())
 		counters.GateQueued = load.Queued
 		counters.BodiesWaiting = int(p.transfers.waiting.Load())
 		counters.GateService = p.gate.MeanService()
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -138,6 +138,12 @@
 		c.refuse(Refusal{Code: result.Draining})
 		return
 	}
+	if verdict, refused := c.proxy.gate.RefuseCold(came, c.ticket); refused {
+		// The same: while the back end is cold, most bodies would come for nothing.
+		c.traceGate("gate_refused", verdict.Code, 0, 0, 0)
+		c.refuse(Refusal{Code: verdict.Code, RetryAfter: verdict.RetryAfter})
+		return
+	}
 	if refusal, received := c.receive(); !received {
 		c.traceGate("gate_refused", refusal.Code, 0, c.proxy.config.Clock()-came, 0)
 		c.refuse(refusal)
@@ -244,7 +250,7 @@
 	for try := 1; ; try++ {
 		sent := c.proxy.backend.send(c.context, c.outgoing(), relay, c.proxy.config.Edge)
 		again := sent.err != nil && sent.unsent && c.body.replayable() && c.context.Err() == nil
-		if !again || try == gateTries {
+		if !again || try == gateTries || !c.proxy.gate.StartAgain(c.proxy.config.Clock(), c.ticket) {
 			return sent
 		}
 		sent.close()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -127,6 +127,7 @@
 	p.changing.Lock()
 	defer p.changing.Unlock()
 	old := p.view.Load()
+	p.limitCold(held)
 	p.publish(p.buildView(old, held, old.members, old.splits))
 }
 
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -74,6 +74,7 @@
 		} else {
 			made.budget = retry.NewBudgetWithin(budget)
 		}
+		self.ColdRate = held.Services[reference].WarmUp.PerSecond
 		made.all = endpoint.BuildIndexed(oldSet, self, backends, index, now)
 		made.divide(splits[reference])
 		next.services[reference] = made
--- /dev/null
+++ b/internal/proxy/warmth.go
@@ -0,0 +1,32 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/springstack/springstack/internal/core/endpoint"
+	"github.com/springstack/springstack/internal/core/retry"
+	"github.com/springstack/springstack/internal/core/snapshot"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// limitCold puts the rate in force that the service of the back end states.
+func (p *Proxy) limitCold(held *snapshot.Snapshot) {
+	if p.gate == nil || held == nil {
+		return
+	}
+	stated := held.Services[p.config.Service].WarmUp
+	p.gate.LimitCold(p.config.Clock(), p.config.WarmUp.Limit(stated.PerSecond))
+}
+
+// SetCold says until when, on the clock, the back end is cold. Until it is first called the
+// back end counts as cold.
+func (p *Proxy) SetCold(until time.Duration) { p.gate.SetCold(p.config.Clock(), until) }
+
+// nothingChosen is the outcome of an attempt that no endpoint may take: where all that take
+// work are cold and have no start, the call is refused until one has.
+func nothingChosen(set *endpoint.Set, now time.Duration) retry.Outcome {
+	if wait := set.ColdWait(now); wait > 0 {
+		return retry.Outcome{Kind: retry.Refused, Code: result.WarmingUp, Ran: result.RanNo, RetryAfter: wait}
+	}
+	return retry.Outcome{Kind: retry.NoEndpoint}
+}
