--- /dev/null
+++ b/internal/core/endpoint/warmth_test.go
@@ -0,0 +1,94 @@
+package endpoint
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+)
+
+// coldSet is a set of which the first endpoints are cold, of a service that states a rate.
+func coldSet(count, cold int, rate float64) *Set {
+	backends, members := fixture(sameZone(count)...)
+	for index := range cold {
+		members[index].Endpoint = protocol.EndpointWarming
+	}
+	stated := home
+	stated.TrustStates, stated.ColdRate = true, rate
+	return Build(nil, stated, backends, members, 0)
+}
+
+func TestAColdEndpointGetsItsRateBesideWarmOnes(t *testing.T) {
+	check := is.New(t)
+	const (
+		service = 200 * time.Millisecond
+		running = 4 // calls at each warm endpoint: 20 a second
+		rate    = 4.5
+		calls   = 100000
+	)
+	set := coldSet(10, 1, rate)
+	for _, one := range set.All {
+		one.Learn(0, Report{Running: running, Service: service, Own: -1})
+	}
+	counts := spread(set, 0, calls)
+	wanted := rate / (running / service.Seconds()) // of what a warm one gets
+	warm := float64(calls-counts["b0"]) / 9
+	got := float64(counts["b0"]) / warm
+	check.True(got > wanted*0.8 && got < wanted*1.2)
+}
+
+func TestAColdEndpointGetsCallsBeforeAnythingIsKnownOfTheOthers(t *testing.T) {
+	counts := spread(coldSet(10, 1, 4.5), 0, 10000)
+	is.New(t).True(counts["b0"] > 0 && counts["b0"] < 500)
+}
+
+func TestAGateWithoutAStartIsLeftOutUntilItHasOne(t *testing.T) {
+	check := is.New(t)
+	set := coldSet(2, 2, 4.5)
+	set.All[0].Cold(0, time.Second)
+	check.Equal(spread(set, time.Second-1, 100)["b0"], 0)
+	check.True(spread(set, time.Second, 100)["b0"] > 0)
+}
+
+func TestWhereAllAreColdWithoutAStartNoneIsAsked(t *testing.T) {
+	check := is.New(t)
+	set := coldSet(3, 3, 4.5)
+	for index, one := range set.All {
+		one.Cold(0, time.Duration(index+1)*time.Second)
+	}
+	tried := Tried{set.All[0]}
+	check.Equal(set.Choose(0, 7, nil), nil)
+	check.Equal(set.Choose(0, 7, tried), nil)
+	check.Equal(set.ColdWait(0), time.Second)
+	check.True(!set.Others(0, tried))
+	check.True(set.Choose(time.Second, 7, nil) == set.All[0])
+}
+
+func TestAColdZoneWithoutStartsSendsCallsToTheNext(t *testing.T) {
+	check := is.New(t)
+	backends, members := fixture(home.Zone, "next")
+	set := Build(nil, Locality{Region: home.Region, Zone: home.Zone, ColdRate: 4.5}, backends, members, 0)
+	set.All[0].Cold(0, time.Second)
+	check.True(set.Choose(0, rand.Uint64(), nil) == set.All[1])
+	check.Equal(set.ColdWait(0), time.Duration(0))
+}
+
+func TestAnAbsurdWaitOfAGateEndsSoon(t *testing.T) {
+	check := is.New(t)
+	set := coldSet(1, 1, 4.5)
+	set.All[0].Cold(0, 1000*time.Hour)
+	check.True(set.Choose(leavingLife, 7, nil) != nil)
+	set.All[0].Cold(0, -time.Hour)
+	check.True(set.Choose(0, 7, nil) != nil)
+}
+
+func TestWithoutAStatedRateTheShareIsAsBefore(t *testing.T) {
+	check := is.New(t)
+	set := coldSet(2, 1, 0)
+	check.Equal(set.All[0].share(0), coldShare)
+	check.Equal(set.All[0].share(2*warmUp), warmingShare)
+	check.Equal(set.All[1].share(0), 1.0)
+}
--- a/internal/core/retry/call_test.go
+++ b/internal/core/retry/call_test.go
@@ -112,7 +112,7 @@
 		for attempt := 1; ; attempt++ {
 			outcome := Outcome{
 				Kind:       Kind(rapid.IntRange(int(Answered), int(NoEndpoint)).Draw(t, "kind")),
-				Code:       rapid.SampledFrom([]result.Code{result.Draining, result.QueueFull, result.AlreadyStarted}).Draw(t, "code"),
+				Code:       rapid.SampledFrom([]result.Code{result.Draining, result.QueueFull, result.AlreadyStarted, result.WarmingUp}).Draw(t, "code"),
 				Replayable: rapid.Bool().Draw(t, "replayable"),
 				Others:     rapid.Bool().Draw(t, "others"),
 			}
--- /dev/null
+++ b/internal/core/retry/warmth_test.go
@@ -0,0 +1,54 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/result"
+)
+
+// cold is the refusal of a gate whose back end is cold.
+var cold = Outcome{
+	Kind: Refused, Code: result.WarmingUp, Ran: result.RanNo, RetryAfter: 700 * time.Millisecond,
+	Replayable: true, Others: true,
+}
+
+func TestACallThatAColdGateRefusesGoesElsewhereWithoutBudget(t *testing.T) {
+	check := is.New(t)
+	budget := NewBudget()
+	left := budget.Left(0, 0)
+	for _, policy := range []Policy{{}, {NoRetry: true}, {Repeatable: true}} {
+		policy.Attempts, policy.Deadline = 1, time.Minute
+		check.Equal(NewCall(policy, budget).Next(0, cold).Action, Send)
+	}
+	check.Equal(budget.Left(0, 0), left)
+}
+
+func TestACallAsksAFewColdGatesAtMost(t *testing.T) {
+	check := is.New(t)
+	call := newCall(Policy{Repeatable: true, Attempts: 9})
+	for range relocationLimit {
+		check.Equal(call.Next(0, cold).Action, Send)
+	}
+	step := call.Next(0, cold)
+	check.Equal(step, Step{Action: Refuse, Code: result.WarmingUp, Ran: result.RanNo, RetryAfter: cold.RetryAfter})
+}
+
+func TestWhereAllAreColdTheCallIsRefusedAtOnce(t *testing.T) {
+	check := is.New(t)
+	alone := cold
+	alone.Others = false
+	step := newCall(Policy{Repeatable: true}).Next(0, alone)
+	check.Equal(step, Step{Action: Refuse, Code: result.WarmingUp, Ran: result.RanNo, RetryAfter: cold.RetryAfter})
+}
+
+func TestAColdGateDoesNotHideThatTheCallMayHaveRun(t *testing.T) {
+	check := is.New(t)
+	call := newCall(Policy{Repeatable: true})
+	check.Equal(call.Next(0, Outcome{Kind: Broken, Replayable: true, Others: true}).Action, Send)
+	alone := cold
+	alone.Others = false
+	check.Equal(call.Next(0, alone), Step{Action: Refuse, Code: result.BrokenInFlight, Ran: result.RanUnknown, RetryAfter: cold.RetryAfter})
+}
--- /dev/null
+++ b/internal/hosted/warmth_test.go
@@ -0,0 +1,83 @@
+package hosted
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/backend"
+	"github.com/springstack/springstack/internal/logging"
+	"github.com/springstack/springstack/internal/proxy"
+)
+
+// side is a back end's side that calls nobody, with what it has told.
+type side struct {
+	*backendSide
+	now       time.Duration
+	announced int
+	cold      []time.Duration
+	opened    int
+}
+
+// newSide is a side whose back end runs and is warm at the time 0.
+func newSide() *side {
+	made := &side{}
+	clock := func() time.Duration { return made.now }
+	made.backendSide = &backendSide{
+		settings: hostedBackend{joined: func() bool { return false }, warmUp: func() time.Duration { return 3 * time.Second }},
+		events:   newEventLog(logging.NewTo(io.Discard, log.InfoLevel), "n", clock),
+		clock:    clock,
+		gate:     func(proxy.BackendReport) { made.opened++ },
+		cold:     func(until time.Duration) { made.cold = append(made.cold, until) },
+		announce: func(backend.View) { made.announced++ },
+		tracker:  backend.NewTracker(time.Second),
+		probing:  true, // no loop runs
+	}
+	made.Heartbeat(backend.Report{Instance: "i", Sequence: 1, Slots: 6})
+	made.probed(made.now, backend.Probe{Instance: "i", Healthy: true})
+	return made
+}
+
+func TestAGateIsToldThatItsBackEndIsWarmBeforeItIsOpened(t *testing.T) {
+	check := is.New(t)
+	made := newSide()
+	check.Equal(made.cold, []time.Duration{0})
+	check.Equal(made.opened, 1)
+}
+
+func TestOnlyAChangeOfStateIsNewsToTheMesh(t *testing.T) {
+	check := is.New(t)
+	made := newSide()
+	before := made.announced
+	for beat := range 3 {
+		made.now = time.Duration(beat) * time.Second
+		left := 3*time.Second - made.now + time.Duration(beat)*time.Millisecond // not on the clock of this daemon
+		made.Heartbeat(backend.Report{Instance: "i", Sequence: uint64(2 + beat), Slots: 6, WarmUp: left})
+	}
+	check.Equal(made.announced, before+1)
+	check.Equal(made.cold[len(made.cold)-1], 3*time.Second+2*time.Millisecond)
+}
+
+func TestABackEndThatMayHaveTurnedColdCountsAsCold(t *testing.T) {
+	check := is.New(t)
+	made := newSide()
+	made.now = time.Second
+	made.confirmWarmth()
+	check.Equal(made.cold[len(made.cold)-1], 4*time.Second)
+	made.now = 2 * time.Second
+	made.probed(made.now, backend.Probe{Instance: "i", Healthy: true, TellsWarmUp: true})
+	check.Equal(made.cold[len(made.cold)-1], time.Duration(0))
+}
+
+func TestAnAnswerToAnEarlierQuestionTellsNothingOfADoubt(t *testing.T) {
+	check := is.New(t)
+	made := newSide()
+	made.now = time.Second
+	made.confirmWarmth()
+	done := made.probed(made.now-1, backend.Probe{Instance: "i", Healthy: true, TellsWarmUp: true})
+	check.True(!done)
+	check.Equal(made.cold[len(made.cold)-1], 4*time.Second)
+}
--- a/internal/proxy/refuse.go
+++ b/internal/proxy/refuse.go
@@ -104,10 +104,11 @@
 }
 
 // retryAfter is the value of the header. Callers of a foreign platform take
-// fractions of a second.
+// fractions of a second, rounded up to milliseconds.
 func (r Refusal) retryAfter(wait time.Duration) string {
 	if r.edge != nil {
-		return strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)
+		whole := math.Ceil(float64(wait) / float64(time.Millisecond))
+		return strconv.FormatFloat(whole/1000, 'f', 3, 64)
 	}
 	return retryAfterSeconds(wait)
 }
--- /dev/null
+++ b/internal/proxy/warmth_test.go
@@ -0,0 +1,53 @@
+package proxy
+
+import (
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// statesARate is a service whose cold back ends bear two calls a second.
+var statesARate = meshOptions{spec: resource.Service{WarmUp: resource.WarmUp{PerSecond: 2}}}
+
+func TestACallWhoseBackEndsAreAllColdIsRefusedAtOnce(t *testing.T) {
+	check := is.New(t)
+	var runs atomic.Int64
+	mesh := startMesh(t, statesARate, counting(&runs), counting(&runs))
+	asked := func() uint64 { return mesh.gates[0].Counters().GateCalls + mesh.gates[1].Counters().GateCalls }
+	for range 3 {
+		got := mesh.call(t, http.MethodPost, "/", "body")
+		expectRefusal(check, got, result.WarmingUp, result.RanNo)
+		seconds, err := strconv.Atoi(got.header.Get("Retry-After"))
+		check.NoErr(err)
+		check.True(seconds >= 1 && seconds <= 2)
+	}
+	check.Equal(runs.Load(), int64(0))
+	check.Equal(asked(), uint64(2)) // the first call asked both, the others none
+	check.True(mesh.gates[0].Counters().Cold)
+}
+
+func TestACallThatAColdGateRefusesRunsAtAWarmOne(t *testing.T) {
+	check := is.New(t)
+	var atCold, atWarm atomic.Int64
+	mesh := startMesh(t, statesARate, counting(&atCold), counting(&atWarm))
+	mesh.gates[1].SetCold(0)
+	for range 20 {
+		check.Equal(mesh.call(t, http.MethodPost, "/", "body").status, http.StatusOK)
+	}
+	check.Equal(atCold.Load(), int64(0))
+	check.Equal(atWarm.Load(), int64(20))
+}
+
+func TestAServiceThatStatesNoRateIsNotBounded(t *testing.T) {
+	check := is.New(t)
+	var runs atomic.Int64
+	mesh := startMesh(t, meshOptions{}, counting(&runs))
+	check.Equal(mesh.call(t, http.MethodPost, "/", "body").status, http.StatusOK)
+	check.True(!mesh.gates[0].Counters().Cold)
+}
