Use half of the slack for starts at a cold back end, and pace them

Starts of one window came all at once, so that a burst that is written late meets the next. Change: half of the slack is used; in each quarter of a window only a quarter of the starts, by class as in the whole. The rest of the slack is for calls written up to a quarter of a window late. The model's back ends survive what the rule allows, under two thirds of what they can run.

--- a/internal/core/warmup/warmup.go
+++ b/internal/core/warmup/warmup.go
@@ -17,6 +17,13 @@
 	arrivalSpread = 100 * time.Millisecond
 	// window is the span in which starts are counted.
 	window = time.Second + arrivalSpread
+	// paceParts paces the starts: in one of so many parts of a window only as many of them,
+	// rounded up. Without it all starts of a window would come together, and two such
+	// bursts meet where a machine writes the first one late.
+	paceParts = 4
+	// slackPart is how much of the slack is used. The rest is for calls that are written later
+	// than arrivalSpread: up to a quarter of a window, by what the pace leaves over.
+	slackPart = 0.5
 	// startLimit bounds the starts remembered. A higher rate is bounded by it.
 	startLimit = 4096
 	// keptParts is the part of a window kept for the calls of each higher class while such
@@ -30,8 +37,7 @@
 type Terms struct {
 	// Overage is how many times the rate may arrive in one second; below 1 it counts as 1.
 	Overage float64
-	// Slack is how many calls more may arrive in one second. None of it is used: a back end
-	// falls over somewhere above its rate, so it is left for what the gate can't see.
+	// Slack is how many calls more may arrive in one second.
 	Slack float64
 }
 
@@ -41,7 +47,7 @@
 	if !(perSecond > 0) {
 		return 0
 	}
-	allowed := perSecond * max(t.Overage, 1)
+	allowed := perSecond*max(t.Overage, 1) + max(t.Slack, 0)*slackPart
 	if !(allowed < startLimit) {
 		return startLimit
 	}
@@ -148,19 +154,27 @@
 	if l.limit == 0 {
 		return 0
 	}
-	free := l.unseenAt + window
-	if share := l.share(now, class); len(l.starts) >= share {
-		free = max(free, l.starts[len(l.starts)-share]+window)
-	}
+	free := max(l.unseenAt+window, l.freeAt(now, class, l.limit, window))
+	pace := (l.limit + paceParts - 1) / paceParts
+	free = max(free, l.freeAt(now, class, pace, window/paceParts))
 	return max(free-now, 0)
 }
 
-// share is how many starts of a window calls of a class may use up, and those below it.
-func (l *Limiter) share(now time.Duration, class int) int {
-	share := l.limit
+// freeAt is when fewer starts than a class may use of a number were made within a span.
+func (l *Limiter) freeAt(now time.Duration, class, number int, span time.Duration) time.Duration {
+	share := l.share(now, class, number)
+	if len(l.starts) < share {
+		return now
+	}
+	return l.starts[len(l.starts)-share] + span
+}
+
+// share is how many of a number of starts the calls of a class and those below it may use up.
+func (l *Limiter) share(now time.Duration, class, number int) int {
+	share := number
 	for above := class + 1; above < Classes; above++ {
 		if now < l.cameUntil[above] {
-			share -= (l.limit + keptParts - 1) / keptParts
+			share -= (number + keptParts - 1) / keptParts
 		}
 	}
 	return max(share, 1)
