Refuse at once where only dead endpoints are left beside cold ones

Cause: with all cold endpoints out of starts a call was sent to ejected ones, one after the other, and refused with another code in the end. Change: endpoints that do not answer do not count when it is asked whether all are cold.

--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -38,11 +38,14 @@
 // call; those tried already are chosen again only if there is no other.
 func (s *Set) Choose(now time.Duration, random uint64, tried Tried) *Endpoint {
 	chosen := s.choose(now, random, tried, true)
+	if chosen == nil && s.ColdWait(now) > 0 {
+		return nil // soon a cold one has a start
+	}
 	if chosen == nil {
 		// Everything left is ejected. Trying it beats refusing the call.
 		chosen = s.choose(now, random, tried, false)
 	}
-	if chosen == nil && len(tried) > 0 && s.ColdWait(now) == 0 {
+	if chosen == nil && len(tried) > 0 {
 		chosen = s.choose(now, random, nil, false)
 	}
 	return chosen
--- a/internal/core/endpoint/warmth.go
+++ b/internal/core/endpoint/warmth.go
@@ -69,13 +69,13 @@
 	return warm
 }
 
-// ColdWait is how long each endpoint that was not left out otherwise has no start, since all
-// are cold; 0 when one may have.
+// ColdWait is how long no endpoint has a start, since all that answer and take work are cold;
+// 0 when one may have.
 func (s *Set) ColdWait(now time.Duration) time.Duration {
 	least := time.Duration(0)
 	for _, tier := range s.tiers {
 		for _, candidate := range tier {
-			if candidate.leaving(now) {
+			if candidate.leaving(now) || candidate.Ejected(now) {
 				continue
 			}
 			wait := candidate.coldWait(now)
--- a/internal/core/endpoint/warmth_test.go
+++ b/internal/core/endpoint/warmth_test.go
@@ -67,6 +67,17 @@
 	check.True(set.Choose(time.Second, 7, nil) == set.All[0])
 }
 
+func TestADeadEndpointIsNotAskedInPlaceOfColdOnes(t *testing.T) {
+	check := is.New(t)
+	set := coldSet(3, 2, 4.5)
+	set.All[0].Cold(0, time.Second)
+	set.All[1].Cold(0, time.Second)
+	set.All[2].SetReachable(false)
+	check.Equal(set.Choose(0, 7, nil), nil)
+	check.Equal(set.ColdWait(0), time.Second)
+	check.True(set.Choose(time.Second, 7, nil) != nil)
+}
+
 func TestAColdZoneWithoutStartsSendsCallsToTheNext(t *testing.T) {
 	check := is.New(t)
 	backends, members := fixture(home.Zone, "next")
