Test: a gate hears that another instance is cold before it is opened to it

Cause: only the number of calls to the gate was held, not their order. Change: the order is held, also for an instance that replaces another one.

--- a/internal/hosted/warmth_test.go
+++ b/internal/hosted/warmth_test.go
@@ -19,7 +19,8 @@
 	now       time.Duration
 	announced int
 	cold      []time.Duration
-	opened    int
+	// order is what the gate was told, in order.
+	order []string
 }
 
 // newSide is a side whose back end runs and is warm at the time 0.
@@ -30,8 +31,13 @@
 		settings: hostedBackend{joined: func() bool { return false }, warmUp: func() time.Duration { return 3 * time.Second }},
 		events:   newEventLog(logging.NewTo(io.Discard, log.InfoLevel), "n", clock),
 		clock:    clock,
-		gate:     func(proxy.BackendReport) { made.opened++ },
-		cold:     func(until time.Duration) { made.cold = append(made.cold, until) },
+		gate: func(report proxy.BackendReport) {
+			made.order = append(made.order, "state of "+report.Instance)
+		},
+		cold: func(until time.Duration) {
+			made.cold = append(made.cold, until)
+			made.order = append(made.order, "cold until "+until.String())
+		},
 		announce: func(backend.View) { made.announced++ },
 		tracker:  backend.NewTracker(time.Second),
 		probing:  true, // no loop runs
@@ -44,8 +50,16 @@
 func TestAGateIsToldThatItsBackEndIsWarmBeforeItIsOpened(t *testing.T) {
 	check := is.New(t)
 	made := newSide()
-	check.Equal(made.cold, []time.Duration{0})
-	check.Equal(made.opened, 1)
+	check.Equal(made.order, []string{"cold until 0s", "state of i"})
+}
+
+func TestAGateIsToldThatAnotherInstanceIsColdBeforeItSendsItCalls(t *testing.T) {
+	check := is.New(t)
+	made := newSide()
+	made.order = nil
+	made.Heartbeat(backend.Report{Instance: "j", Sequence: 1, Slots: 6, WarmUp: time.Second})
+	made.probed(made.now, backend.Probe{Instance: "j", Healthy: true})
+	check.Equal(made.order, []string{"cold until 1s", "state of j"})
 }
 
 func TestOnlyAChangeOfStateIsNewsToTheMesh(t *testing.T) {
