Keep no more of a cold back end's starts than urgent calls lately took

Change: what is kept is what came of the class lately, a quarter at most; in a part of a window urgent calls may go one above the pace, and nothing is kept.

--- a/internal/core/warmup/warmup.go
+++ b/internal/core/warmup/warmup.go
@@ -17,7 +17,7 @@
 	arrivalSpread = 100 * time.Millisecond
 	// window is the span in which starts are counted.
 	window = time.Second + arrivalSpread
-	// paceParts paces the starts: in one of so many parts of a window only as many of them,
+	// paceParts paces the starts: in one of so many parts of a window only so much of them,
 	// rounded up. Without it all starts of a window would come together, and two such
 	// bursts meet where a machine writes the first one late.
 	paceParts = 4
@@ -26,8 +26,8 @@
 	slackPart = 0.5
 	// startLimit bounds the starts remembered. A higher rate is bounded by it.
 	startLimit = 4096
-	// keptParts is the part of a window kept for the calls of each higher class while such
-	// calls come: one in so many starts.
+	// keptParts is the most of a window that is kept for the calls of each higher class: one
+	// in so many starts, and no more than lately came.
 	keptParts = 4
 	// Classes is how many classes of calls are told apart; a higher one is more urgent.
 	Classes = 3
@@ -67,8 +67,7 @@
 	unseenAt time.Duration
 	// starts are the newest starts, oldest first.
 	starts []time.Duration
-	// cameUntil is until when calls of each class count as coming.
-	cameUntil [Classes]time.Duration
+	came   [Classes]demand
 }
 
 // New returns a limiter that knows nothing: the back end counts as cold until SetCold, and
@@ -119,7 +118,11 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.wait(now, class)
+	wait := l.wait(now, class)
+	if wait > 0 {
+		l.came[classOf(class)].note(now)
+	}
+	return wait
 }
 
 // Start counts a start where one is free, and else tells how long there is none.
@@ -129,6 +132,7 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.came[classOf(class)].note(now)
 	if wait = l.wait(now, class); wait == 0 {
 		l.record(now)
 	}
@@ -149,33 +153,68 @@
 
 // wait is Wait; the lock is held.
 func (l *Limiter) wait(now time.Duration, class int) time.Duration {
-	class = min(max(class, 0), Classes-1)
-	l.cameUntil[class] = max(l.cameUntil[class], now+window)
 	if l.limit == 0 {
 		return 0
 	}
-	free := max(l.unseenAt+window, l.freeAt(now, class, l.limit, window))
-	pace := (l.limit + paceParts - 1) / paceParts
-	free = max(free, l.freeAt(now, class, pace, window/paceParts))
+	free := max(l.unseenAt+window, l.freeAt(now, l.share(now, class), window))
+	free = max(free, l.freeAt(now, l.pace(class), window/paceParts))
 	return max(free-now, 0)
 }
 
-// freeAt is when fewer starts than a class may use of a number were made within a span.
-func (l *Limiter) freeAt(now time.Duration, class, number int, span time.Duration) time.Duration {
-	share := l.share(now, class, number)
-	if len(l.starts) < share {
+// freeAt is when fewer than a number of starts were made within a span.
+func (l *Limiter) freeAt(now time.Duration, number int, span time.Duration) time.Duration {
+	if len(l.starts) < number {
 		return now
 	}
-	return l.starts[len(l.starts)-share] + span
+	return l.starts[len(l.starts)-number] + span
 }
 
-// share is how many of a number of starts the calls of a class and those below it may use up.
-func (l *Limiter) share(now time.Duration, class, number int) int {
-	share := number
-	for above := class + 1; above < Classes; above++ {
-		if now < l.cameUntil[above] {
-			share -= (number + keptParts - 1) / keptParts
-		}
+// share is how many starts of a window the calls of a class and those below it may use up.
+func (l *Limiter) share(now time.Duration, class int) int {
+	most := (l.limit + keptParts - 1) / keptParts
+	share := l.limit
+	for above := classOf(class) + 1; above < Classes; above++ {
+		share -= min(most, l.came[above].lately(now))
 	}
 	return max(share, 1)
 }
+
+// pace is how many starts a part of a window may hold before a call of a class: one more
+// where there is a class below it, whose calls might have used up the others.
+func (l *Limiter) pace(class int) int {
+	return (l.limit+paceParts-1)/paceParts + min(classOf(class), 1)
+}
+
+// classOf makes sense of any number.
+func classOf(class int) int { return min(max(class, 0), Classes-1) }
+
+// demand counts the calls of a class that come, in spans of a window.
+type demand struct {
+	began    time.Duration
+	now      int
+	previous int
+}
+
+// note counts a call.
+func (d *demand) note(now time.Duration) {
+	if age := now - d.began; age >= window {
+		d.previous = d.now
+		if age >= 2*window {
+			d.previous = 0
+		}
+		d.now = 0
+		d.began = now
+	}
+	d.now++
+}
+
+// lately is how many calls came in one of the last two spans.
+func (d *demand) lately(now time.Duration) int {
+	switch age := now - d.began; {
+	case age < window:
+		return max(d.now, d.previous)
+	case age < 2*window:
+		return d.now
+	}
+	return 0
+}
