Count the first window from the start of the daemon, not from its configuration

Cause: a gate without a stated rate lets calls through uncounted, so the window counted as used once the rate was known. A gate of a back end that reports itself is closed until after that: after a loss of power the first calls waited for a window that began with the configuration. Change: the window is used up by what may have started only: an earlier start of the daemon, or calls before the rate where the gate was open. Two faults put into copies, both windows left out, are each caught by a test; one was not before.

--- a/internal/core/admission/warmth.go
+++ b/internal/core/admission/warmth.go
@@ -7,8 +7,10 @@
 )
 
 // LimitCold bounds the calls that start in a second while the back end is cold; 0 bounds
-// nothing.
-func (g *Gate) LimitCold(now time.Duration, limit int) { g.warmth.SetLimit(now, limit) }
+// nothing. Opened says that calls may have started before.
+func (g *Gate) LimitCold(now time.Duration, limit int, opened bool) {
+	g.warmth.SetLimit(now, limit, opened)
+}
 
 // SetCold says until when the back end is cold. Until it is first called the back end counts
 // as cold.
--- a/internal/core/admission/warmth_test.go
+++ b/internal/core/admission/warmth_test.go
@@ -19,7 +19,7 @@
 // coldGate is a gate whose back end is cold and bears a number of starts in a second.
 func coldGate(slots, limit int) *Gate {
 	gate := New(0, testConfig(slots))
-	gate.LimitCold(0, limit)
+	gate.LimitCold(0, limit, false)
 	gate.SetCold(0, time.Hour)
 	return gate
 }
@@ -52,7 +52,7 @@
 func TestCallsQueuedAtABackEndThatTurnsColdAreRefused(t *testing.T) {
 	check := is.New(t)
 	gate := New(0, testConfig(1))
-	gate.LimitCold(0, 6)
+	gate.LimitCold(0, 6, false)
 	gate.SetCold(0, 0)
 	first := offer(gate, coldAt, Call{})
 	second := offer(gate, coldAt, Call{})
@@ -103,7 +103,7 @@
 // BenchmarkWarmGate is what a call costs at the gate of a warm back end.
 func BenchmarkWarmGate(b *testing.B) {
 	gate := New(0, Config{Slots: 1 << 16, QueueLength: 8, QueueWait: time.Second, KeyWindow: time.Minute, KeyCount: 1 << 10})
-	gate.LimitCold(0, 6)
+	gate.LimitCold(0, 6, false)
 	gate.SetCold(0, 0)
 	b.ReportAllocs()
 	b.RunParallel(func(loop *testing.PB) {
--- a/internal/core/warmup/collapse_test.go
+++ b/internal/core/warmup/collapse_test.go
@@ -125,7 +125,7 @@
 		Slots: slots, QueueLength: 256, QueueWait: 2 * time.Second, KeyWindow: time.Second, KeyCount: 1,
 	})
 	if w.bounded {
-		u.gate.LimitCold(w.now, warmup.Terms{Overage: overage, Slack: slack}.Limit(ratePerSecond))
+		u.gate.LimitCold(w.now, warmup.Terms{Overage: overage, Slack: slack}.Limit(ratePerSecond), false)
 	}
 }
 
--- a/internal/core/warmup/warmup.go
+++ b/internal/core/warmup/warmup.go
@@ -76,12 +76,13 @@
 	return &Limiter{coldUntil: math.MaxInt64, unseenAt: now}
 }
 
-// SetLimit bounds the starts in a window; 0 bounds nothing.
-func (l *Limiter) SetLimit(now time.Duration, limit int) {
+// SetLimit bounds the starts in a window; 0 bounds nothing. Opened says that calls may have
+// started before, which were not counted while nothing was bounded.
+func (l *Limiter) SetLimit(now time.Duration, limit int, opened bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	limit = min(max(limit, 0), startLimit)
-	if l.limit == 0 && limit > 0 {
+	if opened && l.limit == 0 && limit > 0 {
 		l.unseenAt = max(l.unseenAt, now)
 	}
 	l.limit = limit
--- a/internal/core/warmup/warmup_test.go
+++ b/internal/core/warmup/warmup_test.go
@@ -20,7 +20,7 @@
 // cold returns a limiter of a cold back end whose first window has passed at the time 0.
 func cold(limit int) *Limiter {
 	limiter := New(-window)
-	limiter.SetLimit(-window, limit)
+	limiter.SetLimit(-window, limit, false)
 	limiter.SetCold(-window, time.Hour)
 	return limiter
 }
@@ -28,7 +28,7 @@
 func TestNothingStartsInTheFirstWindowOfADaemon(t *testing.T) {
 	check := is.New(t)
 	limiter := New(0)
-	limiter.SetLimit(0, 6)
+	limiter.SetLimit(second/2, 6, false) // its configuration comes later
 	check.Equal(limiter.Start(0, urgent), window)
 	check.Equal(limiter.Start(window-1, urgent), time.Duration(1))
 	check.Equal(limiter.Start(window, urgent), time.Duration(0))
@@ -37,7 +37,7 @@
 func TestABackEndOfUnknownStateIsCold(t *testing.T) {
 	check := is.New(t)
 	limiter := New(-window)
-	limiter.SetLimit(-window, 1)
+	limiter.SetLimit(-window, 1, false)
 	limiter.Start(0, urgent)
 	check.True(limiter.Start(time.Millisecond, urgent) > 0)
 }
@@ -174,6 +174,14 @@
 	check.Equal(Terms{Slack: math.NaN()}.Limit(4.5), startLimit)
 }
 
+func TestStartsBeforeARateWasStatedCount(t *testing.T) {
+	check := is.New(t)
+	limiter := New(-window)
+	limiter.Start(0, urgent)
+	limiter.SetLimit(0, 6, true)
+	check.Equal(limiter.Start(0, urgent), window)
+}
+
 // begun is a start, with the limit in force then.
 type begun struct {
 	at    time.Duration
@@ -189,17 +197,17 @@
 		now := time.Duration(0)
 		limit := rapid.IntRange(1, 12).Draw(t, "limit")
 		limiter := New(now)
-		limiter.SetLimit(now, limit)
+		limiter.SetLimit(now, limit, false)
 		var starts []begun
 		for range rapid.IntRange(20, 200).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "milliseconds")) * time.Millisecond
 			switch rapid.IntRange(0, 20).Draw(t, "event") {
 			case 0:
 				limiter = New(now)
-				limiter.SetLimit(now, limit)
+				limiter.SetLimit(now, limit, false)
 			case 1:
-				limit = rapid.IntRange(1, 12).Draw(t, "limit")
-				limiter.SetLimit(now, limit)
+				limit = rapid.IntRange(0, 12).Draw(t, "limit")
+				limiter.SetLimit(now, limit, true)
 			case 2:
 				limiter.SetCold(now, 0)
 			case 3:
--- a/internal/proxy/warmth.go
+++ b/internal/proxy/warmth.go
@@ -15,7 +15,9 @@
 		return
 	}
 	stated := held.Services[p.config.Service].WarmUp
-	p.gate.LimitCold(p.config.Clock(), p.config.WarmUp.Limit(stated.PerSecond))
+	// A gate of a back end that reports itself is closed until its first report.
+	opened := !p.config.Reported || p.reported.current.Load() != nil
+	p.gate.LimitCold(p.config.Clock(), p.config.WarmUp.Limit(stated.PerSecond), opened)
 }
 
 // SetCold says until when, on the clock, the back end is cold. Until it is first called the
