--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -69,7 +69,7 @@
 	sequence    uint64
 	slots       int
 	software    string
-	warmAt      time.Duration
+	warmth      warmth
 	draining    bool
 	down        bool
 	// heardAt is when the running start last reported or answered a call, reportedAt when it
@@ -171,7 +171,7 @@
 	t.sequence = report.Sequence
 	t.slots = report.Slots
 	t.software = report.Software
-	t.warmAt = now + report.WarmUp
+	t.warmth.reported(now, report.WarmUp)
 	t.draining = t.draining || report.Draining
 	t.down = false
 	t.heardAt = now
@@ -190,7 +190,7 @@
 	t.running = start
 	t.unconfirmed = true
 	t.sequence = 0
-	t.warmAt = 0
+	t.warmth = warmth{assumed: t.warmth.assumed}
 	t.draining = false
 	t.down = true
 	t.outlier = outlier{answered: t.outlier.answered}
@@ -203,6 +203,7 @@
 func (t *Tracker) Probed(now time.Duration, probe Probe) {
 	at := t.candidateAt(probe.Instance)
 	if at < 0 {
+		t.learnWarmth(now, probe)
 		return
 	}
 	confirmed := t.candidates[at]
@@ -212,6 +213,7 @@
 	t.begin(confirmed.Start())
 	t.unconfirmed = false
 	t.take(now, confirmed)
+	t.learnWarmth(now, probe)
 	for _, held := range slices.Delete(t.candidates, at, at+1) {
 		t.forget(held)
 	}
@@ -286,11 +288,16 @@
 	Slots    int
 	Software string
 	State    protocol.EndpointState
+	// ColdUntil is until when the instance is cold; 0 when it is warm.
+	ColdUntil time.Duration
 }
 
 // View returns the state at a time.
 func (t *Tracker) View(now time.Duration) View {
 	view := View{Start: t.running, Slots: t.slots, Software: t.software}
+	if until := t.warmth.until(); now < until {
+		view.ColdUntil = until
+	}
 	switch {
 	case t.running.Instance == "":
 		view.State = protocol.EndpointNone
@@ -300,7 +307,7 @@
 		view.State = protocol.EndpointDown
 	case t.outlier.ejected(now):
 		view.State = protocol.EndpointDegraded
-	case now < t.warmAt:
+	case view.ColdUntil > 0:
 		view.State = protocol.EndpointWarming
 	default:
 		view.State = protocol.EndpointReady
