core/evacuation: the orders to empty zones as one value, and when they are read

Cause: operators' orders to empty zones have no place in the product. Change: all orders are the set that the store held at one position; the higher position wins whole, and the age of the newest reading passes with it. A daemon reads itself when nobody seems to have read lately. Figures: 77 daemons in virtual time whose watches are all silent: an order is known to all in touch within half of a bound of 5 s, also when the followers are dead, refused or cut off; a calm minute costs at most 49 readings. Conclusion: sets with positions merge alike in any order, late, twice or lost.

--- /dev/null
+++ b/internal/core/evacuation/evacuation_test.go
@@ -0,0 +1,116 @@
+package evacuation
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "github.com/springstack/springstack/internal/fixedseed"
+)
+
+// drawHistory draws what the store holds at some positions of it: orders that are made,
+// withdrawn and made again, and positions at which only other objects have changed.
+func drawHistory(t *rapid.T) []Orders {
+	history := []Orders{{}}
+	for range rapid.IntRange(1, 12).Draw(t, "changes") {
+		last := history[len(history)-1]
+		zones := slices.Clone(last.Zones)
+		zone := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone")
+		if at := slices.Index(zones, zone); at >= 0 {
+			zones = slices.Delete(zones, at, at+1)
+		} else {
+			zones = append(zones, zone)
+		}
+		history = append(history, NewOrders(last.At+uint64(rapid.IntRange(1, 3).Draw(t, "step")), zones))
+	}
+	return history
+}
+
+// Daemons that hear of readings late, twice, crossed, or miss some, know the same once each
+// has heard of the newest one.
+func TestAllDaemonsComeToTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := drawHistory(t)
+		newest := history[len(history)-1]
+		for range 2 {
+			var table Table
+			heard := rapid.SliceOf(rapid.SampledFrom(history)).Draw(t, "heard")
+			heard = append(heard, newest)
+			for index, orders := range rapid.Permutation(heard).Draw(t, "order") {
+				table.Merge(time.Duration(index), Word{Orders: orders, Known: true})
+			}
+			if table.Orders().At != newest.At || !slices.Equal(table.Orders().Zones, newest.Zones) {
+				t.Fatalf("knows %v, the store holds %v", table.Orders(), newest)
+			}
+		}
+	})
+}
+
+// Word passes from daemon to daemon, some of it lost: nobody ever knows of a position
+// anything but what the store held there, nor goes back.
+func TestWordBetweenDaemonsIsNeverMixed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := drawHistory(t)
+		held := map[uint64][]string{}
+		for _, orders := range history {
+			held[orders.At] = orders.Zones
+		}
+		tables := make([]Table, 4)
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now := time.Duration(step) * time.Millisecond
+			to := rapid.IntRange(0, len(tables)-1).Draw(t, "to")
+			before := tables[to].Orders()
+			if rapid.Bool().Draw(t, "reads") {
+				read := rapid.SampledFrom(history).Draw(t, "read")
+				tables[to].Merge(now, Word{Orders: read, Known: true})
+			} else {
+				from := rapid.IntRange(0, len(tables)-1).Draw(t, "from")
+				tables[to].Merge(now, tables[from].Word(now))
+			}
+			after := tables[to].Orders()
+			if after.At < before.At || !slices.Equal(after.Zones, held[after.At]) {
+				t.Fatalf("%v after %v", after, before)
+			}
+		}
+	})
+}
+
+func TestTheBeginningHeardAfterTheEndCountsForNothing(t *testing.T) {
+	check := is.New(t)
+	var table Table
+	check.True(!table.Merge(0, Word{Orders: NewOrders(9, nil), Known: true}))
+	check.True(!table.Merge(time.Second, Word{Orders: NewOrders(7, []string{"a"}), Known: true}))
+	check.True(!table.Orders().Evacuates("a"))
+	check.Equal(table.Age(time.Second), time.Second) // it is no reading either
+}
+
+func TestADaemonWithoutKnowledgeTellsNothing(t *testing.T) {
+	check := is.New(t)
+	var table, fresh Table
+	table.Merge(0, Word{Orders: NewOrders(0, nil), Known: true})
+	check.True(!table.Merge(time.Hour, fresh.Word(time.Hour)))
+	check.Equal(table.Age(time.Hour), time.Hour)
+}
+
+func TestTwoZonesAreEmptiedAndTakenBackApart(t *testing.T) {
+	check := is.New(t)
+	var table Table
+	check.True(table.Merge(0, Word{Orders: NewOrders(5, []string{"b", "a", "a"}), Known: true}))
+	check.Equal(table.Orders().Zones, []string{"a", "b"})
+	check.True(table.Merge(0, Word{Orders: NewOrders(6, []string{"b"}), Known: true}))
+	check.True(!table.Orders().Evacuates("a"))
+	check.True(table.Orders().Evacuates("b"))
+}
+
+func TestTheAgeOfAReadingIsPassedOn(t *testing.T) {
+	check := is.New(t)
+	var reader, other Table
+	reader.Merge(10*time.Second, Word{Orders: NewOrders(3, nil), Known: true})
+	other.Merge(40*time.Second, reader.Word(11*time.Second))
+	check.Equal(other.Age(40*time.Second), time.Second)
+	reader.Merge(12*time.Second, Word{Orders: NewOrders(4, nil), Known: true, Age: -time.Hour}) // of a broken peer
+	check.Equal(reader.Age(12*time.Second), time.Duration(0))
+}
--- /dev/null
+++ b/internal/core/evacuation/timing_test.go
@@ -0,0 +1,147 @@
+package evacuation
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const testWithin = 5 * time.Second
+
+// testDaemon is a daemon in virtual time: what it knows, and whether the store and its peers
+// answer it.
+type testDaemon struct {
+	table    Table
+	rank     int
+	refused  bool
+	cutOff   bool
+	dead     bool
+	due      time.Duration
+	waitsTo  time.Duration
+	failures int
+}
+
+// testFleet is daemons that follow a store whose watches are all silent.
+type testFleet struct {
+	daemons []*testDaemon
+	random  *rand.Rand
+	timing  Timing
+	reads   int
+}
+
+func newFleet(count int) *testFleet {
+	fleet := &testFleet{random: rand.New(rand.NewPCG(7, 1)), timing: Timing{Within: testWithin}}
+	for rank := range count {
+		made := &testDaemon{rank: rank}
+		made.due = fleet.timing.Due(rank, false, fleet.random.Uint64())
+		fleet.daemons = append(fleet.daemons, made)
+	}
+	return fleet
+}
+
+// run steps all daemons from one time to another over a store that holds some orders.
+func (f *testFleet) run(from, to time.Duration, held Orders) {
+	for now := from; now < to; now += 10 * time.Millisecond {
+		for _, one := range f.daemons {
+			if !one.dead && one.table.Age(now) >= one.due && now >= one.waitsTo {
+				f.read(now, one, held)
+			}
+		}
+	}
+}
+
+// read reads the orders and tells all others, as a reading is broadcast.
+func (f *testFleet) read(now time.Duration, one *testDaemon, held Orders) {
+	f.reads++
+	if one.refused || one.cutOff {
+		one.failures++
+		one.waitsTo = now + f.timing.Retry(one.rank, one.failures)
+		return
+	}
+	one.failures = 0
+	for _, other := range f.daemons {
+		if other == one || !other.cutOff && !other.dead {
+			other.table.Merge(now, Word{Orders: held, Known: true})
+			other.due = f.timing.Due(other.rank, true, f.random.Uint64())
+		}
+	}
+}
+
+// unaware counts the daemons in touch that don't know an order.
+func (f *testFleet) unaware(zone string) (count int) {
+	for _, one := range f.daemons {
+		if !one.dead && !one.cutOff && !one.table.Orders().Evacuates(zone) {
+			count++
+		}
+	}
+	return count
+}
+
+// An order that no watch tells of is known to all in touch within half of the bound, at any
+// phase, whoever is dead, refused by the store or cut off.
+func TestASilentOrderIsKnownWithinHalfOfTheBound(t *testing.T) {
+	for name, harm := range map[string]func(*testDaemon){
+		"nobody":                          func(*testDaemon) {},
+		"followers dead":                  func(one *testDaemon) { one.dead = one.rank < FollowerCount },
+		"followers refused":               func(one *testDaemon) { one.refused = one.rank < FollowerCount },
+		"all refused but one":             func(one *testDaemon) { one.refused = one.rank != 20 },
+		"followers cut off from the rest": func(one *testDaemon) { one.cutOff = one.rank < FollowerCount },
+	} {
+		t.Run(name, func(t *testing.T) {
+			check := is.New(t)
+			for phase := range 12 {
+				fleet := newFleet(77)
+				made := 20*time.Second + time.Duration(phase)*173*time.Millisecond
+				fleet.run(0, made, NewOrders(3, nil))
+				for _, one := range fleet.daemons {
+					harm(one)
+				}
+				fleet.run(made, made+testWithin/2, NewOrders(4, []string{"z"}))
+				check.Equal(fleet.unaware("z"), 0) // who does not know it
+			}
+		})
+	}
+}
+
+// A calm minute costs the store a call of the first follower each quarter of the bound.
+func TestACalmMinuteIsCheap(t *testing.T) {
+	check := is.New(t)
+	fleet := newFleet(77)
+	fleet.run(0, 10*time.Second, NewOrders(3, nil))
+	fleet.reads = 0
+	fleet.run(10*time.Second, 70*time.Second, NewOrders(3, nil))
+	check.True(fleet.reads <= 49) // 60 s over 1.25 s, and one for the phase
+}
+
+// While the store refuses everybody, daemons that are no followers ask ever less often.
+func TestADeadStoreIsNotStormed(t *testing.T) {
+	check := is.New(t)
+	fleet := newFleet(77)
+	fleet.run(0, 10*time.Second, NewOrders(3, nil))
+	for _, one := range fleet.daemons {
+		one.refused = true
+	}
+	fleet.run(10*time.Second, 40*time.Second, NewOrders(3, nil))
+	fleet.reads = 0
+	fleet.run(40*time.Second, 100*time.Second, NewOrders(3, nil))
+	const followers, others = 49 * FollowerCount, 7 * (77 - FollowerCount)
+	check.True(fleet.reads <= followers+others)
+}
+
+// All daemons start at once: a few read, the others hear.
+func TestAStartTogetherReadsLittle(t *testing.T) {
+	check := is.New(t)
+	fleet := newFleet(77)
+	fleet.run(0, time.Second, NewOrders(3, []string{"z"}))
+	check.Equal(fleet.unaware("z"), 0)
+	check.True(fleet.reads <= 3)
+}
+
+func ExampleTiming() {
+	timing := Timing{Within: 5 * time.Second}
+	fmt.Println(timing.Relist(), timing.Due(1, true, 0), timing.Due(9, true, 0), timing.Retry(9, 3))
+	// Output: 1.25s 1.5s 2s 5s
+}
