Evacuation: entries leave the zone out, gates refuse as a second line

Cause: endpoints of a zone that is to be empty must get no new call, by any way to choose, nor from an entry that has not heard of it. Change: endpoint sets leave the zones out; the gate has a reason of its own to refuse, the member record a state; a call without a back end elsewhere is refused at once (zone_evacuated, not run). The data path takes what is known of the mesh as one value.

--- a/internal/core/admission/control.go
+++ b/internal/core/admission/control.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/springstack/springstack/internal/result"
 )
 
 // Drain refuses all waiting calls at once and every later one until Resume;
@@ -13,19 +11,26 @@
 // Close refuses calls as Drain does, but Resume does not undo it.
 func (g *Gate) Close() { g.refuseAll(closedBit) }
 
+// Evacuate refuses calls as Drain does, but for the reason that the zone is to be empty. It
+// ends a drain: the gate has one reason at a time.
+func (g *Gate) Evacuate() {
+	g.refuseAll(evacuatedBit)
+	g.word.And(^uint64(drainingBit))
+}
+
 func (g *Gate) refuseAll(bit uint64) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.word.Or(bit)
 	for ticket := g.queue.pop(); ticket != nil; ticket = g.queue.pop() {
 		g.unqueue()
-		ticket.settle(refused(result.Draining, 0))
+		ticket.settle(refused(refusalOf(bit), 0))
 	}
 }
 
-// Resume takes calls again after Drain, but not after Close.
+// Resume takes calls again after Drain or Evacuate, but not after Close.
 func (g *Gate) Resume() {
-	g.word.And(^uint64(drainingBit))
+	g.word.And(^uint64(drainingBit | evacuatedBit))
 }
 
 // SetSlots changes how many calls run at once. Fewer slots end no call; more
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -39,8 +39,8 @@
 	NoEstimate bool
 }
 
-// The word of a gate packs what must change together: the draining and closed
-// bits, the calls queued and the calls running.
+// The word of a gate packs what must change together: the draining, closed and
+// evacuated bits, the calls queued and the calls running.
 const (
 	runningBits = 24
 	runningMask = 1<<runningBits - 1
@@ -48,7 +48,10 @@
 	queuedMask  = runningMask << runningBits
 	drainingBit = 1 << 63
 	closedBit   = 1 << 62
-	refusingAny = drainingBit | closedBit
+
+	evacuatedBit = 1 << 61
+
+	refusingAny = drainingBit | closedBit | evacuatedBit
 )
 
 // waitShare is the most of a call's remaining time that it may be expected to
@@ -116,6 +119,21 @@
 // Draining tells whether the gate refuses new calls.
 func (g *Gate) Draining() bool { return g.word.Load()&refusingAny != 0 }
 
+// Refusing is the code by which the gate refuses new calls; OK while it takes them.
+func (g *Gate) Refusing() result.Code { return refusalOf(g.word.Load()) }
+
+// refusalOf is the code by which a gate with some word refuses calls. A back end that leaves
+// does not come back with its zone, so that goes before.
+func refusalOf(word uint64) result.Code {
+	switch {
+	case word&(drainingBit|closedBit) != 0:
+		return result.Draining
+	case word&evacuatedBit != 0:
+		return result.ZoneEvacuated
+	}
+	return result.OK
+}
+
 // Admit starts, queues or refuses a call. A started call must be ended by
 // Done; a queued one is settled later, or withdrawn by Cancel.
 //
@@ -126,8 +144,8 @@
 	if verdict := register(g.requests, now, ticket.Request); verdict.State == StateRefused {
 		return verdict
 	}
-	if g.Draining() {
-		return refused(result.Draining, 0)
+	if code := g.Refusing(); code != result.OK {
+		return refused(code, 0)
 	}
 	if ticket.Deadline <= now {
 		return refused(result.DeadlineBeforeStart, 0)
@@ -199,7 +217,7 @@
 		free := word&queuedMask == 0 && int64(word&runningMask) < g.slots.Load()
 		switch {
 		case word&refusingAny != 0:
-			return refused(result.Draining, 0)
+			return refused(refusalOf(word), 0)
 		case free && g.word.CompareAndSwap(word, word+1):
 			// The slot was freed since Admit looked; with nobody waiting that
 			// needed no lock.
--- /dev/null
+++ b/internal/core/endpoint/evacuation_test.go
@@ -0,0 +1,89 @@
+package endpoint
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/evacuation"
+	"github.com/springstack/springstack/internal/core/protocol"
+)
+
+// evacuating is the place of a chooser that knows that zones are to be empty.
+func evacuating(zones ...string) Locality {
+	self := home
+	self.Evacuations = evacuation.NewOrders(1, zones)
+	return self
+}
+
+// All ways to choose inherit that a zone is to be empty.
+func TestNoChoiceFallsOnAnEvacuatedZone(t *testing.T) {
+	backends, members := fixture(home.Zone, home.Zone, "other", "other")
+	set := Build(nil, evacuating(home.Zone), backends, members, 0)
+	isIn := func(one *Endpoint) bool { return one != nil && one.Zone == home.Zone }
+	for name, choose := range map[string]func(uint64, Tried) *Endpoint{
+		"by load": func(random uint64, tried Tried) *Endpoint { return set.Choose(0, random, tried) },
+		"keyed":   func(random uint64, tried Tried) *Endpoint { return set.ChooseKeyed(0, random, tried) },
+		"ranked":  func(random uint64, tried Tried) *Endpoint { return set.ChooseRanked(0, random, tried) },
+		"of a version": func(random uint64, tried Tried) *Endpoint {
+			return set.Only(func(*Endpoint) bool { return true }).Choose(0, random, tried)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			check := is.New(t)
+			for random := range uint64(40) {
+				first := choose(random*0x9e3779b97f4a7c15, nil)
+				check.True(first != nil)
+				check.True(!isIn(first))
+				check.True(!isIn(choose(random, Tried{first}))) // nor does a retry or a hedge
+			}
+			check.True(!set.Others(0, Tried{set.All[2], set.All[3]}))
+		})
+	}
+}
+
+func TestAServiceWithoutAnotherZoneIsEvacuated(t *testing.T) {
+	check := is.New(t)
+	backends, members := fixture(home.Zone, "other")
+	check.True(!Build(nil, evacuating(home.Zone), backends, members, 0).Evacuated())
+	set := Build(nil, evacuating(home.Zone, "other"), backends, members, 0)
+	check.True(set.Evacuated())
+	check.Equal(set.Choose(0, 1, nil), nil)
+	check.True(!Build(nil, evacuating(home.Zone), nil, nil, 0).Evacuated()) // it has no endpoints at all
+}
+
+// An entry that has not heard of the order heeds the gate's own word.
+func TestTheGatesWordOfAnEvacuationIsHeeded(t *testing.T) {
+	check := is.New(t)
+	backends, members := fixture(home.Zone, "other")
+	members[0].Endpoint = protocol.EndpointEvacuated
+	set := Build(nil, home, backends, members, 0)
+	check.Equal(spread(set, 0, 50), map[string]int{"b1": 50})
+	members[0].Endpoint = protocol.EndpointReady
+	members[0].Sequence++
+	check.Equal(Build(set, home, backends, members, 0).Usable(), 2)
+}
+
+// A gate's refusal is remembered until its next record, not longer.
+func TestARefusalEndsWithTheNewerRecord(t *testing.T) {
+	check := is.New(t)
+	backends, members := fixture(home.Zone, "other")
+	set := Build(nil, home, backends, members, 0)
+	refusing := set.All[0]
+	refusing.Begin()
+	refusing.End(0, Leaving)
+	check.Equal(spread(set, time.Second, 50), map[string]int{"b1": 50})
+	members[0].Sequence++
+	set = Build(set, home, backends, members, time.Second)
+	check.True(spread(set, time.Second, 50)["b0"] > 0)
+}
+
+func TestADrainedEndpointDoesNotComeBackWithItsZone(t *testing.T) {
+	check := is.New(t)
+	backends, members := fixture(home.Zone, "other")
+	members[0].Endpoint = protocol.EndpointDraining
+	set := Build(nil, evacuating(home.Zone), backends, members, 0)
+	check.Equal(set.All[0].State, protocol.EndpointDraining)
+	check.Equal(Build(set, home, backends, members, 0).Usable(), 1)
+}
--- a/internal/core/endpoint/set.go
+++ b/internal/core/endpoint/set.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/springstack/springstack/internal/core/evacuation"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
 )
@@ -18,6 +20,8 @@
 	TrustStates bool
 	// Spill is when calls leave the own zone; the zero value means DefaultSpill.
 	Spill Spill
+	// Evacuations are the zones to be empty: their endpoints take no new calls.
+	Evacuations evacuation.Orders
 }
 
 // tierCount is the number of distances: own zone, own region, elsewhere.
@@ -76,6 +80,10 @@
 	known := previous.byName()
 	for _, backend := range backends {
 		described, usable := describe(backend, index)
+		if usable && self.Evacuations.Evacuates(described.Zone) {
+			described.State = protocol.EndpointEvacuated
+			usable = false
+		}
 		made := renew(self, previous, known[backend.Name], described, now)
 		set.All = append(set.All, made)
 		if !usable {
@@ -220,6 +228,14 @@
 // own word.
 func (s *Set) Usable() int { return s.usable }
 
+// Evacuated tells whether no endpoint may take new work, and some would if their zones were
+// not to be empty.
+func (s *Set) Evacuated() bool {
+	return s.usable == 0 && slices.ContainsFunc(s.All, func(one *Endpoint) bool {
+		return one.State == protocol.EndpointEvacuated
+	})
+}
+
 // Tried is the short list of endpoints that a call was sent to already.
 type Tried []*Endpoint
 
--- a/internal/core/protocol/exchange.go
+++ b/internal/core/protocol/exchange.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"github.com/springstack/springstack/internal/core/evacuation"
 	"github.com/springstack/springstack/internal/core/quarantine"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/rollout"
@@ -32,6 +33,8 @@
 	Members []Member
 	// Rollouts are the newest orders that the sender knows, one a service.
 	Rollouts []rollout.Record
+	// Evacuations are the zones to be empty as the sender knows them.
+	Evacuations evacuation.Word
 	// Harmful are records of requests that may end the back ends that run them, as far as
 	// they are news, HarmfulSum the sum of all that the sender knows.
 	Harmful    []quarantine.Record
@@ -55,6 +58,8 @@
 	Members []Member
 	// Rollouts are the newest orders that the receiver knows, one a service.
 	Rollouts []rollout.Record
+	// Evacuations are the zones to be empty as the receiver knows them.
+	Evacuations evacuation.Word
 	// Harmful are all records of harmful requests that the receiver knows, when their sum
 	// is another one than the sender's.
 	Harmful []quarantine.Record
--- a/internal/core/protocol/protocol.go
+++ b/internal/core/protocol/protocol.go
@@ -50,6 +50,8 @@
 	EndpointDown
 	// EndpointDegraded takes calls but fails many of them: it is a last resort.
 	EndpointDegraded
+	// EndpointEvacuated takes no work because its zone is to be empty.
+	EndpointEvacuated
 )
 
 // memberStateNames are the names of member states in logs and status.
@@ -72,6 +74,8 @@
 	EndpointDraining: "draining",
 	EndpointDown:     "down",
 	EndpointDegraded: "degraded",
+
+	EndpointEvacuated: "evacuated",
 }
 
 // TakesWork tells whether a back end in the state may get new calls.
--- a/internal/core/retry/call.go
+++ b/internal/core/retry/call.go
@@ -299,7 +299,10 @@
 // leaves tells whether the endpoint takes no calls any more, so that asking it
 // again is of no use.
 func leaves(outcome Outcome) bool {
-	return outcome.Kind == Refused && (outcome.Code == result.Draining || outcome.Code == result.WrongBackend)
+	if outcome.Kind != Refused {
+		return false
+	}
+	return outcome.Code == result.Draining || outcome.Code == result.WrongBackend || outcome.Code == result.ZoneEvacuated
 }
 
 func (c *Call) send(now time.Duration, outcome Outcome) Step {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -77,6 +77,9 @@
 		return c.without(retry.Outcome{Kind: retry.NoEndpoint})
 	}
 	chosen := c.choose(shared, belief, now)
+	if chosen == nil && shared.set.Evacuated() {
+		return c.without(retry.Outcome{Kind: retry.Refused, Code: result.ZoneEvacuated, Ran: result.RanNo})
+	}
 	if chosen == nil || c.runsAt(chosen) {
 		return c.without(retry.Outcome{Kind: retry.NoEndpoint})
 	}
@@ -307,7 +310,7 @@
 		made.outcome.RetryAfter = time.Duration(seconds * float64(time.Second))
 	}
 	switch made.outcome.Code {
-	case result.Draining, result.WrongBackend:
+	case result.Draining, result.WrongBackend, result.ZoneEvacuated:
 		made.evidence = endpoint.Leaving
 	case result.QueueFull, result.DeadlineBeforeStart, result.Shed, result.ShareExceeded, result.Overloaded:
 		made.evidence = endpoint.Full
--- a/internal/proxy/ended.go
+++ b/internal/proxy/ended.go
@@ -12,6 +12,7 @@
 	"github.com/samber/lo"
 
 	"github.com/springstack/springstack/internal/core/quarantine"
+	"github.com/springstack/springstack/internal/result"
 )
 
 const (
@@ -91,7 +92,7 @@
 
 // settleEnd finds out whether an instance has ended.
 func (p *Proxy) settleEnd(end *backendEnd) {
-	ended := !p.gate.Draining() && refusesConnections(p.config.BackendAddress)
+	ended := p.gate.Refusing() != result.Draining && refusesConnections(p.config.BackendAddress)
 	if ended {
 		time.Sleep(endGather)
 	}
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -132,10 +132,10 @@
 // run admits the call, sends it to the back end and passes the answer on.
 func (c *gateCall) run() {
 	came := c.proxy.config.Clock()
-	if c.proxy.gate.Draining() {
+	if code := c.proxy.gate.Refusing(); code != result.OK {
 		// Told before a large body is taken in, it costs its sender nothing.
-		c.traceGate("gate_refused", result.Draining, 0, 0, 0)
-		c.refuse(Refusal{Code: result.Draining})
+		c.traceGate("gate_refused", code, 0, 0, 0)
+		c.refuse(Refusal{Code: code})
 		return
 	}
 	if refusal, received := c.receive(); !received {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -26,7 +26,7 @@
 
 	// view is replaced whole; calls load it once for each attempt.
 	view atomic.Pointer[view]
-	// changing serializes Swap and PublishMembers; calls never take it.
+	// changing serializes Swap and PublishState; calls never take it.
 	changing sync.Mutex
 	// servingUntil is a time on the clock, in nanoseconds.
 	servingUntil atomic.Int64
@@ -127,26 +127,27 @@
 	p.changing.Lock()
 	defer p.changing.Unlock()
 	old := p.view.Load()
-	p.publish(p.buildView(old, held, old.members, old.splits))
+	p.publish(p.buildView(old, held, old.state))
 }
 
 // PublishMembers gives the newest member records, whole.
 func (p *Proxy) PublishMembers(members []protocol.Member) {
-	p.changing.Lock()
-	defer p.changing.Unlock()
-	p.incarnations.learn(p.config.NodeID, members)
-	old := p.view.Load()
-	p.publish(p.buildView(old, old.snapshot, members, old.splits))
+	p.publishState(func(state *MeshState) { state.Members = members })
+}
+
+// PublishState gives the newest that is known of the mesh, whole.
+func (p *Proxy) PublishState(state MeshState) {
+	p.publishState(func(known *MeshState) { *known = state })
 }
 
-// PublishDivided gives the newest member records and how the back ends of services are
-// divided among versions.
-func (p *Proxy) PublishDivided(members []protocol.Member, splits Splits) {
+func (p *Proxy) publishState(change func(*MeshState)) {
 	p.changing.Lock()
 	defer p.changing.Unlock()
-	p.incarnations.learn(p.config.NodeID, members)
 	old := p.view.Load()
-	p.publish(p.buildView(old, old.snapshot, members, splits))
+	state := old.state
+	change(&state)
+	p.incarnations.learn(p.config.NodeID, state.Members)
+	p.publish(p.buildView(old, old.snapshot, state))
 }
 
 // ExtendServing lets the callers' side serve until a time on the clock. It
--- a/internal/proxy/refuse.go
+++ b/internal/proxy/refuse.go
@@ -97,7 +97,7 @@
 	switch code {
 	case result.NotServing, result.NoEndpoint, result.QueueFull, result.DeadlineBeforeStart,
 		result.Draining, result.ConnectFailed, result.ShareExceeded, result.Shed,
-		result.RetryBudgetSpent, result.Overloaded:
+		result.RetryBudgetSpent, result.Overloaded, result.ZoneEvacuated:
 		return time.Second
 	}
 	return 0
--- a/internal/proxy/reported.go
+++ b/internal/proxy/reported.go
@@ -34,7 +34,7 @@
 }
 
 // ReportBackend puts a report of the back end in force at the gate. When it
-// returns, a back end that is draining gets no new call from here, and the
+// returns, a back end that takes no work gets no new call from here, and the
 // calls that waited have been refused. One goroutine reports at a time.
 func (p *Proxy) ReportBackend(report BackendReport) {
 	previous := p.reported.current.Load()
@@ -47,7 +47,10 @@
 		p.ends.answeredBefore.Store(p.tally.answered.Load())
 	}
 	takesWork := report.State.TakesWork()
-	if !takesWork {
+	switch {
+	case report.State == protocol.EndpointEvacuated:
+		p.gate.Evacuate()
+	case !takesWork:
 		p.gate.Drain()
 	}
 	p.reported.current.Store(&report)
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/springstack/springstack/internal/core/endpoint"
+	"github.com/springstack/springstack/internal/core/evacuation"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/retry"
@@ -16,8 +17,7 @@
 	// snapshot is nil until the first one was put in force.
 	snapshot *snapshot.Snapshot
 	table    *routing.Table
-	members  []protocol.Member
-	splits   Splits
+	state    MeshState
 	services map[resource.ServiceRef]*service
 	// upstreams are the connections by address of a gate.
 	upstreams map[string]*upstream
@@ -34,6 +34,15 @@
 	budget *retry.Budget
 }
 
+// MeshState is what a daemon knows of the others, apart from the configuration.
+type MeshState struct {
+	Members []protocol.Member
+	// Splits say how the back ends of services are divided among versions.
+	Splits Splits
+	// Evacuations are the zones to be empty.
+	Evacuations evacuation.Orders
+}
+
 // find returns the route of a request, or nil.
 func (v *view) find(request *http.Request, located place) *routing.Route {
 	return v.table.Find(routing.Query{
@@ -41,14 +50,13 @@
 	})
 }
 
-// buildView makes the view of a snapshot and member records. Counts, budgets
+// buildView makes the view of a snapshot and the state of the mesh. Counts, budgets
 // and connections carry over from the previous view.
-func (p *Proxy) buildView(previous *view, held *snapshot.Snapshot, members []protocol.Member, splits Splits) *view {
+func (p *Proxy) buildView(previous *view, held *snapshot.Snapshot, state MeshState) *view {
 	next := &view{
 		snapshot:  held,
 		table:     previous.table,
-		members:   members,
-		splits:    splits,
+		state:     state,
 		services:  map[resource.ServiceRef]*service{},
 		upstreams: map[string]*upstream{},
 	}
@@ -59,12 +67,13 @@
 		next.table = p.compile(held)
 	}
 	now := p.config.Clock()
-	budget := p.retryLimits(len(members))
-	index := endpoint.NewIndex(members)
+	budget := p.retryLimits(len(state.Members))
+	index := endpoint.NewIndex(state.Members)
 	self := endpoint.Locality{
 		Region: p.config.Region, Zone: p.config.Zone, TrustStates: p.config.Reported, Spill: p.config.Spill,
+		Evacuations: state.Evacuations,
 	}
-	for reference, backends := range p.backendsOf(held, members) {
+	for reference, backends := range p.backendsOf(held, state.Members) {
 		made := &service{name: reference.String()}
 		var oldSet *endpoint.Set
 		if old := previous.services[reference]; old != nil {
@@ -75,7 +84,7 @@
 			made.budget = retry.NewBudgetWithin(budget)
 		}
 		made.all = endpoint.BuildIndexed(oldSet, self, backends, index, now)
-		made.divide(splits[reference])
+		made.divide(state.Splits[reference])
 		next.services[reference] = made
 		p.connect(previous, next, made.all)
 	}
