Evacuation: hosted daemons follow orders, tell each other and take zones back

Change: three followers by rank watch and read again, each reading is broadcast, exchanges carry it, whoever hears of none lately reads itself. Following is shared with roll-outs. A back end whose zone is taken back is handed to a hook before it gets calls.

--- a/internal/hosted/backendside.go
+++ b/internal/hosted/backendside.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/springstack/springstack/internal/core/backend"
+	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/pause"
 	"github.com/springstack/springstack/internal/proxy"
 )
@@ -55,6 +56,11 @@
 	// joined tells whether peers have told what an earlier start of this daemon
 	// has acknowledged.
 	joined func() bool
+	// evacuated tells whether the zone is to be empty.
+	evacuated func() bool
+	// takenBack is called with the lock held before the back end of a zone that was to be
+	// empty gets calls again, for it may have become cold unseen; nil for nothing.
+	takenBack func()
 }
 
 func (b *backendSide) start() {
@@ -130,7 +136,11 @@
 // show puts the present view in force where it differs from the last one; the
 // lock is held.
 func (b *backendSide) show() {
-	view := b.tracker.View(b.clock())
+	view := b.view()
+	if b.shown.State == protocol.EndpointEvacuated && view.State.TakesWork() && b.settings.takenBack != nil {
+		b.settings.takenBack()
+		view = b.view()
+	}
 	if view == b.shown || view.Instance == "" {
 		return
 	}
@@ -143,6 +153,27 @@
 	b.announce(view)
 }
 
+// view is the state of the back end and of its zone; the lock is held. A back end that takes
+// no work for a reason of its own keeps that one: it does not come back with its zone.
+func (b *backendSide) view() backend.View {
+	view := b.tracker.View(b.clock())
+	if view.State.TakesWork() && b.settings.evacuated() {
+		view.State = protocol.EndpointEvacuated
+	}
+	return view
+}
+
+// zoneChanged looks again whether the zone is to be empty. It does not block.
+func (b *backendSide) zoneChanged() {
+	b.running.Add(1)
+	go func() {
+		defer b.running.Done()
+		b.mutex.Lock()
+		defer b.mutex.Unlock()
+		b.show()
+	}()
+}
+
 // tick looks at what time alone changes.
 func (b *backendSide) tick() {
 	defer b.running.Done()
--- a/internal/hosted/broadcasting.go
+++ b/internal/hosted/broadcasting.go
@@ -64,6 +64,7 @@
 	return protocol.ExchangeRequest{
 		Format: protocol.Format, From: m.self.ID, Zone: m.self.Zone, Version: m.version(),
 		Push: true, Members: records, Rollouts: m.rollouts.records(m.clock()), HarmfulSum: m.harmful.HarmfulSum(),
+		Evacuations: m.evacuations.Word(m.clock()),
 	}
 }
 
--- a/internal/hosted/comparing.go
+++ b/internal/hosted/comparing.go
@@ -98,5 +98,6 @@
 	return &protocol.ExchangeRequest{
 		Format: protocol.Format, From: m.self.ID, Zone: m.self.Zone, Version: m.version(),
 		Total: m.roster.Sums().Total(), Rollouts: m.rollouts.records(m.clock()), HarmfulSum: m.harmful.HarmfulSum(),
+		Evacuations: m.evacuations.Word(m.clock()),
 	}
 }
--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -43,6 +43,7 @@
 	mesh          *mesh
 	backend       *backendSide
 	decider       *rolloutDecider
+	evacuations   *evacuationReader
 
 	context context.Context
 	cancel  context.CancelFunc
@@ -80,6 +81,7 @@
 	d.configuration.start()
 	d.backend.start()
 	d.decider.start()
+	d.evacuations.start()
 	go d.summarize(d.context)
 	d.events.event("daemon_started", field("callers", d.settings.Listen.Callers),
 		field("gate", d.settings.Listen.Gate), field("control", d.settings.Listen.Control))
@@ -141,7 +143,7 @@
 
 // Ready reports whether callers may be sent here.
 func (d *Daemon) Ready() bool {
-	return !d.draining.Load() && d.configuration.version() > 0 && d.mesh.joined()
+	return !d.draining.Load() && d.configuration.version() > 0 && d.mesh.joined() && d.evacuations.informed()
 }
 
 // Stop drains and ends the daemon. It returns within the platform's grace, or
--- /dev/null
+++ b/internal/hosted/evacuationreader.go
@@ -0,0 +1,177 @@
+package hosted
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/springstack/springstack/internal/authority"
+	"github.com/springstack/springstack/internal/core/evacuation"
+	"github.com/springstack/springstack/internal/pause"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// evacuationPurpose names the ranking by which the followers of evacuations are chosen.
+const evacuationPurpose = "evacuation"
+
+// evacuationReader reads the operator's orders to empty zones from the store: as one of the
+// few that watch them, and itself when nobody seems to have read them lately. Each reading
+// is told to all daemons, which then need not read.
+type evacuationReader struct {
+	mesh     *mesh
+	port     authority.Evacuations
+	timing   evacuation.Timing
+	follower *orderFollower
+
+	mutex sync.Mutex
+	// faults are the orders that could not be read whole, by the zone.
+	faults map[string]error
+}
+
+func newEvacuationReader(mesh *mesh, port authority.Evacuations, within time.Duration) *evacuationReader {
+	made := &evacuationReader{mesh: mesh, port: port, timing: evacuation.Timing{Within: within}}
+	if port == nil {
+		made.timing.Within = 0
+	}
+	made.follower = &orderFollower{
+		mesh: mesh, purpose: evacuationPurpose, count: evacuation.FollowerCount, list: made.read, watch: made.watch,
+		known: func() bool { return false }, // whoever is due reads before there are followers
+	}
+	mesh.evacuationTiming = made.timing
+	return made
+}
+
+// start begins to read orders, where the settings say that there may be any.
+func (r *evacuationReader) start() {
+	if r.timing.Within == 0 {
+		return
+	}
+	for _, loop := range []func(){r.follower.follow, r.keepFresh} {
+		r.mesh.running.Add(1)
+		go func() {
+			defer r.mesh.running.Done()
+			loop()
+		}()
+	}
+}
+
+// informed tells whether the daemon knows the orders, or has waited for them as long as an
+// order may take to be in force: it can't know them where neither the store nor a peer
+// answers, and is needed all the same.
+func (r *evacuationReader) informed() bool {
+	m := r.mesh
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.evacuations.Known() || m.clock() >= r.timing.Within
+}
+
+// keepFresh reads the orders whenever the newest reading known is too old, and asks a peer
+// where the store does not answer.
+func (r *evacuationReader) keepFresh() {
+	failures := 0
+	for r.awaitDue(randomNumber()) {
+		if _, err := r.read(); err == nil {
+			failures = 0
+			continue
+		}
+		failures++
+		r.askPeer()
+		if !pause.For(r.mesh.context, r.timing.Retry(r.follower.rank(), failures)) {
+			return
+		}
+	}
+}
+
+// awaitDue waits until the newest reading known is too old; false means that the daemon ends.
+func (r *evacuationReader) awaitDue(random uint64) bool {
+	for {
+		wait := r.untilDue(random)
+		if wait <= 0 {
+			return r.mesh.context.Err() == nil
+		}
+		if !pause.For(r.mesh.context, wait) {
+			return false
+		}
+	}
+}
+
+func (r *evacuationReader) untilDue(random uint64) time.Duration {
+	m := r.mesh
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	due := r.timing.Due(m.rankFor(evacuationPurpose), m.evacuations.Known(), random)
+	return due - m.evacuations.Age(m.clock())
+}
+
+// askPeer compares with a peer drawn at random: the store may answer others.
+func (r *evacuationReader) askPeer() {
+	m := r.mesh
+	m.mutex.Lock()
+	drawn := drawn(m.peers().All(), 1)
+	m.mutex.Unlock()
+	for _, peer := range drawn {
+		m.compare(peer)
+	}
+}
+
+// read reads all orders, puts them in force and tells all daemons. It returns the position
+// after them.
+func (r *evacuationReader) read() (authority.Position, error) {
+	m := r.mesh
+	ctx, cancel := context.WithTimeout(m.context, min(readTimeout, r.timing.Within/2))
+	defer cancel()
+	began := m.clock()
+	orders, faults, err := r.port.List(ctx)
+	m.calls.noteError(purposeEvacuation, err)
+	if err != nil {
+		return 0, err
+	}
+	r.noteFaults(faults)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if known := m.evacuations.Orders(); orders.At == 0 && known.At > 0 {
+		return 0, result.New(result.PlatformUnknown, "the store shows no position after %d", known.At)
+	}
+	m.mergeEvacuations(began, sourceStore, evacuation.Word{Orders: orders, Known: true})
+	m.spreadOrders()
+	return authority.Position(orders.At), nil
+}
+
+// watch waits for a change after a position and reads all orders when there is one: the
+// orders are taken whole or not at all.
+func (r *evacuationReader) watch(from authority.Position) (authority.Position, error) {
+	ctx, cancel := context.WithTimeout(r.mesh.context, orderWatchWait+watchMargin)
+	defer cancel()
+	changed, at, err := r.port.Watch(ctx, from, orderWatchWait)
+	r.mesh.calls.noteError(purposeEvacuation, err)
+	if err != nil || !changed {
+		return at, err
+	}
+	return r.read()
+}
+
+// noteFaults writes a line for each order that is newly found not to be as it should.
+func (r *evacuationReader) noteFaults(faults map[string]error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for zone, fault := range faults {
+		if r.faults[zone] == nil {
+			r.mesh.logBadEvacuation(zone, fault)
+		}
+	}
+	r.faults = faults
+}
+
+// fault is what is wrong with the order for a zone, as far as this daemon has read it; nil
+// for nothing.
+func (r *evacuationReader) fault(zone evacuatedZone) error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if fault := r.faults[zone.zone]; fault != nil {
+		return fault
+	}
+	if zone.daemons == 0 {
+		return unknownZone(zone.zone)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/hosted/evacuations_test.go
@@ -0,0 +1,214 @@
+package hosted
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/authority"
+	"github.com/springstack/springstack/internal/control"
+	"github.com/springstack/springstack/internal/core/backend"
+	"github.com/springstack/springstack/internal/core/evacuation"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/logging"
+	"github.com/springstack/springstack/internal/proxy"
+	"github.com/springstack/springstack/internal/result"
+)
+
+const testWithin = 5 * time.Second
+
+// zoneSide is the side of a back end whose zone is emptied and taken back.
+type zoneSide struct {
+	*backendSide
+	now       time.Duration
+	evacuated bool
+	// takenBack counts the calls of the hook, reported are the states told to the gate.
+	takenBack int
+	reported  []protocol.EndpointState
+	announced []protocol.EndpointState
+}
+
+func newZoneSide() *zoneSide {
+	made := &zoneSide{}
+	made.backendSide = &backendSide{
+		settings: hostedBackend{
+			healthPath: func() string { return "" },
+			joined:     func() bool { return false },
+			evacuated:  func() bool { return made.evacuated },
+			takenBack:  func() { made.takenBack++ },
+		},
+		clock:    func() time.Duration { return made.now },
+		gate:     func(report proxy.BackendReport) { made.reported = append(made.reported, report.State) },
+		announce: func(view backend.View) { made.announced = append(made.announced, view.State) },
+		context:  context.Background(),
+		tracker:  backend.NewTracker(time.Hour),
+	}
+	report := backend.Report{Instance: "i", Sequence: 1, Slots: 6}
+	made.tracker.Reported(0, report)
+	made.tracker.Probed(0, backend.Probe{Instance: "i", Healthy: true})
+	made.zone(false)
+	return made
+}
+
+// zone empties the zone or takes it back.
+func (s *zoneSide) zone(evacuated bool) {
+	s.evacuated = evacuated
+	s.zoneChanged()
+	s.running.Wait()
+}
+
+func TestTheBackEndOfAnEvacuatedZoneTakesNoWork(t *testing.T) {
+	check := is.New(t)
+	side := newZoneSide()
+	side.zone(true)
+	side.zone(true) // told twice
+	side.zone(false)
+	states := []protocol.EndpointState{protocol.EndpointReady, protocol.EndpointEvacuated, protocol.EndpointReady}
+	check.Equal(side.reported, states)
+	check.Equal(side.announced, states)
+	check.Equal(side.takenBack, 1) // it may have become cold unseen
+}
+
+func TestABackEndThatLeftDoesNotComeBackWithItsZone(t *testing.T) {
+	check := is.New(t)
+	side := newZoneSide()
+	side.zone(true)
+	side.Leave("i")
+	side.zone(false)
+	check.Equal(side.reported[len(side.reported)-1], protocol.EndpointDraining)
+	check.Equal(side.takenBack, 0)
+}
+
+// The hook is the word of another part; without it the back end counts as it was.
+func TestTakingBackNeedsNoHook(t *testing.T) {
+	check := is.New(t)
+	side := newZoneSide()
+	side.settings.takenBack = nil
+	side.zone(true)
+	side.zone(false)
+	check.Equal(side.reported[len(side.reported)-1], protocol.EndpointReady)
+}
+
+// orderReader is a store of orders as a daemon reads it.
+type orderReader struct {
+	orders evacuation.Orders
+	faults map[string]error
+	err    error
+}
+
+func (o *orderReader) List(context.Context) (evacuation.Orders, map[string]error, error) {
+	return o.orders, o.faults, o.err
+}
+
+func (o *orderReader) Watch(context.Context, authority.Position, time.Duration) (bool, authority.Position, error) {
+	return false, 0, result.New(result.PlatformUnavailable, "nothing is watched here")
+}
+
+// evacuationMesh is a mesh that reads a store of orders, and what it logs.
+type evacuationMesh struct {
+	*mesh
+	reader    *evacuationReader
+	port      *orderReader
+	now       time.Duration
+	log       bytes.Buffer
+	published []proxy.MeshState
+}
+
+func newEvacuationMesh() *evacuationMesh {
+	made := &evacuationMesh{mesh: newTestMesh("z1", member("a", "z1"), member("b", "z2")), port: &orderReader{}}
+	made.clock = func() time.Duration { return made.now }
+	made.calls = &storeCalls{}
+	made.client = control.NewClient(nil, controlLimits(), control.NewMeter())
+	made.events = newEventLog(logging.NewTo(&made.log, log.InfoLevel), "m", made.clock)
+	made.zoneChanged = func() {}
+	made.publish = func(state proxy.MeshState) { made.published = append(made.published, state) }
+	made.reader = newEvacuationReader(made.mesh, made.port, testWithin)
+	made.hasJoined.Store(true)
+	return made
+}
+
+func TestNewsOfAnOrderIsInForceAtOnce(t *testing.T) {
+	check := is.New(t)
+	held := newEvacuationMesh()
+	held.takeEvacuations(0, "a", evacuation.Word{Orders: evacuation.NewOrders(7, []string{"z1"}), Known: true})
+	check.Equal(held.published[0].Evacuations.Zones, []string{"z1"})
+	check.True(held.evacuated())
+	check.True(strings.Contains(held.log.String(), "event=evacuation_heard"))
+	held.takeEvacuations(0, "b", evacuation.Word{Orders: evacuation.NewOrders(6, nil), Known: true}) // crossed
+	check.True(held.evacuated())
+	held.port.orders = evacuation.NewOrders(9, nil)
+	_, err := held.reader.read()
+	check.NoErr(err)
+	check.True(!held.evacuated())
+	check.True(strings.Contains(held.log.String(), "event=evacuation_withdrawn"))
+	check.Equal(len(held.published), 2)
+}
+
+// All that daemons tell each other carries the orders.
+func TestAllMessagesTellOfOrders(t *testing.T) {
+	check := is.New(t)
+	held := newEvacuationMesh()
+	held.heardOf = func(protocol.NodeID, protocol.Version) {}
+	held.port.orders = evacuation.NewOrders(7, []string{"z2"})
+	_, err := held.reader.read()
+	check.NoErr(err)
+	want := evacuation.Word{Orders: held.port.orders, Known: true}
+	check.Equal(held.request().Evacuations, want)
+	check.Equal(held.pushRequest(nil).Evacuations, want)
+	check.Equal(held.answerExchange(&protocol.ExchangeRequest{From: "a", Zone: "z1", Push: true}).Evacuations, want)
+}
+
+// A daemon says that it is ready once it knows the orders, or has waited for them as long as
+// they may take.
+func TestReadinessWaitsForTheOrders(t *testing.T) {
+	check := is.New(t)
+	held := newEvacuationMesh()
+	check.True(!held.reader.informed())
+	held.now = testWithin
+	check.True(held.reader.informed())
+	held.now = 0
+	held.takeEvacuations(0, "a", evacuation.Word{Known: true})
+	check.True(held.reader.informed())
+}
+
+func TestAStoreThatShowsNoOrdersAnyMoreWithdrawsNone(t *testing.T) {
+	check := is.New(t)
+	held := newEvacuationMesh()
+	held.port.orders = evacuation.NewOrders(7, []string{"z2"})
+	_, err := held.reader.read()
+	check.NoErr(err)
+	held.port.orders = evacuation.Orders{} // it does not know the kind
+	_, err = held.reader.read()
+	check.Equal(codeOf(err), result.PlatformUnknown)
+	check.Equal(held.evacuations.Orders().Zones, []string{"z2"})
+}
+
+func TestAFaultyOrderIsToldOnceAndBindsAll(t *testing.T) {
+	check := is.New(t)
+	held := newEvacuationMesh()
+	held.port.orders = evacuation.NewOrders(7, []string{"z1", "z8"})
+	held.port.faults = map[string]error{"z1": result.New(result.FileWrongType, "specification")}
+	for range 3 {
+		_, err := held.reader.read()
+		check.NoErr(err)
+	}
+	check.Equal(strings.Count(held.log.String(), "event=evacuation_faulty"), 2) // z1 for its text, z8 for its name
+	check.True(held.evacuated())
+	zones, _ := held.evacuatedZones()
+	check.Equal(codeOf(held.reader.fault(zones[0])), result.FileWrongType)
+	check.Equal(codeOf(held.reader.fault(zones[1])), result.FileBadReference)
+}
+
+// Where the settings have no bound, nothing that peers say is heeded.
+func TestWithoutABoundNoWordIsHeeded(t *testing.T) {
+	check := is.New(t)
+	held := newEvacuationMesh()
+	held.evacuationTiming = evacuation.Timing{}
+	held.takeEvacuations(0, "a", evacuation.Word{Orders: evacuation.NewOrders(7, []string{"z1"}), Known: true})
+	check.True(!held.evacuated())
+}
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -128,7 +128,7 @@
 	cancel() // no loop runs and nothing is sent
 	made := &mesh{
 		clock:     func() time.Duration { return 0 },
-		publish:   func([]protocol.Member, proxy.Splits) {},
+		publish:   func(proxy.MeshState) {},
 		harmful:   proxy.New(proxy.Config{Clock: func() time.Duration { return 0 }}),
 		rollouts:  newRolloutTable(0),
 		version:   func() protocol.Version { return 0 },
@@ -284,9 +284,9 @@
 	now := time.Minute
 	held.clock = func() time.Duration { return now }
 	published := 0
-	held.publish = func(members []protocol.Member, _ proxy.Splits) {
+	held.publish = func(state proxy.MeshState) {
 		check.True(!held.joined())
-		published = len(members)
+		published = len(state.Members)
 	}
 	held.publishAll() // of its own record
 	held.takeCompared("z1", []protocol.Member{member("a", "z1"), member("b", "z1")})
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -11,6 +11,7 @@
 	"github.com/springstack/springstack/internal/control"
 	"github.com/springstack/springstack/internal/core/backend"
 	"github.com/springstack/springstack/internal/core/dissemination"
+	"github.com/springstack/springstack/internal/core/evacuation"
 	"github.com/springstack/springstack/internal/core/membership"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/quarantine"
@@ -51,8 +52,8 @@
 	registry authority.Registry
 	calls    *storeCalls
 	client   *control.Client
-	// publish gives the data path the newest records and how they are divided.
-	publish func([]protocol.Member, proxy.Splits)
+	// publish gives the data path what is known of the others.
+	publish func(proxy.MeshState)
 	harmful harmfulRequests
 	// held keeps requests that are held, for a start at which nobody remembers them.
 	held authority.HeldRequests
@@ -61,7 +62,13 @@
 	kept map[quarantine.Signature]bool
 	// rollouts are the orders that the daemon knows; guarded by mutex.
 	rollouts *rolloutTable
-	version  func() protocol.Version
+	// evacuations are the zones to be empty; guarded by mutex. zoneChanged is told when
+	// that is news; it must not call back.
+	evacuations evacuation.Table
+	zoneChanged func()
+	// evacuationTiming says how soon orders are in force; the zero value heeds none.
+	evacuationTiming evacuation.Timing
+	version          func() protocol.Version
 	// document is the configuration in force, packed for a peer that has an older
 	// version.
 	document   func(have protocol.Version) protocol.DocumentReply
@@ -219,6 +226,7 @@
 	}
 	m.heardOf(target.ID, reply.Version)
 	m.takeRollouts(reply.Rollouts)
+	m.takeEvacuations(asked, string(target.ID), reply.Evacuations)
 	m.takeHarmful(string(target.ID), reply.Harmful, len(request.Harmful) > 0)
 	return reply
 }
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -44,5 +44,11 @@
 	for _, record := range c.daemon.mesh.rolloutRecords() {
 		metrics.RolloutStage.Send(out, float64(record.Stage), record.Service.Name, record.Target)
 	}
+	zones, age := c.daemon.mesh.evacuatedZones()
+	for _, zone := range zones {
+		code := codeOf(c.daemon.evacuations.fault(zone))
+		metrics.EvacuatedZoneDaemons.Send(out, float64(zone.daemons), zone.zone, strconv.Itoa(int(code)), code.Name())
+	}
+	metrics.EvacuationsAge.Send(out, age.Seconds())
 	daemon.CollectPath(out, c.daemon.path.Counters())
 }
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -33,6 +33,7 @@
 func (m *mesh) answerExchange(request *protocol.ExchangeRequest) *protocol.ExchangeReply {
 	m.heardOf(request.From, request.Version)
 	m.takeRollouts(request.Rollouts)
+	m.takeEvacuations(m.clock(), string(request.From), request.Evacuations)
 	m.takeHarmful(string(request.From), request.Harmful, false)
 	reply := m.exchangeReply(request)
 	if request.Push {
@@ -52,6 +53,7 @@
 	m.heardAt = m.clock()
 	reply := &protocol.ExchangeReply{
 		Version: m.version(), Rollouts: m.rollouts.records(m.clock()), Harmful: m.harmfulFor(request.HarmfulSum),
+		Evacuations: m.evacuations.Word(m.clock()),
 	}
 	sums := m.roster.Sums()
 	switch {
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -17,6 +17,8 @@
 	Registry authority.Registry
 	Rollouts authority.Rollouts
 	Held     authority.HeldRequests
+	// Evacuations reads orders to empty zones; nil for none.
+	Evacuations authority.Evacuations
 	// Edge is how callers and back ends speak.
 	Edge proxy.Edge
 	// Ready makes the handler that tells whether callers may be sent here.
--- a/internal/hosted/publishing.go
+++ b/internal/hosted/publishing.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/springstack/springstack/internal/pause"
+	"github.com/springstack/springstack/internal/proxy"
 )
 
 // publishPeriod is the least time between two views built for news of other
@@ -30,7 +31,9 @@
 	m.publishing = false
 	m.publishedAt = m.clock()
 	members := m.roster.All()
-	m.publish(members, m.divide(members))
+	m.publish(proxy.MeshState{
+		Members: members, Splits: m.divide(members), Evacuations: m.evacuations.Orders(),
+	})
 }
 
 // later runs an action with the lock held after a time, unless the daemon ends
--- a/internal/hosted/rolloutdecider.go
+++ b/internal/hosted/rolloutdecider.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/springstack/springstack/internal/authority"
-	"github.com/springstack/springstack/internal/core/membership"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/rollout"
 	"github.com/springstack/springstack/internal/pause"
@@ -16,16 +15,6 @@
 	// deciderCount is how many daemons follow the orders in the store and decide: the
 	// first of all by rank, so that some are left when others end or are refused.
 	deciderCount = 3
-	// deciderPause is the time between two looks whether this daemon is one of them.
-	deciderPause = time.Second
-	// rolloutWatchWait is how long the store may hold a watch of orders without news: its
-	// longest, for each watch is a call.
-	rolloutWatchWait = 30 * time.Second
-	// rolloutRelist is the time between two lists while the store knows no orders at all.
-	rolloutRelist = 2 * time.Second
-	// deciderStart is how long after its start a daemon that knows of no order may first be
-	// a decider: until it knows the others, for each that knows nobody ranks first.
-	deciderStart = 5 * time.Second
 	// decidePeriod is the time between two steps of a decision: a version that turns bad
 	// gets nothing more within some seconds of its 50th bad answer.
 	decidePeriod = 300 * time.Millisecond
@@ -49,8 +38,9 @@
 // decide at a time: the store takes a status only over the revision that it was decided
 // on, and an outcome that was written is never replaced.
 type rolloutDecider struct {
-	mesh *mesh
-	port authority.Rollouts
+	mesh     *mesh
+	port     authority.Rollouts
+	follower *orderFollower
 
 	mutex  sync.Mutex
 	orders map[resource.ServiceRef]*followedOrder
@@ -69,7 +59,9 @@
 }
 
 func newRolloutDecider(mesh *mesh, port authority.Rollouts) *rolloutDecider {
-	return &rolloutDecider{mesh: mesh, port: port, orders: map[resource.ServiceRef]*followedOrder{}}
+	made := &rolloutDecider{mesh: mesh, port: port, orders: map[resource.ServiceRef]*followedOrder{}}
+	made.follower = made.newOrderFollower()
+	return made
 }
 
 // start begins to follow orders, where the settings say that there may be any.
@@ -80,7 +72,7 @@
 	d.mesh.mutex.Lock()
 	d.mesh.listOrders = d.confirm
 	d.mesh.mutex.Unlock()
-	for _, loop := range []func(){d.follow, d.decideForever} {
+	for _, loop := range []func(){d.follower.follow, d.decideForever} {
 		d.mesh.running.Add(1)
 		go func() {
 			defer d.mesh.running.Done()
@@ -89,21 +81,6 @@
 	}
 }
 
-// rank is the daemon's place among all that may decide; 0 is the first.
-func (d *rolloutDecider) rank() int {
-	m := d.mesh
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	own := membership.Score(deciderPurpose, m.self.ID)
-	rank := 0
-	for _, peer := range m.peers().All() {
-		if peer.Relays && !m.isLost(peer.ID) && membership.Score(deciderPurpose, peer.ID) > own {
-			rank++
-		}
-	}
-	return rank
-}
-
 // decideForever steps the decisions on the orders that are under way.
 func (d *rolloutDecider) decideForever() {
 	for pause.For(d.mesh.context, decidePeriod) {
@@ -128,7 +105,7 @@
 
 // decide makes one step on the order of a service.
 func (d *rolloutDecider) decide(service resource.ServiceRef) {
-	rank := d.rank()
+	rank := d.follower.rank()
 	if rank >= deciderCount {
 		return
 	}
@@ -182,7 +159,7 @@
 	known.spreadAt = now
 	d.mesh.mutex.Lock()
 	defer d.mesh.mutex.Unlock()
-	d.mesh.spreadRollouts()
+	d.mesh.spreadOrders()
 }
 
 // halt ends the calls to the target version on all daemons.
@@ -195,7 +172,7 @@
 	if m.mergeRollouts([]rollout.Record{record}) {
 		m.events.event("rollout_decided", field("service", record.Service.Name), field("target", record.Target),
 			field("stage", record.Stage.String()), field("reason", reason))
-		m.spreadRollouts()
+		m.spreadOrders()
 	}
 }
 
--- a/internal/hosted/rolloutorders.go
+++ b/internal/hosted/rolloutorders.go
@@ -5,40 +5,18 @@
 
 	"github.com/springstack/springstack/internal/authority"
 	"github.com/springstack/springstack/internal/core/rollout"
-	"github.com/springstack/springstack/internal/pause"
 )
 
-// follow reads and watches the orders while this daemon is one of the deciders.
-func (d *rolloutDecider) follow() {
-	failures := 0
-	d.awaitPeers()
-	for pause.For(d.mesh.context, deciderPause) {
-		if d.rank() >= deciderCount {
-			continue
-		}
-		orders, at, err := d.list()
-		d.take(orders)
-		for err == nil && at > 0 && d.rank() < deciderCount {
-			at, err = d.watch(at)
-		}
-		switch {
-		case err != nil:
-			failures++
-			pause.For(d.mesh.context, registryBackoff.Pause(failures, randomNumber()))
-		case at == 0: // the store knows no orders at all, so there is nothing to watch
-			pause.For(d.mesh.context, rolloutRelist)
-		default:
-			failures = 0
-		}
-	}
-}
-
-// awaitPeers waits until the daemon may know the others, or has an order to follow.
-func (d *rolloutDecider) awaitPeers() {
-	for began := d.mesh.clock(); d.mesh.clock()-began < deciderStart; {
-		if len(d.mesh.rolloutRecords()) > 0 || !pause.For(d.mesh.context, deciderPause) {
-			return
-		}
+// newOrderFollower follows the orders in the store.
+func (d *rolloutDecider) newOrderFollower() *orderFollower {
+	return &orderFollower{
+		mesh: d.mesh, purpose: deciderPurpose, count: deciderCount, watch: d.watch,
+		list: func() (authority.Position, error) {
+			orders, at, err := d.list()
+			d.take(orders)
+			return at, err
+		},
+		known: func() bool { return len(d.mesh.rolloutRecords()) > 0 },
 	}
 }
 
@@ -74,9 +52,9 @@
 }
 
 func (d *rolloutDecider) watch(from authority.Position) (authority.Position, error) {
-	ctx, cancel := context.WithTimeout(d.mesh.context, rolloutWatchWait+watchMargin)
+	ctx, cancel := context.WithTimeout(d.mesh.context, orderWatchWait+watchMargin)
 	defer cancel()
-	orders, at, err := d.port.Watch(ctx, from, rolloutWatchWait)
+	orders, at, err := d.port.Watch(ctx, from, orderWatchWait)
 	d.mesh.calls.noteError(purposeRollout, err)
 	d.take(orders)
 	return at, err
@@ -98,7 +76,7 @@
 	}
 	d.mesh.mutex.Lock()
 	defer d.mesh.mutex.Unlock()
-	d.mesh.spreadRollouts()
+	d.mesh.spreadOrders()
 }
 
 // merge takes one order, and tells whether it was news; the lock is held. What the store
--- a/internal/hosted/rollouts.go
+++ b/internal/hosted/rollouts.go
@@ -103,9 +103,9 @@
 	return news
 }
 
-// spreadRollouts tells all daemons of the orders that are known, along a tree in each
+// spreadOrders tells all daemons of the orders of all kinds that are known, along a tree in each
 // zone; the lock is held. Comparisons reach those that it misses.
-func (m *mesh) spreadRollouts() {
+func (m *mesh) spreadOrders() {
 	request := m.pushRequest(nil)
 	directory := m.peers()
 	for _, zone := range directory.Zones() {
@@ -141,8 +141,8 @@
 			gate.slots = member.Slots
 		}
 		switch {
-		case member.Software != record.Target && (takesWork || member.Endpoint == protocol.EndpointDraining):
-			stable = append(stable, gate) // calls may still run at one that drains
+		case member.Software != record.Target && (takesWork || endsCalls(member.Endpoint)):
+			stable = append(stable, gate)
 		case member.Software == record.Target && takesWork:
 			target = append(target, gate)
 		}
@@ -151,6 +151,11 @@
 	return target, stable
 }
 
+// endsCalls tells whether calls may still run at a back end although it gets no new ones.
+func endsCalls(state protocol.EndpointState) bool {
+	return state == protocol.EndpointDraining || state == protocol.EndpointEvacuated
+}
+
 // rolloutGate is a daemon beside a back end of a service that has an order.
 type rolloutGate struct {
 	peer    dissemination.Peer
--- a/internal/hosted/storecalls.go
+++ b/internal/hosted/storecalls.go
@@ -27,6 +27,8 @@
 	purposeRegister storePurpose = "register"
 	// purposeRollout reads orders and writes what became of them.
 	purposeRollout storePurpose = "rollout"
+	// purposeEvacuation reads orders to empty zones.
+	purposeEvacuation storePurpose = "evacuation"
 	// purposeHeld reads and writes the requests that are held.
 	purposeHeld storePurpose = "held"
 	// purposeUnregister takes it away.
@@ -35,7 +37,8 @@
 
 // storePurposes are all purposes, in the order of summaries.
 var storePurposes = []storePurpose{
-	purposeList, purposeRegister, purposeRead, purposeWatch, purposePoll, purposeRollout, purposeHeld, purposeUnregister,
+	purposeList, purposeRegister, purposeRead, purposeWatch, purposePoll, purposeRollout, purposeEvacuation, purposeHeld,
+	purposeUnregister,
 }
 
 // storeCall is a kind of call to the store with its result.
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -113,7 +113,7 @@
 		registry:   d.options.Platform.Registry,
 		client:     control.NewClient(nil, controlLimits(), control.NewMeter()),
 		calls:      &d.storeCalls,
-		publish:    path.PublishDivided,
+		publish:    path.PublishState,
 		roundTrips: &d.roundTrips,
 		harmful:    path.Proxy,
 		held:       d.options.Platform.Held,
@@ -165,6 +165,7 @@
 			probe:      d.options.Platform.Probe,
 			healthPath: d.healthPath,
 			joined:     made.joined,
+			evacuated:  made.evacuated,
 		},
 		events:   d.events,
 		clock:    d.clock,
@@ -174,7 +175,9 @@
 		tracker:  backend.NewTracker(d.settings.Backend.HeartbeatInterval()),
 	}
 	made.rememberLeaving = d.backend.rememberLeaving
+	made.zoneChanged = d.backend.zoneChanged
 	d.decider = newRolloutDecider(made, d.options.Platform.Rollouts)
+	d.evacuations = newEvacuationReader(made, d.options.Platform.Evacuations, d.settings.Evacuations.Within())
 	path.ExtendServing(forever)
 	return &meshPart{made}, nil
 }
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -89,6 +89,13 @@
 		"Stage of the newest order of a service: 1 canary, 2 shift, 3 halted, 4 rolled back, 5 completed.",
 		"3 or 4: see OPERATIONS.md, a roll-out was rolled back.",
 		"service", "target")
+	EvacuatedZoneDaemons = define(Gauge, "evacuated_zone_daemons",
+		"Daemons in a zone that is to be empty, with the code of what is wrong with the order; 0 for nothing.",
+		"0 daemons or another code: correct the order; see OPERATIONS.md, emptying a zone.",
+		"zone", "code", "name")
+	EvacuationsAge = define(Gauge, "evacuations_age_seconds",
+		"How long ago the newest reading of the orders to empty zones began that this daemon knows of, in seconds.",
+		"Above half of the bound: neither the store nor a daemon that it answers reaches this one.")
 	PeersLost = define(Gauge, "peers_lost",
 		"Daemons that did not answer when they were last asked.",
 		"Many at once: a link or a zone is lost.")
