Mutant: the line that forgets a drain, as it stands now

Cause: the gate settles what waits with the code of its reason, so the mutant's line has another text. Change: the same fault on the new line.

--- a/internal/sim/mutant/calls.go
+++ b/internal/sim/mutant/calls.go
@@ -44,8 +44,8 @@
 		Old: "		if g.word.CompareAndSwap(word, word-1) {\n			return",
 		New: "		if g.word.CompareAndSwap(word, (word-1)&^refusingAny) {\n			return"},
 	{Name: "drain_forgets_itself", Breaks: oracle.LeavingTakesNone, Simulation: Calls, File: "admission/control.go",
-		Old: "		g.unqueue()\n		ticket.settle(refused(result.Draining, 0))",
-		New: "		g.unqueue(); g.word.And(^uint64(refusingAny))\n		ticket.settle(refused(result.Draining, 0))"},
+		Old: "		g.unqueue()\n		ticket.settle(refused(refusalOf(bit), 0))",
+		New: "		g.unqueue(); g.word.And(^uint64(refusingAny))\n		ticket.settle(refused(refusalOf(bit), 0))"},
 
 	{Name: "drained_too_early", Breaks: oracle.PlannedStopIsSoft, Simulation: Calls, File: "admission/gate.go",
 		Old: "	word := g.word.Load()\n	return Load{",
