--- a/internal/hosted/backendside.go
+++ b/internal/hosted/backendside.go
@@ -54,7 +54,7 @@
 	// that is not known.
 	healthPath func() string
 	// joined tells whether peers have told what an earlier start of this daemon
-	// has acknowledged.
+	// has acknowledged, and which zones are to be empty.
 	joined func() bool
 	// evacuated tells whether the zone is to be empty.
 	evacuated func() bool
--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -143,9 +143,13 @@
 
 // Ready reports whether callers may be sent here.
 func (d *Daemon) Ready() bool {
-	return !d.draining.Load() && d.configuration.version() > 0 && d.mesh.joined() && d.evacuations.informed()
+	return !d.draining.Load() && d.configuration.version() > 0 && d.knowsPeersAndOrders()
 }
 
+// knowsPeersAndOrders reports whether the daemon has heard of its peers and of the zones that are
+// to be empty, or waited for them. The back end beside it gets no calls before.
+func (d *Daemon) knowsPeersAndOrders() bool { return d.mesh.joined() && d.evacuations.informed() }
+
 // Stop drains and ends the daemon. It returns within the platform's grace, or
 // soon after ctx ends.
 func (d *Daemon) Stop(ctx context.Context) error {
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -164,7 +164,7 @@
 			address:    d.settings.Backend.Address,
 			probe:      d.options.Platform.Probe,
 			healthPath: d.healthPath,
-			joined:     made.joined,
+			joined:     d.knowsPeersAndOrders,
 			evacuated:  made.evacuated,
 		},
 		events:   d.events,
