Merge the evacuation of zones with warm-up and restarted back ends

A zone that is taken back has its back ends count as cold until each was asked and has said otherwise (backendSide.doubtWarmth). An endpoint that turns a call away is one rule for drains, emptied zones and cold back ends.

--- a/internal/core/retry/call.go
+++ b/internal/core/retry/call.go
@@ -301,8 +301,14 @@
 // turnsAway tells whether the endpoint takes no calls any more or for a while, so that
 // asking it again is of no use.
 func turnsAway(outcome Outcome) bool {
-	return isCold(outcome) || outcome.Kind == Refused &&
-		(outcome.Code == result.Draining || outcome.Code == result.WrongBackend)
+	if outcome.Kind != Refused {
+		return false
+	}
+	switch outcome.Code {
+	case result.Draining, result.WrongBackend, result.ZoneEvacuated, result.WarmingUp:
+		return true
+	}
+	return false
 }
 
 // isCold tells whether the endpoint is cold and has no start for the call.
--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -44,6 +44,7 @@
 	mesh          *mesh
 	backend       *backendSide
 	decider       *rolloutDecider
+	evacuations   *evacuationReader
 
 	context context.Context
 	cancel  context.CancelFunc
@@ -81,6 +82,7 @@
 	d.configuration.start()
 	d.backend.start()
 	d.decider.start()
+	d.evacuations.start()
 	go d.summarize(d.context)
 	d.events.event("daemon_started", field("callers", d.settings.Listen.Callers),
 		field("gate", d.settings.Listen.Gate), field("control", d.settings.Listen.Control))
@@ -145,9 +147,13 @@
 
 // Ready reports whether callers may be sent here.
 func (d *Daemon) Ready() bool {
-	return !d.draining.Load() && d.configuration.version() > 0 && d.mesh.joined()
+	return !d.draining.Load() && d.configuration.version() > 0 && d.knowsPeersAndOrders()
 }
 
+// knowsPeersAndOrders reports whether the daemon has heard of its peers and of the zones that are
+// to be empty, or waited for them. The back end beside it gets no calls before.
+func (d *Daemon) knowsPeersAndOrders() bool { return d.mesh.joined() && d.evacuations.informed() }
+
 // Stop drains and ends the daemon. It returns within the platform's grace, or
 // soon after ctx ends.
 func (d *Daemon) Stop(ctx context.Context) error {
--- a/internal/hosted/warmth.go
+++ b/internal/hosted/warmth.go
@@ -36,12 +36,17 @@
 func (b *backendSide) confirmWarmth() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.doubtWarmth()
+	b.show()
+}
+
+// doubtWarmth is confirmWarmth with the lock held; it shows nothing.
+func (b *backendSide) doubtWarmth() {
 	b.doubtedAt = b.clock()
 	b.tracker.AssumeCold(b.doubtedAt, b.settings.warmUp())
 	if b.tracker.AwaitsWarmth(b.clock()) {
 		b.probeSoon()
 	}
-	b.show()
 }
 
 // warmUp is how long the back ends of a service are cold after a start; 0 while that is not
--- a/internal/hosted/warmth_test.go
+++ b/internal/hosted/warmth_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/springstack/springstack/internal/core/backend"
+	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/logging"
 	"github.com/springstack/springstack/internal/proxy"
 )
@@ -17,6 +18,7 @@
 type side struct {
 	*backendSide
 	now       time.Duration
+	evacuated bool
 	announced int
 	cold      []time.Duration
 	// order is what the gate was told, in order.
@@ -28,7 +30,7 @@
 	made := &side{}
 	clock := func() time.Duration { return made.now }
 	made.backendSide = &backendSide{
-		settings: hostedBackend{joined: func() bool { return false }, warmUp: func() time.Duration { return 3 * time.Second }},
+		settings: hostedBackend{joined: func() bool { return false }, evacuated: func() bool { return made.evacuated }, warmUp: func() time.Duration { return 3 * time.Second }},
 		events:   newEventLog(logging.NewTo(io.Discard, log.InfoLevel), "n", clock),
 		clock:    clock,
 		gate: func(report proxy.BackendReport) {
@@ -53,6 +55,21 @@
 	check.Equal(made.order, []string{"cold until 0s", "state of i"})
 }
 
+func TestABackEndWhoseZoneIsTakenBackIsColdUntilItSaysOtherwise(t *testing.T) {
+	check := is.New(t)
+	made := newSide()
+	made.settings.takenBack = made.doubtWarmth
+	made.evacuated = true
+	made.show()
+	made.evacuated = false
+	made.order = nil
+	made.show()
+	check.Equal(made.order, []string{"cold until 3s", "state of i"})
+	check.Equal(made.shown.State, protocol.EndpointWarming)
+	made.probed(made.now, backend.Probe{Instance: "i", Healthy: true, TellsWarmUp: true})
+	check.Equal(made.shown.State, protocol.EndpointReady)
+}
+
 func TestAGateIsToldThatAnotherInstanceIsColdBeforeItSendsItCalls(t *testing.T) {
 	check := is.New(t)
 	made := newSide()
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -115,7 +115,7 @@
 		registry:   d.options.Platform.Registry,
 		client:     control.NewClient(nil, controlLimits(), control.NewMeter()),
 		calls:      &d.storeCalls,
-		publish:    path.PublishDivided,
+		publish:    path.PublishState,
 		roundTrips: &d.roundTrips,
 		harmful:    path.Proxy,
 		held:       d.options.Platform.Held,
@@ -166,10 +166,11 @@
 			address:    d.settings.Backend.Address,
 			probe:      d.options.Platform.Probe,
 			healthPath: d.healthPath,
-			joined:     made.joined,
 			warmUp: func() time.Duration {
 				return d.configuration.warmUp(serviceRef(d.settings.Backend.Service))
 			},
+			joined:    d.knowsPeersAndOrders,
+			evacuated: made.evacuated,
 		},
 		events:   d.events,
 		clock:    d.clock,
@@ -184,7 +185,10 @@
 	if d.options.Platform.OnFault != nil {
 		d.options.Platform.OnFault(newFaultLog(d.events).tell)
 	}
+	d.backend.settings.takenBack = d.backend.doubtWarmth
+	made.zoneChanged = d.backend.zoneChanged
 	d.decider = newRolloutDecider(made, d.options.Platform.Rollouts)
+	d.evacuations = newEvacuationReader(made, d.options.Platform.Evacuations, d.settings.Evacuations.Within())
 	path.ExtendServing(forever)
 	return &meshPart{made}, nil
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -310,7 +310,7 @@
 		made.outcome.RetryAfter = time.Duration(seconds * float64(time.Second))
 	}
 	switch made.outcome.Code {
-	case result.Draining, result.WrongBackend:
+	case result.Draining, result.WrongBackend, result.ZoneEvacuated:
 		made.evidence = endpoint.Leaving
 	case result.WarmingUp:
 		made.evidence = endpoint.Withdrawn
--- /dev/null
+++ b/internal/proxy/evacuation_test.go
@@ -0,0 +1,132 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/endpoint"
+	"github.com/springstack/springstack/internal/core/evacuation"
+	"github.com/springstack/springstack/internal/core/rollout"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// The gate is the second line: an entry that has not heard of the order is refused there and
+// sends its call elsewhere.
+func TestAnEvacuatedGateSendsCallsElsewhere(t *testing.T) {
+	check := is.New(t)
+	var emptied, others atomic.Int64
+	mesh := startMesh(t, meshOptions{}, counting(&emptied), counting(&others))
+	mesh.gates[0].gate.Evacuate()
+	for range 20 {
+		check.Equal(mesh.call(t, "POST", "/", "x").status, http.StatusOK)
+	}
+	check.Equal(emptied.Load(), int64(0))
+	check.Equal(others.Load(), int64(20))
+}
+
+func TestTheOnlyGateInAnEvacuatedZoneRefusesAtOnce(t *testing.T) {
+	check := is.New(t)
+	var runs atomic.Int64
+	mesh := startMesh(t, meshOptions{}, counting(&runs))
+	mesh.gates[0].gate.Evacuate()
+	expectRefusal(check, mesh.call(t, "POST", "/", "x"), result.ZoneEvacuated, result.RanNo)
+	check.Equal(runs.Load(), int64(0))
+}
+
+// Without a back end elsewhere a call is refused before anything is sent.
+func TestCallsWithoutAnotherZoneAreRefusedAtOnce(t *testing.T) {
+	check := is.New(t)
+	var runs atomic.Int64
+	mesh := startMesh(t, meshOptions{}, counting(&runs), counting(&runs))
+	mesh.caller.PublishState(MeshState{Members: mesh.members, Evacuations: evacuation.NewOrders(1, []string{"z"})})
+	got := mesh.call(t, "POST", "/", "x")
+	expectRefusal(check, got, result.ZoneEvacuated, result.RanNo)
+	check.Equal(got.header.Get("Retry-After"), "1")
+	check.Equal(mesh.caller.tally.attempts.Load(), uint64(0))
+	mesh.caller.PublishState(MeshState{Members: mesh.members})
+	check.Equal(mesh.call(t, "POST", "/", "x").status, http.StatusOK)
+}
+
+// A call that runs when the zone is emptied ends in peace, one that waits runs elsewhere.
+func TestACallThatRunsIsNotCutAndOneThatWaitsMovesOn(t *testing.T) {
+	check := is.New(t)
+	backend := newBlocking()
+	mesh := startMesh(t, meshOptions{slots: 1}, backend.spec())
+	running, waiting := make(chan answered), make(chan answered)
+	go func() { running <- mesh.call(t, "POST", "/", "x") }()
+	<-backend.entered
+	go func() { waiting <- mesh.call(t, "POST", "/", "x") }()
+	for mesh.gates[0].gate.Load().Queued == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	mesh.gates[0].gate.Evacuate()
+	expectRefusal(check, <-waiting, result.ZoneEvacuated, result.RanNo)
+	close(backend.release)
+	check.Equal((<-running).body, "done")
+}
+
+// A body that the gate is taking in when the zone is emptied reaches no back end there.
+func TestABodyOnItsWayIsRefusedAsNotRun(t *testing.T) {
+	check := is.New(t)
+	var runs atomic.Int64
+	mesh := startMesh(t, meshOptions{}, counting(&runs))
+	gate := mesh.gates[0]
+	body := &pausingReader{parts: []string{strings.Repeat("x", largeBody), strings.Repeat("y", largeBody)}, pause: func() {
+		for len(gate.transfers.tokens) == 0 {
+			runtime.Gosched() // the gate has yet to begin
+		}
+		gate.gate.Evacuate()
+	}}
+	request, err := http.NewRequest(http.MethodPost, "http://"+mesh.members[0].DataAddress+"/", body)
+	check.NoErr(err)
+	request.ContentLength = 2 * largeBody
+	for header, value := range map[string]string{
+		headerHop: hopGate, headerService: testService.String(), headerBackend: "a", headerIncarnation: "7", headerRequest: "r1",
+	} {
+		request.Header.Set(header, value)
+	}
+	expectRefusal(check, mesh.send(t, request), result.ZoneEvacuated, result.RanNo)
+	check.Equal(runs.Load(), int64(0))
+}
+
+// pausingReader calls a function before the second of its parts.
+type pausingReader struct {
+	parts []string
+	pause func()
+	part  int
+}
+
+func (r *pausingReader) Read(into []byte) (int, error) {
+	if r.part == len(r.parts) {
+		return 0, io.EOF
+	}
+	if r.part == 1 && r.pause != nil {
+		r.pause()
+		r.pause = nil
+	}
+	count := copy(into, r.parts[r.part])
+	if r.parts[r.part] = r.parts[r.part][count:]; r.parts[r.part] == "" {
+		r.part++
+	}
+	return count, nil
+}
+
+// Canaries in a zone that is to be empty get nothing; the calls go to the other version.
+func TestCanariesOfAnEvacuatedZoneGetNothing(t *testing.T) {
+	check := is.New(t)
+	made := &service{all: versionedSet(10, 10)}
+	made.divide(Split{Target: "v2", Stage: rollout.StageCanary, CanaryShare: 0.5})
+	before, _ := sentTo(made, 1000)
+	check.True(before["v2"] > 0)
+	emptied := &service{all: versionedSetIn(endpoint.Locality{Evacuations: evacuation.NewOrders(1, []string{"new"})}, 10, 10)}
+	emptied.divide(Split{Target: "v2", Stage: rollout.StageCanary, CanaryShare: 0.5})
+	after, _ := sentTo(emptied, 1000)
+	check.Equal(after, map[string]int{"v1": 1000})
+}
--- a/internal/proxy/warmth.go
+++ b/internal/proxy/warmth.go
@@ -27,6 +27,9 @@
 // nothingChosen is the outcome of an attempt that no endpoint may take: where all that take
 // work are cold and have no start, the call is refused until one has.
 func nothingChosen(set *endpoint.Set, now time.Duration) retry.Outcome {
+	if set.Evacuated() {
+		return retry.Outcome{Kind: retry.Refused, Code: result.ZoneEvacuated, Ran: result.RanNo}
+	}
 	if wait := set.ColdWait(now); wait > 0 {
 		return retry.Outcome{Kind: retry.Refused, Code: result.WarmingUp, Ran: result.RanNo, RetryAfter: wait}
 	}
