Allowed regions: entries choose within them, gates refuse as a second line

Cause: a route's allowed_regions were decoded and nothing read them, so a call could be sent to any region that was less loaded, with its body. A view holds for each service the part of its back ends, canaries included, that each list of its routes allows; first attempts, retries, hedges, keyed and ranked choices and the fall-backs choose there. Without a usable back end the call is refused at once as region_not_allowed, not run, with Retry-After. A gate checks its own region by its own version before it takes a body in, and says what it allows, which the entry keeps for the call. A call keeps what any version allowed under which it was accepted or tried. A region in which no daemon is known is told once a version (allowed_region_unknown). Conclusion: tests of each case; a call whose route restricts it allocates nothing more.

--- a/internal/core/endpoint/set.go
+++ b/internal/core/endpoint/set.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/region"
 	"github.com/springstack/springstack/internal/core/resource"
 )
 
@@ -216,6 +217,11 @@
 	return part
 }
 
+// Within returns the set of the endpoints in allowed regions, which are those of this set.
+func (s *Set) Within(allowed region.Allowed) *Set {
+	return s.Only(func(one *Endpoint) bool { return allowed.Has(one.Region) })
+}
+
 // Usable is the number of endpoints that may take new work by their daemons'
 // own word.
 func (s *Set) Usable() int { return s.usable }
--- a/internal/core/retry/call.go
+++ b/internal/core/retry/call.go
@@ -296,10 +296,17 @@
 	return outcome.Kind == NotSent || outcome.Code == result.ConnectFailed || leaves(outcome)
 }
 
-// leaves tells whether the endpoint takes no calls any more, so that asking it
+// leaves tells whether the endpoint takes no such calls any more, so that asking it
 // again is of no use.
 func leaves(outcome Outcome) bool {
-	return outcome.Kind == Refused && (outcome.Code == result.Draining || outcome.Code == result.WrongBackend)
+	if outcome.Kind != Refused {
+		return false
+	}
+	switch outcome.Code {
+	case result.Draining, result.WrongBackend, result.RegionNotAllowed:
+		return true
+	}
+	return false
 }
 
 func (c *Call) send(now time.Duration, outcome Outcome) Step {
--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/springstack/springstack/internal/core/callclass"
+	"github.com/springstack/springstack/internal/core/region"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/snapshot"
 )
@@ -50,6 +51,8 @@
 	Timeout time.Duration
 	// Attempts is the most attempts of one call; at least 1.
 	Attempts int
+	// Regions are where calls may run.
+	Regions region.Allowed
 	// SecretHeader and SecretText are set on the request; empty for none.
 	SecretHeader string
 	SecretText   resource.SecretValue
@@ -93,6 +96,8 @@
 	// longest is the length of the longest prefix.
 	longest int
 	size    int
+	// restrictions are those of routes, each once.
+	restrictions []region.Allowed
 }
 
 // Compile builds the table of a snapshot. Routes without destination are left
@@ -119,6 +124,7 @@
 		Class:    callclass.Of(&route),
 		Timeout:  cmp.Or(route.Timeout, DefaultTimeout),
 		Attempts: cmp.Or(route.RetryAttempts, DefaultAttempts),
+		Regions:  region.Of(route.AllowedRegions),
 		host:     canonicalHost(route.Match.Host),
 	}
 	for _, destination := range route.Split {
@@ -138,7 +144,7 @@
 }
 
 func (t *Table) add(route *Route) {
-	t.size++
+	t.count(route)
 	match := route.Resource.Match
 	if match.Path != "" {
 		t.exact[match.Path] = append(t.exact[match.Path], route)
@@ -149,6 +155,23 @@
 	t.longest = max(t.longest, len(prefix))
 }
 
+// count counts a route, and notes its regions if it is restricted to some.
+func (t *Table) count(route *Route) {
+	t.size++
+	if route.Regions.Restricted() && !slices.ContainsFunc(t.restrictions, route.Regions.Equal) {
+		t.restrictions = append(t.restrictions, route.Regions)
+	}
+}
+
+// Restrictions are the regions that routes are restricted to, each list once; empty where
+// every route may run anywhere.
+func (t *Table) Restrictions() []region.Allowed {
+	if t == nil {
+		return nil // no version is in force yet
+	}
+	return t.restrictions
+}
+
 // Size returns the number of routes.
 func (t *Table) Size() int { return t.size }
 
--- a/internal/core/routing/verbatim.go
+++ b/internal/core/routing/verbatim.go
@@ -24,7 +24,7 @@
 		if compiled == nil {
 			continue
 		}
-		table.size++
+		table.count(compiled)
 		host := strings.ToLower(route.Match.Host)
 		under := table.hosts[host]
 		if under == nil {
--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -91,10 +91,11 @@
 	return fields
 }
 
-// summarize writes what ordinary requests came to, and how many lines were
-// dropped, until the context ends.
+// summarize writes what ordinary requests came to, which allowed regions are not known and
+// how many lines were dropped, until the context ends.
 func (d *Daemon) summarize(ctx context.Context) {
 	var last proxy.Counters
+	var regions regionCheck
 	dropped := uint64(0)
 	for pause.For(ctx, summaryPeriod) {
 		now := d.path.Counters()
@@ -111,6 +112,7 @@
 		}
 		last = now
 		d.summarizeStoreCalls()
+		regions.look(d.configuration.built.Load(), d.mesh.regions(), d.events)
 		if total := d.linesDropped(); total != dropped {
 			d.events.event("log_lines_dropped", field("lines", count(total-dropped)))
 			dropped = total
--- /dev/null
+++ b/internal/hosted/regions_test.go
@@ -0,0 +1,44 @@
+package hosted
+
+import (
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/core/snapshot"
+)
+
+// lookAt has versions looked at by a daemon that knows one region, and returns the regions told.
+func lookAt(versions ...*snapshot.Snapshot) []string {
+	written := memory.New()
+	events := newEventLog(&log.Logger{Handler: written, Level: log.DebugLevel}, "n", func() time.Duration { return 0 })
+	var check regionCheck
+	for _, version := range versions {
+		check.look(version, []string{"north"}, events)
+	}
+	var told []string
+	for _, entry := range written.Entries {
+		told = append(told, entry.Fields.Get("region").(string))
+	}
+	return told
+}
+
+func allowing(version protocol.Version, regions ...string) *snapshot.Snapshot {
+	return &snapshot.Snapshot{Version: version, Routes: []resource.Route{{Name: "route", AllowedRegions: regions}}}
+}
+
+func TestARegionWithoutDaemonsIsToldOnceAVersion(t *testing.T) {
+	check := is.New(t)
+	check.Equal(lookAt(allowing(1, "north", "nroth"), allowing(1, "north", "nroth")), []string{"nroth"})
+	check.Equal(lookAt(allowing(1, "nroth"), allowing(2, "nroth")), []string{"nroth", "nroth"})
+}
+
+func TestKnownRegionsAreNotTold(t *testing.T) {
+	check := is.New(t)
+	check.Equal(len(lookAt(nil, allowing(1), allowing(2, "north"))), 0)
+}
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -25,6 +25,9 @@
 // holds the same table; a test holds them equal, and equal to the names that the
 // code writes.
 var events = []Event{
+	{"allowed_region_unknown", log.WarnLevel,
+		"A route allows a region in which no daemon is known; it is served in the other regions that it allows, or nowhere.",
+		"Correct the region's name, or start daemons there."},
 	{"attempt_abandoned", log.InfoLevel,
 		"This daemon ended an attempt that it had sent and that was not answered yet: why, how long it had run, and whether the daemon drained.", "Reason refused: a caller was told of a failure while its call was under way; report it."},
 	{"attempt_ended", log.InfoLevel,
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -76,8 +76,13 @@
 	if shared == nil {
 		return c.without(retry.Outcome{Kind: retry.NoEndpoint})
 	}
-	chosen := c.choose(shared, belief, now)
-	if chosen == nil || c.runsAt(chosen) {
+	c.bind(current)
+	pool := shared.poolOf(c.regions)
+	chosen := c.choose(pool, belief, now)
+	if chosen == nil {
+		return c.withoutEndpoint()
+	}
+	if c.runsAt(chosen) {
 		return c.without(retry.Outcome{Kind: retry.NoEndpoint})
 	}
 	path := current.upstreams[chosen.Address]
@@ -88,9 +93,9 @@
 	chosen.Begin()
 	made := &attempt{chosen: chosen, sentAt: now, suspected: belief == quarantine.Suspected}
 	c.tried = append(c.tried, chosen)
-	ended := c.send(made, path, shared.set, mark, now)
+	ended := c.send(made, path, pool.set, mark, now)
 	if ended == made {
-		c.judge(made, shared.set)
+		c.judge(made, pool.set)
 	}
 	return ended
 }
@@ -178,13 +183,13 @@
 }
 
 // choose picks the endpoint of the next attempt. First attempts may go to a canary.
-func (c *callerCall) choose(shared *service, belief quarantine.Belief, now time.Duration) *endpoint.Endpoint {
-	set := shared.set
+func (c *callerCall) choose(pool *pool, belief quarantine.Belief, now time.Duration) *endpoint.Endpoint {
+	set := pool.set
 	if belief == quarantine.Suspected {
 		return set.ChooseRanked(now, c.suspicion.signature.Key(), c.tried)
 	}
 	if len(c.tried) == 0 {
-		chosen := shared.canary.choose(now, c.proxy.random(), c.proxy.random())
+		chosen := pool.canary.choose(now, c.proxy.random(), c.proxy.random())
 		if chosen != nil && c.retries.PayForTrial(now) {
 			return chosen
 		}
@@ -215,6 +220,10 @@
 			// To ask gates that have just refused others would burden them for nothing.
 			made.outcome.Others = set.OthersTaking(now, c.tried)
 		}
+		if made.outcome.Code == result.RegionNotAllowed {
+			c.bindAsGate(answer)
+			made.outcome.Others = set.Within(c.regions).Others(now, c.tried)
+		}
 	default:
 		made.outcome.Kind = retry.Answered
 		made.evidence = endpoint.Fine
--- a/internal/proxy/bench_test.go
+++ b/internal/proxy/bench_test.go
@@ -32,7 +32,7 @@
 		for loop.Next() {
 			call, _, _ := proxy.acceptCall(request)
 			shared := proxy.view.Load().services[call.service]
-			chosen := call.choose(shared, quarantine.Trusted, testClock())
+			chosen := call.choose(shared.poolOf(call.regions), quarantine.Trusted, testClock())
 			call.outgoing(chosen, false, call.timeout)
 		}
 	})
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/springstack/springstack/internal/core/endpoint"
+	"github.com/springstack/springstack/internal/core/region"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/retry"
 	"github.com/springstack/springstack/internal/core/routing"
@@ -91,6 +92,10 @@
 	proxy   *Proxy
 	route   *routing.Route
 	service resource.ServiceRef
+	// table is that of the newest version that binds the call, regions where it may run by
+	// all versions and gates that it has met.
+	table   *routing.Table
+	regions region.Allowed
 	// serviceName is the service as text.
 	serviceName string
 	place       place
@@ -144,11 +149,17 @@
 	if route == nil {
 		return nil, Refusal{Code: result.NoRoute}, false
 	}
-	call := &callerCall{proxy: p, route: route, place: located, request: request, service: route.Pick(p.random())}
+	call := &callerCall{
+		proxy: p, route: route, place: located, request: request, service: route.Pick(p.random()),
+		table: current.table, regions: route.Regions,
+	}
 	shared := current.services[call.service]
 	if shared == nil {
 		return nil, Refusal{Code: result.NoEndpoint}, false
 	}
+	if call.regions.Restricted() && shared.poolOf(call.regions).set.Usable() == 0 {
+		return nil, Refusal{Code: result.RegionNotAllowed}, false
+	}
 	call.serviceName = shared.name
 	call.prepare(shared)
 	return call, Refusal{}, true
--- a/internal/proxy/division.go
+++ b/internal/proxy/division.go
@@ -35,6 +35,13 @@
 	every *endpoint.Set
 }
 
+// pool is where calls go in general, and the canaries that a share of them goes to instead.
+// The set is that of all endpoints while no roll-out divides them.
+type pool struct {
+	set    *endpoint.Set
+	canary canary
+}
+
 // divide sets which endpoints calls go to by the stage of a roll-out.
 func (s *service) divide(split Split) {
 	s.set = s.all
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -91,6 +91,9 @@
 	if refusal, fine := p.checkForm(request); !fine {
 		return nil, refusal, false
 	}
+	if refusal, allowed := p.checkRegion(request); !allowed {
+		return nil, refusal, false
+	}
 	body.sign()
 	call := &gateCall{proxy: p, request: request, body: body, timeout: routing.DefaultTimeout, backend: header.Get(headerBackend)}
 	if stated, found := statedTimeout(header); found {
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -28,6 +28,8 @@
 	// headerEnded is on an attempt how many instances have ended under earlier ones of its
 	// call, and on a gate's refusal the instance that has ended under it.
 	headerEnded = "Springstack-Ended"
+	// headerRegions is on a gate's refusal the regions that its version allows for the call.
+	headerRegions = "Springstack-Regions"
 )
 
 // hopGate is the value of headerHop on calls between daemons.
--- a/internal/proxy/mesh_test.go
+++ b/internal/proxy/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -33,6 +34,8 @@
 	address string
 	handler http.HandlerFunc
 	script  func(conn net.Conn, reader *bufio.Reader)
+	// region is where it is; empty for that of the callers' side.
+	region string
 }
 
 // mesh is a callers' side with a gate and a back end for each spec, all over
@@ -66,9 +69,10 @@
 	var backends []resource.Backend
 	for index, spec := range specs {
 		name := string(rune('a' + index))
+		region := cmp.Or(spec.region, "r")
 		config := Config{
 			Clock: testClock, NodeID: protocol.NodeID("gate-" + name), Incarnation: 7,
-			Region: "r", Zone: "z", Service: testService, Backend: name,
+			Region: region, Zone: "z", Service: testService, Backend: name,
 			BackendAddress: startBackend(t, spec), Slots: options.slots, Limits: options.limits,
 			OnBackendState: options.state,
 		}
@@ -77,11 +81,11 @@
 		address := serve(t, gate.GateHandler(), options.limits)
 		made.gates = append(made.gates, gate)
 		backends = append(backends, resource.Backend{
-			Partner: "k", Name: name, Service: "plans", Address: address, Region: "r", Zone: "z", Slots: options.slots,
+			Partner: "k", Name: name, Service: "plans", Address: address, Region: region, Zone: "z", Slots: options.slots,
 		})
 		made.members = append(made.members, protocol.Member{
 			ID: config.NodeID, Incarnation: 7, Sequence: 1, State: protocol.MemberAlive, DataAddress: address,
-			Region: "r", Zone: "z", Service: testService, Backend: name, Endpoint: protocol.EndpointReady, Slots: options.slots,
+			Region: region, Zone: "z", Service: testService, Backend: name, Endpoint: protocol.EndpointReady, Slots: options.slots,
 		})
 	}
 	made.held = testSnapshot(options, backends)
--- a/internal/proxy/refuse.go
+++ b/internal/proxy/refuse.go
@@ -28,6 +28,9 @@
 	// Ended is the value of headerEnded, on refusals of a gate.
 	Ended string
 
+	// Regions is the value of headerRegions, on refusals of a gate; nil for none.
+	Regions []string
+
 	// edge is set for callers of a foreign platform.
 	edge *Edge
 }
@@ -71,6 +74,9 @@
 	if r.Ended != "" {
 		header.Set(headerEnded, r.Ended)
 	}
+	if r.Regions != nil {
+		header[headerRegions] = r.Regions
+	}
 	if wait := cmp.Or(r.RetryAfter, usualWait(r.Code)); wait > 0 {
 		header.Set("Retry-After", r.retryAfter(wait))
 	}
@@ -97,7 +103,7 @@
 	switch code {
 	case result.NotServing, result.NoEndpoint, result.QueueFull, result.DeadlineBeforeStart,
 		result.Draining, result.ConnectFailed, result.ShareExceeded, result.Shed,
-		result.RetryBudgetSpent, result.Overloaded:
+		result.RetryBudgetSpent, result.Overloaded, result.RegionNotAllowed:
 		return time.Second
 	}
 	return 0
--- /dev/null
+++ b/internal/proxy/regions.go
@@ -0,0 +1,123 @@
+package proxy
+
+import (
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/samber/lo"
+
+	"github.com/springstack/springstack/internal/core/region"
+	"github.com/springstack/springstack/internal/core/retry"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// restrictedPool is where calls go that may run in some regions only.
+type restrictedPool struct {
+	allowed region.Allowed
+	pool    pool
+}
+
+// within is the part of a pool in allowed regions. What a roll-out says of the whole service
+// binds there too: where the regions have no back end of a version that may take the call,
+// it is refused, and neither the roll-out's shares nor the regions are exceeded.
+func (p *pool) within(allowed region.Allowed) pool {
+	made := pool{set: p.set.Within(allowed)}
+	if p.canary.every != nil && made.set.Usable() > 0 {
+		made.canary = newCanary(p.canary.every.Within(allowed), made.set.Usable(), p.canary.share)
+	}
+	return made
+}
+
+// restrict makes the pools of the lists of regions that the routes of a view name, so that
+// calls find them made.
+func (s *service) restrict(lists []region.Allowed) {
+	for _, allowed := range lists {
+		s.restricted = append(s.restricted, restrictedPool{allowed: allowed, pool: s.within(allowed)})
+	}
+}
+
+// poolOf is where a call goes. A pool is made for it only where it is bound by two versions
+// that allow different regions, while one of them is on its way.
+func (s *service) poolOf(allowed region.Allowed) *pool {
+	if !allowed.Restricted() {
+		return &s.pool
+	}
+	for index := range s.restricted {
+		if s.restricted[index].allowed.Equal(allowed) {
+			return &s.restricted[index].pool
+		}
+	}
+	made := s.within(allowed)
+	return &made
+}
+
+// bind has the call keep what the version in force now allows besides what bound it before:
+// a restriction that is set while the call waits or is tried again holds for its next
+// attempt, and one that is lifted stays with the call until it ends.
+func (c *callerCall) bind(current *view) {
+	if current.table == c.table {
+		return
+	}
+	c.table = current.table
+	if len(current.table.Restrictions()) == 0 {
+		return
+	}
+	if route := current.find(c.request, c.place); route != nil {
+		c.regions = c.regions.Both(route.Regions)
+	}
+}
+
+// bindAsGate has the call keep what a gate has refused it by, whose version may be newer: a
+// daemon that is out of touch learns of a restriction call by call.
+func (c *callerCall) bindAsGate(answer *http.Response) {
+	if values := answer.Header[headerRegions]; len(values) > 0 {
+		c.regions = c.regions.Both(parseRegions(values[0]))
+	}
+}
+
+// withoutEndpoint is an attempt for which there was no endpoint.
+func (c *callerCall) withoutEndpoint() *attempt {
+	if !c.regions.Restricted() {
+		return c.without(retry.Outcome{Kind: retry.NoEndpoint})
+	}
+	return c.without(retry.Outcome{Kind: retry.Refused, Code: result.RegionNotAllowed, Ran: result.RanNo})
+}
+
+// checkRegion refuses a call that may not run in the region of this gate by the version in
+// force here. Its sender's version may be older, and bars what it bars by itself.
+func (p *Proxy) checkRegion(request *http.Request) (Refusal, bool) {
+	current := p.view.Load()
+	if len(current.table.Restrictions()) == 0 {
+		return Refusal{}, true
+	}
+	located, refusal, fine := p.locate(request)
+	if !fine {
+		return refusal, false
+	}
+	route := current.find(request, located)
+	if route == nil || route.Regions.Has(p.config.Region) {
+		return Refusal{}, true
+	}
+	return Refusal{Code: result.RegionNotAllowed, Regions: []string{regionsText(route.Regions)}}, false
+}
+
+// regionsSeparator stands between the names in headerRegions; it is escaped within them.
+const regionsSeparator = ","
+
+// regionsText writes a restriction for headerRegions.
+func regionsText(allowed region.Allowed) string {
+	escaped := lo.Map(allowed.Names(), func(name string, _ int) string { return url.QueryEscape(name) })
+	return strings.Join(escaped, regionsSeparator)
+}
+
+// parseRegions reads headerRegions. A name that can't be read allows nothing.
+func parseRegions(text string) region.Allowed {
+	names := []string{}
+	for escaped := range strings.SplitSeq(text, regionsSeparator) {
+		if name, err := url.QueryUnescape(escaped); err == nil && name != "" {
+			names = append(names, name)
+		}
+	}
+	return region.Of(names)
+}
--- /dev/null
+++ b/internal/proxy/regions_test.go
@@ -0,0 +1,281 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/endpoint"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/region"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/core/rollout"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// inRegions allows regions to a route, nil all, and two attempts to its calls.
+func inRegions(regions []string) meshOptions {
+	return meshOptions{route: func(route *resource.Route) { route.AllowedRegions, route.RetryAttempts = regions, 2 }}
+}
+
+// in puts a back end into a region.
+func in(region string, spec backendSpec) backendSpec {
+	spec.region = region
+	return spec
+}
+
+// failing is a back end that counts its runs and fails them.
+func failing(runs *atomic.Int64) backendSpec {
+	return backendSpec{handler: func(writer http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		panic(http.ErrAbortHandler)
+	}}
+}
+
+// force puts a version that allows regions in force on daemons; backends are declared by it.
+func (m *mesh) force(version uint64, regions []string, daemons ...*Proxy) {
+	made := testSnapshot(inRegions(regions), m.held.Backends[testService])
+	made.Version = protocol.Version(version)
+	for _, daemon := range daemons {
+		daemon.Swap(made)
+	}
+}
+
+// Back ends next door get nothing of a call that is at home elsewhere, whatever its key.
+func TestACallRunsInAnAllowedRegion(t *testing.T) {
+	for _, headers := range [][]string{nil, {"X-Key", "k"}} {
+		check := is.New(t)
+		var near, home atomic.Int64
+		options := meshOptions{route: func(route *resource.Route) {
+			route.AllowedRegions = []string{"home"}
+			route.RequestKeyHeader = "X-Key"
+		}}
+		mesh := startMesh(t, options, counting(&near), in("home", counting(&home)))
+		for range 20 {
+			headers := append([]string{}, headers...)
+			if len(headers) > 0 {
+				headers[1] += string(rune('a' + home.Load()))
+			}
+			check.Equal(mesh.call(t, "POST", "/", "body", headers...).status, http.StatusOK)
+		}
+		check.Equal(near.Load(), int64(0))
+		check.Equal(home.Load(), int64(20))
+	}
+}
+
+// Also when every back end at home fails, and all are ejected.
+func TestRetriesStayInAllowedRegions(t *testing.T) {
+	check := is.New(t)
+	var near, home atomic.Int64
+	mesh := startMesh(t, inRegions([]string{"home"}), counting(&near),
+		in("home", failing(&home)), in("home", backendSpec{address: dead(t)}))
+	for range 30 {
+		got := mesh.call(t, "GET", "/", "")
+		check.True(got.status != http.StatusOK)
+	}
+	check.Equal(near.Load(), int64(0))
+	check.True(home.Load() > 0)
+}
+
+func TestACallWithoutBackEndInAnAllowedRegionIsRefusedAtOnce(t *testing.T) {
+	for _, regions := range [][]string{{}, {"nowhere"}} {
+		check := is.New(t)
+		var near atomic.Int64
+		mesh := startMesh(t, inRegions(regions), counting(&near))
+		got := mesh.call(t, "POST", "/", "body")
+		expectRefusal(check, got, result.RegionNotAllowed, result.RanNo)
+		check.True(got.header.Get("Retry-After") != "")
+		check.Equal(near.Load(), int64(0))
+		check.Equal(mesh.caller.Counters().Attempts, uint64(0))
+		check.Equal(mesh.caller.Counters().Refusals[result.RegionNotAllowed], uint64(1))
+	}
+}
+
+// While a version that sets, moves or lifts a restriction is on its way, the stricter of the
+// entry's and the gate's binds; the gate's refusal tells the entry where to send the call.
+func TestTheStricterVersionBinds(t *testing.T) {
+	for _, given := range []struct {
+		name        string
+		entry, gate []string
+		wanted      result.Code
+	}{
+		{"set, on its way to the entry", nil, []string{"home"}, result.OK},
+		{"set, on its way to the gates", []string{"home"}, nil, result.OK},
+		{"moved", []string{"r", "home"}, []string{"home"}, result.OK},
+		{"moved elsewhere", []string{"r"}, []string{"home"}, result.RegionNotAllowed},
+		{"barred everywhere", nil, []string{}, result.RegionNotAllowed},
+	} {
+		t.Run(given.name, func(t *testing.T) {
+			check := is.New(t)
+			var near, home atomic.Int64
+			mesh := startMesh(t, meshOptions{}, counting(&near), in("home", counting(&home)))
+			mesh.force(2, given.entry, mesh.caller)
+			mesh.force(2, given.gate, mesh.gates...)
+			for range 10 {
+				got := mesh.call(t, "POST", "/", "body")
+				if given.wanted == result.OK {
+					check.Equal(got.status, http.StatusOK)
+					continue
+				}
+				expectRefusal(check, got, given.wanted, result.RanNo)
+			}
+			check.Equal(near.Load(), int64(0))
+		})
+	}
+}
+
+// A large body, which is announced, is refused before any of it was sent.
+func TestAGateTakesNoBodyThatItMayNotHold(t *testing.T) {
+	check := is.New(t)
+	var runs atomic.Int64
+	mesh := startMesh(t, meshOptions{}, counting(&runs))
+	mesh.force(2, []string{"home"}, mesh.gates...)
+	conn, err := net.Dial("tcp", mesh.members[0].DataAddress)
+	check.NoErr(err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: %d\r\n%s: %s\r\n%s: %s\r\n%s: a\r\n\r\n",
+		largeBody, headerHop, hopGate, headerService, testService, headerBackend)
+	check.NoErr(err)
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	check.NoErr(err)
+	check.Equal(answer.Header.Get(headerCode), itoa(int(result.RegionNotAllowed)))
+	check.Equal(runs.Load(), int64(0))
+}
+
+// An entry's newest version binds each attempt, besides the one that the call came under.
+func TestAVersionThatComesMeanwhileBindsTheNextAttempt(t *testing.T) {
+	for _, given := range []struct {
+		name          string
+		before, after []string
+		near, home    int64
+	}{
+		{"set", nil, []string{"home"}, 1, 1},
+		{"moved", []string{"r"}, []string{"home"}, 1, 0},
+		{"lifted", []string{"r"}, nil, 2, 0},
+	} {
+		t.Run(given.name, func(t *testing.T) {
+			check := is.New(t)
+			var near, home atomic.Int64
+			var made *mesh
+			swapping := backendSpec{handler: func(http.ResponseWriter, *http.Request) {
+				near.Add(1)
+				made.force(3, given.after, made.caller)
+				panic(http.ErrAbortHandler)
+			}}
+			made = startMesh(t, meshOptions{}, swapping, swapping, in("home", counting(&home)))
+			made.force(2, given.before, made.caller)
+			made.call(t, "GET", "/", "")
+			check.Equal(near.Load(), given.near)
+			check.Equal(home.Load(), given.home)
+		})
+	}
+}
+
+// Canaries and the other version alike: where its regions have no back end that a roll-out
+// lets take the call, none gets it.
+func TestARolloutKeepsToAllowedRegions(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, given := range []struct {
+		name     string
+		regions  []string
+		stage    rollout.Stage
+		versions []string
+	}{
+		{"canaries at home", []string{"home"}, rollout.StageCanary, []string{"v1", "v2"}},
+		{"only stable ones at home", []string{"old"}, rollout.StageCanary, []string{"v1"}},
+		{"only canaries at home", []string{"new"}, rollout.StageCanary, nil},
+		{"only the target at home, rolled back", []string{"new"}, rollout.StageRolledBack, nil},
+	} {
+		t.Run(given.name, func(t *testing.T) {
+			check := is.New(t)
+			made := &service{all: regionalSet()}
+			made.divide(Split{Target: "v2", Stage: given.stage, CanaryShare: 0.5})
+			pool := made.poolOf(region.Of(given.regions))
+			seen := map[string]bool{}
+			for range 200 {
+				chosen := pool.canary.choose(0, random.Uint64(), random.Uint64())
+				if chosen == nil && pool.set.Usable() > 0 {
+					chosen = pool.set.Choose(0, random.Uint64(), nil)
+				}
+				if chosen != nil {
+					check.Equal(chosen.Region, given.regions[0])
+					seen[chosen.Software] = true
+				}
+			}
+			check.Equal(len(seen), len(given.versions))
+			for _, version := range given.versions {
+				check.True(seen[version])
+			}
+		})
+	}
+}
+
+// Neither way of choosing leaves the regions, whatever was tried or ejected before.
+func TestEveryChoiceKeepsToAllowedRegions(t *testing.T) {
+	check := is.New(t)
+	made := &service{all: regionalSet()}
+	made.divide(Split{})
+	set := made.poolOf(region.Of([]string{"home"})).set
+	random := rand.New(rand.NewPCG(3, 4))
+	var tried endpoint.Tried
+	for range 3 * len(set.All) {
+		for _, chosen := range []*endpoint.Endpoint{
+			set.Choose(0, random.Uint64(), tried), set.ChooseKeyed(0, random.Uint64(), tried),
+			set.ChooseRanked(0, random.Uint64(), tried), set.ChooseInTurn(0, random.Uint64(), tried),
+		} {
+			check.Equal(chosen.Region, "home")
+			chosen.Begin()
+			chosen.End(0, endpoint.Unreachable) // ejected
+			tried = append(tried, chosen)
+		}
+	}
+}
+
+// A call of a restricted route costs no memory more than another.
+func TestPoolsOfRoutesAreMadeWithTheView(t *testing.T) {
+	check := is.New(t)
+	allowed := region.Of([]string{"home", "old"})
+	made := &service{all: regionalSet()}
+	made.divide(Split{})
+	made.restrict([]region.Allowed{region.Of([]string{"home"}), allowed})
+	check.Equal(testing.AllocsPerRun(100, func() { made.poolOf(allowed) }), 0.0)
+}
+
+// regionalSet has back ends of two versions in a region, and of one in each of two others.
+func regionalSet() *endpoint.Set {
+	var members []protocol.Member
+	var backends []resource.Backend
+	for index, place := range []struct{ region, version string }{
+		{"home", "v1"}, {"home", "v1"}, {"home", "v2"}, {"home", "v2"},
+		{"old", "v1"}, {"old", "v1"}, {"new", "v2"}, {"new", "v2"},
+	} {
+		name := string(rune('a' + index))
+		members = append(members, protocol.Member{
+			ID: protocol.NodeID(name), Incarnation: 1, State: protocol.MemberAlive, Service: testService, Region: place.region,
+			Backend: name, Endpoint: protocol.EndpointReady, Slots: 6, Software: place.version, DataAddress: name,
+		})
+		backends = append(backends, resource.Backend{
+			Partner: testService.Partner, Name: name, Service: testService.Name, Slots: 6, Region: place.region,
+		})
+	}
+	return endpoint.Build(nil, endpoint.Locality{Region: "old"}, backends, members, 0)
+}
+
+func TestARestrictionIsReadAsItWasWritten(t *testing.T) {
+	for _, names := range [][]string{{}, {"north"}, {"north", "south"}, {"a,b", "c d", "é"}} {
+		check := is.New(t)
+		check.True(parseRegions(regionsText(region.Of(names))).Equal(region.Of(names)))
+	}
+}
+
+// A name that can't be read bars more, never less.
+func TestATextThatCannotBeReadAllowsNothing(t *testing.T) {
+	check := is.New(t)
+	check.True(parseRegions("%zz").Equal(region.Of([]string{})))
+}
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -26,12 +26,13 @@
 // service is what calls to one service share.
 type service struct {
 	name string
-	// all holds every endpoint, set those that calls go to in general, which is the
-	// same while no roll-out divides them.
-	all    *endpoint.Set
-	set    *endpoint.Set
-	canary canary
-	budget *retry.Budget
+	// all holds every endpoint.
+	all *endpoint.Set
+	// pool is where calls go that may run in any region, restricted where others go, by
+	// the regions that the routes of the view allow.
+	pool
+	restricted []restrictedPool
+	budget     *retry.Budget
 }
 
 // find returns the route of a request, or nil.
@@ -76,6 +77,7 @@
 		}
 		made.all = endpoint.BuildIndexed(oldSet, self, backends, index, now)
 		made.divide(splits[reference])
+		made.restrict(next.table.Restrictions())
 		next.services[reference] = made
 		p.connect(previous, next, made.all)
 	}
