--- a/internal/proxy/regions_test.go
+++ b/internal/proxy/regions_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -114,7 +115,8 @@
 		t.Run(given.name, func(t *testing.T) {
 			check := is.New(t)
 			var near, home atomic.Int64
-			mesh := startMesh(t, meshOptions{}, counting(&near), in("home", counting(&home)))
+			next := counting(&near)
+			mesh := startMesh(t, meshOptions{}, next, next, next, in("home", counting(&home)))
 			mesh.force(2, given.entry, mesh.caller)
 			mesh.force(2, given.gate, mesh.gates...)
 			for range 10 {
@@ -126,26 +128,38 @@
 				expectRefusal(check, got, given.wanted, result.RanNo)
 			}
 			check.Equal(near.Load(), int64(0))
+			check.True(mesh.caller.Counters().Attempts <= 2*10) // it learns at once where to send it
 		})
 	}
 }
 
-// A large body, which is announced, is refused before any of it was sent.
-func TestAGateTakesNoBodyThatItMayNotHold(t *testing.T) {
+// A large body, which is announced, is refused before any of it was sent: by the gate and by
+// the entry.
+func TestNoBodyIsTakenInThatMayNotBeHeld(t *testing.T) {
 	check := is.New(t)
 	var runs atomic.Int64
 	mesh := startMesh(t, meshOptions{}, counting(&runs))
-	mesh.force(2, []string{"home"}, mesh.gates...)
-	conn, err := net.Dial("tcp", mesh.members[0].DataAddress)
+	mesh.force(2, []string{"home"}, append(mesh.gates, mesh.caller)...)
+	hop := fmt.Sprintf("%s: %s\r\n%s: %s\r\n%s: a\r\n", headerHop, hopGate, headerService, testService, headerBackend)
+	check.Equal(refusalOfHead(t, mesh.members[0].DataAddress, hop), itoa(int(result.RegionNotAllowed)))
+	check.Equal(refusalOfHead(t, mesh.address, ""), itoa(int(result.RegionNotAllowed)))
+	check.Equal(runs.Load(), int64(0))
+}
+
+// refusalOfHead sends the head of a request with a large body, and returns the code by which it
+// is refused.
+func refusalOfHead(t *testing.T, address, headers string) string {
+	t.Helper()
+	check := is.New(t)
+	conn, err := net.Dial("tcp", address)
 	check.NoErr(err)
 	defer conn.Close()
-	_, err = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: %d\r\n%s: %s\r\n%s: %s\r\n%s: a\r\n\r\n",
-		largeBody, headerHop, hopGate, headerService, testService, headerBackend)
+	check.NoErr(conn.SetDeadline(time.Now().Add(10 * time.Second)))
+	_, err = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: %d\r\n%s\r\n", largeBody, headers)
 	check.NoErr(err)
 	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	check.NoErr(err)
-	check.Equal(answer.Header.Get(headerCode), itoa(int(result.RegionNotAllowed)))
-	check.Equal(runs.Load(), int64(0))
+	return answer.Header.Get(headerCode)
 }
 
 // An entry's newest version binds each attempt, besides the one that the call came under.
