Simulator: calls are kept to regions, judged by the oracle (I10), with three mutants

Cause: nothing in the simulator knew of regions in which a call may not run. The oracle knows the region of each back end. Conclusion: the choice of endpoints and the stricter of two versions are held by the oracle.

--- a/internal/sim/calls/gate.go
+++ b/internal/sim/calls/gate.go
@@ -36,7 +36,7 @@
 func newGate(w *world, index int) *gate {
 	g := &gate{
 		index: index,
-		place: network.Place{Region: region, Zone: zones[index%len(zones)], Node: index},
+		place: network.Place{Region: w.regionOf(index), Zone: zones[index%len(zones)], Node: index},
 		runs:  map[*attempt]bool{},
 	}
 	g.model = backend.NewModel(backend.Config{
@@ -46,6 +46,7 @@
 		ShedAbove:    2 * slotCount,
 		Seed:         w.timeline.Random().Uint64(),
 	}, 0)
+	w.oracle.BackendIn(g.name(), g.place.Region)
 	w.beginLife(g)
 	return g
 }
@@ -68,7 +69,7 @@
 func (g *gate) resource() resource.Backend {
 	return resource.Backend{
 		Partner: service.Partner, Name: g.name(), Service: service.Name, Address: "10.0.0.1:9000",
-		Region: region, Zone: g.place.Zone, Slots: slotCount,
+		Region: g.place.Region, Zone: g.place.Zone, Slots: slotCount,
 	}
 }
 
@@ -79,7 +80,7 @@
 	}
 	return protocol.Member{
 		ID: protocol.NodeID(g.name()), Incarnation: g.incarnation, Sequence: g.sequence,
-		State: protocol.MemberAlive, Region: region, Zone: g.place.Zone,
+		State: protocol.MemberAlive, Region: g.place.Region, Zone: g.place.Zone,
 		Service: service, Backend: g.name(), Endpoint: state, Slots: slotCount,
 	}
 }
--- a/internal/sim/calls/side.go
+++ b/internal/sim/calls/side.go
@@ -6,6 +6,7 @@
 
 	"github.com/springstack/springstack/internal/core/admission"
 	"github.com/springstack/springstack/internal/core/endpoint"
+	"github.com/springstack/springstack/internal/core/region"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/retry"
 	"github.com/springstack/springstack/internal/result"
@@ -20,10 +21,12 @@
 	priority   resource.Priority
 	repeatable bool
 	key        uint64
-	deadline   time.Duration
-	state      *retry.Call
-	tried      endpoint.Tried
-	attempts   int
+	// allowed is where it may run by the versions of its side and its gates.
+	allowed  region.Allowed
+	deadline time.Duration
+	state    *retry.Call
+	tried    endpoint.Tried
+	attempts int
 	// current is the attempt under way; nil between attempts.
 	current *attempt
 	ended   bool
@@ -92,16 +95,55 @@
 	c.state = retry.NewCall(policy, s.budget)
 	w.open[c] = true
 	w.oracle.CallSent(c.id, c.repeatable, answerTo(c.id))
+	w.keepToRegions(c)
 	w.timeline.After(c.deadline-w.now(), func() { w.expire(c) })
 	w.try(c)
 }
 
+// restriction is what two versions of a route allow, between which a call comes, and what a
+// call may use then.
+type restriction struct{ older, newer, wanted []string }
+
+// restrictions are those of calls in turn, where regions are apart.
+var restrictions = [...]restriction{
+	{},
+	{older: regions[:1], newer: regions[:1], wanted: regions[:1]},
+	{newer: regions[1:], wanted: regions[1:]},
+	{older: regions[:], newer: regions[1:], wanted: regions[1:]},
+	{older: regions[:1], wanted: regions[:1]},
+	{newer: []string{}, wanted: []string{}},
+}
+
+// keepToRegions restricts a call, by its number.
+func (w *world) keepToRegions(c *call) {
+	if !w.apart {
+		return
+	}
+	drawn := restrictions[w.nextCall%len(restrictions)]
+	c.allowed = region.Of(drawn.older).Both(region.Of(drawn.newer))
+	if drawn.wanted != nil {
+		w.oracle.CallKeptTo(c.id, drawn.wanted)
+	}
+}
+
+// endpoints are those that a call may be sent to.
+func (c *call) endpoints() *endpoint.Set {
+	if !c.allowed.Restricted() {
+		return c.side.set
+	}
+	return c.side.set.Within(c.allowed)
+}
+
 // try makes one attempt of a call.
 func (w *world) try(c *call) {
 	if c.ended {
 		return
 	}
-	chosen := c.side.set.Choose(w.now(), w.timeline.Random().Uint64(), c.tried)
+	chosen := c.endpoints().Choose(w.now(), w.timeline.Random().Uint64(), c.tried)
+	if chosen == nil && c.allowed.Restricted() {
+		w.next(c, retry.Outcome{Kind: retry.Refused, Code: result.RegionNotAllowed, Ran: result.RanNo})
+		return
+	}
 	if chosen == nil {
 		w.next(c, retry.Outcome{Kind: retry.NoEndpoint})
 		return
@@ -222,7 +264,7 @@
 		w.hangUp(a)
 	}
 	outcome.Replayable = true
-	outcome.Others = a.call.side.set.Others(w.now(), a.call.tried)
+	outcome.Others = a.call.endpoints().Others(w.now(), a.call.tried)
 	w.next(a.call, outcome)
 }
 
--- a/internal/sim/calls/world.go
+++ b/internal/sim/calls/world.go
@@ -31,8 +31,9 @@
 // zones are where sides and gates stand, in turn.
 var zones = []string{"klein-hall", "eros-hall"}
 
-// region is the region of the deployment.
-const region = "windhoek"
+// regions are those of the deployment. Runs of odd seeds have the first one only; in the others
+// each zone is in a region of its own, and some calls are kept to regions.
+var regions = [...]string{"windhoek", "swakopmund"}
 
 // service is the one service that is called.
 var service = resource.ServiceRef{Partner: "kameeldoring", Name: "plans"}
@@ -43,6 +44,8 @@
 	network  *network.Network
 	oracle   *oracle.Oracle
 	gates    []*gate
+	// apart says that the zones are in regions of their own.
+	apart    bool
 	sides    []*side
 	nextCall int
 	// open are the calls without an answer yet.
@@ -65,6 +68,7 @@
 		timeline: line,
 		network:  network.New(line),
 		oracle:   oracle.New(),
+		apart:    seed%2 == 0,
 		open:     map[*call]bool{},
 		outcome:  script.NewOutcome(),
 	}
@@ -79,6 +83,7 @@
 
 func (w *world) addSide(index int) {
 	zone := zones[index%len(zones)]
+	region := w.regionOf(index)
 	s := &side{
 		place:    network.Place{Region: region, Zone: zone, Node: backendCount + index},
 		locality: endpoint.Locality{Region: region, Zone: zone},
@@ -91,6 +96,14 @@
 	w.rebuild(s)
 }
 
+// regionOf is the region of a side or gate.
+func (w *world) regionOf(index int) string {
+	if !w.apart {
+		return regions[0]
+	}
+	return regions[index%len(zones)]
+}
+
 // rebuild gives a side the set of endpoints of its newest member records.
 func (w *world) rebuild(s *side) {
 	var backends []resource.Backend
--- a/internal/sim/mutant/calls.go
+++ b/internal/sim/mutant/calls.go
@@ -56,4 +56,14 @@
 	{Name: "drain_frees_slots", Breaks: oracle.PlannedStopIsSoft, Simulation: Calls, File: "admission/control.go",
 		Old: "	g.word.Or(bit)",
 		New: "	g.word.Or(bit); g.word.And(^uint64(runningMask))"},
+
+	{Name: "choose_in_any_region", Breaks: oracle.KeepsToRegions, Simulation: Calls, File: "endpoint/set.go",
+		Old: "return allowed.Has(one.Region)",
+		New: "return one.Region != \"\""},
+	{Name: "empty_list_allows_all", Breaks: oracle.KeepsToRegions, Simulation: Calls, File: "region/allowed.go",
+		Old: "	if names == nil {",
+		New: "	if len(names) == 0 {"},
+	{Name: "older_version_binds_alone", Breaks: oracle.KeepsToRegions, Simulation: Calls, File: "region/allowed.go",
+		Old: "names: lo.Intersect(a.names, other.names)",
+		New: "names: lo.Intersect(a.names, a.names)"},
 }
--- a/internal/sim/oracle/calls.go
+++ b/internal/sim/oracle/calls.go
@@ -1,6 +1,7 @@
 package oracle
 
 import (
+	"slices"
 	"time"
 
 	"github.com/springstack/springstack/internal/result"
@@ -23,6 +24,8 @@
 type call struct {
 	id         string
 	repeatable bool
+	// regions are where it may run; nil for anywhere.
+	regions []string
 	// expected is the answer that the back end gives to this call.
 	expected string
 	runs     int
@@ -45,6 +48,12 @@
 	o.calls[id] = &call{id: id, repeatable: repeatable, expected: expected}
 }
 
+// CallKeptTo records in which regions alone a call may run.
+func (o *Oracle) CallKeptTo(id string, regions []string) { o.calls[id].regions = regions }
+
+// BackendIn records the region of a back end.
+func (o *Oracle) BackendIn(name, region string) { o.regions[name] = region }
+
 // BackendStarted records that a back end began to run a call.
 func (o *Oracle) BackendStarted(at time.Duration, name, id string) {
 	known, found := o.calls[id]
@@ -62,6 +71,9 @@
 		o.violate(at, RefusalIsTrue, "call %s ran after its caller was told %s, did not run",
 			id, known.outcome.Code.Name())
 	}
+	if known.regions != nil && !slices.Contains(known.regions, o.regions[name]) {
+		o.violate(at, KeepsToRegions, "call %s, allowed in %v, ran on %s in %s", id, known.regions, name, o.regions[name])
+	}
 	target := o.backend(name)
 	target.inside[id] = true
 	if target.leaving && at > target.since+NewWorkBound {
--- a/internal/sim/oracle/oracle.go
+++ b/internal/sim/oracle/oracle.go
@@ -1,4 +1,4 @@
-// Package oracle judges a run against the nine invariants I1 to I9. It knows
+// Package oracle judges a run against the invariants I1 to I10. It knows
 // nothing of the implementation: it sees what operators submitted and were
 // told, what each proxy held and when it served, what each back end ran and
 // what each caller got. The simulator and the runs of real processes feed the
@@ -25,12 +25,17 @@
 	PlannedStopIsSoft Invariant = 8
 	InForceHolds      Invariant = 9
 	Liveness          Invariant = 10
+	// KeepsToRegions is I10 of docs/INVARIANTS.md.
+	KeepsToRegions Invariant = 11
 )
 
-// String returns I1 to I9, or "liveness".
+// String returns I1 to I10, or "liveness".
 func (i Invariant) String() string {
-	if i == Liveness {
+	switch i {
+	case Liveness:
 		return "liveness"
+	case KeepsToRegions:
+		return "I10"
 	}
 	return fmt.Sprintf("I%d", int(i))
 }
@@ -67,6 +72,8 @@
 
 	calls    map[string]*call
 	backends map[string]*backend
+	// regions are those of back ends, for the ones that were told.
+	regions map[string]string
 }
 
 // New returns an oracle that has seen nothing.
@@ -78,6 +85,7 @@
 		contents: map[contentKey]content{},
 		calls:    map[string]*call{},
 		backends: map[string]*backend{},
+		regions:  map[string]string{},
 	}
 }
 
--- a/internal/sim/oracle/oracle_test.go
+++ b/internal/sim/oracle/oracle_test.go
@@ -183,3 +183,21 @@
 	expect(t, judge, oracle.AtMostOnce, oracle.OwnWholeAnswer, oracle.RefusalIsTrue,
 		oracle.LeavingTakesNone, oracle.PlannedStopIsSoft)
 }
+
+func TestCallsKeepToTheirRegions(t *testing.T) {
+	judge := oracle.New()
+	judge.BackendIn("b", "south")
+	judge.CallSent("free", true, "")
+	judge.BackendStarted(0, "b", "free")
+	judge.CallSent("kept", true, "")
+	judge.CallKeptTo("kept", []string{"north", "south"})
+	judge.BackendStarted(0, "b", "kept")
+	expect(t, judge)
+	judge.CallSent("strayed", true, "")
+	judge.CallKeptTo("strayed", []string{"north"})
+	judge.BackendStarted(0, "b", "strayed")
+	judge.CallSent("barred", true, "")
+	judge.CallKeptTo("barred", []string{})
+	judge.BackendStarted(0, "b", "barred")
+	expect(t, judge, oracle.KeepsToRegions, oracle.KeepsToRegions)
+}
