Soak: one machine in four is in another region, one request in six is kept to the first

Cause: the soak's machines were all in one region, so it could not see a request that runs outside of its allowed regions. Conclusion: the rule is judged in real processes under faults as well.

--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -43,6 +43,9 @@
 	}
 }
 
+// homeEvery is one in how many requests of a client is kept to a region.
+const homeEvery = 6
+
 // requestsOf are the requests that a client sends at a time: one that may not be
 // repeated, or some that may, one behind another.
 func requestsOf(on *machine, index, count int) []Request {
@@ -51,7 +54,11 @@
 	}
 	if count%3 == 0 {
 		request.Method = http.MethodPost
-		request.Target = fmt.Sprintf("%s/%d", writePrefix, count)
+		prefix := writePrefix
+		if count%homeEvery == 0 {
+			prefix = homePrefix
+		}
+		request.Target = fmt.Sprintf("%s/%d", prefix, count)
 		request.Body = strings.Repeat("b", 1+count%3000)
 		request.Timeout = writeTimeout
 		return []Request{request}
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -23,6 +23,7 @@
 // upstream beside it in this process, and the links to and from the daemon.
 type machine struct {
 	name     string
+	region   string
 	zone     string
 	service  string
 	settings string
@@ -113,6 +114,10 @@
 		service: service,
 		program: options.Program,
 	}
+	made.region = homeRegion
+	if index%farEvery == farEvery/2 {
+		made.region, made.zone = farRegion, made.zone+"-far"
+	}
 	made.settings = filepath.Join(options.Directory, made.name+".yaml")
 	made.log = filepath.Join(options.Directory, made.name+".log")
 	free, err := addresses(loopbackHost(index), 7)
@@ -129,18 +134,26 @@
 			return nil, errors.Trace(err)
 		}
 	}
-	text := fmt.Sprintf(`node: {id: %s, region: soak, zone: %s}
+	text := fmt.Sprintf(`node: {id: %s, region: %s, zone: %s}
 listen: {callers: %q, gate: %q, control: %q, ready: %q, reports: %q, metrics: %q, advertised_gate: %q, advertised_control: %q}
 backend: {service: %s, address: %q, heartbeat_milliseconds: %d}
 authority: {address: %q, reads_per_second: 2000}
 retries: {ratio: 0.2, slack: 64}
 drain: {grace_seconds: %d}
-`, made.name, made.zone, made.callers, gate, control, made.ready, made.reports, metrics,
+`, made.name, made.region, made.zone, made.callers, gate, control, made.ready, made.reports, metrics,
 		made.gate.Address(), made.control.Address(), service, made.app, heartbeat.Milliseconds(), made.store.Address(),
 		int(stopGrace.Seconds()))
 	return made, errors.Trace(os.WriteFile(made.settings, []byte(text), 0o600))
 }
 
+// The regions of the machines: one in farEvery is far away. Of four machines two have a back
+// end of the first service, so one of these is far.
+const (
+	homeRegion = "soak"
+	farRegion  = "far"
+	farEvery   = 4
+)
+
 // heartbeat is the time between two reports of an upstream.
 const heartbeat = 500 * time.Millisecond
 
--- a/internal/lab/soak/oracle.go
+++ b/internal/lab/soak/oracle.go
@@ -76,6 +76,8 @@
 	allowed    map[string][]string
 	proven     map[string]provenVersion
 	hosts      map[string]string
+	kept       map[string]string
+	regions    map[string]string
 	stops      map[string][]time.Time
 	harms      map[string][]*span
 	harmful    map[string]*harmDone
@@ -97,6 +99,7 @@
 		proven: map[string]provenVersion{},
 		hosts:  map[string]string{}, stops: map[string][]time.Time{}, harms: map[string][]*span{},
 		harmful: map[string]*harmDone{},
+		kept:    map[string]string{}, regions: map[string]string{},
 	}
 }
 
@@ -172,6 +175,7 @@
 	}
 	o.checkUnchanged(request, arrival)
 	o.checkService(request, arrival)
+	o.checkRegion(request, arrival)
 	o.checkDrained(request, arrival)
 	o.checkHarm(request, arrival)
 	o.runs[arrival.ID] = append(o.runs[arrival.ID], &run{Arrival: arrival})
@@ -201,6 +205,28 @@
 	o.violate("no route without its service", "%s for %s ran on %s", request.ID, request.Target, arrival.Service)
 }
 
+// KeepTo notes that every version keeps requests for a prefix to a region.
+func (o *Oracle) KeepTo(prefix, region string) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.kept[prefix] = region
+}
+
+// Placed notes in which region a machine is.
+func (o *Oracle) Placed(machine, region string) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.regions[machine] = region
+}
+
+func (o *Oracle) checkRegion(request Request, arrival standin.Arrival) {
+	for prefix, region := range o.kept {
+		if at := o.regions[o.hosts[arrival.Instance]]; strings.HasPrefix(request.Target, prefix) && at != region {
+			o.violate("a request runs in its allowed regions", "%s, kept to %s, ran on %s in %q", request.ID, region, arrival.Instance, at)
+		}
+	}
+}
+
 func (o *Oracle) checkDrained(request Request, arrival standin.Arrival) {
 	at, drained := o.drained[arrival.Instance]
 	calm := arrival.At.Sub(o.disturbed[request.Machine]) > calmBefore
--- a/internal/lab/soak/oracle_test.go
+++ b/internal/lab/soak/oracle_test.go
@@ -69,6 +69,19 @@
 			wrong.Service = "other"
 			o.Arrived(wrong)
 		}},
+		{"a request runs in its allowed regions",
+			func(o *Oracle) {
+				o.KeepTo("/write/", "home")
+				o.Hosted("a", "m")
+				o.Placed("m", "home")
+				o.Arrived(ran("a", 0))
+			},
+			func(o *Oracle) {
+				o.Sent(Request{ID: "q", Service: "app", Method: "POST", Target: "/write/1", Body: "b", Repeatable: true})
+				o.Hosted("b", "far")
+				o.Placed("far", "elsewhere")
+				o.Arrived(ran("b", 0))
+			}},
 		{"a leaving back end gets no new work",
 			func(o *Oracle) { o.Drained("a", start); o.Arrived(ran("a", drainBound)) },
 			func(o *Oracle) {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -125,6 +125,7 @@
 		if err != nil {
 			return err
 		}
+		s.oracle.Placed(made.name, made.region)
 		made.endedUntold = func(state *os.ProcessState) { s.oracle.EndedUntold(made.name, state.String()) }
 		if err := made.start(); err != nil {
 			return err
@@ -219,6 +220,10 @@
 		{Name: "write", Host: host, Prefix: writePrefix, Kind: "unsafe", Service: write, Timeout: milliseconds(writeTimeout), Attempts: 2},
 		{Name: "version", Host: host, Prefix: versionPrefix(s.version), Kind: "safe", Service: write, Timeout: milliseconds(readTimeout), Attempts: 2},
 	}
+	home := routes[1]
+	home.Name, home.Prefix, home.Regions = "home", homePrefix, []string{homeRegion}
+	routes = append(routes, home)
+	s.oracle.KeepTo(homePrefix, homeRegion)
 	for _, route := range routes {
 		s.oracle.Allow(route.Prefix, route.Service)
 	}
@@ -230,6 +235,7 @@
 const (
 	readPrefix   = "/read/"
 	writePrefix  = "/write/"
+	homePrefix   = "/home/"
 	readTimeout  = time.Second
 	writeTimeout = 1500 * time.Millisecond
 )
