--- a/internal/core/retry/call.go
+++ b/internal/core/retry/call.go
@@ -305,7 +305,8 @@
 		return false
 	}
 	switch outcome.Code {
-	case result.Draining, result.WrongBackend, result.ZoneEvacuated, result.WarmingUp:
+	case result.Draining, result.WrongBackend, result.ZoneEvacuated, result.WarmingUp,
+		result.RegionNotAllowed:
 		return true
 	}
 	return false
