Keep drains and the living start where clocks of starts were wrong

Cause: a start that was taken in spite of a newer unconfirmed one under its name left that one's report waiting, and the probe confirmed the absurd start. While a start that seems older alone reported, its acknowledged drain left the gate open under the other start's time. A leave gave up the reports of older candidates without remembering that they drained. After a strange leave with an absurd time the living start was probed once in 8 heartbeats. Change: reportedOlder drops what waits under the name; doubtRunning closes the gate until the running start reports again, where the older one has reported twice since; leave forgets candidates as all other places do; the running start is never older than itself.

--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -102,13 +102,45 @@
 		t.takeLater(now, report)
 		return false
 	}
-	if t.isOlder(start) && !t.older.persists(now, t.interval, t.reportedAt, report) {
-		t.forget(report)
+	if start != t.running && t.isOlder(start) && !t.reportedOlder(now, report) {
 		return false
 	}
 	return t.reportedAnother(now, report)
 }
 
+// reportedOlder takes a report of a start that seems older than a known one, and tells
+// whether it is taken for one that lives. It then replaces what waits under its name.
+func (t *Tracker) reportedOlder(now time.Duration, report Report) bool {
+	if !t.older.persists(now, t.interval, t.reportedAt, report) {
+		t.forget(report)
+		if report.Draining {
+			t.doubtRunning(report.Start())
+		}
+		return false
+	}
+	t.dropCandidates(func(held Report) bool { return held.Instance == report.Instance })
+	return true
+}
+
+// doubtRunning takes the end of a start that seems older than the running one under its
+// name. Where it alone goes on reporting, a clock may have been wrong and the calls may reach
+// it: nothing is sent there before the running one has reported again.
+func (t *Tracker) doubtRunning(ended protocol.BackendStart) {
+	if ended.Instance == t.running.Instance && t.older.alone(ended, t.reportedAt) {
+		t.down = true
+	}
+}
+
+// dropCandidates gives up the reports that match.
+func (t *Tracker) dropCandidates(matches func(Report) bool) {
+	for _, held := range t.candidates {
+		if matches(held) {
+			t.forget(held)
+		}
+	}
+	t.candidates = slices.DeleteFunc(t.candidates, matches)
+}
+
 // takeLater takes a report of the running start unless a later one has come.
 func (t *Tracker) takeLater(now time.Duration, report Report) {
 	if report.Sequence > t.sequence {
@@ -254,7 +286,8 @@
 		t.draining = true
 	}
 	t.end(left)
-	t.candidates = slices.DeleteFunc(t.candidates, func(held Report) bool {
+	t.doubtRunning(start)
+	t.dropCandidates(func(held Report) bool {
 		return t.hasEnded(held.Start()) || t.isOlder(held.Start())
 	})
 }
--- a/internal/core/backend/restart_test.go
+++ b/internal/core/backend/restart_test.go
@@ -205,3 +205,72 @@
 	tracker.Probed(0, Probe{Instance: "b", Healthy: true})
 	check.Equal(tracker.View(0).State, protocol.EndpointDraining)
 }
+
+// A start that is taken after all, since a clock was wrong, is the one that the probe confirms.
+func TestAPersistentStartReplacesAnUnconfirmedAbsurdOne(t *testing.T) {
+	check := is.New(t)
+	tracker := runningSince(t, 100)
+	tracker.Reported(0, reportOf(1<<62, 1)) // its health was bad then
+	for beat := 1; beat <= persistentBeats+1; beat++ {
+		now := time.Duration(beat) * interval
+		if tracker.Reported(now, reportOf(200, uint64(beat))) {
+			answers(tracker, now)
+		}
+	}
+	check.Equal(tracker.View((persistentBeats+1)*interval), View{Start: startOf(200), Slots: 6, State: protocol.EndpointReady})
+}
+
+// A drain that an unconfirmed start has had acknowledged binds also after a newer start left.
+func TestALeaveForgetsNoDrainOfAnOlderCandidate(t *testing.T) {
+	check := is.New(t)
+	tracker := NewTracker(interval)
+	tracker.Reported(0, Report{Instance: "b", Born: 1, Sequence: 1})
+	tracker.Probed(0, Probe{Instance: "b", Healthy: true})
+	drained := reportOf(100, 1)
+	drained.Draining = true
+	tracker.Reported(0, drained)
+	tracker.Left(startOf(200), 0)
+	for beat := 1; beat <= 2*persistentBeats; beat++ {
+		now := time.Duration(beat) * interval
+		check.True(!tracker.Reported(now, reportOf(100, uint64(beat+1))))
+	}
+}
+
+// A start that seems older than the one in force but alone reports may be the one that runs:
+// once its drain is acknowledged nothing is sent there under the name of the other one.
+func TestADrainOfAPersistentOlderStartEndsCalls(t *testing.T) {
+	drained := reportOf(200, 9)
+	drained.Draining = true
+	for name, say := range map[string]func(*Tracker){
+		"leave":              func(tracker *Tracker) { tracker.Left(startOf(200), 0) },
+		"draining heartbeat": func(tracker *Tracker) { tracker.Reported(3*interval, drained) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			check := is.New(t)
+			tracker := runningSince(t, 300)
+			for beat := 1; beat <= 2; beat++ {
+				tracker.Reported(time.Duration(beat)*interval, reportOf(200, uint64(beat)))
+			}
+			say(tracker)
+			tracker.Answered(3 * interval)
+			check.True(!tracker.View(3 * interval).State.TakesWork())
+			tracker.Reported(3*interval, reportOf(300, 8)) // it was late only, and runs
+			check.Equal(tracker.View(3*interval).State, protocol.EndpointReady)
+		})
+	}
+}
+
+// A living start that is taken in spite of an absurd time is probed with each report, as any
+// other one.
+func TestAPersistentStartIsProbedUntilItAnswers(t *testing.T) {
+	check := is.New(t)
+	tracker := runningSince(t, 100)
+	tracker.Left(startOf(1<<62), 0) // another writer's word
+	probes := 0
+	for beat := 1; beat <= persistentBeats+3; beat++ {
+		if tracker.Reported(time.Duration(beat)*interval, reportOf(200, uint64(beat))) {
+			probes++ // its health is bad
+		}
+	}
+	check.Equal(probes, 3)
+}
--- a/internal/core/backend/starts.go
+++ b/internal/core/backend/starts.go
@@ -98,6 +98,12 @@
 	return p.reports >= persistentBeats && now-p.since >= persistentBeats*interval
 }
 
+// alone tells whether a start that seems older has reported again while the running one, which
+// last reported at runningAt, was silent. A single report may have been held up.
+func (p *persistence) alone(start protocol.BackendStart, runningAt time.Duration) bool {
+	return p.start == start && p.reports > 1 && runningAt < p.since
+}
+
 // appendBounded appends to a list that forgets its oldest entry at a limit.
 func appendBounded[Entry any](list []Entry, limit int, entry Entry) []Entry {
 	if len(list) >= limit {
