Release no request that is held anew and not written yet

Cause: for 15 s after an operator's release a daemon looked for the request in the store; held again within that time, it was taken for released before its write had come there. Change: only a request that was written or read there, and is missing, is taken for released.

--- a/internal/hosted/heldrequests.go
+++ b/internal/hosted/heldrequests.go
@@ -130,13 +130,15 @@
 	delete(m.kept, signature)
 }
 
-// removedLately tells whether this daemon has removed a request so lately that its call may
-// have been carried out after the request was written again.
-func (m *mesh) removedLately(signature quarantine.Signature) bool {
+// isRelease tells whether an operator has removed a request that stands in the store no more.
+// One that is not kept may be held anew and not be written yet. Of one that this daemon has
+// removed lately, that call may have been carried out after it was written again.
+func (m *mesh) isRelease(signature quarantine.Signature) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	settled, found := m.settled[signature]
-	return found && settled.removed && m.clock()-settled.at <= lateWriteTime
+	removedLately := found && settled.removed && m.clock()-settled.at <= lateWriteTime
+	return m.kept[signature] && !removedLately
 }
 
 // compareHeld releases what operators have removed from the store, and removes there what
@@ -172,7 +174,7 @@
 		return
 	case stands:
 		m.removeHeld(signature)
-	case !trusted && !m.removedLately(signature):
+	case !trusted && m.isRelease(signature):
 		m.events.event("harmful_released", field("signature", signature.String()))
 		m.harmful.ReleaseHarmful(signature)
 	}
--- a/internal/hosted/latewrites_test.go
+++ b/internal/hosted/latewrites_test.go
@@ -170,3 +170,17 @@
 	made.compareHeld()
 	check.Equal(path.released, []quarantine.Signature{signature})
 }
+
+// A request that is held again soon after an operator released it is not released while its
+// write is under way.
+func TestARequestHeldAnewIsNotReleasedBeforeItIsWritten(t *testing.T) {
+	check := is.New(t)
+	now := time.Duration(0)
+	made, store, path, signature := heldMesh(t, &now)
+	delete(store, signature) // by an operator
+	made.compareHeld()
+	check.Equal(len(path.released), 1)
+	path.beliefs[signature] = quarantine.Held // anew
+	made.compareHeld()
+	check.Equal(len(path.released), 1)
+}
