Register no daemon again that leaves

Cause: a daemon that ended within 15 s of its start and had taken its registration away could write it again by its second look, where the answer to the removal was slow or lost. Change: the second look writes nothing once the daemon has said that it leaves. Conclusion: the new test failed before and passes.

--- a/internal/hosted/latewrites_test.go
+++ b/internal/hosted/latewrites_test.go
@@ -93,6 +93,18 @@
 	}
 }
 
+// A daemon that ends within 15 s of its start, and has taken its registration away, does not
+// write it again.
+func TestADaemonThatLeavesIsNotRegisteredAgain(t *testing.T) {
+	made := newTestMesh("z1")
+	made.context, made.calls = t.Context(), &storeCalls{}
+	registry := &lateRegistry{held: map[protocol.NodeID]authority.Registration{}, after: -1}
+	made.registry = registry
+	made.self.State = protocol.MemberLeft
+	is.New(t).True(made.ensureRegistered())
+	is.New(t).Equal(len(registry.held), 0)
+}
+
 // lateHeldStore is a store of held requests whose lists never lag.
 type lateHeldStore map[quarantine.Signature]bool
 
--- a/internal/hosted/registering.go
+++ b/internal/hosted/registering.go
@@ -48,9 +48,15 @@
 }
 
 // ensureRegistered writes the registration unless it stands, and tells whether the store
-// answered.
+// answered. A daemon that leaves may have taken it away itself.
 func (m *mesh) ensureRegistered() bool {
-	return m.readRegistry() && (m.isRegistered() || m.putRegistration())
+	return m.readRegistry() && (m.isRegistered() || m.hasLeft() || m.putRegistration())
+}
+
+func (m *mesh) hasLeft() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.self.State == protocol.MemberLeft
 }
 
 // untilDone tries a call to the store until it succeeds; false means that the
