Lock no start out for good after a clock was set back

Cause: a peer's memory of a drain, and a leave without a time, barred all starts under the name that seem to have begun before, without end. After a clock is set back between the drain and the next start of daemon and back end, the next start got no work until its time had passed that of the drain and it started once more. Change: only the exact start that left never comes back; an earlier one is taken after 120 heartbeats of it alone (leavingBeats), since it may be the one that left.

--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -111,7 +111,8 @@
 // reportedOlder takes a report of a start that seems older than a known one, and tells
 // whether it is taken for one that lives. It then replaces what waits under its name.
 func (t *Tracker) reportedOlder(now time.Duration, report Report) bool {
-	if !t.older.persists(now, t.interval, t.reportedAt, report) {
+	beats := t.beatsNeeded(report.Start())
+	if !t.older.persists(now, t.interval, t.reportedAt, beats, report) {
 		t.forget(report)
 		if report.Draining {
 			t.doubtRunning(report.Start())
@@ -267,14 +268,14 @@
 	case start.Born == 0:
 		start = known
 	}
-	t.leave(endedStart{start: start, andEarlier: unknown})
+	t.leave(endedStart{start: start, orEarlier: unknown})
 }
 
 // Remembered takes a peer's memory that an earlier start of this daemon had acknowledged that
 // a start of the back end is leaving. That one never comes back, so what it says of itself
 // after that counts for nothing. The peer may know the time of the start as that of its word.
 func (t *Tracker) Remembered(start protocol.BackendStart) {
-	t.leave(endedStart{start: start, andEarlier: true})
+	t.leave(endedStart{start: start, orEarlier: true})
 }
 
 func (t *Tracker) leave(left endedStart) {
--- a/internal/core/backend/restart_test.go
+++ b/internal/core/backend/restart_test.go
@@ -274,3 +274,29 @@
 	}
 	check.Equal(probes, 3)
 }
+
+// A peer's memory of a drain, or a leave without a time, may tell a time by a clock that was
+// set back since: the next start is late, but not locked out.
+func TestAClockSetBackAfterALeaveLocksNobodyOut(t *testing.T) {
+	for name, leave := range map[string]func(*Tracker){
+		"remembered": func(tracker *Tracker) { tracker.Remembered(startOf(5000)) },
+		"left":       func(tracker *Tracker) { tracker.Left(startOf(0), 5000) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			check := is.New(t)
+			tracker := NewTracker(interval)
+			leave(tracker)
+			now := time.Duration(0)
+			for beat := range uint64(leavingBeats + 1) {
+				check.True(!tracker.View(now).State.TakesWork())
+				now += interval
+				if tracker.Reported(now, reportOf(200, beat+1)) {
+					answers(tracker, now)
+				}
+			}
+			check.Equal(tracker.View(now).Start, startOf(200))
+			check.Equal(tracker.View(now).State, protocol.EndpointReady)
+			check.True(!tracker.Reported(now, reportOf(5000, 1))) // the one that left stays away
+		})
+	}
+}
--- a/internal/core/backend/starts.go
+++ b/internal/core/backend/starts.go
@@ -14,26 +14,33 @@
 	// that seems older than a silent one the one that runs. Its clock, or that of the other
 	// one, was wrong then. Heartbeats that were held up come together, and are fewer.
 	persistentBeats = 8
+	// leavingBeats is the same for a start that may be the one that left, where it is only
+	// known that that had begun by some time. It is several times what a back end lives on
+	// after it has left.
+	leavingBeats = 120
 )
 
 // endedStart is a start that gets no work any more.
 type endedStart struct {
 	start protocol.BackendStart
-	// andEarlier says that the same holds for all earlier starts under the name.
-	andEarlier bool
-}
-
-// covers tells whether a start has ended by this.
-func (e endedStart) covers(start protocol.BackendStart) bool {
-	if e.start.Instance != start.Instance {
-		return false
-	}
-	return start.Born == e.start.Born || e.andEarlier && start.Born < e.start.Born
+	// orEarlier says that it may have been any earlier start under the name.
+	orEarlier bool
 }
 
 // hasEnded tells whether a start has left or been replaced by another instance.
 func (t *Tracker) hasEnded(start protocol.BackendStart) bool {
-	return slices.ContainsFunc(t.ended, func(known endedStart) bool { return known.covers(start) })
+	return slices.ContainsFunc(t.ended, func(known endedStart) bool { return known.start == start })
+}
+
+// beatsNeeded is how many heartbeats in a row make a start that seems older the one that runs.
+func (t *Tracker) beatsNeeded(start protocol.BackendStart) int {
+	mayHaveLeft := slices.ContainsFunc(t.ended, func(known endedStart) bool {
+		return known.orEarlier && known.start.Instance == start.Instance && start.Born < known.start.Born
+	})
+	if mayHaveLeft {
+		return leavingBeats
+	}
+	return persistentBeats
 }
 
 func (t *Tracker) end(ended endedStart) {
@@ -84,9 +91,9 @@
 }
 
 // persists takes a report of an older start, with the time at which the running one last
-// reported. It tells whether the older one has gone on for long enough while the running one
-// was silent.
-func (p *persistence) persists(now, interval, runningAt time.Duration, report Report) bool {
+// reported. It tells whether the older one has gone on for so many beats, over as many
+// intervals, while the running one was silent.
+func (p *persistence) persists(now, interval, runningAt time.Duration, beats int, report Report) bool {
 	if p.start != report.Start() || runningAt >= p.since && p.reports > 0 {
 		*p = persistence{start: report.Start(), since: now}
 	}
@@ -95,7 +102,7 @@
 	}
 	p.sequence = report.Sequence
 	p.reports++
-	return p.reports >= persistentBeats && now-p.since >= persistentBeats*interval
+	return p.reports >= beats && now-p.since >= time.Duration(beats)*interval
 }
 
 // alone tells whether a start that seems older has reported again while the running one, which
