Hold a drain that comes behind a later report

Cause: a draining heartbeat was acknowledged and not kept where one with a higher sequence had come before it, as after a report of another writer with an absurd sequence. Change: that a start drains binds by whatever report it is told. Conclusion: the new test failed before, running and unconfirmed, and passes.

--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -142,11 +142,13 @@
 	t.candidates = slices.DeleteFunc(t.candidates, matches)
 }
 
-// takeLater takes a report of the running start unless a later one has come.
+// takeLater takes a report of the running start unless a later one has come. That it drains
+// was acknowledged all the same, and binds.
 func (t *Tracker) takeLater(now time.Duration, report Report) {
 	if report.Sequence > t.sequence {
 		t.take(now, report)
 	}
+	t.draining = t.draining || report.Draining
 }
 
 // reportedAnother takes a report of a start that does not run yet. One that is newer under
@@ -179,9 +181,12 @@
 	}
 	held := t.candidates[at]
 	switch {
-	case held.Born == report.Born && held.Sequence < report.Sequence:
-		report.Draining = report.Draining || held.Draining // what was acknowledged binds
-		t.candidates[at] = report
+	case held.Born == report.Born:
+		drains := report.Draining || held.Draining // what was acknowledged binds
+		if held.Sequence < report.Sequence {
+			t.candidates[at] = report
+		}
+		t.candidates[at].Draining = drains
 	case held.Born != report.Born && !t.isOlder(report.Start()):
 		t.forget(held)
 		t.candidates[at] = report
--- a/internal/core/backend/restart_test.go
+++ b/internal/core/backend/restart_test.go
@@ -300,3 +300,26 @@
 		})
 	}
 }
+
+// A drain that was acknowledged binds although a report with a higher sequence came before it.
+func TestADrainThatComesLateBinds(t *testing.T) {
+	for name, before := range map[string]func(*Tracker){
+		"running":     func(tracker *Tracker) { answers(tracker, 0) },
+		"unconfirmed": func(*Tracker) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			check := is.New(t)
+			tracker := NewTracker(interval)
+			tracker.Reported(0, Report{Instance: "b", Born: 1, Sequence: 1})
+			tracker.Probed(0, Probe{Instance: "b", Healthy: true})
+			tracker.Reported(0, reportOf(200, 9))
+			before(tracker)
+			drained := reportOf(200, 8)
+			drained.Draining = true
+			tracker.Reported(0, drained)
+			answers(tracker, 0)
+			check.Equal(tracker.View(0).Start, startOf(200))
+			check.Equal(tracker.View(0).State, protocol.EndpointDraining)
+		})
+	}
+}
