--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -102,18 +102,53 @@
 		t.takeLater(now, report)
 		return false
 	}
-	if t.isOlder(start) && !t.older.persists(now, t.interval, t.reportedAt, report) {
-		t.forget(report)
+	if start != t.running && t.isOlder(start) && !t.reportedOlder(now, report) {
 		return false
 	}
 	return t.reportedAnother(now, report)
 }
 
-// takeLater takes a report of the running start unless a later one has come.
+// reportedOlder takes a report of a start that seems older than a known one, and tells
+// whether it is taken for one that lives. It then replaces what waits under its name.
+func (t *Tracker) reportedOlder(now time.Duration, report Report) bool {
+	beats := t.beatsNeeded(report.Start())
+	if !t.older.persists(now, t.interval, t.reportedAt, beats, report) {
+		t.forget(report)
+		if report.Draining {
+			t.doubtRunning(report.Start())
+		}
+		return false
+	}
+	t.dropCandidates(func(held Report) bool { return held.Instance == report.Instance })
+	return true
+}
+
+// doubtRunning takes the end of a start that seems older than the running one under its
+// name. Where it alone goes on reporting, a clock may have been wrong and the calls may reach
+// it: nothing is sent there before the running one has reported again.
+func (t *Tracker) doubtRunning(ended protocol.BackendStart) {
+	if ended.Instance == t.running.Instance && t.older.alone(ended, t.reportedAt) {
+		t.down = true
+	}
+}
+
+// dropCandidates gives up the reports that match.
+func (t *Tracker) dropCandidates(matches func(Report) bool) {
+	for _, held := range t.candidates {
+		if matches(held) {
+			t.forget(held)
+		}
+	}
+	t.candidates = slices.DeleteFunc(t.candidates, matches)
+}
+
+// takeLater takes a report of the running start unless a later one has come. That it drains
+// was acknowledged all the same, and binds.
 func (t *Tracker) takeLater(now time.Duration, report Report) {
 	if report.Sequence > t.sequence {
 		t.take(now, report)
 	}
+	t.draining = t.draining || report.Draining
 }
 
 // reportedAnother takes a report of a start that does not run yet. One that is newer under
@@ -146,9 +181,12 @@
 	}
 	held := t.candidates[at]
 	switch {
-	case held.Born == report.Born && held.Sequence < report.Sequence:
-		report.Draining = report.Draining || held.Draining // what was acknowledged binds
-		t.candidates[at] = report
+	case held.Born == report.Born:
+		drains := report.Draining || held.Draining // what was acknowledged binds
+		if held.Sequence < report.Sequence {
+			t.candidates[at] = report
+		}
+		t.candidates[at].Draining = drains
 	case held.Born != report.Born && !t.isOlder(report.Start()):
 		t.forget(held)
 		t.candidates[at] = report
@@ -237,14 +275,14 @@
 	case start.Born == 0:
 		start = known
 	}
-	t.leave(endedStart{start: start, andEarlier: unknown})
+	t.leave(endedStart{start: start, orEarlier: unknown})
 }
 
 // Remembered takes a peer's memory that an earlier start of this daemon had acknowledged that
 // a start of the back end is leaving. That one never comes back, so what it says of itself
 // after that counts for nothing. The peer may know the time of the start as that of its word.
 func (t *Tracker) Remembered(start protocol.BackendStart) {
-	t.leave(endedStart{start: start, andEarlier: true})
+	t.leave(endedStart{start: start, orEarlier: true})
 }
 
 func (t *Tracker) leave(left endedStart) {
@@ -256,7 +294,8 @@
 		t.draining = true
 	}
 	t.end(left)
-	t.candidates = slices.DeleteFunc(t.candidates, func(held Report) bool {
+	t.doubtRunning(start)
+	t.dropCandidates(func(held Report) bool {
 		return t.hasEnded(held.Start()) || t.isOlder(held.Start())
 	})
 }
