Ask a back end again whose answer on its warm-up failed or was false

Cause: a doubt was asked about five times at most and never again, and a false answer (Warmup-Milliseconds of an hour) held the gate cold for ten minutes, whatever the heartbeats said since: the longer word counts, and nobody asked anew. Change: a heartbeat has the back end asked while a doubt is open, or while the heartbeats call it warm and its last answer does not. Conclusion: two tests fail without it; a back end that goes on answering falsely still counts as cold, by the rule that the longer counts.

--- a/internal/core/backend/warmth.go
+++ b/internal/core/backend/warmth.go
@@ -48,3 +48,11 @@
 func (t *Tracker) AwaitsWarmth(now time.Duration) bool {
 	return t.instance != "" && now < t.warmth.assumed
 }
+
+// DoubtsWarmth tells whether the instance is to be asked again how long it is cold: it has not
+// answered what was assumed, or its reports say that it is warm while its last answer holds it
+// for cold. Without that one false answer would hold calls back for as long as it said.
+func (t *Tracker) DoubtsWarmth(now time.Duration) bool {
+	contradicted := t.warmth.byReport <= now && now < t.warmth.byProbe
+	return t.AwaitsWarmth(now) || contradicted
+}
--- a/internal/hosted/backendside.go
+++ b/internal/hosted/backendside.go
@@ -76,7 +76,8 @@
 func (b *backendSide) Heartbeat(report backend.Report) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.tracker.Reported(b.clock(), report) {
+	now := b.clock()
+	if b.tracker.Reported(now, report) || b.tracker.DoubtsWarmth(now) {
 		b.probeSoon()
 	}
 	b.show()
--- a/internal/hosted/warmth_test.go
+++ b/internal/hosted/warmth_test.go
@@ -95,3 +95,47 @@
 	check.True(!done)
 	check.Equal(made.cold[len(made.cold)-1], 4*time.Second)
 }
+
+// answers has the back end answer its health path, and counts how often it was asked.
+func (s *side) answers(probe backend.Probe) (asked *int) {
+	asked = new(int)
+	s.probing = false
+	s.settings.joined = func() bool { return true }
+	s.settings.healthPath = func() string { return "/health" }
+	s.settings.probe = func(string, string, time.Duration) backend.Probe {
+		*asked++
+		return probe
+	}
+	return asked
+}
+
+func TestABackEndThatDidNotAnswerADoubtIsAskedAgainWithItsNextReport(t *testing.T) {
+	check := is.New(t)
+	made := newSide()
+	made.now = time.Second
+	made.confirmWarmth() // nobody answers
+	made.answers(backend.Probe{Instance: "i", Healthy: true, TellsWarmUp: true})
+	made.Heartbeat(backend.Report{Instance: "i", Sequence: 2, Slots: 6})
+	made.running.Wait()
+	check.Equal(made.cold[len(made.cold)-1], time.Duration(0))
+}
+
+func TestABackEndThatReportsOtherwiseThanItAnsweredIsAskedAgain(t *testing.T) {
+	check := is.New(t)
+	made := newSide()
+	made.probed(made.now, backend.Probe{Instance: "i", Healthy: true, TellsWarmUp: true, WarmUp: time.Hour})
+	made.answers(backend.Probe{Instance: "i", Healthy: true, TellsWarmUp: true})
+	made.Heartbeat(backend.Report{Instance: "i", Sequence: 2, Slots: 6})
+	made.running.Wait()
+	check.Equal(made.cold[len(made.cold)-1], time.Duration(0))
+}
+
+func TestABackEndThatIsColdByItsReportsIsNotAsked(t *testing.T) {
+	check := is.New(t)
+	made := newSide()
+	made.probed(made.now, backend.Probe{Instance: "i", Healthy: true, TellsWarmUp: true, WarmUp: time.Second})
+	asked := made.answers(backend.Probe{})
+	made.Heartbeat(backend.Report{Instance: "i", Sequence: 2, Slots: 6, WarmUp: time.Second / 2})
+	made.running.Wait()
+	check.Equal(*asked, 0)
+}
