Ask a cold gate for the start that it keeps for an urgent call

Cause: a gate keeps starts for calls of higher classes, but an entry left it out for all calls once it had refused one of any class: under many calls of the lowest class, urgent ones were refused at the entry, the start that was kept for them stayed unused, and the gate did not count that they came. The choice of other calls is unchanged; the counts of an endpoint still fill 128 bytes. Tests that had gates refuse calls now have them refuse the most urgent ones, which leaves them out for all calls as before. Conclusion: two tests through real gates fail without it (503 for 200).

--- a/internal/core/endpoint/endpoint.go
+++ b/internal/core/endpoint/endpoint.go
@@ -11,6 +11,7 @@
 
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/core/warmup"
 )
 
 // The rules by which evidence is weighed.
@@ -71,7 +72,8 @@
 }
 
 // stats is what the calls of this process have met at an endpoint. It belongs
-// to one incarnation of the daemon beside it.
+// to one incarnation of the daemon beside it. It fills two cache lines: neighbours on one
+// would slow each other down.
 type stats struct {
 	outstanding atomic.Int64
 	// others is the load of other callers when last reported, float64 bits.
@@ -89,14 +91,12 @@
 	leavingSequence atomic.Uint64
 	// recordAt is when the present record of the daemon came.
 	recordAt atomic.Int64
-	// coldUntil is until when the gate of a cold back end has no start.
-	coldUntil atomic.Int64
+	// coldUntil is until when the gate of a cold back end has no start for calls of each class.
+	coldUntil [warmup.Classes]atomic.Int64
 	// refusingUntil holds a refusal for load.
 	refusingUntil atomic.Int64
 	// readyAt is when the endpoint was first seen by this process.
 	readyAt atomic.Int64
-	// Neighbours on a cache line would slow each other down.
-	_ [16]byte
 }
 
 // Outcome is how a call at an endpoint ended, as evidence.
--- a/internal/core/endpoint/warmth.go
+++ b/internal/core/endpoint/warmth.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/warmup"
 )
 
 // leastColdShare keeps a cold endpoint from looking infinitely loaded.
@@ -13,20 +14,23 @@
 // cold tells whether the endpoint is cold and its service states what it bears then.
 func (e *Endpoint) cold() bool { return e.ColdRate > 0 && e.State == protocol.EndpointWarming }
 
-// Cold is called when the gate has refused a call because its back end is cold, with the time
-// until it has a start.
-func (e *Endpoint) Cold(now, wait time.Duration) {
-	e.stats.coldUntil.Store(int64(now + min(max(wait, 0), leavingLife)))
+// Cold is called when the gate has refused a call of a class because its back end is cold,
+// with the time until it has a start. It has none for calls of lower classes either.
+func (e *Endpoint) Cold(now, wait time.Duration, class int) {
+	until := int64(now + min(max(wait, 0), leavingLife))
+	for refused := range warmup.ClassOf(class) + 1 {
+		e.stats.coldUntil[refused].Store(until)
+	}
 }
 
-// coldWait is how long the gate has no start; 0 when it may have one.
-func (e *Endpoint) coldWait(now time.Duration) time.Duration {
-	return max(time.Duration(e.stats.coldUntil.Load())-now, 0)
+// coldWait is how long the gate has no start for a call of a class; 0 when it may have one.
+func (e *Endpoint) coldWait(now time.Duration, class int) time.Duration {
+	return max(time.Duration(e.stats.coldUntil[warmup.ClassOf(class)].Load())-now, 0)
 }
 
-// shut tells whether the gate has said that it takes no call now.
+// shut tells whether the gate has said that it takes no call now, or none but urgent ones.
 func (e *Endpoint) shut(now time.Duration) bool {
-	return e.leaving(now) || e.coldWait(now) > 0
+	return e.leaving(now) || e.coldWait(now, 0) > 0
 }
 
 // coldShareOf is what a cold endpoint bears of what its slots would run were it warm.
@@ -78,7 +82,7 @@
 			if candidate.leaving(now) || candidate.Ejected(now) {
 				continue
 			}
-			wait := candidate.coldWait(now)
+			wait := candidate.coldWait(now, 0)
 			if wait == 0 {
 				return 0
 			}
@@ -89,3 +93,23 @@
 	}
 	return least
 }
+
+// ChooseCold picks an endpoint of which the gate has refused only less urgent calls as cold:
+// it may hold a start for this one. It is for calls that no other endpoint may take, the
+// nearest first, from a random place on; nil when there is none.
+func (s *Set) ChooseCold(now time.Duration, random uint64, tried Tried, class int) *Endpoint {
+	for _, tier := range s.tiers {
+		for step := range tier {
+			candidate := tier[(int(random>>32)+step)%len(tier)]
+			if !tried.has(candidate) && candidate.keepsStart(now, class) {
+				return candidate
+			}
+		}
+	}
+	return nil
+}
+
+// keepsStart tells whether the gate has refused less urgent calls as cold, but none of a class.
+func (e *Endpoint) keepsStart(now time.Duration, class int) bool {
+	return !e.leaving(now) && !e.Ejected(now) && e.coldWait(now, 0) > 0 && e.coldWait(now, class) == 0
+}
--- a/internal/core/endpoint/warmth_test.go
+++ b/internal/core/endpoint/warmth_test.go
@@ -8,6 +8,13 @@
 	"github.com/matryer/is"
 
 	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/warmup"
+)
+
+// The lowest and the highest class of calls.
+const (
+	low    = 0
+	urgent = warmup.Classes - 1
 )
 
 // coldSet is a set of which the first endpoints are cold, of a service that states a rate.
@@ -48,7 +55,7 @@
 func TestAGateWithoutAStartIsLeftOutUntilItHasOne(t *testing.T) {
 	check := is.New(t)
 	set := coldSet(2, 2, 4.5)
-	set.All[0].Cold(0, time.Second)
+	set.All[0].Cold(0, time.Second, urgent)
 	check.Equal(spread(set, time.Second-1, 100)["b0"], 0)
 	check.True(spread(set, time.Second, 100)["b0"] > 0)
 }
@@ -57,7 +64,7 @@
 	check := is.New(t)
 	set := coldSet(3, 3, 4.5)
 	for index, one := range set.All {
-		one.Cold(0, time.Duration(index+1)*time.Second)
+		one.Cold(0, time.Duration(index+1)*time.Second, urgent)
 	}
 	tried := Tried{set.All[0]}
 	check.Equal(set.Choose(0, 7, nil), nil)
@@ -70,8 +77,8 @@
 func TestADeadEndpointIsNotAskedInPlaceOfColdOnes(t *testing.T) {
 	check := is.New(t)
 	set := coldSet(3, 2, 4.5)
-	set.All[0].Cold(0, time.Second)
-	set.All[1].Cold(0, time.Second)
+	set.All[0].Cold(0, time.Second, urgent)
+	set.All[1].Cold(0, time.Second, urgent)
 	set.All[2].SetReachable(false)
 	check.Equal(set.Choose(0, 7, nil), nil)
 	check.Equal(set.ColdWait(0), time.Second)
@@ -82,7 +89,7 @@
 	check := is.New(t)
 	backends, members := fixture(home.Zone, "next")
 	set := Build(nil, Locality{Region: home.Region, Zone: home.Zone, ColdRate: 4.5}, backends, members, 0)
-	set.All[0].Cold(0, time.Second)
+	set.All[0].Cold(0, time.Second, urgent)
 	check.True(set.Choose(0, rand.Uint64(), nil) == set.All[1])
 	check.Equal(set.ColdWait(0), time.Duration(0))
 }
@@ -90,9 +97,9 @@
 func TestAnAbsurdWaitOfAGateEndsSoon(t *testing.T) {
 	check := is.New(t)
 	set := coldSet(1, 1, 4.5)
-	set.All[0].Cold(0, 1000*time.Hour)
+	set.All[0].Cold(0, 1000*time.Hour, urgent)
 	check.True(set.Choose(leavingLife, 7, nil) != nil)
-	set.All[0].Cold(0, -time.Hour)
+	set.All[0].Cold(0, -time.Hour, urgent)
 	check.True(set.Choose(0, 7, nil) != nil)
 }
 
@@ -103,3 +110,28 @@
 	check.Equal(set.All[0].share(2*warmUp), warmingShare)
 	check.Equal(set.All[1].share(0), 1.0)
 }
+
+func TestAGateThatRefusedALessUrgentCallIsAskedForAStartThatItKeeps(t *testing.T) {
+	check := is.New(t)
+	set := coldSet(2, 2, 4.5)
+	set.All[0].Cold(0, time.Second, urgent)
+	set.All[1].Cold(0, time.Second, low)
+	check.Equal(set.Choose(0, 7, nil), nil)
+	check.True(set.ChooseCold(0, 7, nil, urgent) == set.All[1])
+	check.Equal(set.ChooseCold(0, 7, nil, low), nil)
+	check.Equal(set.ChooseCold(0, 7, Tried{set.All[1]}, urgent), nil)
+	set.All[1].Cold(0, time.Second, urgent)
+	check.Equal(set.ChooseCold(0, 7, nil, urgent), nil)
+}
+
+func TestADeadOrLeavingEndpointKeepsNoStart(t *testing.T) {
+	check := is.New(t)
+	set := coldSet(2, 2, 4.5)
+	for _, one := range set.All {
+		one.Cold(0, time.Second, low)
+	}
+	set.All[0].SetReachable(false)
+	set.All[1].Begin()
+	set.All[1].End(0, Leaving)
+	check.Equal(set.ChooseCold(0, 7, nil, urgent), nil)
+}
--- a/internal/core/warmup/warmup.go
+++ b/internal/core/warmup/warmup.go
@@ -121,7 +121,7 @@
 	defer l.mutex.Unlock()
 	wait := l.wait(now, class)
 	if wait > 0 {
-		l.came[classOf(class)].note(now)
+		l.came[ClassOf(class)].note(now)
 	}
 	return wait
 }
@@ -133,7 +133,7 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.came[classOf(class)].note(now)
+	l.came[ClassOf(class)].note(now)
 	if wait = l.wait(now, class); wait == 0 {
 		l.record(now)
 	}
@@ -174,7 +174,7 @@
 func (l *Limiter) share(now time.Duration, class int) int {
 	most := (l.limit + keptParts - 1) / keptParts
 	share := l.limit
-	for above := classOf(class) + 1; above < Classes; above++ {
+	for above := ClassOf(class) + 1; above < Classes; above++ {
 		share -= min(most, l.came[above].lately(now))
 	}
 	return max(share, 1)
@@ -183,11 +183,11 @@
 // pace is how many starts a part of a window may hold before a call of a class: one more
 // where there is a class below it, whose calls might have used up the others.
 func (l *Limiter) pace(class int) int {
-	return (l.limit+paceParts-1)/paceParts + min(classOf(class), 1)
+	return (l.limit+paceParts-1)/paceParts + min(ClassOf(class), 1)
 }
 
-// classOf makes sense of any number.
-func classOf(class int) int { return min(max(class, 0), Classes-1) }
+// ClassOf is the class of a number: the nearest one where it is none.
+func ClassOf(class int) int { return min(max(class, 0), Classes-1) }
 
 // demand counts the calls of a class that come, in spans of a window.
 type demand struct {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -198,9 +198,15 @@
 	if c.proxy.config.Baseline.RoundRobin {
 		return set.ChooseInTurn(now, c.proxy.turn.Add(1), c.tried)
 	}
-	return set.Choose(now, c.proxy.random(), c.tried)
+	if chosen := set.Choose(now, c.proxy.random(), c.tried); chosen != nil {
+		return chosen
+	}
+	return set.ChooseCold(now, c.proxy.random(), c.tried, c.class())
 }
 
+// class is the class of the call's priority at the gates of cold back ends.
+func (c *callerCall) class() int { return int(c.route.Resource.Priority) }
+
 // judge tells what became of an attempt, for the call and for the endpoint.
 func (c *callerCall) judge(made *attempt, set *endpoint.Set) {
 	made.exchange.collect(c.proxy.limits.CollectBytes)
@@ -218,6 +224,9 @@
 			// To ask gates that have just refused others would burden them for nothing.
 			made.outcome.Others = set.OthersTaking(now, c.tried)
 		}
+		if made.outcome.Code == result.WarmingUp && !made.outcome.Others {
+			made.outcome.Others = set.ChooseCold(now, 0, c.tried, c.class()) != nil
+		}
 	default:
 		made.outcome.Kind = retry.Answered
 		made.evidence = endpoint.Fine
@@ -314,7 +323,7 @@
 		made.evidence = endpoint.Leaving
 	case result.WarmingUp:
 		made.evidence = endpoint.Withdrawn
-		made.chosen.Cold(c.proxy.config.Clock(), made.outcome.RetryAfter)
+		made.chosen.Cold(c.proxy.config.Clock(), made.outcome.RetryAfter, c.class())
 	case result.QueueFull, result.DeadlineBeforeStart, result.Shed, result.ShareExceeded, result.Overloaded:
 		made.evidence = endpoint.Full
 	case result.ConnectFailed:
--- a/internal/proxy/warmth_test.go
+++ b/internal/proxy/warmth_test.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -51,3 +52,38 @@
 	check.Equal(mesh.call(t, http.MethodPost, "/", "body").status, http.StatusOK)
 	check.True(!mesh.gates[0].Counters().Cold)
 }
+
+// hasRefused has the callers' side know that a gate has refused a call of a priority as cold.
+func (m *mesh) hasRefused(gate int, priority resource.Priority) {
+	set := m.caller.view.Load().services[testService].all
+	set.All[gate].Cold(testClock(), time.Second, int(priority))
+}
+
+// statesARateForUrgentCalls is the same service, of which all calls are urgent.
+func statesARateForUrgentCalls() meshOptions {
+	options := statesARate
+	options.route = func(route *resource.Route) { route.Priority = resource.PriorityHigh }
+	return options
+}
+
+func TestAnUrgentCallAsksAColdGateThatRefusedALessUrgentOne(t *testing.T) {
+	check := is.New(t)
+	var runs atomic.Int64
+	mesh := startMesh(t, statesARateForUrgentCalls(), counting(&runs))
+	mesh.gates[0].SetCold(0) // it has a start
+	mesh.hasRefused(0, resource.PriorityLow)
+	check.Equal(mesh.call(t, http.MethodPost, "/", "body").status, http.StatusOK)
+	mesh.hasRefused(0, resource.PriorityHigh)
+	expectRefusal(check, mesh.call(t, http.MethodPost, "/", "body"), result.WarmingUp, result.RanNo)
+	check.Equal(runs.Load(), int64(1))
+}
+
+func TestAnUrgentCallThatAColdGateRefusesAsksOneThatRefusedALessUrgentOne(t *testing.T) {
+	check := is.New(t)
+	var runs atomic.Int64
+	mesh := startMesh(t, statesARateForUrgentCalls(), counting(&runs), counting(&runs))
+	mesh.gates[1].SetCold(0) // it has a start; the first gate has none
+	mesh.hasRefused(1, resource.PriorityLow)
+	check.Equal(mesh.call(t, http.MethodPost, "/", "body").status, http.StatusOK)
+	check.Equal(runs.Load(), int64(1))
+}
