--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -218,9 +218,15 @@
 	if c.proxy.config.Baseline.RoundRobin {
 		return set.ChooseInTurn(now, c.proxy.turn.Add(1), c.tried)
 	}
-	return set.Choose(now, c.proxy.random(), c.tried)
+	if chosen := set.Choose(now, c.proxy.random(), c.tried); chosen != nil {
+		return chosen
+	}
+	return set.ChooseCold(now, c.proxy.random(), c.tried, c.class())
 }
 
+// class is the class of the call's priority at the gates of cold back ends.
+func (c *callerCall) class() int { return int(c.route.Resource.Priority) }
+
 // judge tells what became of an attempt, for the call and for the endpoint.
 func (c *callerCall) judge(made *attempt, set *endpoint.Set) {
 	made.exchange.collect(c.proxy.limits.CollectBytes)
@@ -234,14 +240,7 @@
 		return
 	case answer.Header.Get(headerCode) != "":
 		c.judgeRefusal(made, answer)
-		if made.evidence == endpoint.Full && !made.outcome.Arrived {
-			// To ask gates that have just refused others would burden them for nothing.
-			made.outcome.Others = set.OthersTaking(now, c.tried)
-		}
-		if made.outcome.Code == result.RegionNotAllowed {
-			c.bindAsGate(answer)
-			made.outcome.Others = set.Within(c.regions).Others(now, c.tried)
-		}
+		made.outcome.Others = c.othersAfter(made, set, now)
 	default:
 		made.outcome.Kind = retry.Answered
 		made.evidence = endpoint.Fine
@@ -255,6 +254,21 @@
 	}
 }
 
+// othersAfter tells whether an endpoint is left that may take the call after a gate's refusal.
+func (c *callerCall) othersAfter(made *attempt, set *endpoint.Set, now time.Duration) bool {
+	switch {
+	case made.evidence == endpoint.Full && !made.outcome.Arrived:
+		// To ask gates that have just refused others would burden them for nothing.
+		return set.OthersTaking(now, c.tried)
+	case made.outcome.Code == result.RegionNotAllowed:
+		c.bindAsGate(made.exchange.answer)
+		return set.Within(c.regions).Others(now, c.tried)
+	case made.outcome.Code == result.WarmingUp:
+		return set.Others(now, c.tried) || set.ChooseCold(now, 0, c.tried, c.class()) != nil
+	}
+	return set.Others(now, c.tried)
+}
+
 // judgeFailure weighs an attempt without an answer. Only the guard's proof
 // makes it one that did not run.
 func (c *callerCall) judgeFailure(made *attempt) {
@@ -338,7 +352,7 @@
 		made.evidence = endpoint.Leaving
 	case result.WarmingUp:
 		made.evidence = endpoint.Withdrawn
-		made.chosen.Cold(c.proxy.config.Clock(), made.outcome.RetryAfter)
+		made.chosen.Cold(c.proxy.config.Clock(), made.outcome.RetryAfter, c.class())
 	case result.QueueFull, result.DeadlineBeforeStart, result.Shed, result.ShareExceeded, result.Overloaded:
 		made.evidence = endpoint.Full
 	case result.ConnectFailed:
