A drain that a later report overtook counts

Cause: two reports of a back end may cross. The one that says that it is leaving was acknowledged and then dropped, since the other one had the higher number; calls went on until the next heartbeat. Change: a late report of the present instance adds nothing but its drain. Conclusion: what was acknowledged is in force when the acknowledgement goes out. A late report of an earlier start under the same name must be kept out before this line.

--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -95,6 +95,8 @@
 		return true
 	}
 	if report.Sequence <= t.sequence {
+		// It was acknowledged although a later one overtook it, and nothing ends a drain.
+		t.draining = t.draining || report.Draining
 		return false
 	}
 	t.take(now, report)
--- a/internal/core/backend/backend_test.go
+++ b/internal/core/backend/backend_test.go
@@ -154,3 +154,12 @@
 		check.Equal(tracker.View(0).State, protocol.EndpointReady)
 	}
 }
+
+// Two reports may cross, and both are acknowledged: an instance that is leaving stays so.
+func TestADrainThatALaterReportOvertookCounts(t *testing.T) {
+	check := is.New(t)
+	tracker := started(t)
+	tracker.Reported(0, Report{Instance: "a", Sequence: 5, Slots: 6})
+	tracker.Reported(0, Report{Instance: "a", Sequence: 4, Slots: 2, Draining: true})
+	check.Equal(tracker.View(0), View{Instance: "a", Slots: 6, State: protocol.EndpointDraining})
+}
