A zone that is taken back is told of a back end that was down meanwhile

Cause: the hook looked at the state shown last. A back end that failed, or that its daemon had not yet confirmed, while its zone was to be empty came back without it, so as warm. Change: the side remembers that the zone was to be empty until its back end takes work. Conclusion: every way back from an emptied zone passes the hook once.

--- a/internal/hosted/backendside.go
+++ b/internal/hosted/backendside.go
@@ -44,6 +44,8 @@
 	// stopping is set once the daemon leaves: the gate, which is closing, is not
 	// opened again.
 	stopping bool
+	// emptied is set while the zone is to be empty, and until its back end takes work again.
+	emptied bool
 }
 
 // hostedBackend is what the side needs of the settings.
@@ -137,9 +139,8 @@
 // lock is held.
 func (b *backendSide) show() {
 	view := b.view()
-	if b.shown.State == protocol.EndpointEvacuated && view.State.TakesWork() && b.settings.takenBack != nil {
-		b.settings.takenBack()
-		view = b.view()
+	if b.emptied && view.State.TakesWork() {
+		view = b.takeBack(view)
 	}
 	if view == b.shown || view.Instance == "" {
 		return
@@ -157,12 +158,27 @@
 // no work for a reason of its own keeps that one: it does not come back with its zone.
 func (b *backendSide) view() backend.View {
 	view := b.tracker.View(b.clock())
-	if view.State.TakesWork() && b.settings.evacuated() {
+	if !b.settings.evacuated() {
+		return view
+	}
+	b.emptied = true
+	if view.State.TakesWork() {
 		view.State = protocol.EndpointEvacuated
 	}
 	return view
 }
 
+// takeBack returns the view of a back end that takes work again after its zone was to be empty;
+// the lock is held.
+func (b *backendSide) takeBack(view backend.View) backend.View {
+	b.emptied = false
+	if b.settings.takenBack == nil {
+		return view
+	}
+	b.settings.takenBack()
+	return b.view()
+}
+
 // zoneChanged looks again whether the zone is to be empty. It does not block.
 func (b *backendSide) zoneChanged() {
 	b.running.Add(1)
--- a/internal/hosted/evacuations_test.go
+++ b/internal/hosted/evacuations_test.go
@@ -84,6 +84,19 @@
 	check.Equal(side.takenBack, 0)
 }
 
+// A back end that failed or came back while its zone was to be empty may have become cold too.
+func TestTakingBackIsToldOfABackEndThatWasDown(t *testing.T) {
+	check := is.New(t)
+	side := newZoneSide()
+	side.zone(true)
+	side.unreachable("i")
+	side.zone(false)
+	check.Equal(side.takenBack, 0) // it takes no work yet
+	side.Heartbeat(backend.Report{Instance: "i", Sequence: 2, Slots: 6})
+	check.Equal(side.reported[len(side.reported)-1], protocol.EndpointReady)
+	check.Equal(side.takenBack, 1)
+}
+
 // The hook is the word of another part; without it the back end counts as it was.
 func TestTakingBackNeedsNoHook(t *testing.T) {
 	check := is.New(t)
