--- a/internal/hosted/evacuationreader.go
+++ b/internal/hosted/evacuationreader.go
@@ -14,6 +14,11 @@
 // evacuationPurpose names the ranking by which the followers of evacuations are chosen.
 const evacuationPurpose = "evacuation"
 
+// longestOrderWait is how long a start waits at most for the orders before the daemon calls
+// itself ready without, however long the bound is: while the store is down nobody can tell it,
+// and callers wait.
+const longestOrderWait = 5 * time.Second
+
 // evacuationReader reads the operator's orders to empty zones from the store: as one of the
 // few that watch them, and itself when nobody seems to have read them lately. Each reading
 // is told to all daemons, which then need not read.
@@ -56,13 +61,13 @@
 }
 
 // informed tells whether the daemon knows the orders, or has waited for them as long as an
-// order may take to be in force: it can't know them where neither the store nor a peer
-// answers, and is needed all the same.
+// order may take to be in force, longestOrderWait at most: it can't know them where neither the
+// store nor a peer answers, and is needed all the same.
 func (r *evacuationReader) informed() bool {
 	m := r.mesh
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.evacuations.Known() || m.clock() >= r.timing.Within
+	return m.evacuations.Known() || m.clock() >= min(r.timing.Within, longestOrderWait)
 }
 
 // keepFresh reads the orders whenever the newest reading known is too old, and asks a peer
