--- a/internal/hosted/evacuationreader.go
+++ b/internal/hosted/evacuationreader.go
@@ -39,7 +39,7 @@
 		made.timing.Within = 0
 	}
 	made.follower = &orderFollower{
-		mesh: mesh, purpose: evacuationPurpose, count: evacuation.FollowerCount, list: made.read, watch: made.watch,
+		mesh: mesh, purpose: evacuationPurpose, count: evacuation.FollowerCount, list: made.list, watch: made.watch,
 		known: func() bool { return false }, // whoever is due reads before there are followers
 	}
 	mesh.evacuationTiming = made.timing
@@ -119,6 +119,23 @@
 	}
 }
 
+// list is the first reading of a follower, after which it watches. Where the store has never
+// held an order there is nothing to watch, and keepFresh reads often enough.
+func (r *evacuationReader) list() (authority.Position, error) {
+	if r.knowsOfNone() {
+		return 0, nil
+	}
+	return r.read()
+}
+
+// knowsOfNone tells whether a reading that is not due yet has shown no position.
+func (r *evacuationReader) knowsOfNone() bool {
+	m := r.mesh
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.evacuations.Known() && m.evacuations.Orders().At == 0 && m.evacuations.Age(m.clock()) < r.timing.Within/2
+}
+
 // read reads all orders, puts them in force and tells all daemons. It returns the position
 // after them.
 func (r *evacuationReader) read() (authority.Position, error) {
