Reading evacuations: a store that went back is not stormed, old failures count no more

Cause: a list below the known position was taken for a success that changed nothing. The newest reading stayed due, so every daemon listed again without a pause. And failures were counted up for good: after a store that was down for a while, a daemon's next single failure cost it a pause of two bounds, although peers had told it meanwhile. Change: a list below the position that was known when it began is a failure. Failures are counted in a row only, from the last reading that the daemon has heard of.

--- a/internal/hosted/evacuationreader.go
+++ b/internal/hosted/evacuationreader.go
@@ -74,12 +74,14 @@
 // where the store does not answer.
 func (r *evacuationReader) keepFresh() {
 	failures := 0
-	for r.awaitDue(randomNumber()) {
-		if _, err := r.read(); err == nil {
-			failures = 0
+	for {
+		inARow, running := r.awaitDue(randomNumber())
+		if !running {
+			return
+		}
+		if failures = r.readOnce(failures, inARow); failures == 0 {
 			continue
 		}
-		failures++
 		r.askPeer()
 		if !pause.For(r.mesh.context, r.timing.Retry(r.follower.rank(), failures)) {
 			return
@@ -87,19 +89,33 @@
 	}
 }
 
-// awaitDue waits until the newest reading known is too old; false means that the daemon ends.
-func (r *evacuationReader) awaitDue(random uint64) bool {
-	for {
+// awaitDue waits until the newest reading known is too old. It tells whether that was so at
+// once, with no news of a reading since the last try, and whether the daemon still runs.
+func (r *evacuationReader) awaitDue(random uint64) (atOnce, running bool) {
+	for atOnce = true; ; atOnce = false {
 		wait := r.untilDue(random)
 		if wait <= 0 {
-			return r.mesh.context.Err() == nil
+			return atOnce, r.mesh.context.Err() == nil
 		}
 		if !pause.For(r.mesh.context, wait) {
-			return false
+			return false, false
 		}
 	}
 }
 
+// readOnce reads the orders and returns how many readings in a row have failed by then. Failures
+// from before a peer told of a reading make no wait longer: the store has answered since.
+func (r *evacuationReader) readOnce(failures int, inARow bool) int {
+	_, err := r.read()
+	switch {
+	case err == nil:
+		return 0
+	case inARow:
+		return failures + 1
+	}
+	return 1
+}
+
 func (r *evacuationReader) untilDue(random uint64) time.Duration {
 	m := r.mesh
 	m.mutex.Lock()
@@ -142,23 +158,30 @@
 	m := r.mesh
 	ctx, cancel := context.WithTimeout(m.context, min(readTimeout, r.timing.Within/2))
 	defer cancel()
-	began := m.clock()
+	began, known := m.clock(), r.position()
 	orders, faults, err := r.port.List(ctx)
 	m.calls.noteError(purposeEvacuation, err)
 	if err != nil {
 		return 0, err
 	}
+	if orders.At < known {
+		return 0, result.New(result.PlatformUnknown, "the store shows position %d after %d", orders.At, known)
+	}
 	r.noteFaults(faults)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if known := m.evacuations.Orders(); orders.At == 0 && known.At > 0 {
-		return 0, result.New(result.PlatformUnknown, "the store shows no position after %d", known.At)
-	}
 	m.mergeEvacuations(began, sourceStore, evacuation.Word{Orders: orders, Known: true})
 	m.spreadOrders()
 	return authority.Position(orders.At), nil
 }
 
+// position is the store's position of the orders that are known.
+func (r *evacuationReader) position() uint64 {
+	r.mesh.mutex.Lock()
+	defer r.mesh.mutex.Unlock()
+	return r.mesh.evacuations.Orders().At
+}
+
 // watch waits for a change after a position and reads all orders when there is one: the
 // orders are taken whole or not at all.
 func (r *evacuationReader) watch(from authority.Position) (authority.Position, error) {
--- a/internal/hosted/evacuations_test.go
+++ b/internal/hosted/evacuations_test.go
@@ -112,9 +112,16 @@
 	orders evacuation.Orders
 	faults map[string]error
 	err    error
+	// listed counts the lists; onList is called for each one, nil for nothing.
+	listed int
+	onList func()
 }
 
 func (o *orderReader) List(context.Context) (evacuation.Orders, map[string]error, error) {
+	o.listed++
+	if o.onList != nil {
+		o.onList()
+	}
 	return o.orders, o.faults, o.err
 }
 
@@ -133,7 +140,11 @@
 }
 
 func newEvacuationMesh() *evacuationMesh {
-	made := &evacuationMesh{mesh: newTestMesh("z1", member("a", "z1"), member("b", "z2")), port: &orderReader{}}
+	return newEvacuationMeshAmong(member("a", "z1"), member("b", "z2"))
+}
+
+func newEvacuationMeshAmong(others ...protocol.Member) *evacuationMesh {
+	made := &evacuationMesh{mesh: newTestMesh("z1", others...), port: &orderReader{}}
 	made.clock = func() time.Duration { return made.now }
 	made.calls = &storeCalls{}
 	made.client = control.NewClient(nil, controlLimits(), control.NewMeter())
@@ -201,6 +212,76 @@
 	check.Equal(held.evacuations.Orders().Zones, []string{"z2"})
 }
 
+// A store that shows less than it did, as one that was restored does, is asked again after a
+// while only: each list is a call.
+func TestAStoreThatWentBackIsNotStormed(t *testing.T) {
+	check := is.New(t)
+	held := newEvacuationMeshAmong() // nobody to ask
+	held.takeEvacuations(0, "a", evacuation.Word{Orders: evacuation.NewOrders(7, []string{"z2"}), Known: true})
+	held.now = 2 * testWithin // the reading is due
+	held.port.orders = evacuation.NewOrders(3, nil)
+	running, end := context.WithTimeout(context.Background(), held.reader.timing.Relist()/4)
+	defer end()
+	held.context = running
+	held.port.onList = func() {
+		if held.port.listed > 1 {
+			end() // one too many
+		}
+	}
+	held.reader.keepFresh()
+	check.Equal(held.port.listed, 1)
+	check.Equal(held.evacuations.Orders().Zones, []string{"z2"})
+}
+
+// A list that was overtaken by a peer's newer word is no failure: the store has not gone back.
+func TestAListThatAPeerOvertookIsNoFailure(t *testing.T) {
+	check := is.New(t)
+	held := newEvacuationMesh()
+	held.port.orders = evacuation.NewOrders(3, nil)
+	held.port.onList = func() {
+		held.takeEvacuations(0, "a", evacuation.Word{Orders: evacuation.NewOrders(7, []string{"z2"}), Known: true})
+	}
+	_, err := held.reader.read()
+	check.NoErr(err)
+	check.Equal(held.evacuations.Orders().Zones, []string{"z2"})
+}
+
+// Failures of long ago make no wait longer: peers have told the daemon since.
+func TestOnlyFailuresInARowMakeWaitsLonger(t *testing.T) {
+	check := is.New(t)
+	held := newEvacuationMesh()
+	held.port.err = result.New(result.PlatformUnavailable, "refused")
+	check.Equal(held.reader.readOnce(6, true), 7)
+	check.Equal(held.reader.readOnce(6, false), 1)
+	held.port.err = nil
+	check.Equal(held.reader.readOnce(6, true), 0)
+}
+
+// Where the store knows no orders at all, the reader that keeps them fresh is enough.
+func TestAStoreWithoutOrdersIsListedOnce(t *testing.T) {
+	check := is.New(t)
+	held := newEvacuationMesh()
+	for range 3 {
+		at, err := held.reader.follower.list()
+		check.NoErr(err)
+		check.Equal(at, authority.Position(0))
+	}
+	check.Equal(held.port.listed, 1)
+	held.now = testWithin
+	_, err := held.reader.follower.list()
+	check.NoErr(err)
+	check.Equal(held.port.listed, 2) // nobody else seems to read
+}
+
+// A long bound does not keep a mesh that starts while the store is down from serving.
+func TestALongBoundDoesNotHoldUpReadiness(t *testing.T) {
+	check := is.New(t)
+	held := newEvacuationMesh()
+	held.reader.timing.Within = 10 * time.Minute
+	held.now = longestOrderWait
+	check.True(held.reader.informed())
+}
+
 func TestAFaultyOrderIsToldOnceAndBindsAll(t *testing.T) {
 	check := is.New(t)
 	held := newEvacuationMesh()
