Test: the part of a route whose zones are empty is refused, not moved

Change: a route of two parts, one of them in an emptied zone; about half of the calls are refused as not run, and the other part gets no more than its own.

--- a/internal/proxy/evacuation_test.go
+++ b/internal/proxy/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"runtime"
 	"strings"
@@ -13,6 +14,8 @@
 
 	"github.com/springstack/springstack/internal/core/endpoint"
 	"github.com/springstack/springstack/internal/core/evacuation"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/rollout"
 	"github.com/springstack/springstack/internal/result"
 )
@@ -54,6 +57,37 @@
 	check.Equal(mesh.call(t, "POST", "/", "x").status, http.StatusOK)
 }
 
+// The weights of a route hold while the zones of one part are empty: its calls are refused, not
+// moved to the other part.
+func TestThePartOfARouteWhoseZonesAreEmptyIsRefused(t *testing.T) {
+	check := is.New(t)
+	var runs atomic.Int64
+	emptied := resource.ServiceRef{Partner: "k", Name: "emptied"}
+	mesh := startMesh(t, meshOptions{route: func(route *resource.Route) {
+		route.Split = append(route.Split, resource.Destination{Service: emptied, Weight: 1})
+	}}, counting(&runs))
+	held := *mesh.held
+	held.Services, held.Backends = maps.Clone(held.Services), maps.Clone(held.Backends)
+	held.Services[emptied] = resource.Service{Partner: emptied.Partner, Name: emptied.Name}
+	held.Backends[emptied] = []resource.Backend{{Partner: "k", Name: "b", Service: emptied.Name, Zone: "other", Slots: 6}}
+	members := append(mesh.members, protocol.Member{
+		ID: "gate-b", Incarnation: 7, Sequence: 1, State: protocol.MemberAlive, DataAddress: "127.0.0.1:1", Zone: "other",
+		Service: emptied, Backend: "b", Endpoint: protocol.EndpointReady, Slots: 6,
+	})
+	mesh.caller.Swap(&held)
+	mesh.caller.PublishState(MeshState{Members: members, Evacuations: evacuation.NewOrders(1, []string{"other"})})
+	const calls = 200
+	refused := 0
+	for range calls {
+		if got := mesh.call(t, "POST", "/", "x"); got.status != http.StatusOK {
+			expectRefusal(check, got, result.ZoneEvacuated, result.RanNo)
+			refused++
+		}
+	}
+	check.True(refused > calls*35/100 && refused < calls*65/100) // half, by chance
+	check.Equal(int(runs.Load()), calls-refused)
+}
+
 // A call that runs when the zone is emptied ends in peace, one that waits runs elsewhere.
 func TestACallThatRunsIsNotCutAndOneThatWaitsMovesOn(t *testing.T) {
 	check := is.New(t)
