Metrics: a daemon that follows no evacuations tells no age of them

Change: it is told only where orders are followed (TestMetricsAreServed). Conclusion: the metric means what its help says.

--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -44,11 +44,19 @@
 	for _, record := range c.daemon.mesh.rolloutRecords() {
 		metrics.RolloutStage.Send(out, float64(record.Stage), record.Service.Name, record.Target)
 	}
-	zones, age := c.daemon.mesh.evacuatedZones()
+	c.daemon.evacuations.collect(out)
+	daemon.CollectPath(out, c.daemon.path.Counters())
+}
+
+// collect sends what the daemon knows of orders to empty zones; nothing where it follows none.
+func (r *evacuationReader) collect(out chan<- prometheus.Metric) {
+	if r.timing.Within == 0 {
+		return
+	}
+	zones, age := r.mesh.evacuatedZones()
 	for _, zone := range zones {
-		code := codeOf(c.daemon.evacuations.fault(zone))
+		code := codeOf(r.fault(zone))
 		metrics.EvacuatedZoneDaemons.Send(out, float64(zone.daemons), zone.zone, strconv.Itoa(int(code)), code.Name())
 	}
 	metrics.EvacuationsAge.Send(out, age.Seconds())
-	daemon.CollectPath(out, c.daemon.path.Counters())
 }
