Allowed regions: pools are made for a service's own lists, and shared where the same back ends are meant

Cause: each view made, for each service, a pool for each distinct list of all routes: services times lists. Nothing bounds how many lists a configuration names, and views are made anew with each news of a member. Change: the table keeps the lists by the services that routes lead to; lists that allow the same of the regions in which a service has back ends share one pool. Conclusion: memory is bounded by the regions of a service's back ends, not by the operator's lists.

--- /dev/null
+++ b/internal/core/routing/restrictions_test.go
@@ -0,0 +1,33 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/region"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/core/snapshot"
+)
+
+// A service is divided only by the lists of its own routes, each of them once.
+func TestRestrictionsAreThoseOfAServicesRoutes(t *testing.T) {
+	check := is.New(t)
+	service := func(name string) resource.ServiceRef { return resource.ServiceRef{Partner: "k", Name: name} }
+	to := func(regions []string, names ...string) resource.Route {
+		route := resource.Route{Partner: "k", Match: resource.Match{PathPrefix: "/"}, AllowedRegions: regions}
+		for _, name := range names {
+			route.Split = append(route.Split, resource.Destination{Service: service(name), Weight: 1})
+		}
+		return route
+	}
+	table := Compile(&snapshot.Snapshot{Routes: []resource.Route{
+		to([]string{"b", "a"}, "one"), to([]string{"a", "b"}, "one", "two"), to([]string{}, "two"), to(nil, "three"),
+	}})
+	check.True(table.Restricts())
+	check.Equal(table.RestrictionsOf(service("one")), []region.Allowed{region.Of([]string{"a", "b"})})
+	check.Equal(table.RestrictionsOf(service("two")), []region.Allowed{region.Of([]string{"a", "b"}), region.Of([]string{})})
+	check.Equal(len(table.RestrictionsOf(service("three"))), 0)
+	check.True(!Compile(&snapshot.Snapshot{Routes: []resource.Route{to(nil, "one")}}).Restricts())
+	check.True(!(*Table)(nil).Restricts())
+}
--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -96,8 +96,8 @@
 	// longest is the length of the longest prefix.
 	longest int
 	size    int
-	// restrictions are those of routes, each once.
-	restrictions []region.Allowed
+	// restrictions are those of the routes to each service, each list once.
+	restrictions map[resource.ServiceRef][]region.Allowed
 }
 
 // Compile builds the table of a snapshot. Routes without destination are left
@@ -158,18 +158,29 @@
 // count counts a route, and notes its regions if it is restricted to some.
 func (t *Table) count(route *Route) {
 	t.size++
-	if route.Regions.Restricted() && !slices.ContainsFunc(t.restrictions, route.Regions.Equal) {
-		t.restrictions = append(t.restrictions, route.Regions)
+	if !route.Regions.Restricted() {
+		return
+	}
+	if t.restrictions == nil {
+		t.restrictions = map[resource.ServiceRef][]region.Allowed{}
+	}
+	for _, target := range route.Targets {
+		known := t.restrictions[target.Service]
+		if !slices.ContainsFunc(known, route.Regions.Equal) {
+			t.restrictions[target.Service] = append(known, route.Regions)
+		}
 	}
 }
 
-// Restrictions are the regions that routes are restricted to, each list once; empty where
-// every route may run anywhere.
-func (t *Table) Restrictions() []region.Allowed {
-	if t == nil {
-		return nil // no version is in force yet
-	}
-	return t.restrictions
+// Restricts tells whether some route is restricted to regions.
+func (t *Table) Restricts() bool {
+	return t != nil && len(t.restrictions) > 0 // nil while no version is in force yet
+}
+
+// RestrictionsOf are the regions that the routes to a service are restricted to, each list
+// once; empty where all of them may run anywhere.
+func (t *Table) RestrictionsOf(service resource.ServiceRef) []region.Allowed {
+	return t.restrictions[service]
 }
 
 // Size returns the number of routes.
--- a/internal/proxy/regions.go
+++ b/internal/proxy/regions.go
@@ -7,6 +7,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/springstack/springstack/internal/core/endpoint"
 	"github.com/springstack/springstack/internal/core/region"
 	"github.com/springstack/springstack/internal/core/retry"
 	"github.com/springstack/springstack/internal/result"
@@ -15,7 +16,7 @@
 // restrictedPool is where calls go that may run in some regions only.
 type restrictedPool struct {
 	allowed region.Allowed
-	pool    pool
+	pool    *pool
 }
 
 // within is the part of a pool in allowed regions. What a roll-out says of the whole service
@@ -29,11 +30,24 @@
 	return made
 }
 
-// restrict makes the pools of the lists of regions that the routes of a view name, so that
-// calls find them made.
+// restrict makes the pools of the lists of regions that the service's routes name, so that
+// calls find them made. Lists that differ only in regions without its back ends share one:
+// there are as many pools as the back ends' regions make, however many lists routes name.
 func (s *service) restrict(lists []region.Allowed) {
+	if len(lists) == 0 {
+		return
+	}
+	present := region.Of(lo.Map(s.all.All, func(one *endpoint.Endpoint, _ int) string { return one.Region }))
+	var made []restrictedPool
 	for _, allowed := range lists {
-		s.restricted = append(s.restricted, restrictedPool{allowed: allowed, pool: s.within(allowed)})
+		reachable := present.Both(allowed)
+		shared, found := lo.Find(made, func(one restrictedPool) bool { return one.allowed.Equal(reachable) })
+		if !found {
+			part := s.within(reachable)
+			shared = restrictedPool{allowed: reachable, pool: &part}
+			made = append(made, shared)
+		}
+		s.restricted = append(s.restricted, restrictedPool{allowed: allowed, pool: shared.pool})
 	}
 }
 
@@ -45,7 +59,7 @@
 	}
 	for index := range s.restricted {
 		if s.restricted[index].allowed.Equal(allowed) {
-			return &s.restricted[index].pool
+			return s.restricted[index].pool
 		}
 	}
 	made := s.within(allowed)
@@ -60,7 +74,7 @@
 		return
 	}
 	c.table = current.table
-	if len(current.table.Restrictions()) == 0 {
+	if !current.table.Restricts() {
 		return
 	}
 	if route := current.find(c.request, c.place); route != nil {
@@ -88,7 +102,7 @@
 // force here. Its sender's version may be older, and bars what it bars by itself.
 func (p *Proxy) checkRegion(request *http.Request) (Refusal, bool) {
 	current := p.view.Load()
-	if len(current.table.Restrictions()) == 0 {
+	if !current.table.Restricts() {
 		return Refusal{}, true
 	}
 	located, refusal, fine := p.locate(request)
--- a/internal/proxy/regions_test.go
+++ b/internal/proxy/regions_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/samber/lo"
 
 	"github.com/springstack/springstack/internal/core/endpoint"
 	"github.com/springstack/springstack/internal/core/protocol"
@@ -275,6 +276,22 @@
 	check.Equal(allocated([]string{"home"}), allocated(nil))
 }
 
+// What lists cost is bounded by the regions in which a service has back ends, not by how many
+// lists a configuration's routes name.
+func TestListsThatAllowTheSameBackEndsShareTheirPool(t *testing.T) {
+	check := is.New(t)
+	made := &service{all: regionalSet()}
+	made.divide(Split{})
+	lists := lo.Times(3000, func(number int) region.Allowed {
+		return region.Of([]string{[]string{"home", "old"}[number%2], fmt.Sprintf("elsewhere-%d", number)})
+	})
+	made.restrict(lists)
+	pools := lo.Uniq(lo.Map(lists, func(allowed region.Allowed, _ int) *pool { return made.poolOf(allowed) }))
+	check.Equal(len(pools), 2)
+	check.Equal(made.poolOf(lists[0]).set.All[0].Region, "home")
+	check.Equal(made.poolOf(lists[1]).set.All[0].Region, "old")
+}
+
 // regionalSet has back ends of two versions in a region, and of one in each of two others.
 func regionalSet() *endpoint.Set {
 	var members []protocol.Member
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -77,7 +77,7 @@
 		}
 		made.all = endpoint.BuildIndexed(oldSet, self, backends, index, now)
 		made.divide(splits[reference])
-		made.restrict(next.table.Restrictions())
+		made.restrict(next.table.RestrictionsOf(reference))
 		next.services[reference] = made
 		p.connect(previous, next, made.all)
 	}
