Allowed regions: a gate looks again when a call's turn has come

Cause: a gate checked its region once, before the body and the queue; a call that waited there for its body or a slot ran although the gate had got a version meanwhile by which it must not. Without a new version it costs one comparison. Conclusion: each run keeps to the version that is in force at its gate when it begins.

--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -65,6 +65,8 @@
 	verdicts verdictChannel
 	// backend is the instance that the call is for.
 	backend string
+	// table is that of the version by which the call may run here.
+	table *routing.Table
 	// hasTurn says that it is suspected to be harmful and runs while no other one does.
 	hasTurn bool
 }
@@ -91,11 +93,15 @@
 	if refusal, fine := p.checkForm(request); !fine {
 		return nil, refusal, false
 	}
-	if refusal, allowed := p.checkRegion(request); !allowed {
+	current := p.view.Load()
+	if refusal, allowed := p.checkRegion(current, request); !allowed {
 		return nil, refusal, false
 	}
 	body.sign()
-	call := &gateCall{proxy: p, request: request, body: body, timeout: routing.DefaultTimeout, backend: header.Get(headerBackend)}
+	call := &gateCall{
+		proxy: p, request: request, body: body, timeout: routing.DefaultTimeout, backend: header.Get(headerBackend),
+		table: current.table,
+	}
 	if stated, found := statedTimeout(header); found {
 		call.timeout = stated
 	}
@@ -160,6 +166,12 @@
 		return
 	}
 	observe(c.proxy.config.Timings.Queue, waited)
+	if refusal, allowed := c.checkRegionAgain(); !allowed {
+		c.proxy.gate.Done(c.proxy.config.Clock(), c.ticket, false)
+		c.traceGate("gate_refused", refusal.Code, 0, waited, 0)
+		c.refuse(refusal)
+		return
+	}
 	sent := c.send()
 	refusal, refused := c.judge(sent)
 	ran := c.proxy.config.Clock() - came - waited
--- a/internal/proxy/regions.go
+++ b/internal/proxy/regions.go
@@ -99,9 +99,8 @@
 }
 
 // checkRegion refuses a call that may not run in the region of this gate by the version in
-// force here. Its sender's version may be older, and bars what it bars by itself.
-func (p *Proxy) checkRegion(request *http.Request) (Refusal, bool) {
-	current := p.view.Load()
+// force here, which is that of the view. Its sender's version may be older, and bars what it bars by itself.
+func (p *Proxy) checkRegion(current *view, request *http.Request) (Refusal, bool) {
 	if !current.table.Restricts() {
 		return Refusal{}, true
 	}
@@ -116,6 +115,16 @@
 	return Refusal{Code: result.RegionNotAllowed, Regions: []string{regionsText(route.Regions)}}, false
 }
 
+// checkRegionAgain refuses a call whose body and turn were waited for, up to some seconds, if
+// by a version that came meanwhile it may not run here.
+func (c *gateCall) checkRegionAgain() (Refusal, bool) {
+	current := c.proxy.view.Load()
+	if current.table == c.table {
+		return Refusal{}, true
+	}
+	return c.proxy.checkRegion(current, c.request)
+}
+
 // regionsSeparator stands between the names in headerRegions; it is escaped within them.
 const regionsSeparator = ","
 
--- a/internal/proxy/regions_test.go
+++ b/internal/proxy/regions_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -136,6 +138,38 @@
 	}
 }
 
+// A call that has waited at a gate for its turn is bound by the version in force when it begins
+// to run, and is sent home in place of that.
+func TestAVersionThatComesWhileACallWaitsAtAGateBindsIt(t *testing.T) {
+	check := is.New(t)
+	var near, home atomic.Int64
+	begun, held := make(chan struct{}), make(chan struct{})
+	slow := backendSpec{handler: func(http.ResponseWriter, *http.Request) {
+		if near.Add(1) == 1 {
+			close(begun)
+		}
+		<-held
+	}}
+	mesh := startMesh(t, meshOptions{slots: 1}, slow, in("home", counting(&home)))
+	mesh.force(2, []string{"r"}, mesh.caller)
+	answers := make(chan answered, 2)
+	ask := func() { answers <- mesh.call(t, "POST", "/", "body") }
+	go ask()
+	<-begun
+	go ask()
+	for mesh.gates[0].gate.Load().Queued == 0 {
+		runtime.Gosched()
+	}
+	mesh.force(3, []string{"home"}, append(mesh.gates, mesh.caller)...)
+	close(held)
+	codes := []string{(<-answers).header.Get(headerCode), (<-answers).header.Get(headerCode)}
+	check.True(slices.Contains(codes, itoa(int(result.RegionNotAllowed))))
+	check.Equal(near.Load(), int64(1))
+	for mesh.gates[0].gate.Load().Running > 0 { // its slot is given back
+		runtime.Gosched()
+	}
+}
+
 // A large body, which is announced, is refused before any of it was sent: by the gate and by
 // the entry.
 func TestNoBodyIsTakenInThatMayNotBeHeld(t *testing.T) {
