Test: the mesh of the hosted tests has an estimator of round trips

Cause: newTestMesh left roundTrips nil, which every daemon has (wiring.go). The one test that gives its mesh a client (TestAStartIsToldOfTheDrainThatItForgot) panicked in mesh.call where the peer's answer came before the test had ended; seen once in a run of all packages, and within 500 repeats. Change: the fixture has an estimator. Conclusion: a fault of the fixture, not of the product.

--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -20,6 +20,7 @@
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/retry"
+	"github.com/springstack/springstack/internal/core/roundtrip"
 	"github.com/springstack/springstack/internal/core/snapshot"
 	"github.com/springstack/springstack/internal/logging"
 	"github.com/springstack/springstack/internal/proxy"
@@ -127,17 +128,18 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel() // no loop runs and nothing is sent
 	made := &mesh{
-		clock:     func() time.Duration { return 0 },
-		publish:   func([]protocol.Member, proxy.Splits) {},
-		harmful:   proxy.New(proxy.Config{Clock: func() time.Duration { return 0 }}),
-		rollouts:  newRolloutTable(0),
-		version:   func() protocol.Version { return 0 },
-		context:   ctx,
-		roster:    membership.NewRoster(),
-		lost:      map[protocol.NodeID]bool{},
-		verifying: map[protocol.NodeID]bool{},
-		batch:     dissemination.NewBatch(batchPeriod),
-		self:      protocol.Member{ID: "m", Zone: zone, Incarnation: 5, Sequence: 1, State: protocol.MemberAlive},
+		clock:      func() time.Duration { return 0 },
+		publish:    func([]protocol.Member, proxy.Splits) {},
+		harmful:    proxy.New(proxy.Config{Clock: func() time.Duration { return 0 }}),
+		rollouts:   newRolloutTable(0),
+		version:    func() protocol.Version { return 0 },
+		context:    ctx,
+		roster:     membership.NewRoster(),
+		lost:       map[protocol.NodeID]bool{},
+		verifying:  map[protocol.NodeID]bool{},
+		batch:      dissemination.NewBatch(batchPeriod),
+		roundTrips: &roundtrip.Estimator{},
+		self:       protocol.Member{ID: "m", Zone: zone, Incarnation: 5, Sequence: 1, State: protocol.MemberAlive},
 	}
 	made.roster.Merge(0, made.self, membership.Below)
 	for _, other := range others {
