--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -68,6 +68,8 @@
 	backend string
 	// start is the start of the instance that the call was last sent to.
 	start protocol.BackendStart
+	// table is that of the version by which the call may run here.
+	table *routing.Table
 	// hasTurn says that it is suspected to be harmful and runs while no other one does.
 	hasTurn bool
 }
@@ -94,11 +96,15 @@
 	if refusal, fine := p.checkForm(request); !fine {
 		return nil, refusal, false
 	}
-	if refusal, allowed := p.checkRegion(request); !allowed {
+	current := p.view.Load()
+	if refusal, allowed := p.checkRegion(current, request); !allowed {
 		return nil, refusal, false
 	}
 	body.sign()
-	call := &gateCall{proxy: p, request: request, body: body, timeout: routing.DefaultTimeout, backend: header.Get(headerBackend)}
+	call := &gateCall{
+		proxy: p, request: request, body: body, timeout: routing.DefaultTimeout, backend: header.Get(headerBackend),
+		table: current.table,
+	}
 	if stated, found := statedTimeout(header); found {
 		call.timeout = stated
 	}
@@ -169,6 +175,12 @@
 		return
 	}
 	observe(c.proxy.config.Timings.Queue, waited)
+	if refusal, allowed := c.checkRegionAgain(); !allowed {
+		c.proxy.gate.Done(c.proxy.config.Clock(), c.ticket, false)
+		c.traceGate("gate_refused", refusal.Code, 0, waited, 0)
+		c.refuse(refusal)
+		return
+	}
 	sent := c.send()
 	refusal, refused := c.judge(sent)
 	ran := c.proxy.config.Clock() - came - waited
--- a/internal/proxy/regions.go
+++ b/internal/proxy/regions.go
@@ -7,6 +7,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/springstack/springstack/internal/core/endpoint"
 	"github.com/springstack/springstack/internal/core/region"
 	"github.com/springstack/springstack/internal/result"
 )
@@ -14,7 +15,7 @@
 // restrictedPool is where calls go that may run in some regions only.
 type restrictedPool struct {
 	allowed region.Allowed
-	pool    pool
+	pool    *pool
 }
 
 // within is the part of a pool in allowed regions. What a roll-out says of the whole service
@@ -28,11 +29,24 @@
 	return made
 }
 
-// restrict makes the pools of the lists of regions that the routes of a view name, so that
-// calls find them made.
+// restrict makes the pools of the lists of regions that the service's routes name, so that
+// calls find them made. Lists that differ only in regions without its back ends share one:
+// there are as many pools as the back ends' regions make, however many lists routes name.
 func (s *service) restrict(lists []region.Allowed) {
+	if len(lists) == 0 {
+		return
+	}
+	present := region.Of(lo.Map(s.all.All, func(one *endpoint.Endpoint, _ int) string { return one.Region }))
+	var made []restrictedPool
 	for _, allowed := range lists {
-		s.restricted = append(s.restricted, restrictedPool{allowed: allowed, pool: s.within(allowed)})
+		reachable := present.Both(allowed)
+		shared, found := lo.Find(made, func(one restrictedPool) bool { return one.allowed.Equal(reachable) })
+		if !found {
+			part := s.within(reachable)
+			shared = restrictedPool{allowed: reachable, pool: &part}
+			made = append(made, shared)
+		}
+		s.restricted = append(s.restricted, restrictedPool{allowed: allowed, pool: shared.pool})
 	}
 }
 
@@ -44,7 +58,7 @@
 	}
 	for index := range s.restricted {
 		if s.restricted[index].allowed.Equal(allowed) {
-			return &s.restricted[index].pool
+			return s.restricted[index].pool
 		}
 	}
 	made := s.within(allowed)
@@ -59,7 +73,7 @@
 		return
 	}
 	c.table = current.table
-	if len(current.table.Restrictions()) == 0 {
+	if !current.table.Restricts() {
 		return
 	}
 	if route := current.find(c.request, c.place); route != nil {
@@ -76,10 +90,9 @@
 }
 
 // checkRegion refuses a call that may not run in the region of this gate by the version in
-// force here. Its sender's version may be older, and bars what it bars by itself.
-func (p *Proxy) checkRegion(request *http.Request) (Refusal, bool) {
-	current := p.view.Load()
-	if len(current.table.Restrictions()) == 0 {
+// force here, which is that of the view. Its sender's version may be older, and bars what it bars by itself.
+func (p *Proxy) checkRegion(current *view, request *http.Request) (Refusal, bool) {
+	if !current.table.Restricts() {
 		return Refusal{}, true
 	}
 	located, refusal, fine := p.locate(request)
@@ -93,6 +106,16 @@
 	return Refusal{Code: result.RegionNotAllowed, Regions: []string{regionsText(route.Regions)}}, false
 }
 
+// checkRegionAgain refuses a call whose body and turn were waited for, up to some seconds, if
+// by a version that came meanwhile it may not run here.
+func (c *gateCall) checkRegionAgain() (Refusal, bool) {
+	current := c.proxy.view.Load()
+	if current.table == c.table {
+		return Refusal{}, true
+	}
+	return c.proxy.checkRegion(current, c.request)
+}
+
 // regionsSeparator stands between the names in headerRegions; it is escaped within them.
 const regionsSeparator = ","
 
--- a/internal/proxy/regions_test.go
+++ b/internal/proxy/regions_test.go
@@ -7,11 +7,14 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/samber/lo"
 
 	"github.com/springstack/springstack/internal/core/endpoint"
 	"github.com/springstack/springstack/internal/core/protocol"
@@ -135,6 +138,38 @@
 	}
 }
 
+// A call that has waited at a gate for its turn is bound by the version in force when it begins
+// to run, and is sent home in place of that.
+func TestAVersionThatComesWhileACallWaitsAtAGateBindsIt(t *testing.T) {
+	check := is.New(t)
+	var near, home atomic.Int64
+	begun, held := make(chan struct{}), make(chan struct{})
+	slow := backendSpec{handler: func(http.ResponseWriter, *http.Request) {
+		if near.Add(1) == 1 {
+			close(begun)
+		}
+		<-held
+	}}
+	mesh := startMesh(t, meshOptions{slots: 1}, slow, in("home", counting(&home)))
+	mesh.force(2, []string{"r"}, mesh.caller)
+	answers := make(chan answered, 2)
+	ask := func() { answers <- mesh.call(t, "POST", "/", "body") }
+	go ask()
+	<-begun
+	go ask()
+	for mesh.gates[0].gate.Load().Queued == 0 {
+		runtime.Gosched()
+	}
+	mesh.force(3, []string{"home"}, append(mesh.gates, mesh.caller)...)
+	close(held)
+	codes := []string{(<-answers).header.Get(headerCode), (<-answers).header.Get(headerCode)}
+	check.True(slices.Contains(codes, itoa(int(result.RegionNotAllowed))))
+	check.Equal(near.Load(), int64(1))
+	for mesh.gates[0].gate.Load().Running > 0 { // its slot is given back
+		runtime.Gosched()
+	}
+}
+
 // A large body, which is announced, is refused before any of it was sent: by the gate and by
 // the entry.
 func TestNoBodyIsTakenInThatMayNotBeHeld(t *testing.T) {
@@ -275,6 +310,22 @@
 	check.Equal(allocated([]string{"home"}), allocated(nil))
 }
 
+// What lists cost is bounded by the regions in which a service has back ends, not by how many
+// lists a configuration's routes name.
+func TestListsThatAllowTheSameBackEndsShareTheirPool(t *testing.T) {
+	check := is.New(t)
+	made := &service{all: regionalSet()}
+	made.divide(Split{})
+	lists := lo.Times(3000, func(number int) region.Allowed {
+		return region.Of([]string{[]string{"home", "old"}[number%2], fmt.Sprintf("elsewhere-%d", number)})
+	})
+	made.restrict(lists)
+	pools := lo.Uniq(lo.Map(lists, func(allowed region.Allowed, _ int) *pool { return made.poolOf(allowed) }))
+	check.Equal(len(pools), 2)
+	check.Equal(made.poolOf(lists[0]).set.All[0].Region, "home")
+	check.Equal(made.poolOf(lists[1]).set.All[0].Region, "old")
+}
+
 // regionalSet has back ends of two versions in a region, and of one in each of two others.
 func regionalSet() *endpoint.Set {
 	var members []protocol.Member
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -87,7 +87,7 @@
 		self.ColdRate = held.Services[reference].WarmUp.PerSecond
 		made.all = endpoint.BuildIndexed(oldSet, self, backends, index, now)
 		made.divide(state.Splits[reference])
-		made.restrict(next.table.Restrictions())
+		made.restrict(next.table.RestrictionsOf(reference))
 		next.services[reference] = made
 		p.connect(previous, next, made.all)
 	}
