A hedged call that is proved not to have run is refused as not run

Cause: a hedged attempt is counted as one that may have run, and what its gate answers later was dropped, so that a call which ran nowhere was told 502.

Change: retry.Call counts its attempts in doubt; what a hedged attempt ends with is judged like that of any other, and a proof that it did not run takes its own doubt back, never another one's. The final refusal is then that of the attempt which was in doubt.

--- a/internal/core/retry/call.go
+++ b/internal/core/retry/call.go
@@ -118,10 +118,11 @@
 	// attempts counts those made; relocations those not counted as retries.
 	attempts    int
 	relocations int
-	// mayHaveRun is set by the first attempt that is not certain not to have
-	// run, and never cleared: a later "did not run" speaks of its own attempt
-	// only.
-	mayHaveRun bool
+	// inDoubt counts the attempts that are not certain not to have run. A later "did
+	// not run" speaks of its own attempt only, and takes back no other one's doubt.
+	inDoubt int
+	// disproof is the last outcome that Disprove was told.
+	disproof Outcome
 	// deposited says that the call has been recorded in the budget.
 	deposited bool
 	// unknownCode is the code of the last attempt that may have run.
@@ -186,7 +187,7 @@
 	c.attempts++
 	c.deposit(now, outcome)
 	if outcome.Kind == Answered && c.retriesAnswer(now, outcome) {
-		c.mayHaveRun = true
+		c.inDoubt++
 		c.unknownCode = result.BrokenInFlight
 		return c.send(now, outcome)
 	}
@@ -252,7 +253,7 @@
 	if didNotRun(outcome) {
 		return
 	}
-	c.mayHaveRun = true
+	c.inDoubt++
 	switch outcome.Kind {
 	case Expired:
 		c.unknownCode = result.DeadlineInFlight
@@ -263,6 +264,26 @@
 	}
 }
 
+// Disprove takes back the doubt about an attempt that Next was told may have run, and tells
+// whether the outcome with which it has ended since is proof that it did not.
+func (c *Call) Disprove(outcome Outcome) bool {
+	if !didNotRun(outcome) || c.inDoubt == 0 {
+		return false
+	}
+	c.inDoubt--
+	c.disproof = outcome
+	return true
+}
+
+// Final is the final refusal once all attempts have ended: as it was decided or, if the
+// last doubt was taken back since, that of the attempt which was in doubt.
+func (c *Call) Final(decided Step) Step {
+	if decided.Action != Refuse || decided.Ran == result.RanNo || c.inDoubt > 0 {
+		return decided
+	}
+	return c.giveUp(c.disproof)
+}
+
 // didNotRun tells whether the attempt certainly did not run.
 func didNotRun(outcome Outcome) bool {
 	switch outcome.Kind {
@@ -280,7 +301,7 @@
 	if outcome.Kind == NoEndpoint || !outcome.Replayable {
 		return false
 	}
-	return c.policy.Repeatable || !c.mayHaveRun
+	return c.policy.Repeatable || c.inDoubt == 0
 }
 
 // relocates tells whether the attempt met an endpoint that is not there for
@@ -332,7 +353,7 @@
 }
 
 func (c *Call) deadlineCode() result.Code {
-	if c.mayHaveRun {
+	if c.inDoubt > 0 {
 		return result.DeadlineInFlight
 	}
 	return result.DeadlineBeforeStart
@@ -342,7 +363,7 @@
 // means "did not run" is then not used either, for some read only the code.
 func (c *Call) refuse(code result.Code, retryAfter time.Duration) Step {
 	step := Step{Action: Refuse, Code: code, Ran: result.RanNo, RetryAfter: retryAfter}
-	if !c.mayHaveRun {
+	if c.inDoubt == 0 {
 		return step
 	}
 	step.Ran = result.RanUnknown
--- a/internal/core/retry/call_test.go
+++ b/internal/core/retry/call_test.go
@@ -67,6 +67,32 @@
 	check.Equal(newCall(Policy{Repeatable: true}).Next(0, late).Code, result.DeadlineInFlight) // no time for another
 }
 
+// What an attempt in doubt ends with later counts for that attempt alone.
+func TestADoubtIsTakenBackByProofOnly(t *testing.T) {
+	check := is.New(t)
+	lost := Outcome{Kind: Broken, Replayable: true, Others: true}
+	refusal := Outcome{Kind: Refused, Code: result.QueueFull, Ran: result.RanNo, RetryAfter: time.Second, Replayable: true}
+	unknown := Outcome{Kind: Refused, Code: result.DeadlineInFlight, Ran: result.RanUnknown}
+	draining := Outcome{Kind: Refused, Code: result.Draining, Ran: result.RanNo, Replayable: true}
+
+	call := newCall(Policy{Repeatable: true})
+	check.Equal(call.Next(0, lost).Action, Send)
+	decided := call.Next(0, draining)
+	check.True(!call.Disprove(lost))
+	check.True(!call.Disprove(unknown))
+	check.Equal(call.Final(decided), decided) // no proof
+	check.True(call.Disprove(refusal))
+	check.Equal(call.Final(decided), Step{Action: Refuse, Code: result.QueueFull, Ran: result.RanNo, RetryAfter: time.Second})
+	check.True(!call.Disprove(refusal)) // once
+
+	twice := newCall(Policy{Repeatable: true})
+	check.Equal(twice.Next(0, lost).Action, Send)
+	check.Equal(twice.Next(0, lost).Action, Send)
+	decided = twice.Next(0, draining)
+	check.True(twice.Disprove(refusal))
+	check.Equal(twice.Final(decided), decided) // the other one may have run
+}
+
 func TestMarkStopsRetriesButNotRelocation(t *testing.T) {
 	check := is.New(t)
 	call := newCall(Policy{Repeatable: true, NoRetry: true})
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -224,7 +224,7 @@
 				c.deliver(last)
 				return
 			}
-			c.refuse(step)
+			c.refuse(c.retries.Final(step))
 			return
 		}
 	}
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -93,23 +93,25 @@
 }
 
 // takeHedged returns the hedged attempt, which has ended, if its back end has answered it,
-// and else nil. The call then has no hedged attempt any more.
+// and else nil. The call then has no hedged attempt any more, and no doubt about one that
+// is proved not to have run.
 func (c *callerCall) takeHedged() *attempt {
 	earlier := c.hedged
 	c.hedged = nil
 	received := earlier.pending.take()
-	if received.answer == nil || received.answer.Header.Get(headerCode) != "" {
+	if received.answer == nil && !received.unsent {
 		received.close()
 		return nil
 	}
 	late := &attempt{chosen: earlier.chosen, sentAt: earlier.sentAt, exchange: received}
 	late.chosen.Begin()
 	c.judge(late, earlier.set)
-	if late.outcome.Kind != retry.Answered {
-		late.end(c.proxy) // the answer broke off
-		return nil
+	if late.outcome.Kind == retry.Answered {
+		return late
 	}
-	return late
+	c.retries.Disprove(late.outcome)
+	late.end(c.proxy) // refused, not sent, or its answer broke off
+	return nil
 }
 
 // awaitHedged waits for the hedged attempt before a call is refused, and returns its
--- a/internal/proxy/hedge_test.go
+++ b/internal/proxy/hedge_test.go
@@ -23,6 +23,8 @@
 	endsByReset
 	// endsMidway resets the connection after a part of the answer.
 	endsMidway
+	// endsUnbegun sheds the call: the back end says that it has not begun it.
+	endsUnbegun
 )
 
 // stepped is a back end whose runs end as the test says.
@@ -54,6 +56,9 @@
 		_, _ = io.WriteString(writer, name)
 	case endsWithFailure:
 		writer.WriteHeader(http.StatusInternalServerError)
+	case endsUnbegun:
+		writer.Header().Set(headerBackendRan, string(result.RanNo))
+		writer.WriteHeader(http.StatusServiceUnavailable)
 	case endsMidway:
 		writer.Header().Set("Content-Length", "100")
 		_, _ = io.WriteString(writer, "part")
@@ -237,6 +242,40 @@
 	check.Equal(got.ran(), string(result.RanUnknown))
 }
 
+// A hedged attempt that is proved not to have run leaves no doubt: its caller is told that
+// nothing ran, and with a status that says so.
+func TestAHedgedCallThatRanNowhereIsToldSo(t *testing.T) {
+	check := is.New(t)
+	mesh := startHedging(t, func(*Config) {})
+	mesh.closeOther()
+	mesh.fallSilent()
+	mesh.stayOpen(t, "after the other attempt")
+	mesh.first.ends <- endsUnbegun
+	got := await(t, mesh.answers, "an answer")
+	check.Equal(got.ran(), string(result.RanNo))
+	check.Equal(got.status, http.StatusServiceUnavailable)
+}
+
+// The same where the proof comes first.
+func TestAHedgedCallThatIsLaterRefusedElsewhereIsToldThatItRanNowhere(t *testing.T) {
+	check := is.New(t)
+	mesh := startHedging(t, func(*Config) {})
+	mesh.fallSilent()
+	await(t, mesh.second.entered, "another attempt")
+	mesh.first.ends <- endsUnbegun
+	select {
+	case got := <-mesh.answers:
+		t.Fatalf("the caller got %d while its call ran", got.status)
+	case <-time.After(settleTime):
+	}
+	for range routing.DefaultAttempts {
+		mesh.first.ends <- endsUnbegun // further attempts
+		mesh.second.ends <- endsUnbegun
+	}
+	got := await(t, mesh.answers, "an answer")
+	check.Equal(got.ran(), string(result.RanNo))
+}
+
 // A suspicion takes no attempt away, whatever the other attempt ends with: the first back
 // end is at work, and its answer is of success.
 func TestAFailureOfTheOtherDoesNotCutTheFirst(t *testing.T) {
