A large body that stands still holds no other one up

Cause: a gate takes in two large bodies at a time. The senders of both had gone with their machines without a word, and their turns ended with the bound on a silent read, 15 s later: past their callers' deadlines, while the gate refused uploads by the hundred with all its slots free. The 15 s then counted as the time of a transfer, so that what waited was refused for seconds more.

Change: a body that brings nothing for 250 ms gives its turn to the next one and goes on without one if it flows again. Only bodies that came whole within their turn count for the mean time. A body is read until its call's time is over, at gate and entry, and no longer.

--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
 	"github.com/springstack/springstack/internal/core/endpoint"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/retry"
@@ -50,7 +51,7 @@
 	call.writer = writer
 	call.control = control
 	call.body = body
-	if err := body.preload(ctx); err != nil {
+	if err := body.preload(ctx, nil); err != nil {
 		refusal := unsentRefusal(ctx, err)
 		p.traceTurnedAway(request, refusal)
 		p.refuse(writer, body, refusal)
@@ -80,7 +81,7 @@
 		refusal.Code = result.SlowPeer
 	case context.Cause(ctx) == errDrainBound:
 		refusal.Code = result.Draining
-	case ctx.Err() == context.DeadlineExceeded:
+	case ctx.Err() == context.DeadlineExceeded || errors.Is(err, context.DeadlineExceeded):
 		refusal.Code = result.DeadlineBeforeStart
 	}
 	return refusal
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -16,6 +16,10 @@
 	// transferShare is the most of a call's remaining time that its body may be
 	// expected to wait before it is sent.
 	transferShare = 0.3
+	// transferIdle is after what silence a body gives its turn to the next one. One that
+	// flows brings a packet every few milliseconds, also on a link of some Mbit/s; the rest
+	// is for a sender whose processor is spent.
+	transferIdle = 250 * time.Millisecond
 	// transferWeight is the weight of a new value in the mean time of a transfer.
 	transferWeight = 1.0 / 8
 )
@@ -63,9 +67,12 @@
 	}
 }
 
+// pass gives the turn to the next body.
+func (t *transfers) pass() { <-t.tokens }
+
 // done ends a transfer that took a time.
 func (t *transfers) done(took time.Duration) {
-	<-t.tokens
+	t.pass()
 	mean := t.mean.Load()
 	next := int64(took)
 	if mean > 0 {
@@ -74,6 +81,46 @@
 	t.mean.Store(next)
 }
 
+// transferTurn is the turn of one body. A body that stands still, for instance since its
+// sender's machine is gone, passes it on and goes on without one if it flows again: that it
+// is slow is no reason to end its call.
+type transferTurn struct {
+	of   *transfers
+	idle *time.Timer
+	over atomic.Bool
+}
+
+// begin begins the turn of a body that await has let in.
+func (t *transfers) begin() *transferTurn {
+	turn := &transferTurn{of: t}
+	turn.idle = time.AfterFunc(transferIdle, func() {
+		if turn.over.CompareAndSwap(false, true) {
+			t.pass()
+		}
+	})
+	return turn
+}
+
+// flows notes that a part of the body has come.
+func (t *transferTurn) flows() {
+	if !t.over.Load() {
+		t.idle.Reset(transferIdle)
+	}
+}
+
+// end ends the turn after a time. Only a body that came whole within its turn tells how
+// long bodies take.
+func (t *transferTurn) end(took time.Duration, whole bool) {
+	t.idle.Stop()
+	switch {
+	case !t.over.CompareAndSwap(false, true):
+	case whole:
+		t.of.done(took)
+	default:
+		t.of.pass()
+	}
+}
+
 // lateAfter is by how much a call is expected to miss its target because its body
 // waits; 0 when it does not miss it, or hardly waits. As long as the body has not been
 // sent, to go elsewhere costs little.
@@ -104,8 +151,9 @@
 		return Refusal{Code: c.endCode()}, false
 	}
 	began := c.proxy.config.Clock()
-	err := c.body.preload(c.context)
-	transfers.done(c.proxy.config.Clock() - began)
+	turn := transfers.begin()
+	err := c.body.preload(c.context, turn.flows)
+	turn.end(c.proxy.config.Clock()-began, err == nil)
 	if err != nil {
 		return unsentRefusal(c.context, err), false
 	}
--- a/internal/proxy/transfer_test.go
+++ b/internal/proxy/transfer_test.go
@@ -1,8 +1,11 @@
 package proxy
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -47,6 +50,65 @@
 	check.Equal(len(transfers.tokens), 0)
 }
 
+// slowUpload sends the head and the first bytes of a large body.
+func slowUpload(t *testing.T, mesh *mesh, headers string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", mesh.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(awaitLimit))
+	_, err = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n%s\r\nfirst", largeBody, headers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+// statusLine reads the first line of an answer; empty when none comes.
+func statusLine(conn net.Conn) string {
+	line, _ := bufio.NewReader(conn).ReadString('\n')
+	return strings.TrimSpace(line)
+}
+
+// A gate once took no large body for 15 s, since the senders of those whose turn it was had
+// gone with their machines. A body that stands still holds no other one up; when it flows
+// again its call goes on.
+func TestABodyThatStandsStillHoldsNoOtherUp(t *testing.T) {
+	check := is.New(t)
+	mesh := startMesh(t, meshOptions{caller: func(config *Config) {
+		config.Limits.ReplayBytes = 1 << 10 // bodies are passed on as they come
+	}}, backendSpec{handler: func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(writer, request.Body)
+	}})
+	transfers := mesh.gates[0].transfers
+	var still []net.Conn
+	for range transferLimit {
+		still = append(still, slowUpload(t, mesh, ""))
+	}
+	for len(transfers.tokens) < transferLimit {
+		time.Sleep(time.Millisecond)
+	}
+	ended := make(chan answered, 1)
+	go func() { ended <- mesh.call(t, "POST", "/", strings.Repeat("x", largeBody)) }()
+	check.Equal(await(t, ended, "an answer beside bodies that stand still").status, http.StatusOK)
+	check.True(transfers.meanTime() < transferIdle) // what stood still tells nothing of the link
+	for _, conn := range still {
+		_, _ = io.WriteString(conn, strings.Repeat("x", largeBody-len("first")))
+		check.Equal(statusLine(conn), "HTTP/1.1 200 OK")
+	}
+	check.Equal(len(transfers.tokens), 0)
+}
+
+// A body is waited for as long as its call has time, and no longer.
+func TestABodyIsAwaitedUntilTheCallsTimeIsOver(t *testing.T) {
+	var runs atomic.Int64
+	mesh := startMesh(t, meshOptions{}, counting(&runs))
+	conn := slowUpload(t, mesh, "Springstack-Timeout-Ms: 100\r\n")
+	is.New(t).Equal(statusLine(conn), "HTTP/1.1 504 Gateway Timeout") // not run
+}
+
 // TestABodyThatWouldComeTooLateIsRefusedUnsent: at once, as not run; too late for
 // its deadline, or for its route's target.
 func TestABodyThatWouldComeTooLateIsRefusedUnsent(t *testing.T) {
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -66,6 +66,8 @@
 	declared int64
 	// expects is set while the caller waits for leave to send the body.
 	expects bool
+	// until is when the reading ends; zero for no bound but the stall.
+	until time.Time
 	// closing is set once the caller was told that its connection ends.
 	closing bool
 }
@@ -100,19 +102,28 @@
 
 // preload reads a body of a stated length that can be kept whole, before the
 // first attempt. A slow sender then holds no slot, and a call that did not run
-// can always be sent again.
-func (u *upload) preload(ctx context.Context) error {
+// can always be sent again. It is read until the call's time is over, and flows, unless
+// nil, is told of each part that comes.
+func (u *upload) preload(ctx context.Context, flows func()) error {
 	if u == nil || u.declared < 0 || u.declared > int64(u.keep) {
 		return nil
 	}
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
+	u.until, _ = ctx.Deadline()
+	defer func() { u.until = time.Time{} }()
 	buffer := make([]byte, u.declared+1)
 	for u.failure == nil && ctx.Err() == nil {
-		_, _ = u.read(buffer) // keeps what it reads, and how it ended
+		count, _ := u.read(buffer) // keeps what it reads, and how it ended
+		if count > 0 && flows != nil {
+			flows()
+		}
 	}
-	if u.failure == io.EOF {
+	switch {
+	case u.failure == io.EOF:
 		return nil
+	case stalled(u.failure) && !u.until.IsZero() && !time.Now().Before(u.until):
+		return context.DeadlineExceeded
 	}
 	return cmp.Or(u.failure, ctx.Err())
 }
@@ -249,7 +260,11 @@
 	if u.failure != nil {
 		return 0, u.failure
 	}
-	_ = u.control.SetReadDeadline(time.Now().Add(u.stall))
+	latest := time.Now().Add(u.stall)
+	if !u.until.IsZero() && u.until.Before(latest) {
+		latest = u.until
+	}
+	_ = u.control.SetReadDeadline(latest)
 	count, err := u.source.Read(bytes)
 	u.count += int64(count)
 	if u.count > u.limit {
