Large bodies run beside the daemon that they come to

Change: a large body goes to the back end beside its daemon if a slot is free there and the answer is expected in time; there it needs no turn and does not count for the mean time of transfers.

The test fails on the code before.

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -113,6 +113,14 @@
 	}
 }
 
+// Free tells whether a call that comes now would get a slot at once.
+func (g *Gate) Free() bool { return g.admits(g.word.Load()) }
+
+// admits tells whether a slot is free and nobody waits for it.
+func (g *Gate) admits(word uint64) bool {
+	return word&(refusingAny|queuedMask) == 0 && int64(word&runningMask) < g.slots.Load()
+}
+
 // Draining tells whether the gate refuses new calls.
 func (g *Gate) Draining() bool { return g.word.Load()&refusingAny != 0 }
 
@@ -148,8 +156,7 @@
 func (g *Gate) acquire() bool {
 	for {
 		word := g.word.Load()
-		running := int64(word & runningMask)
-		if word&(refusingAny|queuedMask) != 0 || running >= g.slots.Load() {
+		if !g.admits(word) {
 			return false
 		}
 		if g.word.CompareAndSwap(word, word+1) {
--- /dev/null
+++ b/internal/core/endpoint/near_test.go
@@ -0,0 +1,29 @@
+package endpoint
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/springstack/springstack/internal/core/protocol"
+)
+
+// The endpoint beside a daemon is chosen only while nothing speaks against it.
+func TestTheEndpointBesideADaemonIsChosenWhileItIsWell(t *testing.T) {
+	check := is.New(t)
+	backends, members := fixture(sameZone(3)...)
+	members[1].Endpoint = protocol.EndpointWarming
+	set := Build(nil, home, backends, members, 0)
+	own := set.ChooseAt(0, "b0", nil)
+	check.Equal(own.Backend, "b0")
+	check.Equal(set.ChooseAt(0, "b1", nil), nil) // warming
+	check.Equal(set.ChooseAt(0, "b9", nil), nil) // not of the service
+	check.Equal(set.ChooseAt(0, "b0", Tried{own}), nil)
+	own.Begin()
+	own.End(0, Full)
+	check.Equal(set.ChooseAt(0, "b0", nil), nil)
+	check.Equal(set.ChooseAt(refusalLife, "b0", nil), own)
+	own.Begin()
+	own.End(time.Second, Unreachable)
+	check.Equal(set.ChooseAt(time.Second, "b0", nil), nil)
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -192,6 +192,9 @@
 	if c.key != "" {
 		return set.ChooseKeyed(now, c.keyHash, c.tried)
 	}
+	if own := c.besideMe(set, now); own != nil {
+		return own
+	}
 	if c.proxy.config.Baseline.RoundRobin {
 		return set.ChooseInTurn(now, c.proxy.turn.Add(1), c.tried)
 	}
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/springstack/springstack/internal/core/admission"
+	"github.com/springstack/springstack/internal/core/endpoint"
 	"github.com/springstack/springstack/internal/result"
 )
 
@@ -132,12 +135,35 @@
 	return max(now+wait+c.proxy.transfers.meanTime()+service-c.ticket.Target, 0)
 }
 
+// besideMe is the endpoint beside this daemon if it is expected to answer a large body in
+// time, and else nil. A body crosses no link on its way there, and the links of back ends
+// that take uploads are full before their slots are.
+func (c *callerCall) besideMe(set *endpoint.Set, now time.Duration) *endpoint.Endpoint {
+	gate := c.proxy.gate
+	if !c.body.isLarge() || gate == nil || !gate.Free() {
+		return nil
+	}
+	service := gate.LongServiceOf(&admission.Call{Class: c.route.Class})
+	if c.route.Resource.Target > 0 && now+service > c.target {
+		return nil
+	}
+	return set.ChooseAt(now, c.proxy.config.NodeID, c.tried)
+}
+
+// isOwn tells whether the call comes from this daemon itself.
+func (c *gateCall) isOwn() bool {
+	return strings.HasPrefix(c.request.Header.Get(headerRequest), c.proxy.requestPrefix)
+}
+
 // receive takes in a large body whole before the call asks for a slot, so that a
 // slow link holds no slot. It refuses the call when that would take too long.
 func (c *gateCall) receive() (Refusal, bool) {
 	if !c.body.isLarge() {
 		return Refusal{}, true
 	}
+	if c.isOwn() {
+		return c.receiveOwn()
+	}
 	transfers := c.proxy.transfers
 	now := c.proxy.config.Clock()
 	wait := transfers.expectedWait()
@@ -159,3 +185,11 @@
 	}
 	return Refusal{}, true
 }
+
+// receiveOwn takes in a large body from this daemon itself, which needs no turn.
+func (c *gateCall) receiveOwn() (Refusal, bool) {
+	if err := c.body.preload(c.context, nil); err != nil {
+		return unsentRefusal(c.context, err), false
+	}
+	return Refusal{}, true
+}
--- a/internal/proxy/transfer_test.go
+++ b/internal/proxy/transfer_test.go
@@ -109,6 +109,28 @@
 	is.New(t).Equal(statusLine(conn), "HTTP/1.1 504 Gateway Timeout") // not run
 }
 
+// Large bodies that come to the daemon beside a back end cross no link to reach it, and wait
+// for none that do. Small ones go where they are answered sooner.
+func TestALargeBodyRunsBesideItsDaemon(t *testing.T) {
+	check := is.New(t)
+	var beside, elsewhere atomic.Int64
+	mesh := startMesh(t, meshOptions{caller: func(config *Config) {
+		config.NodeID, config.Incarnation, config.Backend, config.Slots = "gate-a", 7, "a", 6
+	}}, counting(&beside), counting(&elsewhere))
+	for range transferLimit {
+		check.True(mesh.gates[0].transfers.await(t.Context())) // bodies that cross the link
+	}
+	large := strings.Repeat("x", largeBody)
+	for range 20 {
+		check.Equal(mesh.call(t, "POST", "/", large).status, http.StatusOK)
+	}
+	check.Equal(beside.Load(), int64(20))
+	for range 20 {
+		mesh.call(t, "POST", "/", "small")
+	}
+	check.True(elsewhere.Load() > 0)
+}
+
 // TestABodyThatWouldComeTooLateIsRefusedUnsent: at once, as not run; too late for
 // its deadline, or for its route's target.
 func TestABodyThatWouldComeTooLateIsRefusedUnsent(t *testing.T) {
