The expected wait of a large body follows what bodies have waited

Change: the rest of the first body under way counts, and the mean of what bodies have waited beyond that, three times the queue at the most. What can't be in time is refused on arrival.

Weighed: to look at the time again when the turn comes and refuse the body unsent then; and both.

--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -23,6 +23,11 @@
 	// flows brings a packet every few milliseconds, also on a link of some Mbit/s; the rest
 	// is for a sender whose processor is spent.
 	transferIdle = 250 * time.Millisecond
+	// thousand is the whole of a share in thousandths.
+	thousand = 1000
+	// excessLimit bounds by how much a wait is believed to exceed what is expected, in
+	// thousandths: one stall of the link tells little of the next one.
+	excessLimit = 2 * thousand
 	// transferWeight is the weight of a new value in the mean time of a transfer.
 	transferWeight = 1.0 / 8
 )
@@ -34,6 +39,9 @@
 	waiting atomic.Int64
 	// mean is the moving mean of the time that a body takes, in nanoseconds.
 	mean atomic.Int64
+	// excess is the moving mean of what bodies have waited longer than expected, as a
+	// share of that in thousandths: others share the link.
+	excess atomic.Int64
 }
 
 func newTransfers() *transfers {
@@ -43,9 +51,31 @@
 // meanTime is how long a body takes.
 func (t *transfers) meanTime() time.Duration { return time.Duration(t.mean.Load()) }
 
-// expectedWait is how long one more body is expected to wait.
+// expectedWait is how long one more body is expected to wait: until the first of those
+// that come has come, for those ahead of it, and for what else is on the link.
 func (t *transfers) expectedWait() time.Duration {
-	return time.Duration(t.waiting.Load() * t.mean.Load() / transferLimit)
+	queue := t.queueWait()
+	return queue + queue*time.Duration(t.excess.Load())/thousand
+}
+
+// queueWait is what the bodies alone make expect.
+func (t *transfers) queueWait() time.Duration {
+	mean := t.mean.Load()
+	wait := t.waiting.Load() * mean / transferLimit
+	if len(t.tokens) == transferLimit {
+		wait += mean / (transferLimit + 1) // the first of so many to end
+	}
+	return time.Duration(wait)
+}
+
+// learnWait learns how long a body has waited, by what the queue had made expect.
+func (t *transfers) learnWait(expected, waited time.Duration) {
+	if expected <= 0 || expected < t.meanTime()/transferLimit {
+		return // hardly any
+	}
+	ratio := min(max(int64((waited-expected)*thousand/expected), 0), excessLimit)
+	old := t.excess.Load()
+	t.excess.Store(old + int64(float64(ratio-old)*transferWeight))
 }
 
 // asQueued is the number of calls that would make the next one wait for a slot as
@@ -166,7 +196,7 @@
 	}
 	transfers := c.proxy.transfers
 	now := c.proxy.config.Clock()
-	wait := transfers.expectedWait()
+	queue, wait := transfers.queueWait(), transfers.expectedWait()
 	if float64(wait) > transferShare*float64(c.deadline-now) {
 		return Refusal{Code: result.QueueFull, RetryAfter: wait}, false
 	}
@@ -177,6 +207,7 @@
 		return Refusal{Code: c.endCode()}, false
 	}
 	began := c.proxy.config.Clock()
+	transfers.learnWait(queue, began-now)
 	turn := transfers.begin()
 	err := c.body.preload(c.context, turn.flows)
 	turn.end(c.proxy.config.Clock()-began, err == nil)
--- a/internal/proxy/transfer_test.go
+++ b/internal/proxy/transfer_test.go
@@ -131,6 +131,35 @@
 	check.True(elsewhere.Load() > 0)
 }
 
+// Where other things share the link, bodies wait for longer than those ahead of them make
+// expect; a gate that doesn't learn that takes in what it answers late.
+func TestAnExpectedWaitFollowsWaits(t *testing.T) {
+	check := is.New(t)
+	waits := newTransfers()
+	waits.mean.Store(int64(90 * time.Millisecond))
+	check.Equal(waits.expectedWait(), time.Duration(0)) // a turn is free
+	for range transferLimit {
+		check.True(waits.await(t.Context()))
+	}
+	check.Equal(waits.expectedWait(), 30*time.Millisecond) // until the first one has come
+	waits.waiting.Add(4)
+	check.Equal(waits.expectedWait(), 210*time.Millisecond)
+	for range 100 {
+		waits.learnWait(200*time.Millisecond, 300*time.Millisecond)
+	}
+	check.True(waits.expectedWait() > 300*time.Millisecond)
+	for range 100 {
+		waits.learnWait(200*time.Millisecond, time.Minute) // a stall
+	}
+	check.True(waits.expectedWait() <= 3*210*time.Millisecond)
+	waits.learnWait(0, time.Minute) // nothing was expected
+	for range 100 {
+		waits.learnWait(200*time.Millisecond, 100*time.Millisecond)
+	}
+	check.Equal(waits.queueWait(), 210*time.Millisecond)
+	check.True(waits.expectedWait() < 220*time.Millisecond)
+}
+
 // TestABodyThatWouldComeTooLateIsRefusedUnsent: at once, as not run; too late for
 // its deadline, or for its route's target.
 func TestABodyThatWouldComeTooLateIsRefusedUnsent(t *testing.T) {
