--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -215,6 +215,9 @@
 	if c.key != "" {
 		return set.ChooseKeyed(now, c.keyHash, c.tried)
 	}
+	if own := c.besideMe(set, now); own != nil {
+		return own
+	}
 	if c.proxy.config.Baseline.RoundRobin {
 		return set.ChooseInTurn(now, c.proxy.turn.Add(1), c.tried)
 	}
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/springstack/springstack/internal/core/admission"
+	"github.com/springstack/springstack/internal/core/endpoint"
 	"github.com/springstack/springstack/internal/result"
 )
 
@@ -16,6 +19,15 @@
 	// transferShare is the most of a call's remaining time that its body may be
 	// expected to wait before it is sent.
 	transferShare = 0.3
+	// transferIdle is after what silence a body gives its turn to the next one. One that
+	// flows brings a packet every few milliseconds, also on a link of some Mbit/s; the rest
+	// is for a sender whose processor is spent.
+	transferIdle = 250 * time.Millisecond
+	// thousand is the whole of a share in thousandths.
+	thousand = 1000
+	// excessLimit bounds by how much a wait is believed to exceed what is expected, in
+	// thousandths: one stall of the link tells little of the next one.
+	excessLimit = 2 * thousand
 	// transferWeight is the weight of a new value in the mean time of a transfer.
 	transferWeight = 1.0 / 8
 )
@@ -27,6 +39,9 @@
 	waiting atomic.Int64
 	// mean is the moving mean of the time that a body takes, in nanoseconds.
 	mean atomic.Int64
+	// excess is the moving mean of what bodies have waited longer than expected, as a
+	// share of that in thousandths: others share the link.
+	excess atomic.Int64
 }
 
 func newTransfers() *transfers {
@@ -36,9 +51,31 @@
 // meanTime is how long a body takes.
 func (t *transfers) meanTime() time.Duration { return time.Duration(t.mean.Load()) }
 
-// expectedWait is how long one more body is expected to wait.
+// expectedWait is how long one more body is expected to wait: until the first of those
+// that come has come, for those ahead of it, and for what else is on the link.
 func (t *transfers) expectedWait() time.Duration {
-	return time.Duration(t.waiting.Load() * t.mean.Load() / transferLimit)
+	queue := t.queueWait()
+	return queue + queue*time.Duration(t.excess.Load())/thousand
+}
+
+// queueWait is what the bodies alone make expect.
+func (t *transfers) queueWait() time.Duration {
+	mean := t.mean.Load()
+	wait := t.waiting.Load() * mean / transferLimit
+	if len(t.tokens) == transferLimit {
+		wait += mean / (transferLimit + 1) // the first of so many to end
+	}
+	return time.Duration(wait)
+}
+
+// learnWait learns how long a body has waited, by what the queue had made expect.
+func (t *transfers) learnWait(expected, waited time.Duration) {
+	if expected <= 0 || expected < t.meanTime()/transferLimit {
+		return // hardly any
+	}
+	ratio := min(max(int64((waited-expected)*thousand/expected), 0), excessLimit)
+	old := t.excess.Load()
+	t.excess.Store(old + int64(float64(ratio-old)*transferWeight))
 }
 
 // asQueued is the number of calls that would make the next one wait for a slot as
@@ -63,9 +100,12 @@
 	}
 }
 
+// pass gives the turn to the next body.
+func (t *transfers) pass() { <-t.tokens }
+
 // done ends a transfer that took a time.
 func (t *transfers) done(took time.Duration) {
-	<-t.tokens
+	t.pass()
 	mean := t.mean.Load()
 	next := int64(took)
 	if mean > 0 {
@@ -74,6 +114,46 @@
 	t.mean.Store(next)
 }
 
+// transferTurn is the turn of one body. A body that stands still, for instance since its
+// sender's machine is gone, passes it on and goes on without one if it flows again: that it
+// is slow is no reason to end its call.
+type transferTurn struct {
+	of   *transfers
+	idle *time.Timer
+	over atomic.Bool
+}
+
+// begin begins the turn of a body that await has let in.
+func (t *transfers) begin() *transferTurn {
+	turn := &transferTurn{of: t}
+	turn.idle = time.AfterFunc(transferIdle, func() {
+		if turn.over.CompareAndSwap(false, true) {
+			t.pass()
+		}
+	})
+	return turn
+}
+
+// flows notes that a part of the body has come.
+func (t *transferTurn) flows() {
+	if !t.over.Load() {
+		t.idle.Reset(transferIdle)
+	}
+}
+
+// end ends the turn after a time. Only a body that came whole within its turn tells how
+// long bodies take.
+func (t *transferTurn) end(took time.Duration, whole bool) {
+	t.idle.Stop()
+	switch {
+	case !t.over.CompareAndSwap(false, true):
+	case whole:
+		t.of.done(took)
+	default:
+		t.of.pass()
+	}
+}
+
 // lateAfter is by how much a call is expected to miss its target because its body
 // waits; 0 when it does not miss it, or hardly waits. As long as the body has not been
 // sent, to go elsewhere costs little.
@@ -85,15 +165,38 @@
 	return max(now+wait+c.proxy.transfers.meanTime()+service-c.ticket.Target, 0)
 }
 
+// besideMe is the endpoint beside this daemon if it is expected to answer a large body in
+// time, and else nil. A body crosses no link on its way there, and the links of back ends
+// that take uploads are full before their slots are.
+func (c *callerCall) besideMe(set *endpoint.Set, now time.Duration) *endpoint.Endpoint {
+	gate := c.proxy.gate
+	if !c.body.isLarge() || gate == nil || !gate.Free() {
+		return nil
+	}
+	service := gate.LongServiceOf(&admission.Call{Class: c.route.Class})
+	if c.route.Resource.Target > 0 && now+service > c.target {
+		return nil
+	}
+	return set.ChooseAt(now, c.proxy.config.NodeID, c.tried)
+}
+
+// isOwn tells whether the call comes from this daemon itself.
+func (c *gateCall) isOwn() bool {
+	return strings.HasPrefix(c.request.Header.Get(headerRequest), c.proxy.requestPrefix)
+}
+
 // receive takes in a large body whole before the call asks for a slot, so that a
 // slow link holds no slot. It refuses the call when that would take too long.
 func (c *gateCall) receive() (Refusal, bool) {
 	if !c.body.isLarge() {
 		return Refusal{}, true
 	}
+	if c.isOwn() {
+		return c.receiveOwn()
+	}
 	transfers := c.proxy.transfers
 	now := c.proxy.config.Clock()
-	wait := transfers.expectedWait()
+	queue, wait := transfers.queueWait(), transfers.expectedWait()
 	if float64(wait) > transferShare*float64(c.deadline-now) {
 		return Refusal{Code: result.QueueFull, RetryAfter: wait}, false
 	}
@@ -104,10 +207,20 @@
 		return Refusal{Code: c.endCode()}, false
 	}
 	began := c.proxy.config.Clock()
-	err := c.body.preload(c.context)
-	transfers.done(c.proxy.config.Clock() - began)
+	transfers.learnWait(queue, began-now)
+	turn := transfers.begin()
+	err := c.body.preload(c.context, turn.flows)
+	turn.end(c.proxy.config.Clock()-began, err == nil)
 	if err != nil {
 		return unsentRefusal(c.context, err), false
 	}
 	return Refusal{}, true
 }
+
+// receiveOwn takes in a large body from this daemon itself, which needs no turn.
+func (c *gateCall) receiveOwn() (Refusal, bool) {
+	if err := c.body.preload(c.context, nil); err != nil {
+		return unsentRefusal(c.context, err), false
+	}
+	return Refusal{}, true
+}
