Calls that come to a daemon which has just started wait for its first view

Change: for 2 s after its start a call that can't be sent yet waits for the next view, for a quarter of its time at most (acceptWhenStarted). After that, and always where something else refuses it, it is refused at once as before. What it has waited is taken off its time. The seconds in which no daemon runs are left.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -66,6 +66,7 @@
 	metrics.GateCalls.Send(out, float64(counters.GateCalls))
 	metrics.Attempts.Send(out, float64(counters.Attempts))
 	metrics.Retries.Send(out, float64(counters.Retries))
+	metrics.StartWaits.Send(out, float64(counters.StartWaits))
 	metrics.CallsAhead.Send(out, float64(counters.Ahead))
 	metrics.AheadDepth.Send(out, float64(counters.AheadDepth))
 	metrics.AheadBytes.Send(out, float64(counters.AheadBytes))
--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -36,6 +36,10 @@
 	collectBytes = 64 << 10
 	// replayBytes holds a usual upload whole.
 	replayBytes = 512 << 10
+	// startWait is how long after its start a daemon lets calls wait that it can't send yet.
+	// With the store and peers at hand it knows where to send them within half a second;
+	// one that knows nothing after this has little hope to learn it in a call's time.
+	startWait = 2 * time.Second
 	// queueWait bounds the expected wait at the gate; deadlines end it earlier.
 	queueWait = 2 * time.Second
 )
@@ -64,6 +68,7 @@
 	limits.CollectBytes = collectBytes
 	limits.ReplayBytes = replayBytes
 	limits.QueueWait = queueWait
+	limits.StartWait = startWait
 	limits.QuietClose = true
 	limits.NoSpares = true
 	limits.DrainLinger = lingerOf(grace)
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -46,6 +46,8 @@
 	Retries = define(Counter, "retries_total",
 		"Sendings after a call's first.",
 		"A share of attempts_total above a tenth: an endpoint or a zone is failing.")
+	StartWaits = define(Counter, "start_waits_total",
+		"Waits of calls that came before the daemon knew where to send them.", "")
 	CallsAhead = define(Counter, "calls_ahead_total",
 		"Callers' requests that ran before their turn on a connection.", "")
 	AheadDepth = define(Gauge, "calls_ahead_deepest",
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -39,7 +39,7 @@
 	defer func() { observe(p.config.Timings.Caller, p.config.Clock()-began) }()
 	control, body := p.begin(writer, request)
 	defer body.finish()
-	call, refusal, accepted := p.acceptCall(request)
+	call, refusal, accepted := p.acceptWhenStarted(request)
 	if !accepted {
 		p.traceTurnedAway(request, refusal)
 		p.refuse(writer, body, refusal)
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -178,6 +178,9 @@
 	// CancelWait is how long the gate keeps the slot of a cancelled call while
 	// the back end has not ended it.
 	CancelWait time.Duration
+	// StartWait is how long after its start the daemon lets calls wait that it can't send
+	// yet; 0 lets none wait.
+	StartWait time.Duration
 	// DrainLinger is how long a draining daemon goes on taking connections
 	// after its last call, so that callers learn to go elsewhere.
 	DrainLinger time.Duration
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -18,6 +18,8 @@
 	Retries  uint64
 	// Aborted are the answers cut short.
 	Aborted uint64
+	// StartWaits are the waits of calls for the daemon's start.
+	StartWaits uint64
 	// Ahead are the calls that ran before their turn on a connection, AheadDepth
 	// the most that did so at a time on one, AheadBytes the answers held now.
 	Ahead      uint64
@@ -53,6 +55,7 @@
 	attempts    atomic.Uint64
 	retries     atomic.Uint64
 	aborted     atomic.Uint64
+	startWaits  atomic.Uint64
 	// ahead are the calls that ran ahead of their turn, aheadDepth the most that
 	// did on one connection at a time.
 	ahead      atomic.Uint64
@@ -80,6 +83,7 @@
 		Attempts:      p.tally.attempts.Load(),
 		Retries:       p.tally.retries.Load(),
 		Aborted:       p.tally.aborted.Load(),
+		StartWaits:    p.tally.startWaits.Load(),
 		Ahead:         p.tally.ahead.Load(),
 		AheadDepth:    int(p.tally.aheadDepth.Load()),
 		AheadBytes:    p.held.Bytes(),
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -47,6 +47,10 @@
 	ends        backendEnds
 	suspectTurn chan struct{}
 
+	// startedAt is when the proxy was made, on the clock.
+	startedAt time.Duration
+	starting  starting
+
 	incarnations   incarnations
 	reported       reportedBackend
 	requestLimits  atomic.Pointer[RequestLimits]
@@ -78,6 +82,8 @@
 
 		suspectTurn: make(chan struct{}, 1),
 
+		startedAt: config.Clock(),
+
 		hashSeed: rand.Uint64(),
 	}
 	proxy.harmful = newHarmful(config, proxy.event)
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -162,6 +162,7 @@
 // publish puts a view in force and then gives up what it no longer needs.
 func (p *Proxy) publish(next *view) {
 	previous := p.view.Swap(next)
+	p.starting.publish()
 	for address, old := range previous.upstreams {
 		if next.upstreams[address] == nil {
 			old.close()
