A back end that is asked late whether it has ended is asked again

The gate asks its back end for a connection after calls broke; one that took longer than 50 ms counted at once as "has not ended", also where the process of the gate had no processor for that long, so the end was put down to nothing. Change: a try that takes too long says nothing; the second try decides. Figures: none; a silent back end is asked for 50 ms longer after a call to it broke. Conclusion: a way that was shown to give what was seen is closed; that it was the one at load is not proved.

--- a/internal/proxy/ended.go
+++ b/internal/proxy/ended.go
@@ -21,7 +21,8 @@
 	// connections or refuses them within a millisecond.
 	endDialTimeout = 50 * time.Millisecond
 	// endDialTries and endDialPause are how often and how far apart a back end is asked that
-	// still takes connections: an ending process may close its connections before its port.
+	// still takes connections or has not answered in time: an ending process may close its
+	// connections before its port.
 	endDialTries = 2
 	endDialPause = 3 * time.Millisecond
 	// endGather is how long calls are gathered that were at work on a back end as it ended.
@@ -94,7 +95,7 @@
 
 // settleEnd finds out whether an instance has ended.
 func (p *Proxy) settleEnd(end *backendEnd) {
-	ended := p.gate.Refusing() != result.Draining && refusesConnections(p.config.BackendAddress)
+	ended := p.gate.Refusing() != result.Draining && refusesConnections(p.connectToBackend)
 	if ended {
 		time.Sleep(endGather)
 	}
@@ -135,22 +136,39 @@
 	return p.tally.answered.Load() > p.ends.answeredBefore.Load()
 }
 
-// refusesConnections tells whether nothing listens at an address of this machine. A reset
-// connection, a lost answer and a back end that is silent or full are no end of it.
-func refusesConnections(address string) bool {
+// refusesConnections tells whether nothing listens where a connection is opened and closed. A
+// reset connection, a lost answer and a back end that is silent or full are no end of it. One
+// try that takes too long says nothing: this process itself may have been without processor.
+func refusesConnections(connect func() error) bool {
 	for try := range endDialTries {
 		if try > 0 {
 			time.Sleep(endDialPause)
 		}
-		conn, err := net.DialTimeout("tcp", address, endDialTimeout)
-		if err != nil {
-			return errors.Is(err, syscall.ECONNREFUSED)
+		err := connect()
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return true
+		case err != nil && !isTimeout(err):
+			return false
 		}
-		_ = conn.Close()
 	}
 	return false
 }
 
+func isTimeout(err error) bool {
+	var failure net.Error
+	return errors.As(err, &failure) && failure.Timeout()
+}
+
+// connectToBackend opens and closes a connection to the back end.
+func (p *Proxy) connectToBackend() error {
+	conn, err := net.DialTimeout("tcp", p.config.BackendAddress, endDialTimeout)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 // logEnd writes that an instance has ended, and a line for each call that was at work there.
 func (p *Proxy) logEnd(end *backendEnd) {
 	p.event("backend_ended", textField("backend", end.start.Instance), bornField(end.start), textField("at_work", number(len(end.atWork))))
--- a/internal/proxy/ended_test.go
+++ b/internal/proxy/ended_test.go
@@ -3,7 +3,9 @@
 import (
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -80,9 +82,9 @@
 	check := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	check.NoErr(err)
-	check.True(!refusesConnections(listener.Addr().String()))
+	check.True(!refusesConnections((&Proxy{config: Config{BackendAddress: listener.Addr().String()}}).connectToBackend))
 	check.NoErr(listener.Close())
-	check.True(refusesConnections(listener.Addr().String()))
+	check.True(refusesConnections((&Proxy{config: Config{BackendAddress: listener.Addr().String()}}).connectToBackend))
 }
 
 // What others know of a request in addition reaches those who have heard of its first end.
@@ -155,3 +157,30 @@
 	first.endTurn()
 	check.True(!<-started)
 }
+
+func TestABackEndHasEndedOnlyWhereNothingListens(t *testing.T) {
+	late := &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+	refused := &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	reset := &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNRESET)}
+	for _, given := range []struct {
+		name  string
+		tries [endDialTries]error
+		ended bool
+	}{
+		{"refused", [endDialTries]error{refused}, true},
+		{"taken, then refused", [endDialTries]error{nil, refused}, true},
+		{"late, then refused", [endDialTries]error{late, refused}, true},
+		{"taken", [endDialTries]error{nil, nil}, false},
+		{"late", [endDialTries]error{late, late}, false},
+		{"reset", [endDialTries]error{reset, refused}, false},
+	} {
+		t.Run(given.name, func(t *testing.T) {
+			asked := 0
+			ended := refusesConnections(func() error {
+				asked++
+				return given.tries[asked-1]
+			})
+			is.New(t).Equal(ended, given.ended)
+		})
+	}
+}
