Soak: evacuations, cold back ends, starts under one name, strange writers, loss of power

Cause: the soak knew none of the newer promises: its oracle judged no evacuation, no cold back end, no start under the name of an earlier one.

Change: faults for each of them, in series and beside the others; a loss of power comes alone. Rules for emptied zones (daemons in touch, judged by the spans in which something is done to a daemon or its links), for cold back ends (everybody), for back ends that start again and get no work, for a mesh that lost power, for strange reports; leaves bind a start in place of a name. The report counts the pairs of fault and promise that were met, and answers by reason.

--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -38,6 +38,9 @@
 		s.mutex.Lock()
 		s.requests += len(answers)
 		s.served += lo.CountBy(answers, func(answer Answer) bool { return answer.Status == http.StatusOK })
+		for _, answer := range answers {
+			s.answers[strings.TrimSpace(fmt.Sprint(answer.Status, " ", answer.Code))]++
+		}
 		s.mutex.Unlock()
 		pause.For(ctx, clientPause)
 	}
@@ -71,7 +74,11 @@
 		read := request
 		read.ID = fmt.Sprintf("%s-%d", request.ID, place)
 		read.Method, read.Repeatable, read.Timeout = http.MethodGet, true, readTimeout
-		read.Target = fmt.Sprintf("%s%d?x=%%20%d", readPrefix, index, count)
+		prefix := readPrefix
+		if count%3 == 2 {
+			prefix = workPrefix(on.service)
+		}
+		read.Target = fmt.Sprintf("%s%d?x=%%20%d", prefix, index, count)
 		return read
 	})
 }
--- a/internal/lab/soak/connection.go
+++ b/internal/lab/soak/connection.go
@@ -20,7 +20,8 @@
 // dialWait bounds the opening of a connection.
 const dialWait = time.Second
 
-// codeHeader names the reason of a refusal, heldCode that of a request that is held.
+// codeHeader names the reason of a refusal, heldCode that of a request that is held as one
+// that ends its upstreams.
 const codeHeader = "Springstack-Code"
 
 var heldCode = strconv.Itoa(int(result.Quarantined))
@@ -80,7 +81,7 @@
 	}
 	return Answer{
 		Status: got.StatusCode, Signature: got.Header.Get(standin.SignatureHeader), Body: string(body), At: time.Now(),
-		Last: got.Close, Held: got.Header.Get(codeHeader) == heldCode,
+		Last: got.Close, Code: got.Header.Get(codeHeader),
 	}, nil
 }
 
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -29,6 +29,12 @@
 	beside bool
 	// stops says that the machine's daemon is down for a while as planned.
 	stops bool
+	// apart says that it leaves daemons and their links alone, quiet that it disturbs no
+	// machine at all.
+	apart bool
+	quiet bool
+	// alone says that it comes when no other fault is in force, and none beside it.
+	alone bool
 	// rolls says that daemons are restarted one after another; once at a time.
 	rolls bool
 }
@@ -45,6 +51,9 @@
 	idlePoll = 5 * time.Millisecond
 )
 
+// mostStrange is how many strange reports come at a time at most.
+const mostStrange = 12
+
 // toldWait lets a daemon tell its peers of a drain before it is killed.
 const toldWait = 200 * time.Millisecond
 
@@ -80,7 +89,7 @@
 		s.restartRolling(on, 2+random.IntN(mostRolling-1))
 		return nil
 	}},
-	{name: "reload", weight: 3, planned: true, beside: true, harm: func(_ *soak, on *machine, _ *rand.Rand) func() {
+	{name: "reload", weight: 3, planned: true, beside: true, apart: true, harm: func(_ *soak, on *machine, _ *rand.Rand) func() {
 		if on.settle() {
 			on.signal(syscall.SIGHUP)
 		}
@@ -139,18 +148,23 @@
 		s.store.Forget()
 		return nil
 	}},
-	{name: "upstream_crash", weight: 2, harm: func(s *soak, on *machine, _ *rand.Rand) func() {
+	{name: "upstream_crash", weight: 2, apart: true, harm: func(s *soak, on *machine, random *rand.Rand) func() {
 		s.crash(on)
-		return func() { s.startAgain(on) }
+		return func() {
+			earlier := on.currentUpstream()
+			s.startAgain(on)
+			s.sendLate(on, earlier, random)
+			s.awaitWork(on, workBound)
+		}
 	}},
-	{name: "upstream_replaced", weight: 3, harm: func(s *soak, on *machine, _ *rand.Rand) func() {
+	{name: "upstream_replaced", weight: 3, apart: true, harm: func(s *soak, on *machine, _ *rand.Rand) func() {
 		s.drain(on, (*standin.Upstream).Drain)
 		return func() {
 			on.currentUpstream().Leave()
 			s.replaceUpstream(on)
 		}
 	}},
-	{name: "upstream_leaves", weight: 2, harm: func(s *soak, on *machine, _ *rand.Rand) func() {
+	{name: "upstream_leaves", weight: 2, apart: true, harm: func(s *soak, on *machine, _ *rand.Rand) func() {
 		s.drain(on, (*standin.Upstream).Leave)
 		return func() { s.replaceUpstream(on) }
 	}},
@@ -175,12 +189,65 @@
 		s.restart(on)
 		return func() { upstream.SetIll(false) }
 	}},
-	{name: "upstream_fails", weight: 2, harm: func(_ *soak, on *machine, _ *rand.Rand) func() {
+	{name: "upstream_fails", weight: 2, apart: true, harm: func(_ *soak, on *machine, _ *rand.Rand) func() {
 		upstream := on.currentUpstream()
 		upstream.SetFailing(true)
 		return func() { upstream.SetFailing(false) }
 	}},
-	{name: "configuration", weight: 8, planned: true, beside: true, harm: func(s *soak, _ *machine, random *rand.Rand) func() {
+	{name: "upstream_crashes_and_returns", weight: 4, apart: true, harm: func(s *soak, on *machine, random *rand.Rand) func() {
+		s.crash(on)
+		return func() {
+			s.startUnderName(on, random)
+			s.awaitWork(on, workBound)
+		}
+	}},
+	{name: "upstream_restarts", weight: 4, planned: true, apart: true, harm: func(s *soak, on *machine, random *rand.Rand) func() {
+		upstream := on.currentUpstream()
+		s.drain(on, (*standin.Upstream).Drain)
+		return func() {
+			awaitIdle(upstream)
+			s.crash(on)
+			s.startUnderName(on, random)
+			s.awaitWork(on, workBound)
+		}
+	}},
+	{name: "upstream_and_daemon_restart", weight: 3, harm: func(s *soak, on *machine, random *rand.Rand) func() {
+		if random.IntN(2) == 0 {
+			s.drain(on, (*standin.Upstream).Leave)
+		}
+		s.crash(on)
+		on.end(syscall.SIGKILL)
+		return func() {
+			s.restart(on)
+			s.startUnderName(on, random)
+		}
+	}},
+	{name: "upstream_turns_cold", weight: 6, planned: true, beside: true, quiet: true, harm: func(_ *soak, on *machine, _ *rand.Rand) func() {
+		on.currentUpstream().TurnCold(coldTime)
+		return nil
+	}},
+	{name: "clock_ahead", weight: 1, apart: true, harm: func(s *soak, on *machine, _ *rand.Rand) func() {
+		upstream := on.currentUpstream()
+		upstream.SendAhead(absurdAhead)
+		return func() { s.awaitWork(on, clockBound) }
+	}},
+	{name: "strange_reports", weight: 3, planned: true, beside: true, quiet: true, harm: func(s *soak, on *machine, random *rand.Rand) func() {
+		for range 1 + random.IntN(mostStrange) {
+			if status := on.currentUpstream().SendStrange(random); status != 0 {
+				s.oracle.Refused(!standin.Acknowledged(status), "under the name of the back end of "+on.name)
+			}
+		}
+		return nil
+	}},
+	{name: "strange_entries", weight: 3, beside: true, quiet: true, harm: func(s *soak, _ *machine, random *rand.Rand) func() {
+		return s.store.WriteStrange(random)
+	}},
+	{name: "evacuation", weight: 8, planned: true, beside: true, quiet: true, harm: (*soak).evacuateZone},
+	{name: "power_loss", weight: 2, everyone: true, beside: true, alone: true, harm: func(s *soak, on *machine, random *rand.Rand) func() {
+		s.losePower(on, random)
+		return nil
+	}},
+	{name: "configuration", weight: 8, planned: true, beside: true, apart: true, harm: func(s *soak, _ *machine, random *rand.Rand) func() {
 		for range 1 + random.IntN(6) {
 			s.operate(random)
 		}
@@ -216,7 +283,7 @@
 func (s *soak) drain(on *machine, call func(*standin.Upstream) bool) {
 	upstream := on.currentUpstream()
 	if call(upstream) {
-		s.oracle.Drained(upstream.Instance, time.Now())
+		s.oracle.Drained(upstream.Instance, upstream.Born, time.Now())
 	}
 }
 
@@ -262,6 +329,8 @@
 func (s *soak) restartPlanned(on *machine) {
 	s.log("rolling", on.name)
 	s.disturbOne(on)
+	back := s.oracle.OutOfTouch(on.name, time.Now())
+	defer func() { back(time.Now()) }()
 	s.stop(on)
 	s.awaitStopped(on)
 	s.restart(on)
--- a/internal/lab/soak/harmful.go
+++ b/internal/lab/soak/harmful.go
@@ -32,6 +32,8 @@
 	harmfulBack = 1500 * time.Millisecond
 	// harmfulBodyBytes is the length of the body of those with a long one.
 	harmfulBodyBytes = 90 << 10
+	// sameNameShare is the share of those that come back under the name that they had.
+	sameNameShare = 0.5
 	// claimPause is the time between two tries to claim a machine.
 	claimPause = 50 * time.Millisecond
 )
@@ -133,9 +135,14 @@
 			time.Sleep(claimPause)
 		}
 		defer on.release()
-		if on.currentUpstream() == ended {
-			s.startAgain(on)
+		if on.currentUpstream() != ended {
+			return
+		}
+		if s.shareOf(startOf(ended.Instance, ended.Born), "name") < sameNameShare {
+			s.startUnderName(on, rand.New(rand.NewPCG(s.options.Seed, uint64(ended.Born))))
+			return
 		}
+		s.startAgain(on)
 	}()
 }
 
@@ -180,6 +187,7 @@
 		}
 	}
 	done.later = append(done.later, arrival)
+	o.exercised(promiseOfHarm, arrival.At)
 	if len(done.later) == sendsAllowed+1 {
 		o.violate(promiseOfHarm, "%s reached %s, %s after its third end; %d ended by then", request.ID, arrival.Instance,
 			arrival.At.Sub(done.ends[endsAllowed-1]), len(done.ends))
@@ -188,7 +196,7 @@
 
 // checkHarmless judges a refusal; the lock is held.
 func (o *Oracle) checkHarmless(request Request, answer Answer) {
-	if answer.Held && !request.isHarmful() {
+	if answer.Code == heldCode && !request.isHarmful() {
 		o.violate(promiseOfHarmless, "%s was refused as one that ends its upstreams", request.ID)
 	}
 }
--- a/internal/lab/soak/harmful_test.go
+++ b/internal/lab/soak/harmful_test.go
@@ -63,9 +63,9 @@
 	harmful := request
 	harmful.ID, harmful.Body = "h", harmfulMark+"2"
 	oracle.Sent(harmful)
-	oracle.Answered(harmful, Answer{Status: http.StatusServiceUnavailable, Held: true})
+	oracle.Answered(harmful, Answer{Status: http.StatusServiceUnavailable, Code: heldCode})
 	check.Equal(len(oracle.Violations()), 0)
-	oracle.Answered(request, Answer{Status: http.StatusServiceUnavailable, Held: true})
+	oracle.Answered(request, Answer{Status: http.StatusServiceUnavailable, Code: heldCode})
 	check.Equal(oracle.Violations()[0].Promise, promiseOfHarmless)
 }
 
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -140,9 +140,11 @@
 authority: {address: %q, reads_per_second: 2000}
 retries: {ratio: 0.2, slack: 64}
 drain: {grace_seconds: %d}
+warm_up: {overage: %g, slack: %d}
+evacuations: {within_milliseconds: %d}
 `, made.name, made.region, made.zone, made.callers, gate, control, made.ready, made.reports, metrics,
 		made.gate.Address(), made.control.Address(), service, made.app, heartbeat.Milliseconds(), made.store.Address(),
-		int(stopGrace.Seconds()))
+		int(stopGrace.Seconds()), coldOverage, coldSlack, evacuationBound.Milliseconds())
 	return made, errors.Trace(os.WriteFile(made.settings, []byte(text), 0o600))
 }
 
--- a/internal/lab/soak/oracle.go
+++ b/internal/lab/soak/oracle.go
@@ -25,6 +25,16 @@
 	calmBefore = 6 * time.Second
 )
 
+// The promises that are judged here.
+const (
+	promiseOfOnce     = "at most once"
+	promiseOfNotRun   = "did not run is true"
+	promiseOfAnswers  = "each caller gets the whole of its own answer"
+	promiseOfRegions  = "a request runs in its allowed regions"
+	promiseOfDrains   = "a leaving back end gets no new work"
+	promiseOfVersions = "no proxy goes back a version"
+)
+
 // Request is one request of a client.
 type Request struct {
 	ID         string
@@ -48,8 +58,8 @@
 	At        time.Time
 	// Last says that the connection ends with it.
 	Last bool
-	// Held says that the request is refused as one that ends its upstreams.
-	Held bool
+	// Code is the numbered reason of a refusal.
+	Code string
 }
 
 // Violation is a promise that was broken.
@@ -67,22 +77,37 @@
 // Oracle judges what clients and upstreams see. It may be used from several
 // goroutines.
 type Oracle struct {
-	mutex      sync.Mutex
-	requests   map[string]Request
-	runs       map[string][]*run
-	promised   map[string]int
-	drained    map[string]time.Time
-	disturbed  map[string]time.Time
-	allowed    map[string][]string
-	proven     map[string]provenVersion
-	hosts      map[string]string
-	kept       map[string]string
-	regions    map[string]string
-	stops      map[string][]time.Time
-	harms      map[string][]*span
-	harmful    map[string]*harmDone
-	unserved   []unserved
-	violations []Violation
+	mutex     sync.Mutex
+	requests  map[string]Request
+	runs      map[string][]*run
+	promised  map[string]int
+	drained   map[string]time.Time
+	disturbed map[string]time.Time
+	allowed   map[string][]string
+	proven    map[string]provenVersion
+	hosts     map[string]string
+	kept      map[string]string
+	regions   map[string]string
+	stops     map[string][]time.Time
+	harms     map[string][]*span
+	harmful   map[string]*harmDone
+	// zones are the zones of machines, emptied when those were ordered to be empty, takenBack
+	// when they last were not any more.
+	zones     map[string]string
+	emptied   map[string]time.Time
+	takenBack map[string]time.Time
+	// away are the times at which daemons were not in touch.
+	away map[string][]*span
+	// atCold are the arrivals of the last second at starts of upstreams that are cold, worked
+	// the last run of each start.
+	atCold      map[string][]time.Time
+	worked      map[string]time.Time
+	evacuations int
+	restarts    int
+	falls       int
+	coverage    coverage
+	unserved    []unserved
+	violations  []Violation
 }
 
 // provenVersion is the newest version that a start of a daemon has shown.
@@ -100,6 +125,9 @@
 		hosts:  map[string]string{}, stops: map[string][]time.Time{}, harms: map[string][]*span{},
 		harmful: map[string]*harmDone{},
 		kept:    map[string]string{}, regions: map[string]string{},
+		zones: map[string]string{}, emptied: map[string]time.Time{}, takenBack: map[string]time.Time{},
+		away: map[string][]*span{}, atCold: map[string][]time.Time{}, worked: map[string]time.Time{},
+		coverage: newCoverage(),
 	}
 }
 
@@ -145,12 +173,14 @@
 	return at.Sub(o.disturbed[machine]) > calmBefore
 }
 
-// Drained notes that the drain or leave of an instance was acknowledged.
-func (o *Oracle) Drained(instance string, at time.Time) {
+// Drained notes that the drain or leave of a start of an upstream was acknowledged.
+func (o *Oracle) Drained(instance string, born int64, at time.Time) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	if _, known := o.drained[instance]; !known {
-		o.drained[instance] = at
+	start := startOf(instance, born)
+	if _, known := o.drained[start]; !known {
+		o.drained[start] = at
+		o.exercised(promiseOfDrains, at)
 	}
 }
 
@@ -165,10 +195,15 @@
 func (o *Oracle) Arrived(arrival standin.Arrival) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
+	request, known := o.requests[arrival.ID]
+	if known && !arrival.Misdirected {
+		o.checkCold(arrival)
+		o.checkZone(request, arrival)
+	}
 	if !arrival.Ran {
 		return
 	}
-	request, known := o.requests[arrival.ID]
+	o.worked[startOf(arrival.Instance, arrival.Born)] = arrival.At
 	if !known {
 		o.violate("nothing runs that nobody sent", "%s ran unknown %s", arrival.Instance, arrival.ID)
 		return
@@ -179,11 +214,14 @@
 	o.checkDrained(request, arrival)
 	o.checkHarm(request, arrival)
 	o.runs[arrival.ID] = append(o.runs[arrival.ID], &run{Arrival: arrival})
+	if !request.Repeatable {
+		o.exercised(promiseOfOnce, arrival.At)
+	}
 	if !request.Repeatable && len(o.runs[arrival.ID]) > 1 {
-		o.violate("at most once", "%s ran on %s and %s", arrival.ID, o.runs[arrival.ID][0].Instance, arrival.Instance)
+		o.violate(promiseOfOnce, "%s ran on %s and %s", arrival.ID, o.runs[arrival.ID][0].Instance, arrival.Instance)
 	}
 	if status := o.promised[arrival.ID]; status != 0 {
-		o.violate("did not run is true", "%s ran on %s after its sender was told %d", arrival.ID, arrival.Instance, status)
+		o.violate(promiseOfNotRun, "%s ran on %s after its sender was told %d", arrival.ID, arrival.Instance, status)
 	}
 }
 
@@ -221,17 +259,21 @@
 
 func (o *Oracle) checkRegion(request Request, arrival standin.Arrival) {
 	for prefix, region := range o.kept {
-		if at := o.regions[o.hosts[arrival.Instance]]; strings.HasPrefix(request.Target, prefix) && at != region {
-			o.violate("a request runs in its allowed regions", "%s, kept to %s, ran on %s in %q", request.ID, region, arrival.Instance, at)
+		if !strings.HasPrefix(request.Target, prefix) {
+			continue
+		}
+		o.exercised(promiseOfRegions, arrival.At)
+		if at := o.regions[o.hosts[arrival.Instance]]; at != region {
+			o.violate(promiseOfRegions, "%s, kept to %s, ran on %s in %q", request.ID, region, arrival.Instance, at)
 		}
 	}
 }
 
 func (o *Oracle) checkDrained(request Request, arrival standin.Arrival) {
-	at, drained := o.drained[arrival.Instance]
+	at, drained := o.drained[startOf(arrival.Instance, arrival.Born)]
 	calm := arrival.At.Sub(o.disturbed[request.Machine]) > calmBefore
 	if drained && calm && arrival.At.Sub(at) > drainBound {
-		o.violateTimed("a leaving back end gets no new work", "%s reached %s %s after its drain was acknowledged",
+		o.violateTimed(promiseOfDrains, "%s reached %s %s after its drain was acknowledged",
 			request.ID, arrival.Instance, arrival.At.Sub(at))
 	}
 }
@@ -250,8 +292,9 @@
 	defer o.mutex.Unlock()
 	if slices.Contains(promises, answer.Status) && !request.Repeatable {
 		o.promised[request.ID] = answer.Status
+		o.exercised(promiseOfNotRun, answer.At)
 		if len(o.runs[request.ID]) > 0 {
-			o.violate("did not run is true", "%s was told %d and ran on %s", request.ID, answer.Status, o.runs[request.ID][0].Instance)
+			o.violate(promiseOfNotRun, "%s was told %d and ran on %s", request.ID, answer.Status, o.runs[request.ID][0].Instance)
 		}
 	}
 	o.checkHarmless(request, answer)
@@ -261,12 +304,13 @@
 		}
 		return
 	}
+	o.exercised(promiseOfAnswers, answer.At)
 	for _, run := range o.runs[request.ID] {
 		if answer.Signature == standin.Signature(run.Instance, request.ID) && answer.Body == standin.BodyOf(run.Instance, request.ID) {
 			return
 		}
 	}
-	o.violate("each caller gets the whole of its own answer", "%s got %d bytes signed %q", request.ID, len(answer.Body), answer.Signature)
+	o.violate(promiseOfAnswers, "%s got %d bytes signed %q", request.ID, len(answer.Body), answer.Signature)
 }
 
 // Shown judges a probe by which a start of a daemon has shown that a version is
@@ -275,8 +319,9 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	known := o.proven[start]
+	o.exercised(promiseOfVersions, at)
 	if version < known.version && sentAt.Sub(known.at) > rollbackSlack {
-		o.violateTimed("no proxy goes back a version", "%s showed %d, %s after %d", start, version, sentAt.Sub(known.at), known.version)
+		o.violateTimed(promiseOfVersions, "%s showed %d, %s after %d", start, version, sentAt.Sub(known.at), known.version)
 	}
 	if version > known.version {
 		o.proven[start] = provenVersion{version: version, at: at}
--- a/internal/lab/soak/oracle_test.go
+++ b/internal/lab/soak/oracle_test.go
@@ -83,7 +83,7 @@
 				o.Arrived(ran("b", 0))
 			}},
 		{"a leaving back end gets no new work",
-			func(o *Oracle) { o.Drained("a", start); o.Arrived(ran("a", drainBound)) },
+			func(o *Oracle) { o.Drained("a", 0, start); o.Arrived(ran("a", drainBound)) },
 			func(o *Oracle) {
 				o.Sent(Request{ID: "q", Service: "app", Method: "POST", Target: "/write/1", Body: "b", Repeatable: true})
 				o.Arrived(ran("a", drainBound+time.Millisecond))
@@ -231,7 +231,7 @@
 	oracle.Disturbed("m", start.Add(time.Minute))
 	check.True(!oracle.Calm("m", start.Add(time.Minute)))
 	oracle.NotInForce("m", 3, start, start.Add(time.Minute))
-	oracle.Drained("a", start)
+	oracle.Drained("a", 0, start)
 	oracle.Arrived(ran("a", time.Minute))
 	check.Equal(len(oracle.Violations()), 0)
 }
--- a/internal/lab/soak/series.go
+++ b/internal/lab/soak/series.go
@@ -76,6 +76,13 @@
 	}
 	for range length {
 		one := s.draw()
+		if one.alone {
+			s.inForce.working.Wait()
+			if ctx.Err() == nil {
+				s.carryOut(ctx, one)
+			}
+			continue
+		}
 		if s.admit(one) {
 			s.inForce.working.Add(1)
 			go func() {
@@ -166,7 +173,11 @@
 	s.faults++
 	s.mutex.Unlock()
 	s.disturb(one)
-	if !one.planned && !one.everyone {
+	undone := s.oracle.Begun(one.name)
+	defer func() { undone(time.Now()) }()
+	back := s.loseTouch(one)
+	defer back()
+	if !one.planned && !one.everyone && !one.quiet {
 		healed := s.oracle.Harmed(one.on.name, time.Now())
 		defer func() { healed(time.Now()) }()
 	}
@@ -184,13 +195,36 @@
 // disturb notes that a machine is held to no time for a while. What reaches
 // others through it concerns them too.
 func (s *soak) disturb(one drawn) {
-	concerned := []*machine{one.on}
-	if one.everyone {
-		concerned = s.machines
+	if one.quiet {
+		return
 	}
-	for _, machine := range concerned {
+	for _, machine := range s.concerned(one) {
 		s.disturbOne(machine)
 	}
 }
 
+// concerned are the machines that a fault concerns.
+func (s *soak) concerned(one drawn) []*machine {
+	if one.everyone {
+		return s.machines
+	}
+	return []*machine{one.on}
+}
+
+// loseTouch notes that daemons are not in touch, until what it returns is called.
+func (s *soak) loseTouch(one drawn) (back func()) {
+	if one.quiet || one.apart || one.rolls {
+		return func() {}
+	}
+	var each []func(time.Time)
+	for _, machine := range s.concerned(one) {
+		each = append(each, s.oracle.OutOfTouch(machine.name, time.Now()))
+	}
+	return func() {
+		for _, one := range each {
+			one(time.Now())
+		}
+	}
+}
+
 func (s *soak) disturbOne(on *machine) { s.oracle.Disturbed(on.name, time.Now()) }
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/samber/lo"
 
 	"github.com/springstack/springstack/platform/standin"
 )
@@ -50,11 +51,22 @@
 	Seed     uint64 `json:"seed"`
 	Requests int    `json:"requests"`
 	Served   int    `json:"served"`
-	Runs     int    `json:"runs"`
-	Faults   int    `json:"faults"`
+	// Answers counts the clients' answers by status and numbered reason; 0 is none.
+	Answers map[string]int `json:"answers"`
+	Runs    int            `json:"runs"`
+	Faults  int            `json:"faults"`
 	// MetStops is how many requests at work met a stop of a daemon on their way.
 	MetStops int `json:"met_stops"`
 	Versions int `json:"versions"`
+	// Evacuations counts the orders to empty a zone, Restarts the starts of upstreams under a
+	// name that had been there, Falls the cold upstreams that fell over.
+	Evacuations int `json:"evacuations"`
+	Restarts    int `json:"restarts"`
+	Falls       int `json:"falls"`
+	// Pairs counts, for each fault, how often each promise was judged beside it, PairCount the
+	// pairs that were.
+	Pairs     map[string]map[string]int `json:"pairs"`
+	PairCount int                       `json:"pair_count"`
 	// HarmEnds counts, for each harmful request, the upstreams that ended under it.
 	HarmEnds []int `json:"harm_ends,omitempty"`
 	// CalmCuts are requests broken off at work without a stop or harm on their way.
@@ -77,11 +89,17 @@
 	accepted time.Time
 	requests int
 	served   int
-	runs     int
-	faults   int
+	// answers counts the clients' answers by status and reason; 0 is none.
+	answers map[string]int
+	runs    int
+	faults  int
 	// instances counts the upstreams started.
 	instances int
-	inForce   inForce
+	// emptied are the zones that are claimed for an order to empty them.
+	emptied []string
+	// ends is when clients stop to call.
+	ends    time.Time
+	inForce inForce
 	// returning waits for upstreams that have ended and are to be back.
 	returning sync.WaitGroup
 }
@@ -96,6 +114,7 @@
 		random:  rand.New(rand.NewPCG(options.Seed, options.Seed)),
 		store:   standin.NewStore(),
 		oracle:  NewOracle(),
+		answers: map[string]int{},
 		log:     log,
 	}
 	played.server = standin.NewServer(played.store)
@@ -126,6 +145,7 @@
 			return err
 		}
 		s.oracle.Placed(made.name, made.region)
+		s.oracle.PlacedIn(made.name, made.zone)
 		made.endedUntold = func(state *os.ProcessState) { s.oracle.EndedUntold(made.name, state.String()) }
 		if err := made.start(); err != nil {
 			return err
@@ -153,14 +173,26 @@
 	s.instances++
 	instance := fmt.Sprintf("i-%d-%s", s.instances, on.name)
 	s.mutex.Unlock()
+	return s.startInstance(on, instance, 0)
+}
+
+// startInstance starts an instance, cold, with a time of its start later than that of an earlier
+// one.
+func (s *soak) startInstance(on *machine, instance string, earlier int64) error {
 	upstream := &standin.Upstream{
-		Instance: instance, Service: on.service, Slots: slots, WorkOn: s.workOn, StreamOn: s.streamOn,
+		Instance: instance, Born: max(time.Now().UnixMilli(), earlier+1), FallsAt: coldFalls, Service: on.service, Slots: slots, WorkOn: s.workOn, StreamOn: s.streamOn,
 		Observe: s.arrived, ObserveEnd: s.oracle.Ended, Harms: isHarmful, HarmAfter: harmfulAfter,
 	}
 	upstream.EndBy = func(arrival standin.Arrival) {
 		s.endByRequest(on, upstream)
 		s.oracle.HarmEnded(arrival, time.Now())
 	}
+	upstream.Fall = func() {
+		s.oracle.Fell()
+		s.log("fell", instance)
+		s.endByRequest(on, upstream)
+	}
+	upstream.TurnColdAtOnce(coldTime)
 	s.oracle.Hosted(instance, on.name)
 	if err := upstream.Start(on.app, on.reports, heartbeat); err != nil {
 		return errors.Trace(err)
@@ -223,11 +255,18 @@
 	home := routes[1]
 	home.Name, home.Prefix, home.Regions = "home", homePrefix, []string{homeRegion}
 	routes = append(routes, home)
+	for _, service := range services {
+		work := routes[0]
+		work.Name, work.Prefix, work.Service = "work-"+service, workPrefix(service), service
+		routes = append(routes, work)
+	}
 	s.oracle.KeepTo(homePrefix, homeRegion)
 	for _, route := range routes {
 		s.oracle.Allow(route.Prefix, route.Service)
 	}
-	s.store.Operate(standin.Configuration{Version: s.version, Services: services, Routes: routes})
+	s.store.Operate(standin.Configuration{
+		Version: s.version, Services: services, Routes: routes, WarmUpRate: coldRate, WarmUpSeconds: coldTime.Seconds(),
+	})
 	s.accepted = time.Now()
 }
 
@@ -240,6 +279,9 @@
 	writeTimeout = 1500 * time.Millisecond
 )
 
+// workPrefix is that of the route that gives a service work whatever the version.
+func workPrefix(service string) string { return "/work-" + service + "/" }
+
 func milliseconds(of time.Duration) int { return int(of.Milliseconds()) }
 
 func versionPrefix(version int) string { return fmt.Sprintf("/version-%d/", version) }
@@ -257,6 +299,7 @@
 	bounded, cancel := context.WithTimeout(ctx, s.options.Duration)
 	defer cancel()
 	s.awaitHealed("at the start")
+	s.ends = time.Now().Add(s.options.Duration)
 	var clients sync.WaitGroup
 	for _, on := range s.machines {
 		for index := range s.options.Clients {
@@ -289,7 +332,10 @@
 func (s *soak) report() Report {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	pairs := s.oracle.Pairs()
 	return Report{
+		Answers: s.answers, Evacuations: s.oracle.evacuations, Restarts: s.oracle.restarts, Falls: s.oracle.falls,
+		Pairs: pairs, PairCount: lo.SumBy(lo.Values(pairs), func(of map[string]int) int { return len(of) }),
 		Seed: s.options.Seed, Requests: s.requests, Served: s.served, Runs: s.runs,
 		Faults: s.faults, MetStops: s.oracle.MetStops(), CalmCuts: s.oracle.CalmCuts(), Versions: s.version, HarmEnds: s.oracle.HarmEnds(),
 		Violations: s.oracle.Violations(),
--- a/internal/lab/soak/stops.go
+++ b/internal/lab/soak/stops.go
@@ -39,6 +39,11 @@
 	until time.Time
 }
 
+// overlaps tells whether some of a time is in the span.
+func (s *span) overlaps(from, to time.Time) bool {
+	return s.from.Before(to) && (s.until.IsZero() || s.until.After(from))
+}
+
 // unserved is a request whose client got no whole answer of an upstream.
 type unserved struct {
 	request Request
@@ -57,6 +62,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	o.stops[machine] = append(o.stops[machine], at)
+	o.exercised(promiseOfStops, at)
 }
 
 // Harmed notes that something unplanned is done to a machine from now on, until
@@ -78,7 +84,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	for _, one := range o.runs[ending.ID] {
-		if one.Instance == ending.Instance && one.outcome == 0 {
+		if one.Instance == ending.Instance && one.Born == ending.Born && one.outcome == 0 {
 			one.outcome, one.endedAt = ending.Outcome, ending.At
 			return
 		}
@@ -166,9 +172,7 @@
 
 // harmedDuring tells whether something unplanned was done to a machine in a time.
 func (o *Oracle) harmedDuring(machine string, from, to time.Time) bool {
-	return lo.SomeBy(o.harms[machine], func(harm *span) bool {
-		return harm.from.Before(to) && (harm.until.IsZero() || harm.until.After(from))
-	})
+	return lo.SomeBy(o.harms[machine], func(harm *span) bool { return harm.overlaps(from, to) })
 }
 
 // timeBound is when a request may end without an answer: at its route's timeout
