Soak: a store that refuses some machines, or whose watches are deaf, with all in touch

Change: each machine has a server of the store of its own. Machines that are refused, and all where watches tell nothing, count as in touch.

--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -141,6 +141,9 @@
 	{name: "store_down", weight: 1, everyone: true, harm: storeFault(standin.Faults{Silent: true})},
 	{name: "store_slow", weight: 1, everyone: true, harm: storeFault(standin.Faults{Delay: 400 * time.Millisecond})},
 	{name: "store_loses_answers", weight: 1, everyone: true, harm: storeFault(standin.Faults{LostWrites: 0.7})},
+	// Those that it refuses have their peers: they stay in touch.
+	{name: "store_refuses_some", weight: 4, everyone: true, beside: true, quiet: true, harm: refuseSome},
+	{name: "store_deaf_watches", weight: 2, everyone: true, beside: true, quiet: true, harm: storeFault(standin.Faults{DeafWatches: true})},
 	{name: "store_replica_lags", weight: 2, everyone: true, harm: func(s *soak, on *machine, random *rand.Rand) func() {
 		return storeFault(standin.Faults{Stale: s.store.Copy()})(s, on, random)
 	}},
@@ -258,8 +261,30 @@
 // storeFault is a fault of the store for all daemons.
 func storeFault(faults standin.Faults) func(*soak, *machine, *rand.Rand) func() {
 	return func(s *soak, _ *machine, _ *rand.Rand) func() {
-		s.server.SetFaults(faults)
-		return func() { s.server.SetFaults(standin.Faults{}) }
+		for _, server := range s.servers {
+			server.SetFaults(faults)
+		}
+		return func() {
+			for _, server := range s.servers {
+				server.SetFaults(standin.Faults{})
+			}
+		}
+	}
+}
+
+// refusals are the ways in which the store turns a machine away.
+var refusals = []standin.Faults{{Busy: true}, {Throttled: true}, {Reset: true}, {Silent: true}}
+
+// refuseSome has the store turn up to half of the machines away, each in a way of its own.
+func refuseSome(s *soak, _ *machine, random *rand.Rand) func() {
+	refused := random.Perm(len(s.servers))[:1+random.IntN((len(s.servers)+1)/2)]
+	for _, index := range refused {
+		s.servers[index].SetFaults(refusals[random.IntN(len(refusals))])
+	}
+	return func() {
+		for _, index := range refused {
+			s.servers[index].SetFaults(standin.Faults{})
+		}
 	}
 }
 
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -76,10 +76,12 @@
 
 // soak is one run.
 type soak struct {
-	options  Options
-	random   *rand.Rand
-	store    *standin.Store
-	server   *standin.Server
+	options Options
+	random  *rand.Rand
+	store   *standin.Store
+	// servers serve the store, one to each machine, so that it may refuse some.
+	servers  []*standin.Server
+	webs     []*http.Server
 	oracle   *Oracle
 	machines []*machine
 	log      func(event, detail string)
@@ -117,26 +119,36 @@
 		answers: map[string]int{},
 		log:     log,
 	}
-	played.server = standin.NewServer(played.store)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return Report{}, errors.Trace(err)
-	}
-	web := &http.Server{Handler: played.server}
-	go func() { _ = web.Serve(listener) }() // ends with Close
-	defer web.Close()
 	defer played.close()
 	played.operate(played.random)
-	if err := played.open(listener.Addr().String()); err != nil {
+	if err := played.open(); err != nil {
 		return Report{}, err
 	}
 	played.play(ctx)
 	return played.report(), nil
 }
 
+// serveStore serves the store to one more machine.
+func (s *soak) serveStore() (address string, err error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	server := standin.NewServer(s.store)
+	web := &http.Server{Handler: server}
+	go func() { _ = web.Serve(listener) }() // ends with Close
+	s.servers = append(s.servers, server)
+	s.webs = append(s.webs, web)
+	return listener.Addr().String(), nil
+}
+
 // open starts all machines.
-func (s *soak) open(store string) error {
+func (s *soak) open() error {
 	for index := range s.options.Machines {
+		store, err := s.serveStore()
+		if err != nil {
+			return err
+		}
 		made, err := newMachine(s.options, index, services[index%len(services)], store, s.drawLatency())
 		if made != nil {
 			s.machines = append(s.machines, made)
@@ -346,4 +358,7 @@
 	for _, one := range s.machines {
 		one.close()
 	}
+	for _, web := range s.webs {
+		_ = web.Close() // the daemons that called it have ended
+	}
 }
