Soak: a back end is watched until its zone is taken back and its daemon in touch again

Cause: a build whose daemons know no starts of one name (a trial) broke no promise: the one restart that it played fell into an evacuation, which excused it for good.

Change: the bound begins anew while something keeps work away.

--- a/internal/lab/soak/evacuations.go
+++ b/internal/lab/soak/evacuations.go
@@ -151,7 +151,7 @@
 // inTouch tells whether nothing was done to a machine's daemon or its links for contactTime;
 // the lock is held.
 func (o *Oracle) inTouch(machine string, at time.Time) bool {
-	return !lo.SomeBy(o.away[machine], func(away *span) bool { return away.overlaps(at.Add(-contactTime), at) })
+	return !o.awayBetween(machine, at.Add(-contactTime), at)
 }
 
 // checkZone judges an arrival, run or not; the lock is held. The entry must be in touch. The
--- a/internal/lab/soak/newrules_test.go
+++ b/internal/lab/soak/newrules_test.go
@@ -143,12 +143,16 @@
 	check.True(!oracle.WorkedSince(startOf("a", 7), start.Add(time.Second)))
 	check.True(!oracle.WorkedSince(startOf("a", 8), start))
 	noWork := func() { oracle.NoWork("g", "a@8", start, start.Add(workBound)) }
+	check.True(oracle.MayWork("g", start))
 	back := oracle.OutOfTouch("g", start.Add(time.Second))
+	check.True(!oracle.MayWork("g", start.Add(2*time.Second)))
 	noWork()
 	back(start.Add(2 * time.Second))
+	check.True(oracle.MayWork("g", start.Add(3*time.Second)))
 	noWork()
 	oracle.away = nil
 	oracle.Evacuated("z", start.Add(-time.Hour))
+	check.True(!oracle.MayWork("g", start))
 	noWork()
 	oracle.TakenBack("z")
 	noWork() // it was empty a moment ago
--- a/internal/lab/soak/restarts.go
+++ b/internal/lab/soak/restarts.go
@@ -23,6 +23,8 @@
 	// powerBound is within what time of the last start a mesh whose machines all lost power
 	// serves again.
 	powerBound = 10 * time.Second
+	// workWaits is how many times the bound an upstream is watched at most.
+	workWaits = 3
 	// workPoll is how often an upstream's first work is looked for.
 	workPoll = 20 * time.Millisecond
 	// absurdAhead is how far ahead of the clock an absurd start is.
@@ -60,24 +62,28 @@
 	}
 }
 
-// awaitWork holds an upstream to get work within a bound of its start, unless something else
-// is done to its machine or its zone meanwhile.
+// awaitWork holds an upstream to get work within a bound of its start, or of the time at which
+// the last thing was undone that kept work away.
 func (s *soak) awaitWork(on *machine, within time.Duration) {
 	upstream := on.currentUpstream()
 	start, began := startOf(upstream.Instance, upstream.Born), time.Now()
-	for time.Since(began) < within {
-		if s.oracle.WorkedSince(start, began) {
-			s.oracle.Worked(time.Now())
+	free := began
+	for time.Since(began) < workWaits*within {
+		now := time.Now()
+		switch {
+		case s.oracle.WorkedSince(start, began):
+			s.oracle.Worked(now)
 			return
-		}
-		if on.currentUpstream() != upstream || s.over() {
+		case on.currentUpstream() != upstream || s.over() || now.After(s.ends):
+			return
+		case !s.oracle.MayWork(on.name, now):
+			free = now
+		case now.Sub(free) > within:
+			s.oracle.NoWork(on.name, start, free, now)
 			return
 		}
 		time.Sleep(workPoll)
 	}
-	if on.currentUpstream() == upstream && time.Now().Before(s.ends) {
-		s.oracle.NoWork(on.name, start, began, time.Now())
-	}
 }
 
 // losePower ends all daemons and upstreams at once, waits and starts them again, cold, and
@@ -163,17 +169,31 @@
 	o.exercised(promiseOfWork, at)
 }
 
+// MayWork tells whether nothing keeps work away from a machine: its zone is not to be empty,
+// and nothing is done to its daemon or its links.
+func (o *Oracle) MayWork(machine string, at time.Time) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	_, emptied := o.emptied[o.zones[machine]]
+	return !emptied && !o.awayBetween(machine, at.Add(-workPoll), at)
+}
+
+// awayBetween tells whether something was done to a machine's daemon or its links in a time;
+// the lock is held.
+func (o *Oracle) awayBetween(machine string, from, to time.Time) bool {
+	return lo.SomeBy(o.away[machine], func(away *span) bool { return away.overlaps(from, to) })
+}
+
 // NoWork judges a start of an upstream that ran nothing from one time to another.
-func (o *Oracle) NoWork(machine, start string, began, at time.Time) {
+func (o *Oracle) NoWork(machine, start string, from, at time.Time) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	_, emptied := o.emptied[o.zones[machine]]
-	touched := lo.SomeBy(o.away[machine], func(away *span) bool { return away.overlaps(began, at) })
-	if emptied || touched || o.takenBack[o.zones[machine]].After(began) {
+	if emptied || o.awayBetween(machine, from, at) || o.takenBack[o.zones[machine]].After(from) {
 		return
 	}
 	o.exercised(promiseOfWork, at)
-	o.violateTimed(promiseOfWork, "%s on %s got none in %s", start, machine, at.Sub(began))
+	o.violateTimed(promiseOfWork, "%s on %s got none in %s", start, machine, at.Sub(from))
 }
 
 // Refused judges what came of a strange report.
