--- a/internal/lab/soak/restarts.go
+++ b/internal/lab/soak/restarts.go
@@ -74,7 +74,7 @@
 		case s.oracle.WorkedSince(start, began):
 			s.oracle.Worked(now)
 			return
-		case on.currentUpstream() != upstream || s.over() || now.After(s.ends):
+		case upstream.HasEnded() || s.over() || now.After(s.ends):
 			return
 		case !s.oracle.MayWork(on.name, now):
 			free = now
