--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -236,9 +236,7 @@
 	}},
 	{name: "strange_reports", weight: 3, planned: true, beside: true, quiet: true, harm: func(s *soak, on *machine, random *rand.Rand) func() {
 		for range 1 + random.IntN(mostStrange) {
-			if status := on.currentUpstream().SendStrange(random); status != 0 {
-				s.oracle.Refused(!standin.Acknowledged(status), "under the name of the back end of "+on.name)
-			}
+			s.judgeStrange(on.currentUpstream().SendStrange(random), "under the name of the back end of "+on.name)
 		}
 		return nil
 	}},
--- a/internal/lab/soak/restarts.go
+++ b/internal/lab/soak/restarts.go
@@ -50,15 +50,25 @@
 	s.sendLate(on, earlier, random)
 }
 
-// sendLate has heartbeats of an ended start come, and some of another service's upstream
-// that had the address before.
+// sendLate has heartbeats and the leave of an ended start come late, and a heartbeat of another
+// service's upstream that had the address before.
 func (s *soak) sendLate(on *machine, earlier *standin.Upstream, random *rand.Rand) {
 	for range random.IntN(mostLate + 1) {
 		earlier.SendLate([]string{"ready", "draining"}[random.IntN(2)], random.Uint64N(1000)+1)
 	}
+	if random.IntN(2) == 0 {
+		earlier.Leave()
+	}
 	if random.IntN(2) == 0 {
 		foreign := earlier.Foreign("foreign-"+on.name, "another")
-		s.oracle.Refused(!foreign.SendLate("ready", 1), "of another service at "+on.name)
+		s.judgeStrange(foreign.SendLate("ready", 1), "of another service at "+on.name)
+	}
+}
+
+// judgeStrange judges the status that a strange report got; 0 is none.
+func (s *soak) judgeStrange(status int, what string) {
+	if status != 0 {
+		s.oracle.Refused(!standin.Acknowledged(status), what)
 	}
 }
 
