--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -311,7 +311,7 @@
 	bounded, cancel := context.WithTimeout(ctx, s.options.Duration)
 	defer cancel()
 	s.awaitHealed("at the start")
-	s.ends = time.Now().Add(s.options.Duration)
+	s.ends, _ = bounded.Deadline()
 	var clients sync.WaitGroup
 	for _, on := range s.machines {
 		for index := range s.options.Clients {
