--- a/internal/lab/soak/evacuations.go
+++ b/internal/lab/soak/evacuations.go
@@ -164,10 +164,11 @@
 	gate := o.hosts[arrival.Instance]
 	o.exercisedZones(arrival.At)
 	since, emptied := o.emptied[o.zones[gate]]
-	if !emptied || arrival.At.Sub(since) <= evacuationBound {
+	if !emptied || !o.inTouch(gate, arrival.At) && request.SentAt.Sub(since) <= evacuationBound {
 		return
 	}
-	if o.inTouch(gate, arrival.At) || request.SentAt.Sub(since) > evacuationBound {
+	o.latest = max(o.latest, arrival.At.Sub(since))
+	if arrival.At.Sub(since) > evacuationBound {
 		o.violateTimed(promiseOfZones, "%s reached %s in %s, %s after the order", request.ID, arrival.Instance, o.zones[gate], arrival.At.Sub(since))
 	}
 }
--- a/internal/lab/soak/newrules_test.go
+++ b/internal/lab/soak/newrules_test.go
@@ -66,6 +66,7 @@
 			oracle.Evacuated("z", start)
 			arrive(0, evacuationBound, unchanged)
 			check.Equal(len(oracle.Violations()), 0)
+			check.Equal(oracle.latest, evacuationBound)
 			breach(oracle, arrive)
 			check.Equal(len(oracle.Violations()), 1)
 			check.Equal(oracle.Violations()[0].Promise, promiseOfZones)
--- a/internal/lab/soak/oracle.go
+++ b/internal/lab/soak/oracle.go
@@ -103,11 +103,13 @@
 	atCold      map[string][]time.Time
 	worked      map[string]time.Time
 	evacuations int
-	restarts    int
-	falls       int
-	coverage    coverage
-	unserved    []unserved
-	violations  []Violation
+	// latest is how long after an order a request judged by it reached its zone at most.
+	latest     time.Duration
+	restarts   int
+	falls      int
+	coverage   coverage
+	unserved   []unserved
+	violations []Violation
 }
 
 // provenVersion is the newest version that a start of a daemon has shown.
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -61,8 +61,11 @@
 	// Evacuations counts the orders to empty a zone, Restarts the starts of upstreams under a
 	// name that had been there, Falls the cold upstreams that fell over.
 	Evacuations int `json:"evacuations"`
-	Restarts    int `json:"restarts"`
-	Falls       int `json:"falls"`
+	// LatestMilliseconds is how long after an order a request reached its zone at most, sent by
+	// daemons in touch.
+	LatestMilliseconds int64 `json:"latest_milliseconds"`
+	Restarts           int   `json:"restarts"`
+	Falls              int   `json:"falls"`
 	// Pairs counts, for each fault, how often each promise was judged beside it, PairCount the
 	// pairs that were.
 	Pairs     map[string]map[string]int `json:"pairs"`
@@ -346,7 +349,7 @@
 	defer s.mutex.Unlock()
 	pairs := s.oracle.Pairs()
 	return Report{
-		Answers: s.answers, Evacuations: s.oracle.evacuations, Restarts: s.oracle.restarts, Falls: s.oracle.falls,
+		Answers: s.answers, Evacuations: s.oracle.evacuations, Restarts: s.oracle.restarts, LatestMilliseconds: s.oracle.latest.Milliseconds(), Falls: s.oracle.falls,
 		Pairs: pairs, PairCount: lo.SumBy(lo.Values(pairs), func(of map[string]int) int { return len(of) }),
 		Seed: s.options.Seed, Requests: s.requests, Served: s.served, Runs: s.runs,
 		Faults: s.faults, MetStops: s.oracle.MetStops(), CalmCuts: s.oracle.CalmCuts(), Versions: s.version, HarmEnds: s.oracle.HarmEnds(),
