Soak: harmful requests wait while a mesh comes back from a loss of power

Cause: a loss of power comes alone, so that what is judged is how the mesh comes back; harmful requests came all the same, and ended the only two back ends that a service had left five times in 7 s. Change: they wait until the power is back and all machines were seen to serve, or their time has passed.

--- a/internal/lab/soak/harmful.go
+++ b/internal/lab/soak/harmful.go
@@ -94,6 +94,9 @@
 	var waiting sync.WaitGroup
 	defer waiting.Wait()
 	for try := 0; pause.For(ctx, period); try++ {
+		if s.powerIsAway() {
+			continue
+		}
 		on := entries[random.IntN(len(entries))]
 		sent := request
 		sent.Machine = on.name
--- a/internal/lab/soak/restarts.go
+++ b/internal/lab/soak/restarts.go
@@ -97,8 +97,11 @@
 }
 
 // losePower ends all daemons and upstreams at once, waits and starts them again, cold, and
-// holds the mesh to serve again. In half of all cases a zone is emptied meanwhile.
+// holds the mesh to serve again. In half of all cases a zone is emptied meanwhile. Harmful
+// requests wait.
 func (s *soak) losePower(on *machine, random *rand.Rand) {
+	s.setPowerAway(true)
+	defer s.setPowerAway(false)
 	for _, each := range s.machines {
 		for !each.take() {
 			time.Sleep(claimPause)
--- a/internal/lab/soak/series.go
+++ b/internal/lab/soak/series.go
@@ -45,6 +45,8 @@
 	down      int
 	everyone  bool
 	rolling   bool
+	// powerAway says that all machines have lost power and do not serve yet.
+	powerAway bool
 	over      bool
 	working   sync.WaitGroup
 }
@@ -61,6 +63,19 @@
 	s.inForce.working.Wait()
 }
 
+// setPowerAway says whether the mesh is without power, and powerIsAway tells it.
+func (s *soak) setPowerAway(away bool) {
+	s.inForce.mutex.Lock()
+	defer s.inForce.mutex.Unlock()
+	s.inForce.powerAway = away
+}
+
+func (s *soak) powerIsAway() bool {
+	s.inForce.mutex.Lock()
+	defer s.inForce.mutex.Unlock()
+	return s.inForce.powerAway
+}
+
 // over tells whether no further harm is to be done.
 func (s *soak) over() bool {
 	s.inForce.mutex.Lock()
