Soak: daemons are in touch again once the power is back, also in the emptied zone

Change: they are in touch from their start on, contactTime later as ever; falls count from the start.

--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -244,7 +244,7 @@
 		return s.store.WriteStrange(random)
 	}},
 	{name: "evacuation", weight: 8, planned: true, beside: true, quiet: true, harm: (*soak).evacuateZone},
-	{name: "power_loss", weight: 2, everyone: true, beside: true, alone: true, harm: func(s *soak, on *machine, random *rand.Rand) func() {
+	{name: "power_loss", weight: 2, everyone: true, beside: true, alone: true, apart: true, harm: func(s *soak, on *machine, random *rand.Rand) func() {
 		s.losePower(on, random)
 		return nil
 	}},
--- a/internal/lab/soak/restarts.go
+++ b/internal/lab/soak/restarts.go
@@ -109,6 +109,7 @@
 		healed := s.oracle.Harmed(each.name, time.Now())
 		defer func() { healed(time.Now()) }()
 	}
+	back := s.allOutOfTouch()
 	emptied := random.IntN(2) == 0 && s.claimZone(on.zone)
 	for _, each := range s.machines {
 		each.signal(syscall.SIGKILL)
@@ -121,7 +122,10 @@
 	if emptied {
 		s.orderEmpty(on.zone)
 	}
+	falls := s.oracle.Falls()
 	s.powerUp(random)
+	back()
+	s.awaitPower(falls)
 	if emptied {
 		s.sleepUnlessOver(evacuationBound)
 		s.takeBack(on.zone)
@@ -129,7 +133,20 @@
 	}
 }
 
-// powerUp starts all machines again and waits until each serves.
+// allOutOfTouch notes that no daemon is in touch, until what it returns is called.
+func (s *soak) allOutOfTouch() (back func()) {
+	var each []func(time.Time)
+	for _, on := range s.machines {
+		each = append(each, s.oracle.OutOfTouch(on.name, time.Now()))
+	}
+	return func() {
+		for _, one := range each {
+			one(time.Now())
+		}
+	}
+}
+
+// powerUp starts all machines again.
 func (s *soak) powerUp(random *rand.Rand) {
 	var starting sync.WaitGroup
 	sameNames := random.IntN(2) == 0
@@ -150,15 +167,19 @@
 	for _, each := range s.machines {
 		each.release()
 	}
+}
+
+// awaitPower holds each machine to serve within the bound, and no back end to have fallen over
+// beside those that had before.
+func (s *soak) awaitPower(fallsBefore int) {
 	bounded, cancel := context.WithTimeout(context.Background(), powerBound)
 	defer cancel()
-	falls := s.oracle.Falls()
 	for _, each := range s.machines {
 		if version, serves := s.awaitServing(bounded, each, "power "+each.startName()); !serves {
 			s.oracle.Dark(fmt.Sprintf("%s does not serve version %d %s after its start", each.name, version, powerBound))
 		}
 	}
-	s.oracle.PowerIsBack(s.oracle.Falls()-falls, time.Now())
+	s.oracle.PowerIsBack(s.oracle.Falls()-fallsBefore, time.Now())
 }
 
 // Restarted counts a start under a name that had been there before.
