--- a/internal/lab/soak/evacuations.go
+++ b/internal/lab/soak/evacuations.go
@@ -59,7 +59,7 @@
 func (s *soak) takeBack(zone string) {
 	s.oracle.TakenBack(zone)
 	s.store.TakeBack(zone)
-	s.log("taken_back", zone)
+	s.log("withdrawn", zone)
 }
 
 // turnZoneCold has the upstreams of an emptied zone turn cold before any of them tells.
