Calls that wait for the start: gone callers, time that was waited, regions, a missed view

Cause: a call that waited in vain was accepted by the time before its wait, and was held for up to a quarter of its time longer than it had; one that states no time waited for the whole 2 s, also on a route of less; a caller that left was not seen while its request had a body that nobody had read, and was sent for; calls bound to regions were refused at once, as no region has a back end before members are known; a call that was weighed just before the first view was refused for it. Change: a call is accepted again after its wait, whatever ended that; the bound is a quarter of the route's time where that is known; a body that is not large is read before the wait; the view from before a call was weighed tells whether it waits.

--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -40,7 +40,7 @@
 	defer func() { observe(p.config.Timings.Caller, p.config.Clock()-began) }()
 	control, body := p.begin(writer, request)
 	defer body.finish()
-	call, refusal, accepted := p.acceptWhenStarted(request)
+	call, refusal, accepted := p.acceptWhenStarted(request, body)
 	if !accepted {
 		p.traceTurnedAway(request, refusal)
 		p.refuse(writer, body, refusal)
--- a/internal/proxy/starting.go
+++ b/internal/proxy/starting.go
@@ -1,10 +1,12 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/springstack/springstack/internal/core/routing"
 	"github.com/springstack/springstack/internal/result"
 )
 
@@ -42,47 +44,75 @@
 }
 
 // acceptWhenStarted accepts a call, which waits while the daemon starts.
-func (p *Proxy) acceptWhenStarted(request *http.Request) (*callerCall, Refusal, bool) {
+func (p *Proxy) acceptWhenStarted(request *http.Request, body *upload) (*callerCall, Refusal, bool) {
 	if p.config.Clock()-p.startedAt >= p.limits.StartWait {
 		return p.acceptCall(request)
 	}
-	return p.acceptStarting(request)
+	return p.acceptStarting(request, body)
 }
 
 // acceptStarting accepts a call as acceptCall does. While the daemon starts, it waits for a
 // view by which the call can be sent, for a part of the call's time at most.
-func (p *Proxy) acceptStarting(request *http.Request) (*callerCall, Refusal, bool) {
+func (p *Proxy) acceptStarting(request *http.Request, body *upload) (*callerCall, Refusal, bool) {
 	came := p.config.Clock()
-	bound := p.startBound(request, came)
 	for {
 		changed := p.starting.view()
+		known := p.view.Load()
 		now := p.config.Clock()
 		call, refusal, accepted := p.acceptCall(withWait(request, waitOf(request)+now-came))
-		if !p.lacksView(call, refusal, accepted) || now >= bound || !p.awaitView(request, changed, bound-now) {
+		whole := p.wholeTime(request, call, now-came)
+		bound := min(p.startedAt+p.limits.StartWait, came+whole/startPart)
+		if now >= bound || !known.lacks(call, refusal, accepted) {
+			return call, refusal, accepted
+		}
+		p.readSmall(request, body, came+whole-now)
+		if !p.awaitView(request, changed, bound-p.config.Clock()) {
 			return call, refusal, accepted
 		}
 	}
 }
 
-// startBound is until when, on the clock, a call may wait for the daemon's start.
-func (p *Proxy) startBound(request *http.Request, came time.Duration) time.Duration {
-	bound := p.startedAt + p.limits.StartWait
-	if stated, found := p.statedTime(request.Header); found {
-		bound = min(bound, came+max(stated-waitOf(request), 0)/startPart)
+// wholeTime is what a call that has waited for the start may take in all. It is not nil if
+// it was accepted.
+func (p *Proxy) wholeTime(request *http.Request, call *callerCall, waited time.Duration) time.Duration {
+	if call != nil {
+		return call.timeout + waited
 	}
-	return bound
+	stated, found := p.statedTime(request.Header)
+	if !found {
+		stated = routing.DefaultTimeout
+	}
+	return max(stated-waitOf(request), 0)
 }
 
-// lacksView tells whether a call can't be sent since the daemon knows too little yet.
-func (p *Proxy) lacksView(call *callerCall, refusal Refusal, accepted bool) bool {
-	if !accepted {
-		return refusal.Code == result.NotServing && p.view.Load().snapshot == nil
+// lacks tells whether a call that was weighed by this view or a newer one can't be sent since
+// this one knows too little yet.
+func (v *view) lacks(call *callerCall, refusal Refusal, accepted bool) bool {
+	switch {
+	case refusal.Code == result.NotServing:
+		return v.snapshot == nil
+	case refusal.Code == result.RegionNotAllowed:
+		return len(v.state.Members) <= 1 // nobody but itself
+	case !accepted:
+		return false
 	}
-	shared := p.view.Load().services[call.service]
+	shared := v.services[call.service]
 	return shared == nil || shared.set.Usable() == 0 && !shared.set.Evacuated()
 }
 
-// awaitView waits for the next view, and tells whether it has come.
+// readSmall reads a body that is not large before its call waits: the server sees that a
+// caller has left only once its request has been read.
+func (p *Proxy) readSmall(request *http.Request, body *upload, most time.Duration) {
+	if body.isLarge() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), most)
+	defer cancel()
+	_ = body.preload(ctx, nil) // the body keeps the failure, for which the call is refused
+}
+
+// awaitView waits for the next view or a bound; false means that the caller has left or the
+// proxy is closed.
 func (p *Proxy) awaitView(request *http.Request, changed <-chan struct{}, most time.Duration) bool {
 	p.tally.startWaits.Add(1)
 	bound := time.NewTimer(most)
@@ -91,6 +121,7 @@
 	case <-changed:
 		return true
 	case <-bound.C:
+		return true
 	case <-request.Context().Done():
 	case <-p.closed:
 	}
--- a/internal/proxy/starting_test.go
+++ b/internal/proxy/starting_test.go
@@ -1,7 +1,11 @@
 package proxy
 
 import (
+	"context"
+	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strconv"
 	"sync/atomic"
@@ -10,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/result"
 )
 
@@ -96,3 +101,76 @@
 	expectRefusal(check, late.call(t, http.MethodGet, "/", ""), result.NotServing, result.RanNo)
 	check.Equal(late.caller.Counters().StartWaits, uint64(0))
 }
+
+// A call that has a quarter of its time behind it is left no more than the rest.
+func TestACallThatWaitedInVainIsLeftTheRestOfItsTime(t *testing.T) {
+	check := is.New(t)
+	late := startLate(t, startMesh(t, meshOptions{}), testClock)
+	late.caller.Swap(testSnapshot(meshOptions{}, nil))
+	request := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/", nil)
+	request.Header.Set(headerTimeout, "400")
+	call, _, accepted := late.caller.acceptStarting(request, nil)
+	check.True(accepted)
+	check.True(call.timeout <= 300*time.Millisecond)
+}
+
+// A call that states no time has that of its route.
+func TestACallWithoutAStatedTimeWaitsForAPartOfItsRoutesTime(t *testing.T) {
+	check := is.New(t)
+	options := meshOptions{route: func(route *resource.Route) { route.Timeout = 200 * time.Millisecond }}
+	late := startLate(t, startMesh(t, options), testClock)
+	late.caller.Swap(testSnapshot(options, nil))
+	ctx, cancel := context.WithTimeout(t.Context(), awaitLimit)
+	defer cancel()
+	_, _, accepted := late.caller.acceptStarting(httptest.NewRequestWithContext(ctx, http.MethodGet, "/", nil), nil)
+	check.True(accepted)
+	check.NoErr(ctx.Err())
+}
+
+// The first view may come while a call is weighed. What the call was refused for is judged by
+// the view from before, so that it is weighed again.
+func TestACallDoesNotMissTheViewThatComesWhileItIsWeighed(t *testing.T) {
+	check := is.New(t)
+	made := startMesh(t, meshOptions{})
+	late := startLate(t, made, testClock)
+	before := late.caller.view.Load()
+	late.caller.Swap(made.held)
+	check.True(before.lacks(nil, Refusal{Code: result.NotServing}, false))
+	check.True(!late.caller.view.Load().lacks(nil, Refusal{Code: result.NotServing}, false))
+}
+
+// A caller that leaves ends its wait, also one whose request has a body.
+func TestACallerThatLeavesWhileItsCallWaitsForTheStartIsNotSentFor(t *testing.T) {
+	check := is.New(t)
+	var runs atomic.Int64
+	made := startMesh(t, meshOptions{}, counting(&runs))
+	late := startLate(t, made, testClock)
+	conn, err := net.Dial("tcp", late.address)
+	check.NoErr(err)
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nSpringstack-Timeout-Ms: 3600000\r\n\r\nbody")
+	check.NoErr(err)
+	late.awaitWaits(1)
+	check.NoErr(conn.Close())
+	for began := time.Now(); late.caller.callersRunning.Load() > 0; runtime.Gosched() {
+		if time.Since(began) > awaitLimit {
+			t.Fatal("the call still waits")
+		}
+	}
+	late.caller.Swap(made.held)
+	check.Equal(runs.Load(), int64(0))
+}
+
+// Before any other daemon is known, no region has a back end.
+func TestACallThatIsBoundToRegionsWaitsForTheMembersToo(t *testing.T) {
+	check := is.New(t)
+	var runs atomic.Int64
+	made := startMesh(t, inRegions([]string{"r"}), counting(&runs))
+	late := startLate(t, made, testClock)
+	late.caller.Swap(testSnapshot(inRegions([]string{"r"}), nil))
+	answer := make(chan answered, 1)
+	go func() { answer <- late.call(t, http.MethodGet, "/", "", headerTimeout, "60000") }()
+	late.awaitWaits(1)
+	late.caller.Swap(made.held)
+	check.Equal((<-answer).status, http.StatusOK)
+	check.Equal(runs.Load(), int64(1))
+}
