What bodies have waited longer than expected is believed for 2 s

Cause: the share is learned from bodies that wait behind others. Once it makes a gate refuse all of those, none is left to learn from, and the gate goes on refusing when the link is free again, until bodies that fit regardless bring it down. Change: the share counts for 2 s after the last body that waited (excessLife), and is learned anew after that. The expected waits between such bodies are those of the queue.

--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -306,7 +306,7 @@
 func (p *Proxy) loadText() string {
 	load := p.gate.Load()
 	service := p.gate.MeanService()
-	queued := load.Queued + p.transfers.asQueued(load.Slots, service)
+	queued := load.Queued + p.transfers.asQueued(p.config.Clock(), load.Slots, service)
 	report := endpoint.Report{Running: load.Running, Queued: queued, Service: service}
 	report.Own, report.OwnAge = p.health.ownLoad()
 	return formatLoad(report)
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -28,6 +28,9 @@
 	// excessLimit bounds by how much a wait is believed to exceed what is expected, in
 	// thousandths: one stall of the link tells little of the next one.
 	excessLimit = 2 * thousand
+	// excessLife is how long it is believed since the last body that waited. Where it has all
+	// refused that would wait, nothing would tell that the link is free again.
+	excessLife = 2 * time.Second
 	// transferWeight is the weight of a new value in the mean time of a transfer.
 	transferWeight = 1.0 / 8
 )
@@ -42,6 +45,8 @@
 	// excess is the moving mean of what bodies have waited longer than expected, as a
 	// share of that in thousandths: others share the link.
 	excess atomic.Int64
+	// excessAt is when it was last learned, on the clock, in nanoseconds.
+	excessAt atomic.Int64
 }
 
 func newTransfers() *transfers {
@@ -53,9 +58,17 @@
 
 // expectedWait is how long one more body is expected to wait: until the first of those
 // that come has come, for those ahead of it, and for what else is on the link.
-func (t *transfers) expectedWait() time.Duration {
+func (t *transfers) expectedWait(now time.Duration) time.Duration {
 	queue := t.queueWait()
-	return queue + queue*time.Duration(t.excess.Load())/thousand
+	return queue + queue*time.Duration(t.excessNow(now))/thousand
+}
+
+// excessNow is the excess that is believed now.
+func (t *transfers) excessNow(now time.Duration) int64 {
+	if now-time.Duration(t.excessAt.Load()) > excessLife {
+		return 0
+	}
+	return t.excess.Load()
 }
 
 // queueWait is what the bodies alone make expect.
@@ -69,23 +82,24 @@
 }
 
 // learnWait learns how long a body has waited, by what the queue had made expect.
-func (t *transfers) learnWait(expected, waited time.Duration) {
+func (t *transfers) learnWait(now, expected, waited time.Duration) {
 	if expected <= 0 || expected < t.meanTime()/transferLimit {
 		return // hardly any
 	}
 	ratio := min(max(int64((waited-expected)*thousand/expected), 0), excessLimit)
-	old := t.excess.Load()
+	old := t.excessNow(now)
+	t.excessAt.Store(int64(now))
 	t.excess.Store(old + int64(float64(ratio-old)*transferWeight))
 }
 
 // asQueued is the number of calls that would make the next one wait for a slot as
 // long as it would wait for its body: what the gate reports as its load.
-func (t *transfers) asQueued(slots int, service time.Duration) int {
+func (t *transfers) asQueued(now time.Duration, slots int, service time.Duration) int {
 	waiting := int(t.waiting.Load())
 	if service <= 0 {
 		return waiting
 	}
-	return max(waiting, int(t.expectedWait()*time.Duration(slots)/service))
+	return max(waiting, int(t.expectedWait(now)*time.Duration(slots)/service))
 }
 
 // await waits until a body may come; false means that ctx has ended before.
@@ -196,7 +210,7 @@
 	}
 	transfers := c.proxy.transfers
 	now := c.proxy.config.Clock()
-	queue, wait := transfers.queueWait(), transfers.expectedWait()
+	queue, wait := transfers.queueWait(), transfers.expectedWait(now)
 	if float64(wait) > transferShare*float64(c.deadline-now) {
 		return Refusal{Code: result.QueueFull, RetryAfter: wait}, false
 	}
@@ -207,7 +221,7 @@
 		return Refusal{Code: c.endCode()}, false
 	}
 	began := c.proxy.config.Clock()
-	transfers.learnWait(queue, began-now)
+	transfers.learnWait(began, queue, began-now)
 	turn := transfers.begin()
 	err := c.body.preload(c.context, turn.flows)
 	turn.end(c.proxy.config.Clock()-began, err == nil)
--- a/internal/proxy/transfer_test.go
+++ b/internal/proxy/transfer_test.go
@@ -137,27 +137,38 @@
 	check := is.New(t)
 	waits := newTransfers()
 	waits.mean.Store(int64(90 * time.Millisecond))
-	check.Equal(waits.expectedWait(), time.Duration(0)) // a turn is free
+	check.Equal(waits.expectedWait(0), time.Duration(0)) // a turn is free
 	for range transferLimit {
 		check.True(waits.await(t.Context()))
 	}
-	check.Equal(waits.expectedWait(), 30*time.Millisecond) // until the first one has come
+	check.Equal(waits.expectedWait(0), 30*time.Millisecond) // until the first one has come
 	waits.waiting.Add(4)
-	check.Equal(waits.expectedWait(), 210*time.Millisecond)
+	check.Equal(waits.expectedWait(0), 210*time.Millisecond)
 	for range 100 {
-		waits.learnWait(200*time.Millisecond, 300*time.Millisecond)
+		waits.learnWait(0, 200*time.Millisecond, 300*time.Millisecond)
 	}
-	check.True(waits.expectedWait() > 300*time.Millisecond)
+	check.True(waits.expectedWait(0) > 300*time.Millisecond)
 	for range 100 {
-		waits.learnWait(200*time.Millisecond, time.Minute) // a stall
+		waits.learnWait(0, 200*time.Millisecond, time.Minute) // a stall
 	}
-	check.True(waits.expectedWait() <= 3*210*time.Millisecond)
-	waits.learnWait(0, time.Minute) // nothing was expected
+	check.True(waits.expectedWait(0) <= 3*210*time.Millisecond)
+	waits.learnWait(0, 0, time.Minute) // nothing was expected
 	for range 100 {
-		waits.learnWait(200*time.Millisecond, 100*time.Millisecond)
+		waits.learnWait(0, 200*time.Millisecond, 100*time.Millisecond)
 	}
 	check.Equal(waits.queueWait(), 210*time.Millisecond)
-	check.True(waits.expectedWait() < 220*time.Millisecond)
+	check.True(waits.expectedWait(0) < 220*time.Millisecond)
+}
+
+// What was learned in a crowded moment may refuse all that would tell that it has passed.
+func TestAnExpectedWaitForgetsTheLinksOtherLoad(t *testing.T) {
+	check := is.New(t)
+	waits := newTransfers()
+	waits.mean.Store(int64(90 * time.Millisecond))
+	waits.waiting.Add(4)
+	waits.learnWait(time.Second, 200*time.Millisecond, time.Minute)
+	check.True(waits.expectedWait(time.Second+excessLife) > waits.queueWait())
+	check.Equal(waits.expectedWait(time.Second+excessLife+1), waits.queueWait())
 }
 
 // TestABodyThatWouldComeTooLateIsRefusedUnsent: at once, as not run; too late for
