A cold back end beside a daemon gets no large bodies while its gate has no start

Cause: the choice of the back end beside a daemon heeded the record's state only. A gate that has just refused a call as cold, before the record tells of it, was asked again by each upload, which was refused there and sent on. Change: an endpoint whose gate takes no call now is passed over, as in every choice. Figures: TestTheEndpointBesideADaemonIsNotChosenWhileItsGateIsCold fails before.

--- a/internal/core/endpoint/near.go
+++ b/internal/core/endpoint/near.go
@@ -11,7 +11,7 @@
 func (s *Set) ChooseAt(now time.Duration, node protocol.NodeID, tried Tried) *Endpoint {
 	for _, candidate := range s.tiers[0] {
 		if candidate.Node == node && candidate.State == protocol.EndpointReady && !tried.has(candidate) &&
-			!candidate.leaving(now) && !candidate.Ejected(now) && !candidate.refusing(now) {
+			!candidate.shut(now) && !candidate.Ejected(now) && !candidate.refusing(now) {
 			return candidate
 		}
 	}
--- a/internal/core/endpoint/near_test.go
+++ b/internal/core/endpoint/near_test.go
@@ -27,3 +27,13 @@
 	own.End(time.Second, Unreachable)
 	check.Equal(set.ChooseAt(time.Second, "b0", nil), nil)
 }
+
+// A gate may say that its back end is cold before that is known by its record.
+func TestTheEndpointBesideADaemonIsNotChosenWhileItsGateIsCold(t *testing.T) {
+	check := is.New(t)
+	backends, members := fixture(sameZone(1)...)
+	set := Build(nil, home, backends, members, 0)
+	set.ChooseAt(0, "b0", nil).Cold(0, time.Second, 0)
+	check.Equal(set.ChooseAt(0, "b0", nil), nil)
+	check.True(set.ChooseAt(time.Second, "b0", nil) != nil)
+}
