A daemon takes no other one's call for its own by a like name

Cause: a call is its daemon's own if its id begins with the daemon's name and incarnation; gate-7 and its incarnation begin like gate in incarnation 7. Its large bodies then came without a turn. Change: what follows the prefix is the count alone. Figures: TestABodyOfADaemonWithALikeNameIsNotOwn fails before. Who may reach a gate may still name any id: that is bound by the certificates between daemons, as are all headers there.

--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -194,9 +194,11 @@
 	return set.ChooseAt(now, c.proxy.config.NodeID, c.tried)
 }
 
-// isOwn tells whether the call comes from this daemon itself.
+// isOwn tells whether the call comes from this daemon itself: by its id, whose last part has
+// no hyphen. The name of another daemon may begin with that of this one.
 func (c *gateCall) isOwn() bool {
-	return strings.HasPrefix(c.request.Header.Get(headerRequest), c.proxy.requestPrefix)
+	count, found := strings.CutPrefix(c.request.Header.Get(headerRequest), c.proxy.requestPrefix)
+	return found && !strings.Contains(count, "-")
 }
 
 // receive takes in a large body whole before the call asks for a slot, so that a
--- a/internal/proxy/transfer_test.go
+++ b/internal/proxy/transfer_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -160,6 +161,18 @@
 	check.True(waits.expectedWait(0) < 220*time.Millisecond)
 }
 
+// A daemon whose name begins with that of another one is another one.
+func TestABodyOfADaemonWithALikeNameIsNotOwn(t *testing.T) {
+	check := is.New(t)
+	own := New(Config{Clock: testClock, NodeID: "gate", Incarnation: 7})
+	other := New(Config{Clock: testClock, NodeID: "gate-7", Incarnation: 7})
+	for _, sender := range []*Proxy{own, other} {
+		request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", nil)
+		request.Header.Set(headerRequest, sender.nextRequest())
+		check.Equal((&gateCall{proxy: own, request: request}).isOwn(), sender == own)
+	}
+}
+
 // What was learned in a crowded moment may refuse all that would tell that it has passed.
 func TestAnExpectedWaitForgetsTheLinksOtherLoad(t *testing.T) {
 	check := is.New(t)
