A stop refuses the calls that wait for the start

Cause: a daemon that is stopped within 2 s of its start went on holding the calls that wait for its first view, up to a quarter of their time, and its drain with them. Change: when the drain begins to refuse, they are woken, and refused as draining. Figures: TestACallThatWaitsForTheStartIsRefusedWhenTheDaemonStops fails before.

--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -88,6 +88,7 @@
 		return
 	}
 	p.drain.refusing.Store(true)
+	p.starting.publish() // what waits for the start is refused now
 	p.closeGate()
 	for p.running() > 0 {
 		select {
--- a/internal/proxy/starting.go
+++ b/internal/proxy/starting.go
@@ -33,7 +33,7 @@
 	return s.changed
 }
 
-// publish wakes the calls that wait for a view.
+// publish wakes the calls that wait: a view has come, or none will be of use.
 func (s *starting) publish() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/proxy/starting_test.go
+++ b/internal/proxy/starting_test.go
@@ -21,7 +21,7 @@
 // startLate makes a callers' side of a mesh that knows nothing yet.
 func startLate(t *testing.T, made *mesh, clock func() time.Duration) *mesh {
 	t.Helper()
-	limits := Limits{StartWait: time.Hour}
+	limits := Limits{StartWait: time.Hour, DrainLinger: time.Millisecond}
 	late := *made
 	late.caller = New(Config{Clock: clock, NodeID: "late", Incarnation: 4, Region: "r", Zone: "z", Limits: limits})
 	t.Cleanup(late.caller.Close)
@@ -174,3 +174,15 @@
 	check.Equal((<-answer).status, http.StatusOK)
 	check.Equal(runs.Load(), int64(1))
 }
+
+// A stop is not held up by calls that wait for the start.
+func TestACallThatWaitsForTheStartIsRefusedWhenTheDaemonStops(t *testing.T) {
+	check := is.New(t)
+	late := startLate(t, startMesh(t, meshOptions{}), testClock)
+	answer := make(chan answered, 1)
+	go func() { answer <- late.call(t, http.MethodGet, "/", "", headerTimeout, "60000") }()
+	late.awaitWaits(1)
+	late.caller.StartDrain()
+	expectRefusal(check, await(t, answer, "a refusal"), result.Draining, result.RanNo)
+	await(t, late.caller.Drained(), "the drain's end")
+}
