--- a/internal/proxy/starting_test.go
+++ b/internal/proxy/starting_test.go
@@ -30,10 +30,23 @@
 	return &late
 }
 
-// awaitWaits waits until calls have begun to wait for the daemon's start as often as that.
-func (m *mesh) awaitWaits(count uint64) {
-	for m.caller.Counters().StartWaits < count {
-		runtime.Gosched()
+// callAndWait makes a call and returns, once it waits for the daemon's start, where its answer
+// will come.
+func (m *mesh) callAndWait(t *testing.T) <-chan answered {
+	t.Helper()
+	answer := make(chan answered, 1)
+	go func() { answer <- m.call(t, http.MethodGet, "/", "", headerTimeout, "60000") }()
+	m.awaitWait(t)
+	return answer
+}
+
+// awaitWait waits until a call waits for the daemon's start.
+func (m *mesh) awaitWait(t *testing.T) {
+	t.Helper()
+	for began := time.Now(); m.caller.Counters().StartWaits == 0; runtime.Gosched() {
+		if time.Since(began) > awaitLimit {
+			t.Fatal("no call waits for the start")
+		}
 	}
 }
 
@@ -42,9 +55,7 @@
 	var runs atomic.Int64
 	made := startMesh(t, meshOptions{}, counting(&runs))
 	late := startLate(t, made, testClock)
-	answer := make(chan answered, 1)
-	go func() { answer <- late.call(t, http.MethodGet, "/", "", headerTimeout, "60000") }()
-	late.awaitWaits(1)
+	answer := late.callAndWait(t)
 	late.caller.Swap(made.held)
 	check.Equal((<-answer).status, http.StatusOK)
 	check.Equal(runs.Load(), int64(1))
@@ -56,9 +67,7 @@
 	made := startMesh(t, meshOptions{}, counting(&runs))
 	late := startLate(t, made, testClock)
 	late.caller.Swap(testSnapshot(meshOptions{}, nil))
-	answer := make(chan answered, 1)
-	go func() { answer <- late.call(t, http.MethodGet, "/", "", headerTimeout, "60000") }()
-	late.awaitWaits(1)
+	answer := late.callAndWait(t)
 	late.caller.Swap(made.held)
 	check.Equal((<-answer).status, http.StatusOK)
 	check.Equal(runs.Load(), int64(1))
@@ -72,9 +81,7 @@
 	}})
 	var now atomic.Int64
 	late := startLate(t, made, func() time.Duration { return time.Duration(now.Load()) })
-	answer := make(chan answered, 1)
-	go func() { answer <- late.call(t, http.MethodGet, "/", "", headerTimeout, "60000") }()
-	late.awaitWaits(1)
+	answer := late.callAndWait(t)
 	now.Store(int64(10 * time.Second))
 	late.caller.Swap(made.held)
 	check.Equal((<-answer).status, http.StatusOK)
@@ -149,7 +156,7 @@
 	check.NoErr(err)
 	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nSpringstack-Timeout-Ms: 3600000\r\n\r\nbody")
 	check.NoErr(err)
-	late.awaitWaits(1)
+	late.awaitWait(t)
 	check.NoErr(conn.Close())
 	for began := time.Now(); late.caller.callersRunning.Load() > 0; runtime.Gosched() {
 		if time.Since(began) > awaitLimit {
@@ -167,9 +174,7 @@
 	made := startMesh(t, inRegions([]string{"r"}), counting(&runs))
 	late := startLate(t, made, testClock)
 	late.caller.Swap(testSnapshot(inRegions([]string{"r"}), nil))
-	answer := make(chan answered, 1)
-	go func() { answer <- late.call(t, http.MethodGet, "/", "", headerTimeout, "60000") }()
-	late.awaitWaits(1)
+	answer := late.callAndWait(t)
 	late.caller.Swap(made.held)
 	check.Equal((<-answer).status, http.StatusOK)
 	check.Equal(runs.Load(), int64(1))
@@ -179,9 +184,7 @@
 func TestACallThatWaitsForTheStartIsRefusedWhenTheDaemonStops(t *testing.T) {
 	check := is.New(t)
 	late := startLate(t, startMesh(t, meshOptions{}), testClock)
-	answer := make(chan answered, 1)
-	go func() { answer <- late.call(t, http.MethodGet, "/", "", headerTimeout, "60000") }()
-	late.awaitWaits(1)
+	answer := late.callAndWait(t)
 	late.caller.StartDrain()
 	expectRefusal(check, await(t, answer, "a refusal"), result.Draining, result.RanNo)
 	await(t, late.caller.Drained(), "the drain's end")
