Gate: count what may still run beside its own calls

A daemon that was killed leaves up to its slots of calls at the back end, and the next start sent as many again. The gate now takes them for occupied until they are over by their time, each answer shows room for one more, or the back end tells what it holds; a probe takes a slot as well. The longest service time of a class is followed, and package hang weighs whether a call is never answered. Nothing uses them yet.

--- a/internal/core/admission/control.go
+++ b/internal/core/admission/control.go
@@ -39,7 +39,12 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.slots.Store(int64(max(slots, 1)))
-	for g.queue.length > 0 && int64(g.word.Load()&runningMask) < g.slots.Load() {
+	g.startFree(now)
+}
+
+// startFree starts waiting calls while slots are free; the lock is held.
+func (g *Gate) startFree(now time.Duration) {
+	for g.queue.length > 0 && int64(g.word.Load()&runningMask) < g.limit() {
 		g.word.Add(1)
 		g.handOver(now)
 	}
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -74,6 +74,10 @@
 	runningWork atomic.Int64
 	// slots may be changed while calls run.
 	slots atomic.Int64
+	// leftBehind and probes take slots of the back end beside the calls of the gate; see
+	// occupied.go.
+	leftBehind leftBehind
+	probes     atomic.Int64
 	// mean is the mean service time of all calls, classes those of each class that
 	// has come.
 	mean    movingMean
@@ -105,6 +109,7 @@
 
 // Load is what runs and waits at a gate.
 type Load struct {
+	// Running are the slots taken, also by what runs there beside the gate's own calls.
 	Running int
 	Queued  int
 	Slots   int
@@ -114,7 +119,7 @@
 func (g *Gate) Load() Load {
 	word := g.word.Load()
 	return Load{
-		Running: int(word & runningMask),
+		Running: int(word&runningMask) + int(g.occupied()),
 		Queued:  int(word & queuedMask >> runningBits),
 		Slots:   int(g.slots.Load()),
 	}
@@ -174,7 +179,7 @@
 	for {
 		word := g.word.Load()
 		running := int64(word & runningMask)
-		if word&(refusingAny|queuedMask) != 0 || running >= g.slots.Load() {
+		if word&(refusingAny|queuedMask) != 0 || running >= g.limit() {
 			return false
 		}
 		if g.word.CompareAndSwap(word, word+1) {
@@ -224,7 +229,7 @@
 	}
 	for {
 		word := g.word.Load()
-		free := word&queuedMask == 0 && int64(word&runningMask) < g.slots.Load()
+		free := word&queuedMask == 0 && int64(word&runningMask) < g.limit()
 		switch {
 		case word&refusingAny != 0:
 			return refused(refusalOf(word), 0)
@@ -296,8 +301,8 @@
 // it; the lock is held.
 func (g *Gate) handOver(now time.Duration) {
 	for {
-		// With fewer slots than before, the slot ends with the call.
-		excess := int64(g.word.Load()&runningMask) > g.slots.Load()
+		// With fewer slots than before, or others that are occupied, the slot ends with the call.
+		excess := int64(g.word.Load()&runningMask) > g.limit()
 		var ticket *Ticket
 		if !excess {
 			ticket = g.queue.pop()
--- /dev/null
+++ b/internal/core/admission/longest_test.go
@@ -0,0 +1,27 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// answeredTimes lets answers of one class come that took so long each.
+func answeredTimes(gate *Gate, took time.Duration, count int) (longest time.Duration) {
+	for range count {
+		gate.observe(&Call{}, took)
+		gate.NoteAnswer(&Call{}, took)
+	}
+	_, longest, _ = gate.ServiceTimes(&Call{})
+	return longest
+}
+
+func TestTheLongestServiceTimeIsKeptForAWhile(t *testing.T) {
+	check := is.New(t)
+	gate := New(0, Config{Slots: 1})
+	answeredTimes(gate, 100*time.Millisecond, 20)
+	check.Equal(answeredTimes(gate, time.Second, 1), time.Second)
+	check.True(answeredTimes(gate, 100*time.Millisecond, 20) > 800*time.Millisecond)
+	check.True(answeredTimes(gate, 100*time.Millisecond, 1000) < 150*time.Millisecond)
+}
--- a/internal/core/admission/mean.go
+++ b/internal/core/admission/mean.go
@@ -84,9 +84,32 @@
 	}
 }
 
+// longestWeight is how much of its distance to the mean the longest service time loses with
+// each answer: a run that was longer than all others is forgotten after some hundred.
+const longestWeight = 1.0 / 128
+
+// NoteAnswer takes the time from the sending of a call to the back end's answer.
+func (g *Gate) NoteAnswer(call *Call, took time.Duration) {
+	one := g.classOf(call)
+	one.seen.Add(1)
+	old := one.longest.Load()
+	faded := old - int64(float64(old-int64(one.mean.value()))*longestWeight)
+	one.longest.CompareAndSwap(old, max(faded, int64(took)))
+}
+
+// ServiceTimes are the mean and the longest service time of a call's class lately, and how
+// many answers tell that.
+func (g *Gate) ServiceTimes(call *Call) (mean, longest time.Duration, seen int) {
+	one := g.classOf(call)
+	return one.mean.value(), time.Duration(one.longest.Load()), int(one.seen.Load())
+}
+
 // classService are the service times of one class of calls.
 type classService struct {
 	mean movingMean
+	// longest is the longest service time lately, in nanoseconds, of seen answers in all.
+	longest atomic.Int64
+	seen    atomic.Int64
 	// deviation is the mean distance from the mean.
 	deviation movingMean
 	// delay is the mean of waits by expected waits, in seconds.
--- /dev/null
+++ b/internal/core/admission/occupied_test.go
@@ -0,0 +1,110 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// occupiedGate is a gate of four slots of which an earlier start of the daemon may have left
+// all taken until a time.
+func occupiedGate(until time.Duration) *Gate {
+	gate := New(0, Config{Slots: 4, QueueLength: 16, QueueWait: time.Minute, KeyWindow: time.Minute, KeyCount: 16})
+	gate.LimitCold(0, 0, false)
+	gate.LeaveBehind(0, until)
+	return gate
+}
+
+// verdicts keeps what is settled.
+type verdicts struct{ settled []Verdict }
+
+// Settle keeps a verdict.
+func (v *verdicts) Settle(verdict Verdict) { v.settled = append(v.settled, verdict) }
+
+// startAll lets calls come until one has to wait, and returns those that started and what the
+// waiting one is told.
+func startAll(gate *Gate, now time.Duration) (started []*Ticket, waiting *verdicts) {
+	for {
+		waiting = &verdicts{}
+		ticket := NewTicket(Call{Deadline: now + time.Hour}, waiting)
+		if gate.Admit(now, ticket).State != StateStarted {
+			return started, waiting
+		}
+		started = append(started, ticket)
+	}
+}
+
+func TestWhatMayHaveBeenLeftBehindTakesSlots(t *testing.T) {
+	check := is.New(t)
+	gate := occupiedGate(time.Second)
+	started, _ := startAll(gate, 0)
+	check.Equal(len(started), 1) // one asks what the back end holds
+}
+
+// Entries see a gate whose slots are taken as full.
+func TestOccupiedSlotsAreLoad(t *testing.T) {
+	check := is.New(t)
+	check.Equal(occupiedGate(time.Second).Load(), Load{Running: 4, Slots: 4})
+}
+
+func TestEachAnswerLetsOneCallMoreRun(t *testing.T) {
+	check := is.New(t)
+	gate := occupiedGate(time.Minute)
+	for answers := range 4 {
+		started, _ := startAll(gate, 0)
+		check.Equal(len(started), answers+1)
+		gate.Drain() // refuses the one that waits
+		gate.Resume()
+		for _, one := range started {
+			gate.Done(0, one, true)
+		}
+		gate.Answered(0)
+	}
+}
+
+func TestTheBackEndsWordFreesSlotsAtOnce(t *testing.T) {
+	check := is.New(t)
+	gate := occupiedGate(time.Minute)
+	_, waiting := startAll(gate, 0)
+	gate.Holds(0, 1)
+	check.Equal(len(waiting.settled), 1)
+	check.Equal(gate.Load().Running, 3) // two calls, and one that was left behind
+}
+
+// A report that names more than was assumed speaks of something else.
+func TestTheBackEndsWordTakesNoSlots(t *testing.T) {
+	check := is.New(t)
+	gate := occupiedGate(time.Minute)
+	gate.Holds(0, 0)
+	gate.Holds(0, 4)
+	check.Equal(gate.Load().Running, 0)
+}
+
+func TestWhatWasLeftBehindIsOverAfterItsTime(t *testing.T) {
+	check := is.New(t)
+	gate := occupiedGate(time.Second)
+	_, waiting := startAll(gate, 0)
+	gate.Tick(time.Second - 1)
+	check.Equal(len(waiting.settled), 0)
+	gate.Tick(time.Second)
+	check.Equal(len(waiting.settled), 1)
+}
+
+func TestANewStartOfTheBackEndHoldsNothing(t *testing.T) {
+	check := is.New(t)
+	gate := occupiedGate(time.Second)
+	gate.Forget(0)
+	started, _ := startAll(gate, 0)
+	check.Equal(len(started), 4)
+}
+
+func TestAProbeTakesASlotWhileItIsUnderWay(t *testing.T) {
+	check := is.New(t)
+	gate := occupiedGate(0)
+	ended := gate.Probe()
+	started, waiting := startAll(gate, 0)
+	check.Equal(len(started), 3)
+	ended(0)
+	check.Equal(len(waiting.settled), 1)
+}
--- a/internal/core/admission/waiting.go
+++ b/internal/core/admission/waiting.go
@@ -99,7 +99,7 @@
 // its lane ahead of it: the first slot is free when one of the running calls ends, and
 // what is ahead fills the slots. It is 0 until a service time is known.
 func (g *Gate) expectedWait(of *lane, ahead time.Duration) time.Duration {
-	rate := float64(g.slots.Load()) * g.queue.share(of)
+	rate := float64(g.limit()) * g.queue.share(of)
 	return time.Duration(float64(g.meanRunning()+ahead) / rate)
 }
 
--- /dev/null
+++ b/internal/core/hang/hang_test.go
@@ -0,0 +1,114 @@
+package hang
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// hung is a call of which all evidence says that it hangs.
+func hung() Evidence {
+	return Evidence{
+		Age: 1100 * time.Millisecond, Longest: time.Second, Seen: seenNeeded, Overtaken: overtakenNeeded,
+		Told: true, Missing: 1, Rank: 1,
+	}
+}
+
+func TestACallThatTheBackEndDoesNotHoldHangs(t *testing.T) {
+	is.New(t).True(hung().Hangs())
+}
+
+// A slow run that the back end says to hold is at work, whatever its age.
+func TestALongRunThatTheBackEndHoldsDoesNotHang(t *testing.T) {
+	evidence := hung()
+	evidence.Missing = 0
+	evidence.Age = time.Minute
+	is.New(t).True(!evidence.Hangs())
+}
+
+// What is missing is first put down to the call that is longest overdue.
+func TestOnlyAsManyHangAsAreMissing(t *testing.T) {
+	evidence := hung()
+	evidence.Rank = 2
+	is.New(t).True(!evidence.Hangs())
+}
+
+func TestACallThatIsNoOlderThanOthersOfItsClassDoesNotHang(t *testing.T) {
+	evidence := hung()
+	evidence.Age = evidence.Longest
+	is.New(t).True(!evidence.Hangs())
+}
+
+func TestAgeAloneMustBeTwiceTheLongest(t *testing.T) {
+	check := is.New(t)
+	evidence := hung()
+	evidence.Told = false
+	check.True(!evidence.Hangs())
+	evidence.Age = 2*evidence.Longest + 1
+	check.True(evidence.Hangs())
+}
+
+// A back end that answers nobody pauses as a whole: no call of it is told from the others.
+func TestNothingHangsWhileTheBackEndAnswersNobody(t *testing.T) {
+	evidence := hung()
+	evidence.Overtaken = overtakenNeeded - 1
+	is.New(t).True(!evidence.Hangs())
+}
+
+func TestAClassThatIsHardlyKnownSaysNothing(t *testing.T) {
+	evidence := hung()
+	evidence.Seen = seenNeeded - 1
+	is.New(t).True(!evidence.Hangs())
+}
+
+func TestOnlyAnswersToLaterCallsCount(t *testing.T) {
+	check := is.New(t)
+	var answers Answers
+	for sent := range 5 {
+		answers.Note(time.Duration(sent+1) * time.Second)
+	}
+	check.Equal(answers.Since(2*time.Second), 3)
+	for range answersKept {
+		answers.Note(9 * time.Second)
+	}
+	check.Equal(answers.Since(2*time.Second), answersKept)
+}
+
+// Calls on their way to the back end are missing in some reports and not in all.
+func TestWhatIsMissingForAMomentIsNotMissing(t *testing.T) {
+	check := is.New(t)
+	var balance Balance
+	balance.Note(0, 5, 3)
+	balance.Note(100*time.Millisecond, 5, 5)
+	balance.Note(balanceSpan, 6, 3)
+	count, told := balance.Missing(balanceSpan)
+	check.True(told)
+	check.Equal(count, 0)
+}
+
+func TestWhatStaysMissingIsCounted(t *testing.T) {
+	check := is.New(t)
+	var balance Balance
+	for at := range balanceReports {
+		balance.Note(time.Duration(at)*balanceSpan/2, 5, 3)
+	}
+	count, told := balance.Missing(balanceSpan)
+	check.True(told)
+	check.Equal(count, 2)
+}
+
+func TestAnOldReportTellsNothing(t *testing.T) {
+	check := is.New(t)
+	var balance Balance
+	_, told := balance.Missing(0)
+	check.True(!told)
+	for at := range balanceReports {
+		balance.Note(time.Duration(at)*balanceSpan/2, 5, 3)
+	}
+	_, told = balance.Missing(balanceSpan + balanceAge + 1)
+	check.True(!told)
+	balance.Reset()
+	_, told = balance.Missing(balanceSpan)
+	check.True(!told)
+}
