--- a/internal/core/admission/mean.go
+++ b/internal/core/admission/mean.go
@@ -92,22 +92,46 @@
 func (g *Gate) NoteAnswer(call *Call, took time.Duration) {
 	one := g.classOf(call)
 	one.seen.Add(1)
+	one.answered.observe(took)
+	mean := one.answered.value()
+	one.spread.observe(max(took-mean, mean-took))
 	old := one.longest.Load()
-	faded := old - int64(float64(old-int64(one.mean.value()))*longestWeight)
+	faded := old - int64(float64(old-int64(mean))*longestWeight)
 	one.longest.CompareAndSwap(old, max(faded, int64(took)))
 }
 
-// ServiceTimes are the mean and the longest service time of a call's class lately, and how
-// many answers tell that.
-func (g *Gate) ServiceTimes(call *Call) (mean, longest time.Duration, seen int) {
+// longDeviations is by how many mean deviations a long service time exceeds the mean: of runs
+// whose times spread as widely as their mean one in ten or so is longer.
+const longDeviations = 2
+
+// ServiceTimes are what is known of the service times of a class, by answered calls alone.
+type ServiceTimes struct {
+	Mean time.Duration
+	// Long is what few calls take, Longest the longest lately.
+	Long    time.Duration
+	Longest time.Duration
+	// Seen is how many answers tell that.
+	Seen int
+}
+
+// ServiceTimes are those of a call's class.
+func (g *Gate) ServiceTimes(call *Call) ServiceTimes {
 	one := g.classOf(call)
-	return one.mean.value(), time.Duration(one.longest.Load()), int(one.seen.Load())
+	mean := one.answered.value()
+	return ServiceTimes{
+		Mean: mean, Long: mean + longDeviations*one.spread.value(),
+		Longest: time.Duration(one.longest.Load()), Seen: int(one.seen.Load()),
+	}
 }
 
 // classService are the service times of one class of calls.
 type classService struct {
 	mean movingMean
-	// longest is the longest service time lately, in nanoseconds, of seen answers in all.
+	// answered and spread are the mean and the mean deviation of answered calls alone: to
+	// those that hang, the slots that they take would be service time.
+	answered movingMean
+	spread   movingMean
+	// longest is the longest of them lately, in nanoseconds, of seen in all.
 	longest atomic.Int64
 	seen    atomic.Int64
 	// deviation is the mean distance from the mean.
--- a/internal/core/admission/occupied.go
+++ b/internal/core/admission/occupied.go
@@ -14,21 +14,36 @@
 	until atomic.Int64
 }
 
-// limit is how many calls may run now: the slots that nothing else takes. One may always run,
-// for its answer tells most of what the back end holds.
-func (g *Gate) limit() int64 { return max(g.slots.Load()-g.occupied(), 1) }
+// leastPart is the part of the slots that is used while nothing but time tells how much was left
+// behind: back ends queue a few calls, and most have dropped what came on closed connections.
+const leastPart = 4
+
+// limit is how many calls may run now: the slots that nothing else takes, and as many more as
+// hold one and are not at the back end. One may always run, for its answer tells most of what
+// the back end holds.
+func (g *Gate) limit() int64 {
+	return max(g.slots.Load()-g.occupied(), 1)
+}
+
+// leastOf is how many of some slots are used whatever was left behind.
+func leastOf(slots int64) int64 { return (slots + leastPart - 1) / leastPart }
 
 // occupied is how many slots are taken by what the gate has not started.
 func (g *Gate) occupied() int64 { return g.leftBehind.count.Load() + g.probes.Load() }
 
-// LeaveBehind says that an earlier start of the daemon may have left as many calls at the back
-// end as that has slots, which are over by a time.
-func (g *Gate) LeaveBehind(now, until time.Duration) {
+// LeaveBehind says that an earlier start of the daemon may have left calls at the back end,
+// which are over by a time: by its own word it holds so many; a negative number is not told.
+func (g *Gate) LeaveBehind(now, until time.Duration, told int) {
 	if until <= now {
 		return
 	}
+	slots := g.slots.Load()
+	count := min(int64(told), slots)
+	if told < 0 {
+		count = slots - leastOf(slots)
+	}
 	g.leftBehind.until.Store(int64(until))
-	g.leftBehind.count.Store(g.slots.Load())
+	g.leftBehind.count.Store(count)
 }
 
 // Answered takes an answer of the back end. Each one lets one call more run than before: what
--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -46,6 +46,9 @@
 	// WarmUp.
 	TellsWarmUp bool
 	WarmUp      time.Duration
+	// TellsHeld says that the answer told how many calls the instance holds, which is Held.
+	TellsHeld bool
+	Held      int
 }
 
 // candidateLimit bounds the unconfirmed instances: one that starts, and a few before it that
@@ -66,12 +69,15 @@
 	// unconfirmed says that the running start has told of itself and has not answered yet: it
 	// gets no call until it has.
 	unconfirmed bool
-	sequence    uint64
-	slots       int
-	software    string
-	warmth      warmth
-	draining    bool
-	down        bool
+	// crashed says that the start which got calls before the running one had not said that it
+	// leaves, so that none of its runs can go on.
+	crashed  bool
+	sequence uint64
+	slots    int
+	software string
+	warmth   warmth
+	draining bool
+	down     bool
 	// heardAt is when the running start last reported or answered a call, reportedAt when it
 	// last reported.
 	heardAt    time.Duration
@@ -221,6 +227,9 @@
 	if start == t.running {
 		return
 	}
+	if t.running.Instance != "" && !t.unconfirmed {
+		t.crashed = !t.draining
+	}
 	renamed := t.running.Instance != start.Instance
 	if t.running.Instance != "" && (renamed || t.draining) {
 		t.end(endedStart{start: t.running})
@@ -329,11 +338,14 @@
 	State    protocol.EndpointState
 	// ColdUntil is until when the instance is cold; 0 when it is warm.
 	ColdUntil time.Duration
+	// EarlierCrashed says that the start runs in place of one that had not said that it leaves:
+	// nothing that was sent to that one can still run.
+	EarlierCrashed bool
 }
 
 // View returns the state at a time.
 func (t *Tracker) View(now time.Duration) View {
-	view := View{Start: t.running, Slots: t.slots, Software: t.software}
+	view := View{Start: t.running, Slots: t.slots, Software: t.software, EarlierCrashed: t.crashed && !t.unconfirmed}
 	if until := t.warmth.until(); now < until {
 		view.ColdUntil = until
 	}
--- /dev/null
+++ b/internal/core/backend/crashed_test.go
@@ -0,0 +1,39 @@
+package backend
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// The runs of a start that has left may go on beside the next one.
+func TestAStartThatLeftHasNotCrashed(t *testing.T) {
+	check := is.New(t)
+	tracker := runningSince(t, 100)
+	tracker.Left(startOf(100), 0)
+	tracker.Reported(0, reportOf(200, 1))
+	answers(tracker, 0)
+	check.Equal(tracker.View(0).Start, startOf(200))
+	check.True(!tracker.View(0).EarlierCrashed)
+}
+
+func TestAStartHasCrashedOnceTheNextOneAnswers(t *testing.T) {
+	check := is.New(t)
+	tracker := runningSince(t, 100)
+	tracker.Reported(0, reportOf(200, 1))
+	check.True(!tracker.View(0).EarlierCrashed)
+	answers(tracker, 0)
+	check.True(tracker.View(0).EarlierCrashed)
+}
+
+// A start that never got a call says nothing of the one before it, which has left.
+func TestAnUnconfirmedStartBetweenHidesNoLeave(t *testing.T) {
+	check := is.New(t)
+	tracker := runningSince(t, 100)
+	tracker.Left(startOf(100), 0)
+	tracker.Reported(0, reportOf(200, 1))
+	tracker.Reported(0, reportOf(300, 1))
+	answers(tracker, 0)
+	check.Equal(tracker.View(0).Start, startOf(300))
+	check.True(!tracker.View(0).EarlierCrashed)
+}
--- a/internal/core/hang/hang.go
+++ b/internal/core/hang/hang.go
@@ -22,7 +22,9 @@
 type Evidence struct {
 	// Age is how long ago the call was sent to the back end.
 	Age time.Duration
-	// Longest is the longest service time of its class lately, of Seen calls in all.
+	// Long is what few calls of its class take, and Longest the longest service time lately, of
+	// Seen calls in all.
+	Long    time.Duration
 	Longest time.Duration
 	Seen    int
 	// Overtaken is how many calls that were sent after it have been answered.
@@ -45,5 +47,7 @@
 	if !e.Told {
 		return e.Age > untoldFactor*e.Longest
 	}
-	return e.Rank <= e.Missing && e.Age > e.Longest
+	// That calls are missing is certain here. Which ones is likely those that are overdue; to
+	// wait until it is certain leaves no time to answer them elsewhere within their target.
+	return e.Rank <= e.Missing && e.Age > e.Long
 }
--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -19,6 +19,9 @@
 // DefaultTimeout bounds a call whose route states no timeout.
 const DefaultTimeout = 15 * time.Second
 
+// TimeoutOf is how long a call of a route may take in all.
+func TimeoutOf(route *resource.Route) time.Duration { return cmp.Or(route.Timeout, DefaultTimeout) }
+
 // DefaultAttempts is the most attempts of a call whose route states none.
 const DefaultAttempts = 3
 
@@ -122,7 +125,7 @@
 	compiled := &Route{
 		Resource: route,
 		Class:    callclass.Of(&route),
-		Timeout:  cmp.Or(route.Timeout, DefaultTimeout),
+		Timeout:  TimeoutOf(&route),
 		Attempts: cmp.Or(route.RetryAttempts, DefaultAttempts),
 		Regions:  region.Of(route.AllowedRegions),
 		host:     canonicalHost(route.Match.Host),
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -80,6 +80,8 @@
 	for reason, count := range counters.Abandoned {
 		metrics.AttemptsAbandoned.Send(out, float64(count), reason.String())
 	}
+	metrics.BackendConnections.Send(out, float64(counters.BackendOpen))
+	metrics.HungCalls.Send(out, float64(counters.HungCalls))
 	metrics.BackendEnds.Send(out, float64(counters.BackendEnds))
 	for belief, count := range counters.HarmfulRequests {
 		metrics.HarmfulRequests.Send(out, float64(count), belief.String())
--- a/internal/hosted/backendside.go
+++ b/internal/hosted/backendside.go
@@ -40,6 +40,11 @@
 	gate     func(proxy.BackendReport)
 	// cold tells the gate until when the back end is cold.
 	cold func(until time.Duration)
+	// probes tells the gate that the back end is asked, until what it returns is called; nil
+	// for nobody.
+	probes func() (ended func())
+	// holds tells the gate how many calls the back end holds; nil for nobody.
+	holds func(count int)
 	// announce tells the mesh; it must not block.
 	announce func(backend.View)
 	context  context.Context
@@ -181,6 +186,7 @@
 	if !b.stopping || !view.State.TakesWork() {
 		b.gate(proxy.BackendReport{
 			Start: view.Start, Slots: view.Slots, Software: view.Software, State: view.State,
+			EarlierCrashed: view.EarlierCrashed,
 		})
 	}
 	b.announce(view)
@@ -246,7 +252,7 @@
 		if path := b.probePath(); path != "" {
 			asked++
 			askedAt := b.clock()
-			if b.probed(askedAt, b.settings.probe(b.settings.address, path, probeTimeout)) {
+			if b.probed(askedAt, b.ask(path)) {
 				return
 			}
 			wait = probePause
@@ -257,6 +263,18 @@
 	}
 }
 
+// ask probes the back end once.
+func (b *backendSide) ask(path string) backend.Probe {
+	if b.probes != nil {
+		defer b.probes()()
+	}
+	answer := b.settings.probe(b.settings.address, path, probeTimeout)
+	if answer.TellsHeld && b.holds != nil {
+		b.holds(answer.Held)
+	}
+	return answer
+}
+
 // probePath is where the back end is probed; empty while it may not be yet.
 func (b *backendSide) probePath() string {
 	if !b.settings.joined() {
--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -38,6 +38,9 @@
 	replayBytes = 512 << 10
 	// queueWait bounds the expected wait at the gate; deadlines end it earlier.
 	queueWait = 2 * time.Second
+	// cancelWait is how long past its deadline a back end may be at work on a call: it stops
+	// at the deadline that it is handed, later by what a busy machine takes to notice.
+	cancelWait = 500 * time.Millisecond
 )
 
 // stayNear keeps calls in their zone until waiting there costs about as long as
@@ -64,6 +67,7 @@
 	limits.CollectBytes = collectBytes
 	limits.ReplayBytes = replayBytes
 	limits.QueueWait = queueWait
+	limits.CancelWait = cancelWait
 	limits.QuietClose = true
 	limits.NoSpares = true
 	limits.DrainLinger = lingerOf(grace)
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -176,6 +176,8 @@
 		clock:    d.clock,
 		gate:     path.ReportBackend,
 		cold:     path.SetCold,
+		probes:   path.BackendProbe,
+		holds:    path.BackendHolds,
 		announce: made.announce,
 		context:  d.context,
 		tracker:  backend.NewTracker(d.settings.Backend.HeartbeatInterval()),
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -74,6 +74,12 @@
 		"Attempts that were sent and that this daemon ended before their answer, by reason.",
 		"refused above 0: a caller was told of a failure while its call was under way. deadline rising: back ends or machines are too slow.",
 		"reason")
+	BackendConnections = define(Gauge, "backend_connections",
+		"Connections to the back end, also such as are being opened or closed.",
+		"At what the service states for max_connections: calls are refused as queue_full.")
+	HungCalls = define(Counter, "hung_calls_total",
+		"Calls that the back end was found never to answer.",
+		"Rising: see OPERATIONS.md, back ends that hang.")
 	BackendEnds = define(Counter, "backend_ends_total",
 		"Ends of the back end under calls that it had not announced.",
 		"Rising on several daemons: see OPERATIONS.md, a request is quarantined.")
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -24,9 +24,17 @@
 	mutex  sync.Mutex
 	writer http.ResponseWriter
 	ended  bool
+	// hangs is called when a gate tells that the call hangs; nil where nobody asked for that.
+	hangs func()
 }
 
 func (i *informer) inform(code int, header http.Header) error {
+	if header.Get(headerHangs) != "" {
+		if i.hangs != nil {
+			i.hangs()
+		}
+		return nil
+	}
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	if i.ended || code == http.StatusContinue || code == http.StatusSwitchingProtocols {
@@ -47,6 +55,24 @@
 	return nil
 }
 
+// tellHang tells the sender of a call that it hangs, unless its answer has come.
+func (i *informer) tellHang() {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if i.ended {
+		return
+	}
+	own := i.writer.Header()
+	ending, closes := own["Connection"]
+	delete(own, "Connection")
+	own[headerHangs] = confirmed
+	i.writer.WriteHeader(http.StatusProcessing)
+	delete(own, headerHangs)
+	if closes {
+		own["Connection"] = ending
+	}
+}
+
 func (i *informer) end() {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -112,6 +112,10 @@
 	made.cancel = cancel
 	outgoing := c.outgoing(made.chosen, mark, c.deadline-now)
 	silent := c.holdSilent(made, path, set)
+	if silent != nil {
+		outgoing.Header[headerMayHedge] = confirmed
+		relay.hangs = func() { path.silence.giveUpOn(made) }
+	}
 	defer path.silence.release(made)
 	if silent == nil && c.hedged == nil {
 		made.exchange = path.send(ctx, outgoing, relay, nil)
@@ -157,8 +161,8 @@
 	}
 }
 
-// holdSilent returns what is closed when the daemon of the attempt's gate is unreachable
-// and another attempt is paid for. A call that may not be repeated or may end its back ends, or
+// holdSilent returns what is closed when the daemon of the attempt's gate is unreachable, or
+// the gate tells that the back end hangs, and another attempt is paid for. A call that may not be repeated or may end its back ends, or
 // of which an attempt was hedged already, waits for its gate.
 func (c *callerCall) holdSilent(made *attempt, path *upstream, set *endpoint.Set) <-chan struct{} {
 	if !c.policy.Repeatable || made.suspected || c.proxy.config.OnSilent == nil || c.hedged != nil {
--- /dev/null
+++ b/internal/proxy/backendbounds.go
@@ -0,0 +1,117 @@
+package proxy
+
+import (
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/core/routing"
+	"github.com/springstack/springstack/internal/core/snapshot"
+)
+
+// spareConnections is how many of the connections that a back end takes are not used for
+// calls: one for its probe, one that finds out whether it has ended, one that is closing.
+const spareConnections = 3
+
+// backendBounds are what bounds the calls at the back end.
+type backendBounds struct {
+	// slots is how many calls it says to run at once, connections how many connections its
+	// service says that it takes; 0 where that is not known.
+	slots       atomic.Int64
+	connections atomic.Int64
+	// longest is how long a call to it may take, by the routes in force, in nanoseconds.
+	longest atomic.Int64
+	// probed is what the back end told with its last probe that it holds, with that; 0 when it
+	// has told nothing.
+	probed atomic.Int64
+	// startedAt is when this daemon started: by the clock of the machine, which is also that
+	// of the back end's own word, and by the proxy's.
+	startedAt   time.Time
+	startedFrom time.Duration
+	// applying lets one bound be put in force at a time.
+	applying sync.Mutex
+}
+
+// limitCalls puts the bounds in force that a snapshot states for the back end.
+func (p *Proxy) limitCalls(held *snapshot.Snapshot) {
+	if p.gate == nil || held == nil {
+		return
+	}
+	p.bounds.connections.Store(int64(held.Services[p.config.Service].MaxConnections))
+	p.bounds.longest.Store(int64(longestCall(held, p.config.Service)))
+	p.boundCalls()
+}
+
+// boundCalls keeps the calls at the back end within its slots and, one connection each, within
+// what is left of its connections.
+func (p *Proxy) boundCalls() {
+	p.bounds.applying.Lock()
+	defer p.bounds.applying.Unlock()
+	slots := int(p.bounds.slots.Load())
+	if most := p.bounds.connections.Load(); most > 0 {
+		forCalls := max(int(most)-spareConnections, 1)
+		p.backend.open.setLimit(forCalls)
+		slots = min(slots, forCalls)
+	} else {
+		p.backend.open.setLimit(0)
+	}
+	p.gate.SetSlots(p.config.Clock(), slots)
+}
+
+// longestCall is the longest that a call to a service may take by the routes of a snapshot.
+func longestCall(held *snapshot.Snapshot, service resource.ServiceRef) time.Duration {
+	longest := time.Duration(0)
+	for index := range held.Routes {
+		route := &held.Routes[index]
+		for _, destination := range route.Split {
+			if destination.Service == service {
+				longest = max(longest, routing.TimeoutOf(route))
+			}
+		}
+	}
+	return longest
+}
+
+// expectLeftBehind has the gate expect calls of an earlier start of this daemon at a back end
+// that is older than this daemon. They were sent before this one started, so they are over
+// when the longest call is; without routes nothing is known of them.
+func (p *Proxy) expectLeftBehind(start protocol.BackendStart) {
+	if start.Born > p.bounds.startedAt.UnixMilli() {
+		return
+	}
+	longest := time.Duration(p.bounds.longest.Load())
+	if longest <= 0 {
+		return
+	}
+	now := p.config.Clock()
+	probed := p.bounds.probed.Load()
+	p.gate.LeaveBehind(now, p.bounds.startedFrom+longest+p.limits.CancelWait, int(probed)-1)
+	p.event("calls_left_behind", textField("backend", start.Instance), bornField(start),
+		textField("occupied", number(p.gate.Load().Running)), textField("told", strconv.FormatBool(probed > 0)))
+}
+
+// BackendHolds takes the back end's word, given with a probe before it got any call of this
+// daemon, that it holds a number of calls, of which the probe itself is one.
+func (p *Proxy) BackendHolds(count int) { p.bounds.probed.Store(max(int64(count), 1)) }
+
+// BackendProbe tells the gate that the back end is asked, until what it returns is called.
+func (p *Proxy) BackendProbe() (ended func()) {
+	done := p.gate.Probe()
+	return func() { done(p.config.Clock()) }
+}
+
+// endCrashed ends the calls that were sent to a start that has crashed unheard, as by loss of
+// power, in whose place another one runs: their connections are never reset, and they
+// would wait for their deadlines. Those opened since the new one began may lead to it.
+func (p *Proxy) endCrashed(by protocol.BackendStart) {
+	before := time.Now()
+	if by.Born > 0 {
+		before = time.UnixMilli(by.Born)
+	}
+	if count := p.backend.open.end(before); count > 0 {
+		p.event("crashed_calls_ended", textField("backend", by.Instance), bornField(by), textField("calls", number(count)))
+	}
+}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -175,9 +175,12 @@
 	RequestWindow time.Duration
 	// RequestCount bounds the ids remembered. Memory is taken as it is needed.
 	RequestCount int
-	// CancelWait is how long the gate keeps the slot of a cancelled call while
-	// the back end has not ended it.
+	// CancelWait is how long past its deadline the gate keeps the slot of a call that was
+	// given up while the back end has not ended it.
 	CancelWait time.Duration
+	// HungWait is the same for a call that was found to hang: a back end that takes in less than
+	// its slots say gets fewer calls for a while. It ends early for nothing.
+	HungWait time.Duration
 	// DrainLinger is how long a draining daemon goes on taking connections
 	// after its last call, so that callers learn to go elsewhere.
 	DrainLinger time.Duration
@@ -218,6 +221,7 @@
 		RequestWindow:       30 * time.Second,
 		RequestCount:        1 << 20,
 		CancelWait:          5 * time.Second,
+		HungWait:            5 * time.Second,
 		DrainLinger:         500 * time.Millisecond,
 		DrainBound:          30 * time.Second,
 		ProbePeriod:         500 * time.Millisecond,
@@ -259,6 +263,7 @@
 	orDefault(&l.RequestWindow, fallback.RequestWindow)
 	orDefault(&l.RequestCount, fallback.RequestCount)
 	orDefault(&l.CancelWait, fallback.CancelWait)
+	orDefault(&l.HungWait, fallback.HungWait)
 	orDefault(&l.DrainLinger, fallback.DrainLinger)
 	orDefault(&l.DrainBound, fallback.DrainBound)
 	orDefault(&l.ProbePeriod, fallback.ProbePeriod)
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -39,6 +39,10 @@
 	// that may be harmful by what is believed of them now.
 	BackendEnds     uint64
 	HarmfulRequests map[quarantine.Belief]int
+	// HungCalls counts the calls that the back end was found never to answer, BackendOpen the
+	// connections to it now.
+	HungCalls   uint64
+	BackendOpen int
 	// Abandoned counts the attempts that were ended before their answer, by reason.
 	Abandoned map[AbandonReason]uint64
 }
@@ -62,6 +66,8 @@
 	refusals [codeLimit]atomic.Uint64
 	// backendEnds are the ends of the back end under calls.
 	backendEnds atomic.Uint64
+	// hungCalls are the calls that the back end was found never to answer.
+	hungCalls atomic.Uint64
 	// abandoned are the attempts that were ended before their answer.
 	abandoned abandonTally
 }
@@ -88,6 +94,7 @@
 		Abandoned:     p.tally.abandoned.snapshot(),
 
 		BackendEnds:     p.tally.backendEnds.Load(),
+		HungCalls:       p.tally.hungCalls.Load(),
 		HarmfulRequests: p.harmful.view.Load().Count(p.config.Clock()),
 	}
 	if p.gate != nil {
@@ -97,6 +104,7 @@
 		counters.GateQueued = load.Queued
 		counters.BodiesWaiting = int(p.transfers.waiting.Load())
 		counters.GateService = p.gate.MeanService()
+		counters.BackendOpen = p.backend.open.count()
 	}
 	for code := range p.tally.refusals {
 		if count := p.tally.refusals[code].Load(); count > 0 {
--- a/internal/proxy/edge.go
+++ b/internal/proxy/edge.go
@@ -28,6 +28,9 @@
 	// NotExecuted is on an answer by which a back end says that it did not run
 	// the request.
 	NotExecuted string
+	// Load is on answers of back ends that tell what they hold: the calls that run, those that
+	// wait, and the slots, separated by commas.
+	Load string
 	// CallerService is the header for Service.
 	CallerService string
 	// Service is the name of the service on this machine. It is put on every
@@ -76,6 +79,25 @@
 
 func success(status int) bool { return status >= http.StatusOK && status < http.StatusMultipleChoices }
 
+// HeldCalls reads how many calls a back end says to hold, of the header Load; false when it
+// does not tell.
+func HeldCalls(text string) (int, bool) {
+	const fields = 3
+	parts := strings.Split(text, ",")
+	if len(parts) != fields {
+		return 0, false
+	}
+	held := 0
+	for _, part := range parts[:fields-1] {
+		count, err := strconv.Atoi(strings.TrimSpace(part))
+		if err != nil || count < 0 {
+			return 0, false
+		}
+		held += count
+	}
+	return held, true
+}
+
 // status is the HTTP status of a refusal towards callers of the platform, to
 // whom 503 promises that the request has not run and never will.
 func (e *Edge) status(refusal Refusal) int {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -40,6 +40,7 @@
 func (u *upstream) send(ctx context.Context, outgoing *http.Request, relay *informer, edge *Edge) *exchange {
 	attempt, cancel := context.WithCancel(ctx)
 	guard := &attemptGuard{cancel: cancel}
+	guard.deadline, _ = ctx.Deadline()
 	if edge != nil {
 		guard.answerHeader, guard.answerID = edge.RequestID, outgoing.Header.Get(edge.RequestID)
 	}
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -70,6 +70,10 @@
 	start protocol.BackendStart
 	// hasTurn says that it is suspected to be harmful and runs while no other one does.
 	hasTurn bool
+	// relay is what interim answers pass. sendings are those to the back end, sent is how many.
+	relay    *informer
+	sendings [gateTries]sending
+	sent     int
 }
 
 // verdictChannel is a waiter of the gate; it holds the one verdict.
@@ -180,7 +184,7 @@
 	// The slot is given back once, whatever happens below.
 	defer c.end(sent, !refused || refusal.execution() != result.RanNo)
 	if refused {
-		c.ticket.Unmeasured = refusal.Code == result.BrokenInFlight
+		c.ticket.Unmeasured = refusal.Code == result.BrokenInFlight || c.foundToHang()
 		c.traceGate("gate_failed", refusal.Code, 0, waited, ran)
 		c.refuse(refusal)
 		return
@@ -188,13 +192,14 @@
 	c.traceGate("gate_answered", result.OK, sent.answer.StatusCode, waited, ran)
 	c.proxy.health.answered()
 	c.noteAnswered(sent.answer.StatusCode)
+	c.noteHeld(sent.answer, ran)
 	c.ticket.Unmeasured = sent.answer.StatusCode >= http.StatusInternalServerError
 	c.deliver(sent)
 }
 
-// end closes the exchange and gives the slot back: at once when the back end
-// has ended the call, and else when it has, within CancelWait. The sender of
-// the call does not wait for that.
+// end closes the exchange and gives the slot back: at once when the back end has ended the
+// call, and else when it has. The call may run there until its deadline; a back end that has
+// not ended it CancelWait later never took it up. The sender of the call does not wait for that.
 func (c *gateCall) end(sent *exchange, ran bool) {
 	sent.close()
 	done := func() { c.proxy.gate.Done(c.proxy.config.Clock(), c.ticket, ran) }
@@ -203,8 +208,13 @@
 		done()
 		return
 	}
+	wait := c.proxy.limits.CancelWait
+	if c.foundToHang() {
+		running, wait = nil, c.proxy.limits.HungWait
+	}
+	left := max(c.deadline-c.proxy.config.Clock(), 0)
 	go func() {
-		bound := time.NewTimer(c.proxy.limits.CancelWait)
+		bound := time.NewTimer(left + wait)
 		defer bound.Stop()
 		select {
 		case <-running:
@@ -252,10 +262,10 @@
 // send sends the call to the back end. It is sent again only while it is
 // certain that nothing was written.
 func (c *gateCall) send() *exchange {
-	relay := &informer{writer: c.writer}
+	c.relay = &informer{writer: c.writer}
 	for try := 1; ; try++ {
 		c.start = c.proxy.backendStart()
-		sent := c.proxy.backend.send(c.context, c.outgoing(), relay, c.proxy.config.Edge)
+		sent := c.exchange()
 		again := sent.err != nil && sent.unsent && c.body.replayable() && c.context.Err() == nil
 		if !again || try == gateTries || !c.proxy.gate.StartAgain(c.proxy.config.Clock(), c.ticket) {
 			return sent
@@ -264,6 +274,17 @@
 	}
 }
 
+// exchange sends the call to the back end once. While it is under way it may be found to hang.
+func (c *gateCall) exchange() *exchange {
+	made := &c.sendings[c.sent]
+	c.sent++
+	*made = sending{call: c, start: c.start, sentAt: c.proxy.config.Clock()}
+	watched := &c.proxy.hangs
+	cell := watched.enter(made)
+	defer watched.leave(cell)
+	return c.proxy.backend.send(c.context, c.outgoing(), c.relay, c.proxy.config.Edge)
+}
+
 // refuse answers with a refusal and the load, from which senders learn.
 func (c *gateCall) refuse(refusal Refusal) {
 	refusal.Load = c.proxy.loadText()
--- a/internal/proxy/guard.go
+++ b/internal/proxy/guard.go
@@ -21,10 +21,17 @@
 	owner atomic.Pointer[attemptGuard]
 	// unfinished is the attempt whose answer has not been read to its end.
 	unfinished atomic.Pointer[attemptGuard]
-	// linger is how long Close waits for the other side to end an unfinished
-	// attempt; 0 closes at once.
+	// linger is how long past the deadline of an unfinished attempt Close waits for the other
+	// side to end it; 0 closes at once.
 	linger time.Duration
 	closed atomic.Bool
+	// openedAt tells it from connections to a later start of the other side.
+	openedAt time.Time
+	// retired is set when its other side is no longer the one that gets calls: it carries no
+	// further call.
+	retired atomic.Bool
+	// left is called once when it is closed; nil for nothing.
+	left func(*guardedConn)
 	// surplus reads past answers in excess.
 	surplus surplusFilter
 	// gone is closed when the connection is.
@@ -32,7 +39,9 @@
 }
 
 func newGuardedConn(conn net.Conn, linger time.Duration) *guardedConn {
-	return &guardedConn{Conn: conn, linger: linger, surplus: surplusFilter{source: conn}, gone: make(chan struct{})}
+	return &guardedConn{
+		Conn: conn, linger: linger, openedAt: time.Now(), surplus: surplusFilter{source: conn}, gone: make(chan struct{}),
+	}
 }
 
 // Read reads until the connection is closed on this side.
@@ -53,26 +62,46 @@
 		return nil
 	}
 	half, canEnd := c.Conn.(writeCloser)
-	if c.linger == 0 || c.unfinished.Load() == nil || !canEnd {
-		defer close(c.gone)
+	unfinished := c.unfinished.Load()
+	if c.linger == 0 || unfinished == nil || !canEnd {
+		defer c.leave()
 		return c.Conn.Close()
 	}
 	// Whoever reads now is woken.
 	_ = c.Conn.SetReadDeadline(time.Now())
-	go c.awaitEnd(half)
+	go c.awaitEnd(half, unfinished.over(c.linger))
 	return nil
 }
 
-func (c *guardedConn) awaitEnd(half writeCloser) {
-	defer close(c.gone)
+// awaitEnd ends the sending side and reads until the other side ends its own, at most until
+// a time.
+func (c *guardedConn) awaitEnd(half writeCloser, until time.Time) {
+	defer c.leave()
 	defer c.Conn.Close()
 	if half.CloseWrite() != nil {
 		return
 	}
-	_ = c.Conn.SetReadDeadline(time.Now().Add(c.linger))
+	_ = c.Conn.SetReadDeadline(until)
 	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, lingerBytes))
 }
 
+// abort closes the connection at once: its other side is no more. One that waits for its other
+// side is woken.
+func (c *guardedConn) abort() {
+	if c.closed.CompareAndSwap(false, true) {
+		defer c.leave()
+	}
+	_ = c.Conn.Close()
+}
+
+// leave tells that the connection is closed.
+func (c *guardedConn) leave() {
+	close(c.gone)
+	if c.left != nil {
+		c.left(c)
+	}
+}
+
 // writeCloser is a connection whose sending side can end by itself: of TCP and
 // of TLS.
 type writeCloser interface{ CloseWrite() error }
@@ -83,7 +112,7 @@
 // Write sends bytes if the attempt that owns the connection allows it.
 func (c *guardedConn) Write(bytes []byte) (int, error) {
 	owner := c.owner.Load()
-	if owner == nil || !owner.mayWrite(c) {
+	if owner == nil || c.closed.Load() || !owner.mayWrite(c) {
 		return 0, errNotOwned
 	}
 	return c.Conn.Write(bytes)
@@ -112,6 +141,18 @@
 	// can't be told apart.
 	answerID     string
 	answerHeader string
+	// deadline is when the other side stops work on the attempt; the zero time is not known.
+	deadline time.Time
+}
+
+// over is when the other side has stopped work on the attempt, as much later than it is to as
+// given.
+func (g *attemptGuard) over(later time.Duration) time.Time {
+	until := time.Now()
+	if g.deadline.After(until) {
+		until = g.deadline
+	}
+	return until.Add(later)
 }
 
 // mayWrite is called before each write. The mark is set before the bytes go,
@@ -145,8 +186,13 @@
 
 // finish records that the answer was read to its end.
 func (g *attemptGuard) finish() {
-	if conn := g.writer.Load(); conn != nil {
-		conn.unfinished.CompareAndSwap(g, nil)
+	conn := g.writer.Load()
+	if conn == nil {
+		return
+	}
+	conn.unfinished.CompareAndSwap(g, nil)
+	if conn.retired.Load() {
+		_ = conn.Close()
 	}
 }
 
--- /dev/null
+++ b/internal/proxy/hangs_test.go
@@ -0,0 +1,194 @@
+package proxy
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/admission"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// hangPath is what the back ends of a hanging mesh never answer when it first comes.
+const hangPath = "/hang"
+
+// startHangingMesh starts two back ends of which whichever gets the call to hangPath first
+// never answers that, nor anything else on its connection. All else is answered at once.
+func startHangingMesh(t *testing.T, timeout time.Duration, arrived *atomic.Int64) *mesh {
+	t.Helper()
+	spec := backendSpec{handler: func(_ http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == hangPath && arrived.Add(1) == 1 {
+			<-request.Context().Done()
+		}
+	}}
+	options := meshOptions{
+		route: func(route *resource.Route) {
+			route.Timeout = timeout
+			route.RetryAttempts = 3
+		},
+		caller: func(config *Config) { config.OnSilent = func(protocol.NodeID) {} },
+	}
+	made := startMesh(t, options, spec, spec)
+	for range 100 { // the gates learn how long calls take
+		made.call(t, http.MethodGet, "/", "")
+	}
+	return made
+}
+
+// callBeside makes a call to hangPath while others are answered.
+func (m *mesh) callBeside(t *testing.T, method string) answered {
+	t.Helper()
+	done := make(chan answered, 1)
+	go func() { done <- m.call(t, method, hangPath, "") }()
+	for {
+		select {
+		case got := <-done:
+			return got
+		default:
+			m.call(t, http.MethodGet, "/", "")
+		}
+	}
+}
+
+func (m *mesh) hungCalls() uint64 {
+	return m.gates[0].Counters().HungCalls + m.gates[1].Counters().HungCalls
+}
+
+func TestARepeatableCallThatHangsIsAnsweredElsewhere(t *testing.T) {
+	check := is.New(t)
+	var arrived atomic.Int64
+	mesh := startHangingMesh(t, time.Minute, &arrived)
+	check.Equal(mesh.callBeside(t, http.MethodGet).status, http.StatusOK)
+	check.Equal(arrived.Load(), int64(2))
+	check.Equal(mesh.hungCalls(), uint64(1))
+}
+
+// It may run: nobody can tell that it never will.
+func TestACallThatMayNotBeRepeatedWaitsForItsDeadline(t *testing.T) {
+	check := is.New(t)
+	var arrived atomic.Int64
+	mesh := startHangingMesh(t, time.Second, &arrived)
+	expectRefusal(check, mesh.callBeside(t, http.MethodPost), result.DeadlineInFlight, result.RanUnknown)
+	check.Equal(arrived.Load(), int64(1))
+	check.Equal(mesh.hungCalls(), uint64(1))
+}
+
+// watchedCall is a call that was sent a minute ago; three calls that were sent later have been
+// answered, and all calls before took 10 ms.
+func watchedCall(t *testing.T) (*Proxy, time.Duration) {
+	t.Helper()
+	const now = 2 * time.Minute
+	proxy := New(Config{Clock: func() time.Duration { return now }, NodeID: "gate", Reported: true})
+	t.Cleanup(proxy.Close)
+	call := &gateCall{proxy: proxy, request: &http.Request{Header: http.Header{}}, ticket: &admission.Ticket{}}
+	for range 20 {
+		proxy.gate.NoteAnswer(&call.ticket.Call, 10*time.Millisecond)
+	}
+	proxy.hangs.enter(&sending{call: call, sentAt: now - time.Minute})
+	for range 3 {
+		proxy.hangs.answers.Note(now - time.Second)
+	}
+	return proxy, now
+}
+
+func TestALongRunThatTheBackEndHoldsIsNotFoundToHang(t *testing.T) {
+	check := is.New(t)
+	proxy, now := watchedCall(t)
+	for ago := range 3 {
+		proxy.hangs.balance.Note(now-time.Duration(3-ago)*time.Second/4, 1, 1)
+	}
+	proxy.findHung(now)
+	check.Equal(proxy.Counters().HungCalls, uint64(0))
+}
+
+// A back end that leaves many calls unanswered is ejected before these reach their deadlines.
+func TestACallThatHangsIsAFailureOfTheBackEnd(t *testing.T) {
+	check := is.New(t)
+	proxy, now := watchedCall(t)
+	failures := make(chan protocol.BackendStart, 2)
+	proxy.config.OnBackendFailed = func(start protocol.BackendStart, _ uint64) { failures <- start }
+	for range 2 {
+		proxy.findHung(now)
+	}
+	check.Equal(len(failures), 1)
+}
+
+func TestACallThatTheBackEndDoesNotHoldIsFoundToHang(t *testing.T) {
+	check := is.New(t)
+	proxy, now := watchedCall(t)
+	for ago := range 3 {
+		proxy.hangs.balance.Note(now-time.Duration(3-ago)*time.Second/4, 1, 0)
+	}
+	proxy.findHung(now)
+	check.Equal(proxy.Counters().HungCalls, uint64(1))
+}
+
+// The slot of a call that was given up is not free while the call may run.
+func TestAGivenUpCallKeepsItsSlotUntilItsDeadline(t *testing.T) {
+	check := is.New(t)
+	gate := startReportedGate(t, Limits{CancelWait: time.Millisecond}, 2, func(call *heldCall) { <-call.over })
+	const timeout = 400 * time.Millisecond
+	began := testClock()
+	call := gate.begin(t, timeout)
+	gate.await(func() bool { return gate.arrived.Load() == 1 })
+	call.cancel()
+	gate.await(func() bool { return gate.proxy.gate.Load().Running == 0 })
+	check.True(testClock()-began >= timeout)
+}
+
+// A daemon that was killed leaves its calls at the back end.
+func TestAfterARestartOfTheDaemonOneCallAsksWhatTheBackEndHolds(t *testing.T) {
+	check := is.New(t)
+	gate := startReportedGate(t, Limits{}, 4, func(call *heldCall) { <-call.over })
+	restarted := gate.restart(t)
+	for range 3 {
+		restarted.begin(t, time.Minute)
+	}
+	restarted.await(func() bool { return restarted.proxy.gate.Load().Queued == 2 })
+	restarted.await(func() bool { return restarted.arrived.Load() == 1 })
+	check.Equal(restarted.proxy.gate.Load().Running, 4) // all but a quarter may run, and one does
+}
+
+// Nothing that was sent to a back end that has lost its power can still run.
+func TestACallToACrashedStartEndsAsAnotherOneRuns(t *testing.T) {
+	check := is.New(t)
+	gate := startReportedGate(t, Limits{}, 2, func(call *heldCall) { <-call.over })
+	call := gate.begin(t, time.Minute)
+	gate.await(func() bool { return gate.arrived.Load() == 1 })
+	gate.proxy.ReportBackend(BackendReport{
+		Start: protocol.BackendStart{Instance: "next"}, Slots: 2, State: protocol.EndpointReady, EarlierCrashed: true,
+	})
+	expectRefusal(check, <-call.answer, result.BrokenInFlight, result.RanUnknown)
+	gate.await(func() bool { return gate.proxy.gate.Load().Running == 0 })
+}
+
+// The runs of a start that leaves go on, and their connections carry nothing else.
+func TestACallToAStartThatLeftIsAnswered(t *testing.T) {
+	check := is.New(t)
+	gate := startReportedGate(t, Limits{}, 2, func(call *heldCall) { <-call.over; call.answerIt() })
+	call := gate.begin(t, time.Minute)
+	gate.await(func() bool { return gate.arrived.Load() == 1 })
+	gate.proxy.ReportBackend(BackendReport{
+		Start: protocol.BackendStart{Instance: "next"}, Slots: 2, State: protocol.EndpointReady,
+	})
+	gate.letGo()
+	check.Equal((<-call.answer).status, http.StatusOK)
+	gate.await(func() bool { return gate.proxy.Counters().BackendOpen == 0 })
+}
+
+func TestCallsKeepWithinTheConnectionsOfTheBackEnd(t *testing.T) {
+	check := is.New(t)
+	gate := startReportedGate(t, Limits{}, 9, func(call *heldCall) { <-call.over })
+	gate.proxy.Swap(testSnapshot(meshOptions{spec: resource.Service{MaxConnections: spareConnections + 2}}, nil))
+	for range 4 {
+		gate.begin(t, time.Minute)
+	}
+	gate.await(func() bool { return gate.proxy.gate.Load().Queued == 2 })
+	gate.await(func() bool { return gate.arrived.Load() == 2 })
+	check.Equal(gate.proxy.Counters().BackendOpen, 2)
+}
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -30,6 +30,10 @@
 	headerEnded = "Springstack-Ended"
 	// headerRegions is on a gate's refusal the regions that its version allows for the call.
 	headerRegions = "Springstack-Regions"
+	// headerMayHedge is on an attempt whose sender may make another one beside it, and
+	// headerHangs on the gate's interim answer that the back end seems never to answer it.
+	headerMayHedge = "Springstack-May-Hedge"
+	headerHangs    = "Springstack-Hangs"
 )
 
 // hopGate is the value of headerHop on calls between daemons.
--- /dev/null
+++ b/internal/proxy/openconns.go
@@ -0,0 +1,120 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// errConnectionsTaken refuses a connection beyond what the back end takes.
+const errConnectionsTaken = errors.ConstError("the back end takes no more connections")
+
+// openConns are the connections to a back end, from before they are opened until they are
+// closed on this side. To those of a gate, which are not counted, nil stands.
+type openConns struct {
+	mutex sync.Mutex
+	// limit bounds them; 0 for no bound.
+	limit   int
+	opening int
+	open    map[*guardedConn]struct{}
+}
+
+// bounded tells whether the other side bounds its connections; none are opened ahead then.
+func (o *openConns) bounded() bool {
+	if o == nil {
+		return false
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.limit > 0
+}
+
+func (o *openConns) setLimit(limit int) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.limit = limit
+}
+
+// reserve takes the place of a connection that is about to be opened; add or release follows.
+func (o *openConns) reserve() bool {
+	if o == nil {
+		return true
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.limit > 0 && o.opening+len(o.open) >= o.limit {
+		return false
+	}
+	o.opening++
+	return true
+}
+
+func (o *openConns) release() {
+	if o == nil {
+		return
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.opening--
+}
+
+func (o *openConns) add(conn *guardedConn) {
+	if o == nil {
+		return
+	}
+	conn.left = o.remove
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.opening--
+	if o.open == nil {
+		o.open = map[*guardedConn]struct{}{}
+	}
+	o.open[conn] = struct{}{}
+}
+
+func (o *openConns) remove(conn *guardedConn) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	delete(o.open, conn)
+}
+
+// count is how many are open or being opened.
+func (o *openConns) count() int {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.opening + len(o.open)
+}
+
+// before are the connections opened before a time.
+func (o *openConns) before(at time.Time) []*guardedConn {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	var found []*guardedConn
+	for conn := range o.open {
+		if conn.openedAt.Before(at) {
+			found = append(found, conn)
+		}
+	}
+	return found
+}
+
+// retire has each connection that is open now closed when its call has ended.
+func (o *openConns) retire() {
+	for _, conn := range o.before(time.Now()) {
+		conn.retired.Store(true)
+	}
+}
+
+// end closes the connections opened before a time, whose other side is no more, and returns
+// how many of them carried a call.
+func (o *openConns) end(at time.Time) int {
+	calls := 0
+	for _, conn := range o.before(at) {
+		if conn.unfinished.Load() != nil {
+			calls++
+		}
+		conn.abort()
+	}
+	return calls
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -36,6 +36,9 @@
 	transfers *transfers
 	backend   *upstream
 	health    *health
+	// bounds are what bounds the calls at the back end, hangs tells those that it never answers.
+	bounds backendBounds
+	hangs  hangs
 
 	// answers counts those of the back end while a roll-out of its service goes on.
 	answers rollout.Tally
@@ -109,9 +112,13 @@
 		NoEstimate:    p.config.Baseline.UnboundedQueue,
 	})
 	p.backend = newUpstream(p.config.BackendAddress, p.limits, p.limits.BackendIdle)
+	p.backend.open = &openConns{}
 	p.backend.linger = p.limits.CancelWait
 	p.backend.takesUnframed = p.config.Edge != nil
+	p.bounds.slots.Store(int64(p.config.Slots))
+	p.bounds.startedAt, p.bounds.startedFrom = time.Now(), p.config.Clock()
 	p.transfers = newTransfers()
+	go p.watchBackend()
 	p.health = newHealth(p)
 	if p.config.Reported {
 		p.gate.Drain() // until the back end reports
@@ -128,6 +135,7 @@
 	defer p.changing.Unlock()
 	old := p.view.Load()
 	p.limitCold(held)
+	p.limitCalls(held)
 	p.publish(p.buildView(old, held, old.state))
 }
 
--- a/internal/proxy/reported.go
+++ b/internal/proxy/reported.go
@@ -16,6 +16,8 @@
 	// Software is the version of its software; empty where it is not told.
 	Software string
 	State    protocol.EndpointState
+	// EarlierCrashed says that Start runs in place of a start that had not said that it leaves.
+	EarlierCrashed bool
 }
 
 // reportedBackend is the newest report, read on the path of a request.
@@ -57,8 +59,13 @@
 	previous := p.reported.current.Load()
 	if previous != nil && previous.Start != report.Start {
 		// Connections to an earlier start lead nowhere.
-		p.backend.closeIdle()
+		p.backend.retire()
 		p.answers.Reset()
+		p.hangs.balance.Reset()
+		p.gate.Forget(p.config.Clock())
+	}
+	if report.EarlierCrashed && (previous == nil || !previous.EarlierCrashed || previous.Start != report.Start) {
+		p.endCrashed(report.Start)
 	}
 	if previous == nil || previous.Software != report.Software {
 		p.ends.answeredBefore.Store(p.tally.answered.Load())
@@ -72,7 +79,11 @@
 	}
 	p.reported.current.Store(&report)
 	if report.Slots > 0 {
-		p.gate.SetSlots(p.config.Clock(), report.Slots)
+		p.bounds.slots.Store(int64(report.Slots))
+		p.boundCalls()
+	}
+	if previous == nil {
+		p.expectLeftBehind(report.Start)
 	}
 	if takesWork {
 		p.gate.Resume()
--- /dev/null
+++ b/internal/proxy/reportedgate_test.go
@@ -0,0 +1,120 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/protocol"
+)
+
+// reportedGate is the gate of a back end that reports itself.
+type reportedGate struct {
+	proxy   *Proxy
+	address string
+	backend string
+	limits  Limits
+	slots   int
+	// arrived are the calls that the back end has taken, over lets them go.
+	arrived *atomic.Int64
+	over    chan struct{}
+	letGo   func()
+}
+
+// heldCall is a call as the back end of a reported gate sees it.
+type heldCall struct {
+	over <-chan struct{}
+	conn net.Conn
+}
+
+// answerIt answers the call well and keeps the connection.
+func (c *heldCall) answerIt() {
+	_, _ = io.WriteString(c.conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+}
+
+// startReportedGate starts such a gate with a back end that began after it. The back end
+// heeds the end of a connection only once it has served the call on it.
+func startReportedGate(t *testing.T, limits Limits, slots int, serve func(*heldCall)) *reportedGate {
+	t.Helper()
+	made := &reportedGate{limits: limits, slots: slots, arrived: &atomic.Int64{}, over: make(chan struct{})}
+	made.letGo = sync.OnceFunc(func() { close(made.over) })
+	t.Cleanup(made.letGo)
+	made.backend = startBackend(t, backendSpec{script: func(conn net.Conn, reader *bufio.Reader) {
+		for {
+			if _, came := readRequest(reader); !came {
+				return
+			}
+			made.arrived.Add(1)
+			serve(&heldCall{over: made.over, conn: conn})
+		}
+	}})
+	made.start(t, made.slots, protocol.BackendStart{Instance: "i", Born: time.Now().Add(time.Hour).UnixMilli()})
+	return made
+}
+
+// restart starts another daemon beside the back end, which has run before.
+func (g *reportedGate) restart(t *testing.T) *reportedGate {
+	t.Helper()
+	again := *g
+	again.arrived.Store(0)
+	again.start(t, g.slots, protocol.BackendStart{Instance: "i", Born: 1})
+	return &again
+}
+
+func (g *reportedGate) start(t *testing.T, slots int, start protocol.BackendStart) {
+	t.Helper()
+	g.proxy = New(Config{
+		Clock: testClock, NodeID: "gate", Service: testService, BackendAddress: g.backend, Reported: true, Slots: 1,
+		Limits: g.limits,
+	})
+	t.Cleanup(g.proxy.Close)
+	g.proxy.Swap(testSnapshot(meshOptions{}, nil))
+	g.proxy.ReportBackend(BackendReport{Start: start, Slots: slots, State: protocol.EndpointReady})
+	g.address = serve(t, g.proxy.GateHandler(), g.limits)
+}
+
+// begunCall is a call that was sent to a gate.
+type begunCall struct {
+	cancel context.CancelFunc
+	answer chan answered
+}
+
+// begin sends a call to the gate.
+func (g *reportedGate) begin(t *testing.T, timeout time.Duration) *begunCall {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.address+"/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set(headerHop, hopGate)
+	request.Header.Set(headerBackend, "i")
+	request.Header.Set(headerService, testService.String())
+	request.Header.Set(headerTimeout, itoa(int(timeout.Milliseconds())))
+	made := &begunCall{cancel: cancel, answer: make(chan answered, 1)}
+	ended := make(chan struct{})
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	go func() {
+		defer close(ended)
+		client := mesh{client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+		made.answer <- client.send(t, request)
+	}()
+	return made
+}
+
+// await waits until something holds; what never does hangs the test.
+func (g *reportedGate) await(holds func() bool) {
+	for !holds() {
+		runtime.Gosched()
+	}
+}
--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -95,6 +95,15 @@
 	delete(s.waiting, made)
 }
 
+// giveUpOn gives up one attempt if it may be made elsewhere.
+func (s *silence) giveUpOn(made *attempt) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if giveUp := s.waiting[made]; giveUp != nil {
+		giveUp()
+	}
+}
+
 // giveUp gives up the attempts that may be made elsewhere.
 func (s *silence) giveUp() {
 	s.mutex.Lock()
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -49,6 +49,9 @@
 	// earlier one are dead.
 	incarnation atomic.Uint64
 	silence     silence
+	// open are its connections where they are counted, as those to the back end are; nil for
+	// a gate's.
+	open *openConns
 	// context ends when the upstream is given up.
 	context context.Context
 	cancel  context.CancelFunc
@@ -89,28 +92,54 @@
 // dial hands out a connection opened ahead, or opens one; either way it sees
 // to it that another one is ready.
 func (u *upstream) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	if !u.reserve() {
+		return nil, errConnectionsTaken
+	}
 	for {
 		select {
 		case ready := <-u.spares:
 			if time.Since(ready.openedAt) < u.spareLife {
 				u.openAhead(1)
-				return newGuardedConn(ready.conn, u.linger), nil
+				return u.guard(ready.conn), nil
 			}
 			_ = ready.conn.Close()
 			continue
 		default:
 		}
-		conn, err := u.open(ctx)
+		conn, err := u.connect(ctx)
 		if err != nil {
+			u.open.release()
 			return nil, err
 		}
 		u.openAhead(1)
-		return newGuardedConn(conn, u.linger), nil
+		return u.guard(conn), nil
+	}
+}
+
+// reserve takes the place of a connection, if need be that of an idle one.
+func (u *upstream) reserve() bool {
+	if u.open.reserve() {
+		return true
 	}
+	u.transport.CloseIdleConnections()
+	return u.open.reserve()
+}
+
+// guard has a connection that was opened carry calls.
+func (u *upstream) guard(conn net.Conn) *guardedConn {
+	made := newGuardedConn(conn, u.linger)
+	u.open.add(made)
+	return made
+}
+
+// retire gives up the connections that carry no call, and the others when their calls have ended.
+func (u *upstream) retire() {
+	u.open.retire()
+	u.closeIdle()
 }
 
-// open opens a connection, ready for calls.
-func (u *upstream) open(ctx context.Context) (net.Conn, error) {
+// connect opens a connection, ready for calls.
+func (u *upstream) connect(ctx context.Context) (net.Conn, error) {
 	timeout := u.dialTimeout()
 	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -139,7 +168,7 @@
 // openAhead opens connections in the background for calls to come.
 func (u *upstream) openAhead(count int) {
 	for range count {
-		if u.noSpares || u.context.Err() != nil || int(u.opening.Load())+len(u.spares) >= spareLimit {
+		if u.noSpares || u.open.bounded() || u.context.Err() != nil || int(u.opening.Load())+len(u.spares) >= spareLimit {
 			return
 		}
 		u.opening.Add(1)
@@ -149,7 +178,7 @@
 
 func (u *upstream) openSpare() {
 	defer u.opening.Add(-1)
-	conn, err := u.open(u.context)
+	conn, err := u.connect(u.context)
 	if err != nil {
 		return // the call that needs one meets the error itself
 	}
