Gate: let nothing wait for the slot of a call that hangs

The wait leaves such slots out, and what can't start in time is refused as soon as a call is found to hang.

--- a/internal/core/admission/call.go
+++ b/internal/core/admission/call.go
@@ -6,6 +6,7 @@
 package admission
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/springstack/springstack/internal/core/callclass"
@@ -72,7 +73,9 @@
 	// state is guarded by the gate's lock once the ticket was queued.
 	state State
 	// ended is set by Done; only the owner of the call touches it.
-	ended     bool
+	ended bool
+	// stuck says whether the call was found to hang; see Hangs.
+	stuck     atomic.Int32
 	startedAt time.Duration
 	// expected is how long the call was expected to run when it came.
 	expected time.Duration
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -70,6 +70,8 @@
 	// by a start: a start adds one by compare-and-swap only below the slots, or
 	// inherits the slot of a call that ends. Queued changes under mutex only.
 	word atomic.Uint64
+	// stuck are the running calls that were found to hang.
+	stuck atomic.Int64
 	// runningWork is how long the running calls were expected to run, in nanoseconds.
 	runningWork atomic.Int64
 	// slots may be changed while calls run.
@@ -268,6 +270,9 @@
 		return
 	}
 	ticket.ended = true
+	if ticket.stuck.Swap(stuckNoMore) == stuckNow {
+		g.stuck.Add(-1)
+	}
 	g.runningWork.Add(-int64(ticket.expected))
 	if ran && !ticket.Unmeasured {
 		g.observe(&ticket.Call, now-ticket.startedAt)
--- a/internal/core/admission/occupied_test.go
+++ b/internal/core/admission/occupied_test.go
@@ -119,3 +119,23 @@
 	ended(0)
 	check.Equal(len(waiting.settled), 1)
 }
+
+// Nothing is told to wait for a slot that a call holds which is never answered.
+func TestCallsDoNotWaitForSlotsThatHang(t *testing.T) {
+	check := is.New(t)
+	gate := occupiedGate(0)
+	gate.observe(&Call{}, 100*time.Millisecond)
+	started, _ := startAll(gate, 0)
+	gate.Drain() // refuses the one that waits, which has an hour
+	gate.Resume()
+	soon := &verdicts{}
+	check.Equal(gate.Admit(0, NewTicket(Call{Deadline: time.Second}, soon)).State, StateQueued)
+	for _, one := range started {
+		gate.Hangs(0, one)
+	}
+	check.Equal(len(soon.settled), 1)
+	gate.Done(0, started[0], true)
+	check.Equal(gate.stuck.Load(), int64(3))
+	gate.Hangs(0, started[0])
+	check.Equal(gate.stuck.Load(), int64(3))
+}
--- a/internal/core/admission/waiting.go
+++ b/internal/core/admission/waiting.go
@@ -83,6 +83,24 @@
 	}
 }
 
+// The states of Ticket.stuck.
+const (
+	stuckNow    = 1
+	stuckNoMore = 2
+)
+
+// Hangs says that a started call was found to hang: its slot changes hands late, so what waits
+// waits longer, and what can't start in time is refused at once.
+func (g *Gate) Hangs(now time.Duration, ticket *Ticket) {
+	if !ticket.stuck.CompareAndSwap(0, stuckNow) {
+		return
+	}
+	g.stuck.Add(1)
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.shedHopeless(now)
+}
+
 // evict refuses a waiting call.
 func (g *Gate) evict(ticket *Ticket, verdict Verdict) {
 	g.queue.remove(ticket)
@@ -95,11 +113,15 @@
 	g.word.Add(^uint64(queuedUnit - 1))
 }
 
+// leastRate stands for the slots that change hands where all calls that run hang: one of them
+// ends now and then.
+const leastRate = 0.1
+
 // expectedWait estimates when a slot is free for a call that has the work of others of
 // its lane ahead of it: the first slot is free when one of the running calls ends, and
 // what is ahead fills the slots. It is 0 until a service time is known.
 func (g *Gate) expectedWait(of *lane, ahead time.Duration) time.Duration {
-	rate := float64(g.limit()) * g.queue.share(of)
+	rate := max(float64(g.limit()-g.stuck.Load()), leastRate) * g.queue.share(of)
 	return time.Duration(float64(g.meanRunning()+ahead) / rate)
 }
 
--- a/internal/proxy/hangs.go
+++ b/internal/proxy/hangs.go
@@ -117,6 +117,7 @@
 	for index, one := range p.suspects(now) {
 		one.evidence.Told, one.evidence.Missing, one.evidence.Rank = told, missing, index+1
 		if one.evidence.Hangs() && one.hangs.CompareAndSwap(false, true) {
+			p.gate.Hangs(now, one.call.ticket)
 			p.tellHung(one)
 		}
 	}
