--- a/internal/hosted/evacuationreader.go
+++ b/internal/hosted/evacuationreader.go
@@ -14,6 +14,11 @@
 // evacuationPurpose names the ranking by which the followers of evacuations are chosen.
 const evacuationPurpose = "evacuation"
 
+// longestOrderWait is how long a start waits at most for the orders before the daemon calls
+// itself ready without, however long the bound is: while the store is down nobody can tell it,
+// and callers wait.
+const longestOrderWait = 5 * time.Second
+
 // evacuationReader reads the operator's orders to empty zones from the store: as one of the
 // few that watch them, and itself when nobody seems to have read them lately. Each reading
 // is told to all daemons, which then need not read.
@@ -34,7 +39,7 @@
 		made.timing.Within = 0
 	}
 	made.follower = &orderFollower{
-		mesh: mesh, purpose: evacuationPurpose, count: evacuation.FollowerCount, list: made.read, watch: made.watch,
+		mesh: mesh, purpose: evacuationPurpose, count: evacuation.FollowerCount, list: made.list, watch: made.watch,
 		known: func() bool { return false }, // whoever is due reads before there are followers
 	}
 	mesh.evacuationTiming = made.timing
@@ -56,25 +61,27 @@
 }
 
 // informed tells whether the daemon knows the orders, or has waited for them as long as an
-// order may take to be in force: it can't know them where neither the store nor a peer
-// answers, and is needed all the same.
+// order may take to be in force, longestOrderWait at most: it can't know them where neither the
+// store nor a peer answers, and is needed all the same.
 func (r *evacuationReader) informed() bool {
 	m := r.mesh
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.evacuations.Known() || m.clock() >= r.timing.Within
+	return m.evacuations.Known() || m.clock() >= min(r.timing.Within, longestOrderWait)
 }
 
 // keepFresh reads the orders whenever the newest reading known is too old, and asks a peer
 // where the store does not answer.
 func (r *evacuationReader) keepFresh() {
 	failures := 0
-	for r.awaitDue(randomNumber()) {
-		if _, err := r.read(); err == nil {
-			failures = 0
+	for {
+		inARow, running := r.awaitDue(randomNumber())
+		if !running {
+			return
+		}
+		if failures = r.readOnce(failures, inARow); failures == 0 {
 			continue
 		}
-		failures++
 		r.askPeer()
 		if !pause.For(r.mesh.context, r.timing.Retry(r.follower.rank(), failures)) {
 			return
@@ -82,19 +89,33 @@
 	}
 }
 
-// awaitDue waits until the newest reading known is too old; false means that the daemon ends.
-func (r *evacuationReader) awaitDue(random uint64) bool {
-	for {
+// awaitDue waits until the newest reading known is too old. It tells whether that was so at
+// once, with no news of a reading since the last try, and whether the daemon still runs.
+func (r *evacuationReader) awaitDue(random uint64) (atOnce, running bool) {
+	for atOnce = true; ; atOnce = false {
 		wait := r.untilDue(random)
 		if wait <= 0 {
-			return r.mesh.context.Err() == nil
+			return atOnce, r.mesh.context.Err() == nil
 		}
 		if !pause.For(r.mesh.context, wait) {
-			return false
+			return false, false
 		}
 	}
 }
 
+// readOnce reads the orders and returns how many readings in a row have failed by then. Failures
+// from before a peer told of a reading make no wait longer: the store has answered since.
+func (r *evacuationReader) readOnce(failures int, inARow bool) int {
+	_, err := r.read()
+	switch {
+	case err == nil:
+		return 0
+	case inARow:
+		return failures + 1
+	}
+	return 1
+}
+
 func (r *evacuationReader) untilDue(random uint64) time.Duration {
 	m := r.mesh
 	m.mutex.Lock()
@@ -114,29 +135,53 @@
 	}
 }
 
+// list is the first reading of a follower, after which it watches. Where the store has never
+// held an order there is nothing to watch, and keepFresh reads often enough.
+func (r *evacuationReader) list() (authority.Position, error) {
+	if r.knowsOfNone() {
+		return 0, nil
+	}
+	return r.read()
+}
+
+// knowsOfNone tells whether a reading that is not due yet has shown no position.
+func (r *evacuationReader) knowsOfNone() bool {
+	m := r.mesh
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.evacuations.Known() && m.evacuations.Orders().At == 0 && m.evacuations.Age(m.clock()) < r.timing.Within/2
+}
+
 // read reads all orders, puts them in force and tells all daemons. It returns the position
 // after them.
 func (r *evacuationReader) read() (authority.Position, error) {
 	m := r.mesh
 	ctx, cancel := context.WithTimeout(m.context, min(readTimeout, r.timing.Within/2))
 	defer cancel()
-	began := m.clock()
+	began, known := m.clock(), r.position()
 	orders, faults, err := r.port.List(ctx)
 	m.calls.noteError(purposeEvacuation, err)
 	if err != nil {
 		return 0, err
 	}
+	if orders.At < known {
+		return 0, result.New(result.PlatformUnknown, "the store shows position %d after %d", orders.At, known)
+	}
 	r.noteFaults(faults)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if known := m.evacuations.Orders(); orders.At == 0 && known.At > 0 {
-		return 0, result.New(result.PlatformUnknown, "the store shows no position after %d", known.At)
-	}
 	m.mergeEvacuations(began, sourceStore, evacuation.Word{Orders: orders, Known: true})
 	m.spreadOrders()
 	return authority.Position(orders.At), nil
 }
 
+// position is the store's position of the orders that are known.
+func (r *evacuationReader) position() uint64 {
+	r.mesh.mutex.Lock()
+	defer r.mesh.mutex.Unlock()
+	return r.mesh.evacuations.Orders().At
+}
+
 // watch waits for a change after a position and reads all orders when there is one: the
 // orders are taken whole or not at all.
 func (r *evacuationReader) watch(from authority.Position) (authority.Position, error) {
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -181,6 +181,9 @@
 	// HungWait is the same for a call that was found to hang: a back end that takes in less than
 	// its slots say gets fewer calls for a while. It ends early for nothing.
 	HungWait time.Duration
+	// StartWait is how long after its start the daemon lets calls wait that it can't send
+	// yet; 0 lets none wait.
+	StartWait time.Duration
 	// DrainLinger is how long a draining daemon goes on taking connections
 	// after its last call, so that callers learn to go elsewhere.
 	DrainLinger time.Duration
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -87,7 +87,7 @@
 		self.ColdRate = held.Services[reference].WarmUp.PerSecond
 		made.all = endpoint.BuildIndexed(oldSet, self, backends, index, now)
 		made.divide(state.Splits[reference])
-		made.restrict(next.table.Restrictions())
+		made.restrict(next.table.RestrictionsOf(reference))
 		next.services[reference] = made
 		p.connect(previous, next, made.all)
 	}
@@ -162,6 +162,7 @@
 // publish puts a view in force and then gives up what it no longer needs.
 func (p *Proxy) publish(next *view) {
 	previous := p.view.Swap(next)
+	p.starting.publish()
 	for address, old := range previous.upstreams {
 		if next.upstreams[address] == nil {
 			old.close()
