Back ends that hang: a call waits for the place of a connection that closes

Cause: with max_connections stated, a connection that the back end ends with its answer is closed a moment after the slot of its call is free. The call that got the slot found no place, twice in a row, and was refused as queue_full; without the bound the same 200 calls were all served. One that lingers gave its slot back before its place, too.

Change: a dial waits for a place, no longer than for the connection itself, and a place is free before the slot is.

--- a/internal/proxy/guard.go
+++ b/internal/proxy/guard.go
@@ -94,12 +94,13 @@
 	_ = c.Conn.Close()
 }
 
-// leave tells that the connection is closed.
+// leave tells that the connection is closed. Its place is free before the slot of its call is:
+// the call that gets the slot finds one.
 func (c *guardedConn) leave() {
-	close(c.gone)
 	if c.left != nil {
 		c.left(c)
 	}
+	close(c.gone)
 }
 
 // writeCloser is a connection whose sending side can end by itself: of TCP and
--- a/internal/proxy/openconns.go
+++ b/internal/proxy/openconns.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -18,6 +19,8 @@
 	limit   int
 	opening int
 	open    map[*guardedConn]struct{}
+	// freed is closed when a place is; nil while nobody waits for one.
+	freed chan struct{}
 }
 
 // bounded tells whether the other side bounds its connections; none are opened ahead then.
@@ -34,20 +37,50 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	o.limit = limit
+	o.wake()
 }
 
-// reserve takes the place of a connection that is about to be opened; add or release follows.
-func (o *openConns) reserve() bool {
-	if o == nil {
-		return true
+// reserve takes the place of a connection that is about to be opened, if need be that of an
+// idle one; add or release follows. One whose call has ended keeps its place until it is closed,
+// a moment longer than the call keeps its slot: that is waited for, until the context ends.
+func (o *openConns) reserve(ctx context.Context, closeIdle func()) error {
+	for {
+		if o.take() == nil {
+			return nil
+		}
+		closeIdle()
+		freed := o.take()
+		if freed == nil {
+			return nil
+		}
+		select {
+		case <-freed:
+		case <-ctx.Done():
+			return errConnectionsTaken
+		}
 	}
+}
+
+// take takes a place, or returns what is closed when one may be free.
+func (o *openConns) take() (freed <-chan struct{}) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	if o.limit > 0 && o.opening+len(o.open) >= o.limit {
-		return false
+	if o.limit <= 0 || o.opening+len(o.open) < o.limit {
+		o.opening++
+		return nil
+	}
+	if o.freed == nil {
+		o.freed = make(chan struct{})
+	}
+	return o.freed
+}
+
+// wake has those that wait for a place look again; the lock is held.
+func (o *openConns) wake() {
+	if o.freed != nil {
+		close(o.freed)
+		o.freed = nil
 	}
-	o.opening++
-	return true
 }
 
 func (o *openConns) release() {
@@ -57,6 +90,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	o.opening--
+	o.wake()
 }
 
 func (o *openConns) add(conn *guardedConn) {
@@ -77,6 +111,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	delete(o.open, conn)
+	o.wake()
 }
 
 // count is how many are open or being opened.
--- a/internal/proxy/reportedgate_test.go
+++ b/internal/proxy/reportedgate_test.go
@@ -39,6 +39,12 @@
 	_, _ = io.WriteString(c.conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 }
 
+// answerAndClose answers the call well and ends the connection.
+func (c *heldCall) answerAndClose() {
+	_, _ = io.WriteString(c.conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+	_ = c.conn.Close()
+}
+
 // startReportedGate starts such a gate with a back end that began after it. The back end
 // heeds the end of a connection only once it has served the call on it.
 func startReportedGate(t *testing.T, limits Limits, slots int, serve func(*heldCall)) *reportedGate {
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -92,8 +92,8 @@
 // dial hands out a connection opened ahead, or opens one; either way it sees
 // to it that another one is ready.
 func (u *upstream) dial(ctx context.Context, _, _ string) (net.Conn, error) {
-	if !u.reserve() {
-		return nil, errConnectionsTaken
+	if err := u.reserve(ctx); err != nil {
+		return nil, err
 	}
 	for {
 		select {
@@ -116,13 +116,14 @@
 	}
 }
 
-// reserve takes the place of a connection, if need be that of an idle one.
-func (u *upstream) reserve() bool {
-	if u.open.reserve() {
-		return true
+// reserve takes the place of a connection, and waits for it no longer than for the connection.
+func (u *upstream) reserve(ctx context.Context) error {
+	if u.open == nil {
+		return nil
 	}
-	u.transport.CloseIdleConnections()
-	return u.open.reserve()
+	bounded, cancel := context.WithTimeout(ctx, u.dialTimeout())
+	defer cancel()
+	return u.open.reserve(bounded, u.transport.CloseIdleConnections)
 }
 
 // guard has a connection that was opened carry calls.
