Gate: expect what was left behind also where routes come later

Cause: a daemon whose back end answers before the configuration has come expected no calls of an earlier start, for good: how long they may take was not known then, and the question was asked once.

--- a/internal/proxy/backendbounds.go
+++ b/internal/proxy/backendbounds.go
@@ -27,6 +27,9 @@
 	// probed is what the back end told with its last probe that it holds, with that; 0 when it
 	// has told nothing.
 	probed atomic.Int64
+	// found is the start that this daemon found beside it, until it is known what an earlier
+	// start of the daemon may have left there; nil afterwards.
+	found atomic.Pointer[protocol.BackendStart]
 	// startedAt is when this daemon started: by the clock of the machine, which is also that
 	// of the back end's own word, and by the proxy's.
 	startedAt   time.Time
@@ -43,6 +46,7 @@
 	p.bounds.connections.Store(int64(held.Services[p.config.Service].MaxConnections))
 	p.bounds.longest.Store(int64(longestCall(held, p.config.Service)))
 	p.boundCalls()
+	p.expectLeftBehind()
 }
 
 // boundCalls keeps the calls at the back end within its slots and, one connection each, within
@@ -75,21 +79,22 @@
 	return longest
 }
 
-// expectLeftBehind has the gate expect calls of an earlier start of this daemon at a back end
-// that is older than this daemon. They were sent before this one started, so they are over
-// when the longest call is; without routes nothing is known of them.
-func (p *Proxy) expectLeftBehind(start protocol.BackendStart) {
-	if start.Born > p.bounds.startedAt.UnixMilli() {
-		return
-	}
+// expectLeftBehind has the gate expect calls of an earlier start of this daemon at the back end
+// that it found, if that is older than this daemon. They were sent before this one started, so
+// they are over when the longest call is; that is not known before routes are.
+func (p *Proxy) expectLeftBehind() {
 	longest := time.Duration(p.bounds.longest.Load())
 	if longest <= 0 {
 		return
 	}
+	start := p.bounds.found.Swap(nil)
+	if start == nil || start.Born > p.bounds.startedAt.UnixMilli() {
+		return
+	}
 	now := p.config.Clock()
 	probed := p.bounds.probed.Load()
 	p.gate.LeaveBehind(now, p.bounds.startedFrom+longest+p.limits.CancelWait, int(probed)-1)
-	p.event("calls_left_behind", textField("backend", start.Instance), bornField(start),
+	p.event("calls_left_behind", textField("backend", start.Instance), bornField(*start),
 		textField("occupied", number(p.gate.Load().Running)), textField("told", strconv.FormatBool(probed > 0)))
 }
 
--- a/internal/proxy/hangs_test.go
+++ b/internal/proxy/hangs_test.go
@@ -192,3 +192,16 @@
 	gate.await(func() bool { return gate.arrived.Load() == 2 })
 	check.Equal(gate.proxy.Counters().BackendOpen, 2)
 }
+
+// A back end may report before the configuration has come that says how long its calls may
+// take.
+func TestWhatWasLeftBehindIsExpectedAlsoWhereRoutesComeLater(t *testing.T) {
+	check := is.New(t)
+	proxy := New(Config{Clock: testClock, NodeID: "gate", Service: testService, Reported: true})
+	t.Cleanup(proxy.Close)
+	proxy.ReportBackend(BackendReport{
+		Start: protocol.BackendStart{Instance: "i", Born: 1}, Slots: 4, State: protocol.EndpointReady,
+	})
+	proxy.Swap(testSnapshot(meshOptions{}, nil))
+	check.Equal(proxy.gate.Load().Running, 3)
+}
--- a/internal/proxy/reported.go
+++ b/internal/proxy/reported.go
@@ -62,6 +62,7 @@
 		p.backend.retire()
 		p.answers.Reset()
 		p.hangs.balance.Reset()
+		p.bounds.found.Store(nil)
 		p.gate.Forget(p.config.Clock())
 	}
 	if report.EarlierCrashed && (previous == nil || !previous.EarlierCrashed || previous.Start != report.Start) {
@@ -83,7 +84,8 @@
 		p.boundCalls()
 	}
 	if previous == nil {
-		p.expectLeftBehind(report.Start)
+		p.bounds.found.Store(&report.Start)
+		p.expectLeftBehind()
 	}
 	if takesWork {
 		p.gate.Resume()
