Gate: another start of the back end has the slots of calls that hung

Cause: a call that was found to hang kept its slot until 5 s past its deadline also when its back end had ended and another start ran, which holds nothing of it. Where all slots hung, the new start got no call for the rest of the longest timeout and 5 s.

Change: the slot ends with the start that the call was sent to.

Conclusion: TestTheSlotOfACallThatHungIsFreeOnceAnotherStartRuns failed before (slot kept) and passes, also with -race, ten times.

--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -179,7 +179,7 @@
 	// given up while the back end has not ended it.
 	CancelWait time.Duration
 	// HungWait is the same for a call that was found to hang: a back end that takes in less than
-	// its slots say gets fewer calls for a while. It ends early for nothing.
+	// its slots say gets fewer calls for a while. It ends early only once another start runs.
 	HungWait time.Duration
 	// StartWait is how long after its start the daemon lets calls wait that it can't send
 	// yet; 0 lets none wait.
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -222,7 +222,7 @@
 	}
 	wait := c.proxy.limits.CancelWait
 	if c.foundToHang() {
-		running, wait = nil, c.proxy.limits.HungWait
+		running, wait = c.proxy.startReplaced(c.start), c.proxy.limits.HungWait
 	}
 	left := max(c.deadline-c.proxy.config.Clock(), 0)
 	go func() {
--- a/internal/proxy/hangs_test.go
+++ b/internal/proxy/hangs_test.go
@@ -205,3 +205,25 @@
 	proxy.Swap(testSnapshot(meshOptions{}, nil))
 	check.Equal(proxy.gate.Load().Running, 3)
 }
+
+// Nothing of a call that hung is at another start: that has all its slots.
+func TestTheSlotOfACallThatHungIsFreeOnceAnotherStartRuns(t *testing.T) {
+	gate := startReportedGate(t, Limits{HungWait: time.Hour}, 2, func(call *heldCall) { <-call.over })
+	call := gate.begin(t, time.Minute)
+	gate.await(func() bool { return gate.arrived.Load() == 1 })
+	gate.hang()
+	call.cancel()
+	gate.proxy.ReportBackend(BackendReport{
+		Start: protocol.BackendStart{Instance: "next"}, Slots: 2, State: protocol.EndpointReady, EarlierCrashed: true,
+	})
+	gate.await(func() bool { return gate.proxy.gate.Load().Running == 0 })
+}
+
+// hang has all calls under way found to hang.
+func (g *reportedGate) hang() {
+	for index := range g.proxy.hangs.cells {
+		if made := g.proxy.hangs.cells[index].Load(); made != nil {
+			made.hangs.Store(true)
+		}
+	}
+}
--- a/internal/proxy/reported.go
+++ b/internal/proxy/reported.go
@@ -23,8 +23,42 @@
 // reportedBackend is the newest report, read on the path of a request.
 type reportedBackend struct {
 	current atomic.Pointer[BackendReport]
+	// replaced is closed when another start of the back end is reported; nil before the first.
+	replaced atomic.Pointer[chan struct{}]
 }
 
+// put puts a report in force, and only then closes replaced: whoever reads that first and still
+// finds the earlier start in force afterwards is told.
+func (r *reportedBackend) put(report *BackendReport) {
+	previous := r.current.Swap(report)
+	if previous != nil && previous.Start == report.Start {
+		return
+	}
+	next := make(chan struct{})
+	if earlier := r.replaced.Swap(&next); earlier != nil {
+		close(*earlier)
+	}
+}
+
+// startReplaced is closed when a start of the back end is no longer the one that gets calls.
+func (p *Proxy) startReplaced(start protocol.BackendStart) <-chan struct{} {
+	replaced := p.reported.replaced.Load()
+	if p.backendStart() != start {
+		return alreadyClosed
+	}
+	if replaced == nil {
+		return nil
+	}
+	return *replaced
+}
+
+// alreadyClosed is a closed channel.
+var alreadyClosed = func() <-chan struct{} {
+	made := make(chan struct{})
+	close(made)
+	return made
+}()
+
 // instance is the name by which callers' sides address the back end.
 func (p *Proxy) instance() string {
 	if !p.config.Reported {
@@ -78,7 +112,7 @@
 	case !takesWork:
 		p.gate.Drain()
 	}
-	p.reported.current.Store(&report)
+	p.reported.put(&report)
 	if report.Slots > 0 {
 		p.bounds.slots.Store(int64(report.Slots))
 		p.boundCalls()
