Gate: a call that is answered all the same has not hung

Cause: a slow run that was taken for a hung call and then answered kept its slot until 5 s past its deadline if its caller left before the end of the answer.

Change: only a call without an answer keeps its slot for HungWait.

--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -221,7 +221,7 @@
 		return
 	}
 	wait := c.proxy.limits.CancelWait
-	if c.foundToHang() {
+	if sent.answer == nil && c.foundToHang() {
 		running, wait = c.proxy.startReplaced(c.start), c.proxy.limits.HungWait
 	}
 	left := max(c.deadline-c.proxy.config.Clock(), 0)
--- a/internal/proxy/hangs_test.go
+++ b/internal/proxy/hangs_test.go
@@ -219,6 +219,19 @@
 	gate.await(func() bool { return gate.proxy.gate.Load().Running == 0 })
 }
 
+// A call that was taken for a hung one and is answered was at work: its slot is free as soon as
+// the back end ends the connection, also where its answer was not read to the end.
+func TestTheSlotOfACallThatIsAnsweredAllTheSameIsNotKept(t *testing.T) {
+	gate := startReportedGate(t, Limits{HungWait: time.Hour}, 2, func(call *heldCall) { <-call.over; call.beginAnswer() })
+	call := gate.begin(t, time.Minute)
+	gate.await(func() bool { return gate.arrived.Load() == 1 })
+	gate.hang()
+	gate.letGo()
+	gate.await(func() bool { return gate.proxy.hangs.count.Load() == 0 })
+	call.cancel()
+	gate.await(func() bool { return gate.proxy.gate.Load().Running == 0 })
+}
+
 // hang has all calls under way found to hang.
 func (g *reportedGate) hang() {
 	for index := range g.proxy.hangs.cells {
--- a/internal/proxy/reportedgate_test.go
+++ b/internal/proxy/reportedgate_test.go
@@ -39,6 +39,11 @@
 	_, _ = io.WriteString(c.conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 }
 
+// beginAnswer sends the head of an answer and no byte of its body.
+func (c *heldCall) beginAnswer() {
+	_, _ = io.WriteString(c.conn, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n")
+}
+
 // answerAndClose answers the call well and ends the connection.
 func (c *heldCall) answerAndClose() {
 	_, _ = io.WriteString(c.conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
