--- a/internal/core/admission/occupied.go
+++ b/internal/core/admission/occupied.go
@@ -18,9 +18,8 @@
 // behind: back ends queue a few calls, and most have dropped what came on closed connections.
 const leastPart = 4
 
-// limit is how many calls may run now: the slots that nothing else takes, and as many more as
-// hold one and are not at the back end. One may always run, for its answer tells most of what
-// the back end holds.
+// limit is how many calls may run now: the slots that nothing else takes. One may always run,
+// for its answer tells most of what the back end holds.
 func (g *Gate) limit() int64 {
 	return max(g.slots.Load()-g.occupied(), 1)
 }
