--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -70,10 +70,16 @@
 	// by a start: a start adds one by compare-and-swap only below the slots, or
 	// inherits the slot of a call that ends. Queued changes under mutex only.
 	word atomic.Uint64
+	// stuck are the running calls that were found to hang.
+	stuck atomic.Int64
 	// runningWork is how long the running calls were expected to run, in nanoseconds.
 	runningWork atomic.Int64
 	// slots may be changed while calls run.
 	slots atomic.Int64
+	// leftBehind and probes take slots of the back end beside the calls of the gate; see
+	// occupied.go.
+	leftBehind leftBehind
+	probes     atomic.Int64
 	// mean is the mean service time of all calls, classes those of each class that
 	// has come.
 	mean    movingMean
@@ -105,6 +111,7 @@
 
 // Load is what runs and waits at a gate.
 type Load struct {
+	// Running are the slots taken, also by what runs there beside the gate's own calls.
 	Running int
 	Queued  int
 	Slots   int
@@ -114,7 +121,7 @@
 func (g *Gate) Load() Load {
 	word := g.word.Load()
 	return Load{
-		Running: int(word & runningMask),
+		Running: int(word&runningMask) + int(g.occupied()),
 		Queued:  int(word & queuedMask >> runningBits),
 		Slots:   int(g.slots.Load()),
 	}
@@ -125,7 +132,7 @@
 
 // admits tells whether a slot is free and nobody waits for it.
 func (g *Gate) admits(word uint64) bool {
-	return word&(refusingAny|queuedMask) == 0 && int64(word&runningMask) < g.slots.Load()
+	return word&(refusingAny|queuedMask) == 0 && int64(word&runningMask) < g.limit()
 }
 
 // Draining tells whether the gate refuses new calls.
@@ -231,7 +238,7 @@
 	}
 	for {
 		word := g.word.Load()
-		free := word&queuedMask == 0 && int64(word&runningMask) < g.slots.Load()
+		free := word&queuedMask == 0 && int64(word&runningMask) < g.limit()
 		switch {
 		case word&refusingAny != 0:
 			return refused(refusalOf(word), 0)
@@ -270,6 +277,9 @@
 		return
 	}
 	ticket.ended = true
+	if ticket.stuck.Swap(stuckNoMore) == stuckNow {
+		g.stuck.Add(-1)
+	}
 	g.runningWork.Add(-int64(ticket.expected))
 	if ran && !ticket.Unmeasured {
 		g.observe(&ticket.Call, now-ticket.startedAt)
@@ -303,8 +313,8 @@
 // it; the lock is held.
 func (g *Gate) handOver(now time.Duration) {
 	for {
-		// With fewer slots than before, the slot ends with the call.
-		excess := int64(g.word.Load()&runningMask) > g.slots.Load()
+		// With fewer slots than before, or others that are occupied, the slot ends with the call.
+		excess := int64(g.word.Load()&runningMask) > g.limit()
 		var ticket *Ticket
 		if !excess {
 			ticket = g.queue.pop()
--- a/internal/core/admission/mean.go
+++ b/internal/core/admission/mean.go
@@ -84,9 +84,56 @@
 	}
 }
 
+// longestWeight is how much of its distance to the mean the longest service time loses with
+// each answer: a run that was longer than all others is forgotten after some hundred.
+const longestWeight = 1.0 / 128
+
+// NoteAnswer takes the time from the sending of a call to the back end's answer.
+func (g *Gate) NoteAnswer(call *Call, took time.Duration) {
+	one := g.classOf(call)
+	one.seen.Add(1)
+	one.answered.observe(took)
+	mean := one.answered.value()
+	one.spread.observe(max(took-mean, mean-took))
+	old := one.longest.Load()
+	faded := old - int64(float64(old-int64(mean))*longestWeight)
+	one.longest.CompareAndSwap(old, max(faded, int64(took)))
+}
+
+// longDeviations is by how many mean deviations a long service time exceeds the mean: of runs
+// whose times spread as widely as their mean one in ten or so is longer.
+const longDeviations = 2
+
+// ServiceTimes are what is known of the service times of a class, by answered calls alone.
+type ServiceTimes struct {
+	Mean time.Duration
+	// Long is what few calls take, Longest the longest lately.
+	Long    time.Duration
+	Longest time.Duration
+	// Seen is how many answers tell that.
+	Seen int
+}
+
+// ServiceTimes are those of a call's class.
+func (g *Gate) ServiceTimes(call *Call) ServiceTimes {
+	one := g.classOf(call)
+	mean := one.answered.value()
+	return ServiceTimes{
+		Mean: mean, Long: mean + longDeviations*one.spread.value(),
+		Longest: time.Duration(one.longest.Load()), Seen: int(one.seen.Load()),
+	}
+}
+
 // classService are the service times of one class of calls.
 type classService struct {
 	mean movingMean
+	// answered and spread are the mean and the mean deviation of answered calls alone: to
+	// those that hang, the slots that they take would be service time.
+	answered movingMean
+	spread   movingMean
+	// longest is the longest of them lately, in nanoseconds, of seen in all.
+	longest atomic.Int64
+	seen    atomic.Int64
 	// deviation is the mean distance from the mean.
 	deviation movingMean
 	// delay is the mean of waits by expected waits, in seconds.
--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -42,6 +42,9 @@
 	startWait = 2 * time.Second
 	// queueWait bounds the expected wait at the gate; deadlines end it earlier.
 	queueWait = 2 * time.Second
+	// cancelWait is how long past its deadline a back end may be at work on a call: it stops
+	// at the deadline that it is handed, later by what a busy machine takes to notice.
+	cancelWait = 500 * time.Millisecond
 )
 
 // stayNear keeps calls in their zone until waiting there costs about as long as
@@ -68,6 +71,7 @@
 	limits.CollectBytes = collectBytes
 	limits.ReplayBytes = replayBytes
 	limits.QueueWait = queueWait
+	limits.CancelWait = cancelWait
 	limits.StartWait = startWait
 	limits.QuietClose = true
 	limits.NoSpares = true
