--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -11,52 +11,8 @@
 	"github.com/springstack/springstack/internal/core/protocol"
 )
 
-// Report is a heartbeat of a back end.
-type Report struct {
-	// Instance is the name of the back end, which several starts may bear.
-	Instance string
-	// Born is when it started by its own word, in Unix milliseconds; 0 when it does not tell.
-	Born int64
-	// Service is the name of the service that it belongs to.
-	Service string
-	// Sequence grows with each report of a start, and begins anew with the next one.
-	Sequence uint64
-	// Draining says that the instance is about to end.
-	Draining bool
-	// WarmUp is how much longer the instance is slow.
-	WarmUp time.Duration
-	// Slots is how many calls it runs at once.
-	Slots int
-	// Software is the version of its software.
-	Software string
-}
-
-// Start is the start that reports.
-func (r Report) Start() protocol.BackendStart {
-	return protocol.BackendStart{Instance: r.Instance, Born: r.Born}
-}
-
-// Probe is what the back end itself answered when it was asked.
-type Probe struct {
-	// Instance is the one that answered; empty when there was no answer.
-	Instance string
-	// Healthy says that the instance takes work.
-	Healthy bool
-	// TellsWarmUp says that the answer told how much longer the instance is cold, which is
-	// WarmUp.
-	TellsWarmUp bool
-	WarmUp      time.Duration
-	// TellsHeld says that the answer told how many calls the instance holds, which is Held.
-	TellsHeld bool
-	Held      int
-}
-
-// candidateLimit bounds the unconfirmed instances: one that starts, and a few before it that
-// have crashed within the time for which heartbeats may be held up.
-const candidateLimit = 4
-
-// silentBeats is how many heartbeats must be missing, without an answered
-// call, before an instance counts as down.
+// silentBeats is how many heartbeats must be missing, without an answered call, before a start
+// counts as down: a busy machine may lose or delay a few of them.
 const silentBeats = 4
 
 // Tracker is what one daemon knows of the back end beside it. It is not safe
@@ -71,20 +27,23 @@
 	unconfirmed bool
 	// crashed says that the start which got calls before the running one had not said that it
 	// leaves, so that none of its runs can go on.
-	crashed  bool
+	crashed bool
+	// sequence, slots and software are by the newest report of the running start.
 	sequence uint64
 	slots    int
 	software string
 	warmth   warmth
+	// draining says that the running start has said that it leaves; it never takes that back.
 	draining bool
-	down     bool
+	// down says that the running start is not confirmed, took no connection or is doubted; its
+	// next report that counts ends that.
+	down bool
 	// heardAt is when the running start last reported or answered a call, reportedAt when it
 	// last reported.
 	heardAt    time.Duration
 	reportedAt time.Duration
 	// candidates are the newest reports of starts that have not been confirmed, one for each
-	// instance, oldest first. A heartbeat that was held up may come from one that has crashed
-	// since, after that of its successor; the back end's own answer tells which instance runs.
+	// instance, oldest first. The back end's answer to a probe tells which of them runs.
 	candidates []Report
 	// ended are starts that have left or been replaced, oldest first.
 	ended []endedStart
@@ -97,8 +56,8 @@
 func NewTracker(interval time.Duration) *Tracker { return &Tracker{interval: interval} }
 
 // Reported takes a report, and tells whether the back end must be probed before the start is
-// taken for the one that runs: a late report of a start that has ended can't be told from the
-// first one of a new instance.
+// taken for the one that runs: the first report of a new start looks like a late one of a
+// start that has ended.
 func (t *Tracker) Reported(now time.Duration, report Report) (probe bool) {
 	start := report.Start()
 	if t.hasEnded(start) {
@@ -138,16 +97,6 @@
 	}
 }
 
-// dropCandidates gives up the reports that match.
-func (t *Tracker) dropCandidates(matches func(Report) bool) {
-	for _, held := range t.candidates {
-		if matches(held) {
-			t.forget(held)
-		}
-	}
-	t.candidates = slices.DeleteFunc(t.candidates, matches)
-}
-
 // takeLater takes a report of the running start unless a later one has come. That it drains
 // was acknowledged all the same, and binds.
 func (t *Tracker) takeLater(now time.Duration, report Report) {
@@ -175,42 +124,7 @@
 	return true
 }
 
-// addCandidate keeps a report unless a newer one of its instance is held.
-func (t *Tracker) addCandidate(report Report) {
-	at := t.candidateAt(report.Instance)
-	if at < 0 {
-		if len(t.candidates) == candidateLimit {
-			t.forget(t.candidates[0])
-		}
-		t.candidates = appendBounded(t.candidates, candidateLimit, report)
-		return
-	}
-	held := t.candidates[at]
-	switch {
-	case held.Born == report.Born:
-		drains := report.Draining || held.Draining // what was acknowledged binds
-		if held.Sequence < report.Sequence {
-			t.candidates[at] = report
-		}
-		t.candidates[at].Draining = drains
-	case held.Born != report.Born && !t.isOlder(report.Start()):
-		t.forget(held)
-		t.candidates[at] = report
-	}
-}
-
-// forget gives up a report. That its start drains was acknowledged, and binds.
-func (t *Tracker) forget(report Report) {
-	if report.Draining {
-		t.end(endedStart{start: report.Start()})
-	}
-}
-
-// candidateAt is the index of an instance's report, or -1.
-func (t *Tracker) candidateAt(instance string) int {
-	return slices.IndexFunc(t.candidates, func(held Report) bool { return held.Instance == instance })
-}
-
+// take puts a report of the running start in force. A drain stays: it was acknowledged.
 func (t *Tracker) take(now time.Duration, report Report) {
 	t.sequence = report.Sequence
 	t.slots = report.Slots
@@ -222,7 +136,8 @@
 	t.reportedAt = now
 }
 
-// begin makes a start the running one, with nothing that was known of the one before it.
+// begin makes a start the running one, unconfirmed and down until it has answered. Nothing
+// that was known of the one before it counts but until when it was assumed to be cold.
 func (t *Tracker) begin(start protocol.BackendStart) {
 	if start == t.running {
 		return
@@ -243,10 +158,10 @@
 	t.outlier = outlier{answered: t.outlier.answered}
 }
 
-// Probed takes the answer of a probe. A candidate that answers itself replaces the start that
-// ran before. The answer names the instance only. Of two starts under one name the newer one
-// has told of itself, and they never run at once, so what answers is the newer one or one
-// that is newer still, whose report then replaces it.
+// Probed takes the answer of a probe. A candidate that answers replaces the start that ran
+// before it. The answer names the instance and not the start, but starts under one name never
+// run at once: what answers is the newest that has reported, or a newer one whose report will
+// replace it.
 func (t *Tracker) Probed(now time.Duration, probe Probe) {
 	at := t.candidateAt(probe.Instance)
 	if at < 0 {
@@ -267,14 +182,10 @@
 	t.candidates = nil
 }
 
-// Unconfirmed tells whether a report waits for a probe.
-func (t *Tracker) Unconfirmed() bool { return len(t.candidates) > 0 }
-
-// Left takes the word of a start that it gets no more work, said at a time in Unix
-// milliseconds. Where no start is known yet it is taken for the one that runs, so that peers
-// hear of it: what was acknowledged binds the next start of this daemon as well. A word
-// without the time of the start is that of the newest start known under the name, or else of
-// whichever had begun when it was said.
+// Left takes a start's word, said at a time in Unix milliseconds, that it gets no more work.
+// Where no start is known yet, it counts as the one that runs, so that peers hear of it and
+// can remind the next start of this daemon. A word that does not tell its start is that of
+// the newest one known under the name, or else of any that had begun by then.
 func (t *Tracker) Left(start protocol.BackendStart, saidAt int64) {
 	known := t.newestOf(start.Instance)
 	unknown := start.Born == 0 && known.Instance == ""
@@ -287,13 +198,14 @@
 	t.leave(endedStart{start: start, orEarlier: unknown})
 }
 
-// Remembered takes a peer's memory that an earlier start of this daemon had acknowledged that
-// a start of the back end is leaving. That one never comes back, so what it says of itself
-// after that counts for nothing. The peer may know the time of the start as that of its word.
+// Remembered takes what a peer remembers: an earlier start of this daemon acknowledged that a
+// start of the back end is leaving, which binds this one. Where the back end had not told when
+// it started, the peer's time is that of its word, so an earlier start may be meant.
 func (t *Tracker) Remembered(start protocol.BackendStart) {
 	t.leave(endedStart{start: start, orEarlier: true})
 }
 
+// leave gives a start no more work, nor the candidates that are it or older.
 func (t *Tracker) leave(left endedStart) {
 	start := left.start
 	if t.running.Instance == "" || t.running.Instance == start.Instance && start.Born > t.running.Born {
@@ -324,28 +236,33 @@
 	return start == t.running && t.outlier.failed(now, answered)
 }
 
-// Answered is called when the instance has answered a call.
+// Answered is called when the back end has answered a call.
 func (t *Tracker) Answered(now time.Duration) { t.heardAt = max(t.heardAt, now) }
 
-// Leaving tells whether the instance that ran last is draining or has left.
+// Leaving tells whether the running start drains or has left.
 func (t *Tracker) Leaving() bool { return t.draining }
 
-// View is the present state of the back end.
+// View is the state of the back end at a time, for the gate and the mesh.
 type View struct {
+	// Start is the start that gets the calls, or got them last; Slots and Software are by its
+	// newest report.
 	Start    protocol.BackendStart
 	Slots    int
 	Software string
 	State    protocol.EndpointState
-	// ColdUntil is until when the instance is cold; 0 when it is warm.
+	// ColdUntil is until when the start is cold, on the daemon's clock; 0 when it is warm.
 	ColdUntil time.Duration
-	// EarlierCrashed says that the start runs in place of one that had not said that it leaves:
-	// nothing that was sent to that one can still run.
+	// EarlierCrashed says that the start was confirmed in place of one that had not said that
+	// it leaves: nothing that was sent to that one can still run.
 	EarlierCrashed bool
 }
 
-// View returns the state at a time.
+// View returns the state at a time. Of several that hold the one that bars most work is shown.
 func (t *Tracker) View(now time.Duration) View {
-	view := View{Start: t.running, Slots: t.slots, Software: t.software, EarlierCrashed: t.crashed && !t.unconfirmed}
+	view := View{
+		Start: t.running, Slots: t.slots, Software: t.software,
+		EarlierCrashed: t.crashed && !t.unconfirmed,
+	}
 	if until := t.warmth.until(); now < until {
 		view.ColdUntil = until
 	}
--- a/internal/core/backend/starts.go
+++ b/internal/core/backend/starts.go
@@ -8,15 +8,16 @@
 )
 
 const (
-	// endedLimit bounds the ended starts that are remembered.
+	// endedLimit bounds the ended starts that are remembered: many more than there are within
+	// the time for which a heartbeat may be held up.
 	endedLimit = 32
-	// persistentBeats is how many heartbeats in a row, over as many intervals, make a start
-	// that seems older than a silent one the one that runs. Its clock, or that of the other
-	// one, was wrong then. Heartbeats that were held up come together, and are fewer.
+	// persistentBeats is how many heartbeats in a row, over as many intervals, a start must
+	// send that seems older than a silent one to be taken for the one that runs: a clock was
+	// wrong then. Heartbeats that were held up come together, and are fewer.
 	persistentBeats = 8
-	// leavingBeats is the same for a start that may be the one that left, where it is only
-	// known that that had begun by some time. It is several times what a back end lives on
-	// after it has left.
+	// leavingBeats is the same for a start that may be one that left, where only a time is
+	// known by which that one had begun: several times as long as a back end lives on after
+	// it has left.
 	leavingBeats = 120
 )
 
@@ -27,7 +28,7 @@
 	orEarlier bool
 }
 
-// hasEnded tells whether a start has left or been replaced by another instance.
+// hasEnded tells whether a start is known to have left or been replaced.
 func (t *Tracker) hasEnded(start protocol.BackendStart) bool {
 	return slices.ContainsFunc(t.ended, func(known endedStart) bool { return known.start == start })
 }
@@ -43,6 +44,7 @@
 	return persistentBeats
 }
 
+// end remembers a start that gets no work any more, once.
 func (t *Tracker) end(ended endedStart) {
 	if !slices.Contains(t.ended, ended) {
 		t.ended = appendBounded(t.ended, endedLimit, ended)
@@ -86,8 +88,9 @@
 type persistence struct {
 	start    protocol.BackendStart
 	sequence uint64
-	reports  int
-	since    time.Duration
+	// reports is how many reports in a row have come, the first of them at since.
+	reports int
+	since   time.Duration
 }
 
 // persists takes a report of an older start, with the time at which the running one last
--- a/internal/core/backend/warmth_test.go
+++ b/internal/core/backend/warmth_test.go
@@ -83,7 +83,7 @@
 	tracker.Reported(0, Report{Instance: "a", Sequence: 4, Slots: 6, WarmUp: -interval})
 	check.Equal(coldUntil(tracker, 0), time.Duration(0))
 	tracker.Reported(interval, Report{Instance: "a", Sequence: 5, Slots: 6, WarmUp: math.MaxInt64})
-	check.Equal(coldUntil(tracker, interval), interval+longestWarmUp)
+	check.Equal(coldUntil(tracker, interval), interval+longestCold)
 	tracker.Reported(interval, Report{Instance: "a", Sequence: 6, Slots: 6})
 	check.Equal(coldUntil(tracker, interval), time.Duration(0))
 }
