Gate: one job a function, accepting and sending have files of their own

run was 61 lines that traced and refused in six places: what refuses at once, what refuses a call that was not sent, and what runs one with a slot are functions now. The comment on end told of calls given up only, not of those that hang and of HungWait.

--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -3,34 +3,21 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/springstack/springstack/internal/core/admission"
 	"github.com/springstack/springstack/internal/core/endpoint"
 	"github.com/springstack/springstack/internal/core/protocol"
-	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/routing"
 	"github.com/springstack/springstack/internal/result"
 )
 
-// gateTries is how often the gate sends a call on while it is certain that
-// not a byte of it was written.
-const gateTries = 2
-
-// headerBackendDraining and headerBackendRan are a back end's own signals: the
-// first on its health answers, the second, with the value no, on a 503 by
-// which it sheds a call that it has not begun.
-const (
-	headerBackendDraining = "Springstack-Draining"
-	headerBackendRan      = headerRan
-)
-
 // GateHandler takes calls from other daemons to the back end beside this one.
 func (p *Proxy) GateHandler() http.Handler {
 	return &side{proxy: p, serve: p.serveGate}
 }
 
+// serveGate takes one call to the back end, and returns when it is answered.
 func (p *Proxy) serveGate(writer http.ResponseWriter, request *http.Request) {
 	p.tally.gateCalls.Add(1)
 	p.gateRunning.Add(1)
@@ -72,8 +59,9 @@
 	table *routing.Table
 	// hasTurn says that it is suspected to be harmful and runs while no other one does.
 	hasTurn bool
-	// relay is what interim answers pass. sendings are those to the back end, sent is how many.
-	relay    *informer
+	// relay is what interim answers pass.
+	relay *informer
+	// sendings are those to the back end, sent of them so far.
 	sendings [gateTries]sending
 	sent     int
 }
@@ -84,107 +72,60 @@
 // Settle keeps the verdict; it never blocks, for there is only one.
 func (v verdictChannel) Settle(verdict admission.Verdict) { v <- verdict }
 
-// acceptGateCall checks that the call is for this back end as its sender knows
-// it.
-func (p *Proxy) acceptGateCall(request *http.Request, body *upload) (*gateCall, Refusal, bool) {
-	header := request.Header
-	mine := p.gate != nil && header.Get(headerHop) == hopGate &&
-		header.Get(headerBackend) == p.instance() &&
-		header.Get(headerService) == p.config.Service.String()
-	if incarnation := header.Get(headerIncarnation); incarnation != "" {
-		mine = mine && p.incarnations.include(incarnation)
-	}
-	if !mine {
-		return nil, Refusal{Code: result.WrongBackend}, false
-	}
-	if refusal, fine := p.checkForm(request); !fine {
-		return nil, refusal, false
-	}
-	current := p.view.Load()
-	if refusal, allowed := p.checkRegion(current, request); !allowed {
-		return nil, refusal, false
-	}
-	body.sign()
-	call := &gateCall{
-		proxy: p, request: request, body: body, timeout: routing.DefaultTimeout, backend: header.Get(headerBackend),
-		table: current.table,
-	}
-	if stated, found := statedTimeout(header); found {
-		call.timeout = stated
-	}
-	call.deadline = p.config.Clock() + call.timeout
-	call.ticket = call.newTicket()
-	return call, Refusal{}, true
-}
-
-func (c *gateCall) newTicket() *admission.Ticket {
-	header := c.request.Header
-	priority, err := strconv.Atoi(header.Get(headerPriority))
-	if err != nil {
-		priority = int(resource.PriorityNormal)
-	}
-	partner := header.Get(headerPartner)
-	c.verdicts = make(verdictChannel, 1)
-	call := admission.Call{
-		Class:    parseClass(header.Get(headerClass)),
-		Partner:  resource.Partner(partner),
-		Priority: resource.Priority(priority),
-		Deadline: c.proxy.untilCut(c.deadline),
-		Request:  c.proxy.fingerprint("request", header.Get(headerRequest)),
-		Key:      c.proxy.fingerprint("key", partner, header.Get(headerRequestKey)),
-	}
-	if left, stated := parseTarget(header.Get(headerTarget)); stated {
-		// One that has passed is still a target: 0 means none.
-		call.Target = max(c.proxy.config.Clock()+left, 1)
-		call.Patient = c.body.isLarge()
-	}
-	if c.proxy.config.Baseline.UnboundedQueue {
-		call.Partner = ""
-		call.Priority = resource.PriorityNormal
-	}
-	return admission.NewTicket(call, c.verdicts)
-}
-
 // run admits the call, sends it to the back end and passes the answer on.
 func (c *gateCall) run() {
 	came := c.proxy.config.Clock()
-	if code := c.proxy.gate.Refusing(); code != result.OK {
-		// Told before a large body is taken in, it costs its sender nothing.
-		c.traceGate("gate_refused", code, 0, 0, 0)
-		c.refuse(Refusal{Code: code})
-		return
-	}
-	if verdict, refused := c.proxy.gate.RefuseCold(came, c.ticket); refused {
-		// The same: while the back end is cold, most bodies would come for nothing.
-		c.traceGate("gate_refused", verdict.Code, 0, 0, 0)
-		c.refuse(Refusal{Code: verdict.Code, RetryAfter: verdict.RetryAfter})
+	if refusal, refused := c.refusedAtOnce(came); refused {
+		c.refuseUnsent(refusal, 0)
 		return
 	}
 	if refusal, received := c.receive(); !received {
-		c.traceGate("gate_refused", refusal.Code, 0, c.proxy.config.Clock()-came, 0)
-		c.refuse(refusal)
+		c.refuseUnsent(refusal, c.proxy.config.Clock()-came)
 		return
 	}
 	defer c.endTurn()
 	if refusal, passed := c.awaitTurn(); !passed {
-		c.traceGate("gate_refused", refusal.Code, 0, c.proxy.config.Clock()-came, 0)
-		c.refuse(refusal)
+		c.refuseUnsent(refusal, c.proxy.config.Clock()-came)
 		return
 	}
 	verdict := c.admit()
 	waited := c.proxy.config.Clock() - came
 	if verdict.State != admission.StateStarted {
-		c.traceGate("gate_refused", verdict.Code, 0, waited, 0)
-		c.refuse(Refusal{Code: verdict.Code, RetryAfter: verdict.RetryAfter})
+		c.refuseUnsent(refusalBy(verdict), waited)
 		return
 	}
 	observe(c.proxy.config.Timings.Queue, waited)
 	if refusal, allowed := c.checkRegionAgain(); !allowed {
 		c.proxy.gate.Done(c.proxy.config.Clock(), c.ticket, false)
-		c.traceGate("gate_refused", refusal.Code, 0, waited, 0)
-		c.refuse(refusal)
+		c.refuseUnsent(refusal, waited)
 		return
 	}
+	c.runStarted(came, waited)
+}
+
+// refusedAtOnce tells whether a call is refused before its body is taken in: told so early, it
+// costs its sender nothing, and while the back end is cold most bodies would come for nothing.
+func (c *gateCall) refusedAtOnce(now time.Duration) (Refusal, bool) {
+	if code := c.proxy.gate.Refusing(); code != result.OK {
+		return Refusal{Code: code}, true
+	}
+	verdict, refused := c.proxy.gate.RefuseCold(now, c.ticket)
+	return refusalBy(verdict), refused
+}
+
+// refusalBy is the refusal that a verdict makes.
+func refusalBy(verdict admission.Verdict) Refusal {
+	return Refusal{Code: verdict.Code, RetryAfter: verdict.RetryAfter}
+}
+
+// refuseUnsent refuses a call that has waited for a time and was not sent to the back end.
+func (c *gateCall) refuseUnsent(refusal Refusal, waited time.Duration) {
+	c.traceGate("gate_refused", refusal.Code, 0, waited, 0)
+	c.refuse(refusal)
+}
+
+// runStarted sends a call that has a slot to the back end and passes the answer on.
+func (c *gateCall) runStarted(came, waited time.Duration) {
 	sent := c.send()
 	refusal, refused := c.judge(sent)
 	ran := c.proxy.config.Clock() - came - waited
@@ -209,9 +150,10 @@
 	c.deliver(sent)
 }
 
-// end closes the exchange and gives the slot back: at once when the back end has ended the
-// call, and else when it has. The call may run there until its deadline; a back end that has
-// not ended it CancelWait later never took it up. The sender of the call does not wait for that.
+// end closes the exchange and gives the slot back when the back end has ended the call, for
+// which its sender does not wait. A call may run until its deadline; CancelWait later one that
+// has not been ended was never taken up. One that hangs keeps its slot until HungWait after its
+// deadline, or until another start runs: a back end that hangs is to get fewer calls.
 func (c *gateCall) end(sent *exchange, ran bool) {
 	sent.close()
 	done := func() { c.proxy.gate.Done(c.proxy.config.Clock(), c.ticket, ran) }
@@ -271,32 +213,6 @@
 	return result.DeadlineBeforeStart
 }
 
-// send sends the call to the back end. It is sent again only while it is
-// certain that nothing was written.
-func (c *gateCall) send() *exchange {
-	c.relay = &informer{writer: c.writer}
-	for try := 1; ; try++ {
-		c.start = c.proxy.backendStart()
-		sent := c.exchange()
-		again := sent.err != nil && sent.unsent && c.body.replayable() && c.context.Err() == nil
-		if !again || try == gateTries || !c.proxy.gate.StartAgain(c.proxy.config.Clock(), c.ticket) {
-			return sent
-		}
-		sent.close()
-	}
-}
-
-// exchange sends the call to the back end once. While it is under way it may be found to hang.
-func (c *gateCall) exchange() *exchange {
-	made := &c.sendings[c.sent]
-	c.sent++
-	*made = sending{call: c, start: c.start, sentAt: c.proxy.config.Clock()}
-	watched := &c.proxy.hangs
-	cell := watched.enter(made)
-	defer watched.leave(cell)
-	return c.proxy.backend.send(c.context, c.outgoing(), c.relay, c.proxy.config.Edge)
-}
-
 // refuse answers with a refusal and the load, from which senders learn.
 func (c *gateCall) refuse(refusal Refusal) {
 	refusal.Load = c.proxy.loadText()
@@ -316,6 +232,7 @@
 	}
 }
 
+// answerHeaders adds to an answer what its sender learns from and needs to know.
 func (c *gateCall) answerHeaders(header http.Header) {
 	header[headerLoad] = []string{c.proxy.loadText()}
 	if c.proxy.closesAfter(c.request) {
@@ -332,40 +249,3 @@
 	report.Own, report.OwnAge = p.health.ownLoad()
 	return formatLoad(report)
 }
-
-// outgoing makes the request to the back end. Of springstack's headers it gets
-// those that an application may copy onto the calls it makes itself.
-func (c *gateCall) outgoing() *http.Request {
-	header := c.request.Header.Clone()
-	noRetry := header.Get(headerNoRetry)
-	request := header.Get(headerRequest)
-	stripHopByHop(header)
-	stripOwn(header)
-	header.Del("Expect")
-	if _, found := header["User-Agent"]; !found {
-		header["User-Agent"] = []string{""}
-	}
-	left := max(c.deadline-c.proxy.config.Clock(), 0)
-	milliseconds := []string{strconv.FormatInt(left.Milliseconds(), 10)}
-	if edge := c.proxy.config.Edge; edge != nil {
-		header[edge.Deadline] = milliseconds
-		header[edge.ExpectedInstance] = []string{c.backend}
-	} else {
-		header[headerTimeout] = milliseconds
-		header[headerRequest] = []string{request}
-		if noRetry != "" {
-			header[headerNoRetry] = []string{noRetry}
-		}
-	}
-	outgoing := &http.Request{
-		Method: c.request.Method, Host: c.request.Host, Header: header,
-		URL:   c.proxy.target(c.proxy.config.BackendAddress, c.request, c.request.URL.EscapedPath()),
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-	}
-	if c.body != nil {
-		outgoing.Body = c.body.open()
-		outgoing.ContentLength = c.request.ContentLength
-		outgoing.Trailer = c.request.Trailer
-	}
-	return outgoing
-}
--- /dev/null
+++ b/internal/proxy/gateaccept.go
@@ -0,0 +1,73 @@
+package proxy
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/springstack/springstack/internal/core/admission"
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/core/routing"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// acceptGateCall checks that the call is for this back end as its sender knows
+// it.
+func (p *Proxy) acceptGateCall(request *http.Request, body *upload) (*gateCall, Refusal, bool) {
+	header := request.Header
+	mine := p.gate != nil && header.Get(headerHop) == hopGate &&
+		header.Get(headerBackend) == p.instance() &&
+		header.Get(headerService) == p.config.Service.String()
+	if incarnation := header.Get(headerIncarnation); incarnation != "" {
+		mine = mine && p.incarnations.include(incarnation)
+	}
+	if !mine {
+		return nil, Refusal{Code: result.WrongBackend}, false
+	}
+	if refusal, fine := p.checkForm(request); !fine {
+		return nil, refusal, false
+	}
+	current := p.view.Load()
+	if refusal, allowed := p.checkRegion(current, request); !allowed {
+		return nil, refusal, false
+	}
+	body.sign()
+	call := &gateCall{
+		proxy: p, request: request, body: body, timeout: routing.DefaultTimeout, backend: header.Get(headerBackend),
+		table: current.table,
+	}
+	if stated, found := statedTimeout(header); found {
+		call.timeout = stated
+	}
+	call.deadline = p.config.Clock() + call.timeout
+	call.ticket = call.newTicket()
+	return call, Refusal{}, true
+}
+
+// newTicket makes what the gate weighs, of the headers that the call's sender has set.
+func (c *gateCall) newTicket() *admission.Ticket {
+	header := c.request.Header
+	priority, err := strconv.Atoi(header.Get(headerPriority))
+	if err != nil {
+		priority = int(resource.PriorityNormal)
+	}
+	partner := header.Get(headerPartner)
+	c.verdicts = make(verdictChannel, 1)
+	call := admission.Call{
+		Class:    parseClass(header.Get(headerClass)),
+		Partner:  resource.Partner(partner),
+		Priority: resource.Priority(priority),
+		Deadline: c.proxy.untilCut(c.deadline),
+		Request:  c.proxy.fingerprint("request", header.Get(headerRequest)),
+		Key:      c.proxy.fingerprint("key", partner, header.Get(headerRequestKey)),
+	}
+	if left, stated := parseTarget(header.Get(headerTarget)); stated {
+		// One that has passed is still a target: 0 means none.
+		call.Target = max(c.proxy.config.Clock()+left, 1)
+		call.Patient = c.body.isLarge()
+	}
+	if c.proxy.config.Baseline.UnboundedQueue {
+		call.Partner = ""
+		call.Priority = resource.PriorityNormal
+	}
+	return admission.NewTicket(call, c.verdicts)
+}
