--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -68,9 +68,10 @@
 	}
 }
 
-// hedged is an attempt that another one has followed since its gate fell silent.
+// hedged is an attempt that another one has followed since its gate fell silent, or told that
+// the back end seems never to answer it.
 //
-// A silent daemon is only suspected: it may be slow, and its back end at work. So the
+// Either is only suspected: both may be slow, and the back end at work. So the
 // attempt is not broken off; like any other it ends by its answer, its connection, its
 // caller, the call's time or the drain's hard bound. Nothing here asks whether this
 // daemon drains: a process learns of a stop later than it is sent, up to some tenths of
--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -78,7 +78,8 @@
 // heard notes that a gate has answered.
 func (p *Proxy) heard(path *upstream) { path.silence.heardAt.Store(int64(p.config.Clock())) }
 
-// hold keeps an attempt that may be hedged once its gate is found to be unreachable.
+// hold keeps an attempt that may be hedged once its gate is found to be unreachable or tells
+// that it hangs.
 // What gives it up is called under the lock, so never after release.
 func (s *silence) hold(made *attempt, giveUp func()) {
 	s.mutex.Lock()
