Proxy: comments on turns, hangs, starting and regions say what a caller needs

Read alone they did not tell when a channel is closed, what is nil, or what a share is of; starting.view made no view but a channel, so it is nextView; the tries for a cell had no reason and stood inside a function.

--- a/internal/proxy/hangs.go
+++ b/internal/proxy/hangs.go
@@ -44,14 +44,18 @@
 	count atomic.Int64
 }
 
-// noCell stands for a call that found no free cell.
-const noCell = -1
+const (
+	// noCell stands for a call that found no free cell.
+	noCell = -1
+	// cellTries is how many cells a call looks at: with half of them taken, one call in 256
+	// finds none.
+	cellTries = 8
+)
 
 // enter begins to watch a sending that is about to be made; leave must follow.
 func (h *hangs) enter(made *sending) (cell int) {
-	const tries = 8
 	h.count.Add(1)
-	for range tries {
+	for range cellTries {
 		cell := int(h.next.Add(1) % watchedCells)
 		if h.cells[cell].CompareAndSwap(nil, made) {
 			return cell
@@ -60,6 +64,7 @@
 	return noCell
 }
 
+// leave ends the watch that enter began.
 func (h *hangs) leave(cell int) {
 	h.count.Add(-1)
 	if cell != noCell {
@@ -123,8 +128,7 @@
 	}
 }
 
-// suspects are the calls under way, the one longest overdue first; none unless one of them
-// takes long.
+// suspects are the calls under way, the one longest overdue first; none if none takes long.
 func (p *Proxy) suspects(now time.Duration) []suspect {
 	if !p.anyTakesLong(now) {
 		return nil
@@ -139,7 +143,8 @@
 	return found
 }
 
-// anyTakesLong tells whether a call under way takes longer than most of its class.
+// anyTakesLong tells whether a call under way takes longer than most of its class. It makes no
+// garbage, for it is asked at each look.
 func (p *Proxy) anyTakesLong(now time.Duration) bool {
 	if p.hangs.count.Load() == 0 {
 		return false
@@ -167,10 +172,10 @@
 	}
 }
 
-// tellHung logs that a call hangs and tells its sender where that asked for it, on a goroutine
-// of its own, for a connection may be slow. The call itself goes on: its answer counts if it comes
-// all the same, and its connection is closed, never used again, when its sender gives it up or
-// its time is over.
+// tellHung logs that a call hangs, counts it as failed, and tells its sender if that asked for
+// it: on a goroutine of its own, for the connection may be slow. The call goes on, and an answer
+// that comes all the same counts. Its connection is closed, never used again, when its sender
+// gives it up or its time is over.
 func (p *Proxy) tellHung(one suspect) {
 	p.tally.hungCalls.Add(1)
 	mayHedge := one.call.request.Header.Get(headerMayHedge) != ""
--- a/internal/proxy/regions.go
+++ b/internal/proxy/regions.go
@@ -18,9 +18,8 @@
 	pool    *pool
 }
 
-// within is the part of a pool in allowed regions. What a roll-out says of the whole service
-// binds there too: where the regions have no back end of a version that may take the call,
-// it is refused, and neither the roll-out's shares nor the regions are exceeded.
+// within is the part of a pool in allowed regions. A roll-out's stage for the whole service binds
+// there too: a call is refused where the regions have no back end of a version that may take it.
 func (p *pool) within(allowed region.Allowed) pool {
 	made := pool{set: p.set.Within(allowed)}
 	if p.canary.every != nil && made.set.Usable() > 0 {
@@ -89,8 +88,8 @@
 	}
 }
 
-// checkRegion refuses a call that may not run in the region of this gate by the version in
-// force here, which is that of the view. Its sender's version may be older, and bars what it bars by itself.
+// checkRegion refuses a call that may not run in this gate's region by the version of the view.
+// The version of its sender may be older; what that bars its sender has kept.
 func (p *Proxy) checkRegion(current *view, request *http.Request) (Refusal, bool) {
 	if !current.table.Restricts() {
 		return Refusal{}, true
--- a/internal/proxy/reported.go
+++ b/internal/proxy/reported.go
@@ -27,8 +27,8 @@
 	replaced atomic.Pointer[chan struct{}]
 }
 
-// put puts a report in force, and only then closes replaced: whoever reads that first and still
-// finds the earlier start in force afterwards is told.
+// put puts a report in force, and only then closes replaced. So whoever loads replaced, and then
+// still finds the earlier start in force, holds a channel that is closed later.
 func (r *reportedBackend) put(report *BackendReport) {
 	previous := r.current.Swap(report)
 	if previous != nil && previous.Start == report.Start {
@@ -40,7 +40,8 @@
 	}
 }
 
-// startReplaced is closed when a start of the back end is no longer the one that gets calls.
+// startReplaced is closed when a start of the back end is no longer the one that gets calls; nil
+// where no back end reports, for none is replaced then.
 func (p *Proxy) startReplaced(start protocol.BackendStart) <-chan struct{} {
 	replaced := p.reported.replaced.Load()
 	if p.backendStart() != start {
--- a/internal/proxy/starting.go
+++ b/internal/proxy/starting.go
@@ -10,8 +10,8 @@
 	"github.com/springstack/springstack/internal/result"
 )
 
-// startPart divides the time of a call that may pass while its daemon starts: with a quarter
-// gone, a call that is refused after all can still be sent elsewhere and be answered in time.
+// startPart is the part of a call's time, one in so many, for which it may wait while its
+// daemon starts: with a quarter gone, it can still be sent elsewhere and answered in time.
 const startPart = 4
 
 // starting lets calls wait that come to a daemon which has just started and does not know yet
@@ -19,12 +19,13 @@
 // members have come, which takes some tenths of a second: to refuse them at once sends them
 // to other daemons that know no more.
 type starting struct {
-	mutex   sync.Mutex
+	mutex sync.Mutex
+	// changed is closed by the next publish; nil while no call waits.
 	changed chan struct{}
 }
 
-// view is closed when the next view is in force.
-func (s *starting) view() <-chan struct{} {
+// nextView is closed when the next view is in force, or none will be of use.
+func (s *starting) nextView() <-chan struct{} {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.changed == nil {
@@ -56,7 +57,7 @@
 func (p *Proxy) acceptStarting(request *http.Request, body *upload) (*callerCall, Refusal, bool) {
 	came := p.config.Clock()
 	for {
-		changed := p.starting.view()
+		changed := p.starting.nextView()
 		known := p.view.Load()
 		now := p.config.Clock()
 		call, refusal, accepted := p.acceptCall(withWait(request, waitOf(request)+now-came))
@@ -72,8 +73,8 @@
 	}
 }
 
-// wholeTime is what a call that has waited for the start may take in all. It is not nil if
-// it was accepted.
+// wholeTime is what a call that has waited for the start may take in all; a nil call was
+// refused.
 func (p *Proxy) wholeTime(request *http.Request, call *callerCall, waited time.Duration) time.Duration {
 	if call != nil {
 		return call.timeout + waited
@@ -85,8 +86,8 @@
 	return max(stated-waitOf(request), 0)
 }
 
-// lacks tells whether a call that was weighed by this view or a newer one can't be sent since
-// this one knows too little yet.
+// lacks tells whether a call that was weighed by this view, or by a newer one, can't be sent
+// because this view knows too little yet.
 func (v *view) lacks(call *callerCall, refusal Refusal, accepted bool) bool {
 	switch {
 	case refusal.Code == result.NotServing:
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -19,17 +19,17 @@
 	// transferShare is the most of a call's remaining time that its body may be
 	// expected to wait before it is sent.
 	transferShare = 0.3
-	// transferIdle is after what silence a body gives its turn to the next one. One that
-	// flows brings a packet every few milliseconds, also on a link of some Mbit/s; the rest
-	// is for a sender whose processor is spent.
+	// transferIdle is how long a body may stand still before it gives its turn to the next
+	// one. One that flows brings a packet every few milliseconds, also on a link of some
+	// Mbit/s; the rest is for a sender whose processor is spent.
 	transferIdle = 250 * time.Millisecond
 	// thousand is the whole of a share in thousandths.
 	thousand = 1000
 	// excessLimit bounds by how much a wait is believed to exceed what is expected, in
 	// thousandths: one stall of the link tells little of the next one.
 	excessLimit = 2 * thousand
-	// excessLife is how long it is believed since the last body that waited. Where it has all
-	// refused that would wait, nothing would tell that the link is free again.
+	// excessLife is how long it is believed after the last body that waited. If it has every
+	// body refused that would wait, nothing else tells that the link is free again.
 	excessLife = 2 * time.Second
 	// transferWeight is the weight of a new value in the mean time of a transfer.
 	transferWeight = 1.0 / 8
@@ -38,12 +38,13 @@
 // transfers lets large bodies come to a gate a few at a time. Their senders wait
 // with the body until they are told to continue.
 type transfers struct {
+	// tokens holds one for each body that comes, waiting is how many wait for one.
 	tokens  chan struct{}
 	waiting atomic.Int64
 	// mean is the moving mean of the time that a body takes, in nanoseconds.
 	mean atomic.Int64
-	// excess is the moving mean of what bodies have waited longer than expected, as a
-	// share of that in thousandths: others share the link.
+	// excess is the moving mean of how much longer than expected bodies have waited, as a share
+	// of what was expected, in thousandths: others share the link.
 	excess atomic.Int64
 	// excessAt is when it was last learned, on the clock, in nanoseconds.
 	excessAt atomic.Int64
@@ -71,7 +72,7 @@
 	return t.excess.Load()
 }
 
-// queueWait is what the bodies alone make expect.
+// queueWait is how long one more body is expected to wait for those at this gate alone.
 func (t *transfers) queueWait() time.Duration {
 	mean := t.mean.Load()
 	wait := t.waiting.Load() * mean / transferLimit
@@ -81,10 +82,10 @@
 	return time.Duration(wait)
 }
 
-// learnWait learns how long a body has waited, by what the queue had made expect.
+// learnWait learns how long a body has waited, against what queueWait had told.
 func (t *transfers) learnWait(now, expected, waited time.Duration) {
 	if expected <= 0 || expected < t.meanTime()/transferLimit {
-		return // hardly any
+		return // so short a wait tells little
 	}
 	ratio := min(max(int64((waited-expected)*thousand/expected), 0), excessLimit)
 	old := t.excessNow(now)
@@ -168,9 +169,8 @@
 	}
 }
 
-// lateAfter is by how much a call is expected to miss its target because its body
-// waits; 0 when it does not miss it, or hardly waits. As long as the body has not been
-// sent, to go elsewhere costs little.
+// lateAfter is by how much a call is expected to miss its target because its body waits; 0 when
+// it is not, or hardly waits. While the body has not been sent, going elsewhere costs little.
 func (c *gateCall) lateAfter(now, wait time.Duration) time.Duration {
 	if c.ticket.Target <= 0 || wait <= c.proxy.transfers.meanTime() {
 		return 0
