Back end's side: probing has a file of its own, comments name start, probe and gate

backendside.go and mesh.go had grown with the change; toldCold was a type and a field, and probeAhead was no length of anything ahead. What was said of asking an instance did not say who asks whom; it is the daemon that probes the back end. take and start had no word on the lock and on what they assume.

--- a/internal/hosted/backendside.go
+++ b/internal/hosted/backendside.go
@@ -15,15 +15,6 @@
 )
 
 const (
-	// probeTimeout bounds one probe of the back end.
-	probeTimeout = time.Second
-	// probePause is the time between probes of an instance that has not
-	// answered.
-	probePause = 300 * time.Millisecond
-	// probeAhead is the time between looks whether the back end may be probed yet.
-	probeAhead = 50 * time.Millisecond
-	// probeLimit bounds the probes for one report.
-	probeLimit = 5
 	// refusalsPerSecond and refusalsBurst bound the lines on reports that were not taken.
 	refusalsPerSecond = 1
 	refusalsBurst     = 5
@@ -31,8 +22,8 @@
 	backendTick = 250 * time.Millisecond
 )
 
-// backendSide follows the back end beside the daemon: its reports come in, the
-// gate and the mesh are told.
+// backendSide follows the back end beside the daemon: its reports and its answers to probes
+// come in, the gate and the mesh are told.
 type backendSide struct {
 	settings hostedBackend
 	events   eventLog
@@ -43,7 +34,8 @@
 	// probes tells the gate that the back end is asked, until what it returns is called; nil
 	// for nobody.
 	probes func() (ended func())
-	// holds tells the gate how many calls the back end holds; nil for nobody.
+	// holds tells the gate how many calls the back end says to hold, with a probe; nil for
+	// nobody.
 	holds func(count int)
 	// announce tells the mesh; it must not block.
 	announce func(backend.View)
@@ -54,12 +46,13 @@
 
 	mutex   sync.Mutex
 	tracker *backend.Tracker
+	// shown is the view that the gate and the mesh were last told, without ColdUntil.
 	shown   backend.View
 	probing bool
-	// doubtedAt is when its warmth was last doubted.
+	// doubtedAt is since when the back end may have become cold unseen, on the clock.
 	doubtedAt time.Duration
 	// toldCold is what the gate was last told of the back end's warm-up.
-	toldCold toldCold
+	toldCold coldWord
 	// stopping is set once the daemon leaves: the gate, which is closing, is not
 	// opened again.
 	stopping bool
@@ -82,11 +75,13 @@
 	warmUp func() time.Duration
 	// evacuated tells whether the zone is to be empty.
 	evacuated func() bool
-	// takenBack is called with the lock held before the back end of a zone that was to be
-	// empty gets calls again, for it may have become cold unseen; nil for nothing.
+	// takenBack is called, with the lock held, before the back end of a zone that was to be
+	// empty gets calls again: it may have become cold unseen. Nil for nothing.
 	takenBack func()
 }
 
+// start begins to follow the back end. It may be cold, whatever an earlier start of this daemon
+// knew.
 func (b *backendSide) start() {
 	b.confirmWarmth()
 	b.running.Add(1)
@@ -168,8 +163,8 @@
 	return b.tracker.Leaving()
 }
 
-// show puts the present view in force where it differs from the last one; the
-// lock is held.
+// show tells the gate and the mesh the present view where it differs from the last one, and the
+// gate first until when the back end is cold; the lock is held.
 func (b *backendSide) show() {
 	view := b.view()
 	if b.emptied && view.State.TakesWork() {
@@ -207,8 +202,8 @@
 	return view
 }
 
-// takeBack returns the view of a back end that takes work again after its zone was to be empty;
-// the lock is held.
+// takeBack is called when the back end would take work again after its zone was to be empty. It
+// returns the view by which it does, which may be a colder one; the lock is held.
 func (b *backendSide) takeBack(view backend.View) backend.View {
 	b.emptied = false
 	if b.settings.takenBack == nil {
@@ -238,75 +233,3 @@
 		b.mutex.Unlock()
 	}
 }
-
-// probeSoon asks the back end itself, unless that is being done; the lock is
-// held.
-func (b *backendSide) probeSoon() {
-	if b.probing {
-		return
-	}
-	b.probing = true
-	b.running.Add(1)
-	go func() {
-		defer b.running.Done()
-		b.probe()
-	}()
-}
-
-// probe asks until the reported instance has answered, a few times at most. The
-// next report of an instance that is not confirmed by then starts anew.
-func (b *backendSide) probe() {
-	b.probeUntilConfirmed()
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.probing = false
-}
-
-func (b *backendSide) probeUntilConfirmed() {
-	for asked := 0; asked < probeLimit; {
-		wait := probeAhead
-		if path := b.probePath(); path != "" {
-			asked++
-			askedAt := b.clock()
-			if b.probed(askedAt, b.ask(path)) {
-				return
-			}
-			wait = probePause
-		}
-		if !pause.For(b.context, wait) {
-			return
-		}
-	}
-}
-
-// ask probes the back end once.
-func (b *backendSide) ask(path string) backend.Probe {
-	if b.probes != nil {
-		defer b.probes()()
-	}
-	answer := b.settings.probe(b.settings.address, path, probeTimeout)
-	if answer.TellsHeld && b.holds != nil {
-		b.holds(answer.Held)
-	}
-	return answer
-}
-
-// probePath is where the back end is probed; empty while it may not be yet.
-func (b *backendSide) probePath() string {
-	if !b.settings.joined() {
-		return ""
-	}
-	return b.settings.healthPath()
-}
-
-// probed takes an answer to what was asked at a time, and tells whether nothing is left to
-// confirm.
-func (b *backendSide) probed(askedAt time.Duration, answer backend.Probe) bool {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	// Asked before the back end may have become cold, it tells nothing of that.
-	answer.TellsWarmUp = answer.TellsWarmUp && askedAt >= b.doubtedAt
-	b.tracker.Probed(b.clock(), answer)
-	b.show()
-	return !b.tracker.Unconfirmed() && !b.tracker.AwaitsWarmth(b.clock())
-}
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -257,8 +257,8 @@
 	}
 }
 
-// take merges records that a daemon of a zone has sent, and returns those that
-// were news.
+// take merges records that a daemon of a zone has sent, and returns those that were news; the
+// lock is held.
 func (m *mesh) take(members []protocol.Member) []protocol.Member {
 	var news []protocol.Member
 	for _, member := range members {
@@ -283,46 +283,6 @@
 	return news
 }
 
-// resumeDrain takes over the drain that an earlier start has acknowledged; the lock
-// is held.
-func (m *mesh) resumeDrain(remembered protocol.Member) {
-	if remembered.Incarnation < m.self.Incarnation && remembered.Endpoint == protocol.EndpointDraining {
-		m.rememberLeaving(remembered.BackendStart())
-	}
-}
-
-// forgetsDrain tells whether a daemon that has started again does not know that an earlier
-// start has acknowledged that its back end is leaving.
-func forgetsDrain(remembered, started protocol.Member) bool {
-	restarted := started.Incarnation > remembered.Incarnation
-	acknowledged := remembered.Backend != "" && remembered.Endpoint == protocol.EndpointDraining
-	renamed := started.Backend != remembered.Backend
-	another := started.Backend != "" && (renamed || started.Born > remembered.Born)
-	return restarted && acknowledged && !another && started.Endpoint != protocol.EndpointDraining
-}
-
-// remind tells a daemon of the own zone that has started again what its earlier start had
-// acknowledged; the lock is held. The peer that it joined by may not have heard of that.
-func (m *mesh) remind(remembered, started protocol.Member) {
-	if started.Zone != m.self.Zone {
-		return
-	}
-	target := dissemination.Peer{
-		ID: started.ID, Address: started.ControlAddress, Zone: started.Zone, Region: started.Region,
-	}
-	m.push([]dissemination.Peer{target}, remembered)
-}
-
-// refute raises the own record above what another daemon remembers of an
-// earlier start; the lock is held.
-func (m *mesh) refute(remembered protocol.Member) {
-	if !membership.Newer(remembered, m.self) {
-		return
-	}
-	m.self.Incarnation = remembered.Incarnation + 1
-	m.pushSelf()
-}
-
 // logNews writes a line for each endpoint whose state is news.
 func (m *mesh) logNews(news []protocol.Member) {
 	for _, member := range news {
--- a/internal/hosted/warmth.go
+++ b/internal/hosted/warmth.go
@@ -8,16 +8,17 @@
 	"github.com/springstack/springstack/internal/core/resource"
 )
 
-// toldCold is what the gate was last told: of which start, and until when it is cold.
-type toldCold struct {
+// coldWord is what the gate is told of a warm-up: of which start, and until when, on the clock,
+// that is cold; 0 when it is warm.
+type coldWord struct {
 	start protocol.BackendStart
 	until time.Duration
 }
 
-// showWarmth tells the gate where it does not know yet until when the back end is cold. It
-// comes before the gate is opened; the lock is held.
+// showWarmth tells the gate until when the back end is cold if it does not know yet, and before
+// it is opened to the start; the lock is held.
 func (b *backendSide) showWarmth(view backend.View) {
-	next := toldCold{start: view.Start, until: view.ColdUntil}
+	next := coldWord{start: view.Start, until: view.ColdUntil}
 	if next == b.toldCold {
 		return
 	}
@@ -29,10 +30,9 @@
 	b.cold(next.until)
 }
 
-// confirmWarmth has the back end count as cold, for as long as its service says, until it was
-// asked and has said otherwise; it is asked at once. It is called where the back end may have
-// become cold unseen, and does not block. A back end that is not known yet is asked when it
-// first reports.
+// confirmWarmth is called where the back end may have become cold unseen. It counts as cold, for
+// as long as its service says, until it has answered a probe that is asked from now on. It is
+// probed at once, or with its first report where none is known yet. It does not block.
 func (b *backendSide) confirmWarmth() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
