--- a/internal/core/admission/mean.go
+++ b/internal/core/admission/mean.go
@@ -56,7 +56,7 @@
 // serviceOf is how long a call is expected to run: as others of its class do, or
 // else as all do.
 func (g *Gate) serviceOf(call *Call) time.Duration {
-	return cmp.Or(g.classOf(call).mean.value(), g.meanService())
+	return cmp.Or(g.classOf(call).mean.value(), g.MeanService())
 }
 
 // LongServiceOf is how long a call may well run: somewhat longer than others of its
@@ -141,7 +141,4 @@
 }
 
 // MeanService is the moving mean of service time; 0 until one is known.
-func (g *Gate) MeanService() time.Duration { return g.meanService() }
-
-// meanService is the moving mean of service time; 0 until one is known.
-func (g *Gate) meanService() time.Duration { return g.mean.value() }
+func (g *Gate) MeanService() time.Duration { return g.mean.value() }
--- a/internal/core/admission/target.go
+++ b/internal/core/admission/target.go
@@ -66,7 +66,7 @@
 // go on.
 func (g *Gate) lateness(ticket *Ticket, start time.Duration) time.Duration {
 	service := g.serviceOf(&ticket.Call)
-	if ticket.Target <= 0 || ticket.Patient || float64(service) < shortShare*float64(g.meanService()) {
+	if ticket.Target <= 0 || ticket.Patient || float64(service) < shortShare*float64(g.MeanService()) {
 		return 0
 	}
 	return max(start+g.LongServiceOf(&ticket.Call)-ticket.Target, 0)
--- a/internal/core/admission/waiting.go
+++ b/internal/core/admission/waiting.go
@@ -129,7 +129,7 @@
 func (g *Gate) meanRunning() time.Duration {
 	running := int64(g.word.Load() & runningMask)
 	if running == 0 {
-		return g.meanService()
+		return g.MeanService()
 	}
 	return time.Duration(max(g.runningWork.Load(), 0) / running)
 }
--- a/internal/core/admission/warmth.go
+++ b/internal/core/admission/warmth.go
@@ -6,8 +6,8 @@
 	"github.com/springstack/springstack/internal/result"
 )
 
-// LimitCold bounds the calls that start in a second while the back end is cold; 0 bounds
-// nothing. Opened says that calls may have started before.
+// LimitCold bounds the calls that start in a window (warmup.Terms.Limit) while the back end is
+// cold; 0 bounds nothing. Opened says that calls may have started before.
 func (g *Gate) LimitCold(now time.Duration, limit int, opened bool) {
 	g.warmth.SetLimit(now, limit, opened)
 }
@@ -16,7 +16,7 @@
 // as cold.
 func (g *Gate) SetCold(now, until time.Duration) { g.warmth.SetCold(now, until) }
 
-// ColdWait is how long a call can't start because the back end is cold; 0 for not at all.
+// ColdWait is how long a call can't start because the back end is cold; 0 when it can.
 func (g *Gate) ColdWait(now time.Duration, ticket *Ticket) time.Duration {
 	return g.warmth.Wait(now, ticket.class())
 }
