--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -109,7 +109,32 @@
 	if err != nil {
 		return nil, err
 	}
-	made := &mesh{
+	made := d.unlinkedMesh(path)
+	d.configuration = d.newConfiguration(path, made)
+	made.counted = path.Answers
+	made.countAnswers = path.CountAnswers
+	made.version = d.configuration.version
+	made.document = d.configuration.packedDocument
+	made.heardOf = d.configuration.heardOf
+	made.storeFails = d.configuration.storeFails
+	made.poll = d.configuration.poll
+	d.configuration.announce = made.announceVersion
+	d.backend = d.newBackendSide(path, made)
+	made.rememberLeaving = d.backend.rememberLeaving
+	if d.options.Platform.OnFault != nil {
+		d.options.Platform.OnFault(newFaultLog(d.events).tell)
+	}
+	d.backend.settings.takenBack = d.backend.doubtWarmth
+	made.zoneChanged = d.backend.zoneChanged
+	d.decider = newRolloutDecider(made, d.options.Platform.Rollouts)
+	d.evacuations = newEvacuationReader(made, d.options.Platform.Evacuations, d.settings.Evacuations.Within())
+	path.ExtendServing(forever)
+	return &meshPart{made}, nil
+}
+
+// unlinkedMesh makes the mesh, which does not know the configuration and the back end's side yet.
+func (d *Daemon) unlinkedMesh(path *pathPart) *mesh {
+	return &mesh{
 		events:     d.events,
 		clock:      d.clock,
 		registry:   d.options.Platform.Registry,
@@ -140,7 +165,11 @@
 			Service:        serviceRef(d.settings.Backend.Service),
 		},
 	}
-	d.configuration = &configuration{
+}
+
+// newConfiguration makes what follows the authority's configuration and puts it in force.
+func (d *Daemon) newConfiguration(path *pathPart, m *mesh) *configuration {
+	return &configuration{
 		source: d.options.Platform.Source,
 		events: d.events,
 		clock:  d.clock,
@@ -148,20 +177,16 @@
 		limit: func(limits authority.RequestLimits) {
 			path.SetRequestLimits(proxy.RequestLimits(limits))
 		},
-		askPeer:  made.askDocument,
+		askPeer:  m.askDocument,
 		context:  d.context,
 		calls:    &d.storeCalls,
 		follower: following.New(following.ConfigFor(d.settings.Authority.Apply()), randomNumber),
 	}
-	made.counted = path.Answers
-	made.countAnswers = path.CountAnswers
-	made.version = d.configuration.version
-	made.document = d.configuration.packedDocument
-	made.heardOf = d.configuration.heardOf
-	made.storeFails = d.configuration.storeFails
-	made.poll = d.configuration.poll
-	d.configuration.announce = made.announceVersion
-	d.backend = &backendSide{
+}
+
+// newBackendSide makes what follows the back end; its hook for a zone that is taken back follows.
+func (d *Daemon) newBackendSide(path *pathPart, m *mesh) *backendSide {
+	return &backendSide{
 		settings: hostedBackend{
 			address:    d.settings.Backend.Address,
 			probe:      d.options.Platform.Probe,
@@ -170,7 +195,7 @@
 				return d.configuration.warmUp(serviceRef(d.settings.Backend.Service))
 			},
 			joined:    d.knowsPeersAndOrders,
-			evacuated: made.evacuated,
+			evacuated: m.evacuated,
 		},
 		events:   d.events,
 		clock:    d.clock,
@@ -178,21 +203,11 @@
 		cold:     path.SetCold,
 		probes:   path.BackendProbe,
 		holds:    path.BackendHolds,
-		announce: made.announce,
+		announce: m.announce,
 		context:  d.context,
 		tracker:  backend.NewTracker(d.settings.Backend.HeartbeatInterval()),
 		refusals: logging.NewRate(refusalsPerSecond, refusalsBurst),
 	}
-	made.rememberLeaving = d.backend.rememberLeaving
-	if d.options.Platform.OnFault != nil {
-		d.options.Platform.OnFault(newFaultLog(d.events).tell)
-	}
-	d.backend.settings.takenBack = d.backend.doubtWarmth
-	made.zoneChanged = d.backend.zoneChanged
-	d.decider = newRolloutDecider(made, d.options.Platform.Rollouts)
-	d.evacuations = newEvacuationReader(made, d.options.Platform.Evacuations, d.settings.Evacuations.Within())
-	path.ExtendServing(forever)
-	return &meshPart{made}, nil
 }
 
 // forever is a time on the clock that never comes: a hosted daemon may serve
