--- a/internal/proxy/refuse.go
+++ b/internal/proxy/refuse.go
@@ -24,13 +24,10 @@
 	Status int
 	// Load is the value of headerLoad, on refusals of a gate.
 	Load string
-
 	// Ended is the value of headerEnded, on refusals of a gate.
 	Ended string
-
 	// Regions is the value of headerRegions, on refusals of a gate; nil for none.
 	Regions []string
-
 	// edge is set for callers of a foreign platform.
 	edge *Edge
 }
