Endpoint, admission: one word for one thing

Endpoint had cold and Cold, which meant a state and an event; coldUntil meant there until when a gate has no start, in core/backend and core/warmup until when a back end is cold; a call that hangs was stuck in admission alone. Now RefusedAsCold, noStartUntil, shareWhileCold, hung.

--- a/internal/core/admission/call.go
+++ b/internal/core/admission/call.go
@@ -74,8 +74,8 @@
 	state State
 	// ended is set by Done; only the owner of the call touches it.
 	ended bool
-	// stuck says whether the call was found to hang; see Hangs.
-	stuck     atomic.Int32
+	// hung says whether the call was found to hang; see Hangs.
+	hung      atomic.Int32
 	startedAt time.Duration
 	// expected is how long the call was expected to run when it came.
 	expected time.Duration
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -41,8 +41,8 @@
 	// by a start: a start adds one by compare-and-swap only below the slots, or
 	// inherits the slot of a call that ends. Queued changes under mutex only.
 	word atomic.Uint64
-	// stuck are the running calls that were found to hang.
-	stuck atomic.Int64
+	// hung are the running calls that were found to hang.
+	hung atomic.Int64
 	// runningWork is how long the running calls were expected to run, in nanoseconds.
 	runningWork atomic.Int64
 	// slots may be changed while calls run.
@@ -248,8 +248,8 @@
 		return
 	}
 	ticket.ended = true
-	if ticket.stuck.Swap(stuckNoMore) == stuckNow {
-		g.stuck.Add(-1)
+	if ticket.hung.Swap(hungNoMore) == hungNow {
+		g.hung.Add(-1)
 	}
 	g.runningWork.Add(-int64(ticket.expected))
 	if ran && !ticket.Unmeasured {
--- a/internal/core/admission/occupied_test.go
+++ b/internal/core/admission/occupied_test.go
@@ -135,7 +135,7 @@
 	}
 	check.Equal(len(soon.settled), 1)
 	gate.Done(0, started[0], true)
-	check.Equal(gate.stuck.Load(), int64(3))
+	check.Equal(gate.hung.Load(), int64(3))
 	gate.Hangs(0, started[0])
-	check.Equal(gate.stuck.Load(), int64(3))
+	check.Equal(gate.hung.Load(), int64(3))
 }
--- a/internal/core/admission/waiting.go
+++ b/internal/core/admission/waiting.go
@@ -83,19 +83,20 @@
 	}
 }
 
-// The states of Ticket.stuck.
+// The states of Ticket.hung; 0 for a call that was not found to hang. One that has ended is not
+// found to hang any more, so that it is never counted for good.
 const (
-	stuckNow    = 1
-	stuckNoMore = 2
+	hungNow    = 1
+	hungNoMore = 2
 )
 
 // Hangs says that a started call was found to hang: its slot changes hands late, so what waits
 // waits longer, and what can't start in time is refused at once.
 func (g *Gate) Hangs(now time.Duration, ticket *Ticket) {
-	if !ticket.stuck.CompareAndSwap(0, stuckNow) {
+	if !ticket.hung.CompareAndSwap(0, hungNow) {
 		return
 	}
-	g.stuck.Add(1)
+	g.hung.Add(1)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.shedHopeless(now)
@@ -121,7 +122,7 @@
 // its lane ahead of it: the first slot is free when one of the running calls ends, and
 // what is ahead fills the slots. It is 0 until a service time is known.
 func (g *Gate) expectedWait(of *lane, ahead time.Duration) time.Duration {
-	rate := max(float64(g.limit()-g.stuck.Load()), leastRate) * g.queue.share(of)
+	rate := max(float64(g.limit()-g.hung.Load()), leastRate) * g.queue.share(of)
 	return time.Duration(float64(g.meanRunning()+ahead) / rate)
 }
 
--- a/internal/core/endpoint/endpoint.go
+++ b/internal/core/endpoint/endpoint.go
@@ -93,8 +93,8 @@
 	leavingSequence atomic.Uint64
 	// recordAt is when the present record of the daemon came.
 	recordAt atomic.Int64
-	// coldUntil is until when the gate of a cold back end has no start for calls of each class.
-	coldUntil [warmup.Classes]atomic.Int64
+	// noStartUntil is until when the gate of a cold back end has no start for calls of each class.
+	noStartUntil [warmup.Classes]atomic.Int64
 	// refusingUntil holds a refusal for load.
 	refusingUntil atomic.Int64
 	// readyAt is when the endpoint was first seen by this process.
@@ -254,7 +254,7 @@
 func (e *Endpoint) share(now time.Duration) float64 {
 	age := now - time.Duration(e.stats.readyAt.Load())
 	if e.ColdRate > 0 {
-		return e.coldShareOf()
+		return e.shareWhileCold()
 	}
 	if age >= warmUp && e.State != protocol.EndpointWarming {
 		return 1
--- a/internal/core/endpoint/near_test.go
+++ b/internal/core/endpoint/near_test.go
@@ -33,7 +33,7 @@
 	check := is.New(t)
 	backends, members := fixture(sameZone(1)...)
 	set := Build(nil, home, backends, members, 0)
-	set.ChooseAt(0, "b0", nil).Cold(0, time.Second, 0)
+	set.ChooseAt(0, "b0", nil).RefusedAsCold(0, time.Second, 0)
 	check.Equal(set.ChooseAt(0, "b0", nil), nil)
 	check.True(set.ChooseAt(time.Second, "b0", nil) != nil)
 }
--- a/internal/core/endpoint/warmth.go
+++ b/internal/core/endpoint/warmth.go
@@ -8,24 +8,25 @@
 	"github.com/springstack/springstack/internal/core/warmup"
 )
 
-// leastColdShare keeps a cold endpoint from looking infinitely loaded.
+// leastColdShare is the least part of its slots that a cold endpoint counts for: with none it
+// would look infinitely loaded.
 const leastColdShare = 0.02
 
-// cold tells whether the endpoint is cold and its service states what it bears then.
+// cold tells whether the endpoint is cold and its service states what one bears then.
 func (e *Endpoint) cold() bool { return e.ColdRate > 0 && e.State == protocol.EndpointWarming }
 
-// Cold is called when the gate has refused a call of a class because its back end is cold,
-// with the time until it has a start. It has none for calls of lower classes either.
-func (e *Endpoint) Cold(now, wait time.Duration, class int) {
+// RefusedAsCold is called when the gate has refused a call of a class because its back end is
+// cold, with the time until it has a start. It has none for calls of lower classes either.
+func (e *Endpoint) RefusedAsCold(now, wait time.Duration, class int) {
 	until := int64(now + min(max(wait, 0), leavingLife))
 	for refused := range warmup.ClassOf(class) + 1 {
-		e.stats.coldUntil[refused].Store(until)
+		e.stats.noStartUntil[refused].Store(until)
 	}
 }
 
 // coldWait is how long the gate has no start for a call of a class; 0 when it may have one.
 func (e *Endpoint) coldWait(now time.Duration, class int) time.Duration {
-	return max(time.Duration(e.stats.coldUntil[warmup.ClassOf(class)].Load())-now, 0)
+	return max(time.Duration(e.stats.noStartUntil[warmup.ClassOf(class)].Load())-now, 0)
 }
 
 // shut tells whether the gate has said that it takes no call now, or none but urgent ones.
@@ -33,8 +34,8 @@
 	return e.leaving(now) || e.coldWait(now, 0) > 0
 }
 
-// coldShareOf is what a cold endpoint bears of what its slots would run were it warm.
-func (e *Endpoint) coldShareOf() float64 {
+// shareWhileCold is what a cold endpoint bears of what its slots would run were it warm.
+func (e *Endpoint) shareWhileCold() float64 {
 	if !e.cold() {
 		return 1
 	}
@@ -45,8 +46,8 @@
 	return min(max(e.ColdRate*service.Seconds()/float64(max(e.Slots, 1)), leastColdShare), 1)
 }
 
-// rate is how many calls a second the endpoint gets of all callers: by Little's law, the calls
-// there by the time that each runs. 0 means not known.
+// rate is how many calls a second the endpoint gets from all callers: by Little's law, the calls
+// there divided by the time that each runs. 0 means not known.
 func (e *Endpoint) rate(now time.Duration) float64 {
 	service := time.Duration(e.stats.service.Load())
 	if service <= 0 {
--- a/internal/core/warmup/collapse_test.go
+++ b/internal/core/warmup/collapse_test.go
@@ -199,7 +199,7 @@
 func (w *world) settle(c *call, chosen *endpoint.Endpoint, u *upstream, start int, ticket *admission.Ticket, verdict admission.Verdict) {
 	if verdict.State == admission.StateRefused {
 		if verdict.Code == result.WarmingUp {
-			chosen.Cold(w.now, verdict.RetryAfter, warmup.Classes-1)
+			chosen.RefusedAsCold(w.now, verdict.RetryAfter, warmup.Classes-1)
 			chosen.End(w.now, endpoint.Withdrawn)
 		} else {
 			chosen.End(w.now, endpoint.Full)
--- a/internal/proxy/judge.go
+++ b/internal/proxy/judge.go
@@ -127,7 +127,7 @@
 		made.evidence = endpoint.Leaving
 	case result.WarmingUp:
 		made.evidence = endpoint.Withdrawn
-		made.chosen.Cold(c.proxy.config.Clock(), made.outcome.RetryAfter, c.class())
+		made.chosen.RefusedAsCold(c.proxy.config.Clock(), made.outcome.RetryAfter, c.class())
 	case result.QueueFull, result.DeadlineBeforeStart, result.Shed, result.ShareExceeded, result.Overloaded:
 		made.evidence = endpoint.Full
 	case result.ConnectFailed:
