Gate's bounds, word, store: names say what they hold

Evacuated stood apart from the bits that it is one of, and takeEvacuations did not say of what its time is.

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -18,12 +18,11 @@
 	runningMask = 1<<runningBits - 1
 	queuedUnit  = 1 << runningBits
 	queuedMask  = runningMask << runningBits
-	drainingBit = 1 << 63
-	closedBit   = 1 << 62
 
+	drainingBit  = 1 << 63
+	closedBit    = 1 << 62
 	evacuatedBit = 1 << 61
-
-	refusingAny = drainingBit | closedBit | evacuatedBit
+	refusingAny  = drainingBit | closedBit | evacuatedBit
 )
 
 // waitShare is the most of a call's remaining time that it may be expected to
--- a/internal/hosted/evacuations.go
+++ b/internal/hosted/evacuations.go
@@ -22,7 +22,8 @@
 	return m.evacuations.Orders().Evacuates(m.self.Zone)
 }
 
-// takeEvacuations takes a peer's word of orders, which was true at a time.
+// takeEvacuations takes a peer's word of orders. Its age counts from a time: that at which it
+// came, or at which it was asked for, so that no reading looks newer than it is.
 func (m *mesh) takeEvacuations(at time.Duration, source string, word evacuation.Word) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
--- a/internal/proxy/backendbounds.go
+++ b/internal/proxy/backendbounds.go
@@ -24,16 +24,16 @@
 	connections atomic.Int64
 	// longest is how long a call to it may take, by the routes in force, in nanoseconds.
 	longest atomic.Int64
-	// probed is what the back end told with its last probe that it holds, with that; 0 when it
-	// has told nothing.
-	probed atomic.Int64
+	// toldHeld is how many calls the back end held by its answer to the last probe, the probe
+	// among them; 0 when it has told nothing.
+	toldHeld atomic.Int64
 	// found is the start that this daemon found beside it, until it is known what an earlier
 	// start of the daemon may have left there; nil afterwards.
 	found atomic.Pointer[protocol.BackendStart]
-	// startedAt is when this daemon started: by the clock of the machine, which is also that
-	// of the back end's own word, and by the proxy's.
-	startedAt   time.Time
-	startedFrom time.Duration
+	// startedByMachine is when this daemon started by the clock of the machine, by which the
+	// back end tells its own start; startedByClock is the same by the proxy's clock.
+	startedByMachine time.Time
+	startedByClock   time.Duration
 	// applying lets one bound be put in force at a time.
 	applying sync.Mutex
 }
@@ -49,8 +49,8 @@
 	p.expectLeftBehind()
 }
 
-// boundCalls keeps the calls at the back end within its slots and, one connection each, within
-// what is left of its connections.
+// boundCalls keeps the calls at the back end within its slots and, since each takes a connection,
+// within the connections that it takes less the spare ones.
 func (p *Proxy) boundCalls() {
 	p.bounds.applying.Lock()
 	defer p.bounds.applying.Unlock()
@@ -80,27 +80,28 @@
 }
 
 // expectLeftBehind has the gate expect calls of an earlier start of this daemon at the back end
-// that it found, if that is older than this daemon. They were sent before this one started, so
-// they are over when the longest call is; that is not known before routes are.
+// that it found, if that is older than this daemon. They were sent before this daemon started, so
+// they are over once the longest call may be. It does nothing before routes tell how long that is.
 func (p *Proxy) expectLeftBehind() {
 	longest := time.Duration(p.bounds.longest.Load())
 	if longest <= 0 {
 		return
 	}
 	start := p.bounds.found.Swap(nil)
-	if start == nil || start.Born > p.bounds.startedAt.UnixMilli() {
+	if start == nil || start.Born > p.bounds.startedByMachine.UnixMilli() {
 		return
 	}
 	now := p.config.Clock()
-	probed := p.bounds.probed.Load()
-	p.gate.LeaveBehind(now, p.bounds.startedFrom+longest+p.limits.CancelWait, int(probed)-1)
+	told := p.bounds.toldHeld.Load()
+	until := p.bounds.startedByClock + longest + p.limits.CancelWait
+	p.gate.LeaveBehind(now, until, int(told)-1) // the probe was not left behind
 	p.event("calls_left_behind", textField("backend", start.Instance), bornField(*start),
-		textField("occupied", number(p.gate.Load().Running)), textField("told", strconv.FormatBool(probed > 0)))
+		textField("occupied", number(p.gate.Load().Running)), textField("told", strconv.FormatBool(told > 0)))
 }
 
-// BackendHolds takes the back end's word, given with a probe before it got any call of this
-// daemon, that it holds a number of calls, of which the probe itself is one.
-func (p *Proxy) BackendHolds(count int) { p.bounds.probed.Store(max(int64(count), 1)) }
+// BackendHolds takes the back end's word, given with a probe, that it holds a number of calls, of
+// which the probe itself is one. It tells what was left behind until the daemon sends calls.
+func (p *Proxy) BackendHolds(count int) { p.bounds.toldHeld.Store(max(int64(count), 1)) }
 
 // BackendProbe tells the gate that the back end is asked, until what it returns is called.
 func (p *Proxy) BackendProbe() (ended func()) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -122,7 +122,7 @@
 	p.backend.linger = p.limits.CancelWait
 	p.backend.takesUnframed = p.config.Edge != nil
 	p.bounds.slots.Store(int64(p.config.Slots))
-	p.bounds.startedAt, p.bounds.startedFrom = time.Now(), p.config.Clock()
+	p.bounds.startedByMachine, p.bounds.startedByClock = time.Now(), p.config.Clock()
 	p.transfers = newTransfers()
 	go p.watchBackend()
 	p.health = newHealth(p)
