--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -7,39 +7,10 @@
 	"time"
 
 	"github.com/springstack/springstack/internal/core/callclass"
-	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/warmup"
 	"github.com/springstack/springstack/internal/result"
 )
 
-// PartnerWeight is the relative share of a partner.
-type PartnerWeight struct {
-	Partner resource.Partner
-	Weight  float64
-}
-
-// Config bounds a gate.
-type Config struct {
-	// Slots is how many calls run at once.
-	Slots int
-	// QueueLength bounds the calls that wait.
-	QueueLength int
-	// QueueWait bounds the expected wait of a call that is queued.
-	QueueWait time.Duration
-	// KeyWindow and KeyCount bound the memory of started keys.
-	KeyWindow time.Duration
-	KeyCount  int
-	// RequestWindow and RequestCount bound the memory of the ids of attempts;
-	// those of the keys are used when they are 0.
-	RequestWindow time.Duration
-	RequestCount  int
-	// Weights are the partners' shares; 1 for those not listed.
-	Weights []PartnerWeight
-	// NoEstimate refuses no call for its expected wait, and lets deadlines pass
-	// in the queue. It is for comparisons only.
-	NoEstimate bool
-}
-
 // The word of a gate packs what must change together: the draining, closed and
 // evacuated bits, the calls queued and the calls running.
 const (
@@ -47,12 +18,11 @@
 	runningMask = 1<<runningBits - 1
 	queuedUnit  = 1 << runningBits
 	queuedMask  = runningMask << runningBits
-	drainingBit = 1 << 63
-	closedBit   = 1 << 62
 
+	drainingBit  = 1 << 63
+	closedBit    = 1 << 62
 	evacuatedBit = 1 << 61
-
-	refusingAny = drainingBit | closedBit | evacuatedBit
+	refusingAny  = drainingBit | closedBit | evacuatedBit
 )
 
 // waitShare is the most of a call's remaining time that it may be expected to
@@ -70,8 +40,8 @@
 	// by a start: a start adds one by compare-and-swap only below the slots, or
 	// inherits the slot of a call that ends. Queued changes under mutex only.
 	word atomic.Uint64
-	// stuck are the running calls that were found to hang.
-	stuck atomic.Int64
+	// hung are the running calls that were found to hang.
+	hung atomic.Int64
 	// runningWork is how long the running calls were expected to run, in nanoseconds.
 	runningWork atomic.Int64
 	// slots may be changed while calls run.
@@ -277,8 +247,8 @@
 		return
 	}
 	ticket.ended = true
-	if ticket.stuck.Swap(stuckNoMore) == stuckNow {
-		g.stuck.Add(-1)
+	if ticket.hung.Swap(hungNoMore) == hungNow {
+		g.hung.Add(-1)
 	}
 	g.runningWork.Add(-int64(ticket.expected))
 	if ran && !ticket.Unmeasured {
