A refusal for want of a route tells how fresh its version is

What callers saw: 404 for a route of a version that was acknowledged seconds before. The log could not tell the hypotheses of the incident apart: the line of such a refusal named neither the version in force nor when the daemon had last heard of a newer one. It now tells the version, how long and by which source it is in force, how long the present watch has waited, and when the store, a poll and a peer were last heard; the metric heard_age_seconds tells the same. No decision has changed.

--- a/internal/hosted/configuration.go
+++ b/internal/hosted/configuration.go
@@ -7,12 +7,15 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/springstack/springstack/internal/authority"
 	"github.com/springstack/springstack/internal/core/following"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/snapshot"
 	"github.com/springstack/springstack/internal/pause"
+	"github.com/springstack/springstack/internal/proxy"
 	"github.com/springstack/springstack/internal/result"
 )
 
@@ -46,8 +49,13 @@
 	follower *following.Follower
 	// calls counts the calls to the store.
 	calls *storeCalls
-	// changedAt is when the version in force came.
+	// changedAt is when the version in force came, and changedBy its source.
 	changedAt time.Duration
+	changedBy string
+	// watchedAt is when the watch that waits began; 0 while none waits.
+	watchedAt time.Duration
+	// contact keeps when the store and peers were last heard.
+	contact *contact
 	// storeLost is set while the store does not answer.
 	storeLost bool
 }
@@ -175,6 +183,9 @@
 		return false
 	}
 	c.calls.note(purposePoll, reading.Code)
+	if reading.Code == result.OK {
+		c.contact.note(contactPoll)
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.carryOut(c.follower.StorePolled(c.clock(), reading))
@@ -193,14 +204,42 @@
 	var reading authority.Reading
 	if action.Kind == following.Watch {
 		purpose = purposeWatch
+		c.noteWatch(c.clock())
 		reading = c.source.Watch(ctx, action.From, watchWait)
+		c.noteWatch(0)
 	} else {
 		reading = c.source.Read(ctx, action.Freshness)
 	}
 	c.calls.note(purpose, reading.Code)
+	if reading.Code == result.OK || reading.Code == result.PlatformCompacted {
+		c.contact.note(contactWatch)
+	}
 	return reading
 }
 
+// noteWatch notes when the watch that waits began; 0 says that it has ended.
+func (c *configuration) noteWatch(began time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.watchedAt = began
+}
+
+// freshness tells, for the log of a decision by the version in force, how that came and when
+// each source of newer ones was last heard.
+func (c *configuration) freshness() []proxy.EventField {
+	c.mutex.Lock()
+	source, age, watched := c.changedBy, c.clock()-c.changedAt, c.watchedAt
+	c.mutex.Unlock()
+	fields := []eventField{field("version_age_ms", milliseconds(age)), field("version_source", source)}
+	if watched != 0 {
+		fields = append(fields, field("watch_waits_ms", milliseconds(c.clock()-watched)))
+	}
+	fields = append(fields, c.contact.fields()...)
+	return lo.Map(fields, func(one eventField, _ int) proxy.EventField {
+		return proxy.EventField{Key: one.key, Value: one.value}
+	})
+}
+
 // noteStore logs when the store is lost and regained; the lock is held.
 func (c *configuration) noteStore(reading authority.Reading) {
 	lost := reading.Code != result.OK && reading.Code != result.PlatformCompacted
@@ -228,6 +267,7 @@
 			c.built.Store(built)
 			c.inForce.Store(&document)
 			c.changedAt = c.clock()
+			c.changedBy = action.Source
 		}
 	}
 	if err != nil {
--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -36,6 +36,8 @@
 	// incarnation tells this start from earlier ones.
 	incarnation protocol.Incarnation
 	storeCalls  storeCalls
+	// contact keeps when the store and peers were last heard.
+	contact *contact
 	// roundTrips estimates how long peers take to answer.
 	roundTrips roundtrip.Estimator
 
@@ -65,6 +67,7 @@
 		context:     ctx,
 		cancel:      cancel,
 	}
+	made.contact = newContact(made.clock)
 	made.events = newEventLog(options.Logger, checked.Node.ID, made.clock)
 	made.requests = newRequestLog(made.events)
 	made.provide()
@@ -117,6 +120,7 @@
 		WarmUp:               warmup.Terms(d.settings.WarmUp),
 		Log:                  d.logPath,
 		Trace:                d.requests,
+		Freshness:            func() []proxy.EventField { return d.configuration.freshness() },
 		Timings: proxy.Timings{
 			Caller:  d.timings.Caller.Seconds,
 			Turn:    d.timings.Turn.Seconds,
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -64,7 +64,7 @@
 	made := &follower{}
 	clock := func() time.Duration { return time.Minute }
 	made.configuration = &configuration{
-		source: scriptedSource{}, clock: clock, calls: &storeCalls{},
+		source: scriptedSource{}, clock: clock, calls: &storeCalls{}, contact: newContact(clock),
 		events:   newEventLog(logging.NewTo(&made.log, log.InfoLevel), "n", clock),
 		swap:     func(built *snapshot.Snapshot) { made.swapped = append(made.swapped, built.Version) },
 		limit:    func(authority.RequestLimits) {},
@@ -129,6 +129,7 @@
 	cancel() // no loop runs and nothing is sent
 	made := &mesh{
 		clock:      func() time.Duration { return 0 },
+		contact:    newContact(func() time.Duration { return 0 }),
 		publish:    func(proxy.MeshState) {},
 		harmful:    proxy.New(proxy.Config{Clock: func() time.Duration { return 0 }}),
 		rollouts:   newRolloutTable(0),
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -51,6 +51,7 @@
 	clock    func() time.Duration
 	registry authority.Registry
 	calls    *storeCalls
+	contact  *contact
 	client   *control.Client
 	// publish gives the data path what is known of the others.
 	publish func(proxy.MeshState)
@@ -241,6 +242,7 @@
 	defer m.mutex.Unlock()
 	if answered {
 		m.heardAt = m.clock()
+		m.contact.note(contactPeer)
 	}
 	if m.lost[target.ID] == !answered {
 		return
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -35,6 +35,11 @@
 	metrics.Ready.Send(out, ready)
 	metrics.Version.Send(out, float64(c.daemon.configuration.version()))
 	metrics.VersionAge.Send(out, c.daemon.configuration.age().Seconds())
+	for source, name := range contactNames {
+		if age, ever := c.daemon.contact.age(contactSource(source)); ever {
+			metrics.HeardAge.Send(out, age.Seconds(), name)
+		}
+	}
 	metrics.Members.Send(out, float64(c.daemon.mesh.size()))
 	metrics.PeersLost.Send(out, float64(c.daemon.mesh.lostCount()))
 	metrics.LogLinesDropped.Send(out, float64(c.daemon.linesDropped()))
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -51,6 +51,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.heardAt = m.clock()
+	m.contact.note(contactPeer)
 	reply := &protocol.ExchangeReply{
 		Version: m.version(), Rollouts: m.rollouts.records(m.clock()), Harmful: m.harmfulFor(request.HarmfulSum),
 		Evacuations: m.evacuations.Word(m.clock()),
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -140,6 +140,7 @@
 		registry:   d.options.Platform.Registry,
 		client:     control.NewClient(nil, controlLimits(), control.NewMeter()),
 		calls:      &d.storeCalls,
+		contact:    d.contact,
 		publish:    path.PublishState,
 		roundTrips: &d.roundTrips,
 		harmful:    path.Proxy,
@@ -180,6 +181,7 @@
 		askPeer:  m.askDocument,
 		context:  d.context,
 		calls:    &d.storeCalls,
+		contact:  d.contact,
 		follower: following.New(following.ConfigFor(d.settings.Authority.Apply()), randomNumber),
 	}
 }
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -170,7 +170,7 @@
 	{"request_turn", log.InfoLevel,
 		"A request waited for its turn behind others of its connection, for a second or as one of the sample; ahead tells whether it ran meanwhile.", nothing},
 	{"request_turned_away", log.InfoLevel,
-		"A request was refused before any attempt: it did not run.", "Code 400: no such route in the version in force; 401: no configuration yet."},
+		"A request was refused before any attempt: it did not run.", "Code 400: no such route in the version in force; how that came and when each source was last heard follow. 401: no configuration yet."},
 	{"requests_summary", log.InfoLevel,
 		"What came since the last summary.", nothing},
 	{"rollout_decided", log.InfoLevel,
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -100,6 +100,10 @@
 		"Stage of the newest order of a service: 1 canary, 2 shift, 3 halted, 4 rolled back, 5 completed.",
 		"3 or 4: see OPERATIONS.md, a roll-out was rolled back.",
 		"service", "target")
+	HeardAge = define(Gauge, "heard_age_seconds",
+		"How long ago a source of configurations was last heard: store (by the watch), poll (by a read beside it), peer; in seconds.",
+		"Store above 11 s, or peer above some seconds: nothing new comes that way.",
+		"source")
 	EvacuatedZoneDaemons = define(Gauge, "evacuated_zone_daemons",
 		"Daemons in a zone that is to be empty, with the code of what is wrong with the order; 0 for nothing.",
 		"0 daemons or another code: correct the order; see OPERATIONS.md, emptying a zone.",
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -82,6 +82,9 @@
 	Log func(Event)
 	// Trace takes the decisions that touch requests; nil for none.
 	Trace Trace
+	// Freshness tells, for the log of a refusal by the version in force, how that came and how
+	// fresh it is. Nil tells nothing.
+	Freshness func() []EventField
 	// Timings take durations; nil functions for none.
 	Timings Timings
 }
--- a/internal/proxy/trace.go
+++ b/internal/proxy/trace.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/springstack/springstack/internal/core/endpoint"
+	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/retry"
 	"github.com/springstack/springstack/internal/result"
 )
@@ -108,7 +109,7 @@
 		textField("service", c.service.Name),
 	}
 	if held := c.proxy.view.Load().snapshot; held != nil {
-		fields = append(fields, textField("version", strconv.FormatUint(uint64(held.Version), 10)))
+		fields = append(fields, versionField(held.Version))
 	}
 	return fields
 }
@@ -172,16 +173,36 @@
 // traceTurnedAway writes the refusal of a request before it became a call.
 func (p *Proxy) traceTurnedAway(request *http.Request, refusal Refusal) {
 	p.traced("request_turned_away", func() []EventField {
-		return []EventField{
+		fields := []EventField{
 			textField("request", p.requestID(request.Header)),
 			textField("host", request.Host),
 			textField("code", number(int(refusal.Code))),
 			textField("name", refusal.Code.Name()),
 			p.drainField(),
 		}
+		if refusal.Code != result.NoRoute {
+			return fields
+		}
+		return append(fields, p.versionFields()...)
 	})
 }
 
+// versionFields tell by which version a decision was made, and how fresh that is.
+func (p *Proxy) versionFields() []EventField {
+	var fields []EventField
+	if held := p.view.Load().snapshot; held != nil {
+		fields = append(fields, versionField(held.Version))
+	}
+	if p.config.Freshness != nil {
+		fields = append(fields, p.config.Freshness()...)
+	}
+	return fields
+}
+
+func versionField(version protocol.Version) EventField {
+	return textField("version", strconv.FormatUint(uint64(version), 10))
+}
+
 // traceAnswer writes the end of a call that was answered, if it failed, was cut
 // or is one of the sample.
 func (c *callerCall) traceAnswer(tried *attempt, err error) {
