Connections that fell silent without a reset are found and made anew

Cause: a watch that hears nothing was given up after 11 s only, a read of the store after 1.5 s with twice the pause behind it, a call between daemons after 0.5 s; and what one dead connection says of the others was not heeded. Class: a belief about the freshness of what is known that leans on a connection which can die without a sign.

Change: a reading call to the store, or a call to a peer, whose connection owes an answer for 200 ms (or what answers took lately) is made once more over a new connection. When that one is answered and the old one is not, the old one is dead, and all connections opened before are given up: the watches of configuration and orders are made again, control connections and idle ones to gates and to the back end are not used any more. A version that comes from a poll or a peer and not by the watch within a quarter of the time to apply has the watch made again. No call more while nothing is wrong.

Two tests of the follower expected an adoption alone; they expect the look at the watch behind it too.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -63,6 +63,14 @@
 	Document Document
 }
 
+// Err is the failure of a reading; nil for none.
+func (r Reading) Err() error {
+	if r.Code == result.OK {
+		return nil
+	}
+	return result.New(r.Code, "%s", r.Detail)
+}
+
 // Freshness is how new an answer of the store must be.
 type Freshness int
 
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -18,6 +18,8 @@
 	secure *tls.Config
 	limits Limits
 	meter  *Meter
+	// hedge is for the client's calls; without After they are not hedged.
+	hedge Hedge
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -33,9 +35,23 @@
 	rpc   *rpc.Client
 	wire  *wire
 	err   error
-	// calls and lastUsed are guarded by the client's mutex.
+	// opened is when the connection was made; written before ready is closed.
+	opened time.Time
+	// calls, lastUsed and retired are guarded by the client's mutex.
 	calls    int
 	lastUsed time.Time
+	// retired says that no more calls are made over it; the last one closes it.
+	retired bool
+}
+
+// isOpen tells whether the connection has been made.
+func (l *link) isOpen() bool {
+	select {
+	case <-l.ready:
+		return l.err == nil
+	default:
+		return false
+	}
 }
 
 // NewClient returns a client. secure is for mutual TLS; nil calls in the
@@ -59,8 +75,7 @@
 // protocol request; the answer is a pointer to the matching reply. After an
 // error the call may have had its effect, unless Sent(err) is false.
 func (c *Client) Call(ctx context.Context, address string, body any) (any, error) {
-	method, reply := methodFor(body)
-	if method == "" {
+	if method, _ := methodFor(body); method == "" {
 		return nil, notSent{result.New(result.Internal, "%T is not a request", body)}
 	}
 	peer, err := c.acquire(ctx, address)
@@ -68,19 +83,11 @@
 		return nil, notSent{err}
 	}
 	defer c.release(peer)
-	began := time.Now()
-	call := peer.rpc.Go(method, body, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-		if call.Error != nil {
-			c.dropBroken(address, peer, call.Error)
-			return nil, call.Error
-		}
-		return reply, nil
-	case <-ctx.Done():
-		c.dropSilent(address, peer, began)
-		return nil, ctx.Err()
+	sent := send(address, peer, body)
+	if c.hedge.After == nil {
+		return c.await(ctx, sent)
 	}
+	return c.awaitHedged(ctx, sent, body)
 }
 
 // notSent marks errors of calls that certainly did not leave.
@@ -149,7 +156,11 @@
 	c.mutex.Lock()
 	peer.calls--
 	peer.lastUsed = time.Now()
+	ended := peer.retired && peer.calls == 0
 	c.mutex.Unlock()
+	if ended {
+		peer.close()
+	}
 }
 
 // connect dials a peer on behalf of all calls that wait for it.
@@ -164,6 +175,7 @@
 		c.forget(address, peer)
 		return
 	}
+	peer.opened = time.Now()
 	peer.wire = newWire(connection, c.limits, c.limits.ReplyBytes, c.meter)
 	codec := &clientCodec{wire: peer.wire, kinds: make(map[uint64]Kind)}
 	peer.rpc = rpc.NewClientWithCodec(codec)
@@ -210,12 +222,12 @@
 // dropSilent closes a connection on which nothing was heard since a call that
 // ran out of time began: the peer hangs or is cut off, and calls left pending
 // there would pile up.
-func (c *Client) dropSilent(address string, peer *link, began time.Time) {
-	if peer.wire.lastHeard.Load() > began.UnixNano() {
+func (c *Client) dropSilent(sent sentCall) {
+	if !sent.silent() {
 		return
 	}
-	c.forget(address, peer)
-	peer.close()
+	c.forget(sent.address, sent.peer)
+	sent.peer.close()
 }
 
 func (c *Client) forget(address string, peer *link) {
--- a/internal/core/following/following.go
+++ b/internal/core/following/following.go
@@ -65,6 +65,8 @@
 	AskPeer
 	// Adopt puts Action.Document in force, if it can be decoded.
 	Adopt
+	// Rewatch makes the watch of Action.Turn again over a new connection, if it still waits then.
+	Rewatch
 )
 
 // Action is one thing to do.
@@ -73,6 +75,8 @@
 	// After is the pause before it.
 	After time.Duration
 	From  authority.Position
+	// Turn tells the follower's watches apart.
+	Turn uint64
 	// Freshness is that of Read.
 	Freshness authority.Freshness
 	Peer      protocol.NodeID
@@ -100,6 +104,9 @@
 	version protocol.Version
 	// position is the newest position of the store that was read.
 	position authority.Position
+	// turn is that of the newest watch; watching is set while it waits.
+	turn     uint64
+	watching bool
 	// failures counts the store's failures in a row.
 	failures int
 	// answered is set once the store has answered at all.
@@ -129,6 +136,7 @@
 // that lags behind what was read before; it goes on from the latter.
 func (f *Follower) StoreRead(now time.Duration, reading authority.Reading) []Action {
 	actions := f.offer(now, reading.Document, SourceStore)
+	f.watching = false
 	switch reading.Code {
 	case result.OK:
 		f.failures = 0
@@ -144,13 +152,28 @@
 	pause := max(0, f.watchedAt+f.config.Pace-now)
 	f.watchedAt = now + pause
 	f.position = max(f.position, reading.At)
-	return append(actions, Action{Kind: Watch, From: f.position, After: pause})
+	f.turn++
+	f.watching = true
+	return append(actions, Action{Kind: Watch, From: f.position, Turn: f.turn, After: pause})
 }
 
 // StorePolled takes the result of a read that was made besides the watch: a
 // watch may be silent about a change, a linearizable read is not.
 func (f *Follower) StorePolled(now time.Duration, reading authority.Reading) []Action {
-	return f.offer(now, reading.Document, SourcePoll)
+	return f.offerPast(now, reading.Document, SourcePoll)
+}
+
+// WatchWaits tells whether the watch of a turn has not been answered yet.
+func (f *Follower) WatchWaits(turn uint64) bool { return f.watching && f.turn == turn }
+
+// offerPast takes a document that did not come by the watch. One that the watch does not tell of
+// within a pace shows that the watch hears nothing, or lags.
+func (f *Follower) offerPast(now time.Duration, document authority.Document, source string) []Action {
+	actions := f.offer(now, document, source)
+	if len(actions) == 0 || !f.watching {
+		return actions
+	}
+	return append(actions, Action{Kind: Rewatch, Turn: f.turn, After: f.config.Pace})
 }
 
 // Lacks tells whether a version is newer than all that were handed out.
@@ -186,7 +209,7 @@
 // PeerAnswered takes a peer's document; one without a version is none.
 func (f *Follower) PeerAnswered(now time.Duration, peer protocol.NodeID, document authority.Document) []Action {
 	delete(f.asking, peer)
-	return f.offer(now, document, SourcePeer)
+	return f.offerPast(now, document, SourcePeer)
 }
 
 // backoff is the pause after the present failure.
--- a/internal/core/following/following_test.go
+++ b/internal/core/following/following_test.go
@@ -77,7 +77,7 @@
 	check.Equal(kinds(follower.PeerVersion(0, "p", 5)), nil)
 	check.Equal(kinds(follower.PeerVersion(0, "p", 6)), []ActionKind{AskPeer})
 	check.Equal(kinds(follower.PeerVersion(0, "p", 6)), nil)
-	check.Equal(kinds(follower.PeerAnswered(0, "p", authority.Document{Version: 6})), []ActionKind{Adopt})
+	check.Equal(kinds(follower.PeerAnswered(0, "p", authority.Document{Version: 6})), []ActionKind{Adopt, Rewatch})
 	check.Equal(kinds(follower.PeerVersion(0, "p", 7)), []ActionKind{AskPeer})
 	check.Equal(kinds(follower.PeerAnswered(0, "p", authority.Document{})), nil)
 }
@@ -88,7 +88,7 @@
 	follower.StoreRead(0, reading(5, 5))
 	check.Equal(kinds(follower.StorePolled(0, reading(5, 9))), nil)
 	check.Equal(kinds(follower.StorePolled(0, authority.Reading{Code: result.PlatformUnavailable})), nil)
-	check.Equal(kinds(follower.StorePolled(0, reading(6, 9))), []ActionKind{Adopt})
+	check.Equal(kinds(follower.StorePolled(0, reading(6, 9))), []ActionKind{Adopt, Rewatch})
 	check.True(!follower.Lacks(6))
 	check.True(follower.Lacks(7))
 }
@@ -159,3 +159,21 @@
 	check.Equal(DefaultConfig().Pace, 500*time.Millisecond)
 	check.Equal(ConfigFor(3*time.Second).Pace, 750*time.Millisecond)
 }
+
+// A watch that does not tell of what others know is made again over a new connection, once.
+func TestAWatchThatMissesAVersionIsMadeAgain(t *testing.T) {
+	check := is.New(t)
+	follower := newFollower()
+	first := follower.StoreRead(time.Minute, reading(5, 5))[1]
+	missed := follower.StorePolled(time.Minute, reading(6, 9))[1]
+	check.Equal(missed.Kind, Rewatch)
+	check.Equal(missed.Turn, first.Turn)
+	check.Equal(missed.After, DefaultConfig().Pace)
+	check.True(follower.WatchWaits(missed.Turn))
+	second := follower.StoreRead(time.Minute, reading(6, 9))[0]
+	check.True(!follower.WatchWaits(missed.Turn)) // it has been answered
+	check.True(follower.WatchWaits(second.Turn))
+	follower.StoreRead(time.Minute, authority.Reading{Code: result.PlatformUnavailable})
+	check.True(!follower.WatchWaits(second.Turn))
+	check.Equal(kinds(follower.StorePolled(time.Minute, reading(7, 12))), []ActionKind{Adopt}) // none waits
+}
--- a/internal/hosted/configuration.go
+++ b/internal/hosted/configuration.go
@@ -47,8 +47,11 @@
 	tickets  sync.WaitGroup
 	mutex    sync.Mutex
 	follower *following.Follower
-	// calls counts the calls to the store.
-	calls *storeCalls
+	// calls counts the calls to the store; reads makes those that are answered at once, connections
+	// those that wait.
+	calls       *storeCalls
+	reads       *storeReads
+	connections *connections
 	// changedAt is when the version in force came, and changedBy its source.
 	changedAt time.Duration
 	changedBy string
@@ -145,6 +148,10 @@
 	if !pause.For(c.context, action.After) {
 		return
 	}
+	if action.Kind == following.Rewatch {
+		c.rewatch(action.Turn)
+		return
+	}
 	if action.Kind == following.AskPeer {
 		document := c.askIfLacking(action)
 		c.mutex.Lock()
@@ -162,6 +169,16 @@
 	c.carryOut(c.follower.StoreRead(c.clock(), reading))
 }
 
+// rewatch makes a watch again over a new connection, unless it has been answered.
+func (c *configuration) rewatch(turn uint64) {
+	c.mutex.Lock()
+	waits, waited := c.follower.WatchWaits(turn), c.clock()-c.watchedAt
+	c.mutex.Unlock()
+	if waits {
+		c.connections.watchMissed(waited)
+	}
+}
+
 // askIfLacking asks a peer for its document, unless its version has come from
 // elsewhere meanwhile.
 func (c *configuration) askIfLacking(action following.Action) authority.Document {
@@ -176,13 +193,10 @@
 
 // poll reads the store besides the watch, and tells whether it answered.
 func (c *configuration) poll() bool {
-	ctx, cancel := context.WithTimeout(c.context, readTimeout)
-	defer cancel()
-	reading := c.source.Read(ctx, authority.Linearizable)
+	reading := c.readNow(purposePoll, authority.Linearizable)
 	if c.context.Err() != nil {
 		return false
 	}
-	c.calls.note(purposePoll, reading.Code)
 	if reading.Code == result.OK {
 		c.contact.note(contactPoll)
 	}
@@ -194,29 +208,39 @@
 
 // read makes one call to the store.
 func (c *configuration) read(action following.Action) authority.Reading {
-	bound := readTimeout
-	if action.Kind == following.Watch {
-		bound = watchWait + watchMargin
-	}
-	ctx, cancel := context.WithTimeout(c.context, bound)
-	defer cancel()
-	purpose := purposeRead
 	var reading authority.Reading
 	if action.Kind == following.Watch {
-		purpose = purposeWatch
-		c.noteWatch(c.clock())
-		reading = c.source.Watch(ctx, action.From, watchWait)
-		c.noteWatch(0)
+		reading = watched(c.connections, c.context, watchWait+watchMargin, func(ctx context.Context) authority.Reading {
+			return c.watch(ctx, action.From)
+		})
 	} else {
-		reading = c.source.Read(ctx, action.Freshness)
+		reading = c.readNow(purposeRead, action.Freshness)
 	}
-	c.calls.note(purpose, reading.Code)
 	if reading.Code == result.OK || reading.Code == result.PlatformCompacted {
 		c.contact.note(contactWatch)
 	}
 	return reading
 }
 
+// watch waits for a change after a position.
+func (c *configuration) watch(ctx context.Context, from authority.Position) authority.Reading {
+	c.noteWatch(c.clock())
+	defer c.noteWatch(0)
+	reading := c.source.Watch(ctx, from, watchWait)
+	c.calls.note(purposeWatch, reading.Code)
+	return reading
+}
+
+// readNow reads what the store holds now.
+func (c *configuration) readNow(purpose storePurpose, freshness authority.Freshness) authority.Reading {
+	reading, _ := readStore(c.reads, c.context, readTimeout, func(ctx context.Context) (authority.Reading, error) {
+		reading := c.source.Read(ctx, freshness)
+		c.calls.note(purpose, reading.Code)
+		return reading, reading.Err()
+	})
+	return reading
+}
+
 // noteWatch notes when the watch that waits began; 0 says that it has ended.
 func (c *configuration) noteWatch(began time.Duration) {
 	c.mutex.Lock()
--- /dev/null
+++ b/internal/hosted/connections.go
@@ -0,0 +1,131 @@
+package hosted
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/renewal"
+	"github.com/springstack/springstack/internal/core/roundtrip"
+	"github.com/springstack/springstack/internal/pause"
+)
+
+const (
+	// leastSilence is how long a connection that owes an answer may say nothing at least before
+	// a new one is tried beside it: longer than a busy daemon or store usually takes.
+	leastSilence = 200 * time.Millisecond
+	// mostSilence is that bound however slow answers were lately: with it, what waits for a
+	// daemon's comparison still comes within the time in which a version has to be in force.
+	mostSilence = 700 * time.Millisecond
+)
+
+// lateAnswer is how much later than the answer over a new connection the one over the old may come
+// without that being taken for dead: a store that stood still answers both at once.
+const lateAnswer = 100 * time.Millisecond
+
+// silenceAfter is how long a connection may owe an answer where answers take as long as estimated.
+func silenceAfter(answers *roundtrip.Estimator) time.Duration {
+	return min(max(answers.Timeout(), leastSilence), mostSilence)
+}
+
+// start begins the first epoch.
+func (c *connections) start() { c.epoch, c.endEpoch = context.WithCancel(c.context) }
+
+// connections has the long-lived connections of a daemon made anew when one of them was found
+// dead. It may be used by several goroutines.
+type connections struct {
+	events  eventLog
+	clock   func() time.Duration
+	context context.Context
+	running *sync.WaitGroup
+	// renew has calls from now on made over new connections, renewStore those to the store only.
+	// They must not block.
+	renew      func()
+	renewStore func()
+
+	mutex   sync.Mutex
+	decider renewal.Decider
+	// epoch ends with the next renewal, by endEpoch.
+	epoch    context.Context
+	endEpoch func()
+}
+
+// The places that connections lead to, in logs.
+const (
+	placeStore = "store"
+	placePeer  = "peer"
+)
+
+// dead takes that a connection to a place, opened at a time, was found dead.
+func (c *connections) dead(place string, opened time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	now := c.clock()
+	c.events.event("connection_dead", field("to", place), field("age_ms", milliseconds(now-opened)))
+	wait, renew := c.decider.Dead(now, opened)
+	if !renew || c.context.Err() != nil {
+		return
+	}
+	c.running.Go(func() {
+		if pause.For(c.context, wait) {
+			c.renewAll()
+		}
+	})
+}
+
+// renewAll makes all connections anew.
+func (c *connections) renewAll() {
+	c.renew()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.decider.Renew(c.clock())
+	c.nextEpoch()
+	c.events.event("connections_renewed")
+}
+
+// watchMissed takes that a watch which has waited for a time did not tell of a change that others
+// know. The connections to the store are made anew.
+func (c *connections) watchMissed(waited time.Duration) {
+	c.renewStore()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.nextEpoch()
+	c.events.event("watch_renewed", field("waited_ms", milliseconds(waited)))
+}
+
+// nextEpoch ends the waits of watches, so that they are made again; the lock is held.
+func (c *connections) nextEpoch() {
+	c.endEpoch()
+	c.epoch, c.endEpoch = context.WithCancel(c.context)
+}
+
+// untilRenewed is a context that ends with the next renewal too. renewed tells, once it has ended,
+// whether by that.
+func (c *connections) untilRenewed(parent context.Context) (ctx context.Context, renewed func() bool, cancel func()) {
+	c.mutex.Lock()
+	epoch := c.epoch
+	c.mutex.Unlock()
+	ctx, end := context.WithCancel(parent)
+	stop := context.AfterFunc(epoch, end)
+	renewed = func() bool { return epoch.Err() != nil && parent.Err() == nil }
+	return ctx, renewed, func() {
+		stop()
+		end()
+	}
+}
+
+// watched makes a watch that waits for a time at most, and makes it again over a new connection
+// whenever connections are renewed meanwhile.
+func watched[Answer any](c *connections, parent context.Context, bound time.Duration, watch func(context.Context) Answer) Answer {
+	for {
+		bounded, cancel := context.WithTimeout(parent, bound)
+		ctx, renewed, end := c.untilRenewed(bounded)
+		answer := watch(ctx)
+		again := renewed()
+		end()
+		cancel()
+		if !again {
+			return answer
+		}
+	}
+}
--- a/internal/hosted/evacuationreader.go
+++ b/internal/hosted/evacuationreader.go
@@ -156,11 +156,8 @@
 // after them.
 func (r *evacuationReader) read() (authority.Position, error) {
 	m := r.mesh
-	ctx, cancel := context.WithTimeout(m.context, min(readTimeout, r.timing.Within/2))
-	defer cancel()
 	began, known := m.clock(), r.position()
-	orders, faults, err := r.port.List(ctx)
-	m.calls.noteError(purposeEvacuation, err)
+	orders, faults, err := r.listOrders()
 	if err != nil {
 		return 0, err
 	}
@@ -175,6 +172,22 @@
 	return authority.Position(orders.At), nil
 }
 
+// listOrders lists the orders in the store, and what is wrong with them.
+func (r *evacuationReader) listOrders() (evacuation.Orders, map[string]error, error) {
+	type listing struct {
+		orders evacuation.Orders
+		faults map[string]error
+	}
+	m := r.mesh
+	bound := min(readTimeout, r.timing.Within/2)
+	listed, err := readStore(m.reads, m.context, bound, func(ctx context.Context) (listing, error) {
+		orders, faults, err := r.port.List(ctx)
+		m.calls.noteError(purposeEvacuation, err)
+		return listing{orders, faults}, err
+	})
+	return listed.orders, listed.faults, err
+}
+
 // position is the store's position of the orders that are known.
 func (r *evacuationReader) position() uint64 {
 	r.mesh.mutex.Lock()
@@ -185,12 +198,18 @@
 // watch waits for a change after a position and reads all orders when there is one: the
 // orders are taken whole or not at all.
 func (r *evacuationReader) watch(from authority.Position) (authority.Position, error) {
-	ctx, cancel := context.WithTimeout(r.mesh.context, orderWatchWait+watchMargin)
-	defer cancel()
-	changed, at, err := r.port.Watch(ctx, from, orderWatchWait)
-	r.mesh.calls.noteError(purposeEvacuation, err)
-	if err != nil || !changed {
-		return at, err
+	type change struct {
+		changed bool
+		at      authority.Position
+		err     error
+	}
+	news := watched(r.mesh.connections, r.mesh.context, orderWatchWait+watchMargin, func(ctx context.Context) change {
+		changed, at, err := r.port.Watch(ctx, from, orderWatchWait)
+		r.mesh.calls.noteError(purposeEvacuation, err)
+		return change{changed, at, err}
+	})
+	if news.err != nil || !news.changed {
+		return news.at, news.err
 	}
 	return r.read()
 }
--- a/internal/hosted/heldrequests.go
+++ b/internal/hosted/heldrequests.go
@@ -35,10 +35,11 @@
 
 // listHeld reads what the store knows, and tells whether it answered.
 func (m *mesh) listHeld(freshness authority.Freshness) ([]authority.HeldRequest, bool) {
-	ctx, cancel := context.WithTimeout(m.context, readTimeout)
-	defer cancel()
-	listed, err := m.held.List(ctx, freshness)
-	m.calls.noteError(purposeHeld, err)
+	listed, err := readStore(m.reads, m.context, readTimeout, func(ctx context.Context) ([]authority.HeldRequest, error) {
+		listed, err := m.held.List(ctx, freshness)
+		m.calls.noteError(purposeHeld, err)
+		return listed, err
+	})
 	return listed, err == nil
 }
 
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -123,6 +124,11 @@
 	check.True(err != nil)
 }
 
+// testReads makes calls to the store without a second try.
+func testReads() *storeReads {
+	return &storeReads{clock: func() time.Duration { return 0 }, running: &sync.WaitGroup{}}
+}
+
 // newTestMesh is a mesh of one daemon that knows others, and calls nobody.
 func newTestMesh(zone string, others ...protocol.Member) *mesh {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -130,6 +136,7 @@
 	made := &mesh{
 		clock:      func() time.Duration { return 0 },
 		contact:    newContact(func() time.Duration { return 0 }),
+		reads:      testReads(),
 		publish:    func(proxy.MeshState) {},
 		harmful:    proxy.New(proxy.Config{Clock: func() time.Duration { return 0 }}),
 		rollouts:   newRolloutTable(0),
--- a/internal/hosted/latewrites_test.go
+++ b/internal/hosted/latewrites_test.go
@@ -132,7 +132,8 @@
 	path := &believed{beliefs: map[quarantine.Signature]quarantine.Belief{signature: quarantine.Held}}
 	made := &mesh{
 		clock: func() time.Duration { return *now }, context: t.Context(), calls: &storeCalls{}, held: store, harmful: path,
-		kept: map[quarantine.Signature]bool{signature: true},
+		reads: testReads(),
+		kept:  map[quarantine.Signature]bool{signature: true},
 	}
 	return made, store, path, signature
 }
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -52,7 +52,10 @@
 	registry authority.Registry
 	calls    *storeCalls
 	contact  *contact
-	client   *control.Client
+	// reads makes calls to the store that are answered at once, connections those that wait.
+	reads       *storeReads
+	connections *connections
+	client      *control.Client
 	// publish gives the data path what is known of the others.
 	publish func(proxy.MeshState)
 	harmful harmfulRequests
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -31,6 +31,9 @@
 	Probe Prober
 	// OnFault has somebody told of entries of the store that are left out; nil for nobody.
 	OnFault func(TellFault)
+	// Renew has calls to the store from now on made over new connections; those under way are left
+	// alone. Nil where connections can't be told apart.
+	Renew func()
 	// Close gives up the adapter's connections; nil for none.
 	Close func()
 }
--- a/internal/hosted/registering.go
+++ b/internal/hosted/registering.go
@@ -77,10 +77,11 @@
 var registryBackoff = following.DefaultBackoff()
 
 func (m *mesh) readRegistry() bool {
-	ctx, cancel := context.WithTimeout(m.context, readTimeout)
-	defer cancel()
-	listed, err := m.registry.List(ctx, authority.Lagging)
-	m.calls.noteError(purposeList, err)
+	listed, err := readStore(m.reads, m.context, readTimeout, func(ctx context.Context) ([]authority.Registration, error) {
+		listed, err := m.registry.List(ctx, authority.Lagging)
+		m.calls.noteError(purposeList, err)
+		return listed, err
+	})
 	if err != nil {
 		m.events.event("registry_unavailable", field("error", err.Error()))
 		return false
--- a/internal/hosted/rolloutorders.go
+++ b/internal/hosted/rolloutorders.go
@@ -44,20 +44,29 @@
 
 // list reads all orders and the position after them; 0 where the store knows none.
 func (d *rolloutDecider) list() ([]authority.RolloutOrder, authority.Position, error) {
-	ctx, cancel := context.WithTimeout(d.mesh.context, readTimeout)
-	defer cancel()
-	orders, at, err := d.port.List(ctx)
-	d.mesh.calls.noteError(purposeRollout, err)
-	return orders, at, err
+	listed, err := readStore(d.mesh.reads, d.mesh.context, readTimeout, func(ctx context.Context) (orderListing, error) {
+		orders, at, err := d.port.List(ctx)
+		d.mesh.calls.noteError(purposeRollout, err)
+		return orderListing{orders, at, err}, err
+	})
+	return listed.orders, listed.at, err
+}
+
+// orderListing is what a read or watch of the orders brought.
+type orderListing struct {
+	orders []authority.RolloutOrder
+	at     authority.Position
+	err    error
 }
 
 func (d *rolloutDecider) watch(from authority.Position) (authority.Position, error) {
-	ctx, cancel := context.WithTimeout(d.mesh.context, orderWatchWait+watchMargin)
-	defer cancel()
-	orders, at, err := d.port.Watch(ctx, from, orderWatchWait)
-	d.mesh.calls.noteError(purposeRollout, err)
-	d.take(orders)
-	return at, err
+	news := watched(d.mesh.connections, d.mesh.context, orderWatchWait+watchMargin, func(ctx context.Context) orderListing {
+		orders, at, err := d.port.Watch(ctx, from, orderWatchWait)
+		d.mesh.calls.noteError(purposeRollout, err)
+		return orderListing{orders, at, err}
+	})
+	d.take(news.orders)
+	return news.at, news.err
 }
 
 // take takes orders as the store has them.
--- /dev/null
+++ b/internal/hosted/storereads.go
@@ -0,0 +1,114 @@
+package hosted
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/springstack/springstack/internal/core/roundtrip"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// storeReads has reading calls to the store made once more, over new connections, when the
+// connection says nothing. It may be used by several goroutines.
+type storeReads struct {
+	clock   func() time.Duration
+	running *sync.WaitGroup
+	// renew has calls to the store made over new connections from now on; nil where there is no
+	// telling them apart.
+	renew func()
+	// dead is told of a connection that was found dead, with a time at which it stood.
+	dead func(opened time.Duration)
+	// answers estimates how long answers take.
+	answers roundtrip.Estimator
+	// failing is set while the store answers nothing, also over new connections.
+	failing atomic.Bool
+}
+
+// storeAnswer is the outcome of a call to the store.
+type storeAnswer[Value any] struct {
+	value Value
+	err   error
+}
+
+// readStore makes a reading call to the store, within a bound.
+func readStore[Value any](s *storeReads, parent context.Context, bound time.Duration, call func(context.Context) (Value, error)) (Value, error) {
+	ctx, cancel := context.WithTimeout(parent, bound)
+	began := s.clock()
+	first := startRead(s, ctx, call)
+	silence := time.NewTimer(silenceAfter(&s.answers))
+	defer silence.Stop()
+	select {
+	case got := <-first:
+		cancel()
+		return got.value, s.note(began, got.err)
+	case <-silence.C:
+	}
+	if s.renew == nil || s.failing.Load() {
+		got := <-first
+		cancel()
+		return got.value, s.note(began, got.err)
+	}
+	s.renew()
+	got, bySecond := eitherRead(first, startRead(s, ctx, call))
+	if !bySecond {
+		cancel()
+		return got.value, s.note(began, got.err)
+	}
+	s.failing.Store(false)
+	s.running.Go(func() {
+		defer cancel()
+		late := time.NewTimer(lateAnswer)
+		defer late.Stop()
+		select {
+		case <-first:
+		case <-ctx.Done():
+		case <-late.C:
+			s.dead(began)
+		}
+	})
+	return got.value, got.err
+}
+
+// startRead begins a call.
+func startRead[Value any](s *storeReads, ctx context.Context, call func(context.Context) (Value, error)) <-chan storeAnswer[Value] {
+	answered := make(chan storeAnswer[Value], 1)
+	s.running.Go(func() {
+		value, err := call(ctx)
+		answered <- storeAnswer[Value]{value, err}
+	})
+	return answered
+}
+
+// eitherRead waits for the first answer of two calls, and tells whether it is that of the second.
+// A failure of the second tells nothing of the first.
+func eitherRead[Value any](first, second <-chan storeAnswer[Value]) (got storeAnswer[Value], bySecond bool) {
+	select {
+	case got = <-first:
+		return got, false
+	case got = <-second:
+	}
+	if storeAnswered(got.err) {
+		return got, true
+	}
+	return <-first, false
+}
+
+// note keeps what a call's end tells of the store, and returns its error.
+func (s *storeReads) note(began time.Duration, err error) error {
+	s.failing.Store(!storeAnswered(err))
+	if storeAnswered(err) {
+		s.answers.Observe(s.clock() - began)
+	}
+	return err
+}
+
+// storeAnswered tells whether a call was answered by a store that is in order.
+func storeAnswered(err error) bool {
+	switch codeOf(err) {
+	case result.PlatformUnknown, result.PlatformUnavailable, result.PlatformReadersFull:
+		return false
+	}
+	return true
+}
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -110,6 +110,7 @@
 		return nil, err
 	}
 	made := d.unlinkedMesh(path)
+	d.linkConnections(path, made)
 	d.configuration = d.newConfiguration(path, made)
 	made.counted = path.Answers
 	made.countAnswers = path.CountAnswers
@@ -168,6 +169,36 @@
 	}
 }
 
+// linkConnections has the connections of the daemon made anew when one is found dead, whoever finds
+// that out.
+func (d *Daemon) linkConnections(path *pathPart, m *mesh) {
+	renewStore := d.options.Platform.Renew
+	m.connections = &connections{
+		events: d.events, clock: d.clock, context: d.context, running: &m.running,
+		renewStore: func() {
+			if renewStore != nil {
+				renewStore()
+			}
+		},
+	}
+	m.connections.renew = func() {
+		m.connections.renewStore()
+		m.client.DropOpenedBefore(time.Now())
+		path.RenewConnections()
+	}
+	m.connections.start()
+	m.reads = &storeReads{
+		clock: d.clock, running: &m.running, renew: renewStore,
+		dead: func(opened time.Duration) { m.connections.dead(placeStore, opened) },
+	}
+	m.client.HedgeCalls(control.Hedge{
+		After: func() time.Duration { return silenceAfter(&d.roundTrips) },
+		OnDead: func(_ string, opened time.Time) {
+			m.connections.dead(placePeer, d.clock()-time.Since(opened))
+		},
+	})
+}
+
 // newConfiguration makes what follows the authority's configuration and puts it in force.
 func (d *Daemon) newConfiguration(path *pathPart, m *mesh) *configuration {
 	return &configuration{
@@ -178,10 +209,11 @@
 		limit: func(limits authority.RequestLimits) {
 			path.SetRequestLimits(proxy.RequestLimits(limits))
 		},
-		askPeer:  m.askDocument,
-		context:  d.context,
-		calls:    &d.storeCalls,
-		contact:  d.contact,
+		askPeer: m.askDocument,
+		context: d.context,
+		calls:   &d.storeCalls,
+		contact: d.contact,
+		reads:   m.reads, connections: m.connections,
 		follower: following.New(following.ConfigFor(d.settings.Authority.Apply()), randomNumber),
 	}
 }
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -68,6 +68,10 @@
 		"A version of the external authority is in force on this daemon.", nothing},
 	{"configuration_refused", log.ErrorLevel,
 		"A version of the external authority can't be used; the one before it stays in force.", "Correct the field named and write the configuration again."},
+	{"connection_dead", log.InfoLevel,
+		"A connection owed an answer that came over a new connection instead.", "Many at once: a firewall, an address translation or a link has lost its state."},
+	{"connections_renewed", log.InfoLevel,
+		"Connections opened before are used no more, since one of them was found dead.", nothing},
 	{"content_unreadable", log.ErrorLevel,
 		"A content object is missing or does not have its digest.",
 		"Look at the platform's store; submit the file again."},
@@ -215,6 +219,8 @@
 	{"watch_ended", log.WarnLevel,
 		"The watch of the head broke; the reader lists and watches again.",
 		"If it goes on: look at the platform by the code."},
+	{"watch_renewed", log.InfoLevel,
+		"The watch of the configuration was made again: others had a version that it had not told of.", "Often: the store's watches lag or hear nothing."},
 }
 
 // Events returns the table of all events in ascending order of name.
--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -126,6 +126,17 @@
 	})
 }
 
+// RenewConnections closes the idle connections to gates and to the back end, so that the next calls
+// are sent over new ones.
+func (p *Proxy) RenewConnections() {
+	for _, path := range p.view.Load().upstreams {
+		path.closeIdle()
+	}
+	if p.backend != nil {
+		p.backend.closeIdle()
+	}
+}
+
 // GiveUp has attempts at a daemon that doesn't answer hedged by others. It breaks
 // none of them off.
 func (p *Proxy) GiveUp(node protocol.NodeID) {
