--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -9,6 +9,7 @@
 	"context"
 	"time"
 
+	"github.com/springstack/springstack/internal/core/position"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/result"
@@ -45,8 +46,9 @@
 	IdleTimeout   time.Duration
 }
 
-// Position is a place in the history of the store's changes.
-type Position uint64
+// Position is a place in the history of the store's changes. An adapter leaves the era out, as 0,
+// where the store's answer did not tell it.
+type Position = position.Position
 
 // Reading is what a read or watch brought.
 type Reading struct {
--- a/internal/authority/rollouts.go
+++ b/internal/authority/rollouts.go
@@ -14,8 +14,9 @@
 	Service  resource.ServiceRef
 	Target   string
 	Duration time.Duration
-	// Revision is that of the object as it was read; a status is written only over it.
-	Revision uint64
+	// At is the position of the object's newest change as it was read; a status is written only
+	// over it.
+	At Position
 	// Status is what was written last; its stage is 0 when nothing was.
 	Status RolloutStatus
 	// Fault says why an order can't be carried out; nil when it can.
@@ -26,8 +27,8 @@
 type RolloutStatus struct {
 	Stage  rollout.Stage
 	Target string
-	// Generation is the revision of the object at which the order was found.
-	Generation uint64
+	// Generation is the position of the object at which the order was found.
+	Generation Position
 }
 
 // Rollouts reads orders and writes what became of them.
--- a/internal/core/endpoint/evacuation_test.go
+++ b/internal/core/endpoint/evacuation_test.go
@@ -7,13 +7,14 @@
 	"github.com/matryer/is"
 
 	"github.com/springstack/springstack/internal/core/evacuation"
+	"github.com/springstack/springstack/internal/core/position"
 	"github.com/springstack/springstack/internal/core/protocol"
 )
 
 // evacuating is the place of a chooser that knows that zones are to be empty.
 func evacuating(zones ...string) Locality {
 	self := home
-	self.Evacuations = evacuation.NewOrders(1, zones)
+	self.Evacuations = evacuation.NewOrders(position.Position{Revision: 1}, zones)
 	return self
 }
 
--- a/internal/core/evacuation/evacuation.go
+++ b/internal/core/evacuation/evacuation.go
@@ -8,25 +8,53 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/springstack/springstack/internal/core/position"
 )
 
 // Orders are all orders that the store held at one position. They are immutable.
 type Orders struct {
-	// At is the store's position; 0 where the store has never held an order.
-	At uint64
+	// At is the store's position; at the start of its era where it holds no order of that era.
+	At position.Position
 	// Zones are the zones to be empty, in ascending order.
 	Zones []string
+	// Lost are zones to be empty, in ascending order, by orders of an earlier era that the store
+	// does not hold any more and that nobody is known to have withdrawn.
+	Lost []string
 }
 
 // NewOrders returns the orders for some zones, in any order of them.
-func NewOrders(at uint64, zones []string) Orders {
+func NewOrders(at position.Position, zones []string) Orders {
 	sorted := slices.Clone(zones)
 	slices.Sort(sorted)
 	return Orders{At: at, Zones: slices.Compact(sorted)}
 }
 
+// WithLost returns the orders of a reading together with those that the store may have lost since
+// some that are known were read.
+func (o Orders) WithLost(known Orders) Orders {
+	lost := known.Lost
+	if known.At.Era < o.At.Era {
+		lost = known.All()
+	}
+	o.Lost = slices.DeleteFunc(slices.Clone(lost), func(zone string) bool { return slices.Contains(o.Zones, zone) })
+	return o
+}
+
+// All are all zones to be empty, in ascending order.
+func (o Orders) All() []string {
+	if len(o.Lost) == 0 {
+		return o.Zones
+	}
+	all := slices.Concat(o.Zones, o.Lost)
+	slices.Sort(all)
+	return all
+}
+
 // Evacuates tells whether a zone is to be empty.
-func (o Orders) Evacuates(zone string) bool { return slices.Contains(o.Zones, zone) }
+func (o Orders) Evacuates(zone string) bool {
+	return slices.Contains(o.Zones, zone) || slices.Contains(o.Lost, zone)
+}
 
 // Word is what a daemon tells another one of the orders.
 type Word struct {
@@ -62,13 +90,18 @@
 
 // Merge takes a reading, or the word of another daemon, and tells whether other zones are to
 // be empty since. Orders at a lower position are older and count for nothing, not even as a
-// reading: the store can't have gone back.
+// reading; those of a later era are newer whatever their revision. Of two readings at one position
+// the later one counts: what it leaves out of an earlier era is given up.
 func (t *Table) Merge(now time.Duration, word Word) (news bool) {
-	if !word.Known || (t.known && word.Orders.At < t.orders.At) {
+	if !word.Known || (t.known && word.Orders.At.Before(t.orders.At)) {
+		return false
+	}
+	readAt := now - max(word.Age, 0)
+	if t.known && word.Orders.At == t.orders.At && readAt < t.readAt {
 		return false
 	}
-	news = !slices.Equal(word.Orders.Zones, t.orders.Zones)
-	t.readAt = max(t.readAt, now-max(word.Age, 0))
+	news = !slices.Equal(word.Orders.All(), t.orders.All())
+	t.readAt = max(t.readAt, readAt)
 	t.orders = word.Orders
 	t.known = true
 	return news
--- a/internal/core/evacuation/evacuation_test.go
+++ b/internal/core/evacuation/evacuation_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/springstack/springstack/internal/core/position"
 	_ "github.com/springstack/springstack/internal/fixedseed"
 )
 
@@ -24,7 +25,7 @@
 		} else {
 			zones = append(zones, zone)
 		}
-		history = append(history, NewOrders(last.At+uint64(rapid.IntRange(1, 3).Draw(t, "step")), zones))
+		history = append(history, NewOrders(position.Position{Revision: last.At.Revision + uint64(rapid.IntRange(1, 3).Draw(t, "step"))}, zones))
 	}
 	return history
 }
@@ -54,7 +55,7 @@
 func TestWordBetweenDaemonsIsNeverMixed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		history := drawHistory(t)
-		held := map[uint64][]string{}
+		held := map[position.Position][]string{}
 		for _, orders := range history {
 			held[orders.At] = orders.Zones
 		}
@@ -71,7 +72,7 @@
 				tables[to].Merge(now, tables[from].Word(now))
 			}
 			after := tables[to].Orders()
-			if after.At < before.At || !slices.Equal(after.Zones, held[after.At]) {
+			if after.At.Before(before.At) || !slices.Equal(after.Zones, held[after.At]) {
 				t.Fatalf("%v after %v", after, before)
 			}
 		}
@@ -81,8 +82,8 @@
 func TestTheBeginningHeardAfterTheEndCountsForNothing(t *testing.T) {
 	check := is.New(t)
 	var table Table
-	check.True(!table.Merge(0, Word{Orders: NewOrders(9, nil), Known: true}))
-	check.True(!table.Merge(time.Second, Word{Orders: NewOrders(7, []string{"a"}), Known: true}))
+	check.True(!table.Merge(0, Word{Orders: NewOrders(position.Position{Revision: 9}, nil), Known: true}))
+	check.True(!table.Merge(time.Second, Word{Orders: NewOrders(position.Position{Revision: 7}, []string{"a"}), Known: true}))
 	check.True(!table.Orders().Evacuates("a"))
 	check.Equal(table.Age(time.Second), time.Second) // it is no reading either
 }
@@ -90,7 +91,7 @@
 func TestADaemonWithoutKnowledgeTellsNothing(t *testing.T) {
 	check := is.New(t)
 	var table, fresh Table
-	table.Merge(0, Word{Orders: NewOrders(0, nil), Known: true})
+	table.Merge(0, Word{Orders: NewOrders(position.Position{Revision: 0}, nil), Known: true})
 	check.True(!table.Merge(time.Hour, fresh.Word(time.Hour)))
 	check.Equal(table.Age(time.Hour), time.Hour)
 }
@@ -98,9 +99,9 @@
 func TestTwoZonesAreEmptiedAndTakenBackApart(t *testing.T) {
 	check := is.New(t)
 	var table Table
-	check.True(table.Merge(0, Word{Orders: NewOrders(5, []string{"b", "a", "a"}), Known: true}))
+	check.True(table.Merge(0, Word{Orders: NewOrders(position.Position{Revision: 5}, []string{"b", "a", "a"}), Known: true}))
 	check.Equal(table.Orders().Zones, []string{"a", "b"})
-	check.True(table.Merge(0, Word{Orders: NewOrders(6, []string{"b"}), Known: true}))
+	check.True(table.Merge(0, Word{Orders: NewOrders(position.Position{Revision: 6}, []string{"b"}), Known: true}))
 	check.True(!table.Orders().Evacuates("a"))
 	check.True(table.Orders().Evacuates("b"))
 }
@@ -108,9 +109,9 @@
 func TestTheAgeOfAReadingIsPassedOn(t *testing.T) {
 	check := is.New(t)
 	var reader, other Table
-	reader.Merge(10*time.Second, Word{Orders: NewOrders(3, nil), Known: true})
+	reader.Merge(10*time.Second, Word{Orders: NewOrders(position.Position{Revision: 3}, nil), Known: true})
 	other.Merge(40*time.Second, reader.Word(11*time.Second))
 	check.Equal(other.Age(40*time.Second), time.Second)
-	reader.Merge(12*time.Second, Word{Orders: NewOrders(4, nil), Known: true, Age: -time.Hour}) // of a broken peer
+	reader.Merge(12*time.Second, Word{Orders: NewOrders(position.Position{Revision: 4}, nil), Known: true, Age: -time.Hour}) // of a broken peer
 	check.Equal(reader.Age(12*time.Second), time.Duration(0))
 }
--- a/internal/core/evacuation/timing_test.go
+++ b/internal/core/evacuation/timing_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/position"
 )
 
 const testWithin = 5 * time.Second
@@ -95,11 +97,11 @@
 			for phase := range 12 {
 				fleet := newFleet(77)
 				made := 20*time.Second + time.Duration(phase)*173*time.Millisecond
-				fleet.run(0, made, NewOrders(3, nil))
+				fleet.run(0, made, NewOrders(position.Position{Revision: 3}, nil))
 				for _, one := range fleet.daemons {
 					harm(one)
 				}
-				fleet.run(made, made+testWithin/2, NewOrders(4, []string{"z"}))
+				fleet.run(made, made+testWithin/2, NewOrders(position.Position{Revision: 4}, []string{"z"}))
 				check.Equal(fleet.unaware("z"), 0) // who does not know it
 			}
 		})
@@ -110,9 +112,9 @@
 func TestACalmMinuteIsCheap(t *testing.T) {
 	check := is.New(t)
 	fleet := newFleet(77)
-	fleet.run(0, 10*time.Second, NewOrders(3, nil))
+	fleet.run(0, 10*time.Second, NewOrders(position.Position{Revision: 3}, nil))
 	fleet.reads = 0
-	fleet.run(10*time.Second, 70*time.Second, NewOrders(3, nil))
+	fleet.run(10*time.Second, 70*time.Second, NewOrders(position.Position{Revision: 3}, nil))
 	check.True(fleet.reads <= 49) // 60 s over 1.25 s, and one for the phase
 }
 
@@ -120,13 +122,13 @@
 func TestADeadStoreIsNotStormed(t *testing.T) {
 	check := is.New(t)
 	fleet := newFleet(77)
-	fleet.run(0, 10*time.Second, NewOrders(3, nil))
+	fleet.run(0, 10*time.Second, NewOrders(position.Position{Revision: 3}, nil))
 	for _, one := range fleet.daemons {
 		one.refused = true
 	}
-	fleet.run(10*time.Second, 40*time.Second, NewOrders(3, nil))
+	fleet.run(10*time.Second, 40*time.Second, NewOrders(position.Position{Revision: 3}, nil))
 	fleet.reads = 0
-	fleet.run(40*time.Second, 100*time.Second, NewOrders(3, nil))
+	fleet.run(40*time.Second, 100*time.Second, NewOrders(position.Position{Revision: 3}, nil))
 	const followers, others = 49 * FollowerCount, 7 * (77 - FollowerCount)
 	check.True(fleet.reads <= followers+others)
 }
@@ -135,7 +137,7 @@
 func TestAStartTogetherReadsLittle(t *testing.T) {
 	check := is.New(t)
 	fleet := newFleet(77)
-	fleet.run(0, time.Second, NewOrders(3, []string{"z"}))
+	fleet.run(0, time.Second, NewOrders(position.Position{Revision: 3}, []string{"z"}))
 	check.Equal(fleet.unaware("z"), 0)
 	check.True(fleet.reads <= 3)
 }
--- /dev/null
+++ b/internal/core/following/eras_test.go
@@ -0,0 +1,102 @@
+package following
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/springstack/springstack/internal/authority"
+	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// readingIn is a reading at a place of an era.
+func readingIn(era, revision uint64, version protocol.Version, body string) authority.Reading {
+	return authority.Reading{
+		Code: result.OK, At: authority.Position{Era: era, Revision: revision},
+		Document: authority.Document{Version: version, Body: []byte(body)},
+	}
+}
+
+// A store that came back from an older copy is read anew and watched from where it is, although its
+// revisions are lower: a watch from an old one would miss what stands at those given out again.
+func TestALaterEraIsFollowedFromItsOwnRevisions(t *testing.T) {
+	check := is.New(t)
+	follower := newFollower()
+	follower.StoreRead(time.Minute, readingIn(1, 900, 7, "a"))
+	follower.NewEra(2)
+	check.True(follower.Lapsed(authority.Position{Era: 1, Revision: 900}))
+	actions := follower.StoreRead(time.Minute, authority.Reading{Code: result.PlatformCompacted})
+	check.Equal(kinds(actions), []ActionKind{Read})
+	check.Equal(actions[0].Freshness, authority.Lagging)
+	actions = follower.StoreRead(time.Minute, readingIn(1, 890, 7, "a")) // of a replica that is behind
+	check.Equal(kinds(actions), []ActionKind{Read})
+	check.Equal(actions[0].Freshness, authority.Linearizable)
+	actions = follower.StoreRead(time.Minute, readingIn(2, 885, 8, "b"))
+	check.Equal(kinds(actions), []ActionKind{Adopt, Watch})
+	check.Equal(actions[1].From, authority.Position{Era: 2, Revision: 885})
+}
+
+// A watch that is answered in a later era than it was made in may have missed changes.
+func TestAWatchAnsweredInALaterEraIsNoWholeAccount(t *testing.T) {
+	check := is.New(t)
+	follower := newFollower()
+	follower.StoreRead(time.Minute, readingIn(1, 900, 7, "a"))
+	actions := follower.StoreRead(time.Minute, readingIn(2, 905, 0, ""))
+	check.Equal(kinds(actions), []ActionKind{Read})
+}
+
+// A version that was lost and is written again with other content replaces the one held, once, and
+// only by the store's word.
+func TestALostVersionThatIsWrittenAgainOtherwiseIsTaken(t *testing.T) {
+	check := is.New(t)
+	follower := newFollower()
+	follower.StoreRead(time.Minute, readingIn(1, 900, 7, "a"))
+	check.Equal(kinds(follower.PeerAnswered(0, "p", authority.Document{Version: 7, Body: []byte("b")})), nil)
+	check.Equal(kinds(follower.StorePolled(0, readingIn(1, 901, 7, "b"))), nil) // no era has passed
+	check.Equal(kinds(follower.StorePolled(0, readingIn(2, 880, 6, "z"))), nil) // older than what is held
+	check.Equal(kinds(follower.StorePolled(0, readingIn(2, 885, 7, "b")))[0], Adopt)
+	check.Equal(kinds(follower.StorePolled(0, readingIn(2, 890, 7, "b"))), nil)
+}
+
+// In no order of readings, eras and peers' answers is a lower version taken, or a position of an
+// earlier era than is known watched.
+func TestErasNeverLeadBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		follower := newFollower()
+		newest, era := protocol.Version(0), uint64(0)
+		take := func(actions []Action) {
+			for _, action := range actions {
+				switch {
+				case action.Kind == Adopt && action.Document.Version < newest:
+					t.Fatalf("version %d after %d", action.Document.Version, newest)
+				case action.Kind == Adopt:
+					newest = action.Document.Version
+				case action.Kind == Watch && action.From.Era < era:
+					t.Fatalf("watch from %s in era %d", action.From, era)
+				}
+			}
+		}
+		number := func(name string, most int) uint64 { return uint64(rapid.IntRange(0, most).Draw(t, name)) }
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			read := readingIn(1+number("era", 3), number("revision", 9), protocol.Version(number("version", 9)), "x")
+			switch number("event", 4) {
+			case 0:
+				era = max(era, read.At.Era)
+				take(follower.StoreRead(0, read))
+			case 1:
+				era = max(era, read.At.Era)
+				take(follower.StorePolled(0, read))
+			case 2:
+				era = max(era, read.At.Era)
+				follower.NewEra(read.At.Era)
+			case 3:
+				take(follower.StoreRead(0, authority.Reading{Code: result.PlatformCompacted}))
+			default:
+				take(follower.PeerAnswered(0, "p", read.Document))
+			}
+		}
+	})
+}
--- a/internal/core/following/following.go
+++ b/internal/core/following/following.go
@@ -7,9 +7,11 @@
 package following
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/springstack/springstack/internal/authority"
+	"github.com/springstack/springstack/internal/core/position"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/result"
 )
@@ -104,6 +106,11 @@
 	version protocol.Version
 	// position is the newest position of the store that was read.
 	position authority.Position
+	// era is the newest era of the store that is known; it may be later than that of position.
+	era uint64
+	// document is the newest one handed out, and documentEra the era in which the store held it.
+	document    authority.Document
+	documentEra uint64
 	// turn is that of the newest watch; watching is set while it waits.
 	turn     uint64
 	watching bool
@@ -132,26 +139,42 @@
 // Start begins with a read that may lag: watches and peers bring what it lacks.
 func (f *Follower) Start() []Action { return []Action{{Kind: Read, Freshness: authority.Lagging}} }
 
+// NewEra takes that the store has come back from an older copy. A watch from a position of an
+// earlier era tells nothing more.
+func (f *Follower) NewEra(era uint64) { f.era = max(f.era, era) }
+
+// Lapsed tells whether a position is of an era that has ended: its revision may be given out again,
+// or not be known to the store.
+func (f *Follower) Lapsed(from authority.Position) bool { return from.Era < f.era }
+
 // StoreRead takes the result of Read or Watch. A watch may be answered by a replica
 // that lags behind what was read before; it goes on from the latter.
 func (f *Follower) StoreRead(now time.Duration, reading authority.Reading) []Action {
-	actions := f.offer(now, reading.Document, SourceStore)
+	watched := f.watching
 	f.watching = false
 	switch reading.Code {
 	case result.OK:
 		f.failures = 0
 		f.answered = true
 	case result.PlatformCompacted:
-		// The history is gone: what was missed is in the newest state. A replica
-		// may be behind the history itself.
-		return append(actions, Action{Kind: Read, Freshness: authority.Linearizable})
+		return []Action{f.readAgain()}
 	default:
 		f.failures++
-		return append(actions, Action{Kind: Read, Freshness: authority.Lagging, After: f.backoff()})
+		return []Action{{Kind: Read, Freshness: authority.Lagging, After: f.backoff()}}
+	}
+	if f.Lapsed(reading.At) {
+		// A replica that has not come to the era yet, or a late answer.
+		return []Action{{Kind: Read, Freshness: authority.Linearizable, After: f.jitter()}}
+	}
+	f.era = reading.At.Era
+	actions := f.offerOfStore(now, reading, SourceStore)
+	if watched && f.Lapsed(f.position) {
+		// What was written in the era before the answer is not in it.
+		return append(actions, f.readAgain())
 	}
 	pause := max(0, f.watchedAt+f.config.Pace-now)
 	f.watchedAt = now + pause
-	f.position = max(f.position, reading.At)
+	f.position = position.Newest(f.position, reading.At)
 	f.turn++
 	f.watching = true
 	return append(actions, Action{Kind: Watch, From: f.position, Turn: f.turn, After: pause})
@@ -160,16 +183,33 @@
 // StorePolled takes the result of a read that was made besides the watch: a
 // watch may be silent about a change, a linearizable read is not.
 func (f *Follower) StorePolled(now time.Duration, reading authority.Reading) []Action {
-	return f.offerPast(now, reading.Document, SourcePoll)
+	if reading.Code != result.OK || f.Lapsed(reading.At) {
+		return nil
+	}
+	f.era = reading.At.Era
+	return f.thenRewatch(f.offerOfStore(now, reading, SourcePoll))
 }
 
 // WatchWaits tells whether the watch of a turn has not been answered yet.
 func (f *Follower) WatchWaits(turn uint64) bool { return f.watching && f.turn == turn }
 
-// offerPast takes a document that did not come by the watch. One that the watch does not tell of
-// within a pace shows that the watch hears nothing, or lags.
-func (f *Follower) offerPast(now time.Duration, document authority.Document, source string) []Action {
-	actions := f.offer(now, document, source)
+// readAgain reads what was missed of a history that is gone. Where that is one of an earlier era, so
+// it is for all daemons at the same time; a reading that may lag is enough for most then.
+func (f *Follower) readAgain() Action {
+	if f.Lapsed(f.position) {
+		return Action{Kind: Read, Freshness: authority.Lagging, After: f.jitter()}
+	}
+	return Action{Kind: Read, Freshness: authority.Linearizable}
+}
+
+// jitter spreads the reads that all daemons make at the same time.
+func (f *Follower) jitter() time.Duration {
+	return time.Duration(f.random() % uint64(f.config.Pace/2))
+}
+
+// thenRewatch adds to the adoption of a document that did not come by the watch. One that the watch
+// does not tell of within a pace shows that the watch hears nothing, or lags.
+func (f *Follower) thenRewatch(actions []Action) []Action {
 	if len(actions) == 0 || !f.watching {
 		return actions
 	}
@@ -179,12 +219,34 @@
 // Lacks tells whether a version is newer than all that were handed out.
 func (f *Follower) Lacks(version protocol.Version) bool { return version > f.version }
 
+// offerOfStore takes a document that the store holds. One of a version that was lost with an
+// earlier era, and written again in this one with other content, replaces what is held.
+func (f *Follower) offerOfStore(now time.Duration, reading authority.Reading, source string) []Action {
+	document := reading.Document
+	again := document.Version != 0 && document.Version == f.version && f.documentEra < reading.At.Era
+	if again && !bytes.Equal(document.Body, f.document.Body) {
+		f.documentEra = reading.At.Era
+		return f.handOut(now, document, source)
+	}
+	actions := f.offer(now, document, source)
+	if len(actions) > 0 || again {
+		f.documentEra = reading.At.Era
+	}
+	return actions
+}
+
 // offer takes a document if it is newer than all before.
 func (f *Follower) offer(now time.Duration, document authority.Document, source string) []Action {
 	if document.Version <= f.version {
 		return nil
 	}
+	return f.handOut(now, document, source)
+}
+
+// handOut has a document put in force.
+func (f *Follower) handOut(now time.Duration, document authority.Document, source string) []Action {
 	f.version = document.Version
+	f.document = document
 	f.adoptedAt = now
 	f.adopted = true
 	return []Action{{Kind: Adopt, Document: document, Source: source}}
@@ -209,7 +271,7 @@
 // PeerAnswered takes a peer's document; one without a version is none.
 func (f *Follower) PeerAnswered(now time.Duration, peer protocol.NodeID, document authority.Document) []Action {
 	delete(f.asking, peer)
-	return f.offerPast(now, document, SourcePeer)
+	return f.thenRewatch(f.offer(now, document, SourcePeer))
 }
 
 // backoff is the pause after the present failure.
--- a/internal/core/following/following_test.go
+++ b/internal/core/following/following_test.go
@@ -16,8 +16,10 @@
 
 func newFollower() *Follower { return New(DefaultConfig(), func() uint64 { return 0 }) }
 
-func reading(version protocol.Version, at authority.Position) authority.Reading {
-	return authority.Reading{Code: result.OK, At: at, Document: authority.Document{Version: version}}
+func at(revision uint64) authority.Position { return authority.Position{Revision: revision} }
+
+func reading(version protocol.Version, revision uint64) authority.Reading {
+	return authority.Reading{Code: result.OK, At: at(revision), Document: authority.Document{Version: version}}
 }
 
 func kinds(actions []Action) []ActionKind {
@@ -35,7 +37,7 @@
 	actions := follower.StoreRead(time.Minute, reading(7, 40))
 	check.Equal(kinds(actions), []ActionKind{Adopt, Watch})
 	check.Equal(actions[0].Document.Version, protocol.Version(7))
-	check.Equal(actions[1].From, authority.Position(40))
+	check.Equal(actions[1].From, at(40))
 	check.Equal(actions[1].After, time.Duration(0))
 }
 
@@ -109,9 +111,9 @@
 	follower.StoreRead(0, reading(7, 40))
 	actions := follower.StoreRead(time.Minute, reading(6, 35))
 	check.Equal(kinds(actions), []ActionKind{Watch})
-	check.Equal(actions[0].From, authority.Position(40)) // and not what it has seen again
+	check.Equal(actions[0].From, at(40)) // and not what it has seen again
 	check.Equal(follower.Version(), protocol.Version(7))
-	check.Equal(follower.StoreRead(2*time.Minute, reading(8, 41))[1].From, authority.Position(41))
+	check.Equal(follower.StoreRead(2*time.Minute, reading(8, 41))[1].From, at(41))
 }
 
 // No order of readings and peers' answers leads to a lower version.
--- a/internal/core/protocol/exchange.go
+++ b/internal/core/protocol/exchange.go
@@ -18,6 +18,10 @@
 	Zone string
 	// Version is the configuration version in force on the sender.
 	Version Version
+	// Era is the newest era of the store that the sender knows; 0 for none.
+	Era uint64
+	// Unregistered tells the receiver that the store holds no registration of it.
+	Unregistered bool
 	// Total is the sum over all buckets of the sender's records.
 	Total uint64
 	// Sums are the sums by bucket; empty in the first request.
@@ -51,6 +55,8 @@
 type ExchangeReply struct {
 	// Version is the configuration version in force on the receiver.
 	Version Version
+	// Era is the newest era of the store that the receiver knows; 0 for none.
+	Era uint64
 	// Sums are the receiver's sums after merging, when its total differs.
 	Sums []uint64
 	// Members are the receiver's records in the buckets whose sums differ from
--- a/internal/core/rollout/decider_test.go
+++ b/internal/core/rollout/decider_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/position"
 )
 
 // trial is one order played in virtual time with a decider, a service whose requests
@@ -42,7 +44,7 @@
 // play steps an order until it has an outcome.
 func (t trial) play() trialResult {
 	decider := &Decider{}
-	record := Record{Service: testService, Target: "v2", Generation: 1, Duration: t.duration, Stage: StageCanary}
+	record := Record{Service: testService, Target: "v2", Generation: position.Position{Revision: 1}, Duration: t.duration, Stage: StageCanary}
 	ofTarget, ofStable := Evidence{}, Evidence{}
 	result := trialResult{}
 	heeded, changedAt := StageCanary, time.Duration(0)
--- a/internal/core/rollout/record.go
+++ b/internal/core/rollout/record.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/springstack/springstack/internal/core/position"
 	"github.com/springstack/springstack/internal/core/resource"
 )
 
@@ -57,9 +58,9 @@
 	Service resource.ServiceRef
 	// Target is the software version that the order asks for.
 	Target string
-	// Generation orders the orders of a service: the store's revision at which this one
+	// Generation orders the orders of a service: the store's position at which this one
 	// was written.
-	Generation uint64
+	Generation position.Position
 	// Duration is within what time of the order its outcome is due.
 	Duration time.Duration
 	Stage    Stage
@@ -70,7 +71,7 @@
 // newerThan tells whether a record replaces another one of its service.
 func (r Record) newerThan(known Record) bool {
 	if r.Generation != known.Generation {
-		return r.Generation > known.Generation
+		return known.Generation.Before(r.Generation)
 	}
 	return r.Stage > known.Stage
 }
--- a/internal/core/rollout/record_test.go
+++ b/internal/core/rollout/record_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/springstack/springstack/internal/core/position"
 	"github.com/springstack/springstack/internal/core/resource"
 
 	_ "github.com/springstack/springstack/internal/fixedseed"
@@ -22,7 +23,7 @@
 		records := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Record {
 			generation := rapid.Uint64Range(1, 3).Draw(t, "generation")
 			return Record{
-				Service: testService, Target: "v" + string(rune('0'+generation)), Generation: generation,
+				Service: testService, Target: "v" + string(rune('0'+generation)), Generation: position.Position{Revision: generation},
 				Stage: Stage(rapid.IntRange(int(StageCanary), int(StageCompleted)).Draw(t, "stage")),
 			}
 		}), 1, 12).Draw(t, "records")
@@ -46,7 +47,7 @@
 func TestElapsedTimeIsToldOn(t *testing.T) {
 	check := is.New(t)
 	first, second := NewTable(), NewTable()
-	record := Record{Service: testService, Target: "v2", Generation: 1, Stage: StageCanary}
+	record := Record{Service: testService, Target: "v2", Generation: position.Position{Revision: 1}, Stage: StageCanary}
 	check.True(first.Merge(time.Second, record))
 	check.True(second.Merge(time.Minute, first.Records(4 * time.Second)[0]))
 	check.Equal(second.Elapsed(time.Minute, testService), 3*time.Second)
@@ -58,10 +59,10 @@
 	check := is.New(t)
 	table := NewTable()
 	for _, bad := range []Record{
-		{Service: testService, Generation: 1, Stage: StageCanary},
-		{Service: testService, Target: "v2", Generation: 1},
-		{Service: testService, Target: "v2", Generation: 1, Stage: StageCompleted + 1},
-		{Service: testService, Target: "v2", Generation: 1, Stage: StageCanary, Elapsed: -time.Second},
+		{Service: testService, Generation: position.Position{Revision: 1}, Stage: StageCanary},
+		{Service: testService, Target: "v2", Generation: position.Position{Revision: 1}},
+		{Service: testService, Target: "v2", Generation: position.Position{Revision: 1}, Stage: StageCompleted + 1},
+		{Service: testService, Target: "v2", Generation: position.Position{Revision: 1}, Stage: StageCanary, Elapsed: -time.Second},
 	} {
 		check.True(!table.Merge(0, bad))
 	}
--- a/internal/hosted/broadcasting.go
+++ b/internal/hosted/broadcasting.go
@@ -62,7 +62,7 @@
 // held.
 func (m *mesh) pushRequest(records []protocol.Member) protocol.ExchangeRequest {
 	return protocol.ExchangeRequest{
-		Format: protocol.Format, From: m.self.ID, Zone: m.self.Zone, Version: m.version(),
+		Format: protocol.Format, From: m.self.ID, Zone: m.self.Zone, Version: m.version(), Era: m.eras.known(),
 		Push: true, Members: records, Rollouts: m.rollouts.records(m.clock()), HarmfulSum: m.harmful.HarmfulSum(),
 		Evacuations: m.evacuations.Word(m.clock()),
 	}
--- a/internal/hosted/comparing.go
+++ b/internal/hosted/comparing.go
@@ -96,7 +96,7 @@
 // request is an empty comparison; the lock is held.
 func (m *mesh) request() *protocol.ExchangeRequest {
 	return &protocol.ExchangeRequest{
-		Format: protocol.Format, From: m.self.ID, Zone: m.self.Zone, Version: m.version(),
+		Format: protocol.Format, From: m.self.ID, Zone: m.self.Zone, Version: m.version(), Era: m.eras.known(),
 		Total: m.roster.Sums().Total(), Rollouts: m.rollouts.records(m.clock()), HarmfulSum: m.harmful.HarmfulSum(),
 		Evacuations: m.evacuations.Word(m.clock()),
 	}
--- a/internal/hosted/configuration.go
+++ b/internal/hosted/configuration.go
@@ -52,6 +52,7 @@
 	calls       *storeCalls
 	reads       *storeReads
 	connections *connections
+	eras        *eras
 	// changedAt is when the version in force came, and changedBy its source.
 	changedAt time.Duration
 	changedBy string
@@ -120,6 +121,13 @@
 	return c.storeLost
 }
 
+// newEra takes that the store has come back from an older copy.
+func (c *configuration) newEra(era uint64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.follower.NewEra(era)
+}
+
 // heardOf takes a peer's word of the version that it has in force.
 func (c *configuration) heardOf(peer protocol.NodeID, version protocol.Version) {
 	c.mutex.Lock()
@@ -224,10 +232,14 @@
 
 // watch waits for a change after a position.
 func (c *configuration) watch(ctx context.Context, from authority.Position) authority.Reading {
+	if c.eras.lapsed(from) {
+		return authority.Reading{Code: result.PlatformCompacted, Detail: errLapsed().Error()}
+	}
 	c.noteWatch(c.clock())
 	defer c.noteWatch(0)
 	reading := c.source.Watch(ctx, from, watchWait)
 	c.calls.note(purposeWatch, reading.Code)
+	reading.At = c.eras.place(reading.At)
 	return reading
 }
 
@@ -236,6 +248,7 @@
 	reading, _ := readStore(c.reads, c.context, readTimeout, func(ctx context.Context) (authority.Reading, error) {
 		reading := c.source.Read(ctx, freshness)
 		c.calls.note(purpose, reading.Code)
+		reading.At = c.eras.place(reading.At)
 		return reading, reading.Err()
 	})
 	return reading
--- a/internal/hosted/connections.go
+++ b/internal/hosted/connections.go
@@ -93,6 +93,13 @@
 	c.events.event("watch_renewed", field("waited_ms", milliseconds(waited)))
 }
 
+// rewatch has all watches made again, over the connections that are there.
+func (c *connections) rewatch() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.nextEpoch()
+}
+
 // nextEpoch ends the waits of watches, so that they are made again; the lock is held.
 func (c *connections) nextEpoch() {
 	c.endEpoch()
--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -36,6 +36,8 @@
 	// incarnation tells this start from earlier ones.
 	incarnation protocol.Incarnation
 	storeCalls  storeCalls
+	// eras keeps the era of the store.
+	eras eras
 	// contact keeps when the store and peers were last heard.
 	contact *contact
 	// roundTrips estimates how long peers take to answer.
@@ -70,6 +72,7 @@
 	made.contact = newContact(made.clock)
 	made.events = newEventLog(options.Logger, checked.Node.ID, made.clock)
 	made.requests = newRequestLog(made.events)
+	made.eras.events, made.eras.clock = made.events, made.clock
 	made.provide()
 	return made
 }
--- a/internal/hosted/evacuationreader.go
+++ b/internal/hosted/evacuationreader.go
@@ -139,7 +139,7 @@
 // held an order there is nothing to watch, and keepFresh reads often enough.
 func (r *evacuationReader) list() (authority.Position, error) {
 	if r.knowsOfNone() {
-		return 0, nil
+		return authority.Position{}, nil
 	}
 	return r.read()
 }
@@ -149,7 +149,7 @@
 	m := r.mesh
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.evacuations.Known() && m.evacuations.Orders().At == 0 && m.evacuations.Age(m.clock()) < r.timing.Within/2
+	return m.evacuations.Known() && m.evacuations.Orders().At.IsStart() && m.evacuations.Age(m.clock()) < r.timing.Within/2
 }
 
 // read reads all orders, puts them in force and tells all daemons. It returns the position
@@ -159,17 +159,31 @@
 	began, known := m.clock(), r.position()
 	orders, faults, err := r.listOrders()
 	if err != nil {
-		return 0, err
+		return authority.Position{}, err
 	}
-	if orders.At < known {
-		return 0, result.New(result.PlatformUnknown, "the store shows position %d after %d", orders.At, known)
+	if orders.At.Before(known) {
+		return authority.Position{}, result.New(result.PlatformUnknown, "the store shows position %s after %s", orders.At, known)
 	}
 	r.noteFaults(faults)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	orders = r.withLost(orders)
 	m.mergeEvacuations(began, sourceStore, evacuation.Word{Orders: orders, Known: true})
 	m.spreadOrders()
-	return authority.Position(orders.At), nil
+	return orders.At, nil
+}
+
+// lostOrderGrace is how long after the store has come back from an older copy an order that it does
+// not hold any more goes on binding: its operator writes again what the store has lost.
+const lostOrderGrace = 5 * time.Second
+
+// withLost adds to orders those that the store may have lost; the mesh's lock is held.
+func (r *evacuationReader) withLost(orders evacuation.Orders) evacuation.Orders {
+	since, risen := r.mesh.eras.sinceRise()
+	if !risen || since > lostOrderGrace {
+		return orders
+	}
+	return orders.WithLost(r.mesh.evacuations.Orders())
 }
 
 // listOrders lists the orders in the store, and what is wrong with them.
@@ -183,13 +197,14 @@
 	listed, err := readStore(m.reads, m.context, bound, func(ctx context.Context) (listing, error) {
 		orders, faults, err := r.port.List(ctx)
 		m.calls.noteError(purposeEvacuation, err)
+		orders.At = m.eras.place(orders.At)
 		return listing{orders, faults}, err
 	})
 	return listed.orders, listed.faults, err
 }
 
 // position is the store's position of the orders that are known.
-func (r *evacuationReader) position() uint64 {
+func (r *evacuationReader) position() authority.Position {
 	r.mesh.mutex.Lock()
 	defer r.mesh.mutex.Unlock()
 	return r.mesh.evacuations.Orders().At
@@ -203,10 +218,13 @@
 		at      authority.Position
 		err     error
 	}
+	if r.mesh.eras.lapsed(from) {
+		return from, errLapsed()
+	}
 	news := watched(r.mesh.connections, r.mesh.context, orderWatchWait+watchMargin, func(ctx context.Context) change {
 		changed, at, err := r.port.Watch(ctx, from, orderWatchWait)
 		r.mesh.calls.noteError(purposeEvacuation, err)
-		return change{changed, at, err}
+		return change{changed, r.mesh.eras.place(at), err}
 	})
 	if news.err != nil || !news.changed {
 		return news.at, news.err
--- a/internal/hosted/evacuations.go
+++ b/internal/hosted/evacuations.go
@@ -42,7 +42,7 @@
 	}
 	m.publishAll()
 	m.zoneChanged()
-	made, withdrawn := lo.Difference(word.Orders.Zones, before.Zones)
+	made, withdrawn := lo.Difference(word.Orders.All(), before.All())
 	for _, zone := range made {
 		m.events.event("evacuation_heard", m.evacuationFields(zone, source)...)
 		if m.joined() && m.daemonsIn(zone) == 0 {
@@ -58,7 +58,7 @@
 func (m *mesh) evacuationFields(zone, source string) []eventField {
 	return []eventField{
 		field("zone", zone), field("source", source),
-		field("position", strconv.FormatUint(m.evacuations.Orders().At, 10)),
+		field("position", m.evacuations.Orders().At.String()),
 		field("daemons", strconv.Itoa(m.daemonsIn(zone))),
 	}
 }
@@ -94,7 +94,7 @@
 func (m *mesh) evacuatedZones() (zones []evacuatedZone, age time.Duration) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	for _, zone := range m.evacuations.Orders().Zones {
+	for _, zone := range m.evacuations.Orders().All() {
 		zones = append(zones, evacuatedZone{zone: zone, daemons: m.daemonsIn(zone)})
 	}
 	return zones, m.evacuations.Age(m.clock())
--- a/internal/hosted/evacuations_test.go
+++ b/internal/hosted/evacuations_test.go
@@ -14,6 +14,7 @@
 	"github.com/springstack/springstack/internal/control"
 	"github.com/springstack/springstack/internal/core/backend"
 	"github.com/springstack/springstack/internal/core/evacuation"
+	"github.com/springstack/springstack/internal/core/position"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/logging"
 	"github.com/springstack/springstack/internal/proxy"
@@ -127,7 +128,7 @@
 }
 
 func (o *orderReader) Watch(context.Context, authority.Position, time.Duration) (bool, authority.Position, error) {
-	return false, 0, result.New(result.PlatformUnavailable, "nothing is watched here")
+	return false, authority.Position{}, result.New(result.PlatformUnavailable, "nothing is watched here")
 }
 
 // evacuationMesh is a mesh that reads a store of orders, and what it logs.
@@ -160,13 +161,13 @@
 func TestNewsOfAnOrderIsInForceAtOnce(t *testing.T) {
 	check := is.New(t)
 	held := newEvacuationMesh()
-	held.takeEvacuations(0, "a", evacuation.Word{Orders: evacuation.NewOrders(7, []string{"z1"}), Known: true})
+	held.takeEvacuations(0, "a", evacuation.Word{Orders: evacuation.NewOrders(position.Position{Revision: 7}, []string{"z1"}), Known: true})
 	check.Equal(held.published[0].Evacuations.Zones, []string{"z1"})
 	check.True(held.evacuated())
 	check.True(strings.Contains(held.log.String(), "event=evacuation_heard"))
-	held.takeEvacuations(0, "b", evacuation.Word{Orders: evacuation.NewOrders(6, nil), Known: true}) // crossed
+	held.takeEvacuations(0, "b", evacuation.Word{Orders: evacuation.NewOrders(position.Position{Revision: 6}, nil), Known: true}) // crossed
 	check.True(held.evacuated())
-	held.port.orders = evacuation.NewOrders(9, nil)
+	held.port.orders = evacuation.NewOrders(position.Position{Revision: 9}, nil)
 	_, err := held.reader.read()
 	check.NoErr(err)
 	check.True(!held.evacuated())
@@ -179,7 +180,7 @@
 	check := is.New(t)
 	held := newEvacuationMesh()
 	held.heardOf = func(protocol.NodeID, protocol.Version) {}
-	held.port.orders = evacuation.NewOrders(7, []string{"z2"})
+	held.port.orders = evacuation.NewOrders(position.Position{Revision: 7}, []string{"z2"})
 	_, err := held.reader.read()
 	check.NoErr(err)
 	want := evacuation.Word{Orders: held.port.orders, Known: true}
@@ -204,7 +205,7 @@
 func TestAStoreThatShowsNoOrdersAnyMoreWithdrawsNone(t *testing.T) {
 	check := is.New(t)
 	held := newEvacuationMesh()
-	held.port.orders = evacuation.NewOrders(7, []string{"z2"})
+	held.port.orders = evacuation.NewOrders(position.Position{Revision: 7}, []string{"z2"})
 	_, err := held.reader.read()
 	check.NoErr(err)
 	held.port.orders = evacuation.Orders{} // it does not know the kind
@@ -218,9 +219,9 @@
 func TestAStoreThatWentBackIsNotStormed(t *testing.T) {
 	check := is.New(t)
 	held := newEvacuationMeshAmong() // nobody to ask
-	held.takeEvacuations(0, "a", evacuation.Word{Orders: evacuation.NewOrders(7, []string{"z2"}), Known: true})
+	held.takeEvacuations(0, "a", evacuation.Word{Orders: evacuation.NewOrders(position.Position{Revision: 7}, []string{"z2"}), Known: true})
 	held.now = 2 * testWithin // the reading is due
-	held.port.orders = evacuation.NewOrders(3, nil)
+	held.port.orders = evacuation.NewOrders(position.Position{Revision: 3}, nil)
 	running, end := context.WithTimeout(context.Background(), held.reader.timing.Relist()/4)
 	defer end()
 	held.context = running
@@ -238,9 +239,9 @@
 func TestAListThatAPeerOvertookIsNoFailure(t *testing.T) {
 	check := is.New(t)
 	held := newEvacuationMesh()
-	held.port.orders = evacuation.NewOrders(3, nil)
+	held.port.orders = evacuation.NewOrders(position.Position{Revision: 3}, nil)
 	held.port.onList = func() {
-		held.takeEvacuations(0, "a", evacuation.Word{Orders: evacuation.NewOrders(7, []string{"z2"}), Known: true})
+		held.takeEvacuations(0, "a", evacuation.Word{Orders: evacuation.NewOrders(position.Position{Revision: 7}, []string{"z2"}), Known: true})
 	}
 	_, err := held.reader.read()
 	check.NoErr(err)
@@ -265,7 +266,7 @@
 	for range 3 {
 		at, err := held.reader.follower.list()
 		check.NoErr(err)
-		check.Equal(at, authority.Position(0))
+		check.True(at.IsStart())
 	}
 	check.Equal(held.port.listed, 1)
 	held.now = testWithin
@@ -286,7 +287,7 @@
 func TestAFaultyOrderIsToldOnceAndBindsAll(t *testing.T) {
 	check := is.New(t)
 	held := newEvacuationMesh()
-	held.port.orders = evacuation.NewOrders(7, []string{"z1", "z8"})
+	held.port.orders = evacuation.NewOrders(position.Position{Revision: 7}, []string{"z1", "z8"})
 	held.port.faults = map[string]error{"z1": result.New(result.FileWrongType, "specification")}
 	for range 3 {
 		_, err := held.reader.read()
@@ -304,6 +305,6 @@
 	check := is.New(t)
 	held := newEvacuationMesh()
 	held.evacuationTiming = evacuation.Timing{}
-	held.takeEvacuations(0, "a", evacuation.Word{Orders: evacuation.NewOrders(7, []string{"z1"}), Known: true})
+	held.takeEvacuations(0, "a", evacuation.Word{Orders: evacuation.NewOrders(position.Position{Revision: 7}, []string{"z1"}), Known: true})
 	check.True(!held.evacuated())
 }
--- a/internal/hosted/heldrequests.go
+++ b/internal/hosted/heldrequests.go
@@ -56,7 +56,7 @@
 			continue
 		}
 		records = append(records, record)
-		m.keep(record.Signature)
+		m.keep(one)
 	}
 	m.takeHarmful("store", records, false)
 	return read
@@ -67,7 +67,11 @@
 	if m.held == nil {
 		return
 	}
-	held := authority.HeldRequest{Record: record, EndedAt: time.Now().Add(-record.Age)}
+	m.writeHeld(authority.HeldRequest{Record: record, EndedAt: time.Now().Add(-record.Age)})
+}
+
+// writeHeld writes a held request to the store until it stands there; it does not block.
+func (m *mesh) writeHeld(held authority.HeldRequest) {
 	m.running.Add(1)
 	go func() {
 		defer m.running.Done()
@@ -79,16 +83,43 @@
 			return err == nil
 		})
 		if written {
-			m.keep(record.Signature)
+			m.keep(held)
 		}
 	}()
 }
 
+// keptRequest is a held request that stands in the store as far as this daemon knows, and the era
+// in which it was seen there last.
+type keptRequest struct {
+	held authority.HeldRequest
+	era  uint64
+}
+
 // keep notes that a request stands in the store.
-func (m *mesh) keep(signature quarantine.Signature) {
+func (m *mesh) keep(held authority.HeldRequest) {
+	era := m.eras.known()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.kept[signature] = true
+	m.kept[held.Record.Signature] = keptRequest{held: held, era: era}
+}
+
+// seeKept notes that a request which is kept was seen in the store.
+func (m *mesh) seeKept(signature quarantine.Signature, era uint64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if kept, found := m.kept[signature]; found {
+		kept.era = max(kept.era, era)
+		m.kept[signature] = kept
+	}
+}
+
+// lostByStore tells whether a request that stands in the store no more was seen there in an
+// earlier era only: then the store has lost it, and no operator need have removed it.
+func (m *mesh) lostByStore(signature quarantine.Signature, era uint64) (authority.HeldRequest, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	kept, found := m.kept[signature]
+	return kept.held, found && kept.era < era
 }
 
 // keeping are the requests that stand in the store as far as this daemon knows.
@@ -139,23 +170,24 @@
 	defer m.mutex.Unlock()
 	settled, found := m.settled[signature]
 	removedLately := found && settled.removed && m.clock()-settled.at <= lateWriteTime
-	return m.kept[signature] && !removedLately
+	_, kept := m.kept[signature]
+	return kept && !removedLately
 }
 
 // compareHeld releases what operators have removed from the store, and removes there what
 // was cleared or counts no more.
 func (m *mesh) compareHeld() {
-	kept := m.watched()
+	kept, era := m.watched(), m.eras.known()
 	stands, read := m.standing(authority.Lagging)
 	missing := lo.SomeBy(kept, func(signature quarantine.Signature) bool { return !stands[signature] })
 	if read && missing {
 		stands, read = m.standing(authority.Linearizable)
 	}
-	if !read {
-		return
+	if !read || m.eras.known() != era {
+		return // the next look tells
 	}
 	for _, signature := range kept {
-		m.settleKept(signature, stands[signature])
+		m.settleKept(signature, stands[signature], era)
 	}
 }
 
@@ -167,11 +199,18 @@
 	}), read
 }
 
-// settleKept compares what is believed of one request with whether it stands in the store.
-func (m *mesh) settleKept(signature quarantine.Signature, stands bool) {
+// settleKept compares what is believed of one request with whether it stands in the store, in an
+// era.
+func (m *mesh) settleKept(signature quarantine.Signature, stands bool, era uint64) {
 	trusted := m.harmful.HarmfulBelief(signature) == quarantine.Trusted
+	held, lost := m.lostByStore(signature, era)
 	switch {
 	case stands && !trusted:
+		m.seeKept(signature, era)
+		return
+	case lost && !stands && !trusted:
+		m.events.event("harmful_written_again", field("signature", signature.String()))
+		m.writeHeld(held)
 		return
 	case stands:
 		m.removeHeld(signature)
--- a/internal/hosted/heldrequests_test.go
+++ b/internal/hosted/heldrequests_test.go
@@ -60,8 +60,8 @@
 	}}
 	mesh := &mesh{
 		clock: func() time.Duration { return 0 }, context: t.Context(), calls: &storeCalls{}, held: store, harmful: path,
-		reads: testReads(),
-		kept:  map[quarantine.Signature]bool{held: true, cleared: true, removed: true, lapsed: true},
+		reads: testReads(), eras: &eras{},
+		kept: map[quarantine.Signature]keptRequest{held: {}, cleared: {}, removed: {}, lapsed: {}},
 	}
 	mesh.compareHeld()
 	check.Equal(store, heldInStore{held: true})
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -137,6 +137,7 @@
 		clock:      func() time.Duration { return 0 },
 		contact:    newContact(func() time.Duration { return 0 }),
 		reads:      testReads(),
+		eras:       &eras{clock: func() time.Duration { return 0 }},
 		publish:    func(proxy.MeshState) {},
 		harmful:    proxy.New(proxy.Config{Clock: func() time.Duration { return 0 }}),
 		rollouts:   newRolloutTable(0),
--- a/internal/hosted/latewrites_test.go
+++ b/internal/hosted/latewrites_test.go
@@ -132,8 +132,8 @@
 	path := &believed{beliefs: map[quarantine.Signature]quarantine.Belief{signature: quarantine.Held}}
 	made := &mesh{
 		clock: func() time.Duration { return *now }, context: t.Context(), calls: &storeCalls{}, held: store, harmful: path,
-		reads: testReads(),
-		kept:  map[quarantine.Signature]bool{signature: true},
+		reads: testReads(), eras: &eras{},
+		kept: map[quarantine.Signature]keptRequest{signature: {}},
 	}
 	return made, store, path, signature
 }
@@ -171,13 +171,13 @@
 	check.Equal(len(store), 0)
 	path.beliefs[signature] = quarantine.Held
 	store[signature] = true
-	made.keep(signature)
+	made.keep(heldOf(signature))
 	delete(store, signature) // late
 	now += heldPeriod
 	made.compareHeld()
 	check.Equal(len(path.released), 0)
 	store[signature] = true // written by another daemon
-	made.keep(signature)
+	made.keep(heldOf(signature))
 	now += lateWriteTime + 1
 	delete(store, signature) // by an operator
 	made.compareHeld()
@@ -197,3 +197,8 @@
 	made.compareHeld()
 	check.Equal(len(path.released), 1)
 }
+
+// heldOf is a held request of a signature as it stands in the store.
+func heldOf(signature quarantine.Signature) authority.HeldRequest {
+	return authority.HeldRequest{Record: quarantine.Record{Signature: signature}}
+}
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -55,6 +55,7 @@
 	// reads makes calls to the store that are answered at once, connections those that wait.
 	reads       *storeReads
 	connections *connections
+	eras        *eras
 	client      *control.Client
 	// publish gives the data path what is known of the others.
 	publish func(proxy.MeshState)
@@ -63,7 +64,7 @@
 	held authority.HeldRequests
 	// kept are the held requests that this daemon has written to the store or read there;
 	// guarded by mutex.
-	kept map[quarantine.Signature]bool
+	kept map[quarantine.Signature]keptRequest
 	// settled are those that stand there no more by the daemon's or an operator's doing, while
 	// a late write may still change that; guarded by mutex.
 	settled map[quarantine.Signature]settledHeld
@@ -95,9 +96,11 @@
 	running    sync.WaitGroup
 
 	hasJoined atomic.Bool
-	mutex     sync.Mutex
-	self      protocol.Member
-	roster    *membership.Roster
+	// registering is set while the registration is written again.
+	registering atomic.Bool
+	mutex       sync.Mutex
+	self        protocol.Member
+	roster      *membership.Roster
 	// registered are daemons that the registry names.
 	registered []authority.Registration
 	// index holds the other daemons; see peers.
@@ -232,6 +235,7 @@
 	if err != nil || reply == nil {
 		return nil
 	}
+	m.eras.heard(reply.Era, string(target.ID))
 	m.heardOf(target.ID, reply.Version)
 	m.takeRollouts(reply.Rollouts)
 	m.takeEvacuations(asked, string(target.ID), reply.Evacuations)
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -40,6 +40,8 @@
 			metrics.HeardAge.Send(out, age.Seconds(), name)
 		}
 	}
+	metrics.StoreEra.Send(out, float64(c.daemon.eras.known()))
+	metrics.StoreEraFaults.Send(out, float64(c.daemon.eras.faultCount()))
 	metrics.Members.Send(out, float64(c.daemon.mesh.size()))
 	metrics.PeersLost.Send(out, float64(c.daemon.mesh.lostCount()))
 	metrics.LogLinesDropped.Send(out, float64(c.daemon.linesDropped()))
--- a/internal/hosted/orderfollower.go
+++ b/internal/hosted/orderfollower.go
@@ -29,8 +29,8 @@
 	purpose string
 	// count is how many daemons follow.
 	count int
-	// list reads all orders and puts them in force. It returns the position after them; 0
-	// where the store knows none.
+	// list reads all orders and puts them in force. It returns the position after them, the
+	// start where the store knows none.
 	list func() (authority.Position, error)
 	// watch waits for changes after a position and puts them in force.
 	watch func(from authority.Position) (authority.Position, error)
@@ -70,14 +70,14 @@
 			continue
 		}
 		at, err := f.list()
-		for err == nil && at > 0 && f.follows() {
+		for err == nil && !at.IsStart() && f.follows() {
 			at, err = f.watch(at)
 		}
 		switch {
 		case err != nil:
 			failures++
 			pause.For(f.mesh.context, registryBackoff.Pause(failures, randomNumber()))
-		case at == 0: // the store knows no orders at all, so there is nothing to watch
+		case at.IsStart(): // the store knows no orders at all, so there is nothing to watch
 			pause.For(f.mesh.context, orderRelist)
 		default:
 			failures = 0
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -31,6 +31,10 @@
 
 // answerExchange merges what a peer has sent and tells it what it lacks.
 func (m *mesh) answerExchange(request *protocol.ExchangeRequest) *protocol.ExchangeReply {
+	m.eras.heard(request.Era, string(request.From))
+	if request.Unregistered {
+		m.registerAgain()
+	}
 	m.heardOf(request.From, request.Version)
 	m.takeRollouts(request.Rollouts)
 	m.takeEvacuations(m.clock(), string(request.From), request.Evacuations)
@@ -53,7 +57,7 @@
 	m.heardAt = m.clock()
 	m.contact.note(contactPeer)
 	reply := &protocol.ExchangeReply{
-		Version: m.version(), Rollouts: m.rollouts.records(m.clock()), Harmful: m.harmfulFor(request.HarmfulSum),
+		Version: m.version(), Era: m.eras.known(), Rollouts: m.rollouts.records(m.clock()), Harmful: m.harmfulFor(request.HarmfulSum),
 		Evacuations: m.evacuations.Word(m.clock()),
 	}
 	sums := m.roster.Sums()
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -31,6 +31,8 @@
 	Probe Prober
 	// OnFault has somebody told of entries of the store that are left out; nil for nobody.
 	OnFault func(TellFault)
+	// OnEra has somebody told of the era of each answer of the store; nil for nobody.
+	OnEra func(TellEra)
 	// Renew has calls to the store from now on made over new connections; those under way are left
 	// alone. Nil where connections can't be told apart.
 	Renew func()
@@ -42,6 +44,10 @@
 // another writer has made it or spoilt it.
 type TellFault func(kind, name string, fault error)
 
+// TellEra tells of the era of an answer of the store: how often it has come back from an older
+// copy. It is 0 where the answer does not tell it in a way that can be read, and fault says why.
+type TellEra func(era uint64, fault error)
+
 // Reports takes what the back end beside the daemon says. When a method
 // returns, what was said is in force at this daemon's gate.
 type Reports interface {
--- a/internal/hosted/registering.go
+++ b/internal/hosted/registering.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/springstack/springstack/internal/authority"
 	"github.com/springstack/springstack/internal/core/dissemination"
 	"github.com/springstack/springstack/internal/core/following"
@@ -53,6 +55,74 @@
 	return m.readRegistry() && (m.isRegistered() || m.hasLeft() || m.putRegistration())
 }
 
+// registrationPurpose names the ranking by which the daemons are chosen that look for lost
+// registrations.
+const registrationPurpose = "registration"
+
+const (
+	// registrationCheckers is how many daemons look for lost registrations after the store has
+	// come back from an older copy.
+	registrationCheckers = 2
+	// registrationCheckAfter is how long after that the first one looks, and by how much later
+	// the next: until then operators and back ends write again what was lost too.
+	registrationCheckAfter = 500 * time.Millisecond
+)
+
+// checkRegistrations tells the daemons whose registrations the store has lost, if this daemon is one
+// of those that look. It does not block.
+func (m *mesh) checkRegistrations(uint64) {
+	m.mutex.Lock()
+	rank := m.rankFor(registrationPurpose)
+	m.mutex.Unlock()
+	if rank >= registrationCheckers {
+		return
+	}
+	m.running.Go(func() {
+		if pause.For(m.context, registrationCheckAfter*time.Duration(rank+1)) {
+			m.untilDone(m.findUnregistered)
+		}
+	})
+}
+
+// findUnregistered reads the registry and tells the daemons that it lacks.
+func (m *mesh) findUnregistered() bool {
+	listed, read := m.listRegistry(authority.Linearizable)
+	if !read {
+		return false
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.setRegistered(listed)
+	stands := lo.SliceToMap(listed, func(one authority.Registration) (protocol.NodeID, bool) { return one.ID, true })
+	m.roster.Each(func(member protocol.Member) {
+		if stands[member.ID] || member.State == protocol.MemberLeft {
+			return
+		}
+		if member.ID == m.self.ID {
+			m.registerAgain()
+			return
+		}
+		request := m.pushRequest(nil)
+		request.Unregistered = true
+		if peer, found := m.peers().Find(member.ID); found {
+			m.deliver([]dissemination.Peer{peer}, request, false)
+		}
+	})
+	return true
+}
+
+// registerAgain writes the daemon's registration that the store has lost. It does not block.
+func (m *mesh) registerAgain() {
+	if m.registering.Swap(true) {
+		return
+	}
+	m.running.Go(func() {
+		defer m.registering.Store(false)
+		m.untilDone(func() bool { return m.hasLeft() || m.putRegistration() })
+		m.events.event("registration_written_again")
+	})
+}
+
 func (m *mesh) hasLeft() bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -76,14 +146,22 @@
 // registryBackoff is the pause between tries to reach the registry.
 var registryBackoff = following.DefaultBackoff()
 
-func (m *mesh) readRegistry() bool {
+// listRegistry lists the registrations, and tells whether the store answered.
+func (m *mesh) listRegistry(freshness authority.Freshness) ([]authority.Registration, bool) {
 	listed, err := readStore(m.reads, m.context, readTimeout, func(ctx context.Context) ([]authority.Registration, error) {
-		listed, err := m.registry.List(ctx, authority.Lagging)
+		listed, err := m.registry.List(ctx, freshness)
 		m.calls.noteError(purposeList, err)
 		return listed, err
 	})
 	if err != nil {
 		m.events.event("registry_unavailable", field("error", err.Error()))
+	}
+	return listed, err == nil
+}
+
+func (m *mesh) readRegistry() bool {
+	listed, read := m.listRegistry(authority.Lagging)
+	if !read {
 		return false
 	}
 	m.mutex.Lock()
--- a/internal/hosted/rolloutdecider.go
+++ b/internal/hosted/rolloutdecider.go
@@ -115,7 +115,11 @@
 	elapsed := m.rollouts.orders.Elapsed(m.clock(), service)
 	target, stable := m.rolloutGates(record)
 	m.mutex.Unlock()
-	if !found || record.Stage.Final() {
+	switch {
+	case !found:
+		return
+	case record.Stage.Final():
+		d.writeLost(record, time.Duration(rank+1)*deciderStagger)
 		return
 	}
 	seen := d.observe(record, target, stable)
@@ -125,6 +129,25 @@
 	}
 }
 
+// writeLost writes the outcome of an order again that the store has held and has lost, once that
+// has stood for a time.
+func (d *rolloutDecider) writeLost(record rollout.Record, stood time.Duration) {
+	d.mutex.Lock()
+	known, now := d.orders[record.Service], d.mesh.clock()
+	if known == nil || recordOf(known.order).Generation != record.Generation || known.order.Status.Stage == record.Stage {
+		d.mutex.Unlock()
+		return
+	}
+	if known.dueAt == 0 {
+		known.dueAt = now
+	}
+	order, due := known.order, now-known.dueAt >= stood
+	d.mutex.Unlock()
+	if due {
+		d.write(order, record, rollout.Decision{Stage: record.Stage, Reason: "the store has lost the outcome"})
+	}
+}
+
 // step steps the decision on an order, and tells whether it is due to be written over the
 // order as it was read: it has stood for a time.
 func (d *rolloutDecider) step(
@@ -180,6 +203,10 @@
 // there, tells all daemons. A write that met another one's is read again. It holds no lock while
 // the store is called, which may be slow, so that other orders and news are not held up.
 func (d *rolloutDecider) write(order authority.RolloutOrder, record rollout.Record, decision rollout.Decision) {
+	if d.mesh.eras.lapsed(order.At) {
+		d.reread() // the position may be given out again, to another change
+		return
+	}
 	status := authority.RolloutStatus{Stage: decision.Stage, Target: record.Target, Generation: record.Generation}
 	ctx, cancel := context.WithTimeout(d.mesh.context, readTimeout)
 	defer cancel()
@@ -194,6 +221,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.orders[record.Service].dueAt = 0
+	written.At = d.mesh.eras.place(written.At)
 	d.takeOne(written)
 }
 
--- a/internal/hosted/rolloutdecider_test.go
+++ b/internal/hosted/rolloutdecider_test.go
@@ -25,23 +25,23 @@
 
 func newOrderStore() *orderStore {
 	return &orderStore{order: authority.RolloutOrder{
-		Service: serviceRef("app"), Target: "v2", Duration: 10 * time.Second, Revision: 7,
+		Service: serviceRef("app"), Target: "v2", Duration: 10 * time.Second, At: authority.Position{Revision: 7},
 	}}
 }
 
 func (s *orderStore) List(context.Context) ([]authority.RolloutOrder, authority.Position, error) {
-	return []authority.RolloutOrder{s.order}, authority.Position(s.order.Revision), nil
+	return []authority.RolloutOrder{s.order}, s.order.At, nil
 }
 
 func (s *orderStore) Watch(context.Context, authority.Position, time.Duration) ([]authority.RolloutOrder, authority.Position, error) {
-	return nil, 0, result.New(result.PlatformUnavailable, "nothing is watched here")
+	return nil, authority.Position{}, result.New(result.PlatformUnavailable, "nothing is watched here")
 }
 
 func (s *orderStore) Write(_ context.Context, order authority.RolloutOrder, status authority.RolloutStatus) (authority.RolloutOrder, error) {
-	if order.Revision != s.order.Revision {
+	if order.At != s.order.At {
 		return order, result.New(result.PlatformConflict, "the order has changed")
 	}
-	s.order.Revision++
+	s.order.At.Revision++
 	s.order.Status = status
 	if s.outcome.Final() && status.Stage != s.outcome {
 		s.replaced = true
@@ -175,7 +175,8 @@
 	}()
 	<-slow.writing
 	newer := run.store.order
-	newer.Target, newer.Revision = "v3", newer.Revision+100
+	newer.Target = "v3"
+	newer.At.Revision += 100
 	decider.take([]authority.RolloutOrder{newer}) // hangs where the write holds the lock
 	close(slow.let)
 	<-written
--- a/internal/hosted/rolloutorders.go
+++ b/internal/hosted/rolloutorders.go
@@ -42,12 +42,12 @@
 	return orders, true
 }
 
-// list reads all orders and the position after them; 0 where the store knows none.
+// list reads all orders and the position after them, the start where the store knows none.
 func (d *rolloutDecider) list() ([]authority.RolloutOrder, authority.Position, error) {
 	listed, err := readStore(d.mesh.reads, d.mesh.context, readTimeout, func(ctx context.Context) (orderListing, error) {
 		orders, at, err := d.port.List(ctx)
 		d.mesh.calls.noteError(purposeRollout, err)
-		return orderListing{orders, at, err}, err
+		return d.listing(orders, at, err), err
 	})
 	return listed.orders, listed.at, err
 }
@@ -59,11 +59,22 @@
 	err    error
 }
 
+// listing is what a call brought, with all positions in their era.
+func (d *rolloutDecider) listing(orders []authority.RolloutOrder, at authority.Position, err error) orderListing {
+	for index := range orders {
+		orders[index].At = d.mesh.eras.place(orders[index].At)
+	}
+	return orderListing{orders, d.mesh.eras.place(at), err}
+}
+
 func (d *rolloutDecider) watch(from authority.Position) (authority.Position, error) {
+	if d.mesh.eras.lapsed(from) {
+		return from, errLapsed()
+	}
 	news := watched(d.mesh.connections, d.mesh.context, orderWatchWait+watchMargin, func(ctx context.Context) orderListing {
 		orders, at, err := d.port.Watch(ctx, from, orderWatchWait)
 		d.mesh.calls.noteError(purposeRollout, err)
-		return orderListing{orders, at, err}
+		return d.listing(orders, at, err)
 	})
 	d.take(news.orders)
 	return news.at, news.err
@@ -92,7 +103,7 @@
 // says of its outcome goes before all that daemons believe.
 func (d *rolloutDecider) merge(order authority.RolloutOrder) bool {
 	known := d.orders[order.Service]
-	if known != nil && order.Revision < known.order.Revision {
+	if known != nil && order.At.Before(known.order.At) {
 		return false // a newer state was read while this one was on its way
 	}
 	if known == nil || known.order.Target != order.Target || known.order.Duration != order.Duration {
@@ -124,7 +135,7 @@
 func recordOf(order authority.RolloutOrder) rollout.Record {
 	record := rollout.Record{
 		Service: order.Service, Target: order.Target, Duration: order.Duration,
-		Generation: order.Revision, Stage: rollout.StageCanary,
+		Generation: order.At, Stage: rollout.StageCanary,
 	}
 	if order.Status.Stage != 0 && order.Status.Target == order.Target {
 		record.Stage = order.Status.Stage
--- a/internal/hosted/rollouts_test.go
+++ b/internal/hosted/rollouts_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/springstack/springstack/internal/core/position"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/rollout"
 )
@@ -28,7 +29,7 @@
 	check.Equal(len(mesh.divide(members)), 0)
 	members = append(members, atVersion("v2"))
 	check.Equal(mesh.divide(members)[serviceRef("app")].Stage, rollout.StageHeld)
-	mesh.mergeRollouts([]rollout.Record{{Service: serviceRef("app"), Target: "v2", Generation: 1, Stage: rollout.StageCanary}})
+	mesh.mergeRollouts([]rollout.Record{{Service: serviceRef("app"), Target: "v2", Generation: position.Position{Revision: 1}, Stage: rollout.StageCanary}})
 	check.Equal(mesh.divide(members)[serviceRef("app")].Stage, rollout.StageCanary)
 	now += heldLimit
 	check.Equal(mesh.divide(members)[serviceRef("app")].Target, "v2")
@@ -72,7 +73,7 @@
 	mesh := newTestMesh("z")
 	mesh.clock = func() time.Duration { return now }
 	mesh.rollouts = newRolloutTable(0.1)
-	mesh.mergeRollouts([]rollout.Record{{Service: serviceRef("app"), Target: "v2", Generation: 1, Stage: rollout.StageCompleted}})
+	mesh.mergeRollouts([]rollout.Record{{Service: serviceRef("app"), Target: "v2", Generation: position.Position{Revision: 1}, Stage: rollout.StageCompleted}})
 	check.Equal(len(mesh.divide(nil)), 1)
 	now += completedTime + time.Second
 	check.Equal(len(mesh.divide(nil)), 0)
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -122,6 +122,14 @@
 	d.configuration.announce = made.announceVersion
 	d.backend = d.newBackendSide(path, made)
 	made.rememberLeaving = d.backend.rememberLeaving
+	d.eras.risen = []func(uint64){
+		d.configuration.newEra,
+		func(uint64) { made.connections.rewatch() },
+		made.checkRegistrations,
+	}
+	if d.options.Platform.OnEra != nil {
+		d.options.Platform.OnEra(d.eras.answered)
+	}
 	if d.options.Platform.OnFault != nil {
 		d.options.Platform.OnFault(newFaultLog(d.events).tell)
 	}
@@ -146,7 +154,8 @@
 		roundTrips: &d.roundTrips,
 		harmful:    path.Proxy,
 		held:       d.options.Platform.Held,
-		kept:       map[quarantine.Signature]bool{},
+		kept:       map[quarantine.Signature]keptRequest{},
+		eras:       &d.eras,
 		rollouts:   newRolloutTable(d.settings.Rollouts.ExposureShare),
 		valueBytes: d.settings.Authority.ValueBytes,
 		context:    d.context,
@@ -213,7 +222,7 @@
 		context: d.context,
 		calls:   &d.storeCalls,
 		contact: d.contact,
-		reads:   m.reads, connections: m.connections,
+		reads:   m.reads, connections: m.connections, eras: m.eras,
 		follower: following.New(following.ConfigFor(d.settings.Authority.Apply()), randomNumber),
 	}
 }
--- a/internal/lab/rollouts/serve.go
+++ b/internal/lab/rollouts/serve.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/springstack/springstack/internal/core/position"
 	"github.com/springstack/springstack/internal/core/rollout"
 )
 
@@ -120,7 +121,7 @@
 // merge takes a stage that stands in the store, and tells the mesh if it is news.
 func (r *run) merge(now time.Duration, one *decider, stage rollout.Stage) {
 	record := rollout.Record{
-		Service: service, Target: "v2", Generation: 1, Duration: r.duration, Stage: stage,
+		Service: service, Target: "v2", Generation: position.Position{Revision: 1}, Duration: r.duration, Stage: stage,
 		Elapsed: now, // the store tells when the order was made
 	}
 	if one.table.Merge(now, record) {
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -104,6 +104,12 @@
 		"How long ago a source of configurations was last heard: store (by the watch), poll (by a read beside it), peer; in seconds.",
 		"Store above 11 s, or peer above some seconds: nothing new comes that way.",
 		"source")
+	StoreEra = define(Gauge, "store_era",
+		"How often the platform's store has come back from an older copy, as it tells; 0 where it does not tell.",
+		"Risen: see OPERATIONS.md, after the store was restored.")
+	StoreEraFaults = define(Counter, "store_era_faults_total",
+		"Answers of the platform's store that did not tell its era.",
+		"Rising beside a store_era above 0: something else answers in the store's place.")
 	EvacuatedZoneDaemons = define(Gauge, "evacuated_zone_daemons",
 		"Daemons in a zone that is to be empty, with the code of what is wrong with the order; 0 for nothing.",
 		"0 daemons or another code: correct the order; see OPERATIONS.md, emptying a zone.",
--- a/internal/proxy/evacuation_test.go
+++ b/internal/proxy/evacuation_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/springstack/springstack/internal/core/endpoint"
 	"github.com/springstack/springstack/internal/core/evacuation"
+	"github.com/springstack/springstack/internal/core/position"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/rollout"
@@ -48,7 +49,7 @@
 	check := is.New(t)
 	var runs atomic.Int64
 	mesh := startMesh(t, meshOptions{}, counting(&runs), counting(&runs))
-	mesh.caller.PublishState(MeshState{Members: mesh.members, Evacuations: evacuation.NewOrders(1, []string{"z"})})
+	mesh.caller.PublishState(MeshState{Members: mesh.members, Evacuations: evacuation.NewOrders(position.Position{Revision: 1}, []string{"z"})})
 	got := mesh.call(t, "POST", "/", "x")
 	expectRefusal(check, got, result.ZoneEvacuated, result.RanNo)
 	check.Equal(got.header.Get("Retry-After"), "1")
@@ -75,7 +76,7 @@
 		Service: emptied, Backend: "b", Endpoint: protocol.EndpointReady, Slots: 6,
 	})
 	mesh.caller.Swap(&held)
-	mesh.caller.PublishState(MeshState{Members: members, Evacuations: evacuation.NewOrders(1, []string{"other"})})
+	mesh.caller.PublishState(MeshState{Members: members, Evacuations: evacuation.NewOrders(position.Position{Revision: 1}, []string{"other"})})
 	const calls = 200
 	refused := 0
 	for range calls {
@@ -159,7 +160,7 @@
 	made.divide(Split{Target: "v2", Stage: rollout.StageCanary, CanaryShare: 0.5})
 	before, _ := sentTo(made, 1000)
 	check.True(before["v2"] > 0)
-	emptied := &service{all: versionedSetIn(endpoint.Locality{Evacuations: evacuation.NewOrders(1, []string{"new"})}, 10, 10)}
+	emptied := &service{all: versionedSetIn(endpoint.Locality{Evacuations: evacuation.NewOrders(position.Position{Revision: 1}, []string{"new"})}, 10, 10)}
 	emptied.divide(Split{Target: "v2", Stage: rollout.StageCanary, CanaryShare: 0.5})
 	after, _ := sentTo(emptied, 1000)
 	check.Equal(after, map[string]int{"v1": 1000})
