Another daemon polls for one that the store does not answer

What callers saw: 404 for a route of a version acknowledged 3 s before, at daemons whose watches hear nothing while the store refuses the pollers of their zone.

Cause: the first daemons of a zone by id poll the store; one that the store refuses keeps that part, and nobody takes it over.

--- a/internal/core/protocol/exchange.go
+++ b/internal/core/protocol/exchange.go
@@ -20,6 +20,8 @@
 	Version Version
 	// Era is the newest era of the store that the sender knows; 0 for none.
 	Era uint64
+	// Poll asks the receiver to read the store in place of the sender, which it does not answer.
+	Poll bool
 	// Unregistered tells the receiver that the store holds no registration of it.
 	Unregistered bool
 	// Total is the sum over all buckets of the sender's records.
@@ -57,6 +59,9 @@
 	Version Version
 	// Era is the newest era of the store that the receiver knows; 0 for none.
 	Era uint64
+	// StoreFails says that the store does not answer the receiver either; told when it was asked
+	// to poll.
+	StoreFails bool
 	// Sums are the receiver's sums after merging, when its total differs.
 	Sums []uint64
 	// Members are the receiver's records in the buckets whose sums differ from
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -90,7 +90,13 @@
 	// nil where none are followed.
 	listOrders func() bool
 	// poll reads the store once, and tells whether it answered.
-	poll       func() bool
+	poll func() bool
+	// pollNow wakes the loop that polls. The others are guarded by mutex: until when this daemon
+	// polls for another one, whether its last poll failed, and when that was.
+	pollNow    chan struct{}
+	pollUntil  time.Duration
+	pollsFail  bool
+	polledAt   time.Duration
 	valueBytes int
 	context    context.Context
 	running    sync.WaitGroup
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -35,11 +35,13 @@
 	if request.Unregistered {
 		m.registerAgain()
 	}
+	storeFails := request.Poll && !m.pollFor()
 	m.heardOf(request.From, request.Version)
 	m.takeRollouts(request.Rollouts)
 	m.takeEvacuations(m.clock(), string(request.From), request.Evacuations)
 	m.takeHarmful(string(request.From), request.Harmful, false)
 	reply := m.exchangeReply(request)
+	reply.StoreFails = storeFails
 	if request.Push {
 		m.takePush(request)
 	} else {
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -156,6 +156,7 @@
 		held:       d.options.Platform.Held,
 		kept:       map[quarantine.Signature]keptRequest{},
 		eras:       &d.eras,
+		pollNow:    make(chan struct{}, 1),
 		rollouts:   newRolloutTable(d.settings.Rollouts.ExposureShare),
 		valueBytes: d.settings.Authority.ValueBytes,
 		context:    d.context,
