Soak: connections of all machines die at once, the store comes back from a copy

What callers saw: the soak struck one machine's connections at a time, gave a version 4 s and a daemon 6 s of calm, and knew no loss of the store, so neither way that breaks CONFIG could show. Three faults are new: all connections, or all of those to the store, fall silent at one moment; the store goes on for up to 4 s, is away for up to 1 s (busy, throttled, reset or silent), comes back from the copy, and the operator writes again up to 1.5 s later. Stricter: a version is in force 2.5 s after its acknowledgement at a daemon that nothing was done to for 3 s; registrations stand at the end. The promise is counted beside faults now.

--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -117,8 +117,11 @@
 			case answer.Status == http.StatusOK:
 				shown = max(shown, asked)
 				s.oracle.Shown(start, asked, sentAt, answer.At)
+				if asked == newest {
+					s.oracle.InForce(on.name, version, accepted, sentAt, true)
+				}
 			case answer.Status == statusNotFound && asked == version && newest == version:
-				s.oracle.NotInForce(on.name, version, accepted, sentAt)
+				s.oracle.InForce(on.name, version, accepted, sentAt, false)
 			}
 		}
 		pause.For(ctx, probePause)
--- a/internal/lab/soak/evacuations.go
+++ b/internal/lab/soak/evacuations.go
@@ -50,7 +50,7 @@
 
 // orderEmpty writes the order to empty a zone.
 func (s *soak) orderEmpty(zone string) {
-	s.store.Evacuate(zone)
+	s.order(zone, true)
 	s.oracle.Evacuated(zone, time.Now())
 	s.log("evacuated", zone)
 }
@@ -58,7 +58,7 @@
 // takeBack removes the order to empty a zone.
 func (s *soak) takeBack(zone string) {
 	s.oracle.TakenBack(zone)
-	s.store.TakeBack(zone)
+	s.order(zone, false)
 	s.log("withdrawn", zone)
 }
 
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -134,6 +134,9 @@
 			}
 		}
 	}},
+	{name: "all_connections_die", weight: 3, everyone: true, harm: silenceAll(true)},
+	{name: "all_store_connections_die", weight: 3, everyone: true, harm: silenceAll(false)},
+	{name: "store_restored", weight: 4, everyone: true, harm: (*soak).restoreStore},
 	{name: "store_busy", weight: 1, everyone: true, harm: storeFault(standin.Faults{Busy: true})},
 	{name: "store_throttled", weight: 1, everyone: true, harm: storeFault(standin.Faults{Throttled: true})},
 	{name: "store_down", weight: 1, everyone: true, harm: storeFault(standin.Faults{Silent: true})},
--- a/internal/lab/soak/oracle.go
+++ b/internal/lab/soak/oracle.go
@@ -21,8 +21,8 @@
 	rollbackSlack = 250 * time.Millisecond
 	// applyBound is when an accepted version must be in force on a daemon that
 	// nothing happened to for calmBefore.
-	applyBound = 4 * time.Second
-	calmBefore = 6 * time.Second
+	applyBound = 2500 * time.Millisecond
+	calmBefore = contactTime
 )
 
 // The promises that are judged here.
@@ -33,6 +33,7 @@
 	promiseOfRegions  = "a request runs in its allowed regions"
 	promiseOfDrains   = "a leaving back end gets no new work"
 	promiseOfVersions = "no proxy goes back a version"
+	promiseOfApply    = "what is accepted is in force in seconds"
 )
 
 // Request is one request of a client.
@@ -304,14 +305,18 @@
 	}
 }
 
-// NotInForce judges a probe by which a daemon has shown that it does not hold
-// the newest version, accepted some time before the probe was sent.
-func (o *Oracle) NotInForce(machine string, version int, acceptedAt, sentAt time.Time) {
+// InForce judges a probe by which a daemon has shown whether it holds the newest version,
+// accepted some time before the probe was sent.
+func (o *Oracle) InForce(machine string, version int, acceptedAt, sentAt time.Time, holds bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	calm := sentAt.Sub(o.disturbed[machine]) > calmBefore
-	if calm && sentAt.Sub(acceptedAt) > applyBound {
-		o.violateTimed("what is accepted is in force in seconds", "%s has no version %d, %s after it was accepted",
+	if !calm || sentAt.Sub(acceptedAt) <= applyBound {
+		return
+	}
+	o.exercised(promiseOfApply, sentAt)
+	if !holds {
+		o.violateTimed(promiseOfApply, "%s has no version %d, %s after it was accepted",
 			machine, version, sentAt.Sub(acceptedAt))
 	}
 }
--- a/internal/lab/soak/oracle_test.go
+++ b/internal/lab/soak/oracle_test.go
@@ -93,8 +93,8 @@
 			func(o *Oracle) { o.Shown("m#1", 4, start.Add(time.Second), start.Add(time.Second)) }},
 		{"a daemon ends only when it is told to", func(*Oracle) {}, func(o *Oracle) { o.EndedUntold("m", "exit status 2") }},
 		{"what is accepted is in force in seconds",
-			func(o *Oracle) { o.NotInForce("m", 3, start, start.Add(applyBound)) },
-			func(o *Oracle) { o.NotInForce("m", 3, start, start.Add(applyBound+time.Millisecond)) }},
+			func(o *Oracle) { o.InForce("m", 3, start, start.Add(applyBound), false) },
+			func(o *Oracle) { o.InForce("m", 3, start, start.Add(applyBound+time.Millisecond), false) }},
 	}
 	for _, given := range cases {
 		t.Run(given.promise, func(t *testing.T) {
@@ -230,7 +230,7 @@
 	oracle := sentBy(charge())
 	oracle.Disturbed("m", start.Add(time.Minute))
 	check.True(!oracle.Calm("m", start.Add(time.Minute)))
-	oracle.NotInForce("m", 3, start, start.Add(time.Minute))
+	oracle.InForce("m", 3, start, start.Add(time.Minute), false)
 	oracle.Drained("a", 0, start)
 	oracle.Arrived(ran("a", time.Minute))
 	check.Equal(len(oracle.Violations()), 0)
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -100,6 +100,12 @@
 	instances int
 	// emptied are the zones that are claimed for an order to empty them.
 	emptied []string
+	// operator is held while the operator writes, and while the store comes back from a copy.
+	operator sync.Mutex
+	// ordered are the zones that the operator wants to be empty, newestConfiguration what it has
+	// written last; both are guarded by operator.
+	ordered             map[string]bool
+	newestConfiguration standin.Configuration
 	// ends is when clients stop to call.
 	ends    time.Time
 	inForce inForce
@@ -118,6 +124,7 @@
 		store:   standin.NewStore(),
 		oracle:  NewOracle(),
 		answers: map[string]int{},
+		ordered: map[string]bool{},
 		log:     log,
 	}
 	defer played.close()
@@ -250,9 +257,12 @@
 	for _, route := range routes {
 		s.oracle.Allow(route.Prefix, route.Service)
 	}
-	s.store.Operate(standin.Configuration{
+	s.operator.Lock()
+	s.newestConfiguration = standin.Configuration{
 		Version: s.version, Services: services, Routes: routes, WarmUpRate: coldRate, WarmUpSeconds: coldTime.Seconds(),
-	})
+	}
+	s.store.Operate(s.newestConfiguration)
+	s.operator.Unlock()
 	s.accepted = time.Now()
 }
 
@@ -312,6 +322,7 @@
 	clients.Wait()
 	s.returning.Wait()
 	s.awaitHealed("at the end")
+	s.awaitRegistered()
 }
 
 // report sums up.
