An answer of an earlier era is asked for again with growing pauses

A store, or a peer, that told an era which the store does not come to would have each daemon read it four times a second for good. Such a reading counts as a failure now, with the pauses of one.

--- a/internal/core/following/following.go
+++ b/internal/core/following/following.go
@@ -152,20 +152,19 @@
 func (f *Follower) StoreRead(now time.Duration, reading authority.Reading) []Action {
 	watched := f.watching
 	f.watching = false
-	switch reading.Code {
-	case result.OK:
-		f.failures = 0
-		f.answered = true
-	case result.PlatformCompacted:
+	switch {
+	case reading.Code == result.PlatformCompacted:
 		return []Action{f.readAgain()}
-	default:
+	case reading.Code != result.OK:
 		f.failures++
 		return []Action{{Kind: Read, Freshness: authority.Lagging, After: f.backoff()}}
-	}
-	if f.Lapsed(reading.At) {
+	case f.Lapsed(reading.At):
 		// A replica that has not come to the era yet, or a late answer.
-		return []Action{{Kind: Read, Freshness: authority.Linearizable, After: f.jitter()}}
+		f.failures++
+		return []Action{{Kind: Read, Freshness: authority.Linearizable, After: f.backoff()}}
 	}
+	f.failures = 0
+	f.answered = true
 	f.era = reading.At.Era
 	actions := f.offerOfStore(now, reading, SourceStore)
 	if watched && f.Lapsed(f.position) {
