--- a/internal/hosted/rolloutdecider_test.go
+++ b/internal/hosted/rolloutdecider_test.go
@@ -183,3 +183,33 @@
 	check.Equal(run.store.order.Status.Stage, rollout.StageShift)
 	check.Equal(decider.orders[newer.Service].order.Target, "v3") // what the write tells is older
 }
+
+// An outcome that the store has lost with an era is written there again, over the position of the
+// new one, and by no decider that has not read that.
+func TestALostOutcomeIsWrittenAgain(t *testing.T) {
+	check := is.New(t)
+	run := newTwoDeciders()
+	decider := run.deciders[0]
+	now := time.Minute
+	decider.mesh.clock = func() time.Duration { return now }
+	before := run.store.order
+	record, _ := decider.mesh.rollouts.orders.Of(before.Service)
+	decider.write(before, record, rollout.Decision{Stage: rollout.StageCompleted})
+	record, _ = decider.mesh.rollouts.orders.Of(before.Service)
+	check.Equal(record.Stage, rollout.StageCompleted)
+	decider.writeLost(record, 0)
+	check.Equal(run.store.order.At.Revision, before.At.Revision+1) // it stands there
+
+	before.At.Era = 2
+	run.store.order = before // restored from a copy of before
+	run.store.order.Status = authority.RolloutStatus{Stage: rollout.StageCanary, Target: "v2", Generation: record.Generation}
+	decider.mesh.eras.heard(1, "store")
+	decider.mesh.eras.heard(2, "store")
+	decider.write(decider.orders[before.Service].order, record, rollout.Decision{Stage: rollout.StageCompleted})
+	check.Equal(run.store.order.Status.Stage, rollout.StageCanary) // read again in its place
+	decider.writeLost(record, time.Second)
+	check.Equal(run.store.order.Status.Stage, rollout.StageCanary) // it has not stood for that long
+	now += time.Second
+	decider.writeLost(record, time.Second)
+	check.Equal(run.store.order.Status.Stage, rollout.StageCompleted)
+}
