--- a/internal/hosted/connections.go
+++ b/internal/hosted/connections.go
@@ -28,9 +28,6 @@
 	return min(max(answers.Timeout(), leastSilence), mostSilence)
 }
 
-// start begins the first epoch.
-func (c *connections) start() { c.epoch, c.endEpoch = context.WithCancel(c.context) }
-
 // connections has the long-lived connections of a daemon made anew when one of them was found
 // dead. It may be used by several goroutines.
 type connections struct {
@@ -50,6 +47,9 @@
 	endEpoch func()
 }
 
+// start begins the first epoch.
+func (c *connections) start() { c.epoch, c.endEpoch = context.WithCancel(c.context) }
+
 // The places that connections lead to, in logs.
 const (
 	placeStore = "store"
--- a/internal/hosted/storereads.go
+++ b/internal/hosted/storereads.go
@@ -32,7 +32,8 @@
 	err   error
 }
 
-// readStore makes a reading call to the store, within a bound.
+// readStore makes a reading call to the store, within a bound. Where its connection says nothing for
+// long, the call is made once more over a new one, and the first answer counts.
 func readStore[Value any](s *storeReads, parent context.Context, bound time.Duration, call func(context.Context) (Value, error)) (Value, error) {
 	ctx, cancel := context.WithTimeout(parent, bound)
 	began := s.clock()
@@ -59,18 +60,24 @@
 	s.failing.Store(false)
 	s.running.Go(func() {
 		defer cancel()
-		late := time.NewTimer(lateAnswer)
-		defer late.Stop()
-		select {
-		case <-first:
-		case <-ctx.Done():
-		case <-late.C:
-			s.dead(began)
-		}
+		judgeFirst(s, ctx, first, began)
 	})
 	return got.value, got.err
 }
 
+// judgeFirst finds out whether the connection of a first call is dead, once the second call has been
+// answered.
+func judgeFirst[Value any](s *storeReads, ctx context.Context, first <-chan storeAnswer[Value], began time.Duration) {
+	late := time.NewTimer(lateAnswer)
+	defer late.Stop()
+	select {
+	case <-first:
+	case <-ctx.Done():
+	case <-late.C:
+		s.dead(began)
+	}
+}
+
 // startRead begins a call.
 func startRead[Value any](s *storeReads, ctx context.Context, call func(context.Context) (Value, error)) <-chan storeAnswer[Value] {
 	answered := make(chan storeAnswer[Value], 1)
