Relays of other zones remind a restarted daemon of the drain that it forgot

Cause: a killed daemon forgets what it has acknowledged, and those of its zone that have heard of it tell it. Here the zone's only other daemon had just been restarted itself, was taken for lost and had not heard; the daemons of all other zones knew, and kept quiet by rule. Change: the relay of each other zone tells it too; one message a zone and restart that forgot a drain.

--- a/internal/hosted/remind_test.go
+++ b/internal/hosted/remind_test.go
@@ -28,6 +28,17 @@
 // A daemon that has started again asks one peer, which may not have heard what the earlier
 // start had acknowledged. Those that have tell it.
 func TestAStartIsToldOfTheDrainThatItForgot(t *testing.T) {
+	expectReminder(t, "z1")
+}
+
+// Its zone may have nobody who has heard of that: then the relays of other zones tell it.
+func TestAStartIsToldByOtherZonesOfTheDrainThatItForgot(t *testing.T) {
+	expectReminder(t, "z2")
+}
+
+// expectReminder wants a daemon of a zone to tell one of z1 that has started again of its drain.
+func expectReminder(t *testing.T, zone string) {
+	t.Helper()
 	check := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	check.NoErr(err)
@@ -39,7 +50,7 @@
 	before := member("a", "z1")
 	before.ControlAddress = listener.Addr().String()
 	before.Backend, before.Endpoint = "i", protocol.EndpointDraining
-	held := newTestMesh("z1", before)
+	held := newTestMesh(zone, before)
 	held.heardOf = func(protocol.NodeID, protocol.Version) {}
 	ctx, cancel := context.WithCancel(context.Background())
 	held.context = ctx
--- a/internal/hosted/restartnews.go
+++ b/internal/hosted/restartnews.go
@@ -24,10 +24,11 @@
 	return restarted && acknowledged && !another && started.Endpoint != protocol.EndpointDraining
 }
 
-// remind tells a daemon of the own zone that has started again what its earlier start had
-// acknowledged; the lock is held. The peer that it joined by may not have heard of that.
+// remind tells a daemon that has started again what its earlier start had acknowledged; the lock is
+// held. The peer that it joined by may not have heard of that, and neither may any of its zone: the
+// relays of other zones tell it too.
 func (m *mesh) remind(remembered, started protocol.Member) {
-	if started.Zone != m.self.Zone {
+	if started.Zone != m.self.Zone && !m.peers().IsRelay(m.isLost) {
 		return
 	}
 	target := dissemination.Peer{
