A watch of orders ends with the era that it was made in

What callers saw: nothing yet; found in reading the change. The watches of orders looked at the era before they waited, and were made again from the same position when it rose while they did: a store that has passed that revision again would tell them nothing for 30 s. Evacuations are listed beside their watch, orders of roll-outs are not. They look before each call now.

--- a/internal/control/hedge.go
+++ b/internal/control/hedge.go
@@ -9,7 +9,7 @@
 // Hedge has a call whose connection owes an answer and says nothing sent once more, over a new
 // connection. Only a client whose requests may come twice may have one.
 type Hedge struct {
-	// After is how long a connection may say nothing before.
+	// After is how long a connection may owe an answer and say nothing before that.
 	After func() time.Duration
 	// OnDead is told when a connection has died without a sign: its answer was owed while the one
 	// over a new connection came. It must not block.
--- a/internal/hosted/evacuationreader.go
+++ b/internal/hosted/evacuationreader.go
@@ -218,10 +218,10 @@
 		at      authority.Position
 		err     error
 	}
-	if r.mesh.eras.lapsed(from) {
-		return from, errLapsed()
-	}
 	news := watched(r.mesh.connections, r.mesh.context, orderWatchWait+watchMargin, func(ctx context.Context) change {
+		if r.mesh.eras.lapsed(from) {
+			return change{at: from, err: errLapsed()}
+		}
 		changed, at, err := r.port.Watch(ctx, from, orderWatchWait)
 		r.mesh.calls.noteError(purposeEvacuation, err)
 		return change{changed, r.mesh.eras.place(at), err}
--- a/internal/hosted/rolloutorders.go
+++ b/internal/hosted/rolloutorders.go
@@ -68,10 +68,10 @@
 }
 
 func (d *rolloutDecider) watch(from authority.Position) (authority.Position, error) {
-	if d.mesh.eras.lapsed(from) {
-		return from, errLapsed()
-	}
 	news := watched(d.mesh.connections, d.mesh.context, orderWatchWait+watchMargin, func(ctx context.Context) orderListing {
+		if d.mesh.eras.lapsed(from) {
+			return orderListing{at: from, err: errLapsed()}
+		}
 		orders, at, err := d.port.Watch(ctx, from, orderWatchWait)
 		d.mesh.calls.noteError(purposeRollout, err)
 		return d.listing(orders, at, err)
