A start that seems older and alone reports is heard when it becomes cold

Cause: another start had told a time 5 h ahead. Until the living one has reported 8 times it counts as an earlier start, whose word that it drains is heeded and whose word that it is cold was dropped. Change: once it has reported twice while the other one is silent, the back end counts as cold for as long as it says, and is probed, which settles it.

--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -82,6 +82,7 @@
 		if report.Draining {
 			t.doubtRunning(report.Start())
 		}
+		t.heedWarmUp(now, report)
 		return false
 	}
 	t.dropCandidates(func(held Report) bool { return held.Instance == report.Instance })
@@ -97,6 +98,14 @@
 	}
 }
 
+// heedWarmUp takes a start that seems older than the running one under its name at its word that it
+// is cold, where it alone goes on reporting: the calls may reach it. A probe tells better.
+func (t *Tracker) heedWarmUp(now time.Duration, report Report) {
+	if report.WarmUp > 0 && report.Instance == t.running.Instance && t.older.alone(report.Start(), t.reportedAt) {
+		t.AssumeCold(now, report.WarmUp)
+	}
+}
+
 // takeLater takes a report of the running start unless a later one has come. That it drains
 // was acknowledged all the same, and binds.
 func (t *Tracker) takeLater(now time.Duration, report Report) {
--- a/internal/core/backend/restart_test.go
+++ b/internal/core/backend/restart_test.go
@@ -325,3 +325,20 @@
 		})
 	}
 }
+
+// A start that seems older than the one in force but alone reports may be the one that runs: the back
+// end counts as cold once it tells that it has become so, until the running one reports or answers.
+func TestAPersistentOlderStartThatBecomesColdIsHeard(t *testing.T) {
+	check := is.New(t)
+	tracker := runningSince(t, 300)
+	cold := reportOf(200, 3)
+	cold.WarmUp = time.Second
+	tracker.Reported(interval, cold) // a single one may have been held up
+	check.Equal(tracker.View(interval).ColdUntil, time.Duration(0))
+	cold.Sequence++
+	tracker.Reported(2*interval, cold)
+	check.Equal(tracker.View(2*interval).ColdUntil, 2*interval+time.Second)
+	check.True(tracker.DoubtsWarmth(2 * interval)) // so it is probed
+	tracker.Probed(2*interval, Probe{Instance: "a", Healthy: true, TellsWarmUp: true})
+	check.Equal(tracker.View(2*interval).ColdUntil, time.Duration(0))
+}
