Watches end with their era in one place; reads count themselves

The look at the era stood in each of three watches, where one of them had it in the wrong place before; watched has it now, and returns an error as readStore does. readStore counts each try by its purpose, which five callers did. readRegistry and findUnregistered took the list by the same lines. The follower kept its version beside the document that has it, and the fields of a refusal were made in one type to be turned into another. Tests keep their assertions; their fixtures name the counter and the eras.

--- a/internal/core/following/following.go
+++ b/internal/core/following/following.go
@@ -102,8 +102,6 @@
 	config Config
 	// random returns a uniform number; it spreads retries.
 	random func() uint64
-	// version is the newest version handed out to be adopted.
-	version protocol.Version
 	// position is the newest position of the store that was read.
 	position authority.Position
 	// era is the newest era of the store that is known; it may be later than that of position.
@@ -131,7 +129,7 @@
 }
 
 // Version is the newest version handed out to be adopted.
-func (f *Follower) Version() protocol.Version { return f.version }
+func (f *Follower) Version() protocol.Version { return f.document.Version }
 
 // StoreAnswered tells whether the store's last answer was one.
 func (f *Follower) StoreAnswered() bool { return f.answered && f.failures == 0 }
@@ -216,13 +214,13 @@
 }
 
 // Lacks tells whether a version is newer than all that were handed out.
-func (f *Follower) Lacks(version protocol.Version) bool { return version > f.version }
+func (f *Follower) Lacks(version protocol.Version) bool { return version > f.Version() }
 
 // offerOfStore takes a document that the store holds. One of a version that was lost with an
 // earlier era, and written again in this one with other content, replaces what is held.
 func (f *Follower) offerOfStore(now time.Duration, reading authority.Reading, source string) []Action {
 	document := reading.Document
-	again := document.Version != 0 && document.Version == f.version && f.documentEra < reading.At.Era
+	again := document.Version != 0 && document.Version == f.Version() && f.documentEra < reading.At.Era
 	if again && !bytes.Equal(document.Body, f.document.Body) {
 		f.documentEra = reading.At.Era
 		return f.handOut(now, document, source)
@@ -236,7 +234,7 @@
 
 // offer takes a document if it is newer than all before.
 func (f *Follower) offer(now time.Duration, document authority.Document, source string) []Action {
-	if document.Version <= f.version {
+	if document.Version <= f.Version() {
 		return nil
 	}
 	return f.handOut(now, document, source)
@@ -244,7 +242,6 @@
 
 // handOut has a document put in force.
 func (f *Follower) handOut(now time.Duration, document authority.Document, source string) []Action {
-	f.version = document.Version
 	f.document = document
 	f.adoptedAt = now
 	f.adopted = true
@@ -253,7 +250,7 @@
 
 // PeerVersion takes a peer's word of the version that it has in force.
 func (f *Follower) PeerVersion(now time.Duration, peer protocol.NodeID, version protocol.Version) []Action {
-	if version <= f.version || f.asking[peer] {
+	if version <= f.Version() || f.asking[peer] {
 		return nil
 	}
 	f.asking[peer] = true
--- a/internal/hosted/configuration.go
+++ b/internal/hosted/configuration.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/samber/lo"
-
 	"github.com/springstack/springstack/internal/authority"
 	"github.com/springstack/springstack/internal/core/following"
 	"github.com/springstack/springstack/internal/core/protocol"
@@ -218,9 +216,7 @@
 func (c *configuration) read(action following.Action) authority.Reading {
 	var reading authority.Reading
 	if action.Kind == following.Watch {
-		reading = watched(c.connections, c.context, watchWait+watchMargin, func(ctx context.Context) authority.Reading {
-			return c.watch(ctx, action.From)
-		})
+		reading = c.watch(action.From)
 	} else {
 		reading = c.readNow(purposeRead, action.Freshness)
 	}
@@ -231,23 +227,25 @@
 }
 
 // watch waits for a change after a position.
-func (c *configuration) watch(ctx context.Context, from authority.Position) authority.Reading {
-	if c.eras.lapsed(from) {
-		return authority.Reading{Code: result.PlatformCompacted, Detail: errLapsed().Error()}
+func (c *configuration) watch(from authority.Position) authority.Reading {
+	reading, err := watched(c.connections, c.context, from, watchWait+watchMargin, func(ctx context.Context) (authority.Reading, error) {
+		c.noteWatch(c.clock())
+		defer c.noteWatch(0)
+		reading := c.source.Watch(ctx, from, watchWait)
+		c.calls.note(purposeWatch, reading.Code)
+		reading.At = c.eras.place(reading.At)
+		return reading, nil // its code tells
+	})
+	if err != nil {
+		return authority.Reading{Code: codeOf(err), Detail: err.Error()}
 	}
-	c.noteWatch(c.clock())
-	defer c.noteWatch(0)
-	reading := c.source.Watch(ctx, from, watchWait)
-	c.calls.note(purposeWatch, reading.Code)
-	reading.At = c.eras.place(reading.At)
 	return reading
 }
 
 // readNow reads what the store holds now.
 func (c *configuration) readNow(purpose storePurpose, freshness authority.Freshness) authority.Reading {
-	reading, _ := readStore(c.reads, c.context, readTimeout, func(ctx context.Context) (authority.Reading, error) {
+	reading, _ := readStore(c.reads, c.context, purpose, readTimeout, func(ctx context.Context) (authority.Reading, error) {
 		reading := c.source.Read(ctx, freshness)
-		c.calls.note(purpose, reading.Code)
 		reading.At = c.eras.place(reading.At)
 		return reading, reading.Err()
 	})
@@ -267,14 +265,11 @@
 	c.mutex.Lock()
 	source, age, watched := c.changedBy, c.clock()-c.changedAt, c.watchedAt
 	c.mutex.Unlock()
-	fields := []eventField{field("version_age_ms", milliseconds(age)), field("version_source", source)}
+	fields := []proxy.EventField{{Key: "version_age_ms", Value: milliseconds(age)}, {Key: "version_source", Value: source}}
 	if watched != 0 {
-		fields = append(fields, field("watch_waits_ms", milliseconds(c.clock()-watched)))
+		fields = append(fields, proxy.EventField{Key: "watch_waits_ms", Value: milliseconds(c.clock() - watched)})
 	}
-	fields = append(fields, c.contact.fields()...)
-	return lo.Map(fields, func(one eventField, _ int) proxy.EventField {
-		return proxy.EventField{Key: one.key, Value: one.value}
-	})
+	return append(fields, c.contact.fields()...)
 }
 
 // noteStore logs when the store is lost and regained; the lock is held.
--- a/internal/hosted/connections.go
+++ b/internal/hosted/connections.go
@@ -5,9 +5,11 @@
 	"sync"
 	"time"
 
+	"github.com/springstack/springstack/internal/authority"
 	"github.com/springstack/springstack/internal/core/renewal"
 	"github.com/springstack/springstack/internal/core/roundtrip"
 	"github.com/springstack/springstack/internal/pause"
+	"github.com/springstack/springstack/internal/result"
 )
 
 const (
@@ -35,6 +37,7 @@
 	clock   func() time.Duration
 	context context.Context
 	running *sync.WaitGroup
+	eras    *eras
 	// renew has calls from now on made over new connections, renewStore those to the store only.
 	// They must not block.
 	renew      func()
@@ -121,18 +124,23 @@
 	}
 }
 
-// watched makes a watch that waits for a time at most, and makes it again over a new connection
-// whenever connections are renewed meanwhile.
-func watched[Answer any](c *connections, parent context.Context, bound time.Duration, watch func(context.Context) Answer) Answer {
-	for {
+// watched makes a watch from a position that waits for a time at most, and makes it again over a new
+// connection whenever connections are renewed meanwhile. It fails, with nothing asked, once the era of
+// the position has ended.
+func watched[Answer any](
+	c *connections, parent context.Context, from authority.Position, bound time.Duration, watch func(context.Context) (Answer, error),
+) (answer Answer, err error) {
+	for !c.eras.lapsed(from) {
 		bounded, cancel := context.WithTimeout(parent, bound)
 		ctx, renewed, end := c.untilRenewed(bounded)
-		answer := watch(ctx)
+		answer, err = watch(ctx)
 		again := renewed()
 		end()
 		cancel()
 		if !again {
-			return answer
+			return answer, err
 		}
 	}
+	var none Answer
+	return none, result.New(result.PlatformCompacted, "the store's era has changed")
 }
--- a/internal/hosted/contact.go
+++ b/internal/hosted/contact.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/springstack/springstack/internal/core/following"
+	"github.com/springstack/springstack/internal/proxy"
 )
 
 // contactSource is somebody who tells a daemon of versions.
@@ -42,14 +43,14 @@
 }
 
 // fields tell for each source how long ago it was heard.
-func (c *contact) fields() []eventField {
-	fields := make([]eventField, 0, contactSources)
+func (c *contact) fields() []proxy.EventField {
+	fields := make([]proxy.EventField, 0, contactSources)
 	for source, name := range contactNames {
 		text := "never"
 		if age, ever := c.age(contactSource(source)); ever {
 			text = milliseconds(age)
 		}
-		fields = append(fields, field(name+"_heard_ms", text))
+		fields = append(fields, proxy.EventField{Key: name + "_heard_ms", Value: text})
 	}
 	return fields
 }
--- a/internal/hosted/eras.go
+++ b/internal/hosted/eras.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/springstack/springstack/internal/authority"
-	"github.com/springstack/springstack/internal/core/position"
-	"github.com/springstack/springstack/internal/result"
 )
 
 // eras keeps the era of the store that this daemon knows of: it rises when the store has come back
@@ -93,11 +91,6 @@
 	return true
 }
 
-// errLapsed is the failure of a watch from a position of an era that has ended.
-func errLapsed() error {
-	return result.New(result.PlatformCompacted, "the store's era has changed")
-}
-
 // place is a position as an answer of the store told it. One without an era is taken for one of the
 // era that is known.
 func (e *eras) place(at authority.Position) authority.Position {
@@ -108,4 +101,4 @@
 }
 
 // lapsed tells whether a position is of an era that has ended.
-func (e *eras) lapsed(at position.Position) bool { return at.Era < e.known() }
+func (e *eras) lapsed(at authority.Position) bool { return at.Era < e.known() }
--- a/internal/hosted/evacuationreader.go
+++ b/internal/hosted/evacuationreader.go
@@ -194,9 +194,8 @@
 	}
 	m := r.mesh
 	bound := min(readTimeout, r.timing.Within/2)
-	listed, err := readStore(m.reads, m.context, bound, func(ctx context.Context) (listing, error) {
+	listed, err := readStore(m.reads, m.context, purposeEvacuation, bound, func(ctx context.Context) (listing, error) {
 		orders, faults, err := r.port.List(ctx)
-		m.calls.noteError(purposeEvacuation, err)
 		orders.At = m.eras.place(orders.At)
 		return listing{orders, faults}, err
 	})
@@ -216,18 +215,15 @@
 	type change struct {
 		changed bool
 		at      authority.Position
-		err     error
 	}
-	news := watched(r.mesh.connections, r.mesh.context, orderWatchWait+watchMargin, func(ctx context.Context) change {
-		if r.mesh.eras.lapsed(from) {
-			return change{at: from, err: errLapsed()}
-		}
+	m := r.mesh
+	news, err := watched(m.connections, m.context, from, orderWatchWait+watchMargin, func(ctx context.Context) (change, error) {
 		changed, at, err := r.port.Watch(ctx, from, orderWatchWait)
-		r.mesh.calls.noteError(purposeEvacuation, err)
-		return change{changed, r.mesh.eras.place(at), err}
+		m.calls.noteError(purposeEvacuation, err)
+		return change{changed, m.eras.place(at)}, err
 	})
-	if news.err != nil || !news.changed {
-		return news.at, news.err
+	if err != nil || !news.changed {
+		return news.at, err
 	}
 	return r.read()
 }
--- a/internal/hosted/heldrequests.go
+++ b/internal/hosted/heldrequests.go
@@ -35,10 +35,8 @@
 
 // listHeld reads what the store knows, and tells whether it answered.
 func (m *mesh) listHeld(freshness authority.Freshness) ([]authority.HeldRequest, bool) {
-	listed, err := readStore(m.reads, m.context, readTimeout, func(ctx context.Context) ([]authority.HeldRequest, error) {
-		listed, err := m.held.List(ctx, freshness)
-		m.calls.noteError(purposeHeld, err)
-		return listed, err
+	listed, err := readStore(m.reads, m.context, purposeHeld, readTimeout, func(ctx context.Context) ([]authority.HeldRequest, error) {
+		return m.held.List(ctx, freshness)
 	})
 	return listed, err == nil
 }
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -126,7 +126,7 @@
 
 // testReads makes calls to the store without a second try.
 func testReads() *storeReads {
-	return &storeReads{clock: func() time.Duration { return 0 }, running: &sync.WaitGroup{}}
+	return &storeReads{clock: func() time.Duration { return 0 }, running: &sync.WaitGroup{}, calls: &storeCalls{}}
 }
 
 // newTestMesh is a mesh of one daemon that knows others, and calls nobody.
--- a/internal/hosted/ordereras_test.go
+++ b/internal/hosted/ordereras_test.go
@@ -46,7 +46,7 @@
 	made := newTestMesh("z")
 	made.context = t.Context()
 	made.calls = &storeCalls{}
-	made.connections = &connections{clock: made.clock, context: t.Context(), running: &sync.WaitGroup{}}
+	made.connections = &connections{clock: made.clock, context: t.Context(), running: &sync.WaitGroup{}, eras: made.eras}
 	made.connections.start()
 	made.eras.risen = []func(uint64){func(uint64) { made.connections.rewatch() }}
 	made.eras.heard(1, "store")
--- a/internal/hosted/registering.go
+++ b/internal/hosted/registering.go
@@ -86,14 +86,12 @@
 
 // findUnregistered reads the registry and tells the daemons that it lacks.
 func (m *mesh) findUnregistered() bool {
-	listed, read := m.listRegistry(authority.Linearizable)
-	if !read {
+	if !m.refreshRegistry(authority.Linearizable) {
 		return false
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.setRegistered(listed)
-	stands := lo.SliceToMap(listed, func(one authority.Registration) (protocol.NodeID, bool) { return one.ID, true })
+	stands := lo.SliceToMap(m.registered, func(one authority.Registration) (protocol.NodeID, bool) { return one.ID, true })
 	m.roster.Each(func(member protocol.Member) {
 		if stands[member.ID] || member.State == protocol.MemberLeft {
 			return
@@ -146,22 +144,15 @@
 // registryBackoff is the pause between tries to reach the registry.
 var registryBackoff = following.DefaultBackoff()
 
-// listRegistry lists the registrations, and tells whether the store answered.
-func (m *mesh) listRegistry(freshness authority.Freshness) ([]authority.Registration, bool) {
-	listed, err := readStore(m.reads, m.context, readTimeout, func(ctx context.Context) ([]authority.Registration, error) {
-		listed, err := m.registry.List(ctx, freshness)
-		m.calls.noteError(purposeList, err)
-		return listed, err
+func (m *mesh) readRegistry() bool { return m.refreshRegistry(authority.Lagging) }
+
+// refreshRegistry lists the registrations, and tells whether the store answered.
+func (m *mesh) refreshRegistry(freshness authority.Freshness) bool {
+	listed, err := readStore(m.reads, m.context, purposeList, readTimeout, func(ctx context.Context) ([]authority.Registration, error) {
+		return m.registry.List(ctx, freshness)
 	})
 	if err != nil {
 		m.events.event("registry_unavailable", field("error", err.Error()))
-	}
-	return listed, err == nil
-}
-
-func (m *mesh) readRegistry() bool {
-	listed, read := m.listRegistry(authority.Lagging)
-	if !read {
 		return false
 	}
 	m.mutex.Lock()
--- a/internal/hosted/rolloutorders.go
+++ b/internal/hosted/rolloutorders.go
@@ -44,10 +44,9 @@
 
 // list reads all orders and the position after them, the start where the store knows none.
 func (d *rolloutDecider) list() ([]authority.RolloutOrder, authority.Position, error) {
-	listed, err := readStore(d.mesh.reads, d.mesh.context, readTimeout, func(ctx context.Context) (orderListing, error) {
+	listed, err := readStore(d.mesh.reads, d.mesh.context, purposeRollout, readTimeout, func(ctx context.Context) (orderListing, error) {
 		orders, at, err := d.port.List(ctx)
-		d.mesh.calls.noteError(purposeRollout, err)
-		return d.listing(orders, at, err), err
+		return d.listing(orders, at), err
 	})
 	return listed.orders, listed.at, err
 }
@@ -56,28 +55,25 @@
 type orderListing struct {
 	orders []authority.RolloutOrder
 	at     authority.Position
-	err    error
 }
 
 // listing is what a call brought, with all positions in their era.
-func (d *rolloutDecider) listing(orders []authority.RolloutOrder, at authority.Position, err error) orderListing {
+func (d *rolloutDecider) listing(orders []authority.RolloutOrder, at authority.Position) orderListing {
 	for index := range orders {
 		orders[index].At = d.mesh.eras.place(orders[index].At)
 	}
-	return orderListing{orders, d.mesh.eras.place(at), err}
+	return orderListing{orders, d.mesh.eras.place(at)}
 }
 
 func (d *rolloutDecider) watch(from authority.Position) (authority.Position, error) {
-	news := watched(d.mesh.connections, d.mesh.context, orderWatchWait+watchMargin, func(ctx context.Context) orderListing {
-		if d.mesh.eras.lapsed(from) {
-			return orderListing{at: from, err: errLapsed()}
-		}
+	m := d.mesh
+	news, err := watched(m.connections, m.context, from, orderWatchWait+watchMargin, func(ctx context.Context) (orderListing, error) {
 		orders, at, err := d.port.Watch(ctx, from, orderWatchWait)
-		d.mesh.calls.noteError(purposeRollout, err)
-		return d.listing(orders, at, err)
+		m.calls.noteError(purposeRollout, err)
+		return d.listing(orders, at), err
 	})
 	d.take(news.orders)
-	return news.at, news.err
+	return news.at, err
 }
 
 // take takes orders as the store has them.
--- a/internal/hosted/storereads.go
+++ b/internal/hosted/storereads.go
@@ -15,6 +15,8 @@
 type storeReads struct {
 	clock   func() time.Duration
 	running *sync.WaitGroup
+	// calls counts the calls, each try by itself.
+	calls *storeCalls
 	// renew has calls to the store made over new connections from now on; nil where there is no
 	// telling them apart.
 	renew func()
@@ -32,12 +34,14 @@
 	err   error
 }
 
-// readStore makes a reading call to the store, within a bound. Where its connection says nothing for
+// readStore makes a reading call to the store for a purpose, within a bound. Where its connection says nothing for
 // long, the call is made once more over a new one, and the first answer counts.
-func readStore[Value any](s *storeReads, parent context.Context, bound time.Duration, call func(context.Context) (Value, error)) (Value, error) {
+func readStore[Value any](
+	s *storeReads, parent context.Context, purpose storePurpose, bound time.Duration, call func(context.Context) (Value, error),
+) (Value, error) {
 	ctx, cancel := context.WithTimeout(parent, bound)
 	began := s.clock()
-	first := startRead(s, ctx, call)
+	first := startRead(s, ctx, purpose, call)
 	silence := time.NewTimer(silenceAfter(&s.answers))
 	defer silence.Stop()
 	select {
@@ -52,7 +56,7 @@
 		return got.value, s.note(began, got.err)
 	}
 	s.renew()
-	got, bySecond := eitherRead(first, startRead(s, ctx, call))
+	got, bySecond := eitherRead(first, startRead(s, ctx, purpose, call))
 	if !bySecond {
 		cancel()
 		return got.value, s.note(began, got.err)
@@ -79,10 +83,13 @@
 }
 
 // startRead begins a call.
-func startRead[Value any](s *storeReads, ctx context.Context, call func(context.Context) (Value, error)) <-chan storeAnswer[Value] {
+func startRead[Value any](
+	s *storeReads, ctx context.Context, purpose storePurpose, call func(context.Context) (Value, error),
+) <-chan storeAnswer[Value] {
 	answered := make(chan storeAnswer[Value], 1)
 	s.running.Go(func() {
 		value, err := call(ctx)
+		s.calls.noteError(purpose, err)
 		answered <- storeAnswer[Value]{value, err}
 	})
 	return answered
--- a/internal/hosted/storereads_test.go
+++ b/internal/hosted/storereads_test.go
@@ -27,6 +27,7 @@
 	began := time.Now()
 	made.clock = func() time.Duration { return time.Since(began) }
 	made.running = &sync.WaitGroup{}
+	made.calls = &storeCalls{}
 	made.renew = func() { made.renewed++ }
 	made.dead = func(time.Duration) { made.found.Add(1) }
 	return made
@@ -34,7 +35,7 @@
 
 // read makes one reading call, and tells by which try it was answered.
 func (s *scriptedReads) read(t *testing.T) (try int64, err error) {
-	return readStore(&s.storeReads, t.Context(), readTimeout, func(ctx context.Context) (int64, error) {
+	return readStore(&s.storeReads, t.Context(), purposePoll, readTimeout, func(ctx context.Context) (int64, error) {
 		try := s.made.Add(1)
 		select {
 		case <-time.After(s.waits[try-1]):
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -184,7 +184,7 @@
 func (d *Daemon) linkConnections(path *pathPart, m *mesh) {
 	renewStore := d.options.Platform.Renew
 	m.connections = &connections{
-		events: d.events, clock: d.clock, context: d.context, running: &m.running,
+		events: d.events, clock: d.clock, context: d.context, running: &m.running, eras: m.eras,
 		renewStore: func() {
 			if renewStore != nil {
 				renewStore()
@@ -198,7 +198,7 @@
 	}
 	m.connections.start()
 	m.reads = &storeReads{
-		clock: d.clock, running: &m.running, renew: renewStore,
+		clock: d.clock, running: &m.running, calls: m.calls, renew: renewStore,
 		dead: func(opened time.Duration) { m.connections.dead(placeStore, opened) },
 	}
 	m.client.HedgeCalls(control.Hedge{
