--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -260,14 +260,8 @@
 // storeFault is a fault of the store for all daemons.
 func storeFault(faults standin.Faults) func(*soak, *machine, *rand.Rand) func() {
 	return func(s *soak, _ *machine, _ *rand.Rand) func() {
-		for _, server := range s.servers {
-			server.SetFaults(faults)
-		}
-		return func() {
-			for _, server := range s.servers {
-				server.SetFaults(standin.Faults{})
-			}
-		}
+		s.setStoreFaults(faults)
+		return func() { s.setStoreFaults(standin.Faults{}) }
 	}
 }
 
--- a/internal/lab/soak/restores.go
+++ b/internal/lab/soak/restores.go
@@ -22,7 +22,7 @@
 )
 
 // restoreStore has the store come back from a copy of now, after a while in which it goes on and a
-// moment in which it is away. What it returns has the operator write again what was lost.
+// moment in which it is away. Then the operator writes again what was lost; nothing is left to undo.
 func (s *soak) restoreStore(_ *machine, random *rand.Rand) func() {
 	backup := s.store.Copy()
 	s.sleepUnlessOver(time.Duration(random.Int64N(int64(oldestCopy))))
@@ -33,8 +33,7 @@
 	s.store.Restore(backup)
 	s.setStoreFaults(standin.Faults{})
 	s.operator.Unlock()
-	rewrite := time.Duration(random.Int64N(int64(longestRewrite)))
-	time.Sleep(rewrite)
+	time.Sleep(time.Duration(random.Int64N(int64(longestRewrite))))
 	s.writeAgain()
 	return nil
 }
@@ -51,11 +50,7 @@
 	defer s.operator.Unlock()
 	s.store.Operate(s.newestConfiguration)
 	for _, zone := range lo.Uniq(lo.Map(s.machines, func(on *machine, _ int) string { return on.zone })) {
-		if s.ordered[zone] {
-			s.store.Evacuate(zone)
-		} else {
-			s.store.TakeBack(zone)
-		}
+		s.writeOrder(zone)
 	}
 }
 
@@ -64,11 +59,17 @@
 	s.operator.Lock()
 	defer s.operator.Unlock()
 	s.ordered[zone] = empty
-	if empty {
+	s.writeOrder(zone)
+}
+
+// writeOrder has the store hold the order to empty a zone, or not, as the operator wants; the
+// operator's lock is held.
+func (s *soak) writeOrder(zone string) {
+	if s.ordered[zone] {
 		s.store.Evacuate(zone)
-	} else {
-		s.store.TakeBack(zone)
+		return
 	}
+	s.store.TakeBack(zone)
 }
 
 // awaitRegistered waits until the store holds the registrations of all daemons.
