Soak: a store that goes away and comes back disturbs at that moment

The trace shows that the case is allowed: the store had come back from its copy 0.3 s before, the daemon was started then by a rolling restart, read version 24, which was all that the store held, and had 36 from a peer 0.6 s later. It is noted as the store goes away and as it returns now. Bounds stay as they are.

--- a/internal/lab/soak/restores.go
+++ b/internal/lab/soak/restores.go
@@ -28,16 +28,25 @@
 	s.sleepUnlessOver(time.Duration(random.Int64N(int64(oldestCopy))))
 	away := refusals[random.IntN(len(refusals))]
 	s.setStoreFaults(away)
+	s.disturbAll()
 	time.Sleep(time.Duration(random.Int64N(int64(longestAway))))
 	s.operator.Lock()
 	s.store.Restore(backup)
 	s.setStoreFaults(standin.Faults{})
 	s.operator.Unlock()
+	s.disturbAll()
 	time.Sleep(time.Duration(random.Int64N(int64(longestRewrite))))
 	s.writeAgain()
 	return nil
 }
 
+// disturbAll notes that no machine is held to a time for a while: the store has just failed them.
+func (s *soak) disturbAll() {
+	for _, on := range s.machines {
+		s.disturbOne(on)
+	}
+}
+
 func (s *soak) setStoreFaults(faults standin.Faults) {
 	for _, server := range s.servers {
 		server.SetFaults(faults)
