A request that only ran beside others is not held

Cause: who ended a back end was worked out from the number of ends that a request was at work at, and nothing was kept of what ran beside it. Three harmful requests that had ended one back end each, and a harmless one that was at work at all three, gave: harmless held, harmful trusted. The same evidence was thrown away in four other ways: past the limit of ends, with a release or a good answer of the harmful request, with a lapse, and where an end of another cause came on top.

Change: a record tells which requests were at work at each of its ends. A request is held if it was at an end at which nothing else may have ended the back end, and no other one explains all of its ends but one. What was found harmful still explains its ends when it is cleared. So that there are such ends, a request runs alone at its gate once one end more may hold it (admission.Gate.Isolate): other calls wait in the queue for 500 ms at most. One that is at enough ends but never was alone runs alone or is refused as not run. Lines tell ends_beside_others and isolation, and a metric counts the calls that ran alone.

Tests that were there hold unchanged.

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -12,7 +12,7 @@
 )
 
 // The word of a gate packs what must change together: the draining, closed and
-// evacuated bits, the calls queued and the calls running.
+// evacuated bits, that of an isolated call, the calls queued and the calls running.
 const (
 	runningBits = 24
 	runningMask = 1<<runningBits - 1
@@ -22,6 +22,7 @@
 	drainingBit  = 1 << 63
 	closedBit    = 1 << 62
 	evacuatedBit = 1 << 61
+	isolatedBit  = 1 << 60
 	refusingAny  = drainingBit | closedBit | evacuatedBit
 )
 
@@ -60,8 +61,9 @@
 	// warmth bounds the starts while the back end is cold.
 	warmth *warmup.Limiter
 
-	mutex sync.Mutex
-	queue queue
+	mutex    sync.Mutex
+	queue    queue
+	isolated isolation
 }
 
 // New returns a gate that takes calls.
@@ -81,7 +83,8 @@
 
 // Load is what runs and waits at a gate.
 type Load struct {
-	// Running are the slots taken, also by what runs there beside the gate's own calls.
+	// Running are the slots taken, also by what runs there beside the gate's own calls. An
+	// isolated call takes all of them.
 	Running int
 	Queued  int
 	Slots   int
@@ -91,18 +94,27 @@
 func (g *Gate) Load() Load {
 	word := g.word.Load()
 	return Load{
-		Running: int(word&runningMask) + int(g.occupied()),
+		Running: g.taken(word),
 		Queued:  int(word & queuedMask >> runningBits),
 		Slots:   int(g.slots.Load()),
 	}
 }
 
+// taken is how many slots are taken: all of them by an isolated call.
+func (g *Gate) taken(word uint64) int {
+	running := int(word&runningMask) + int(g.occupied())
+	if word&isolatedBit != 0 {
+		return max(running, int(g.slots.Load()))
+	}
+	return running
+}
+
 // Free tells whether a call that comes now would get a slot at once.
 func (g *Gate) Free() bool { return g.admits(g.word.Load()) }
 
 // admits tells whether a slot is free and nobody waits for it.
 func (g *Gate) admits(word uint64) bool {
-	return word&(refusingAny|queuedMask) == 0 && int64(word&runningMask) < g.limit()
+	return word&(refusingAny|isolatedBit|queuedMask) == 0 && int64(word&runningMask) < g.limit()
 }
 
 // Draining tells whether the gate refuses new calls.
@@ -208,7 +220,7 @@
 	}
 	for {
 		word := g.word.Load()
-		free := word&queuedMask == 0 && int64(word&runningMask) < g.limit()
+		free := word&(isolatedBit|queuedMask) == 0 && int64(word&runningMask) < g.limit()
 		switch {
 		case word&refusingAny != 0:
 			return refused(refusalOf(word), 0)
@@ -265,7 +277,7 @@
 func (g *Gate) release(now time.Duration, ticket *Ticket, held time.Duration) {
 	for {
 		word := g.word.Load()
-		if word&queuedMask != 0 {
+		if word&(isolatedBit|queuedMask) != 0 {
 			break
 		}
 		if g.word.CompareAndSwap(word, word-1) {
@@ -275,7 +287,12 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.queue.settleCharge(ticket, held.Seconds())
+	lifted := g.liftIsolation(ticket)
 	g.handOver(now)
+	if lifted {
+		g.startFree(now)
+	}
+	g.noteAlone()
 	g.shedHopeless(now)
 }
 
@@ -284,7 +301,8 @@
 func (g *Gate) handOver(now time.Duration) {
 	for {
 		// With fewer slots than before, or others that are occupied, the slot ends with the call.
-		excess := int64(g.word.Load()&runningMask) > g.limit()
+		word := g.word.Load()
+		excess := word&isolatedBit != 0 || int64(word&runningMask) > g.limit()
 		var ticket *Ticket
 		if !excess {
 			ticket = g.queue.pop()
--- /dev/null
+++ b/internal/core/admission/isolation_test.go
@@ -0,0 +1,82 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// fullGate is a gate of three slots, all of them taken, and the tickets that hold them.
+func fullGate() (*Gate, []*Ticket) {
+	gate := New(0, Config{Slots: 3, QueueLength: 16, QueueWait: time.Minute, KeyWindow: time.Minute, KeyCount: 16})
+	gate.LimitCold(0, 0, false)
+	var started []*Ticket
+	for range 3 {
+		ticket := NewTicket(Call{Deadline: time.Hour}, nil)
+		gate.Admit(0, ticket)
+		started = append(started, ticket)
+	}
+	return gate, started
+}
+
+func isClosed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
+}
+
+// An isolated call is told once all others have ended, and no other one starts until it ends.
+func TestAnIsolatedCallRunsAlone(t *testing.T) {
+	check := is.New(t)
+	gate, started := fullGate()
+	alone := gate.Isolate(started[0])
+	check.Equal(gate.Isolate(started[1]), nil) // one at a time
+	waiting := &verdicts{}
+	check.Equal(gate.Admit(0, NewTicket(Call{Deadline: time.Hour}, waiting)).State, StateQueued)
+	gate.Done(0, started[1], true)
+	check.True(!isClosed(alone))
+	check.Equal(gate.Load(), Load{Running: 3, Queued: 1, Slots: 3}) // it takes all slots
+	gate.Done(0, started[2], true)
+	check.True(isClosed(alone))
+	check.Equal(len(waiting.settled), 0)
+	gate.Tick(0)
+	check.Equal(len(waiting.settled), 0)
+	gate.Done(0, started[0], true)
+	check.Equal(waiting.settled, []Verdict{{State: StateStarted}})
+	check.Equal(gate.Load(), Load{Running: 1, Slots: 3})
+	check.Equal(gate.Admit(0, NewTicket(Call{Deadline: time.Hour}, nil)).State, StateStarted)
+}
+
+// A call that is alone already does not wait.
+func TestACallThatIsAloneIsIsolatedAtOnce(t *testing.T) {
+	check := is.New(t)
+	gate, started := fullGate()
+	gate.Done(0, started[1], true)
+	gate.Done(0, started[2], true)
+	check.True(isClosed(gate.Isolate(started[0])))
+}
+
+// When an isolation is given up, what waited takes all free slots.
+func TestCallsStartWhenAnIsolationIsGivenUp(t *testing.T) {
+	check := is.New(t)
+	gate, started := fullGate()
+	alone := gate.Isolate(started[0])
+	gate.Done(0, started[1], true)
+	var waiting [3]verdicts
+	for index := range waiting {
+		gate.Admit(0, NewTicket(Call{Deadline: time.Hour}, &waiting[index]))
+	}
+	gate.Mingle(0, started[2]) // it is not isolated
+	check.Equal(len(waiting[0].settled), 0)
+	gate.Mingle(0, started[0])
+	check.True(!isClosed(alone))
+	check.Equal(len(waiting[0].settled), 1)
+	check.Equal(len(waiting[1].settled), 0)
+	check.Equal(gate.Load(), Load{Running: 3, Queued: 2, Slots: 3})
+	gate.Done(0, started[0], true)
+	check.Equal(len(waiting[1].settled), 1)
+}
--- a/internal/core/quarantine/record.go
+++ b/internal/core/quarantine/record.go
@@ -35,6 +35,12 @@
 	// EachByItself leaves out that one request explains ends that others were at work at. It
 	// is for comparisons only.
 	EachByItself bool
+	// IgnoresCompany holds a request that was never at work alone as well. It is for
+	// comparisons only.
+	IgnoresCompany bool
+	// LeastShare, when it is above 0, divides each end among all that were at work, and holds
+	// a request whose parts come to so many ends. It is for comparisons only.
+	LeastShare float64
 }
 
 // DefaultRules hold a request after the fewest ends of those that held no harmless one on
@@ -43,10 +49,12 @@
 
 // The times of suspicions and holds.
 const (
-	// endLimit bounds the ends that are remembered of a request, and nameLimit the length
-	// of an instance's name in bytes.
-	endLimit  = 8
-	nameLimit = 128
+	// endLimit bounds the ends that are remembered of a request, nameLimit the length of an
+	// instance's name in bytes, and companionLimit the requests that are remembered beside
+	// it at one end.
+	endLimit       = 16
+	nameLimit      = 128
+	companionLimit = 24
 	// suspicionTime is how long a request is suspected after the last end under it. Who
 	// comes again later than that ends one back end more.
 	suspicionTime = 2 * time.Minute
@@ -65,6 +73,41 @@
 // LongestMemory is the age at which a record counts no more, whatever it says.
 const LongestMemory = holdLimit + holdMemory
 
+// Isolation is how a request that may run is kept apart at its gate.
+type Isolation int
+
+// The isolations.
+const (
+	// Beside lets it run while others do that are not suspected.
+	Beside Isolation = iota
+	// AloneIfPossible has it run alone, so that the next end is of it and no other, unless
+	// others keep the back end busy for too long.
+	AloneIfPossible
+	// AloneOnly has it run alone or not at all: it has been at enough ends to be held.
+	AloneOnly
+)
+
+// isolationNames are the names of the isolations in logs.
+var isolationNames = map[Isolation]string{Beside: "none", AloneIfPossible: "if_possible", AloneOnly: "always"}
+
+// String names the isolation.
+func (i Isolation) String() string { return isolationNames[i] }
+
+// Companion is a request that was at work at an end beside another one.
+type Companion struct {
+	// Key is the short form of its signature; 0 stands for one that is not known.
+	Key uint64
+	// Round is the round of its record at the end.
+	Round uint32
+}
+
+// Company are the requests that were at work beside another one as an instance ended.
+type Company struct {
+	Instance string
+	// Requests are in ascending order of their keys, each once.
+	Requests []Companion
+}
+
 // Record is what daemons tell each other of one request.
 type Record struct {
 	Signature Signature
@@ -73,6 +116,12 @@
 	Round uint32
 	// Ends are the instances that have ended under it in this round, in ascending order.
 	Ends []string
+	// Company are those of the ends at which other requests were at work too, in the same
+	// order.
+	Company []Company
+	// Proven is the round before which the request was found harmful: ends of earlier rounds
+	// are of no request that was at work beside it.
+	Proven uint32
 	// Familiar says that a back end had answered it well before the first of these ends.
 	Familiar bool
 	// Cleared says that a back end has answered it well since, or that an operator has
@@ -90,7 +139,22 @@
 	if len(r.Ends) == 0 || len(r.Ends) > endLimit {
 		return false
 	}
-	return !slices.ContainsFunc(r.Ends, func(name string) bool { return name == "" || len(name) > nameLimit })
+	if slices.ContainsFunc(r.Ends, func(name string) bool { return name == "" || len(name) > nameLimit }) {
+		return false
+	}
+	return len(r.Company) <= len(r.Ends) && !slices.ContainsFunc(r.Company, func(one Company) bool {
+		return len(one.Requests) > companionLimit || !slices.Contains(r.Ends, one.Instance)
+	})
+}
+
+// beside are the requests that were at work at an end beside this one.
+func (r Record) beside(end string) []Companion {
+	for _, one := range r.Company {
+		if one.Instance == end {
+			return one.Requests
+		}
+	}
+	return nil
 }
 
 // endsNeeded is how many ends hold the request.
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -21,48 +21,67 @@
 type Table struct {
 	rules   Rules
 	entries map[Signature]*entry
+	// witnessed are the requests at work at ends that this daemon has seen itself.
+	witnessed witnessed
 }
 
 // NewTable returns an empty table.
-func NewTable(rules Rules) *Table { return &Table{rules: rules, entries: map[Signature]*entry{}} }
+func NewTable(rules Rules) *Table {
+	return &Table{rules: rules, entries: map[Signature]*entry{}, witnessed: witnessed{requests: map[string][]Companion{}}}
+}
 
 // Ended notes that an instance has ended under a request; familiar says that its back end
-// had answered the request well before. It tells whether that is news.
+// had answered the request well before. It tells whether that is news. All that were at work
+// at an end are noted before any of it is told to others.
 func (t *Table) Ended(now time.Duration, signature Signature, instance string, familiar bool) bool {
 	known := t.live(now, signature)
 	switch {
 	case known == nil:
-		t.put(now, &entry{rules: t.rules, record: Record{Signature: signature, Ends: []string{instance}, Familiar: familiar}, endedAt: now})
-		return true
+		known = &entry{rules: t.rules, record: Record{Signature: signature, Familiar: familiar}}
+		t.put(now, known)
 	case slices.Contains(known.record.Ends, instance):
 		return false
 	case known.record.Cleared:
-		round := known.record.Round + 1
-		t.put(now, &entry{rules: t.rules, record: Record{Signature: signature, Round: round, Ends: []string{instance}, Familiar: true}, endedAt: now})
-		return true
+		known = &entry{rules: t.rules, record: Record{Signature: signature, Round: known.record.Round + 1, Proven: known.record.Proven, Familiar: true}}
+		t.put(now, known)
 	}
 	known.record.Familiar = known.record.Familiar || familiar
 	known.endedAt = now
-	return known.addEnds([]string{instance})
+	news := known.addEnds([]string{instance}, nil)
+	t.noteCompany(known, instance)
+	return news
 }
 
-// addEnds adds ends, and tells whether any is new. Past the limit only the first by name
-// are kept, so that all daemons keep the same.
-func (e *entry) addEnds(ends []string) bool {
-	all := slices.Compact(slices.Sorted(slices.Values(slices.Concat(e.record.Ends, ends))))
-	all = all[:min(len(all), endLimit)]
-	news := !slices.Equal(all, e.record.Ends)
-	e.record.Ends = all
-	return news
+// EndedUnknown notes that requests that are not known were at work as an instance ended. It
+// is called before Ended for that instance.
+func (t *Table) EndedUnknown(instance string) { t.witnessed.add(instance, Companion{}) }
+
+// noteCompany notes which requests were at work at an end together.
+func (t *Table) noteCompany(with *entry, instance string) {
+	own := Companion{Key: with.record.Signature.Key(), Round: with.record.Round}
+	for _, other := range t.entries {
+		if other != with && slices.Contains(other.record.Ends, instance) {
+			other.addEnds(nil, []Company{{Instance: instance, Requests: []Companion{own}}})
+		}
+	}
+	others := slices.DeleteFunc(slices.Clone(t.witnessed.requests[instance]), func(one Companion) bool { return one.Key == own.Key })
+	if len(others) > 0 {
+		with.addEnds(nil, []Company{{Instance: instance, Requests: others}})
+	}
+	t.witnessed.add(instance, own)
 }
 
 // Cleared notes that a back end has answered a request well, or that an operator releases
-// it. It tells whether that is news.
+// it. It tells whether that is news. What was found harmful until then still explains its ends:
+// they are of no request that was at work beside it.
 func (t *Table) Cleared(now time.Duration, signature Signature) bool {
 	known := t.live(now, signature)
 	if known == nil || known.record.Cleared {
 		return false
 	}
+	if t.judge(now)[signature].heldUntil > 0 {
+		known.record.Proven = known.record.Round + 1
+	}
 	known.record.Cleared = true
 	return true
 }
@@ -84,25 +103,34 @@
 		return false, false
 	}
 	record.Ends = slices.Compact(slices.Sorted(slices.Values(record.Ends)))
+	record.Company = uniteCompanies(nil, record.Company)
 	given := &entry{rules: t.rules, record: record, endedAt: now - record.Age}
 	if given.expired(now) {
 		return false, true
 	}
 	known := t.live(now, record.Signature)
-	if known == nil || known.record.Round < record.Round {
+	if known == nil {
 		t.put(now, given)
 		return true, true
 	}
-	if known.record.Round > record.Round {
-		return false, true
+	proven := max(known.record.Proven, record.Proven)
+	news = proven != known.record.Proven
+	known.record.Proven, given.record.Proven = proven, proven
+	switch {
+	case known.record.Round < record.Round:
+		t.put(now, given)
+		return true, true
+	case known.record.Round > record.Round:
+		return news, true
 	}
-	return known.merge(given), true
+	return known.merge(given) || news, true
 }
 
 // merge takes another entry of the same round, and tells whether it holds news.
 func (e *entry) merge(given *entry) bool {
-	more := e.addEnds(given.record.Ends)
-	if more {
+	known := len(e.record.Ends)
+	more := e.addEnds(given.record.Ends, given.record.Company)
+	if len(e.record.Ends) > known {
 		e.endedAt = max(e.endedAt, given.endedAt)
 	}
 	familiar := given.record.Familiar && !e.record.Familiar
@@ -181,6 +209,7 @@
 	}
 	sent := known.record
 	sent.Ends = slices.Clone(sent.Ends)
+	sent.Company = slices.Clone(sent.Company)
 	sent.Age = now - known.endedAt
 	return sent, true
 }
@@ -199,9 +228,14 @@
 func (r Record) sum() uint64 {
 	text := append(slices.Clone(r.Signature.Head[:]), r.Signature.Body[:]...)
 	text = binary.BigEndian.AppendUint32(text, r.Round)
+	text = binary.BigEndian.AppendUint32(text, r.Proven)
 	text = append(text, flag(r.Familiar), flag(r.Cleared))
 	for _, name := range r.Ends {
 		text = append(append(text, name...), 0)
+		for _, one := range r.beside(name) {
+			text = binary.BigEndian.AppendUint64(text, one.Key)
+			text = binary.BigEndian.AppendUint32(text, one.Round)
+		}
 	}
 	return xxhash.Sum64(text)
 }
@@ -271,3 +305,15 @@
 	found := v.known[signature]
 	return found.belief(now), max(found.heldUntil-now, 0)
 }
+
+// Isolation is how a request is kept apart if it may run.
+func (v *View) Isolation(now time.Duration, signature Signature) Isolation {
+	if v.Empty() {
+		return Beside
+	}
+	found := v.known[signature]
+	if found.belief(now) == Trusted {
+		return Beside
+	}
+	return found.isolation()
+}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -84,6 +84,7 @@
 	metrics.BackendConnections.Send(out, float64(counters.BackendOpen))
 	metrics.HungCalls.Send(out, float64(counters.HungCalls))
 	metrics.BackendEnds.Send(out, float64(counters.BackendEnds))
+	metrics.IsolatedCalls.Send(out, float64(counters.IsolatedCalls))
 	for belief, count := range counters.HarmfulRequests {
 		metrics.HarmfulRequests.Send(out, float64(count), belief.String())
 	}
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -85,6 +85,9 @@
 	BackendEnds = define(Counter, "backend_ends_total",
 		"Ends of the back end under calls that it had not announced.",
 		"Rising on several daemons: see OPERATIONS.md, a request is quarantined.")
+	IsolatedCalls = define(Counter, "isolated_calls_total",
+		"Calls that ran alone on the back end since their request is suspected of ending back ends.",
+		"Rising without ends of back ends: requests are suspected for ends of another cause.")
 	HarmfulRequests = define(Gauge, "harmful_requests",
 		"Requests that are suspected of ending the back ends that run them, or held for it, as this daemon knows.",
 		"held above 0: see OPERATIONS.md, a request is quarantined.",
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -39,7 +39,9 @@
 	Cold bool
 	// BackendEnds counts the ends of the back end under calls, HarmfulRequests the requests
 	// that may be harmful by what is believed of them now.
-	BackendEnds     uint64
+	BackendEnds uint64
+	// IsolatedCalls counts the calls that ran alone since their request was suspected.
+	IsolatedCalls   uint64
 	HarmfulRequests map[quarantine.Belief]int
 	// HungCalls counts the calls that the back end was found never to answer, BackendOpen the
 	// connections to it now.
@@ -69,6 +71,8 @@
 	refusals [codeLimit]atomic.Uint64
 	// backendEnds are the ends of the back end under calls.
 	backendEnds atomic.Uint64
+	// isolated are the calls that ran alone since their request was suspected.
+	isolated atomic.Uint64
 	// hungCalls are the calls that the back end was found never to answer.
 	hungCalls atomic.Uint64
 	// abandoned are the attempts that were ended before their answer.
@@ -98,6 +102,7 @@
 		Abandoned:     p.tally.abandoned.snapshot(),
 
 		BackendEnds:     p.tally.backendEnds.Load(),
+		IsolatedCalls:   p.tally.isolated.Load(),
 		HungCalls:       p.tally.hungCalls.Load(),
 		HarmfulRequests: p.harmful.view.Load().Count(p.config.Clock()),
 	}
--- a/internal/proxy/ended.go
+++ b/internal/proxy/ended.go
@@ -122,10 +122,16 @@
 	if !p.softwareHasAnswered() {
 		return
 	}
+	unknown := false
 	for _, call := range end.atWork {
-		if signature, signed := call.signature(); signed {
+		signature, signed := call.signature()
+		if signed {
 			end.suspected[signature] = true
 		}
+		unknown = unknown || !signed
+	}
+	if unknown {
+		p.harmful.noteUnknownAtEnd(end.start.String())
 	}
 	p.harmful.noteEnded(end.start.String(), lo.Keys(end.suspected)...)
 }
--- a/internal/proxy/ended_test.go
+++ b/internal/proxy/ended_test.go
@@ -12,8 +12,10 @@
 	"github.com/matryer/is"
 	"github.com/samber/lo"
 
+	"github.com/springstack/springstack/internal/core/admission"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/quarantine"
+	"github.com/springstack/springstack/internal/result"
 )
 
 // atWorkOn is the end of an instance beside a proxy under calls of some targets.
@@ -184,3 +186,69 @@
 		})
 	}
 }
+
+// newSlotsProxy is a proxy whose gate has some slots.
+func newSlotsProxy(t *testing.T) *Proxy {
+	t.Helper()
+	proxy := newEndsProxy(t)
+	proxy.gate = admission.New(testClock(), admission.Config{Slots: 3, KeyWindow: time.Minute, KeyCount: 16})
+	proxy.gate.LimitCold(testClock(), 0, false)
+	return proxy
+}
+
+// slotOf has a call hold a slot of its gate.
+func slotOf(t *testing.T, call *gateCall) *gateCall {
+	t.Helper()
+	call.deadline = call.proxy.config.Clock() + time.Minute
+	call.ticket = admission.NewTicket(admission.Call{Deadline: call.deadline}, nil)
+	is.New(t).Equal(call.proxy.gate.Admit(call.proxy.config.Clock(), call.ticket).State, admission.StateStarted)
+	return call
+}
+
+// A request that may be held at its next end runs alone, so that this end costs no other call
+// and speaks against no other request.
+func TestACallThatMayBeHeldAtTheNextEndRunsAlone(t *testing.T) {
+	check := is.New(t)
+	proxy := newSlotsProxy(t)
+	other := slotOf(t, &gateCall{proxy: proxy, request: gateRequest("/other"), context: t.Context()})
+	check.Equal(beliefsAfter(proxy, atWorkOn(proxy, "1", "/a", "/b"), "/a"), "suspected")
+	suspected := slotOf(t, &gateCall{proxy: proxy, request: gateRequest("/a"), context: t.Context()})
+	_, passed := suspected.isolate()
+	check.True(passed) // one end may be of any other request
+	check.Equal(proxy.tally.isolated.Load(), uint64(0))
+	check.Equal(beliefsAfter(proxy, atWorkOn(proxy, "2", "/a", "/c"), "/a"), "suspected")
+	started := make(chan bool)
+	go func() {
+		_, passed := suspected.isolate()
+		started <- passed
+	}()
+	select {
+	case <-started:
+		t.Fatal("it runs beside another call")
+	case <-time.After(20 * time.Millisecond):
+	}
+	proxy.gate.Done(proxy.config.Clock(), other.ticket, true)
+	check.True(<-started)
+	check.Equal(proxy.tally.isolated.Load(), uint64(1))
+}
+
+// A request that is at enough ends to be held, but was never at work alone, is refused where a
+// back end is kept busy by others, and one that was found harmful as it waited is not sent.
+func TestACallThatMustRunAloneIsNotSentBesideOthers(t *testing.T) {
+	check := is.New(t)
+	proxy := newSlotsProxy(t)
+	for instance, beside := range map[string]string{"1": "/b", "2": "/c", "3": "/d"} {
+		check.Equal(beliefsAfter(proxy, atWorkOn(proxy, instance, "/a", beside), "/a"), "suspected")
+	}
+	slotOf(t, &gateCall{proxy: proxy, request: gateRequest("/other"), context: t.Context()})
+	suspected := slotOf(t, &gateCall{proxy: proxy, request: gateRequest("/a"), context: t.Context()})
+	suspected.deadline = proxy.config.Clock() + 20*time.Millisecond
+	refusal, passed := suspected.isolate()
+	check.True(!passed)
+	check.Equal(refusal.Code, result.QueueFull)
+	check.True(refusal.RetryAfter > 0)
+	check.Equal(beliefsAfter(proxy, atWorkOn(proxy, "4", "/a"), "/a"), "held")
+	refusal, passed = suspected.isolate()
+	check.True(!passed)
+	check.Equal(refusal.Code, result.Quarantined)
+}
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -100,6 +100,11 @@
 		c.refuseUnsent(refusal, waited)
 		return
 	}
+	if refusal, passed := c.isolate(); !passed {
+		c.proxy.gate.Done(c.proxy.config.Clock(), c.ticket, false)
+		c.refuseUnsent(refusal, c.proxy.config.Clock()-came)
+		return
+	}
 	c.runStarted(came, waited)
 }
 
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -83,11 +83,20 @@
 			continue
 		}
 		h.log("harmful_request", textField("signature", record.Signature.String()), textField("belief", is.String()),
-			textField("ends", number(len(record.Ends))), textField("round", number(int(record.Round))),
+			textField("ends", number(len(record.Ends))), textField("ends_beside_others", number(len(record.Company))),
+			textField("isolation", next.Isolation(now, record.Signature).String()), textField("round", number(int(record.Round))),
 			textField("familiar", strconv.FormatBool(record.Familiar)))
 	}
 }
 
+// noteUnknownAtEnd notes that requests that are not known were at work as an instance ended,
+// before noteEnded tells of the others.
+func (h *harmful) noteUnknownAtEnd(instance string) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.table.EndedUnknown(instance)
+}
+
 // noteEnded notes that an instance beside this daemon has ended under some requests, and has
 // all others told.
 func (h *harmful) noteEnded(instance string, signatures ...quarantine.Signature) {
--- a/internal/proxy/suspect.go
+++ b/internal/proxy/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/springstack/springstack/internal/core/quarantine"
 	"github.com/springstack/springstack/internal/result"
@@ -12,6 +13,13 @@
 // would mostly save what ends a third back end.
 const endsOfCall = 2
 
+const (
+	// isolationWait bounds how long a back end takes no other calls before one that is to run
+	// alone, and isolationPart is the part of the call's time that it may wait so.
+	isolationWait = 500 * time.Millisecond
+	isolationPart = 2
+)
+
 // awaitTurn keeps a call that is suspected to end its back end apart from others that are:
 // one runs at a time, so that the next end is of that one alone, and the others do not end
 // further back ends before that is known. A call that is held is refused.
@@ -29,6 +37,53 @@
 	return refusal, belief != quarantine.Held
 }
 
+// isolate has a call that holds a slot run alone where one end more may hold its request, so
+// that the end is of no other request and costs no other call. It refuses a call that was found
+// harmful while it waited, and one that may run alone only where others keep the back end busy.
+func (c *gateCall) isolate() (Refusal, bool) {
+	view := c.proxy.harmful.view.Load()
+	if view.Empty() || !view.HasHead(c.head()) {
+		return Refusal{}, true
+	}
+	signature, signed := c.signature()
+	if !signed {
+		return Refusal{}, true
+	}
+	belief, refusal := c.proxy.beliefOf(view, signature)
+	if belief == quarantine.Held {
+		return refusal, false
+	}
+	isolation := view.Isolation(c.proxy.config.Clock(), signature)
+	if isolation == quarantine.Beside || c.awaitAlone() {
+		return Refusal{}, true
+	}
+	if isolation == quarantine.AloneOnly {
+		return Refusal{Code: result.QueueFull, RetryAfter: isolationWait}, false
+	}
+	c.proxy.gate.Mingle(c.proxy.config.Clock(), c.ticket)
+	return Refusal{}, true
+}
+
+// awaitAlone keeps other calls from starting and waits until those that run have ended; false
+// when they take too long.
+func (c *gateCall) awaitAlone() bool {
+	alone := c.proxy.gate.Isolate(c.ticket)
+	if alone == nil {
+		return false
+	}
+	left := c.deadline - c.proxy.config.Clock()
+	patience := time.NewTimer(min(isolationWait, left/isolationPart))
+	defer patience.Stop()
+	select {
+	case <-alone:
+		c.proxy.tally.isolated.Add(1)
+		return true
+	case <-patience.C:
+	case <-c.context.Done():
+	}
+	return false
+}
+
 // endTurn lets the next suspected call run.
 func (c *gateCall) endTurn() {
 	if c.hasTurn {
