Experiment: ways to tell a harmful request from what runs beside it

They draw these now, and calls that run alone are modelled.

Ways compared: held after one end alone, with and without isolation; ends divided among all that were at work; the greedy cover of before, with and without isolation.

--- a/internal/lab/harmful/day.go
+++ b/internal/lab/harmful/day.go
@@ -20,6 +20,12 @@
 	sendsAllowed = 3
 	// longHold is longer than the first hold of any request.
 	longHold = 2 * time.Minute
+	// mendOneIn is one in how many harmful requests is mended, and released, mendedWork how
+	// long it runs then.
+	mendOneIn  = 3
+	mendedWork = 100 * time.Millisecond
+	// isolationWait is how long a request waits to run alone at a gate.
+	isolationWait = 500 * time.Millisecond
 )
 
 // request is one request with all that is drawn of it.
@@ -53,10 +59,14 @@
 // day is one day of one way.
 type day struct {
 	*mesh
-	length   time.Duration
-	harms    map[quarantine.Signature]*harm
+	length time.Duration
+	harms  map[quarantine.Signature]*harm
+	// released is what harmful requests had done when an operator released them.
+	released []*harm
 	held     map[quarantine.Signature]bool
 	heldLong map[quarantine.Signature]bool
+	// mended are the harmful requests that end no back end any more.
+	mended   map[quarantine.Signature]bool
 	requests int
 	lost     int
 }
@@ -117,12 +127,53 @@
 		d.refuse(sent)
 	case !at.up:
 		d.again(sent)
-	case suspected && slices.ContainsFunc(at.running, func(one *work) bool { return one.hasTurn }):
+	case suspected && slices.ContainsFunc(at.running, func(one *work) bool { return one.hasTurn }),
+		at.alone != nil:
 		at.waiting = append(at.waiting, sent)
 	case len(at.running) >= slots:
 		d.again(sent)
+	case suspected && len(at.running) > 0 && d.isolation(at, sent) != quarantine.Beside:
+		d.isolate(sent, gate)
 	default:
 		sent.hasTurn = suspected
+		if suspected && d.isolation(at, sent) != quarantine.Beside {
+			at.alone = sent
+		}
+		d.run(sent, gate)
+	}
+}
+
+// isolation is how a request is kept apart at a daemon.
+func (d *day) isolation(at *daemon, sent *work) quarantine.Isolation {
+	if !d.way.Isolated {
+		return quarantine.Beside
+	}
+	return at.table.View(d.Now()).Isolation(d.Now(), sent.signature)
+}
+
+// isolate has a request wait until nothing else runs at a gate, for isolationWait at most.
+func (d *day) isolate(sent *work, gate int) {
+	at := d.daemons[gate]
+	at.alone = sent
+	d.After(isolationWait, func() {
+		if at.alone != sent || slices.Contains(at.running, sent) {
+			return
+		}
+		at.alone = nil
+		if d.isolation(at, sent) == quarantine.AloneOnly {
+			d.again(sent)
+		} else {
+			sent.hasTurn = true
+			d.run(sent, gate)
+		}
+		d.nextTurn(at, gate)
+	})
+}
+
+// startAlone starts the request that waits for nothing else to run.
+func (d *day) startAlone(at *daemon, gate int) {
+	if sent := at.alone; sent != nil && len(at.running) == 0 {
+		sent.hasTurn = true
 		d.run(sent, gate)
 	}
 }
@@ -144,13 +195,16 @@
 	instance := at.instance
 	d.noteSend(sent)
 	ends, work := sent.ends, sent.work
+	if d.mended[sent.signature] {
+		ends, work = 0, mendedWork
+	}
 	if at.bad {
 		ends = d.Between(5*time.Millisecond, 50*time.Millisecond)
 	}
 	if ends > 0 {
 		d.After(ends, func() {
 			if at.instance == instance && at.up && slices.Contains(at.running, sent) {
-				if sent.ends > 0 {
+				if sent.ends > 0 && !d.mended[sent.signature] {
 					d.noteHarm(sent.signature)
 				}
 				d.endBackend(gate)
@@ -168,7 +222,11 @@
 // answer ends a run well and gives the next suspected request its turn.
 func (d *day) answer(sent *work, at *daemon, gate int) {
 	at.running = lo.Without(at.running, sent)
+	if at.alone == sent {
+		at.alone = nil
+	}
 	d.clear(at, sent.signature)
+	d.startAlone(at, gate)
 	d.nextTurn(at, gate)
 }
 
@@ -188,11 +246,15 @@
 	}
 	instance := d.name(gate)
 	lostHere := at.running
-	at.up, at.running = false, nil
-	for _, one := range d.blamed(at, lostHere) {
-		d.note(at, one.signature, instance)
+	if one := at.alone; one != nil && !slices.Contains(at.running, one) {
+		at.waiting = append(at.waiting, one)
+	}
+	at.up, at.running, at.alone = false, nil, nil
+	blamed := d.blamed(at, lostHere)
+	for _, one := range blamed {
 		one.suspect = true
 	}
+	d.note(at, instance, lo.Map(blamed, func(one *work, _ int) quarantine.Signature { return one.signature }))
 	for _, one := range lostHere {
 		d.again(one)
 	}
@@ -310,14 +372,40 @@
 		one := request{signature: signatureOf(fmt.Sprint("harmful ", number)), ends: d.Between(10*time.Millisecond, 90*time.Millisecond)}
 		period := d.Between(20*time.Millisecond, 800*time.Millisecond)
 		d.After(d.Between(0, d.length/2), func() { d.repeat(period, func() { d.send(one, 0) }) })
+		d.mendLater(one.signature)
 	}
 	d.repeat(10*time.Millisecond, d.noteKnown)
 	for d.Step(d.length + backAfter) {
 	}
 }
 
+// mendLater draws whether the back ends are mended of a harmful request, and whether an operator
+// releases it, also where they are not.
+func (d *day) mendLater(signature quarantine.Signature) {
+	if d.Random().IntN(mendOneIn) == 0 {
+		d.After(d.Between(d.length/4, d.length), func() { d.mended[signature] = true })
+	}
+	if d.Random().IntN(mendOneIn) == 0 {
+		d.After(d.Between(d.length/4, d.length), func() {
+			d.release(d.daemons[d.Random().IntN(daemonCount)], signature)
+		})
+	}
+}
+
+// release has an operator release a request at a daemon that holds it.
+func (d *day) release(at *daemon, signature quarantine.Signature) {
+	if d.believes(at, signature) != quarantine.Held || !at.table.Cleared(d.Now(), signature) {
+		return
+	}
+	d.tell(at, signature)
+	if done := d.harms[signature]; done != nil {
+		d.released = append(d.released, done)
+		delete(d.harms, signature)
+	}
+}
+
 // harmless draws requests of others: a few that come often, one that comes rarely and takes
-// long, and many that come once.
+// long, many that come once, and some that come a few times and never again.
 func (d *day) harmless() {
 	count := func(sent request) {
 		d.requests++
@@ -334,6 +422,13 @@
 		number++
 		count(request{signature: signatureOf(fmt.Sprint("once ", number)), work: d.Between(20*time.Millisecond, 500*time.Millisecond)})
 	})
+	d.repeat(d.Between(50*time.Millisecond, 300*time.Millisecond), func() {
+		number++
+		few := request{signature: signatureOf(fmt.Sprint("few ", number)), work: d.Between(20*time.Millisecond, 900*time.Millisecond)}
+		for range 2 + d.Random().IntN(5) {
+			d.After(d.Between(0, time.Second), func() { count(few) })
+		}
+	})
 }
 
 // otherEnds draws what else ends back ends and daemons. Days without harmful requests have
--- a/internal/lab/harmful/mesh.go
+++ b/internal/lab/harmful/mesh.go
@@ -38,8 +38,10 @@
 	// bad says that its back end ends on every request.
 	bad     bool
 	running []*work
-	// waiting are suspected requests that wait for their turn.
+	// waiting are requests that wait for their turn, or for one that runs alone.
 	waiting []*work
+	// alone is the request that runs alone, or waits until nothing else runs.
+	alone *work
 }
 
 // mesh is the daemons of a day.
@@ -95,10 +97,16 @@
 	}
 }
 
-// note notes an end under a request at a daemon and tells the others.
-func (m *mesh) note(at *daemon, signature quarantine.Signature, instance string) {
-	familiar := m.way.Answers && at.answered[signature]
-	if at.table.Ended(m.Now(), signature, instance, familiar) {
+// note notes an end under requests at a daemon and tells the others.
+func (m *mesh) note(at *daemon, instance string, signatures []quarantine.Signature) {
+	var news []quarantine.Signature
+	for _, signature := range signatures {
+		familiar := m.way.Answers && at.answered[signature]
+		if at.table.Ended(m.Now(), signature, instance, familiar) {
+			news = append(news, signature)
+		}
+	}
+	for _, signature := range news {
 		m.tell(at, signature)
 	}
 }
--- a/internal/lab/harmful/options.go
+++ b/internal/lab/harmful/options.go
@@ -14,6 +14,8 @@
 	Answers bool
 	// Apart sends a suspected request to one gate and runs one at a time there.
 	Apart bool
+	// Isolated runs a request alone once one end more may hold it.
+	Isolated bool
 	// SuspectedFirst puts an end down to the requests that were suspected before, as far as
 	// the gate has heard, and to all only where there are none.
 	SuspectedFirst bool
@@ -21,23 +23,25 @@
 
 // Ways are the ways that are compared; the first one is the daemon's.
 func Ways() []Way {
-	rules := func(ends, familiar int) quarantine.Rules {
-		return quarantine.Rules{Ends: ends, EndsFamiliar: familiar}
+	ignoring := func(ends, familiar int) quarantine.Rules {
+		return quarantine.Rules{Ends: ends, EndsFamiliar: familiar, IgnoresCompany: true}
 	}
 	byItself := func(ends, familiar int) quarantine.Rules {
 		return quarantine.Rules{Ends: ends, EndsFamiliar: familiar, EachByItself: true}
 	}
+	shared := quarantine.DefaultRules()
+	shared.LeastShare = 2
 	return []Way{
-		{Name: "explained, apart, 3 (4)", Rules: quarantine.DefaultRules(), Answers: true, Apart: true},
-		{Name: "explained, apart, 1 (4)", Rules: rules(1, 4), Answers: true, Apart: true},
-		{Name: "explained, apart, 2 (4)", Rules: rules(2, 4), Answers: true, Apart: true},
-		{Name: "explained, apart, 3 (3)", Rules: rules(3, 3), Answers: true, Apart: true},
-		{Name: "explained, not apart, 3 (4)", Rules: rules(3, 4), Answers: true},
-		{Name: "suspected first, apart, 2 (4)", Rules: byItself(2, 4), Answers: true, Apart: true, SuspectedFirst: true},
+		{Name: "once alone, isolated, 3 (4)", Rules: quarantine.DefaultRules(), Answers: true, Apart: true, Isolated: true},
+		{Name: "once alone, not isolated, 3 (4)", Rules: quarantine.DefaultRules(), Answers: true, Apart: true},
+		{Name: "shares of 2, isolated, 3 (4)", Rules: shared, Answers: true, Apart: true, Isolated: true},
+		{Name: "shares of 2, not isolated, 3 (4)", Rules: shared, Answers: true, Apart: true},
+		{Name: "explained, isolated, 3 (4)", Rules: ignoring(3, 4), Answers: true, Apart: true, Isolated: true},
+		{Name: "explained, apart, 3 (4)", Rules: ignoring(3, 4), Answers: true, Apart: true},
+		{Name: "explained, apart, 2 (4)", Rules: ignoring(2, 4), Answers: true, Apart: true},
+		{Name: "explained, not apart, 3 (4)", Rules: ignoring(3, 4), Answers: true},
 		{Name: "suspected first, apart, 3 (4)", Rules: byItself(3, 4), Answers: true, Apart: true, SuspectedFirst: true},
-		{Name: "each by itself, not apart, 2 (4)", Rules: byItself(2, 4), Answers: true},
 		{Name: "each by itself, not apart, 3 (4)", Rules: byItself(3, 4), Answers: true},
-		{Name: "ends alone, 2", Rules: byItself(2, 2)},
 		{Name: "ends alone, 3", Rules: byItself(3, 3)},
 	}
 }
--- a/internal/lab/harmful/run.go
+++ b/internal/lab/harmful/run.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/springstack/springstack/internal/core/quarantine"
@@ -31,7 +33,7 @@
 	played := &day{
 		mesh: newMesh(draw.Uint64(), way), length: options.Length,
 		harms: map[quarantine.Signature]*harm{}, held: map[quarantine.Signature]bool{},
-		heldLong: map[quarantine.Signature]bool{},
+		heldLong: map[quarantine.Signature]bool{}, mended: map[quarantine.Signature]bool{},
 	}
 	harmful := 0
 	if options.Harmful > 0 {
@@ -51,7 +53,7 @@
 	if len(played.held) > 0 {
 		f.HeldDays++
 	}
-	for _, done := range played.harms {
+	for _, done := range slices.Concat(played.released, slices.Collect(maps.Values(played.harms))) {
 		f.HarmfulRequests++
 		f.ends += len(done.ends)
 		f.EndsMost = max(f.EndsMost, len(done.ends))
