Lab: a link that once lacked a descriptor takes connections again

Link.accept returned at the first error of Accept, so that no connection over such a link worked for the rest of the run. Descriptors ran out since a connection that fell silent kept both of its ends until its link was closed, also after a party had closed its side, and since each of the two directions of a connection held a timer of its own.

Change: a link goes on after an error of Accept and tells its owner; the end of a silent connection is freed 2 s after the party there has closed it, and the other party does not learn of it; connections of a link share timers.

TestALinkThatOnceLackedADescriptorTakesConnectionsAgain and TestTheEndOfASilentConnectionThatIsClosedIsFreed guard both; on the code before, the first can't connect and the second never sees the end freed, by reading (they use what the change adds).

--- a/internal/lab/link/connection.go
+++ b/internal/lab/link/connection.go
@@ -6,8 +6,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/springstack/springstack/internal/lab/precise"
 )
 
 // connection is one relayed TCP connection.
@@ -26,6 +24,10 @@
 	lingerAtReset = 0
 )
 
+// closedLinger is how long an end of a silent connection is kept after the party there has
+// closed its side: one that has only ended its sending is not to see an end meanwhile.
+const closedLinger = 2 * time.Second
+
 // chunk is some bytes under way; ended marks the end of the stream.
 type chunk struct {
 	buffer *[]byte
@@ -80,6 +82,7 @@
 // collect reads chunks and stamps when they are due at the other side.
 func (c *connection) collect(from *net.TCPConn, chunks chan<- chunk, handshake time.Time) {
 	defer close(chunks)
+	defer c.endedBy(from)
 	for {
 		buffer := chunkPool.Get().(*[]byte)
 		size, err := from.Read(*buffer)
@@ -101,20 +104,25 @@
 	}
 }
 
+// endedBy frees the end of a silent connection that the party there has closed. The other one
+// does not learn of it.
+func (c *connection) endedBy(from *net.TCPConn) {
+	if !c.silent.Load() {
+		return
+	}
+	c.link.later(closedLinger, func() {
+		// An error means that it is closed already.
+		_ = from.Close()
+	})
+}
+
 // deliver writes chunks when they are due. It drains the channel to its end,
 // so that collect never blocks for ever.
 func (c *connection) deliver(direction Direction, to *net.TCPConn, chunks <-chan chunk) {
-	sleeper, err := precise.NewSleeper()
-	if err != nil {
-		c.reset()
-	} else {
-		defer sleeper.Close()
-	}
-	broken := err != nil
-	ended := false
+	broken, ended := false, false
 	for next := range chunks {
 		if !broken {
-			broken = !sleeper.SleepUntil(next.due) || !c.pass(direction, to, next)
+			broken = !c.sleepUntil(next.due) || !c.pass(direction, to, next)
 		}
 		ended = ended || next.ended
 		if next.buffer != nil {
@@ -126,6 +134,14 @@
 	}
 }
 
+// sleepUntil waits until a chunk is due. Silent connections have nothing to wait for.
+func (c *connection) sleepUntil(due time.Time) bool {
+	if c.silent.Load() {
+		return true
+	}
+	return c.link.sleep(time.Until(due))
+}
+
 // pass hands one chunk over; false when the connection broke.
 func (c *connection) pass(direction Direction, to *net.TCPConn, next chunk) bool {
 	if !c.link.waitHealed(direction) {
@@ -150,9 +166,10 @@
 func (c *connection) relayAtOnce(direction Direction, from, to *net.TCPConn, handshake time.Time) {
 	buffer := chunkPool.Get().(*[]byte)
 	defer chunkPool.Put(buffer)
+	defer c.endedBy(from)
 	for {
 		size, err := from.Read(*buffer)
-		if !sleepShortly(time.Until(handshake)) {
+		if !c.link.sleep(time.Until(handshake)) {
 			c.reset()
 			return
 		}
@@ -169,16 +186,3 @@
 		}
 	}
 }
-
-// sleepShortly sleeps on a timer of its own; false when there is none.
-func sleepShortly(wait time.Duration) bool {
-	if wait <= 0 {
-		return true
-	}
-	sleeper, err := precise.NewSleeper()
-	if err != nil {
-		return false
-	}
-	defer sleeper.Close()
-	return sleeper.Sleep(wait)
-}
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -6,6 +6,7 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -19,6 +20,9 @@
 	Latency time.Duration
 	// OpenCost is what a new connection costs besides the latency.
 	OpenCost time.Duration
+	// Failed is told of what keeps the link from relaying a connection although its target
+	// is there, such as a lack of descriptors. Nil tells nobody.
+	Failed func(error)
 }
 
 // Direction is one of the two ways of a link.
@@ -40,6 +44,7 @@
 	listener net.Listener
 	closed   chan struct{}
 	workers  sync.WaitGroup
+	sleepers sleepers
 
 	mutex       sync.Mutex
 	healed      [directions]chan struct{}
@@ -56,6 +61,11 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "link to %s", config.Target)
 	}
+	return relay(listener, config), nil
+}
+
+// relay starts a link that takes connections from a listener.
+func relay(listener net.Listener, config Config) *Link {
 	link := &Link{
 		config:      config,
 		listener:    listener,
@@ -65,7 +75,7 @@
 	}
 	link.workers.Add(1)
 	go link.accept()
-	return link, nil
+	return link
 }
 
 // Address is where to connect to reach the target over the link.
@@ -144,16 +154,26 @@
 	_ = l.listener.Close()
 	l.resetAll()
 	l.workers.Wait()
+	l.sleepers.close()
 }
 
+// acceptPause is the time until connections are taken again after an error, such as a lack of
+// descriptors, that passes.
+const acceptPause = 10 * time.Millisecond
+
 // accept takes connections until the link is closed.
 func (l *Link) accept() {
 	defer l.workers.Done()
 	for {
 		near, err := l.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			l.failed(err)
+			l.wait(acceptPause)
+			continue
+		}
 		l.workers.Add(1)
 		go l.open(near.(*net.TCPConn))
 	}
@@ -165,6 +185,7 @@
 	accepted := time.Now()
 	far, err := net.Dial("tcp", l.config.Target)
 	if err != nil {
+		l.failed(err)
 		resetConn(near)
 		return
 	}
@@ -182,6 +203,49 @@
 	l.forget(opened)
 }
 
+// wait waits for a time, or until the link is closed.
+func (l *Link) wait(pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-l.closed:
+	}
+}
+
+// later does something after a time, or when the link is closed. It is called by a worker of the
+// link.
+func (l *Link) later(wait time.Duration, action func()) {
+	l.workers.Add(1)
+	go func() {
+		defer l.workers.Done()
+		l.wait(wait)
+		action()
+	}()
+}
+
+// sleep waits exactly for a time; false when this process lacks the means, or the link closed.
+func (l *Link) sleep(wait time.Duration) bool {
+	if wait <= 0 {
+		return true
+	}
+	sleeper, err := l.sleepers.take()
+	if err != nil {
+		l.failed(err)
+		return false
+	}
+	defer l.sleepers.give(sleeper)
+	return sleeper.Sleep(wait)
+}
+
+// failed tells of an error of this process; that the target is not there, or that the link was
+// closed, is none.
+func (l *Link) failed(err error) {
+	if l.config.Failed != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, syscall.ECONNREFUSED) {
+		l.config.Failed(err)
+	}
+}
+
 // register keeps a connection for Reset; false when the link is closed.
 func (l *Link) register(opened *connection) bool {
 	l.mutex.Lock()
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -1,12 +1,16 @@
 package link
 
 import (
+	"errors"
 	"io"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/samber/lo"
 	"go.uber.org/goleak"
 )
 
@@ -152,3 +156,62 @@
 	}
 	return string(buffer)
 }
+
+// failingListener can't take its first connections, as when descriptors run out.
+type failingListener struct {
+	net.Listener
+	failures int
+}
+
+// Accept fails some times.
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a link that takes no connection any more after it once lacked a descriptor.
+func TestALinkThatOnceLackedADescriptorTakesConnectionsAgain(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	check := is.New(t)
+	server := echoServer(t)
+	defer server.Close()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	check.NoErr(err)
+	failures := make(chan error, 2)
+	opened := relay(&failingListener{Listener: listener, failures: 2}, Config{
+		Target: server.Addr().String(), Failed: func(err error) { failures <- err },
+	})
+	conn, err := net.Dial("tcp", opened.Address())
+	check.NoErr(err)
+	check.Equal(echo(t, conn), "beans")
+	check.True(errors.Is(<-failures, syscall.EMFILE))
+	check.True(errors.Is(<-failures, syscall.EMFILE))
+	check.NoErr(conn.Close())
+	opened.Close()
+	check.Equal(len(failures), 0) // a link that is closed lacks nothing
+}
+
+// Guards against silent connections that keep both of their ends for as long as their link lives.
+func TestTheEndOfASilentConnectionThatIsClosedIsFreed(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	server := echoServer(t)
+	defer server.Close()
+	for _, latency := range []time.Duration{0, time.Millisecond} {
+		check := is.New(t)
+		opened, silent := dial(t, Config{Target: server.Addr().String(), Latency: latency})
+		check.Equal(echo(t, silent), "beans")
+		relayed := lo.Keys(opened.connections)[0]
+		opened.Silence()
+		check.NoErr(silent.Close())
+		for deadline := time.Now().Add(10 * closedLinger); relayed.near.SetDeadline(time.Time{}) == nil; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatal("its end is still open")
+			}
+		}
+		check.NoErr(relayed.far.SetDeadline(time.Time{})) // the other party does not learn of it
+		opened.Close()
+	}
+}
