--- a/internal/lab/host/host.go
+++ b/internal/lab/host/host.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -50,3 +51,24 @@
 	}
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
+
+// descriptorsDirectory lists the open descriptors of this process.
+const descriptorsDirectory = "/proc/self/fd"
+
+// Descriptors are the descriptors of this process: how many are open, and how many may be.
+func Descriptors() (open, most int, err error) {
+	directory, err := os.Open(descriptorsDirectory)
+	if err != nil {
+		return 0, 0, errors.Trace(err)
+	}
+	defer directory.Close()
+	names, err := directory.Readdirnames(-1)
+	if err != nil {
+		return 0, 0, errors.Trace(err)
+	}
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return 0, 0, errors.Trace(err)
+	}
+	return len(names) - 1, int(limit.Cur), nil // without the one that lists them
+}
--- a/internal/lab/soak/oracle.go
+++ b/internal/lab/soak/oracle.go
@@ -63,6 +63,9 @@
 	Code string
 }
 
+// reason is the status and the numbered reason of an answer.
+func (a Answer) reason() string { return strings.TrimSpace(fmt.Sprint(a.Status, " ", a.Code)) }
+
 // Violation is a promise that was broken.
 type Violation struct {
 	Promise string
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -70,6 +70,11 @@
 	PairCount int                       `json:"pair_count"`
 	// HarmEnds counts, for each harmful request, the upstreams that ended under it.
 	HarmEnds []int `json:"harm_ends,omitempty"`
+	// Descriptors is how many descriptors the soak's own process had open at most, of
+	// DescriptorLimit; LinkFailures counts the connections that its links could not relay.
+	Descriptors     int `json:"descriptors"`
+	DescriptorLimit int `json:"descriptor_limit"`
+	LinkFailures    int `json:"link_failures"`
 	// CalmCuts are requests broken off at work without a stop or harm on their way.
 	CalmCuts   []string    `json:"calm_cuts"`
 	Violations []Violation `json:"violations"`
@@ -109,6 +114,8 @@
 	// ends is when clients stop to call.
 	ends    time.Time
 	inForce inForce
+	// resources are guarded by mutex.
+	resources resources
 	// returning waits for upstreams that have ended and are to be back.
 	returning sync.WaitGroup
 }
@@ -128,6 +135,7 @@
 		log:     log,
 	}
 	defer played.close()
+	defer played.watchResources(ctx)()
 	played.operate(played.random)
 	if err := played.open(); err != nil {
 		return Report{}, err
@@ -157,7 +165,7 @@
 		if err != nil {
 			return err
 		}
-		made, err := newMachine(s.options, index, services[index%len(services)], store, s.drawLatency())
+		made, err := newMachine(s.options, index, services[index%len(services)], store, s.drawLatency(), s.linkFailed)
 		if made != nil {
 			s.machines = append(s.machines, made)
 		}
@@ -335,6 +343,7 @@
 		Pairs: pairs, PairCount: lo.SumBy(lo.Values(pairs), func(of map[string]int) int { return len(of) }),
 		Seed: s.options.Seed, Requests: s.requests, Served: s.served, Runs: s.runs,
 		Faults: s.faults, MetStops: s.oracle.MetStops(), CalmCuts: s.oracle.CalmCuts(), Versions: s.version, HarmEnds: s.oracle.HarmEnds(),
+		Descriptors: s.resources.most, DescriptorLimit: s.resources.limit, LinkFailures: s.resources.failures,
 		Violations: s.oracle.Violations(),
 	}
 }
