Soak: what the soak lacks is told by its name

A soak whose own process ran out of descriptors reported that as 37 broken promises of the mesh. Errors of links and clients for which this process lacks something are a broken promise of their own now, "the soak has what it needs". What is judged beside it is told as before.

--- a/internal/lab/soak/connection.go
+++ b/internal/lab/soak/connection.go
@@ -89,7 +89,10 @@
 // answers. Where no connection can be opened nothing is sent.
 func (s *soak) exchange(on *connection, requests ...Request) []Answer {
 	answers := make([]Answer, len(requests))
-	if on.open() != nil {
+	if err := on.open(); err != nil {
+		if isShortage(err) {
+			s.oracle.Lacks(err)
+		}
 		return answers
 	}
 	now := time.Now()
--- a/internal/lab/soak/oracle.go
+++ b/internal/lab/soak/oracle.go
@@ -114,6 +114,8 @@
 	coverage   coverage
 	unserved   []unserved
 	violations []Violation
+	// lacks says that the soak's own process has lacked something.
+	lacks bool
 }
 
 // provenVersion is the newest version that a start of a daemon has shown.
--- a/internal/lab/soak/resources.go
+++ b/internal/lab/soak/resources.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/juju/errors"
+
 	machinehost "github.com/springstack/springstack/internal/lab/host"
 	"github.com/springstack/springstack/internal/pause"
 )
@@ -56,6 +60,17 @@
 	}
 }
 
+// promiseOfResources is held by the soak itself, not by the mesh: what is judged after it was
+// broken may be the soak's own doing.
+const promiseOfResources = "the soak has what it needs"
+
+// shortages are the errors of a process that lacks something.
+var shortages = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL}
+
+func isShortage(err error) bool {
+	return slices.ContainsFunc(shortages, func(one error) bool { return errors.Is(err, one) })
+}
+
 // linkFailed notes that a link could not relay a connection.
 func (s *soak) linkFailed(err error) {
 	s.mutex.Lock()
@@ -65,4 +80,17 @@
 	if first {
 		s.log("link_failed", err.Error())
 	}
+	if isShortage(err) {
+		s.oracle.Lacks(err)
+	}
+}
+
+// Lacks notes, once, that the soak's own process lacks something.
+func (o *Oracle) Lacks(err error) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if !o.lacks {
+		o.lacks = true
+		o.violate(promiseOfResources, "%v; what is told after this may be the soak's own doing", err)
+	}
 }
--- /dev/null
+++ b/internal/lab/soak/resources_test.go
@@ -0,0 +1,29 @@
+package soak
+
+import (
+	"net"
+	"os"
+	"syscall"
+	"testing"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+)
+
+// Guards against a soak that runs out of descriptors and reports it as broken promises of the
+// mesh alone.
+func TestALackOfDescriptorsIsToldByItsName(t *testing.T) {
+	check := is.New(t)
+	played := newTestSoak(0)
+	played.log = func(string, string) {}
+	played.linkFailed(&net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.ECONNABORTED)})
+	check.Equal(len(played.oracle.Violations()), 0)
+	for range 2 {
+		played.linkFailed(errors.Annotate(os.NewSyscallError("timerfd", syscall.EMFILE), "timer"))
+	}
+	violations := played.oracle.Violations()
+	check.Equal(len(violations), 1)
+	check.Equal(violations[0].Promise, promiseOfResources)
+	check.True(!violations[0].Timed)
+	check.Equal(played.resources.failures, 3)
+}
