Ends of one moment are one trial of a request

Cause: each end counted by itself, although one failure had brought about all of them. What is at work at several back ends at once was taken for what had ended back ends in a row.

Change: a run knows by the ends known as it begins which trial of its request it is; ends count by trials, for holding a request and for how long. An end whose trial isn't known is a trial of its own. A harmful request that reaches several back ends before the first end is known ends two more before it is held.

--- a/internal/core/quarantine/company.go
+++ b/internal/core/quarantine/company.go
@@ -40,45 +40,43 @@
 	return all
 }
 
-// addEnds adds ends and what was at work there, and tells whether any of it is new. Past the
-// limit those at which nothing else was at work are kept and then the first by name, so that
-// all daemons keep the same.
-func (e *entry) addEnds(ends []string, company []Company) bool {
+// addEnds adds ends and what is known of them, and tells whether any of it is new. Past the
+// limit those at which nothing else was at work are kept, then those of the latest trials and
+// the first by name, so that all daemons keep the same.
+func (e *entry) addEnds(ends []string, details []EndDetail) bool {
 	all := slices.Compact(slices.Sorted(slices.Values(slices.Concat(e.record.Ends, ends))))
-	united := uniteCompanies(e.record.Company, company)
+	united := Record{Details: uniteDetails(e.record.Details, details)}
 	if len(all) > endLimit {
-		slices.SortStableFunc(all, func(a, b string) int { return cmp.Compare(sizeOf(united, a), sizeOf(united, b)) })
+		slices.SortStableFunc(all, func(a, b string) int { return compareDetails(united.detail(a), united.detail(b)) })
 		all = slices.Sorted(slices.Values(all[:endLimit]))
 	}
-	united = slices.DeleteFunc(united, func(one Company) bool { return !slices.Contains(all, one.Instance) })
-	news := !slices.Equal(all, e.record.Ends) || !slices.EqualFunc(united, e.record.Company, Company.equal)
-	e.record.Ends, e.record.Company = all, united
+	kept := slices.DeleteFunc(united.Details, func(one EndDetail) bool { return !slices.Contains(all, one.Instance) })
+	news := !slices.Equal(all, e.record.Ends) || !slices.EqualFunc(kept, e.record.Details, EndDetail.equal)
+	e.record.Ends, e.record.Details = all, kept
 	return news
 }
 
-func (c Company) equal(other Company) bool {
-	return c.Instance == other.Instance && slices.Equal(c.Requests, other.Requests)
+func (d EndDetail) equal(other EndDetail) bool {
+	return d.Instance == other.Instance && d.Trial == other.Trial && slices.Equal(d.Beside, other.Beside)
 }
 
-// sizeOf is 1 for an end with company, and 0 for one without.
-func sizeOf(company []Company, end string) int {
-	if slices.ContainsFunc(company, func(one Company) bool { return one.Instance == end }) {
-		return 1
-	}
-	return 0
+// compareDetails orders ends by what they tell: those that tell most come first.
+func compareDetails(a, b EndDetail) int {
+	return cmp.Or(cmp.Compare(min(len(a.Beside), 1), min(len(b.Beside), 1)), cmp.Compare(b.Trial, a.Trial))
 }
 
-// uniteCompanies unites what is known of the same ends, in order of the instances.
-func uniteCompanies(one, other []Company) []Company {
+// uniteDetails unites what is known of the same ends, in order of the instances.
+func uniteDetails(one, other []EndDetail) []EndDetail {
 	all := slices.Clone(one)
 	for _, given := range other {
-		at, found := slices.BinarySearchFunc(all, given.Instance, func(known Company, name string) int {
+		at, found := slices.BinarySearchFunc(all, given.Instance, func(known EndDetail, name string) int {
 			return cmp.Compare(known.Instance, name)
 		})
 		if !found {
-			all = slices.Insert(all, at, Company{Instance: given.Instance})
+			all = slices.Insert(all, at, EndDetail{Instance: given.Instance})
 		}
-		all[at].Requests = uniteCompanions(all[at].Requests, given.Requests)
+		all[at].Trial = max(all[at].Trial, given.Trial)
+		all[at].Beside = uniteCompanions(all[at].Beside, given.Beside)
 	}
 	return all
 }
--- a/internal/core/quarantine/explain.go
+++ b/internal/core/quarantine/explain.go
@@ -12,9 +12,12 @@
 	// own clock; not after 0 for never.
 	suspectedUntil time.Duration
 	heldUntil      time.Duration
-	// unexplained counts its ends that no harmful request explains, needed how many hold it.
+	// unexplained counts its trials with ends that no harmful request explains, needed how
+	// many hold it.
 	unexplained int
 	needed      int
+	// trials counts all its trials that met ends, unless it was cleared.
+	trials uint32
 }
 
 // belief is what follows at a time.
@@ -122,7 +125,7 @@
 			continue
 		}
 		open := slices.DeleteFunc(slices.Clone(one.record.Ends), func(end string) bool {
-			return !t.rules.IgnoresCompany && slices.ContainsFunc(one.record.beside(end), facts.explains)
+			return !t.rules.IgnoresCompany && slices.ContainsFunc(one.record.detail(end).Beside, facts.explains)
 		})
 		found = append(found, &candidate{entry: one, open: open})
 	}
@@ -135,7 +138,7 @@
 	key := harmful.record.Signature.Key()
 	c.open = slices.DeleteFunc(c.open, func(end string) bool {
 		return slices.Contains(harmful.record.Ends, end) ||
-			slices.ContainsFunc(c.record.beside(end), func(one Companion) bool { return one.Key == key })
+			slices.ContainsFunc(c.record.detail(end).Beside, func(one Companion) bool { return one.Key == key })
 	})
 }
 
@@ -143,7 +146,11 @@
 // ended the same back ends.
 func (t *Table) isHarmful(one *candidate, all []*candidate, facts companionFacts) bool {
 	needed := t.rules.endsNeeded(&one.record)
-	if len(one.open) < needed {
+	ends := one.trials()
+	if t.rules.IgnoresTrials {
+		ends = len(one.open)
+	}
+	if ends < needed {
 		return false
 	}
 	if t.rules.EachByItself {
@@ -158,9 +165,12 @@
 	case t.rules.LeastShare > 0:
 		return one.share(facts) >= t.rules.LeastShare
 	}
-	return one.wasAlone(facts) && (len(one.open) > needed || !one.hasRival(all))
+	return one.wasAlone(facts) && (ends > needed || !one.hasRival(all))
 }
 
+// trials counts the trials that met open ends.
+func (c *candidate) trials() int { return c.record.trials(c.open) }
+
 // covers tells whether a candidate explains all that another one does but for some ends. One
 // that was answered well before explains nothing that one does which was not.
 func (c *candidate) covers(other *candidate, but int) bool {
@@ -185,7 +195,7 @@
 // suspectsBeside counts what else may have ended a back end.
 func (c *candidate) suspectsBeside(end string, facts companionFacts) int {
 	count := 0
-	for _, one := range c.record.beside(end) {
+	for _, one := range c.record.detail(end).Beside {
 		if !facts.excuses(one, c.entry) {
 			count++
 		}
@@ -216,13 +226,13 @@
 func (e *entry) whenHarmful() judgement {
 	held := e.endedAt + e.rules.holdTime(&e.record)
 	needed := e.rules.endsNeeded(&e.record)
-	return judgement{heldUntil: held, suspectedUntil: held + holdMemory, unexplained: len(e.record.Ends), needed: needed}
+	return judgement{heldUntil: held, suspectedUntil: held + holdMemory, unexplained: e.record.trials(e.record.Ends), needed: needed}
 }
 
 // whenSuspected is the judgement of a request that is not held.
 func (c *candidate) whenSuspected() judgement {
 	return judgement{
 		suspectedUntil: c.endedAt + suspicionTime,
-		unexplained:    len(c.open), needed: c.rules.endsNeeded(&c.record),
+		unexplained:    c.trials(), needed: c.rules.endsNeeded(&c.record),
 	}
 }
--- a/internal/core/quarantine/record.go
+++ b/internal/core/quarantine/record.go
@@ -24,7 +24,7 @@
 // String names the belief.
 func (b Belief) String() string { return beliefNames[b] }
 
-// Rules say how many ends in a row hold a request. All daemons of a mesh need the same.
+// Rules say how many ends in a row, each of another trial, hold a request. All daemons of a mesh need the same.
 type Rules struct {
 	// Ends is for a request that no daemon remembers a good answer to. The first end may be
 	// of any request that ran there, and at a second one it may be by chance.
@@ -38,6 +38,9 @@
 	// IgnoresCompany holds a request that was never at work alone as well. It is for
 	// comparisons only.
 	IgnoresCompany bool
+	// IgnoresTrials counts each end, also of runs that began before any was known. It is for
+	// comparisons only.
+	IgnoresTrials bool
 	// LeastShare, when it is above 0, divides each end among all that were at work, and holds
 	// a request whose parts come to so many ends. It is for comparisons only.
 	LeastShare float64
@@ -101,11 +104,16 @@
 	Round uint32
 }
 
-// Company are the requests that were at work beside another one as an instance ended.
-type Company struct {
+// EndDetail is what is known of one end under a request.
+type EndDetail struct {
 	Instance string
-	// Requests are in ascending order of their keys, each once.
-	Requests []Companion
+	// Trial is which trial of the request the run was that met the end, from 1. Runs that
+	// began before any end was known are one trial: a rack that fails ends all of them. 0 is
+	// not known, and stands for a trial of its own.
+	Trial uint32
+	// Beside are the other requests at work there, in ascending order of their keys, each
+	// once.
+	Beside []Companion
 }
 
 // Record is what daemons tell each other of one request.
@@ -116,9 +124,8 @@
 	Round uint32
 	// Ends are the instances that have ended under it in this round, in ascending order.
 	Ends []string
-	// Company are those of the ends at which other requests were at work too, in the same
-	// order.
-	Company []Company
+	// Details are what is known of the ends, in the same order; some may be missing.
+	Details []EndDetail
 	// Proven is the round before which the request was found harmful: ends of earlier rounds
 	// are of no request that was at work beside it.
 	Proven uint32
@@ -142,19 +149,44 @@
 	if slices.ContainsFunc(r.Ends, func(name string) bool { return name == "" || len(name) > nameLimit }) {
 		return false
 	}
-	return len(r.Company) <= len(r.Ends) && !slices.ContainsFunc(r.Company, func(one Company) bool {
-		return len(one.Requests) > companionLimit || !slices.Contains(r.Ends, one.Instance)
+	return len(r.Details) <= len(r.Ends) && !slices.ContainsFunc(r.Details, func(one EndDetail) bool {
+		return len(one.Beside) > companionLimit || !slices.Contains(r.Ends, one.Instance)
 	})
 }
 
-// beside are the requests that were at work at an end beside this one.
-func (r Record) beside(end string) []Companion {
-	for _, one := range r.Company {
+// detail is what is known of an end.
+func (r Record) detail(end string) EndDetail {
+	for _, one := range r.Details {
 		if one.Instance == end {
-			return one.Requests
+			return one
+		}
+	}
+	return EndDetail{Instance: end}
+}
+
+// trials counts the trials that met some of the ends.
+func (r Record) trials(ends []string) int {
+	unknown := 0
+	known := map[uint32]bool{}
+	for _, end := range ends {
+		if trial := r.detail(end).Trial; trial > 0 {
+			known[trial] = true
+		} else {
+			unknown++
+		}
+	}
+	return unknown + len(known)
+}
+
+// Beside counts the ends at which other requests were at work too.
+func (r Record) Beside() int {
+	count := 0
+	for _, one := range r.Details {
+		if len(one.Beside) > 0 {
+			count++
 		}
 	}
-	return nil
+	return count
 }
 
 // endsNeeded is how many ends hold the request.
@@ -165,9 +197,9 @@
 	return r.Ends
 }
 
-// isHarmful tells whether enough back ends have ended under the request.
+// isHarmful tells whether enough trials of the request have met the end of a back end.
 func (r Rules) isHarmful(record *Record) bool {
-	return !record.Cleared && len(record.Ends) >= r.endsNeeded(record)
+	return !record.Cleared && record.trials(record.Ends) >= r.endsNeeded(record)
 }
 
 // holdTime is how long the request is held after the newest end; 0 when it is not.
@@ -175,7 +207,7 @@
 	if !r.isHarmful(record) {
 		return 0
 	}
-	more := len(record.Ends) - r.endsNeeded(record)
+	more := record.trials(record.Ends) - r.endsNeeded(record)
 	if more == 0 {
 		return firstHold
 	}
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -30,10 +30,24 @@
 	return &Table{rules: rules, entries: map[Signature]*entry{}, witnessed: witnessed{requests: map[string][]Companion{}}}
 }
 
-// Ended notes that an instance has ended under a request; familiar says that its back end
-// had answered the request well before. It tells whether that is news. All that were at work
-// at an end are noted before any of it is told to others.
+// Ended notes that an instance has ended under a request, in a trial of its own; familiar says
+// that its back end had answered the request well before. It tells whether that is news. All
+// that were at work at an end are noted before any of it is told to others.
 func (t *Table) Ended(now time.Duration, signature Signature, instance string, familiar bool) bool {
+	return t.EndedInTrial(now, signature, instance, familiar, t.trials(now, signature)+1)
+}
+
+// trials counts the trials of a request that is not cleared which met the end of a back end.
+func (t *Table) trials(now time.Duration, signature Signature) uint32 {
+	known := t.live(now, signature)
+	if known == nil || known.record.Cleared {
+		return 0
+	}
+	return uint32(known.record.trials(known.record.Ends))
+}
+
+// EndedInTrial is Ended for a run that began when the trials before it were known (View.Trials).
+func (t *Table) EndedInTrial(now time.Duration, signature Signature, instance string, familiar bool, trial uint32) bool {
 	known := t.live(now, signature)
 	switch {
 	case known == nil:
@@ -47,7 +61,7 @@
 	}
 	known.record.Familiar = known.record.Familiar || familiar
 	known.endedAt = now
-	news := known.addEnds([]string{instance}, nil)
+	news := known.addEnds([]string{instance}, []EndDetail{{Instance: instance, Trial: trial}})
 	t.noteCompany(known, instance)
 	return news
 }
@@ -61,12 +75,12 @@
 	own := Companion{Key: with.record.Signature.Key(), Round: with.record.Round}
 	for _, other := range t.entries {
 		if other != with && slices.Contains(other.record.Ends, instance) {
-			other.addEnds(nil, []Company{{Instance: instance, Requests: []Companion{own}}})
+			other.addEnds(nil, []EndDetail{{Instance: instance, Beside: []Companion{own}}})
 		}
 	}
 	others := slices.DeleteFunc(slices.Clone(t.witnessed.requests[instance]), func(one Companion) bool { return one.Key == own.Key })
 	if len(others) > 0 {
-		with.addEnds(nil, []Company{{Instance: instance, Requests: others}})
+		with.addEnds(nil, []EndDetail{{Instance: instance, Beside: others}})
 	}
 	t.witnessed.add(instance, own)
 }
@@ -103,7 +117,7 @@
 		return false, false
 	}
 	record.Ends = slices.Compact(slices.Sorted(slices.Values(record.Ends)))
-	record.Company = uniteCompanies(nil, record.Company)
+	record.Details = uniteDetails(nil, record.Details)
 	given := &entry{rules: t.rules, record: record, endedAt: now - record.Age}
 	if given.expired(now) {
 		return false, true
@@ -129,7 +143,7 @@
 // merge takes another entry of the same round, and tells whether it holds news.
 func (e *entry) merge(given *entry) bool {
 	known := len(e.record.Ends)
-	more := e.addEnds(given.record.Ends, given.record.Company)
+	more := e.addEnds(given.record.Ends, given.record.Details)
 	if len(e.record.Ends) > known {
 		e.endedAt = max(e.endedAt, given.endedAt)
 	}
@@ -209,7 +223,7 @@
 	}
 	sent := known.record
 	sent.Ends = slices.Clone(sent.Ends)
-	sent.Company = slices.Clone(sent.Company)
+	sent.Details = slices.Clone(sent.Details)
 	sent.Age = now - known.endedAt
 	return sent, true
 }
@@ -232,7 +246,9 @@
 	text = append(text, flag(r.Familiar), flag(r.Cleared))
 	for _, name := range r.Ends {
 		text = append(append(text, name...), 0)
-		for _, one := range r.beside(name) {
+		detail := r.detail(name)
+		text = binary.BigEndian.AppendUint32(text, detail.Trial)
+		for _, one := range detail.Beside {
 			text = binary.BigEndian.AppendUint64(text, one.Key)
 			text = binary.BigEndian.AppendUint32(text, one.Round)
 		}
@@ -256,7 +272,9 @@
 			continue
 		}
 		made.heads[signature.Head] = true
-		made.known[signature] = judged[signature]
+		judgement := judged[signature]
+		judgement.trials = t.trials(now, signature)
+		made.known[signature] = judgement
 	}
 	return made
 }
@@ -306,6 +324,14 @@
 	return found.belief(now), max(found.heldUntil-now, 0)
 }
 
+// Trials counts the trials of a request that are known to have met the end of a back end.
+func (v *View) Trials(signature Signature) uint32 {
+	if v.Empty() {
+		return 0
+	}
+	return v.known[signature].trials
+}
+
 // Isolation is how a request is kept apart if it may run.
 func (v *View) Isolation(now time.Duration, signature Signature) Isolation {
 	if v.Empty() {
--- a/internal/lab/harmful/mesh.go
+++ b/internal/lab/harmful/mesh.go
@@ -1,7 +1,10 @@
 package harmful
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/springstack/springstack/internal/core/quarantine"
@@ -97,12 +100,13 @@
 	}
 }
 
-// note notes an end under requests at a daemon and tells the others.
-func (m *mesh) note(at *daemon, instance string, signatures []quarantine.Signature) {
+// note notes an end under requests at a daemon, by their trials, and tells the others.
+func (m *mesh) note(at *daemon, instance string, trials map[quarantine.Signature]uint32) {
+	signatures := slices.SortedFunc(maps.Keys(trials), func(a, b quarantine.Signature) int { return cmp.Compare(a.Key(), b.Key()) })
 	var news []quarantine.Signature
 	for _, signature := range signatures {
 		familiar := m.way.Answers && at.answered[signature]
-		if at.table.Ended(m.Now(), signature, instance, familiar) {
+		if at.table.EndedInTrial(m.Now(), signature, instance, familiar, trials[signature]) {
 			news = append(news, signature)
 		}
 	}
--- a/internal/proxy/ended.go
+++ b/internal/proxy/ended.go
@@ -123,17 +123,19 @@
 		return
 	}
 	unknown := false
+	trials := map[quarantine.Signature]uint32{}
 	for _, call := range end.atWork {
 		signature, signed := call.signature()
 		if signed {
 			end.suspected[signature] = true
+			trials[signature] = max(trials[signature], call.trial)
 		}
 		unknown = unknown || !signed
 	}
 	if unknown {
 		p.harmful.noteUnknownAtEnd(end.start.String())
 	}
-	p.harmful.noteEnded(end.start.String(), lo.Keys(end.suspected)...)
+	p.harmful.noteEndedIn(trials, end.start.String(), lo.Keys(end.suspected)...)
 }
 
 // softwareHasAnswered tells whether the software version that runs, or ran last, has answered
@@ -184,6 +186,7 @@
 			textField("request", p.requestID(call.request.Header)),
 			textField("signature", signature.String()),
 			textField("suspected", strconv.FormatBool(end.suspected[signature])),
+			textField("trial", number(int(call.trial))),
 			textField("method", call.request.Method),
 			textField("caller", call.caller()))
 	}
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -59,6 +59,9 @@
 	table *routing.Table
 	// hasTurn says that it is suspected to be harmful and runs while no other one does.
 	hasTurn bool
+	// trial is which trial of its request the run is, by the ends that were known as it began;
+	// 0 for not known.
+	trial uint32
 	// relay is what interim answers pass.
 	relay *informer
 	// sendings are those to the back end, sent of them so far.
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -83,7 +83,8 @@
 			continue
 		}
 		h.log("harmful_request", textField("signature", record.Signature.String()), textField("belief", is.String()),
-			textField("ends", number(len(record.Ends))), textField("ends_beside_others", number(len(record.Company))),
+			textField("ends", number(len(record.Ends))), textField("ends_beside_others", number(record.Beside())),
+			textField("trials", number(int(next.Trials(record.Signature)))),
 			textField("isolation", next.Isolation(now, record.Signature).String()), textField("round", number(int(record.Round))),
 			textField("familiar", strconv.FormatBool(record.Familiar)))
 	}
@@ -100,8 +101,18 @@
 // noteEnded notes that an instance beside this daemon has ended under some requests, and has
 // all others told.
 func (h *harmful) noteEnded(instance string, signatures ...quarantine.Signature) {
+	h.noteEndedIn(nil, instance, signatures...)
+}
+
+// noteEndedIn is noteEnded for runs whose trials are known; those of others are trials of their
+// own.
+func (h *harmful) noteEndedIn(trials map[quarantine.Signature]uint32, instance string, signatures ...quarantine.Signature) {
 	changed := h.change(signatures, func(now time.Duration, signature quarantine.Signature) bool {
-		return h.table.Ended(now, signature, instance, h.answered.Has(fingerprintOf(signature)))
+		familiar := h.answered.Has(fingerprintOf(signature))
+		if trial := trials[signature]; trial > 0 {
+			return h.table.EndedInTrial(now, signature, instance, familiar, trial)
+		}
+		return h.table.Ended(now, signature, instance, familiar)
 	})
 	if h.held == nil {
 		return
--- a/internal/proxy/suspect.go
+++ b/internal/proxy/suspect.go
@@ -43,6 +43,7 @@
 func (c *gateCall) isolate() (Refusal, bool) {
 	view := c.proxy.harmful.view.Load()
 	if view.Empty() || !view.HasHead(c.head()) {
+		c.trial = 1
 		return Refusal{}, true
 	}
 	signature, signed := c.signature()
@@ -53,6 +54,7 @@
 	if belief == quarantine.Held {
 		return refusal, false
 	}
+	c.trial = view.Trials(signature) + 1
 	isolation := view.Isolation(c.proxy.config.Clock(), signature)
 	if isolation == quarantine.Beside || c.awaitAlone() {
 		return Refusal{}, true
