--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -203,13 +203,15 @@
 	l.forget(opened)
 }
 
-// wait waits for a time, or until the link is closed.
-func (l *Link) wait(pause time.Duration) {
+// wait waits for a time; false when the link was closed before.
+func (l *Link) wait(pause time.Duration) bool {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+		return true
 	case <-l.closed:
+		return false
 	}
 }
 
@@ -224,7 +226,8 @@
 	}()
 }
 
-// sleep waits exactly for a time; false when this process lacks the means, or the link closed.
+// sleep waits for a time, exactly unless many do at a time; false when this process lacks the
+// means, or the link was closed.
 func (l *Link) sleep(wait time.Duration) bool {
 	if wait <= 0 {
 		return true
@@ -234,6 +237,9 @@
 		l.failed(err)
 		return false
 	}
+	if sleeper == nil {
+		return l.wait(wait)
+	}
 	defer l.sleepers.give(sleeper)
 	return sleeper.Sleep(wait)
 }
--- a/internal/lab/link/sleepers.go
+++ b/internal/lab/link/sleepers.go
@@ -6,14 +6,18 @@
 	"github.com/springstack/springstack/internal/lab/precise"
 )
 
-// sleepers are exact timers that the connections of a link share: each takes a descriptor, and
-// few connections have bytes under way at a time.
+// mostSleepers bounds the exact timers of a link, each of which takes a descriptor. More bytes
+// are under way at a time only where the machine is too busy for exactness.
+const mostSleepers = 8
+
+// sleepers are exact timers that the connections of a link share.
 type sleepers struct {
 	mutex sync.Mutex
 	idle  []*precise.Sleeper
+	made  int
 }
 
-// take returns a timer that nobody uses.
+// take returns a timer that nobody uses; nil when as many as may be are in use.
 func (s *sleepers) take() (*precise.Sleeper, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -22,7 +26,14 @@
 		s.idle = s.idle[:last]
 		return taken, nil
 	}
-	return precise.NewSleeper()
+	if s.made == mostSleepers {
+		return nil, nil
+	}
+	made, err := precise.NewSleeper()
+	if err == nil {
+		s.made++
+	}
+	return made, err
 }
 
 // give returns a timer that was taken.
