Experiment: ways that ignore trials hold by ends as they did

A trial of the comparison counted trials for how long a request is held in all ways, so that those that were to count each end held it for no time.

--- a/internal/core/quarantine/explain.go
+++ b/internal/core/quarantine/explain.go
@@ -146,10 +146,7 @@
 // ended the same back ends.
 func (t *Table) isHarmful(one *candidate, all []*candidate, facts companionFacts) bool {
 	needed := t.rules.endsNeeded(&one.record)
-	ends := one.trials()
-	if t.rules.IgnoresTrials {
-		ends = len(one.open)
-	}
+	ends := one.count()
 	if ends < needed {
 		return false
 	}
@@ -168,8 +165,8 @@
 	return one.wasAlone(facts) && (ends > needed || !one.hasRival(all))
 }
 
-// trials counts the trials that met open ends.
-func (c *candidate) trials() int { return c.record.trials(c.open) }
+// count is how many of the open ends count.
+func (c *candidate) count() int { return c.rules.count(&c.record, c.open) }
 
 // covers tells whether a candidate explains all that another one does but for some ends. One
 // that was answered well before explains nothing that one does which was not.
@@ -226,13 +223,13 @@
 func (e *entry) whenHarmful() judgement {
 	held := e.endedAt + e.rules.holdTime(&e.record)
 	needed := e.rules.endsNeeded(&e.record)
-	return judgement{heldUntil: held, suspectedUntil: held + holdMemory, unexplained: e.record.trials(e.record.Ends), needed: needed}
+	return judgement{heldUntil: held, suspectedUntil: held + holdMemory, unexplained: e.rules.count(&e.record, e.record.Ends), needed: needed}
 }
 
 // whenSuspected is the judgement of a request that is not held.
 func (c *candidate) whenSuspected() judgement {
 	return judgement{
 		suspectedUntil: c.endedAt + suspicionTime,
-		unexplained:    c.trials(), needed: c.rules.endsNeeded(&c.record),
+		unexplained:    c.count(), needed: c.rules.endsNeeded(&c.record),
 	}
 }
--- a/internal/core/quarantine/record.go
+++ b/internal/core/quarantine/record.go
@@ -197,9 +197,17 @@
 	return r.Ends
 }
 
+// count is how many of some ends count for the request.
+func (r Rules) count(record *Record, ends []string) int {
+	if r.IgnoresTrials {
+		return len(ends)
+	}
+	return record.trials(ends)
+}
+
 // isHarmful tells whether enough trials of the request have met the end of a back end.
 func (r Rules) isHarmful(record *Record) bool {
-	return !record.Cleared && record.trials(record.Ends) >= r.endsNeeded(record)
+	return !record.Cleared && r.count(record, record.Ends) >= r.endsNeeded(record)
 }
 
 // holdTime is how long the request is held after the newest end; 0 when it is not.
@@ -207,7 +215,7 @@
 	if !r.isHarmful(record) {
 		return 0
 	}
-	more := record.trials(record.Ends) - r.endsNeeded(record)
+	more := r.count(record, record.Ends) - r.endsNeeded(record)
 	if more == 0 {
 		return firstHold
 	}
