One end alone after an earlier one holds a request, whatever its trials

A run that had the back end to itself, in a later trial, is no part of a failure that ended several at one moment; it settles a request with three ends.

--- a/internal/core/quarantine/explain.go
+++ b/internal/core/quarantine/explain.go
@@ -12,8 +12,7 @@
 	// own clock; not after 0 for never.
 	suspectedUntil time.Duration
 	heldUntil      time.Duration
-	// unexplained counts its trials with ends that no harmful request explains, needed how
-	// many hold it.
+	// unexplained counts its ends that no harmful request explains, needed how many hold it.
 	unexplained int
 	needed      int
 	// trials counts all its trials that met ends, unless it was cleared.
@@ -146,8 +145,7 @@
 // ended the same back ends.
 func (t *Table) isHarmful(one *candidate, all []*candidate, facts companionFacts) bool {
 	needed := t.rules.endsNeeded(&one.record)
-	ends := one.count()
-	if ends < needed {
+	if len(one.open) < needed {
 		return false
 	}
 	if t.rules.EachByItself {
@@ -162,11 +160,21 @@
 	case t.rules.LeastShare > 0:
 		return one.share(facts) >= t.rules.LeastShare
 	}
-	return one.wasAlone(facts) && (ends > needed || !one.hasRival(all))
+	proved := one.ranIsolated() || (one.trials() >= needed && one.wasAlone(facts))
+	return (proved || t.rules.IgnoresTrials && one.wasAlone(facts)) && (len(one.open) > needed || !one.hasRival(all))
 }
 
-// count is how many of the open ends count.
-func (c *candidate) count() int { return c.rules.count(&c.record, c.open) }
+// trials counts the trials that met open ends.
+func (c *candidate) trials() int { return c.record.trials(c.open) }
+
+// ranIsolated tells whether a run met an open end with nothing beside it, after an earlier trial
+// had met one: that is no part of a moment at which several back ends ended of one cause.
+func (c *candidate) ranIsolated() bool {
+	return slices.ContainsFunc(c.open, func(end string) bool {
+		detail := c.record.detail(end)
+		return detail.Trial > 1 && len(detail.Beside) == 0
+	})
+}
 
 // covers tells whether a candidate explains all that another one does but for some ends. One
 // that was answered well before explains nothing that one does which was not.
@@ -223,13 +231,13 @@
 func (e *entry) whenHarmful() judgement {
 	held := e.endedAt + e.rules.holdTime(&e.record)
 	needed := e.rules.endsNeeded(&e.record)
-	return judgement{heldUntil: held, suspectedUntil: held + holdMemory, unexplained: e.rules.count(&e.record, e.record.Ends), needed: needed}
+	return judgement{heldUntil: held, suspectedUntil: held + holdMemory, unexplained: len(e.record.Ends), needed: needed}
 }
 
 // whenSuspected is the judgement of a request that is not held.
 func (c *candidate) whenSuspected() judgement {
 	return judgement{
 		suspectedUntil: c.endedAt + suspicionTime,
-		unexplained:    c.count(), needed: c.rules.endsNeeded(&c.record),
+		unexplained:    len(c.open), needed: c.rules.endsNeeded(&c.record),
 	}
 }
--- a/internal/core/quarantine/record.go
+++ b/internal/core/quarantine/record.go
@@ -24,7 +24,7 @@
 // String names the belief.
 func (b Belief) String() string { return beliefNames[b] }
 
-// Rules say how many ends in a row, each of another trial, hold a request. All daemons of a mesh need the same.
+// Rules say how many ends in a row hold a request. All daemons of a mesh need the same.
 type Rules struct {
 	// Ends is for a request that no daemon remembers a good answer to. The first end may be
 	// of any request that ran there, and at a second one it may be by chance.
@@ -197,17 +197,9 @@
 	return r.Ends
 }
 
-// count is how many of some ends count for the request.
-func (r Rules) count(record *Record, ends []string) int {
-	if r.IgnoresTrials {
-		return len(ends)
-	}
-	return record.trials(ends)
-}
-
-// isHarmful tells whether enough trials of the request have met the end of a back end.
+// isHarmful tells whether enough back ends have ended under the request.
 func (r Rules) isHarmful(record *Record) bool {
-	return !record.Cleared && r.count(record, record.Ends) >= r.endsNeeded(record)
+	return !record.Cleared && len(record.Ends) >= r.endsNeeded(record)
 }
 
 // holdTime is how long the request is held after the newest end; 0 when it is not.
@@ -215,8 +207,8 @@
 	if !r.isHarmful(record) {
 		return 0
 	}
-	more := r.count(record, record.Ends) - r.endsNeeded(record)
-	if more == 0 {
+	more := record.trials(record.Ends) - r.endsNeeded(record)
+	if more <= 0 {
 		return firstHold
 	}
 	return min(holdTime<<(more-1), holdLimit)
