A start whose clock stands back takes over the drain of its earlier one

Cause: a start took over what peers remember of its drain only from a record with a lower incarnation. Incarnations follow the clock, so that one whose clock stands back has the lower one itself; it raised its own above the remembered one without looking at what that said.

Change: any other incarnation is heeded. What is remembered names the start of the back end, so that an old record can't drain a later one.

TestADrainIsResumedByAStartWhoseClockStandsBack failed before ("<nil> != [i@100]").

--- a/internal/hosted/remind_test.go
+++ b/internal/hosted/remind_test.go
@@ -114,6 +114,25 @@
 	check.Equal(resumed, []protocol.BackendStart{{Instance: "i", Born: 100}})
 }
 
+// Guards against a drain that is forgotten by a start whose clock stands back, so that peers
+// remember an incarnation above its own.
+func TestADrainIsResumedByAStartWhoseClockStandsBack(t *testing.T) {
+	check := is.New(t)
+	held := newTestMesh("z1")
+	var resumed []protocol.BackendStart
+	held.rememberLeaving = func(start protocol.BackendStart) { resumed = append(resumed, start) }
+	earlier := held.self
+	earlier.Incarnation += 1000
+	earlier.Backend, earlier.Born, earlier.Endpoint = "i", 100, protocol.EndpointDraining
+	held.takeCompared("z1", []protocol.Member{earlier})
+	check.Equal(resumed, []protocol.BackendStart{{Instance: "i", Born: 100}})
+	check.True(held.self.Incarnation > earlier.Incarnation)
+	own := held.self
+	own.Endpoint = protocol.EndpointDraining
+	held.takeCompared("z1", []protocol.Member{own})
+	check.Equal(len(resumed), 1) // an echo of its own record tells nothing
+}
+
 func TestTheOwnRecordTellsTheStart(t *testing.T) {
 	check := is.New(t)
 	held := newTestMesh("z1")
--- a/internal/hosted/restartnews.go
+++ b/internal/hosted/restartnews.go
@@ -7,9 +7,9 @@
 )
 
 // resumeDrain takes over the drain that an earlier start has acknowledged; the lock
-// is held.
+// is held. That one's incarnation is the higher one where the clock was set back.
 func (m *mesh) resumeDrain(remembered protocol.Member) {
-	if remembered.Incarnation < m.self.Incarnation && remembered.Endpoint == protocol.EndpointDraining {
+	if remembered.Incarnation != m.self.Incarnation && remembered.Endpoint == protocol.EndpointDraining {
 		m.rememberLeaving(remembered.BackendStart())
 	}
 }
