A gate takes other calls again once an isolated one is answered or given up

A call that ran alone kept the back end to itself until its slot was given back. Where the back end hangs, that is HungWait after the call's deadline, seconds for which a whole gate would have served nobody. Found by reading the change again; the isolation ends with the exchange now, and the slot as before. The test of isolated calls checks it.

--- a/internal/proxy/ended_test.go
+++ b/internal/proxy/ended_test.go
@@ -230,6 +230,9 @@
 	proxy.gate.Done(proxy.config.Clock(), other.ticket, true)
 	check.True(<-started)
 	check.Equal(proxy.tally.isolated.Load(), uint64(1))
+	check.True(!proxy.gate.Free())
+	suspected.endIsolation() // it has its answer, or is given up while the back end hangs
+	check.True(proxy.gate.Free())
 }
 
 // A request that is at enough ends to be held, but was never at work alone, is refused where a
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -59,6 +59,8 @@
 	table *routing.Table
 	// hasTurn says that it is suspected to be harmful and runs while no other one does.
 	hasTurn bool
+	// alone says that it runs while no other call does.
+	alone bool
 	// trial is which trial of its request the run is, by the ends that were known as it began;
 	// 0 for not known.
 	trial uint32
@@ -140,6 +142,7 @@
 	if refusal.Code == result.BrokenInFlight {
 		refusal.Ended = c.awaitEnd()
 	}
+	c.endIsolation()
 	c.noteBackend(sent, refusal, refused, ran)
 	observe(c.proxy.config.Timings.Backend, ran)
 	// The slot is given back once, whatever happens below.
--- a/internal/proxy/suspect.go
+++ b/internal/proxy/suspect.go
@@ -79,6 +79,7 @@
 	select {
 	case <-alone:
 		c.proxy.tally.isolated.Add(1)
+		c.alone = true
 		return true
 	case <-patience.C:
 	case <-c.context.Done():
@@ -86,6 +87,14 @@
 	return false
 }
 
+// endIsolation lets other calls start once a call that ran alone has its answer or none comes any
+// more. The back end may still be at work on it, for as long as it hangs.
+func (c *gateCall) endIsolation() {
+	if c.alone {
+		c.proxy.gate.Mingle(c.proxy.config.Clock(), c.ticket)
+	}
+}
+
 // endTurn lets the next suspected call run.
 func (c *gateCall) endTurn() {
 	if c.hasTurn {
