--- a/internal/lab/harmful/options.go
+++ b/internal/lab/harmful/options.go
@@ -34,8 +34,8 @@
 	shared := quarantine.DefaultRules()
 	shared.LeastShare = 2
 	return []Way{
-		{Name: "trials, once alone, isolated, 3 (4)", Rules: quarantine.DefaultRules(), Answers: true, Apart: true, Isolated: true},
-		{Name: "trials, shares of 2, isolated, 3 (4)", Rules: shared, Answers: true, Apart: true, Isolated: true},
+		{Name: "alone in a later trial, isolated, 3 (4)", Rules: quarantine.DefaultRules(), Answers: true, Apart: true, Isolated: true},
+		{Name: "shares of 2, isolated, 3 (4)", Rules: shared, Answers: true, Apart: true, Isolated: true},
 		{Name: "once alone, isolated, 3 (4)", Rules: anyTrial, Answers: true, Apart: true, Isolated: true},
 		{Name: "once alone, not isolated, 3 (4)", Rules: anyTrial, Answers: true, Apart: true},
 		{Name: "explained, isolated, 3 (4)", Rules: ignoring(3, 4), Answers: true, Apart: true, Isolated: true},
