Soak: an outcome without an answer has a named cause

Up to 27 of 100 requests of a soak had no answer, and nobody had counted why. Each such outcome names its cause in the last line now.

--- a/internal/lab/soak/connection.go
+++ b/internal/lab/soak/connection.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -93,7 +94,7 @@
 		if isShortage(err) {
 			s.oracle.Lacks(err)
 		}
-		return answers
+		return unanswered(answers, "not connected: "+causeOf(err))
 	}
 	now := time.Now()
 	_ = on.conn.SetDeadline(now.Add(patience)) // one that has ended shows when it is used
@@ -115,6 +116,8 @@
 		if err != nil {
 			on.close()
 			s.lost(requests[index:])
+			unanswered(answers[index+1:], "behind one that was lost")
+			unanswered(answers[index:index+1], causeOf(err))
 			return answers
 		}
 		answers[index] = answer
@@ -126,6 +129,32 @@
 	return answers
 }
 
+// unanswered gives answers that did not come their cause.
+func unanswered(answers []Answer, cause string) []Answer {
+	for index := range answers {
+		answers[index].Code = cause
+	}
+	return answers
+}
+
+// causeOf names why an answer, or a connection, did not come.
+func causeOf(err error) string {
+	var failure net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "refused"
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return "reset"
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return "closed"
+	case errors.As(err, &failure) && failure.Timeout():
+		return "time over"
+	case isShortage(err):
+		return "the soak lacks something"
+	}
+	return "unknown"
+}
+
 // lost notes requests that got no whole answer.
 func (s *soak) lost(requests []Request) {
 	now := time.Now()
--- a/internal/lab/soak/oracle.go
+++ b/internal/lab/soak/oracle.go
@@ -59,11 +59,11 @@
 	At        time.Time
 	// Last says that the connection ends with it.
 	Last bool
-	// Code is the numbered reason of a refusal.
+	// Code is the numbered reason of a refusal, or why there is no answer.
 	Code string
 }
 
-// reason is the status and the numbered reason of an answer.
+// reason is the status and the numbered reason of an answer, or 0 and why there is none.
 func (a Answer) reason() string { return strings.TrimSpace(fmt.Sprint(a.Status, " ", a.Code)) }
 
 // Violation is a promise that was broken.
