A trial is numbered past all that are known

A run numbered its trial by how many are known, so that where one was missing (a record without details, or past the limit of ends) it could take the number of one that was there and count for nothing. Found by reading the change again; TestTrialsAreNumberedPastAllThatAreKnown gave 2 trials in place of 3. The number is the newest one that is known, and absurd ones of peers are refused.

--- a/internal/core/quarantine/company_test.go
+++ b/internal/core/quarantine/company_test.go
@@ -182,7 +182,7 @@
 	for _, instance := range []string{"a", "b", "c", "d"} {
 		table.EndedInTrial(0, request, instance, false, 1)
 	}
-	check.Equal(table.View(0).Trials(request), uint32(1))
+	check.Equal(table.View(0).LastTrial(request), uint32(1))
 	check.Equal(beliefIn(table, 0, request), Suspected)
 	check.Equal(table.View(0).Isolation(0, request), AloneOnly)
 	table.EndedInTrial(0, request, "e", false, 2) // alone, after the others
@@ -205,3 +205,19 @@
 	table.EndedInTrial(0, request, "d", false, 3)
 	check.Equal(beliefIn(table, 0, request), Held)
 }
+
+// A trial is never counted as one that was there, whatever of the earlier ones is not known.
+func TestTrialsAreNumberedPastAllThatAreKnown(t *testing.T) {
+	check := is.New(t)
+	request := signatureOf("/request")
+	table := NewTable(DefaultRules())
+	_, valid := table.Merge(0, Record{Signature: request, Ends: []string{"a", "b"}, Details: []EndDetail{{Instance: "a", Trial: 3}}})
+	check.True(valid)
+	check.Equal(table.View(0).LastTrial(request), uint32(4))
+	check.True(table.Ended(0, request, "c", false))
+	record, _ := table.Of(0, request)
+	check.Equal(record.trials(record.Ends), 3)
+	absurd := Record{Signature: request, Ends: []string{"a"}, Details: []EndDetail{{Instance: "a", Trial: trialLimit + 1}}}
+	_, valid = table.Merge(0, absurd)
+	check.True(!valid)
+}
--- a/internal/core/quarantine/explain.go
+++ b/internal/core/quarantine/explain.go
@@ -15,8 +15,8 @@
 	// unexplained counts its ends that no harmful request explains, needed how many hold it.
 	unexplained int
 	needed      int
-	// trials counts all its trials that met ends, unless it was cleared.
-	trials uint32
+	// lastTrial is the newest trial that met an end, unless the request was cleared.
+	lastTrial uint32
 }
 
 // belief is what follows at a time.
@@ -154,14 +154,23 @@
 	if slices.ContainsFunc(all, func(other *candidate) bool { return other != one && other.covers(one, 0) }) {
 		return false
 	}
-	switch {
-	case t.rules.IgnoresCompany:
+	if t.rules.IgnoresCompany {
 		return true
-	case t.rules.LeastShare > 0:
+	}
+	if t.rules.LeastShare > 0 {
 		return one.share(facts) >= t.rules.LeastShare
 	}
-	proved := one.ranIsolated() || (one.trials() >= needed && one.wasAlone(facts))
-	return (proved || t.rules.IgnoresTrials && one.wasAlone(facts)) && (len(one.open) > needed || !one.hasRival(all))
+	return t.isProven(one, facts) && (len(one.open) > needed || !one.hasRival(all))
+}
+
+// isProven tells whether an open end speaks for itself: of a run that had the back end to itself
+// in a later trial, or, after enough trials, one at which nothing else may have ended it.
+func (t *Table) isProven(one *candidate, facts companionFacts) bool {
+	if one.ranIsolated() {
+		return true
+	}
+	enough := t.rules.IgnoresTrials || one.trials() >= t.rules.endsNeeded(&one.record)
+	return enough && one.wasAlone(facts)
 }
 
 // trials counts the trials that met open ends.
--- a/internal/core/quarantine/record.go
+++ b/internal/core/quarantine/record.go
@@ -58,6 +58,8 @@
 	endLimit       = 16
 	nameLimit      = 128
 	companionLimit = 24
+	// trialLimit bounds the trials that a record can tell of: more than come in its life.
+	trialLimit = 1 << 20
 	// suspicionTime is how long a request is suspected after the last end under it. Who
 	// comes again later than that ends one back end more.
 	suspicionTime = 2 * time.Minute
@@ -150,7 +152,7 @@
 		return false
 	}
 	return len(r.Details) <= len(r.Ends) && !slices.ContainsFunc(r.Details, func(one EndDetail) bool {
-		return len(one.Beside) > companionLimit || !slices.Contains(r.Ends, one.Instance)
+		return len(one.Beside) > companionLimit || one.Trial > trialLimit || !slices.Contains(r.Ends, one.Instance)
 	})
 }
 
@@ -178,6 +180,18 @@
 	return unknown + len(known)
 }
 
+// lastTrial is the newest trial, past all that are not known; 0 without ends.
+func (r Record) lastTrial() uint32 {
+	last, unknown := uint32(0), uint32(len(r.Ends))
+	for _, one := range r.Details {
+		if one.Trial > 0 {
+			last = max(last, one.Trial)
+			unknown--
+		}
+	}
+	return last + unknown
+}
+
 // Beside counts the ends at which other requests were at work too.
 func (r Record) Beside() int {
 	count := 0
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -34,19 +34,20 @@
 // that its back end had answered the request well before. It tells whether that is news. All
 // that were at work at an end are noted before any of it is told to others.
 func (t *Table) Ended(now time.Duration, signature Signature, instance string, familiar bool) bool {
-	return t.EndedInTrial(now, signature, instance, familiar, t.trials(now, signature)+1)
+	return t.EndedInTrial(now, signature, instance, familiar, t.lastTrial(now, signature)+1)
 }
 
-// trials counts the trials of a request that is not cleared which met the end of a back end.
-func (t *Table) trials(now time.Duration, signature Signature) uint32 {
+// lastTrial is the newest trial of a request that met an end; 0 for one that is cleared.
+func (t *Table) lastTrial(now time.Duration, signature Signature) uint32 {
 	known := t.live(now, signature)
 	if known == nil || known.record.Cleared {
 		return 0
 	}
-	return uint32(known.record.trials(known.record.Ends))
+	return known.record.lastTrial()
 }
 
-// EndedInTrial is Ended for a run that began when the trials before it were known (View.Trials).
+// EndedInTrial is Ended for a run that began when the trials before it were known
+// (View.LastTrial).
 func (t *Table) EndedInTrial(now time.Duration, signature Signature, instance string, familiar bool, trial uint32) bool {
 	known := t.live(now, signature)
 	switch {
@@ -273,7 +274,7 @@
 		}
 		made.heads[signature.Head] = true
 		judgement := judged[signature]
-		judgement.trials = t.trials(now, signature)
+		judgement.lastTrial = t.lastTrial(now, signature)
 		made.known[signature] = judgement
 	}
 	return made
@@ -324,12 +325,13 @@
 	return found.belief(now), max(found.heldUntil-now, 0)
 }
 
-// Trials counts the trials of a request that are known to have met the end of a back end.
-func (v *View) Trials(signature Signature) uint32 {
+// LastTrial is the newest trial of a request that is known to have met the end of a back end; 0
+// for none.
+func (v *View) LastTrial(signature Signature) uint32 {
 	if v.Empty() {
 		return 0
 	}
-	return v.known[signature].trials
+	return v.known[signature].lastTrial
 }
 
 // Isolation is how a request is kept apart if it may run.
--- a/internal/lab/harmful/day.go
+++ b/internal/lab/harmful/day.go
@@ -195,7 +195,7 @@
 	at := d.daemons[gate]
 	at.running = append(at.running, sent)
 	instance := at.instance
-	sent.trial = at.table.View(d.Now()).Trials(sent.signature) + 1
+	sent.trial = at.table.View(d.Now()).LastTrial(sent.signature) + 1
 	d.noteSend(sent)
 	ends, work := sent.ends, sent.work
 	if d.mended[sent.signature] {
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -84,7 +84,7 @@
 		}
 		h.log("harmful_request", textField("signature", record.Signature.String()), textField("belief", is.String()),
 			textField("ends", number(len(record.Ends))), textField("ends_beside_others", number(record.Beside())),
-			textField("trials", number(int(next.Trials(record.Signature)))),
+			textField("last_trial", number(int(next.LastTrial(record.Signature)))),
 			textField("isolation", next.Isolation(now, record.Signature).String()), textField("round", number(int(record.Round))),
 			textField("familiar", strconv.FormatBool(record.Familiar)))
 	}
--- a/internal/proxy/suspect.go
+++ b/internal/proxy/suspect.go
@@ -54,7 +54,7 @@
 	if belief == quarantine.Held {
 		return refusal, false
 	}
-	c.trial = view.Trials(signature) + 1
+	c.trial = view.LastTrial(signature) + 1
 	isolation := view.Isolation(c.proxy.config.Clock(), signature)
 	if isolation == quarantine.Beside || c.awaitAlone() {
 		return Refusal{}, true
