--- a/internal/result/entries.go
+++ b/internal/result/entries.go
@@ -102,7 +102,7 @@
 		Meaning: "No endpoint of the service can take the call.",
 		Mend:    "Send it again later."},
 	{Code: QueueFull, Name: "queue_full", Ran: RanNo, Exit: 16, HTTPStatus: 503,
-		Meaning: "The gate's queue is full, or the wait in it would make the answer too late for the route's target.",
+		Meaning: "The gate has no room for the call in its time: the queue is full, the wait in it would make the answer too late for the route's target, or others keep the back end busy where the call has to run alone.",
 		Mend:    "Send it again after Retry-After."},
 	{Code: DeadlineBeforeStart, Name: "deadline_before_start", Ran: RanNo, Exit: 16, HTTPStatus: 504,
 		Meaning: "The deadline would pass before the call could start.",
