--- a/internal/core/admission/isolation.go
+++ b/internal/core/admission/isolation.go
@@ -9,7 +9,7 @@
 	alone chan struct{}
 }
 
-// Isolate keeps other calls from starting until a started call ends or Mingle is called. What
+// Isolate keeps other calls from starting until a started call ends or EndIsolation is called. What
 // it returns is closed once no other call runs, and nil where another one is isolated.
 func (g *Gate) Isolate(ticket *Ticket) <-chan struct{} {
 	g.mutex.Lock()
@@ -23,8 +23,8 @@
 	return g.isolated.alone
 }
 
-// Mingle lets other calls start beside one that is isolated.
-func (g *Gate) Mingle(now time.Duration, ticket *Ticket) {
+// EndIsolation lets other calls start beside a call, if it is the isolated one.
+func (g *Gate) EndIsolation(now time.Duration, ticket *Ticket) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if g.liftIsolation(ticket) {
--- a/internal/core/admission/isolation_test.go
+++ b/internal/core/admission/isolation_test.go
@@ -70,9 +70,9 @@
 	for index := range waiting {
 		gate.Admit(0, NewTicket(Call{Deadline: time.Hour}, &waiting[index]))
 	}
-	gate.Mingle(0, started[2]) // it is not isolated
+	gate.EndIsolation(0, started[2]) // it is not isolated
 	check.Equal(len(waiting[0].settled), 0)
-	gate.Mingle(0, started[0])
+	gate.EndIsolation(0, started[0])
 	check.True(!isClosed(alone))
 	check.Equal(len(waiting[0].settled), 1)
 	check.Equal(len(waiting[1].settled), 0)
--- a/internal/proxy/suspect.go
+++ b/internal/proxy/suspect.go
@@ -62,7 +62,7 @@
 	if isolation == quarantine.AloneOnly {
 		return Refusal{Code: result.QueueFull, RetryAfter: isolationWait}, false
 	}
-	c.proxy.gate.Mingle(c.proxy.config.Clock(), c.ticket)
+	c.proxy.gate.EndIsolation(c.proxy.config.Clock(), c.ticket)
 	return Refusal{}, true
 }
 
@@ -91,7 +91,7 @@
 // more. The back end may still be at work on it, for as long as it hangs.
 func (c *gateCall) endIsolation() {
 	if c.alone {
-		c.proxy.gate.Mingle(c.proxy.config.Clock(), c.ticket)
+		c.proxy.gate.EndIsolation(c.proxy.config.Clock(), c.ticket)
 	}
 }
 
