--- a/internal/lab/soak/resources.go
+++ b/internal/lab/soak/resources.go
@@ -78,7 +78,7 @@
 	first := s.resources.failures == 1
 	s.mutex.Unlock()
 	if first {
-		s.log("link_failed", err.Error())
+		s.log("unrelayed", err.Error())
 	}
 	if isShortage(err) {
 		s.oracle.Lacks(err)
