--- a/internal/lab/harmful/day.go
+++ b/internal/lab/harmful/day.go
@@ -20,12 +20,6 @@
 	sendsAllowed = 3
 	// longHold is longer than the first hold of any request.
 	longHold = 2 * time.Minute
-	// mendOneIn is one in how many harmful requests is mended, and released, mendedWork how
-	// long it runs then.
-	mendOneIn  = 3
-	mendedWork = 100 * time.Millisecond
-	// isolationWait is how long a request waits to run alone at a gate.
-	isolationWait = 500 * time.Millisecond
 )
 
 // request is one request with all that is drawn of it.
@@ -145,41 +139,6 @@
 	}
 }
 
-// isolation is how a request is kept apart at a daemon.
-func (d *day) isolation(at *daemon, sent *work) quarantine.Isolation {
-	if !d.way.Isolated {
-		return quarantine.Beside
-	}
-	return at.table.View(d.Now()).Isolation(d.Now(), sent.signature)
-}
-
-// isolate has a request wait until nothing else runs at a gate, for isolationWait at most.
-func (d *day) isolate(sent *work, gate int) {
-	at := d.daemons[gate]
-	at.alone = sent
-	d.After(isolationWait, func() {
-		if at.alone != sent || slices.Contains(at.running, sent) {
-			return
-		}
-		at.alone = nil
-		if d.isolation(at, sent) == quarantine.AloneOnly {
-			d.again(sent)
-		} else {
-			sent.hasTurn = true
-			d.run(sent, gate)
-		}
-		d.nextTurn(at, gate)
-	})
-}
-
-// startAlone starts the request that waits for nothing else to run.
-func (d *day) startAlone(at *daemon, gate int) {
-	if sent := at.alone; sent != nil && len(at.running) == 0 {
-		sent.hasTurn = true
-		d.run(sent, gate)
-	}
-}
-
 // beliefOf is what a daemon believes of a request, which is suspected at least if a back end
 // has ended under this try.
 func (d *day) beliefOf(at *daemon, sent *work) quarantine.Belief {
@@ -383,31 +342,6 @@
 	}
 }
 
-// mendLater draws whether the back ends are mended of a harmful request, and whether an operator
-// releases it, also where they are not.
-func (d *day) mendLater(signature quarantine.Signature) {
-	if d.Random().IntN(mendOneIn) == 0 {
-		d.After(d.Between(d.length/4, d.length), func() { d.mended[signature] = true })
-	}
-	if d.Random().IntN(mendOneIn) == 0 {
-		d.After(d.Between(d.length/4, d.length), func() {
-			d.release(d.daemons[d.Random().IntN(daemonCount)], signature)
-		})
-	}
-}
-
-// release has an operator release a request at a daemon that holds it.
-func (d *day) release(at *daemon, signature quarantine.Signature) {
-	if d.believes(at, signature) != quarantine.Held || !at.table.Cleared(d.Now(), signature) {
-		return
-	}
-	d.tell(at, signature)
-	if done := d.harms[signature]; done != nil {
-		d.released = append(d.released, done)
-		delete(d.harms, signature)
-	}
-}
-
 // harmless draws requests of others: a few that come often, one that comes rarely and takes
 // long, many that come once, and some that come a few times and never again.
 func (d *day) harmless() {
