--- a/internal/core/admission/control.go
+++ b/internal/core/admission/control.go
@@ -44,7 +44,7 @@
 
 // startFree starts waiting calls while slots are free; the lock is held.
 func (g *Gate) startFree(now time.Duration) {
-	for g.queue.length > 0 && g.word.Load()&isolatedBit == 0 && int64(g.word.Load()&runningMask) < g.limit() {
+	for g.queue.length > 0 && g.hasRoom(g.word.Load()) {
 		g.word.Add(1)
 		g.handOver(now)
 	}
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -114,7 +114,12 @@
 
 // admits tells whether a slot is free and nobody waits for it.
 func (g *Gate) admits(word uint64) bool {
-	return word&(refusingAny|isolatedBit|queuedMask) == 0 && int64(word&runningMask) < g.limit()
+	return word&(refusingAny|queuedMask) == 0 && g.hasRoom(word)
+}
+
+// hasRoom tells whether one more call may run: not beside an isolated one.
+func (g *Gate) hasRoom(word uint64) bool {
+	return word&isolatedBit == 0 && int64(word&runningMask) < g.limit()
 }
 
 // Draining tells whether the gate refuses new calls.
@@ -220,7 +225,7 @@
 	}
 	for {
 		word := g.word.Load()
-		free := word&(isolatedBit|queuedMask) == 0 && int64(word&runningMask) < g.limit()
+		free := word&queuedMask == 0 && g.hasRoom(word)
 		switch {
 		case word&refusingAny != 0:
 			return refused(refusalOf(word), 0)
@@ -301,8 +306,7 @@
 func (g *Gate) handOver(now time.Duration) {
 	for {
 		// With fewer slots than before, or others that are occupied, the slot ends with the call.
-		word := g.word.Load()
-		excess := word&isolatedBit != 0 || int64(word&runningMask) > g.limit()
+		excess := !g.hasRoom(g.word.Load() - 1) // without the call that holds the slot
 		var ticket *Ticket
 		if !excess {
 			ticket = g.queue.pop()
