Messages between daemons: the format rises with what records of requests say

Records of requests that may be harmful name trials and what ran beside them since, and the format had been left as it was. A daemon of the earlier code would have dropped both: it would have judged by its own rules what the others know, and sums of the two would never have agreed, so that all records were sent on each comparison. Found by reading the change again; by reading, no mixed mesh was run. Such daemons refuse each other now, as the format is for.

--- a/internal/core/protocol/protocol.go
+++ b/internal/core/protocol/protocol.go
@@ -14,7 +14,7 @@
 // Format is the revision of these messages and of the resource encoding. A
 // daemon refuses a peer or head whose format it does not know in whole, so a
 // newer field is never understood by half of the mesh.
-const Format = 2
+const Format = 3
 
 // NodeID is the stable identity of a daemon, from its settings.
 type NodeID string
