Tenants: requests are identified by API keys

What callers saw: on a deployment with tenants every request was run without a check of its key, and the key was passed on to the back end. The callers' side refuses a request without one valid key with 401 (UnknownKey), removes the key, and sets the tenant's name whatever the client sent. Routes may be public. A tenant's priority precedes that of the route in queues, the retry budget's reserve and the limits of cold back ends. Conclusion: quotas are decoded and not enforced yet.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -12,6 +12,7 @@
 	"github.com/springstack/springstack/internal/core/position"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/core/tenancy"
 	"github.com/springstack/springstack/internal/result"
 )
 
@@ -32,6 +33,7 @@
 	Version  protocol.Version
 	Services []resource.Service
 	Routes   []resource.Route
+	Tenants  []tenancy.Tenant
 	Limits   RequestLimits
 	// Faults are what the authority has accepted and no daemon can carry out: each names the
 	// field. The rest is in force nevertheless.
--- a/internal/core/admission/call.go
+++ b/internal/core/admission/call.go
@@ -113,5 +113,8 @@
 
 // priorityIndex returns the index of the call's priority in a partner's queue.
 func (t *Ticket) priorityIndex() int {
-	return int(min(max(t.Priority, resource.PriorityLow), resource.PriorityHigh))
+	return int(min(max(t.Priority, resource.PriorityLow), resource.CallPriorityCount-1))
 }
+
+// coldClass returns the class by which calls to a cold back end are limited.
+func (t *Ticket) coldClass() int { return int(t.Priority.Class()) }
--- a/internal/core/admission/cold.go
+++ b/internal/core/admission/cold.go
@@ -20,7 +20,7 @@
 // ColdWait returns the time for which a call can't start because the back end is cold; 0 if it
 // can start now.
 func (g *Gate) ColdWait(now time.Duration, ticket *Ticket) time.Duration {
-	return g.coldLimiter.Wait(now, ticket.priorityIndex())
+	return g.coldLimiter.Wait(now, ticket.coldClass())
 }
 
 // RefuseIfCold refuses a new call, before any other work is done for it, if it can't start
@@ -40,7 +40,7 @@
 // TryResend reports whether a started call may be sent to the back end again, and counts the
 // repeated sending as another start while the back end is cold.
 func (g *Gate) TryResend(now time.Duration, ticket *Ticket) bool {
-	return g.coldLimiter.TryStart(now, ticket.priorityIndex()) == 0
+	return g.coldLimiter.TryStart(now, ticket.coldClass()) == 0
 }
 
 // IsColdLimited reports whether starts are limited now because the back end is cold.
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -195,7 +195,7 @@
 // keys and its expected service time to runningWork. If it returns a refusal, the
 // call must not start; if keys caused the refusal, the cold limiter still counts it.
 func (g *Gate) recordStart(now time.Duration, ticket *Ticket) Decision {
-	if wait := g.coldLimiter.TryStart(now, ticket.priorityIndex()); wait > 0 {
+	if wait := g.coldLimiter.TryStart(now, ticket.coldClass()); wait > 0 {
 		return refused(result.WarmingUp, wait)
 	}
 	ticket.startedAt = now
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -9,7 +9,7 @@
 )
 
 // priorityCount is the number of priorities.
-const priorityCount = int(resource.PriorityHigh) + 1
+const priorityCount = int(resource.CallPriorityCount)
 
 // partnerQueueLimit is the number of partners' queues above which empty ones are dropped.
 const partnerQueueLimit = 64
--- a/internal/core/resource/types.go
+++ b/internal/core/resource/types.go
@@ -210,6 +210,30 @@
 	PriorityHigh   Priority = 2
 )
 
+// PriorityCount is the number of priorities that a route may state.
+const PriorityCount = PriorityHigh + 1
+
+// CallPriorityCount is the number of priorities that calls may have: those of routes, followed by
+// those that ForTenant returns.
+const CallPriorityCount = PriorityCount + PriorityCount*PriorityCount
+
+// ForTenant returns the priority of a tenant's call on a route with priority p. Calls of a tenant
+// with a higher priority precede those of all other tenants, whatever their routes.
+func (p Priority) ForTenant(tenant Priority) Priority { return (tenant+1)*PriorityCount + p }
+
+// Class reduces the priority of a call to one that a route may state. The tenant's priority decides,
+// and the route's only for tenants of PriorityNormal.
+func (p Priority) Class() Priority {
+	if p < PriorityCount {
+		return p
+	}
+	route, tenant := p%PriorityCount, p/PriorityCount-1
+	if tenant != PriorityNormal {
+		return min(tenant, PriorityHigh)
+	}
+	return route
+}
+
 // Route directs matching calls of its partner's callers to services.
 type Route struct {
 	Partner Partner `json:"-"`
@@ -239,6 +263,9 @@
 	// stored; nil allows all regions, an empty list none. It can be set by an external
 	// authority only, not in files.
 	AllowedRegions []string `json:"-"`
+	// Public allows calls without an API key. It can be set by an external authority only,
+	// not in files.
+	Public bool `json:"-"`
 }
 
 // Key returns the partner, kind and name that identify the route.
--- a/internal/core/snapshot/snapshot.go
+++ b/internal/core/snapshot/snapshot.go
@@ -11,6 +11,7 @@
 
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/core/tenancy"
 	"github.com/springstack/springstack/internal/result"
 )
 
@@ -28,6 +29,8 @@
 	Secrets  map[resource.Key]resource.Secret
 	// Routes are sorted by key.
 	Routes []resource.Route
+	// Tenants holds the tenants of an external authority's configuration; nil if there are none.
+	Tenants *tenancy.Directory
 	// Encoded are the encoded resources, sorted by key.
 	Encoded []resource.Encoded
 	// decodedResources holds the decoded form of each resource in Encoded, in the same order.
--- a/internal/hosted/configuration.go
+++ b/internal/hosted/configuration.go
@@ -299,7 +299,7 @@
 	decoded, err := c.source.Decode(document)
 	if err == nil {
 		var newSnapshot *snapshot.Snapshot
-		if newSnapshot, err = snapshot.FromDecoded(decoded.Version, decoded.Services, decoded.Routes); err == nil {
+		if newSnapshot, err = snapshot.FromDecoded(decoded.Version, decoded.Services, decoded.Routes, decoded.Tenants); err == nil {
 			c.applyLimits(decoded.Limits)
 			c.applySnapshot(newSnapshot)
 			c.currentSnapshot.Store(newSnapshot)
--- a/internal/hosted/updates_bench_test.go
+++ b/internal/hosted/updates_bench_test.go
@@ -70,7 +70,7 @@
 		}
 	}
 	services := []resource.Service{{Partner: authority.Owner, Name: "first"}, {Partner: authority.Owner, Name: "second"}}
-	built, err := snapshot.FromDecoded(version, services, routes)
+	built, err := snapshot.FromDecoded(version, services, routes, nil)
 	is.New(b).NoErr(err)
 	return built
 }
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -12,6 +12,7 @@
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/retry"
 	"github.com/springstack/springstack/internal/core/routing"
+	"github.com/springstack/springstack/internal/core/tenancy"
 	"github.com/springstack/springstack/internal/pause"
 	"github.com/springstack/springstack/internal/result"
 )
@@ -100,6 +101,10 @@
 	// call because of their region.
 	routingTable *routing.Table
 	regions      region.Set
+	// identified is set if the configuration has tenants; tenant is then the one that makes the
+	// call, nil on a public route.
+	identified bool
+	tenant     *tenancy.Tenant
 	// serviceName is the text form of service.
 	serviceName string
 	hostPath    hostPath
@@ -154,9 +159,14 @@
 	if route == nil {
 		return nil, Refusal{Code: result.NoRoute}, false
 	}
+	tenant, refusal, ok := p.identify(current, &route.Resource, request)
+	if !ok {
+		return nil, refusal, false
+	}
 	call := &callerCall{
 		proxy: p, route: route, hostPath: target, request: request, service: route.Pick(p.random()),
 		routingTable: current.routes, regions: route.Regions,
+		identified: current.snapshot.Tenants.IsRequired(), tenant: tenant,
 	}
 	calledService := current.services[call.service]
 	if calledService == nil {
@@ -187,7 +197,7 @@
 	c.policy = retry.Policy{
 		Repeatable: c.route.Repeatable(c.request.Method),
 		Attempts:   c.route.Attempts,
-		Urgent:     c.route.Resource.Priority >= resource.PriorityHigh,
+		Urgent:     c.priority().Class() >= resource.PriorityHigh,
 		NoRetry:    header.Get(headerNoRetry) != "" && !c.proxy.config.Baseline.UnbudgetedRetries,
 		Deadline:   c.deadline,
 		Unbudgeted: c.proxy.config.Baseline.UnbudgetedRetries,
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -38,7 +38,7 @@
 }
 
 // priorityClass returns the class of the call by which the gates of cold back ends limit calls.
-func (c *callerCall) priorityClass() int { return int(c.route.Resource.Priority) }
+func (c *callerCall) priorityClass() int { return int(c.priority().Class()) }
 
 // noEndpointOutcome returns the outcome of an attempt for which no endpoint of a set could be
 // chosen. If several reasons apply, it names the first of: an evacuation of the zone, cold back
--- a/internal/proxy/edge.go
+++ b/internal/proxy/edge.go
@@ -13,7 +13,7 @@
 
 // Edge describes the HTTP headers and conventions of the callers and back ends of a foreign
 // platform. With an Edge the proxy forwards method, path, query and body of a request unchanged.
-// Each field except Service is the name of a header, in canonical form.
+// Each field except KeyScheme and Service is the name of a header, in canonical form.
 type Edge struct {
 	// RequestID is the header that identifies one request of a caller. Back ends echo it, so an
 	// answer with another id belongs to another request.
@@ -32,6 +32,13 @@
 	Load string
 	// CallerService is the header whose value is Service.
 	CallerService string
+	// Key is the header that carries a caller's API key, after KeyScheme and a space. It is not
+	// forwarded.
+	Key       string
+	KeyScheme string
+	// Tenant is the header that names the tenant of a forwarded request. The value that a caller
+	// sends is replaced.
+	Tenant string
 	// Service is the name of the service on this machine. It replaces the value on every request
 	// that a caller sends to this daemon.
 	Service string
@@ -113,6 +120,10 @@
 	switch refusal.Code {
 	case result.NoRoute:
 		return http.StatusNotFound
+	case result.UnknownKey:
+		return http.StatusUnauthorized
+	case result.QuotaExceeded:
+		return http.StatusTooManyRequests
 	case result.RequestTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case result.RequestMalformed, result.UpgradeRefused:
--- a/internal/proxy/outgoing.go
+++ b/internal/proxy/outgoing.go
@@ -19,6 +19,7 @@
 	if edge := c.proxy.config.Edge; edge != nil {
 		header[edge.CallerService] = []string{edge.Service}
 	}
+	c.setTenant(header)
 	header.Del("Expect") // this server has answered it
 	if _, found := header["User-Agent"]; !found {
 		header["User-Agent"] = []string{""} // else the library would add its own
@@ -54,7 +55,7 @@
 		chosen.Backend,
 		c.proxy.nextRequestID(),
 		strconv.FormatInt(timeLeft.Milliseconds(), 10),
-		strconv.Itoa(int(c.route.Resource.Priority)),
+		strconv.Itoa(int(c.priority())),
 		string(c.route.Resource.Partner),
 		strconv.Itoa(int(c.route.Class)),
 	}
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -61,6 +61,8 @@
 	WarmingUp              Code = 422
 	ZoneEvacuated          Code = 423
 	RegionNotAllowed       Code = 424
+	UnknownKey             Code = 425
+	QuotaExceeded          Code = 426
 	PlatformUnavailable    Code = 500
 	PlatformUnknown        Code = 501
 	PlatformNotFound       Code = 502
