Quotas: the calls of a tenant are limited over all daemons

What callers saw: no quota was enforced; one hot tenant took the room of all. Change: core/quota. For each tenant one daemon, found by rendezvous hashing, keeps a token bucket; the others lease calls from it, a quarter of a second ahead. A daemon that does not reach the counter spends half of its equal share, and the counter reserves the shares of daemons that it does not hear as far as the tolerance does not cover them. A large quota has several counters. What is above the quota gets 429 with Retry-After; a call that does not run gives its token back.

--- a/internal/control/kind.go
+++ b/internal/control/kind.go
@@ -21,6 +21,7 @@
 	KindExchange Kind = "exchange"
 	KindDocument Kind = "document"
 	KindEvidence Kind = "evidence"
+	KindQuota    Kind = "quota"
 	KindUnknown  Kind = "unknown"
 )
 
@@ -37,12 +38,13 @@
 	methodExchange = serviceName + ".Exchange"
 	methodDocument = serviceName + ".Document"
 	methodEvidence = serviceName + ".Evidence"
+	methodQuota    = serviceName + ".Quota"
 )
 
 // kindOf returns the kind of a net/rpc method.
 func kindOf(method string) Kind {
 	switch method {
-	case methodFetch, methodStore, methodFloor, methodSubmit, methodStatus, methodExchange, methodDocument, methodEvidence:
+	case methodFetch, methodStore, methodFloor, methodSubmit, methodStatus, methodExchange, methodDocument, methodEvidence, methodQuota:
 		return Kind(strings.ToLower(strings.TrimPrefix(method, serviceName+".")))
 	}
 	return KindUnknown
@@ -68,6 +70,8 @@
 		return methodDocument, new(protocol.DocumentReply)
 	case *protocol.EvidenceRequest:
 		return methodEvidence, new(protocol.EvidenceReply)
+	case *protocol.QuotaRequest:
+		return methodQuota, new(protocol.QuotaReply)
 	}
 	return "", nil
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -213,6 +213,11 @@
 	return answer(m, request, reply)
 }
 
+// Quota answers a request for a lease of a tenant's calls.
+func (m *meshService) Quota(request *protocol.QuotaRequest, reply *protocol.QuotaReply) error {
+	return answer(m, request, reply)
+}
+
 // answer runs one call within the bound of all calls.
 func answer[Reply any](m *meshService, request any, reply *Reply) error {
 	select {
--- a/internal/core/protocol/exchange.go
+++ b/internal/core/protocol/exchange.go
@@ -1,6 +1,8 @@
 package protocol
 
 import (
+	"time"
+
 	"github.com/springstack/springstack/internal/core/evacuation"
 	"github.com/springstack/springstack/internal/core/quarantine"
 	"github.com/springstack/springstack/internal/core/resource"
@@ -113,3 +115,25 @@
 	// Bytes is the uncompressed length of the document.
 	Bytes int
 }
+
+// QuotaRequest requests a lease of calls that a tenant may send, from the daemon that keeps the
+// tenant's counter.
+type QuotaRequest struct {
+	Format int
+	From   NodeID
+	Tenant string
+	// Shard is the counter among the Shards of the tenant; see quota.Shard.
+	Shard  int
+	Shards int
+	// Wanted is the number of calls that the sender expects to pass.
+	Wanted int
+}
+
+// QuotaReply answers a QuotaRequest.
+type QuotaReply struct {
+	// IsCounter is false if the receiver does not keep the counter of the tenant.
+	IsCounter bool
+	// Tokens is the number of leased calls. If it is 0, RetryAfter is when to ask again.
+	Tokens     int
+	RetryAfter time.Duration
+}
--- a/internal/core/tenancy/tenancy.go
+++ b/internal/core/tenancy/tenancy.go
@@ -45,6 +45,7 @@
 // then requests are not identified.
 type Directory struct {
 	tenants []*Tenant
+	byName  map[string]*Tenant
 	byKey   map[KeyDigest]*Tenant
 }
 
@@ -55,14 +56,16 @@
 	if len(tenants) == 0 {
 		return nil, nil
 	}
-	directory := &Directory{byKey: make(map[KeyDigest]*Tenant, len(tenants))}
-	names := make(map[string]bool, len(tenants))
+	directory := &Directory{
+		byName: make(map[string]*Tenant, len(tenants)),
+		byKey:  make(map[KeyDigest]*Tenant, len(tenants)),
+	}
 	for index := range tenants {
 		tenant := &tenants[index]
-		if names[tenant.Name] {
+		if directory.byName[tenant.Name] != nil {
 			return nil, result.New(result.FileDuplicateName, "tenant %q is declared twice", tenant.Name)
 		}
-		names[tenant.Name] = true
+		directory.byName[tenant.Name] = tenant
 		if !isAmount(tenant.Quota.PerSecond) || !isAmount(tenant.Quota.Burst) {
 			return nil, result.New(result.FileBadValue, "the quota of tenant %q is not valid", tenant.Name)
 		}
@@ -99,6 +102,14 @@
 	return d.byKey[DigestOf(key)]
 }
 
+// Named returns a tenant by its name; nil if there is none.
+func (d *Directory) Named(name string) *Tenant {
+	if d == nil {
+		return nil
+	}
+	return d.byName[name]
+}
+
 // All returns the tenants in the order of the configuration. The result must not be changed.
 func (d *Directory) All() []*Tenant {
 	if d == nil {
--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/springstack/springstack/internal/core/quarantine"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/roundtrip"
+	"github.com/springstack/springstack/internal/core/tenancy"
 	"github.com/springstack/springstack/internal/core/warmup"
 	"github.com/springstack/springstack/internal/daemon"
 	"github.com/springstack/springstack/internal/metrics"
@@ -113,6 +114,8 @@
 		Reported:             true,
 		Edge:                 &edge,
 		RetryBudget:          d.retryLimits,
+		TakeQuota:            d.takeQuota,
+		ReturnQuota:          d.returnQuota,
 		Spill:                spilloverLimits,
 		OnBackendUnreachable: d.reportUnreachable,
 		OnBackendFailed:      d.reportFailed,
@@ -133,6 +136,22 @@
 	})}, nil
 }
 
+// takeQuota and returnQuota pass calls of tenants to the mesh, which is built after the data path.
+func (d *Daemon) takeQuota(ctx context.Context, tenant *tenancy.Tenant) (bool, time.Duration) {
+	return d.mesh.quotas.Take(ctx, tenant)
+}
+
+func (d *Daemon) returnQuota(tenant *tenancy.Tenant) { d.mesh.quotas.Return(tenant) }
+
+// findTenant returns a tenant of the configuration in force; nil if there is none.
+func (d *Daemon) findTenant(name string) *tenancy.Tenant {
+	current := d.configuration.currentSnapshot.Load()
+	if current == nil {
+		return nil
+	}
+	return current.Tenants.Named(name)
+}
+
 // verifyPeer checks whether a daemon is reachable after its gate stopped answering calls.
 func (d *Daemon) verifyPeer(node protocol.NodeID) { d.mesh.verifyReachable(node) }
 
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -114,6 +114,8 @@
 	roster      *membership.Roster
 	// registrations are the daemons on the latest list of the registry.
 	registrations []authority.Registration
+	// quotas limits the calls of tenants.
+	quotas *quotas
 	// directoryCache holds the directory of the other daemons; see peerDirectory.
 	directoryCache cachedDirectory
 	// batch collects the records that this daemon broadcasts as the relay of its zone.
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -22,6 +22,11 @@
 			return nil, result.New(result.UnknownFormat, "format %d of a peer", request.Format)
 		}
 		return m.handleEvidenceRequest(request), nil
+	case *protocol.QuotaRequest:
+		if request.Format != protocol.Format {
+			return nil, result.New(result.UnknownFormat, "format %d of a peer", request.Format)
+		}
+		return m.quotas.handleRequest(request), nil
 	case *protocol.DocumentRequest:
 		reply := m.documentFor(request.Have)
 		return &reply, nil
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -110,6 +110,7 @@
 		return nil, err
 	}
 	m := d.newUnlinkedMesh(path)
+	m.quotas = newQuotas(m, d.settings.Quotas.Tolerance(), d.findTenant)
 	d.linkConnections(path, m)
 	d.configuration = d.newConfigurationFollower(path, m)
 	m.readEvidence = path.AnswerEvidence
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -54,7 +54,13 @@
 	call.writer = writer
 	call.control = control
 	call.body = body
+	if refusal, permitted := call.takeQuota(); !permitted {
+		p.traceEarlyRefusal(request, refusal)
+		p.refuse(writer, body, refusal)
+		return
+	}
 	if err := body.preload(ctx, nil); err != nil {
+		call.returnQuota()
 		refusal := bodyRefusal(ctx, err)
 		p.traceEarlyRefusal(request, refusal)
 		p.refuse(writer, body, refusal)
@@ -105,6 +111,8 @@
 	// call, nil on a public route.
 	identified bool
 	tenant     *tenancy.Tenant
+	// hasQuota is set while the call holds a permission of its tenant's quota.
+	hasQuota bool
 	// serviceName is the text form of service.
 	serviceName string
 	hostPath    hostPath
@@ -274,6 +282,9 @@
 			EventField{Key: "route", Value: c.route.Resource.Key().String()},
 			EventField{Key: "service", Value: c.serviceName})
 	}
+	if refusal.execution() == result.RanNo {
+		c.returnQuota()
+	}
 	c.traceRefusal(refusal)
 	c.proxy.refuse(c.writer, c.body, refusal)
 }
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -4,6 +4,7 @@
 package proxy
 
 import (
+	"context"
 	"crypto/tls"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/springstack/springstack/internal/core/quarantine"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/retry"
+	"github.com/springstack/springstack/internal/core/tenancy"
 	"github.com/springstack/springstack/internal/core/warmup"
 )
 
@@ -44,6 +46,11 @@
 	// RetryBudget returns the limits of each retry budget of this daemon, given the number of
 	// daemons that share the total; nil means retry.DefaultLimits.
 	RetryBudget func(daemons int) retry.Limits
+	// TakeQuota asks for the permission to run a call of a tenant, and ReturnQuota gives back that
+	// of a call that did not run. If a call is not permitted, retryAfter is when it may be sent
+	// again. Both are nil if quotas are not limited.
+	TakeQuota   func(ctx context.Context, tenant *tenancy.Tenant) (permitted bool, retryAfter time.Duration)
+	ReturnQuota func(tenant *tenancy.Tenant)
 	// OnBackendUnreachable, unless nil, is called when a call can't connect to the back end, if
 	// Reported is set. It must not block.
 	OnBackendUnreachable func(protocol.BackendStart)
--- a/internal/proxy/identify.go
+++ b/internal/proxy/identify.go
@@ -23,6 +23,31 @@
 	return tenant, Refusal{}, true
 }
 
+// takeQuota asks for the permission to run the call. If it returns false, the call is refused.
+func (c *callerCall) takeQuota() (Refusal, bool) {
+	take := c.proxy.config.TakeQuota
+	if c.tenant == nil || take == nil {
+		return Refusal{}, true
+	}
+	permitted, retryAfter := take(c.context, c.tenant)
+	switch {
+	case permitted:
+		c.hasQuota = true
+		return Refusal{}, true
+	case c.context.Err() != nil:
+		return Refusal{Code: result.DeadlineBeforeStart}, false
+	}
+	return Refusal{Code: result.QuotaExceeded, RetryAfter: retryAfter}, false
+}
+
+// returnQuota gives back the permission of a call that did not run.
+func (c *callerCall) returnQuota() {
+	if c.hasQuota {
+		c.hasQuota = false
+		c.proxy.config.ReturnQuota(c.tenant)
+	}
+}
+
 // parseKey returns the API key of a request; empty if there is none or the header is malformed or
 // repeated.
 func (e *Edge) parseKey(header http.Header) string {
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -7,6 +7,7 @@
 
 	"github.com/goccy/go-yaml/ast"
 
+	"github.com/springstack/springstack/internal/core/quota"
 	"github.com/springstack/springstack/internal/result"
 )
 
@@ -26,6 +27,8 @@
 
 	Evacuations HostedEvacuations `koanf:"evacuations"`
 
+	Quotas HostedQuotas `koanf:"quotas"`
+
 	Drain HostedDrain `koanf:"drain"`
 	Log   Log         `koanf:"log"`
 }
@@ -131,6 +134,24 @@
 	return time.Duration(e.WithinMilliseconds) * time.Millisecond
 }
 
+// HostedQuotas says by how much the calls of a tenant may exceed its quota within a window.
+type HostedQuotas struct {
+	// WindowSeconds is the length of the window; 0, the default, is one second.
+	WindowSeconds float64 `koanf:"window_seconds" validate:"min=0,max=3600"`
+	// Overage is a fraction of the calls that a quota allows in the window.
+	Overage float64 `koanf:"overage" validate:"min=0,max=1"`
+	// Slack is a number of calls in each window.
+	Slack float64 `koanf:"slack" validate:"min=0,max=100000"`
+}
+
+// Tolerance is by how much the calls of a tenant may exceed its quota.
+func (q HostedQuotas) Tolerance() quota.Tolerance {
+	return quota.Tolerance{
+		Window:  time.Duration(q.WindowSeconds * float64(time.Second)),
+		Overage: q.Overage, Slack: q.Slack,
+	}
+}
+
 // HostedDrain bounds a planned stop.
 type HostedDrain struct {
 	// GraceSeconds is when the platform kills the process.
