--- a/cmd/springstack-lab/experiment.go
+++ b/cmd/springstack-lab/experiment.go
@@ -25,6 +25,7 @@
 			faultsCommand(),
 			rolloutsCommand(),
 			harmfulCommand(),
+			quotasCommand(),
 		},
 	}
 }
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -52,6 +52,7 @@
 		metrics.RolloutStage.Send(out, float64(record.Stage), record.Service.Name, record.Target)
 	}
 	c.daemon.evacuations.collect(out)
+	c.daemon.mesh.quotas.collect(out)
 	daemon.CollectPath(out, c.daemon.dataPath.Counters())
 }
 
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -120,6 +120,13 @@
 	EvacuationsAge = define(Gauge, "evacuations_age_seconds",
 		"How long ago the newest reading of the orders to empty zones began that this daemon knows of, in seconds.",
 		"Above half of the bound: neither the store nor a daemon that it answers reaches this one.")
+	TenantCalls = define(Counter, "tenant_calls_total",
+		"Calls of a tenant with a quota at this daemon that passed or were refused (outcome); of the busiest tenants, and an empty tenant for all others.",
+		"Refused rising: the tenant sends more than its quota; see TENANTS.md.",
+		"tenant", "outcome")
+	QuotaCountersLost = define(Gauge, "quota_counters_lost",
+		"Daemons that keep counters of quotas and did not answer when they were last asked.",
+		"Above 0 for more than some seconds: this daemon serves a small share of some quotas only.")
 	PeersLost = define(Gauge, "peers_lost",
 		"Daemons that did not answer when they were last asked.",
 		"Many at once: a link or a zone is lost.")
