Control: hosted daemons send their messages in CBOR

Cause: gob sends and compiles the definitions of its types once a connection. At 30 daemons connections are kept; at 985 a daemon compares with each of its zone once in 165 s, so nearly each exchange is the first on its connection. Change: a client may open connections with CBOR (RFC 8949), which needs no definitions; the server answers in the encoding of the first frame, and a peer of an earlier build, which closes the connection, is called again with gob. The methods of net/rpc are registered once a process and not once a connection.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -20,6 +20,10 @@
 	meter  *Meter
 	// hedge is for the client's calls; without After they are not hedged.
 	hedge Hedge
+	// prefersCBOR is set if connections are opened with CBOR, except to the peers in gobUntil,
+	// which have not understood it; guarded by mutex.
+	prefersCBOR bool
+	gobUntil    map[string]time.Time
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -65,6 +69,8 @@
 		ctx:    ctx,
 		cancel: cancel,
 		peers:  make(map[string]*link),
+
+		gobUntil: make(map[string]time.Time),
 	}
 	client.running.Add(1)
 	go client.closeIdle()
@@ -78,16 +84,28 @@
 	if method, _ := methodFor(body); method == "" {
 		return nil, notSent{result.New(result.Internal, "%T is not a request", body)}
 	}
+	answer, sent, err := c.callOnce(ctx, address, body)
+	if err != nil && sent.peer != nil && c.retriesWithGob(ctx, sent) {
+		answer, _, err = c.callOnce(ctx, address, body)
+	}
+	return answer, err
+}
+
+// callOnce sends a request over the connection to a peer. The zero sentCall means that it was not
+// sent.
+func (c *Client) callOnce(ctx context.Context, address string, body any) (any, sentCall, error) {
 	peer, err := c.acquire(ctx, address)
 	if err != nil {
-		return nil, notSent{err}
+		return nil, sentCall{}, notSent{err}
 	}
 	defer c.release(peer)
 	sent := send(address, peer, body)
 	if c.hedge.After == nil {
-		return c.await(ctx, sent)
+		answer, err := c.await(ctx, sent)
+		return answer, sent, err
 	}
-	return c.awaitHedged(ctx, sent, body)
+	answer, err := c.awaitHedged(ctx, sent, body)
+	return answer, sent, err
 }
 
 // notSent marks errors of calls that certainly did not leave.
@@ -176,7 +194,7 @@
 		return
 	}
 	peer.opened = time.Now()
-	peer.wire = newWire(connection, c.limits, c.limits.ReplyBytes, c.meter)
+	peer.wire = newWire(connection, c.limits, c.limits.ReplyBytes, c.meter, c.encodingFor(address))
 	codec := &clientCodec{wire: peer.wire, kinds: make(map[uint64]Kind)}
 	peer.rpc = rpc.NewClientWithCodec(codec)
 }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -207,15 +207,17 @@
 	var sender, receiver relation
 	for _, size := range []int{0, 1, 511, 512, relatedBytes, relatedBytes + 1, 100_000, 300} {
 		payload := bytes.Repeat([]byte("member "), size/7+1)[:size]
-		frame, err := sender.encode(nil, payload, size == 512)
+		used := []encoding{encodingGob, encodingCBOR}[size%2]
+		frame, err := sender.encode(nil, payload, used, size == 512)
 		is.NoErr(err)
 		if size > 0 {
 			strict := relation{last: receiver.last}
-			_, _, err = strict.read(bytes.NewReader(frame), size-1, func() {})
+			_, _, _, err = strict.read(bytes.NewReader(frame), size-1, func() {})
 			is.True(err != nil)
 		}
-		got, wire, err := receiver.read(bytes.NewReader(frame), size, func() {})
+		got, read, wire, err := receiver.read(bytes.NewReader(frame), size, func() {})
 		is.NoErr(err)
+		is.Equal(read, used)
 		is.Equal(wire, len(frame))
 		is.True(bytes.Equal(got, payload))
 		is.Equal(string(receiver.last), string(sender.last))
@@ -230,9 +232,9 @@
 		payload[i] = byte(random.UintN(256))
 	}
 	var sender relation
-	first, err := sender.encode(nil, payload, false)
+	first, err := sender.encode(nil, payload, encodingGob, false)
 	is.NoErr(err)
-	again, err := sender.encode(nil, payload, false)
+	again, err := sender.encode(nil, payload, encodingGob, false)
 	is.NoErr(err)
 	is.True(len(first) >= len(payload))
 	is.True(len(again) < len(payload)/4)
@@ -242,10 +244,14 @@
 // neither panic nor take memory beyond the bounds, and must end the connection.
 func FuzzInboundFrames(f *testing.F) {
 	f.Add([]byte{0, 0, 0, 0, 4, 1, 2, 3, 4})
-	related, _ := new(relation).encode(nil, bytes.Repeat([]byte{3}, 4096), false)
+	related, _ := new(relation).encode(nil, bytes.Repeat([]byte{3}, 4096), encodingGob, false)
 	f.Add(related)
-	f.Add(requestFrame(f, &protocol.FetchRequest{Members: make([]protocol.Member, 40)}))
-	f.Add(requestFrame(f, &protocol.SubmitRequest{Content: []byte("services: []")}))
+	for _, used := range []encoding{encodingGob, encodingCBOR} {
+		f.Add(requestFrame(f, used, &protocol.FetchRequest{Members: make([]protocol.Member, 40)}))
+		f.Add(requestFrame(f, used, &protocol.SubmitRequest{Content: []byte("services: []")}))
+		f.Add(requestFrame(f, used, &protocol.ExchangeRequest{Sums: make([]uint64, 64), Forward: make([]protocol.Destination, 9)}))
+	}
+	f.Add([]byte{frameCBOR, 0, 0, 0, 5, 0x9b, 0xff, 0xff, 0xff, 0xff}) // an array of absurd length
 	f.Fuzz(func(t *testing.T, input []byte) {
 		connection, peer := net.Pipe()
 		limits := DefaultLimits()
@@ -274,11 +280,11 @@
 }
 
 // requestFrame returns the frame of one call.
-func requestFrame(f *testing.F, body any) []byte {
+func requestFrame(f *testing.F, used encoding, body any) []byte {
 	f.Helper()
 	client, server := net.Pipe()
 	defer server.Close()
-	w := newWire(client, DefaultLimits(), 1, NewMeter())
+	w := newWire(client, DefaultLimits(), 1, NewMeter(), used)
 	method, _ := methodFor(body)
 	read := make(chan []byte)
 	go func() {
--- a/internal/control/doc.go
+++ b/internal/control/doc.go
@@ -4,8 +4,8 @@
 // adds them:
 //
 //   - a message travels in one length-prefixed frame, whose length is checked
-//     before anything is allocated for it, and whose gob type definitions are
-//     counted before it is decoded;
+//     before anything is allocated for it, and whose gob type definitions or CBOR
+//     elements are bounded;
 //   - each write has a deadline, and a frame that has begun must end in time;
 //   - a call ends when its context does, and a connection on which nothing was
 //     heard during a call that timed out is closed;
@@ -13,8 +13,9 @@
 //     bounded;
 //   - bytes are counted on the wire, by kind of message and by peer.
 //
-// One connection a peer is kept, because gob sends its types once a
-// connection.
+// Messages are encoded with gob, which sends its types once a connection, or, if the client chooses
+// so, with CBOR. In a large mesh most calls are the first on their connection, and there a call with
+// gob costs ten times as much as one with CBOR.
 package control
 
 import "time"
--- a/internal/control/frame.go
+++ b/internal/control/frame.go
@@ -14,7 +14,7 @@
 )
 
 // A frame is one byte of flags, four bytes of length (big endian) and the
-// payload: one or more whole gob messages.
+// payload: one or more whole messages.
 const frameHeaderBytes = 5
 
 // The flags of a frame.
@@ -26,8 +26,26 @@
 	// direction of the connection, as dictionary: most fetches differ little
 	// from the one before.
 	frameRelated byte = 2
+	// frameCBOR is set in addition when the messages are in CBOR, else they are in gob.
+	frameCBOR byte = 0x40
 )
 
+// flagOf returns the flag of an encoding.
+func flagOf(used encoding) byte {
+	if used == encodingCBOR {
+		return frameCBOR
+	}
+	return 0
+}
+
+// encodingOf returns the encoding that the flags of a frame state.
+func encodingOf(flags byte) encoding {
+	if flags&frameCBOR != 0 {
+		return encodingCBOR
+	}
+	return encodingGob
+}
+
 // relatedBytes is how much of the end of a payload serves as dictionary for
 // the next one, and the size up to which a payload is deflated with it.
 const relatedBytes = 8 << 10
@@ -46,7 +64,7 @@
 
 // encode appends a frame with payload to buffer, compressed when that is
 // shorter. already says that the payload is mostly compressed data.
-func (r *relation) encode(buffer []byte, payload []byte, already bool) ([]byte, error) {
+func (r *relation) encode(buffer []byte, payload []byte, used encoding, already bool) ([]byte, error) {
 	start := len(buffer)
 	buffer = append(buffer, make([]byte, frameHeaderBytes)...)
 	flags := frameRaw
@@ -67,34 +85,34 @@
 		buffer = append(buffer[:start+frameHeaderBytes], payload...)
 		flags = frameRaw
 	}
-	buffer[start] = flags
+	buffer[start] = flags | flagOf(used)
 	binary.BigEndian.PutUint32(buffer[start+1:], uint32(len(buffer)-start-frameHeaderBytes))
 	r.follow(payload)
 	return buffer, nil
 }
 
-// read reads one frame and returns its payload and its size on the wire. The
+// read reads one frame and returns its payload, its encoding and its size on the wire. The
 // payload is never longer than limit, and memory is taken only as bytes arrive.
 // begun is called after the first byte.
-func (r *relation) read(reader io.Reader, limit int, begun func()) (payload []byte, wire int, err error) {
+func (r *relation) read(reader io.Reader, limit int, begun func()) (payload []byte, used encoding, wire int, err error) {
 	var header [frameHeaderBytes]byte
 	if _, err := io.ReadFull(reader, header[:1]); err != nil {
-		return nil, 0, err
+		return nil, 0, 0, err
 	}
 	begun()
 	if _, err := io.ReadFull(reader, header[1:]); err != nil {
-		return nil, 0, unexpected(err)
+		return nil, 0, 0, unexpected(err)
 	}
 	length := binary.BigEndian.Uint32(header[1:])
 	if int64(length) > int64(limit) {
-		return nil, 0, tooLarge(int64(length), limit)
+		return nil, 0, 0, tooLarge(int64(length), limit)
 	}
 	var body bytes.Buffer
 	if _, err := io.CopyN(&body, reader, int64(length)); err != nil {
-		return nil, 0, unexpected(err)
+		return nil, 0, 0, unexpected(err)
 	}
 	wire = frameHeaderBytes + int(length)
-	switch header[0] {
+	switch header[0] &^ frameCBOR {
 	case frameRaw:
 		payload = body.Bytes()
 	case frameCompressed:
@@ -105,10 +123,10 @@
 		err = errors.Errorf("frame flags %#x are not known", header[0])
 	}
 	if err != nil {
-		return nil, 0, err
+		return nil, 0, 0, err
 	}
 	r.follow(payload)
-	return payload, wire, nil
+	return payload, encodingOf(header[0]), wire, nil
 }
 
 // inflaters are reused, as each holds a window.
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -40,6 +40,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	calls  chan struct{}
+	// receivers holds those that serve no connection.
+	receivers sync.Pool
 
 	mutex       sync.Mutex
 	connections map[net.Conn]struct{}
@@ -134,19 +136,35 @@
 	if err != nil {
 		return
 	}
-	server := rpc.NewServer()
-	service := &meshService{ctx: ctx, peer: peer, server: s}
-	if err := server.RegisterName(serviceName, service); err != nil {
+	receiver, err := s.takeReceiver()
+	if err != nil {
 		return // the methods are fixed; tests show that they register
 	}
+	defer s.receivers.Put(receiver)
+	receiver.service.ctx, receiver.service.peer = ctx, peer
 	codec := &serverCodec{
-		wire:   newWire(connection, s.limits, s.limits.RequestBytes, s.meter),
+		wire:   newWire(connection, s.limits, s.limits.RequestBytes, s.meter, 0),
 		cancel: cancel,
 		slots:  make(chan struct{}, s.limits.CallsPerConnection),
 		done:   ctx.Done(),
 		kinds:  make(map[uint64]Kind),
 	}
-	server.ServeCodec(codec)
+	receiver.rpc.ServeCodec(codec) // returns when all calls of the connection have ended
+}
+
+// receiver is a net/rpc server with the methods of one connection. It is used for one connection
+// after the other, since registering the methods costs more than a call.
+type receiver struct {
+	rpc     *rpc.Server
+	service *meshService
+}
+
+func (s *Server) takeReceiver() (*receiver, error) {
+	if kept, ok := s.receivers.Get().(*receiver); ok {
+		return kept, nil
+	}
+	made := &receiver{rpc: rpc.NewServer(), service: &meshService{server: s}}
+	return made, made.rpc.RegisterName(serviceName, made.service)
 }
 
 // handshake completes TLS within the dial timeout, so that a silent peer does
--- a/internal/control/wire.go
+++ b/internal/control/wire.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/gob"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -20,44 +19,43 @@
 // largeDecodes is held while a large inbound request is decoded.
 var largeDecodes sync.Mutex
 
-// wire is one connection: frames with gob messages in both directions. One
-// goroutine reads; writers are serialised by the codecs' mutex.
+// wire is one connection: frames with messages in both directions. One goroutine reads; writers are
+// serialised by the codecs' mutex.
 type wire struct {
 	connection net.Conn
 	limits     Limits
 	meter      *Meter
 
-	readLimit   int
-	incoming    relation
-	input       bytes.Buffer
-	decoder     *gob.Decoder
-	definitions definitionBudget
-	lastHeard   atomic.Int64
+	readLimit int
+	incoming  relation
+	lastHeard atomic.Int64
 
 	outgoing relation
 	output   bytes.Buffer
-	encoder  *gob.Encoder
 	frame    []byte
+	// stream is set when the encoding of the connection is known: that of the side that opened it.
+	stream atomic.Pointer[stream]
 }
 
-func newWire(connection net.Conn, limits Limits, readLimit int, meter *Meter) *wire {
+// newWire returns the wire of a connection. The zero encoding means that the other side chooses it.
+func newWire(connection net.Conn, limits Limits, readLimit int, meter *Meter, chosen encoding) *wire {
 	w := &wire{
 		connection: connection,
 		limits:     limits,
 		meter:      meter,
 		readLimit:  readLimit,
 	}
-	w.decoder = gob.NewDecoder(&w.input)
-	w.encoder = gob.NewEncoder(&w.output)
+	if chosen != 0 {
+		w.setStream(newStream(chosen))
+	}
 	return w
 }
 
-// receive reads the next frame into the decoder's input and returns its size
-// on the wire. idle bounds the wait for its first byte; 0 waits for ever.
+func (w *wire) setStream(made stream) { w.stream.Store(&made) }
+
+// receive reads the next frame for decode and returns its size on the wire. idle bounds the wait for
+// its first byte; 0 waits for ever.
 func (w *wire) receive(idle time.Duration) (int, error) {
-	if w.input.Len() > 0 {
-		return 0, errors.New("frame holds more than its message")
-	}
 	deadline := time.Time{}
 	if idle > 0 {
 		deadline = time.Now().Add(idle)
@@ -65,7 +63,7 @@
 	if err := w.connection.SetReadDeadline(deadline); err != nil {
 		return 0, err
 	}
-	payload, size, err := w.incoming.read(w.connection, w.readLimit, func() {
+	payload, used, size, err := w.incoming.read(w.connection, w.readLimit, func() {
 		w.lastHeard.Store(time.Now().UnixNano())
 		// A failure shows on the read that follows.
 		_ = w.connection.SetReadDeadline(time.Now().Add(w.limits.FrameTimeout))
@@ -73,39 +71,37 @@
 	if err != nil {
 		return 0, err
 	}
-	if err := w.definitions.check(payload); err != nil {
-		return 0, err
+	if w.stream.Load() == nil {
+		w.setStream(newStream(used))
 	}
-	w.input = *bytes.NewBuffer(payload)
-	return size, nil
+	current := *w.stream.Load()
+	if current.encoding() != used {
+		return 0, errors.New("the encoding of a connection changed")
+	}
+	return size, current.begin(payload)
 }
 
 // decode reads one value of the current frame; nil skips it.
 func (w *wire) decode(value any) error {
-	if w.input.Len() > largeFrame {
+	current := *w.stream.Load()
+	if current.remaining() > largeFrame {
 		largeDecodes.Lock()
 		defer largeDecodes.Unlock()
 	}
-	err := w.decoder.Decode(value)
-	if w.input.Len() == 0 {
-		w.input = bytes.Buffer{} // give the frame's memory back
-	}
-	return err
+	return current.decode(value)
 }
 
 // send writes header and body as one frame. A failure leaves the stream
 // unusable, so the connection is closed.
 func (w *wire) send(kind Kind, header, body any) error {
 	w.output.Reset()
-	err := w.encoder.Encode(header)
-	if err == nil {
-		err = w.encoder.Encode(body)
-	}
+	current := *w.stream.Load()
+	err := current.encode(&w.output, header, body)
 	if err != nil {
 		w.connection.Close()
 		return errors.Annotate(err, "encoding a control message")
 	}
-	w.frame, err = w.outgoing.encode(w.frame[:0], w.output.Bytes(), mostlyCompressed(body, w.output.Len()))
+	w.frame, err = w.outgoing.encode(w.frame[:0], w.output.Bytes(), current.encoding(), mostlyCompressed(body, w.output.Len()))
 	if err != nil {
 		w.connection.Close()
 		return err
--- a/internal/core/protocol/protocol.go
+++ b/internal/core/protocol/protocol.go
@@ -109,37 +109,37 @@
 
 // Member is the soft-state record of one daemon and of its local back end. Records
 // are merged by (Incarnation, Sequence, State); only the daemon itself increments
-// Sequence.
+// Sequence. In CBOR, its fields are identified by numbers, which must not be used again.
 type Member struct {
-	ID          NodeID
-	Incarnation Incarnation
-	Sequence    uint64
-	State       MemberState
+	ID          NodeID      `cbor:"1,keyasint,omitempty"`
+	Incarnation Incarnation `cbor:"2,keyasint,omitempty"`
+	Sequence    uint64      `cbor:"3,keyasint,omitempty"`
+	State       MemberState `cbor:"4,keyasint,omitempty"`
 	// ControlAddress is the IP and port at which the daemon serves net/rpc.
-	ControlAddress string
+	ControlAddress string `cbor:"5,keyasint,omitempty"`
 	// DataAddress is the address at which the daemon accepts calls from others.
-	DataAddress string
-	Region      string
-	Zone        string
+	DataAddress string `cbor:"6,keyasint,omitempty"`
+	Region      string `cbor:"7,keyasint,omitempty"`
+	Zone        string `cbor:"8,keyasint,omitempty"`
 	// Reader is set while the daemon holds a reader lease.
-	Reader bool
+	Reader bool `cbor:"9,keyasint,omitempty"`
 	// Root is set while the daemon has no parent and acts as its region's root.
-	Root bool
+	Root bool `cbor:"10,keyasint,omitempty"`
 	// Parent is the daemon that it fetches from; empty for a root. The parent
 	// monitors it and marks it as suspect or dead; the root does so for a member
 	// without a live parent.
-	Parent NodeID
+	Parent NodeID `cbor:"11,keyasint,omitempty"`
 	// Service and Backend identify the local back end; empty for none.
-	Service  resource.ServiceRef
-	Backend  string
-	Endpoint EndpointState
+	Service  resource.ServiceRef `cbor:"12,keyasint,omitempty"`
+	Backend  string              `cbor:"13,keyasint,omitempty"`
+	Endpoint EndpointState       `cbor:"14,keyasint,omitempty"`
 	// Slots is the number of calls that the back end runs concurrently.
-	Slots int
+	Slots int `cbor:"15,keyasint,omitempty"`
 	// Software is the version of the back end's software; empty if unknown.
-	Software string
+	Software string `cbor:"16,keyasint,omitempty"`
 	// Born is the start time that the back end reports, in Unix milliseconds. It
 	// distinguishes instances with the same name; 0 if the back end reports none.
-	Born int64
+	Born int64 `cbor:"17,keyasint,omitempty"`
 }
 
 // BackendStart identifies the instance of the local back end.
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -203,6 +203,7 @@
 		clock: d.clock, running: &m.running, calls: m.storeCalls, renewConnections: renewStore,
 		onDeadConnection: func(opened time.Duration) { m.connections.reportDead(remoteStore, opened) },
 	}
+	m.client.UseCBOR()
 	m.client.HedgeCalls(control.Hedge{
 		After: func() time.Duration { return silenceTimeout(&d.roundTrips) },
 		OnDead: func(_ string, opened time.Time) {
