Quotas: counters hold half of what the tolerance permits on top

Change: a counter's bucket is deeper by half of overage and slack; the other half covers tokens spent later than leased and daemons without contact. A new counter starts with a fifth of its depth, so that with the earlier counter's leases a window holds no more than is permitted.

--- a/internal/core/quota/counter.go
+++ b/internal/core/quota/counter.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// takeoverBurst is the part of the burst with which a new counter starts: an earlier counter of
-	// the tenant may have just leased the whole burst.
-	takeoverBurst = 0.25
+	// takeoverPart is the part of its depth with which a new counter starts: an earlier counter of
+	// the tenant may have just leased all of it.
+	takeoverPart = 0.2
 	// heardFor is how long after its last request a daemon counts as heard by a counter.
 	heardFor = time.Second
 	// leaseDivisor bounds a lease to a part of the tokens at hand, so that the first daemon to ask
@@ -47,7 +47,7 @@
 func NewCounter(now time.Duration, quota tenancy.Quota, tolerance Tolerance) *Counter {
 	return &Counter{
 		quota: quota, tolerance: tolerance, updatedAt: now, prunedAt: now, refusedSince: now,
-		level:   max(quota.Burst*takeoverBurst, 1),
+		level:   max(tolerance.depth(quota)*takeoverPart, 1),
 		heardAt: map[protocol.NodeID]time.Duration{},
 	}
 }
@@ -73,7 +73,7 @@
 	}
 	silent := 1 - min(float64(len(c.heardAt))/float64(max(daemons, 1)), 1)
 	rate := max(c.quota.PerSecond-c.tolerance.reservedRate(c.quota, silent), 0)
-	c.level = min(c.level+rate*(now-c.updatedAt).Seconds(), max(c.quota.Burst, 1))
+	c.level = min(c.level+rate*(now-c.updatedAt).Seconds(), c.tolerance.depth(c.quota))
 	c.updatedAt = now
 }
 
--- a/internal/core/quota/doc.go
+++ b/internal/core/quota/doc.go
@@ -27,11 +27,26 @@
 // seconds returns the length of the window in seconds.
 func (t Tolerance) seconds() float64 { return max(t.Window.Seconds(), 1) }
 
+// counterPart is the part of what the tolerance permits on top of a quota that counters lease. The
+// rest covers tokens that are spent later than leased, and daemons without contact.
+const counterPart = 0.5
+
+// extra returns the number of calls in a window that the tolerance permits on top of a quota.
+func (t Tolerance) extra(quota tenancy.Quota) float64 {
+	return t.Overage*(quota.PerSecond*t.seconds()+quota.Burst) + t.Slack
+}
+
+// depth returns how many tokens a counter may hold. Calls come in clusters, and a burst of a few calls
+// would be too small for many tenants.
+func (t Tolerance) depth(quota tenancy.Quota) float64 {
+	return max(quota.Burst+counterPart*t.extra(quota), 1)
+}
+
 // reservedRate returns the rate, in calls per second, that a counter must not lease because daemons
 // that it does not hear may spend it alone. silent is the fraction of such daemons. What they may
-// spend is compared with what the tolerance permits on top of the quota.
+// spend is compared with the rest of what the tolerance permits on top of the quota.
 func (t Tolerance) reservedRate(quota tenancy.Quota, silent float64) float64 {
 	allowedInWindow := quota.PerSecond*t.seconds() + quota.Burst
 	spentAlone := aloneShare * silent * allowedInWindow
-	return max(0, spentAlone-t.Overage*allowedInWindow-t.Slack) / t.seconds()
+	return max(0, spentAlone-(1-counterPart)*t.extra(quota)) / t.seconds()
 }
