--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -13,12 +13,12 @@
 	"github.com/springstack/springstack/internal/result"
 )
 
-// Client calls other daemons. It keeps one connection a peer.
+// Client calls other daemons. It keeps one connection to each peer.
 type Client struct {
 	secure *tls.Config
 	limits Limits
 	meter  *Meter
-	// hedge is for the client's calls; without After they are not hedged.
+	// hedge configures hedged calls; if After is nil, calls are not hedged.
 	hedge Hedge
 	// prefersCBOR is set if connections are opened with CBOR, except to the peers in gobUntil,
 	// which have not understood it; guarded by mutex.
@@ -33,7 +33,7 @@
 	peers map[string]*link
 }
 
-// link is the connection to one peer, or the attempt to make it.
+// link is a connection to one peer that may still be being established.
 type link struct {
 	ready chan struct{}
 	rpc   *rpc.Client
@@ -44,11 +44,11 @@
 	// calls, lastUsed and retired are guarded by the client's mutex.
 	calls    int
 	lastUsed time.Time
-	// retired says that no more calls are made over it; the last one closes it.
+	// retired is set when no more calls use the link; the last one to end closes it.
 	retired bool
 }
 
-// isOpen tells whether the connection has been made.
+// isOpen reports whether the connection has been established.
 func (l *link) isOpen() bool {
 	select {
 	case <-l.ready:
@@ -58,8 +58,7 @@
 	}
 }
 
-// NewClient returns a client. secure is for mutual TLS; nil calls in the
-// clear.
+// NewClient returns a client. secure configures mutual TLS; with nil, connections are not encrypted.
 func NewClient(secure *tls.Config, limits Limits, meter *Meter) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
 	client := &Client{
@@ -108,7 +107,7 @@
 	return answer, sent, err
 }
 
-// notSent marks errors of calls that certainly did not leave.
+// notSent marks the errors of calls of which nothing was sent.
 type notSent struct{ error }
 
 func (e notSent) Unwrap() error { return e.error }
@@ -119,8 +118,7 @@
 	return !errors.As(err, &unsent)
 }
 
-// Close ends all connections and waits for the client's goroutines. Calls
-// that run fail.
+// Close closes all connections and waits for the client's goroutines. Running calls fail.
 func (c *Client) Close() {
 	c.cancel()
 	c.mutex.Lock()
@@ -140,7 +138,7 @@
 	}
 }
 
-// acquire returns the connection to a peer, made when there is none.
+// acquire returns the connection to a peer and opens one if there is none.
 func (c *Client) acquire(ctx context.Context, address string) (*link, error) {
 	c.mutex.Lock()
 	if c.ctx.Err() != nil {
@@ -181,7 +179,7 @@
 	}
 }
 
-// connect dials a peer on behalf of all calls that wait for it.
+// connect opens the connection that link represents.
 func (c *Client) connect(address string, peer *link) {
 	defer c.running.Done()
 	defer close(peer.ready)
@@ -212,7 +210,8 @@
 	return connection, nil
 }
 
-// secureFor names the peer's IP for verification where the settings name none.
+// secureFor returns the TLS configuration for a peer. Its certificate is verified against its IP
+// address if the configuration states no server name.
 func (c *Client) secureFor(address string) *tls.Config {
 	if c.secure.ServerName != "" {
 		return c.secure
@@ -226,8 +225,8 @@
 	return config
 }
 
-// dropBroken closes a connection after an error other than the peer's own
-// answer, so that the next call makes a new one.
+// dropBroken closes a connection after an error that the peer did not return itself, so that the
+// next call opens a new one.
 func (c *Client) dropBroken(address string, peer *link, err error) {
 	var answered rpc.ServerError
 	if errors.As(err, &answered) {
@@ -237,9 +236,8 @@
 	peer.close()
 }
 
-// dropSilent closes a connection on which nothing was heard since a call that
-// ran out of time began: the peer hangs or is cut off, and calls left pending
-// there would pile up.
+// dropSilent closes the connection of a call that timed out if nothing was received on it since the
+// call was sent: the peer does not respond, and further calls on the connection would accumulate.
 func (c *Client) dropSilent(sent sentCall) {
 	if !sent.silent() {
 		return
@@ -256,7 +254,7 @@
 	c.mutex.Unlock()
 }
 
-// closeIdle closes connections that no call has used for the unused timeout.
+// closeIdle closes the connections that no call has used for Limits.UnusedTimeout.
 func (c *Client) closeIdle() {
 	defer c.running.Done()
 	ticker := time.NewTicker(c.limits.UnusedTimeout / 2)
--- a/internal/control/client_codec.go
+++ b/internal/control/client_codec.go
@@ -42,7 +42,7 @@
 	return nil
 }
 
-// ReadResponseBody decodes the reply that follows the header; nil skips it.
+// ReadResponseBody decodes the reply after the header. If body is nil, it skips the reply.
 func (c *clientCodec) ReadResponseBody(body any) error {
 	return c.wire.decode(body)
 }
--- a/internal/control/doc.go
+++ b/internal/control/doc.go
@@ -6,9 +6,9 @@
 //   - a message travels in one length-prefixed frame, whose length is checked
 //     before anything is allocated for it, and whose gob type definitions or CBOR
 //     elements are bounded;
-//   - each write has a deadline, and a frame that has begun must end in time;
-//   - a call ends when its context does, and a connection on which nothing was
-//     heard during a call that timed out is closed;
+//   - each write has a deadline, and a frame must be complete within a time after its first byte;
+//   - a call ends with its context, and a connection on which nothing was received during a call
+//     that timed out is closed;
 //   - the calls of one connection, the connections and all calls together are
 //     bounded;
 //   - bytes are counted on the wire, by kind of message and by peer.
@@ -20,7 +20,7 @@
 
 import "time"
 
-// Limits bounds what a peer may cost. DefaultLimits suits production.
+// Limits bounds the resources that a peer may use. DefaultLimits returns the values for production.
 type Limits struct {
 	// RequestBytes bounds one inbound request frame, decompressed. Decoding may
 	// allocate up to about 300 times as much for a hostile frame (a gob slice
@@ -40,7 +40,7 @@
 	WriteTimeout time.Duration
 	// FrameTimeout bounds the arrival of one frame after its first byte.
 	FrameTimeout time.Duration
-	// IdleTimeout closes an accepted connection on which nothing was heard.
+	// IdleTimeout is the time without received data after which an accepted connection is closed.
 	IdleTimeout time.Duration
 	// UnusedTimeout closes a connection made that no call uses. It must be
 	// below IdleTimeout, so that the calling side closes first and no call is
--- a/internal/control/frame.go
+++ b/internal/control/frame.go
@@ -50,20 +50,20 @@
 // the next one, and the size up to which a payload is deflated with it.
 const relatedBytes = 8 << 10
 
-// relation is one direction of a connection: it remembers the end of the last
-// payload. Both ends keep the same.
+// relation holds the state of one direction of a connection: the end of the last payload, which both
+// sides use as the dictionary for the next one.
 type relation struct {
 	last []byte
 }
 
-// follow remembers a payload.
+// follow records a payload as the last one.
 func (r *relation) follow(payload []byte) {
 	tail := payload[max(0, len(payload)-relatedBytes):]
 	r.last = append(r.last[:0], tail...)
 }
 
 // encode appends a frame with payload to buffer, compressed when that is
-// shorter. already says that the payload is mostly compressed data.
+// shorter. already is set if the payload consists mostly of compressed data.
 func (r *relation) encode(buffer []byte, payload []byte, used encoding, already bool) ([]byte, error) {
 	start := len(buffer)
 	buffer = append(buffer, make([]byte, frameHeaderBytes)...)
--- a/internal/control/hedge.go
+++ b/internal/control/hedge.go
@@ -6,21 +6,22 @@
 	"time"
 )
 
-// Hedge has a call whose connection owes an answer and says nothing sent once more, over a new
-// connection. Only a client whose requests may come twice may have one.
+// Hedge configures hedged calls: if nothing is received on a connection for some time while a call
+// waits for its reply, the call is sent again over a new connection. It must be used only if all
+// requests of the client are idempotent.
 type Hedge struct {
-	// After is how long a connection may owe an answer and say nothing before that.
+	// After returns the time without received data after which a call is sent again.
 	After func() time.Duration
-	// OnDead is told when a connection has died without a sign: its answer was owed while the one
-	// over a new connection came. It must not block.
+	// OnDead is called when a connection is found to be dead although it was not reset: a reply
+	// arrived over a new connection and none over the old one. It must not block.
 	OnDead func(address string, opened time.Time)
 }
 
-// lateAnswer is how much later than the answer over a new connection the one over the old may
-// come without that being taken for dead: a peer that stood still answers both at once.
+// lateAnswer is the time after the reply over a new connection within which a reply over the old one
+// shows that the old connection is alive: a peer that was paused answers both at once.
 const lateAnswer = 100 * time.Millisecond
 
-// HedgeCalls has the client's calls hedged from now on. It must be called before the first one.
+// HedgeCalls enables hedged calls. It must be called before the first call.
 func (c *Client) HedgeCalls(hedge Hedge) { c.hedge = hedge }
 
 // sentCall is a request that was sent over a connection.
@@ -40,10 +41,10 @@
 	}
 }
 
-// silent tells whether nothing has come over the connection since the request was sent.
+// silent reports whether nothing has been received on the connection since the request was sent.
 func (s sentCall) silent() bool { return s.peer.wire.lastHeard.Load() <= s.began.UnixNano() }
 
-// await waits for the answer.
+// await waits for the reply.
 func (c *Client) await(ctx context.Context, sent sentCall) (any, error) {
 	select {
 	case <-sent.call.Done:
@@ -54,7 +55,7 @@
 	}
 }
 
-// finish returns the answer that has come.
+// finish returns the result of a completed call.
 func (c *Client) finish(sent sentCall) (any, error) {
 	if sent.call.Error != nil {
 		c.dropBroken(sent.address, sent.peer, sent.call.Error)
@@ -63,7 +64,7 @@
 	return sent.call.Reply, nil
 }
 
-// awaitHedged waits for the answer, and after a silence for that of a second try as well.
+// awaitHedged waits for the reply and sends the call again if Hedge requires it.
 func (c *Client) awaitHedged(ctx context.Context, first sentCall, body any) (any, error) {
 	silence := time.NewTimer(c.hedge.After())
 	defer silence.Stop()
@@ -95,7 +96,8 @@
 	return c.awaitEither(ctx, first, send(first.address, fresh, body))
 }
 
-// awaitEither waits for the answer of either try. The second is over a connection of its own.
+// awaitEither waits for the first reply to either attempt. The second attempt has a connection of its
+// own.
 func (c *Client) awaitEither(ctx context.Context, first, second sentCall) (any, error) {
 	select {
 	case <-first.call.Done:
@@ -115,7 +117,8 @@
 	}
 }
 
-// openFresh opens a connection that other calls don't use yet; nil when the client is closed.
+// openFresh opens a connection that is not shared with other calls. It returns nil if the client is
+// closed.
 func (c *Client) openFresh(address string) *link {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -128,7 +131,7 @@
 	return fresh
 }
 
-// discard closes a connection that other calls don't use.
+// discard closes a connection that is not shared with other calls.
 func (c *Client) discard(fresh *link) {
 	c.running.Go(func() {
 		<-fresh.ready
@@ -136,8 +139,8 @@
 	})
 }
 
-// judge finds out whether the connection of a call is dead that was answered over a new one. If
-// so, the new one takes its place.
+// judge decides, after a reply over a new connection, whether the old connection of the call is dead,
+// and replaces it if so.
 func (c *Client) judge(first sentCall, fresh *link) {
 	c.running.Go(func() {
 		late := time.NewTimer(lateAnswer)
@@ -155,7 +158,7 @@
 	})
 }
 
-// replace puts a connection in the place of one that is dead, unless that has been replaced
+// replace replaces a dead connection by a new one, unless it has been replaced
 // already.
 func (c *Client) replace(address string, dead, fresh *link) bool {
 	c.mutex.Lock()
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -14,11 +14,11 @@
 	"github.com/springstack/springstack/internal/result"
 )
 
-// Peer is the daemon at the other end of an accepted connection.
+// Peer describes the daemon that opened an accepted connection.
 type Peer struct {
 	// Address is its remote IP and port.
 	Address string
-	// Certificates are the verified ones it presented; empty without TLS.
+	// Certificates are the verified certificates that it presented; empty without TLS.
 	Certificates []*x509.Certificate
 }
 
@@ -48,8 +48,8 @@
 	running     sync.WaitGroup
 }
 
-// NewServer returns a server on listener. secure is for mutual TLS; nil serves
-// in the clear.
+// NewServer returns a server for a listener. secure configures mutual TLS; with nil, connections are
+// not encrypted.
 func NewServer(listener net.Listener, secure *tls.Config, handler Handler, limits Limits, meter *Meter) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Server{
@@ -74,8 +74,7 @@
 // Address returns the IP and port listened on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Close stops listening, ends all connections and calls, and waits for their
-// goroutines.
+// Close closes the listener and all connections, cancels all calls and waits for their goroutines.
 func (s *Server) Close() {
 	s.cancel()
 	s.listener.Close()
@@ -109,7 +108,7 @@
 	}
 }
 
-// admit starts serving a connection unless there are too many.
+// admit starts serving a connection, unless Limits.Connections are open.
 func (s *Server) admit(connection net.Conn) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -167,8 +166,8 @@
 	return made, made.rpc.RegisterName(serviceName, made.service)
 }
 
-// handshake completes TLS within the dial timeout, so that a silent peer does
-// not hold a connection.
+// handshake completes the TLS handshake within the dial timeout, so that a peer that sends nothing does
+// not occupy a connection.
 func (s *Server) handshake(ctx context.Context, raw net.Conn) (net.Conn, Peer, error) {
 	peer := Peer{Address: raw.RemoteAddr().String()}
 	if s.secure == nil {
@@ -236,7 +235,7 @@
 	return answer(m, request, reply)
 }
 
-// answer runs one call within the bound of all calls.
+// answer runs one call, unless Limits.Calls are running.
 func answer[Reply any](m *meshService, request any, reply *Reply) error {
 	select {
 	case m.server.calls <- struct{}{}:
--- a/internal/control/server_codec.go
+++ b/internal/control/server_codec.go
@@ -23,7 +23,7 @@
 // ReadRequestHeader waits for a free slot and the next frame.
 func (c *serverCodec) ReadRequestHeader(request *rpc.Request) error {
 	if err := c.nextRequest(request); err != nil {
-		// The peer is gone: calls still running for it must end.
+		// The peer has disconnected: cancel the calls that still run for it.
 		c.cancel()
 		return err
 	}
@@ -51,7 +51,7 @@
 	return nil
 }
 
-// ReadRequestBody decodes the request that follows the header; nil skips it.
+// ReadRequestBody decodes the request after the header. If body is nil, it skips the request.
 func (c *serverCodec) ReadRequestBody(body any) error {
 	return c.wire.decode(body)
 }
--- a/internal/control/stream.go
+++ b/internal/control/stream.go
@@ -28,7 +28,7 @@
 	// begin takes a frame's payload, from which decode reads; all of the frame before must have
 	// been read.
 	begin(payload []byte) error
-	// decode reads one value; nil skips it.
+	// decode reads one value, or skips it if value is nil.
 	decode(value any) error
 	// remaining returns how many bytes of the payload have not been read.
 	remaining() int
@@ -86,7 +86,7 @@
 func (g *gobStream) decode(value any) error {
 	err := g.decoder.Decode(value)
 	if g.input.Len() == 0 {
-		g.input = bytes.Buffer{} // give the frame's memory back
+		g.input = bytes.Buffer{} // release the memory of the frame
 	}
 	return err
 }
--- a/internal/control/wire.go
+++ b/internal/control/wire.go
@@ -53,8 +53,8 @@
 
 func (w *wire) setStream(made stream) { w.stream.Store(&made) }
 
-// receive reads the next frame for decode and returns its size on the wire. idle bounds the wait for
-// its first byte; 0 waits for ever.
+// receive reads the next frame for decode and returns its size on the wire. idle limits the time until
+// its first byte arrives; 0 means no limit.
 func (w *wire) receive(idle time.Duration) (int, error) {
 	deadline := time.Time{}
 	if idle > 0 {
@@ -81,7 +81,7 @@
 	return size, current.begin(payload)
 }
 
-// decode reads one value of the current frame; nil skips it.
+// decode reads one value of the current frame, or skips it if value is nil.
 func (w *wire) decode(value any) error {
 	current := *w.stream.Load()
 	if current.remaining() > largeFrame {
@@ -126,7 +126,7 @@
 // keptBuffer is how much of a write buffer is kept between frames.
 const keptBuffer = 16 << 10
 
-// shrink gives back the memory of a large frame.
+// shrink releases the memory of a large frame.
 func (w *wire) shrink() {
 	if cap(w.frame) > keptBuffer {
 		w.frame = nil
