Mesh: costly duties go to large machines, and each daemon has its own deputies

Cause: all daemons of a zone compare records three times at their start with the first three of the zone, which are drawn by hash: 165 whole lists at 985 daemons, 5 at 30, on a machine of a tenth of a core. Change: a daemon's record states the capacity class of its machine; relays, counters of quotas, followers of orders and deciders are drawn among the largest. What a daemon announces goes to the relay of its zone and to two deputies of its own, drawn by hash of its name, and at its start it compares with these and a random daemon: two to answer for each daemon on average, at most 12, at any size.

--- a/internal/core/dissemination/dissemination_test.go
+++ b/internal/core/dissemination/dissemination_test.go
@@ -37,7 +37,7 @@
 			others = append(others, peer)
 		}
 	}
-	return NewDirectory(peers[self].ID, peers[self].Zone, others)
+	return NewDirectory(Self{ID: peers[self].ID, Zone: peers[self].Zone, CapacityClass: peers[self].CapacityClass}, others)
 }
 
 // broadcast simulates a broadcast along its tree. It counts the messages that each daemon
@@ -106,7 +106,7 @@
 		peers[index].Relays = peers[index].ID != first[1].ID
 	}
 	check.Equal(directoryOf(peers, 0).Relays("z0", isUnreachable)[0].ID, first[2].ID)
-	singleDaemon := NewDirectory("d", "z0", nil)
+	singleDaemon := NewDirectory(Self{ID: "d", Zone: "z0"}, nil)
 	check.True(singleDaemon.IsRelay(noneUnreachable))
 	check.Equal(len(singleDaemon.Relays("z0", noneUnreachable)), 0)
 }
@@ -176,3 +176,43 @@
 		check.True(messages <= changes+zone*(int(during/period)+2))
 	})
 }
+
+// Guards against a small machine that takes the messages of its whole zone while larger ones could.
+func TestRelayIsOneOfTheLargestMachinesOfItsZone(t *testing.T) {
+	for _, size := range sizes {
+		check := is.New(t)
+		peers := meshOf(size.daemons, size.zones)
+		for index := range peers {
+			peers[index].CapacityClass = 4
+			if index >= size.daemons-size.zones*2 {
+				peers[index].CapacityClass = 7
+			}
+		}
+		for index, peer := range peers {
+			directory := directoryOf(peers, index)
+			isLarge := peer.CapacityClass == 7
+			check.True(isLarge || !directory.IsRelay(noneUnreachable))
+			if relays := directory.Relays(peer.Zone, noneUnreachable); len(relays) > 0 {
+				check.Equal(relays[0].CapacityClass, uint8(7))
+			}
+		}
+	}
+}
+
+// Guards against a start of all daemons in which those of a zone ask the same few for all records.
+func TestDeputiesAreSpreadOverTheZone(t *testing.T) {
+	for _, size := range sizes {
+		check := is.New(t)
+		peers := meshOf(size.daemons, size.zones)
+		asked := map[protocol.NodeID]int{}
+		for index := range peers {
+			deputies := directoryOf(peers, index).Deputies()
+			for _, deputy := range deputies[:min(2, len(deputies))] {
+				asked[deputy.ID]++
+			}
+		}
+		for _, count := range asked {
+			check.True(count <= 12) // 2 on average
+		}
+	}
+}
--- a/internal/core/membership/rank.go
+++ b/internal/core/membership/rank.go
@@ -26,15 +26,38 @@
 	return xxhash.Sum64String(purpose + "\x00" + string(id))
 }
 
+// MaxCapacityClass is the highest capacity class of a machine.
+const MaxCapacityClass = 15
+
+// capacityBits is the number of bits of a duty score that hold the capacity class.
+const capacityBits = 4
+
+// DutyScore returns the rendezvous weight of a member for a duty that costs more than others have to
+// bear, such as that of a zone's relay. Members on machines of a higher capacity class precede all
+// others.
+func DutyScore(purpose string, id protocol.NodeID, capacityClass uint8) uint64 {
+	return uint64(min(capacityClass, MaxCapacityClass))<<(64-capacityBits) | Score(purpose, id)>>capacityBits
+}
+
+// RankForDuty returns the members in descending order of duty score for the purpose.
+func RankForDuty(purpose string, members []protocol.Member) []protocol.Member {
+	return rankBy(members, func(member protocol.Member) uint64 { return DutyScore(purpose, member.ID, member.CapacityClass) })
+}
+
 // Rank returns the members in descending order of score for the purpose.
 func Rank(purpose string, members []protocol.Member) []protocol.Member {
+	return rankBy(members, func(member protocol.Member) uint64 { return Score(purpose, member.ID) })
+}
+
+// rankBy returns the members in descending order of score.
+func rankBy(members []protocol.Member, score func(protocol.Member) uint64) []protocol.Member {
 	type scored struct {
 		member protocol.Member
 		score  uint64
 	}
 	list := make([]scored, len(members))
 	for i, member := range members {
-		list[i] = scored{member: member, score: Score(purpose, member.ID)}
+		list[i] = scored{member: member, score: score(member)}
 	}
 	slices.SortFunc(list, func(a, b scored) int {
 		if order := cmp.Compare(b.score, a.score); order != 0 {
--- a/internal/core/protocol/protocol.go
+++ b/internal/core/protocol/protocol.go
@@ -140,6 +140,9 @@
 	// Born is the start time that the back end reports, in Unix milliseconds. It
 	// distinguishes instances with the same name; 0 if the back end reports none.
 	Born int64 `cbor:"17,keyasint,omitempty"`
+	// CapacityClass grows with the processor time that the machine has; see
+	// settings.HostedMachine. It ranks daemons for costly duties; 0 if unknown.
+	CapacityClass uint8 `cbor:"18,keyasint,omitempty"`
 }
 
 // BackendStart identifies the instance of the local back end.
--- a/internal/hosted/broadcasting.go
+++ b/internal/hosted/broadcasting.go
@@ -20,9 +20,9 @@
 	maxRelayAttempts = 3
 )
 
-// broadcastOwnRecord sends the daemon's own record to the relays of all zones. In the own
-// zone it also sends it to a second daemon, so that what this daemon has acknowledged is
-// not lost if the relay ends before its broadcast. The lock is held.
+// broadcastOwnRecord sends the daemon's own record to the relays of all zones. It also sends it to the
+// own deputies, so that what this daemon has acknowledged is not lost if the relay ends before
+// its broadcast. The lock is held.
 func (m *mesh) broadcastOwnRecord() {
 	directory := m.peerDirectory()
 	request := m.newPushRequest([]protocol.Member{m.self})
@@ -32,14 +32,13 @@
 			m.sendToFirstReachable(m.reachableRelays(zone), request, false)
 		}
 	}
-	ownZoneRelays := m.reachableRelays(m.self.Zone)
 	if directory.IsRelay(m.isLost) {
 		m.scheduleBroadcast(m.self.ID)
 	} else {
-		m.sendToFirstReachable(ownZoneRelays, request, false)
-		ownZoneRelays = ownZoneRelays[1:]
+		m.sendToFirstReachable(m.reachableRelays(m.self.Zone), request, false)
 	}
-	m.push(ownZoneRelays[:min(1, len(ownZoneRelays))], m.self)
+	deputies := lo.Reject(directory.Deputies(), func(peer dissemination.Peer, _ int) bool { return m.isLost(peer.ID) })
+	m.push(deputies[:min(deputyCount, len(deputies))], m.self)
 }
 
 // broadcastInOwnZone broadcasts records of other zones in the own zone, through the relay of
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -28,7 +28,7 @@
 	structure := m.roster.StructureRevision()
 	if m.directoryCache.directory == nil || m.directoryCache.structureRevision != structure || now-m.directoryCache.builtAt > maxDirectoryAge {
 		m.directoryCache = cachedDirectory{
-			directory:         dissemination.NewDirectory(m.self.ID, m.self.Zone, m.listPeers(now)),
+			directory:         dissemination.NewDirectory(dissemination.Self{ID: m.self.ID, Zone: m.self.Zone, CapacityClass: m.self.CapacityClass}, m.listPeers(now)),
 			structureRevision: structure,
 			builtAt:           now,
 		}
@@ -46,7 +46,7 @@
 		if member.ID != m.self.ID && !expired {
 			peers = append(peers, dissemination.Peer{
 				ID: member.ID, Address: member.ControlAddress, Zone: member.Zone, Region: member.Region,
-				Relays: membership.MayBeParent(member),
+				Relays: membership.MayBeParent(member), CapacityClass: member.CapacityClass,
 			})
 		}
 	})
--- a/internal/hosted/orderfollower.go
+++ b/internal/hosted/orderfollower.go
@@ -51,10 +51,10 @@
 // rankFor returns the daemon's rank for a purpose: the number of peers with a higher score that may
 // relay and are not lost; the lock is held.
 func (m *mesh) rankFor(purpose string) int {
-	ownScore := membership.Score(purpose, m.self.ID)
+	ownScore := membership.DutyScore(purpose, m.self.ID, m.self.CapacityClass)
 	rank := 0
 	for _, peer := range m.peerDirectory().All() {
-		if peer.Relays && !m.isLost(peer.ID) && membership.Score(purpose, peer.ID) > ownScore {
+		if peer.Relays && !m.isLost(peer.ID) && membership.DutyScore(purpose, peer.ID, peer.CapacityClass) > ownScore {
 			rank++
 		}
 	}
--- a/internal/hosted/quotas.go
+++ b/internal/hosted/quotas.go
@@ -28,7 +28,7 @@
 	// counterCandidates is the number of daemons that may keep the counter of a tenant, in the
 	// order of their rank.
 	counterCandidates = 3
-	// counterPurpose begins the purpose passed to membership.Score to rank daemons as the counter of
+	// counterPurpose begins the purpose passed to membership.RankForDuty to rank daemons as the counter of
 	// a tenant.
 	counterPurpose = "quota "
 )
@@ -280,7 +280,7 @@
 		return ranked
 	}
 	var candidates []dissemination.Peer
-	for _, member := range membership.Rank(key.purpose(), q.mesh.roster.Where(membership.MayBeParent)) {
+	for _, member := range membership.RankForDuty(key.purpose(), q.mesh.roster.Where(membership.MayBeParent)) {
 		if len(candidates) < counterCandidates {
 			candidates = append(candidates, dissemination.Peer{ID: member.ID, Address: member.ControlAddress, Zone: member.Zone, Region: member.Region})
 		}
--- a/internal/hosted/registering.go
+++ b/internal/hosted/registering.go
@@ -201,13 +201,12 @@
 	return true
 }
 
-// startupPeerCount is the number of daemons of the own zone with which a starting daemon compares
-// records: the relay, the second daemon that receives the same records (see broadcastOwnRecord), and
-// one more.
-const startupPeerCount = 3
+// deputyCount is the number of daemons of the own zone to which a daemon sends its record itself, and
+// with which it compares records when it starts again.
+const deputyCount = 2
 
-// syncAtStartup compares records with some peers, the relay of the own zone first, and then has
-// the own record broadcast.
+// syncAtStartup compares records with some peers, the own deputies first, and then has the own record
+// broadcast.
 func (m *mesh) syncAtStartup() {
 	for _, target := range m.startupPeers() {
 		m.compareWith(target)
@@ -217,14 +216,14 @@
 	m.broadcastOwnRecord()
 }
 
-// startupPeers returns the peers with which a starting daemon compares records: some of its own
-// zone and a random one of another zone.
+// startupPeers returns the peers with which a starting daemon compares records: its deputies, and a
+// random daemon of its own zone and of another zone.
 func (m *mesh) startupPeers() []dissemination.Peer {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	ownZone, otherZones := m.peerDirectory().PeersInOwnZone(), m.peerDirectory().PeersInOtherZones()
-	targets := slices.Clone(ownZone[:min(startupPeerCount, len(ownZone))])
-	return append(targets, samplePeers(otherZones, 1)...)
+	deputies, otherZones := m.peerDirectory().Deputies(), m.peerDirectory().PeersInOtherZones()
+	count := min(deputyCount, len(deputies))
+	return slices.Concat(deputies[:count], samplePeers(deputies[count:], 1), samplePeers(otherZones, 1))
 }
 
 // relistIfIsolated reads the registry again if no peer has answered for isolatedAfter.
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -177,6 +177,7 @@
 			Region:         d.settings.Node.Region,
 			Zone:           d.settings.Node.Zone,
 			Service:        serviceRef(d.settings.Backend.Service),
+			CapacityClass:  d.settings.Machine.CapacityClass(),
 		},
 	}
 }
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -1,12 +1,15 @@
 package settings
 
 import (
+	"cmp"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/goccy/go-yaml/ast"
 
+	"github.com/springstack/springstack/internal/core/membership"
 	"github.com/springstack/springstack/internal/core/quota"
 	"github.com/springstack/springstack/internal/result"
 )
@@ -29,6 +32,8 @@
 
 	Quotas HostedQuotas `koanf:"quotas"`
 
+	Machine HostedMachine `koanf:"machine"`
+
 	Drain HostedDrain `koanf:"drain"`
 	Log   Log         `koanf:"log"`
 }
@@ -152,6 +157,28 @@
 	}
 }
 
+// HostedMachine says what the daemon's machine has. Daemons on larger machines take the costly duties.
+type HostedMachine struct {
+	// Processors is the number of the machine's processors, in units of a standard core; 0 if it is
+	// not known.
+	Processors float64 `koanf:"processors" validate:"min=0,max=4096"`
+	// ProcessorShare is the part of them that the daemon may use; 0, the default, is all.
+	ProcessorShare float64 `koanf:"processor_share" validate:"min=0,max=1"`
+}
+
+// capacityUnit is the part of a core from which capacity classes are counted.
+const capacityUnit = 1.0 / 128
+
+// CapacityClass returns 0 if the machine is not known, else a number that is one more for each
+// doubling of the processor time.
+func (m HostedMachine) CapacityClass() uint8 {
+	units := m.Processors * cmp.Or(m.ProcessorShare, 1) / capacityUnit
+	if units < 1 {
+		return 0
+	}
+	return uint8(min(math.Log2(units)+1, membership.MaxCapacityClass))
+}
+
 // HostedDrain bounds a planned stop.
 type HostedDrain struct {
 	// GraceSeconds is when the platform kills the process.
--- a/internal/settings/hosted_test.go
+++ b/internal/settings/hosted_test.go
@@ -27,6 +27,15 @@
 	check.Equal(loaded.Retries, HostedRetries{Ratio: 0.2, Slack: 64, WindowSeconds: 10, CallDepth: 2})
 }
 
+func TestCapacityClassGrowsWithEachDoubling(t *testing.T) {
+	check := is.New(t)
+	check.Equal(HostedMachine{}.CapacityClass(), uint8(0))
+	check.Equal(HostedMachine{Processors: 1}.CapacityClass(), uint8(8))
+	check.Equal(HostedMachine{Processors: 1, ProcessorShare: 0.16}.CapacityClass(), uint8(5))
+	check.Equal(HostedMachine{Processors: 2, ProcessorShare: 0.16}.CapacityClass(), uint8(6))
+	check.Equal(HostedMachine{Processors: 4096}.CapacityClass(), uint8(15))
+}
+
 func TestMistakesOfHostedSettingsNameTheField(t *testing.T) {
 	for _, given := range []struct{ name, old, new, field string }{
 		{"missing", "service: app, ", "", "backend.service"},
