--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -311,8 +311,16 @@
 	return newRecords
 }
 
-// logChanges writes a log line for each new record.
+// maxLoggedRecords is the number of new records of one message that get a log line each. More, as at a
+// start of the whole mesh, are summed in one line.
+const maxLoggedRecords = 16
+
+// logChanges logs new records.
 func (m *mesh) logChanges(newRecords []protocol.Member) {
+	if len(newRecords) > maxLoggedRecords {
+		m.events.event("endpoints_news", field("records", formatCount(uint64(len(newRecords)))))
+		return
+	}
 	for _, member := range newRecords {
 		m.events.event("endpoint_news", field("peer", string(member.ID)), field("instance", member.Backend), startTimeField(member.Born),
 			field("state", member.Endpoint.String()), field("member", member.State.String()))
--- a/internal/logging/events.go
+++ b/internal/logging/events.go
@@ -94,6 +94,8 @@
 		"The daemon takes no new work and lets running calls end.", nothing},
 	{"endpoint_news", log.InfoLevel,
 		"Another daemon reports a new state of the back end beside it.", nothing},
+	{"endpoints_news", log.InfoLevel,
+		"A message brought the records of many daemons, which are not logged one by one.", nothing},
 	{"evacuation_faulty", log.ErrorLevel,
 		"An order to empty a zone is not as it should be; other orders are in force all the same.",
 		"Correct the zone's name, or the field named, and write the order again."},
