Mesh: daemons compare records with their zone in orders of their own

Change: each daemon goes through its zone in the order of its deputies. Conclusion: at any size a daemon is asked by one on average, at most 9 at once.

--- a/internal/core/dissemination/dissemination_test.go
+++ b/internal/core/dissemination/dissemination_test.go
@@ -199,20 +199,24 @@
 	}
 }
 
-// Guards against a start of all daemons in which those of a zone ask the same few for all records.
-func TestDeputiesAreSpreadOverTheZone(t *testing.T) {
+// Guards against daemons that start together and then ask the same few for all records, or compare with
+// the same one at the same time.
+func TestOrderOfDeputiesDiffersAmongDaemons(t *testing.T) {
 	for _, size := range sizes {
 		check := is.New(t)
 		peers := meshOf(size.daemons, size.zones)
 		asked := map[protocol.NodeID]int{}
+		third := map[protocol.NodeID]int{}
 		for index := range peers {
 			deputies := directoryOf(peers, index).Deputies()
 			for _, deputy := range deputies[:min(2, len(deputies))] {
 				asked[deputy.ID]++
 			}
+			third[deputies[2%len(deputies)].ID]++
 		}
-		for _, count := range asked {
-			check.True(count <= 12) // 2 on average
+		for id := range asked {
+			check.True(asked[id] <= 12) // 2 on average
+			check.True(third[id] <= 9)  // 1 on average
 		}
 	}
 }
--- a/internal/hosted/comparing.go
+++ b/internal/hosted/comparing.go
@@ -26,12 +26,12 @@
 	}
 }
 
-// nextComparisonPeers returns the peers for one round: the next one of the own zone, and
-// in some rounds a random one of another zone.
+// nextComparisonPeers returns the peers for one round: the next one of the own zone, in an order that
+// differs among daemons, and in some rounds a random one of another zone.
 func (m *mesh) nextComparisonPeers(round int) []dissemination.Peer {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	ownZonePeers, otherPeers := m.peerDirectory().PeersInOwnZone(), m.peerDirectory().PeersInOtherZones()
+	ownZonePeers, otherPeers := m.peerDirectory().Deputies(), m.peerDirectory().PeersInOtherZones()
 	var targets []dissemination.Peer
 	if len(ownZonePeers) > 0 {
 		targets = append(targets, ownZonePeers[m.comparisonTurn%len(ownZonePeers)])
