Mesh: a daemon re-reads its own registration alone

Cause: lists of all daemons by all daemons grow with the square of their number. Change: the registry finds one registration; the check after late writes uses it.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -112,6 +112,9 @@
 type Registry interface {
 	// List returns all registrations, as far as the freshness goes.
 	List(ctx context.Context, freshness Freshness) ([]Registration, error)
+	// Find returns the registration of one daemon, as far as the freshness goes; false if there is
+	// none that can be read.
+	Find(ctx context.Context, id protocol.NodeID, freshness Freshness) (Registration, bool, error)
 	// Put writes the registration of a daemon, in place of an earlier one.
 	Put(ctx context.Context, registration Registration) error
 	// Remove takes a registration away.
--- a/internal/hosted/latewrites_test.go
+++ b/internal/hosted/latewrites_test.go
@@ -19,6 +19,7 @@
 	// callsBeforeLate is the number of calls that are executed before the delayed one.
 	callsBeforeLate int
 	lateCall        func(map[protocol.NodeID]authority.Registration)
+	lists           int
 }
 
 // countCall counts a call, and executes the delayed call first if it is due.
@@ -31,12 +32,21 @@
 
 func (r *lateRegistry) List(context.Context, authority.Freshness) (found []authority.Registration, err error) {
 	r.countCall()
+	r.lists++
 	for _, registration := range r.registrations {
 		found = append(found, registration)
 	}
 	return found, nil
 }
 
+func (r *lateRegistry) Find(
+	_ context.Context, id protocol.NodeID, _ authority.Freshness,
+) (authority.Registration, bool, error) {
+	r.countCall()
+	found, isFound := r.registrations[id]
+	return found, isFound, nil
+}
+
 func (r *lateRegistry) Put(_ context.Context, registration authority.Registration) error {
 	r.countCall()
 	r.registrations[registration.ID] = registration
@@ -88,7 +98,9 @@
 					registry.callsBeforeLate = 0
 					registry.countCall()
 				}
+				listsBefore := registry.lists
 				mesh.ensureRegistered()
+				is.New(t).Equal(registry.lists, listsBefore) // lists of all daemons by all grow with the square of their number
 				if registry.registrations[ownRegistration.ID] != ownRegistration {
 					t.Errorf("delayed %s after %d calls, initially registered %s: got %v", lateCallName, callsBeforeLate, initialState, registry.registrations)
 				}
--- a/internal/hosted/registering.go
+++ b/internal/hosted/registering.go
@@ -53,9 +53,21 @@
 
 // ensureRegistered writes the registration if the registry does not contain it, and reports
 // whether its calls to the store succeeded. It writes nothing after the daemon has left the mesh,
-// because the daemon may then have removed the registration itself.
+// because the daemon may then have removed the registration itself. It reads the own registration
+// alone: lists of all daemons by all daemons grow with the square of their number.
 func (m *mesh) ensureRegistered() bool {
-	return m.refreshRegistryLagging() && (m.isRegistered() || m.hasLeft() || m.putRegistration())
+	m.mutex.Lock()
+	own := m.ownRegistration()
+	m.mutex.Unlock()
+	isFound, err := readStore(m.reads, m.context, purposeList, storeReadTimeout, func(ctx context.Context) (bool, error) {
+		registered, isFound, err := m.registry.Find(ctx, own.ID, authority.Lagging)
+		return isFound && registered == own, err
+	})
+	if err != nil {
+		m.events.event("registry_unavailable", field("error", err.Error()))
+		return false
+	}
+	return isFound || m.hasLeft() || m.putRegistration()
 }
 
 // registrationPurpose is the name of the ranking that selects the daemons that check for lost
