Mesh: relays broadcast the records of harmful requests

Each daemon with calls at a crashed back end sent the records of the requests that it ended under to all daemons; each reply brought the records that others had sent meanwhile, and these were sent on to all daemons once more. At 30 daemons that is 30 messages an end, at 985 the square of it. Change: the records go to the relay of each zone, which broadcasts them in its zone at once after a pause, else 100 ms after its last broadcast; a reply to a push brings none, and what a reply brings is not sent on. Comparisons, once a second at each daemon, repair what a broadcast misses.

--- a/internal/core/dissemination/dissemination_test.go
+++ b/internal/core/dissemination/dissemination_test.go
@@ -127,7 +127,7 @@
 
 func TestChangesWithinAPeriodAreBatched(t *testing.T) {
 	check := is.New(t)
-	batch := NewBatch(200 * time.Millisecond)
+	batch := NewBatch[protocol.NodeID](200 * time.Millisecond)
 	_, schedule := batch.Add(time.Second)
 	check.True(!schedule) // nothing to send
 	wait, schedule := batch.Add(time.Second, "b")
@@ -153,7 +153,7 @@
 		daemons := rapid.SampledFrom([]int{13, 74, 295, 1000}).Draw(t, "daemons")
 		changes := rapid.IntRange(1, 3*daemons).Draw(t, "changes")
 		zone := daemons / 6
-		batch := NewBatch(period)
+		batch := NewBatch[protocol.NodeID](period)
 		var due time.Duration
 		scheduled := false
 		messages := 0
--- a/internal/core/protocol/exchange.go
+++ b/internal/core/protocol/exchange.go
@@ -35,7 +35,8 @@
 	// Push marks a broadcast of changed records, for which no comparison is requested.
 	Push bool
 	// Relay requests that the receiver of a push broadcast the records in its own zone:
-	// always the sender's own record, others only if they are new to the receiver.
+	// always the sender's own record and those of Harmful, others only if they are new to the
+	// receiver.
 	Relay bool
 	// Forward are the daemons to which the receiver forwards a push.
 	Forward []Destination
@@ -76,8 +77,8 @@
 	Rollouts []rollout.Record
 	// Evacuations are the evacuated zones as the receiver knows them.
 	Evacuations evacuation.SharedOrders
-	// Harmful are all records of harmful requests that the receiver knows, if their checksum
-	// differs from the sender's.
+	// Harmful are all records of harmful requests that the receiver knows, in reply to a
+	// comparison if their checksum differs from the sender's.
 	Harmful []quarantine.Record
 }
 
--- a/internal/hosted/broadcasting.go
+++ b/internal/hosted/broadcasting.go
@@ -98,6 +98,7 @@
 	newRecords := m.mergeMembers(request.Members)
 	if request.Relay {
 		m.scheduleBroadcast(memberIDs(m.recordsToRelay(request, newRecords))...)
+		m.relayHarmful(request.Harmful)
 	}
 	m.forwardPush(request)
 }
--- a/internal/hosted/heldrequests.go
+++ b/internal/hosted/heldrequests.go
@@ -57,7 +57,7 @@
 		records = append(records, record)
 		m.recordStored(entry)
 	}
-	m.mergeHarmful("store", records, false)
+	m.mergeHarmful("store", records)
 	return answered
 }
 
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -19,6 +19,7 @@
 	"github.com/springstack/springstack/internal/core/following"
 	"github.com/springstack/springstack/internal/core/membership"
 	"github.com/springstack/springstack/internal/core/protocol"
+	"github.com/springstack/springstack/internal/core/quarantine"
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/retry"
 	"github.com/springstack/springstack/internal/core/roundtrip"
@@ -146,7 +147,8 @@
 		roster:       membership.NewRoster(),
 		lostPeers:    map[protocol.NodeID]bool{},
 		verifying:    map[protocol.NodeID]bool{},
-		batch:        dissemination.NewBatch(minBroadcastInterval),
+		batch:        dissemination.NewBatch[protocol.NodeID](minBroadcastInterval),
+		harmfulBatch: dissemination.NewBatch[uint64](minHarmfulInterval),
 		roundTrips:   &roundtrip.Estimator{},
 		self:         protocol.Member{ID: "m", Zone: zone, Incarnation: 5, Sequence: 1, State: protocol.MemberAlive},
 	}
@@ -307,3 +309,33 @@
 	check.Equal(published, 3)
 	mesh.recordComparison(dissemination.Peer{ID: "b", Zone: "z1"}) // publishes nothing
 }
+
+// harmfulRecord returns the record of a request under which an instance ended.
+func harmfulRecord(number byte) quarantine.Record {
+	return quarantine.Record{
+		Signature: quarantine.Signature{Head: quarantine.Hash{1, number}, Body: quarantine.Hash{1}}, Ends: []string{"i-1"},
+	}
+}
+
+// Guards against records that daemons send on to all others because a reply brought them: at 985
+// daemons 25 ends of back ends caused 173 pushes a second at each daemon.
+func TestReplyToAPushBringsNoHarmfulRecords(t *testing.T) {
+	check := is.New(t)
+	mesh := newTestMesh("z1")
+	mesh.mergeHarmful("a", []quarantine.Record{harmfulRecord(1)})
+	check.True(mesh.harmful.HarmfulSum() != 0)
+	check.Equal(len(mesh.buildExchangeReply(&protocol.ExchangeRequest{Push: true}).Harmful), 0)
+	check.Equal(len(mesh.buildExchangeReply(&protocol.ExchangeRequest{}).Harmful), 1) // a comparison repairs what was missed
+	check.Equal(len(mesh.harmful.UnsentHarmful()), 0)
+}
+
+// Guards against one broadcast in the zone for each daemon that reports a harmful request.
+func TestRelayBroadcastsHarmfulRecordsInBatches(t *testing.T) {
+	check := is.New(t)
+	mesh := newTestMesh("z1", aliveMember("a", "z1"))
+	for number := range byte(50) {
+		mesh.handlePush(&protocol.ExchangeRequest{Push: true, Relay: true, Harmful: []quarantine.Record{harmfulRecord(number)}})
+	}
+	// The first was broadcast at once, the others wait for one broadcast.
+	check.Equal(len(mesh.harmfulBatch.Take(0)), 49)
+}
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -120,7 +120,10 @@
 	// directoryCache holds the directory of the other daemons; see peerDirectory.
 	directoryCache cachedDirectory
 	// batch collects the records that this daemon broadcasts as the relay of its zone.
-	batch *dissemination.Batch
+	batch *dissemination.Batch[protocol.NodeID]
+	// harmfulBatch collects the keys of the records of harmful requests that this daemon broadcasts
+	// as the relay of its zone; see quarantine.Signature.Key.
+	harmfulBatch *dissemination.Batch[uint64]
 	// publishing is true while a publication is scheduled; publishedAt is the time of the last one.
 	publishing  bool
 	publishedAt time.Duration
@@ -258,7 +261,7 @@
 	m.onPeerVersion(target.ID, reply.Version)
 	m.handlePeerRollouts(reply.Rollouts)
 	m.handleEvacuations(sentAt, string(target.ID), reply.Evacuations)
-	m.mergeHarmful(string(target.ID), reply.Harmful, len(request.Harmful) > 0)
+	m.mergeHarmful(string(target.ID), reply.Harmful)
 	return reply
 }
 
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -45,7 +45,7 @@
 	m.onPeerVersion(request.From, request.Version)
 	m.handlePeerRollouts(request.Rollouts)
 	m.handleEvacuations(m.clock(), string(request.From), request.Evacuations)
-	m.mergeHarmful(string(request.From), request.Harmful, false)
+	m.mergeHarmful(string(request.From), request.Harmful)
 	reply := m.buildExchangeReply(request)
 	reply.StoreFails = storeFails
 	if request.Push {
@@ -65,17 +65,19 @@
 	m.lastPeerContact = m.clock()
 	m.contacts.record(contactPeer)
 	reply := &protocol.ExchangeReply{
-		Version: m.version(), Era: m.eras.current(), Rollouts: m.rollouts.records(m.clock()), Harmful: m.harmfulRecordsFor(request.HarmfulSum),
+		Version: m.version(), Era: m.eras.current(), Rollouts: m.rollouts.records(m.clock()),
 		Evacuations: m.evacuations.SharedOrders(m.clock()),
 	}
 	sums := m.roster.BucketSums()
 	switch {
 	case request.Push:
+		return reply
 	case len(request.Sums) == len(sums):
 		reply.Members = m.roster.InDifferingBuckets([len(sums)]uint64(request.Sums))
 	case request.Total != sums.Total():
 		reply.Sums = sums[:]
 	}
+	reply.Harmful = m.harmfulRecordsFor(request.HarmfulSum)
 	return reply
 }
 
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -165,7 +165,8 @@
 		roster:           membership.NewRoster(),
 		lostPeers:        map[protocol.NodeID]bool{},
 		verifying:        map[protocol.NodeID]bool{},
-		batch:            dissemination.NewBatch(minBroadcastInterval),
+		batch:            dissemination.NewBatch[protocol.NodeID](minBroadcastInterval),
+		harmfulBatch:     dissemination.NewBatch[uint64](minHarmfulInterval),
 
 		reachability: path.Proxy,
 		self: protocol.Member{
--- a/internal/proxy/ended_test.go
+++ b/internal/proxy/ended_test.go
@@ -103,17 +103,17 @@
 	t.Cleanup(peer.Close)
 	peer.harmfulRequests.recordAnswered(signatureOf(peer, "/often"))
 	gate.attributeEnd(newBackendEnd(gate, "i", "/often"))
-	check.Equal(peer.MergeHarmful(gate.UnsentHarmful(), false), 0)
+	check.Equal(peer.MergeHarmful(gate.UnsentHarmful()), 0)
 	check.Equal(<-notified, false)
 	records := peer.UnsentHarmful()
 	check.Equal(len(records), 1)
 	check.True(records[0].Familiar)
 	check.Equal(len(peer.UnsentHarmful()), 0) // each record is returned once
-	gate.MergeHarmful(records, false)
+	gate.MergeHarmful(records)
 	check.Equal(gate.HarmfulSum(), peer.HarmfulSum())
 	peer.harmfulRequests.recordAnswered(signatureOf(peer, "/often"))
 	check.Equal(<-notified, true)
-	gate.MergeHarmful(peer.UnsentHarmful(), false)
+	gate.MergeHarmful(peer.UnsentHarmful())
 	check.Equal(gate.HarmfulState(signatureOf(gate, "/often")), quarantine.Trusted)
 }
 
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -157,10 +157,9 @@
 }
 
 // MergeHarmful merges a peer's records of requests that may be harmful, and returns how many were
-// invalid. New records are sent on to all daemons if pass is set, and in any case if the daemon's
-// own back end answered the request before without a server error; the sent record then states
-// this.
-func (p *Proxy) MergeHarmful(records []quarantine.Record, pass bool) (invalidCount int) {
+// invalid. A new record is sent to all daemons if the daemon's own back end answered the request
+// before without a server error; the sent record then states this.
+func (p *Proxy) MergeHarmful(records []quarantine.Record) (invalidCount int) {
 	h := p.harmfulRequests
 	h.mutex.Lock()
 	now := h.clock()
@@ -172,7 +171,7 @@
 		}
 		markedFamiliar := isNew && !record.Familiar && h.answeredRequests.Contains(fingerprintOf(record.Signature)) && h.table.MarkFamiliar(now, record.Signature)
 		changed = changed || isNew
-		if markedFamiliar || (isNew && pass) {
+		if markedFamiliar {
 			h.unpublishedRequests[record.Signature] = true
 			notify = true
 		}
