--- a/internal/hosted/quotas.go
+++ b/internal/hosted/quotas.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	// quotaTimeout limits the time of a request to the counter of a tenant. A call of the tenant
-	// waits for it.
-	quotaTimeout = 150 * time.Millisecond
+	// quotaTimeout limits the time of a request to the counter of a tenant, remoteQuotaTimeout that
+	// to one in another region. A call of the tenant waits for it.
+	quotaTimeout       = 150 * time.Millisecond
+	remoteQuotaTimeout = 450 * time.Millisecond
 	// contactRetryDelay is how long a daemon spends its own share of a quota before it asks the
 	// counter again that did not answer.
 	contactRetryDelay = 300 * time.Millisecond
@@ -175,7 +176,11 @@
 	if target.ID == q.mesh.self.ID {
 		return q.handleRequest(request)
 	}
-	ctx, cancel := context.WithTimeout(ctx, quotaTimeout)
+	timeout := quotaTimeout
+	if target.Region != q.mesh.self.Region {
+		timeout = remoteQuotaTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	body, err := q.mesh.client.Call(ctx, target.Address, request)
 	reply, _ := body.(*protocol.QuotaReply)
