--- a/internal/hosted/quotas_test.go
+++ b/internal/hosted/quotas_test.go
@@ -61,9 +61,12 @@
 // Guards against two daemons that keep the same counter at once.
 func TestCounterIsTakenOverOnlyAfterADelay(t *testing.T) {
 	check := is.New(t)
-	made, setClock := newTestQuotas(aliveMember("x", "z1"), aliveMember("y", "z1"))
+	made, setClock := newTestQuotas(aliveMember("a", "z1"), aliveMember("b", "z1"))
 	defer made.mesh.client.Close()
-	key := counterKey{tenant: "limited", shard: quota.Shard{Count: 1}}
+	key := counterKey{tenant: "limited", shard: quota.Shard{Count: quota.MaxShards}}
+	for made.rankCounters(key)[0].ID == made.mesh.self.ID {
+		key.shard.Index++
+	}
 	var before []protocol.NodeID
 	for _, candidate := range made.rankCounters(key) {
 		if candidate.ID == made.mesh.self.ID {
