Verification: a daemon that has started again is not waited for

With checks that are paced by the size of the mesh, a restarted daemon could stay excluded for up to a second at 76 daemons and six at 985. Change: a record of a later start ends the wait; a call that still fails begins a new check.

--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -146,7 +146,7 @@
 		context:      ctx,
 		roster:       membership.NewRoster(),
 		lostPeers:    map[protocol.NodeID]bool{},
-		verifying:    map[protocol.NodeID]bool{},
+		verifying:    map[protocol.NodeID]chan struct{}{},
 		batch:        dissemination.NewBatch[protocol.NodeID](minBroadcastInterval),
 		harmfulBatch: dissemination.NewBatch[uint64](minHarmfulInterval),
 		roundTrips:   &roundtrip.Estimator{},
@@ -339,3 +339,19 @@
 	// The first was broadcast at once, the others wait for one broadcast.
 	check.Equal(len(mesh.harmfulBatch.Take(0)), 49)
 }
+
+// Guards against a daemon that stays excluded until the next check although it has started again.
+func TestRestartEndsTheWaitForAnUnreachableDaemon(t *testing.T) {
+	check := is.New(t)
+	mesh := newTestMesh("z1", aliveMember("a", "z1"))
+	restarted := make(chan struct{}, 1)
+	mesh.verifying["a"] = restarted
+	same := aliveMember("a", "z1")
+	same.Sequence++
+	mesh.mergeCompared("z1", []protocol.Member{same})
+	check.Equal(len(restarted), 0)
+	next := same
+	next.Incarnation++
+	mesh.mergeCompared("z1", []protocol.Member{next})
+	check.Equal(len(restarted), 1)
+}
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -129,8 +129,9 @@
 	publishedAt time.Duration
 	// lostPeers are the peers that did not answer the last call to them.
 	lostPeers map[protocol.NodeID]bool
-	// verifying are the daemons whose reachability is being verified.
-	verifying map[protocol.NodeID]bool
+	// verifying are the daemons whose reachability is being verified, each with a channel that
+	// receives a value when the daemon has started again.
+	verifying map[protocol.NodeID]chan struct{}
 	// pacer bounds the verifications; guarded by mutex.
 	pacer verification.Pacer
 	// restoreDraining restores from a peer's record that an instance of this daemon's back end was
@@ -303,6 +304,9 @@
 			continue
 		}
 		newRecords = append(newRecords, member)
+		if known && member.Incarnation > previous.Incarnation {
+			m.reportRestart(member.ID)
+		}
 		if known && isUnawareOfDrain(previous, member) {
 			m.sendEarlierRecord(previous, member)
 		}
--- a/internal/hosted/verify.go
+++ b/internal/hosted/verify.go
@@ -7,7 +7,6 @@
 	"github.com/springstack/springstack/internal/core/dissemination"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/verification"
-	"github.com/springstack/springstack/internal/pause"
 )
 
 const (
@@ -49,14 +48,15 @@
 // verifyReachableLocked is verifyReachable with the lock held. It does nothing while too many other
 // daemons are being checked: a later call or comparison that fails starts the check.
 func (m *mesh) verifyReachableLocked(target dissemination.Peer) {
-	if m.verifying[target.ID] || m.context.Err() != nil || !m.pacer.TryBegin() {
+	if m.verifying[target.ID] != nil || m.context.Err() != nil || !m.pacer.TryBegin() {
 		return
 	}
-	m.verifying[target.ID] = true
+	restarted := make(chan struct{}, 1)
+	m.verifying[target.ID] = restarted
 	m.running.Add(1)
 	go func() {
 		defer m.running.Done()
-		m.verifyUntilAnswered(target)
+		m.verifyUntilAnswered(target, restarted)
 		m.mutex.Lock()
 		defer m.mutex.Unlock()
 		delete(m.verifying, target.ID)
@@ -65,8 +65,9 @@
 
 // verifyUntilAnswered checks a daemon and acts on missing answers in two steps. After the first
 // unanswered check, new calls go to other daemons, which does no harm if the daemon was only stalled
-// for a moment. After the second one, the calls under way are also sent to other daemons.
-func (m *mesh) verifyUntilAnswered(target dissemination.Peer) {
+// for a moment. After the second one, the calls under way are also sent to other daemons. restarted
+// receives a value when the daemon has started again.
+func (m *mesh) verifyUntilAnswered(target dissemination.Peer, restarted <-chan struct{}) {
 	isReachable := m.isReachable(target) || m.context.Err() != nil
 	m.withPacer(func(pacer *verification.Pacer) { pacer.EndCheck(isReachable) })
 	if isReachable {
@@ -78,20 +79,46 @@
 	if !m.isReachable(target) && m.context.Err() == nil {
 		m.events.event("peer_given_up", field("peer", string(target.ID)))
 		m.reachability.HedgeCalls(target.ID)
-		m.awaitReachable(target)
+		m.awaitReachable(target, restarted)
 	}
 	m.reachability.SetReachable(target.ID, true)
 	m.events.event("peer_reachable", field("peer", string(target.ID)))
 }
 
-// awaitReachable repeats the check until the daemon answers, for verifyRetryPeriod at most.
-func (m *mesh) awaitReachable(target dissemination.Peer) {
+// awaitReachable repeats the check until the daemon answers or has started again, for
+// verifyRetryPeriod at most.
+func (m *mesh) awaitReachable(target dissemination.Peer, restarted <-chan struct{}) {
 	for began := m.clock(); m.clock()-began < verifyRetryPeriod; {
-		var delay time.Duration
-		daemons := m.daemonCount()
-		m.withPacer(func(pacer *verification.Pacer) { delay = pacer.RecheckDelay(daemons, randomNumber()) })
-		if !pause.For(m.context, delay) || m.isReachable(target) {
+		timer := time.NewTimer(m.recheckDelay())
+		select {
+		case <-timer.C:
+		case <-restarted:
+			timer.Stop()
 			return
+		case <-m.context.Done():
+			timer.Stop()
+			return
+		}
+		if m.isReachable(target) {
+			return
+		}
+	}
+}
+
+// recheckDelay returns the time until the next check of an unreachable daemon.
+func (m *mesh) recheckDelay() (delay time.Duration) {
+	daemons := m.daemonCount()
+	m.withPacer(func(pacer *verification.Pacer) { delay = pacer.RecheckDelay(daemons, randomNumber()) })
+	return delay
+}
+
+// reportRestart ends the verification of a daemon whose record shows that it has started again; the
+// lock is held.
+func (m *mesh) reportRestart(id protocol.NodeID) {
+	if restarted := m.verifying[id]; restarted != nil {
+		select {
+		case restarted <- struct{}{}:
+		default: // already reported
 		}
 	}
 }
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -164,7 +164,7 @@
 		context:          d.context,
 		roster:           membership.NewRoster(),
 		lostPeers:        map[protocol.NodeID]bool{},
-		verifying:        map[protocol.NodeID]bool{},
+		verifying:        map[protocol.NodeID]chan struct{}{},
 		batch:            dissemination.NewBatch[protocol.NodeID](minBroadcastInterval),
 		harmfulBatch:     dissemination.NewBatch[uint64](minHarmfulInterval),
 
