--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -320,7 +320,7 @@
 
 // maxLoggedRecords is the number of new records of one message that get a log line each. More, as at a
 // start of the whole mesh, are summed in one line.
-const maxLoggedRecords = 16
+const maxLoggedRecords = 64
 
 // logChanges logs new records.
 func (m *mesh) logChanges(newRecords []protocol.Member) {
