--- a/internal/core/quota/account.go
+++ b/internal/core/quota/account.go
@@ -25,15 +25,16 @@
 // Account is what one daemon may spend of a tenant's quota. Take and Return are lock-free; the
 // other methods need a lock of the caller's.
 type Account struct {
-	// tokens is the number of unspent leased tokens, which lapse at validUntil. Times are on the
-	// daemon's clock in nanoseconds.
+	// tokens is the number of unspent leased tokens, which expire at validUntil. Times are on the
+	// daemon's clock, in nanoseconds.
 	tokens     atomic.Int64
 	validUntil atomic.Int64
 	// refusedUntil is until when calls are refused without asking, retryAt when they may be sent
 	// again.
 	refusedUntil atomic.Int64
 	retryAt      atomic.Int64
-	// calls counts the calls of the current period, which began at periodStart.
+	// calls counts the calls of the current period, which began at periodStart. rate is the number
+	// of calls per second in the period before.
 	calls       atomic.Int64
 	periodStart time.Duration
 	rate        float64
--- a/internal/hosted/quotas.go
+++ b/internal/hosted/quotas.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/springstack/springstack/internal/core/dissemination"
-	"github.com/springstack/springstack/internal/core/membership"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/quota"
 	"github.com/springstack/springstack/internal/core/tenancy"
@@ -19,19 +17,9 @@
 	// to one in another region. A call of the tenant waits for it.
 	quotaTimeout       = 150 * time.Millisecond
 	remoteQuotaTimeout = 450 * time.Millisecond
-	// contactRetryDelay is how long a daemon spends its own share of a quota before it asks the
-	// counter again that did not answer.
+	// contactRetryDelay is how long a daemon spends its own share of a quota before it asks a counter
+	// again that did not answer.
 	contactRetryDelay = 300 * time.Millisecond
-	// takeoverDelay is how long a counter must have been unreachable before another daemon takes
-	// its place. It is not shorter than the window of a quota, so that the leases of both counters
-	// hardly fall into one window.
-	takeoverDelay = 5 * time.Second
-	// counterCandidates is the number of daemons that may keep the counter of a tenant, in the
-	// order of their rank.
-	counterCandidates = 3
-	// counterPurpose begins the purpose passed to membership.RankForDuty to rank daemons as the counter of
-	// a tenant.
-	counterPurpose = "quota "
 )
 
 // quotas limits the calls of tenants over all daemons: it leases the calls of this daemon from the
@@ -43,7 +31,8 @@
 	tenant func(name string) *tenancy.Tenant
 	// accounts holds the account of each tenant that has sent calls here, by name.
 	accounts sync.Map
-	ranks    counterRanks
+	// ranks is guarded by the mutex of the mesh.
+	ranks counterRanks
 	// mutex guards counters and unreachableSince.
 	mutex    sync.Mutex
 	counters map[counterKey]*quota.Counter
@@ -51,17 +40,6 @@
 	unreachableSince map[protocol.NodeID]time.Duration
 }
 
-// counterKey identifies one of the counters of a tenant.
-type counterKey struct {
-	tenant string
-	shard  quota.Shard
-}
-
-// purpose returns the purpose by which daemons are ranked as this counter.
-func (k counterKey) purpose() string {
-	return counterPurpose + k.tenant + " " + strconv.Itoa(k.shard.Index)
-}
-
 // leaseAccount is the account of one tenant with what is needed to request leases.
 type leaseAccount struct {
 	*quota.Account
@@ -72,6 +50,7 @@
 	// aloneUntil is until when the counter is not asked because it has not answered.
 	aloneUntil time.Duration
 
+	// passed and refused count the calls of the tenant, for metrics.
 	passed  atomic.Uint64
 	refused atomic.Uint64
 }
@@ -83,7 +62,7 @@
 	}
 }
 
-// Take implements proxy.Quotas.
+// Take asks for the permission to pass one call of a tenant; see proxy.Config.TakeQuota.
 func (q *quotas) Take(ctx context.Context, tenant *tenancy.Tenant) (bool, time.Duration) {
 	if !tenant.Quota.IsLimited() {
 		return true, 0
@@ -99,7 +78,7 @@
 	return passed, wait
 }
 
-// Return implements proxy.Quotas.
+// Return gives back the permission of a call that did not run; see proxy.Config.ReturnQuota.
 func (q *quotas) Return(tenant *tenancy.Tenant) {
 	if tenant.Quota.IsLimited() {
 		q.account(tenant.Name).Return()
@@ -214,103 +193,3 @@
 	since, unreachable := q.unreachableSince[id]
 	return unreachable && q.mesh.clock()-since >= takeoverDelay
 }
-
-// handleRequest answers a request for a lease.
-func (q *quotas) handleRequest(request *protocol.QuotaRequest) *protocol.QuotaReply {
-	tenant := q.tenant(request.Tenant)
-	key := counterKey{request.Tenant, quota.Shard{Index: request.Shard, Count: request.Shards}}
-	if tenant == nil || request.Wanted < 1 || !key.shard.IsValid() {
-		return &protocol.QuotaReply{}
-	}
-	if !q.isCounter(key) {
-		q.mutex.Lock()
-		defer q.mutex.Unlock()
-		delete(q.counters, key)
-		return &protocol.QuotaReply{}
-	}
-	if !tenant.Quota.IsLimited() {
-		return &protocol.QuotaReply{IsCounter: true, Tokens: request.Wanted}
-	}
-	lease := q.lease(key, tenant.Quota, request)
-	return &protocol.QuotaReply{IsCounter: true, Tokens: lease.Tokens, RetryAfter: lease.RetryAfter}
-}
-
-// lease leases tokens of a counter that this daemon keeps.
-func (q *quotas) lease(key counterKey, whole tenancy.Quota, request *protocol.QuotaRequest) quota.Lease {
-	daemons, now := key.shard.Daemons(q.mesh.daemonCount()), q.mesh.clock()
-	part := key.shard.Of(whole)
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	counter := q.counters[key]
-	if counter == nil {
-		counter = quota.NewCounter(now, part, key.shard.Tolerance(q.tolerance))
-		q.counters[key] = counter
-	}
-	return counter.Request(now, part, request.From, request.Wanted, daemons)
-}
-
-// isCounter reports whether this daemon keeps a counter: all daemons that rank before
-// it have been unreachable for takeoverDelay, and are still.
-func (q *quotas) isCounter(key counterKey) bool {
-	for _, candidate := range q.rankCounters(key) {
-		if candidate.ID == q.mesh.self.ID {
-			return true
-		}
-		if !q.isTakenOver(candidate.ID) {
-			q.verifyCounter(candidate)
-			return false
-		}
-	}
-	return false
-}
-
-// verifyCounter checks in the background whether a daemon that keeps counters answers, since a
-// peer has asked this daemon instead.
-func (q *quotas) verifyCounter(target dissemination.Peer) {
-	q.mesh.runInBackground(func() {
-		ctx, cancel := context.WithTimeout(q.mesh.context, quotaTimeout)
-		defer cancel()
-		// A request without a tenant leases nothing.
-		_, err := q.mesh.client.Call(ctx, target.Address, &protocol.QuotaRequest{Format: protocol.Format, From: q.mesh.self.ID})
-		q.recordAnswer(target.ID, err == nil)
-	})
-}
-
-// rankCounters returns the daemons that may keep a counter, best first.
-func (q *quotas) rankCounters(key counterKey) []dissemination.Peer {
-	q.mesh.mutex.Lock()
-	defer q.mesh.mutex.Unlock()
-	revision := q.mesh.roster.StructureRevision()
-	if ranked, cached := q.ranks.load(revision, key); cached {
-		return ranked
-	}
-	var candidates []dissemination.Peer
-	for _, member := range membership.RankForDuty(key.purpose(), q.mesh.roster.Where(membership.MayBeParent)) {
-		if len(candidates) < counterCandidates {
-			candidates = append(candidates, dissemination.Peer{ID: member.ID, Address: member.ControlAddress, Zone: member.Zone, Region: member.Region})
-		}
-	}
-	q.ranks.store(revision, key, candidates)
-	return candidates
-}
-
-// counterRanks caches the ranked daemons of each counter for one revision of the roster's structure.
-type counterRanks struct {
-	revision uint64
-	byKey    map[counterKey][]dissemination.Peer
-}
-
-func (c *counterRanks) load(revision uint64, key counterKey) ([]dissemination.Peer, bool) {
-	if c.revision != revision {
-		return nil, false
-	}
-	ranked, found := c.byKey[key]
-	return ranked, found
-}
-
-func (c *counterRanks) store(revision uint64, key counterKey, ranked []dissemination.Peer) {
-	if c.revision != revision || c.byKey == nil {
-		c.revision, c.byKey = revision, map[counterKey][]dissemination.Peer{}
-	}
-	c.byKey[key] = ranked
-}
