Soak: tenants, keys and quotas

Clients send requests of an open tenant, of a limited one that exceeds its quota, and with a key of nobody. Promises: a request runs for the tenant of its key, and the key goes no further; the limited tenant's requests keep to its quota in each window.

--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -77,7 +77,7 @@
 			prefix = workPrefix(on.service)
 		}
 		read.Target = fmt.Sprintf("%s%d?x=%%20%d", prefix, index, count)
-		return read
+		return withKey(read, count)
 	})
 }
 
--- a/internal/lab/soak/connection.go
+++ b/internal/lab/soak/connection.go
@@ -101,6 +101,7 @@
 	outgoing := make([]*http.Request, 0, len(requests))
 	for index := range requests {
 		requests[index].SentAt, requests[index].Deadline = now, patience
+		requests[index].setDefaultKey()
 		made, err := newRequest(on.address, requests[index])
 		if err != nil {
 			return answers
@@ -166,5 +167,9 @@
 func newRequest(address string, request Request) (*http.Request, error) {
 	made, err := standin.NewRequest(context.Background(), request.Method, address, host, request.Target, request.ID, patience,
 		strings.NewReader(request.Body))
-	return made, errors.Trace(err)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	made.Header.Set(standin.KeyHeader, standin.KeyLine(request.Key))
+	return made, nil
 }
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -142,9 +142,11 @@
 drain: {grace_seconds: %d}
 warm_up: {overage: %g, slack: %d}
 evacuations: {within_milliseconds: %d}
+quotas: {window_seconds: %g, overage: %g, slack: %d}
 `, made.name, made.region, made.zone, made.callers, gate, control, made.ready, made.reports, metrics,
 		made.gate.Address(), made.control.Address(), service, made.app, heartbeat.Milliseconds(), made.store.Address(),
-		int(stopGrace.Seconds()), coldOverage, coldSlack, evacuationBound.Milliseconds())
+		int(stopGrace.Seconds()), coldOverage, coldSlack, evacuationBound.Milliseconds(),
+		quotaWindow.Seconds(), quotaOverage, quotaSlack)
 	return made, errors.Trace(os.WriteFile(made.settings, []byte(text), 0o600))
 }
 
--- a/internal/lab/soak/oracle.go
+++ b/internal/lab/soak/oracle.go
@@ -45,7 +45,10 @@
 	Target     string
 	Body       string
 	Repeatable bool
-	SentAt     time.Time
+	// Key is the client's key, Tenant whose it is; empty for a key of nobody.
+	Key    string
+	Tenant string
+	SentAt time.Time
 	// Timeout is that of its route, Deadline the client's; both from SentAt.
 	Timeout  time.Duration
 	Deadline time.Duration
@@ -107,6 +110,8 @@
 	atCold      map[string][]time.Time
 	worked      map[string]time.Time
 	evacuations int
+	// limitedRuns are the runs for the limited tenant in the last window.
+	limitedRuns []time.Time
 	// latest is how long after an order a request judged by it reached its zone at most.
 	latest     time.Duration
 	restarts   int
@@ -221,6 +226,8 @@
 	o.checkRegion(request, arrival)
 	o.checkDrained(request, arrival)
 	o.checkHarm(request, arrival)
+	o.checkTenant(request, arrival)
+	o.checkQuota(request, arrival)
 	o.runs[arrival.ID] = append(o.runs[arrival.ID], &run{Arrival: arrival})
 	if !request.Repeatable {
 		o.exercised(promiseOfOnce, arrival.At)
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -268,6 +268,7 @@
 	s.operator.Lock()
 	s.newestConfiguration = standin.Configuration{
 		Version: s.version, Services: services, Routes: routes, WarmUpRate: coldRate, WarmUpSeconds: coldTime.Seconds(),
+		Tenants: tenants(),
 	}
 	s.store.Operate(s.newestConfiguration)
 	s.operator.Unlock()
