Proxy: load reports may have a fourth field

Back ends that share their machines add how long work takes there at the moment; a report with it was ignored as a whole, and with it the numbers of held calls by which hung calls are found. The fourth field itself is not used.

--- a/internal/proxy/edge.go
+++ b/internal/proxy/edge.go
@@ -28,7 +28,8 @@
 	// request.
 	NotExecuted string
 	// Load is the header in which back ends report their load with an answer: the numbers of
-	// running calls, of queued calls and of slots, separated by commas.
+	// running calls, of queued calls and of slots, separated by commas. A fourth field, which states how
+	// long work takes at the moment, is not used.
 	Load string
 	// CallerService is the header whose value is Service.
 	CallerService string
@@ -86,16 +87,21 @@
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
 
+// The numbers of fields that a value of the Load header may have.
+const (
+	minLoadFields = 3
+	maxLoadFields = 4
+)
+
 // ParseHeldCalls parses the value of the Load header and returns the number of running and queued
 // calls; false means that the value is missing or invalid.
 func ParseHeldCalls(text string) (int, bool) {
-	const fields = 3
 	parts := strings.Split(text, ",")
-	if len(parts) != fields {
+	if len(parts) < minLoadFields || len(parts) > maxLoadFields {
 		return 0, false
 	}
 	heldCalls := 0
-	for _, part := range parts[:fields-1] {
+	for _, part := range parts[:minLoadFields-1] {
 		count, err := strconv.Atoi(strings.TrimSpace(part))
 		if err != nil || count < 0 {
 			return 0, false
--- a/internal/proxy/identify_test.go
+++ b/internal/proxy/edge_test.go
@@ -40,6 +40,20 @@
 	check.Equal(keyEdge.refusalStatus(Refusal{Code: result.QuotaExceeded}), http.StatusTooManyRequests)
 }
 
+// Guards against reports that are ignored because they have a field more.
+func TestLoadIsReadWithThreeOrFourFields(t *testing.T) {
+	for text, wanted := range map[string]int{
+		"3,0,8": 3, "3, 2, 8": 5, "3,2,8,140": 5, "3,2,8,?": 5,
+		"": -1, "3,2": -1, "3,2,8,100,1": -1, "x,2,8": -1, "-1,2,8": -1, "3,,8": -1,
+	} {
+		held, isReported := ParseHeldCalls(text)
+		if !isReported {
+			held = -1
+		}
+		is.New(t).Equal(held, wanted)
+	}
+}
+
 // FuzzKeyHeader feeds header lines to the look-up of keys: only the one valid line finds the tenant.
 func FuzzKeyHeader(f *testing.F) {
 	directory, err := tenancy.NewDirectory([]tenancy.Tenant{{Name: "a", Keys: []tenancy.KeyDigest{tenancy.DigestOf("secret")}}})
