Quotas: the call that asked for a lease spends its first token

A call could be refused although a token was leased for it, if another call of the tenant took the token between the answer and the call's own attempt.

--- a/internal/core/quota/account.go
+++ b/internal/core/quota/account.go
@@ -92,16 +92,17 @@
 	return max(1, int(math.Round(a.rate*leaseAhead.Seconds())))
 }
 
-// Apply records the answer of the counter.
-func (a *Account) Apply(now time.Duration, lease Lease) {
+// Apply records the answer of the counter to a request that was made for a call, and reports whether
+// that call passes. It spends the call's token at once, so that no other call can take it.
+func (a *Account) Apply(now time.Duration, lease Lease) (passed bool) {
 	if lease.Tokens > 0 {
 		if int64(now) >= a.validUntil.Load() {
 			a.tokens.Store(0)
 		}
-		a.tokens.Add(int64(lease.Tokens))
+		a.tokens.Add(int64(lease.Tokens) - 1)
 		a.validUntil.Store(int64(now + leaseValidity))
 		a.refusedUntil.Store(0)
-		return
+		return true
 	}
 	refusal := min(lease.RetryAfter, maxRefusal)
 	if a.rate*leaseAhead.Seconds() >= 1 {
@@ -109,6 +110,7 @@
 	}
 	a.retryAt.Store(int64(now + max(lease.RetryAfter, refusal)))
 	a.refusedUntil.Store(int64(now + refusal))
+	return false
 }
 
 // TakeAlone spends a part of the daemon's own share of the quota, because the counter does not
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -80,7 +80,7 @@
 	account := NewAccount("t", "d")
 	decision, _ := account.Take(0)
 	check.Equal(decision, Undecided)
-	account.Apply(0, Lease{Tokens: 2})
+	check.True(account.Apply(0, Lease{Tokens: 3})) // spends one
 	decision, _ = account.Take(time.Millisecond)
 	check.Equal(decision, Passed)
 	account.Return()
@@ -90,7 +90,7 @@
 	}
 	decision, _ = account.Take(time.Millisecond)
 	check.Equal(decision, Undecided)
-	account.Apply(0, Lease{Tokens: 2})
+	check.True(account.Apply(0, Lease{Tokens: 2}))
 	decision, _ = account.Take(leaseValidity)
 	check.Equal(decision, Undecided)
 }
@@ -98,7 +98,7 @@
 func TestRefusalHoldsForItsTimeOnly(t *testing.T) {
 	check := is.New(t)
 	account := NewAccount("t", "d")
-	account.Apply(0, Lease{RetryAfter: 100 * time.Millisecond})
+	check.True(!account.Apply(0, Lease{RetryAfter: 100 * time.Millisecond}))
 	decision, wait := account.Take(40 * time.Millisecond)
 	check.Equal(decision, Refused)
 	check.Equal(wait, 60*time.Millisecond)
@@ -125,3 +125,13 @@
 		}
 	}
 }
+
+// Guards against a call that is refused although a token was leased for it, because another call has
+// taken the token meanwhile.
+func TestLeaseForOneCallIsSpentByThatCall(t *testing.T) {
+	check := is.New(t)
+	account := NewAccount("t", "d")
+	check.True(account.Apply(0, Lease{Tokens: 1}))
+	decision, _ := account.Take(time.Millisecond)
+	check.Equal(decision, Undecided)
+}
--- a/internal/hosted/quotas.go
+++ b/internal/hosted/quotas.go
@@ -121,9 +121,7 @@
 		wanted := max(account.Wanted(now), int(account.waiting.Load()))
 		if lease, answered := q.requestLease(ctx, tenant, wanted); answered {
 			account.Rejoin()
-			account.Apply(q.mesh.clock(), lease)
-			decision, wait := account.Take(q.mesh.clock())
-			return decision == quota.Passed, max(wait, lease.RetryAfter)
+			return account.Apply(q.mesh.clock(), lease), lease.RetryAfter
 		}
 		account.aloneUntil = q.mesh.clock() + contactRetryDelay
 	}
--- a/internal/lab/quotas/ways.go
+++ b/internal/lab/quotas/ways.go
@@ -85,9 +85,7 @@
 		return passed
 	}
 	account.Rejoin()
-	account.Apply(given.at, lease)
-	decision, _ := account.Take(given.at)
-	return decision == quota.Passed
+	return account.Apply(given.at, lease)
 }
 
 // request asks the tenant's counter, which may be cut off or down. A counter that was down since
