Hosted, platform: one piece of code where the change had written one again

The check of a counter repeats ask, which also has the longer timeout between regions; the mesh's wait group runs it, as others. Nothing else changes.

--- a/internal/hosted/broadcasting.go
+++ b/internal/hosted/broadcasting.go
@@ -138,12 +138,18 @@
 // ago. The lock is held.
 func (m *mesh) scheduleBroadcast(ids ...protocol.NodeID) {
 	wait, schedule := m.batch.Add(m.clock(), ids...)
+	m.runScheduled(wait, schedule, m.broadcastBatch)
+}
+
+// runScheduled runs the broadcast of a batch as dissemination.Batch.Add has scheduled it; the lock is
+// held.
+func (m *mesh) runScheduled(wait time.Duration, schedule bool, broadcast func()) {
 	switch {
 	case !schedule:
 	case wait == 0:
-		m.broadcastBatch()
+		broadcast()
 	default:
-		m.runAfter(wait, m.broadcastBatch)
+		m.runAfter(wait, broadcast)
 	}
 }
 
--- a/internal/hosted/harmful.go
+++ b/internal/hosted/harmful.go
@@ -78,13 +78,7 @@
 func (m *mesh) relayHarmful(records []quarantine.Record) {
 	keys := lo.Map(records, func(record quarantine.Record, _ int) uint64 { return record.Signature.Key() })
 	wait, schedule := m.harmfulBatch.Add(m.clock(), keys...)
-	switch {
-	case !schedule:
-	case wait == 0:
-		m.broadcastHarmfulBatch()
-	default:
-		m.runAfter(wait, m.broadcastHarmfulBatch)
-	}
+	m.runScheduled(wait, schedule, m.broadcastHarmfulBatch)
 }
 
 // broadcastHarmfulBatch sends the collected records to all daemons of the own zone; the lock is held.
--- a/internal/hosted/publishing.go
+++ b/internal/hosted/publishing.go
@@ -36,15 +36,6 @@
 	})
 }
 
-// runInBackground runs an action on a goroutine of its own, for which awaitStopped waits.
-func (m *mesh) runInBackground(action func()) {
-	m.running.Add(1)
-	go func() {
-		defer m.running.Done()
-		action()
-	}()
-}
-
 // runAfter runs an action after the given time, with the lock held, unless the daemon stops before.
 // It does not block.
 func (m *mesh) runAfter(wait time.Duration, action func()) {
--- a/internal/hosted/quotacounters.go
+++ b/internal/hosted/quotacounters.go
@@ -1,7 +1,6 @@
 package hosted
 
 import (
-	"context"
 	"strconv"
 	"time"
 
@@ -86,12 +85,9 @@
 // verifyCounter checks in the background whether a daemon that keeps counters answers, since a
 // peer has asked this daemon instead.
 func (q *quotas) verifyCounter(target dissemination.Peer) {
-	q.mesh.runInBackground(func() {
-		ctx, cancel := context.WithTimeout(q.mesh.context, quotaTimeout)
-		defer cancel()
+	q.mesh.running.Go(func() {
 		// A request without a tenant leases nothing.
-		_, err := q.mesh.client.Call(ctx, target.Address, &protocol.QuotaRequest{Format: protocol.Format, From: q.mesh.self.ID})
-		q.recordAnswer(target.ID, err == nil)
+		q.ask(q.mesh.context, target, &protocol.QuotaRequest{Format: protocol.Format, From: q.mesh.self.ID})
 	})
 }
 
