--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -102,6 +102,7 @@
 func (d *Daemon) logSummaries(ctx context.Context) {
 	var lastCounters proxy.Counters
 	var regions regionCheck
+	var lastMessages messageCounts
 	droppedBefore := uint64(0)
 	for pause.For(ctx, summaryInterval) {
 		counters := d.dataPath.Counters()
@@ -118,6 +119,7 @@
 		}
 		lastCounters = counters
 		d.logStoreSummary()
+		lastMessages = d.logPeerSummary(lastMessages)
 		regions.logUnknownRegions(d.configuration.currentSnapshot.Load(), d.mesh.knownRegions(), d.events)
 		if total := d.linesDropped(); total != droppedBefore {
 			d.events.event("log_lines_dropped", field("lines", formatCount(total-droppedBefore)))
@@ -144,6 +146,18 @@
 	d.events.event("store_summary", fields...)
 }
 
+// logPeerSummary logs the number of requests received from peers since the last summary, by kind, and
+// returns the counts for the next one.
+func (d *Daemon) logPeerSummary(last messageCounts) messageCounts {
+	counts := d.mesh.messages.receivedCounts()
+	fields := make([]eventField, 0, messageKindCount)
+	for kind, name := range messageKindNames {
+		fields = append(fields, field(name, formatCount(counts[kind]-last[kind])))
+	}
+	d.events.event("peers_summary", fields...)
+	return counts
+}
+
 // linesDropped returns the number of log lines dropped since the start, by the rate limits on events
 // and requests and by the log output.
 func (d *Daemon) linesDropped() uint64 {
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -61,6 +61,7 @@
 	connections *connectionRenewer
 	eras        *eraTracker
 	client      *control.Client
+	messages    peerMessages
 	// publishState passes the records of all daemons and the orders to the data path.
 	publishState func(proxy.MeshState)
 	harmful      harmfulRequests
@@ -246,7 +247,7 @@
 	ctx, cancel := context.WithTimeout(m.context, controlTimeout)
 	defer cancel()
 	sentAt := m.clock()
-	body, err := m.client.Call(ctx, target.Address, request)
+	body, err := m.sendRequest(ctx, target.Address, request)
 	if m.context.Err() != nil {
 		return nil
 	}
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -16,6 +16,7 @@
 	registry := metrics.NewRegistry(collector{daemon: d}, d.timings.Collectors()...)
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	mux.Handle("GET /metrics/brief", metrics.BriefHandler(registry))
 	return mux
 }
 
@@ -45,6 +46,7 @@
 	metrics.Members.Send(out, float64(c.daemon.mesh.daemonCount()))
 	metrics.PeersLost.Send(out, float64(c.daemon.mesh.lostPeerCount()))
 	metrics.LogLinesDropped.Send(out, float64(c.daemon.linesDropped()))
+	c.daemon.mesh.messages.collect(out)
 	for call, count := range c.daemon.storeCalls.snapshot() {
 		metrics.StoreCalls.Send(out, float64(count), string(call.purpose), strconv.Itoa(int(call.code)), call.code.Name())
 	}
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -11,6 +11,7 @@
 
 // HandlePeer implements control.Handler. It answers requests of other daemons.
 func (m *mesh) HandlePeer(_ context.Context, _ control.Peer, body any) (any, error) {
+	m.messages.recordReceived(body)
 	switch request := body.(type) {
 	case *protocol.ExchangeRequest:
 		if request.Format != protocol.Format {
@@ -93,7 +94,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, documentTimeout)
 	defer cancel()
 	request := &protocol.DocumentRequest{Format: protocol.Format, From: m.self.ID, Have: have}
-	body, err := m.client.Call(callCtx, target.Address, request)
+	body, err := m.sendRequest(callCtx, target.Address, request)
 	reply, isReply := body.(*protocol.DocumentReply)
 	if err != nil || !isReply || reply.Version == 0 {
 		return authority.Document{}
--- a/internal/hosted/quotas.go
+++ b/internal/hosted/quotas.go
@@ -159,7 +159,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	body, err := q.mesh.client.Call(ctx, target.Address, request)
+	body, err := q.mesh.sendRequest(ctx, target.Address, request)
 	reply, _ := body.(*protocol.QuotaReply)
 	if err != nil {
 		reply = nil
--- a/internal/hosted/rolloutevidence.go
+++ b/internal/hosted/rolloutevidence.go
@@ -60,7 +60,7 @@
 	}
 	ctx, cancel := context.WithTimeout(m.context, controlTimeout)
 	defer cancel()
-	body, err := m.client.Call(ctx, gate.peer.Address, request)
+	body, err := m.sendRequest(ctx, gate.peer.Address, request)
 	reply, isReply := body.(*protocol.EvidenceReply)
 	if err != nil || !isReply {
 		return nil
--- a/internal/hosted/verify.go
+++ b/internal/hosted/verify.go
@@ -181,10 +181,10 @@
 	m.mutex.Unlock()
 	request.Push = true
 	sentAt := m.clock()
-	_, err := m.client.Call(ctx, target.Address, request)
+	_, err := m.sendRequest(ctx, target.Address, request)
 	if err != nil && ctx.Err() == nil {
 		sentAt = m.clock()
-		_, err = m.client.Call(ctx, target.Address, request)
+		_, err = m.sendRequest(ctx, target.Address, request)
 	}
 	if err == nil {
 		m.roundTrips.Observe(m.clock() - sentAt)
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -127,6 +127,10 @@
 	QuotaCountersLost = define(Gauge, "quota_counters_lost",
 		"Daemons that keep counters of quotas and did not answer when they were last asked.",
 		"Above 0 for more than some seconds: this daemon serves a small share of some quotas only.")
+	PeerMessages = define(Counter, "peer_messages_total",
+		"Requests between daemons that follow an external authority, by kind and direction.",
+		"One kind far above its calm rate: see OPERATIONS.md, daemons that are busy with each other.",
+		"kind", "direction")
 	PeersLost = define(Gauge, "peers_lost",
 		"Daemons that did not answer when they were last asked.",
 		"Many at once: a link or a zone is lost.")
