--- a/internal/core/admission/call.go
+++ b/internal/core/admission/call.go
@@ -116,5 +116,5 @@
 	return int(min(max(t.Priority, resource.PriorityLow), resource.CallPriorityCount-1))
 }
 
-// coldClass returns the class by which calls to a cold back end are limited.
-func (t *Ticket) coldClass() int { return int(t.Priority.Class()) }
+// startClass returns the class by which the starts of calls are limited.
+func (t *Ticket) startClass() int { return int(t.Priority.Class()) }
--- a/internal/core/admission/cold_test.go
+++ b/internal/core/admission/cold_test.go
@@ -86,7 +86,7 @@
 	gate := coldGate(6, 1)
 	offer(gate, afterFirstWindow, Call{})
 	again := Call{Request: 7, Deadline: time.Hour}
-	_, refused := gate.RefuseIfCold(afterFirstWindow, NewTicket(again, nil))
+	_, refused := gate.RefuseEarly(afterFirstWindow, NewTicket(again, nil))
 	check.True(refused)
 	check.Equal(offer(gate, 2*afterFirstWindow, again).code, result.AlreadyStarted)
 }
--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/springstack/springstack/internal/core/callclass"
+	"github.com/springstack/springstack/internal/core/ratelimit"
 	"github.com/springstack/springstack/internal/core/warmup"
 	"github.com/springstack/springstack/internal/result"
 )
@@ -66,6 +67,8 @@
 	keys     *FingerprintSet
 	// coldLimiter limits the starts while the back end is cold.
 	coldLimiter *warmup.Limiter
+	// rateLimiter limits the starts to the rate that the back end states.
+	rateLimiter ratelimit.Limiter
 
 	mutex    sync.Mutex
 	queue    queue
@@ -163,8 +166,8 @@
 	if ticket.Deadline <= now {
 		return refused(result.DeadlineBeforeStart, 0)
 	}
-	if wait := g.ColdWait(now, ticket); wait > 0 {
-		return refused(result.WarmingUp, wait)
+	if decision, isRefused := g.checkStartLimits(now, ticket); isRefused {
+		return decision
 	}
 	if !g.acquire() {
 		return g.enqueue(now, ticket)
@@ -191,12 +194,12 @@
 	}
 }
 
-// recordStart counts the start of a call in the cold limiter, adds the call's key to
+// recordStart counts the start of a call in the limits of the back end, adds the call's key to
 // keys and its expected service time to runningWork. If it returns a refusal, the
-// call must not start; if keys caused the refusal, the cold limiter still counts it.
+// call must not start; if keys caused the refusal, the limits still count it.
 func (g *Gate) recordStart(now time.Duration, ticket *Ticket) Decision {
-	if wait := g.coldLimiter.TryStart(now, ticket.coldClass()); wait > 0 {
-		return refused(result.WarmingUp, wait)
+	if limited, isRefused := g.tryStart(now, ticket); isRefused {
+		return limited
 	}
 	ticket.startedAt = now
 	decision := register(g.keys, now, ticket.Key)
--- a/internal/core/backend/backend.go
+++ b/internal/core/backend/backend.go
@@ -36,6 +36,8 @@
 	slots     int
 	software  string
 	coldTimes coldTimes
+	// callRate is the number of calls per second that the running start states to accept; 0 if none.
+	callRate float64
 	// draining is true once the running start has reported that it drains or leaves. It is never
 	// reset for the same start.
 	draining bool
@@ -173,6 +175,7 @@
 	t.unconfirmed = true
 	t.sequence = 0
 	t.coldTimes = coldTimes{byAssumption: t.coldTimes.byAssumption}
+	t.callRate = 0
 	t.draining = false
 	t.down = true
 	t.outlier = outlierDetector{succeeded: t.outlier.succeeded}
@@ -255,6 +258,14 @@
 	return start == t.running && t.outlier.recordFailure(now, succeeded)
 }
 
+// SetCallRate sets the number of calls per second that a start states to accept; 0 if it states none.
+// The statement of another start than the running one is ignored.
+func (t *Tracker) SetCallRate(start protocol.BackendStart, perSecond float64) {
+	if start == t.running {
+		t.callRate = perSecond
+	}
+}
+
 // RecordAnswer records that the back end has answered a call.
 func (t *Tracker) RecordAnswer(now time.Duration) { t.lastActivityAt = max(t.lastActivityAt, now) }
 
@@ -270,6 +281,8 @@
 	State    protocol.EndpointState
 	// ColdUntil is the time, on the daemon's clock, until which the start is cold; 0 if it is warm.
 	ColdUntil time.Duration
+	// CallRate is the number of calls per second that the start states to accept; 0 if none.
+	CallRate float64
 	// EarlierCrashed is true if the start was confirmed as the replacement of one that had ended
 	// without a drain or leave. No call sent to that earlier one can still be running.
 	EarlierCrashed bool
@@ -279,7 +292,7 @@
 // one.
 func (t *Tracker) View(now time.Duration) View {
 	view := View{
-		Start: t.running, Slots: t.slots, Software: t.software,
+		Start: t.running, Slots: t.slots, Software: t.software, CallRate: t.callRate,
 		EarlierCrashed: t.previousCrashed && !t.unconfirmed,
 	}
 	if until := t.coldTimes.coldUntil(); now < until {
--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -122,8 +122,8 @@
 		return nil
 	}
 	second := firstUsableFrom(tier, low, now, tried, excluded, first)
-	if second != nil && first.isCold() != second.isCold() {
-		return pickWarmOrCold(first, second, now, random)
+	if second != nil && first.isLimited() != second.isLimited() {
+		return pickWithLimited(first, second, now, random)
 	}
 	if second == nil || first.preferredOver(second, now, random) {
 		return first
--- a/internal/core/endpoint/cold.go
+++ b/internal/core/endpoint/cold.go
@@ -12,12 +12,35 @@
 // divided by this share.
 const minColdShare = 0.02
 
-// isCold reports whether the endpoint is warming up and its service configures a cold rate.
-func (e *Endpoint) isCold() bool { return e.ColdRate > 0 && e.State == protocol.EndpointWarming }
+// statedRateOffer is the factor by which callers offer more calls than a back end states to accept.
+const statedRateOffer = 2
 
-// RecordColdRefusal records that the gate refused a call because its back end is cold, and the
-// time until it accepts one of the same class. Until then it refuses lower classes as well.
-func (e *Endpoint) RecordColdRefusal(now, wait time.Duration, class int) {
+// isLimited reports whether the gate limits the starts of calls at the endpoint.
+func (e *Endpoint) isLimited() bool { return e.limit() > 0 }
+
+// limit returns the calls per second to which the gate limits the endpoint: the rate that the back end
+// states, or the cold rate of its service while it is warming up, whichever is lower; 0 if there is no
+// limit.
+func (e *Endpoint) limit() float64 {
+	if e.ColdRate > 0 && e.State == protocol.EndpointWarming && (e.CallRate == 0 || e.ColdRate < e.CallRate) {
+		return e.ColdRate
+	}
+	return e.CallRate
+}
+
+// offeredRate returns the calls per second that callers offer to a limited endpoint. Calls arrive at random
+// moments, so a rate that a back end states is only used up if some more are offered; what its gate
+// refuses goes elsewhere at once.
+func (e *Endpoint) offeredRate() float64 {
+	if e.CallRate > 0 {
+		return e.limit() * statedRateOffer
+	}
+	return e.limit()
+}
+
+// RecordStartRefusal records that the gate refused a call because it limits the starts at its back end,
+// and the time until it accepts one of the same class. Until then it refuses lower classes as well.
+func (e *Endpoint) RecordStartRefusal(now, wait time.Duration, class int) {
 	until := int64(now + min(max(wait, 0), notAcceptingPeriod))
 	for refusedClass := range warmup.ClampClass(class) + 1 {
 		e.stats.coldUntil[refusedClass].Store(until)
@@ -36,17 +59,22 @@
 	return e.isNotAccepting(now) || e.coldWait(now, 0) > 0
 }
 
-// coldCapacityShare returns the capacity of a cold endpoint as a fraction of its capacity when
-// warm.
-func (e *Endpoint) coldCapacityShare() float64 {
-	if !e.isCold() {
+// limitedCapacityShare returns the capacity of an endpoint with limited starts as a fraction of its
+// capacity without a limit; 1 if it has none.
+func (e *Endpoint) limitedCapacityShare() float64 {
+	if !e.isLimited() {
 		return 1
 	}
 	serviceTime := time.Duration(e.stats.serviceTime.Load())
 	if serviceTime <= 0 {
 		return initialShare
 	}
-	return min(max(e.ColdRate*serviceTime.Seconds()/float64(max(e.Slots, 1)), minColdShare), 1)
+	slots := float64(max(e.Slots, 1))
+	minShare := minColdShare
+	if e.CallRate > 0 {
+		minShare = 1 / slots // room for one call, or short calls would all go elsewhere
+	}
+	return min(max(e.limit()*serviceTime.Seconds()/slots, minShare), 1)
 }
 
 // callRate returns the calls per second that the endpoint receives from all callers, by Little's
@@ -59,26 +87,38 @@
 	return e.calls(now) / serviceTime.Seconds()
 }
 
-// pickWarmOrCold picks between a cold endpoint and a warm one. Each endpoint is in a pair drawn
-// by betterOfTwo about twice as often as a warm endpoint is chosen. The cold endpoint
-// therefore receives ColdRate if it is picked from its pairs with the probability ColdRate
-// divided by twice the call rate of the warm endpoint.
-func pickWarmOrCold(first, second *Endpoint, now time.Duration, random uint64) *Endpoint {
-	warm, cold := first, second
-	if first.isCold() {
-		warm, cold = second, first
+// pickWithLimited picks between an endpoint with limited starts and one without. Each endpoint is in a
+// pair drawn by betterOfTwo about twice as often as an endpoint without a limit is chosen. The limited
+// endpoint therefore receives its offered rate if it is picked from its pairs with the probability of that
+// rate divided by twice the call rate of the other one.
+func pickWithLimited(first, second *Endpoint, now time.Duration, random uint64) *Endpoint {
+	unlimited, limited := first, second
+	if first.isLimited() {
+		unlimited, limited = second, first
 	}
 	probability := initialShare
-	if rate := warm.callRate(now); rate > 0 {
-		probability = cold.ColdRate / rate / 2
+	if rate := unlimited.callRate(now); rate > 0 {
+		probability = limited.offeredRate() / rate / 2
 	}
 	if uniformFloat(bits.RotateLeft64(random, 16)) < probability {
-		return cold
+		return limited
+	}
+	return unlimited
+}
+
+// StatesCallRate reports whether the back end of a usable endpoint states how many calls it accepts.
+func (s *Set) StatesCallRate() bool {
+	for _, tier := range s.tiers {
+		for _, candidate := range tier {
+			if candidate.CallRate > 0 {
+				return true
+			}
+		}
 	}
-	return warm
+	return false
 }
 
-// ColdWait returns the shortest time until a cold endpoint may accept a call of the lowest
+// ColdWait returns the shortest time until an endpoint with limited starts may accept a call of the lowest
 // class; 0 if an endpoint may accept one now or if none is left. Ejected endpoints and those
 // that accept no calls are ignored.
 func (s *Set) ColdWait(now time.Duration) time.Duration {
--- a/internal/core/endpoint/cold_test.go
+++ b/internal/core/endpoint/cold_test.go
@@ -55,7 +55,7 @@
 func TestColdRefusalExcludesTheEndpointForItsDuration(t *testing.T) {
 	check := is.New(t)
 	set := coldSet(2, 2, 4.5)
-	set.All[0].RecordColdRefusal(0, time.Second, urgent)
+	set.All[0].RecordStartRefusal(0, time.Second, urgent)
 	check.Equal(countChoices(set, time.Second-1, 100)["b0"], 0)
 	check.True(countChoices(set, time.Second, 100)["b0"] > 0)
 }
@@ -64,7 +64,7 @@
 	check := is.New(t)
 	set := coldSet(3, 3, 4.5)
 	for index, endpoint := range set.All {
-		endpoint.RecordColdRefusal(0, time.Duration(index+1)*time.Second, urgent)
+		endpoint.RecordStartRefusal(0, time.Duration(index+1)*time.Second, urgent)
 	}
 	tried := Tried{set.All[0]}
 	check.Equal(set.Choose(0, 7, nil), nil)
@@ -77,8 +77,8 @@
 func TestUnreachableEndpointIsNotChosenInsteadOfColdOnes(t *testing.T) {
 	check := is.New(t)
 	set := coldSet(3, 2, 4.5)
-	set.All[0].RecordColdRefusal(0, time.Second, urgent)
-	set.All[1].RecordColdRefusal(0, time.Second, urgent)
+	set.All[0].RecordStartRefusal(0, time.Second, urgent)
+	set.All[1].RecordStartRefusal(0, time.Second, urgent)
 	set.All[2].SetReachable(false)
 	check.Equal(set.Choose(0, 7, nil), nil)
 	check.Equal(set.ColdWait(0), time.Second)
@@ -89,7 +89,7 @@
 	check := is.New(t)
 	backends, members := fixture(home.Zone, "next")
 	set := Build(nil, Locality{Region: home.Region, Zone: home.Zone, ColdRate: 4.5}, backends, members, 0)
-	set.All[0].RecordColdRefusal(0, time.Second, urgent)
+	set.All[0].RecordStartRefusal(0, time.Second, urgent)
 	check.True(set.Choose(0, rand.Uint64(), nil) == set.All[1])
 	check.Equal(set.ColdWait(0), time.Duration(0))
 }
@@ -97,9 +97,9 @@
 func TestColdRefusalDurationIsBounded(t *testing.T) {
 	check := is.New(t)
 	set := coldSet(1, 1, 4.5)
-	set.All[0].RecordColdRefusal(0, 1000*time.Hour, urgent)
+	set.All[0].RecordStartRefusal(0, 1000*time.Hour, urgent)
 	check.True(set.Choose(notAcceptingPeriod, 7, nil) != nil)
-	set.All[0].RecordColdRefusal(0, -time.Hour, urgent)
+	set.All[0].RecordStartRefusal(0, -time.Hour, urgent)
 	check.True(set.Choose(0, 7, nil) != nil)
 }
 
@@ -114,13 +114,13 @@
 func TestChooseColdReturnsAnEndpointThatRefusedALowerClass(t *testing.T) {
 	check := is.New(t)
 	set := coldSet(2, 2, 4.5)
-	set.All[0].RecordColdRefusal(0, time.Second, urgent)
-	set.All[1].RecordColdRefusal(0, time.Second, low)
+	set.All[0].RecordStartRefusal(0, time.Second, urgent)
+	set.All[1].RecordStartRefusal(0, time.Second, low)
 	check.Equal(set.Choose(0, 7, nil), nil)
 	check.True(set.ChooseCold(0, 7, nil, urgent) == set.All[1])
 	check.Equal(set.ChooseCold(0, 7, nil, low), nil)
 	check.Equal(set.ChooseCold(0, 7, Tried{set.All[1]}, urgent), nil)
-	set.All[1].RecordColdRefusal(0, time.Second, urgent)
+	set.All[1].RecordStartRefusal(0, time.Second, urgent)
 	check.Equal(set.ChooseCold(0, 7, nil, urgent), nil)
 }
 
@@ -128,7 +128,7 @@
 	check := is.New(t)
 	set := coldSet(2, 2, 4.5)
 	for _, endpoint := range set.All {
-		endpoint.RecordColdRefusal(0, time.Second, low)
+		endpoint.RecordStartRefusal(0, time.Second, low)
 	}
 	set.All[0].SetReachable(false)
 	set.All[1].Begin()
--- a/internal/core/endpoint/endpoint.go
+++ b/internal/core/endpoint/endpoint.go
@@ -69,6 +69,8 @@
 	// ColdRate is the calls per second that the back end can serve while it is cold; 0
 	// if not configured.
 	ColdRate float64
+	// CallRate is the calls per second that the back end states to accept; 0 if it states none.
+	CallRate float64
 	// Doubted is set while the daemon is suspected to have failed or has no member
 	// record yet.
 	Doubted bool
@@ -262,8 +264,8 @@
 // initialShare to 1 during the warm-up.
 func (e *Endpoint) capacityShare(now time.Duration) float64 {
 	age := now - time.Duration(e.stats.warmUpStartedAt.Load())
-	if e.ColdRate > 0 {
-		return e.coldCapacityShare()
+	if e.ColdRate > 0 || e.CallRate > 0 {
+		return e.limitedCapacityShare()
 	}
 	if age >= warmUpPeriod && e.State != protocol.EndpointWarming {
 		return 1
--- a/internal/core/endpoint/node_test.go
+++ b/internal/core/endpoint/node_test.go
@@ -34,7 +34,7 @@
 	check := is.New(t)
 	backends, members := fixture(sameZone(1)...)
 	set := Build(nil, home, backends, members, 0)
-	set.ChooseOnNode(0, "b0", nil).RecordColdRefusal(0, time.Second, 0)
+	set.ChooseOnNode(0, "b0", nil).RecordStartRefusal(0, time.Second, 0)
 	check.Equal(set.ChooseOnNode(0, "b0", nil), nil)
 	check.True(set.ChooseOnNode(time.Second, "b0", nil) != nil)
 }
--- a/internal/core/endpoint/set.go
+++ b/internal/core/endpoint/set.go
@@ -151,6 +151,7 @@
 	endpoint.Slots = cmp.Or(member.Slots, endpoint.Slots)
 	endpoint.Software = member.Software
 	endpoint.Born = member.Born
+	endpoint.CallRate = member.CallRate
 	return endpoint, endpoint.State.AcceptsCalls()
 }
 
--- a/internal/core/protocol/protocol.go
+++ b/internal/core/protocol/protocol.go
@@ -143,6 +143,9 @@
 	// CapacityClass grows with the processor time that the machine has; see
 	// settings.HostedMachine. It ranks daemons for costly duties; 0 if unknown.
 	CapacityClass uint8 `cbor:"18,keyasint,omitempty"`
+	// CallRate is the number of calls per second that the back end states to accept; 0 if it states
+	// none. Small changes are not published.
+	CallRate float64 `cbor:"19,keyasint,omitempty"`
 }
 
 // BackendStart identifies the instance of the local back end.
--- a/internal/core/retry/call.go
+++ b/internal/core/retry/call.go
@@ -172,7 +172,7 @@
 	case c.mayRelocate(outcome):
 		c.relocations++
 		return c.resend(now, outcome)
-	case refusedAsCold(outcome):
+	case refusedForStarts(outcome):
 		return c.refuseFor(outcome) // another gate is probably cold as well
 	case c.policy.NoRetry || c.attempts-c.relocations >= c.policy.Attempts:
 		return c.refuseFor(outcome)
--- a/internal/core/retry/outcome.go
+++ b/internal/core/retry/outcome.go
@@ -54,15 +54,22 @@
 	}
 	switch outcome.Code {
 	case result.Draining, result.WrongBackend, result.ZoneEvacuated, result.WarmingUp,
-		result.RegionNotAllowed:
+		result.BackendLimited, result.RegionNotAllowed:
 		return true
 	}
 	return false
 }
 
-// refusedAsCold reports whether the gate refused the call because its back end is cold.
-func refusedAsCold(outcome Outcome) bool {
-	return outcome.Kind == Refused && outcome.Code == result.WarmingUp
+// refusedForStarts reports whether the gate refused the call because it limits the starts at its back
+// end.
+func refusedForStarts(outcome Outcome) bool {
+	return outcome.Kind == Refused && LimitsStarts(outcome.Code)
+}
+
+// LimitsStarts reports whether a gate refuses with the code while it limits the starts of calls at its
+// back end: the back end is cold, or states how many calls a second it accepts.
+func LimitsStarts(code result.Code) bool {
+	return code == result.WarmingUp || code == result.BackendLimited
 }
 
 // impliesNotRun reports whether the code states that the call did not run. Unknown codes
--- a/internal/core/warmup/collapse_test.go
+++ b/internal/core/warmup/collapse_test.go
@@ -201,7 +201,7 @@
 func (s *simulatedService) handleDecision(c *call, chosen *endpoint.Endpoint, b *simulatedBackend, restarts int, ticket *admission.Ticket, decision admission.Decision) {
 	if decision.State == admission.StateRefused {
 		if decision.Code == result.WarmingUp {
-			chosen.RecordColdRefusal(s.now, decision.RetryAfter, warmup.ClassCount-1)
+			chosen.RecordStartRefusal(s.now, decision.RetryAfter, warmup.ClassCount-1)
 			chosen.End(s.now, endpoint.Cancelled)
 		} else {
 			chosen.End(s.now, endpoint.Overloaded)
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -78,6 +78,8 @@
 		cold = 1
 	}
 	metrics.BackendCold.Send(out, cold)
+	metrics.BackendCallLimit.Send(out, counters.CallRate)
+	metrics.BackendNoticeFaults.Send(out, float64(counters.NoticeFaults))
 	for reason, count := range counters.Abandoned {
 		metrics.AttemptsAbandoned.Send(out, float64(count), reason.String())
 	}
--- a/internal/hosted/backendside.go
+++ b/internal/hosted/backendside.go
@@ -77,6 +77,8 @@
 	// warmUpTime returns how long back ends of the service are cold after a start; 0 while
 	// no configuration is in force.
 	warmUpTime func() time.Duration
+	// callRate returns the number of calls per second that the back end states to accept; 0 if none.
+	callRate func() float64
 	// isZoneEvacuated reports whether an order to evacuate the daemon's zone is in force.
 	isZoneEvacuated func() bool
 	// onEvacuationEnd, unless nil, is called with the lock held before the back end accepts
@@ -112,6 +114,18 @@
 	b.publishView()
 }
 
+// updateCallRate publishes the number of calls per second that a start states to accept. It reads the
+// present number under the lock, so that an earlier one is never published after a later one.
+func (b *backendMonitor) updateCallRate(start protocol.BackendStart) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	perSecond := b.config.callRate()
+	b.tracker.SetCallRate(start, perSecond)
+	b.events.event("backend_limited", field("instance", start.Instance), startTimeField(start.Born),
+		field("per_second", strconv.FormatFloat(perSecond, 'g', 6, 64)))
+	b.publishView()
+}
+
 // RecordRefusal implements ReportHandler. Any client can send invalid reports, so these log lines
 // have a rate limit of their own.
 func (b *backendMonitor) RecordRefusal(instance string, failure *result.Error) {
--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -119,6 +119,7 @@
 		Spill:                spilloverLimits,
 		OnBackendUnreachable: d.reportUnreachable,
 		OnBackendFailed:      d.reportFailed,
+		OnCallRate:           d.reportCallRate,
 		OnSilent:             d.verifyPeer,
 		OnHarmful:            d.announceHarmful,
 		OnHeld:               d.storeHeldRequest,
@@ -168,6 +169,8 @@
 	d.backend.recordFailure(start, successCount)
 }
 
+func (d *Daemon) reportCallRate(start protocol.BackendStart) { d.backend.updateCallRate(start) }
+
 func (d *Daemon) logDataPathEvent(event proxy.Event) {
 	d.events.event(event.Name, dataPathFields(event)...)
 }
--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -201,6 +201,7 @@
 	m.self.Slots = view.Slots
 	m.self.Software = view.Software
 	m.self.Endpoint = view.State
+	m.self.CallRate = view.CallRate
 	m.announceSelf()
 }
 
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -245,6 +245,7 @@
 			},
 			knowsPeersAndOrders: d.knowsPeersAndOrders,
 			isZoneEvacuated:     m.isOwnZoneEvacuated,
+			callRate:            path.CallRate,
 		},
 		events:           d.events,
 		clock:            d.clock,
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -68,6 +68,12 @@
 	BackendCold = define(Gauge, "backend_cold",
 		"1 while the gate bounds the starts of calls, since its back end is cold, else 0.",
 		"On most daemons of a service: it has little to give; see refusals_total with name warming_up.")
+	BackendCallLimit = define(Gauge, "backend_call_limit",
+		"Calls per second that the back end states to accept from all daemons together; 0 if it states none.",
+		"Above 0 for long: the back end is in need; see refusals_total with name backend_limited.")
+	BackendNoticeFaults = define(Counter, "backend_notice_faults_total",
+		"Answers of the back end with an invalid statement of its limit or of its leaving.",
+		"Rising: see the line backend_notice_refused, and correct the back end.")
 	Refusals = define(Counter, "refusals_total",
 		"Calls refused, by result code.",
 		"Look the code up in RESULT-CODES.md.",
--- a/internal/proxy/attemptoutcome.go
+++ b/internal/proxy/attemptoutcome.go
@@ -55,7 +55,7 @@
 	case current.outcome.Code == result.RegionNotAllowed:
 		c.applyGateRegions(current.exchange.answer)
 		return set.InRegions(c.regions).HasUntried(now, c.triedEndpoints)
-	case current.outcome.Code == result.WarmingUp:
+	case retry.LimitsStarts(current.outcome.Code):
 		return set.HasUntried(now, c.triedEndpoints) || set.ChooseCold(now, 0, c.triedEndpoints, c.priorityClass()) != nil
 	}
 	return set.HasUntried(now, c.triedEndpoints)
@@ -126,9 +126,9 @@
 	switch current.outcome.Code {
 	case result.Draining, result.WrongBackend, result.ZoneEvacuated:
 		current.endpointOutcome = endpoint.NotAccepting
-	case result.WarmingUp:
+	case result.WarmingUp, result.BackendLimited:
 		current.endpointOutcome = endpoint.Cancelled
-		current.endpoint.RecordColdRefusal(c.proxy.config.Clock(), current.outcome.RetryAfter, c.priorityClass())
+		current.endpoint.RecordStartRefusal(c.proxy.config.Clock(), current.outcome.RetryAfter, c.priorityClass())
 	case result.QueueFull, result.DeadlineBeforeStart, result.Shed, result.ShareExceeded, result.Overloaded:
 		current.endpointOutcome = endpoint.Overloaded
 	case result.ConnectFailed:
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -49,6 +49,8 @@
 	switch {
 	case set.BlockedByEvacuation():
 		outcome.Code = result.ZoneEvacuated
+	case outcome.RetryAfter > 0 && set.StatesCallRate():
+		outcome.Code = result.BackendLimited
 	case outcome.RetryAfter > 0:
 		outcome.Code = result.WarmingUp
 	case c.regions.Restricted():
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -38,6 +38,10 @@
 	Refusals map[result.Code]uint64
 	// Cold is set while the gate limits the starts of calls because the back end is cold.
 	Cold bool
+	// CallRate is the number of calls per second that the back end states to accept, 0 if none, and
+	// NoticeFaults the number of its answers with an invalid statement about itself.
+	CallRate     float64
+	NoticeFaults uint64
 	// BackendEnds counts the ends of the back end during calls.
 	BackendEnds uint64
 	// IsolatedCalls counts the calls that ran alone because their request was suspected.
@@ -112,6 +116,8 @@
 		counters.GateRunning = load.Running
 		counters.Cold = p.gate.IsColdLimited(p.config.Clock())
 		counters.GateQueued = load.Queued
+		counters.CallRate = p.gate.CallRate()
+		counters.NoticeFaults = p.notices.faults.Load()
 		counters.BodiesWaiting = int(p.bodyQueue.waitingBodies.Load())
 		counters.GateService = p.gate.MeanServiceTime()
 		counters.BackendOpen = p.backend.openConns.count()
--- a/internal/proxy/edge.go
+++ b/internal/proxy/edge.go
@@ -31,6 +31,9 @@
 	// running calls, of queued calls and of slots, separated by commas. A fourth field, which states how
 	// long work takes at the moment, is not used.
 	Load string
+	// CallRate is the header of answers in which a back end states how many calls per second it accepts
+	// from all daemons together, for as long as its answers state it.
+	CallRate string
 	// CallerService is the header whose value is Service.
 	CallerService string
 	// Key is the header that carries a caller's API key, after KeyScheme and a space. It is not
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -115,12 +115,12 @@
 }
 
 // refuseEarly reports whether a call is refused before its body is read. An early refusal costs the
-// sender nothing, and while the back end is cold most bodies would be sent only to be refused.
+// sender nothing, and while starts are limited most bodies would be sent only to be refused.
 func (c *gateCall) refuseEarly(now time.Duration) (Refusal, bool) {
 	if code := c.proxy.gate.RefusalCode(); code != result.OK {
 		return Refusal{Code: code}, true
 	}
-	decision, refused := c.proxy.gate.RefuseIfCold(now, c.ticket)
+	decision, refused := c.proxy.gate.RefuseEarly(now, c.ticket)
 	return refusalFor(decision), refused
 }
 
--- a/internal/proxy/gatesend.go
+++ b/internal/proxy/gatesend.go
@@ -41,7 +41,11 @@
 	detector := &c.proxy.hangDetector
 	cell := detector.watch(current)
 	defer detector.unwatch(cell)
-	return c.proxy.backend.send(c.context, c.newBackendRequest(), c.relay, c.proxy.config.Edge)
+	sentExchange := c.proxy.backend.send(c.context, c.newBackendRequest(), c.relay, c.proxy.config.Edge)
+	if sentExchange.answer != nil {
+		c.proxy.observeNotices(c.start, current.sentAt, sentExchange.answer.Header)
+	}
+	return sentExchange
 }
 
 // newBackendRequest returns the request to the back end. Of springstack's headers it carries only
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -43,6 +43,8 @@
 	// rolloutAnswers counts the back end's answers during a roll-out of its service.
 	rolloutAnswers rollout.Tally
 
+	// notices holds what the back end has stated about itself in its answers.
+	notices backendNotices
 	// harmfulRequests holds the requests under which back ends may end; backendEnds detects ends of
 	// the daemon's own back end. suspectTurn is held by the one suspected call that the gate runs
 	// at a time.
@@ -88,6 +90,7 @@
 
 		hashSeed: rand.Uint64(),
 	}
+	proxy.notices.faultLogs = newNoticeFaultLogs()
 	proxy.harmfulRequests = newHarmfulRequests(config, proxy.logEvent)
 	proxy.answerBudget = pipeline.NewByteBudget(proxy.limits.AheadHeldBytes)
 	proxy.incarnations.add(config.Incarnation)
--- a/internal/proxy/refuse.go
+++ b/internal/proxy/refuse.go
@@ -101,7 +101,7 @@
 	switch code {
 	case result.NotServing, result.NoEndpoint, result.QueueFull, result.DeadlineBeforeStart,
 		result.Draining, result.ConnectFailed, result.ShareExceeded, result.Shed,
-		result.RetryBudgetSpent, result.Overloaded, result.WarmingUp, result.ZoneEvacuated,
+		result.RetryBudgetSpent, result.Overloaded, result.WarmingUp, result.ZoneEvacuated, result.BackendLimited,
 		result.RegionNotAllowed:
 		return time.Second
 	}
--- a/internal/proxy/reported.go
+++ b/internal/proxy/reported.go
@@ -115,6 +115,7 @@
 		p.gate.Drain()
 	}
 	p.reportedBackend.set(&report)
+	p.resetNotices(report.Start) // answers of an earlier start no longer count
 	if report.Slots > 0 {
 		p.backendLimits.slots.Store(int64(report.Slots))
 		p.updateCallLimit()
--- a/internal/proxy/warmth_test.go
+++ b/internal/proxy/warmth_test.go
@@ -58,7 +58,7 @@
 // priority because its back end is cold.
 func (m *mesh) recordColdRefusal(gate int, priority resource.Priority) {
 	set := m.caller.view.Load().services[testService].allEndpoints
-	set.All[gate].RecordColdRefusal(testClock(), time.Second, int(priority))
+	set.All[gate].RecordStartRefusal(testClock(), time.Second, int(priority))
 }
 
 // urgentColdRateOptions is coldRateOptions with a route that makes all calls urgent.
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -63,6 +63,7 @@
 	RegionNotAllowed       Code = 424
 	UnknownKey             Code = 425
 	QuotaExceeded          Code = 426
+	BackendLimited         Code = 427
 	PlatformUnavailable    Code = 500
 	PlatformUnknown        Code = 501
 	PlatformNotFound       Code = 502
