--- a/internal/hosted/backendside.go
+++ b/internal/hosted/backendside.go
@@ -114,6 +114,16 @@
 	b.publishView()
 }
 
+// handleLeavingNotice processes the statement of a start, in its answer to a call, that it leaves. It
+// binds as a leave does.
+func (b *backendMonitor) handleLeavingNotice(start protocol.BackendStart) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.tracker.HandleLeave(start, time.Now().UnixMilli())
+	b.events.event("backend_left", field("instance", start.Instance), startTimeField(start.Born), field("source", "answer"))
+	b.publishView()
+}
+
 // updateCallRate publishes the number of calls per second that a start states to accept. It reads the
 // present number under the lock, so that an earlier one is never published after a later one.
 func (b *backendMonitor) updateCallRate(start protocol.BackendStart) {
--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -120,6 +120,7 @@
 		OnBackendUnreachable: d.reportUnreachable,
 		OnBackendFailed:      d.reportFailed,
 		OnCallRate:           d.reportCallRate,
+		OnBackendLeaving:     d.reportLeaving,
 		OnSilent:             d.verifyPeer,
 		OnHarmful:            d.announceHarmful,
 		OnHeld:               d.storeHeldRequest,
@@ -171,6 +172,8 @@
 
 func (d *Daemon) reportCallRate(start protocol.BackendStart) { d.backend.updateCallRate(start) }
 
+func (d *Daemon) reportLeaving(start protocol.BackendStart) { d.backend.handleLeavingNotice(start) }
+
 func (d *Daemon) logDataPathEvent(event proxy.Event) {
 	d.events.event(event.Name, dataPathFields(event)...)
 }
--- a/internal/proxy/attemptoutcome.go
+++ b/internal/proxy/attemptoutcome.go
@@ -37,6 +37,9 @@
 			current.outcome.Failed = true
 			current.endpointOutcome = endpoint.ServerError
 		}
+		if c.proxy.config.Edge.statesLeaving(answer.Header) {
+			current.endpointOutcome = endpoint.NotAccepting
+		}
 	}
 	if report, found := parseLoad(answer.Header.Get(headerLoad)); found {
 		current.endpoint.ApplyLoadReport(now, report)
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -71,8 +71,11 @@
 	// OnHeld, unless nil, is called with the record of a request that is held after an end of
 	// this daemon's back end. It must not block.
 	OnHeld func(quarantine.Record)
-	// OnCallRate, unless nil, is called when Proxy.CallRate has changed significantly.
-	OnCallRate func(protocol.BackendStart)
+	// OnCallRate, unless nil, is called when Proxy.CallRate has changed significantly. OnBackendLeaving,
+	// unless nil, is called once for a start of the back end that has stated in an answer that it
+	// leaves.
+	OnCallRate       func(protocol.BackendStart)
+	OnBackendLeaving func(protocol.BackendStart)
 	// WarmUp defines how far the calls to a cold back end may exceed the rate that its service
 	// states.
 	WarmUp warmup.Tolerance
--- a/internal/proxy/edge.go
+++ b/internal/proxy/edge.go
@@ -32,8 +32,10 @@
 	// long work takes at the moment, is not used.
 	Load string
 	// CallRate is the header of answers in which a back end states how many calls per second it accepts
-	// from all daemons together, for as long as its answers state it.
+	// from all daemons together, for as long as its answers state it. Leaving is the header, with the
+	// value 1, of all answers of a back end that accepts no more calls.
 	CallRate string
+	Leaving  string
 	// CallerService is the header whose value is Service.
 	CallerService string
 	// Key is the header that carries a caller's API key, after KeyScheme and a space. It is not
--- a/internal/proxy/notices.go
+++ b/internal/proxy/notices.go
@@ -25,6 +25,8 @@
 	noticeFaultLogBurst      = 5
 	// maxLoggedNotice is the number of bytes of an invalid value that are logged.
 	maxLoggedNotice = 40
+	// leavingValue is the value of Edge.Leaving with which a back end states that it leaves.
+	leavingValue = "1"
 )
 
 // rateNotice is what an answer states about the call rate of its back end.
@@ -53,6 +55,8 @@
 	statedAt time.Duration
 	// reportedRate is the call rate that was last reported.
 	reportedRate float64
+	// isLeaving is set once the start has stated that it leaves.
+	isLeaving bool
 }
 
 // newNoticeFaultLogs returns the rate limit of log lines on invalid notices.
@@ -101,6 +105,9 @@
 	if edge == nil || start != p.backendStart() {
 		return
 	}
+	if len(header[edge.Leaving]) > 0 {
+		p.observeLeaving(start, header)
+	}
 	rate, notice := parseCallRate(header[edge.CallRate])
 	switch {
 	case notice == rateInvalid:
@@ -110,6 +117,30 @@
 	}
 }
 
+// statesLeaving reports whether an answer states that its back end leaves. The Edge may be nil.
+func (e *Edge) statesLeaving(header http.Header) bool {
+	if e == nil {
+		return false
+	}
+	lines := header[e.Leaving]
+	return len(lines) == 1 && lines[0] == leavingValue
+}
+
+// observeLeaving handles the statement of a back end that it leaves. On return no new call is sent to it.
+func (p *Proxy) observeLeaving(start protocol.BackendStart, header http.Header) {
+	if !p.config.Edge.statesLeaving(header) {
+		p.recordNoticeFault(start, p.config.Edge.Leaving, header[p.config.Edge.Leaving])
+		return
+	}
+	if !p.notices.markLeaving(start) {
+		return
+	}
+	p.gate.Drain()
+	if p.config.OnBackendLeaving != nil {
+		p.config.OnBackendLeaving(start)
+	}
+}
+
 // observeCallRate puts a call rate in force, or ends it if rate is 0.
 func (p *Proxy) observeCallRate(start protocol.BackendStart, sentAt time.Duration, rate float64) {
 	if p.applyCallRate(start, sentAt, rate) && p.config.OnCallRate != nil {
@@ -160,11 +191,21 @@
 		return false
 	}
 	forgotRate = n.rate > 0
-	n.start, n.rate, n.statedAt, n.reportedRate = start, 0, 0, 0
+	n.start, n.rate, n.statedAt, n.reportedRate, n.isLeaving = start, 0, 0, 0, false
 	n.isLimited.Store(false)
 	return forgotRate
 }
 
+// markLeaving records that a start leaves, and reports whether this is new.
+func (n *backendNotices) markLeaving(start protocol.BackendStart) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.useStart(start)
+	wasLeaving := n.isLeaving
+	n.isLeaving = true
+	return !wasLeaving
+}
+
 // updateRate applies the call rate of an answer, 0 if it states none, and reports whether the rate in
 // force has changed. Answers may arrive out of order: a lower rate applies at once, a higher one or
 // the end of the limit only if the call was sent after the present rate was stated. The mutex must be
