--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -230,6 +230,8 @@
 		on.currentUpstream().TurnCold(coldTime)
 		return nil
 	}},
+	{name: "upstream_states_limit", weight: 5, planned: true, beside: true, quiet: true, harm: stateLimit},
+	{name: "upstream_leaves_in_answers", weight: 3, apart: true, harm: leaveInAnswers},
 	{name: "clock_ahead", weight: 1, apart: true, harm: func(s *soak, on *machine, _ *rand.Rand) func() {
 		upstream := on.currentUpstream()
 		upstream.SendAhead(absurdAhead)
--- a/internal/lab/soak/oracle.go
+++ b/internal/lab/soak/oracle.go
@@ -110,6 +110,10 @@
 	atCold      map[string][]time.Time
 	worked      map[string]time.Time
 	evacuations int
+	// atLimited are the arrivals at starts that state a limit, toldLeaving the times at which machines
+	// first passed on an answer of a start that leaves.
+	atLimited   map[string]limitedStart
+	toldLeaving map[toldLeaving]time.Time
 	// limitedRuns are the runs for the limited tenant in the last window.
 	limitedRuns []time.Time
 	// latest is how long after an order a request judged by it reached its zone at most.
@@ -140,6 +144,7 @@
 		kept:    map[string]string{}, regions: map[string]string{},
 		zones: map[string]string{}, emptied: map[string]time.Time{}, takenBack: map[string]time.Time{},
 		away: map[string][]*span{}, atCold: map[string][]time.Time{}, worked: map[string]time.Time{},
+		atLimited: map[string]limitedStart{}, toldLeaving: map[toldLeaving]time.Time{},
 		coverage: newCoverage(),
 	}
 }
@@ -212,6 +217,8 @@
 	if known && !arrival.Misdirected {
 		o.checkCold(arrival)
 		o.checkZone(request, arrival)
+		o.checkLimit(arrival)
+		o.checkLeaving(request, arrival)
 	}
 	if !arrival.Ran {
 		return
@@ -296,6 +303,7 @@
 	o.exercised(promiseOfAnswers, answer.At)
 	for _, run := range o.runs[request.ID] {
 		if answer.Signature == standin.Signature(run.Instance, request.ID) && answer.Body == standin.BodyOf(run.Instance, request.ID) {
+			o.passedOn(request.Machine, run, answer.At)
 			return
 		}
 	}
