--- a/internal/lab/soak/oracle.go
+++ b/internal/lab/soak/oracle.go
@@ -330,7 +330,7 @@
 func (o *Oracle) InForce(machine string, version int, acceptedAt, sentAt time.Time, holds bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	calm := sentAt.Sub(o.disturbed[machine]) > calmBefore
+	calm := sentAt.Sub(o.disturbed[machine]) > calmBefore && o.inTouch(machine, sentAt)
 	if !calm || sentAt.Sub(acceptedAt) <= applyBound {
 		return
 	}
--- a/internal/lab/soak/oracle_test.go
+++ b/internal/lab/soak/oracle_test.go
@@ -235,3 +235,17 @@
 	oracle.Arrived(ran("a", time.Minute))
 	check.Equal(len(oracle.Violations()), 0)
 }
+
+// Guards against blaming a daemon for a version that it can't have learnt, because the store has been
+// away for all daemons since before it was written; once it is back for long enough the version is owed.
+func TestAVersionIsNotOwedWhileTheStoreIsAway(t *testing.T) {
+	check := is.New(t)
+	oracle := NewOracle()
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	back := oracle.OutOfTouch("m", at(0))
+	oracle.InForce("m", 9, at(0.1), at(4), false)
+	check.Equal(len(oracle.Violations()), 0)
+	back(at(5))
+	oracle.InForce("m", 9, at(0.1), at(5+contactTime.Seconds()+0.1), false)
+	check.Equal(len(oracle.Violations()), 1)
+}
