--- a/internal/core/endpoint/endpoint.go
+++ b/internal/core/endpoint/endpoint.go
@@ -100,8 +100,8 @@
 	notAcceptingSequence atomic.Uint64
 	// recordReceivedAt is the time at which the daemon's current member record was received.
 	recordReceivedAt atomic.Int64
-	// coldUntil holds, for each class, the time until which the gate of a cold back end accepts no
-	// call of the class.
+	// coldUntil holds, for each class, the time until which a gate that limits the starts at its back
+	// end accepts no call of the class.
 	coldUntil [warmup.ClassCount]atomic.Int64
 	// overloadedUntil is the time until which overloadPenalty is added after a refusal for load.
 	overloadedUntil atomic.Int64
