--- a/internal/hosted/mesh.go
+++ b/internal/hosted/mesh.go
@@ -138,6 +138,9 @@
 	// restoreDraining restores from a peer's record that an instance of this daemon's back end was
 	// draining; it must not call the mesh.
 	restoreDraining func(protocol.BackendStart)
+	// restoreCallRate restores from a peer's record the calls per second that an instance of this daemon's
+	// back end stated to accept; it must not call the mesh.
+	restoreCallRate func(start protocol.BackendStart, perSecond float64)
 	reachability    reachability
 	// roundTrips estimates how long peers take to answer.
 	roundTrips *roundtrip.Estimator
@@ -297,7 +300,7 @@
 	var newRecords []protocol.Member
 	for _, member := range members {
 		if member.ID == m.self.ID {
-			m.resumeDrain(member)
+			m.resumeBackendState(member)
 			m.refute(member)
 			continue
 		}
--- a/internal/hosted/restart.go
+++ b/internal/hosted/restart.go
@@ -6,13 +6,20 @@
 	"github.com/springstack/springstack/internal/core/protocol"
 )
 
-// resumeDrain resumes the drain that an earlier start of this daemon acknowledged, given a record of
-// this daemon that a peer remembers. Any incarnation other than the present one is that of an earlier
-// start, even a higher one: the clock may have been set back in between. The lock is held.
-func (m *mesh) resumeDrain(remembered protocol.Member) {
-	if remembered.Incarnation != m.self.Incarnation && remembered.Endpoint == protocol.EndpointDraining {
+// resumeBackendState resumes the drain that an earlier start of this daemon acknowledged, and the call rate
+// that its back end stated to it, given a record of this daemon that a peer remembers. Any incarnation
+// other than the present one is that of an earlier start, even a higher one: the clock may have been set
+// back in between. The lock is held.
+func (m *mesh) resumeBackendState(remembered protocol.Member) {
+	if remembered.Incarnation == m.self.Incarnation {
+		return
+	}
+	if remembered.Endpoint == protocol.EndpointDraining {
 		m.restoreDraining(remembered.BackendStart())
 	}
+	if remembered.CallRate > 0 {
+		m.restoreCallRate(remembered.BackendStart(), remembered.CallRate)
+	}
 }
 
 // isUnawareOfDrain reports whether a restarted daemon does not know that its earlier start
--- a/internal/hosted/restart_test.go
+++ b/internal/hosted/restart_test.go
@@ -145,3 +145,16 @@
 	known, _ := m.roster.Get("m")
 	check.Equal(known.BackendStart(), protocol.BackendStart{Instance: "i", Born: 100})
 }
+
+// A remembered call rate applies to one start of the back end, which the record identifies.
+func TestCallRateIsRestoredForBackendStartInPeerRecord(t *testing.T) {
+	check := is.New(t)
+	m := newTestMesh("z1")
+	rates := map[protocol.BackendStart]float64{}
+	m.restoreCallRate = func(start protocol.BackendStart, perSecond float64) { rates[start] = perSecond }
+	earlier := m.self
+	earlier.Incarnation--
+	earlier.Backend, earlier.Born, earlier.CallRate = "i", 100, 5.3
+	m.mergeCompared("z1", []protocol.Member{earlier})
+	check.Equal(rates, map[protocol.BackendStart]float64{{Instance: "i", Born: 100}: 5.3})
+}
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -123,6 +123,7 @@
 	d.configuration.announceVersion = m.announceVersion
 	d.backend = d.newBackendMonitor(path, m)
 	m.restoreDraining = d.backend.restoreDraining
+	m.restoreCallRate = path.RestoreCallRate
 	d.eras.onRise = []func(uint64){
 		d.configuration.observeEra,
 		func(uint64) { m.connections.restartWatches() },
--- a/internal/proxy/notices.go
+++ b/internal/proxy/notices.go
@@ -57,6 +57,14 @@
 	reportedRate float64
 	// isLeaving is set once the start has stated that it leaves.
 	isLeaving bool
+	// restored is what a start had stated to an earlier process of this daemon.
+	restored restoredRate
+}
+
+// restoredRate is a call rate that a start of the back end has stated; the zero value is none.
+type restoredRate struct {
+	start protocol.BackendStart
+	rate  float64
 }
 
 // newNoticeFaultLogs returns the rate limit of log lines on invalid notices.
@@ -153,24 +161,45 @@
 	p.notices.mutex.Lock()
 	defer p.notices.mutex.Unlock()
 	now := p.config.Clock()
-	if !p.notices.updateRate(start, sentAt, now, rate) {
-		return false
+	if p.notices.updateRate(start, sentAt, now, rate) {
+		p.gate.SetCallRate(now, rate)
 	}
-	p.gate.SetCallRate(now, rate)
 	return p.notices.takeRateReport()
 }
 
+// RestoreCallRate puts the call rate in force that a start of the back end has stated to an earlier process
+// of this daemon, until an answer of that start states otherwise.
+func (p *Proxy) RestoreCallRate(start protocol.BackendStart, perSecond float64) {
+	p.notices.mutex.Lock()
+	defer p.notices.mutex.Unlock()
+	p.notices.restored = restoredRate{start: start, rate: perSecond}
+	if start == p.backendStart() && p.notices.statedAt == 0 {
+		p.applyRestoredRate()
+	}
+}
+
+// applyRestoredRate puts the restored rate in force for its start; the mutex must be held.
+func (p *Proxy) applyRestoredRate() {
+	now := p.config.Clock()
+	if p.notices.updateRate(p.notices.restored.start, now, now, p.notices.restored.rate) {
+		p.gate.SetCallRate(now, p.notices.restored.rate)
+	}
+}
+
 // CallRate returns the number of calls per second that the back end states to accept; 0 if it states
 // none.
 func (p *Proxy) CallRate() float64 { return p.gate.CallRate() }
 
-// resetNotices removes the call rate of an earlier start of the back end.
+// resetNotices replaces the notices of an earlier start of the back end by what is restored for this one.
 func (p *Proxy) resetNotices(start protocol.BackendStart) {
 	p.notices.mutex.Lock()
 	defer p.notices.mutex.Unlock()
 	if p.notices.useStart(start) {
 		p.gate.SetCallRate(p.config.Clock(), 0)
 	}
+	if start == p.notices.restored.start && p.notices.statedAt == 0 {
+		p.applyRestoredRate()
+	}
 }
 
 // recordNoticeFault counts an invalid notice and logs it at a limited rate.
