--- a/internal/proxy/notices.go
+++ b/internal/proxy/notices.go
@@ -140,7 +140,7 @@
 		p.recordNoticeFault(start, p.config.Edge.Leaving, header[p.config.Edge.Leaving])
 		return
 	}
-	if !p.notices.markLeaving(start) {
+	if !p.markLeaving(start) {
 		return
 	}
 	p.gate.Drain()
@@ -149,6 +149,16 @@
 	}
 }
 
+// markLeaving records that a start leaves, and reports whether this is new.
+func (p *Proxy) markLeaving(start protocol.BackendStart) bool {
+	p.notices.mutex.Lock()
+	defer p.notices.mutex.Unlock()
+	p.useNoticesOf(start)
+	wasLeaving := p.notices.isLeaving
+	p.notices.isLeaving = true
+	return !wasLeaving
+}
+
 // observeCallRate puts a call rate in force, or ends it if rate is 0.
 func (p *Proxy) observeCallRate(start protocol.BackendStart, sentAt time.Duration, rate float64) {
 	if p.applyCallRate(start, sentAt, rate) && p.config.OnCallRate != nil {
@@ -194,14 +204,19 @@
 func (p *Proxy) resetNotices(start protocol.BackendStart) {
 	p.notices.mutex.Lock()
 	defer p.notices.mutex.Unlock()
-	if p.notices.useStart(start) {
-		p.gate.SetCallRate(p.config.Clock(), 0)
-	}
+	p.useNoticesOf(start)
 	if start == p.notices.restored.start && p.notices.statedAt == 0 {
 		p.applyRestoredRate()
 	}
 }
 
+// useNoticesOf ends the call rate of another start of the back end; the mutex must be held.
+func (p *Proxy) useNoticesOf(start protocol.BackendStart) {
+	if p.notices.useStart(start) {
+		p.gate.SetCallRate(p.config.Clock(), 0)
+	}
+}
+
 // recordNoticeFault counts an invalid notice and logs it at a limited rate.
 func (p *Proxy) recordNoticeFault(start protocol.BackendStart, name string, lines []string) {
 	p.notices.faults.Add(1)
@@ -225,16 +240,6 @@
 	return forgotRate
 }
 
-// markLeaving records that a start leaves, and reports whether this is new.
-func (n *backendNotices) markLeaving(start protocol.BackendStart) bool {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	n.useStart(start)
-	wasLeaving := n.isLeaving
-	n.isLeaving = true
-	return !wasLeaving
-}
-
 // updateRate applies the call rate of an answer, 0 if it states none, and reports whether the rate in
 // force has changed. Answers may arrive out of order: a lower rate applies at once, a higher one or
 // the end of the limit only if the call was sent after the present rate was stated. The mutex must be
