--- a/internal/core/ratelimit/limiter.go
+++ b/internal/core/ratelimit/limiter.go
@@ -66,7 +66,7 @@
 
 // Wait returns how long a call of a class must wait until it may start; 0 if it may start now.
 func (l *Limiter) Wait(now time.Duration, class int) time.Duration {
-	if !l.limiting.Load() {
+	if !l.IsLimiting() {
 		return 0
 	}
 	l.mutex.Lock()
@@ -77,7 +77,7 @@
 // TryStart returns 0 if a call of a class may start now, and counts the start. Otherwise it returns how
 // long the call must wait.
 func (l *Limiter) TryStart(now time.Duration, class int) (wait time.Duration) {
-	if !l.limiting.Load() {
+	if !l.IsLimiting() {
 		return 0
 	}
 	l.mutex.Lock()
--- a/internal/core/ratelimit/limiter_test.go
+++ b/internal/core/ratelimit/limiter_test.go
@@ -78,6 +78,22 @@
 	})
 }
 
+// A start at the very moment at which a lower rate is stated counts under the rate before it.
+func TestStartAtTheMomentOfALowerRate(t *testing.T) {
+	check := is.New(t)
+	limiter := &Limiter{}
+	limiter.SetRate(0, 1)
+	const lowered = 10 * time.Second // the bucket is full
+	count := 0
+	for limiter.TryStart(lowered, 0) == 0 {
+		count++
+	}
+	limiter.SetRate(lowered, 0.3)
+	count += len(start(limiter, lowered, lowered+checkedSpan, 0))
+	check.True(float64(count) <= allowedOverage*1*checkedSpan.Seconds()+allowedSlack)
+	check.Equal(count, minBurst+1) // the bucket, and one in 4 s at 0.3 a second
+}
+
 // Guards against a limit that lets through far less than the back end accepts.
 func TestAcceptedRateIsUsed(t *testing.T) {
 	for _, rate := range []float64{0.4, 5.3, 40} {
