--- a/internal/hosted/backendside.go
+++ b/internal/hosted/backendside.go
@@ -107,21 +107,24 @@
 
 // Leave implements ReportHandler.
 func (b *backendMonitor) Leave(start protocol.BackendStart) {
+	b.stopWork(start)
+}
+
+// stopWork processes a leave, and logs it with further fields. On return the gate sends the start no new
+// call.
+func (b *backendMonitor) stopWork(start protocol.BackendStart, fields ...eventField) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.tracker.HandleLeave(start, time.Now().UnixMilli())
-	b.events.event("backend_left", field("instance", start.Instance), startTimeField(start.Born))
+	fields = append(fields, field("instance", start.Instance), startTimeField(start.Born))
+	b.events.event("backend_left", fields...)
 	b.publishView()
 }
 
 // handleLeavingNotice processes the statement of a start, in its answer to a call, that it leaves. It
 // binds as a leave does.
 func (b *backendMonitor) handleLeavingNotice(start protocol.BackendStart) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.tracker.HandleLeave(start, time.Now().UnixMilli())
-	b.events.event("backend_left", field("instance", start.Instance), startTimeField(start.Born), field("source", "answer"))
-	b.publishView()
+	b.stopWork(start, field("source", "answer"))
 }
 
 // updateCallRate publishes the number of calls per second that a start states to accept. It reads the
--- a/internal/lab/soak/notices.go
+++ b/internal/lab/soak/notices.go
@@ -57,10 +57,7 @@
 	if limited.since != arrival.LimitedSince {
 		limited = limitedStart{since: arrival.LimitedSince}
 	}
-	limited.arrivals = append(limited.arrivals, arrival.At)
-	for arrival.At.Sub(limited.arrivals[0]) >= limitSpan {
-		limited.arrivals = limited.arrivals[1:]
-	}
+	limited.arrivals = append(standin.Lately(limited.arrivals, limitSpan, arrival.At), arrival.At)
 	o.atLimited[start] = limited
 	allowed := limitOverage*limitSpan.Seconds()*arrival.Limit + limitSlack
 	if float64(len(limited.arrivals)) > allowed {
--- a/internal/lab/soak/tenants.go
+++ b/internal/lab/soak/tenants.go
@@ -91,10 +91,7 @@
 		return
 	}
 	o.exercised(promiseOfQuotas, arrival.At)
-	o.limitedRuns = append(o.limitedRuns, arrival.At)
-	for arrival.At.Sub(o.limitedRuns[0]) >= quotaWindow {
-		o.limitedRuns = o.limitedRuns[1:]
-	}
+	o.limitedRuns = append(standin.Lately(o.limitedRuns, quotaWindow, arrival.At), arrival.At)
 	if count := len(o.limitedRuns); float64(count) > limitedBound {
 		o.violate(promiseOfQuotas, "%d requests of %q ran in %s", count, limitedTenant, quotaWindow)
 	}
--- a/internal/lab/soak/warmth.go
+++ b/internal/lab/soak/warmth.go
@@ -34,7 +34,7 @@
 	}
 	o.exercised(promiseOfWarmUp, arrival.At)
 	start := startOf(arrival.Instance, arrival.Born)
-	lately := append(standin.Lately(o.atCold[start], arrival.At), arrival.At)
+	lately := append(standin.Lately(o.atCold[start], standin.ColdWindow, arrival.At), arrival.At)
 	o.atCold[start] = lately
 	if len(lately) > coldMost {
 		o.violateTimed(promiseOfWarmUp, "%s got %d requests in a second, the last of them %s", start, len(lately), arrival.ID)
