--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -35,7 +35,8 @@
 type play func(stand *stand, trouble bool) (broken bool, err error)
 
 var plays = map[string]play{
-	"quota": playQuota,
+	"quota":     playQuota,
+	"pipelined": playPipelined,
 }
 
 func main() {
--- a/review/stand/quota.go
+++ b/review/stand/quota.go
@@ -57,7 +57,7 @@
 	}
 	one := s.machines[0]
 	one.mayBeCut = true
-	if err := s.startAll(nil); err != nil {
+	if err := s.startThese(s.machines, nil); err != nil {
 		return false, err
 	}
 	time.Sleep(3 * time.Second)
--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -238,10 +238,10 @@
 	return answer.StatusCode == http.StatusOK
 }
 
-// awaitReady waits until all daemons are ready.
-func (s *stand) awaitReady(limit time.Duration) error {
+// awaitReady waits until the daemons of some machines are ready.
+func awaitReady(machines []*machine, limit time.Duration) error {
 	until := time.Now().Add(limit)
-	for _, machine := range s.machines {
+	for _, machine := range machines {
 		for !machine.isReady() {
 			if time.Now().After(until) {
 				return fmt.Errorf("%s is not ready", machine.name)
@@ -252,9 +252,9 @@
 	return nil
 }
 
-// startAll starts all daemons and upstreams, and waits until they are ready.
-func (s *stand) startAll(change func(*standin.Upstream)) error {
-	for _, machine := range s.machines {
+// startThese starts the daemons and upstreams of some machines, and waits until they are ready.
+func (s *stand) startThese(machines []*machine, change func(*standin.Upstream)) error {
+	for _, machine := range machines {
 		if err := machine.start(); err != nil {
 			return err
 		}
@@ -262,10 +262,10 @@
 			return err
 		}
 	}
-	if err := s.awaitReady(15 * time.Second); err != nil {
+	if err := awaitReady(machines, 15*time.Second); err != nil {
 		return err
 	}
-	s.record.note("%d daemons are ready", len(s.machines))
+	s.record.note("%d daemons are ready", len(machines))
 	return nil
 }
 
