--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -37,6 +37,7 @@
 var plays = map[string]play{
 	"quota":     playQuota,
 	"pipelined": playPipelined,
+	"gone":      playGone,
 }
 
 func main() {
--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -74,6 +75,14 @@
 	return nil
 }
 
+// operate writes the first configuration.
+func (s *stand) operate(configuration string) error {
+	if _, outcome := s.store.Create("config", "main", json.RawMessage(configuration)); outcome != standin.Done {
+		return fmt.Errorf("the store has not taken the configuration: outcome %d", outcome)
+	}
+	return nil
+}
+
 // host returns a loopback address of this run.
 func (s *stand) host(index int) string {
 	process := os.Getpid()
