--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -38,6 +38,7 @@
 	"quota":     playQuota,
 	"pipelined": playPipelined,
 	"gone":      playGone,
+	"replaced":  playReplaced,
 }
 
 func main() {
