Heads of requests are held as text until they are complete, within a budget

And a single head of 16,384 bytes, the limit, was refused in calm with 431 or 413.

Cause: the HTTP library parses a head while it arrives, line by line, and a field of a few bytes takes many times that as an entry of a header map, and again in the copy that is sent on. Nothing counted that over all connections. The limit was checked on the parsed header, as if each field were written with a space, and again at the gate together with the daemons' own headers.

Change: a connection passes a head to the library only once it is complete. Until then it is text, counted over the connections of a server; beyond the budget the connections with the oldest incomplete heads are closed for newer ones. A complete head is measured as it was sent. Before it is parsed the memory of its request is reserved, by its size and its number of lines; if there is none, the request is refused as not run, and those with many fields may use a quarter. The budgets are parts of the machine's memory, which the settings now name (machine.memory_megabytes). The ports for readiness, reports and metrics are served in the same way. The gate checks no caller's limit any more, the callers' side has.

--- a/internal/hosted/daemon.go
+++ b/internal/hosted/daemon.go
@@ -109,7 +109,7 @@
 		Service:              serviceRef(d.settings.Backend.Service),
 		BackendAddress:       d.settings.Backend.Address,
 		Slots:                1,
-		Limits:               proxyLimits(d.settings.Drain.Grace()),
+		Limits:               proxyLimits(&d.settings),
 		RandomSeed:           0,
 		Reported:             true,
 		Edge:                 &edge,
--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -7,6 +7,7 @@
 	"github.com/springstack/springstack/internal/core/endpoint"
 	"github.com/springstack/springstack/internal/core/retry"
 	"github.com/springstack/springstack/internal/proxy"
+	"github.com/springstack/springstack/internal/settings"
 )
 
 const (
@@ -69,9 +70,38 @@
 	return min(maxDrainLinger, drainTimeout(grace)/2)
 }
 
+// The parts of the machine's memory that requests may use; the rest is for the connections, for what
+// the daemon knows of the mesh, and for the garbage that the runtime has not collected.
+const (
+	// requestMemoryParts divides the memory into the part for the running requests of one server.
+	requestMemoryParts = 16
+	// incompleteHeadParts divides it into the part for the incomplete heads of one server.
+	incompleteHeadParts = 32
+)
+
+// The limits of the ports for readiness checks, reports and metrics, each of which serves one or two
+// clients.
+const (
+	webTimeout       = 5 * time.Second
+	webHeaderBytes   = 16 << 10
+	webHeadBytes     = 512 << 10
+	webRequestMemory = 2 << 20
+)
+
+// webLimits returns the limits of a port for readiness checks, reports or metrics.
+func webLimits() proxy.Limits {
+	return proxy.Limits{
+		HeaderBytes: webHeaderBytes, HeaderTimeout: webTimeout, StallTimeout: webTimeout,
+		IdleTimeout: callerIdleTimeout, IncompleteHeadBytes: webHeadBytes, RequestBytes: webRequestMemory,
+	}
+}
+
 // proxyLimits returns the limits of the data path of a hosted daemon.
-func proxyLimits(grace time.Duration) proxy.Limits {
+func proxyLimits(given *settings.Hosted) proxy.Limits {
 	limits := proxy.DefaultLimits()
+	grace, memory := given.Drain.Grace(), given.Machine.MemoryBytes()
+	limits.RequestBytes = memory / requestMemoryParts
+	limits.IncompleteHeadBytes = memory / incompleteHeadParts
 	limits.IdleTimeout = callerIdleTimeout
 	limits.UpstreamIdle = gateIdleTimeout
 	limits.DialTimeout = dialTimeout
--- a/internal/hosted/updates_bench_test.go
+++ b/internal/hosted/updates_bench_test.go
@@ -16,6 +16,7 @@
 	"github.com/springstack/springstack/internal/core/resource"
 	"github.com/springstack/springstack/internal/core/snapshot"
 	"github.com/springstack/springstack/internal/proxy"
+	"github.com/springstack/springstack/internal/settings"
 )
 
 // The benchmarks of this file measure what updates cost one daemon of a mesh: a message with
@@ -51,7 +52,7 @@
 	startedAt := time.Now()
 	path := proxy.New(proxy.Config{
 		Clock: func() time.Duration { return time.Since(startedAt) }, NodeID: "x", Incarnation: 1, Region: "r", Zone: "z1",
-		Reported: true, Slots: 1, BackendAddress: "127.0.0.1:1", Limits: proxyLimits(10 * time.Second),
+		Reported: true, Slots: 1, BackendAddress: "127.0.0.1:1", Limits: proxyLimits(&settings.Hosted{Drain: settings.HostedDrain{GraceSeconds: 10}}),
 		RetryBudget: (&Daemon{}).retryLimits, Spill: spilloverLimits,
 	})
 	b.Cleanup(path.Close)
--- a/internal/hosted/wiring.go
+++ b/internal/hosted/wiring.go
@@ -30,9 +30,9 @@
 	controlPart   struct{ *control.Server }
 	callersServer struct{ *daemon.PathServer }
 	gateServer    struct{ *daemon.PathServer }
-	readyServer   struct{ *daemon.WebServer }
-	reportsServer struct{ *daemon.WebServer }
-	metricsServer struct{ *daemon.WebServer }
+	readyServer   struct{ *daemon.PathServer }
+	reportsServer struct{ *daemon.PathServer }
+	metricsServer struct{ *daemon.PathServer }
 )
 
 // Shutdown closes the connections of the data path.
@@ -305,7 +305,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return daemon.ServePath(listener, proxy.NewServer(handlerOf(path.Proxy), proxyLimits(d.settings.Drain.Grace())), closeTimeout), nil
+	return daemon.ServePath(listener, proxy.NewServer(handlerOf(path.Proxy), proxyLimits(&d.settings)), closeTimeout), nil
 }
 
 func (d *Daemon) newReadyServer(do.Injector) (*readyServer, error) {
@@ -334,17 +334,17 @@
 
 // Shutdown stops the metrics server, if there is one.
 func (m *metricsServer) Shutdown() error {
-	if m.WebServer == nil {
+	if m.PathServer == nil {
 		return nil
 	}
-	return m.WebServer.Shutdown()
+	return m.PathServer.Shutdown()
 }
 
 // serveWeb serves a small HTTP interface at an address.
-func serveWeb(name, address string, handler http.Handler) (*daemon.WebServer, error) {
+func serveWeb(name, address string, handler http.Handler) (*daemon.PathServer, error) {
 	listener, err := listen(name, address)
 	if err != nil {
 		return nil, err
 	}
-	return daemon.ServeWeb(listener, nil, handler, closeTimeout), nil
+	return daemon.ServePath(listener, proxy.NewWebServer(handler, webLimits()), closeTimeout), nil
 }
--- a/internal/pipeline/answer.go
+++ b/internal/pipeline/answer.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/springstack/springstack/internal/bytebudget"
 )
 
 // errDropped is returned to a handler that writes an answer which will not be delivered.
@@ -23,7 +25,7 @@
 // answer's turn and passes writes through from then on.
 type answer struct {
 	maxBytes int
-	budget   *ByteBudget
+	budget   *bytebudget.Budget
 	// header is the map that the handler changes.
 	header http.Header
 
@@ -42,7 +44,7 @@
 	dropped         bool
 }
 
-func newAnswer(maxBytes int, budget *ByteBudget) *answer {
+func newAnswer(maxBytes int, budget *bytebudget.Budget) *answer {
 	created := &answer{maxBytes: maxBytes, budget: budget, header: http.Header{}}
 	created.changed.L = &created.mutex
 	return created
@@ -94,7 +96,7 @@
 
 // tryBuffer buffers bytes if the limits allow it.
 func (a *answer) tryBuffer(text []byte) bool {
-	if len(a.body)+len(text) > a.maxBytes || !a.budget.tryReserve(len(text)) {
+	if len(a.body)+len(text) > a.maxBytes || !a.budget.TryReserve(int64(len(text))) {
 		return false
 	}
 	a.body = append(a.body, text...)
@@ -147,7 +149,7 @@
 
 // releaseBuffer empties the buffer and returns its bytes to the budget.
 func (a *answer) releaseBuffer() {
-	a.budget.release(len(a.body))
+	a.budget.Release(int64(len(a.body)))
 	a.body = nil
 }
 
--- a/internal/pipeline/call.go
+++ b/internal/pipeline/call.go
@@ -5,7 +5,6 @@
 	"maps"
 	"net/http"
 	"slices"
-	"sync/atomic"
 	"time"
 )
 
@@ -71,25 +70,3 @@
 		panic(http.ErrAbortHandler)
 	}
 }
-
-// ByteBudget limits the bytes that all connections together buffer for answers.
-type ByteBudget struct {
-	limit     int64
-	usedBytes atomic.Int64
-}
-
-// NewByteBudget returns a budget with a limit in bytes.
-func NewByteBudget(limit int64) *ByteBudget { return &ByteBudget{limit: limit} }
-
-// Used returns how many bytes are buffered now.
-func (b *ByteBudget) Used() int64 { return b.usedBytes.Load() }
-
-func (b *ByteBudget) tryReserve(count int) bool {
-	if b.usedBytes.Add(int64(count)) <= b.limit {
-		return true
-	}
-	b.usedBytes.Add(-int64(count))
-	return false
-}
-
-func (b *ByteBudget) release(count int) { b.usedBytes.Add(-int64(count)) }
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/springstack/springstack/internal/bytebudget"
 )
 
 // Config is the configuration that the connections of a server share.
@@ -19,7 +21,7 @@
 	// blocks until the answer's turn.
 	AnswerBytes int
 	// Held counts and limits the buffered bytes of all connections.
-	Held *ByteBudget
+	Held *bytebudget.Budget
 	// Handler runs requests ahead of their turn.
 	Handler http.Handler
 	// MayRunAhead reports whether a request may be repeated and may run now. It must not
--- a/internal/pipeline/testserver_test.go
+++ b/internal/pipeline/testserver_test.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/springstack/springstack/internal/bytebudget"
 )
 
 // pipeListener is a listener for in-memory connections.
@@ -44,7 +46,7 @@
 	listener   *pipeListener
 	httpServer *http.Server
 	config     *Config
-	budget     *ByteBudget
+	budget     *bytebudget.Budget
 	// conns receives the first connection whose requests run ahead.
 	conns chan *Conn
 	// turnWaits receives how long each request has waited for its turn.
@@ -62,7 +64,7 @@
 
 // newTestServer serves a handler. With serial set, it uses net/http without this package.
 func newTestServer(t testing.TB, serial bool, handler http.HandlerFunc) *testServer {
-	created := &testServer{listener: newPipeListener(), budget: NewByteBudget(64 << 10), conns: make(chan *Conn, 1), turnWaits: make(chan time.Duration, 16)}
+	created := &testServer{listener: newPipeListener(), budget: bytebudget.New(64 << 10), conns: make(chan *Conn, 1), turnWaits: make(chan time.Duration, 16)}
 	created.config = &Config{
 		Calls: 4, InputBytes: 4 << 10, AnswerBytes: 2 << 10, Held: created.budget,
 		Handler: handler, MayRunAhead: isRepeatable, OnStart: func(int) { created.aheadCount.Add(1) },
--- a/internal/proxy/check.go
+++ b/internal/proxy/check.go
@@ -21,9 +21,6 @@
 	case !request.ProtoAtLeast(1, 1):
 		detail := "HTTP/1.0 can't tell an answer that was cut short; use HTTP/1.1."
 		return Refusal{Code: result.RequestMalformed, Detail: detail}, false
-	case headerBytes(request) > limits.HeaderBytes:
-		detail := "The headers are larger than " + strconv.Itoa(limits.HeaderBytes) + " bytes."
-		return Refusal{Code: result.RequestTooLarge, Status: http.StatusRequestHeaderFieldsTooLarge, Detail: detail}, false
 	case request.ContentLength > limits.BodyBytes:
 		detail := "The body is larger than " + strconv.FormatInt(limits.BodyBytes, 10) + " bytes."
 		return Refusal{Code: result.RequestTooLarge, Detail: detail}, false
@@ -57,20 +54,6 @@
 	return limits
 }
 
-// headerLineOverhead is the number of bytes of a header line besides its name and value.
-const headerLineOverhead = len(": \r\n")
-
-// headerBytes returns the approximate size of the request line and headers in bytes.
-func headerBytes(request *http.Request) int {
-	total := len(request.Method) + len(request.RequestURI) + len(request.Host)
-	for name, values := range request.Header {
-		for _, value := range values {
-			total += len(name) + len(value) + headerLineOverhead
-		}
-	}
-	return total
-}
-
 // hostPath is the host and path by which a request's route is found.
 type hostPath struct {
 	host string
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -130,13 +130,19 @@
 
 // Limits holds size, count and time limits of the proxy. A zero field means its default.
 type Limits struct {
-	// HeaderBytes is the maximum size of a call's request line and headers.
+	// HeaderBytes is the maximum size of a call's request line and headers, as they were sent.
 	HeaderBytes int
 	// BodyBytes is the maximum size of a request's body.
 	BodyBytes int64
 	// QuietClose closes the idle connections of a stopping server without first announcing it by
 	// an answer.
 	QuietClose bool
+	// IncompleteHeadBytes limits the memory for the heads of one server that have not arrived
+	// completely. The connections with the oldest ones are closed for newer ones.
+	IncompleteHeadBytes int64
+	// RequestBytes limits the estimated memory of the requests that run on one server. Further ones
+	// are refused; ordinary requests take about 16 KiB.
+	RequestBytes int64
 	// Connections is the maximum number of connections of one listener.
 	Connections int
 	// HeaderTimeout limits the time in which a request's headers must arrive.
@@ -219,6 +225,8 @@
 	return Limits{
 		HeaderBytes:         64 << 10,
 		BodyBytes:           256 << 20,
+		IncompleteHeadBytes: 16 << 20,
+		RequestBytes:        64 << 20,
 		Connections:         4096,
 		HeaderTimeout:       10 * time.Second,
 		IdleTimeout:         2 * time.Minute,
@@ -260,6 +268,8 @@
 	fallback := DefaultLimits()
 	setDefault(&l.HeaderBytes, fallback.HeaderBytes)
 	setDefault(&l.BodyBytes, fallback.BodyBytes)
+	setDefault(&l.IncompleteHeadBytes, fallback.IncompleteHeadBytes)
+	setDefault(&l.RequestBytes, fallback.RequestBytes)
 	setDefault(&l.Connections, fallback.Connections)
 	setDefault(&l.HeaderTimeout, fallback.HeaderTimeout)
 	setDefault(&l.IdleTimeout, fallback.IdleTimeout)
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -37,7 +37,9 @@
 	closesIdleSilently bool
 	tlsConfig          *tls.Config
 	// pipelining is set if pipelined requests may run ahead of their turn; nil if not.
-	pipelining    *pipeline.Config
+	pipelining *pipeline.Config
+	// heads limits the heads of requests; nil if the HTTP library alone does so.
+	heads         *headLimits
 	openCount     atomic.Int64
 	refusingCount atomic.Int64
 	// conns are the open connections, each stored and deleted once.
@@ -138,6 +140,9 @@
 	closeOnce sync.Once
 	phase     atomic.Int32
 	idleTimer idleTimer
+	head      headReader
+	// requestMemory is the memory that is reserved for the current request, in bytes.
+	requestMemory atomic.Int64
 }
 
 func newCountedConn(conn net.Conn, listener *boundedListener) *countedConn {
@@ -176,6 +181,8 @@
 // endCall marks the end of a call. If the listener is already retiring its idle connections, the
 // connection is retired now.
 func (c *countedConn) endCall() {
+	c.releaseRequest()
+	c.head.reset()
 	c.phase.CompareAndSwap(phaseBusy, phaseIdle)
 	if c.listener.stage.Load() == stageRetiring {
 		c.retire()
@@ -191,10 +198,23 @@
 		c.idleTimer.reset(0, c)
 		c.listener.openCount.Add(-1)
 		c.listener.conns.Delete(c)
+		c.releaseRequest()
 	})
 	return c.Conn.Close()
 }
 
+// Read reads for the HTTP library, which gets the head of a request only once it is complete. A read of
+// a single byte while no handler runs only detects that the caller disconnects.
+func (c *countedConn) Read(buffer []byte) (int, error) {
+	if len(c.head.text) > 0 {
+		return c.head.take(buffer), nil
+	}
+	if c.listener.heads == nil || len(buffer) <= 1 || c.phase.Load() != phaseIdle {
+		return c.Conn.Read(buffer)
+	}
+	return c.readHead(buffer)
+}
+
 // CloseWrite closes the sending side. The HTTP library calls it before it closes a connection with
 // unread input.
 func (c *countedConn) CloseWrite() error {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -10,11 +10,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/springstack/springstack/internal/bytebudget"
 	"github.com/springstack/springstack/internal/core/admission"
 	"github.com/springstack/springstack/internal/core/protocol"
 	"github.com/springstack/springstack/internal/core/rollout"
 	"github.com/springstack/springstack/internal/core/snapshot"
-	"github.com/springstack/springstack/internal/pipeline"
 	"github.com/springstack/springstack/internal/result"
 )
 
@@ -65,7 +65,7 @@
 	drain              drain
 	connContexts       connectionContexts
 	// answerBudget bounds the buffered answers of pipelined calls that ran ahead of their turn.
-	answerBudget *pipeline.ByteBudget
+	answerBudget *bytebudget.Budget
 	closed       chan struct{}
 	closeOnce    sync.Once
 
@@ -92,7 +92,7 @@
 	}
 	proxy.notices.faultLogs = newNoticeFaultLogs()
 	proxy.harmfulRequests = newHarmfulRequests(config, proxy.logEvent)
-	proxy.answerBudget = pipeline.NewByteBudget(proxy.limits.AheadHeldBytes)
+	proxy.answerBudget = bytebudget.New(proxy.limits.AheadHeldBytes)
 	proxy.incarnations.add(config.Incarnation)
 	incarnation := strconv.FormatUint(uint64(config.Incarnation), 36)
 	proxy.requestIDPrefix = string(config.NodeID) + "-" + incarnation + "-"
--- /dev/null
+++ b/internal/proxy/requesthead.go
@@ -0,0 +1,272 @@
+package proxy
+
+import (
+	"bytes"
+	"cmp"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/springstack/springstack/internal/bytebudget"
+	"github.com/springstack/springstack/internal/result"
+)
+
+// Estimates of the memory that a request takes while it runs.
+const (
+	// requestMemory is the memory of a request without its header: buffers, goroutines and the
+	// records of its attempts.
+	requestMemory = 8 << 10
+	// headerFieldMemory is the memory of a header field besides its text: its entries in the header
+	// of the request and in the copy that is sent on.
+	headerFieldMemory = 256
+	// headTextCopies is how often the text of a head is in memory.
+	headTextCopies = 2
+	// costlyHeadMemory is the estimate from which on a head counts as costly: ordinary requests are
+	// far below it.
+	costlyHeadMemory = 64 << 10
+	// costlyShare is the share of the memory for requests that requests with costly heads may use.
+	costlyShare = 0.25
+)
+
+// minHeadReadBytes is the least free capacity with which more of an incomplete head is read.
+const minHeadReadBytes = 1 << 10
+
+// headLimits limits the heads of the requests that a server receives. The HTTP library parses a head
+// while it arrives, and a field of a few bytes takes many times that as an entry of a header. So
+// incomplete heads are held as text, and a complete one is parsed only if the memory for it is
+// available.
+type headLimits struct {
+	// maxBytes returns the maximum size of a head.
+	maxBytes func() int
+	// timeout returns the time within which a head must be complete.
+	timeout func() time.Duration
+	// incomplete holds the text of incomplete heads.
+	incomplete *evictingBudget
+	// requests limits the estimated memory of the requests that run.
+	requests *bytebudget.Budget
+	// onRefused is called with each refusal of a head.
+	onRefused func(Refusal)
+	// edge is set for callers of a foreign platform.
+	edge *Edge
+}
+
+// unlimitedHeadBytes is the HTTP library's limit of a head on connections with headLimits.
+const unlimitedHeadBytes = 1 << 30
+
+// headLimits returns the limits of the heads that the server of this side receives.
+func (s *sideHandler) headLimits() *headLimits {
+	p := s.proxy
+	limits := &headLimits{
+		maxBytes:   func() int { return p.RequestLimits().HeaderBytes },
+		timeout:    func() time.Duration { return cmp.Or(p.RequestLimits().HeaderTimeout, p.limits.HeaderTimeout) },
+		incomplete: newEvictingBudget(p.limits.IncompleteHeadBytes),
+		requests:   bytebudget.New(p.limits.RequestBytes),
+		onRefused:  func(refusal Refusal) { p.counters.recordRefusal(refusal.Code) },
+		edge:       p.config.Edge,
+	}
+	if !s.isCallerSide {
+		// The callers' side has checked the head as it was sent. It adds headers and a space to each
+		// field, and its daemon may have a version with other limits in force.
+		limits.maxBytes = func() int { return gateHeadFactor * max(p.RequestLimits().HeaderBytes, p.limits.HeaderBytes) }
+		limits.timeout = func() time.Duration { return p.limits.HeaderTimeout }
+		limits.edge = nil
+	}
+	return limits
+}
+
+// gateHeadFactor is the factor between the limit of a head at the gate and that of a caller's.
+const gateHeadFactor = 2
+
+// headMemory estimates the memory that a request with the given head takes.
+func headMemory(size, lines int) int64 {
+	return requestMemory + int64(size)*headTextCopies + int64(lines)*headerFieldMemory
+}
+
+// admit reserves the memory for a request. It returns false if the memory is not available.
+func (h *headLimits) admit(memory int64) bool {
+	if memory > costlyHeadMemory {
+		return h.requests.TryReserveShare(memory, costlyShare)
+	}
+	return h.requests.TryReserve(memory)
+}
+
+// headReader reads the heads of a connection's requests. Its fields are used by the server's reads,
+// which don't overlap.
+type headReader struct {
+	// size and lines are the size and the number of lines that have been read of the current head,
+	// lineBytes is the number of bytes of its last line without carriage returns.
+	size, lines int
+	lineBytes   int
+	// text holds bytes that the server has not read yet.
+	text []byte
+}
+
+// scan advances over bytes of the head. It returns true once the empty line at the end of the head
+// has been read. Leading empty lines count as an end as well: the server then reads again.
+func (r *headReader) scan(text []byte) bool {
+	isComplete := false
+	for len(text) > 0 && !isComplete {
+		newline := bytes.IndexByte(text, '\n')
+		line := text
+		if newline >= 0 {
+			line = text[:newline]
+		}
+		r.lineBytes += len(line) - bytes.Count(line, []byte("\r"))
+		r.size += len(line)
+		if newline < 0 {
+			return false
+		}
+		r.size++
+		r.lines++
+		isComplete = r.lineBytes == 0
+		r.lineBytes = 0
+		text = text[newline+1:]
+	}
+	return isComplete
+}
+
+// reset prepares for the next head.
+func (r *headReader) reset() { r.size, r.lines, r.lineBytes = 0, 0, 0 }
+
+// take moves held bytes to the buffer and returns their number.
+func (r *headReader) take(buffer []byte) int {
+	count := copy(buffer, r.text)
+	r.text = r.text[count:]
+	if len(r.text) == 0 {
+		r.text = nil
+	}
+	return count
+}
+
+// readHead reads a part of a request while no handler runs: it returns bytes once the head is complete.
+// A head that exceeds the limits is refused, and the connection ends.
+func (c *countedConn) readHead(buffer []byte) (int, error) {
+	head := &c.head
+	count, err := c.Conn.Read(buffer)
+	if count == 0 {
+		return 0, err
+	}
+	if !head.scan(buffer[:count]) {
+		if err := c.completeHead(buffer[:count]); err != nil {
+			return 0, err
+		}
+		count = head.take(buffer)
+	}
+	if refusal, admitted := c.admitHead(); !admitted {
+		return 0, c.refuseHead(refusal)
+	}
+	return count, nil
+}
+
+// completeHead holds the given start of a head and reads until the head is complete.
+func (c *countedConn) completeHead(start []byte) error {
+	head, limits := &c.head, c.listener.heads
+	head.text = append(make([]byte, 0, len(start)+minHeadReadBytes), start...)
+	c.startHeadTimeout()
+	// The text of a request that has run ahead has arrived already.
+	mayRefuse := !c.hasPendingAnswers()
+	if mayRefuse {
+		defer limits.incomplete.remove(c)
+		if !limits.incomplete.add(c, int64(cap(head.text))) {
+			return c.refuseHead(overloadedRefusal())
+		}
+	}
+	for {
+		if mayRefuse && head.size > limits.maxBytes() {
+			return c.refuseHead(headTooLarge(limits.maxBytes()))
+		}
+		if !c.growHead() && mayRefuse {
+			return c.refuseHead(overloadedRefusal())
+		}
+		count, err := c.Conn.Read(head.text[len(head.text):cap(head.text)])
+		arrived := head.text[len(head.text) : len(head.text)+count]
+		head.text = head.text[:len(head.text)+count]
+		if head.scan(arrived) {
+			return nil
+		}
+		switch {
+		case isStallError(err):
+			return c.refuseHead(Refusal{Code: result.RequestMalformed, Detail: "The headers have not arrived in time."})
+		case err != nil:
+			return err
+		}
+	}
+}
+
+// growHead makes room for more of an incomplete head. It returns false if the memory for it is not
+// available.
+func (c *countedConn) growHead() bool {
+	head := &c.head
+	if cap(head.text)-len(head.text) >= minHeadReadBytes {
+		return true
+	}
+	grown := make([]byte, len(head.text), 2*cap(head.text))
+	copy(grown, head.text)
+	head.text = grown
+	return c.listener.heads.incomplete.resize(c, int64(cap(grown)))
+}
+
+// startHeadTimeout limits the time until the head is complete. The server's own timeout starts with
+// the first byte that it gets.
+func (c *countedConn) startHeadTimeout() {
+	timeout := c.listener.heads.timeout()
+	c.idleTimer.reset(timeout, c)
+	_ = c.Conn.SetReadDeadline(time.Now().Add(timeout)) // fails on a closed connection, and then reading fails
+}
+
+// admitHead checks the limits of a complete head and reserves the memory for its request. A request
+// that has run ahead is not refused any more.
+func (c *countedConn) admitHead() (Refusal, bool) {
+	head, limits := &c.head, c.listener.heads
+	memory := headMemory(head.size, head.lines)
+	switch {
+	case c.hasPendingAnswers():
+		limits.requests.Reserve(memory)
+	case head.size > limits.maxBytes():
+		return headTooLarge(limits.maxBytes()), false
+	case !limits.admit(memory):
+		return overloadedRefusal(), false
+	}
+	limits.requests.Release(c.requestMemory.Swap(memory))
+	return Refusal{}, true
+}
+
+// releaseRequest returns the memory of the connection's request.
+func (c *countedConn) releaseRequest() {
+	if c.listener.heads != nil {
+		c.listener.heads.requests.Release(c.requestMemory.Swap(0))
+	}
+}
+
+// refuseHead answers with a refusal, closes the sending side and reads what the caller still sends, for
+// a limited time. It returns io.EOF, with which the server closes the connection.
+func (c *countedConn) refuseHead(refusal Refusal) error {
+	refusal.edge = c.listener.heads.edge
+	c.listener.heads.onRefused(refusal)
+	c.head.text = nil
+	if !c.phase.CompareAndSwap(phaseIdle, phaseRetired) {
+		return io.EOF
+	}
+	_ = c.Conn.SetDeadline(time.Now().Add(refusalTimeout)) // fails on a closed connection, and then writing fails
+	if _, err := c.Conn.Write(rawRefusal(refusal)); err != nil {
+		return io.EOF
+	}
+	_ = c.CloseWrite() // the connection is closed anyway
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxDiscardBytes))
+	return io.EOF
+}
+
+// evict closes a connection whose request is incomplete, since its memory is needed for others.
+func (c *countedConn) evict() { c.closeIdle() }
+
+// headTooLarge returns the refusal of a head that exceeds the limit.
+func headTooLarge(limit int) Refusal {
+	detail := "The headers are larger than " + strconv.Itoa(limit) + " bytes."
+	return Refusal{Code: result.RequestTooLarge, Status: http.StatusRequestHeaderFieldsTooLarge, Detail: detail}
+}
+
+// overloadedRefusal returns the refusal of a request for which no memory is available.
+func overloadedRefusal() Refusal {
+	return Refusal{Code: result.Overloaded, Detail: "The memory for requests is in use.", RetryAfter: time.Second}
+}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/springstack/springstack/internal/bytebudget"
 	"github.com/springstack/springstack/internal/pipeline"
 )
 
@@ -87,6 +88,10 @@
 	tlsConfig  *tls.Config
 	// pipelineConfig is nil if no request runs ahead of its turn.
 	pipelineConfig *pipeline.Config
+	// heads is nil for handlers that are neither those of a proxy nor those of a web server.
+	heads *headLimits
+	// isWeb is set for a server that NewWebServer has returned.
+	isWeb bool
 
 	mutex     sync.Mutex
 	listeners []*boundedListener
@@ -119,12 +124,37 @@
 		contexts.onStateChange(conn, state)
 	}
 	server := &Server{httpServer: httpServer, limits: limits}
+	if isSideHandler {
+		server.heads = side.headLimits()
+		httpServer.MaxHeaderBytes = unlimitedHeadBytes
+		// The library would answer these requests without the handler.
+		httpServer.DisableGeneralOptionsHandler = true
+	}
 	if side != nil && side.isCallerSide {
 		server.pipelineConfig = side.proxy.pipelineConfig()
 	}
 	return server
 }
 
+// NewWebServer returns a server for a handler with small requests and answers, each of which takes a
+// moment. Its limits apply as in NewServer.
+func NewWebServer(handler http.Handler, limits Limits) *Server {
+	server := NewServer(handler, limits)
+	server.isWeb = true
+	server.heads = &headLimits{
+		maxBytes:   func() int { return server.limits.HeaderBytes },
+		timeout:    func() time.Duration { return server.limits.HeaderTimeout },
+		incomplete: newEvictingBudget(server.limits.IncompleteHeadBytes),
+		requests:   bytebudget.New(server.limits.RequestBytes),
+		onRefused:  func(Refusal) {},
+	}
+	server.httpServer.MaxHeaderBytes = unlimitedHeadBytes
+	server.httpServer.DisableGeneralOptionsHandler = true
+	server.httpServer.ReadTimeout = server.limits.StallTimeout
+	server.httpServer.WriteTimeout = 2 * server.limits.StallTimeout
+	return server
+}
+
 // SetTLS makes the server accept only TLS connections, or unencrypted ones if config is
 // nil. It must be called before Serve. It returns the server.
 func (s *Server) SetTLS(config *tls.Config) *Server {
@@ -139,6 +169,7 @@
 	limitedListener.tlsConfig = s.tlsConfig
 	limitedListener.closesIdleSilently = s.limits.QuietClose
 	limitedListener.pipelining = s.pipelineConfig
+	limitedListener.heads = s.heads
 	if !s.addListener(limitedListener) {
 		_ = listener.Close()
 		return http.ErrServerClosed
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -39,6 +39,9 @@
 // whether its call has run, and waits for the calls that run.
 func (s *Server) Shutdown(ctx context.Context) error {
 	listeners := s.markStopping()
+	if s.isWeb {
+		return s.httpServer.Shutdown(ctx)
+	}
 	for _, listener := range listeners {
 		listener.stage.Store(stageRefusing)
 	}
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -164,6 +164,17 @@
 	Processors float64 `koanf:"processors" validate:"min=0,max=4096"`
 	// ProcessorShare is the part of them that the daemon may use; 0, the default, is all.
 	ProcessorShare float64 `koanf:"processor_share" validate:"min=0,max=1"`
+	// MemoryMegabytes is the memory that the daemon may use, in units of 2^20 bytes; 0, the default,
+	// means that it is not known. Limits on what requests hold in memory are parts of it.
+	MemoryMegabytes float64 `koanf:"memory_megabytes" validate:"min=0,max=16777216"`
+}
+
+// defaultMemoryMegabytes is assumed if the memory is not known.
+const defaultMemoryMegabytes = 512
+
+// MemoryBytes returns the memory that the daemon may use, in bytes.
+func (m HostedMachine) MemoryBytes() int64 {
+	return int64(cmp.Or(m.MemoryMegabytes, defaultMemoryMegabytes) * (1 << 20))
 }
 
 // capacityUnit is the part of a core from which capacity classes are counted.
