What callers send ahead is limited over all connections, and the backlogged ones take turns

What callers saw: 1,200 connections that send requests without reading the answers ended both daemons (245 and 185 MB at 4 MB a second; 354 and 254 MB without a pause), and ordinary requests were not served.

Cause: up to 16 requests of each of 4,096 connections ran ahead of their turn, and 64 KiB were read ahead of each; nothing counted them together. What ran filled the queues of the gates, so that ordinary requests were refused.

Change: a request runs ahead only if its memory is available, within half of that for requests, else it waits for its turn. Bytes read ahead are counted over all connections; above the limit a connection reads one buffer ahead. A connection whose reading had to stop counts as backlogged until it is empty: no more of its requests run ahead, and at most eight calls of such connections run at a time, the others wait within their deadlines. The least that a pipelining client within the limits sends (16 requests) meets none of this.

An incomplete head whose time is over is refused by the server's own timeout, or its connection closed by that of the configuration, as before; the change before let the two race.

--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -77,6 +77,10 @@
 	requestMemoryParts = 16
 	// incompleteHeadParts divides it into the part for the incomplete heads of one server.
 	incompleteHeadParts = 32
+	// aheadUnreadParts and aheadAnswerParts divide it into the parts for what pipelined requests and
+	// their answers hold.
+	aheadUnreadParts = 32
+	aheadAnswerParts = 16
 )
 
 // The limits of the ports for readiness checks, reports and metrics, each of which serves one or two
@@ -102,6 +106,8 @@
 	grace, memory := given.Drain.Grace(), given.Machine.MemoryBytes()
 	limits.RequestBytes = memory / requestMemoryParts
 	limits.IncompleteHeadBytes = memory / incompleteHeadParts
+	limits.AheadUnreadBytes = memory / aheadUnreadParts
+	limits.AheadHeldBytes = min(limits.AheadHeldBytes, memory/aheadAnswerParts)
 	limits.IdleTimeout = callerIdleTimeout
 	limits.UpstreamIdle = gateIdleTimeout
 	limits.DialTimeout = dialTimeout
--- a/internal/pipeline/ahead.go
+++ b/internal/pipeline/ahead.go
@@ -30,11 +30,13 @@
 	}
 }
 
-// awaitRoom blocks while the unread bytes have reached Config.InputBytes.
+// awaitRoom blocks while the unread bytes have reached Config.InputBytes, or those of all connections
+// Config.Unread.
 func (c *Conn) awaitRoom() error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for len(c.unreadBytes) >= c.config.InputBytes && !c.deadlinePassed && c.readErr == nil {
+	c.isBacklogged = c.isBacklogged || c.isFull()
+	for c.isFull() && !c.deadlinePassed && c.readErr == nil {
 		c.changed.Wait()
 	}
 	if c.readErr != nil {
@@ -46,14 +48,28 @@
 	return nil
 }
 
+// isFull reports whether no more may be read ahead for now. The lock is held.
+func (c *Conn) isFull() bool {
+	return len(c.unreadBytes) >= c.config.InputBytes || len(c.unreadBytes) >= readAheadBytes && c.config.Unread.IsExhausted()
+}
+
+// storeUnread appends bytes to the unread bytes, unless the connection has failed. The lock is held.
+func (c *Conn) storeUnread(text []byte) {
+	if c.readErr != nil {
+		return
+	}
+	c.unreadBytes = append(c.unreadBytes, text...)
+	c.config.Unread.Reserve(int64(len(text)))
+	c.unreadAt = time.Now()
+}
+
 // storeRead appends bytes that were read ahead to the unread bytes, and fails the
 // connection on an error other than a timeout.
 func (c *Conn) storeRead(text []byte, err error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if len(text) > 0 {
-		c.unreadBytes = append(c.unreadBytes, text...)
-		c.unreadAt = time.Now()
+		c.storeUnread(text)
 	}
 	if err != nil && !isTimeout(err) {
 		c.failRead(err)
@@ -76,6 +92,7 @@
 			call.drop()
 		}
 	}
+	c.config.Unread.Release(int64(len(c.unreadBytes)))
 	c.queuedCalls, c.queuedBytes, c.unreadBytes = nil, 0, nil
 	c.changed.Broadcast()
 }
@@ -85,7 +102,7 @@
 func (c *Conn) startCalls() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for c.readErr == nil && !c.blocked && len(c.queuedCalls) < c.config.Calls {
+	for c.readErr == nil && !c.blocked && !c.isBacklogged && len(c.queuedCalls) < c.config.Calls {
 		text := c.unreadBytes[c.queuedBytes:]
 		size := headLength(text)
 		if size < 0 {
@@ -111,10 +128,20 @@
 	if headFraming := readFraming(head); !headFraming.isKnown || headFraming.bodyLength > 0 {
 		return nil
 	}
+	release, admitted := func() {}, true
+	if c.config.Admit != nil {
+		release, admitted = c.config.Admit(head)
+	}
+	if !admitted {
+		return nil
+	}
 	request, err := parseHead(head)
 	if err != nil || !c.config.MayRunAhead(request) {
+		release()
 		return nil
 	}
 	request.RemoteAddr = c.RemoteAddr().String()
-	return newCall(c.baseContext, request, len(head), c.config)
+	created := newCall(c.baseContext, request, len(head), c.config)
+	created.release = release
+	return created
 }
--- a/internal/pipeline/call.go
+++ b/internal/pipeline/call.go
@@ -5,6 +5,8 @@
 	"maps"
 	"net/http"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,16 +18,33 @@
 	arrivedAt time.Time
 	cancel    context.CancelFunc
 	answer    *answer
+	// release releases the memory of the request. It is called once the handler has returned and the
+	// answer is not needed any more; pendingReleases counts what has not happened of both.
+	release         func()
+	pendingReleases atomic.Int32
+	answerReleased  sync.Once
 }
 
 func newCall(baseContext context.Context, request *http.Request, headSize int, config *Config) *Call {
 	ctx, cancel := context.WithCancel(baseContext)
-	return &Call{
+	created := &Call{
 		request:   request.WithContext(ctx),
 		headSize:  headSize,
 		arrivedAt: time.Now(),
 		cancel:    cancel,
 		answer:    newAnswer(config.AnswerBytes, config.Held),
+		release:   func() {},
+	}
+	created.pendingReleases.Store(2)
+	return created
+}
+
+// releaseAnswer records that the answer is not needed any more. The lock of the connection is held.
+func (c *Call) releaseAnswer() { c.answerReleased.Do(c.releaseHalf) }
+
+func (c *Call) releaseHalf() {
+	if c.pendingReleases.Add(-1) == 0 {
+		c.release()
 	}
 }
 
@@ -48,6 +67,7 @@
 			_ = recover()
 		}
 		c.answer.finish(complete)
+		c.releaseHalf()
 	}()
 	handler.ServeHTTP(c.answer, c.request)
 	complete = true
@@ -57,6 +77,7 @@
 func (c *Call) drop() {
 	c.cancel()
 	c.answer.drop()
+	c.releaseAnswer()
 }
 
 // AwaitHead waits until the answer has a head or it is certain that none will follow.
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -22,6 +22,13 @@
 	AnswerBytes int
 	// Held counts and limits the buffered bytes of all connections.
 	Held *bytebudget.Budget
+	// Unread limits the unread bytes of all connections. A connection may hold readAheadBytes even
+	// if the limit is reached. Nil means no limit.
+	Unread *bytebudget.Budget
+	// Admit reports whether the request with the given head may run ahead of its turn, and returns a
+	// function that is called once when the request's memory is free again. It must not block. Nil
+	// admits all.
+	Admit func(head []byte) (release func(), admitted bool)
 	// Handler runs requests ahead of their turn.
 	Handler http.Handler
 	// MayRunAhead reports whether a request may be repeated and may run now. It must not
@@ -71,6 +78,9 @@
 	queuedCalls   []*Call
 	queuedBytes   int
 	firstHeadRead int
+	// isBacklogged is set once reading ahead had to stop because of the limits, until the server has
+	// read all unread bytes.
+	isBacklogged bool
 	// blocked is set if the request after queuedCalls must wait for its turn.
 	blocked bool
 	// unreadAt is when the last bytes of unreadBytes were received. arrivedAt is when the
@@ -128,12 +138,23 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.handlerReturned = true
-	c.servingCall = nil
+	if c.servingCall != nil {
+		c.servingCall.releaseAnswer()
+		c.servingCall = nil
+	}
 	if c.position == requestComplete {
 		c.position = inHead
 	}
 }
 
+// IsBacklogged reports whether the client has sent more ahead than the limits allow to read: it goes on
+// sending without awaiting the answers.
+func (c *Conn) IsBacklogged() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.isBacklogged
+}
+
 // HasPendingAnswers reports whether requests after the current one run or have run ahead,
 // so that their answers are still to be sent.
 func (c *Conn) HasPendingAnswers() bool {
@@ -181,8 +202,7 @@
 	c.arrivedAt = time.Time{}
 	used := c.advance(buffer[:count])
 	if used < count {
-		c.unreadBytes = append(c.unreadBytes, buffer[used:count]...)
-		c.unreadAt = time.Now()
+		c.storeUnread(buffer[used:count])
 		err = nil // the next read returns it again
 	}
 	return used, err
@@ -197,7 +217,6 @@
 		return 0, true, c.readErr
 	}
 	if len(c.unreadBytes) == 0 {
-		c.unreadBytes = nil
 		return 0, false, nil
 	}
 	c.arrivedAt = c.unreadAt
@@ -205,6 +224,10 @@
 	used := c.advance(text)
 	copy(buffer, text[:used])
 	c.unreadBytes = c.unreadBytes[used:]
+	c.config.Unread.Release(int64(used))
+	if len(c.unreadBytes) == 0 {
+		c.unreadBytes, c.isBacklogged = nil, false
+	}
 	c.changed.Broadcast()
 	return used, true, nil
 }
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -136,6 +136,7 @@
 	check := is.New(t)
 	check.True(ahead.aheadCount.Load() > 0)
 	check.Equal(ahead.budget.Used(), int64(0))
+	ahead.awaitReleased(t)
 }
 
 // pieceSizes returns the lengths of pieces.
@@ -386,6 +387,54 @@
 
 // TestTurnWaitCountsFromArrival: the wait of a request for its turn counts from its
 // arrival and is 0 for a request that arrives on an idle connection.
+// TestUnreadBytesOfAllConnectionsAreLimited: beyond the limit, connections read ahead only a little, and
+// count as backlogged until the server has read what they hold.
+func TestUnreadBytesOfAllConnectionsAreLimited(t *testing.T) {
+	check := is.New(t)
+	handler := newBlockingHandler()
+	server := newTestServer(t, false, handler.serve)
+	server.unread.Reserve(server.unread.Limit()) // by other connections
+	conn := server.dial()
+	defer conn.Close()
+	const count = 40
+	post := "POST /a HTTP/1.1\r\nHost: a\r\nPadding: " + strings.Repeat("x", 400) + "\r\n\r\n"
+	go func() { _, _ = io.WriteString(conn, strings.Repeat(post, count)) }()
+	<-handler.started
+	wrappedConn := <-server.conns
+	awaitCondition(t, wrappedConn.IsBacklogged)
+	check.True(server.unread.Used()-server.unread.Limit() <= 2*readAheadBytes)
+	close(handler.release("/a"))
+	reader := bufio.NewReader(conn)
+	for range count {
+		check.Equal(readAnswerBody(t, reader), "/a")
+	}
+	check.True(!wrappedConn.IsBacklogged())
+	check.Equal(server.unread.Used(), server.unread.Limit())
+}
+
+// TestRequestsThatAreNotAdmittedRunInTheirTurn: a request runs ahead only if it is admitted.
+func TestRequestsThatAreNotAdmittedRunInTheirTurn(t *testing.T) {
+	check := is.New(t)
+	handler := newBlockingHandler()
+	server := newTestServer(t, false, handler.serve)
+	server.admitted.Reserve(server.admitted.Limit() - 1) // by other connections
+	conn := server.dial()
+	defer conn.Close()
+	_, err := io.WriteString(conn, getRequest("/a")+getRequest("/b")+getRequest("/c"))
+	check.NoErr(err)
+	startedPaths := map[string]bool{<-handler.started: true, <-handler.started: true}
+	check.Equal(startedPaths, map[string]bool{"/a": true, "/b": true})
+	close(handler.release("/b"))
+	close(handler.release("/a"))
+	close(handler.release("/c"))
+	reader := bufio.NewReader(conn)
+	for _, path := range []string{"/a", "/b", "/c"} {
+		check.Equal(readAnswerBody(t, reader), path)
+	}
+	server.admitted.Release(server.admitted.Limit() - 1)
+	server.awaitReleased(t)
+}
+
 func TestTurnWaitCountsFromArrival(t *testing.T) {
 	check := is.New(t)
 	handler := newBlockingHandler()
--- a/internal/pipeline/testserver_test.go
+++ b/internal/pipeline/testserver_test.go
@@ -47,6 +47,9 @@
 	httpServer *http.Server
 	config     *Config
 	budget     *bytebudget.Budget
+	// unread limits the unread bytes, admitted the number of requests that run ahead at a time.
+	unread   *bytebudget.Budget
+	admitted *bytebudget.Budget
 	// conns receives the first connection whose requests run ahead.
 	conns chan *Conn
 	// turnWaits receives how long each request has waited for its turn.
@@ -64,9 +67,9 @@
 
 // newTestServer serves a handler. With serial set, it uses net/http without this package.
 func newTestServer(t testing.TB, serial bool, handler http.HandlerFunc) *testServer {
-	created := &testServer{listener: newPipeListener(), budget: bytebudget.New(64 << 10), conns: make(chan *Conn, 1), turnWaits: make(chan time.Duration, 16)}
+	created := &testServer{listener: newPipeListener(), budget: bytebudget.New(64 << 10), unread: bytebudget.New(6 << 10), admitted: bytebudget.New(3), conns: make(chan *Conn, 1), turnWaits: make(chan time.Duration, 16)}
 	created.config = &Config{
-		Calls: 4, InputBytes: 4 << 10, AnswerBytes: 2 << 10, Held: created.budget,
+		Calls: 4, InputBytes: 4 << 10, AnswerBytes: 2 << 10, Held: created.budget, Unread: created.unread, Admit: created.admit,
 		Handler: handler, MayRunAhead: isRepeatable, OnStart: func(int) { created.aheadCount.Add(1) },
 	}
 	created.httpServer = &http.Server{Handler: handler, ErrorLog: nil}
@@ -100,6 +103,11 @@
 	return created
 }
 
+// admit admits a request while fewer than the limit run ahead.
+func (s *testServer) admit([]byte) (release func(), admitted bool) {
+	return func() { s.admitted.Release(1) }, s.admitted.TryReserve(1)
+}
+
 // wrappingListener wraps each accepted connection in a Conn, and sends the first one to the
 // channel conns of the server.
 type wrappingListener struct {
@@ -149,3 +157,21 @@
 	}
 	return value
 }
+
+// awaitReleased waits until no memory is reserved for requests or their unread bytes.
+func (s *testServer) awaitReleased(t testing.TB) {
+	t.Helper()
+	awaitCondition(t, func() bool { return s.admitted.Used() == 0 && s.unread.Used() == 0 })
+}
+
+// awaitCondition waits until a condition holds.
+func awaitCondition(t testing.TB, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatal("the condition does not hold in time")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/proxy/ahead.go
+++ b/internal/proxy/ahead.go
@@ -6,12 +6,13 @@
 	"strconv"
 	"time"
 
+	"github.com/springstack/springstack/internal/bytebudget"
 	"github.com/springstack/springstack/internal/pipeline"
 )
 
 // pipelineConfig returns the configuration for running pipelined requests of a caller's
-// connection concurrently; nil if they run one after another.
-func (p *Proxy) pipelineConfig() *pipeline.Config {
+// connection concurrently, within the limits of their heads; nil if they run one after another.
+func (p *Proxy) pipelineConfig(heads *headLimits) *pipeline.Config {
 	if p.limits.AheadCalls < 0 {
 		return nil
 	}
@@ -20,6 +21,8 @@
 		InputBytes:  p.limits.AheadInputBytes,
 		AnswerBytes: p.limits.AheadAnswerBytes,
 		Held:        p.answerBudget,
+		Unread:      bytebudget.New(p.limits.AheadUnreadBytes),
+		Admit:       heads.admitAhead,
 		Handler:     http.HandlerFunc(p.serveCaller),
 		MayRunAhead: p.mayRunAhead,
 		OnStart:     p.recordRunAhead,
--- /dev/null
+++ b/internal/proxy/backlog.go
@@ -0,0 +1,24 @@
+package proxy
+
+import "github.com/springstack/springstack/internal/result"
+
+// maxBackloggedCalls is the maximum number of calls that run at a time for connections with a backlog.
+const maxBackloggedCalls = 8
+
+// awaitBacklogTurn delays a call of a connection with a backlog until few such calls run. Their callers
+// send requests without awaiting answers, so that they would fill the queues of the gates and other
+// callers would be refused. It returns false, with a refusal, if the call's time ends before. release
+// must be called when the call has ended.
+func (c *callerCall) awaitBacklogTurn() (release func(), refusal Refusal, passed bool) {
+	conn, isCounted := c.request.Context().Value(connKey{}).(*countedConn)
+	if !isCounted || conn.pipelined == nil || !conn.pipelined.IsBacklogged() {
+		return func() {}, Refusal{}, true
+	}
+	turns := c.proxy.backlogTurns
+	select {
+	case turns <- struct{}{}:
+		return func() { <-turns }, Refusal{}, true
+	case <-c.context.Done():
+		return nil, Refusal{Code: result.DeadlineBeforeStart}, false
+	}
+}
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -54,6 +54,13 @@
 	call.writer = writer
 	call.control = control
 	call.body = body
+	release, refusal, passed := call.awaitBacklogTurn()
+	if !passed {
+		p.traceEarlyRefusal(request, refusal)
+		p.refuse(writer, body, refusal)
+		return
+	}
+	defer release()
 	if refusal, permitted := call.takeQuota(); !permitted {
 		p.traceEarlyRefusal(request, refusal)
 		p.refuse(writer, body, refusal)
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -177,6 +177,9 @@
 	// AheadInputBytes limits the bytes read from a caller's connection beyond the current
 	// request.
 	AheadInputBytes int
+	// AheadUnreadBytes limits the bytes read from all callers' connections beyond the current
+	// requests. Above it a connection reads on only to detect that its caller disconnects.
+	AheadUnreadBytes int64
 	// AheadAnswerBytes limits the buffered bytes of one answer that waits for its turn,
 	// AheadHeldBytes those of all answers. A call with a longer answer pauses until its turn.
 	AheadAnswerBytes int
@@ -238,6 +241,7 @@
 		Prewarm:             2,
 		AheadCalls:          16,
 		AheadInputBytes:     64 << 10,
+		AheadUnreadBytes:    16 << 20,
 		AheadAnswerBytes:    64 << 10,
 		AheadHeldBytes:      16 << 20,
 		ReplayBytes:         64 << 10,
@@ -282,6 +286,7 @@
 	setDefault(&l.Prewarm, fallback.Prewarm)
 	setDefault(&l.AheadCalls, fallback.AheadCalls)
 	setDefault(&l.AheadInputBytes, fallback.AheadInputBytes)
+	setDefault(&l.AheadUnreadBytes, fallback.AheadUnreadBytes)
 	setDefault(&l.AheadAnswerBytes, fallback.AheadAnswerBytes)
 	setDefault(&l.AheadHeldBytes, fallback.AheadHeldBytes)
 	setDefault(&l.ReplayBytes, fallback.ReplayBytes)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -66,6 +66,8 @@
 	connContexts       connectionContexts
 	// answerBudget bounds the buffered answers of pipelined calls that ran ahead of their turn.
 	answerBudget *bytebudget.Budget
+	// backlogTurns holds an element for each running call of a connection with a backlog.
+	backlogTurns chan struct{}
 	closed       chan struct{}
 	closeOnce    sync.Once
 
@@ -84,7 +86,8 @@
 		drain:  newDrain(),
 		closed: make(chan struct{}),
 
-		suspectTurn: make(chan struct{}, 1),
+		suspectTurn:  make(chan struct{}, 1),
+		backlogTurns: make(chan struct{}, maxBackloggedCalls),
 
 		startedAt: config.Clock(),
 
--- a/internal/proxy/requesthead.go
+++ b/internal/proxy/requesthead.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"io"
 	"net/http"
 	"strconv"
@@ -27,6 +26,9 @@
 	costlyHeadMemory = 64 << 10
 	// costlyShare is the share of the memory for requests that requests with costly heads may use.
 	costlyShare = 0.25
+	// aheadShare is the share of it that may be in use when another request starts ahead of its
+	// turn.
+	aheadShare = 0.5
 )
 
 // minHeadReadBytes is the least free capacity with which more of an incomplete head is read.
@@ -39,8 +41,10 @@
 type headLimits struct {
 	// maxBytes returns the maximum size of a head.
 	maxBytes func() int
-	// timeout returns the time within which a head must be complete.
-	timeout func() time.Duration
+	// timeout is the time after which an incomplete head is refused. closeAfter returns the time after
+	// which its connection is closed without an answer; 0 if it is not.
+	timeout    time.Duration
+	closeAfter func() time.Duration
 	// incomplete holds the text of incomplete heads.
 	incomplete *evictingBudget
 	// requests limits the estimated memory of the requests that run.
@@ -59,7 +63,8 @@
 	p := s.proxy
 	limits := &headLimits{
 		maxBytes:   func() int { return p.RequestLimits().HeaderBytes },
-		timeout:    func() time.Duration { return cmp.Or(p.RequestLimits().HeaderTimeout, p.limits.HeaderTimeout) },
+		timeout:    p.limits.HeaderTimeout,
+		closeAfter: func() time.Duration { return p.RequestLimits().HeaderTimeout },
 		incomplete: newEvictingBudget(p.limits.IncompleteHeadBytes),
 		requests:   bytebudget.New(p.limits.RequestBytes),
 		onRefused:  func(refusal Refusal) { p.counters.recordRefusal(refusal.Code) },
@@ -69,7 +74,7 @@
 		// The callers' side has checked the head as it was sent. It adds headers and a space to each
 		// field, and its daemon may have a version with other limits in force.
 		limits.maxBytes = func() int { return gateHeadFactor * max(p.RequestLimits().HeaderBytes, p.limits.HeaderBytes) }
-		limits.timeout = func() time.Duration { return p.limits.HeaderTimeout }
+		limits.closeAfter = func() time.Duration { return 0 }
 		limits.edge = nil
 	}
 	return limits
@@ -91,6 +96,23 @@
 	return h.requests.TryReserve(memory)
 }
 
+// admitAhead reserves the memory for a request that is to run ahead of its turn, and returns the
+// function that releases it. It returns false if the request has to wait for its turn.
+func (h *headLimits) admitAhead(head []byte) (release func(), admitted bool) {
+	if len(head) > h.maxBytes() {
+		return nil, false
+	}
+	memory := headMemory(len(head), bytes.Count(head, []byte("\n")))
+	share := aheadShare
+	if memory > costlyHeadMemory {
+		share = costlyShare
+	}
+	if !h.requests.TryReserveShare(memory, share) {
+		return nil, false
+	}
+	return func() { h.requests.Release(memory) }, true
+}
+
 // headReader reads the heads of a connection's requests. Its fields are used by the server's reads,
 // which don't overlap.
 type headReader struct {
@@ -210,9 +232,9 @@
 // startHeadTimeout limits the time until the head is complete. The server's own timeout starts with
 // the first byte that it gets.
 func (c *countedConn) startHeadTimeout() {
-	timeout := c.listener.heads.timeout()
-	c.idleTimer.reset(timeout, c)
-	_ = c.Conn.SetReadDeadline(time.Now().Add(timeout)) // fails on a closed connection, and then reading fails
+	limits := c.listener.heads
+	c.idleTimer.reset(limits.closeAfter(), c)
+	_ = c.Conn.SetReadDeadline(time.Now().Add(limits.timeout)) // fails on a closed connection, and then reading fails
 }
 
 // admitHead checks the limits of a complete head and reserves the memory for its request. A request
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -131,7 +131,7 @@
 		httpServer.DisableGeneralOptionsHandler = true
 	}
 	if side != nil && side.isCallerSide {
-		server.pipelineConfig = side.proxy.pipelineConfig()
+		server.pipelineConfig = side.proxy.pipelineConfig(server.heads)
 	}
 	return server
 }
@@ -143,7 +143,8 @@
 	server.isWeb = true
 	server.heads = &headLimits{
 		maxBytes:   func() int { return server.limits.HeaderBytes },
-		timeout:    func() time.Duration { return server.limits.HeaderTimeout },
+		timeout:    server.limits.HeaderTimeout,
+		closeAfter: func() time.Duration { return 0 },
 		incomplete: newEvictingBudget(server.limits.IncompleteHeadBytes),
 		requests:   bytebudget.New(server.limits.RequestBytes),
 		onRefused:  func(Refusal) {},
