At the limit of connections a new one replaces the one that is idle for longest

What callers saw: idle connections of some clients kept others out once a listener had 4,096 of them, and the machine has 4,100 descriptors, of which connections to upstreams, peers and the store need some: at the port for readiness nothing limited them at all.

Change: the settings name the descriptors (machine.file_descriptors), a third of which each server of the data path may use. At the limit a new connection replaces the oldest one without a request, else the one that has been idle for longest; it is refused only if all run a call. The ports for readiness, reports and metrics take 32 connections, and there a new one may replace one at work.

--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -83,9 +83,18 @@
 	aheadAnswerParts = 16
 )
 
+const (
+	// fileDescriptors is the number of descriptors that are not available for sockets.
+	fileDescriptors = 200
+	// connectionParts divides the descriptors for sockets into the part for each of the two servers of
+	// the data path. The rest is for connections that the daemon opens and for its other ports.
+	connectionParts = 3
+)
+
 // The limits of the ports for readiness checks, reports and metrics, each of which serves one or two
 // clients.
 const (
+	webConnections   = 32
 	webTimeout       = 5 * time.Second
 	webHeaderBytes   = 16 << 10
 	webHeadBytes     = 512 << 10
@@ -95,7 +104,7 @@
 // webLimits returns the limits of a port for readiness checks, reports or metrics.
 func webLimits() proxy.Limits {
 	return proxy.Limits{
-		HeaderBytes: webHeaderBytes, HeaderTimeout: webTimeout, StallTimeout: webTimeout,
+		HeaderBytes: webHeaderBytes, Connections: webConnections, HeaderTimeout: webTimeout, StallTimeout: webTimeout,
 		IdleTimeout: callerIdleTimeout, IncompleteHeadBytes: webHeadBytes, RequestBytes: webRequestMemory,
 	}
 }
@@ -108,6 +117,9 @@
 	limits.IncompleteHeadBytes = memory / incompleteHeadParts
 	limits.AheadUnreadBytes = memory / aheadUnreadParts
 	limits.AheadHeldBytes = min(limits.AheadHeldBytes, memory/aheadAnswerParts)
+	if descriptors := given.Machine.FileDescriptors - fileDescriptors; descriptors > 0 {
+		limits.Connections = max(descriptors/connectionParts, 1)
+	}
 	limits.IdleTimeout = callerIdleTimeout
 	limits.UpstreamIdle = gateIdleTimeout
 	limits.DialTimeout = dialTimeout
--- a/internal/proxy/idletimer.go
+++ b/internal/proxy/idletimer.go
@@ -24,16 +24,18 @@
 		t.timer = nil
 	}
 	if wait > 0 {
-		t.timer = time.AfterFunc(wait, conn.closeIdle)
+		t.timer = time.AfterFunc(wait, func() { conn.closeIdle() })
 	}
 }
 
 // closeIdle closes a connection on which no call is running. A call that the caller is sending at
-// that moment does not run.
-func (c *countedConn) closeIdle() {
-	if c.phase.CompareAndSwap(phaseIdle, phaseRetired) {
-		_ = c.Close() // wakes a blocked reader, which then ends
+// that moment does not run. It returns false if a call is running or the connection is retired.
+func (c *countedConn) closeIdle() bool {
+	if !c.phase.CompareAndSwap(phaseIdle, phaseRetired) {
+		return false
 	}
+	_ = c.Close() // wakes a blocked reader, which then ends
+	return true
 }
 
 // updateIdleTimer bounds how long a caller's connection is idle and how long the headers of a
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -28,14 +28,17 @@
 // have the form of this project's events.
 var discardLog = log.New(io.Discard, "", 0)
 
-// boundedListener refuses connections beyond a limit with a result code, and adds a result code to
-// the library's own refusals of malformed requests.
+// boundedListener limits the open connections: at the limit, a new connection replaces the one that has
+// been idle for longest, or is refused with a result code if none is idle. It also adds a result code
+// to the library's own refusals of malformed requests.
 type boundedListener struct {
 	net.Listener
 	limit int64
 	// closesIdleSilently closes idle connections without an answer that announces the close.
 	closesIdleSilently bool
-	tlsConfig          *tls.Config
+	// replacesBusy lets a new connection replace one that runs a request if none is idle.
+	replacesBusy bool
+	tlsConfig    *tls.Config
 	// pipelining is set if pipelined requests may run ahead of their turn; nil if not.
 	pipelining *pipeline.Config
 	// heads limits the heads of requests; nil if the HTTP library alone does so.
@@ -79,7 +82,7 @@
 			l.refuseConnection(conn, stoppingRefusal(0))
 			continue
 		}
-		if l.openCount.Add(1) <= l.limit {
+		if l.openCount.Add(1) <= l.limit || l.closeOldest() {
 			limitedConn := newCountedConn(conn, l)
 			l.conns.Store(limitedConn, struct{}{})
 			return limitedConn, nil
@@ -93,6 +96,35 @@
 	}
 }
 
+// closeOldest closes an idle connection: the oldest one that has not carried a call yet, else the one
+// that has been idle for longest. It returns false if none is idle and, unless replacesBusy is set,
+// none can be closed.
+func (l *boundedListener) closeOldest() bool {
+	var unused, oldest, oldestBusy *countedConn
+	l.conns.Range(func(key, _ any) bool {
+		conn := key.(*countedConn)
+		place := &oldest
+		switch {
+		case conn.phase.Load() != phaseIdle:
+			place = &oldestBusy
+		case !conn.isUsed.Load():
+			place = &unused
+		}
+		if *place == nil || conn.phaseSince.Load() < (*place).phaseSince.Load() {
+			*place = conn
+		}
+		return true
+	})
+	if unused != nil && unused.closeIdle() || oldest != nil && oldest.closeIdle() {
+		return true
+	}
+	if !l.replacesBusy || oldestBusy == nil {
+		return false
+	}
+	_ = oldestBusy.Close() // the connection is given up
+	return true
+}
+
 // handleAcceptError returns err while the listener serves, and net.ErrClosed once it is closed or
 // stopping.
 func (l *boundedListener) handleAcceptError(err error) error {
@@ -139,6 +171,11 @@
 	pipelined *pipeline.Conn
 	closeOnce sync.Once
 	phase     atomic.Int32
+	// phaseSince is when the connection was accepted or its last call began or ended, in nanoseconds
+	// since phaseOrigin.
+	phaseSince atomic.Int64
+	// isUsed is set once the connection has carried a call.
+	isUsed    atomic.Bool
 	idleTimer idleTimer
 	head      headReader
 	// requestMemory is the memory that is reserved for the current request, in bytes.
@@ -147,6 +184,7 @@
 
 func newCountedConn(conn net.Conn, listener *boundedListener) *countedConn {
 	limitedConn := &countedConn{Conn: conn, listener: listener}
+	limitedConn.markPhase()
 	if listener.pipelining != nil {
 		limitedConn.pipelined = pipeline.Wrap(conn, listener.pipelining)
 		limitedConn.Conn = limitedConn.pipelined
@@ -154,6 +192,12 @@
 	return limitedConn
 }
 
+// phaseOrigin is the origin of countedConn.phaseSince.
+var phaseOrigin = time.Now()
+
+// markPhase records the current time as that of a change of the phase.
+func (c *countedConn) markPhase() { c.phaseSince.Store(int64(time.Since(phaseOrigin))) }
+
 // hasPendingAnswers reports whether requests behind the current one have run ahead, or are running,
 // and are not answered yet.
 func (c *countedConn) hasPendingAnswers() bool {
@@ -175,6 +219,8 @@
 // not run.
 func (c *countedConn) beginCall() bool {
 	c.idleTimer.reset(0, c)
+	c.markPhase()
+	c.isUsed.Store(true)
 	return c.phase.CompareAndSwap(phaseIdle, phaseBusy) || c.phase.Load() == phaseBusy
 }
 
@@ -183,6 +229,7 @@
 func (c *countedConn) endCall() {
 	c.releaseRequest()
 	c.head.reset()
+	c.markPhase()
 	c.phase.CompareAndSwap(phaseBusy, phaseIdle)
 	if c.listener.stage.Load() == stageRetiring {
 		c.retire()
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -137,7 +137,8 @@
 }
 
 // NewWebServer returns a server for a handler with small requests and answers, each of which takes a
-// moment. Its limits apply as in NewServer.
+// moment. Its limits apply as in NewServer. At the maximum number of connections, a new one replaces
+// the oldest.
 func NewWebServer(handler http.Handler, limits Limits) *Server {
 	server := NewServer(handler, limits)
 	server.isWeb = true
@@ -171,6 +172,7 @@
 	limitedListener.closesIdleSilently = s.limits.QuietClose
 	limitedListener.pipelining = s.pipelineConfig
 	limitedListener.heads = s.heads
+	limitedListener.replacesBusy = s.isWeb
 	if !s.addListener(limitedListener) {
 		_ = listener.Close()
 		return http.ErrServerClosed
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -167,6 +167,9 @@
 	// MemoryMegabytes is the memory that the daemon may use, in units of 2^20 bytes; 0, the default,
 	// means that it is not known. Limits on what requests hold in memory are parts of it.
 	MemoryMegabytes float64 `koanf:"memory_megabytes" validate:"min=0,max=16777216"`
+	// FileDescriptors is the number of descriptors that the daemon may have open; 0, the default, means
+	// that it is not known. It limits the connections.
+	FileDescriptors int `koanf:"file_descriptors" validate:"min=0,max=16777216"`
 }
 
 // defaultMemoryMegabytes is assumed if the memory is not known.
