A connection that sends ahead while its requests are refused counts as backlogged

Cause: a refusal is quick, so that a connection's further requests were read as fast as they came and it never counted as backlogged; each of them went to a gate and filled its queue again.

Change: a connection on which a request is refused for want of capacity counts as backlogged if further requests have arrived already, until they are read. Requests may start ahead within a quarter of the memory for requests.

--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -74,7 +74,7 @@
 // the daemon knows of the mesh, and for the garbage that the runtime has not collected.
 const (
 	// requestMemoryParts divides the memory into the part for the running requests of one server.
-	requestMemoryParts = 16
+	requestMemoryParts = 8
 	// incompleteHeadParts divides it into the part for the incomplete heads of one server.
 	incompleteHeadParts = 32
 	// aheadUnreadParts and aheadAnswerParts divide it into the parts for what pipelined requests and
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -78,8 +78,8 @@
 	queuedCalls   []*Call
 	queuedBytes   int
 	firstHeadRead int
-	// isBacklogged is set once reading ahead had to stop because of the limits, until the server has
-	// read all unread bytes.
+	// isBacklogged is set once reading ahead had to stop because of the limits, or by MarkBacklogged,
+	// until the server has read all unread bytes.
 	isBacklogged bool
 	// blocked is set if the request after queuedCalls must wait for its turn.
 	blocked bool
@@ -147,8 +147,17 @@
 	}
 }
 
-// IsBacklogged reports whether the client has sent more ahead than the limits allow to read: it goes on
-// sending without awaiting the answers.
+// MarkBacklogged marks the connection as backlogged if the client has sent further requests ahead. It is
+// called when a request of the connection was refused for want of capacity: the client has sent the
+// further ones without heeding that.
+func (c *Conn) MarkBacklogged() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.isBacklogged = c.isBacklogged || len(c.unreadBytes) > 0
+}
+
+// IsBacklogged reports whether the client has sent more ahead than the limits allow to read, or has sent
+// ahead while requests were refused for want of capacity.
 func (c *Conn) IsBacklogged() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/proxy/backlog.go
+++ b/internal/proxy/backlog.go
@@ -1,6 +1,9 @@
 package proxy
 
-import "github.com/springstack/springstack/internal/result"
+import (
+	"github.com/springstack/springstack/internal/pipeline"
+	"github.com/springstack/springstack/internal/result"
+)
 
 // maxBackloggedCalls is the maximum number of calls that run at a time for connections with a backlog.
 const maxBackloggedCalls = 8
@@ -10,8 +13,8 @@
 // callers would be refused. It returns false, with a refusal, if the call's time ends before. release
 // must be called when the call has ended.
 func (c *callerCall) awaitBacklogTurn() (release func(), refusal Refusal, passed bool) {
-	conn, isCounted := c.request.Context().Value(connKey{}).(*countedConn)
-	if !isCounted || conn.pipelined == nil || !conn.pipelined.IsBacklogged() {
+	conn := c.pipelinedConn()
+	if conn == nil || !conn.IsBacklogged() {
 		return func() {}, Refusal{}, true
 	}
 	turns := c.proxy.backlogTurns
@@ -22,3 +25,21 @@
 		return nil, Refusal{Code: result.DeadlineBeforeStart}, false
 	}
 }
+
+// noteRefusal marks the call's connection as backlogged if the call was refused for want of capacity while
+// the caller had already sent further requests.
+func (c *callerCall) noteRefusal(refusal Refusal) {
+	conn := c.pipelinedConn()
+	if conn != nil && refusal.execution() == result.RanNo && defaultRetryAfter(refusal.Code) > 0 {
+		conn.MarkBacklogged()
+	}
+}
+
+// pipelinedConn returns the call's connection; nil if pipelined requests don't run ahead there.
+func (c *callerCall) pipelinedConn() *pipeline.Conn {
+	conn, isCounted := c.request.Context().Value(connKey{}).(*countedConn)
+	if !isCounted {
+		return nil
+	}
+	return conn.pipelined
+}
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -293,6 +293,7 @@
 		c.returnQuota()
 	}
 	c.traceRefusal(refusal)
+	c.noteRefusal(refusal)
 	c.proxy.refuse(c.writer, c.body, refusal)
 }
 
--- a/internal/proxy/requesthead.go
+++ b/internal/proxy/requesthead.go
@@ -28,7 +28,7 @@
 	costlyShare = 0.25
 	// aheadShare is the share of it that may be in use when another request starts ahead of its
 	// turn.
-	aheadShare = 0.5
+	aheadShare = 0.25
 )
 
 // minHeadReadBytes is the least free capacity with which more of an incomplete head is read.
@@ -103,11 +103,7 @@
 		return nil, false
 	}
 	memory := headMemory(len(head), bytes.Count(head, []byte("\n")))
-	share := aheadShare
-	if memory > costlyHeadMemory {
-		share = costlyShare
-	}
-	if !h.requests.TryReserveShare(memory, share) {
+	if !h.requests.TryReserveShare(memory, min(aheadShare, costlyShare)) {
 		return nil, false
 	}
 	return func() { h.requests.Release(memory) }, true
