Bodies are read before the first attempt, within a budget over all calls

What callers saw: 800 connections that send a body of 480 KiB but for its last byte ended both daemons (175 and 161 MB).

Cause: a body up to the limit for another attempt was kept in memory at the callers' side and at the gate, twice while it arrived, and nothing counted that over all calls. A body of unknown length was sent on at once, so that its call held a slot of the upstream while the body arrived.

Change: kept bodies are counted over the proxy, by the capacity that has been allocated for what has arrived, in a budget of an eighth of the machine's memory. If it is used up, the call whose body has been awaited for longest is refused as not run, for the newer one: an ordinary body is complete soon. The same call gives way when a new connection or request finds no room. A body of unknown length is read before its call is sent as well, while it arrives without a pause of 250 ms and for a second at most, since it may depend on the answer. Of a body that is declared to be too long to be kept, 64 KiB are.

--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -77,6 +77,8 @@
 	requestMemoryParts = 8
 	// incompleteHeadParts divides it into the part for the incomplete heads of one server.
 	incompleteHeadParts = 32
+	// bodyParts divides it into the part for bodies that are kept for another attempt.
+	bodyParts = 8
 	// aheadUnreadParts and aheadAnswerParts divide it into the parts for what pipelined requests and
 	// their answers hold.
 	aheadUnreadParts = 32
@@ -115,6 +117,7 @@
 	grace, memory := given.Drain.Grace(), given.Machine.MemoryBytes()
 	limits.RequestBytes = memory / requestMemoryParts
 	limits.IncompleteHeadBytes = memory / incompleteHeadParts
+	limits.BodyMemoryBytes = memory / bodyParts
 	limits.AheadUnreadBytes = memory / aheadUnreadParts
 	limits.AheadHeldBytes = min(limits.AheadHeldBytes, memory/aheadAnswerParts)
 	if descriptors := given.Machine.FileDescriptors - fileDescriptors; descriptors > 0 {
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -86,7 +86,7 @@
 	control := http.NewResponseController(writer)
 	limits := p.limits
 	limits.BodyBytes = p.RequestLimits().BodyBytes
-	return control, newUpload(request, control, limits)
+	return control, newUpload(request, control, limits, p.bodyMemory)
 }
 
 // bodyRefusal returns the refusal of a call whose body could not be read before the first
@@ -94,6 +94,8 @@
 func bodyRefusal(ctx context.Context, err error) Refusal {
 	refusal := Refusal{Code: result.RequestMalformed, Ran: result.RanNo, Detail: describeBodyFailure(err)}
 	switch {
+	case errors.Is(err, errBodyEvicted):
+		refusal.Code = result.Overloaded
 	case isStallError(err):
 		refusal.Code = result.SlowPeer
 	case context.Cause(ctx) == errDrainBound:
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -186,6 +186,9 @@
 	AheadHeldBytes   int64
 	// ReplayBytes is the number of bytes of a request's body that are kept for another attempt.
 	ReplayBytes int
+	// BodyMemoryBytes limits the memory for the bodies that are kept for another attempt. Calls whose
+	// bodies have not arrived are refused, the oldest first, for newer ones.
+	BodyMemoryBytes int64
 	// QueueLength is the maximum number of calls that wait at the gate.
 	QueueLength int
 	// QueueWait limits the expected wait at the gate.
@@ -245,6 +248,7 @@
 		AheadAnswerBytes:    64 << 10,
 		AheadHeldBytes:      16 << 20,
 		ReplayBytes:         64 << 10,
+		BodyMemoryBytes:     128 << 20,
 		QueueLength:         256,
 		QueueWait:           2 * time.Second,
 		KeyWindow:           2 * time.Minute,
@@ -290,6 +294,7 @@
 	setDefault(&l.AheadAnswerBytes, fallback.AheadAnswerBytes)
 	setDefault(&l.AheadHeldBytes, fallback.AheadHeldBytes)
 	setDefault(&l.ReplayBytes, fallback.ReplayBytes)
+	setDefault(&l.BodyMemoryBytes, fallback.BodyMemoryBytes)
 	setDefault(&l.QueueLength, fallback.QueueLength)
 	setDefault(&l.QueueWait, fallback.QueueWait)
 	setDefault(&l.KeyWindow, fallback.KeyWindow)
--- a/internal/proxy/evictingbudget.go
+++ b/internal/proxy/evictingbudget.go
@@ -70,6 +70,20 @@
 	return true
 }
 
+// evictOldest evicts the oldest holder that may be evicted. It returns false if there is none.
+func (b *evictingBudget) evictOldest() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	oldest := b.holders.Front()
+	if oldest == nil {
+		return false
+	}
+	victim := oldest.Value.(*heldMemory)
+	b.removeLocked(victim)
+	victim.holder.evict()
+	return true
+}
+
 // keep has a holder keep its memory: it is not evicted any more. It returns false if the holder has
 // been evicted.
 func (b *evictingBudget) keep(holder evictable) bool {
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -38,7 +38,10 @@
 	closesIdleSilently bool
 	// replacesBusy lets a new connection replace one that runs a request if none is idle.
 	replacesBusy bool
-	tlsConfig    *tls.Config
+	// bodies holds the bodies that have not arrived; the oldest is evicted for a new connection if none
+	// is idle. Nil if none is evicted.
+	bodies    *evictingBudget
+	tlsConfig *tls.Config
 	// pipelining is set if pipelined requests may run ahead of their turn; nil if not.
 	pipelining *pipeline.Config
 	// heads limits the heads of requests; nil if the HTTP library alone does so.
@@ -82,7 +85,7 @@
 			l.refuseConnection(conn, stoppingRefusal(0))
 			continue
 		}
-		if l.openCount.Add(1) <= l.limit || l.closeOldest() {
+		if l.openCount.Add(1) <= l.limit || l.closeOldest() || l.evictBody() {
 			limitedConn := newCountedConn(conn, l)
 			l.conns.Store(limitedConn, struct{}{})
 			return limitedConn, nil
@@ -125,6 +128,10 @@
 	return true
 }
 
+// evictBody ends the call whose body has been awaited for longest; its connection is closed soon. It
+// returns false if there is none.
+func (l *boundedListener) evictBody() bool { return l.bodies != nil && l.bodies.evictOldest() }
+
 // handleAcceptError returns err while the listener serves, and net.ErrClosed once it is closed or
 // stopping.
 func (l *boundedListener) handleAcceptError(err error) error {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -66,6 +66,8 @@
 	connContexts       connectionContexts
 	// answerBudget bounds the buffered answers of pipelined calls that ran ahead of their turn.
 	answerBudget *bytebudget.Budget
+	// bodyMemory limits the memory for bodies that are kept for another attempt, or have not arrived.
+	bodyMemory *evictingBudget
 	// backlogTurns holds an element for each running call of a connection with a backlog.
 	backlogTurns chan struct{}
 	closed       chan struct{}
@@ -96,6 +98,7 @@
 	proxy.notices.faultLogs = newNoticeFaultLogs()
 	proxy.harmfulRequests = newHarmfulRequests(config, proxy.logEvent)
 	proxy.answerBudget = bytebudget.New(proxy.limits.AheadHeldBytes)
+	proxy.bodyMemory = newEvictingBudget(proxy.limits.BodyMemoryBytes)
 	proxy.incarnations.add(config.Incarnation)
 	incarnation := strconv.FormatUint(uint64(config.Incarnation), 36)
 	proxy.requestIDPrefix = string(config.NodeID) + "-" + incarnation + "-"
--- a/internal/proxy/requesthead.go
+++ b/internal/proxy/requesthead.go
@@ -243,7 +243,10 @@
 		limits.requests.Reserve(memory)
 	case head.size > limits.maxBytes():
 		return headTooLarge(limits.maxBytes()), false
-	case !limits.admit(memory):
+	case limits.admit(memory):
+	case memory <= costlyHeadMemory && c.listener.evictBody():
+		limits.requests.Reserve(memory) // the evicted call releases its memory soon
+	default:
 		return overloadedRefusal(), false
 	}
 	limits.requests.Release(c.requestMemory.Swap(memory))
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -68,7 +68,7 @@
 func refuseStopping(writer http.ResponseWriter, request *http.Request, limits Limits) {
 	writer.Header().Set("Connection", "close")
 	control := http.NewResponseController(writer)
-	body := newUpload(request, control, limits)
+	body := newUpload(request, control, limits, nil)
 	defer body.finish()
 	writeRefusal(writer, body, stoppingRefusal(0), limits.StallTimeout)
 }
@@ -90,6 +90,8 @@
 	pipelineConfig *pipeline.Config
 	// heads is nil for handlers that are neither those of a proxy nor those of a web server.
 	heads *headLimits
+	// bodies holds the bodies that have not arrived; nil unless the server is that of the callers' side.
+	bodies *evictingBudget
 	// isWeb is set for a server that NewWebServer has returned.
 	isWeb bool
 
@@ -132,6 +134,7 @@
 	}
 	if side != nil && side.isCallerSide {
 		server.pipelineConfig = side.proxy.pipelineConfig(server.heads)
+		server.bodies = side.proxy.bodyMemory
 	}
 	return server
 }
@@ -173,6 +176,7 @@
 	limitedListener.pipelining = s.pipelineConfig
 	limitedListener.heads = s.heads
 	limitedListener.replacesBusy = s.isWeb
+	limitedListener.bodies = s.bodies
 	if !s.addListener(limitedListener) {
 		_ = listener.Close()
 		return http.ErrServerClosed
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -19,6 +19,7 @@
 	errBodyTooLarge      = errors.ConstError("the request's body exceeds the limit")
 	errBodyDetached      = errors.ConstError("the attempt no longer reads the request's body")
 	errBodyNotReplayable = errors.ConstError("the request's body can't be sent again")
+	errBodyEvicted       = errors.ConstError("the request's body has not arrived, and its place is needed for others")
 )
 
 // minLargeBodyBytes is the minimum length of a large body, in bytes. A large body is sent to a
@@ -27,6 +28,23 @@
 // a late answer.
 const minLargeBodyBytes = 16 << 10
 
+const (
+	// maxStreamPause and maxStreamPreload limit a pause within a body of unknown length, and the time
+	// for which it is read, before the first attempt.
+	maxStreamPause   = 250 * time.Millisecond
+	maxStreamPreload = time.Second
+	// streamPollInterval is how often preload checks them.
+	streamPollInterval = 50 * time.Millisecond
+)
+
+const (
+	// minKeptCapacity is the initial capacity for kept bytes.
+	minKeptCapacity = 2 << 10
+	// longBodyKeepLimit is the keepLimit of a body that is declared to be longer than the limit, so
+	// that it can't be kept completely.
+	longBodyKeepLimit = 64 << 10
+)
+
 const (
 	// signatureReadBytes is how much of a body is read at a time for its signature.
 	signatureReadBytes = 8 << 10
@@ -58,6 +76,9 @@
 	// keptBytes is dropped.
 	keptBytes []byte
 	overflow  bool
+	// published holds the bytes that preload has kept, for attempts that begin while it still awaits the
+	// next part; nil for none.
+	published atomic.Pointer[[]byte]
 	// needsHash is set if the first bytes must be hashed before they are dropped; prefixHash
 	// is their hash.
 	needsHash  bool
@@ -72,19 +93,27 @@
 	awaitsContinue bool
 	// readUntil is the time limit of preload; zero otherwise.
 	readUntil time.Time
+	// memory limits the memory for kept bytes; nil for no limit. isHolder is set while it counts those
+	// of this upload.
+	memory   *evictingBudget
+	isHolder bool
+	// evicted is set once the upload must give way to others before the body has arrived.
+	evicted atomic.Bool
+	// progressAt is when a part of the body last arrived, in nanoseconds since phaseOrigin.
+	progressAt atomic.Int64
 	// closeAnnounced is set once the answer's head announces the close of the connection.
 	closeAnnounced bool
 }
 
 // newUpload returns the upload of a request, or nil if the request has no body.
-func newUpload(request *http.Request, control *http.ResponseController, limits Limits) *upload {
+func newUpload(request *http.Request, control *http.ResponseController, limits Limits, memory *evictingBudget) *upload {
 	if request.ContentLength == 0 || request.Body == nil || request.Body == http.NoBody {
 		return nil
 	}
 	// Answers may begin before the body has ended, and refusals need not wait
 	// for it. Servers of HTTP/1.1 support this.
 	_ = control.EnableFullDuplex()
-	return &upload{
+	created := &upload{
 		source:       request.Body,
 		control:      control,
 		stallTimeout: limits.StallTimeout,
@@ -93,7 +122,13 @@
 
 		declaredLength: request.ContentLength,
 		awaitsContinue: request.Header.Get("Expect") != "",
+		memory:         memory,
 	}
+	if created.declaredLength > int64(created.keepLimit) {
+		created.keepLimit = min(created.keepLimit, longBodyKeepLimit)
+	}
+	created.recordProgress()
+	return created
 }
 
 // newReader returns a reader from the start of the body, or nil if there is no body.
@@ -104,28 +139,52 @@
 	return &uploadReader{upload: u}
 }
 
-// preload reads a body whose declared length is within keepLimit, before the first attempt.
-// A slow sender then occupies no slot, and a call that did not run can always be sent again.
-// It reads until the deadline of ctx, and calls onProgress, unless nil, for each part that
-// arrives.
+// preload reads the body to its end, or the first keepLimit bytes of a longer one, before the first
+// attempt. A slow sender then occupies no slot, and a call that did not run can always be sent again if
+// its body is not longer. It reads until the deadline of ctx, and calls onProgress, unless nil, for
+// each part that arrives. A body of unknown length may depend on the answer, so it is only read while
+// it arrives without a pause.
 func (u *upload) preload(ctx context.Context, onProgress func()) error {
-	if u == nil || u.declaredLength < 0 || u.declaredLength > int64(u.keepLimit) {
+	if u == nil {
 		return nil
 	}
+	if u.declaredLength >= 0 {
+		return u.preloadWhile(ctx, onProgress, func() bool { return true })
+	}
+	var paused atomic.Bool
+	ended := make(chan error, 1)
+	go func() { ended <- u.preloadWhile(ctx, onProgress, func() bool { return !paused.Load() }) }()
+	poll := time.NewTicker(streamPollInterval)
+	defer poll.Stop()
+	startedAt := time.Now()
+	for {
+		select {
+		case err := <-ended:
+			return err
+		case <-poll.C:
+		}
+		if u.stalledFor() >= maxStreamPause || time.Since(startedAt) >= maxStreamPreload {
+			paused.Store(true) // the reading goroutine ends with the next part, which the attempt awaits
+			return nil
+		}
+	}
+}
+
+// preloadWhile is preload as long as mayRead returns true.
+func (u *upload) preloadWhile(ctx context.Context, onProgress func(), mayRead func() bool) error {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
 	u.readUntil, _ = ctx.Deadline()
 	defer func() { u.readUntil = time.Time{} }()
-	buffer := make([]byte, u.declaredLength+1)
-	for u.readErr == nil && ctx.Err() == nil {
-		count, _ := u.read(buffer) // stores the bytes and the error
-		if count > 0 && onProgress != nil {
+	for u.readErr == nil && ctx.Err() == nil && mayRead() && !u.overflow && len(u.keptBytes) < u.keepLimit {
+		if u.readKept() > 0 && onProgress != nil {
 			onProgress()
 		}
 	}
+	isPreloaded := u.readErr == nil && (u.overflow || len(u.keptBytes) >= u.keepLimit || !mayRead())
 	switch {
-	case u.readErr == io.EOF:
-		return nil
+	case u.readErr == io.EOF, isPreloaded:
+		return u.keepMemory()
 	case isStallError(u.readErr) && !u.readUntil.IsZero() && !time.Now().Before(u.readUntil):
 		return context.DeadlineExceeded
 	}
@@ -200,7 +259,7 @@
 	_ = u.control.SetReadDeadline(time.Now().Add(wait))
 	_, err := io.CopyN(io.Discard, u.source, maxDiscardBytes)
 	u.overflow = true
-	u.keptBytes = nil
+	u.dropKept()
 	u.readErr = err
 	if err == io.EOF {
 		_ = u.control.SetReadDeadline(time.Time{})
@@ -211,7 +270,11 @@
 // reading to maxDiscardWait, also by an attempt, and discards a limited part of the rest of the
 // body. It aborts the connection if no answer was begun.
 func (u *upload) finish() {
-	if u == nil || u.isFullyRead() {
+	if u == nil {
+		return
+	}
+	defer u.releaseMemory()
+	if u.isFullyRead() {
 		return
 	}
 	if !u.closeAnnounced {
@@ -236,6 +299,11 @@
 
 // Read returns kept bytes if there are any after the offset, or else reads from the source.
 func (r *uploadReader) Read(bytes []byte) (int, error) {
+	if published := r.upload.published.Load(); published != nil && r.offset < len(*published) && !r.detached.Load() {
+		copied := copy(bytes, (*published)[r.offset:])
+		r.offset += copied
+		return copied, nil
+	}
 	r.upload.mutex.Lock()
 	defer r.upload.mutex.Unlock()
 	if r.detached.Load() {
@@ -260,9 +328,15 @@
 	return nil
 }
 
-// read reads the next bytes from the source within stallTimeout and readUntil. The lock is
-// held.
+// read reads the next bytes from the source and keeps them if keepLimit allows it. The lock is held.
 func (u *upload) read(bytes []byte) (int, error) {
+	count, err := u.readSource(bytes)
+	u.keepBytes(bytes[:count])
+	return count, err
+}
+
+// readSource reads the next bytes from the source within stallTimeout and readUntil. The lock is held.
+func (u *upload) readSource(bytes []byte) (int, error) {
 	if u.readErr != nil {
 		return 0, u.readErr
 	}
@@ -271,13 +345,22 @@
 		deadline = u.readUntil
 	}
 	_ = u.control.SetReadDeadline(deadline)
+	if u.evicted.Load() {
+		u.readErr = errBodyEvicted
+		return 0, u.readErr
+	}
 	count, err := u.source.Read(bytes)
 	u.readCount += int64(count)
+	if count > 0 {
+		u.recordProgress()
+	}
+	if isStallError(err) && u.evicted.Load() {
+		err = errBodyEvicted
+	}
 	if u.readCount > u.maxBytes {
 		u.readErr = errBodyTooLarge
 		return 0, u.readErr
 	}
-	u.keepBytes(bytes[:count])
 	if err != nil {
 		u.readErr = err
 	}
--- /dev/null
+++ b/internal/proxy/uploadmemory_test.go
@@ -0,0 +1,86 @@
+package proxy
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// dialWith opens a connection to the callers' side and sends text.
+func dialWith(t *testing.T, mesh *mesh, text string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", mesh.address)
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = io.WriteString(conn, text)
+	is.New(t).NoErr(err)
+	return conn
+}
+
+// TestBodiesThatDontArriveGiveWay: bodies beyond the memory for them end the calls whose bodies have been
+// awaited for longest, as not run, and another call's body finds room.
+func TestBodiesThatDontArriveGiveWay(t *testing.T) {
+	check := is.New(t)
+	var runs atomic.Int64
+	mesh := startMesh(t, meshOptions{limits: Limits{BodyMemoryBytes: 100 << 10}}, countingBackend(&runs))
+	partial := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n\r\n" + strings.Repeat("x", 49999)
+	answers := make(chan string, 4)
+	for range cap(answers) {
+		conn := dialWith(t, mesh, partial)
+		go func() {
+			text, _ := io.ReadAll(conn)
+			answers <- string(text)
+		}()
+	}
+	refused := <-answers
+	check.True(strings.HasPrefix(refused, "HTTP/1.1 503 "))
+	check.True(strings.Contains(refused, "Springstack-Code: 302\r\n"))
+	check.True(strings.Contains(refused, "Springstack-Ran: no\r\n"))
+	check.Equal(mesh.call(t, "POST", "/", strings.Repeat("x", 40000)).status, http.StatusOK)
+	check.Equal(runs.Load(), int64(1))
+}
+
+// TestMemoryOfBodiesIsReleased: no memory stays reserved for bodies that were kept, dropped or evicted.
+func TestMemoryOfBodiesIsReleased(t *testing.T) {
+	check := is.New(t)
+	var runs atomic.Int64
+	mesh := startMesh(t, meshOptions{limits: Limits{BodyMemoryBytes: 100 << 10, ReplayBytes: 32 << 10}}, countingBackend(&runs))
+	for _, length := range []int{0, 1, 20000, 32 << 10, 40000, 400000} {
+		check.Equal(mesh.call(t, "POST", "/", strings.Repeat("x", length)).status, http.StatusOK)
+	}
+	for range 5 {
+		conn := dialWith(t, mesh, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 30000\r\n\r\n"+strings.Repeat("x", 29999))
+		_ = conn.Close()
+	}
+	deadline := time.Now().Add(10 * time.Second)
+	for mesh.caller.bodyMemory.usedBytes()+mesh.gates[0].bodyMemory.usedBytes() != 0 {
+		if time.Now().After(deadline) {
+			t.Fatal("memory stays reserved")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestChunkedBodyIsReadBeforeACallTakesASlot: a body of unknown length that arrives without a pause is
+// read before its call is sent.
+func TestChunkedBodyIsReadBeforeACallTakesASlot(t *testing.T) {
+	check := is.New(t)
+	var runs atomic.Int64
+	mesh := startMesh(t, meshOptions{}, countingBackend(&runs))
+	conn := dialWith(t, mesh, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for range 20 {
+		_, err := io.WriteString(conn, "1\r\nx\r\n")
+		check.NoErr(err)
+		time.Sleep(5 * time.Millisecond)
+		check.Equal(mesh.gates[0].gate.Load().Running, 0)
+	}
+	_, err := io.WriteString(conn, "0\r\n\r\n")
+	check.NoErr(err)
+	check.Equal(statusLine(conn), "HTTP/1.1 200 OK")
+}
--- a/internal/proxy/uploadsignature.go
+++ b/internal/proxy/uploadsignature.go
@@ -13,17 +13,25 @@
 	if u.overflow {
 		return
 	}
-	if len(u.keptBytes)+len(bytes) > u.keepLimit {
+	total := len(u.keptBytes) + len(bytes)
+	if total > u.keepLimit || total > cap(u.keptBytes) && !u.growKept(total) {
 		u.overflow = true
 		if u.needsHash {
-			u.prefixHash = quarantine.SumBody(append(u.keptBytes, bytes...)[:u.signatureBytes()])
+			u.prefixHash = quarantine.SumBody(u.signaturePrefix(bytes))
 		}
-		u.keptBytes = nil
+		u.dropKept()
 		return
 	}
 	u.keptBytes = append(u.keptBytes, bytes...)
 }
 
+// signaturePrefix returns the kept bytes, followed by the given ones, as far as they count for the
+// signature.
+func (u *upload) signaturePrefix(bytes []byte) []byte {
+	prefix := append(u.keptBytes, bytes...)
+	return prefix[:min(len(prefix), u.signatureBytes())]
+}
+
 // requireHash makes keepBytes hash the first bytes of a body that is too long to be kept.
 func (u *upload) requireHash() {
 	if u == nil {
