Calls whose bodies still arrive hold at most half of the slots

Cause: a body that is too long to be kept is streamed through a slot of the upstream, and one that stalls kept its slot until its deadline.

Change: at a gate, calls whose bodies have not arrived completely hold at most half of the slots. Others with such bodies wait for up to 0.3 of their time and are then refused as not run. A body that has stalled for a second ends when another one waits for its place; alone it keeps it (a calm request that pauses for 4 s in its body is served).

--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -89,6 +89,12 @@
 		c.refuseBeforeSend(refusal, c.proxy.config.Clock()-arrivedAt)
 		return
 	}
+	releaseStream, refusal, passed := c.awaitStreamTurn()
+	if !passed {
+		c.refuseBeforeSend(refusal, c.proxy.config.Clock()-arrivedAt)
+		return
+	}
+	defer releaseStream()
 	defer c.releaseSuspectTurn()
 	if refusal, passed := c.awaitSuspectTurn(); !passed {
 		c.refuseBeforeSend(refusal, c.proxy.config.Clock()-arrivedAt)
--- a/internal/proxy/gateoutcome.go
+++ b/internal/proxy/gateoutcome.go
@@ -32,7 +32,7 @@
 		return Refusal{Code: result.DeadlineBeforeStart, Detail: detail}, true
 	case context.Cause(c.context) == errDrainBound:
 		return Refusal{Code: result.DrainBound}, true
-	case isStallError(c.body.readFailure()):
+	case isStallError(c.body.readFailure()), c.body.isEvicted():
 		return Refusal{Code: result.SlowPeer}, true
 	case c.context.Err() == context.DeadlineExceeded:
 		return Refusal{Code: result.DeadlineInFlight}, true
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -68,6 +68,8 @@
 	answerBudget *bytebudget.Budget
 	// bodyMemory limits the memory for bodies that are kept for another attempt, or have not arrived.
 	bodyMemory *evictingBudget
+	// streamTurns limits the calls that hold a slot while their bodies still arrive.
+	streamTurns streamTurns
 	// backlogTurns holds an element for each running call of a connection with a backlog.
 	backlogTurns chan struct{}
 	closed       chan struct{}
--- a/internal/proxy/uploadmemory.go
+++ b/internal/proxy/uploadmemory.go
@@ -9,6 +9,9 @@
 	_ = u.control.SetReadDeadline(time.Now()) // fails on a closed connection, and then reading fails
 }
 
+// isEvicted reports whether the body had to give way to others.
+func (u *upload) isEvicted() bool { return u != nil && u.evicted.Load() }
+
 // recordProgress records that a part of the body has arrived.
 func (u *upload) recordProgress() { u.progressAt.Store(int64(time.Since(phaseOrigin))) }
 
--- a/internal/proxy/uploadmemory_test.go
+++ b/internal/proxy/uploadmemory_test.go
@@ -10,6 +10,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/springstack/springstack/internal/core/resource"
+	"github.com/springstack/springstack/internal/result"
 )
 
 // dialWith opens a connection to the callers' side and sends text.
@@ -84,3 +87,26 @@
 	check.NoErr(err)
 	check.Equal(statusLine(conn), "HTTP/1.1 200 OK")
 }
+
+// TestStalledBodiesLeaveSlotsToOthers: calls whose bodies stall hold at most half of the slots, and one that
+// has stalled for maxStreamStall ends when another call waits for its place.
+func TestStalledBodiesLeaveSlotsToOthers(t *testing.T) {
+	check := is.New(t)
+	options := meshOptions{slots: 2, limits: Limits{ReplayBytes: 1 << 10}, changeRoute: func(route *resource.Route) { route.Timeout = 20 * time.Second }}
+	mesh := startMesh(t, options, backendSpec{handler: func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+	}})
+	stalling := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n\r\n" + strings.Repeat("x", 30000)
+	first := dialWith(t, mesh, stalling)
+	for mesh.gates[0].gate.Load().Running == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	second := dialWith(t, mesh, stalling)
+	check.Equal(mesh.call(t, "POST", "/", "x").status, http.StatusOK) // the other slot is free
+	text, _ := io.ReadAll(first)
+	check.True(strings.Contains(string(text), "Springstack-Ran: unknown\r\n"))
+	_, err := io.WriteString(second, strings.Repeat("x", 20000))
+	check.NoErr(err)
+	check.Equal(statusLine(second), "HTTP/1.1 200 OK")
+	check.Equal(mesh.gates[0].Counters().Refusals[result.SlowPeer], uint64(1))
+}
