The runtime's memory limit follows the machine's memory

Beside unread answers and heads that stop, drawn together, a daemon reached 160 MB and ended: most of it was garbage that had not been collected. The runtime collects more often from 0.8 of the memory that the settings name on; the rest is for memory outside the runtime and for unread bytes. GOMEMLIMIT precedes.

--- a/cmd/springstackd/hosted.go
+++ b/cmd/springstackd/hosted.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -52,6 +53,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	limitMemory(loaded.Machine)
 	output := logging.NewQueue(os.Stdout)
 	defer output.Close(outputWait)
 	started := hosted.New(loaded, hosted.Options{
@@ -67,6 +69,18 @@
 	return untilSignal(ctx, started)
 }
 
+// runtimeMemoryShare is the share of the machine's memory above which the runtime collects garbage more
+// often. The rest is for memory outside the runtime and for bytes that sockets have received.
+const runtimeMemoryShare = 0.8
+
+// limitMemory sets the runtime's soft memory limit if the settings name the machine's memory. The limit
+// of the environment variable GOMEMLIMIT precedes.
+func limitMemory(machine settings.HostedMachine) {
+	if machine.MemoryMegabytes > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(runtimeMemoryShare * float64(machine.MemoryBytes())))
+	}
+}
+
 // outputWait bounds the writing of the last log lines.
 const outputWait = 300 * time.Millisecond
 
