Answers that callers don't read are limited in memory

An answer that a caller does not read keeps up to 64 KiB and a buffer until the write times out after 15 s. On as many connections as the limit allows that is more than the machine has: suspected from the code, on loopback the sockets take what our answers have. The memory of answers that are being written to callers is counted, and beyond an eighth of the machine's the one that has been written for longest is broken off.

--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -79,6 +79,8 @@
 	incompleteHeadParts = 32
 	// bodyParts divides it into the part for bodies that are kept for another attempt.
 	bodyParts = 8
+	// answerParts divides it into the part for answers that are being written to callers.
+	answerParts = 8
 	// aheadUnreadParts and aheadAnswerParts divide it into the parts for what pipelined requests and
 	// their answers hold.
 	aheadUnreadParts = 32
@@ -117,6 +119,7 @@
 	grace, memory := given.Drain.Grace(), given.Machine.MemoryBytes()
 	limits.RequestBytes = memory / requestMemoryParts
 	limits.IncompleteHeadBytes = memory / incompleteHeadParts
+	limits.AnswerMemoryBytes = memory / answerParts
 	limits.BodyMemoryBytes = memory / bodyParts
 	limits.AheadUnreadBytes = memory / aheadUnreadParts
 	limits.AheadHeldBytes = min(limits.AheadHeldBytes, memory/aheadAnswerParts)
--- a/internal/proxy/ahead.go
+++ b/internal/proxy/ahead.go
@@ -68,8 +68,10 @@
 	if p.closesAfterAnswer(request) {
 		writer.Header().Set("Connection", "close")
 	}
+	held, release := p.holdAnswer(http.NewResponseController(writer), p.limits.AheadAnswerBytes)
+	defer release()
 	// Without a deadline a caller that does not read would block the call forever.
-	_ = http.NewResponseController(writer).SetWriteDeadline(time.Now().Add(p.limits.StallTimeout))
+	held.extendWriteDeadline(p.limits.StallTimeout)
 	call.Replay(writer)
 }
 
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -91,6 +91,8 @@
 	answer       *http.Response
 	upload       *upload
 	stallTimeout time.Duration
+	// held counts the memory of an answer to a caller; nil at the gate.
+	held *heldAnswer
 	// addHeaders, unless nil, adds headers after springstack's own headers have been removed.
 	addHeaders func(http.Header)
 }
@@ -137,6 +139,10 @@
 // extendWriteDeadline sets the deadline of the next write. It fails only on a broken
 // connection, and then the write fails as well.
 func (d *delivery) extendWriteDeadline() {
+	if d.held != nil {
+		d.held.extendWriteDeadline(d.stallTimeout)
+		return
+	}
 	_ = d.control.SetWriteDeadline(time.Now().Add(d.stallTimeout))
 }
 
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -303,8 +303,10 @@
 // is aborted.
 func (c *callerCall) deliver(answeredAttempt *attempt) {
 	c.answerStarted = true
+	held, release := c.proxy.holdAnswer(c.control, answeredAttempt.exchange.collectedBytes+copyBufferBytes)
+	defer release()
 	output := delivery{
-		writer: c.writer, control: c.control, stallTimeout: c.proxy.limits.StallTimeout,
+		writer: c.writer, control: c.control, stallTimeout: c.proxy.limits.StallTimeout, held: held,
 		answer: answeredAttempt.exchange.answer, upload: c.body, addHeaders: c.addCloseHeader,
 	}
 	output.writeHead()
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -186,6 +186,9 @@
 	AheadHeldBytes   int64
 	// ReplayBytes is the number of bytes of a request's body that are kept for another attempt.
 	ReplayBytes int
+	// AnswerMemoryBytes limits the memory for answers that are being written to callers. Above it the one
+	// that has been written for longest is broken off.
+	AnswerMemoryBytes int64
 	// BodyMemoryBytes limits the memory for the bodies that are kept for another attempt. Calls whose
 	// bodies have not arrived are refused, the oldest first, for newer ones.
 	BodyMemoryBytes int64
@@ -248,6 +251,7 @@
 		AheadAnswerBytes:    64 << 10,
 		AheadHeldBytes:      16 << 20,
 		ReplayBytes:         64 << 10,
+		AnswerMemoryBytes:   128 << 20,
 		BodyMemoryBytes:     128 << 20,
 		QueueLength:         256,
 		QueueWait:           2 * time.Second,
@@ -294,6 +298,7 @@
 	setDefault(&l.AheadAnswerBytes, fallback.AheadAnswerBytes)
 	setDefault(&l.AheadHeldBytes, fallback.AheadHeldBytes)
 	setDefault(&l.ReplayBytes, fallback.ReplayBytes)
+	setDefault(&l.AnswerMemoryBytes, fallback.AnswerMemoryBytes)
 	setDefault(&l.BodyMemoryBytes, fallback.BodyMemoryBytes)
 	setDefault(&l.QueueLength, fallback.QueueLength)
 	setDefault(&l.QueueWait, fallback.QueueWait)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -30,8 +30,10 @@
 	// the whole answer.
 	collected bool
 	complete  bool
-	guard     *attemptGuard
-	cancel    context.CancelFunc
+	// collectedBytes is the number of bytes that collect has read.
+	collectedBytes int
+	guard          *attemptGuard
+	cancel         context.CancelFunc
 }
 
 // send makes one exchange, which the caller must close. The outgoing request is written on at most
@@ -102,6 +104,7 @@
 		e.dropAnswer()
 		return
 	}
+	e.collectedBytes = body.Len()
 	if body.Len() > limit {
 		whole := io.MultiReader(&body, e.answer.Body)
 		e.answer.Body = collectedBody{Reader: whole, Closer: e.answer.Body}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -66,6 +66,8 @@
 	connContexts       connectionContexts
 	// answerBudget bounds the buffered answers of pipelined calls that ran ahead of their turn.
 	answerBudget *bytebudget.Budget
+	// answerMemory limits the memory for answers that are being written to callers.
+	answerMemory *evictingBudget
 	// bodyMemory limits the memory for bodies that are kept for another attempt, or have not arrived.
 	bodyMemory *evictingBudget
 	// streamTurns limits the calls that hold a slot while their bodies still arrive.
@@ -100,6 +102,7 @@
 	proxy.notices.faultLogs = newNoticeFaultLogs()
 	proxy.harmfulRequests = newHarmfulRequests(config, proxy.logEvent)
 	proxy.answerBudget = bytebudget.New(proxy.limits.AheadHeldBytes)
+	proxy.answerMemory = newEvictingBudget(proxy.limits.AnswerMemoryBytes)
 	proxy.bodyMemory = newEvictingBudget(proxy.limits.BodyMemoryBytes)
 	proxy.incarnations.add(config.Incarnation)
 	incarnation := strconv.FormatUint(uint64(config.Incarnation), 36)
--- a/internal/proxy/uploadmemory_test.go
+++ b/internal/proxy/uploadmemory_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -70,6 +71,29 @@
 	}
 }
 
+// TestAnswersThatAreNotReadGiveWay: answers beyond the memory for them break off the one that has been
+// written for longest, and another caller gets its whole answer.
+func TestAnswersThatAreNotReadGiveWay(t *testing.T) {
+	check := is.New(t)
+	const hugeBytes = 64 << 20
+	mesh := startMesh(t, meshOptions{limits: Limits{AnswerMemoryBytes: copyBufferBytes}, slots: 2}, backendSpec{handler: func(writer http.ResponseWriter, request *http.Request) {
+		length := 1000
+		if request.URL.Path == "/huge" {
+			length = hugeBytes
+		}
+		_, _ = writer.Write(make([]byte, length))
+	}})
+	conn := dialWith(t, mesh, "GET /huge HTTP/1.1\r\nHost: h\r\n\r\n")
+	line, err := bufio.NewReaderSize(conn, 16).ReadString('\n')
+	check.NoErr(err)
+	check.True(strings.HasPrefix(line, "HTTP/1.1 200 "))
+	check.Equal(len(mesh.call(t, "GET", "/", "").body), 1000)
+	received, err := io.Copy(io.Discard, conn)
+	check.True(err != nil || received < hugeBytes)
+	mesh.awaitIdle()
+	check.Equal(mesh.caller.answerMemory.usedBytes(), int64(0))
+}
+
 // TestChunkedBodyIsReadBeforeACallTakesASlot: a body of unknown length that arrives without a pause is
 // read before its call is sent.
 func TestChunkedBodyIsReadBeforeACallTakesASlot(t *testing.T) {
