Incomplete heads cost less memory and processor time

Cause: a 32nd of the memory held a third of the heads, so that the connections of the others were closed and came again at once. Each head was copied to ever larger buffers, which fed the collector. For each connection at the limit all others were looked at.

Change: heads have a tenth of the memory. Their text is held in chunks of 4 KiB that are used again. At the limit up to 16 connections without a request are closed at a time.

--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -76,7 +76,7 @@
 	// requestMemoryParts divides the memory into the part for the running requests of one server.
 	requestMemoryParts = 8
 	// incompleteHeadParts divides it into the part for the incomplete heads of one server.
-	incompleteHeadParts = 32
+	incompleteHeadParts = 10
 	// bodyParts divides it into the part for bodies that are kept for another attempt.
 	bodyParts = 8
 	// answerParts divides it into the part for answers that are being written to callers.
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/tls"
 	"io"
 	"log"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -99,26 +101,29 @@
 	}
 }
 
-// closeOldest closes an idle connection: the oldest one that has not carried a call yet, else the one
+// maxClosedUnused is how many connections without a request are closed at a time, so that not each new
+// connection has to look for one.
+const maxClosedUnused = 16
+
+// closeOldest closes idle connections: the oldest ones that have not carried a call yet, else the one
 // that has been idle for longest. It returns false if none is idle and, unless replacesBusy is set,
 // none can be closed.
 func (l *boundedListener) closeOldest() bool {
-	var unused, oldest, oldestBusy *countedConn
+	var unused []*countedConn
+	var oldest, oldestBusy *countedConn
 	l.conns.Range(func(key, _ any) bool {
 		conn := key.(*countedConn)
-		place := &oldest
 		switch {
 		case conn.phase.Load() != phaseIdle:
-			place = &oldestBusy
+			oldestBusy = conn.olderOf(oldestBusy)
 		case !conn.isUsed.Load():
-			place = &unused
-		}
-		if *place == nil || conn.phaseSince.Load() < (*place).phaseSince.Load() {
-			*place = conn
+			unused = append(unused, conn)
+		default:
+			oldest = conn.olderOf(oldest)
 		}
 		return true
 	})
-	if unused != nil && unused.closeIdle() || oldest != nil && oldest.closeIdle() {
+	if closeUnused(unused) || oldest != nil && oldest.closeIdle() {
 		return true
 	}
 	if !l.replacesBusy || oldestBusy == nil {
@@ -128,6 +133,25 @@
 	return true
 }
 
+// closeUnused closes the oldest of the given connections, which have not carried a call, and leaves most
+// of them if there are few. It returns false if it closes none.
+func closeUnused(unused []*countedConn) bool {
+	slices.SortFunc(unused, func(a, b *countedConn) int { return cmp.Compare(a.phaseSince.Load(), b.phaseSince.Load()) })
+	closedAny := false
+	for _, conn := range unused[:min(len(unused), 1+len(unused)/2, maxClosedUnused)] {
+		closedAny = conn.closeIdle() || closedAny
+	}
+	return closedAny
+}
+
+// olderOf returns the one of two connections whose phase has changed earlier; other may be nil.
+func (c *countedConn) olderOf(other *countedConn) *countedConn {
+	if other == nil || c.phaseSince.Load() < other.phaseSince.Load() {
+		return c
+	}
+	return other
+}
+
 // evictBody ends the call whose body has been awaited for longest; its connection is closed soon. It
 // returns false if there is none.
 func (l *boundedListener) evictBody() bool { return l.bodies != nil && l.bodies.evictOldest() }
@@ -260,8 +284,8 @@
 // Read reads for the HTTP library, which gets the head of a request only once it is complete. A read of
 // a single byte while no handler runs only detects that the caller disconnects.
 func (c *countedConn) Read(buffer []byte) (int, error) {
-	if len(c.head.text) > 0 {
-		return c.head.take(buffer), nil
+	if !c.head.text.isEmpty() {
+		return c.head.text.take(buffer), nil
 	}
 	if c.listener.heads == nil || len(buffer) <= 1 || c.phase.Load() != phaseIdle {
 		return c.Conn.Read(buffer)
--- a/internal/proxy/requesthead.go
+++ b/internal/proxy/requesthead.go
@@ -31,9 +31,6 @@
 	aheadShare = 0.25
 )
 
-// minHeadReadBytes is the least free capacity with which more of an incomplete head is read.
-const minHeadReadBytes = 1 << 10
-
 // headLimits limits the heads of the requests that a server receives. The HTTP library parses a head
 // while it arrives, and a field of a few bytes takes many times that as an entry of a header. So
 // incomplete heads are held as text, and a complete one is parsed only if the memory for it is
@@ -117,7 +114,7 @@
 	size, lines int
 	lineBytes   int
 	// text holds bytes that the server has not read yet.
-	text []byte
+	text headText
 }
 
 // scan advances over bytes of the head. It returns true once the empty line at the end of the head
@@ -147,16 +144,6 @@
 // reset prepares for the next head.
 func (r *headReader) reset() { r.size, r.lines, r.lineBytes = 0, 0, 0 }
 
-// take moves held bytes to the buffer and returns their number.
-func (r *headReader) take(buffer []byte) int {
-	count := copy(buffer, r.text)
-	r.text = r.text[count:]
-	if len(r.text) == 0 {
-		r.text = nil
-	}
-	return count
-}
-
 // readHead reads a part of a request while no handler runs: it returns bytes once the head is complete.
 // A head that exceeds the limits is refused, and the connection ends.
 func (c *countedConn) readHead(buffer []byte) (int, error) {
@@ -169,7 +156,7 @@
 		if err := c.completeHead(buffer[:count]); err != nil {
 			return 0, err
 		}
-		count = head.take(buffer)
+		count = head.text.take(buffer)
 	}
 	if refusal, admitted := c.admitHead(); !admitted {
 		return 0, c.refuseHead(refusal)
@@ -180,13 +167,13 @@
 // completeHead holds the given start of a head and reads until the head is complete.
 func (c *countedConn) completeHead(start []byte) error {
 	head, limits := &c.head, c.listener.heads
-	head.text = append(make([]byte, 0, len(start)+minHeadReadBytes), start...)
+	head.text.add(start)
 	c.startHeadTimeout()
 	// The text of a request that has run ahead has arrived already.
 	mayRefuse := !c.hasPendingAnswers()
 	if mayRefuse {
 		defer limits.incomplete.remove(c)
-		if !limits.incomplete.add(c, int64(cap(head.text))) {
+		if !limits.incomplete.add(c, head.text.memory()) {
 			return c.refuseHead(overloadedRefusal())
 		}
 	}
@@ -194,37 +181,25 @@
 		if mayRefuse && head.size > limits.maxBytes() {
 			return c.refuseHead(headTooLarge(limits.maxBytes()))
 		}
-		if !c.growHead() && mayRefuse {
+		free := head.text.free()
+		if mayRefuse && !limits.incomplete.resize(c, head.text.memory()) {
 			return c.refuseHead(overloadedRefusal())
 		}
-		count, err := c.Conn.Read(head.text[len(head.text):cap(head.text)])
-		arrived := head.text[len(head.text) : len(head.text)+count]
-		head.text = head.text[:len(head.text)+count]
-		if head.scan(arrived) {
+		count, err := c.Conn.Read(free)
+		head.text.extend(count)
+		if head.scan(free[:count]) {
 			return nil
 		}
 		switch {
 		case isStallError(err):
 			return c.refuseHead(Refusal{Code: result.RequestMalformed, Detail: "The headers have not arrived in time."})
 		case err != nil:
+			head.text.drop()
 			return err
 		}
 	}
 }
 
-// growHead makes room for more of an incomplete head. It returns false if the memory for it is not
-// available.
-func (c *countedConn) growHead() bool {
-	head := &c.head
-	if cap(head.text)-len(head.text) >= minHeadReadBytes {
-		return true
-	}
-	grown := make([]byte, len(head.text), 2*cap(head.text))
-	copy(grown, head.text)
-	head.text = grown
-	return c.listener.heads.incomplete.resize(c, int64(cap(grown)))
-}
-
 // startHeadTimeout limits the time until the head is complete. The server's own timeout starts with
 // the first byte that it gets.
 func (c *countedConn) startHeadTimeout() {
@@ -265,7 +240,7 @@
 func (c *countedConn) refuseHead(refusal Refusal) error {
 	refusal.edge = c.listener.heads.edge
 	c.listener.heads.onRefused(refusal)
-	c.head.text = nil
+	c.head.text.drop()
 	if !c.phase.CompareAndSwap(phaseIdle, phaseRetired) {
 		return io.EOF
 	}
