A call that runs ahead of its turn waits for no turn of backlogged connections

Read in the change: a call that has started ahead, on a connection that became backlogged at the same moment, could hold one of the eight turns while its answer waits for an earlier call of the connection, and that one for a turn, until a deadline.

--- a/internal/proxy/ahead.go
+++ b/internal/proxy/ahead.go
@@ -23,12 +23,20 @@
 		Held:        p.answerBudget,
 		Unread:      bytebudget.New(p.limits.AheadUnreadBytes),
 		Admit:       heads.admitAhead,
-		Handler:     http.HandlerFunc(p.serveCaller),
+		Handler:     http.HandlerFunc(p.serveAhead),
 		MayRunAhead: p.mayRunAhead,
 		OnStart:     p.recordRunAhead,
 	}
 }
 
+// aheadKey is the context key that is set on requests that run ahead of their turn.
+type aheadKey struct{}
+
+// serveAhead serves a request ahead of its turn.
+func (p *Proxy) serveAhead(writer http.ResponseWriter, request *http.Request) {
+	p.serveCaller(writer, request.WithContext(context.WithValue(request.Context(), aheadKey{}, true)))
+}
+
 // mayRunAhead reports whether a request may run before the earlier requests of its connection
 // are answered: its route must allow it to be repeated. A draining daemon runs no further
 // request ahead, so that it can close the connection after the next answer.
--- a/internal/proxy/backlog.go
+++ b/internal/proxy/backlog.go
@@ -10,11 +10,13 @@
 
 // awaitBacklogTurn delays a call of a connection with a backlog until few such calls run. Their callers
 // send requests without awaiting answers, so that they would fill the queues of the gates and other
-// callers would be refused. It returns false, with a refusal, if the call's time ends before. release
-// must be called when the call has ended.
+// callers would be refused. A call that runs ahead of its turn is not delayed: it may have to await an
+// earlier call of its connection. awaitBacklogTurn returns false, with a refusal, if the call's time ends
+// before. release must be called when the call has ended.
 func (c *callerCall) awaitBacklogTurn() (release func(), refusal Refusal, passed bool) {
 	conn := c.pipelinedConn()
-	if conn == nil || !conn.IsBacklogged() {
+	runsAhead, _ := c.request.Context().Value(aheadKey{}).(bool)
+	if conn == nil || runsAhead || !conn.IsBacklogged() {
 		return func() {}, Refusal{}, true
 	}
 	turns := c.proxy.backlogTurns
