A port at its limit of connections replaces a limited number of them a second

Change: the accept loop pauses for 250 us for each connection that it has closed for a new one, so that a flood waits with the kernel. These ports take 64 connections now.

--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -98,7 +98,7 @@
 // The limits of the ports for readiness checks, reports and metrics, each of which serves one or two
 // clients.
 const (
-	webConnections   = 32
+	webConnections   = 64
 	webTimeout       = 5 * time.Second
 	webHeaderBytes   = 16 << 10
 	webHeadBytes     = 512 << 10
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -50,6 +50,9 @@
 	heads         *headLimits
 	openCount     atomic.Int64
 	refusingCount atomic.Int64
+	// replacedCount is the number of connections closed for new ones since the accept loop paused. Only
+	// that loop uses it.
+	replacedCount int
 	// conns are the open connections, each stored and deleted once.
 	conns sync.Map // the keys are of type *countedConn
 	// stage is one of the stages in shutdown.go.
@@ -87,7 +90,7 @@
 			l.refuseConnection(conn, stoppingRefusal(0))
 			continue
 		}
-		if l.openCount.Add(1) <= l.limit || l.closeOldest() || l.evictBody() {
+		if l.openCount.Add(1) <= l.limit || l.replaceConn() {
 			limitedConn := newCountedConn(conn, l)
 			l.conns.Store(limitedConn, struct{}{})
 			return limitedConn, nil
@@ -105,10 +108,33 @@
 // connection has to look for one.
 const maxClosedUnused = 16
 
+// replacementPause is the accept loop's pause for each connection that it has closed for a new one, and
+// pausedReplacements the number of connections after which it pauses. Clients that connect again at once
+// otherwise take the processor from the calls.
+const (
+	replacementPause   = 250 * time.Microsecond
+	pausedReplacements = 8
+)
+
+// replaceConn makes room for a new connection: by closeOldest, or else by evictBody. It returns false if
+// there is none.
+func (l *boundedListener) replaceConn() bool {
+	closedCount := l.closeOldest()
+	if closedCount == 0 {
+		return l.evictBody()
+	}
+	l.replacedCount += closedCount
+	if l.replacedCount >= pausedReplacements {
+		time.Sleep(time.Duration(l.replacedCount) * replacementPause)
+		l.replacedCount = 0
+	}
+	return true
+}
+
 // closeOldest closes idle connections: the oldest ones that have not carried a call yet, else the one
-// that has been idle for longest. It returns false if none is idle and, unless replacesBusy is set,
-// none can be closed.
-func (l *boundedListener) closeOldest() bool {
+// that has been idle for longest. If none is idle and replacesBusy is set, it closes the oldest one. It
+// returns how many it has closed.
+func (l *boundedListener) closeOldest() int {
 	var unused []*countedConn
 	var oldest, oldestBusy *countedConn
 	l.conns.Range(func(key, _ any) bool {
@@ -123,25 +149,29 @@
 		}
 		return true
 	})
-	if closeUnused(unused) || oldest != nil && oldest.closeIdle() {
-		return true
+	if closedCount := closeUnused(unused); closedCount > 0 {
+		return closedCount
 	}
-	if !l.replacesBusy || oldestBusy == nil {
-		return false
+	switch {
+	case oldest != nil && oldest.closeIdle():
+		return 1
+	case !l.replacesBusy || oldestBusy == nil:
+		return 0
 	}
 	_ = oldestBusy.Close() // the connection is given up
-	return true
+	return 1
 }
 
-// closeUnused closes the oldest of the given connections, which have not carried a call, and leaves most
-// of them if there are few. It returns false if it closes none.
-func closeUnused(unused []*countedConn) bool {
+// closeUnused closes the oldest of the given connections, which have not carried a call: at most half of
+// them, or a single one. It returns how many it has closed.
+func closeUnused(unused []*countedConn) (closedCount int) {
 	slices.SortFunc(unused, func(a, b *countedConn) int { return cmp.Compare(a.phaseSince.Load(), b.phaseSince.Load()) })
-	closedAny := false
-	for _, conn := range unused[:min(len(unused), 1+len(unused)/2, maxClosedUnused)] {
-		closedAny = conn.closeIdle() || closedAny
+	for _, conn := range unused[:min(len(unused), max(1, len(unused)/2), maxClosedUnused)] {
+		if conn.closeIdle() {
+			closedCount++
+		}
 	}
-	return closedAny
+	return closedCount
 }
 
 // olderOf returns the one of two connections whose phase has changed earlier; other may be nil.
