Backlogged connections cost little once their requests are late

Cause, by steps: after two seconds the requests of a backlog are past their deadlines when their turn comes, and each was read and refused at once, some 27,000 a second. The rest were refusals of full queues: a connection counted as backlogged from 4 KiB on, and a quarter of the memory for requests ran ahead.

Eight stay for those that were refused while they sent ahead.

--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -83,7 +83,7 @@
 	answerParts = 8
 	// aheadUnreadParts and aheadAnswerParts divide it into the parts for what pipelined requests and
 	// their answers hold.
-	aheadUnreadParts = 32
+	aheadUnreadParts = 128
 	aheadAnswerParts = 16
 )
 
--- a/internal/pipeline/ahead.go
+++ b/internal/pipeline/ahead.go
@@ -9,6 +9,9 @@
 // readAheadBytes is the size of the buffer for reading ahead.
 const readAheadBytes = 4 << 10
 
+// minUnreadBytes is what a connection may hold unread even if Config.Unread is exhausted.
+const minUnreadBytes = 1 << 10
+
 // readAhead reads from the socket until the connection fails or the read deadline
 // passes, and starts the requests that it finds. It returns no bytes: they are stored
 // until the server reads the next request.
@@ -35,7 +38,9 @@
 func (c *Conn) awaitRoom() error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.isBacklogged = c.isBacklogged || c.isFull()
+	if c.isFull() {
+		c.isBacklogged, c.exceedsLimits = true, true
+	}
 	for c.isFull() && !c.deadlinePassed && c.readErr == nil {
 		c.changed.Wait()
 	}
@@ -50,7 +55,7 @@
 
 // isFull reports whether no more may be read ahead for now. The lock is held.
 func (c *Conn) isFull() bool {
-	return len(c.unreadBytes) >= c.config.InputBytes || len(c.unreadBytes) >= readAheadBytes && c.config.Unread.IsExhausted()
+	return len(c.unreadBytes) >= c.config.InputBytes || len(c.unreadBytes) >= minUnreadBytes && c.config.Unread.IsExhausted()
 }
 
 // storeUnread appends bytes to the unread bytes, unless the connection has failed. The lock is held.
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -22,7 +22,7 @@
 	AnswerBytes int
 	// Held counts and limits the buffered bytes of all connections.
 	Held *bytebudget.Budget
-	// Unread limits the unread bytes of all connections. A connection may hold readAheadBytes even
+	// Unread limits the unread bytes of all connections. A connection may hold minUnreadBytes even
 	// if the limit is reached. Nil means no limit.
 	Unread *bytebudget.Budget
 	// Admit reports whether the request with the given head may run ahead of its turn, and returns a
@@ -81,6 +81,8 @@
 	// isBacklogged is set once reading ahead had to stop because of the limits, or by MarkBacklogged,
 	// until the server has read all unread bytes.
 	isBacklogged bool
+	// exceedsLimits is set with isBacklogged if that was because of the limits.
+	exceedsLimits bool
 	// blocked is set if the request after queuedCalls must wait for its turn.
 	blocked bool
 	// unreadAt is when the last bytes of unreadBytes were received. arrivedAt is when the
@@ -164,6 +166,14 @@
 	return c.isBacklogged
 }
 
+// ExceedsLimits reports whether the connection is backlogged because the client has sent more ahead than
+// the limits allow to read.
+func (c *Conn) ExceedsLimits() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.exceedsLimits
+}
+
 // HasPendingAnswers reports whether requests after the current one run or have run ahead,
 // so that their answers are still to be sent.
 func (c *Conn) HasPendingAnswers() bool {
@@ -235,7 +245,7 @@
 	c.unreadBytes = c.unreadBytes[used:]
 	c.config.Unread.Release(int64(used))
 	if len(c.unreadBytes) == 0 {
-		c.unreadBytes, c.isBacklogged = nil, false
+		c.unreadBytes, c.isBacklogged, c.exceedsLimits = nil, false, false
 	}
 	c.changed.Broadcast()
 	return used, true, nil
--- a/internal/proxy/backlog.go
+++ b/internal/proxy/backlog.go
@@ -5,8 +5,12 @@
 	"github.com/springstack/springstack/internal/result"
 )
 
-// maxBackloggedCalls is the maximum number of calls that run at a time for connections with a backlog.
-const maxBackloggedCalls = 8
+const (
+	// maxBackloggedCalls is the maximum number of calls that run at a time for connections with a backlog.
+	maxBackloggedCalls = 8
+	// maxExcessCalls is that for connections whose backlog exceeds the limits.
+	maxExcessCalls = 2
+)
 
 // awaitBacklogTurn delays a call of a connection with a backlog until few such calls run. Their callers
 // send requests without awaiting answers, so that they would fill the queues of the gates and other
@@ -20,10 +24,18 @@
 		return func() {}, Refusal{}, true
 	}
 	turns := c.proxy.backlogTurns
+	if conn.ExceedsLimits() {
+		turns = c.proxy.excessTurns
+	}
 	select {
 	case turns <- struct{}{}:
 		return func() { <-turns }, Refusal{}, true
 	case <-c.context.Done():
+		if conn.ExceedsLimits() {
+			// The requests behind are as late. Reading and refusing them would take the processor from
+			// other callers; on a closed connection they count as not read.
+			c.writer.Header().Set("Connection", "close")
+		}
 		return nil, Refusal{Code: result.DeadlineBeforeStart}, false
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -72,8 +72,10 @@
 	bodyMemory *evictingBudget
 	// streamTurns limits the calls that hold a slot while their bodies still arrive.
 	streamTurns streamTurns
-	// backlogTurns holds an element for each running call of a connection with a backlog.
+	// backlogTurns holds an element for each running call of a connection with a backlog, excessTurns for
+	// each of one whose backlog exceeds the limits.
 	backlogTurns chan struct{}
+	excessTurns  chan struct{}
 	closed       chan struct{}
 	closeOnce    sync.Once
 
@@ -94,6 +96,7 @@
 
 		suspectTurn:  make(chan struct{}, 1),
 		backlogTurns: make(chan struct{}, maxBackloggedCalls),
+		excessTurns:  make(chan struct{}, maxExcessCalls),
 
 		startedAt: config.Clock(),
 
--- a/internal/proxy/requesthead.go
+++ b/internal/proxy/requesthead.go
@@ -28,7 +28,7 @@
 	costlyShare = 0.25
 	// aheadShare is the share of it that may be in use when another request starts ahead of its
 	// turn.
-	aheadShare = 0.25
+	aheadShare = 1.0 / 16
 )
 
 // headLimits limits the heads of the requests that a server receives. The HTTP library parses a head
