--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -87,6 +87,10 @@
 	aheadAnswerParts = 16
 )
 
+// minRequestMemory is the least memory for the running requests of one server: the quarter of it that a
+// request with many fields may use is then sufficient for a head of the largest size.
+const minRequestMemory = 16 << 20
+
 const (
 	// fileDescriptors is the number of descriptors that are not available for sockets.
 	fileDescriptors = 200
@@ -117,7 +121,7 @@
 func proxyLimits(given *settings.Hosted) proxy.Limits {
 	limits := proxy.DefaultLimits()
 	grace, memory := given.Drain.Grace(), given.Machine.MemoryBytes()
-	limits.RequestBytes = memory / requestMemoryParts
+	limits.RequestBytes = max(memory/requestMemoryParts, minRequestMemory)
 	limits.IncompleteHeadBytes = memory / incompleteHeadParts
 	limits.AnswerMemoryBytes = memory / answerParts
 	limits.BodyMemoryBytes = memory / bodyParts
--- a/internal/proxy/requesthead.go
+++ b/internal/proxy/requesthead.go
@@ -26,8 +26,8 @@
 	costlyHeadMemory = 64 << 10
 	// costlyShare is the share of the memory for requests that requests with costly heads may use.
 	costlyShare = 0.25
-	// aheadShare is the share of it that may be in use when another request starts ahead of its
-	// turn.
+	// aheadShare is the share of it that may be in use, also by requests in their turn, when another one
+	// starts ahead of its turn.
 	aheadShare = 1.0 / 16
 )
 
@@ -100,7 +100,7 @@
 		return nil, false
 	}
 	memory := headMemory(len(head), bytes.Count(head, []byte("\n")))
-	if !h.requests.TryReserveShare(memory, min(aheadShare, costlyShare)) {
+	if !h.requests.TryReserveShare(memory, aheadShare) {
 		return nil, false
 	}
 	return func() { h.requests.Release(memory) }, true
