The load test judges runs once they are recorded as ended

The emulated back end records the end of a run in a deferred call, after its answer has gone out; the test judged before.

--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/samber/lo"
 	"go.uber.org/goleak"
 
 	"github.com/springstack/springstack/internal/lab/backend"
@@ -35,11 +36,24 @@
 		is.True(len(report.Results) >= 200)
 		counts := Count(report.Results, All)
 		is.Equal(counts.Good, counts.Calls)
+		awaitRunsEnded(t, server)
 		verdict := Judge(testKinds, report.Results, Runs(server.Runs()))
 		is.Equal(verdict, Verdict{})
 	}
 }
 
+// awaitRunsEnded waits until all runs are recorded as ended, which may be after their answers arrived.
+func awaitRunsEnded(t *testing.T, server *backend.Server) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for !lo.EveryBy(server.Runs(), func(run backend.Run) bool { return run.Ended }) {
+		if time.Now().After(deadline) {
+			t.Fatal("a run that was answered has not ended")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func TestACutAnswerIsSeen(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	is := is.New(t)
