The memory of a request is released whenever its connection is closed

Read in the change: a connection that was closed for another one, or by its idle timer, at the moment at which a head became complete reserved the memory of the request after the close had released it, for good. Enough of them would have had the daemon refuse all requests. The server closes each connection once more when it reads no more, and each close releases now. Replacing connections stands in one file.

--- a/internal/proxy/connreplacement.go
+++ b/internal/proxy/connreplacement.go
@@ -14,6 +14,10 @@
 	pausedReplacements = 8
 )
 
+// maxClosedUnused is how many connections without a request are closed at a time, so that not each new
+// connection has to look for one.
+const maxClosedUnused = 16
+
 // replaceConn makes room for a new connection: by closeOldest, or else by evictBody. It returns false if
 // there is none.
 func (l *boundedListener) replaceConn() bool {
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -28,9 +28,9 @@
 // have the form of this project's events.
 var discardLog = log.New(io.Discard, "", 0)
 
-// boundedListener limits the open connections: at the limit, a new connection replaces the one that has
-// been idle for longest, or is refused with a result code if none is idle. It also adds a result code
-// to the library's own refusals of malformed requests.
+// boundedListener limits the open connections: at the limit, a new connection replaces another one (see
+// replaceConn) or is refused with a result code. It also adds a result code to the library's own refusals
+// of malformed requests.
 type boundedListener struct {
 	net.Listener
 	limit int64
@@ -102,10 +102,6 @@
 	}
 }
 
-// maxClosedUnused is how many connections without a request are closed at a time, so that not each new
-// connection has to look for one.
-const maxClosedUnused = 16
-
 // handleAcceptError returns err while the listener serves, and net.ErrClosed once it is closed or
 // stopping.
 func (l *boundedListener) handleAcceptError(err error) error {
@@ -226,8 +222,10 @@
 		c.idleTimer.reset(0, c)
 		c.listener.openCount.Add(-1)
 		c.listener.conns.Delete(c)
-		c.releaseRequest()
 	})
+	// Each time: the server closes a connection once it reads no more, also one that was closed while a
+	// head arrived.
+	c.releaseRequest()
 	return c.Conn.Close()
 }
 
--- a/internal/proxy/requesthead_test.go
+++ b/internal/proxy/requesthead_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/springstack/springstack/internal/bytebudget"
 	"github.com/springstack/springstack/internal/core/resource"
 )
 
@@ -155,6 +156,27 @@
 	check.True(strings.HasPrefix(again, "HTTP/1.1 200 "))
 }
 
+// TestMemoryOfAConnectionClosedWithACompleteHeadIsReleased: the memory that is reserved for a head which
+// becomes complete as its connection is closed does not stay reserved.
+func TestMemoryOfAConnectionClosedWithACompleteHeadIsReleased(t *testing.T) {
+	check := is.New(t)
+	client, server := net.Pipe()
+	defer client.Close()
+	listener := newBoundedListener(nil, 1)
+	listener.heads = &headLimits{
+		maxBytes: func() int { return 1 << 10 }, timeout: time.Minute, closeAfter: func() time.Duration { return 0 },
+		incomplete: newEvictingBudget(1 << 20), requests: bytebudget.New(1 << 20), onRefused: func(Refusal) {},
+	}
+	conn := newCountedConn(server, listener)
+	check.True(conn.closeIdle()) // by the idle timer or for a new connection
+	conn.head.size = 1
+	_, admitted := conn.admitHead() // the server has read the head before
+	check.True(admitted)
+	check.True(listener.heads.requests.Used() > 0)
+	check.NoErr(conn.Close()) // by the server
+	check.Equal(listener.heads.requests.Used(), int64(0))
+}
+
 // TestMemoryOfRequestsIsReleased: after any order of complete, refused and broken-off requests, no memory
 // stays reserved.
 func TestMemoryOfRequestsIsReleased(t *testing.T) {
