The ports for readiness, reports and metrics serve a head of the largest size

Read in the change: a head of 16 KiB in fields of four bytes is estimated at 1.1 MB, more than a quarter of the 2 MB that these ports had for their requests, and was refused in calm (the test fails so). They have 6 MB now.

--- a/internal/hosted/limits.go
+++ b/internal/hosted/limits.go
@@ -106,7 +106,7 @@
 	webTimeout       = 5 * time.Second
 	webHeaderBytes   = 16 << 10
 	webHeadBytes     = 512 << 10
-	webRequestMemory = 2 << 20
+	webRequestMemory = 6 << 20
 )
 
 // webLimits returns the limits of a port for readiness checks, reports or metrics.
