A connection's backlog is one value; a budget is never missing

Two flags and three methods told the backlog of a connection, read under the lock up to twice for a call. One typed value does, read once. The callbacks and budgets of a pipeline are always given, by the proxy and by the tests, so that the cases for missing ones go, and with them the budget that was only half usable as nil. Nothing behaves otherwise; the test compares the value in place of the flags, which is stricter.

--- a/internal/bytebudget/budget.go
+++ b/internal/bytebudget/budget.go
@@ -3,8 +3,7 @@
 
 import "sync/atomic"
 
-// Budget counts the bytes in use and limits them. It may be used from several goroutines. A nil budget
-// has no limit; it counts nothing.
+// Budget counts the bytes in use and limits them. It may be used from several goroutines.
 type Budget struct {
 	limit int64
 	used  atomic.Int64
@@ -20,7 +19,7 @@
 func (b *Budget) Used() int64 { return b.used.Load() }
 
 // IsExhausted reports whether the reserved bytes have reached the limit.
-func (b *Budget) IsExhausted() bool { return b != nil && b.used.Load() >= b.limit }
+func (b *Budget) IsExhausted() bool { return b.used.Load() >= b.limit }
 
 // TryReserve reserves bytes if the limit allows it.
 func (b *Budget) TryReserve(count int64) bool { return b.tryReserveWithin(count, b.limit) }
@@ -35,16 +34,12 @@
 	if b.used.Add(count) <= limit {
 		return true
 	}
-	b.used.Add(-count)
+	b.Release(count)
 	return false
 }
 
 // Reserve reserves bytes that are in memory already, even above the limit.
-func (b *Budget) Reserve(count int64) {
-	if b != nil {
-		b.used.Add(count)
-	}
-}
+func (b *Budget) Reserve(count int64) { b.used.Add(count) }
 
 // Release returns reserved bytes.
-func (b *Budget) Release(count int64) { b.Reserve(-count) }
+func (b *Budget) Release(count int64) { b.used.Add(-count) }
--- a/internal/pipeline/ahead.go
+++ b/internal/pipeline/ahead.go
@@ -39,7 +39,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.isFull() {
-		c.isBacklogged, c.exceedsLimits = true, true
+		c.backlog = ExcessBacklog
 	}
 	for c.isFull() && !c.deadlinePassed && c.readErr == nil {
 		c.changed.Wait()
@@ -107,7 +107,7 @@
 func (c *Conn) startCalls() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for c.readErr == nil && !c.blocked && !c.isBacklogged && len(c.queuedCalls) < c.config.Calls {
+	for c.readErr == nil && !c.blocked && c.backlog == NoBacklog && len(c.queuedCalls) < c.config.Calls {
 		text := c.unreadBytes[c.queuedBytes:]
 		size := headLength(text)
 		if size < 0 {
@@ -133,10 +133,7 @@
 	if headFraming := readFraming(head); !headFraming.isKnown || headFraming.bodyLength > 0 {
 		return nil
 	}
-	release, admitted := func() {}, true
-	if c.config.Admit != nil {
-		release, admitted = c.config.Admit(head)
-	}
+	release, admitted := c.config.Admit(head)
 	if !admitted {
 		return nil
 	}
@@ -146,7 +143,5 @@
 		return nil
 	}
 	request.RemoteAddr = c.RemoteAddr().String()
-	created := newCall(c.baseContext, request, len(head), c.config)
-	created.release = release
-	return created
+	return newCall(c.baseContext, request, len(head), release, c.config)
 }
--- a/internal/pipeline/call.go
+++ b/internal/pipeline/call.go
@@ -25,7 +25,7 @@
 	answerReleased  sync.Once
 }
 
-func newCall(baseContext context.Context, request *http.Request, headSize int, config *Config) *Call {
+func newCall(baseContext context.Context, request *http.Request, headSize int, release func(), config *Config) *Call {
 	ctx, cancel := context.WithCancel(baseContext)
 	created := &Call{
 		request:   request.WithContext(ctx),
@@ -33,7 +33,7 @@
 		arrivedAt: time.Now(),
 		cancel:    cancel,
 		answer:    newAnswer(config.AnswerBytes, config.Held),
-		release:   func() {},
+		release:   release,
 	}
 	created.pendingReleases.Store(2)
 	return created
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -23,11 +23,10 @@
 	// Held counts and limits the buffered bytes of all connections.
 	Held *bytebudget.Budget
 	// Unread limits the unread bytes of all connections. A connection may hold minUnreadBytes even
-	// if the limit is reached. Nil means no limit.
+	// if the limit is reached.
 	Unread *bytebudget.Budget
 	// Admit reports whether the request with the given head may run ahead of its turn, and returns a
-	// function that is called once when the request's memory is free again. It must not block. Nil
-	// admits all.
+	// function that is called once when the request's memory is free again. It must not block.
 	Admit func(head []byte) (release func(), admitted bool)
 	// Handler runs requests ahead of their turn.
 	Handler http.Handler
@@ -53,6 +52,18 @@
 	endUnknown
 )
 
+// Backlog tells whether the client of a connection goes on sending requests without awaiting answers.
+type Backlog int
+
+// The backlogs of a connection, in ascending order of weight.
+const (
+	NoBacklog Backlog = iota
+	// RefusedBacklog: the client had sent further requests when one was refused for want of capacity.
+	RefusedBacklog
+	// ExcessBacklog: the client has sent more ahead than the limits allow to read.
+	ExcessBacklog
+)
+
 // Conn is a connection whose waiting requests run ahead of their turn. The server reads
 // from it; the server's handler must call BeginRequest and EndRequest for each request.
 type Conn struct {
@@ -78,11 +89,8 @@
 	queuedCalls   []*Call
 	queuedBytes   int
 	firstHeadRead int
-	// isBacklogged is set once reading ahead had to stop because of the limits, or by MarkBacklogged,
-	// until the server has read all unread bytes.
-	isBacklogged bool
-	// exceedsLimits is set with isBacklogged if that was because of the limits.
-	exceedsLimits bool
+	// backlog is NoBacklog again once the server has read all unread bytes.
+	backlog Backlog
 	// blocked is set if the request after queuedCalls must wait for its turn.
 	blocked bool
 	// unreadAt is when the last bytes of unreadBytes were received. arrivedAt is when the
@@ -149,29 +157,20 @@
 	}
 }
 
-// MarkBacklogged marks the connection as backlogged if the client has sent further requests ahead. It is
-// called when a request of the connection was refused for want of capacity: the client has sent the
-// further ones without heeding that.
-func (c *Conn) MarkBacklogged() {
+// RecordRefusal records that a request of the connection was refused for want of capacity.
+func (c *Conn) RecordRefusal() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.isBacklogged = c.isBacklogged || len(c.unreadBytes) > 0
-}
-
-// IsBacklogged reports whether the client has sent more ahead than the limits allow to read, or has sent
-// ahead while requests were refused for want of capacity.
-func (c *Conn) IsBacklogged() bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.isBacklogged
+	if len(c.unreadBytes) > 0 {
+		c.backlog = max(c.backlog, RefusedBacklog)
+	}
 }
 
-// ExceedsLimits reports whether the connection is backlogged because the client has sent more ahead than
-// the limits allow to read.
-func (c *Conn) ExceedsLimits() bool {
+// Backlog returns the backlog of the connection.
+func (c *Conn) Backlog() Backlog {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.exceedsLimits
+	return c.backlog
 }
 
 // HasPendingAnswers reports whether requests after the current one run or have run ahead,
@@ -245,7 +244,7 @@
 	c.unreadBytes = c.unreadBytes[used:]
 	c.config.Unread.Release(int64(used))
 	if len(c.unreadBytes) == 0 {
-		c.unreadBytes, c.isBacklogged, c.exceedsLimits = nil, false, false
+		c.unreadBytes, c.backlog = nil, NoBacklog
 	}
 	c.changed.Broadcast()
 	return used, true, nil
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -401,14 +401,14 @@
 	go func() { _, _ = io.WriteString(conn, strings.Repeat(post, count)) }()
 	<-handler.started
 	wrappedConn := <-server.conns
-	awaitCondition(t, wrappedConn.IsBacklogged)
+	awaitCondition(t, func() bool { return wrappedConn.Backlog() == ExcessBacklog })
 	check.True(server.unread.Used()-server.unread.Limit() <= 2*readAheadBytes)
 	close(handler.release("/a"))
 	reader := bufio.NewReader(conn)
 	for range count {
 		check.Equal(readAnswerBody(t, reader), "/a")
 	}
-	check.True(!wrappedConn.IsBacklogged())
+	check.Equal(wrappedConn.Backlog(), NoBacklog)
 	check.Equal(server.unread.Used(), server.unread.Limit())
 }
 
--- a/internal/proxy/backlog.go
+++ b/internal/proxy/backlog.go
@@ -20,18 +20,23 @@
 func (c *callerCall) awaitBacklogTurn() (release func(), refusal Refusal, passed bool) {
 	conn := c.pipelinedConn()
 	runsAhead, _ := c.request.Context().Value(aheadKey{}).(bool)
-	if conn == nil || runsAhead || !conn.IsBacklogged() {
+	if conn == nil || runsAhead {
 		return func() {}, Refusal{}, true
 	}
-	turns := c.proxy.backlogTurns
-	if conn.ExceedsLimits() {
+	var turns chan struct{}
+	switch conn.Backlog() {
+	case pipeline.NoBacklog:
+		return func() {}, Refusal{}, true
+	case pipeline.RefusedBacklog:
+		turns = c.proxy.backlogTurns
+	case pipeline.ExcessBacklog:
 		turns = c.proxy.excessTurns
 	}
 	select {
 	case turns <- struct{}{}:
 		return func() { <-turns }, Refusal{}, true
 	case <-c.context.Done():
-		if conn.ExceedsLimits() {
+		if conn.Backlog() == pipeline.ExcessBacklog {
 			// The requests behind are as late. Reading and refusing them would take the processor from
 			// other callers; on a closed connection they count as not read.
 			c.writer.Header().Set("Connection", "close")
@@ -40,12 +45,11 @@
 	}
 }
 
-// noteRefusal marks the call's connection as backlogged if the call was refused for want of capacity while
-// the caller had already sent further requests.
+// noteRefusal records at the call's connection if the call was refused for want of capacity.
 func (c *callerCall) noteRefusal(refusal Refusal) {
 	conn := c.pipelinedConn()
 	if conn != nil && refusal.execution() == result.RanNo && defaultRetryAfter(refusal.Code) > 0 {
-		conn.MarkBacklogged()
+		conn.RecordRefusal()
 	}
 }
 
