Twins in the limits of requests become one piece

No change of behaviour: - the end of the oldest holder of a budget, written in two methods; - the limits of heads, built field by field for a side of the proxy and for a web server, and the library's settings that go with them; - the last answer of a connection and what follows it, which refused heads had beside refused connections: sendRefusal serves both; - four early refusals of a caller's request and one at the gate: refuseEarly; - the condition under which a body is read on, written as itself and as its opposite; a bound of the capacity that the line before had already applied; two checks for an evicted body in a row.

--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -44,8 +44,7 @@
 	defer body.finish()
 	call, refusal, accepted := p.acceptWhenStarted(request, body)
 	if !accepted {
-		p.traceEarlyRefusal(request, refusal)
-		p.refuse(writer, body, refusal)
+		p.refuseEarly(writer, request, body, refusal)
 		return
 	}
 	ctx, cancel := context.WithTimeout(request.Context(), call.timeout)
@@ -56,26 +55,28 @@
 	call.body = body
 	release, refusal, passed := call.awaitBacklogTurn()
 	if !passed {
-		p.traceEarlyRefusal(request, refusal)
-		p.refuse(writer, body, refusal)
+		p.refuseEarly(writer, request, body, refusal)
 		return
 	}
 	defer release()
 	if refusal, permitted := call.takeQuota(); !permitted {
-		p.traceEarlyRefusal(request, refusal)
-		p.refuse(writer, body, refusal)
+		p.refuseEarly(writer, request, body, refusal)
 		return
 	}
 	if err := body.preload(ctx, nil); err != nil {
 		call.returnQuota()
-		refusal := bodyRefusal(ctx, err)
-		p.traceEarlyRefusal(request, refusal)
-		p.refuse(writer, body, refusal)
+		p.refuseEarly(writer, request, body, bodyRefusal(ctx, err))
 		return
 	}
 	call.run()
 }
 
+// refuseEarly refuses a request of which no attempt was made.
+func (p *Proxy) refuseEarly(writer http.ResponseWriter, request *http.Request, body *upload, refusal Refusal) {
+	p.traceEarlyRefusal(request, refusal)
+	p.refuse(writer, body, refusal)
+}
+
 // prepareExchange returns the response controller and the request body of an exchange, on the
 // callers' side or at the gate. If the daemon drains and no later answer of the connection is
 // pending, prepareExchange announces that the connection closes after the answer.
--- a/internal/proxy/evictingbudget.go
+++ b/internal/proxy/evictingbudget.go
@@ -58,14 +58,10 @@
 	b.used += bytes - memory.bytes
 	memory.bytes = bytes
 	for b.used > b.limit {
-		oldest := b.holders.Front()
-		if oldest == nil || oldest == memory.element {
+		if b.holders.Front() == memory.element || !b.evictOldestLocked() {
 			b.removeLocked(memory)
 			return false
 		}
-		victim := oldest.Value.(*heldMemory)
-		b.removeLocked(victim)
-		victim.holder.evict()
 	}
 	return true
 }
@@ -74,6 +70,10 @@
 func (b *evictingBudget) evictOldest() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	return b.evictOldestLocked()
+}
+
+func (b *evictingBudget) evictOldestLocked() bool {
 	oldest := b.holders.Front()
 	if oldest == nil {
 		return false
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -26,8 +26,7 @@
 	defer body.finish()
 	call, refusal, accepted := p.acceptGateCall(request, body)
 	if !accepted {
-		p.traceEarlyRefusal(request, refusal)
-		p.refuse(writer, body, refusal)
+		p.refuseEarly(writer, request, body, refusal)
 		return
 	}
 	ctx, cancel := context.WithTimeout(request.Context(), call.timeout)
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -114,8 +114,7 @@
 
 // refuseConnection answers the first call of a connection that is not accepted and closes the
 // connection. It waits for the call, because a caller may ignore an answer that precedes its
-// request. Afterwards it reads what the caller still sends: closing a connection with unread bytes
-// would reset it before the caller has read the refusal.
+// request.
 func (l *boundedListener) refuseConnection(conn net.Conn, refusal Refusal) {
 	if l.refusingCount.Add(1) > maxRefusedConns {
 		l.refusingCount.Add(-1)
@@ -129,16 +128,23 @@
 		if _, err := conn.Read(make([]byte, maxRefusalBytes)); err != nil {
 			return
 		}
-		if _, err := conn.Write(rawRefusal(refusal)); err != nil {
-			return
-		}
-		if writeSide, ok := conn.(writeCloser); ok {
-			_ = writeSide.CloseWrite()
-		}
-		_, _ = io.Copy(io.Discard, io.LimitReader(conn, maxDiscardBytes))
+		sendRefusal(conn, refusal)
 	}()
 }
 
+// sendRefusal writes a refusal as the last answer of a connection, closes the sending side and reads what
+// the caller still sends: closing a connection with unread bytes would reset it before the caller has
+// read the refusal. The deadline of the connection must be set.
+func sendRefusal(conn net.Conn, refusal Refusal) {
+	if _, err := conn.Write(rawRefusal(refusal)); err != nil {
+		return
+	}
+	if writeSide, ok := conn.(writeCloser); ok {
+		_ = writeSide.CloseWrite() // the connection is closed anyway
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(conn, maxDiscardBytes))
+}
+
 // countedConn is a connection that counts towards the limit until closed.
 type countedConn struct {
 	net.Conn
--- a/internal/proxy/requesthead.go
+++ b/internal/proxy/requesthead.go
@@ -55,25 +55,32 @@
 // unlimitedHeadBytes is the HTTP library's limit of a head on connections with headLimits.
 const unlimitedHeadBytes = 1 << 30
 
+// newHeadLimits returns the limits of the heads that a server with the given limits receives.
+func newHeadLimits(limits Limits) *headLimits {
+	return &headLimits{
+		maxBytes:   func() int { return limits.HeaderBytes },
+		timeout:    limits.HeaderTimeout,
+		closeAfter: func() time.Duration { return 0 },
+		incomplete: newEvictingBudget(limits.IncompleteHeadBytes),
+		requests:   bytebudget.New(limits.RequestBytes),
+		onRefused:  func(Refusal) {},
+	}
+}
+
 // headLimits returns the limits of the heads that the server of this side receives.
 func (s *sideHandler) headLimits() *headLimits {
 	p := s.proxy
-	limits := &headLimits{
-		maxBytes:   func() int { return p.RequestLimits().HeaderBytes },
-		timeout:    p.limits.HeaderTimeout,
-		closeAfter: func() time.Duration { return p.RequestLimits().HeaderTimeout },
-		incomplete: newEvictingBudget(p.limits.IncompleteHeadBytes),
-		requests:   bytebudget.New(p.limits.RequestBytes),
-		onRefused:  func(refusal Refusal) { p.counters.recordRefusal(refusal.Code) },
-		edge:       p.config.Edge,
-	}
+	limits := newHeadLimits(p.limits)
+	limits.onRefused = func(refusal Refusal) { p.counters.recordRefusal(refusal.Code) }
 	if !s.isCallerSide {
 		// The callers' side has checked the head as it was sent. It adds headers and a space to each
 		// field, and its daemon may have a version with other limits in force.
 		limits.maxBytes = func() int { return gateHeadFactor * max(p.RequestLimits().HeaderBytes, p.limits.HeaderBytes) }
-		limits.closeAfter = func() time.Duration { return 0 }
-		limits.edge = nil
+		return limits
 	}
+	limits.maxBytes = func() int { return p.RequestLimits().HeaderBytes }
+	limits.closeAfter = func() time.Duration { return p.RequestLimits().HeaderTimeout }
+	limits.edge = p.config.Edge
 	return limits
 }
 
@@ -235,8 +242,8 @@
 	}
 }
 
-// refuseHead answers with a refusal, closes the sending side and reads what the caller still sends, for
-// a limited time. It returns io.EOF, with which the server closes the connection.
+// refuseHead answers with a refusal as the last answer of the connection, within refusalTimeout. It
+// returns io.EOF, with which the server closes the connection.
 func (c *countedConn) refuseHead(refusal Refusal) error {
 	refusal.edge = c.listener.heads.edge
 	c.listener.heads.onRefused(refusal)
@@ -245,11 +252,7 @@
 		return io.EOF
 	}
 	_ = c.Conn.SetDeadline(time.Now().Add(refusalTimeout)) // fails on a closed connection, and then writing fails
-	if _, err := c.Conn.Write(rawRefusal(refusal)); err != nil {
-		return io.EOF
-	}
-	_ = c.CloseWrite() // the connection is closed anyway
-	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxDiscardBytes))
+	sendRefusal(c.Conn, refusal)
 	return io.EOF
 }
 
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/springstack/springstack/internal/bytebudget"
 	"github.com/springstack/springstack/internal/pipeline"
 )
 
@@ -127,10 +126,7 @@
 	}
 	server := &Server{httpServer: httpServer, limits: limits}
 	if isSideHandler {
-		server.heads = side.headLimits()
-		httpServer.MaxHeaderBytes = unlimitedHeadBytes
-		// The library would answer these requests without the handler.
-		httpServer.DisableGeneralOptionsHandler = true
+		server.limitHeads(side.headLimits())
 	}
 	if side != nil && side.isCallerSide {
 		server.pipelineConfig = side.proxy.pipelineConfig(server.heads)
@@ -145,21 +141,20 @@
 func NewWebServer(handler http.Handler, limits Limits) *Server {
 	server := NewServer(handler, limits)
 	server.isWeb = true
-	server.heads = &headLimits{
-		maxBytes:   func() int { return server.limits.HeaderBytes },
-		timeout:    server.limits.HeaderTimeout,
-		closeAfter: func() time.Duration { return 0 },
-		incomplete: newEvictingBudget(server.limits.IncompleteHeadBytes),
-		requests:   bytebudget.New(server.limits.RequestBytes),
-		onRefused:  func(Refusal) {},
-	}
-	server.httpServer.MaxHeaderBytes = unlimitedHeadBytes
-	server.httpServer.DisableGeneralOptionsHandler = true
+	server.limitHeads(newHeadLimits(server.limits))
 	server.httpServer.ReadTimeout = server.limits.StallTimeout
 	server.httpServer.WriteTimeout = 2 * server.limits.StallTimeout
 	return server
 }
 
+// limitHeads sets limits of heads, in place of the library's own. It must be called before Serve.
+func (s *Server) limitHeads(heads *headLimits) {
+	s.heads = heads
+	s.httpServer.MaxHeaderBytes = unlimitedHeadBytes
+	// The library would answer requests for * without the handler, which marks the end of a head.
+	s.httpServer.DisableGeneralOptionsHandler = true
+}
+
 // SetTLS makes the server accept only TLS connections, or unencrypted ones if config is
 // nil. It must be called before Serve. It returns the server.
 func (s *Server) SetTLS(config *tls.Config) *Server {
--- a/internal/proxy/upload.go
+++ b/internal/proxy/upload.go
@@ -176,14 +176,14 @@
 	defer u.mutex.Unlock()
 	u.readUntil, _ = ctx.Deadline()
 	defer func() { u.readUntil = time.Time{} }()
-	for u.readErr == nil && ctx.Err() == nil && mayRead() && !u.overflow && len(u.keptBytes) < u.keepLimit {
+	needsMore := func() bool { return mayRead() && !u.overflow && len(u.keptBytes) < u.keepLimit }
+	for u.readErr == nil && ctx.Err() == nil && needsMore() {
 		if u.readKept() > 0 && onProgress != nil {
 			onProgress()
 		}
 	}
-	isPreloaded := u.readErr == nil && (u.overflow || len(u.keptBytes) >= u.keepLimit || !mayRead())
 	switch {
-	case u.readErr == io.EOF, isPreloaded:
+	case u.readErr == io.EOF, u.readErr == nil && !needsMore():
 		return u.keepMemory()
 	case isStallError(u.readErr) && !u.readUntil.IsZero() && !time.Now().Before(u.readUntil):
 		return context.DeadlineExceeded
--- a/internal/proxy/uploadmemory.go
+++ b/internal/proxy/uploadmemory.go
@@ -41,7 +41,7 @@
 func (u *upload) growKept(needed int) bool {
 	capacity := min(max(2*cap(u.keptBytes), minKeptCapacity), u.keepLimit)
 	if u.declaredLength > 0 {
-		capacity = min(capacity, int(min(u.declaredLength, int64(u.keepLimit))))
+		capacity = int(min(int64(capacity), u.declaredLength))
 	}
 	capacity = max(capacity, needed)
 	if !u.reserveMemory(capacity) && capacity > minLargeBodyBytes {
@@ -68,11 +68,10 @@
 // keepMemory marks the body as one that has arrived and is not evicted any more. It returns an error
 // if the body has been evicted. The lock is held.
 func (u *upload) keepMemory() error {
-	if u.evicted.Load() {
-		u.readErr = errBodyEvicted
-		return u.readErr
+	if u.memory != nil {
+		u.memory.keep(u)
 	}
-	if u.memory != nil && u.isHolder && !u.memory.keep(u) && u.evicted.Load() {
+	if u.evicted.Load() {
 		u.readErr = errBodyEvicted
 		return u.readErr
 	}
