Tests of the proxy share their connections and waits

A connection that sends text was opened in five places, and the wait for memory to be released was written twice; dialWith and awaitReleased serve them, with the same bounds as before. The keys of a map come from the library.

--- a/internal/proxy/bodyqueue_test.go
+++ b/internal/proxy/bodyqueue_test.go
@@ -54,16 +54,8 @@
 // slowUpload sends the head and the first bytes of a large body.
 func slowUpload(t *testing.T, mesh *mesh, headers string) net.Conn {
 	t.Helper()
-	conn, err := net.Dial("tcp", mesh.address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = conn.Close() })
+	conn := mesh.dialWith(t, fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n%s\r\nfirst", minLargeBodyBytes, headers))
 	_ = conn.SetDeadline(time.Now().Add(awaitTimeout))
-	_, err = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n%s\r\nfirst", minLargeBodyBytes, headers)
-	if err != nil {
-		t.Fatal(err)
-	}
 	return conn
 }
 
--- a/internal/proxy/evictingbudget_test.go
+++ b/internal/proxy/evictingbudget_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"maps"
 	"slices"
 	"testing"
 
@@ -39,13 +40,7 @@
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			bytes := rapid.Int64Range(0, 60).Draw(t, "bytes")
 			holder := &testHolder{}
-			known := slices.Collect(func(yield func(*testHolder) bool) {
-				for one := range held {
-					if !yield(one) {
-						return
-					}
-				}
-			})
+			known := slices.Collect(maps.Keys(held))
 			isNew := len(known) == 0 || rapid.Bool().Draw(t, "new")
 			if !isNew {
 				holder = known[0]
--- a/internal/proxy/mesh_test.go
+++ b/internal/proxy/mesh_test.go
@@ -235,18 +235,38 @@
 
 // sendRaw sends bytes to the caller's daemon and returns everything that it answers.
 func (m *mesh) sendRaw(t testing.TB, text string) string {
+	t.Helper()
+	conn := m.dialWith(t, text)
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	answer, _ := io.ReadAll(conn)
+	return string(answer)
+}
+
+// dialWith opens a connection to the caller's daemon, which the end of the test closes, and sends text.
+func (m *mesh) dialWith(t testing.TB, text string) net.Conn {
 	t.Helper()
 	conn, err := net.Dial("tcp", m.address)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	t.Cleanup(func() { _ = conn.Close() })
 	if _, err := io.WriteString(conn, text); err != nil {
 		t.Fatal(err)
 	}
-	answer, _ := io.ReadAll(conn)
-	return string(answer)
+	return conn
+}
+
+// awaitReleased waits until no bytes are reserved.
+func awaitReleased(t testing.TB, reserved func() int64) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for reserved() != 0 {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d bytes stay reserved", reserved())
+		}
+		time.Sleep(time.Millisecond)
+	}
 }
 
 // countingBackend returns a back end that counts its calls and echoes their bodies.
--- a/internal/proxy/requesthead_test.go
+++ b/internal/proxy/requesthead_test.go
@@ -15,7 +15,6 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"github.com/springstack/springstack/internal/bytebudget"
 	"github.com/springstack/springstack/internal/core/resource"
 )
 
@@ -53,9 +52,7 @@
 		body, _ := io.ReadAll(request.Body)
 		_, _ = fmt.Fprintf(writer, "%s %s %d", request.Method, body, len(request.Header["Short"]))
 	}})
-	conn, err := net.Dial("tcp", mesh.address)
-	check.NoErr(err)
-	defer conn.Close()
+	conn := mesh.dialWith(t, "")
 	fields := strings.Repeat("Short:\r\n", 100)
 	requests := []string{
 		"GET / HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n",
@@ -115,11 +112,7 @@
 	incomplete := "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", 1000)
 	closed := make(chan error, 8)
 	for range cap(closed) {
-		conn, err := net.Dial("tcp", mesh.address)
-		check.NoErr(err)
-		defer conn.Close()
-		_, err = io.WriteString(conn, incomplete)
-		check.NoErr(err)
+		conn := mesh.dialWith(t, incomplete)
 		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
 		go func() {
 			_, err := conn.Read(make([]byte, 1))
@@ -163,10 +156,7 @@
 	client, server := net.Pipe()
 	defer client.Close()
 	listener := newBoundedListener(nil, 1)
-	listener.heads = &headLimits{
-		maxBytes: func() int { return 1 << 10 }, timeout: time.Minute, closeAfter: func() time.Duration { return 0 },
-		incomplete: newEvictingBudget(1 << 20), requests: bytebudget.New(1 << 20), onRefused: func(Refusal) {},
-	}
+	listener.heads = newHeadLimits(DefaultLimits())
 	conn := newCountedConn(server, listener)
 	check.True(conn.closeIdle()) // by the idle timer or for a new connection
 	conn.head.size = 1
@@ -198,11 +188,5 @@
 		_, _ = io.Copy(conn, bytes.NewReader([]byte(text))) // a refusal may end it
 		_ = conn.Close()
 	}
-	deadline := time.Now().Add(10 * time.Second)
-	for server.heads.requests.Used() != 0 || server.heads.incomplete.usedBytes() != 0 {
-		if time.Now().After(deadline) {
-			t.Fatalf("%d bytes of requests and %d of heads stay reserved", server.heads.requests.Used(), server.heads.incomplete.usedBytes())
-		}
-		time.Sleep(time.Millisecond)
-	}
+	awaitReleased(t, func() int64 { return server.heads.requests.Used() + server.heads.incomplete.usedBytes() })
 }
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -233,11 +233,7 @@
 	mesh.address = startServer(t, mesh.caller.CallerHandler(), Limits{Connections: 2})
 	var idle []net.Conn
 	for range 2 {
-		conn, err := net.Dial("tcp", mesh.address)
-		check.NoErr(err)
-		defer conn.Close()
-		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-		check.NoErr(err)
+		conn := mesh.dialWith(t, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		check.NoErr(err)
 		check.Equal(answer.StatusCode, http.StatusOK)
--- a/internal/proxy/uploadmemory_test.go
+++ b/internal/proxy/uploadmemory_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -16,17 +15,6 @@
 	"github.com/springstack/springstack/internal/result"
 )
 
-// dialWith opens a connection to the callers' side and sends text.
-func dialWith(t *testing.T, mesh *mesh, text string) net.Conn {
-	t.Helper()
-	conn, err := net.Dial("tcp", mesh.address)
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = conn.Close() })
-	_, err = io.WriteString(conn, text)
-	is.New(t).NoErr(err)
-	return conn
-}
-
 // TestBodiesThatDontArriveGiveWay: bodies beyond the memory for them end the calls whose bodies have been
 // awaited for longest, as not run, and another call's body finds room.
 func TestBodiesThatDontArriveGiveWay(t *testing.T) {
@@ -36,7 +24,7 @@
 	partial := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n\r\n" + strings.Repeat("x", 49999)
 	answers := make(chan string, 4)
 	for range cap(answers) {
-		conn := dialWith(t, mesh, partial)
+		conn := mesh.dialWith(t, partial)
 		go func() {
 			text, _ := io.ReadAll(conn)
 			answers <- string(text)
@@ -59,16 +47,10 @@
 		check.Equal(mesh.call(t, "POST", "/", strings.Repeat("x", length)).status, http.StatusOK)
 	}
 	for range 5 {
-		conn := dialWith(t, mesh, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 30000\r\n\r\n"+strings.Repeat("x", 29999))
+		conn := mesh.dialWith(t, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 30000\r\n\r\n"+strings.Repeat("x", 29999))
 		_ = conn.Close()
 	}
-	deadline := time.Now().Add(10 * time.Second)
-	for mesh.caller.bodyMemory.usedBytes()+mesh.gates[0].bodyMemory.usedBytes() != 0 {
-		if time.Now().After(deadline) {
-			t.Fatal("memory stays reserved")
-		}
-		time.Sleep(time.Millisecond)
-	}
+	awaitReleased(t, func() int64 { return mesh.caller.bodyMemory.usedBytes() + mesh.gates[0].bodyMemory.usedBytes() })
 }
 
 // TestAnswersThatAreNotReadGiveWay: answers beyond the memory for them break off the one that has been
@@ -83,7 +65,7 @@
 		}
 		_, _ = writer.Write(make([]byte, length))
 	}})
-	conn := dialWith(t, mesh, "GET /huge HTTP/1.1\r\nHost: h\r\n\r\n")
+	conn := mesh.dialWith(t, "GET /huge HTTP/1.1\r\nHost: h\r\n\r\n")
 	line, err := bufio.NewReaderSize(conn, 16).ReadString('\n')
 	check.NoErr(err)
 	check.True(strings.HasPrefix(line, "HTTP/1.1 200 "))
@@ -100,7 +82,7 @@
 	check := is.New(t)
 	var runs atomic.Int64
 	mesh := startMesh(t, meshOptions{}, countingBackend(&runs))
-	conn := dialWith(t, mesh, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")
+	conn := mesh.dialWith(t, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")
 	for range 20 {
 		_, err := io.WriteString(conn, "1\r\nx\r\n")
 		check.NoErr(err)
@@ -121,11 +103,11 @@
 		_, _ = io.Copy(io.Discard, request.Body)
 	}})
 	stalling := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n\r\n" + strings.Repeat("x", 30000)
-	first := dialWith(t, mesh, stalling)
+	first := mesh.dialWith(t, stalling)
 	for mesh.gates[0].gate.Load().Running == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	second := dialWith(t, mesh, stalling)
+	second := mesh.dialWith(t, stalling)
 	check.Equal(mesh.call(t, "POST", "/", "x").status, http.StatusOK) // the other slot is free
 	text, _ := io.ReadAll(first)
 	check.True(strings.Contains(string(text), "Springstack-Ran: unknown\r\n"))
