--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -178,7 +178,7 @@
 	// request.
 	AheadInputBytes int
 	// AheadUnreadBytes limits the bytes read from all callers' connections beyond the current
-	// requests. Above it a connection reads on only to detect that its caller disconnects.
+	// requests. Above it a connection reads ahead only a little, and its calls take turns.
 	AheadUnreadBytes int64
 	// AheadAnswerBytes limits the buffered bytes of one answer that waits for its turn,
 	// AheadHeldBytes those of all answers. A call with a longer answer pauses until its turn.
